--- /dev/null
+++ b/packages/coordination/src/frames.ts
@@ -0,0 +1,94 @@
+/**
+ * Frames between entries: four bytes of length, big-endian, then one CBOR value (cbor-x).
+ * @module
+ */
+import { Failure, FailureCode } from "@gladewall/kernel";
+import { Decoder, Encoder } from "cbor-x";
+import { Err, Ok, type Result } from "ts-results-es";
+
+const headBytes = 4;
+
+/** Largest frame that is sent or taken, in bytes. */
+export const frameLimit = 17_825_792;
+
+// Plain maps, not cbor-x's records: a frame must be readable without what other frames said.
+const encoder = new Encoder({ useRecords: false, tagUint8Array: false });
+const decoder = new Decoder({ useRecords: false, mapsAsObjects: true });
+
+/** Returns a message as the bytes of one frame; fails with `FrameTooLarge`. */
+export function encodeFrame(message: unknown): Result<Buffer, Failure> {
+  const body = encoder.encode(message);
+  if (body.length > frameLimit) {
+    return Err(Failure.create(FailureCode.FrameTooLarge, { size: body.length, limit: frameLimit }));
+  }
+  const frame = Buffer.allocUnsafe(headBytes + body.length);
+  frame.writeUInt32BE(body.length, 0);
+  body.copy(frame, headBytes);
+  return Ok(frame);
+}
+
+/** Cuts a stream of bytes into messages. */
+export class FrameDecoder {
+  private chunks: Buffer[] = [];
+  private size = 0;
+
+  private constructor(private limit: number) {}
+
+  /** `limit`: largest frame taken, in bytes. */
+  static create(limit = frameLimit): FrameDecoder {
+    return new FrameDecoder(limit);
+  }
+
+  /** Changes the largest frame taken from now on. */
+  setLimit(limit: number): void {
+    this.limit = limit;
+  }
+
+  /** Takes bytes; returns the messages that are now whole, or why the stream cannot be read on. */
+  push(bytes: Buffer): Result<unknown[], Failure> {
+    this.chunks.push(bytes);
+    this.size += bytes.length;
+    const messages: unknown[] = [];
+    while (this.size >= headBytes) {
+      const head = this.getHead();
+      if (head > this.limit)
+        return Err(Failure.create(FailureCode.FrameTooLarge, { size: head, limit: this.limit }));
+      if (this.size < headBytes + head) break;
+      const frame = this.takeFrame(headBytes + head);
+      const message = decodeBody(frame.subarray(headBytes));
+      if (message.isErr()) return message;
+      messages.push(message.value);
+    }
+    return Ok(messages);
+  }
+
+  private getHead(): number {
+    const first = this.chunks[0];
+    if (first && first.length >= headBytes) return first.readUInt32BE(0);
+    return this.join().readUInt32BE(0);
+  }
+
+  private takeFrame(length: number): Buffer {
+    const first = this.chunks[0];
+    const all = first && first.length >= length ? first : this.join();
+    this.chunks[0] = all.subarray(length);
+    if (this.chunks[0].length === 0) this.chunks.shift();
+    this.size -= length;
+    return all.subarray(0, length);
+  }
+
+  private join(): Buffer {
+    const all = Buffer.concat(this.chunks);
+    this.chunks = [all];
+    return all;
+  }
+}
+
+function decodeBody(body: Buffer): Result<unknown, Failure> {
+  try {
+    return Ok(decoder.decode(body));
+  } catch (error) {
+    const detail = error instanceof Error ? error.message : String(error);
+    return Err(Failure.create(FailureCode.FrameMalformed, { detail }));
+  }
+}
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -5,3 +5,10 @@
 export * from "./types.js";
 export * from "./liveView.js";
 export * from "./versionedDocument.js";
+export * from "./frames.js";
+export * from "./peerMessages.js";
+export { type ConnectionTraffic, type PeerIdentity } from "./peerConnection.js";
+export * from "./peerLinks.js";
+export * from "./serviceBudget.js";
+export * from "./leaseHolder.js";
+export * from "./claimLedger.js";
--- /dev/null
+++ b/packages/coordination/src/leaseHolder.ts
@@ -0,0 +1,108 @@
+/**
+ * Holds a lease on a name: at most one holder acts at a time, as far as clocks of equal rate allow, and every order it
+ * gives carries a fence that grows with each change of hands.
+ *
+ * Validity counts from the time the renewal was *sent*, on the monotonic clock: what the service counts from cannot be
+ * earlier. A holder that was paused finds its own lease out of date before it acts.
+ * @module
+ */
+import { type Clock, type Closeable, Failure, FailureCode, type Logger, waitFor } from "@gladewall/kernel";
+import { Err, Ok, type Result } from "ts-results-es";
+import type { GrantedLease, KeyValueService } from "./types.js";
+
+/** Options of a holder. */
+export interface LeaseOptions {
+  readonly service: KeyValueService;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly name: string;
+  readonly holder: string;
+  /** Milliseconds that a lease lasts without renewal. */
+  readonly ttl: number;
+  /** Milliseconds before the end of the lease at which this side stops acting: covers clocks and the order's way. */
+  readonly margin: number;
+  /** Returns a number from 0 to 1, for jitter. */
+  readonly getRandom: () => number;
+}
+
+interface HeldLease {
+  readonly granted: GrantedLease;
+  /** Monotonic time until which acting is safe. */
+  readonly validUntil: number;
+}
+
+const renewalsPerTtl = 3;
+
+/** Tries to hold one lease for as long as it is open. */
+export class LeaseHolder implements Closeable {
+  private held: HeldLease | undefined;
+  private readonly stop = new AbortController();
+  private task: Promise<void> = Promise.resolve();
+
+  private constructor(private readonly options: LeaseOptions) {}
+
+  static create(options: LeaseOptions): LeaseHolder {
+    return new LeaseHolder(options);
+  }
+
+  /** Starts to acquire, then to renew. */
+  start(): void {
+    this.task = this.hold();
+  }
+
+  /**
+   * Returns the fence if acting is safe now. Call it right before each order, not once before many: between two
+   * calls the process may have been paused.
+   */
+  getFence(): Result<number, Failure> {
+    const { clock, name } = this.options;
+    if (!this.held || clock.getTime() >= this.held.validUntil) {
+      return Err(Failure.create(FailureCode.LeaseLost, { lease: name }));
+    }
+    return Ok(this.held.granted.fence);
+  }
+
+  /** Gives the lease back. */
+  async close(): Promise<void> {
+    this.stop.abort();
+    await this.task;
+    const { held } = this;
+    this.held = undefined;
+    if (held) await this.options.service.releaseLease(held.granted.session);
+  }
+
+  private async hold(): Promise<void> {
+    const { clock, ttl, getRandom } = this.options;
+    const { signal } = this.stop;
+    while (!signal.aborted) {
+      if (this.held) await this.renew(this.held.granted);
+      else await this.acquire();
+      // Jitter keeps those who wait for the lease from asking together.
+      await waitFor(clock, (ttl / renewalsPerTtl) * (0.75 + getRandom() / 4), signal);
+    }
+  }
+
+  private async acquire(): Promise<void> {
+    const { service, clock, name, holder, ttl, logger } = this.options;
+    const sentAt = clock.getTime();
+    const granted = await service.acquireLease(name, holder, ttl);
+    if (granted.isErr() || !granted.value) return;
+    this.setHeld(granted.value, sentAt);
+    logger.info("lease.acquired", { lease: name, fence: granted.value.fence });
+  }
+
+  private async renew(granted: GrantedLease): Promise<void> {
+    const { service, clock, name, logger } = this.options;
+    const sentAt = clock.getTime();
+    const renewed = await service.renewLease(granted.session);
+    if (renewed.isOk()) return this.setHeld(granted, sentAt);
+    // Any other failure leaves the lease as it is: it may have been renewed, and runs out by itself if not.
+    if (renewed.error.code !== FailureCode.LeaseLost) return;
+    this.held = undefined;
+    logger.warn("lease.lost", { lease: name, fence: granted.fence });
+  }
+
+  private setHeld(granted: GrantedLease, sentAt: number): void {
+    this.held = { granted, validUntil: sentAt + this.options.ttl - this.options.margin };
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/peerLinks.ts
@@ -0,0 +1,334 @@
+/**
+ * Links to peers: a task for each peer that is wanted and for each connection; pings, loss after silence, reconnects
+ * with jitter. With few peers every pair is linked; with many, each links a bounded set chosen by hash, and others on
+ * demand.
+ * @module
+ */
+import { connect, createServer, type Server, type Socket } from "node:net";
+import type { AddressInfo } from "node:net";
+import {
+  type Closeable,
+  Failure,
+  FailureCode,
+  hashText,
+  type Logger,
+  mixHashes,
+  waitFor,
+} from "@gladewall/kernel";
+import { Err, type Result } from "ts-results-es";
+import {
+  type ConnectionOptions,
+  type ConnectionTraffic,
+  PeerConnection,
+  type PeerIdentity,
+} from "./peerConnection.js";
+import { LinkMessageKind, type PeerMessage } from "./peerMessages.js";
+
+/** A peer that may be linked. */
+export interface PeerAddress extends PeerIdentity {
+  /** `host:port` of its peers' port. */
+  readonly address: string;
+}
+
+/** Options of the links. */
+export interface LinkOptions extends ConnectionOptions {
+  readonly listen: string;
+  readonly pingInterval: number;
+  /** Silence after which a peer counts as lost, milliseconds. */
+  readonly lostAfter: number;
+  /** Links kept open without a cause. */
+  readonly standingLinks: number;
+  readonly logger: Logger;
+  /** Returns a number from 0 to 1, for jitter. */
+  readonly getRandom: () => number;
+  /** Fields that each ping carries. */
+  readonly getPing: () => Readonly<Record<string, unknown>>;
+}
+
+/** Handles a message of one kind; what it returns is the answer, where one is awaited. */
+export type MessageHandler = (message: PeerMessage, peer: PeerIdentity) => unknown;
+
+/** Called when a link comes up or goes down. */
+export type LinkListener = (peer: PeerIdentity) => void;
+
+interface Peer {
+  readonly address: PeerAddress;
+  readonly stop: AbortController;
+  task: Promise<void>;
+}
+
+const firstBackoff = 50;
+const highestBackoff = 1_000;
+
+/** All links of one entry. */
+export class PeerLinks implements Closeable {
+  readonly traffic: ConnectionTraffic = { sentBytes: 0, sentFrames: 0, receivedBytes: 0, receivedFrames: 0 };
+  private readonly handlers = new Map<number, MessageHandler>();
+  private readonly known = new Map<string, PeerAddress>();
+  private readonly peers = new Map<string, Peer>();
+  private readonly connections = new Map<string, PeerConnection>();
+  private readonly sockets = new Set<Socket>();
+  private readonly upListeners = new Set<LinkListener>();
+  private readonly downListeners = new Set<LinkListener>();
+  private readonly server: Server;
+  private readonly stop = new AbortController();
+  private pingTask: Promise<void> = Promise.resolve();
+
+  private constructor(private readonly options: LinkOptions) {
+    this.server = createServer((socket) => void this.accept(socket));
+  }
+
+  static create(options: LinkOptions): PeerLinks {
+    return new PeerLinks(options);
+  }
+
+  /** Starts to listen and to ping; returns `host:port`. */
+  async open(): Promise<string> {
+    const colon = this.options.listen.lastIndexOf(":");
+    const host = this.options.listen.slice(0, colon);
+    const port = Number(this.options.listen.slice(colon + 1));
+    await new Promise<void>((resolve, reject) => {
+      this.server.once("error", reject);
+      this.server.listen(port, host, resolve);
+    });
+    this.pingTask = this.ping();
+    const address = this.server.address() as AddressInfo;
+    return `${address.address}:${address.port}`;
+  }
+
+  /** Sets what a kind of message does. */
+  setHandler(kind: number, handler: MessageHandler): void {
+    this.handlers.set(kind, handler);
+  }
+
+  /** Calls back when a link comes up. */
+  onUp(listener: LinkListener): void {
+    this.upListeners.add(listener);
+  }
+
+  /** Calls back when a link goes down. */
+  onDown(listener: LinkListener): void {
+    this.downListeners.add(listener);
+  }
+
+  /** Says which peers there are. Standing links are opened to some of them; links to others are closed. */
+  setPeers(addresses: readonly PeerAddress[]): void {
+    this.known.clear();
+    for (const address of addresses) {
+      if (address.name !== this.options.own.name) this.known.set(address.name, address);
+    }
+    const standing = new Set(this.selectStanding());
+    for (const [name, peer] of this.peers) {
+      if (!isSameAddress(this.known.get(name), peer.address)) this.dropPeer(name);
+    }
+    for (const name of standing) this.wantPeer(name);
+  }
+
+  /** Names of linked peers. */
+  getLinked(): readonly string[] {
+    return [...this.connections.keys()];
+  }
+
+  /** Resolves when so many peers are linked. */
+  async waitForLinks(count: number): Promise<void> {
+    while (this.connections.size < count) {
+      await new Promise<void>((resolve) => {
+        const listener = (): void => {
+          this.upListeners.delete(listener);
+          resolve();
+        };
+        this.upListeners.add(listener);
+      });
+    }
+  }
+
+  /** Whether a peer is linked now. */
+  isLinked(name: string): boolean {
+    return this.connections.has(name);
+  }
+
+  /** Peers that should be linked. */
+  getWantedCount(): number {
+    return this.peers.size;
+  }
+
+  /** Sends to one peer; false where it is not linked. A link is then opened for the next time. */
+  send(name: string, message: PeerMessage): boolean {
+    const connection = this.connections.get(name);
+    if (connection) return connection.send(message);
+    this.wantPeer(name);
+    return false;
+  }
+
+  /** Calls one peer and waits for its answer; fails with `PeerUnreachable`. */
+  async call(name: string, message: PeerMessage, timeout: number): Promise<Result<unknown, Failure>> {
+    const connection = this.connections.get(name);
+    if (connection) return connection.call(message, timeout);
+    this.wantPeer(name);
+    return Err(Failure.create(FailureCode.PeerUnreachable, { peer: name }));
+  }
+
+  /** Sends to every linked peer but one. */
+  broadcast(message: PeerMessage, except?: string): void {
+    for (const [name, connection] of this.connections) {
+      if (name !== except) connection.send(message);
+    }
+  }
+
+  async close(): Promise<void> {
+    this.stop.abort();
+    for (const name of [...this.peers.keys()]) this.dropPeer(name);
+    const closed = new Promise<void>((resolve) => this.server.close(() => resolve()));
+    for (const socket of this.sockets) socket.destroy();
+    await closed;
+    await this.pingTask;
+  }
+
+  /** Chooses the standing links: all peers while they are few, else those nearest by a hash of the pair. */
+  private selectStanding(): readonly string[] {
+    const names = [...this.known.keys()];
+    if (names.length <= this.options.standingLinks) return names;
+    const own = hashText(this.options.own.name);
+    const scored = names.map((name) => ({ name, score: mixHashes(own ^ hashText(name), 0) }));
+    scored.sort((left, right) => right.score - left.score);
+    return scored.slice(0, this.options.standingLinks).map(({ name }) => name);
+  }
+
+  private wantPeer(name: string): void {
+    const address = this.known.get(name);
+    if (!address || this.peers.has(name) || this.stop.signal.aborted) return;
+    const peer: Peer = { address, stop: new AbortController(), task: Promise.resolve() };
+    this.peers.set(name, peer);
+    peer.task = this.maintain(peer);
+  }
+
+  private dropPeer(name: string): void {
+    this.peers.get(name)?.stop.abort();
+    this.peers.delete(name);
+    this.connections.get(name)?.close();
+  }
+
+  /** The task of one wanted peer: connects, serves the connection, and connects again. */
+  private async maintain(peer: Peer): Promise<void> {
+    const { clock, getRandom } = this.options;
+    const { signal } = peer.stop;
+    let backoff = firstBackoff;
+    while (!signal.aborted) {
+      if (this.connections.has(peer.address.name)) {
+        backoff = firstBackoff;
+      } else {
+        const isServed = await this.dial(peer.address);
+        backoff = isServed ? firstBackoff : Math.min(highestBackoff, backoff * 2);
+      }
+      await waitFor(clock, backoff * (0.5 + getRandom() / 2), signal);
+    }
+  }
+
+  /** Opens a connection and serves it to its end; false where it did not come about. */
+  private async dial(address: PeerAddress): Promise<boolean> {
+    const colon = address.address.lastIndexOf(":");
+    const socket = connect(Number(address.address.slice(colon + 1)), address.address.slice(0, colon));
+    this.track(socket);
+    const isConnected = await new Promise<boolean>((resolve) => {
+      socket.once("connect", () => resolve(true));
+      socket.once("close", () => resolve(false));
+      socket.setTimeout(this.options.handshakeTimeout, () => socket.destroy());
+    });
+    if (!isConnected) return false;
+    socket.setTimeout(0);
+    const connection = await PeerConnection.create(socket, true, this.options, this.traffic);
+    if (connection.isErr()) {
+      this.logRefusal(connection.error);
+      return false;
+    }
+    if (connection.value.peer.name !== address.name) {
+      connection.value.close();
+      return false;
+    }
+    return this.serve(connection.value);
+  }
+
+  private async accept(socket: Socket): Promise<void> {
+    this.track(socket);
+    const connection = await PeerConnection.create(socket, false, this.options, this.traffic);
+    if (connection.isErr()) return this.logRefusal(connection.error);
+    await this.serve(connection.value);
+  }
+
+  private track(socket: Socket): void {
+    this.sockets.add(socket);
+    // The reading task sees the error too; an error event without a listener would end the process.
+    socket.on("error", () => socket.destroy());
+    socket.on("close", () => this.sockets.delete(socket));
+  }
+
+  private logRefusal(failure: Failure): void {
+    if (this.stop.signal.aborted) return;
+    this.options.logger.warn("peer.refused", { failure: failure.name, text: failure.text });
+  }
+
+  /** The task of one connection. */
+  private async serve(connection: PeerConnection): Promise<boolean> {
+    const { peer } = connection;
+    const present = this.connections.get(peer.name);
+    if (this.stop.signal.aborted || (present && !this.isBetter(connection, present))) {
+      connection.close();
+      return false;
+    }
+    this.connections.set(peer.name, connection);
+    present?.close();
+    if (!present) this.announce(this.upListeners, peer);
+    connection.send(this.createPing());
+    await connection.serve((message) => this.handle(message, connection));
+    if (this.connections.get(peer.name) === connection) {
+      this.connections.delete(peer.name);
+      this.announce(this.downListeners, peer);
+    }
+    return true;
+  }
+
+  /** Of two connections of one pair both sides keep the same: the newer incarnation's, then the lower name's. */
+  private isBetter(connection: PeerConnection, present: PeerConnection): boolean {
+    if (connection.peer.incarnation !== present.peer.incarnation) {
+      return connection.peer.incarnation > present.peer.incarnation;
+    }
+    const isOwnLower = this.options.own.name < connection.peer.name;
+    if (connection.isDialed === present.isDialed) return true;
+    return connection.isDialed === isOwnLower;
+  }
+
+  private announce(listeners: ReadonlySet<LinkListener>, peer: PeerIdentity): void {
+    for (const listener of listeners) listener(peer);
+  }
+
+  private handle(message: PeerMessage, connection: PeerConnection): void {
+    const handler = this.handlers.get(message.kind);
+    if (!handler) return;
+    const answer = handler(message, connection.peer);
+    const { call } = message;
+    if (call === undefined) return;
+    if (answer instanceof Promise) void answer.then((body: unknown) => connection.reply(call, body));
+    else connection.reply(call, answer);
+  }
+
+  private createPing(): PeerMessage {
+    return { kind: LinkMessageKind.Ping, ...this.options.getPing() };
+  }
+
+  private async ping(): Promise<void> {
+    const { clock, pingInterval, lostAfter } = this.options;
+    const { signal } = this.stop;
+    while (!signal.aborted) {
+      await waitFor(clock, pingInterval, signal);
+      const limit = clock.getTime() - lostAfter;
+      for (const connection of this.connections.values()) {
+        if (connection.heardAt < limit) connection.close();
+        else connection.send(this.createPing());
+      }
+    }
+  }
+}
+
+function isSameAddress(left: PeerAddress | undefined, right: PeerAddress): boolean {
+  return left !== undefined && left.address === right.address && left.incarnation === right.incarnation;
+}
--- /dev/null
+++ b/packages/coordination/src/serviceBudget.ts
@@ -0,0 +1,173 @@
+/**
+ * A key-value service within a budget of calls: this process's part of the service's rates. Urgent kinds of call go
+ * first; one that would wait too long fails at once with `ServiceBudgetSpent`.
+ * @module
+ */
+import { type Clock, Failure, FailureCode, type Metrics } from "@gladewall/kernel";
+import { Err, type Result } from "ts-results-es";
+import type { GrantedLease, KeyValueService, StoredValue } from "./types.js";
+
+/** Kinds of call, the most urgent first. */
+export enum CallKind {
+  Lease = 1,
+  Claim = 2,
+  Configuration = 3,
+  Other = 4,
+}
+
+const kindNames: Readonly<Record<CallKind, string>> = {
+  [CallKind.Lease]: "lease",
+  [CallKind.Claim]: "claim",
+  [CallKind.Configuration]: "configuration",
+  [CallKind.Other]: "other",
+};
+
+const millisecondsPerSecond = 1000;
+
+interface Waiting {
+  readonly kind: CallKind;
+  readonly settle: (isGranted: boolean) => void;
+}
+
+/** The budget, shared by all users of the service in a process. */
+export class ServiceBudget {
+  private level: number;
+  private filledAt: number;
+  private waiting: Waiting[] = [];
+  private isPumping = false;
+
+  private constructor(
+    private readonly clock: Clock,
+    private readonly rate: number,
+    private readonly patience: number,
+    private readonly metrics: Metrics,
+  ) {
+    this.level = this.burst;
+    this.filledAt = clock.getTime();
+  }
+
+  /** `rate`: calls a second; `patience`: milliseconds that a call may wait. */
+  static create(clock: Clock, rate: number, patience: number, metrics: Metrics): ServiceBudget {
+    return new ServiceBudget(clock, rate, patience, metrics);
+  }
+
+  /** Returns the service as a user of one kind sees it. */
+  wrap(service: KeyValueService, kind: CallKind): KeyValueService {
+    return BudgetedService.create(service, this, kind);
+  }
+
+  /** Waits for a call's turn; false where it would take too long. */
+  take(kind: CallKind): Promise<boolean> {
+    this.fill();
+    if (this.waiting.length === 0 && this.level >= 1) {
+      this.spend(kind);
+      return Promise.resolve(true);
+    }
+    return new Promise((resolve) => {
+      const waiting: Waiting = { kind, settle };
+      const timer = this.clock.startTimer(this.patience, () => {
+        this.waiting = this.waiting.filter((other) => other !== waiting);
+        resolve(false);
+      });
+      function settle(isGranted: boolean): void {
+        timer.cancel();
+        resolve(isGranted);
+      }
+      const place = this.waiting.findIndex((other) => other.kind > kind);
+      this.waiting.splice(place < 0 ? this.waiting.length : place, 0, waiting);
+      this.pump();
+    });
+  }
+
+  private get burst(): number {
+    return Math.max(1, this.rate);
+  }
+
+  private spend(kind: CallKind): void {
+    this.level -= 1;
+    const help = "Calls on the key-value service.";
+    this.metrics.getCounter("gladewall_service_calls_total", help, { kind: kindNames[kind] }).add();
+  }
+
+  private fill(): void {
+    const now = this.clock.getTime();
+    this.level = Math.min(
+      this.burst,
+      this.level + ((now - this.filledAt) * this.rate) / millisecondsPerSecond,
+    );
+    this.filledAt = now;
+  }
+
+  private pump(): void {
+    if (this.isPumping) return;
+    this.isPumping = true;
+    const missing = Math.max(0, 1 - this.level);
+    this.clock.startTimer((missing / this.rate) * millisecondsPerSecond, () => {
+      this.isPumping = false;
+      this.fill();
+      while (this.level >= 1) {
+        const next = this.waiting.shift();
+        if (!next) return;
+        this.spend(next.kind);
+        next.settle(true);
+      }
+      if (this.waiting.length > 0) this.pump();
+    });
+  }
+}
+
+/** One kind of user's view of the service. */
+class BudgetedService implements KeyValueService {
+  private constructor(
+    private readonly service: KeyValueService,
+    private readonly budget: ServiceBudget,
+    private readonly kind: CallKind,
+  ) {}
+
+  static create(service: KeyValueService, budget: ServiceBudget, kind: CallKind): BudgetedService {
+    return new BudgetedService(service, budget, kind);
+  }
+
+  read(key: string): Promise<Result<StoredValue | undefined, Failure>> {
+    return this.spend(() => this.service.read(key));
+  }
+
+  compareAndSwap(key: string, value: Uint8Array, expected: number): Promise<Result<number, Failure>> {
+    return this.spend(() => this.service.compareAndSwap(key, value, expected));
+  }
+
+  watch(
+    key: string,
+    revision: number,
+    wait: number,
+    signal: AbortSignal,
+  ): Promise<Result<StoredValue | undefined, Failure>> {
+    return this.spend(() => this.service.watch(key, revision, wait, signal));
+  }
+
+  acquireLease(
+    name: string,
+    holder: string,
+    ttl: number,
+  ): Promise<Result<GrantedLease | undefined, Failure>> {
+    return this.spend(() => this.service.acquireLease(name, holder, ttl));
+  }
+
+  renewLease(session: string): Promise<Result<void, Failure>> {
+    return this.spend(() => this.service.renewLease(session));
+  }
+
+  releaseLease(session: string): Promise<Result<void, Failure>> {
+    return this.spend(() => this.service.releaseLease(session));
+  }
+
+  /** The service itself is closed by its owner. */
+  close(): Promise<void> {
+    return Promise.resolve();
+  }
+
+  private async spend<T>(call: () => Promise<Result<T, Failure>>): Promise<Result<T, Failure>> {
+    const isGranted = await this.budget.take(this.kind);
+    return isGranted ? call() : Err(Failure.create(FailureCode.ServiceBudgetSpent));
+  }
+}
--- a/packages/entry/src/admission.ts
+++ b/packages/entry/src/admission.ts
@@ -3,23 +3,14 @@
  * @module
  */
 import { type Clock, Failure, FailureCode } from "@gladewall/kernel";
-import {
-  getRowName,
-  RowGate,
-  type RowShare,
-  type ServiceRecord,
-  type Table,
-  type TableRow,
-} from "@gladewall/policy";
+import { getRowName, RowGate, type RowShare, type TableRow } from "@gladewall/policy";
 import { Err, Ok, type Result } from "ts-results-es";
 import type { Dispatcher } from "./dispatcher.js";
 import type { EntrySettings } from "./entrySettings.js";
 
 /** What admission needs to know of a request. */
 export interface AdmissionRequest {
-  readonly workspace: string;
-  readonly service: ServiceRecord;
-  readonly class: string;
+  readonly service: string;
   /** Prompt tokens; 0 for web services. */
   readonly promptTokens: number;
   /** Tokens charged against the row's rate. */
@@ -28,9 +19,6 @@
 
 /** An admitted request's hold on its row. */
 export interface Admission {
-  readonly row: TableRow;
-  readonly rowName: string;
-  readonly version: number;
   /** Gives the row's concurrency back, and tokens that were charged but not used. */
   leave(unused: number): void;
 }
@@ -61,18 +49,11 @@
     return new AdmissionControl(settings, clock, dispatcher, getShare);
   }
 
-  /** Admits a request or says why not. */
-  admit(table: Table, request: AdmissionRequest): Result<Admission, Failure> {
-    const { workspace, service, class: requestClass } = request;
-    const row = table.getRow(workspace, service.name, requestClass);
-    if (!row)
-      return Err(
-        Failure.create(FailureCode.NoRow, { workspace, service: service.name, class: requestClass }),
-      );
+  /** Admits a request under its row or says why not. */
+  admit(row: TableRow, request: AdmissionRequest): Result<Admission, Failure> {
     const late = this.findLateness(row, request);
     if (late) return Err(late);
-    const rowName = getRowName(row);
-    const gate = this.getGate(row, rowName);
+    const gate = this.getGate(row, getRowName(row));
     const entered = gate.tryEnter(request.work);
     if (entered.isErr()) return entered;
     let isInside = true;
@@ -80,7 +61,7 @@
       if (isInside) gate.leave(unused);
       isInside = false;
     };
-    return Ok({ row, rowName, version: table.version, leave });
+    return Ok({ leave });
   }
 
   /** Requests of each row that are inside. */
@@ -90,13 +71,13 @@
 
   /** Refuses what could only be late: the caller learns now, and when to come back. */
   private findLateness(row: TableRow, request: AdmissionRequest): Failure | undefined {
-    const wait = this.dispatcher.getExpectedWait(request.service.name, row.priority, request.promptTokens);
+    const wait = this.dispatcher.getExpectedWait(request.service, row.priority, request.promptTokens);
     if (wait === Infinity) {
-      return Failure.create(FailureCode.NoEndpoint, { service: request.service.name }, noEndpointRetryAfter);
+      return Failure.create(FailureCode.NoEndpoint, { service: request.service }, noEndpointRetryAfter);
     }
     if (!this.settings.refuse_late || wait <= row.latencyTarget) return undefined;
     // A request that would be late even on idle endpoints is not refused: coming back would not help it.
-    const isBacklog = this.dispatcher.hasBacklog(request.service.name);
+    const isBacklog = this.dispatcher.hasBacklog(request.service);
     if (!isBacklog) return undefined;
     const values = { wait: Math.round(wait), target: row.latencyTarget };
     return Failure.create(
--- /dev/null
+++ b/packages/entry/src/answerFetcher.ts
@@ -0,0 +1,220 @@
+/**
+ * Answers from any entry: finds who holds a request and mirrors its answer over the peer link.
+ * @module
+ */
+import type { PeerIdentity, PeerLinks } from "@gladewall/coordination";
+import { type Clock, Failure, FailureCode, waitFor } from "@gladewall/kernel";
+import { Err, Ok, type Result } from "ts-results-es";
+import { AnswerState } from "./answerLog.js";
+import type { EntrySettings } from "./entrySettings.js";
+import { getEntryOfRequest } from "./envelope.js";
+import {
+  type CancelMessage,
+  decodeChunk,
+  encodeChunk,
+  type FollowMessage,
+  type FollowPart,
+  type FollowReply,
+  HoldState,
+  type LocateMessage,
+  type LocateReply,
+  PeerKind,
+  type WireChunk,
+} from "./peerKinds.js";
+import { ActiveRequest, type Requests, StopReason } from "./requests.js";
+import { decodeFailure, encodeFailure } from "./wireFailure.js";
+
+/** What the fetcher works with. */
+export interface FetcherParts {
+  readonly settings: EntrySettings;
+  readonly clock: Clock;
+  readonly links: PeerLinks;
+  readonly requests: Requests;
+  /** Whether a copy of a request is held here. */
+  readonly hasCopy: (request: string) => boolean;
+}
+
+/** A mirrored answer that is being fed. */
+interface Mirror {
+  readonly request: ActiveRequest;
+  readonly holder: string;
+  readonly settle: () => void;
+}
+
+const partChunks = 64;
+const outboxPause = 10;
+
+/** Finds and mirrors answers. */
+export class AnswerFetcher {
+  private readonly mirrors = new Map<number, Mirror>();
+  /** Parts that came before the answer to the call that asked for them was seen. */
+  private readonly early = new Map<number, FollowPart[]>();
+  private nextStream = 1;
+
+  private constructor(private readonly parts: FetcherParts) {
+    const { links } = parts;
+    links.setHandler(PeerKind.Locate, (message) => this.handleLocate(message as LocateMessage));
+    links.setHandler(PeerKind.Follow, (message, peer) => this.handleFollow(message as FollowMessage, peer));
+    links.setHandler(PeerKind.FollowPart, (message) => this.handlePart(message as FollowPart));
+    links.setHandler(PeerKind.Cancel, (message) => this.handleCancel(message as CancelMessage));
+    links.onDown((peer) => this.handleDown(peer));
+  }
+
+  static create(parts: FetcherParts): AnswerFetcher {
+    return new AnswerFetcher(parts);
+  }
+
+  /**
+   * Returns a request's answer, this entry's own or a mirror of another's. Waits while a copy exists whose holder may
+   * be gone. Fails with `RequestUnknown`.
+   */
+  async fetch(id: string): Promise<Result<ActiveRequest, Failure>> {
+    const { clock, settings } = this.parts;
+    const end = clock.getTime() + settings.backups.locate_patience;
+    while (true) {
+      const own = this.parts.requests.get(id);
+      if (own && own.log.state !== AnswerState.Moved) return Ok(own);
+      const [holder, isCopied] = await this.locate(id);
+      if (holder !== undefined) {
+        const mirror = await this.openMirror(id, holder);
+        if (mirror) return Ok(mirror);
+      }
+      const isHopeless = !isCopied && holder === undefined && !this.parts.hasCopy(id);
+      if (isHopeless || clock.getTime() >= end)
+        return Err(Failure.create(FailureCode.RequestUnknown, { request: id }));
+      await waitFor(clock, settings.backups.locate_pause);
+    }
+  }
+
+  /** Cancels a request wherever it is held; its answer then ends. */
+  async cancel(request: ActiveRequest): Promise<void> {
+    const mirror = [...this.mirrors.values()].find((candidate) => candidate.request === request);
+    if (!mirror) return request.stop.abort(StopReason.CallerLeft);
+    const message: CancelMessage = { kind: PeerKind.Cancel, request: request.envelope.id };
+    await this.parts.links.call(mirror.holder, message, this.parts.settings.backups.ack_timeout);
+  }
+
+  private handleCancel(message: CancelMessage): boolean {
+    const request = this.parts.requests.get(message.request);
+    request?.stop.abort(StopReason.CallerLeft);
+    return request !== undefined;
+  }
+
+  /** Asks the entry that took the request first, then all others. */
+  private async locate(id: string): Promise<readonly [holder: string | undefined, isCopied: boolean]> {
+    const { links } = this.parts;
+    const first = getEntryOfRequest(id);
+    if (links.isLinked(first) && (await this.askState(first, id)) === HoldState.Held) return [first, false];
+    const others = links.getLinked().filter((name) => name !== first);
+    const states = await Promise.all(others.map((name) => this.askState(name, id)));
+    const holder = others[states.indexOf(HoldState.Held)];
+    return [holder, states.includes(HoldState.Copied)];
+  }
+
+  private async askState(peer: string, request: string): Promise<HoldState> {
+    const message: LocateMessage = { kind: PeerKind.Locate, request };
+    const answer = await this.parts.links.call(peer, message, this.parts.settings.backups.ack_timeout);
+    return answer.isOk() ? (answer.value as LocateReply).state : HoldState.None;
+  }
+
+  private handleLocate(message: LocateMessage): LocateReply {
+    const own = this.parts.requests.get(message.request);
+    if (own && own.log.state !== AnswerState.Moved) return { state: HoldState.Held };
+    return { state: this.parts.hasCopy(message.request) ? HoldState.Copied : HoldState.None };
+  }
+
+  private async openMirror(id: string, holder: string): Promise<ActiveRequest | undefined> {
+    const { links, settings, clock } = this.parts;
+    const stream = this.nextStream++;
+    const message: FollowMessage = { kind: PeerKind.Follow, request: id, stream };
+    const pending: FollowPart[] = [];
+    this.early.set(stream, pending);
+    const answer = await links.call(holder, message, settings.backups.ack_timeout);
+    this.early.delete(stream);
+    const reply = answer.isOk() ? (answer.value as FollowReply) : undefined;
+    if (!reply?.envelope) return undefined;
+    const now = clock.getTime();
+    const request = ActiveRequest.create(reply.envelope, settings.requests.hold_bytes, now, Infinity);
+    this.mirrors.set(stream, { request, holder, settle: () => this.mirrors.delete(stream) });
+    for (const part of pending) this.handlePart(part);
+    return request;
+  }
+
+  private handlePart(part: FollowPart): void {
+    const early = this.early.get(part.stream);
+    if (early) {
+      early.push(part);
+      return;
+    }
+    const mirror = this.mirrors.get(part.stream);
+    if (!mirror) return;
+    const { log } = mirror.request;
+    if (part.head) log.setHead(part.head);
+    for (const chunk of part.chunks) void log.add(decodeChunk(chunk));
+    if (part.isComplete) log.complete();
+    if (part.failure) log.fail(decodeFailure(part.failure));
+    if (part.isMoved) log.move();
+    if (log.state !== AnswerState.Open) mirror.settle();
+  }
+
+  private handleDown(peer: PeerIdentity): void {
+    for (const mirror of [...this.mirrors.values()]) {
+      if (mirror.holder !== peer.name) continue;
+      // The caller is sent to ask again: by then the backup has taken over.
+      mirror.request.log.move();
+      mirror.settle();
+    }
+  }
+
+  private handleFollow(message: FollowMessage, peer: PeerIdentity): FollowReply {
+    const request = this.parts.requests.get(message.request);
+    if (!request || request.log.state === AnswerState.Moved) return { envelope: undefined, isWhole: false };
+    const isWhole = request.log.canFollow(0);
+    if (isWhole) void this.feed(request, message.stream, peer);
+    return { envelope: { ...request.envelope, body: new Uint8Array(0) }, isWhole };
+  }
+
+  /** Sends an answer's chunks as they come, many in one frame where many are there. */
+  private async feed(request: ActiveRequest, stream: number, peer: PeerIdentity): Promise<void> {
+    const { log } = request;
+    const stop = new AbortController();
+    let chunks: WireChunk[] = [];
+    let seen = 0;
+    for await (const chunk of log.follow(0, stop.signal)) {
+      chunks.push(encodeChunk(chunk));
+      seen += 1;
+      if (chunks.length < partChunks && seen < log.count) continue;
+      const isSent = await this.sendPatiently(peer, this.createPart(request, stream, chunks, false));
+      if (!isSent) return;
+      chunks = [];
+    }
+    await this.sendPatiently(peer, this.createPart(request, stream, chunks, true));
+  }
+
+  /** Waits while the peer's outbox is full; false where the link is gone. */
+  private async sendPatiently(peer: PeerIdentity, part: FollowPart): Promise<boolean> {
+    while (!this.parts.links.send(peer.name, part)) {
+      if (!this.parts.links.isLinked(peer.name)) return false;
+      await waitFor(this.parts.clock, outboxPause);
+    }
+    return true;
+  }
+
+  private createPart(
+    request: ActiveRequest,
+    stream: number,
+    chunks: FollowPart["chunks"],
+    isEnd: boolean,
+  ): FollowPart {
+    const { log } = request;
+    return {
+      kind: PeerKind.FollowPart,
+      stream,
+      head: log.head,
+      chunks,
+      isComplete: isEnd && log.state === AnswerState.Complete,
+      failure: isEnd && log.failure ? encodeFailure(log.failure) : undefined,
+      isMoved: isEnd && log.state === AnswerState.Moved,
+    };
+  }
+}
--- a/packages/entry/src/answerLog.ts
+++ b/packages/entry/src/answerLog.ts
@@ -11,6 +11,8 @@
   Open = 1,
   Complete = 2,
   Failed = 3,
+  /** Goes on at another entry. */
+  Moved = 4,
 }
 
 /** Bytes that a writer may be ahead of the slowest reader. */
@@ -31,6 +33,8 @@
   private dropped = 0;
   private bytes = 0;
   private heldBytes = 0;
+  /** Chunks up to this index may be given to callers: a backup holds them. */
+  private released = Infinity;
   private readonly readers = new Set<Reader>();
   private wakers: (() => void)[] = [];
 
@@ -90,6 +94,14 @@
     }
   }
 
+  /** Fills a new log with what another entry had of the answer. */
+  load(head: AnswerHead | undefined, chunks: readonly AnswerChunk[]): void {
+    this.head = head;
+    this.chunks = [...chunks];
+    this.heldBytes = chunks.reduce((sum, chunk) => sum + getChunkBytes(chunk), 0);
+    this.bytes = this.heldBytes;
+  }
+
   /** Ends the answer with its end mark seen. */
   complete(): void {
     if (this.state !== AnswerState.Open) return;
@@ -105,6 +117,34 @@
     this.wake();
   }
 
+  /** Ends the answer here because it goes on at another entry. */
+  move(): void {
+    if (this.state !== AnswerState.Open) return;
+    this.state = AnswerState.Moved;
+    this.wake();
+  }
+
+  /** Index after the last chunk. */
+  get count(): number {
+    return this.dropped + this.chunks.length;
+  }
+
+  /** Returns the held chunks from an index on. */
+  getChunksFrom(index: number): readonly AnswerChunk[] {
+    return this.chunks.slice(Math.max(0, index - this.dropped));
+  }
+
+  /** Lets callers have chunks up to an index; `Infinity` lets them have whatever comes. */
+  release(index: number): void {
+    this.released = index;
+    this.wake();
+  }
+
+  /** Whether chunks wait for a backup before callers may have them. */
+  get isGated(): boolean {
+    return this.released < this.count;
+  }
+
   /** Resolves when the answer is no longer open. */
   async waitForEnd(): Promise<void> {
     while (this.state === AnswerState.Open) await this.waitForChange();
@@ -130,7 +170,7 @@
     let index = this.dropped;
     try {
       while (!signal.aborted) {
-        const chunk = this.chunks[index - this.dropped];
+        const chunk = index < this.released ? this.chunks[index - this.dropped] : undefined;
         if (chunk) {
           index += 1;
           // An end mark without data stands at the position where a reader may already be.
@@ -138,8 +178,10 @@
           reader.taken += getChunkBytes(chunk);
           this.dropOldest();
           if (this.readers.size > 0) this.wake();
-        } else if (this.state !== AnswerState.Open) {
-          return;
+        } else if (this.state !== AnswerState.Open && index >= Math.min(this.released, this.count)) {
+          // A moved answer is taken up at the other entry from what was released here.
+          if (this.state === AnswerState.Moved || index >= this.count) return;
+          await this.waitForChange();
         } else {
           await this.waitForChange();
         }
--- a/packages/entry/src/answerModel.ts
+++ b/packages/entry/src/answerModel.ts
@@ -7,11 +7,13 @@
 import { Failure, FailureCode } from "@gladewall/kernel";
 import { AnswerState } from "./answerLog.js";
 import { waitForDrain } from "./drain.js";
-import { formatProblem, sendProblem } from "./problem.js";
+import { formatProblem, sendMoved, sendProblem } from "./problem.js";
 import type { ActiveRequest } from "./requests.js";
 import { type AnswerChunk, ModelForm, type Usage } from "./types.js";
 
 const millisecondsPerSecond = 1000;
+/** Milliseconds after which a caller comes back to a stream that goes on elsewhere. */
+const movedRetry = 100;
 
 /** How one form of answer is written. */
 interface FormWriter {
@@ -64,6 +66,7 @@
     usage = chunk.usage ?? usage;
   }
   if (signal.aborted) return;
+  if (request.log.state === AnswerState.Moved) return sendMoved(response, request.envelope.id);
   const failure = getFailure(request);
   if (failure) return sendProblem(response, failure, request.envelope.id);
   const body = formatWhole(request, text.join(""), finish, usage);
@@ -87,6 +90,7 @@
     if (!response.write(formatEvent(request, chunk))) await waitForDrain(response, signal);
   }
   if (signal.aborted) return;
+  if (request.log.state === AnswerState.Moved) return endMovedStream(response, request.envelope.id);
   const failure = getFailure(request);
   if (failure && !response.headersSent) return sendProblem(response, failure, request.envelope.id);
   if (!response.headersSent) startStream(response, request.envelope.id);
@@ -98,6 +102,12 @@
   response.end("data: [DONE]\n\n");
 }
 
+/** Ends a stream so that the caller comes back with `Last-Event-ID`: no end mark, and the time to wait before. */
+function endMovedStream(response: ServerResponse, id: string): void {
+  if (!response.headersSent) return sendMoved(response, id);
+  response.end(`: goes on at /v1/requests/${id}\nretry: ${movedRetry}\n\n`);
+}
+
 function startStream(response: ServerResponse, id: string): void {
   response.writeHead(200, {
     "content-type": "text/event-stream",
--- a/packages/entry/src/answerWeb.ts
+++ b/packages/entry/src/answerWeb.ts
@@ -6,7 +6,7 @@
 import { Failure, FailureCode } from "@gladewall/kernel";
 import { AnswerState } from "./answerLog.js";
 import { waitForDrain } from "./drain.js";
-import { sendProblem } from "./problem.js";
+import { sendMoved, sendProblem } from "./problem.js";
 import type { ActiveRequest } from "./requests.js";
 
 /** Writes an answer until its end or until the caller left; a cut answer cuts the connection. */
@@ -18,6 +18,7 @@
   const { log, envelope } = request;
   await log.waitForHead();
   if (signal.aborted) return;
+  if (!log.head && log.state === AnswerState.Moved) return sendMoved(response, envelope.id);
   if (!log.head) {
     const failure = log.failure ?? Failure.create(FailureCode.Internal, { detail: "the answer has no head" });
     return sendProblem(response, failure, envelope.id);
--- /dev/null
+++ b/packages/entry/src/attempt.ts
@@ -0,0 +1,182 @@
+/**
+ * One attempt at a request: sends it, takes the answer in, and resumes a cut stream by its run id.
+ * @module
+ */
+import { type Clock, Failure, FailureCode } from "@gladewall/kernel";
+import type { Placement, PrefixIndex } from "@gladewall/policy";
+import type { Result } from "ts-results-es";
+import type { BackupWriter } from "./backupWriter.js";
+import type { EntryMetrics } from "./entryMetrics.js";
+import type { Endpoint, Fleet } from "./fleet.js";
+import type { ActiveRequest } from "./requests.js";
+import type { AnswerChunk, Dispatch, RunSink } from "./types.js";
+
+/** What attempts work with. */
+export interface AttemptParts {
+  readonly entry: string;
+  readonly clock: Clock;
+  readonly fleet: Fleet;
+  readonly prefixes: PrefixIndex;
+  readonly metrics: EntryMetrics;
+  readonly backups: BackupWriter;
+}
+
+/** One attempt: where, which number, and what goes with it. */
+export interface AttemptOptions {
+  readonly endpoint: Endpoint;
+  readonly attempt: number;
+  /** Prompt tokens that the endpoint has to read, as placement believed. */
+  readonly prefill: number;
+  readonly cacheSource: string | undefined;
+  readonly rest: AsyncIterable<Uint8Array> | undefined;
+}
+
+/** Makes attempts. */
+export class AttemptRunner {
+  private constructor(private readonly parts: AttemptParts) {}
+
+  static create(parts: AttemptParts): AttemptRunner {
+    return new AttemptRunner(parts);
+  }
+
+  /** Returns the id of a run: no two entries and no two attempts share one. */
+  getRunId(request: ActiveRequest, attempt: number): string {
+    return `${request.envelope.id}.${this.parts.entry}.${attempt}`;
+  }
+
+  /** Sends a request to an endpoint and takes its answer to the end mark. */
+  async run(request: ActiveRequest, options: AttemptOptions): Promise<Result<void, Failure>> {
+    const { endpoint, attempt, rest, cacheSource } = options;
+    const runId = this.getRunId(request, attempt);
+    request.run = { runId, attempt, endpoint: endpoint.load.record.id };
+    request.attemptStop = new AbortController();
+    this.parts.backups.report(request);
+    const dispatch = createDispatch(request, runId, attempt, cacheSource, rest);
+    const intake = Intake.create(request, options, this.parts);
+    let result = await endpoint.client.run(dispatch, intake.sink, getAttemptSignal(request));
+    if (result.isErr() && mayResume(request, result.error))
+      result = await this.resume(request, endpoint, intake.sink);
+    intake.end(dispatch.emitted, result.isOk());
+    return result;
+  }
+
+  /** Attaches to the run that a request has at an endpoint: that repeats nothing. */
+  async attach(request: ActiveRequest, endpoint: Endpoint): Promise<Result<void, Failure>> {
+    const attempt = request.run?.attempt ?? 1;
+    const options = { endpoint, attempt, prefill: 0, cacheSource: undefined, rest: undefined };
+    endpoint.load.addDispatch(0);
+    request.attemptStop = new AbortController();
+    const intake = Intake.create(request, options, this.parts);
+    const emitted = request.log.end;
+    const result = await this.resumeOnce(request, endpoint, intake.sink);
+    intake.end(emitted, result.isOk());
+    if (result.isOk()) this.parts.metrics.resumes.add();
+    return result;
+  }
+
+  private async resume(
+    request: ActiveRequest,
+    endpoint: Endpoint,
+    sink: RunSink,
+  ): Promise<Result<void, Failure>> {
+    const result = await this.resumeOnce(request, endpoint, sink);
+    if (result.isOk()) this.parts.metrics.resumes.add();
+    // The first cut is what happened to the run; that it cannot be resumed is only the follow-up.
+    return result.mapErr(() =>
+      Failure.create(FailureCode.EndpointCut, { endpoint: endpoint.load.record.id }),
+    );
+  }
+
+  private resumeOnce(
+    request: ActiveRequest,
+    endpoint: Endpoint,
+    sink: RunSink,
+  ): Promise<Result<void, Failure>> {
+    const { runId = "", attempt = 1 } = request.run ?? {};
+    const dispatch = createDispatch(request, runId, attempt, undefined, undefined);
+    return endpoint.client.resume(dispatch, sink, getAttemptSignal(request));
+  }
+}
+
+/** Takes one attempt's answer in and learns from it. */
+class Intake {
+  private isFirst = true;
+  private readonly started: number;
+
+  private constructor(
+    private readonly request: ActiveRequest,
+    private readonly options: AttemptOptions,
+    private readonly parts: AttemptParts,
+  ) {
+    this.started = parts.clock.getTime();
+  }
+
+  static create(request: ActiveRequest, options: AttemptOptions, parts: AttemptParts): Intake {
+    return new Intake(request, options, parts);
+  }
+
+  readonly sink: RunSink = {
+    setHead: (head) => this.request.log.setHead(head),
+    add: (chunk) => this.add(chunk),
+  };
+
+  /** Counts the end of the attempt. */
+  end(emittedBefore: number, isGood: boolean): void {
+    const { endpoint, prefill } = this.options;
+    const { envelope, log } = this.request;
+    if (this.isFirst) endpoint.load.addFirstToken(prefill, 0);
+    const tokens = (envelope.model?.promptTokens ?? 0) + log.end - emittedBefore;
+    endpoint.load.addEnd(this.parts.clock.getTime() - this.started, tokens, isGood);
+    this.parts.fleet.announceRoom(envelope.service);
+  }
+
+  private add(chunk: AnswerChunk): Promise<void> {
+    const now = this.parts.clock.getTime();
+    if (this.isFirst) {
+      this.isFirst = false;
+      this.request.firstAt ??= now;
+      this.options.endpoint.load.addFirstToken(this.options.prefill, now - this.started);
+    }
+    if (chunk.usage) this.learn(chunk);
+    const added = this.request.log.add(chunk);
+    this.parts.backups.report(this.request);
+    return added;
+  }
+
+  /** Learns which part of the prompt the endpoint held; it holds all of it now. */
+  private learn(chunk: AnswerChunk): void {
+    const { model } = this.request.envelope;
+    const { metrics, prefixes } = this.parts;
+    prefixes.add(model?.blocks ?? [], this.options.endpoint.load.record.id);
+    const prompt = model?.promptTokens ?? 0;
+    metrics.promptTokens.add(prompt);
+    metrics.cachedTokens.add(Math.min(prompt, chunk.usage?.cachedTokens ?? 0));
+  }
+}
+
+/** Returns the tokens that an endpoint must read for a placement. */
+export function getPrefill(request: ActiveRequest, placement: Placement): number {
+  return Math.max(0, (request.envelope.model?.promptTokens ?? 0) - placement.cachedTokens);
+}
+
+function mayResume(request: ActiveRequest, failure: Failure): boolean {
+  const isCut = failure.code === FailureCode.EndpointCut;
+  return isCut && request.envelope.model !== undefined && !getAttemptSignal(request).aborted;
+}
+
+function getAttemptSignal(request: ActiveRequest): AbortSignal {
+  return AbortSignal.any([request.stop.signal, request.attemptStop.signal]);
+}
+
+function createDispatch(
+  request: ActiveRequest,
+  runId: string,
+  attempt: number,
+  cacheSource: string | undefined,
+  rest: AsyncIterable<Uint8Array> | undefined,
+): Dispatch {
+  const { envelope, log } = request;
+  const emitted = envelope.model ? log.end : 0;
+  const emittedText = emitted > 0 ? log.getText() : "";
+  return { envelope, runId, attempt, emitted, emittedText, cacheSource, rest };
+}
--- /dev/null
+++ b/packages/entry/src/backupStore.ts
@@ -0,0 +1,226 @@
+/**
+ * The backup's side: copies of peers' requests, and going on with them when their holder is lost or hands them over.
+ * @module
+ */
+import type { PeerIdentity, PeerLinks } from "@gladewall/coordination";
+import { type Clock, type Logger, Outcome, waitFor } from "@gladewall/kernel";
+import { DecisionRule, DecisionStage } from "@gladewall/policy";
+import type { DecisionWriter } from "./decisions.js";
+import type { EntrySettings } from "./entrySettings.js";
+import type { ExplainRing } from "./explainRing.js";
+import {
+  type CopyMessage,
+  type CopyReply,
+  decodeChunk,
+  type HandoverMessage,
+  type HandoverReply,
+  type NeverStartMessage,
+  PeerKind,
+  type ProgressItem,
+  type ProgressMessage,
+  type ProgressReply,
+} from "./peerKinds.js";
+import type { ActiveRequest, Requests } from "./requests.js";
+import type { AnswerChunk, Envelope } from "./types.js";
+import { decodeFailure } from "./wireFailure.js";
+
+/** What the store works with. */
+export interface StoreParts {
+  readonly settings: EntrySettings;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly links: PeerLinks;
+  readonly requests: Requests;
+  readonly decisions: DecisionWriter;
+  readonly ring: ExplainRing;
+  /** Goes on with a request that this entry holds from now on. */
+  readonly resume: (request: ActiveRequest, options: ResumeOptions) => void;
+}
+
+/** How a request that was taken over is gone on with. */
+export interface ResumeOptions {
+  /** It was sent without a claim, or may have been: it must not be started here. */
+  readonly mayStart: boolean;
+}
+
+/** A copy of a peer's request. */
+interface Copy {
+  readonly envelope: Envelope;
+  readonly holder: PeerIdentity;
+  /** Monotonic time of the request's deadline. */
+  readonly deadline: number;
+  readonly chunks: AnswerChunk[];
+  /** Index of the first chunk held. */
+  readonly first: number;
+  progress: ProgressItem;
+  mayStart: boolean;
+}
+
+/** Why a copy becomes a request of this entry. */
+enum TakeoverCause {
+  HolderLost = 1,
+  HandedOver = 2,
+}
+
+const rulesByCause: Readonly<Record<TakeoverCause, DecisionRule>> = {
+  [TakeoverCause.HolderLost]: DecisionRule.TakenOver,
+  [TakeoverCause.HandedOver]: DecisionRule.HandedOver,
+};
+
+/** Copies held for peers. */
+export class BackupStore {
+  private readonly copies = new Map<string, Copy>();
+  private readonly keys = new Map<string, string>();
+  private isClosed = false;
+
+  private constructor(private readonly parts: StoreParts) {
+    const { links } = parts;
+    links.setHandler(PeerKind.Copy, (message, peer) => this.handleCopy(message as CopyMessage, peer));
+    links.setHandler(PeerKind.Progress, (message) => this.handleProgress(message as ProgressMessage));
+    links.setHandler(PeerKind.Handover, (message) => this.handleHandover(message as HandoverMessage));
+    links.setHandler(PeerKind.NeverStart, (message) => this.handleNeverStart(message as NeverStartMessage));
+    links.onDown((peer) => void this.handleDown(peer));
+  }
+
+  static create(parts: StoreParts): BackupStore {
+    return new BackupStore(parts);
+  }
+
+  /** Whether a copy of a request is held. */
+  has(request: string): boolean {
+    return this.copies.has(request);
+  }
+
+  /** Copies held. */
+  get size(): number {
+    return this.copies.size;
+  }
+
+  /** Takes nothing over any more. */
+  close(): void {
+    this.isClosed = true;
+  }
+
+  private handleCopy(message: CopyMessage, holder: PeerIdentity): CopyReply {
+    const { envelope } = message;
+    const existing = this.findKey(envelope);
+    if (existing && existing.id !== envelope.id) {
+      return { isHeld: false, existing: existing.id, existingBody: existing.bodyDigest };
+    }
+    const copy: Copy = {
+      envelope,
+      holder,
+      deadline: this.parts.clock.getTime() + message.remaining,
+      chunks: message.progress.chunks.map(decodeChunk),
+      first: message.progress.from,
+      progress: message.progress,
+      mayStart: true,
+    };
+    this.copies.set(envelope.id, copy);
+    if (envelope.keyDigest !== undefined) this.keys.set(envelope.keyDigest, envelope.id);
+    this.addDecisions(envelope.id, message.progress);
+    return { isHeld: true, existing: undefined, existingBody: undefined };
+  }
+
+  /** Finds the request of a key among this entry's own and the copies. */
+  private findKey(envelope: Envelope): Envelope | undefined {
+    const { keyDigest } = envelope;
+    if (keyDigest === undefined) return undefined;
+    const own = this.parts.requests.getByKey(keyDigest);
+    if (own) return own.envelope;
+    return this.copies.get(this.keys.get(keyDigest) ?? "")?.envelope;
+  }
+
+  private handleProgress(message: ProgressMessage): ProgressReply {
+    const unknown: string[] = [];
+    for (const item of message.items) {
+      const copy = this.copies.get(item.request);
+      if (!copy) unknown.push(item.request);
+      else this.addProgress(copy, item);
+    }
+    return { unknown };
+  }
+
+  private addProgress(copy: Copy, item: ProgressItem): void {
+    const { id } = copy.envelope;
+    // What is sent twice, because an acknowledgement was late, is added once.
+    const known = copy.first + copy.chunks.length;
+    for (const chunk of item.chunks.slice(Math.max(0, known - item.from)))
+      copy.chunks.push(decodeChunk(chunk));
+    copy.progress = { ...item, head: item.head ?? copy.progress.head, run: item.run ?? copy.progress.run };
+    this.addDecisions(id, item);
+    const hasEnded = item.isComplete || item.failure !== undefined;
+    if (!hasEnded) return;
+    this.removeCopy(copy);
+    // A keyed request's end is held here too: the same key may come back after its holder is gone.
+    const wasNotRun = item.failure?.outcome === Outcome.NotRun;
+    if (copy.envelope.keyDigest !== undefined && !wasNotRun) this.holdEnded(copy);
+  }
+
+  private holdEnded(copy: Copy): void {
+    const request = this.createRequest(copy);
+    this.parts.requests.finish(request);
+  }
+
+  private addDecisions(id: string, item: ProgressItem): void {
+    for (const decision of item.decisions) this.parts.ring.add(id, decision);
+  }
+
+  private handleNeverStart(message: NeverStartMessage): boolean {
+    const copy = this.copies.get(message.request);
+    if (copy) copy.mayStart = false;
+    return copy !== undefined;
+  }
+
+  private handleHandover(message: HandoverMessage): HandoverReply {
+    const taken = message.requests.filter((id) => this.tryTakeOver(id, TakeoverCause.HandedOver));
+    return { taken };
+  }
+
+  /** Goes on with a lost holder's requests, unless it is back in time. */
+  private async handleDown(peer: PeerIdentity): Promise<void> {
+    const { clock, settings, links } = this.parts;
+    await waitFor(clock, settings.backups.takeover_after);
+    if (this.isClosed || links.isLinked(peer.name)) return;
+    const lost = [...this.copies.values()].filter((copy) => copy.holder.name === peer.name);
+    // Urgent requests first: the queues they come into serve in that order, but placement starts at once.
+    lost.sort((left, right) => right.envelope.priority - left.envelope.priority);
+    for (const copy of lost) this.tryTakeOver(copy.envelope.id, TakeoverCause.HolderLost);
+    if (lost.length > 0) this.parts.logger.warn("takeover", { holder: peer.name, requests: lost.length });
+  }
+
+  private tryTakeOver(id: string, cause: TakeoverCause): boolean {
+    const copy = this.copies.get(id);
+    if (!copy || this.isClosed) return false;
+    this.removeCopy(copy);
+    const request = this.createRequest(copy);
+    if (!request.isOpen) {
+      this.parts.requests.finish(request);
+      return true;
+    }
+    const inputs = {
+      holder: copy.holder.name,
+      entry: this.parts.settings.entry.name,
+      emitted: request.log.end,
+    };
+    this.parts.decisions.add(id, DecisionStage.Takeover, rulesByCause[cause], inputs);
+    this.parts.resume(request, { mayStart: copy.mayStart });
+    return true;
+  }
+
+  private createRequest(copy: Copy): ActiveRequest {
+    const { envelope, deadline, chunks, progress } = copy;
+    const request = this.parts.requests.adopt(envelope, deadline);
+    request.run = progress.run;
+    request.log.load(progress.head, chunks);
+    if (progress.isComplete) request.log.complete();
+    if (progress.failure) request.log.fail(decodeFailure(progress.failure));
+    return request;
+  }
+
+  private removeCopy(copy: Copy): void {
+    const { id, keyDigest } = copy.envelope;
+    this.copies.delete(id);
+    if (keyDigest !== undefined && this.keys.get(keyDigest) === id) this.keys.delete(keyDigest);
+  }
+}
--- /dev/null
+++ b/packages/entry/src/backupWriter.ts
@@ -0,0 +1,298 @@
+/**
+ * The holder's side of backups: before a request is sent anywhere, a copy of it goes to a peer in another data hall,
+ * and what becomes of it follows in groups. Callers get a token only when the backup has it, so that whoever goes on
+ * with the request never contradicts what a caller has already read.
+ * @module
+ */
+import { InstanceRole, type InstanceRecord, type LiveView, type PeerLinks } from "@gladewall/coordination";
+import { type Clock, type Logger, sortByRendezvous, waitFor } from "@gladewall/kernel";
+import { DecisionRule, DecisionStage } from "@gladewall/policy";
+import { AnswerState } from "./answerLog.js";
+import type { DecisionWriter } from "./decisions.js";
+import type { EntryMetrics } from "./entryMetrics.js";
+import type { EntrySettings } from "./entrySettings.js";
+import type { ExplainRing } from "./explainRing.js";
+import {
+  type CopyMessage,
+  type CopyReply,
+  encodeChunk,
+  type HandoverMessage,
+  type HandoverReply,
+  PeerKind,
+  type ProgressItem,
+  type ProgressMessage,
+  type ProgressReply,
+} from "./peerKinds.js";
+import type { ActiveRequest } from "./requests.js";
+import { encodeFailure } from "./wireFailure.js";
+
+/** What the writer works with. */
+export interface BackupParts {
+  readonly settings: EntrySettings;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly links: PeerLinks;
+  readonly view: LiveView;
+  readonly decisions: DecisionWriter;
+  readonly metrics: EntryMetrics;
+  readonly ring: ExplainRing;
+}
+
+/** Another request that has the same key. */
+export interface KeyConflict {
+  readonly request: string;
+  readonly body: string;
+}
+
+/** One request's backups, as its holder keeps them. */
+interface Protection {
+  readonly request: ActiveRequest;
+  /** Peers that hold a copy. */
+  readonly peers: Set<string>;
+  /** Chunks and decisions that were sent. */
+  sentChunks: number;
+  sentDecisions: number;
+}
+
+interface Flusher {
+  readonly dirty: Set<Protection>;
+  isRunning: boolean;
+}
+
+const candidatesTried = 3;
+
+/** Keeps copies of this entry's requests at peers. */
+export class BackupWriter {
+  private readonly protections = new Map<string, Protection>();
+  private readonly flushers = new Map<string, Flusher>();
+
+  private constructor(private readonly parts: BackupParts) {
+    parts.links.onDown((peer) => this.handleDown(peer.name));
+  }
+
+  static create(parts: BackupParts): BackupWriter {
+    return new BackupWriter(parts);
+  }
+
+  /**
+   * Puts a copy at a peer. Resolves when it is held, when no peer could take it, or with the request that has the
+   * same key.
+   */
+  async protect(request: ActiveRequest): Promise<KeyConflict | undefined> {
+    const protection: Protection = { request, peers: new Set(), sentChunks: 0, sentDecisions: 0 };
+    this.protections.set(request.envelope.id, protection);
+    if (this.parts.settings.backups.commit_output) request.log.release(request.log.count);
+    const conflict = await this.findBackups(protection);
+    if (protection.peers.size === 0) request.log.release(Infinity);
+    return conflict;
+  }
+
+  /** Says that something about a request is new. */
+  report(request: ActiveRequest): void {
+    const protection = this.protections.get(request.envelope.id);
+    if (!protection) return;
+    for (const peer of protection.peers) this.flush(peer, protection);
+  }
+
+  /** Says that a request has ended: its backups learn the end and are then let go. */
+  finish(request: ActiveRequest): void {
+    this.report(request);
+    const protection = this.protections.get(request.envelope.id);
+    if (protection?.peers.size === 0) this.protections.delete(request.envelope.id);
+  }
+
+  /** Tells the backups never to start a request; true where all of them know. */
+  async forbidStart(request: ActiveRequest): Promise<boolean> {
+    const peers = [...(this.protections.get(request.envelope.id)?.peers ?? [])];
+    const message = { kind: PeerKind.NeverStart, request: request.envelope.id };
+    const { ack_timeout: timeout } = this.parts.settings.backups;
+    const answers = await Promise.all(peers.map((peer) => this.parts.links.call(peer, message, timeout)));
+    return answers.every((answer) => answer.isOk() && answer.value === true);
+  }
+
+  /** Hands requests over to their backups; returns the ids of those that were taken, with who took them. */
+  async handOver(requests: readonly ActiveRequest[]): Promise<ReadonlyMap<string, string>> {
+    const taken = new Map<string, string>();
+    const byPeer = new Map<string, string[]>();
+    for (const request of requests) {
+      const protection = this.protections.get(request.envelope.id);
+      const [peer] = protection?.peers ?? [];
+      if (!protection || peer === undefined) continue;
+      await this.sendProgress(peer, [protection]);
+      byPeer.set(peer, [...(byPeer.get(peer) ?? []), request.envelope.id]);
+    }
+    for (const [peer, ids] of byPeer) {
+      const message: HandoverMessage = { kind: PeerKind.Handover, requests: ids };
+      const answer = await this.parts.links.call(peer, message, this.parts.settings.backups.ack_timeout);
+      if (answer.isErr()) continue;
+      for (const id of (answer.value as HandoverReply).taken) taken.set(id, peer);
+    }
+    return taken;
+  }
+
+  /** Number of requests that have a copy elsewhere. */
+  getProtectedCount(): number {
+    return this.protections.size;
+  }
+
+  /** A peer that is leaving or lost is no backup any more: another is found at once. */
+  private handleDown(peer: string): void {
+    for (const protection of this.protections.values()) {
+      if (protection.peers.delete(peer) && protection.request.isOpen) void this.replace(protection);
+    }
+  }
+
+  /** Says that a peer is leaving: requests copied there get another backup now. */
+  handleLeaving(peer: string): void {
+    this.handleDown(peer);
+  }
+
+  private async replace(protection: Protection): Promise<void> {
+    // Nobody holds the latest chunks now; callers are not kept waiting for the search.
+    protection.request.log.release(Infinity);
+    protection.sentChunks = 0;
+    protection.sentDecisions = 0;
+    await this.findBackups(protection);
+  }
+
+  private async findBackups(protection: Protection): Promise<KeyConflict | undefined> {
+    const { envelope } = protection.request;
+    const peers = this.selectPeers(protection.request);
+    let needsOtherHall = true;
+    for (const peer of peers.slice(0, candidatesTried)) {
+      if (!needsOtherHall) break;
+      const reply = await this.copy(peer.id, protection);
+      if (reply?.existing !== undefined) return { request: reply.existing, body: reply.existingBody ?? "" };
+      if (!reply?.isHeld) continue;
+      protection.peers.add(peer.id);
+      // The home of a key may stand in this hall; a second copy then goes to another.
+      needsOtherHall =
+        peer.hall === this.parts.settings.entry.hall && peers.some((other) => other.hall !== peer.hall);
+      const inputs = { backup: peer.id, hall: peer.hall };
+      this.parts.decisions.add(envelope.id, DecisionStage.Backup, DecisionRule.CopyHeld, inputs);
+    }
+    if (protection.peers.size > 0) {
+      this.report(protection.request);
+      return undefined;
+    }
+    this.parts.metrics.unprotected.add();
+    const text = peers.length === 0 ? "no other entry is known" : "none answered";
+    this.parts.decisions.add(envelope.id, DecisionStage.Backup, DecisionRule.NoBackup, { text });
+    return undefined;
+  }
+
+  /**
+   * Peers in order of preference. A keyed request goes to its key's home, which every entry finds alike, so that two
+   * requests of one key meet there. Others go to another hall first, and to on-demand instances before reclaimable.
+   */
+  private selectPeers(request: ActiveRequest): readonly InstanceRecord[] {
+    const { keyDigest, id } = request.envelope;
+    const own = this.parts.settings.entry;
+    const peers = this.parts.view.getLive(InstanceRole.Entry).filter((record) => record.id !== own.name);
+    const sorted = sortByRendezvous(keyDigest ?? id, peers, (record) => record.id);
+    const rank = (record: InstanceRecord): number =>
+      (record.hall === own.hall ? 2 : 0) + (this.parts.links.isLinked(record.id) ? 0 : 4);
+    const byRank = [...sorted].sort((left, right) => rank(left) - rank(right));
+    if (keyDigest === undefined) return byRank;
+    const [home] = sorted;
+    return home ? [home, ...byRank.filter((record) => record !== home)] : [];
+  }
+
+  private async copy(peer: string, protection: Protection): Promise<CopyReply | undefined> {
+    const { request } = protection;
+    const { clock, links, settings, metrics } = this.parts;
+    const message: CopyMessage = {
+      kind: PeerKind.Copy,
+      envelope: request.envelope,
+      remaining: request.deadline - clock.getTime(),
+      progress: this.createItem(protection),
+    };
+    const sentChunks = request.log.count;
+    const started = clock.getTime();
+    const answer = await links.call(peer, message, settings.backups.ack_timeout);
+    metrics.copyTime.record(clock.getTime() - started);
+    if (answer.isErr()) return undefined;
+    metrics.copiedBytes.add(request.envelope.body.length);
+    protection.sentChunks = sentChunks;
+    return answer.value as CopyReply;
+  }
+
+  private flush(peer: string, protection: Protection): void {
+    let flusher = this.flushers.get(peer);
+    if (!flusher) this.flushers.set(peer, (flusher = { dirty: new Set(), isRunning: false }));
+    flusher.dirty.add(protection);
+    if (!flusher.isRunning) void this.runFlusher(peer, flusher);
+  }
+
+  /** Sends what is new, one group at a time; what comes meanwhile goes into the next group. */
+  private async runFlusher(peer: string, flusher: Flusher): Promise<void> {
+    flusher.isRunning = true;
+    while (flusher.dirty.size > 0) {
+      await waitFor(this.parts.clock, this.parts.settings.backups.progress_interval);
+      const group = [...flusher.dirty];
+      flusher.dirty.clear();
+      const isSent = await this.sendProgress(peer, group);
+      if (isSent) continue;
+      for (const protection of group) {
+        if (protection.peers.delete(peer) && protection.request.isOpen) void this.replace(protection);
+        else protection.request.log.release(Infinity);
+      }
+    }
+    flusher.isRunning = false;
+  }
+
+  private async sendProgress(peer: string, group: readonly Protection[]): Promise<boolean> {
+    const { links, settings, metrics } = this.parts;
+    const sent = group.map((protection) => ({
+      protection,
+      count: protection.request.log.count,
+      end: protection.request.log.state,
+    }));
+    const items = group.map((protection) => this.createItem(protection));
+    const message: ProgressMessage = { kind: PeerKind.Progress, items };
+    const answer = await links.call(peer, message, settings.backups.ack_timeout);
+    if (answer.isErr()) return false;
+    metrics.progressFrames.add();
+    const unknown = new Set((answer.value as ProgressReply).unknown);
+    for (const { protection, count, end } of sent) this.acknowledge(protection, peer, count, end, unknown);
+    return true;
+  }
+
+  private acknowledge(
+    protection: Protection,
+    peer: string,
+    count: number,
+    end: AnswerState,
+    unknown: ReadonlySet<string>,
+  ): void {
+    const { request } = protection;
+    const { id } = request.envelope;
+    if (unknown.has(id) && request.isOpen) {
+      // The backup has lost or taken over the copy: it does not protect this request any more.
+      protection.peers.delete(peer);
+      void this.replace(protection);
+      return;
+    }
+    protection.sentChunks = Math.max(protection.sentChunks, count);
+    request.log.release(end === AnswerState.Open ? count : Infinity);
+    if (end !== AnswerState.Open) this.protections.delete(id);
+  }
+
+  private createItem(protection: Protection): ProgressItem {
+    const { request } = protection;
+    const { log, envelope } = request;
+    const decisions = this.parts.ring.get(envelope.id) ?? [];
+    const from = protection.sentDecisions;
+    protection.sentDecisions = decisions.length;
+    return {
+      request: envelope.id,
+      run: request.run,
+      head: log.head,
+      from: protection.sentChunks,
+      chunks: log.getChunksFrom(protection.sentChunks).map(encodeChunk),
+      isComplete: log.state === AnswerState.Complete,
+      failure: log.failure && encodeFailure(log.failure),
+      decisions: decisions.slice(from),
+    };
+  }
+}
--- a/packages/entry/src/entry.ts
+++ b/packages/entry/src/entry.ts
@@ -2,18 +2,38 @@
  * One entry: puts the parts together, starts them in order and stops them in the reverse order.
  * @module
  */
-import { DocumentFollower, InstanceRole, InstanceState, LiveView } from "@gladewall/coordination";
+import {
+  CallKind,
+  ClaimLedger,
+  DocumentFollower,
+  InstanceRole,
+  InstanceState,
+  type InstanceView,
+  isUsable,
+  type KeyValueService,
+  LiveView,
+  PeerLinks,
+  ServiceBudget,
+  WordSource,
+} from "@gladewall/coordination";
 import { type Clock, Failure, FailureCode, type Logger, SystemClock } from "@gladewall/kernel";
 import {
   type Configuration,
   type PlacementOptions,
   PrefixIndex,
+  RepeatRule,
   RetryBudget,
   Table,
   type TableRow,
 } from "@gladewall/policy";
 import { Err, Ok, type Result } from "ts-results-es";
 import { AdmissionControl } from "./admission.js";
+import { AnswerFetcher } from "./answerFetcher.js";
+import { AttemptRunner } from "./attempt.js";
+import { BackupStore, type ResumeOptions } from "./backupStore.js";
+import { BackupWriter } from "./backupWriter.js";
+import { ClaimGate, createWriterName } from "./claimGate.js";
+import { Claims } from "./claims.js";
 import { configurationCodec, configurationKey } from "./configurationCodec.js";
 import { DecisionWriter } from "./decisions.js";
 import { Dispatcher } from "./dispatcher.js";
@@ -23,16 +43,21 @@
 import { ExplainRing } from "./explainRing.js";
 import { Fleet } from "./fleet.js";
 import { Front } from "./front.js";
+import { createPingFields, Gossip } from "./gossip.js";
+import { LeavingRuns } from "./leavingRuns.js";
 import { OperatorPort } from "./operatorPort.js";
 import { createPlatformClients, type PlatformClients, PlatformFollower } from "./platform.js";
-import { Requests } from "./requests.js";
+import { type ActiveRequest, Requests, StopReason } from "./requests.js";
 import { CallerRoutes } from "./routes.js";
 import { Runner } from "./runner.js";
 
+const leavingRetryAfter = 1_000;
+
 /** Addresses that a started entry listens on. */
 export interface EntryAddresses {
   readonly front: string;
   readonly operators: string;
+  readonly peers: string;
 }
 
 /** A running entry. */
@@ -40,13 +65,18 @@
   readonly view: LiveView;
   readonly metrics = EntryMetrics.create();
   readonly ring: ExplainRing;
+  readonly links: PeerLinks;
   private table: Table | undefined;
   private isLeaving = false;
+  private readonly incarnation: number;
   private readonly follower: DocumentFollower<Configuration>;
   private readonly platform: PlatformFollower;
   private readonly fleet: Fleet;
   private readonly dispatcher: Dispatcher;
   private readonly requests: Requests;
+  private readonly backups: BackupWriter;
+  private readonly copies: BackupStore;
+  private readonly runner: Runner;
   private readonly front: Front;
   private readonly operators: OperatorPort;
 
@@ -56,58 +86,75 @@
     private readonly logger: Logger,
     private readonly clients: PlatformClients,
   ) {
+    this.incarnation = settings.entry.incarnation || clock.getWallTime();
     this.view = LiveView.create(clock);
     this.ring = ExplainRing.create(settings.logs.decisions);
-    this.follower = this.createFollower();
+    const { metrics, ring, view } = this;
+    const { platform } = settings;
+    const budget = ServiceBudget.create(clock, platform.calls_per_second, platform.timeout, metrics.registry);
+    this.follower = this.createFollower(budget.wrap(clients.keyValue, CallKind.Configuration));
     this.follower.onChange(({ document }) => (this.table = Table.create(document)));
     this.platform = PlatformFollower.create(
       clients,
-      this.view,
+      view,
       clock,
       logger,
       () => this.settings.platform.list_interval,
     );
-    this.fleet = Fleet.create(settings.endpoints, clock, logger, this.view);
+    this.links = this.createLinks();
+    Gossip.create(this.links, view, this.follower, clock);
+    view.onChange((instance) => this.handleInstance(instance));
+    this.fleet = Fleet.create(settings.endpoints, clock, logger, view);
     const prefixes = PrefixIndex.create(settings.placement.prefix_blocks);
     this.dispatcher = Dispatcher.create(settings.requests, clock, this.fleet, prefixes, () =>
       this.getPlacementOptions(),
     );
     this.requests = Requests.create(settings.requests, clock);
-    const decisions = DecisionWriter.create(settings.entry.name, clock, this.ring);
-    const { fleet, dispatcher, requests, metrics } = this;
-    const budget = RetryBudget.create(settings.requests.retry_fraction);
-    const runner = Runner.create({
+    const { links, fleet, dispatcher, requests } = this;
+    const decisions = DecisionWriter.create(settings.entry.name, clock, ring);
+    this.backups = BackupWriter.create({ settings, clock, logger, links, view, decisions, metrics, ring });
+    const { backups } = this;
+    const resume = (request: ActiveRequest, options: ResumeOptions): void => this.resume(request, options);
+    this.copies = BackupStore.create({ settings, clock, logger, links, requests, decisions, ring, resume });
+    const hasCopy = (id: string): boolean => this.copies.has(id);
+    const fetcher = AnswerFetcher.create({ settings, clock, links, requests, hasCopy });
+    const attempts = AttemptRunner.create({
+      entry: settings.entry.name,
+      clock,
+      fleet,
+      prefixes,
+      metrics,
+      backups,
+    });
+    const gate = ClaimGate.create(this.writer, this.createClaims(budget), backups, decisions);
+    const retries = RetryBudget.create(settings.requests.retry_fraction);
+    const shared = {
       settings,
       clock,
       logger,
       fleet,
       dispatcher,
-      prefixes,
-      budget,
       decisions,
       metrics,
-    });
+      backups,
+      fetcher,
+      requests,
+    };
+    this.runner = Runner.create({ ...shared, budget: retries, attempts, gate });
+    LeavingRuns.create(settings.endpoints, clock, requests, decisions, metrics, fleet);
     const admission = AdmissionControl.create(settings.requests, clock, dispatcher, (row) =>
       this.getShare(row),
     );
     const getTable = (): Result<Table, Failure> => this.getTable();
-    const routes = CallerRoutes.create({
-      settings,
-      clock,
-      admission,
-      requests,
-      runner,
-      decisions,
-      metrics,
-      getTable,
-    });
+    const getAnyTable = (): Result<Table, Failure> => this.getAnyTable();
+    const routes = CallerRoutes.create({ ...shared, admission, runner: this.runner, getTable, getAnyTable });
     this.front = Front.create(settings.front, logger, routes.routes, () =>
       createRequestId(settings.entry.name),
     );
     this.operators = OperatorPort.create({
       settings: settings.operators,
       metrics,
-      ring: this.ring,
+      ring,
       getUnready: () => this.getUnready(),
       getStatus: () => this.getStatus(),
     });
@@ -127,13 +174,17 @@
 
   /** Opens the ports and starts following; callers are served as soon as a configuration is known. */
   async start(): Promise<EntryAddresses> {
+    const peers = await this.links.open();
+    this.links.setPeers(
+      this.settings.peers.seeds.map((address) => ({ name: address, incarnation: 0, address })),
+    );
     this.follower.start();
     await this.platform.readList();
     this.platform.start();
     const operators = await this.operators.open();
     const front = await this.front.open();
-    this.logger.info("entry.started", { front, operators, hall: this.settings.entry.hall });
-    return { front, operators };
+    this.logger.info("entry.started", { front, operators, peers, hall: this.settings.entry.hall });
+    return { front, operators, peers };
   }
 
   /** Resolves when a configuration is in force. */
@@ -153,18 +204,31 @@
 
   /** Stops as planned: takes nothing new, lets every request end, then closes. */
   async stop(): Promise<void> {
-    this.isLeaving = true;
-    this.logger.info("entry.stopping", { open: this.requests.getOpenCount() });
+    this.startLeaving();
     await this.requests.waitForIdle();
-    this.front.stopAccepting();
-    await this.kill();
-    this.logger.info("entry.stopped", {});
+    await this.finishLeaving();
+  }
+
+  /**
+   * Leaves within a notice of so many milliseconds: lets requests end while there is time, then hands the rest over
+   * to their backups and closes.
+   */
+  async leave(remaining: number): Promise<void> {
+    this.startLeaving();
+    const ended = new AbortController();
+    const timer = this.clock.startTimer(Math.max(0, remaining - this.settings.entry.notice_lead), () =>
+      ended.abort(),
+    );
+    await Promise.race([this.requests.waitForIdle(), waitForAbort(ended.signal)]);
+    timer.cancel();
+    await this.handOver();
+    await this.finishLeaving();
   }
 
   /** Closes at once, as a death does. */
   async kill(): Promise<void> {
-    await this.front.close();
-    await this.operators.close();
+    this.copies.close();
+    await Promise.all([this.links.close(), this.front.close(), this.operators.close()]);
     await Promise.all([this.follower.close(), this.platform.close()]);
     await this.fleet.close();
     await Promise.all([
@@ -179,10 +243,117 @@
     return this.requests.getOpen().map((request) => request.envelope.id);
   }
 
-  private createFollower(): DocumentFollower<Configuration> {
+  private get writer(): string {
+    return createWriterName(this.settings.entry.name, this.incarnation);
+  }
+
+  private startLeaving(): void {
+    if (this.isLeaving) return;
+    this.isLeaving = true;
+    this.logger.info("entry.leaving", { open: this.requests.getOpenCount() });
+    const own = this.view.get(this.settings.entry.name);
+    // Peers hear it from here first; the list may be long in saying so.
+    if (own) this.view.add({ ...own.record, state: InstanceState.Leaving, source: WordSource.Own });
+  }
+
+  private async finishLeaving(): Promise<void> {
+    this.front.stopAccepting();
+    this.copies.close();
+    await this.kill();
+    this.logger.info("entry.stopped", {});
+  }
+
+  /** Hands requests over that another entry can go on with; the others are given all the time there is. */
+  private async handOver(): Promise<void> {
+    const open = this.requests.getOpen();
+    const movable = open.filter((request) => canHandOver(request));
+    const taken = await this.backups.handOver(movable);
+    for (const request of movable) {
+      if (taken.has(request.envelope.id)) request.stop.abort(StopReason.HandedOver);
+    }
+    this.logger.info("entry.handed-over", { requests: taken.size, open: open.length });
+    const limit = new AbortController();
+    const timer = this.clock.startTimer(this.settings.entry.notice_lead, () => limit.abort());
+    await Promise.race([this.requests.waitForIdle(), waitForAbort(limit.signal)]);
+    timer.cancel();
+  }
+
+  /** Goes on with a request that another entry held. */
+  private resume(request: ActiveRequest, { mayStart }: ResumeOptions): void {
+    const task = async (): Promise<void> => {
+      await this.backups.protect(request);
+      await this.runner.run(request, { rest: undefined, isBackup: true, mayStart });
+      this.requests.finish(request);
+    };
+    void task();
+  }
+
+  private handleInstance(instance: InstanceView): void {
+    if (instance.record.role !== InstanceRole.Entry) return;
+    const { name } = this.settings.entry;
+    if (instance.record.id === name) {
+      this.handleOwnWord(instance);
+      return;
+    }
+    if (!isUsable(instance)) this.backups.handleLeaving(instance.record.id);
+    const peers = this.view.getAll().filter(({ record, state }) => {
+      return record.role === InstanceRole.Entry && state !== InstanceState.Gone;
+    });
+    this.links.setPeers(
+      peers.map(({ record }) => ({
+        name: record.id,
+        incarnation: record.incarnation,
+        address: record.address,
+      })),
+    );
+  }
+
+  /** A notice about this very instance. */
+  private handleOwnWord(instance: InstanceView): void {
+    const isNotice = instance.state === InstanceState.Leaving && instance.takenAt !== undefined;
+    if (!isNotice || this.isLeaving) return;
+    void this.leave(instance.takenAt - this.clock.getTime());
+  }
+
+  private createLinks(): PeerLinks {
+    const { peers, entry } = this.settings;
+    return PeerLinks.create({
+      own: { name: entry.name, incarnation: this.incarnation },
+      secret: peers.secret,
+      clock: this.clock,
+      logger: this.logger,
+      listen: peers.listen,
+      handshakeTimeout: peers.lost_after,
+      outboxBytes: peers.outbox_bytes,
+      pingInterval: peers.ping_interval,
+      lostAfter: peers.lost_after,
+      standingLinks: peers.links,
+      getRandom: Math.random,
+      getPing: () => ({ ...createPingFields(this.follower) }),
+    });
+  }
+
+  private createClaims(budget: ServiceBudget): Claims {
+    const { claims, platform, entry } = this.settings;
+    const ledger = ClaimLedger.create({
+      service: budget.wrap(this.clients.keyValue, CallKind.Claim),
+      clock: this.clock,
+      prefix: `${platform.prefix}claims/`,
+      shards: claims.shards,
+      interval: claims.interval,
+      patience: claims.patience,
+      retention: claims.retention,
+      headBytes: claims.head_bytes,
+    });
+    const help = "Swaps of claim shards.";
+    this.metrics.registry.setGauge("gladewall_claim_swaps", help, () => ledger.swaps);
+    return Claims.create(entry.name, ledger, this.links, this.view, claims.peer_timeout);
+  }
+
+  private createFollower(service: KeyValueService): DocumentFollower<Configuration> {
     const { platform, configuration } = this.settings;
     return DocumentFollower.create({
-      service: this.clients.keyValue,
+      service,
       key: `${platform.prefix}${configurationKey}`,
       codec: configurationCodec,
       clock: this.clock,
@@ -194,9 +365,24 @@
   }
 
   private getTable(): Result<Table, Failure> {
-    if (this.isLeaving) return Err(Failure.create(FailureCode.Leaving));
-    if (!this.table || !this.follower.isCurrent()) return Err(Failure.create(FailureCode.NotReady));
-    return Ok(this.table);
+    if (this.isLeaving) return Err(Failure.create(FailureCode.Leaving, {}, leavingRetryAfter));
+    if (!this.follower.isCurrent() && !this.hasMostPeers()) {
+      return Err(Failure.create(FailureCode.NotReady, {}, leavingRetryAfter));
+    }
+    return this.getAnyTable();
+  }
+
+  private getAnyTable(): Result<Table, Failure> {
+    return this.table ? Ok(this.table) : Err(Failure.create(FailureCode.NotReady, {}, leavingRetryAfter));
+  }
+
+  /**
+   * With the service down no entry hears from it, and no configuration can be saved either. An entry that is linked
+   * with most of the peers it should be linked with goes on: whoever could know of a newer one is among them.
+   */
+  private hasMostPeers(): boolean {
+    const wanted = this.links.getWantedCount();
+    return wanted > 0 && this.links.getLinked().length * 2 > wanted;
   }
 
   private getUnready(): string | undefined {
@@ -244,3 +430,14 @@
     );
   }
 }
+
+/** Whether another entry can go on with a request: a web service's call is bound to this entry's connection. */
+function canHandOver(request: ActiveRequest): boolean {
+  const { envelope, log, run } = request;
+  if (!log.isWhole) return false;
+  return envelope.model !== undefined || run === undefined || envelope.repeat === RepeatRule.Allowed;
+}
+
+function waitForAbort(signal: AbortSignal): Promise<void> {
+  return new Promise((resolve) => signal.addEventListener("abort", () => resolve(), { once: true }));
+}
--- a/packages/entry/src/entryMetrics.ts
+++ b/packages/entry/src/entryMetrics.ts
@@ -3,6 +3,7 @@
  * @module
  */
 import { type Counter, type Failure, type Latency, Metrics } from "@gladewall/kernel";
+import type { ActiveRequest } from "./requests.js";
 import type { Envelope } from "./types.js";
 
 /** Counters and latencies of one entry. */
@@ -14,6 +15,11 @@
   readonly cachedTokens: Counter;
   readonly recomputedTokens: Counter;
   readonly admitted: Counter;
+  readonly unprotected: Counter;
+  readonly copiedBytes: Counter;
+  readonly progressFrames: Counter;
+  readonly copyTime: Latency;
+  readonly moves: Counter;
 
   private constructor(readonly registry: Metrics) {
     this.retries = registry.getCounter("gladewall_retries_total", "Attempts after the first.");
@@ -35,6 +41,20 @@
       "Tokens computed again after a loss.",
     );
     this.admitted = registry.getCounter("gladewall_admitted_total", "Requests admitted.");
+    this.unprotected = registry.getCounter(
+      "gladewall_unprotected_total",
+      "Requests of which no peer holds a copy.",
+    );
+    this.copiedBytes = registry.getCounter(
+      "gladewall_copied_bytes_total",
+      "Bytes of bodies copied to backups.",
+    );
+    this.progressFrames = registry.getCounter(
+      "gladewall_progress_frames_total",
+      "Groups of progress sent to backups.",
+    );
+    this.copyTime = registry.getLatency("gladewall_copy_milliseconds", "Time until a backup holds a copy.");
+    this.moves = registry.getCounter("gladewall_moves_total", "Runs moved off leaving endpoints.");
   }
 
   static create(registry: Metrics = Metrics.create()): EntryMetrics {
@@ -61,6 +81,15 @@
     this.registry.getCounter("gladewall_finished_total", "Requests that ended whole.", { row }).add();
   }
 
+  /** Counts the tokens that must be computed again because an endpoint's work on a request was lost. */
+  countLostTokens(request: ActiveRequest, endpoint: string): void {
+    if (!request.envelope.model || request.firstAt === undefined) return;
+    const labels = { endpoint };
+    const lost = request.envelope.model.promptTokens + request.log.end;
+    this.recomputedTokens.add(lost);
+    this.registry.getCounter("gladewall_lost_work_total", "Tokens lost by endpoint.", labels).add(lost);
+  }
+
   /** Counts a request that ended without a whole answer. */
   countFailure(envelope: Envelope, failure: Failure): void {
     const labels = { row: envelope.row, failure: failure.name };
--- a/packages/entry/src/entrySettings.ts
+++ b/packages/entry/src/entrySettings.ts
@@ -86,6 +86,12 @@
     seeds: createAddressList("Peers to greet before the instance list is known."),
     secret: createSecret("Secret that all entries share; at least 16 characters."),
     ping_interval: createInteger("ms", 500, [20, 60_000], "Time between signs of life on a link."),
+    outbox_bytes: createInteger(
+      "bytes",
+      33_554_432,
+      [65_536, 1_073_741_824],
+      "Bytes that may wait for a slow peer.",
+    ),
     lost_after: createInteger("ms", 2_000, [50, 600_000], "Silence after which a peer counts as lost."),
     links: createInteger(
       "links",
@@ -169,6 +175,57 @@
       "How long a run without a key goes on after its caller left.",
     ),
   },
+  backups: {
+    ack_timeout: createInteger("ms", 500, [10, 60_000], "Longest wait for a peer's answer."),
+    progress_interval: createInteger(
+      "ms",
+      10,
+      [0, 10_000],
+      "Least time between two groups of progress to one backup.",
+    ),
+    commit_output: createFlag(true, "Give callers a token only when the backup has it."),
+    takeover_after: createInteger(
+      "ms",
+      1_000,
+      [0, 600_000],
+      "Time after a link's loss at which its peer's requests are taken over.",
+    ),
+    locate_patience: createInteger(
+      "ms",
+      5_000,
+      [0, 600_000],
+      "How long an answer is looked for while its holder may be changing.",
+    ),
+    locate_pause: createInteger("ms", 200, [10, 60_000], "Time between two such looks."),
+  },
+  claims: {
+    shards: createInteger(
+      "shards",
+      8,
+      [1, 1_024],
+      "Values that claims are spread over; the same in all entries.",
+    ),
+    interval: createInteger("ms", 100, [0, 60_000], "Least time between two swaps of a shard."),
+    patience: createInteger(
+      "ms",
+      1_500,
+      [10, 60_000],
+      "Time after which a claim that cannot be recorded is given up.",
+    ),
+    peer_timeout: createInteger("ms", 600, [10, 60_000], "Longest wait for a shard's usual writer."),
+    retention: createInteger(
+      "ms",
+      3_600_000,
+      [1_000, 604_800_000],
+      "How long a key is remembered, at least.",
+    ),
+    head_bytes: createInteger(
+      "bytes",
+      131_072,
+      [1_024, 1_000_000],
+      "Size of a shard's head above which it is put away.",
+    ),
+  },
   endpoints: {
     connect_timeout: createInteger(
       "ms",
@@ -183,6 +240,18 @@
       "Silence after which an answer counts as cut.",
     ),
     load_interval: createInteger("ms", 1_000, [20, 600_000], "Time between load reports."),
+    notice_assumed: createInteger(
+      "ms",
+      10_000,
+      [0, 600_000],
+      "Notice assumed where an endpoint's end is not known.",
+    ),
+    move_margin: createInteger(
+      "ms",
+      500,
+      [0, 60_000],
+      "Time before an endpoint's end by which its runs must have ended.",
+    ),
     backoff: createInteger(
       "ms",
       200,
--- a/packages/entry/src/envelope.ts
+++ b/packages/entry/src/envelope.ts
@@ -172,7 +172,7 @@
     headers: input.headers,
     body: input.body,
     repeat: isNever ? RepeatRule.Never : RepeatRule.Allowed,
-    keyDigest: marks.key === undefined ? undefined : getDigest(input.workspace, marks.key),
+    keyDigest: getKeyDigest(input.workspace, marks),
     bodyDigest: getDigest(service.name, input.method, input.path, input.body),
     priority: row.priority,
     weight: row.weight,
@@ -183,6 +183,11 @@
   };
 }
 
+/** Returns the digest of a caller's key, which is its workspace's own; undefined without a key. */
+export function getKeyDigest(workspace: string, marks: RequestMarks): string | undefined {
+  return marks.key === undefined ? undefined : getDigest(workspace, marks.key);
+}
+
 function getDigest(...parts: readonly (string | Uint8Array)[]): string {
   const hash = createHash("sha256");
   for (const part of parts) {
--- /dev/null
+++ b/packages/entry/src/leavingRuns.ts
@@ -0,0 +1,77 @@
+/**
+ * What becomes of runs on a leaving endpoint: let finish, move with their cache, or run again elsewhere.
+ * @module
+ */
+import type { InstanceView } from "@gladewall/coordination";
+import type { Clock } from "@gladewall/kernel";
+import { DecisionRule, DecisionStage, RepeatRule } from "@gladewall/policy";
+import type { DecisionWriter } from "./decisions.js";
+import type { EntryMetrics } from "./entryMetrics.js";
+import type { EntrySettings } from "./entrySettings.js";
+import type { Endpoint, Fleet } from "./fleet.js";
+import { type ActiveRequest, type Requests, StopReason } from "./requests.js";
+
+/** Decides about runs on leaving endpoints. */
+export class LeavingRuns {
+  private constructor(
+    private readonly settings: EntrySettings["endpoints"],
+    private readonly clock: Clock,
+    private readonly requests: Requests,
+    private readonly decisions: DecisionWriter,
+    private readonly metrics: EntryMetrics,
+    fleet: Fleet,
+  ) {
+    fleet.onLeaving((endpoint, view) => this.handleLeaving(endpoint, view));
+  }
+
+  static create(
+    settings: EntrySettings["endpoints"],
+    clock: Clock,
+    requests: Requests,
+    decisions: DecisionWriter,
+    metrics: EntryMetrics,
+    fleet: Fleet,
+  ): LeavingRuns {
+    return new LeavingRuns(settings, clock, requests, decisions, metrics, fleet);
+  }
+
+  /** Urgent requests are moved first, then those that would lose most. */
+  private handleLeaving(endpoint: Endpoint, view: InstanceView): void {
+    const { id } = endpoint.load.record;
+    const runs = this.requests.getOpen().filter((request) => request.run?.endpoint === id);
+    runs.sort(
+      (left, right) => right.envelope.priority - left.envelope.priority || right.log.end - left.log.end,
+    );
+    const takenAt = view.takenAt ?? this.clock.getTime() + this.settings.notice_assumed;
+    for (const request of runs) this.decide(request, endpoint, takenAt - this.clock.getTime());
+  }
+
+  private decide(request: ActiveRequest, endpoint: Endpoint, remaining: number): void {
+    const { envelope, log } = request;
+    const needed = this.estimateNeeded(request);
+    const inputs = {
+      endpoint: endpoint.load.record.id,
+      remaining: Math.round(remaining),
+      needed: Math.round(needed),
+    };
+    const mayMove =
+      envelope.repeat === RepeatRule.Allowed && envelope.model?.isContinuable === true && log.isWhole;
+    if (!mayMove || needed + this.settings.move_margin <= remaining) {
+      this.decisions.add(envelope.id, DecisionStage.Move, DecisionRule.LetFinish, inputs);
+      return;
+    }
+    this.metrics.moves.add();
+    const moved = { ...inputs, emitted: log.end };
+    this.decisions.add(envelope.id, DecisionStage.Move, DecisionRule.MovedWithCache, moved);
+    request.attemptStop.abort(StopReason.EndpointLeaving);
+  }
+
+  /** Milliseconds to the end of the run at the pace it has had; not started counts as a pace of the whole notice. */
+  private estimateNeeded(request: ActiveRequest): number {
+    const { envelope, log, firstAt } = request;
+    const left = (envelope.model?.outputTokens ?? 0) - log.end;
+    if (!envelope.model) return 0;
+    if (firstAt === undefined || log.end === 0) return Infinity;
+    return left * ((this.clock.getTime() - firstAt) / log.end);
+  }
+}
--- a/packages/entry/src/plugins/openaiEngine.ts
+++ b/packages/entry/src/plugins/openaiEngine.ts
@@ -63,13 +63,14 @@
 
   async run(dispatch: Dispatch, sink: RunSink, signal: AbortSignal): Promise<Result<void, Failure>> {
     const { envelope } = dispatch;
-    const headers = {
+    const headers: Record<string, string> = {
       "content-type": "application/json",
       "x-run-id": dispatch.runId,
       "x-attempt": String(dispatch.attempt),
       "x-request-id": envelope.id,
       "x-priority": String(envelope.priority),
     };
+    if (dispatch.cacheSource !== undefined) headers["x-kv-source"] = dispatch.cacheSource;
     const body = createEngineBody(dispatch);
     return this.stream({ method: "POST", path: envelope.path, headers, body, signal }, dispatch, sink);
   }
@@ -89,6 +90,10 @@
     return cancelWords[word.value.state] ?? CancelWord.Unknown;
   }
 
+  getCacheSource(runId: string): string {
+    return `${this.options.record.address}/v1/runs/${encodeURIComponent(runId)}/kv`;
+  }
+
   async readLoad(): Promise<Result<LoadReport, Failure>> {
     const timeout = this.options.connectTimeout;
     const answer = await callService(this.pool, {
--- a/packages/entry/src/plugins/webService.ts
+++ b/packages/entry/src/plugins/webService.ts
@@ -75,6 +75,10 @@
     return CancelWord.Unknown;
   }
 
+  getCacheSource(): undefined {
+    return undefined;
+  }
+
   async readLoad(): Promise<Result<LoadReport, Failure>> {
     const timeout = this.options.connectTimeout;
     const answer = await callService(this.pool, {
--- a/packages/entry/src/problem.ts
+++ b/packages/entry/src/problem.ts
@@ -44,3 +44,15 @@
   response.writeHead(failure.status);
   response.end(body);
 }
+
+/** Sends a caller on to where its request's answer will be, on any entry. */
+export function sendMoved(response: ServerResponse, requestId: string): void {
+  if (response.headersSent || response.destroyed) return;
+  response.writeHead(303, {
+    location: `/v1/requests/${requestId}`,
+    "content-length": 0,
+    "gladewall-request": requestId,
+    connection: "close",
+  });
+  response.end();
+}
--- a/packages/entry/src/requests.ts
+++ b/packages/entry/src/requests.ts
@@ -2,7 +2,8 @@
  * All requests that this entry holds: running ones, and finished ones whose answer callers may come back for.
  * @module
  */
-import type { Clock } from "@gladewall/kernel";
+import type { Claim } from "@gladewall/coordination";
+import { type Clock, Outcome } from "@gladewall/kernel";
 import { AnswerLog, AnswerState } from "./answerLog.js";
 import type { EntrySettings } from "./entrySettings.js";
 import type { Envelope } from "./types.js";
@@ -30,6 +31,12 @@
   /** Aborted when only the present attempt is to stop; renewed by each attempt. */
   attemptStop = new AbortController();
   run: CurrentRun | undefined;
+  /** This entry may send it although it must not be repeated: its claim is won. */
+  isClaimed = false;
+  /** The claim this entry won for it. */
+  claim: Claim | undefined;
+  /** An endpoint may have begun to work on it. */
+  mayHaveRun = false;
   /** Monotonic time of the first token or byte. */
   firstAt: number | undefined;
 
@@ -102,13 +109,13 @@
 
   /** Adds a request that has just been accepted. */
   add(envelope: Envelope): ActiveRequest {
+    return this.adopt(envelope, this.clock.getTime() + this.settings.deadline);
+  }
+
+  /** Adds a request that another entry accepted; `deadline` is a monotonic time of this one. */
+  adopt(envelope: Envelope, deadline: number): ActiveRequest {
     const now = this.clock.getTime();
-    const request = ActiveRequest.create(
-      envelope,
-      this.settings.hold_bytes,
-      now,
-      now + this.settings.deadline,
-    );
+    const request = ActiveRequest.create(envelope, this.settings.hold_bytes, now, deadline);
     this.byId.set(envelope.id, request);
     if (envelope.keyDigest !== undefined) this.byKey.set(envelope.keyDigest, request);
     this.openCount += 1;
@@ -119,6 +126,8 @@
   finish(request: ActiveRequest): void {
     this.openCount -= 1;
     if (this.openCount === 0) this.wakeIdle();
+    // What was surely not run may be asked for again under the same key.
+    if (request.log.failure?.outcome === Outcome.NotRun) this.removeKey(request);
     this.heldBytes += request.log.size;
     this.finished.push({ request, until: this.clock.getTime() + this.settings.hold_time });
     this.removeOld();
@@ -151,6 +160,10 @@
     if (this.byId.get(request.envelope.id) !== request) return;
     this.byId.delete(request.envelope.id);
     this.heldBytes -= request.log.size;
+    this.removeKey(request);
+  }
+
+  private removeKey(request: ActiveRequest): void {
     const { keyDigest } = request.envelope;
     if (keyDigest !== undefined && this.byKey.get(keyDigest) === request) this.byKey.delete(keyDigest);
   }
--- a/packages/entry/src/routes.ts
+++ b/packages/entry/src/routes.ts
@@ -4,11 +4,21 @@
  */
 import { ServiceKind } from "@gladewall/coordination";
 import { type Clock, Failure, FailureCode, outcomeNames } from "@gladewall/kernel";
-import { DecisionRule, DecisionStage, getKeyHash, type ServiceRecord, type Table } from "@gladewall/policy";
+import {
+  DecisionRule,
+  DecisionStage,
+  getKeyHash,
+  getRowName,
+  type ServiceRecord,
+  type Table,
+  type TableRow,
+} from "@gladewall/policy";
 import { Err, Ok, type Result } from "ts-results-es";
 import type { AdmissionControl } from "./admission.js";
+import type { AnswerFetcher } from "./answerFetcher.js";
 import { parseEventId, writeModelAnswer } from "./answerModel.js";
 import { writeWebAnswer } from "./answerWeb.js";
+import type { BackupWriter } from "./backupWriter.js";
 import type { DecisionWriter } from "./decisions.js";
 import type { EntryMetrics } from "./entryMetrics.js";
 import type { EntrySettings } from "./entrySettings.js";
@@ -18,8 +28,8 @@
 import { sendProblem } from "./problem.js";
 import { readBody, type RequestBody } from "./requestBody.js";
 import { type ActiveRequest, type Requests, StopReason } from "./requests.js";
-import type { Runner } from "./runner.js";
-import { ModelForm, type ModelRequest } from "./types.js";
+import { freshRun, type Runner } from "./runner.js";
+import { type Envelope, ModelForm, type ModelRequest } from "./types.js";
 
 /** What the routes work with. */
 export interface RouteParts {
@@ -28,10 +38,14 @@
   readonly admission: AdmissionControl;
   readonly requests: Requests;
   readonly runner: Runner;
+  readonly backups: BackupWriter;
+  readonly fetcher: AnswerFetcher;
   readonly decisions: DecisionWriter;
   readonly metrics: EntryMetrics;
   /** Returns the table in force, or why this entry takes no request now. */
   getTable(): Result<Table, Failure>;
+  /** Returns the table in force although this entry may be leaving. */
+  getAnyTable(): Result<Table, Failure>;
 }
 
 /** A caller whose key is known. */
@@ -131,24 +145,44 @@
   }
 
   private async accept(exchange: Exchange, candidate: Candidate): Promise<Failure | undefined> {
-    const { admission, metrics, requests } = this.parts;
+    const { admission, metrics, requests, decisions } = this.parts;
     const { caller, marks, service, model } = candidate;
+    const { workspace } = caller;
+    const row = caller.table.getRow(workspace, service.name, marks.class);
+    if (!row) {
+      const values = { workspace, service: service.name, class: marks.class };
+      return this.refuse(exchange, Failure.create(FailureCode.NoRow, values));
+    }
+    const envelope = this.createEnvelope(exchange, candidate, row);
+    const isStream = model?.isStream ?? false;
+    const same = envelope.keyDigest === undefined ? undefined : requests.getByKey(envelope.keyDigest);
+    if (same) return this.answerSame(exchange, same, envelope, isStream);
     const promptTokens = model?.promptTokens ?? 0;
     const work = promptTokens + (model?.outputTokens ?? 0);
-    const admissionRequest = { workspace: caller.workspace, service, class: marks.class, promptTokens, work };
-    const admitted = admission.admit(caller.table, admissionRequest);
-    if (admitted.isErr()) {
-      metrics.countRefusal(admitted.error);
-      return this.refuse(exchange, admitted.error);
-    }
-    const { row, rowName, version } = admitted.value;
-    const envelope = createEnvelope({
+    const admitted = admission.admit(row, { service: service.name, promptTokens, work });
+    if (admitted.isErr()) return this.refuse(exchange, admitted.error);
+    metrics.admitted.add();
+    const { version } = caller.table;
+    const inputs = { row: envelope.row, version, priority: row.priority, tokens: promptTokens };
+    decisions.add(envelope.id, DecisionStage.Admission, DecisionRule.RowAdmitted, inputs);
+    const request = requests.add(envelope);
+    void this.run(request, candidate.body.rest).then(() => {
+      admitted.value.leave(Math.max(0, work - promptTokens - request.log.end));
+      requests.finish(request);
+    });
+    await this.answer(exchange, request, 0, isStream);
+    return undefined;
+  }
+
+  private createEnvelope(exchange: Exchange, candidate: Candidate, row: TableRow): Envelope {
+    const { caller, marks, service, model } = candidate;
+    return createEnvelope({
       id: exchange.id,
       workspace: caller.workspace,
       service,
       marks,
       row,
-      rowName,
+      rowName: getRowName(row),
       method: exchange.request.method ?? "",
       path: candidate.path,
       headers: this.getHeaders(exchange),
@@ -156,21 +190,35 @@
       model,
       arrived: this.parts.clock.getWallTime(),
     });
-    metrics.admitted.add();
-    const inputs = { row: rowName, version, priority: row.priority, tokens: promptTokens };
-    this.parts.decisions.add(envelope.id, DecisionStage.Admission, DecisionRule.RowAdmitted, inputs);
-    const request = requests.add(envelope);
-    void this.parts.runner.run(request, candidate.body.rest).then(() => {
-      admitted.value.leave(Math.max(0, work - promptTokens - request.log.end));
-      requests.finish(request);
-    });
-    await this.answer(exchange, request, 0, model?.isStream ?? false);
+  }
+
+  /** Puts a copy at a backup, then runs the request, or follows the one that has the same key. */
+  private async run(request: ActiveRequest, rest: AsyncIterable<Uint8Array> | undefined): Promise<void> {
+    const { backups, runner } = this.parts;
+    // A body that is streamed through is held by nobody: there is nothing to copy.
+    const conflict = rest ? undefined : await backups.protect(request);
+    if (conflict) return runner.runAttached(request, conflict.request, conflict.body);
+    await runner.run(request, { ...freshRun, rest });
+  }
+
+  /** A key used again at this entry gets the answer of the request that has it. */
+  private async answerSame(
+    exchange: Exchange,
+    same: ActiveRequest,
+    envelope: Envelope,
+    isStream: boolean,
+  ): Promise<Failure | undefined> {
+    if (same.envelope.bodyDigest !== envelope.bodyDigest)
+      return Failure.create(FailureCode.KeyReusedWithOtherBody);
+    if (!same.log.canFollow(0)) return Failure.create(FailureCode.AlreadyRun, { request: same.envelope.id });
+    await this.answer(exchange, same, 0, isStream);
     return undefined;
   }
 
   /** Refuses with a request id of its own, so that the refusal can be asked about. */
   private refuse(exchange: Exchange, failure: Failure): undefined {
     const { id } = exchange;
+    this.parts.metrics.countRefusal(failure);
     this.parts.decisions.addFailure(id, DecisionStage.Admission, DecisionRule.Refused, failure);
     if (!exchange.request.complete) exchange.response.setHeader("connection", "close");
     sendProblem(exchange.response, failure, id);
@@ -206,7 +254,7 @@
   }
 
   private async handleReturn(exchange: Exchange, id: string): Promise<Failure | undefined> {
-    const found = this.findOwn(exchange, id);
+    const found = await this.findOwn(exchange, id);
     if (found.isErr()) return found.error;
     const request = found.value;
     const eventId = exchange.request.headers["last-event-id"];
@@ -221,9 +269,9 @@
   }
 
   private async handleCancel(exchange: Exchange, id: string): Promise<Failure | undefined> {
-    const found = this.findOwn(exchange, id);
+    const found = await this.findOwn(exchange, id);
     if (found.isErr()) return found.error;
-    found.value.stop.abort(StopReason.CallerLeft);
+    await this.parts.fetcher.cancel(found.value);
     await found.value.log.waitForEnd();
     const { failure } = found.value.log;
     exchange.response.setHeader("gladewall-request", id);
@@ -234,12 +282,14 @@
   }
 
   /** Finds a request of the caller's own workspace; another's looks as if it did not exist. */
-  private findOwn(exchange: Exchange, id: string): Result<ActiveRequest, Failure> {
-    const caller = this.authenticate(exchange);
+  private async findOwn(exchange: Exchange, id: string): Promise<Result<ActiveRequest, Failure>> {
+    // A leaving entry still answers for what it has.
+    const caller = this.identify(exchange, this.parts.getAnyTable());
     if (caller.isErr()) return caller;
-    const request = this.parts.requests.get(id);
-    const isOwn = request?.envelope.workspace === caller.value.workspace;
-    return request && isOwn ? Ok(request) : Err(Failure.create(FailureCode.RequestUnknown, { request: id }));
+    const found = await this.parts.fetcher.fetch(id);
+    if (found.isErr()) return found;
+    const isOwn = found.value.envelope.workspace === caller.value.workspace;
+    return isOwn ? found : Err(Failure.create(FailureCode.RequestUnknown, { request: id }));
   }
 
   private async handleModels(exchange: Exchange): Promise<Failure | undefined> {
@@ -253,7 +303,10 @@
   }
 
   private authenticate(exchange: Exchange): Result<Caller, Failure> {
-    const table = this.parts.getTable();
+    return this.identify(exchange, this.parts.getTable());
+  }
+
+  private identify(exchange: Exchange, table: Result<Table, Failure>): Result<Caller, Failure> {
     if (table.isErr()) return table;
     const key = bearerPattern.exec(exchange.request.headers.authorization ?? "")?.[1];
     const workspace = key === undefined ? undefined : table.value.getWorkspace(getKeyHash(key));
--- a/packages/entry/src/runner.ts
+++ b/packages/entry/src/runner.ts
@@ -1,29 +1,33 @@
 /**
- * Runs an accepted request to its end: places it, sends it, and after a failure resumes it, runs it again from what
- * was given, or tells the caller what is known.
+ * Runs an accepted request to its end: places it, claims it if it may run only once, sends it, and after a failure
+ * resumes it, runs it again from what was given, or tells the caller what is known.
  * @module
  */
+import type { Claim } from "@gladewall/coordination";
 import { type Clock, Failure, FailureCode, type Logger, Outcome } from "@gladewall/kernel";
 import {
-  decideRetry,
   DecisionRule,
   DecisionStage,
-  type Placement,
   type PlacementRequest,
-  type PrefixIndex,
   RepeatRule,
   type RetryBudget,
   RetryVerdict,
 } from "@gladewall/policy";
 import { Err, Ok, type Result } from "ts-results-es";
+import { decideAfterFailure, describeOutcome, describeStop } from "./afterFailure.js";
+import type { AnswerFetcher } from "./answerFetcher.js";
+import { AnswerState } from "./answerLog.js";
+import { type AttemptRunner, getPrefill } from "./attempt.js";
+import type { BackupWriter } from "./backupWriter.js";
+import { type ClaimGate, type GateOutcome, GateVerdict } from "./claimGate.js";
 import type { DecisionWriter } from "./decisions.js";
 import type { Dispatcher, Placed } from "./dispatcher.js";
+import type { EntryMetrics } from "./entryMetrics.js";
 import type { EntrySettings } from "./entrySettings.js";
 import { getWorkTokens } from "./envelope.js";
 import type { Endpoint, Fleet } from "./fleet.js";
-import type { EntryMetrics } from "./entryMetrics.js";
 import { type ActiveRequest, StopReason } from "./requests.js";
-import { type AnswerChunk, CancelWord, type Dispatch, type RunSink } from "./types.js";
+import { CancelWord } from "./types.js";
 
 /** What a runner works with. */
 export interface RunnerParts {
@@ -32,17 +36,34 @@
   readonly logger: Logger;
   readonly fleet: Fleet;
   readonly dispatcher: Dispatcher;
-  readonly prefixes: PrefixIndex;
   readonly budget: RetryBudget;
   readonly decisions: DecisionWriter;
   readonly metrics: EntryMetrics;
+  readonly attempts: AttemptRunner;
+  readonly gate: ClaimGate;
+  readonly backups: BackupWriter;
+  readonly fetcher: AnswerFetcher;
+}
+
+/** How a request comes to this entry. */
+export interface RunOptions {
+  /** Rest of a body too large to be held. */
+  readonly rest: AsyncIterable<Uint8Array> | undefined;
+  /** Taken over from another entry. */
+  readonly isBackup: boolean;
+  /** Whether this entry may start it; false where its holder may have sent it without a claim. */
+  readonly mayStart: boolean;
 }
 
+/** Options of a request that a caller has just brought. */
+export const freshRun: RunOptions = { rest: undefined, isBackup: false, mayStart: true };
+
 /** State of one request's attempts. */
 interface Attempts {
   count: number;
   readonly excluded: Set<string>;
   readonly avoidedHalls: Set<string>;
+  cacheSource: string | undefined;
 }
 
 /** Runs requests. */
@@ -54,41 +75,152 @@
   }
 
   /** Runs a request; its log has ended when this resolves. */
-  async run(request: ActiveRequest, rest: AsyncIterable<Uint8Array> | undefined): Promise<void> {
-    const timer = this.parts.clock.startTimer(request.deadline - this.parts.clock.getTime(), () =>
+  async run(request: ActiveRequest, options: RunOptions): Promise<void> {
+    const { clock } = this.parts;
+    const timer = clock.startTimer(request.deadline - clock.getTime(), () =>
       request.stop.abort(StopReason.DeadlinePassed),
     );
-    const result = await this.runAttempts(request, rest);
+    const result = options.isBackup
+      ? await this.runTakenOver(request, options)
+      : await this.runAttempts(request, options);
     timer.cancel();
     if (result.isOk()) this.finish(request);
-    else this.fail(request, result.error);
+    else if (request.stopReason === StopReason.HandedOver) request.log.move();
+    else await this.fail(request, result.error);
+    this.parts.backups.finish(request);
   }
 
-  private async runAttempts(
-    request: ActiveRequest,
-    rest: AsyncIterable<Uint8Array> | undefined,
-  ): Promise<Result<void, Failure>> {
-    const attempts: Attempts = { count: 0, excluded: new Set(), avoidedHalls: new Set() };
+  /** Ends a request as a follower of another that has the same key. */
+  async runAttached(request: ActiveRequest, other: string, otherBody: string): Promise<void> {
+    const result = await this.followOther(request, other, otherBody);
+    if (result.isOk()) request.log.complete();
+    else await this.fail(request, result.error);
+    this.parts.backups.finish(request);
+  }
+
+  private async runTakenOver(request: ActiveRequest, options: RunOptions): Promise<Result<void, Failure>> {
+    const isNever = request.envelope.repeat === RepeatRule.Never;
+    // Whatever its holder did with it, nobody can say any more that it surely did not run.
+    request.mayHaveRun = request.run !== undefined || !options.mayStart;
+    const attached = await this.tryAttach(request);
+    if (attached?.isOk()) return attached;
+    const failure = attached?.isErr() ? attached.error : Failure.create(FailureCode.ClaimUnavailable);
+    if (request.stopReason !== undefined) return Err(describeStop(request, failure));
+    const mayRunElsewhere = !isNever || (request.run === undefined && options.mayStart);
+    if (!mayRunElsewhere) return Err(describeOutcome(request, failure.withOutcome(Outcome.Unknown)));
+    return this.runAttempts(request, options);
+  }
+
+  /** Attaches to the run that the lost holder had, if it is known and its endpoint can. */
+  private async tryAttach(request: ActiveRequest): Promise<Result<void, Failure> | undefined> {
+    const { run } = request;
+    const endpoint = run && this.parts.fleet.get(run.endpoint);
+    if (!endpoint || !request.envelope.model) return undefined;
+    const result = await this.parts.attempts.attach(request, endpoint);
+    if (result.isErr()) this.parts.metrics.countLostTokens(request, endpoint.load.record.id);
+    return result;
+  }
+
+  private async runAttempts(request: ActiveRequest, options: RunOptions): Promise<Result<void, Failure>> {
+    const count = request.run?.attempt ?? 0;
+    const attempts: Attempts = {
+      count,
+      excluded: new Set(),
+      avoidedHalls: new Set(),
+      cacheSource: undefined,
+    };
     while (true) {
       const placed = await this.place(request, attempts);
-      if (placed.isErr()) return Err(describeUnplaced(placed.error, request));
+      if (placed.isErr()) return Err(this.describeUnplaced(request, placed.error));
       attempts.count += 1;
-      const endpoint = this.parts.fleet.get(placed.value.placement.endpoint.record.id);
+      const { placement } = placed.value;
+      const prefill = getPrefill(request, placement);
+      const endpoint = this.parts.fleet.get(placement.endpoint.record.id);
       if (!endpoint) continue;
-      const result = await this.runOnce(request, endpoint, placed.value.placement, attempts, rest);
+      const runId = this.parts.attempts.getRunId(request, attempts.count);
+      const gate = await this.parts.gate.pass(request, placement.endpoint.record.id, runId, options.isBackup);
+      if (gate.isErr() || gate.value.verdict === GateVerdict.Lost) {
+        placement.endpoint.cancelDispatch(prefill);
+        return this.handleUnclaimed(request, gate);
+      }
+      if (request.stopReason !== undefined) {
+        placement.endpoint.cancelDispatch(prefill);
+        return Err(describeStop(request, Failure.create(FailureCode.EndpointRefused)));
+      }
+      const { cacheSource } = attempts;
+      const attempt = { endpoint, attempt: attempts.count, prefill, cacheSource, rest: options.rest };
+      const result = await this.parts.attempts.run(request, attempt);
       if (result.isOk()) return result;
-      const next = this.decideNext(request, endpoint, attempts, result.error, rest !== undefined);
+      const next = this.decideNext(request, endpoint, attempts, result.error, options);
       if (next.isErr()) return next;
     }
   }
 
+  private async handleUnclaimed(
+    request: ActiveRequest,
+    gate: Result<GateOutcome, Failure>,
+  ): Promise<Result<void, Failure>> {
+    if (gate.isErr()) return Err(describeOutcome(request, gate.error));
+    const { standing } = gate.value;
+    if (!standing) return Err(Failure.create(FailureCode.ClaimUnavailable));
+    if (standing.request !== request.envelope.id)
+      return this.followOther(request, standing.request, standing.body);
+    return this.attachToClaim(request, standing);
+  }
+
+  /** The same request was claimed by another entry: its backup, or the holder this entry took it over from. */
+  private async attachToClaim(request: ActiveRequest, standing: Claim): Promise<Result<void, Failure>> {
+    request.mayHaveRun = true;
+    const endpoint = this.parts.fleet.get(standing.endpoint);
+    const canAttach = endpoint && request.envelope.model !== undefined;
+    if (canAttach) {
+      request.run = {
+        runId: standing.run,
+        attempt: getAttemptOfRun(standing.run),
+        endpoint: standing.endpoint,
+      };
+      const attached = await this.parts.attempts.attach(request, endpoint);
+      if (attached.isOk()) return attached;
+    }
+    const failure = Failure.create(FailureCode.EndpointRunUnknown, { endpoint: standing.endpoint });
+    return Err(describeOutcome(request, failure.withOutcome(Outcome.Unknown)));
+  }
+
+  /** Gives this caller the answer of the request that has the same key. */
+  private async followOther(
+    request: ActiveRequest,
+    other: string,
+    otherBody: string,
+  ): Promise<Result<void, Failure>> {
+    const { id, bodyDigest } = request.envelope;
+    if (otherBody !== bodyDigest) return Err(Failure.create(FailureCode.KeyReusedWithOtherBody));
+    this.parts.decisions.add(id, DecisionStage.Claim, DecisionRule.Attached, { other });
+    const found = await this.parts.fetcher.fetch(other);
+    if (found.isErr()) {
+      const failure = Failure.create(FailureCode.AlreadyRun, { request: other });
+      return Err(failure.withOutcome(Outcome.Unknown));
+    }
+    return this.pipe(request, found.value);
+  }
+
+  private async pipe(request: ActiveRequest, source: ActiveRequest): Promise<Result<void, Failure>> {
+    const { log } = source;
+    if (!log.canFollow(0))
+      return Err(Failure.create(FailureCode.AlreadyRun, { request: source.envelope.id }));
+    await log.waitForHead();
+    if (log.head) request.log.setHead(log.head);
+    for await (const chunk of log.follow(0, request.stop.signal)) await request.log.add(chunk);
+    if (log.state === AnswerState.Complete) return Ok.EMPTY;
+    const lost = Failure.create(FailureCode.PeerUnreachable, { peer: "of the first request" });
+    return Err(log.failure ?? lost);
+  }
+
   private async place(request: ActiveRequest, attempts: Attempts): Promise<Result<Placed, Failure>> {
     const { envelope } = request;
-    const tokens = envelope.model?.promptTokens ?? 0;
     const placement: PlacementRequest = {
       service: envelope.service,
       hall: this.parts.settings.entry.hall,
-      tokens,
+      tokens: envelope.model?.promptTokens ?? 0,
       blocks: envelope.model?.blocks ?? [],
       priority: envelope.priority,
       excluded: attempts.excluded,
@@ -103,106 +235,15 @@
   }
 
   private recordPlacement(request: ActiveRequest, placed: Placed, attempt: number): void {
-    const { envelope } = request;
+    const { id, service } = request.envelope;
     const { placement, waited, ahead } = placed;
-    const { decisions } = this.parts;
-    if (waited >= 1) {
-      const inputs = { wait: waited, ahead, service: envelope.service };
-      decisions.add(envelope.id, DecisionStage.Queue, DecisionRule.QueuedBehind, inputs);
-    } else {
-      decisions.add(envelope.id, DecisionStage.Queue, DecisionRule.ServedAtOnce, {
-        service: envelope.service,
-      });
-    }
+    const { decisions, fleet } = this.parts;
+    const hasWaited = ahead > 0;
+    const rule = hasWaited ? DecisionRule.QueuedBehind : DecisionRule.ServedAtOnce;
+    decisions.add(id, DecisionStage.Queue, rule, { wait: waited, ahead, service });
     const { record } = placement.endpoint;
-    const count = this.parts.fleet.getLoads(envelope.service).length;
-    const inputs = { endpoint: record.id, hall: record.hall, attempt, count };
-    decisions.add(
-      envelope.id,
-      DecisionStage.Placement,
-      DecisionRule.PlacedByScore,
-      inputs,
-      placement.alternatives,
-    );
-  }
-
-  private async runOnce(
-    request: ActiveRequest,
-    endpoint: Endpoint,
-    placement: Placement,
-    attempts: Attempts,
-    rest: AsyncIterable<Uint8Array> | undefined,
-  ): Promise<Result<void, Failure>> {
-    const { clock, fleet } = this.parts;
-    const { envelope } = request;
-    const started = clock.getTime();
-    const dispatch = createDispatch(request, attempts.count, rest);
-    request.run = { runId: dispatch.runId, attempt: attempts.count, endpoint: endpoint.load.record.id };
-    request.attemptStop = new AbortController();
-    const sink = this.createSink(request, endpoint, placement, started);
-    let result = await endpoint.client.run(dispatch, sink, getAttemptSignal(request));
-    if (result.isErr() && this.mayResume(request, result.error))
-      result = await this.resume(request, endpoint, sink);
-    const tokens = (envelope.model?.promptTokens ?? 0) + request.log.end - dispatch.emitted;
-    endpoint.load.addEnd(clock.getTime() - started, tokens, result.isOk());
-    fleet.announceRoom(envelope.service);
-    return result;
-  }
-
-  private createSink(
-    request: ActiveRequest,
-    endpoint: Endpoint,
-    placement: Placement,
-    started: number,
-  ): RunSink {
-    const { clock } = this.parts;
-    const { load } = endpoint;
-    const prefill = Math.max(0, (request.envelope.model?.promptTokens ?? 0) - placement.cachedTokens);
-    let isFirst = true;
-    return {
-      setHead: (head) => request.log.setHead(head),
-      add: (chunk) => {
-        if (isFirst) {
-          isFirst = false;
-          request.firstAt ??= clock.getTime();
-          load.addFirstToken(prefill, clock.getTime() - started);
-        }
-        if (chunk.usage) this.learnPrefix(request, endpoint, chunk);
-        return request.log.add(chunk);
-      },
-    };
-  }
-
-  /** Learns from an answer which part of the prompt the endpoint held, and that it holds all of it now. */
-  private learnPrefix(request: ActiveRequest, endpoint: Endpoint, chunk: AnswerChunk): void {
-    const blocks = request.envelope.model?.blocks ?? [];
-    const id = endpoint.load.record.id;
-    this.parts.prefixes.add(blocks, id);
-    const prompt = request.envelope.model?.promptTokens ?? 0;
-    const cached = chunk.usage?.cachedTokens ?? 0;
-    this.parts.metrics.promptTokens.add(prompt);
-    this.parts.metrics.cachedTokens.add(Math.min(prompt, cached));
-  }
-
-  /** A stream that was cut is first asked for again by its run id: that repeats nothing. */
-  private mayResume(request: ActiveRequest, failure: Failure): boolean {
-    const isCut = failure.code === FailureCode.EndpointCut;
-    return isCut && request.envelope.model !== undefined && !getAttemptSignal(request).aborted;
-  }
-
-  private async resume(
-    request: ActiveRequest,
-    endpoint: Endpoint,
-    sink: RunSink,
-  ): Promise<Result<void, Failure>> {
-    const attempt = request.run?.attempt ?? 1;
-    const dispatch = createDispatch(request, attempt, undefined);
-    const result = await endpoint.client.resume(dispatch, sink, getAttemptSignal(request));
-    if (result.isOk()) this.parts.metrics.resumes.add();
-    // The first cut is what happened to the run; that it cannot be resumed is only the follow-up.
-    return result.mapErr(() =>
-      Failure.create(FailureCode.EndpointCut, { endpoint: endpoint.load.record.id }),
-    );
+    const inputs = { endpoint: record.id, hall: record.hall, attempt, count: fleet.getLoads(service).length };
+    decisions.add(id, DecisionStage.Placement, DecisionRule.PlacedByScore, inputs, placement.alternatives);
   }
 
   /** Decides what follows a failed attempt: Ok to place it again, Err to tell the caller. */
@@ -211,24 +252,25 @@
     endpoint: Endpoint,
     attempts: Attempts,
     failure: Failure,
-    hasRest: boolean,
+    options: RunOptions,
   ): Result<void, Failure> {
-    const { envelope, log } = request;
+    const { envelope } = request;
     const { record } = endpoint.load;
-    if (request.stopReason !== undefined) return Err(this.describeStop(request, failure));
+    if (failure.outcome !== Outcome.NotRun) request.mayHaveRun = true;
+    if (request.stopReason !== undefined) return Err(describeStop(request, failure));
     const wasMoved = request.attemptStop.signal.aborted;
     if (!wasMoved) this.countFailure(endpoint, failure);
+    const verdict = decideAfterFailure({
+      request,
+      failure,
+      attempts: attempts.count,
+      highestAttempts: this.parts.settings.requests.attempts,
+      remaining: request.deadline - this.parts.clock.getTime(),
+      budget: this.parts.budget,
+      isStreamedBody: options.rest !== undefined,
+    });
     const inputs = { attempt: attempts.count, endpoint: record.id };
-    const decide = (): RetryVerdict => {
-      if (attempts.count >= this.parts.settings.requests.attempts) return RetryVerdict.GiveUp;
-      if (!canGoOn(request) || (hasRest && failure.outcome !== Outcome.NotRun)) return RetryVerdict.GiveUp;
-      // A body that was partly read cannot be sent again.
-      if (hasRest) return RetryVerdict.GiveUp;
-      if (wasMoved && envelope.repeat === RepeatRule.Allowed) return RetryVerdict.Retry;
-      const remaining = request.deadline - this.parts.clock.getTime();
-      return decideRetry({ failure, repeat: envelope.repeat, remaining, budget: this.parts.budget });
-    };
-    if (decide() === RetryVerdict.GiveUp) {
+    if (verdict === RetryVerdict.GiveUp) {
       this.parts.decisions.addFailure(
         envelope.id,
         DecisionStage.Retry,
@@ -236,25 +278,34 @@
         failure,
         inputs,
       );
-      return Err(this.describeOutcome(request, failure));
+      return Err(describeOutcome(request, failure));
     }
     attempts.excluded.add(record.id);
     attempts.avoidedHalls.add(record.hall);
+    attempts.cacheSource =
+      wasMoved && request.run ? endpoint.client.getCacheSource(request.run.runId) : undefined;
+    if (wasMoved && request.run) void endpoint.client.cancel(request.run.runId);
     this.parts.metrics.retries.add();
-    if (log.end > 0) {
-      const rerun = { endpoint: record.id, emitted: log.end };
-      this.parts.metrics.recomputedTokens.add((envelope.model?.promptTokens ?? 0) + log.end);
-      this.parts.decisions.add(envelope.id, DecisionStage.Retry, DecisionRule.RerunFromEmitted, rerun);
+    this.recordRetry(request, record.id, failure, inputs, attempts.cacheSource !== undefined);
+    return Ok.EMPTY;
+  }
+
+  private recordRetry(
+    request: ActiveRequest,
+    endpoint: string,
+    failure: Failure,
+    inputs: Readonly<Record<string, string | number>>,
+    hasCache: boolean,
+  ): void {
+    const { decisions, metrics } = this.parts;
+    const { id } = request.envelope;
+    if (!hasCache) metrics.countLostTokens(request, endpoint);
+    if (request.log.count > 0) {
+      const rerun = { endpoint, emitted: request.log.end };
+      decisions.add(id, DecisionStage.Retry, DecisionRule.RerunFromEmitted, rerun);
     } else {
-      this.parts.decisions.addFailure(
-        envelope.id,
-        DecisionStage.Retry,
-        DecisionRule.RetriedElsewhere,
-        failure,
-        inputs,
-      );
+      decisions.addFailure(id, DecisionStage.Retry, DecisionRule.RetriedElsewhere, failure, inputs);
     }
-    return Ok.EMPTY;
   }
 
   private countFailure(endpoint: Endpoint, failure: Failure): void {
@@ -266,17 +317,9 @@
     this.parts.logger.warn("endpoint.failed", { endpoint: id, failure: failure.name, text: failure.text });
   }
 
-  /** The outcome that is true for the request as a whole, over all its attempts. */
-  private describeOutcome(request: ActiveRequest, failure: Failure): Failure {
-    if (request.log.end > 0 || request.log.head) return failure.withOutcome(Outcome.Ran);
-    const hasOlderRun = (request.run?.attempt ?? 1) > 1;
-    return hasOlderRun && failure.outcome === Outcome.NotRun ? failure.withOutcome(Outcome.Unknown) : failure;
-  }
-
-  private describeStop(request: ActiveRequest, failure: Failure): Failure {
-    const code =
-      request.stopReason === StopReason.CallerLeft ? FailureCode.CallerGone : FailureCode.DeadlinePassed;
-    return Failure.create(code).withOutcome(this.describeOutcome(request, failure).outcome);
+  private describeUnplaced(request: ActiveRequest, failure: Failure): Failure {
+    if (request.stopReason !== undefined) return describeStop(request, failure);
+    return describeOutcome(request, failure);
   }
 
   private finish(request: ActiveRequest): void {
@@ -299,55 +342,39 @@
     });
   }
 
-  private fail(request: ActiveRequest, failure: Failure): void {
+  private async fail(request: ActiveRequest, failure: Failure): Promise<void> {
     const { envelope, log } = request;
-    log.fail(failure);
-    this.parts.metrics.countFailure(envelope, failure);
-    const rule = failure.code === FailureCode.CallerGone ? DecisionRule.CallerLeft : DecisionRule.Failed;
-    this.parts.decisions.addFailure(envelope.id, DecisionStage.Outcome, rule, failure);
+    const final = await this.cancelRun(request, failure);
+    if (final.outcome === Outcome.NotRun) await this.parts.gate.release(request);
+    log.fail(final);
+    this.parts.metrics.countFailure(envelope, final);
+    const rule = final.code === FailureCode.CallerGone ? DecisionRule.CallerLeft : DecisionRule.Failed;
+    this.parts.decisions.addFailure(envelope.id, DecisionStage.Outcome, rule, final);
     const { id, workspace, service } = envelope;
     this.parts.logger.warn("request.failed", {
       request: id,
       workspace,
       service,
-      failure: failure.name,
-      text: failure.text,
+      failure: final.name,
+      text: final.text,
     });
-    void this.cancelRun(request);
   }
 
-  /** Tells the endpoint that a run is no longer wanted; returns its word. */
-  private async cancelRun(request: ActiveRequest): Promise<CancelWord> {
+  /**
+   * Cancels the run of a request that was given up. Only the endpoint's own word that the run never started turns an
+   * unknown outcome into "not run".
+   */
+  private async cancelRun(request: ActiveRequest, failure: Failure): Promise<Failure> {
     const { run } = request;
     const endpoint = run && this.parts.fleet.get(run.endpoint);
-    if (!run || !endpoint) return CancelWord.Unknown;
-    return endpoint.client.cancel(run.runId);
+    const isStopped = request.stopReason !== undefined;
+    if (!endpoint || !isStopped || failure.outcome === Outcome.NotRun) return failure;
+    const word = await endpoint.client.cancel(run.runId);
+    const isNotRun = word === CancelWord.NotStarted && run.attempt === 1 && request.log.count === 0;
+    return isNotRun ? failure.withOutcome(Outcome.NotRun) : failure;
   }
 }
 
-function describeUnplaced(failure: Failure, request: ActiveRequest): Failure {
-  if (request.run === undefined) return failure;
-  return failure.withOutcome(request.log.end > 0 || request.log.head ? Outcome.Ran : Outcome.Unknown);
-}
-
-/** Whether an answer that has begun can be carried on by another run. */
-function canGoOn(request: ActiveRequest): boolean {
-  const { envelope, log } = request;
-  if (log.end === 0 && !log.head) return true;
-  return envelope.model?.isContinuable === true && log.isWhole;
-}
-
-function getAttemptSignal(request: ActiveRequest): AbortSignal {
-  return AbortSignal.any([request.stop.signal, request.attemptStop.signal]);
-}
-
-function createDispatch(
-  request: ActiveRequest,
-  attempt: number,
-  rest: AsyncIterable<Uint8Array> | undefined,
-): Dispatch {
-  const { envelope, log } = request;
-  const emitted = envelope.model ? log.end : 0;
-  const emittedText = emitted > 0 ? log.getText() : "";
-  return { envelope, runId: `${envelope.id}.${attempt}`, attempt, emitted, emittedText, rest };
+function getAttemptOfRun(run: string): number {
+  return Number(run.slice(run.lastIndexOf(".") + 1));
 }
--- a/packages/entry/src/types.ts
+++ b/packages/entry/src/types.ts
@@ -89,6 +89,8 @@
   readonly emitted: number;
   /** Their text. */
   readonly emittedText: string;
+  /** Where the run's cache can be fetched from: `host:port/path`; undefined where it cannot. */
+  readonly cacheSource: string | undefined;
   /** Rest of a body too large to be held; undefined where `envelope.body` is all of it. */
   readonly rest: AsyncIterable<Uint8Array> | undefined;
 }
@@ -117,6 +119,8 @@
   resume(dispatch: Dispatch, sink: RunSink, signal: AbortSignal): Promise<Result<void, Failure>>;
   /** Cancels a run and returns the endpoint's word about it. */
   cancel(runId: string): Promise<CancelWord>;
+  /** Returns where another endpoint can fetch a run's cache from; undefined where this kind has none. */
+  getCacheSource(runId: string): string | undefined;
   /** Reads the load report. */
   readLoad(): Promise<Result<LoadReport, Failure>>;
   close(): Promise<void>;
--- a/packages/operator/src/local/localFleet.ts
+++ b/packages/operator/src/local/localFleet.ts
@@ -48,6 +48,8 @@
 const peerSecret = "local-secret-of-all-entries";
 const reclaimablePrice = 120;
 const onDemandPrice = 400;
+/** Milliseconds between readings of the list: short, so that a local fleet is soon linked. */
+const listInterval = 50;
 const weightBytes = 16_000_000_000;
 
 /** The running fleet. */
@@ -78,10 +80,17 @@
     for (let index = 0; index < options.runners; index++) await fleet.addEngine(index);
     for (let index = 0; index < options.webEndpoints; index++) await fleet.addWeb(index);
     for (let index = 0; index < options.entries; index++) await fleet.addEntry(index);
-    await Promise.all(fleet.entries.map(({ entry }) => entry.waitUntilReady()));
+    await fleet.waitUntilReady();
     return fleet;
   }
 
+  /** Resolves when every entry has the configuration and is linked with all others. */
+  async waitUntilReady(): Promise<void> {
+    const others = this.entries.length - 1;
+    await Promise.all(this.entries.map(({ entry }) => entry.waitUntilReady()));
+    await Promise.all(this.entries.map(({ entry }) => entry.links.waitForLinks(others)));
+  }
+
   /** Data hall of the instance of a number. */
   getHall(index: number): string {
     return this.options.halls[index % this.options.halls.length] ?? "hall";
@@ -111,12 +120,12 @@
     const settings = parseSettings(entrySchema, this.formatSettings(name, index), {
       file: "(local)",
       environment: {},
-      overrides: this.options.overrides,
+      overrides: [`platform.list_interval=${listInterval}`, ...this.options.overrides],
     });
     const entry = Entry.create(settings.expect("local settings are good"), this.options.logger);
     const started = entry.expect("local plug-ins are known");
     const addresses = await started.start();
-    const record = { ...this.createRecord(name, "", "", addresses.front, index), role: InstanceRole.Entry };
+    const record = { ...this.createRecord(name, "", "", addresses.peers, index), role: InstanceRole.Entry };
     const local = { entry: started, addresses, record };
     this.entries.push(local);
     this.platform.publish(record);
--- a/packages/policy/src/load.ts
+++ b/packages/policy/src/load.ts
@@ -87,6 +87,13 @@
     this.prefillRate += (rate - this.prefillRate) * share;
   }
 
+  /** Takes a dispatch back that was never sent. */
+  cancelDispatch(prefillTokens: number): void {
+    this.own -= 1;
+    this.sinceReport -= 1;
+    this.pendingPrefill = Math.max(0, this.pendingPrefill - prefillTokens);
+  }
+
   /** Counts the end of a run that did so many tokens of work. */
   addEnd(elapsed: number, tokens: number, isGood: boolean): void {
     this.own -= 1;
--- a/packages/policy/src/reasons.ts
+++ b/packages/policy/src/reasons.ts
@@ -26,7 +26,7 @@
   [DecisionRule.LetFinish]:
     "Endpoint {endpoint} is leaving in {remaining} ms; it was let finish, which takes about {needed} ms.",
   [DecisionRule.MovedWithCache]:
-    "Endpoint {endpoint} is leaving in {remaining} ms; it was moved to {target} with its cache after {emitted} tokens.",
+    "Endpoint {endpoint} is leaving in {remaining} ms and it needed about {needed} ms more; it was moved elsewhere with its cache after {emitted} tokens.",
   [DecisionRule.RerunFromEmitted]:
     "Endpoint {endpoint} is leaving or lost; it went on elsewhere from the {emitted} tokens already given.",
   [DecisionRule.TakenOver]: "Entry {holder} was lost; entry {entry} took it over at {emitted} tokens.",
--- a/packages/standins/src/engineRecord.ts
+++ b/packages/standins/src/engineRecord.ts
@@ -21,6 +21,8 @@
   readonly promptTokens: number;
   /** Prompt tokens found in the prefix cache. */
   cachedTokens: number;
+  /** Tokens whose cache was fetched from the run that this one goes on with. */
+  importedTokens: number;
   /** Position of the first token this run emits. */
   readonly start: number;
   /** Position after the last token emitted so far. */
--- a/packages/standins/src/engineStandin.ts
+++ b/packages/standins/src/engineStandin.ts
@@ -127,6 +127,8 @@
       return sendJson(response, 503, { error: { message: "no room" } });
     }
     const run = this.createRun(request, body);
+    const source = getHeader(request, "x-kv-source");
+    if (source !== "") await this.importCache(run.record, source);
     void this.executeRun(run);
     await this.streamRun(run, response, run.record.start, path.includes("/chat/"), body.model ?? "");
   }
@@ -141,8 +143,11 @@
   }
 
   private async handleRun(request: IncomingMessage, response: ServerResponse, url: URL): Promise<void> {
-    const run = this.runs.get(decodeURIComponent(url.pathname.slice("/v1/runs/".length)));
+    const [, name = "", part] = /^\/v1\/runs\/([^/]+)(\/kv)?$/.exec(url.pathname) ?? [];
+    const run = this.runs.get(decodeURIComponent(name));
     if (!run) return sendJson(response, 404, { state: "unknown" });
+    if (part !== undefined)
+      return sendJson(response, 200, { prompt: run.record.prompt, position: run.record.position });
     if (request.method === "DELETE") return sendJson(response, 200, this.cancelRun(run));
     const after = Number(url.searchParams.get("after") ?? "0");
     await this.streamRun(run, response, after, url.searchParams.get("form") !== "text", "");
@@ -171,6 +176,7 @@
       prompt: parsed.prompt,
       promptTokens: estimateTokens(parsed.prompt) + parsed.emitted,
       cachedTokens: 0,
+      importedTokens: 0,
       start: parsed.emitted,
       position: parsed.emitted,
       length: parsed.emitted + (body.max_tokens ?? defaultLength),
@@ -190,6 +196,17 @@
     return run;
   }
 
+  /** Fetches the cache of the run that this one goes on with; without it the prompt is read again. */
+  private async importCache(record: RunRecord, source: string): Promise<void> {
+    try {
+      const answer = await fetch(`http://${source}`);
+      const cache = (await answer.json()) as { prompt?: string };
+      if (answer.ok && cache.prompt === record.prompt) record.importedTokens = record.promptTokens;
+    } catch {
+      // The source is gone.
+    }
+  }
+
   private async executeRun(run: Run): Promise<void> {
     await this.waitForSlot(run);
     if (run.record.state !== RunState.Queued) return;
@@ -214,6 +231,7 @@
     const keys = getBlockKeys(record.prompt);
     const held = this.cache.touch(keys);
     record.cachedTokens = keys.length === 0 ? 0 : Math.floor((record.promptTokens * held) / keys.length);
+    record.cachedTokens = Math.max(record.cachedTokens, record.importedTokens);
     const missing = record.promptTokens - record.cachedTokens;
     const signal = run.cancel.signal;
     await waitFor(
