Test the coordination parts under failing calls

Cause: the parts were untested. Found while testing: (1) a ledger said that another's claim stood from a cached head, although that claim had been given back; (2) a claim that came while archives were being read went into the swap without having been looked up, and could have overwritten a standing one. Change: 'lost' is said only from a fresh read; only claims of the group that was looked up are added. Each has a test; the second was checked to fail with the old line.

--- a/packages/coordination/src/claimLedger.ts
+++ b/packages/coordination/src/claimLedger.ts
@@ -193,32 +193,41 @@
 
   /** One read if needed and one swap; true where the shard's state is known afterwards. */
   private async commitOnce(shard: Shard): Promise<boolean> {
-    if (shard.revision === undefined) {
+    // Only what was looked up may be added: a claim that comes during the look-up is for the next round.
+    const group = [...shard.pending];
+    const isFresh = shard.revision === undefined;
+    if (isFresh) {
       const read = await this.readHead(shard);
       if (read.isErr()) return false;
     }
-    const added = await this.settleKnown(shard);
-    if (added.isErr()) return false;
-    if (added.value.length === 0) return true;
+    let standing = await this.findStanding(shard, group);
+    if (standing.isOk() && standing.value.size > 0 && !isFresh) {
+      // "Another's claim stands" is only said from what was just read: the claim may have been given back since.
+      const read = await this.readHead(shard);
+      standing = read.isOk() ? await this.findStanding(shard, group) : read;
+    }
+    if (standing.isErr()) return false;
+    for (const [pending, claim] of standing.value)
+      this.settle(shard, pending, Ok(createOutcome(pending.claim, claim)));
+    const added = getFirstOfEachKey(group.filter((pending) => !known.has(pending)));
+    if (added.length === 0) return true;
     const put = await this.putAwayIfDue(shard);
     if (put.isErr()) return false;
-    return this.swap(shard, added.value);
+    return this.swap(shard, added);
   }
 
-  /** Settles claims on keys that are already claimed; returns those that are new. */
-  private async settleKnown(shard: Shard): Promise<Result<Pending[], Failure>> {
-    const unclaimed: Pending[] = [];
-    const seen = new Set<string>();
-    for (const pending of [...shard.pending]) {
-      const { key } = pending.claim;
-      const found = await this.findInHead(shard.head, key);
+  /** Returns the pending claims whose keys are already claimed, with the claims that stand. */
+  private async findStanding(
+    shard: Shard,
+    group: readonly Pending[],
+  ): Promise<Result<ReadonlyMap<Pending, Claim>, Failure>> {
+    const standing = new Map<Pending, Claim>();
+    for (const pending of group) {
+      const found = await this.findInHead(shard.head, pending.claim.key);
       if (found.isErr()) return found;
-      if (found.value) this.settle(shard, pending, Ok(createOutcome(pending.claim, found.value)));
-      else if (!seen.has(key)) unclaimed.push(pending);
-      // A second claim of a key in one group waits for the first's swap and then finds it.
-      seen.add(key);
+      if (found.value) standing.set(pending, found.value);
     }
-    return Ok(unclaimed);
+    return Ok(standing);
   }
 
   private async swap(shard: Shard, added: readonly Pending[]): Promise<boolean> {
@@ -325,6 +334,15 @@
   }
 }
 
+/** Of several claims on one key the first goes into the swap; the others find it there afterwards. */
+function getFirstOfEachKey(pending: readonly Pending[]): readonly Pending[] {
+  const first = new Map<string, Pending>();
+  for (const each of pending) {
+    if (!first.has(each.claim.key)) first.set(each.claim.key, each);
+  }
+  return [...first.values()];
+}
+
 /** A claim is won by its own request and writer only: a second writer of the same request must not send it again. */
 function createOutcome(own: Claim, standing: Claim): ClaimOutcome {
   return { isWon: standing.request === own.request && standing.writer === own.writer, claim: standing };
--- /dev/null
+++ b/packages/coordination/test/claimLedger.test.ts
@@ -0,0 +1,205 @@
+import fc from "fast-check";
+import t from "tap";
+import { type Claim, type ClaimOutcome, ClaimLedger, type LedgerOptions } from "@gladewall/coordination";
+import { type Failure, FailureCode, settlePromises, VirtualClock } from "@gladewall/kernel";
+import { CallFate, MemoryKeyValue } from "@gladewall/standins";
+import type { Result } from "ts-results-es";
+
+interface Bench {
+  readonly clock: VirtualClock;
+  readonly service: MemoryKeyValue;
+  readonly createLedger: (changes?: Partial<LedgerOptions>) => ClaimLedger;
+}
+
+function createBench(): Bench {
+  const clock = VirtualClock.create();
+  const service = MemoryKeyValue.create(clock);
+  const defaults = {
+    service,
+    clock,
+    prefix: "claims/",
+    shards: 2,
+    interval: 10,
+    patience: 2_000,
+    retention: 1_000_000,
+    headBytes: 100_000,
+  };
+  return { clock, service, createLedger: (changes) => ClaimLedger.create({ ...defaults, ...changes }) };
+}
+
+function createClaim(key: string, writer: string, request = `request-of-${writer}`): Claim {
+  return { key, request, writer, body: "body", endpoint: "runner-1", run: `run-of-${writer}` };
+}
+
+type Outcome = Result<ClaimOutcome, Failure>;
+
+async function settleAll(
+  clock: VirtualClock,
+  claims: readonly Promise<Outcome>[],
+): Promise<readonly Outcome[]> {
+  let isDone = false;
+  const all = Promise.all(claims).finally(() => (isDone = true));
+  while (!isDone) await clock.advance(10);
+  return all;
+}
+
+t.test("the first claim of a key wins, another is shown whose claim stands", async (t) => {
+  const { clock, createLedger } = createBench();
+  const [left, right] = [createLedger(), createLedger()];
+  const [won] = await settleAll(clock, [left.claim(createClaim("k", "left"))]);
+  const [lost] = await settleAll(clock, [right.claim(createClaim("k", "right"))]);
+  t.equal(won?.unwrap().isWon, true);
+  t.equal(lost?.unwrap().isWon, false);
+  t.equal(lost?.unwrap().claim.writer, "left");
+});
+
+t.test("claims that come together go into one swap a shard", async (t) => {
+  const { clock, createLedger } = createBench();
+  const ledger = createLedger({ shards: 1 });
+  const claims = Array.from({ length: 200 }, (_, index) => ledger.claim(createClaim(`k${index}`, "w")));
+  const outcomes = await settleAll(clock, claims);
+  t.ok(outcomes.every((outcome) => outcome.unwrap().isWon));
+  t.ok(ledger.swaps <= 2, `${ledger.swaps} swaps`);
+});
+
+t.test("a claim whose answer was lost is settled by reading it back", async (t) => {
+  for (const fate of [CallFate.AnswerLost, CallFate.EffectLate, CallFate.RequestLost]) {
+    const { clock, service, createLedger } = createBench();
+    let calls = 0;
+    service.nextFate = () => (++calls === 2 ? fate : CallFate.Answered);
+    const [outcome] = await settleAll(clock, [createLedger().claim(createClaim("k", "w"))]);
+    t.equal(outcome?.unwrap().isWon, true, CallFate[fate]);
+  }
+});
+
+t.test("with the service down a claim fails in time, and is never said to be won", async (t) => {
+  const { clock, service, createLedger } = createBench();
+  service.nextFate = () => CallFate.Refused;
+  const [outcome] = await settleAll(clock, [createLedger().claim(createClaim("k", "w"))]);
+  t.equal(outcome?.unwrapErr().code, FailureCode.ClaimUnavailable);
+  t.ok(clock.getTime() < 2_500);
+});
+
+t.test(
+  "a key stays claimed when its head is put away, and a new ledger finds it in the archive",
+  async (t) => {
+    const { clock, service, createLedger } = createBench();
+    const ledger = createLedger({ shards: 1, headBytes: 1_000 });
+    for (let index = 0; index < 60; index++)
+      await settleAll(clock, [ledger.claim(createClaim(`k${index}`, "w"))]);
+    t.ok(service.store.get("claims/0")!.value.length < 2_000);
+    const other = createLedger({ shards: 1 });
+    const [again] = await settleAll(clock, [other.claim(createClaim("k0", "other"))]);
+    t.equal(again?.unwrap().isWon, false);
+  },
+);
+
+t.test("an archive that cannot be read makes the claim fail, not win", async (t) => {
+  const { clock, service, createLedger } = createBench();
+  const ledger = createLedger({ shards: 1, headBytes: 400 });
+  for (let index = 0; index < 20; index++)
+    await settleAll(clock, [ledger.claim(createClaim(`k${index}`, "w"))]);
+  const other = createLedger({ shards: 1, patience: 500 });
+  let reads = 0;
+  service.nextFate = () => (++reads === 1 ? CallFate.Answered : CallFate.Refused);
+  const [outcome] = await settleAll(clock, [other.claim(createClaim("k0", "other"))]);
+  t.ok(outcome?.isErr());
+});
+
+t.test("a key that was given back can be claimed again, by its owner's word only", async (t) => {
+  const { clock, createLedger } = createBench();
+  const [left, right] = [createLedger(), createLedger()];
+  const own = createClaim("k", "left");
+  await settleAll(clock, [left.claim(own)]);
+  const foreign = right.release(createClaim("k", "right"));
+  await clock.advance(500);
+  t.ok((await foreign).isOk());
+  const [refused] = await settleAll(clock, [right.claim(createClaim("k", "right"))]);
+  t.equal(refused?.unwrap().isWon, false);
+  const released = left.release(own);
+  await clock.advance(500);
+  t.ok((await released).isOk());
+  const [again] = await settleAll(clock, [right.claim(createClaim("k", "right"))]);
+  t.equal(again?.unwrap().isWon, true);
+});
+
+t.test(
+  "a claim that comes while the ledger looks others up is itself looked up before it is written",
+  async (t) => {
+    const { clock, createLedger } = createBench();
+    const first = createLedger({ shards: 1, headBytes: 300 });
+    for (let index = 0; index < 12; index++)
+      await settleAll(clock, [first.claim(createClaim(`k${index}`, "first"))]);
+    const other = createLedger({ shards: 1 });
+    const looked = other.claim(createClaim("new", "other"));
+    // One millisecond a call: after the head's read the archives are read, one by one.
+    await clock.advance(2);
+    const late = other.claim(createClaim("k11", "other"));
+    const outcomes = await settleAll(clock, [looked, late]);
+    t.same(
+      outcomes.map((outcome) => outcome.unwrap().isWon),
+      [true, false],
+    );
+  },
+);
+
+t.test("a value that is none of ours is a failure, and is left as it is", async (t) => {
+  const { clock, service, createLedger } = createBench();
+  const bytes = Uint8Array.from([0xff, 0x00, 0x13]);
+  service.store.trySwap("claims/0", bytes, 0);
+  service.store.trySwap("claims/1", bytes, 0);
+  const [outcome] = await settleAll(clock, [createLedger({ patience: 300 }).claim(createClaim("k", "w"))]);
+  t.equal(outcome?.unwrapErr().code, FailureCode.ClaimUnavailable);
+  t.same(service.store.get("claims/0")?.value, bytes);
+});
+
+const fates = fc.constantFrom(
+  CallFate.Answered,
+  CallFate.Answered,
+  CallFate.Answered,
+  CallFate.Refused,
+  CallFate.AnswerLost,
+  CallFate.EffectLate,
+  CallFate.RequestLost,
+);
+
+t.test("whatever fails, no key is won twice (differential against one map)", async (t) => {
+  const attempt = fc.record({ ledger: fc.nat(2), key: fc.nat(4), pause: fc.nat(60) });
+  const scenario = fc.record({
+    fates: fc.array(fates, { minLength: 1, maxLength: 60 }),
+    attempts: fc.array(attempt, { minLength: 1, maxLength: 25 }),
+    headBytes: fc.constantFrom(200, 100_000),
+  });
+  await fc.assert(
+    fc.asyncProperty(scenario, async ({ fates: script, attempts, headBytes }) => {
+      const { clock, service, createLedger } = createBench();
+      let call = 0;
+      service.nextFate = () => script[call++ % script.length] ?? CallFate.Answered;
+      const ledgers = [0, 1, 2].map(() => createLedger({ patience: 1_500, headBytes }));
+      const running: Promise<Outcome>[] = [];
+      for (const [index, { ledger, key, pause }] of attempts.entries()) {
+        const claim = createClaim(`k${key}`, `w${ledger}`, `request-${index}`);
+        running.push(ledgers[ledger]!.claim(claim));
+        await clock.advance(pause);
+      }
+      const outcomes = await settleAll(clock, running);
+      const winners = new Map<string, string>();
+      for (const outcome of outcomes) {
+        if (outcome.isErr()) continue;
+        const { isWon, claim } = outcome.value;
+        if (!isWon) continue;
+        if (winners.has(claim.key)) return false;
+        winners.set(claim.key, claim.request);
+      }
+      // Whoever was told that another's claim stands was told the truth.
+      return outcomes.every((outcome) => {
+        if (outcome.isErr() || outcome.value.isWon) return true;
+        const winner = winners.get(outcome.value.claim.key);
+        return winner === undefined || winner === outcome.value.claim.request;
+      });
+    }),
+    { seed: 20261202, numRuns: 150 },
+  );
+  await settlePromises();
+  t.pass();
+});
--- /dev/null
+++ b/packages/coordination/test/document.test.ts
@@ -0,0 +1,172 @@
+import fc from "fast-check";
+import t from "tap";
+import { type DocumentCodec, DocumentFollower, updateDocument } from "@gladewall/coordination";
+import { Failure, FailureCode, Logger, VirtualClock } from "@gladewall/kernel";
+import { CallFate, MemoryKeyValue } from "@gladewall/standins";
+import { Err, Ok, type Result } from "ts-results-es";
+
+interface Sheet {
+  readonly version: number;
+  readonly rows: Readonly<Record<string, string>>;
+  readonly edits: readonly string[];
+}
+
+const codec: DocumentCodec<Sheet> = {
+  encode: (sheet) => Buffer.from(JSON.stringify(sheet)),
+  decode: (bytes) => {
+    try {
+      return Ok(JSON.parse(Buffer.from(bytes).toString()) as Sheet);
+    } catch {
+      return Err(Failure.create(FailureCode.TableInvalid, { row: "", column: "", detail: "" }));
+    }
+  },
+  getVersion: (sheet) => sheet.version,
+};
+const empty: Sheet = { version: 0, rows: {}, edits: [] };
+
+function createBench() {
+  const clock = VirtualClock.create();
+  const service = MemoryKeyValue.create(clock);
+  const createFollower = (source = service) =>
+    DocumentFollower.create({
+      service: source,
+      key: "sheet",
+      codec,
+      clock,
+      logger: Logger.createSilent(),
+      watchWait: 2_000,
+      currentWithin: 6_000,
+      getRandom: () => 0.5,
+    });
+  return { clock, service, createFollower };
+}
+
+function edit(
+  clock: VirtualClock,
+  service: MemoryKeyValue,
+  row: string,
+  id: string,
+): Promise<Result<Sheet, Failure>> {
+  return updateDocument(
+    { service, key: "sheet", codec, empty, clock, patience: 3_000 },
+    {
+      apply: (present) => {
+        const { version, rows, edits } = present;
+        return Ok({ version: version + 1, rows: { ...rows, [row]: id }, edits: [...edits, id] });
+      },
+      isApplied: (sheet) => sheet.edits.includes(id),
+    },
+  );
+}
+
+async function settle<T>(clock: VirtualClock, promise: Promise<T>): Promise<T> {
+  let isDone = false;
+  void promise.finally(() => (isDone = true));
+  while (!isDone) await clock.advance(10);
+  return promise;
+}
+
+t.test("a save is in force at a follower as soon as its watch returns", async (t) => {
+  const { clock, service, createFollower } = createBench();
+  const follower = createFollower();
+  follower.start();
+  await clock.advance(50);
+  t.equal(follower.version, 0);
+  await settle(clock, edit(clock, service, "a", "e1"));
+  await clock.advance(20);
+  t.equal(follower.version, 1);
+  t.ok(follower.isCurrent());
+  const closed = follower.close();
+  await clock.advance(3_000);
+  await closed;
+});
+
+t.test("a follower never steps back, whoever brings the older document", async (t) => {
+  const { createFollower } = createBench();
+  const follower = createFollower();
+  const offer = (version: number): boolean => follower.offer(codec.encode({ ...empty, version }), 0);
+  t.equal(offer(5), true);
+  t.equal(offer(4), false);
+  t.equal(offer(5), false);
+  t.equal(follower.version, 5);
+  t.equal(follower.offer(Buffer.from("{"), 0), false);
+  t.equal(follower.version, 5);
+});
+
+t.test("a follower whose service restores an older document keeps the newer one", async (t) => {
+  const { clock, service, createFollower } = createBench();
+  service.store.trySwap("sheet", codec.encode({ ...empty, version: 2 }), 0);
+  const follower = createFollower();
+  follower.offer(codec.encode({ ...empty, version: 7 }), 0);
+  follower.start();
+  await clock.advance(100);
+  t.equal(follower.version, 7);
+  const closed = follower.close();
+  await clock.advance(3_000);
+  await closed;
+});
+
+t.test(
+  "word counts from when its source knew it: two that are cut off do not keep each other current",
+  async (t) => {
+    const { clock, service, createFollower } = createBench();
+    const [left, right] = [createFollower(), createFollower()];
+    left.offer(codec.encode({ ...empty, version: 1 }), 0);
+    right.offer(codec.encode({ ...empty, version: 1 }), 0);
+    service.nextFate = () => CallFate.Refused;
+    for (let second = 0; second < 10; second++) {
+      left.hearVersion(right.version, right.getSilence()!);
+      right.hearVersion(left.version, left.getSilence()!);
+      await clock.advance(1_000);
+    }
+    t.notOk(left.isCurrent());
+    t.notOk(right.isCurrent());
+    left.hearVersion(1, 100);
+    t.ok(left.isCurrent());
+    t.notOk(left.getSilence()! > 100);
+  },
+);
+
+t.test("a version that a peer has and this one has not is no word that this one is current", async (t) => {
+  const { clock, createFollower } = createBench();
+  const follower = createFollower();
+  follower.offer(codec.encode({ ...empty, version: 1 }), 0);
+  await clock.advance(7_000);
+  follower.hearVersion(2, 0);
+  t.notOk(follower.isCurrent());
+});
+
+t.test("edits that race all land once, whatever answers are lost", async (t) => {
+  const fate = fc.constantFrom(
+    CallFate.Answered,
+    CallFate.Answered,
+    CallFate.Refused,
+    CallFate.AnswerLost,
+    CallFate.EffectLate,
+    CallFate.RequestLost,
+  );
+  await fc.assert(
+    fc.asyncProperty(
+      fc.array(fate, { minLength: 1, maxLength: 30 }),
+      fc.integer({ min: 1, max: 6 }),
+      async (script, count) => {
+        const { clock, service } = createBench();
+        let call = 0;
+        service.nextFate = () => script[call++ % script.length] ?? CallFate.Answered;
+        const ids = Array.from({ length: count }, (_, index) => `e${index}`);
+        const running = ids.map((id) => edit(clock, service, id, id));
+        const results = await settle(clock, Promise.all(running));
+        await clock.advance(200);
+        const entry = service.store.get("sheet");
+        const stored = entry ? codec.decode(entry.value).unwrap() : empty;
+        return results.every((result, index) => {
+          const times = stored.edits.filter((id) => id === ids[index]).length;
+          if (result.isOk()) return times === 1;
+          return result.error.code === FailureCode.ServiceAnswerLost ? times <= 1 : times === 0;
+        });
+      },
+    ),
+    { seed: 7, numRuns: 120 },
+  );
+  t.pass();
+});
--- /dev/null
+++ b/packages/coordination/test/leaseHolder.test.ts
@@ -0,0 +1,117 @@
+import t from "tap";
+import { LeaseHolder } from "@gladewall/coordination";
+import { FailureCode, Logger, VirtualClock, type Clock, type Timer } from "@gladewall/kernel";
+import { CallFate, MemoryKeyValue } from "@gladewall/standins";
+
+/** A holder's own clock, which can be stopped as a paused process's timers are, while time goes on. */
+class PausableClock implements Clock {
+  private isPaused = false;
+  private readonly waiting: (() => void)[] = [];
+
+  constructor(private readonly clock: Clock) {}
+
+  getWallTime(): number {
+    return this.clock.getWallTime();
+  }
+
+  getTime(): number {
+    return this.clock.getTime();
+  }
+
+  startTimer(delay: number, callback: () => void): Timer {
+    return this.clock.startTimer(delay, () =>
+      this.isPaused ? void this.waiting.push(callback) : callback(),
+    );
+  }
+
+  pause(): void {
+    this.isPaused = true;
+  }
+
+  resume(): void {
+    this.isPaused = false;
+    this.waiting.splice(0).forEach((callback) => callback());
+  }
+}
+
+function createBench() {
+  const clock = VirtualClock.create();
+  const service = MemoryKeyValue.create(clock);
+  const createHolder = (holder: string, own: Clock = clock, source = service) =>
+    LeaseHolder.create({
+      service: source,
+      clock: own,
+      logger: Logger.createSilent(),
+      name: "planner",
+      holder,
+      ttl: 3_000,
+      margin: 500,
+      getRandom: () => 0,
+    });
+  return { clock, service, createHolder };
+}
+
+t.test("one holds the lease; after it gives it back another does, with a higher fence", async (t) => {
+  const { clock, createHolder } = createBench();
+  const [left, right] = [createHolder("left"), createHolder("right")];
+  left.start();
+  await clock.advance(10);
+  right.start();
+  await clock.advance(10_000);
+  const first = left.getFence().unwrap();
+  t.equal(right.getFence().unwrapErr().code, FailureCode.LeaseLost);
+  const closing = left.close();
+  await clock.advance(5_000);
+  await closing;
+  t.ok(right.getFence().unwrap() > first);
+  const closed = right.close();
+  await clock.advance(5_000);
+  await closed;
+});
+
+t.test(
+  "a paused holder finds its lease out of date before it acts, and nobody ever holds it with another",
+  async (t) => {
+    const { clock, createHolder } = createBench();
+    const own = new PausableClock(clock);
+    const [left, right] = [createHolder("left", own), createHolder("right")];
+    left.start();
+    await clock.advance(10);
+    right.start();
+    await clock.advance(2_000);
+    const fence = left.getFence().unwrap();
+    own.pause();
+    for (let step = 0; step < 80; step++) {
+      await clock.advance(100);
+      t.notOk(left.getFence().isOk() && right.getFence().isOk());
+    }
+    t.ok(left.getFence().isErr());
+    t.ok(right.getFence().unwrap() > fence);
+    own.resume();
+    await clock.advance(5_000);
+    t.ok(left.getFence().isErr());
+    for (const holder of [left, right]) {
+      const closed = holder.close();
+      await clock.advance(5_000);
+      await closed;
+    }
+  },
+);
+
+t.test("validity counts from when a renewal was sent: a slow answer does not lengthen it", async (t) => {
+  const { clock, service, createHolder } = createBench();
+  const holder = createHolder("left");
+  holder.start();
+  await clock.advance(10);
+  t.ok(holder.getFence().isOk());
+  // From now on renewals take effect but their answers are lost: the holder may not rely on them.
+  service.nextFate = () => CallFate.AnswerLost;
+  await clock.advance(2_600);
+  t.ok(holder.getFence().isErr());
+  service.nextFate = () => CallFate.Answered;
+  await clock.advance(1_500);
+  t.ok(holder.getFence().isOk());
+  const closed = holder.close();
+  await clock.advance(5_000);
+  await closed;
+});
--- /dev/null
+++ b/packages/coordination/test/peerLinks.test.ts
@@ -0,0 +1,151 @@
+import { connect } from "node:net";
+import { once } from "node:events";
+import fc from "fast-check";
+import t from "tap";
+import {
+  encodeFrame,
+  firstFreeKind,
+  FrameDecoder,
+  LinkMessageKind,
+  PeerLinks,
+} from "@gladewall/coordination";
+import { FailureCode, Logger, SystemClock } from "@gladewall/kernel";
+
+const clock = SystemClock.create();
+
+async function createLinks(name: string, changes: { secret?: string; lostAfter?: number } = {}) {
+  const links = PeerLinks.create({
+    own: { name, incarnation: 1 },
+    secret: changes.secret ?? "a secret of all entries",
+    clock,
+    logger: Logger.createSilent(),
+    listen: "127.0.0.1:0",
+    handshakeTimeout: 2_000,
+    outboxBytes: 1_000_000,
+    pingInterval: 20,
+    lostAfter: changes.lostAfter ?? 2_000,
+    standingLinks: 16,
+    getRandom: () => 0.5,
+    getPing: () => ({}),
+  });
+  const address = await links.open();
+  return { links, peer: { name, incarnation: 1, address } };
+}
+
+t.test("frames survive any cutting of the stream", async (t) => {
+  const message = fc.record({
+    kind: fc.nat(100),
+    text: fc.string(),
+    bytes: fc.uint8Array({ maxLength: 40 }),
+  });
+  fc.assert(
+    fc.property(
+      fc.array(message, { maxLength: 5 }),
+      fc.array(fc.integer({ min: 1, max: 30 }), { minLength: 1 }),
+      (messages, cuts) => {
+        const bytes = Buffer.concat(messages.map((each) => encodeFrame(each).unwrap()));
+        const decoder = FrameDecoder.create();
+        const decoded: unknown[] = [];
+        for (let start = 0, cut = 0; start < bytes.length; cut++) {
+          const end = start + (cuts[cut % cuts.length] ?? 1);
+          decoded.push(...decoder.push(bytes.subarray(start, end)).unwrap());
+          start = end;
+        }
+        t.same(decoded, messages);
+      },
+    ),
+    { seed: 3, numRuns: 60 },
+  );
+  t.end();
+});
+
+t.test("a frame that is too large or no CBOR is a typed failure", async (t) => {
+  const large = FrameDecoder.create(10).push(Buffer.from([0, 0, 1, 0]));
+  t.equal(large.unwrapErr().code, FailureCode.FrameTooLarge);
+  const bad = FrameDecoder.create().push(Buffer.from([0, 0, 0, 2, 0x5f, 0x1c]));
+  t.equal(bad.unwrapErr().code, FailureCode.FrameMalformed);
+});
+
+t.test("two that dial each other keep one link, and calls are answered both ways", async (t) => {
+  const [left, right] = [await createLinks("left"), await createLinks("right")];
+  for (const { links } of [left, right])
+    links.setHandler(firstFreeKind, (message, peer) => ({ message, from: peer.name }));
+  left.links.setPeers([right.peer]);
+  right.links.setPeers([left.peer]);
+  await Promise.all([left.links.waitForLinks(1), right.links.waitForLinks(1)]);
+  let answer = await left.links.call("right", { kind: firstFreeKind }, 1_000);
+  // While the two sides agree on the one link, a call may be cut with the other.
+  while (answer.isErr()) answer = await left.links.call("right", { kind: firstFreeKind }, 1_000);
+  t.match(answer.unwrap(), { from: "left" });
+  t.same(left.links.getLinked(), ["right"]);
+  t.same(right.links.getLinked(), ["left"]);
+  await Promise.all([left.links.close(), right.links.close()]);
+});
+
+t.test("a peer with another secret is refused, before it can send anything", async (t) => {
+  const [left, right] = [await createLinks("left"), await createLinks("right", { secret: "another secret" })];
+  let heard = 0;
+  left.links.setHandler(firstFreeKind, () => (heard += 1));
+  const socket = connect(Number(left.peer.address.split(":")[1]), "127.0.0.1");
+  await once(socket, "connect");
+  const hello = {
+    kind: LinkMessageKind.Hello,
+    version: 1,
+    name: "right",
+    incarnation: 1,
+    nonce: new Uint8Array(32),
+  };
+  socket.write(encodeFrame(hello).unwrap());
+  socket.write(encodeFrame({ kind: LinkMessageKind.Proof, proof: new Uint8Array(32) }).unwrap());
+  socket.write(encodeFrame({ kind: firstFreeKind }).unwrap());
+  socket.resume();
+  await once(socket, "close");
+  t.equal(heard, 0);
+  t.same(left.links.getLinked(), []);
+  await Promise.all([left.links.close(), right.links.close()]);
+});
+
+t.test("a large frame before the proof is refused", async (t) => {
+  const left = await createLinks("left");
+  const socket = connect(Number(left.peer.address.split(":")[1]), "127.0.0.1");
+  await once(socket, "connect");
+  socket.write(Buffer.from([0, 0x10, 0, 0]));
+  socket.resume();
+  await once(socket, "close");
+  t.same(left.links.getLinked(), []);
+  await left.links.close();
+});
+
+t.test("a lost peer is told, its calls fail, and it is linked again when it is back", async (t) => {
+  const left = await createLinks("left");
+  const right = await createLinks("right");
+  right.links.setHandler(firstFreeKind, () => new Promise(() => undefined));
+  left.links.setPeers([right.peer]);
+  await left.links.waitForLinks(1);
+  const down = new Promise<string>((resolve) => left.links.onDown(({ name }) => resolve(name)));
+  const call = left.links.call("right", { kind: firstFreeKind }, 10_000);
+  await right.links.close();
+  t.equal(await down, "right");
+  t.equal((await call).unwrapErr().code, FailureCode.PeerUnreachable);
+  const again = await createLinks("right");
+  left.links.setPeers([{ ...again.peer, incarnation: 2 }]);
+  await left.links.waitForLinks(1);
+  t.same(left.links.getLinked(), ["right"]);
+  await Promise.all([left.links.close(), again.links.close()]);
+});
+
+t.test("a peer that is silent, not closed, counts as lost", async (t) => {
+  const left = await createLinks("left", { lostAfter: 100 });
+  const right = await createLinks("right");
+  left.links.setPeers([right.peer]);
+  await left.links.waitForLinks(1);
+  const down = new Promise<void>((resolve) => left.links.onDown(() => resolve()));
+  // A frozen process keeps its connections and says nothing.
+  const [socket] = [
+    ...(right.links as unknown as { sockets: Set<{ pause(): void; write(): boolean }> }).sockets,
+  ];
+  socket!.write = () => true;
+  await down;
+  t.pass();
+  await Promise.all([left.links.close(), right.links.close()]);
+});
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -10,3 +10,4 @@
 export * from "./engineRecord.js";
 export * from "./engineStandin.js";
 export * from "./webStandin.js";
+export * from "./memoryKeyValue.js";
--- /dev/null
+++ b/packages/standins/src/memoryKeyValue.ts
@@ -0,0 +1,140 @@
+/**
+ * The key-value service's interface straight on a memory store, for focused tests: faults are drawn call by call from
+ * a script instead of from a network.
+ * @module
+ */
+import type { GrantedLease, KeyValueService, StoredValue } from "@gladewall/coordination";
+import { type Clock, Failure, FailureCode, waitFor } from "@gladewall/kernel";
+import { Err, Ok, type Result } from "ts-results-es";
+import { MemoryStore } from "./memoryStore.js";
+
+/** What happens to one call. */
+export enum CallFate {
+  Answered = 0,
+  /** Fails without effect. */
+  Refused = 1,
+  /** Takes effect at once; the answer is lost. */
+  AnswerLost = 2,
+  /** Is answered as lost, and takes effect later. */
+  EffectLate = 3,
+  /** Is answered as lost, and never takes effect. */
+  RequestLost = 4,
+}
+
+/** Returns the fate of the next call. */
+export type FateSource = () => CallFate;
+
+const callTime = 1;
+const lateEffect = 40;
+
+/** The service without a network. Every call takes a millisecond of the clock it is given. */
+export class MemoryKeyValue implements KeyValueService {
+  /** Fates of calls from now on. */
+  nextFate: FateSource = () => CallFate.Answered;
+  calls = 0;
+
+  private constructor(
+    private readonly clock: Clock,
+    readonly store: MemoryStore,
+  ) {}
+
+  static create(clock: Clock, store = MemoryStore.create(clock)): MemoryKeyValue {
+    return new MemoryKeyValue(clock, store);
+  }
+
+  async read(key: string): Promise<Result<StoredValue | undefined, Failure>> {
+    const fate = await this.startCall();
+    if (fate !== CallFate.Answered) return Err(createUnavailable());
+    return Ok(this.get(key));
+  }
+
+  async watch(
+    key: string,
+    revision: number,
+    wait: number,
+  ): Promise<Result<StoredValue | undefined, Failure>> {
+    const fate = await this.startCall();
+    if (fate !== CallFate.Answered) return Err(createUnavailable());
+    await this.store.waitForChange(key, revision, wait);
+    return Ok(this.get(key));
+  }
+
+  async compareAndSwap(key: string, value: Uint8Array, expected: number): Promise<Result<number, Failure>> {
+    const bytes = Uint8Array.from(value);
+    const swap = (): Result<number, Failure> => {
+      const revision = this.store.trySwap(key, bytes, expected);
+      return revision === undefined
+        ? Err(Failure.create(FailureCode.ServiceConflict, { key }))
+        : Ok(revision);
+    };
+    return this.change(swap);
+  }
+
+  acquireLease(
+    name: string,
+    holder: string,
+    ttl: number,
+  ): Promise<Result<GrantedLease | undefined, Failure>> {
+    return this.change(() => {
+      const session = this.store.createSession(ttl);
+      const fence = this.store.tryAcquire(name, Buffer.from(holder), session);
+      if (fence !== undefined) return Ok({ session, fence });
+      this.store.endSession(session);
+      return Ok(undefined);
+    });
+  }
+
+  renewLease(session: string): Promise<Result<void, Failure>> {
+    const lost = Err(Failure.create(FailureCode.LeaseLost, { lease: session }));
+    return this.change(() => (this.store.tryRenew(session) ? Ok.EMPTY : lost));
+  }
+
+  releaseLease(session: string): Promise<Result<void, Failure>> {
+    return this.change(() => {
+      this.store.endSession(session);
+      return Ok.EMPTY;
+    });
+  }
+
+  close(): Promise<void> {
+    this.store.wakeAll();
+    return Promise.resolve();
+  }
+
+  private get(key: string): StoredValue | undefined {
+    const entry = this.store.get(key);
+    return entry && { value: entry.value, revision: entry.revision };
+  }
+
+  private async startCall(): Promise<CallFate> {
+    this.calls += 1;
+    const fate = this.nextFate();
+    await waitFor(this.clock, callTime);
+    return fate;
+  }
+
+  private async change<T>(effect: () => Result<T, Failure>): Promise<Result<T, Failure>> {
+    const fate = await this.startCall();
+    return handlersByFate[fate](effect, this.clock);
+  }
+}
+
+type FateHandler = <T>(effect: () => Result<T, Failure>, clock: Clock) => Result<T, Failure>;
+
+const handlersByFate: Readonly<Record<CallFate, FateHandler>> = {
+  [CallFate.Answered]: (effect) => effect(),
+  [CallFate.Refused]: () => Err(createUnavailable()),
+  [CallFate.AnswerLost]: (effect) => {
+    effect();
+    return Err(Failure.create(FailureCode.ServiceAnswerLost));
+  },
+  [CallFate.EffectLate]: (effect, clock) => {
+    clock.startTimer(lateEffect, () => effect());
+    return Err(Failure.create(FailureCode.ServiceAnswerLost));
+  },
+  [CallFate.RequestLost]: () => Err(Failure.create(FailureCode.ServiceAnswerLost)),
+};
+
+function createUnavailable(): Failure {
+  return Failure.create(FailureCode.ServiceUnavailable, { detail: "stand-in" });
+}
