--- a/packages/coordination/src/claimLedger.ts
+++ b/packages/coordination/src/claimLedger.ts
@@ -207,7 +207,8 @@
       standing = read.isOk() ? await this.findStanding(shard, group) : read;
     }
     if (standing.isErr()) return false;
-    for (const [pending, claim] of standing.value)
+    const known = standing.value;
+    for (const [pending, claim] of known)
       this.settle(shard, pending, Ok(createOutcome(pending.claim, claim)));
     const added = getFirstOfEachKey(group.filter((pending) => !known.has(pending)));
     if (added.length === 0) return true;
