Lend the rows' limits in shares over the fleet

Cause: every entry enforced the whole limit of a row, so nine entries let nine times as much through. Change: one entry a row, by rendezvous hash, lends shares for 2 s to the entries that ask; shares follow demand; a lender lends only what belongs to the entries it reaches; a new lender renews and lends nothing new until old shares are over. The entry's composition, which had grown to 500 lines, is split into membership, serving and lifecycle.

The excess in a running fleet is not measured yet.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -12,3 +12,4 @@
 export * from "./serviceBudget.js";
 export * from "./leaseHolder.js";
 export * from "./claimLedger.js";
+export * from "./sharedLimits.js";
--- a/packages/entry/src/admission.ts
+++ b/packages/entry/src/admission.ts
@@ -23,8 +23,8 @@
   leave(unused: number): void;
 }
 
-/** Returns this entry's share of a row. */
-export type ShareSource = (row: TableRow) => RowShare;
+/** Counts an arrival of so many tokens and returns this entry's share of its row. */
+export type ShareSource = (row: TableRow, active: number, tokens: number) => RowShare;
 
 const noEndpointRetryAfter = 1_000;
 const leastRetryAfter = 1;
@@ -53,7 +53,7 @@
   admit(row: TableRow, request: AdmissionRequest): Result<Admission, Failure> {
     const late = this.findLateness(row, request);
     if (late) return Err(late);
-    const gate = this.getGate(row, getRowName(row));
+    const gate = this.getGate(row, getRowName(row), request.work);
     const entered = gate.tryEnter(request.work);
     if (entered.isErr()) return entered;
     let isInside = true;
@@ -87,9 +87,9 @@
     );
   }
 
-  private getGate(row: TableRow, rowName: string): RowGate {
-    const share = this.getShare(row);
+  private getGate(row: TableRow, rowName: string, tokens: number): RowGate {
     let gate = this.gates.get(rowName);
+    const share = this.getShare(row, gate?.getActive() ?? 0, tokens);
     if (gate) gate.setShare(share);
     else this.gates.set(rowName, (gate = RowGate.create(this.clock, rowName, share)));
     return gate;
--- a/packages/entry/src/entrySettings.ts
+++ b/packages/entry/src/entrySettings.ts
@@ -202,6 +202,15 @@
     ),
     locate_pause: createInteger("ms", 200, [10, 60_000], "Time between two such looks."),
   },
+  limits: {
+    loan: createInteger("ms", 2_000, [100, 600_000], "How long a share of a row is lent."),
+    ask_interval: createInteger(
+      "ms",
+      500,
+      [20, 60_000],
+      "Time between two questions for a share that is in use.",
+    ),
+  },
   claims: {
     shards: createInteger(
       "shards",
--- a/packages/entry/src/peerKinds.ts
+++ b/packages/entry/src/peerKinds.ts
@@ -2,9 +2,9 @@
  * Messages between entries: kinds and shapes. Kinds below 16 belong to the links themselves.
  * @module
  */
-import type { Claim, InstanceWord, PeerMessage } from "@gladewall/coordination";
+import type { Amounts, Claim, InstanceWord, PeerMessage, ShareDemand } from "@gladewall/coordination";
 import type { FailureCode, Outcome } from "@gladewall/kernel";
-import type { DecisionRecord, RowShare } from "@gladewall/policy";
+import type { DecisionRecord } from "@gladewall/policy";
 import type { AnswerChunk, AnswerHead, Envelope, Usage } from "./types.js";
 
 /** Kinds of message. */
@@ -199,14 +199,12 @@
 export interface AskShareMessage extends PeerMessage {
   readonly kind: PeerKind.AskShare;
   readonly row: string;
-  readonly demand: RowShare;
+  readonly demand: ShareDemand;
 }
 
 /** Answer to `AskShare`; undefined where the asked entry is not the lender. */
 export interface ShareReply {
-  readonly share: RowShare | undefined;
-  /** Milliseconds for which it is lent. */
-  readonly duration: number;
+  readonly amounts: Amounts | undefined;
 }
 
 /** Returns a chunk as it is sent. */
--- /dev/null
+++ b/packages/entry/src/serving.ts
@@ -0,0 +1,211 @@
+/**
+ * What an entry serves with: from the queues to the runs, with backups, claims, shares and held answers.
+ * @module
+ */
+import { CallKind, ClaimLedger, isUsable, type ServiceBudget } from "@gladewall/coordination";
+import type { Clock, Closeable, Failure, Logger } from "@gladewall/kernel";
+import { type PlacementOptions, PrefixIndex, RepeatRule, RetryBudget, type Table } from "@gladewall/policy";
+import type { Result } from "ts-results-es";
+import { AdmissionControl } from "./admission.js";
+import { AnswerFetcher } from "./answerFetcher.js";
+import { AttemptRunner } from "./attempt.js";
+import { BackupStore, type ResumeOptions } from "./backupStore.js";
+import { BackupWriter } from "./backupWriter.js";
+import { ClaimGate, createWriterName } from "./claimGate.js";
+import { Claims } from "./claims.js";
+import { DecisionWriter } from "./decisions.js";
+import { Dispatcher } from "./dispatcher.js";
+import type { EntryMetrics } from "./entryMetrics.js";
+import type { EntrySettings } from "./entrySettings.js";
+import type { ExplainRing } from "./explainRing.js";
+import { Fleet } from "./fleet.js";
+import type { Route } from "./front.js";
+import { LeavingRuns } from "./leavingRuns.js";
+import type { Membership } from "./membership.js";
+import type { PlatformClients } from "./platform.js";
+import { type ActiveRequest, Requests, StopReason } from "./requests.js";
+import { CallerRoutes } from "./routes.js";
+import { RowShares } from "./rowShares.js";
+import { Runner } from "./runner.js";
+
+/** What serving works with. */
+export interface ServingParts {
+  /** Returns the settings in force; some can be re-read. */
+  readonly getSettings: () => EntrySettings;
+  readonly incarnation: number;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly clients: PlatformClients;
+  readonly budget: ServiceBudget;
+  readonly membership: Membership;
+  readonly metrics: EntryMetrics;
+  readonly ring: ExplainRing;
+  /** Returns the table for new requests, or why none is taken. */
+  readonly getTable: () => Result<Table, Failure>;
+}
+
+/** Everything that has to do with requests. */
+export class Serving implements Closeable {
+  readonly routes: readonly Route[];
+  readonly requests: Requests;
+  private readonly fleet: Fleet;
+  private readonly dispatcher: Dispatcher;
+  private readonly backups: BackupWriter;
+  private readonly copies: BackupStore;
+  private readonly runner: Runner;
+  private readonly shares: RowShares;
+  private readonly ledger: ClaimLedger;
+
+  private constructor(private readonly parts: ServingParts) {
+    const { clock, logger, metrics, ring, membership, getTable } = parts;
+    const settings = parts.getSettings();
+    const { links, view } = membership;
+    const { name } = settings.entry;
+    const prefixes = PrefixIndex.create(settings.placement.prefix_blocks);
+    const decisions = DecisionWriter.create(name, clock, ring);
+    const fleet = Fleet.create(settings.endpoints, clock, logger, view);
+    const getOptions = (): PlacementOptions => this.getPlacementOptions();
+    const dispatcher = Dispatcher.create(settings.requests, clock, fleet, prefixes, getOptions);
+    const requests = Requests.create(settings.requests, clock);
+    const base = {
+      settings,
+      clock,
+      logger,
+      links,
+      view,
+      fleet,
+      dispatcher,
+      requests,
+      decisions,
+      metrics,
+      ring,
+    };
+    const backups = BackupWriter.create(base);
+    const resume = (request: ActiveRequest, options: ResumeOptions): void => this.resume(request, options);
+    this.copies = BackupStore.create({ ...base, resume });
+    const fetcher = AnswerFetcher.create({ ...base, hasCopy: (id) => this.copies.has(id) });
+    const attempts = AttemptRunner.create({ ...base, entry: name, prefixes, backups });
+    this.ledger = this.createLedger();
+    const claims = Claims.create(name, this.ledger, links, view, settings.claims.peer_timeout);
+    const gate = ClaimGate.create(createWriterName(name, parts.incarnation), claims, backups, decisions);
+    const budget = RetryBudget.create(settings.requests.retry_fraction);
+    const runner = Runner.create({ ...base, budget, attempts, gate, backups, fetcher });
+    LeavingRuns.create(settings.endpoints, clock, requests, decisions, metrics, fleet);
+    this.shares = RowShares.create(name, settings.limits, clock, links, view, () =>
+      membership.getAnyTable().unwrapOr(undefined),
+    );
+    const admission = AdmissionControl.create(settings.requests, clock, dispatcher, (row, active, tokens) =>
+      this.shares.getShare(row, active, tokens),
+    );
+    const getAnyTable = (): Result<Table, Failure> => membership.getAnyTable();
+    this.routes = CallerRoutes.create({
+      ...base,
+      admission,
+      runner,
+      backups,
+      fetcher,
+      getTable,
+      getAnyTable,
+    }).routes;
+    this.fleet = fleet;
+    this.dispatcher = dispatcher;
+    this.requests = requests;
+    this.backups = backups;
+    this.runner = runner;
+    membership.onPeer((peer) =>
+      isUsable(peer) ? backups.protectBare() : backups.handleLeaving(peer.record.id),
+    );
+    this.setGauges();
+  }
+
+  static create(parts: ServingParts): Serving {
+    return new Serving(parts);
+  }
+
+  /** Hands requests over that another entry can go on with; the others are given all the time there is. */
+  async handOver(): Promise<void> {
+    const open = this.requests.getOpen();
+    const movable = open.filter(canHandOver);
+    const taken = await this.backups.handOver(movable);
+    for (const request of movable) {
+      if (taken.has(request.envelope.id)) request.stop.abort(StopReason.HandedOver);
+    }
+    this.parts.logger.info("entry.handed-over", { requests: taken.size, open: open.length });
+  }
+
+  /** Takes no peer's requests over any more. */
+  stopTakeovers(): void {
+    this.copies.close();
+  }
+
+  async close(): Promise<void> {
+    this.copies.close();
+    await this.fleet.close();
+  }
+
+  /** Goes on with a request that another entry held. */
+  private resume(request: ActiveRequest, { mayStart }: ResumeOptions): void {
+    const task = async (): Promise<void> => {
+      await this.backups.protect(request);
+      await this.runner.run(request, { rest: undefined, isBackup: true, mayStart });
+      this.requests.finish(request);
+    };
+    void task();
+  }
+
+  private getPlacementOptions(): PlacementOptions {
+    const { placement } = this.parts.getSettings();
+    return {
+      priceWeight: placement.price_weight,
+      riskWeight: placement.risk_weight,
+      hallDistance: placement.hall_distance,
+      loadBound: placement.load_bound,
+    };
+  }
+
+  private createLedger(): ClaimLedger {
+    const { budget, clients, clock } = this.parts;
+    const { claims, platform } = this.parts.getSettings();
+    return ClaimLedger.create({
+      service: budget.wrap(clients.keyValue, CallKind.Claim),
+      clock,
+      prefix: `${platform.prefix}claims/`,
+      shards: claims.shards,
+      interval: claims.interval,
+      patience: claims.patience,
+      retention: claims.retention,
+      headBytes: claims.head_bytes,
+    });
+  }
+
+  private setGauges(): void {
+    const { registry } = this.parts.metrics;
+    const { traffic } = this.parts.membership.links;
+    registry.setGauge("gladewall_open_requests", "Requests that have not ended.", () =>
+      this.requests.getOpenCount(),
+    );
+    registry.setGauge("gladewall_waiting_requests", "Requests in queues.", () => this.dispatcher.getTotal());
+    registry.setGauge("gladewall_claim_swaps", "Swaps of claim shards.", () => this.ledger.swaps);
+    registry.setGauge("gladewall_borrowed_rows", "Rows with a borrowed share.", () =>
+      this.shares.getBorrowedCount(),
+    );
+    registry.setGauge("gladewall_lent_rows", "Rows that this entry lends.", () => this.shares.getLentCount());
+    registry.setGauge("gladewall_copies", "Copies held for peers.", () => this.copies.size);
+    registry.setGauge("gladewall_protected", "Requests with a copy elsewhere.", () =>
+      this.backups.getProtectedCount(),
+    );
+    registry.setGauge("gladewall_peer_sent_bytes", "Bytes sent to peers.", () => traffic.sentBytes);
+    registry.setGauge(
+      "gladewall_peer_received_bytes",
+      "Bytes received from peers.",
+      () => traffic.receivedBytes,
+    );
+  }
+}
+
+/** Whether another entry can go on with a request: a web service's call is bound to this entry's connection. */
+function canHandOver(request: ActiveRequest): boolean {
+  const { envelope, log, run } = request;
+  if (!log.isWhole) return false;
+  return envelope.model !== undefined || run === undefined || envelope.repeat === RepeatRule.Allowed;
+}
