Write the first capacity page from measured slopes

Change: npm run bench -- capacity (3 to 36 entries, 19 to 1,300 endpoints) and a page whose figures are checked against what the bench wrote.

--- a/packages/coordination/src/sharedLimits.ts
+++ b/packages/coordination/src/sharedLimits.ts
@@ -120,7 +120,7 @@
     const amounts = pool.map((amount, dimension) =>
       isNew
         ? Math.min(demand.held[dimension] ?? 0, this.getFree(ledger, amount, dimension, borrower))
-        : this.getGrant(ledger, amount, dimension, borrower, demand),
+        : this.getGrant(ledger, amount, dimension, borrower, demand, live.length),
     );
     ledger.loans.set(borrower, { amounts, wanted: demand.wanted, until: now + this.duration });
     return amounts;
@@ -139,13 +139,17 @@
     return limit.map((amount, dimension) => this.round(amount * part, dimension));
   }
 
-  /** A share in proportion to demand, as far as it is free; what nobody wants is spread evenly. */
+  /**
+   * A share in proportion to demand, as far as it is free. What nobody wants is spread over all live entries, not over
+   * those that have asked: whoever asks next must find something.
+   */
   private getGrant(
     ledger: Ledger,
     pool: number,
     dimension: number,
     borrower: string,
     demand: ShareDemand,
+    liveCount: number,
   ): number {
     let others = 0;
     for (const [name, loan] of ledger.loans) {
@@ -153,7 +157,7 @@
     }
     const wanted = demand.wanted[dimension] ?? 0;
     const total = others + wanted;
-    const fair = total <= pool ? wanted + (pool - total) / (ledger.loans.size + 1) : (pool * wanted) / total;
+    const fair = total <= pool ? wanted + (pool - total) / liveCount : (pool * wanted) / total;
     const free = this.getFree(ledger, pool, dimension, borrower);
     return Math.max(0, Math.min(this.round(fair, dimension), free));
   }
--- a/packages/coordination/src/types.ts
+++ b/packages/coordination/src/types.ts
@@ -100,10 +100,17 @@
   readonly remaining: number;
 }
 
+/** One reading of the list. */
+export interface ListReading {
+  readonly records: readonly InstanceRecord[];
+  /** Nothing changed since the reading before. */
+  readonly isUnchanged: boolean;
+}
+
 /** The lagging list of instances. */
 export interface InstanceList {
-  /** Reads the whole list; fails with `ListUnavailable`. */
-  read(): Promise<Result<readonly InstanceRecord[], Failure>>;
+  /** Reads the whole list, or that it is unchanged; fails with `ListUnavailable`. */
+  read(): Promise<Result<ListReading, Failure>>;
   close(): Promise<void>;
 }
 
--- a/packages/coordination/test/sharedLimits.test.ts
+++ b/packages/coordination/test/sharedLimits.test.ts
@@ -50,6 +50,16 @@
   t.same(lender.lend("row", [90, 9], borrowers[1]!, { wanted: [500, 50], held: [0, 0] }), [45, 4]);
 });
 
+t.test("while nobody wants the whole, whoever asks later finds something", async (t) => {
+  const clock = VirtualClock.create();
+  const lender = await createSettled(clock, [900, 900]);
+  await clock.advance(duration);
+  for (const name of live) {
+    const [rate = 0, count = 0] = lender.lend("row", [900, 900], name, { wanted: [3, 3], held: [0, 0] })!;
+    t.ok(rate >= 3 && count >= 3, `${name} got ${rate} and ${count}`);
+  }
+});
+
 t.test("one that is not the lender lends nothing", async (t) => {
   const clock = VirtualClock.create();
   const other = createLender(borrowers[0]!, live, clock);
--- a/packages/entry/src/attempt.ts
+++ b/packages/entry/src/attempt.ts
@@ -117,6 +117,7 @@
 
   readonly sink: RunSink = {
     setHead: (head) => this.request.log.setHead(head),
+    setLoad: (report) => this.options.endpoint.load.setReport(report),
     add: (chunk) => this.add(chunk),
   };
 
--- a/packages/entry/src/commandLine.ts
+++ b/packages/entry/src/commandLine.ts
@@ -17,6 +17,7 @@
   readonly settings: string;
   readonly check: boolean;
   readonly print: boolean;
+  readonly reference: boolean;
   readonly set: readonly string[];
 }
 
@@ -34,6 +35,11 @@
       default: false,
       describe: "print the settings in force, without secrets, and exit",
     })
+    .option("reference", {
+      type: "boolean",
+      default: false,
+      describe: "print every setting as Markdown and exit",
+    })
     .option("set", { type: "string", array: true, default: [], describe: "override: section.key=value" })
     .strict()
     .fail((message, error) => {
@@ -43,5 +49,6 @@
     .version("0.1.0")
     .help()
     .parseAsync();
-  return { settings: parsed.settings, check: parsed.check, print: parsed.print, set: parsed.set };
+  const { settings, check, print, reference, set } = parsed;
+  return { settings, check, print, reference, set };
 }
--- a/packages/entry/src/entrySettings.ts
+++ b/packages/entry/src/entrySettings.ts
@@ -12,6 +12,7 @@
   createReloadable,
   createSecret,
   createText,
+  formatReference,
   type SettingsOf,
 } from "@gladewall/kernel";
 
@@ -252,7 +253,18 @@
       [50, 3_600_000],
       "Silence after which an answer counts as cut.",
     ),
-    load_interval: createInteger("ms", 1_000, [20, 600_000], "Time between load reports."),
+    load_interval: createInteger(
+      "ms",
+      1_000,
+      [20, 600_000],
+      "Least time between two load reports of an endpoint.",
+    ),
+    load_polls: createInteger(
+      "polls/s",
+      20,
+      [1, 10_000],
+      "Load reports asked for in all; with many endpoints each is asked less often.",
+    ),
     notice_assumed: createInteger(
       "ms",
       10_000,
@@ -301,3 +313,10 @@
 
 /** Typed settings of an entry. */
 export type EntrySettings = SettingsOf<typeof entrySchema>;
+
+/** Returns the operators' page of all settings, which `docs/operating/settings.md` is a copy of. */
+export function formatSettingsPage(): string {
+  const head =
+    "# Settings\n\nWritten by `gladewalld --reference`. One INI file; every key stands in its section.\n\n";
+  return `${head}${formatReference(entrySchema)}`;
+}
--- a/packages/entry/src/fleet.ts
+++ b/packages/entry/src/fleet.ts
@@ -14,6 +14,9 @@
 import type { EntrySettings } from "./entrySettings.js";
 import type { EndpointClient, EndpointOptions } from "./types.js";
 
+const millisecondsPerSecond = 1000;
+const hashRange = 2 ** 32;
+
 /** One endpoint. */
 export interface Endpoint {
   readonly load: EndpointLoad;
@@ -140,15 +143,24 @@
     endpoint.stop.abort();
   }
 
+  /** With many endpoints each is asked less often: answers tell their loads too, and cost nothing. */
+  private getPollInterval(): number {
+    const { load_interval: interval, load_polls: polls } = this.settings;
+    return Math.max(interval, (this.endpoints.size / polls) * millisecondsPerSecond);
+  }
+
   private async followLoad(endpoint: Endpoint): Promise<void> {
     const { signal } = endpoint.stop;
+    // Many endpoints that appear together are not all asked at once.
+    const spread = this.getPollInterval() - this.settings.load_interval;
+    await waitFor(this.clock, (endpoint.load.hash / hashRange) * spread, signal);
     while (!signal.aborted && !endpoint.load.isLeaving) {
       const report = await endpoint.client.readLoad();
       if (report.isOk()) {
         endpoint.load.setReport(report.value);
         this.announceRoom(endpoint.load.record.service);
       }
-      await waitFor(this.clock, this.settings.load_interval, signal);
+      await waitFor(this.clock, this.getPollInterval(), signal);
     }
   }
 }
--- a/packages/entry/src/headers.ts
+++ b/packages/entry/src/headers.ts
@@ -117,7 +117,7 @@
   const named = getConnectionNames(connection === undefined ? [] : ["connection", connection]);
   const selected: Header[] = [];
   for (const [name, value] of Object.entries(headers)) {
-    if (value === undefined || hopByHop.has(name) || named.has(name)) continue;
+    if (value === undefined || name === "x-load" || hopByHop.has(name) || named.has(name)) continue;
     for (const single of Array.isArray(value) ? value : [value]) selected.push([name, single]);
   }
   return selected;
--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -14,7 +14,7 @@
 } from "@gladewall/kernel";
 import type { Result } from "ts-results-es";
 import { type DaemonArguments, ExitCode, parseArguments } from "./commandLine.js";
-import { entrySchema, type EntrySettings } from "./entrySettings.js";
+import { entrySchema, type EntrySettings, formatSettingsPage } from "./entrySettings.js";
 import { Entry } from "./index.js";
 
 function readDaemonSettings(options: DaemonArguments): Result<EntrySettings, Failure[]> {
@@ -61,6 +61,10 @@
 
 async function main(): Promise<void> {
   const options = await parseArguments(process.argv.slice(2));
+  if (options.reference) {
+    process.stdout.write(formatSettingsPage());
+    process.exit(ExitCode.Good);
+  }
   const settings = readDaemonSettings(options);
   if (settings.isErr()) {
     printFailures(settings.error);
--- a/packages/entry/src/platform.ts
+++ b/packages/entry/src/platform.ts
@@ -25,6 +25,8 @@
 
 const noticeWait = 10_000;
 const retryPause = 200;
+/** Unchanged readings that are still merged. */
+const unchangedCounted = 3;
 
 /** The three outside systems of the platform. */
 export interface PlatformClients {
@@ -58,6 +60,9 @@
 export class PlatformFollower implements Closeable {
   private readonly stop = new AbortController();
   private tasks: readonly Promise<void>[] = [];
+  /** Readings in a row that found the list unchanged. */
+  private unchanged = 0;
+  private isSilent = false;
 
   private constructor(
     private readonly clients: PlatformClients,
@@ -85,8 +90,14 @@
   /** Reads the list once, so that a starting entry knows where it is. */
   async readList(): Promise<void> {
     const list = await this.clients.list.read();
-    if (list.isOk()) this.view.addList(list.value);
-    else this.logger.warn("list.silent", { text: list.error.text });
+    if (list.isErr()) {
+      this.setSilent(list.error);
+      return;
+    }
+    this.isSilent = false;
+    // A few readings of the same list still count: absence is only believed after several.
+    this.unchanged = list.value.isUnchanged ? this.unchanged + 1 : 0;
+    if (this.unchanged <= unchangedCounted) this.view.addList(list.value.records);
   }
 
   async close(): Promise<void> {
@@ -94,6 +105,12 @@
     await Promise.all(this.tasks);
   }
 
+  /** Says once that the list is silent, not with every reading. */
+  private setSilent(failure: Failure): void {
+    if (!this.isSilent) this.logger.warn("list.silent", { text: failure.text });
+    this.isSilent = true;
+  }
+
   private async followList(): Promise<void> {
     const { signal } = this.stop;
     while (!signal.aborted) {
--- a/packages/entry/src/plugins/httpCall.ts
+++ b/packages/entry/src/plugins/httpCall.ts
@@ -19,6 +19,8 @@
 export interface CallAnswer {
   readonly status: number;
   readonly body: string;
+  /** Entity tag, where the answer has one. */
+  readonly tag: string | undefined;
 }
 
 /** One call. */
@@ -26,12 +28,14 @@
   readonly method: "GET" | "PUT" | "POST" | "DELETE";
   readonly path: string;
   readonly body?: string;
+  readonly headers?: Readonly<Record<string, string>>;
   readonly effect: CallEffect;
   readonly timeout: number;
   readonly signal?: AbortSignal;
 }
 
 const connectionsPerPool = 16;
+const endpointKeepAlive = 60_000;
 
 /** Creates a pool of connections to an address. */
 export function createPool(address: string, connectTimeout: number): Pool {
@@ -41,6 +45,19 @@
   });
 }
 
+/**
+ * Creates a pool of connections to an endpoint. Idle connections are kept for as long as the endpoint lets them: a new
+ * one costs more than a request.
+ */
+export function createEndpointPool(address: string, connectTimeout: number, idleTimeout: number): Pool {
+  return new Pool(`http://${address}`, {
+    connect: { timeout: connectTimeout },
+    headersTimeout: idleTimeout,
+    bodyTimeout: idleTimeout,
+    keepAliveTimeout: endpointKeepAlive,
+  });
+}
+
 /** Tells whether an error of undici means that no byte of the request can have arrived. */
 export function isNeverSent(error: unknown): boolean {
   if (error instanceof errors.ConnectTimeoutError) return true;
@@ -60,9 +77,14 @@
   const timeout = AbortSignal.timeout(call.timeout);
   const signal = call.signal ? AbortSignal.any([timeout, call.signal]) : timeout;
   try {
-    const { method, path } = call;
-    const answer = await pool.request({ method, path, body: call.body ?? null, signal });
-    return Ok({ status: answer.statusCode, body: await answer.body.text() });
+    const { method, path, headers = {} } = call;
+    const answer = await pool.request({ method, path, headers, body: call.body ?? null, signal });
+    const tag = answer.headers["etag"];
+    return Ok({
+      status: answer.statusCode,
+      body: await answer.body.text(),
+      tag: typeof tag === "string" ? tag : undefined,
+    });
   } catch (error) {
     const isLost = call.effect === CallEffect.Change && !isNeverSent(error);
     if (isLost) return Err(Failure.create(FailureCode.ServiceAnswerLost));
--- a/packages/entry/src/plugins/httpPlatform.ts
+++ b/packages/entry/src/plugins/httpPlatform.ts
@@ -2,16 +2,26 @@
  * Plug-ins `http-list` and `http-notices`: the instance list and the cloud's reclaim notices over HTTP and JSON.
  * @module
  */
-import type { InstanceList, InstanceRecord, NoticeBatch, NoticeSource } from "@gladewall/coordination";
+import type {
+  InstanceList,
+  InstanceRecord,
+  ListReading,
+  NoticeBatch,
+  NoticeSource,
+} from "@gladewall/coordination";
 import { Failure, FailureCode, PluginKind, registerPlugin } from "@gladewall/kernel";
-import { Err, type Result } from "ts-results-es";
+import { Err, Ok, type Result } from "ts-results-es";
 import type { Pool } from "undici";
 import type { AddressOptions } from "../types.js";
 import { CallEffect, callService, createPool, parseJson } from "./httpCall.js";
 
-/** Client of the instance list. */
+const statusUnchanged = 304;
+
+/** Client of the instance list. A list that did not change costs one short answer. */
 class HttpInstanceList implements InstanceList {
   private readonly pool: Pool;
+  private tag: string | undefined;
+  private records: readonly InstanceRecord[] = [];
 
   private constructor(private readonly options: AddressOptions) {
     this.pool = createPool(options.address, options.timeout);
@@ -21,22 +31,18 @@
     return new HttpInstanceList(options);
   }
 
-  async read(): Promise<Result<readonly InstanceRecord[], Failure>> {
+  async read(): Promise<Result<ListReading, Failure>> {
     const { timeout } = this.options;
-    const answer = await callService(this.pool, {
-      method: "GET",
-      path: "/v1/instances",
-      effect: CallEffect.None,
-      timeout,
-    });
+    const headers: Record<string, string> = this.tag === undefined ? {} : { "if-none-match": this.tag };
+    const call = { method: "GET", path: "/v1/instances", headers, effect: CallEffect.None, timeout } as const;
+    const answer = await callService(this.pool, call);
+    if (answer.isOk() && answer.value.status === statusUnchanged)
+      return Ok({ records: this.records, isUnchanged: true });
     const parsed = answer.andThen((text) => parseJson<{ instances: readonly InstanceRecord[] }>(text));
-    if (parsed.isErr())
-      return Err(
-        Failure.create(FailureCode.ListUnavailable, {
-          detail: parsed.error.values["detail"] ?? parsed.error.text,
-        }),
-      );
-    return parsed.map((list) => list.instances);
+    if (answer.isErr() || parsed.isErr()) return Err(createListFailure(parsed));
+    this.tag = answer.value.tag;
+    this.records = parsed.value.instances;
+    return Ok({ records: this.records, isUnchanged: false });
   }
 
   async close(): Promise<void> {
@@ -44,6 +50,11 @@
   }
 }
 
+function createListFailure(result: Result<unknown, Failure>): Failure {
+  const detail = result.isErr() ? (result.error.values["detail"] ?? result.error.text) : "no list";
+  return Failure.create(FailureCode.ListUnavailable, { detail });
+}
+
 /** Client of the notices. */
 class HttpNotices implements NoticeSource {
   private readonly pool: Pool;
--- a/packages/entry/src/plugins/openaiEngine.ts
+++ b/packages/entry/src/plugins/openaiEngine.ts
@@ -11,7 +11,7 @@
 import type { LoadReport } from "@gladewall/policy";
 import { createParser, type EventSourceMessage } from "eventsource-parser";
 import { Err, Ok, type Result } from "ts-results-es";
-import { type Dispatcher, Pool } from "undici";
+import type { Dispatcher, Pool } from "undici";
 import {
   CancelWord,
   type Dispatch,
@@ -21,7 +21,8 @@
   type RunSink,
   type Usage,
 } from "../types.js";
-import { CallEffect, callService, isNeverSent, parseJson } from "./httpCall.js";
+import { CallEffect, callService, createEndpointPool, isNeverSent, parseJson } from "./httpCall.js";
+import { readLoadHeader } from "./loadHeader.js";
 
 interface EngineChoice {
   readonly text?: string;
@@ -50,11 +51,7 @@
 
   private constructor(private readonly options: EndpointOptions) {
     const { connectTimeout, idleTimeout } = options;
-    this.pool = new Pool(`http://${options.record.address}`, {
-      connect: { timeout: connectTimeout },
-      headersTimeout: idleTimeout,
-      bodyTimeout: idleTimeout,
-    });
+    this.pool = createEndpointPool(options.record.address, connectTimeout, idleTimeout);
   }
 
   static create(options: EndpointOptions): EngineClient {
@@ -124,6 +121,8 @@
           createStatusFailure(answer.statusCode, isStarted, endpoint, request.method === "GET", body),
         );
       }
+      const load = readLoadHeader(answer.headers);
+      if (load) sink.setLoad(load);
       const reader = FrameReader.create(dispatch, sink, endpoint);
       return await reader.read(answer.body as unknown as ReadableStream<Uint8Array>);
     } catch (error) {
--- a/packages/entry/src/plugins/webService.ts
+++ b/packages/entry/src/plugins/webService.ts
@@ -7,7 +7,7 @@
 import { Failure, FailureCode, PluginKind, registerPlugin } from "@gladewall/kernel";
 import { type LoadReport, RepeatRule } from "@gladewall/policy";
 import { Err, Ok, type Result } from "ts-results-es";
-import { type Dispatcher, Pool } from "undici";
+import type { Dispatcher, Pool } from "undici";
 import { selectAnswerHeaders } from "../headers.js";
 import {
   CancelWord,
@@ -16,7 +16,8 @@
   type EndpointOptions,
   type RunSink,
 } from "../types.js";
-import { CallEffect, callService, isNeverSent, parseJson } from "./httpCall.js";
+import { CallEffect, callService, createEndpointPool, isNeverSent, parseJson } from "./httpCall.js";
+import { readLoadHeader } from "./loadHeader.js";
 
 const startedHeader = "x-run-started";
 /** Statuses of gateways in trouble; any other is the service's own answer, and passed on whole. */
@@ -29,11 +30,7 @@
 
   private constructor(private readonly options: EndpointOptions) {
     const { connectTimeout, idleTimeout } = options;
-    this.pool = new Pool(`http://${options.record.address}`, {
-      connect: { timeout: connectTimeout },
-      headersTimeout: idleTimeout,
-      bodyTimeout: idleTimeout,
-    });
+    this.pool = createEndpointPool(options.record.address, connectTimeout, idleTimeout);
   }
 
   static create(options: EndpointOptions): WebClient {
@@ -54,6 +51,8 @@
         await answer.body.dump();
         return Err(Failure.create(FailureCode.EndpointFailed, { endpoint, status: answer.statusCode }));
       }
+      const load = readLoadHeader(answer.headers);
+      if (load) sink.setLoad(load);
       sink.setHead({ status: answer.statusCode, headers: selectAnswerHeaders(answer.headers) });
       for await (const bytes of answer.body as AsyncIterable<Uint8Array>) {
         await sink.add({ position, data: bytes });
--- a/packages/entry/src/types.ts
+++ b/packages/entry/src/types.ts
@@ -98,6 +98,8 @@
 /** Takes what an endpoint answers. A promise that is pending holds the endpoint back. */
 export interface RunSink {
   setHead(head: AnswerHead): void;
+  /** Takes the load that an endpoint tells with its answer. */
+  setLoad(report: LoadReport): void;
   add(chunk: AnswerChunk): Promise<void>;
 }
 
--- /dev/null
+++ b/packages/operator/src/bench/capacityBench.ts
@@ -0,0 +1,290 @@
+/**
+ * `npm run bench -- capacity`: what control costs an entry, against the number of entries and of endpoints. All
+ * entries run in this process; figures a node are the process's divided by the entries.
+ * @module
+ */
+import { InstanceRole, InstanceState, PriceClass } from "@gladewall/coordination";
+import { configurationCodec, configurationKey } from "@gladewall/entry";
+import { Logger } from "@gladewall/kernel";
+import type { Configuration } from "@gladewall/policy";
+import { quickEngine } from "@gladewall/standins";
+import { LocalFleet } from "../local/localFleet.js";
+import { sampleConfiguration, sampleKeys } from "../local/sampleTable.js";
+import { Caller } from "../soak/caller.js";
+import { AskKind, Verdict } from "../soak/types.js";
+import { type Fit, fitLine } from "./fitLine.js";
+
+/** One measured fleet. */
+export interface CapacityPoint {
+  readonly entries: number;
+  readonly endpoints: number;
+  /** Control bytes sent a second and node, idle. */
+  readonly sentBytes: number;
+  /** Control frames sent a second and node, idle. */
+  readonly sentFrames: number;
+  /** Processor time a node, idle, in percent of a core. */
+  readonly processor: number;
+  /** Heap a node, bytes. */
+  readonly memory: number;
+  /** Calls on the key-value service a second and node, idle. */
+  readonly serviceCalls: number;
+  /** Milliseconds from a saved configuration to in force everywhere. */
+  readonly inForceMs: number;
+  /** Bytes that one configuration change makes a node send. */
+  readonly changeBytes: number;
+}
+
+/** One measured load of requests. */
+export interface RequestPoint {
+  readonly kind: string;
+  readonly requests: number;
+  /** Bytes sent to peers a request. */
+  readonly peerBytes: number;
+  /** Processor time a request in this process, stand-ins and callers included, milliseconds. */
+  readonly processorMs: number;
+}
+
+/** All that the bench writes. */
+export interface CapacityResult {
+  readonly command: string;
+  readonly window: number;
+  readonly points: readonly CapacityPoint[];
+  readonly requests: readonly RequestPoint[];
+  readonly fits: Readonly<Record<string, Fit>>;
+}
+
+const millisecondsPerSecond = 1000;
+const microsecondsPerMillisecond = 1000;
+const percent = 100;
+const settleTime = 1_500;
+const entryCounts = [3, 6, 9, 18, 36];
+const endpointCounts = [190, 650, 1_300];
+const entriesForEndpoints = 3;
+const requestCount = 1_000;
+const concurrency = 20;
+const unlimited = { requestsPerSecond: 1e6, tokensPerSecond: 1e9, concurrency: 1e6, latencyTarget: 1e6 };
+const outputTokens = 50;
+
+/** The sample rows without limits that a bench would meet. */
+const benchConfiguration: Configuration = {
+  ...sampleConfiguration,
+  rows: sampleConfiguration.rows.map((row) => ({ ...row, ...unlimited })),
+};
+
+/** Runs the bench; `window` milliseconds a point. */
+export async function runCapacityBench(
+  window: number,
+  print: (line: string) => void,
+): Promise<CapacityResult> {
+  const points: CapacityPoint[] = [];
+  for (const entries of entryCounts) points.push(await measureAndPrint(entries, 19, window, print));
+  for (const endpoints of endpointCounts) {
+    points.push(await measureAndPrint(entriesForEndpoints, endpoints, window, print));
+  }
+  const requests = await measureRequests(print);
+  return { command: "npm run bench -- capacity", window, points, requests, fits: createFits(points) };
+}
+
+async function measureAndPrint(
+  entries: number,
+  endpoints: number,
+  window: number,
+  print: (line: string) => void,
+): Promise<CapacityPoint> {
+  const point = await measurePoint(entries, endpoints, window);
+  const { sentBytes, processor, memory, serviceCalls, inForceMs } = point;
+  print(
+    `${entries} entries, ${endpoints} endpoints: ${sentBytes.toFixed(0)} B/s, ${processor.toFixed(2)} % of a core, ` +
+      `${(memory / 1e6).toFixed(1)} MB, ${serviceCalls.toFixed(2)} calls/s a node; in force after ${inForceMs.toFixed(0)} ms`,
+  );
+  return point;
+}
+
+/** Settings that the capacity page names for large fleets. */
+const largeFleetSettings = ["endpoints.load_polls=2"];
+const largeFleet = 100;
+
+function createFleet(entries: number, overrides: readonly string[] = []): Promise<LocalFleet> {
+  return LocalFleet.create({
+    entries,
+    runners: 2,
+    webEndpoints: 1,
+    halls: ["zogno", "piazza", "lenna", "bergamo"],
+    configuration: benchConfiguration,
+    engine: quickEngine,
+    logger: Logger.createSilent(),
+    overrides: ["platform.list_interval=1000", ...overrides],
+  });
+}
+
+async function measurePoint(entries: number, endpoints: number, window: number): Promise<CapacityPoint> {
+  collectGarbage();
+  const heapBefore = process.memoryUsage().heapUsed;
+  const fleet = await createFleet(entries, endpoints > largeFleet ? largeFleetSettings : []);
+  publishEndpoints(fleet, endpoints);
+  await pause(settleTime);
+  const before = readCounters(fleet);
+  const processorBefore = process.cpuUsage();
+  await pause(window);
+  const used = process.cpuUsage(processorBefore);
+  const after = readCounters(fleet);
+  collectGarbage();
+  const memory = (process.memoryUsage().heapUsed - heapBefore) / entries;
+  const seconds = window / millisecondsPerSecond;
+  const perNode = (amount: number): number => amount / seconds / entries;
+  const change = await measureChange(fleet);
+  await fleet.close();
+  return {
+    entries,
+    endpoints,
+    sentBytes: perNode(after.sentBytes - before.sentBytes),
+    sentFrames: perNode(after.sentFrames - before.sentFrames),
+    processor: perNode(
+      ((used.user + used.system) / microsecondsPerMillisecond / millisecondsPerSecond) * percent,
+    ),
+    memory,
+    serviceCalls: perNode(after.serviceCalls - before.serviceCalls),
+    ...change,
+  };
+}
+
+/** Names endpoints on the list that share one stand-in's port: what counts is what an entry keeps for each. */
+function publishEndpoints(fleet: LocalFleet, count: number): void {
+  const [engine] = fleet.engines.values();
+  for (let index = fleet.engines.size + fleet.webs.size; index < count; index++) {
+    fleet.platform.publish({
+      id: `listed-${index}`,
+      incarnation: 1,
+      role: InstanceRole.Endpoint,
+      service: "model",
+      protocol: "openai-engine",
+      address: engine?.address ?? "",
+      hall: fleet.getHall(index),
+      priceClass: PriceClass.Reclaimable,
+      price: 100,
+      state: InstanceState.Live,
+    });
+  }
+}
+
+interface Counters {
+  readonly sentBytes: number;
+  readonly sentFrames: number;
+  readonly serviceCalls: number;
+}
+
+function readCounters(fleet: LocalFleet): Counters {
+  let sentBytes = 0;
+  let sentFrames = 0;
+  for (const { entry } of fleet.entries) {
+    sentBytes += entry.links.traffic.sentBytes;
+    sentFrames += entry.links.traffic.sentFrames;
+  }
+  const { reads, writes, watches } = fleet.keyValue.calls;
+  return { sentBytes, sentFrames, serviceCalls: reads + writes + watches };
+}
+
+async function measureChange(fleet: LocalFleet): Promise<Pick<CapacityPoint, "inForceMs" | "changeBytes">> {
+  const next: Configuration = { ...benchConfiguration, version: 2 };
+  const key = `gladewall/${configurationKey}`;
+  const before = readCounters(fleet);
+  const started = performance.now();
+  fleet.keyValue.store.trySwap(
+    key,
+    configurationCodec.encode(next),
+    fleet.keyValue.store.get(key)?.revision ?? 0,
+  );
+  await fleet.waitForView((entry) => entry.version === 2);
+  const inForceMs = performance.now() - started;
+  const after = readCounters(fleet);
+  return { inForceMs, changeBytes: (after.sentBytes - before.sentBytes) / fleet.entries.length };
+}
+
+async function measureRequests(print: (line: string) => void): Promise<readonly RequestPoint[]> {
+  const fleet = await createFleet(9);
+  let turn = 0;
+  const fronts = fleet.getLiveFronts();
+  const caller = Caller.create({
+    chooseEntry: () => fronts[turn++ % fronts.length] ?? "",
+    key: sampleKeys.cab,
+    patience: 20_000,
+    modelService: "model",
+    webService: "booking",
+  });
+  const points: RequestPoint[] = [];
+  for (const kind of [AskKind.Stream, AskKind.Draft, AskKind.Booking, AskKind.Page]) {
+    points.push(await measureKind(fleet, caller, kind));
+    const point = points[points.length - 1];
+    if (point)
+      print(
+        `${point.kind}: ${point.peerBytes.toFixed(0)} B to peers, ${point.processorMs.toFixed(2)} ms a request`,
+      );
+  }
+  await caller.close();
+  await fleet.close();
+  return points;
+}
+
+async function measureKind(fleet: LocalFleet, caller: Caller, kind: AskKind): Promise<RequestPoint> {
+  const idle = await measureIdle(fleet);
+  const before = readCounters(fleet);
+  const processorBefore = process.cpuUsage();
+  const started = performance.now();
+  let whole = 0;
+  for (let index = 0; index < requestCount; index += concurrency) {
+    const asks = Array.from({ length: concurrency }, (_, place) =>
+      caller.ask({ kind, mark: `capacity-${kind}-${index + place}`, outputTokens, requestClass: "standard" }),
+    );
+    const told = await Promise.all(asks);
+    whole += told.filter(({ verdict }) => verdict === Verdict.Whole).length;
+  }
+  const used = getMilliseconds(process.cpuUsage(processorBefore));
+  const after = readCounters(fleet);
+  const elapsed = performance.now() - started;
+  return {
+    kind: AskKind[kind],
+    requests: whole,
+    peerBytes: (after.sentBytes - before.sentBytes - idle.bytes * elapsed) / whole,
+    processorMs: (used - idle.processor * elapsed) / whole,
+  };
+}
+
+/** What goes on beside the requests: bytes and processor milliseconds a millisecond, of the whole fleet. */
+async function measureIdle(
+  fleet: LocalFleet,
+): Promise<{ readonly bytes: number; readonly processor: number }> {
+  const before = readCounters(fleet);
+  const processorBefore = process.cpuUsage();
+  await pause(settleTime);
+  const processor = getMilliseconds(process.cpuUsage(processorBefore)) / settleTime;
+  return { bytes: (readCounters(fleet).sentBytes - before.sentBytes) / settleTime, processor };
+}
+
+function getMilliseconds(used: NodeJS.CpuUsage): number {
+  return (used.user + used.system) / microsecondsPerMillisecond;
+}
+
+function createFits(points: readonly CapacityPoint[]): Readonly<Record<string, Fit>> {
+  const byEntries = points.filter(({ endpoints }) => endpoints === 19).slice(0, entryCounts.length);
+  const byEndpoints = points.slice(entryCounts.length);
+  const fit = (of: readonly CapacityPoint[], by: keyof CapacityPoint, what: keyof CapacityPoint): Fit =>
+    fitLine(of.map((point) => [point[by], point[what]]));
+  return {
+    "bytes by entries": fit(byEntries, "entries", "sentBytes"),
+    "frames by entries": fit(byEntries, "entries", "sentFrames"),
+    "processor by entries": fit(byEntries, "entries", "processor"),
+    "memory by entries": fit(byEntries, "entries", "memory"),
+    "service calls by entries": fit(byEntries, "entries", "serviceCalls"),
+    "processor by endpoints": fit(byEndpoints, "endpoints", "processor"),
+    "memory by endpoints": fit(byEndpoints, "endpoints", "memory"),
+  };
+}
+
+function collectGarbage(): void {
+  // Only with --expose-gc, as `npm run bench` starts it.
+  (globalThis as { gc?: () => void }).gc?.();
+}
+
+function pause(duration: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, duration));
+}
--- /dev/null
+++ b/packages/operator/src/bench/main.ts
@@ -0,0 +1,38 @@
+/**
+ * `npm run bench -- <name>`: measurements. Each prints as it goes and writes its result to `docs/results/`.
+ * @module
+ */
+import { mkdirSync, writeFileSync } from "node:fs";
+import { fileURLToPath } from "node:url";
+import { runCapacityBench } from "./capacityBench.js";
+
+type Bench = (print: (line: string) => void) => Promise<unknown>;
+
+const capacityWindow = 4_000;
+const resultsFolder = fileURLToPath(new URL("../../../../../docs/results/", import.meta.url));
+
+const benches: Readonly<Record<string, Bench>> = {
+  capacity: (print) => runCapacityBench(capacityWindow, print),
+};
+
+function print(line: string): void {
+  process.stdout.write(`${line}\n`);
+}
+
+async function main(): Promise<number> {
+  const names = process.argv.slice(2);
+  const unknown = names.find((name) => !Object.hasOwn(benches, name));
+  if (unknown !== undefined || names.length === 0) {
+    process.stderr.write(`bench: name one of ${Object.keys(benches).join(", ")}\n`);
+    return 2;
+  }
+  mkdirSync(resultsFolder, { recursive: true });
+  for (const name of names) {
+    print(`# ${name}`);
+    const result = await benches[name]?.(print);
+    writeFileSync(`${resultsFolder}${name}.json`, `${JSON.stringify(result, undefined, 2)}\n`);
+  }
+  return 0;
+}
+
+process.exitCode = await main();
--- a/packages/operator/src/local/localFleet.ts
+++ b/packages/operator/src/local/localFleet.ts
@@ -52,6 +52,8 @@
 const peerSecret = "local-secret-of-all-entries";
 const reclaimablePrice = 120;
 const onDemandPrice = 400;
+/** Links that each entry keeps: the default of `[peers] links`. */
+const standingLinks = 16;
 /** Milliseconds between readings of the list: short, so that a local fleet is soon linked. */
 const listInterval = 50;
 const weightBytes = 16_000_000_000;
@@ -94,7 +96,9 @@
   async waitUntilReady(): Promise<void> {
     const live = this.entries.filter(({ record }) => !this.dead.has(record.id));
     await Promise.all(live.map(({ entry }) => entry.waitUntilReady()));
-    await Promise.all(live.map(({ entry }) => entry.links.waitForLinks(live.length - 1)));
+    await Promise.all(
+      live.map(({ entry }) => entry.links.waitForLinks(Math.min(live.length - 1, standingLinks))),
+    );
   }
 
   /** Data hall of the instance of a number. */
--- a/packages/standins/src/engineStandin.ts
+++ b/packages/standins/src/engineStandin.ts
@@ -259,7 +259,12 @@
     model: string,
   ): Promise<void> {
     const { record } = run;
-    response.writeHead(200, { "content-type": "text/event-stream", "x-run-id": record.runId });
+    const load = `${this.running}/${this.queue.length}/${this.options.width}`;
+    response.writeHead(200, {
+      "content-type": "text/event-stream",
+      "x-run-id": record.runId,
+      "x-load": load,
+    });
     response.flushHeaders();
     let isClosed = false;
     response.on("close", () => {
--- a/packages/standins/src/platformStandin.ts
+++ b/packages/standins/src/platformStandin.ts
@@ -25,6 +25,7 @@
   private readonly listed = new Map<string, InstanceRecord>();
   private readonly notices: Notice[] = [];
   private wakers: (() => void)[] = [];
+  private listVersion = 0;
   private server: HttpStandin | undefined;
 
   private constructor(private readonly clock: Clock) {}
@@ -45,14 +46,13 @@
   /** Puts an instance on the list, or replaces what the list says of it; seen after the lag. */
   publish(record: InstanceRecord): void {
     this.records.set(record.id, record);
-    this.clock.startTimer(this.listLag, () => this.listed.set(record.id, record));
-    if (this.listLag === 0) this.listed.set(record.id, record);
+    this.changeList(() => this.listed.set(record.id, record));
   }
 
   /** Removes an instance; seen after the lag. */
   remove(id: string): void {
     this.records.delete(id);
-    this.clock.startTimer(this.listLag, () => this.listed.delete(id));
+    this.changeList(() => this.listed.delete(id));
   }
 
   /** Gives notice that an instance will be taken in `remaining` milliseconds. */
@@ -74,20 +74,36 @@
     await this.server?.close();
   }
 
+  /** Changes what the list shows, after its lag. */
+  private changeList(change: () => void): void {
+    const apply = (): void => {
+      this.listVersion += 1;
+      change();
+    };
+    if (this.listLag === 0) apply();
+    else this.clock.startTimer(this.listLag, apply);
+  }
+
   private wakeAll(): void {
     const wakers = this.wakers;
     this.wakers = [];
     wakers.forEach((wake) => wake());
   }
 
-  private async handle(_request: IncomingMessage, response: ServerResponse, url: URL): Promise<void> {
-    if (url.pathname === "/v1/instances") return this.handleList(response);
+  private async handle(request: IncomingMessage, response: ServerResponse, url: URL): Promise<void> {
+    if (url.pathname === "/v1/instances") return this.handleList(response, request.headers["if-none-match"]);
     if (url.pathname === "/v1/notices") return this.handleNotices(response, url);
     sendJson(response, 404, {});
   }
 
-  private handleList(response: ServerResponse): void {
+  private handleList(response: ServerResponse, known: string | undefined): void {
     if (this.isListDown) return void response.destroy();
+    const tag = `"${this.listVersion}"`;
+    if (tag === known) {
+      response.writeHead(304, { etag: tag });
+      return void response.end();
+    }
+    response.setHeader("etag", tag);
     sendJson(response, 200, { instances: [...this.listed.values()] });
   }
 
--- a/packages/standins/src/webStandin.ts
+++ b/packages/standins/src/webStandin.ts
@@ -31,6 +31,9 @@
   readonly body: string;
 }
 
+/** Calls that the service says it works on at once. */
+const width = 64;
+
 /** The running stand-in. */
 export class WebStandin implements Closeable {
   /** Every call that was worked on, in order. */
@@ -60,8 +63,7 @@
   }
 
   private async handle(request: IncomingMessage, response: ServerResponse, url: URL): Promise<void> {
-    if (url.pathname === "/load")
-      return sendJson(response, 200, { running: this.active, queued: 0, width: 64 });
+    if (url.pathname === "/load") return sendJson(response, 200, { running: this.active, queued: 0, width });
     if (url.pathname === "/echo") return this.echo(request, response);
     const body = await readText(request);
     if (this.fault === WebFault.Silent) return;
@@ -107,6 +109,7 @@
     response.writeHead(record.method === "POST" ? 201 : 200, {
       "content-type": "application/json",
       "content-length": Buffer.byteLength(text),
+      "x-load": `${this.active}/0/${width}`,
     });
     if (this.fault !== WebFault.HalfBody) return void response.end(text);
     response.write(text.slice(0, text.length / 2), () => response.destroy());
--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -7,6 +7,7 @@
 const checks = [
   ["format", ["node_modules/prettier/bin/prettier.cjs", "--check", "--log-level=warn", "."]],
   ["lint", ["node_modules/eslint/bin/eslint.js", "."]],
+  ["capacity page", ["scripts/capacityPage.mjs", "--check"]],
 ];
 
 let passed = 0;
