Soak the fleet under drawn failures, and mend what it found

Cause: focused tests provoke one failure at a time. Found and mended: two backups of one request shared one mark of what was sent, so one had a hole (an answer told whole that was empty); a key whose first request was not run stayed at a stale copy (refused for ever); a finished answer was dropped by its backup before its caller had it; a followed request whose holder was lost ended its followers.

--- a/packages/coordination/src/peerConnection.ts
+++ b/packages/coordination/src/peerConnection.ts
@@ -95,15 +95,17 @@
   call(message: PeerMessage, timeout: number): Promise<Result<unknown, Failure>> {
     const call = this.nextCall++;
     return new Promise((resolve) => {
-      const failure = Err(Failure.create(FailureCode.PeerUnreachable, { peer: this.peer.name }));
-      const timer = this.options.clock.startTimer(timeout, () => settle(failure));
+      // Made only when it is needed: an Err takes a stack trace, which costs more than the call.
+      const fail = (): void =>
+        settle(Err(Failure.create(FailureCode.PeerUnreachable, { peer: this.peer.name })));
+      const timer = this.options.clock.startTimer(timeout, fail);
       const settle = (result: Result<unknown, Failure>): void => {
         timer.cancel();
         this.calls.delete(call);
         resolve(result);
       };
       this.calls.set(call, { settle });
-      if (!this.send({ ...message, call })) settle(failure);
+      if (!this.send({ ...message, call })) fail();
     });
   }
 
--- a/packages/entry/src/backupStore.ts
+++ b/packages/entry/src/backupStore.ts
@@ -12,6 +12,7 @@
   type CopyMessage,
   type CopyReply,
   decodeChunk,
+  type DropMessage,
   type HandoverMessage,
   type HandoverReply,
   type NeverStartMessage,
@@ -79,6 +80,7 @@
     links.setHandler(PeerKind.Progress, (message) => this.handleProgress(message as ProgressMessage));
     links.setHandler(PeerKind.Handover, (message) => this.handleHandover(message as HandoverMessage));
     links.setHandler(PeerKind.NeverStart, (message) => this.handleNeverStart(message as NeverStartMessage));
+    links.setHandler(PeerKind.Drop, (message, peer) => this.handleDrop(message as DropMessage, peer));
     links.onDown((peer) => void this.handleDown(peer));
   }
 
@@ -110,6 +112,7 @@
     if (existing && existing.id !== envelope.id) {
       return { isHeld: false, existing: existing.id, existingBody: existing.bodyDigest };
     }
+    this.removeOverdue();
     const copy: Copy = {
       envelope,
       holder,
@@ -138,8 +141,10 @@
     const unknown: string[] = [];
     for (const item of message.items) {
       const copy = this.copies.get(item.request);
-      if (!copy) unknown.push(item.request);
-      else this.addProgress(copy, item);
+      // A part that is missing makes the copy useless: its holder has to send it whole again.
+      const isUsable = copy !== undefined && item.from <= copy.first + copy.chunks.length;
+      if (copy && isUsable) this.addProgress(copy, item);
+      else unknown.push(item.request);
     }
     return { unknown };
   }
@@ -155,9 +160,9 @@
     const hasEnded = item.isComplete || item.failure !== undefined;
     if (!hasEnded) return;
     this.removeCopy(copy);
-    // A keyed request's end is held here too: the same key may come back after its holder is gone.
+    // The end is held here too: its holder may be gone before its caller has taken it, or the key may come back.
     const wasNotRun = item.failure?.outcome === Outcome.NotRun;
-    if (copy.envelope.keyDigest !== undefined && !wasNotRun) this.holdEnded(copy);
+    if (!wasNotRun) this.holdEnded(copy);
   }
 
   private holdEnded(copy: Copy): void {
@@ -170,6 +175,11 @@
     for (const decision of item.decisions) this.parts.ring.add(id, decision);
   }
 
+  private handleDrop(message: DropMessage, peer: PeerIdentity): void {
+    const copy = this.copies.get(message.request);
+    if (copy?.holder.name === peer.name) this.removeCopy(copy);
+  }
+
   private handleNeverStart(message: NeverStartMessage): boolean {
     const copy = this.copies.get(message.request);
     if (copy) copy.mayStart = false;
@@ -223,6 +233,15 @@
     return request;
   }
 
+  /** A copy whose holder said nothing to its end, because it chose another backup meanwhile, goes with its deadline. */
+  private removeOverdue(): void {
+    const now = this.parts.clock.getTime();
+    for (const copy of this.copies.values()) {
+      if (copy.deadline > now) break;
+      this.removeCopy(copy);
+    }
+  }
+
   private removeCopy(copy: Copy): void {
     const { id, keyDigest } = copy.envelope;
     this.copies.delete(id);
--- a/packages/entry/src/backupWriter.ts
+++ b/packages/entry/src/backupWriter.ts
@@ -15,6 +15,7 @@
 import {
   type CopyMessage,
   type CopyReply,
+  type DropMessage,
   encodeChunk,
   type HandoverMessage,
   type HandoverReply,
@@ -44,14 +45,17 @@
   readonly body: string;
 }
 
+/** What one backup has of a request, as it acknowledged it. */
+interface Held {
+  chunks: number;
+  decisions: number;
+}
+
 /** One request's backups, as its holder keeps them. */
 interface Protection {
   readonly request: ActiveRequest;
-  /** Peers that hold a copy. */
-  readonly peers: Set<string>;
-  /** Chunks and decisions that were sent. */
-  sentChunks: number;
-  sentDecisions: number;
+  /** Peers that hold a copy, each with what it has: no two have the same. */
+  readonly peers: Map<string, Held>;
   /** Its backup is being asked to go on with it: until that is settled no other is looked for. */
   isHandedOver: boolean;
 }
@@ -84,9 +88,7 @@
   async protect(request: ActiveRequest): Promise<KeyConflict | undefined> {
     const protection: Protection = {
       request,
-      peers: new Set(),
-      sentChunks: 0,
-      sentDecisions: 0,
+      peers: new Map(),
       isHandedOver: false,
     };
     this.protections.set(request.envelope.id, protection);
@@ -102,7 +104,7 @@
     if (!protection) return;
     // Nobody is left to wait for.
     if (protection.peers.size === 0) request.log.release(Infinity);
-    for (const peer of protection.peers) this.flush(peer, protection);
+    for (const peer of protection.peers.keys()) this.flush(peer, protection);
   }
 
   /** Says that a request has ended: its backups learn the end and are then let go. */
@@ -114,7 +116,7 @@
 
   /** Tells the backups never to start a request; true where all of them know. */
   async forbidStart(request: ActiveRequest): Promise<boolean> {
-    const peers = [...(this.protections.get(request.envelope.id)?.peers ?? [])];
+    const peers = [...(this.protections.get(request.envelope.id)?.peers.keys() ?? [])];
     const message = { kind: PeerKind.NeverStart, request: request.envelope.id };
     const { ack_timeout: timeout } = this.parts.settings.backups;
     const answers = await Promise.all(peers.map((peer) => this.parts.links.call(peer, message, timeout)));
@@ -127,7 +129,7 @@
     const byPeer = new Map<string, string[]>();
     for (const request of requests) {
       const protection = this.protections.get(request.envelope.id);
-      const [peer] = protection?.peers ?? [];
+      const [peer] = protection?.peers.keys() ?? [];
       if (!protection || peer === undefined) continue;
       protection.isHandedOver = true;
       await this.sendProgress(peer, [protection]);
@@ -188,10 +190,8 @@
   }
 
   private async replace(protection: Protection): Promise<void> {
-    // Nobody holds the latest chunks now; callers are not kept waiting for the search.
-    protection.request.log.release(Infinity);
-    protection.sentChunks = 0;
-    protection.sentDecisions = 0;
+    // Nobody may hold the latest chunks now; callers are not kept waiting for the search.
+    if (protection.peers.size === 0) protection.request.log.release(Infinity);
     await this.findBackups(protection);
   }
 
@@ -201,10 +201,10 @@
     let needsOtherHall = true;
     for (const peer of peers.slice(0, candidatesTried)) {
       if (!needsOtherHall) break;
+      if (protection.peers.has(peer.id)) continue;
       const reply = await this.copy(peer.id, protection);
       if (reply?.existing !== undefined) return { request: reply.existing, body: reply.existingBody ?? "" };
       if (!reply?.isHeld) continue;
-      protection.peers.add(peer.id);
       // The home of a key may stand in this hall; a second copy then goes to another.
       needsOtherHall =
         peer.hall === this.parts.settings.entry.hall && peers.some((other) => other.hall !== peer.hall);
@@ -250,21 +250,23 @@
   private async copy(peer: string, protection: Protection): Promise<CopyReply | undefined> {
     const { request } = protection;
     const { clock, links, settings, metrics } = this.parts;
+    const held: Held = { chunks: 0, decisions: 0 };
     const message: CopyMessage = {
       kind: PeerKind.Copy,
       envelope: request.envelope,
       remaining: request.deadline - clock.getTime(),
       isHome: this.isHome(request),
-      progress: this.createItem(protection),
+      progress: this.createItem(request, held),
     };
-    const sentChunks = request.log.count;
+    const next = this.getPresent(request);
     const started = clock.getTime();
     const answer = await links.call(peer, message, settings.backups.ack_timeout);
     metrics.copyTime.record(clock.getTime() - started);
     if (answer.isErr()) return undefined;
     metrics.copiedBytes.add(request.envelope.body.length);
-    protection.sentChunks = sentChunks;
-    return answer.value as CopyReply;
+    const reply = answer.value as CopyReply;
+    if (reply.isHeld) protection.peers.set(peer, next);
+    return reply;
   }
 
   private flush(peer: string, protection: Protection): void {
@@ -283,66 +285,96 @@
       flusher.dirty.clear();
       const isSent = await this.sendProgress(peer, group);
       if (isSent) continue;
-      for (const protection of group) {
-        if (protection.peers.delete(peer)) this.handleLoss(protection);
-      }
+      for (const protection of group) this.dropPeer(peer, protection);
     }
     flusher.isRunning = false;
   }
 
+  /** A peer that did not answer may hold its copy still: it is told that it is the backup no more. */
+  private dropPeer(peer: string, protection: Protection): void {
+    const message: DropMessage = { kind: PeerKind.Drop, request: protection.request.envelope.id };
+    this.parts.links.send(peer, message);
+    if (protection.peers.delete(peer)) this.handleLoss(protection);
+  }
+
   private async sendProgress(peer: string, group: readonly Protection[]): Promise<boolean> {
     const { links, settings, metrics } = this.parts;
-    const sent = group.map((protection) => ({
-      protection,
-      count: protection.request.log.count,
-      end: protection.request.log.state,
-    }));
-    const items = group.map((protection) => this.createItem(protection));
+    const sent: Sent[] = [];
+    const items: ProgressItem[] = [];
+    for (const protection of group) {
+      const held = protection.peers.get(peer);
+      if (!held) continue;
+      items.push(this.createItem(protection.request, held));
+      sent.push({
+        protection,
+        next: this.getPresent(protection.request),
+        state: protection.request.log.state,
+      });
+    }
+    if (items.length === 0) return true;
     const message: ProgressMessage = { kind: PeerKind.Progress, items };
     const answer = await links.call(peer, message, settings.backups.ack_timeout);
     if (answer.isErr()) return false;
     metrics.progressFrames.add();
     const unknown = new Set((answer.value as ProgressReply).unknown);
-    for (const { protection, count, end } of sent) this.acknowledge(protection, peer, count, end, unknown);
+    for (const each of sent) this.acknowledge(each, peer, unknown.has(each.protection.request.envelope.id));
     return true;
   }
 
-  private acknowledge(
-    protection: Protection,
-    peer: string,
-    count: number,
-    end: AnswerState,
-    unknown: ReadonlySet<string>,
-  ): void {
-    const { request } = protection;
-    const { id } = request.envelope;
-    if (unknown.has(id) && protection.isHandedOver) return;
-    if (unknown.has(id) && request.isOpen) {
-      // The backup has lost or taken over the copy: it does not protect this request any more.
-      protection.peers.delete(peer);
+  private acknowledge({ protection, next, state }: Sent, peer: string, isUnknown: boolean): void {
+    const { request, peers } = protection;
+    if (isUnknown && protection.isHandedOver) return;
+    if (isUnknown && request.isOpen) {
+      // The backup has lost the copy, taken it over or missed a part: it does not protect this request any more.
+      peers.delete(peer);
       void this.replace(protection);
       return;
     }
-    protection.sentChunks = Math.max(protection.sentChunks, count);
-    request.log.release(end === AnswerState.Open ? count : Infinity);
-    if (end !== AnswerState.Open) this.protections.delete(id);
+    const held = peers.get(peer);
+    // Groups to one backup may be acknowledged out of order: what it once had it still has.
+    if (held) peers.set(peer, { chunks: Math.max(held.chunks, next.chunks), decisions: next.decisions });
+    if (state === AnswerState.Open) {
+      request.log.release(getLeastHeld(peers));
+      return;
+    }
+    request.log.release(Infinity);
+    peers.delete(peer);
+    if (peers.size === 0) this.protections.delete(request.envelope.id);
   }
 
-  private createItem(protection: Protection): ProgressItem {
-    const { request } = protection;
+  /** All that there is of a request now. */
+  private getPresent(request: ActiveRequest): Held {
+    const decisions = this.parts.ring.get(request.envelope.id)?.length ?? 0;
+    return { chunks: request.log.count, decisions };
+  }
+
+  /** What is there of a request beyond what a backup has. */
+  private createItem(request: ActiveRequest, held: Held): ProgressItem {
     const { log, envelope } = request;
     const decisions = this.parts.ring.get(envelope.id) ?? [];
-    const from = protection.sentDecisions;
-    protection.sentDecisions = decisions.length;
     return {
       request: envelope.id,
       run: request.run,
       head: log.head,
-      from: protection.sentChunks,
-      chunks: log.getChunksFrom(protection.sentChunks).map(encodeChunk),
+      from: held.chunks,
+      chunks: log.getChunksFrom(held.chunks).map(encodeChunk),
       isComplete: log.state === AnswerState.Complete,
       failure: log.failure && encodeFailure(log.failure),
-      decisions: decisions.slice(from),
+      decisions: decisions.slice(held.decisions),
     };
   }
 }
+
+/** What was sent about one request, and what its backup has once it acknowledges. */
+interface Sent {
+  readonly protection: Protection;
+  readonly next: Held;
+  readonly state: AnswerState;
+}
+
+/** Chunks that every backup has: any of them may be the one that goes on. */
+function getLeastHeld(peers: ReadonlyMap<string, Held>): number {
+  let least = Infinity;
+  for (const { chunks } of peers.values()) least = Math.min(least, chunks);
+  return least;
+}
--- a/packages/entry/src/peerKinds.ts
+++ b/packages/entry/src/peerKinds.ts
@@ -21,6 +21,7 @@
   AskShare = 25,
   NeverStart = 26,
   Cancel = 27,
+  Drop = 28,
 }
 
 /** Fields of a ping: the configuration's version, and how long ago its sender knew it to be current. */
@@ -127,6 +128,12 @@
   readonly request: string;
 }
 
+/** A holder tells a peer that it is no longer the backup of a request. */
+export interface DropMessage extends PeerMessage {
+  readonly kind: PeerKind.Drop;
+  readonly request: string;
+}
+
 /** Where a request is. */
 export enum HoldState {
   /** Not known here. */
--- a/packages/entry/src/runner.ts
+++ b/packages/entry/src/runner.ts
@@ -58,6 +58,18 @@
 /** Options of a request that a caller has just brought. */
 export const freshRun: RunOptions = { rest: undefined, isBackup: false, mayStart: true };
 
+/** How the following of another request of the same key came to an end. */
+enum FollowEnd {
+  Complete = 1,
+  Failed = 2,
+  /** Its beginning is no longer held. */
+  NotHeld = 3,
+  /** It follows this one. */
+  Circle = 4,
+  /** It goes on at another entry. */
+  Moved = 5,
+}
+
 /** State of one request's attempts. */
 interface Attempts {
   count: number;
@@ -202,27 +214,49 @@
         const failure = Failure.create(FailureCode.AlreadyRun, { request: other });
         return Err(failure.withOutcome(Outcome.Unknown));
       }
-      if (found.value.attachedTo !== id) return this.pipe(request, found.value);
-      // Each was sent to the other, because entries saw different peers. The lower id runs; the other waits for it.
-      if (id < other) {
-        request.attachedTo = undefined;
-        return this.runAttempts(request, freshRun);
-      }
+      const end = found.value.attachedTo === id ? FollowEnd.Circle : await this.pipe(request, found.value);
+      const result = this.finishFollowing(request, found.value, end);
+      if (result) return result;
       await waitFor(this.parts.clock, this.parts.settings.backups.locate_pause, request.stop.signal);
     }
     return Err(describeStop(request, Failure.create(FailureCode.AlreadyRun, { request: other })));
   }
 
-  private async pipe(request: ActiveRequest, source: ActiveRequest): Promise<Result<void, Failure>> {
+  /** Returns how a followed request ends this one; undefined where it is to be looked for again. */
+  private finishFollowing(
+    request: ActiveRequest,
+    source: ActiveRequest,
+    end: FollowEnd,
+  ): Promise<Result<void, Failure>> | Result<void, Failure> | undefined {
+    const { failure } = source.log;
+    const runItself = (): Promise<Result<void, Failure>> => {
+      request.attachedTo = undefined;
+      return this.runAttempts(request, freshRun);
+    };
+    const handlers: Readonly<Record<FollowEnd, () => ReturnType<Runner["finishFollowing"]>>> = {
+      [FollowEnd.Complete]: () => Ok.EMPTY,
+      // What was not run has no answer to give: this request is the first that may run.
+      [FollowEnd.Failed]: () =>
+        failure?.outcome === Outcome.NotRun ? runItself() : Err(failure ?? createLost(source)),
+      [FollowEnd.NotHeld]: () => Err(Failure.create(FailureCode.AlreadyRun, { request: source.envelope.id })),
+      // Each was sent to the other, because entries saw different peers. The lower id runs; the other waits for it.
+      [FollowEnd.Circle]: () => (request.envelope.id < source.envelope.id ? runItself() : undefined),
+      [FollowEnd.Moved]: () => undefined,
+    };
+    return handlers[end]();
+  }
+
+  /** Copies another request's answer as it comes, from where this one's has got to. */
+  private async pipe(request: ActiveRequest, source: ActiveRequest): Promise<FollowEnd> {
     const { log } = source;
-    if (!log.canFollow(0))
-      return Err(Failure.create(FailureCode.AlreadyRun, { request: source.envelope.id }));
-    await log.waitForHead();
+    if (!log.canFollow(request.log.end)) return FollowEnd.NotHeld;
+    for await (const chunk of log.follow(request.log.end, request.stop.signal)) {
+      if (log.head) request.log.setHead(log.head);
+      await request.log.add(chunk);
+    }
     if (log.head) request.log.setHead(log.head);
-    for await (const chunk of log.follow(0, request.stop.signal)) await request.log.add(chunk);
-    if (log.state === AnswerState.Complete) return Ok.EMPTY;
-    const lost = Failure.create(FailureCode.PeerUnreachable, { peer: "of the first request" });
-    return Err(log.failure ?? lost);
+    if (log.state === AnswerState.Complete) return FollowEnd.Complete;
+    return log.state === AnswerState.Moved ? FollowEnd.Moved : FollowEnd.Failed;
   }
 
   private async place(request: ActiveRequest, attempts: Attempts): Promise<Result<Placed, Failure>> {
@@ -388,3 +422,7 @@
 function getAttemptOfRun(run: string): number {
   return Number(run.slice(run.lastIndexOf(".") + 1));
 }
+
+function createLost(source: ActiveRequest): Failure {
+  return Failure.create(FailureCode.AlreadyRun, { request: source.envelope.id }).withOutcome(Outcome.Unknown);
+}
--- a/packages/operator/src/local/localFleet.ts
+++ b/packages/operator/src/local/localFleet.ts
@@ -65,6 +65,9 @@
   readonly webs = new Map<string, WebStandin>();
   /** Instances that were killed. */
   private readonly dead = new Set<string>();
+  /** Instances that have their notice. */
+  private readonly leaving = new Set<string>();
+  private readonly endpointRecords = new Map<string, InstanceRecord>();
   private incarnations = 0;
 
   private constructor(
@@ -111,6 +114,7 @@
     const engine = await EngineStandin.create(this.options.engine);
     const record = this.createRecord(`runner-${index}`, "model", "openai-engine", engine.address, index);
     this.engines.set(record.id, engine);
+    this.endpointRecords.set(record.id, record);
     this.platform.publish(record);
     return record;
   }
@@ -120,6 +124,7 @@
     const web = await WebStandin.create();
     const record = this.createRecord(`booking-${index}`, "booking", "http-service", web.address, index);
     this.webs.set(record.id, web);
+    this.endpointRecords.set(record.id, record);
     this.platform.publish(record);
     return record;
   }
@@ -173,6 +178,57 @@
     await (this.engines.get(id) ?? this.webs.get(id))?.close();
   }
 
+  /** Notes that an instance has its notice: it is chosen for no other failure. */
+  markLeaving(id: string): void {
+    this.leaving.add(id);
+  }
+
+  /** Entries that may be taken while so many stay. */
+  getReplaceableEntries(least: number): readonly string[] {
+    const free = this.entries.map(({ record }) => record.id).filter((id) => this.isFree(id));
+    return free.length > least ? free : [];
+  }
+
+  /** Endpoints that may be taken while so many of their service stay. */
+  getReplaceableEndpoints(least: number): readonly string[] {
+    const groups = [[...this.engines.keys()], [...this.webs.keys()]];
+    return groups.flatMap((ids) => {
+      const free = ids.filter((id) => this.isFree(id));
+      return free.length > least ? free : [];
+    });
+  }
+
+  /** Reclaimable endpoints of data halls that may be taken together while so many of each service stay elsewhere. */
+  getReclaimable(halls: ReadonlySet<string>, least: number): readonly string[] {
+    const groups = [[...this.engines.keys()], [...this.webs.keys()]];
+    return groups.flatMap((ids) => {
+      const free = ids.filter((id) => this.isFree(id));
+      const taken = free.filter((id) => halls.has(this.endpointRecords.get(id)?.hall ?? ""));
+      return taken.slice(0, Math.max(0, free.length - least));
+    });
+  }
+
+  /** Engines that run. */
+  getLiveEngines(): readonly EngineStandin[] {
+    return [...this.engines].filter(([id]) => !this.dead.has(id)).map(([, engine]) => engine);
+  }
+
+  /** Web endpoints that run. */
+  getLiveWebs(): readonly WebStandin[] {
+    return [...this.webs].filter(([id]) => !this.dead.has(id)).map(([, web]) => web);
+  }
+
+  /** Starts another endpoint of the same service in place of one that was taken. */
+  async replaceEndpoint(id: string): Promise<void> {
+    const index = this.engines.size + this.webs.size;
+    if (this.engines.has(id)) await this.addEngine(index);
+    else await this.addWeb(index);
+  }
+
+  private isFree(id: string): boolean {
+    return !this.dead.has(id) && !this.leaving.has(id);
+  }
+
   /** Resolves when every running entry satisfies a condition. */
   async waitForView(condition: (entry: Entry) => boolean): Promise<void> {
     const live = this.entries.filter(({ record }) => !this.dead.has(record.id));
--- a/packages/operator/src/soak/caller.ts
+++ b/packages/operator/src/soak/caller.ts
@@ -39,6 +39,8 @@
   readonly parts: string[];
   lastEventId: string | undefined;
   returns: number;
+  /** Code of the last problem after which it came back. */
+  lastCode: number | undefined;
   firstMs: number | undefined;
 }
 
@@ -74,6 +76,7 @@
       parts: [],
       lastEventId: undefined,
       returns: 0,
+      lastCode: undefined,
       firstMs: undefined,
     };
     while (performance.now() - call.started < this.options.patience) {
@@ -86,7 +89,7 @@
       verdict: Verdict.Nothing,
       text: call.parts.join(""),
       outcome: undefined,
-      code: undefined,
+      code: call.lastCode,
     });
   }
 
@@ -171,6 +174,7 @@
   private async handleProblem(call: Call, response: Dispatcher.ResponseData): Promise<Step> {
     const problem = parseProblem(await response.body.text(), response);
     if (!problem) return undefined;
+    call.lastCode = problem.code;
     if (problem.code === codeUnknownRequest) {
       // A keyed request is asked for again by its key; one without is looked for until patience ends.
       if (call.ask.kind !== AskKind.Stream) call.requests.length = 0;
--- /dev/null
+++ b/packages/operator/src/soak/faults.ts
@@ -0,0 +1,190 @@
+/**
+ * The failures of a soak, drawn by a seeded script. Each mends itself: what is taken is replaced, as the platform does.
+ * @module
+ */
+import { EngineFault, KeyValueFault, WebFault } from "@gladewall/standins";
+import type { LocalFleet } from "../local/localFleet.js";
+import type { Seeded } from "./seeded.js";
+
+/** Failures counted by kind. */
+export interface FaultCounts {
+  reclaims: number;
+  deaths: number;
+  outages: number;
+  misbehaviours: number;
+}
+
+interface Fault {
+  readonly name: string;
+  readonly weight: number;
+  readonly provoke: () => Promise<void>;
+}
+
+const leastEntries = 4;
+const leastEndpoints = 2;
+const replaceAfter = 500;
+const engineFaults = [
+  EngineFault.CutStream,
+  EngineFault.Refuse,
+  EngineFault.Duplicate,
+  EngineFault.Foreign,
+  EngineFault.NoEndMark,
+  EngineFault.SkipToken,
+  EngineFault.IgnoreCancel,
+];
+const webFaults = [WebFault.CutAfterWork, WebFault.Refuse, WebFault.HalfBody];
+const serviceFaults = [
+  KeyValueFault.Down,
+  KeyValueFault.Slow,
+  KeyValueFault.AnswerLost,
+  KeyValueFault.WatchGap,
+];
+
+/** Provokes failures until told to stop. */
+export class FaultScript {
+  readonly counts: FaultCounts = { reclaims: 0, deaths: 0, outages: 0, misbehaviours: 0 };
+  private readonly faults: readonly Fault[];
+  private readonly running = new Set<Promise<void>>();
+  private isStopped = false;
+  private isServiceFaulty = false;
+
+  private constructor(
+    private readonly fleet: LocalFleet,
+    private readonly seeded: Seeded,
+    private readonly log: (line: string) => void,
+  ) {
+    this.faults = [
+      { name: "endpoint reclaimed with notice", weight: 5, provoke: () => this.reclaimEndpoint(true) },
+      {
+        name: "endpoint dies before it acts on its notice",
+        weight: 2,
+        provoke: () => this.reclaimEndpoint(false),
+      },
+      { name: "entry reclaimed with notice", weight: 3, provoke: () => this.reclaimEntry(true) },
+      { name: "entry dies before it acts on its notice", weight: 2, provoke: () => this.reclaimEntry(false) },
+      { name: "entry dies", weight: 2, provoke: () => this.killEntry() },
+      { name: "endpoint dies", weight: 2, provoke: () => this.killEndpoint() },
+      { name: "a wave takes two data halls", weight: 1, provoke: () => this.reclaimHalls() },
+      { name: "key-value service fails", weight: 4, provoke: () => this.failService() },
+      { name: "engine misbehaves", weight: 4, provoke: () => this.failEngine() },
+      { name: "web endpoint misbehaves", weight: 3, provoke: () => this.failWeb() },
+    ];
+  }
+
+  static create(fleet: LocalFleet, seeded: Seeded, log: (line: string) => void): FaultScript {
+    return new FaultScript(fleet, seeded, log);
+  }
+
+  /** Provokes a failure each `pauseMs` on average, often several at once, until `stop`. */
+  async run(pauseMs: number): Promise<void> {
+    while (!this.isStopped) {
+      const fault = this.seeded.chooseWeighted(this.faults);
+      if (fault) this.start(fault);
+      // Short pauses are as likely as long ones: failures come together.
+      await pause(this.seeded.getInteger(0, pauseMs * 2));
+    }
+  }
+
+  /** Provokes nothing more, and waits until everything is mended. */
+  async stop(): Promise<void> {
+    this.isStopped = true;
+    await Promise.all(this.running);
+    this.fleet.keyValue.setFault(KeyValueFault.None);
+  }
+
+  private start(fault: Fault): void {
+    this.log(fault.name);
+    const task: Promise<void> = fault.provoke().finally(() => this.running.delete(task));
+    this.running.add(task);
+  }
+
+  private async reclaimEndpoint(hasTime: boolean): Promise<void> {
+    const id = this.seeded.choose(this.fleet.getReplaceableEndpoints(leastEndpoints));
+    if (id === undefined) return;
+    await this.takeEndpoint(id, hasTime ? this.seeded.getInteger(500, 2_500) : 0);
+  }
+
+  private async takeEndpoint(id: string, notice: number): Promise<void> {
+    this.counts.reclaims += 1;
+    this.fleet.platform.reclaim(id, notice);
+    this.fleet.markLeaving(id);
+    await pause(notice);
+    await this.fleet.killEndpoint(id);
+    await pause(replaceAfter);
+    await this.fleet.replaceEndpoint(id);
+  }
+
+  private async reclaimEntry(hasTime: boolean): Promise<void> {
+    const id = this.seeded.choose(this.fleet.getReplaceableEntries(leastEntries));
+    if (id === undefined) return;
+    this.counts.reclaims += 1;
+    if (!hasTime) this.counts.deaths += 1;
+    const notice = hasTime ? this.seeded.getInteger(1_200, 2_500) : 0;
+    this.fleet.platform.reclaim(id, notice);
+    this.fleet.markLeaving(id);
+    await pause(notice);
+    await this.fleet.killEntry(id);
+    await pause(replaceAfter);
+    await this.fleet.addEntry(this.fleet.entries.length);
+  }
+
+  private async killEntry(): Promise<void> {
+    const id = this.seeded.choose(this.fleet.getReplaceableEntries(leastEntries));
+    if (id === undefined) return;
+    this.counts.deaths += 1;
+    await this.fleet.killEntry(id);
+    await pause(replaceAfter);
+    await this.fleet.addEntry(this.fleet.entries.length);
+  }
+
+  private async killEndpoint(): Promise<void> {
+    const id = this.seeded.choose(this.fleet.getReplaceableEndpoints(leastEndpoints));
+    if (id === undefined) return;
+    this.counts.deaths += 1;
+    await this.fleet.killEndpoint(id);
+    await pause(replaceAfter);
+    await this.fleet.replaceEndpoint(id);
+  }
+
+  private async reclaimHalls(): Promise<void> {
+    const first = this.seeded.getInteger(0, this.fleet.options.halls.length - 1);
+    const halls = new Set([this.fleet.getHall(first), this.fleet.getHall(first + 1)]);
+    const notice = this.seeded.getInteger(1_000, 2_500);
+    const taken = this.fleet.getReclaimable(halls, leastEndpoints);
+    await Promise.all(taken.map((id) => this.takeEndpoint(id, notice)));
+  }
+
+  private async failService(): Promise<void> {
+    if (this.isServiceFaulty) return;
+    this.isServiceFaulty = true;
+    this.counts.outages += 1;
+    const fault = this.seeded.choose(serviceFaults) ?? KeyValueFault.Down;
+    this.fleet.keyValue.setFault(fault, 300);
+    await pause(this.seeded.getInteger(500, 3_000));
+    this.fleet.keyValue.setFault(KeyValueFault.None);
+    this.isServiceFaulty = false;
+  }
+
+  private async failEngine(): Promise<void> {
+    const engine = this.seeded.choose(this.fleet.getLiveEngines());
+    if (!engine) return;
+    this.counts.misbehaviours += 1;
+    engine.faultAfter = this.seeded.getInteger(1, 20);
+    engine.fault = this.seeded.choose(engineFaults) ?? EngineFault.None;
+    await pause(this.seeded.getInteger(500, 2_000));
+    engine.fault = EngineFault.None;
+  }
+
+  private async failWeb(): Promise<void> {
+    const web = this.seeded.choose(this.fleet.getLiveWebs());
+    if (!web) return;
+    this.counts.misbehaviours += 1;
+    web.fault = this.seeded.choose(webFaults) ?? WebFault.None;
+    await pause(this.seeded.getInteger(300, 1_000));
+    web.fault = WebFault.None;
+  }
+}
+
+function pause(duration: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, duration));
+}
--- /dev/null
+++ b/packages/operator/src/soak/main.ts
@@ -0,0 +1,63 @@
+/**
+ * `npm run soak -- --seed N --minutes M`: bounded in count and time; exit code 1 where a promise was broken.
+ * @module
+ */
+import yargs from "yargs";
+import { getBrokenCount } from "./checker.js";
+import { runSoak, type SoakResult, userSizes } from "./soak.js";
+
+const millisecondsPerMinute = 60_000;
+const highestMinutes = 30;
+const findingsShown = 10;
+
+function print(line: string): void {
+  process.stdout.write(`${line}\n`);
+}
+
+function printResult(user: string, result: SoakResult): void {
+  const { broken, findings, whole, problems, unsure } = result.check;
+  const { reclaims, deaths, outages, misbehaviours } = result.faults;
+  print(
+    `${user}: ${result.requests} requests, ${whole} whole, ${problems} problems (${unsure} unsure), ${result.returns} returns`,
+  );
+  print(
+    `  ${reclaims} reclaims, ${deaths} deaths, ${outages} service outages, ${misbehaviours} misbehaving endpoints`,
+  );
+  const { lost, doubled, foreign, cut, notRunButRan } = broken;
+  print(
+    `  broken promises: lost ${lost}, doubled ${doubled}, foreign ${foreign}, cut ${cut}, "not run" that ran ${notRunButRan}`,
+  );
+  for (const finding of findings.slice(0, findingsShown))
+    print(`    ${finding.promise}: ${finding.detail} ${JSON.stringify(finding.told)}`);
+}
+
+const options = await yargs(process.argv.slice(2))
+  .scriptName("soak")
+  .option("seed", { type: "number", default: 1 })
+  .option("minutes", { type: "number", default: 1, describe: `at most ${highestMinutes}` })
+  .option("entries", { type: "number", default: 9 })
+  .option("callers", { type: "number", default: 24 })
+  .option("requests", { type: "number", default: 20_000, describe: "requests in all, at most" })
+  .option("user", { choices: Object.keys(userSizes), describe: "one user's size; both where none is named" })
+  .strict()
+  .parseAsync();
+
+const users = options.user === undefined ? Object.keys(userSizes) : [options.user];
+const minutes = Math.min(highestMinutes, options.minutes) / users.length;
+let brokenCount = 0;
+for (const name of users) {
+  const user = userSizes[name];
+  if (!user) continue;
+  const result = await runSoak({
+    seed: options.seed,
+    user,
+    entries: options.entries,
+    duration: minutes * millisecondsPerMinute,
+    callers: options.callers,
+    highestRequests: options.requests,
+    print: () => undefined,
+  });
+  printResult(name, result);
+  brokenCount += getBrokenCount(result.check.broken);
+}
+process.exitCode = brokenCount === 0 ? 0 : 1;
--- /dev/null
+++ b/packages/operator/src/soak/soak.ts
@@ -0,0 +1,139 @@
+/**
+ * The soak: callers ask without pause while a seeded script provokes failures; at the end what they were told is
+ * compared with what ran.
+ * @module
+ */
+import { Logger } from "@gladewall/kernel";
+import { quickEngine } from "@gladewall/standins";
+import { LocalFleet } from "../local/localFleet.js";
+import { sampleConfiguration, sampleKeys } from "../local/sampleTable.js";
+import { Caller } from "./caller.js";
+import { checkPromises, type CheckResult } from "./checker.js";
+import { type FaultCounts, FaultScript } from "./faults.js";
+import { Seeded } from "./seeded.js";
+import { type Ask, AskKind, type Told } from "./types.js";
+
+/** Sizes of one user. */
+export interface UserSize {
+  readonly halls: readonly string[];
+  readonly runners: number;
+  readonly webEndpoints: number;
+}
+
+/** Both users' sizes of today. */
+export const userSizes: Readonly<Record<string, UserSize>> = {
+  "skip-yards": { halls: ["zogno", "piazza", "lenna", "bergamo"], runners: 6, webEndpoints: 4 },
+  tsarevets: { halls: ["lozenets", "mladost", "lyulin", "druzhba"], runners: 13, webEndpoints: 4 },
+};
+
+/** Options of a soak. */
+export interface SoakOptions {
+  readonly seed: number;
+  readonly user: UserSize;
+  readonly entries: number;
+  /** Milliseconds of failures. */
+  readonly duration: number;
+  /** Callers that ask at the same time. */
+  readonly callers: number;
+  /** Requests in all, at most. */
+  readonly highestRequests: number;
+  readonly print: (line: string) => void;
+}
+
+/** What a soak found. */
+export interface SoakResult {
+  readonly requests: number;
+  readonly faults: FaultCounts;
+  readonly check: CheckResult;
+  readonly returns: number;
+}
+
+const faultPause = 700;
+const patience = 40_000;
+const overrides = [
+  "peers.ping_interval=100",
+  "peers.lost_after=800",
+  "backups.takeover_after=200",
+  "endpoints.idle_timeout=5000",
+  "endpoints.backoff=50",
+  "endpoints.backoff_highest=500",
+  "entry.notice_lead=500",
+  "claims.patience=800",
+  "claims.peer_timeout=200",
+  "requests.refuse_late=false",
+  "platform.list_interval=300",
+];
+const unlimited = { requestsPerSecond: 1e6, tokensPerSecond: 1e9, concurrency: 1e6 };
+const kinds = [
+  { kind: AskKind.Stream, weight: 4 },
+  { kind: AskKind.Whole, weight: 2 },
+  { kind: AskKind.Draft, weight: 2 },
+  { kind: AskKind.Booking, weight: 3 },
+  { kind: AskKind.Page, weight: 1 },
+];
+
+/** Runs a soak to its end. */
+export async function runSoak(options: SoakOptions): Promise<SoakResult> {
+  const fleet = await createSoakFleet(options);
+  const seeded = Seeded.create(options.seed);
+  const script = FaultScript.create(fleet, Seeded.create(options.seed + 1), (line) =>
+    options.print(`  ${line}`),
+  );
+  const caller = createSoakCaller(fleet);
+  const end = performance.now() + options.duration;
+  const told: Told[] = [];
+  let asked = 0;
+  const work = async (): Promise<void> => {
+    while (performance.now() < end && asked < options.highestRequests) {
+      asked += 1;
+      told.push(await caller.ask(createAsk(seeded, asked)));
+    }
+  };
+  const failing = script.run(faultPause);
+  const working = Promise.all(Array.from({ length: options.callers }, work));
+  await new Promise((resolve) => setTimeout(resolve, options.duration));
+  await Promise.all([script.stop(), failing]);
+  await working;
+  const check = checkPromises(told, fleet.getRecords());
+  await caller.close();
+  await fleet.close();
+  const returns = told.reduce((sum, each) => sum + each.returns, 0);
+  return { requests: told.length, faults: script.counts, check, returns };
+}
+
+function createSoakFleet(options: SoakOptions): Promise<LocalFleet> {
+  const { user, entries } = options;
+  return LocalFleet.create({
+    ...user,
+    entries,
+    configuration: {
+      ...sampleConfiguration,
+      rows: sampleConfiguration.rows.map((row) => ({ ...row, ...unlimited })),
+    },
+    engine: { ...quickEngine, width: 16, tokenInterval: 10 },
+    logger: Logger.createSilent(),
+    overrides,
+  });
+}
+
+function createSoakCaller(fleet: LocalFleet): Caller {
+  let turn = 0;
+  const chooseEntry = (): string => {
+    const fronts = fleet.getLiveFronts();
+    return fronts[turn++ % fronts.length] ?? "";
+  };
+  return Caller.create({
+    chooseEntry,
+    key: sampleKeys.cab,
+    patience,
+    modelService: "model",
+    webService: "booking",
+  });
+}
+
+function createAsk(seeded: Seeded, number: number): Ask {
+  const kind = seeded.chooseWeighted(kinds)?.kind ?? AskKind.Stream;
+  const outputTokens = seeded.getInteger(3, 120);
+  const requestClass = seeded.getInteger(0, 3) === 0 ? "urgent" : "standard";
+  return { kind, mark: `soak-${number}-${seeded.getInteger(0, 1e9)}`, outputTokens, requestClass };
+}
