Say "not run" of a key only when its first sending was not run either

The refusal itself came from a lender that had given all shares away when an entry joined. Change: a keyed request that would be refused is first looked up here, at the key's home and, if once-only, in the ledger, and gets the first's answer; where that cannot be known the outcome is "unknown". A lender keeps one entry's part back. The token bucket, which stood twice, is one.

--- a/packages/coordination/src/serviceBudget.ts
+++ b/packages/coordination/src/serviceBudget.ts
@@ -3,7 +3,7 @@
  * first; one that would wait too long fails at once with `ServiceBudgetSpent`.
  * @module
  */
-import { type Clock, Failure, FailureCode, type Metrics } from "@gladewall/kernel";
+import { type Clock, Failure, FailureCode, type Metrics, TokenBucket } from "@gladewall/kernel";
 import { Err, type Result } from "ts-results-es";
 import type { GrantedLease, KeyValueService, StoredValue } from "./types.js";
 
@@ -22,7 +22,8 @@
   [CallKind.Other]: "other",
 };
 
-const millisecondsPerSecond = 1000;
+/** Milliseconds between two looks at what waits, at least. */
+const leastPause = 1;
 
 interface Waiting {
   readonly kind: CallKind;
@@ -31,19 +32,17 @@
 
 /** The budget, shared by all users of the service in a process. */
 export class ServiceBudget {
-  private level: number;
-  private filledAt: number;
+  private readonly bucket: TokenBucket;
   private waiting: Waiting[] = [];
   private isPumping = false;
 
   private constructor(
     private readonly clock: Clock,
-    private readonly rate: number,
+    rate: number,
     private readonly patience: number,
     private readonly metrics: Metrics,
   ) {
-    this.level = this.burst;
-    this.filledAt = clock.getTime();
+    this.bucket = TokenBucket.create(clock, rate);
   }
 
   /** `rate`: calls a second; `patience`: milliseconds that a call may wait. */
@@ -58,9 +57,8 @@
 
   /** Waits for a call's turn; false where it would take too long. */
   take(kind: CallKind): Promise<boolean> {
-    this.fill();
-    if (this.waiting.length === 0 && this.level >= 1) {
-      this.spend(kind);
+    if (this.waiting.length === 0 && this.bucket.tryTake(1)) {
+      this.count(kind);
       return Promise.resolve(true);
     }
     return new Promise((resolve) => {
@@ -79,41 +77,29 @@
     });
   }
 
-  private get burst(): number {
-    return Math.max(1, this.rate);
-  }
-
-  private spend(kind: CallKind): void {
-    this.level -= 1;
+  private count(kind: CallKind): void {
     const help = "Calls on the key-value service.";
     this.metrics.getCounter("gladewall_service_calls_total", help, { kind: kindNames[kind] }).add();
   }
 
-  private fill(): void {
-    const now = this.clock.getTime();
-    this.level = Math.min(
-      this.burst,
-      this.level + ((now - this.filledAt) * this.rate) / millisecondsPerSecond,
-    );
-    this.filledAt = now;
-  }
-
   private pump(): void {
     if (this.isPumping) return;
     this.isPumping = true;
-    const missing = Math.max(0, 1 - this.level);
-    this.clock.startTimer((missing / this.rate) * millisecondsPerSecond, () => {
+    this.clock.startTimer(Math.max(leastPause, this.bucket.getWait(1) ?? leastPause), () => {
       this.isPumping = false;
-      this.fill();
-      while (this.level >= 1) {
-        const next = this.waiting.shift();
-        if (!next) return;
-        this.spend(next.kind);
-        next.settle(true);
-      }
-      if (this.waiting.length > 0) this.pump();
+      this.serveWaiting();
     });
   }
+
+  private serveWaiting(): void {
+    while (this.waiting.length > 0 && this.bucket.tryTake(1)) {
+      const next = this.waiting.shift();
+      if (!next) return;
+      this.count(next.kind);
+      next.settle(true);
+    }
+    if (this.waiting.length > 0) this.pump();
+  }
 }
 
 /** One kind of user's view of the service. */
--- a/packages/coordination/src/sharedLimits.ts
+++ b/packages/coordination/src/sharedLimits.ts
@@ -141,7 +141,7 @@
 
   /**
    * A share in proportion to demand, as far as it is free. What nobody wants is spread over all live entries, not over
-   * those that have asked: whoever asks next must find something.
+   * those that have asked, and one part is kept back: whoever asks next, or joins, must find something.
    */
   private getGrant(
     ledger: Ledger,
@@ -157,7 +157,7 @@
     }
     const wanted = demand.wanted[dimension] ?? 0;
     const total = others + wanted;
-    const fair = total <= pool ? wanted + (pool - total) / liveCount : (pool * wanted) / total;
+    const fair = total <= pool ? wanted + (pool - total) / (liveCount + 1) : (pool * wanted) / total;
     const free = this.getFree(ledger, pool, dimension, borrower);
     return Math.max(0, Math.min(this.round(fair, dimension), free));
   }
--- a/packages/entry/src/backupStore.ts
+++ b/packages/entry/src/backupStore.ts
@@ -108,7 +108,7 @@
     // Its holder has not heard yet that this entry took it over.
     if (this.parts.requests.isHeld(envelope.id))
       return { isHeld: true, existing: undefined, existingBody: undefined };
-    const existing = message.isHome ? undefined : this.findKey(envelope);
+    const existing = message.isHome ? undefined : this.findKey(envelope.keyDigest);
     if (existing && existing.id !== envelope.id) {
       return { isHeld: false, existing: existing.id, existingBody: existing.bodyDigest };
     }
@@ -129,11 +129,14 @@
   }
 
   /** Finds the request of a key among this entry's own and the copies. */
-  private findKey(envelope: Envelope): Envelope | undefined {
-    const { keyDigest } = envelope;
+  findKey(keyDigest: string | undefined): Envelope | undefined {
+    if (keyDigest === undefined) return undefined;
+    return this.parts.requests.getByKey(keyDigest)?.envelope ?? this.findCopy(keyDigest);
+  }
+
+  /** Finds the request of a key among the copies alone. */
+  findCopy(keyDigest: string | undefined): Envelope | undefined {
     if (keyDigest === undefined) return undefined;
-    const own = this.parts.requests.getByKey(keyDigest);
-    if (own) return own.envelope;
     return this.copies.get(this.keys.get(keyDigest) ?? "")?.envelope;
   }
 
--- /dev/null
+++ b/packages/entry/src/keyLookup.ts
@@ -0,0 +1,78 @@
+/**
+ * Finds the request that a key was used for: here, at the key's home, or in the claim ledger. Asked where a request
+ * with a key would be refused: "not run" must be true of the key, not only of its latest sending.
+ * @module
+ */
+import { InstanceRole, type LiveView, type PeerLinks } from "@gladewall/coordination";
+import { Failure, FailureCode, sortByRendezvous } from "@gladewall/kernel";
+import { RepeatRule } from "@gladewall/policy";
+import { Err, Ok, type Result } from "ts-results-es";
+import type { BackupStore } from "./backupStore.js";
+import type { KeyConflict } from "./backupWriter.js";
+import type { Claims } from "./claims.js";
+import { type FindKeyMessage, type FindKeyReply, PeerKind } from "./peerKinds.js";
+import type { Envelope } from "./types.js";
+
+/** Looks keys up. */
+export class KeyLookup {
+  private constructor(
+    private readonly own: string,
+    private readonly links: PeerLinks,
+    private readonly view: LiveView,
+    private readonly copies: BackupStore,
+    private readonly claims: Claims,
+    private readonly timeout: number,
+  ) {
+    links.setHandler(PeerKind.FindKey, (message) => this.handleFind(message as FindKeyMessage));
+  }
+
+  /** `timeout`: milliseconds for the home's answer. */
+  static create(
+    own: string,
+    links: PeerLinks,
+    view: LiveView,
+    copies: BackupStore,
+    claims: Claims,
+    timeout: number,
+  ): KeyLookup {
+    return new KeyLookup(own, links, view, copies, claims, timeout);
+  }
+
+  /** Returns the request of a key that this entry holds or has a copy of. */
+  findHere(keyDigest: string | undefined): KeyConflict | undefined {
+    const found = this.copies.findKey(keyDigest);
+    return found && { request: found.id, body: found.bodyDigest };
+  }
+
+  /** Returns the request of a key that this entry has a copy of. */
+  findCopied(keyDigest: string | undefined): KeyConflict | undefined {
+    const found = this.copies.findCopy(keyDigest);
+    return found && { request: found.id, body: found.bodyDigest };
+  }
+
+  /** Returns the request of a key wherever it is; fails where that cannot be known. */
+  async find(envelope: Envelope): Promise<Result<KeyConflict | undefined, Failure>> {
+    const { keyDigest } = envelope;
+    if (keyDigest === undefined) return Ok(undefined);
+    const here = this.findHere(keyDigest);
+    if (here) return Ok(here);
+    const atHome = await this.askHome(keyDigest);
+    if (atHome.isErr() || atHome.value || envelope.repeat === RepeatRule.Allowed) return atHome;
+    const claim = await this.claims.find(keyDigest);
+    return claim.map((standing) => standing && { request: standing.request, body: standing.body });
+  }
+
+  private async askHome(keyDigest: string): Promise<Result<KeyConflict | undefined, Failure>> {
+    const names = this.view.getLive(InstanceRole.Entry).map((record) => record.id);
+    const home = sortByRendezvous(keyDigest, names, (name) => name)[0];
+    if (home === undefined || home === this.own) return Ok(undefined);
+    const message: FindKeyMessage = { kind: PeerKind.FindKey, keyDigest };
+    const answer = await this.links.call(home, message, this.timeout);
+    if (answer.isErr()) return Err(Failure.create(FailureCode.PeerUnreachable, { peer: home }));
+    return Ok((answer.value as FindKeyReply).found);
+  }
+
+  private handleFind(message: FindKeyMessage): FindKeyReply {
+    return { found: this.findHere(message.keyDigest) };
+  }
+}
--- a/packages/entry/src/peerKinds.ts
+++ b/packages/entry/src/peerKinds.ts
@@ -22,6 +22,7 @@
   NeverStart = 26,
   Cancel = 27,
   Drop = 28,
+  FindKey = 29,
 }
 
 /** Fields of a ping: the configuration's version, and how long ago its sender knew it to be current. */
@@ -134,6 +135,17 @@
   readonly request: string;
 }
 
+/** Asks the home of a key for the request that the key was used for. */
+export interface FindKeyMessage extends PeerMessage {
+  readonly kind: PeerKind.FindKey;
+  readonly keyDigest: string;
+}
+
+/** Answer to `FindKey`. */
+export interface FindKeyReply {
+  readonly found: { readonly request: string; readonly body: string } | undefined;
+}
+
 /** Where a request is. */
 export enum HoldState {
   /** Not known here. */
--- a/packages/entry/src/routes.ts
+++ b/packages/entry/src/routes.ts
@@ -3,7 +3,7 @@
  * @module
  */
 import { ServiceKind } from "@gladewall/coordination";
-import { type Clock, Failure, FailureCode, outcomeNames } from "@gladewall/kernel";
+import { type Clock, Failure, FailureCode, Outcome, outcomeNames } from "@gladewall/kernel";
 import {
   DecisionRule,
   DecisionStage,
@@ -25,6 +25,7 @@
 import { createEnvelope, isModelService, parseModel, readMarks, type RequestMarks } from "./envelope.js";
 import type { Exchange, Route } from "./front.js";
 import { selectRequestHeaders } from "./headers.js";
+import type { KeyLookup } from "./keyLookup.js";
 import { sendProblem } from "./problem.js";
 import { readBody, type RequestBody } from "./requestBody.js";
 import { type ActiveRequest, type Requests, StopReason } from "./requests.js";
@@ -40,6 +41,7 @@
   readonly runner: Runner;
   readonly backups: BackupWriter;
   readonly fetcher: AnswerFetcher;
+  readonly keys: KeyLookup;
   readonly decisions: DecisionWriter;
   readonly metrics: EntryMetrics;
   /** Returns the table in force, or why this entry takes no request now. */
@@ -160,7 +162,7 @@
     const promptTokens = model?.promptTokens ?? 0;
     const work = promptTokens + (model?.outputTokens ?? 0);
     const admitted = admission.admit(row, { service: service.name, promptTokens, work });
-    if (admitted.isErr()) return this.refuse(exchange, admitted.error);
+    if (admitted.isErr()) return this.refuseUnlessKnown(exchange, envelope, admitted.error, isStream);
     metrics.admitted.add();
     const { version } = caller.table;
     const inputs = { row: envelope.row, version, priority: row.priority, tokens: promptTokens };
@@ -194,13 +196,35 @@
 
   /** Puts a copy at a backup, then runs the request, or follows the one that has the same key. */
   private async run(request: ActiveRequest, rest: AsyncIterable<Uint8Array> | undefined): Promise<void> {
-    const { backups, runner } = this.parts;
+    const { backups, runner, keys } = this.parts;
     // A body that is streamed through is held by nobody: there is nothing to copy.
-    const conflict = rest ? undefined : await backups.protect(request);
+    const conflict = rest
+      ? undefined
+      : (keys.findCopied(request.envelope.keyDigest) ?? (await backups.protect(request)));
     if (conflict) return runner.runAttached(request, conflict.request, conflict.body);
     await runner.run(request, { ...freshRun, rest });
   }
 
+  /**
+   * Refuses a request, but not one whose key was used before: that one gets the answer of the first, which costs
+   * nothing. Where it cannot be known whether the key was used, the outcome is not said to be "not run".
+   */
+  private async refuseUnlessKnown(
+    exchange: Exchange,
+    envelope: Envelope,
+    failure: Failure,
+    isStream: boolean,
+  ): Promise<Failure | undefined> {
+    const found = await this.parts.keys.find(envelope);
+    if (found.isErr()) return this.refuse(exchange, failure.withOutcome(Outcome.Unknown));
+    if (!found.value) return this.refuse(exchange, failure);
+    const { request: other, body } = found.value;
+    const request = this.parts.requests.add(envelope);
+    void this.parts.runner.runAttached(request, other, body).then(() => this.parts.requests.finish(request));
+    await this.answer(exchange, request, 0, isStream);
+    return undefined;
+  }
+
   /** A key used again at this entry gets the answer of the request that has it. */
   private async answerSame(
     exchange: Exchange,
--- a/packages/entry/src/serving.ts
+++ b/packages/entry/src/serving.ts
@@ -20,6 +20,7 @@
 import type { ExplainRing } from "./explainRing.js";
 import { Fleet } from "./fleet.js";
 import type { Route } from "./front.js";
+import { KeyLookup } from "./keyLookup.js";
 import { LeavingRuns } from "./leavingRuns.js";
 import type { Membership } from "./membership.js";
 import type { PlatformClients } from "./platform.js";
@@ -87,6 +88,7 @@
     const attempts = AttemptRunner.create({ ...base, entry: name, prefixes, backups });
     this.ledger = this.createLedger();
     const claims = Claims.create(name, this.ledger, links, view, settings.claims.peer_timeout);
+    const keys = KeyLookup.create(name, links, view, this.copies, claims, settings.backups.ack_timeout);
     const gate = ClaimGate.create(createWriterName(name, parts.incarnation), claims, backups, decisions);
     const budget = RetryBudget.create(settings.requests.retry_fraction);
     const runner = Runner.create({ ...base, budget, attempts, gate, backups, fetcher });
@@ -104,6 +106,7 @@
       runner,
       backups,
       fetcher,
+      keys,
       getTable,
       getAnyTable,
     }).routes;
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -9,5 +9,6 @@
 export * from "./logs.js";
 export * from "./metrics.js";
 export * from "./registry.js";
+export * from "./tokenBucket.js";
 export * from "./settings.js";
 export * from "./settingsSchema.js";
--- /dev/null
+++ b/packages/operator/src/bench/claimsBench.ts
@@ -0,0 +1,102 @@
+/**
+ * `npm run bench -- claims`: writes a second on the key-value service against claims a second. All claims come to one
+ * ledger, as the usual writer of a shard gets everybody's.
+ * @module
+ */
+import { type Claim, ClaimLedger } from "@gladewall/coordination";
+import { createPlatformClients } from "@gladewall/entry";
+import { Latency, SystemClock } from "@gladewall/kernel";
+import { KeyValueStandin } from "@gladewall/standins";
+
+/** One measured rate. */
+export interface ClaimsPoint {
+  readonly claimsPerSecond: number;
+  readonly claims: number;
+  readonly won: number;
+  readonly writesPerSecond: number;
+  readonly medianMs: number;
+  readonly p99Ms: number;
+}
+
+const rates = [1, 10, 100, 1_000];
+const millisecondsPerSecond = 1000;
+const tick = 10;
+
+/** Runs the bench, `window` milliseconds a rate. */
+export async function runClaimsBench(window: number, print: (line: string) => void): Promise<unknown> {
+  const points: ClaimsPoint[] = [];
+  for (const rate of rates) {
+    const point = await measureRate(rate, window);
+    points.push(point);
+    print(
+      `${rate} claims/s: ${point.won} of ${point.claims} won, ${point.writesPerSecond.toFixed(1)} writes/s, ` +
+        `median ${point.medianMs.toFixed(1)} ms, 99th ${point.p99Ms.toFixed(1)} ms`,
+    );
+  }
+  return { command: "npm run bench -- claims", window, points };
+}
+
+async function measureRate(rate: number, window: number): Promise<ClaimsPoint> {
+  const standin = await KeyValueStandin.create();
+  const { address } = standin;
+  const clients = createPlatformClients({
+    key_value: "http-kv",
+    key_value_address: address,
+    instance_list: "http-list",
+    instance_list_address: address,
+    notices: "http-notices",
+    notices_address: address,
+    timeout: 2_000,
+    list_interval: 1_000,
+    prefix: "gladewall/",
+    calls_per_second: 1_000,
+  }).expect("the plug-ins are known");
+  const ledger = ClaimLedger.create({
+    service: clients.keyValue,
+    clock: SystemClock.create(),
+    prefix: "claims/",
+    shards: 8,
+    interval: 100,
+    patience: 2_000,
+    retention: 3_600_000,
+    headBytes: 131_072,
+  });
+  const latency = new Latency();
+  let won = 0;
+  const claim = async (number: number): Promise<void> => {
+    const started = performance.now();
+    const outcome = await ledger.claim(createClaim(number));
+    latency.record(performance.now() - started);
+    if (outcome.isOk() && outcome.value.isWon) won += 1;
+  };
+  const running: Promise<void>[] = [];
+  const started = performance.now();
+  const due = (): number => ((performance.now() - started) / millisecondsPerSecond) * rate;
+  while (performance.now() - started < window) {
+    while (running.length < due()) running.push(claim(running.length));
+    await new Promise((resolve) => setTimeout(resolve, tick));
+  }
+  await Promise.all(running);
+  const seconds = (performance.now() - started) / millisecondsPerSecond;
+  const writesPerSecond = standin.calls.writes / seconds;
+  await Promise.all([
+    clients.keyValue.close(),
+    clients.list.close(),
+    clients.notices.close(),
+    standin.close(),
+  ]);
+  const [medianMs, p99Ms] = [latency.getQuantile(0.5), latency.getQuantile(0.99)];
+  return { claimsPerSecond: rate, claims: running.length, won, writesPerSecond, medianMs, p99Ms };
+}
+
+function createClaim(number: number): Claim {
+  const key = `key-${number}`;
+  return {
+    key,
+    request: `request-${number}`,
+    writer: "entry-1#1",
+    body: "b",
+    endpoint: "runner-1",
+    run: `run-${number}`,
+  };
+}
--- a/packages/operator/src/bench/main.ts
+++ b/packages/operator/src/bench/main.ts
@@ -5,13 +5,17 @@
 import { mkdirSync, writeFileSync } from "node:fs";
 import { fileURLToPath } from "node:url";
 import { runCapacityBench } from "./capacityBench.js";
+import { runClaimsBench } from "./claimsBench.js";
 
 type Bench = (print: (line: string) => void) => Promise<unknown>;
 
 const capacityWindow = 4_000;
 const resultsFolder = fileURLToPath(new URL("../../../../../docs/results/", import.meta.url));
 
+const claimsWindow = 4_000;
+
 const benches: Readonly<Record<string, Bench>> = {
+  claims: (print) => runClaimsBench(claimsWindow, print),
   capacity: (print) => runCapacityBench(capacityWindow, print),
 };
 
--- a/packages/operator/test/promises.test.ts
+++ b/packages/operator/test/promises.test.ts
@@ -1,5 +1,6 @@
 import t, { type Test } from "tap";
 import { FailureCode, Logger, LogLevel, Outcome } from "@gladewall/kernel";
+import type { Configuration } from "@gladewall/policy";
 import { EngineFault, KeyValueFault, quickEngine, WebFault } from "@gladewall/standins";
 import {
   type Ask,
@@ -25,16 +26,20 @@
   "entry.notice_lead=300",
 ];
 
-async function createFleet(
-  t: Test,
-  changes: { entries?: number; overrides?: string[]; runners?: number } = {},
-) {
+interface FleetChanges {
+  readonly entries?: number;
+  readonly overrides?: string[];
+  readonly runners?: number;
+  readonly configuration?: Configuration;
+}
+
+async function createFleet(t: Test, changes: FleetChanges = {}) {
   const fleet = await LocalFleet.create({
     entries: changes.entries ?? 3,
     runners: changes.runners ?? 4,
     webEndpoints: 2,
     halls: ["zogno", "piazza", "lenna", "bergamo"],
-    configuration: sampleConfiguration,
+    configuration: changes.configuration ?? sampleConfiguration,
     engine: slowEngine,
     logger: process.env["SHOW_LOGS"] ? Logger.create(LogLevel.Info) : Logger.createSilent(),
     overrides: [...quickLosses, ...(changes.overrides ?? [])],
@@ -283,3 +288,25 @@
     check(t, fleet, [told, half]);
   },
 );
+
+t.test("a key that was used gets its answer even where a new request would be refused", async (t) => {
+  const rows = sampleConfiguration.rows.map((row) => ({ ...row, requestsPerSecond: 0.3 }));
+  const { fleet } = await createFleet(t, { configuration: { ...sampleConfiguration, rows } });
+  const book = (body: string, key: string, entry: number) =>
+    fleet.post("/s/booking/bookings", body, { "idempotency-key": key }, entry);
+  t.equal((await book("first", "key-1", 0)).status, 201);
+  t.equal((await book("second", "key-2", 1)).status, 201);
+  const again = await book("first", "key-1", 1);
+  t.equal(again.status, 201);
+  t.match(again.body, { body: "first" });
+  const refused = await book("third", "key-3", 1);
+  t.equal(refused.status, 429);
+  t.match(refused.body, { outcome: "not-run" });
+  t.same(
+    fleet
+      .getRecords()
+      .calls.map(({ body }) => body)
+      .sort(),
+    ["first", "second"],
+  );
+});
