Split addresses and listen in one place, and drop dead code

Cause: reading the whole change again. Splitting host:port and listening stood twice (entry and peer links, where brackets of IPv6 were not taken off); the parts of serving repeated those of membership; formatFailures and PrefixIndex.removeFrom were called by nobody, and a comment promised cache events that nothing reads. Change: listen.ts moves into the kernel and serves both; ServingParts extends MembershipParts; the dead code and the promise go.

--- a/packages/coordination/src/peerLinks.ts
+++ b/packages/coordination/src/peerLinks.ts
@@ -5,14 +5,16 @@
  * @module
  */
 import { connect, createServer, type Server, type Socket } from "node:net";
-import type { AddressInfo } from "node:net";
 import {
   type Closeable,
   Failure,
   FailureCode,
+  getListenAddress,
   hashText,
+  listen,
   type Logger,
   mixHashes,
+  parseAddress,
   waitFor,
 } from "@gladewall/kernel";
 import { Err, type Result } from "ts-results-es";
@@ -84,16 +86,9 @@
 
   /** Starts to listen and to ping; returns `host:port`. */
   async open(): Promise<string> {
-    const colon = this.options.listen.lastIndexOf(":");
-    const host = this.options.listen.slice(0, colon);
-    const port = Number(this.options.listen.slice(colon + 1));
-    await new Promise<void>((resolve, reject) => {
-      this.server.once("error", reject);
-      this.server.listen(port, host, resolve);
-    });
+    await listen(this.server, this.options.listen);
     this.pingTask = this.ping();
-    const address = this.server.address() as AddressInfo;
-    return `${address.address}:${address.port}`;
+    return getListenAddress(this.server);
   }
 
   /** Sets what a kind of message does. */
@@ -226,8 +221,8 @@
 
   /** Opens a connection and serves it to its end; false where it did not come about. */
   private async dial(address: PeerAddress): Promise<boolean> {
-    const colon = address.address.lastIndexOf(":");
-    const socket = connect(Number(address.address.slice(colon + 1)), address.address.slice(0, colon));
+    const { host, port } = parseAddress(address.address);
+    const socket = connect(port, host);
     this.track(socket);
     const isConnected = await new Promise<boolean>((resolve) => {
       socket.once("connect", () => resolve(true));
--- a/packages/entry/src/front.ts
+++ b/packages/entry/src/front.ts
@@ -3,10 +3,16 @@
  * @module
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import { type Closeable, Failure, FailureCode, type Logger } from "@gladewall/kernel";
+import {
+  type Closeable,
+  Failure,
+  FailureCode,
+  getListenAddress,
+  listen,
+  type Logger,
+} from "@gladewall/kernel";
 import type { EntrySettings } from "./entrySettings.js";
 import { checkHeaders } from "./headers.js";
-import { getListenAddress, listen } from "./listen.js";
 import { sendProblem } from "./problem.js";
 
 /** One caller's request on its way through the front. */
--- a/packages/entry/src/operatorPort.ts
+++ b/packages/entry/src/operatorPort.ts
@@ -4,12 +4,11 @@
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { timingSafeEqual } from "node:crypto";
-import { type Closeable, Failure, FailureCode } from "@gladewall/kernel";
+import { type Closeable, Failure, FailureCode, getListenAddress, listen } from "@gladewall/kernel";
 import { formatExplanation, getKeyHash } from "@gladewall/policy";
 import type { EntryMetrics } from "./entryMetrics.js";
 import type { EntrySettings } from "./entrySettings.js";
 import type { ExplainRing } from "./explainRing.js";
-import { getListenAddress, listen } from "./listen.js";
 import { sendProblem } from "./problem.js";
 
 /** What the port shows. */
--- a/packages/entry/src/serving.ts
+++ b/packages/entry/src/serving.ts
@@ -2,8 +2,8 @@
  * What an entry serves with: from the queues to the runs, with backups, claims, shares and held answers.
  * @module
  */
-import { CallKind, ClaimLedger, isUsable, type ServiceBudget } from "@gladewall/coordination";
-import type { Clock, Closeable, Failure, Logger } from "@gladewall/kernel";
+import { CallKind, ClaimLedger, isUsable } from "@gladewall/coordination";
+import type { Closeable, Failure } from "@gladewall/kernel";
 import { type PlacementOptions, PrefixIndex, RepeatRule, RetryBudget, type Table } from "@gladewall/policy";
 import type { Result } from "ts-results-es";
 import { AdmissionControl } from "./admission.js";
@@ -16,28 +16,19 @@
 import { DecisionWriter } from "./decisions.js";
 import { Dispatcher } from "./dispatcher.js";
 import type { EntryMetrics } from "./entryMetrics.js";
-import type { EntrySettings } from "./entrySettings.js";
 import type { ExplainRing } from "./explainRing.js";
 import { Fleet } from "./fleet.js";
 import type { Route } from "./front.js";
 import { KeyLookup } from "./keyLookup.js";
 import { LeavingRuns } from "./leavingRuns.js";
-import type { Membership } from "./membership.js";
-import type { PlatformClients } from "./platform.js";
+import type { Membership, MembershipParts } from "./membership.js";
 import { type ActiveRequest, Requests, StopReason } from "./requests.js";
 import { CallerRoutes } from "./routes.js";
 import { RowShares } from "./rowShares.js";
 import { Runner } from "./runner.js";
 
 /** What serving works with. */
-export interface ServingParts {
-  /** Returns the settings in force; some can be re-read. */
-  readonly getSettings: () => EntrySettings;
-  readonly incarnation: number;
-  readonly clock: Clock;
-  readonly logger: Logger;
-  readonly clients: PlatformClients;
-  readonly budget: ServiceBudget;
+export interface ServingParts extends MembershipParts {
   readonly membership: Membership;
   readonly metrics: EntryMetrics;
   readonly ring: ExplainRing;
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -6,6 +6,7 @@
 export * from "./failures.js";
 export * from "./clock.js";
 export * from "./hashing.js";
+export * from "./listen.js";
 export * from "./logs.js";
 export * from "./metrics.js";
 export * from "./registry.js";
--- a/packages/operator/src/local/localFleet.ts
+++ b/packages/operator/src/local/localFleet.ts
@@ -11,7 +11,7 @@
   configurationKey,
   entrySchema,
 } from "@gladewall/entry";
-import { type Failure, type Logger, parseSettings } from "@gladewall/kernel";
+import { type Logger, parseSettings } from "@gladewall/kernel";
 import { type Configuration, getKeyHash } from "@gladewall/policy";
 import { request } from "undici";
 import { sampleKeys } from "./sampleTable.js";
@@ -303,8 +303,3 @@
     return lines.join("\n");
   }
 }
-
-/** Returns failures as lines, for people. */
-export function formatFailures(failures: readonly Failure[]): string {
-  return failures.map((failure) => `${failure.code} ${failure.text}`).join("\n");
-}
--- a/packages/policy/src/prefixes.ts
+++ b/packages/policy/src/prefixes.ts
@@ -1,7 +1,6 @@
 /**
  * Which endpoints probably hold which prompt prefix. Every entry sends a prefix it has never seen to the same few
- * endpoints by rendezvous hashing, and remembers where its own requests went; cache events only add to that, and an
- * observed miss removes.
+ * endpoints by rendezvous hashing, and remembers where its own requests went.
  * @module
  */
 import { mixHashes } from "@gladewall/kernel";
@@ -37,14 +36,6 @@
     }
   }
 
-  /** Forgets blocks that an endpoint was found not to hold, from the first missing one on. */
-  removeFrom(blocks: readonly number[], firstMissing: number, endpoint: string): void {
-    for (const block of blocks.slice(firstMissing)) {
-      const endpoints = this.blocks.get(block)?.filter((other) => other !== endpoint);
-      if (endpoints) this.blocks.set(block, endpoints);
-    }
-  }
-
   /** Returns, by endpoint, how many leading blocks it is believed to hold. */
   getHeld(blocks: readonly number[]): Map<string, number> {
     const held = new Map<string, number>();
