--- /dev/null
+++ b/deploy/gladewalld.ts
@@ -0,0 +1,8 @@
+/**
+ * The daemon as it runs on the operators' platform: the gateway with the platform's plug-in.
+ * @module
+ */
+import "@gladewall/platform";
+import { runGatewayDaemon } from "@gladewall/gateway";
+
+await runGatewayDaemon(process.argv.slice(2));
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,7 +2,7 @@
 import tseslint from "typescript-eslint";
 
 export default tseslint.config(
-  { ignores: ["**/dist/**", "node_modules/**", ".tap/**", "tap-snapshots/**"] },
+  { ignores: ["**/dist/**", "target/**", "journal/**", "node_modules/**", ".tap/**", "tap-snapshots/**"] },
   js.configs.recommended,
   ...tseslint.configs.recommendedTypeChecked,
   {
--- a/packages/coordination/src/leaseHolder.ts
+++ b/packages/coordination/src/leaseHolder.ts
@@ -8,11 +8,11 @@
  */
 import { type Clock, type Closeable, Failure, FailureCode, type Logger, waitFor } from "@gladewall/kernel";
 import { Err, Ok, type Result } from "ts-results-es";
-import type { GrantedLease, KeyValueService } from "./types.js";
+import type { GrantedLease, LeaseService } from "./types.js";
 
 /** Options of a holder. */
 export interface LeaseOptions {
-  readonly service: KeyValueService;
+  readonly service: LeaseService;
   readonly clock: Clock;
   readonly logger: Logger;
   readonly name: string;
@@ -23,12 +23,16 @@
   readonly margin: number;
   /** Returns a number from 0 to 1, for jitter. */
   readonly getRandom: () => number;
+  /** Tells whether asking for the lease makes sense now; where it is left out, it always does. */
+  readonly shouldAcquire?: () => boolean;
 }
 
 interface HeldLease {
   readonly granted: GrantedLease;
   /** Monotonic time until which acting is safe. */
   readonly validUntil: number;
+  /** Monotonic time at which it was granted. */
+  readonly since: number;
 }
 
 const renewalsPerTtl = 3;
@@ -62,6 +66,17 @@
     return Ok(this.held.granted.fence);
   }
 
+  /** Milliseconds that the lease has been held for; 0 where it is not. */
+  getTenure(): number {
+    return this.held ? this.options.clock.getTime() - this.held.since : 0;
+  }
+
+  /** Stops without giving the lease back: it runs out by itself. */
+  abandon(): void {
+    this.stop.abort();
+    this.held = undefined;
+  }
+
   /** Gives the lease back. */
   async close(): Promise<void> {
     this.stop.abort();
@@ -83,7 +98,8 @@
   }
 
   private async acquire(): Promise<void> {
-    const { service, clock, name, holder, ttl, logger } = this.options;
+    const { service, clock, name, holder, ttl, logger, shouldAcquire } = this.options;
+    if (shouldAcquire && !shouldAcquire()) return;
     const sentAt = clock.getTime();
     const granted = await service.acquireLease(name, holder, ttl);
     if (granted.isErr() || !granted.value) return;
@@ -103,6 +119,8 @@
   }
 
   private setHeld(granted: GrantedLease, sentAt: number): void {
-    this.held = { granted, validUntil: sentAt + this.options.ttl - this.options.margin };
+    const { clock, ttl, margin } = this.options;
+    const since = this.held?.granted.fence === granted.fence ? this.held.since : clock.getTime();
+    this.held = { granted, validUntil: sentAt + ttl - margin, since };
   }
 }
--- a/packages/coordination/src/types.ts
+++ b/packages/coordination/src/types.ts
@@ -20,13 +20,23 @@
   readonly fence: number;
 }
 
+/** Leases on names, as a store gives them. Failures as for `KeyValueService`. */
+export interface LeaseService {
+  /** Takes the lease on a name for `ttl` milliseconds; undefined where another holds it. */
+  acquireLease(name: string, holder: string, ttl: number): Promise<Result<GrantedLease | undefined, Failure>>;
+  /** Renews a lease; fails with `LeaseLost` where it has lapsed. */
+  renewLease(session: string): Promise<Result<void, Failure>>;
+  /** Gives a lease back. */
+  releaseLease(session: string): Promise<Result<void, Failure>>;
+}
+
 /**
  * The platform's key-value service. Every method is one call on its budget, a waiting watch too.
  *
  * Failures: `ServiceUnavailable` where the call cannot have taken effect, `ServiceAnswerLost` where it may have,
  * `ServiceConflict` where the expected revision was not the present one.
  */
-export interface KeyValueService {
+export interface KeyValueService extends LeaseService {
   /** Reads a key; undefined where it does not exist. */
   read(key: string): Promise<Result<StoredValue | undefined, Failure>>;
   /** Writes a key if its revision is still `expected` (0: it does not exist); returns the new revision. */
@@ -38,12 +48,6 @@
     wait: number,
     signal: AbortSignal,
   ): Promise<Result<StoredValue | undefined, Failure>>;
-  /** Takes the lease on a name for `ttl` milliseconds; undefined where another holds it. */
-  acquireLease(name: string, holder: string, ttl: number): Promise<Result<GrantedLease | undefined, Failure>>;
-  /** Renews a lease; fails with `LeaseLost` where it has lapsed. */
-  renewLease(session: string): Promise<Result<void, Failure>>;
-  /** Gives a lease back. */
-  releaseLease(session: string): Promise<Result<void, Failure>>;
   /** Closes connections. */
   close(): Promise<void>;
 }
--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -12,8 +12,8 @@
   logLevelNames,
   readSettings,
 } from "@gladewall/kernel";
+import { type DaemonArguments, ExitCode, parseArguments } from "@gladewall/kernel/commandLine";
 import type { Result } from "ts-results-es";
-import { type DaemonArguments, ExitCode, parseArguments } from "./commandLine.js";
 import { entrySchema, type EntrySettings, formatSettingsPage } from "./entrySettings.js";
 import { Entry } from "./index.js";
 
--- /dev/null
+++ b/packages/gateway/src/answerBody.ts
@@ -0,0 +1,31 @@
+/**
+ * Reads the body of a backend's answer as a whole.
+ * @module
+ */
+import type { IncomingMessage } from "node:http";
+
+/** A body and whether all of it came. */
+export interface BodyEnd {
+  readonly bytes: Buffer;
+  readonly isComplete: boolean;
+}
+
+/**
+ * Whether an answer that has ended is all of it. One without length ends with its connection, and Node takes a reset
+ * for such an end as well; only an orderly end of the other side counts.
+ */
+export function isWholeAnswer({ complete, headers, socket }: IncomingMessage): boolean {
+  const isFramed = headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
+  return complete && (isFramed || (socket.readableEnded && !socket.errored));
+}
+
+/** Resolves when the body has ended, whole or cut. */
+export function readWholeBody(message: IncomingMessage): Promise<BodyEnd> {
+  return new Promise((resolve) => {
+    const parts: Buffer[] = [];
+    message.on("data", (part: Buffer) => parts.push(part));
+    message.on("end", () => resolve({ bytes: Buffer.concat(parts), isComplete: isWholeAnswer(message) }));
+    // After "end" this changes nothing; a promise settles once.
+    message.on("close", () => resolve({ bytes: Buffer.concat(parts), isComplete: false }));
+  });
+}
--- /dev/null
+++ b/packages/gateway/src/attempt.ts
@@ -0,0 +1,135 @@
+/**
+ * One sending of a request to one backend, up to the head of its answer.
+ *
+ * What may have run is told apart by one fact: whether the connection was up. Before that no byte can have left.
+ * @module
+ */
+import { type ClientRequest, type IncomingMessage, request } from "node:http";
+import type { BackendEndpoint } from "./backendConnections.js";
+import { AnswerWord, type BackendLoad, type BackendProtocol } from "./types.js";
+
+/** How a sending ended. */
+export enum AttemptEnd {
+  /** No byte was sent. */
+  NotSent = 1,
+  /** The backend says that it did not run the request. */
+  NotRun = 2,
+  /** Another backend has the address; nothing ran. */
+  WrongBackend = 3,
+  /** It was sent and no usable answer came: it may have run. */
+  Lost = 4,
+  /** An answer's head came. */
+  Answered = 5,
+}
+
+/** What came of a sending; `response` is set where it was answered. */
+export interface AttemptResult {
+  readonly end: AttemptEnd;
+  readonly detail: string;
+  readonly load: BackendLoad | undefined;
+  readonly response: IncomingMessage | undefined;
+}
+
+/** What is sent. */
+export interface AttemptOptions {
+  readonly endpoint: BackendEndpoint;
+  readonly protocol: BackendProtocol;
+  readonly requestId: string;
+  readonly method: string;
+  readonly target: string;
+  /** Name, value, name, value, … */
+  readonly headers: readonly string[];
+  readonly body: Buffer;
+  readonly connectTimeoutMs: number;
+}
+
+const endsByWord: Readonly<Record<AnswerWord, AttemptEnd>> = {
+  [AnswerWord.Ran]: AttemptEnd.Answered,
+  [AnswerWord.NotRun]: AttemptEnd.NotRun,
+  [AnswerWord.WrongBackend]: AttemptEnd.WrongBackend,
+  [AnswerWord.Foreign]: AttemptEnd.Lost,
+};
+
+/** A sending under way. */
+export class Attempt {
+  /** Resolves with the answer's head, or when there will be none. Never rejects. */
+  readonly result: Promise<AttemptResult>;
+  private readonly sent: ClientRequest;
+  private isConnected = false;
+  private settle: (result: AttemptResult) => void = () => undefined;
+
+  private constructor(private readonly options: AttemptOptions) {
+    this.result = new Promise((resolve) => (this.settle = resolve));
+    this.sent = this.send();
+  }
+
+  static create(options: AttemptOptions): Attempt {
+    return new Attempt(options);
+  }
+
+  /** Whether bytes may have left. */
+  get mayHaveRun(): boolean {
+    return this.isConnected;
+  }
+
+  /** Gives up: closes the connection, so that the backend drops the request. */
+  abort(detail: string): void {
+    this.sent.destroy(new Error(detail));
+  }
+
+  private send(): ClientRequest {
+    const { endpoint, method, target, headers, body } = this.options;
+    const { host, port, agent } = endpoint;
+    const sent = request({
+      host,
+      port,
+      agent,
+      method,
+      path: target,
+      headers: createSentHeaders(headers, method, body),
+      setHost: false,
+    });
+    sent.on("socket", (socket) => {
+      if (!socket.connecting) {
+        this.isConnected = true;
+        return;
+      }
+      const timer = setTimeout(() => this.abort("connect timeout"), this.options.connectTimeoutMs);
+      socket.once("connect", () => (this.isConnected = true));
+      socket.once("connect", () => clearTimeout(timer));
+      socket.once("close", () => clearTimeout(timer));
+    });
+    sent.on("error", (error) => this.fail(error.message));
+    sent.on("close", () => this.fail("closed"));
+    sent.on("response", (response) => this.takeResponse(response));
+    sent.end(body.length > 0 ? body : undefined);
+    return sent;
+  }
+
+  private fail(detail: string): void {
+    const end = this.isConnected ? AttemptEnd.Lost : AttemptEnd.NotSent;
+    this.settle({ end, detail, load: undefined, response: undefined });
+  }
+
+  private takeResponse(response: IncomingMessage): void {
+    const { protocol, requestId } = this.options;
+    const status = response.statusCode ?? 0;
+    const { word, load } = protocol.readAnswer(requestId, status, response.headers);
+    const end = endsByWord[word];
+    // Errors of the body are seen by whoever reads it; an event without a listener would end the process.
+    response.on("error", () => undefined);
+    if (end === AttemptEnd.Answered) {
+      this.settle({ end, detail: `status ${status}`, load, response });
+      return;
+    }
+    if (end === AttemptEnd.Lost) this.abort("foreign answer");
+    else response.resume();
+    this.settle({ end, detail: `status ${status}`, load, response: undefined });
+  }
+}
+
+function createSentHeaders(headers: readonly string[], method: string, body: Buffer): string[] {
+  const isBodyExpected = method !== "GET" && method !== "HEAD";
+  if (body.length === 0 && !isBodyExpected) return [...headers];
+  return [...headers, "Content-Length", String(body.length)];
+}
--- /dev/null
+++ b/packages/gateway/src/backend.ts
@@ -0,0 +1,92 @@
+/**
+ * One backend as this node knows it: its record, whether it takes work, and how it has answered lately.
+ * @module
+ */
+import type { BackendLoad, BackendRecord } from "./types.js";
+
+/** Whether a backend takes work. */
+export enum BackendState {
+  Ready = 1,
+  /** Its record vanished while the store was in trouble; it is used as long as it answers, for a short time. */
+  Unlisted = 2,
+  /** It says that it leaves, or is gone. */
+  Leaving = 3,
+}
+
+/** Work of other nodes at a backend. */
+export interface PeerWork {
+  readonly active: number;
+  readonly pendingTokens: number;
+}
+
+const failureWeight = 0.2;
+const latencyWeight = 0.2;
+const suspicionStepMs = 400;
+const longestSuspicionMs = 3_000;
+/** Share of failures below which a backend counts as sound. */
+const soundShare = 0.02;
+
+/** A backend and this node's own view of it. */
+export class Backend {
+  state = BackendState.Ready;
+  /** Requests of this node that it has and that have not ended. */
+  active = 0;
+  /** Prompt tokens of this node's requests that have not given a first event. */
+  pendingTokens = 0;
+  /** Load it last told. */
+  load: BackendLoad | undefined;
+  loadAt = -Infinity;
+  /** Share of late attempts that failed, 0 to 1. */
+  failureShare = 0;
+  /** Usual milliseconds of an answer; undefined before the first. */
+  latencyMs: number | undefined;
+  private suspectUntil = -Infinity;
+  private suspicions = 0;
+
+  private constructor(public record: BackendRecord) {}
+
+  static create(record: BackendRecord): Backend {
+    return new Backend(record);
+  }
+
+  get id(): string {
+    return this.record.id;
+  }
+
+  /** Whether new work may go there. */
+  isUsable(): boolean {
+    return this.state !== BackendState.Leaving;
+  }
+
+  /** Whether it could not be reached a moment ago. */
+  isSuspect(time: number): boolean {
+    return time < this.suspectUntil;
+  }
+
+  /** Takes note that it could not be reached. */
+  noteUnreachable(time: number): void {
+    this.suspicions += 1;
+    const length = Math.min(longestSuspicionMs, suspicionStepMs * 2 ** (this.suspicions - 1));
+    this.suspectUntil = time + length;
+    this.noteEnd(false);
+  }
+
+  /** Takes note of how an attempt ended; one that ends well clears all suspicion. */
+  noteEnd(isGood: boolean): void {
+    this.failureShare += ((isGood ? 0 : 1) - this.failureShare) * failureWeight;
+    if (this.failureShare < soundShare) this.failureShare = 0;
+    if (!isGood) return;
+    this.suspicions = 0;
+    this.suspectUntil = -Infinity;
+  }
+
+  noteLatency(milliseconds: number): void {
+    this.latencyMs ??= milliseconds;
+    this.latencyMs += (milliseconds - this.latencyMs) * latencyWeight;
+  }
+
+  noteLoad(load: BackendLoad, time: number): void {
+    this.load = load;
+    this.loadAt = time;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/capacityOrders.ts
@@ -0,0 +1,117 @@
+/**
+ * Gives the orders of the capacity plan: only what differs from the last order, backing off where a zone has none.
+ * @module
+ */
+import type { Clock, Logger } from "@gladewall/kernel";
+import type { Backend } from "./backend.js";
+import { planCapacity, type ZoneCount } from "./capacityPlan.js";
+import {
+  type CapacityOrder,
+  type OrderSender,
+  type OrderService,
+  OrderWord,
+  type ScalingLimits,
+  type Service,
+} from "./types.js";
+
+/** Options of the orders. */
+export interface CapacityOrdersOptions {
+  readonly orders: OrderService;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly getBackends: (service: string) => readonly Backend[];
+  /** Backends that the load ahead of a service needs. */
+  readonly getNeeded: (service: Service, zones: number) => number;
+}
+
+interface LastOrder {
+  readonly desired: number;
+  readonly at: number;
+}
+
+const refusedPauseMs = 1_500;
+/** A wanted number that is not there yet is ordered again after this long. */
+const repeatMs = 6_000;
+/** How long reclaimable backends count as scarce after a refusal. */
+const scarceMs = 4_000;
+
+/** Keeps the numbers of backends as planned. */
+export class CapacityOrders {
+  private readonly last = new Map<string, LastOrder>();
+  private readonly refusedAt = new Map<string, number>();
+  private scarceUntil = -Infinity;
+
+  private constructor(private readonly options: CapacityOrdersOptions) {}
+
+  static create(options: CapacityOrdersOptions): CapacityOrders {
+    return new CapacityOrders(options);
+  }
+
+  /** Forgets what was ordered; for a new holder, who cannot know what others ordered meanwhile. */
+  reset(): void {
+    this.last.clear();
+    this.refusedAt.clear();
+  }
+
+  /** Gives the orders of one service that are due. */
+  async step(service: Service, getSender: () => OrderSender | undefined): Promise<void> {
+    const { scaling } = service;
+    if (!scaling) return;
+    const zones = this.countZones(service.name, scaling);
+    const plan = planCapacity({
+      service: service.name,
+      limits: scaling,
+      zones,
+      needed: this.options.getNeeded(service, zones.length),
+      isReclaimableScarce: this.options.clock.getTime() < this.scarceUntil,
+    });
+    for (const order of plan) {
+      if (!this.isDue(order, zones)) continue;
+      const sender = getSender();
+      if (!sender) return;
+      await this.give(order, sender);
+    }
+  }
+
+  private countZones(service: string, { zonePrices }: ScalingLimits): readonly ZoneCount[] {
+    const time = this.options.clock.getTime();
+    const backends = this.options.getBackends(service).filter((backend) => backend.isUsable());
+    const names = new Set([...zonePrices.keys(), ...backends.map((backend) => backend.record.zone)]);
+    return [...names].map((zone) => {
+      const here = backends.filter((backend) => backend.record.zone === zone);
+      const reclaimable = here.filter((backend) => backend.record.isReclaimable).length;
+      const isReclaimableRefused = time - (this.refusedAt.get(zone) ?? -Infinity) < refusedPauseMs;
+      return { zone, reclaimable, onDemand: here.length - reclaimable, isReclaimableRefused };
+    });
+  }
+
+  private isDue(order: CapacityOrder, zones: readonly ZoneCount[]): boolean {
+    const count = zones.find(({ zone }) => zone === order.zone);
+    if (!count || (order.isReclaimable && count.isReclaimableRefused)) return false;
+    const present = order.isReclaimable ? count.reclaimable : count.onDemand;
+    const last = this.last.get(getKey(order));
+    if (!last) return order.desired !== present;
+    if (last.desired !== order.desired) return true;
+    return present !== order.desired && this.options.clock.getTime() - last.at > repeatMs;
+  }
+
+  private async give(order: CapacityOrder, sender: OrderSender): Promise<void> {
+    const { orders, clock, logger } = this.options;
+    const at = clock.getTime();
+    const taken = await orders.orderCapacity(order, sender);
+    const outcome = taken.isErr() ? taken.error.name : OrderWord[taken.value];
+    const { service, zone, desired, isReclaimable } = order;
+    logger.info("capacity.ordered", { service, zone, desired, isReclaimable, fence: sender.fence, outcome });
+    if (taken.isErr()) return;
+    if (taken.value === OrderWord.Taken) {
+      this.last.set(getKey(order), { desired, at });
+      return;
+    }
+    this.refusedAt.set(zone, at);
+    this.scarceUntil = at + scarceMs;
+  }
+}
+
+function getKey({ service, zone, isReclaimable }: CapacityOrder): string {
+  return `${service}/${zone}/${isReclaimable}`;
+}
--- /dev/null
+++ b/packages/gateway/src/daemon.ts
@@ -0,0 +1,96 @@
+/**
+ * The daemon of a gateway node. SIGTERM and SIGINT are a planned stop, SIGHUP re-reads the settings; the file is also
+ * looked at from time to time, as it may change without a signal.
+ * @module
+ */
+import { statSync } from "node:fs";
+import {
+  type Failure,
+  formatReference,
+  formatSettings,
+  Logger,
+  LogLevel,
+  logLevelNames,
+  readSettings,
+} from "@gladewall/kernel";
+import type { DaemonArguments } from "@gladewall/kernel/commandLine";
+import type { Result } from "ts-results-es";
+import { Gateway } from "./gateway.js";
+import { gatewaySchema, type GatewaySettings } from "./gatewaySettings.js";
+
+/** Environment variable that names the settings file. */
+const fileVariable = "GLADEWALL_CONFIG";
+const badSettings = 2;
+const filePollMs = 2_000;
+
+/** Runs one node until it is told to stop. */
+export async function runGatewayDaemon(words: readonly string[]): Promise<void> {
+  const options = await readArguments(words);
+  if (options.reference) {
+    process.stdout.write(formatReference(gatewaySchema));
+    return;
+  }
+  const settings = readDaemonSettings(options);
+  if (settings.isErr()) return exitWith(settings.error);
+  const logger = Logger.create(getLogLevel(settings.value)).with({ node: settings.value.node.name });
+  const gateway = Gateway.create(settings.value, logger);
+  if (gateway.isErr()) return exitWith([gateway.error]);
+  if (options.print) process.stdout.write(formatSettings(gatewaySchema, settings.value));
+  if (options.check || options.print) return;
+  handleSignals(gateway.value, logger, options);
+  await gateway.value.start();
+}
+
+async function readArguments(words: readonly string[]): Promise<DaemonArguments> {
+  const named = process.env[fileVariable];
+  if (words.length === 0 && named !== undefined) {
+    return { settings: named, check: false, print: false, reference: false, set: [] };
+  }
+  const { parseArguments } = await import("@gladewall/kernel/commandLine");
+  return parseArguments(words, named);
+}
+
+function readDaemonSettings(options: DaemonArguments): Result<GatewaySettings, Failure[]> {
+  return readSettings(gatewaySchema, {
+    file: options.settings,
+    environment: process.env,
+    overrides: options.set,
+  });
+}
+
+function getLogLevel(settings: GatewaySettings): LogLevel {
+  const found = Object.entries(logLevelNames).find(([, name]) => name === settings.logs.level);
+  return found ? Number(found[0]) : LogLevel.Info;
+}
+
+function exitWith(failures: readonly Failure[]): void {
+  for (const failure of failures) process.stderr.write(`gladewalld: ${failure.code} ${failure.text}\n`);
+  process.exitCode = badSettings;
+}
+
+function handleSignals(gateway: Gateway, logger: Logger, options: DaemonArguments): void {
+  const stop = (): void => void gateway.leave().then(() => process.exit(0));
+  process.on("SIGTERM", stop);
+  process.on("SIGINT", stop);
+  const reload = (): void => {
+    const settings = readDaemonSettings(options);
+    if (settings.isErr()) {
+      for (const { name, text } of settings.error) logger.error("settings.refused", { failure: name, text });
+      return;
+    }
+    logger.setLevel(getLogLevel(settings.value));
+    logger.info("settings.reloaded", { file: options.settings });
+  };
+  process.on("SIGHUP", reload);
+  let modifiedAt = getModifiedAt(options.settings);
+  setInterval(() => {
+    const latest = getModifiedAt(options.settings);
+    if (latest === modifiedAt) return;
+    modifiedAt = latest;
+    reload();
+  }, filePollMs).unref();
+}
+
+function getModifiedAt(file: string): number {
+  return statSync(file, { throwIfNoEntry: false })?.mtimeMs ?? 0;
+}
--- /dev/null
+++ b/packages/gateway/src/duties.ts
@@ -0,0 +1,97 @@
+/**
+ * What one node at a time does for all: reports usage and orders backends.
+ *
+ * The holder acts only while its lease, counted from the send of the renewal, has a margin left. A new holder waits
+ * until whatever its predecessor could still have believed has run out, even where the store let the lease lapse
+ * early; so two holders never act by turns within the time of one lease.
+ * @module
+ */
+import { LeaseHolder } from "@gladewall/coordination";
+import { type Clock, type Closeable, type Logger, waitFor } from "@gladewall/kernel";
+import type { CapacityOrders } from "./capacityOrders.js";
+import type { MetadataStore, OrderSender, Service } from "./types.js";
+import type { UsageReporter } from "./usageReporter.js";
+
+/** Options of the duties. */
+export interface DutiesOptions {
+  readonly store: MetadataStore;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly name: string;
+  /** Key of the lease. */
+  readonly leaseKey: string;
+  readonly leaseMs: number;
+  readonly usage: UsageReporter;
+  readonly capacity: CapacityOrders;
+  /** Whether the lease is free, as far as is known. */
+  readonly isFree: () => boolean;
+  readonly getServices: () => Iterable<Service>;
+}
+
+const stepMs = 250;
+/** Part of the lease that is not acted in: covers clocks and the way of a call. */
+const marginShare = 0.25;
+
+/** Holds the lease and acts on it. */
+export class Duties implements Closeable {
+  private readonly holder: LeaseHolder;
+  private readonly stop = new AbortController();
+  private task: Promise<void> = Promise.resolve();
+  private actingFence = 0;
+
+  private constructor(private readonly options: DutiesOptions) {
+    const { store, clock, logger, name, leaseKey, leaseMs, isFree } = options;
+    this.holder = LeaseHolder.create({
+      service: store,
+      clock,
+      logger,
+      name: leaseKey,
+      holder: name,
+      ttl: leaseMs,
+      margin: leaseMs * marginShare,
+      getRandom: Math.random,
+      shouldAcquire: isFree,
+    });
+  }
+
+  static create(options: DutiesOptions): Duties {
+    return new Duties(options);
+  }
+
+  start(): void {
+    this.holder.start();
+    this.task = this.act();
+  }
+
+  /** Stops acting. The lease runs out by itself: given back early, it could come round to this node too soon. */
+  async close(): Promise<void> {
+    this.stop.abort();
+    await this.task;
+    this.holder.abandon();
+  }
+
+  private getSender(): OrderSender | undefined {
+    const { name, leaseMs } = this.options;
+    const fence = this.holder.getFence();
+    if (this.stop.signal.aborted || fence.isErr() || this.holder.getTenure() < leaseMs) return undefined;
+    return { holder: name, fence: fence.value };
+  }
+
+  private async act(): Promise<void> {
+    const { clock, usage, capacity, getServices, logger } = this.options;
+    const { signal } = this.stop;
+    const getSender = (): OrderSender | undefined => this.getSender();
+    while (!signal.aborted) {
+      await waitFor(clock, stepMs, signal);
+      const sender = this.getSender();
+      if (!sender) continue;
+      if (sender.fence !== this.actingFence) {
+        this.actingFence = sender.fence;
+        capacity.reset();
+        logger.info("duties.begun", { fence: sender.fence });
+      }
+      for (const service of getServices()) await capacity.step(service, getSender);
+      await usage.step(getSender);
+    }
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/exchange.ts
@@ -0,0 +1,375 @@
+/**
+ * The life of one request from its admission to its final answer: placements, attempts, the answer's way back.
+ *
+ * The caller has a final answer the moment the request is given up, and at its route's time at the latest. Only what
+ * certainly did not run is refused with a status that promises so.
+ * @module
+ */
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { type Clock, Failure, FailureCode, type Logger, type Timer } from "@gladewall/kernel";
+import type { Admitted } from "./admission.js";
+import { copyAnswerHeaders } from "./answerHeaders.js";
+import { Attempt, AttemptEnd, type AttemptResult } from "./attempt.js";
+import type { Backend } from "./backend.js";
+import type { BackendConnections } from "./backendConnections.js";
+import type { BackendDirectory } from "./backendDirectory.js";
+import { type BodyEnd, readWholeBody } from "./answerBody.js";
+import type { Placement, Placer } from "./placement.js";
+import type { RetryBudget } from "./retryBudget.js";
+import { type CallerHead, type PlatformAdapter, RouteKind, type Service } from "./types.js";
+import { StreamRelay, RelayEnd } from "./streamRelay.js";
+
+/** What exchanges work with. */
+export interface ExchangeParts {
+  readonly platform: PlatformAdapter;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly directory: BackendDirectory;
+  readonly connections: BackendConnections;
+  readonly placer: Placer;
+  readonly budget: RetryBudget;
+  readonly connectTimeoutMs: number;
+  /** Called once a request has begun to run, with the time of day at which it did. */
+  readonly countRun: (tenant: string, at: number) => void;
+  /** Returns the time of day. */
+  readonly getTimeOfDay: () => number;
+  /** Whether answers should close their connections. */
+  readonly isLeaving: () => boolean;
+}
+
+/** One request. */
+export interface ExchangeRequest {
+  readonly admitted: Admitted;
+  readonly service: Service;
+  readonly head: CallerHead;
+  readonly message: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly body: Buffer;
+  /** Monotonic time at which the request arrived. */
+  readonly arrivedAt: number;
+}
+
+/** What became of a request, for logs and counts. */
+export interface ExchangeEnd {
+  readonly status: number;
+  /** Whether it may have run. */
+  readonly mayHaveRun: boolean;
+  readonly failure: Failure | undefined;
+}
+
+/** What a finished attempt means for the request. */
+enum Next {
+  Done = 1,
+  TryAgain = 2,
+  GiveUp = 3,
+}
+
+const mostNotRunTries = 4;
+const firstServerError = 500;
+const leastAttemptMs = 5;
+const retryAfterMs = 300;
+const urgencyLevels = 9;
+const urgencyPerTenantRank = 3;
+
+/** Serves one request. */
+export class Exchange {
+  private attempt: Attempt | undefined;
+  private relay: StreamRelay | undefined;
+  private readonly excluded = new Set<string>();
+  /** Sendings that may have run. */
+  private runs = 0;
+  private notRunTries = 0;
+  private arrivals = 0;
+  private isCounted = false;
+  private isOver = false;
+  private timer: Timer | undefined;
+  private lastFailure = Failure.create(FailureCode.NoBackend);
+  private readonly endsAt: number;
+  private end: ExchangeEnd | undefined;
+
+  private constructor(
+    private readonly parts: ExchangeParts,
+    private readonly request: ExchangeRequest,
+  ) {
+    const { admitted, head, arrivedAt } = request;
+    const { timeoutMs } = admitted.route;
+    this.endsAt = arrivedAt + Math.min(timeoutMs, head.deadlineMs ?? timeoutMs);
+  }
+
+  static create(parts: ExchangeParts, request: ExchangeRequest): Exchange {
+    return new Exchange(parts, request);
+  }
+
+  /** Runs to the final answer. Never rejects. */
+  async run(): Promise<ExchangeEnd> {
+    const { response } = this.request;
+    const handleClose = (): void => this.handleCallerGone();
+    response.on("close", handleClose);
+    this.timer = this.parts.clock.startTimer(this.getTimeLeft(), () => this.handleTimeout());
+    this.parts.budget.countRequest(this.request.service.name);
+    let next = Next.TryAgain;
+    while (next === Next.TryAgain && !this.isOver) next = await this.tryOnce();
+    if (next === Next.GiveUp && !this.isOver) this.answerFailure(this.createFinalFailure());
+    this.isOver = true;
+    this.timer.cancel();
+    response.off("close", handleClose);
+    return this.end ?? { status: response.statusCode, mayHaveRun: this.runs > 0, failure: undefined };
+  }
+
+  private getTimeLeft(): number {
+    return this.endsAt - this.parts.clock.getTime();
+  }
+
+  /** Whether the request may run on more than one backend. */
+  private get isRepeatable(): boolean {
+    const { kind, isResumable } = this.request.admitted.route;
+    return kind === RouteKind.Safe || (kind === RouteKind.Stream && isResumable);
+  }
+
+  private async tryOnce(): Promise<Next> {
+    const { service, head } = this.request;
+    const { promptTokens = 0, parts } = head;
+    const placement = this.parts.placer.choose({ service, promptTokens, parts, excluded: this.excluded });
+    if (!placement) {
+      this.lastFailure =
+        this.arrivals === 0 ? createRefusal(FailureCode.NoBackend, service) : this.lastFailure;
+      return Next.GiveUp;
+    }
+    if (this.getTimeLeft() < leastAttemptMs) return Next.GiveUp;
+    if (this.arrivals > 0 && !this.parts.budget.tryTake(service.name)) {
+      this.log("retry.refused", { service: service.name, cause: "budget" });
+      return Next.GiveUp;
+    }
+    const { backend } = placement;
+    this.excluded.add(backend.id);
+    backend.active += 1;
+    const pending = service.engine ? placement.uncachedTokens : 0;
+    backend.pendingTokens += pending;
+    let isPending = true;
+    const clearPending = (): void => {
+      if (isPending) backend.pendingTokens -= pending;
+      isPending = false;
+    };
+    const next = await this.send(placement, clearPending);
+    clearPending();
+    backend.active -= 1;
+    return next;
+  }
+
+  private async send(placement: Placement, clearPending: () => void): Promise<Next> {
+    const { backend } = placement;
+    const startedAt = this.parts.clock.getTime();
+    const beganAt = this.parts.getTimeOfDay();
+    const attempt = this.createAttempt(backend);
+    this.attempt = attempt;
+    const result = await attempt.result;
+    if (result.end !== AttemptEnd.NotSent) this.arrivals += 1;
+    if (result.load) backend.noteLoad(result.load, this.parts.clock.getTime());
+    if (this.isOver) return Next.Done;
+    if (result.end !== AttemptEnd.Answered || !result.response)
+      return this.handleNoAnswer(backend, result, beganAt);
+    this.runs += 1;
+    const { route } = this.request.admitted;
+    const isStream = route.kind === RouteKind.Stream && (result.response.statusCode ?? 0) < 300;
+    if (isStream) return this.relayStream(backend, result.response, clearPending);
+    this.countOnce(beganAt);
+    return this.answerWhole(backend, result.response, startedAt);
+  }
+
+  private createAttempt(backend: Backend): Attempt {
+    const { platform, connections, connectTimeoutMs } = this.parts;
+    const { admitted, message, head, body, service } = this.request;
+    const { tenant, route } = admitted;
+    const rank = (tenant?.priority ?? 0) * urgencyPerTenantRank + route.priority;
+    const headers = platform.backends.createHeaders(message.rawHeaders, {
+      backendId: backend.id,
+      tenant: tenant?.name,
+      deadlineMs: this.getTimeLeft(),
+      urgency: service.engine ? Math.min(urgencyLevels, rank) : undefined,
+      lastEventId: this.relay?.lastEventId,
+    });
+    const endpoint = connections.get(backend);
+    const method = message.method ?? "GET";
+    const target = message.url ?? "/";
+    const base = { endpoint, protocol: platform.backends, requestId: head.id, connectTimeoutMs };
+    return Attempt.create({ ...base, method, target, headers, body });
+  }
+
+  private handleNoAnswer(backend: Backend, result: AttemptResult, beganAt: number): Next {
+    const { clock, directory } = this.parts;
+    const { service } = this.request;
+    const time = clock.getTime();
+    this.log("attempt.failed", { backend: backend.id, end: AttemptEnd[result.end], detail: result.detail });
+    if (result.end === AttemptEnd.Lost) {
+      this.runs += 1;
+      this.countOnce(beganAt);
+      backend.noteEnd(false);
+      this.lastFailure = Failure.create(FailureCode.EndpointCut, { endpoint: backend.id });
+      return this.isRepeatAllowed() ? Next.TryAgain : Next.GiveUp;
+    }
+    if (result.end === AttemptEnd.NotSent) backend.noteUnreachable(time);
+    if (result.end === AttemptEnd.WrongBackend) directory.handleReplaced(backend);
+    if (result.end === AttemptEnd.NotRun) backend.noteEnd(false);
+    this.lastFailure = createRefusal(FailureCode.Overloaded, service);
+    this.notRunTries += 1;
+    return this.notRunTries < mostNotRunTries ? Next.TryAgain : Next.GiveUp;
+  }
+
+  private isRepeatAllowed(): boolean {
+    return this.isRepeatable && this.runs < this.request.admitted.route.attempts && !this.isOver;
+  }
+
+  /** Reads a whole answer, then passes it on; a failure of the backend's own may be tried elsewhere first. */
+  private async answerWhole(backend: Backend, response: IncomingMessage, startedAt: number): Promise<Next> {
+    const body: BodyEnd = await readWholeBody(response);
+    if (this.isOver) return Next.Done;
+    const status = response.statusCode ?? 0;
+    const isFailed = !body.isComplete || status >= firstServerError;
+    backend.noteEnd(!isFailed);
+    if (!isFailed) backend.noteLatency(this.parts.clock.getTime() - startedAt);
+    if (isFailed && this.isRepeatAllowed()) {
+      this.log("attempt.failed", { backend: backend.id, end: "Answered", status, complete: body.isComplete });
+      this.lastFailure = Failure.create(FailureCode.EndpointFailed, { endpoint: backend.id, status });
+      return Next.TryAgain;
+    }
+    if (!body.isComplete) {
+      this.lastFailure = Failure.create(FailureCode.EndpointCut, { endpoint: backend.id });
+      return Next.GiveUp;
+    }
+    this.writeWhole(response, body.bytes);
+    return Next.Done;
+  }
+
+  private writeWhole(answer: IncomingMessage, bytes: Buffer): void {
+    const { response, message } = this.request;
+    if (response.headersSent) {
+      // The stream that began can't be ended by an answer of another kind.
+      response.destroy();
+      return;
+    }
+    const headers = copyAnswerHeaders(answer.rawHeaders);
+    if (message.method === "HEAD") {
+      const length = answer.headers["content-length"];
+      if (length !== undefined) headers.push("Content-Length", length);
+    } else {
+      headers.push("Content-Length", String(bytes.length));
+    }
+    if (this.parts.isLeaving()) headers.push("Connection", "close");
+    response.writeHead(answer.statusCode ?? 0, answer.statusMessage, headers);
+    response.end(bytes);
+  }
+
+  private async relayStream(
+    backend: Backend,
+    answer: IncomingMessage,
+    clearPending: () => void,
+  ): Promise<Next> {
+    const { response, admitted, head } = this.request;
+    this.relay ??= StreamRelay.create(response, admitted.route.isResumable, this.parts.isLeaving);
+    const onFirst = (): void => {
+      clearPending();
+      this.countOnce(this.parts.getTimeOfDay());
+      this.parts.placer.memory.add(head.parts, backend.id);
+    };
+    const relayEnd = await this.relay.relay(answer, onFirst);
+    if (this.isOver) return Next.Done;
+    backend.noteEnd(relayEnd === RelayEnd.Complete);
+    if (relayEnd === RelayEnd.Complete) return Next.Done;
+    this.log("stream.cut", { backend: backend.id, lastEvent: this.relay.lastEventId });
+    this.lastFailure = Failure.create(FailureCode.EndpointCut, { endpoint: backend.id });
+    return this.isRepeatAllowed() ? Next.TryAgain : Next.GiveUp;
+  }
+
+  private countOnce(at: number): void {
+    const tenant = this.request.admitted.tenant?.name;
+    if (this.isCounted || tenant === undefined) return;
+    this.isCounted = true;
+    this.parts.countRun(tenant, at);
+  }
+
+  private createFinalFailure(): Failure {
+    const { service } = this.request;
+    if (this.runs === 0) {
+      const { code } = this.lastFailure;
+      return createRefusal(code === FailureCode.NoBackend ? code : FailureCode.Overloaded, service);
+    }
+    return this.lastFailure;
+  }
+
+  private handleTimeout(): void {
+    if (this.isOver) return;
+    const { route } = this.request.admitted;
+    const mayHaveRun = this.runs > 0 || this.attempt?.mayHaveRun === true;
+    this.isOver = true;
+    this.attempt?.abort("route timeout");
+    const failure = mayHaveRun
+      ? Failure.create(FailureCode.RouteTimeout, { limit: route.timeoutMs })
+      : createRefusal(FailureCode.Overloaded, this.request.service);
+    this.answerFailure(failure);
+  }
+
+  private handleCallerGone(): void {
+    if (this.isOver || this.request.response.writableFinished) return;
+    this.isOver = true;
+    this.attempt?.abort("caller gone");
+    const mayHaveRun = this.runs > 0 || this.attempt?.mayHaveRun === true;
+    this.end = { status: 0, mayHaveRun, failure: Failure.create(FailureCode.CallerGone) };
+  }
+
+  /** Gives the final answer; an answer that has begun is cut, so that it does not look complete. */
+  private answerFailure(failure: Failure): void {
+    const { response, head } = this.request;
+    const mayHaveRun = this.runs > 0 || this.attempt?.mayHaveRun === true;
+    this.end = { status: failure.status, mayHaveRun, failure };
+    if (response.headersSent) {
+      response.destroy();
+      return;
+    }
+    writeFailure(
+      response,
+      failure,
+      this.parts.platform.callers.createOwnHeaders(head.id),
+      this.parts.isLeaving(),
+    );
+  }
+
+  private log(event: string, fields: Readonly<Record<string, string | number | boolean | undefined>>): void {
+    const { head, admitted, arrivedAt } = this.request;
+    this.parts.logger.info(event, {
+      request: head.id,
+      route: admitted.route.name,
+      version: admitted.table.version,
+      sinceMs: Math.round(this.parts.clock.getTime() - arrivedAt),
+      ...fields,
+    });
+  }
+}
+
+function createRefusal(code: FailureCode, service: Service): Failure {
+  return Failure.create(code, { service: service.name }, retryAfterMs);
+}
+
+const millisecondsPerSecond = 1_000;
+
+/** Writes an answer of our own: status, when to come back, and the failure as a problem document. */
+export function writeFailure(
+  response: ServerResponse,
+  failure: Failure,
+  ownHeaders: readonly string[],
+  closes: boolean,
+): void {
+  const body = JSON.stringify({
+    type: "about:blank",
+    status: failure.status,
+    code: failure.code,
+    detail: failure.text,
+  });
+  const headers = [...ownHeaders, "Content-Type", "application/problem+json"];
+  headers.push("Content-Length", String(Buffer.byteLength(body)));
+  if (failure.retryAfterMs !== undefined) {
+    headers.push("Retry-After", (failure.retryAfterMs / millisecondsPerSecond).toFixed(2));
+  }
+  if (closes) headers.push("Connection", "close");
+  response.writeHead(failure.status, headers);
+  response.end(body);
+}
--- /dev/null
+++ b/packages/gateway/src/front.ts
@@ -0,0 +1,73 @@
+/**
+ * The callers' port and the readiness port.
+ * @module
+ */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { type Closeable, listen } from "@gladewall/kernel";
+import type { ClientLimits } from "./types.js";
+
+/** Options of the front. */
+export interface FrontOptions {
+  readonly listen: string;
+  readonly readinessListen: string;
+  readonly readinessPath: string;
+  readonly isReady: () => boolean;
+  readonly handle: (message: IncomingMessage, response: ServerResponse) => Promise<void>;
+}
+
+const headerBytes = 32_768;
+const checkIntervalMs = 500;
+const good = 200;
+const notFound = 404;
+const unavailable = 503;
+
+/** Listens for callers and for the platform's question whether the node is ready. */
+export class Front implements Closeable {
+  private readonly callers: Server;
+  private readonly readiness: Server;
+
+  private constructor(private readonly options: FrontOptions) {
+    const bounds = {
+      maxHeaderSize: headerBytes,
+      connectionsCheckingInterval: checkIntervalMs,
+      noDelay: true,
+    };
+    this.callers = createServer(bounds, (message, response) => void options.handle(message, response));
+    this.readiness = createServer((message, response) => this.answerReadiness(message, response));
+  }
+
+  static create(options: FrontOptions): Front {
+    return new Front(options);
+  }
+
+  async open(): Promise<void> {
+    await listen(this.readiness, this.options.readinessListen);
+    await listen(this.callers, this.options.listen);
+  }
+
+  /** Puts the configuration's bounds in force for connections from now on. */
+  setLimits({ headerTimeoutMs, idleTimeoutMs }: ClientLimits): void {
+    this.callers.headersTimeout = headerTimeoutMs;
+    this.callers.requestTimeout = Math.max(headerTimeoutMs, idleTimeoutMs);
+    this.callers.keepAliveTimeout = idleTimeoutMs;
+  }
+
+  /** Takes no new connections and closes those on which nothing is under way. */
+  stopAccepting(): void {
+    this.callers.close();
+    this.callers.closeIdleConnections();
+  }
+
+  async close(): Promise<void> {
+    this.callers.close();
+    this.readiness.close();
+    this.callers.closeAllConnections();
+    this.readiness.closeAllConnections();
+  }
+
+  private answerReadiness(message: IncomingMessage, response: ServerResponse): void {
+    const isKnown = message.url === this.options.readinessPath;
+    response.statusCode = isKnown ? (this.options.isReady() ? good : unavailable) : notFound;
+    response.end();
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/gateway.ts
@@ -0,0 +1,253 @@
+/**
+ * One node of the gateway: puts the parts together, starts them, serves, and leaves in order.
+ * @module
+ */
+import type { IncomingMessage, ServerResponse } from "node:http";
+import {
+  type Clock,
+  createFromPlugin,
+  Failure,
+  FailureCode,
+  type Logger,
+  PluginKind,
+  SystemClock,
+  waitFor,
+} from "@gladewall/kernel";
+import { Ok, type Result } from "ts-results-es";
+import type { Admitted } from "./admission.js";
+import { Exchange, type ExchangeEnd, type ExchangeParts, writeFailure } from "./exchange.js";
+import { Front } from "./front.js";
+import { createGatewayParts, type GatewayParts } from "./gatewayParts.js";
+import type { GatewaySettings } from "./gatewaySettings.js";
+import { readRequestBody } from "./requestBody.js";
+import { drawTarget } from "./routeTable.js";
+import {
+  type CallerHead,
+  type PlatformAdapter,
+  type PlatformOptions,
+  RouteKind,
+  type Service,
+} from "./types.js";
+
+const leavingRetryMs = 200;
+/** Time after the request to stop during which callers may still be sent here. */
+const balancerMs = 3_200;
+/** Part of the grace that is kept for the end of the process. */
+const exitMarginMs = 400;
+/** Requests that may last longer than this are refused once the node leaves. */
+const shortRequestMs = 2_500;
+const idleCheckMs = 50;
+
+/** A running node. */
+export class Gateway {
+  private readonly front: Front;
+  private readonly exchangeParts: ExchangeParts;
+  /** Requests that have no final answer. */
+  private open = 0;
+  private leavingSince: number | undefined;
+  private wasReady = false;
+
+  private constructor(
+    private readonly settings: GatewaySettings,
+    private readonly parts: GatewayParts,
+  ) {
+    const { platform, follower, directory, connections, placer, members } = parts;
+    const { listen } = settings;
+    this.exchangeParts = { ...parts, isLeaving: () => this.leavingSince !== undefined };
+    this.front = Front.create({
+      listen: listen.callers,
+      readinessListen: listen.readiness,
+      readinessPath: platform.callers.readinessPath,
+      isReady: () => this.isReady(),
+      handle: (message, response) => this.handle(message, response),
+    });
+    directory.onRemoved((backend) => {
+      connections.remove(backend);
+      placer.memory.removeBackend(backend.id);
+    });
+    follower.onChange((table) => this.front.setLimits(table.configuration.limits));
+    follower.onRegained(() => {
+      directory.restart();
+      members.restart();
+    });
+  }
+
+  /** Creates a node; fails where the settings name an unknown plug-in. Nothing is opened yet. */
+  static create(
+    settings: GatewaySettings,
+    logger: Logger,
+    clock: Clock = SystemClock.create(),
+  ): Result<Gateway, Failure> {
+    const { adapter, store_address, orders_address, timeout } = settings.platform;
+    const platform = createFromPlugin<PlatformOptions, PlatformAdapter>(PluginKind.Platform, adapter, {
+      storeAddress: store_address,
+      ordersAddress: orders_address,
+      timeoutMs: timeout,
+    });
+    return platform.map(
+      (created) => new Gateway(settings, createGatewayParts(settings, created, clock, logger)),
+    );
+  }
+
+  /** Opens the ports and starts to follow; the node is ready as soon as it knows enough. */
+  async start(): Promise<void> {
+    const { node, listen } = this.settings;
+    this.parts.follower.start();
+    this.parts.directory.start();
+    await this.front.open();
+    await this.parts.members.open();
+    this.parts.duties.start();
+    this.parts.logger.info("node.started", { node: node.name, zone: node.zone, callers: listen.callers });
+  }
+
+  /** Whether the node takes requests: it knows a configuration, its proof, and the backends. */
+  isReady(): boolean {
+    const isReady =
+      this.leavingSince === undefined && this.parts.follower.isProven() && this.parts.directory.isListed;
+    if (isReady !== this.wasReady) {
+      this.parts.logger.info("node.ready", {
+        ready: isReady,
+        proofAgeMs: Math.round(this.parts.follower.getProofAge()),
+      });
+    }
+    this.wasReady = isReady;
+    return isReady;
+  }
+
+  /** Backends of a service that take work. */
+  countBackends(service: string): number {
+    return this.parts.directory.getOfService(service).filter((backend) => backend.isUsable()).length;
+  }
+
+  /** Leaves as planned: unready at once, every request finished within the grace. */
+  async leave(): Promise<void> {
+    if (this.leavingSince !== undefined) return;
+    const { clock, logger } = this.parts;
+    this.leavingSince = clock.getTime();
+    const endsAt = this.leavingSince + this.settings.leaving.grace - exitMarginMs;
+    logger.info("node.leaving", { open: this.open });
+    const dutiesClosed = this.parts.duties.close();
+    await waitFor(clock, balancerMs);
+    this.front.stopAccepting();
+    while (this.open > 0 && clock.getTime() < endsAt) await waitFor(clock, idleCheckMs);
+    await Promise.race([dutiesClosed, waitFor(clock, exitMarginMs)]);
+    logger.info("node.stopped", { open: this.open });
+  }
+
+  /** Closes everything at once. */
+  async close(): Promise<void> {
+    await Promise.all([
+      this.front.close(),
+      this.parts.duties.close(),
+      this.parts.follower.close(),
+      this.parts.directory.close(),
+    ]);
+    await this.parts.members.close();
+    this.parts.connections.close();
+    await Promise.all([this.parts.platform.store.close(), this.parts.platform.orders.close()]);
+  }
+
+  private async handle(message: IncomingMessage, response: ServerResponse): Promise<void> {
+    const arrivedAt = this.parts.clock.getTime();
+    this.open += 1;
+    // A broken connection is seen where answers are written; the event needs a listener all the same.
+    message.on("error", () => undefined);
+    response.on("error", () => undefined);
+    const head = this.parts.platform.callers.readHead(message.headers);
+    const failure = head.isErr() ? head.error : await this.serve(message, response, head.value, arrivedAt);
+    this.open -= 1;
+    if (!failure) return;
+    this.refuse(message, response, head.isOk() ? head.value.id : undefined, failure);
+  }
+
+  /** Serves a request; returns why it was refused where nothing was done with it. */
+  private async serve(
+    message: IncomingMessage,
+    response: ServerResponse,
+    head: CallerHead,
+    arrivedAt: number,
+  ): Promise<Failure | undefined> {
+    const admitted = this.parts.admission.admit(message.headers.host ?? "", message.url ?? "/", head);
+    if (admitted.isErr()) return admitted.error;
+    const { route, table } = admitted.value;
+    if (this.isTooLateFor(admitted.value)) return Failure.create(FailureCode.Leaving, {}, leavingRetryMs);
+    const body = await readRequestBody(message, table.configuration.limits.maxBodyBytes);
+    if (body.isErr()) return body.error;
+    const service = table.findService(drawTarget(route.targets, Math.random()));
+    if (!service) return Failure.create(FailureCode.NoBackend, { service: route.name }, leavingRetryMs);
+    const charge = this.charge(admitted.value, head);
+    if (charge.isErr()) return charge.error;
+    const request = {
+      admitted: admitted.value,
+      service,
+      head,
+      message,
+      response,
+      body: body.value,
+      arrivedAt,
+    };
+    const end = await Exchange.create(this.exchangeParts, request).run();
+    this.finish(admitted.value, head, service, end, arrivedAt, charge.value);
+    return undefined;
+  }
+
+  private charge({ tenant }: Admitted, head: CallerHead): Result<number, Failure> {
+    if (!tenant) return Ok(0);
+    const cost = this.parts.admission.getCost(tenant, head);
+    return this.parts.admission.takeQuota(tenant, cost).map(() => cost);
+  }
+
+  private finish(
+    { tenant, route }: Admitted,
+    head: CallerHead,
+    service: Service,
+    { status, mayHaveRun, failure }: ExchangeEnd,
+    arrivedAt: number,
+    cost: number,
+  ): void {
+    if (tenant && !mayHaveRun) this.parts.admission.returnQuota(tenant, cost);
+    const fields = {
+      request: head.id,
+      route: route.name,
+      service: service.name,
+      tenant: tenant?.name,
+      status,
+      failure: failure?.name,
+      mayHaveRun,
+      tookMs: Math.round(this.parts.clock.getTime() - arrivedAt),
+    };
+    if (failure) this.parts.logger.info("request.failed", fields);
+    else this.parts.logger.debug("request.served", fields);
+  }
+
+  /** Whether a request could outlast the time that a leaving node has. */
+  private isTooLateFor({ route }: Admitted): boolean {
+    if (this.leavingSince === undefined) return false;
+    const elapsed = this.parts.clock.getTime() - this.leavingSince;
+    if (elapsed < shortRequestMs) return false;
+    const left = this.settings.leaving.grace - exitMarginMs - elapsed;
+    return route.kind === RouteKind.Stream || route.timeoutMs > left;
+  }
+
+  private refuse(
+    message: IncomingMessage,
+    response: ServerResponse,
+    request: string | undefined,
+    failure: Failure,
+  ): void {
+    this.parts.logger.info("request.refused", {
+      request,
+      status: failure.status,
+      failure: failure.name,
+      retryAfterMs: failure.retryAfterMs,
+      version: this.parts.follower.getTable()?.version,
+      proofAgeMs: Math.round(this.parts.follower.getProofAge()),
+    });
+    if (failure.code === FailureCode.CallerGone || response.headersSent) return;
+    const own = this.parts.platform.callers.createOwnHeaders(request);
+    // What is left of a body that was not read would be taken for the next request.
+    const closes = this.leavingSince !== undefined || failure.code === FailureCode.BodyTooLarge;
+    writeFailure(response, failure, own, closes);
+    message.resume();
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/gatewayParts.ts
@@ -0,0 +1,206 @@
+/**
+ * Puts the parts of a node together, each from those it stands on.
+ * @module
+ */
+import type { Clock, Logger } from "@gladewall/kernel";
+import { Admission } from "./admission.js";
+import type { PeerWork } from "./backend.js";
+import { BackendConnections } from "./backendConnections.js";
+import { BackendDirectory } from "./backendDirectory.js";
+import { CapacityOrders } from "./capacityOrders.js";
+import { ConfigurationFollower } from "./configurationFollower.js";
+import { Duties } from "./duties.js";
+import type { GatewaySettings } from "./gatewaySettings.js";
+import { Members, ownPrefix } from "./members.js";
+import { Placer } from "./placement.js";
+import { RetryBudget } from "./retryBudget.js";
+import { CounterKind, SharedCounters } from "./sharedCounters.js";
+import { TrueTime } from "./trueTime.js";
+import type { PlatformAdapter } from "./types.js";
+import { UsageCounts } from "./usageCounts.js";
+import { UsageReporter } from "./usageReporter.js";
+
+const dutyKey = `${ownPrefix}duty`;
+const usagePrefix = `${ownPrefix}usage/`;
+
+/** What everything stands on. */
+interface GatewayBase {
+  readonly settings: GatewaySettings;
+  readonly platform: PlatformAdapter;
+  readonly clock: Clock;
+  readonly logger: Logger;
+}
+
+/** What is known of the platform and counted with the other nodes. */
+interface GatewayViews extends GatewayBase {
+  readonly time: TrueTime;
+  readonly follower: ConfigurationFollower;
+  readonly directory: BackendDirectory;
+  readonly usage: UsageCounts;
+  readonly counters: SharedCounters;
+}
+
+/** All parts of a node. */
+export interface GatewayParts extends GatewayBase {
+  readonly follower: ConfigurationFollower;
+  readonly directory: BackendDirectory;
+  readonly connections: BackendConnections;
+  readonly members: Members;
+  readonly admission: Admission;
+  readonly placer: Placer;
+  readonly budget: RetryBudget;
+  readonly duties: Duties;
+  readonly connectTimeoutMs: number;
+  readonly countRun: (tenant: string, at: number) => void;
+  readonly getTimeOfDay: () => number;
+}
+
+/** Creates the parts; nothing is opened or started. */
+export function createGatewayParts(
+  settings: GatewaySettings,
+  platform: PlatformAdapter,
+  clock: Clock,
+  logger: Logger,
+): GatewayParts {
+  const views = createViews({ settings, platform, clock, logger });
+  const { time, follower, directory, usage, counters } = views;
+  const { retries, backends } = settings;
+  const reporter: UsageReporter = createReporter(views, (key) => members.items.get(key));
+  const members = createMembers(views, reporter);
+  const fleet = {
+    getFleetSize: () => members.getFleetSize(),
+    getHeardShare: () => members.getHeardShare(),
+  };
+  return {
+    settings,
+    platform,
+    clock,
+    logger,
+    follower,
+    directory,
+    connections: BackendConnections.create(),
+    members,
+    admission: createAdmission(views, fleet),
+    placer: Placer.create({
+      clock,
+      prefillRate: backends.prefill_rate,
+      getBackends: (service) => directory.getOfService(service),
+      getPeerWork: (backend) => members.getPeerWork(backend),
+      getRandom: Math.random,
+    }),
+    budget: RetryBudget.create({ counters, ratio: retries.ratio, slack: retries.slack, ...fleet }),
+    duties: createDuties(views, members, reporter),
+    connectTimeoutMs: backends.connect_timeout,
+    countRun: (tenant, at) => usage.add(reporter.getWindow(at), tenant),
+    getTimeOfDay: () => time.get(),
+  };
+}
+
+function createViews(base: GatewayBase): GatewayViews {
+  const { settings, platform, clock, logger } = base;
+  const { configuration, retries, quotas } = settings;
+  const follower = ConfigurationFollower.create({
+    platform,
+    clock,
+    logger,
+    proofIntervalMs: configuration.proof_interval,
+    proofLifetimeMs: configuration.revoke_within - configuration.revoke_margin,
+  });
+  const getTimeSinceTrouble = (): number => follower.getTimeSinceTrouble();
+  const windows = {
+    [CounterKind.Quota]: quotas.window,
+    [CounterKind.Requests]: retries.window,
+    [CounterKind.Repeats]: retries.window,
+  };
+  return {
+    ...base,
+    time: TrueTime.create(clock),
+    follower,
+    directory: BackendDirectory.create({ platform, clock, logger, getTimeSinceTrouble }),
+    usage: UsageCounts.create(),
+    counters: SharedCounters.create({ clock, windows }),
+  };
+}
+
+function createReporter(views: GatewayViews, getItem: Members["items"]["get"]): UsageReporter {
+  const { settings, platform, clock, logger, time, usage } = views;
+  return UsageReporter.create({
+    store: platform.store,
+    orders: platform.orders,
+    clock,
+    logger,
+    prefix: usagePrefix,
+    windowMs: settings.orders.usage_window,
+    getTimeOfDay: () => time.get(),
+    getCounts: (window) => usage.getTotal(window),
+    getItem,
+  });
+}
+
+function createMembers(views: GatewayViews, reporter: UsageReporter): Members {
+  const { settings, platform, clock, logger, counters, usage, time, directory } = views;
+  const { node, listen, peers } = settings;
+  return Members.create({
+    store: platform.store,
+    clock,
+    logger,
+    name: node.name,
+    incarnation: clock.getWallTime(),
+    address: listen.peers,
+    secret: peers.secret,
+    reportIntervalMs: peers.report_interval,
+    counters,
+    usage,
+    time,
+    getWindow: () => reporter.getWindow(time.get()),
+    getWork: () => getWork(directory),
+  });
+}
+
+function createAdmission(
+  views: GatewayViews,
+  fleet: { readonly getFleetSize: () => number; readonly getHeardShare: () => number },
+): Admission {
+  const { settings, clock, follower, counters } = views;
+  return Admission.create({
+    clock,
+    follower,
+    counters,
+    quotaWindowMs: settings.quotas.window,
+    quotaSlack: settings.quotas.slack,
+    isFirstStart: settings.node.first_start,
+    ...fleet,
+  });
+}
+
+function createDuties(views: GatewayViews, members: Members, reporter: UsageReporter): Duties {
+  const { settings, platform, clock, logger, directory, follower } = views;
+  const { orders, node } = settings;
+  const capacity = CapacityOrders.create({
+    orders: platform.orders,
+    clock,
+    logger,
+    getBackends: (service) => directory.getOfService(service),
+    getNeeded: (_, zones) => Math.ceil(zones * orders.backends_per_zone),
+  });
+  return Duties.create({
+    store: platform.store,
+    clock,
+    logger,
+    name: node.name,
+    leaseKey: dutyKey,
+    leaseMs: orders.lease,
+    usage: reporter,
+    capacity,
+    isFree: () => members.isListed && directory.isListed && !members.items.has(dutyKey),
+    getServices: () => follower.getTable()?.configuration.services.values() ?? [],
+  });
+}
+
+function getWork(directory: BackendDirectory): ReadonlyMap<string, PeerWork> {
+  const work = new Map<string, PeerWork>();
+  for (const backend of directory.getAll()) {
+    work.set(backend.id, { active: backend.active, pendingTokens: backend.pendingTokens });
+  }
+  return work;
+}
--- /dev/null
+++ b/packages/gateway/src/gatewaySettings.ts
@@ -0,0 +1,104 @@
+/**
+ * Settings of a node that runs the gateway.
+ * @module
+ */
+import {
+  createAddress,
+  createChoice,
+  createDecimal,
+  createFlag,
+  createInteger,
+  createReloadable,
+  createSecret,
+  createText,
+  type SettingsOf,
+} from "@gladewall/kernel";
+
+const minute = 60_000;
+
+/** Every section and key. */
+export const gatewaySchema = {
+  node: {
+    name: createText("name of the node; unlike every other node's"),
+    zone: createText("zone that the node runs in"),
+    first_start: createFlag(false, "whether the whole system starts for the first time"),
+  },
+  listen: {
+    callers: createAddress("where callers connect"),
+    readiness: createAddress("where the platform asks whether the node is ready"),
+    peers: createAddress("where other nodes connect"),
+    metrics: createAddress("where metrics are read", "127.0.0.1:0"),
+  },
+  platform: {
+    adapter: createText("name of the platform plug-in"),
+    store_address: createAddress("the platform's store"),
+    orders_address: createAddress("the platform's interface for orders"),
+    timeout: createInteger("ms", 1_200, [50, minute], "longest time of a call"),
+  },
+  peers: {
+    secret: createSecret("secret that all nodes share"),
+    report_interval: createReloadable(
+      createInteger("ms", 150, [20, 10_000], "time between two reports to peers"),
+    ),
+  },
+  configuration: {
+    proof_interval: createInteger(
+      "ms",
+      700,
+      [50, minute],
+      "time between two reads that prove the version in force",
+    ),
+    revoke_within: createInteger("ms", 5_000, [500, minute], "time after which a removed key runs nothing"),
+    revoke_margin: createInteger("ms", 400, [0, minute], "part of it that is kept for clocks and scheduling"),
+  },
+  backends: {
+    connect_timeout: createInteger("ms", 250, [10, minute], "longest time to open a connection"),
+    prefill_rate: createDecimal(
+      "tokens/ms",
+      50,
+      [0.1, 100_000],
+      "prompt tokens that an engine reads in a millisecond",
+    ),
+  },
+  retries: {
+    ratio: createDecimal("", 0.2, [0, 10], "repeats that a service may get for each of its requests"),
+    window: createInteger("ms", 10_000, [1_000, 10 * minute], "window that repeats are counted over"),
+    slack: createInteger("requests", 56, [0, 1_000_000], "repeats of a window beside the ratio"),
+  },
+  quotas: {
+    window: createInteger("ms", 8_000, [1_000, 10 * minute], "window that limits are counted over"),
+    slack: createInteger("units", 0, [0, 1_000_000_000], "units over a limit that are borne once"),
+  },
+  orders: {
+    lease: createInteger(
+      "ms",
+      3_000,
+      [1_000, 10 * minute],
+      "time that the right to give orders lasts without renewal",
+    ),
+    usage_window: createInteger("ms", 5_000, [1_000, 10 * minute], "length of a usage window"),
+    usage_due: createInteger(
+      "ms",
+      10_000,
+      [1_000, 10 * minute],
+      "time after a window's end at which its report is due",
+    ),
+    backends_per_zone: createDecimal(
+      "backends",
+      2,
+      [0, 1_000],
+      "backends of a zone that are ordered without load",
+    ),
+  },
+  leaving: {
+    grace: createInteger("ms", 8_000, [1_000, 10 * minute], "time between the request to stop and the kill"),
+  },
+  logs: {
+    level: createReloadable(
+      createChoice(["error", "warn", "info", "debug"], "info", "least severity that is written"),
+    ),
+  },
+} as const;
+
+/** Settings as read. */
+export type GatewaySettings = SettingsOf<typeof gatewaySchema>;
--- /dev/null
+++ b/packages/gateway/src/index.ts
@@ -0,0 +1,28 @@
+/**
+ * The gateway: serves requests that live and die with their connection, on a platform given by a plug-in.
+ * @module
+ */
+export * from "./types.js";
+export * from "./gatewaySettings.js";
+export { Gateway } from "./gateway.js";
+export { runGatewayDaemon } from "./daemon.js";
+export { Admission } from "./admission.js";
+export { isWholeAnswer, readWholeBody } from "./answerBody.js";
+export { Attempt, AttemptEnd } from "./attempt.js";
+export { Backend, BackendState } from "./backend.js";
+export { BackendConnections } from "./backendConnections.js";
+export { BackendDirectory } from "./backendDirectory.js";
+export { CapacityOrders } from "./capacityOrders.js";
+export { planCapacity, type CapacityInput, type ZoneCount } from "./capacityPlan.js";
+export { ConfigurationFollower } from "./configurationFollower.js";
+export { Duties } from "./duties.js";
+export { EventSplitter } from "./eventSplitter.js";
+export { Placer } from "./placement.js";
+export { PrefixFollower } from "./prefixFollower.js";
+export { RetryBudget } from "./retryBudget.js";
+export { drawTarget, RouteTable } from "./routeTable.js";
+export { CounterKind, SharedCounters } from "./sharedCounters.js";
+export { SlidingWindow } from "./slidingWindow.js";
+export { TrueTime } from "./trueTime.js";
+export { UsageCounts } from "./usageCounts.js";
+export { UsageReporter } from "./usageReporter.js";
--- /dev/null
+++ b/packages/gateway/src/routeTable.ts
@@ -0,0 +1,74 @@
+/**
+ * The configuration in the form requests are looked up in: routes by host and longest prefix, tenants by key.
+ * @module
+ */
+import type { Route, RouteTarget, Service, ServingConfiguration, Tenant } from "./types.js";
+
+/** Looks routes and tenants up in one version of the configuration. */
+export class RouteTable {
+  private readonly routesByHost = new Map<string, Map<string, Route>>();
+  private readonly tenantsByKey = new Map<string, Tenant>();
+
+  private constructor(readonly configuration: ServingConfiguration) {
+    for (const route of configuration.routes) this.addRoute(route);
+    for (const tenant of configuration.tenants) {
+      for (const key of tenant.keys) this.tenantsByKey.set(key, tenant);
+    }
+  }
+
+  static create(configuration: ServingConfiguration): RouteTable {
+    return new RouteTable(configuration);
+  }
+
+  get version(): number {
+    return this.configuration.version;
+  }
+
+  /** Whether requests carry keys at all. */
+  get hasTenants(): boolean {
+    return this.configuration.tenants.length > 0;
+  }
+
+  /** Finds the route of a host (its port is ignored) and a path with query; undefined where there is none. */
+  findRoute(host: string, target: string): Route | undefined {
+    const routes = this.routesByHost.get(removePort(host).toLowerCase());
+    if (!routes) return undefined;
+    const query = target.indexOf("?");
+    const path = query < 0 ? target : target.slice(0, query);
+    for (let end = path.lastIndexOf("/"); end >= 0; end = end === 0 ? -1 : path.lastIndexOf("/", end - 1)) {
+      const route = routes.get(path.slice(0, end + 1));
+      if (route) return route;
+    }
+    return undefined;
+  }
+
+  findTenant(key: string): Tenant | undefined {
+    return this.tenantsByKey.get(key);
+  }
+
+  findService(name: string): Service | undefined {
+    return this.configuration.services.get(name);
+  }
+
+  private addRoute(route: Route): void {
+    const routes = this.routesByHost.get(route.host) ?? new Map<string, Route>();
+    this.routesByHost.set(route.host, routes);
+    routes.set(route.prefix, route);
+  }
+}
+
+/** Draws a target by weight; `random` lies from 0 to 1. */
+export function drawTarget(targets: readonly RouteTarget[], random: number): string {
+  const total = targets.reduce((sum, target) => sum + target.weight, 0);
+  let left = random * total;
+  for (const target of targets) {
+    left -= target.weight;
+    if (left < 0) return target.service;
+  }
+  return targets.at(-1)?.service ?? "";
+}
+
+function removePort(host: string): string {
+  const colon = host.lastIndexOf(":");
+  return colon < 0 || host.endsWith("]") ? host : host.slice(0, colon);
+}
--- /dev/null
+++ b/packages/gateway/src/slidingWindow.ts
@@ -0,0 +1,74 @@
+/**
+ * Sums over the last so many milliseconds, kept in slices.
+ * @module
+ */
+
+const slices = 40;
+
+/** A sum over a window that slides. */
+export class SlidingWindow {
+  private readonly amounts = new Float64Array(slices + 1);
+  private readonly sliceMs: number;
+  private current = 0;
+  private total = 0;
+
+  private constructor(readonly windowMs: number) {
+    this.sliceMs = windowMs / slices;
+  }
+
+  static create(windowMs: number): SlidingWindow {
+    return new SlidingWindow(windowMs);
+  }
+
+  /** Adds an amount at a time; a time before the newest slice counts into the newest. */
+  add(time: number, amount: number): void {
+    this.advance(time);
+    this.amounts[this.current % this.amounts.length]! += amount;
+    this.total += amount;
+  }
+
+  /** Spreads an amount evenly over the window that ends at a time, as if it had come steadily. */
+  seed(time: number, amount: number): void {
+    this.advance(time);
+    for (let index = 0; index < slices; index++) {
+      this.amounts[(this.current - index + this.amounts.length * 2) % this.amounts.length]! +=
+        amount / slices;
+    }
+    this.total += amount;
+  }
+
+  /** Returns the sum at a time. */
+  getSum(time: number): number {
+    this.advance(time);
+    return this.total;
+  }
+
+  /** Returns the milliseconds until the sum will have fallen by an amount; the window's length at most. */
+  getTimeUntilFreed(time: number, amount: number): number {
+    this.advance(time);
+    let freed = 0;
+    for (let age = slices; age >= 0; age--) {
+      const slice = this.current - age;
+      if (slice >= 0) freed += this.amounts[slice % this.amounts.length]!;
+      if (freed >= amount) return Math.max(this.sliceMs, (slice + slices + 1) * this.sliceMs - time);
+    }
+    return this.windowMs;
+  }
+
+  private advance(time: number): void {
+    const slice = Math.floor(time / this.sliceMs);
+    if (slice <= this.current) return;
+    if (slice - this.current > slices) {
+      this.amounts.fill(0);
+      this.total = 0;
+      this.current = slice;
+      return;
+    }
+    while (this.current < slice) {
+      this.current += 1;
+      const index = this.current % this.amounts.length;
+      this.total -= this.amounts[index]!;
+      this.amounts[index] = 0;
+    }
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/streamRelay.ts
@@ -0,0 +1,81 @@
+/**
+ * Passes a stream of events on to the caller as they arrive, whole events only, and goes on with a second backend's
+ * stream inside the same answer where the first was cut.
+ * @module
+ */
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { isWholeAnswer } from "./answerBody.js";
+import { copyAnswerHeaders } from "./answerHeaders.js";
+import { EventSplitter } from "./eventSplitter.js";
+
+/** How a backend's stream ended. */
+export enum RelayEnd {
+  Complete = 1,
+  Cut = 2,
+}
+
+/** The answer of one request. */
+export class StreamRelay {
+  private splitter: EventSplitter;
+  private lastId: string | undefined;
+
+  private constructor(
+    private readonly response: ServerResponse,
+    private readonly isResumable: boolean,
+    private readonly isLeaving: () => boolean,
+  ) {
+    this.splitter = EventSplitter.create(isResumable);
+  }
+
+  static create(response: ServerResponse, isResumable: boolean, isLeaving: () => boolean): StreamRelay {
+    return new StreamRelay(response, isResumable, isLeaving);
+  }
+
+  /** Id of the last event that was passed on; undefined before the first. */
+  get lastEventId(): string | undefined {
+    return this.splitter.lastEventId ?? this.lastId;
+  }
+
+  /** Passes one backend's stream on to its end. `onFirst` is called with the first event. */
+  relay(answer: IncomingMessage, onFirst: () => void): Promise<RelayEnd> {
+    this.lastId = this.lastEventId;
+    this.splitter = EventSplitter.create(this.isResumable);
+    let isFirst = true;
+    return new Promise((resolve) => {
+      answer.on("data", (bytes: Buffer) => {
+        const whole = this.splitter.add(bytes);
+        if (whole.length === 0) return;
+        if (isFirst) onFirst();
+        isFirst = false;
+        this.write(answer, whole);
+      });
+      answer.on("end", () => {
+        if (!isWholeAnswer(answer)) return resolve(RelayEnd.Cut);
+        this.finish(answer);
+        resolve(RelayEnd.Complete);
+      });
+      // After "end" this changes nothing; a promise settles once.
+      answer.on("close", () => resolve(RelayEnd.Cut));
+    });
+  }
+
+  private write(answer: IncomingMessage, bytes: Buffer): void {
+    this.writeHead(answer);
+    if (this.response.write(bytes)) return;
+    answer.pause();
+    this.response.once("drain", () => answer.resume());
+  }
+
+  private finish(answer: IncomingMessage): void {
+    this.writeHead(answer);
+    this.response.end(this.splitter.takeRest());
+  }
+
+  /** The head goes with the first event, so that a stream cut before it can still be answered otherwise. */
+  private writeHead(answer: IncomingMessage): void {
+    if (this.response.headersSent) return;
+    const headers = copyAnswerHeaders(answer.rawHeaders);
+    if (this.isLeaving()) headers.push("Connection", "close");
+    this.response.writeHead(answer.statusCode ?? 0, answer.statusMessage, headers);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/types.ts
@@ -0,0 +1,311 @@
+/**
+ * Data shapes of the gateway, and the interfaces of the platform it runs on. All durations are milliseconds.
+ * @module
+ */
+import type { IncomingHttpHeaders } from "node:http";
+import type { LeaseService } from "@gladewall/coordination";
+import type { Failure } from "@gladewall/kernel";
+import type { Result } from "ts-results-es";
+
+/** What may be done again with a request of a route. */
+export enum RouteKind {
+  /** May run more than once. */
+  Safe = 1,
+  /** Runs at most once. */
+  Unsafe = 2,
+  /** Answers with events; repeated only where the route says that it can be resumed. */
+  Stream = 3,
+}
+
+/** A service that a route sends a share of its requests to. */
+export interface RouteTarget {
+  readonly service: string;
+  readonly weight: number;
+}
+
+/** One route of the configuration. */
+export interface Route {
+  readonly name: string;
+  readonly host: string;
+  /** Begins and ends with a slash. */
+  readonly prefix: string;
+  readonly kind: RouteKind;
+  readonly targets: readonly RouteTarget[];
+  /** Longest time a request may be held. */
+  readonly timeoutMs: number;
+  /** Time within which an answer has its full worth. */
+  readonly goalMs: number;
+  /** Longest pause between events at which a stream has its full worth; undefined where nothing is said. */
+  readonly gapGoalMs: number | undefined;
+  /** Backends that one request may run on. */
+  readonly attempts: number;
+  /** Rank; 0 is the highest. */
+  readonly priority: number;
+  /** Whether requests need no key. */
+  readonly isPublic: boolean;
+  readonly isResumable: boolean;
+}
+
+/** Model engine behind a service. */
+export interface EngineLimits {
+  /** Requests that run at once. */
+  readonly slots: number;
+  /** Tokens that its memory holds. */
+  readonly tokenCapacity: number;
+}
+
+/** How many backends of a service may be ordered. */
+export interface ScalingLimits {
+  /** Fewest and most backends of one zone, both price classes together. */
+  readonly min: number;
+  readonly max: number;
+  /** Time from an order until a backend serves. */
+  readonly bootMs: number;
+  /** Price of a reclaimable backend, as a share of an on-demand one. */
+  readonly reclaimablePrice: number;
+  /** Relative price by zone. */
+  readonly zonePrices: ReadonlyMap<string, number>;
+}
+
+/** A service of the configuration. */
+export interface Service {
+  readonly name: string;
+  readonly maxConnections: number;
+  readonly engine: EngineLimits | undefined;
+  readonly scaling: ScalingLimits | undefined;
+}
+
+/** Unit that a tenant's rate is counted in. */
+export enum QuotaUnit {
+  Requests = 1,
+  Tokens = 2,
+}
+
+/** A tenant of the configuration. */
+export interface Tenant {
+  readonly name: string;
+  readonly keys: readonly string[];
+  /** Rank before that of the route; 0 is the highest. */
+  readonly priority: number;
+  readonly unit: QuotaUnit;
+  /** Tokens that a request counts for that names none. */
+  readonly plainTokens: number;
+  /** 0: no limit. */
+  readonly ratePerSecond: number;
+  readonly burst: number;
+}
+
+/** Bounds on what a client may send. */
+export interface ClientLimits {
+  readonly maxHeaderBytes: number;
+  readonly maxBodyBytes: number;
+  readonly headerTimeoutMs: number;
+  readonly idleTimeoutMs: number;
+}
+
+/** The operators' configuration. */
+export interface ServingConfiguration {
+  readonly version: number;
+  readonly routes: readonly Route[];
+  readonly services: ReadonlyMap<string, Service>;
+  /** Empty where requests carry no keys. */
+  readonly tenants: readonly Tenant[];
+  readonly limits: ClientLimits;
+}
+
+/** A backend as it records itself. */
+export interface BackendRecord {
+  /** Names one life of one backend; never used again. */
+  readonly id: string;
+  readonly service: string;
+  /** `host:port`. */
+  readonly address: string;
+  readonly zone: string;
+  readonly slots: number;
+  readonly isLeaving: boolean;
+  readonly isReclaimable: boolean;
+}
+
+/** An item of the platform's store. */
+export interface StoreItem {
+  readonly key: string;
+  readonly value: Uint8Array;
+  readonly revision: number;
+}
+
+/** A change of the store; `value` is undefined where the item is gone. */
+export interface StoreEvent {
+  readonly key: string;
+  readonly revision: number;
+  readonly value: Uint8Array | undefined;
+}
+
+/** All items under a prefix; pages do not form a snapshot, so events from `revision` on may repeat some. */
+export interface StoreListing {
+  readonly items: readonly StoreItem[];
+  readonly revision: number;
+}
+
+/** What a watch brought. The next one continues from `revision`. */
+export interface StoreChanges {
+  readonly events: readonly StoreEvent[];
+  readonly revision: number;
+}
+
+/** A write under conditions: all of it is done or nothing. */
+export interface StoreTransaction {
+  /** Revisions that must hold; 0: the key is absent. */
+  readonly expected: readonly { readonly key: string; readonly revision: number }[];
+  readonly put: readonly {
+    readonly key: string;
+    readonly value: Uint8Array;
+    readonly lease?: string | undefined;
+  }[];
+  readonly remove: readonly string[];
+}
+
+/**
+ * The platform's store. Failures: `ServiceUnavailable` where a call cannot have taken effect, `ServiceAnswerLost`
+ * where it may have, `ServiceConflict` where a condition did not hold, `HistoryLost` where a watch must start over,
+ * `LeaseLost` where a lease is over.
+ */
+export interface MetadataStore extends LeaseService {
+  read(key: string): Promise<Result<StoreItem | undefined, Failure>>;
+  list(prefix: string): Promise<Result<StoreListing, Failure>>;
+  watch(
+    prefix: string,
+    since: number,
+    waitMs: number,
+    signal: AbortSignal,
+  ): Promise<Result<StoreChanges, Failure>>;
+  transact(transaction: StoreTransaction): Promise<Result<number, Failure>>;
+  /** Grants a lease; returns its handle. */
+  grantLease(ttlMs: number): Promise<Result<string, Failure>>;
+  close(): Promise<void>;
+}
+
+/** Part of a prompt that several requests may share. */
+export interface PromptPart {
+  readonly id: string;
+  readonly tokens: number;
+}
+
+/** What a caller says in its headers. */
+export interface CallerHead {
+  readonly id: string;
+  /** Time that the caller will wait; undefined where it does not say. */
+  readonly deadlineMs: number | undefined;
+  readonly key: string | undefined;
+  /** Tokens of the prompt and most tokens out; undefined where it does not say. */
+  readonly promptTokens: number | undefined;
+  readonly outputTokens: number | undefined;
+  readonly parts: readonly PromptPart[];
+  /** Last event that the caller has; undefined where it starts from the beginning. */
+  readonly lastEventId: string | undefined;
+}
+
+/** What the gateway says to a backend beside the caller's own headers. */
+export interface DispatchHead {
+  readonly backendId: string;
+  readonly tenant: string | undefined;
+  readonly deadlineMs: number;
+  /** 0 to 9, 0 first; undefined where the service has no order of its own. */
+  readonly urgency: number | undefined;
+  /** Event after which the run goes on. */
+  readonly lastEventId: string | undefined;
+}
+
+/** What an answer's head says. */
+export enum AnswerWord {
+  /** The backend ran the request. */
+  Ran = 1,
+  /** The backend did not run it and never will. */
+  NotRun = 2,
+  /** Another backend has the address now. Nothing ran. */
+  WrongBackend = 3,
+  /** It belongs to another request, or to nobody. */
+  Foreign = 4,
+}
+
+/** Load that a backend tells with an answer. */
+export interface BackendLoad {
+  readonly running: number;
+  readonly waiting: number;
+  readonly slots: number;
+}
+
+/** An answer's head, read. */
+export interface AnswerHead {
+  readonly word: AnswerWord;
+  readonly load: BackendLoad | undefined;
+}
+
+/** How callers speak. */
+export interface CallerProtocol {
+  readonly readinessPath: string;
+  /** Fails with `BadRequest`. */
+  readHead(headers: IncomingHttpHeaders): Result<CallerHead, Failure>;
+  /** Headers of an answer of our own: name, value, name, value, … */
+  createOwnHeaders(requestId: string | undefined): string[];
+}
+
+/** How backends are spoken to. */
+export interface BackendProtocol {
+  /** Headers of a request from those of the caller; both are name, value, name, value, … */
+  createHeaders(callerHeaders: readonly string[], dispatch: DispatchHead): string[];
+  readAnswer(requestId: string, status: number, headers: IncomingHttpHeaders): AnswerHead;
+}
+
+/** Who gives an order. */
+export interface OrderSender {
+  readonly holder: string;
+  readonly fence: number;
+}
+
+/** Runs that began in one window, by tenant. */
+export interface UsageReport {
+  readonly window: number;
+  readonly counts: Readonly<Record<string, number>>;
+}
+
+/** How many backends of one price class a zone should have. */
+export interface CapacityOrder {
+  readonly service: string;
+  readonly zone: string;
+  readonly desired: number;
+  readonly isReclaimable: boolean;
+}
+
+/** What became of an order. */
+export enum OrderWord {
+  Taken = 1,
+  /** None of that class is to be had there at present. */
+  NoneAvailable = 2,
+}
+
+/** The platform's interface for orders. Failures: `ServiceUnavailable`, `ServiceAnswerLost`. */
+export interface OrderService {
+  reportUsage(report: UsageReport, sender: OrderSender): Promise<Result<OrderWord, Failure>>;
+  orderCapacity(order: CapacityOrder, sender: OrderSender): Promise<Result<OrderWord, Failure>>;
+  close(): Promise<void>;
+}
+
+/** Everything the gateway needs of a platform; plug-ins of kind `Platform` create one. */
+export interface PlatformAdapter {
+  readonly store: MetadataStore;
+  readonly orders: OrderService;
+  readonly callers: CallerProtocol;
+  readonly backends: BackendProtocol;
+  readonly configurationKey: string;
+  readonly backendPrefix: string;
+  decodeConfiguration(value: Uint8Array): Result<ServingConfiguration, Failure>;
+  decodeBackend(key: string, value: Uint8Array): Result<BackendRecord, Failure>;
+}
+
+/** Options that platform plug-ins are created with. */
+export interface PlatformOptions {
+  readonly storeAddress: string;
+  readonly ordersAddress: string;
+  /** Longest time of a call. */
+  readonly timeoutMs: number;
+}
--- /dev/null
+++ b/packages/gateway/test/decisions.test.ts
@@ -0,0 +1,159 @@
+import t from "tap";
+import {
+  CounterKind,
+  EventSplitter,
+  planCapacity,
+  RouteTable,
+  SharedCounters,
+  SlidingWindow,
+  TrueTime,
+  UsageCounts,
+  drawTarget,
+  type ZoneCount,
+} from "@gladewall/gateway";
+import { VirtualClock } from "@gladewall/kernel";
+import { createRoute, createTenant } from "@gladewall/standins";
+
+const limits = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
+
+t.test("a route is found by host and longest prefix", async (t) => {
+  const routes = ["/", "/a/", "/a/b/"].map((prefix) => createRoute({ name: prefix, prefix }));
+  const table = RouteTable.create({
+    version: 1,
+    routes,
+    services: new Map(),
+    tenants: [createTenant({})],
+    limits,
+  });
+  const find = (host: string, target: string): string | undefined => table.findRoute(host, target)?.name;
+  t.equal(find("app.test", "/a/b/c"), "/a/b/");
+  t.equal(find("APP.test:80", "/a/b"), "/a/");
+  t.equal(find("app.test", "/a?x=/a/b/"), "/");
+  t.equal(find("other.test", "/a/"), undefined);
+  t.equal(table.findTenant("key")?.name, "tenant");
+  t.equal(table.findTenant("none"), undefined);
+});
+
+t.test("targets are drawn by weight", async (t) => {
+  const targets = [
+    { service: "a", weight: 90 },
+    { service: "b", weight: 10 },
+  ];
+  t.same(
+    [0, 0.89, 0.9, 0.999].map((random) => drawTarget(targets, random)),
+    ["a", "a", "b", "b"],
+  );
+});
+
+t.test("a sliding window forgets what is older than its length, and no sooner", async (t) => {
+  const window = SlidingWindow.create(8_000);
+  window.add(1_000, 5);
+  window.add(2_000, 7);
+  t.equal(window.getSum(8_900), 12);
+  t.equal(window.getSum(9_300), 7);
+  t.ok(window.getTimeUntilFreed(9_300, 7) <= 1_000);
+  t.equal(window.getSum(99_000), 0);
+});
+
+t.test("events are cut behind blank lines, whatever the pieces they come in", async (t) => {
+  const text = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata: c\n\n";
+  for (let size = 1; size <= text.length; size++) {
+    const splitter = EventSplitter.create(true);
+    let out = "";
+    for (let start = 0; start < text.length; start += size) {
+      out += splitter.add(Buffer.from(text.slice(start, start + size))).toString();
+      t.match(out, /^$|\n\r?\n$/);
+    }
+    t.equal(out, text);
+    t.equal(splitter.lastEventId, "3");
+  }
+});
+
+t.test("a peer's totals count once, whatever is lost or repeated", async (t) => {
+  const clock = VirtualClock.create();
+  const windows = { [CounterKind.Quota]: 8_000, [CounterKind.Requests]: 8_000, [CounterKind.Repeats]: 8_000 };
+  const one = SharedCounters.create({ clock, windows });
+  const two = SharedCounters.create({ clock, windows });
+  two.add(CounterKind.Quota, "x", 10);
+  one.takeReport("two", "two/1", two.createReport());
+  one.takeReport("two", "two/1", two.createReport());
+  t.equal(one.getSum(CounterKind.Quota, "x"), 10);
+  await clock.advance(9_000);
+  t.equal(one.getSum(CounterKind.Quota, "x"), 0);
+  two.add(CounterKind.Quota, "x", 4);
+  one.takeReport("two", "two/1", two.createReport());
+  t.ok(Math.abs(one.getSum(CounterKind.Quota, "x") - (4 * 8_000) / 9_000) < 1e-6);
+  const restarted = SharedCounters.create({ clock, windows });
+  restarted.takeReport("one", "one/1", one.createReport());
+  t.ok(restarted.isInformed);
+  t.ok(restarted.getSum(CounterKind.Quota, "x") >= 3);
+});
+
+t.test("usage adds up over lives of nodes, and a life's later word replaces its earlier one", async (t) => {
+  const usage = UsageCounts.create();
+  usage.add(7, "a");
+  usage.takePeer("n/1", { 7: { a: 2 } });
+  usage.takePeer("n/1", { 7: { a: 3, b: 1 } });
+  usage.takePeer("n/2", { 7: { a: 1 } });
+  t.same(usage.getTotal(7), { a: 5, b: 1 });
+});
+
+t.test("the time of day does not follow a jump of the wall clock, but most peers", async (t) => {
+  const clock = VirtualClock.create();
+  let step = 0;
+  const stepped = {
+    ...clock,
+    getTime: () => clock.getTime(),
+    getWallTime: () => clock.getWallTime() + step,
+    startTimer: clock.startTimer.bind(clock),
+  };
+  const time = TrueTime.create(stepped);
+  const before = time.get();
+  step = 2_400;
+  time.adjust([0, 1, -1]);
+  t.ok(Math.abs(time.get() - before) < 50);
+  const late = TrueTime.create(stepped);
+  late.adjust([-2_400, -2_399, -2_401]);
+  t.ok(Math.abs(late.get() - before) < 50);
+});
+
+t.test("reclaimable backends are spread over zones, on-demand ones fill only what is missing", async (t) => {
+  const scaling = {
+    min: 1,
+    max: 6,
+    bootMs: 4_000,
+    reclaimablePrice: 0.2,
+    zonePrices: new Map([
+      ["a", 1],
+      ["b", 0.8],
+    ]),
+  };
+  const createZone = (zone: string, change: Partial<ZoneCount> = {}): ZoneCount => ({
+    zone,
+    reclaimable: 0,
+    onDemand: 0,
+    isReclaimableRefused: false,
+    ...change,
+  });
+  const plan = (zones: readonly ZoneCount[], needed: number, isReclaimableScarce = false) =>
+    planCapacity({ service: "s", limits: scaling, zones, needed, isReclaimableScarce }).map(
+      ({ zone, desired, isReclaimable }) => `${zone}${isReclaimable ? "r" : "d"}${desired}`,
+    );
+  t.same(plan([createZone("a", { onDemand: 2 }), createZone("b", { onDemand: 1 })], 4), [
+    "ar2",
+    "ad2",
+    "br2",
+    "bd1",
+  ]);
+  t.same(plan([createZone("a", { reclaimable: 2, onDemand: 2 }), createZone("b", { reclaimable: 2 })], 4), [
+    "ar2",
+    "ad0",
+    "br2",
+    "bd0",
+  ]);
+  const dry = [
+    createZone("a", { isReclaimableRefused: true }),
+    createZone("b", { reclaimable: 2, isReclaimableRefused: true }),
+  ];
+  t.same(plan(dry, 4, true), ["ar0", "ad1", "br2", "bd1"]);
+});
--- a/packages/entry/src/commandLine.ts
+++ b/packages/kernel/src/commandLine.ts
@@ -1,5 +1,5 @@
 /**
- * The command line of `gladewalld` and what its exit codes mean.
+ * The command line of the daemons and what their exit codes mean. Loaded apart: a daemon without arguments needs none.
  * @module
  */
 import yargs from "yargs";
@@ -21,14 +21,18 @@
   readonly set: readonly string[];
 }
 
-const defaultFile = "gladewall.ini";
+/** Settings file where neither the command line nor the environment names one. */
+export const defaultSettingsFile = "gladewall.ini";
 
 /** Parses the command line; ends the process with `BadSettings` where it is wrong. */
-export async function parseArguments(words: readonly string[]): Promise<DaemonArguments> {
+export async function parseArguments(
+  words: readonly string[],
+  settingsFile: string = defaultSettingsFile,
+): Promise<DaemonArguments> {
   const parsed = await yargs([...words])
     .scriptName("gladewalld")
     .usage("$0 [options]\n\nRuns one entry of gladewall.")
-    .option("settings", { type: "string", default: defaultFile, describe: "INI file with the settings" })
+    .option("settings", { type: "string", default: settingsFile, describe: "INI file with the settings" })
     .option("check", { type: "boolean", default: false, describe: "check the settings and exit" })
     .option("print", {
       type: "boolean",
--- a/packages/kernel/src/types.ts
+++ b/packages/kernel/src/types.ts
@@ -27,6 +27,7 @@
   Cloud = 3,
   WeightStore = 4,
   Endpoint = 5,
+  Platform = 6,
 }
 
 /** Names of plug-in kinds, as settings and messages give them. */
@@ -36,6 +37,7 @@
   [PluginKind.Cloud]: "cloud",
   [PluginKind.WeightStore]: "weight-store",
   [PluginKind.Endpoint]: "endpoint",
+  [PluginKind.Platform]: "platform",
 };
 
 /** Something that holds sockets or timers and must be closed once. */
--- /dev/null
+++ b/packages/standins/src/gatewayBench.ts
@@ -0,0 +1,145 @@
+/**
+ * One or more gateway nodes on loopback before a stand-in platform, and a caller that sees whole answers.
+ * @module
+ */
+import { type IncomingHttpHeaders, request } from "node:http";
+import { createServer, type AddressInfo } from "node:net";
+import { Gateway, gatewaySchema, type GatewaySettings } from "@gladewall/gateway";
+import { assertThat, type Closeable, Logger, parseSettings } from "@gladewall/kernel";
+import { StandinPlatform, standinPlatformName } from "./gatewayPlatform.js";
+
+/** What a caller saw. */
+export interface CallerView {
+  /** 0 where no head came. */
+  readonly status: number;
+  readonly headers: IncomingHttpHeaders;
+  readonly body: string;
+  /** Whether the answer looked whole. */
+  readonly isComplete: boolean;
+}
+
+/** What a caller sends. */
+export interface CallOptions {
+  readonly id?: string;
+  readonly method?: string;
+  readonly path?: string;
+  readonly host?: string;
+  readonly key?: string;
+  readonly body?: string;
+  readonly headers?: Readonly<Record<string, string>>;
+  /** Called with each piece of the answer as it arrives. */
+  readonly onData?: (text: string) => void;
+  readonly signal?: AbortSignal;
+}
+
+/** A node and where callers reach it. */
+export interface BenchNode {
+  readonly gateway: Gateway;
+  readonly settings: GatewaySettings;
+}
+
+let nextId = 1;
+
+/** Nodes of one test. */
+export class GatewayBench implements Closeable {
+  readonly nodes: BenchNode[] = [];
+
+  private constructor(readonly platform: StandinPlatform) {}
+
+  static create(platform: StandinPlatform = StandinPlatform.create()): GatewayBench {
+    return new GatewayBench(platform);
+  }
+
+  /** Starts a node; `overrides` are `section.key=value`. Resolves when its ports are open. */
+  async start(overrides: readonly string[] = []): Promise<BenchNode> {
+    const [callers, readiness, peers] = await findPorts(3);
+    const text = [
+      "[node]",
+      `name = node-${this.nodes.length + 1}`,
+      "zone = a",
+      "first_start = true",
+      "[listen]",
+      `callers = 127.0.0.1:${callers}`,
+      `readiness = 127.0.0.1:${readiness}`,
+      `peers = 127.0.0.1:${peers}`,
+      "[platform]",
+      `adapter = ${standinPlatformName}`,
+      `store_address = ${this.platform.address}`,
+      "orders_address = standin:1",
+      "[peers]",
+      "secret = bench",
+    ].join("\n");
+    const source = { file: "bench.ini", environment: {}, overrides };
+    const settings = parseSettings(gatewaySchema, text, source);
+    assertThat(settings.isOk(), "the bench's settings are good");
+    const gateway = Gateway.create(settings.value, Logger.createSilent());
+    assertThat(gateway.isOk(), "the bench's platform is registered");
+    const node = { gateway: gateway.value, settings: settings.value };
+    this.nodes.push(node);
+    await node.gateway.start();
+    return node;
+  }
+
+  /** Starts a node and waits until it takes requests and knows so many backends of a service. */
+  async startReady(backends: number, service = "web", overrides: readonly string[] = []): Promise<BenchNode> {
+    const node = await this.start(overrides);
+    await waitUntil(() => node.gateway.isReady() && node.gateway.countBackends(service) >= backends);
+    return node;
+  }
+
+  /** Sends one request to a node and resolves with what came of it. Never rejects. */
+  call(node: BenchNode, options: CallOptions = {}): Promise<CallerView> {
+    const { callers } = node.settings.listen;
+    const port = Number(callers.slice(callers.lastIndexOf(":") + 1));
+    const { id = `request-${nextId++}`, method = "GET", path = "/", host = "app.test", key, body } = options;
+    const headers: Record<string, string> = { host, "x-id": id, ...options.headers };
+    if (key !== undefined) headers.authorization = key;
+    return new Promise((resolve) => {
+      const sent = request({ host: "127.0.0.1", port, method, path, headers, agent: false });
+      const none = { status: 0, headers: {}, body: "", isComplete: false };
+      options.signal?.addEventListener("abort", () => sent.destroy());
+      sent.on("error", () => resolve(none));
+      sent.on("response", (answer) => {
+        let text = "";
+        answer.setEncoding("utf8");
+        answer.on("data", (part: string) => {
+          text += part;
+          options.onData?.(part);
+        });
+        answer.on("error", () => undefined);
+        answer.on("close", () =>
+          resolve({
+            status: answer.statusCode ?? 0,
+            headers: answer.headers,
+            body: text,
+            isComplete: answer.complete,
+          }),
+        );
+      });
+      sent.end(body);
+    });
+  }
+
+  async close(): Promise<void> {
+    await Promise.all(this.nodes.map(({ gateway }) => gateway.close()));
+  }
+}
+
+/** Resolves when a condition holds; looked at on every turn of the event loop, so no time is assumed. */
+export async function waitUntil(condition: () => boolean): Promise<void> {
+  while (!condition()) await new Promise((resolve) => setImmediate(resolve));
+}
+
+async function findPorts(count: number): Promise<readonly number[]> {
+  const servers = Array.from({ length: count }, () => createServer());
+  const ports = await Promise.all(
+    servers.map(
+      (server) =>
+        new Promise<number>((resolve) =>
+          server.listen(0, "127.0.0.1", () => resolve((server.address() as AddressInfo).port)),
+        ),
+    ),
+  );
+  await Promise.all(servers.map((server) => new Promise((resolve) => server.close(resolve))));
+  return ports;
+}
--- /dev/null
+++ b/packages/standins/src/gatewayPlatform.ts
@@ -0,0 +1,259 @@
+/**
+ * A platform for tests of the gateway: a store in memory, orders in a list, and short headers.
+ * @module
+ */
+import type { IncomingHttpHeaders } from "node:http";
+import {
+  type AnswerHead,
+  AnswerWord,
+  type BackendRecord,
+  type CallerHead,
+  type CapacityOrder,
+  type DispatchHead,
+  type OrderSender,
+  type OrderService,
+  OrderWord,
+  type PlatformAdapter,
+  type PlatformOptions,
+  QuotaUnit,
+  type Route,
+  RouteKind,
+  type Service,
+  type ServingConfiguration,
+  type Tenant,
+  type UsageReport,
+} from "@gladewall/gateway";
+import { type Clock, Failure, FailureCode, PluginKind, registerPlugin, SystemClock } from "@gladewall/kernel";
+import { Err, Ok, type Result } from "ts-results-es";
+import { MetadataStoreStandin, SharedStore } from "./metadataStoreStandin.js";
+
+/** Name of the plug-in in the settings; the store's address names the platform of the test. */
+export const standinPlatformName = "standin";
+
+const configurationKey = "operator/configuration";
+const backendPrefix = "backends/";
+
+/** An order as it arrived. */
+export interface TakenOrder {
+  readonly sender: OrderSender;
+  readonly usage?: UsageReport;
+  readonly capacity?: CapacityOrder;
+}
+
+/** Orders of all nodes of a test. */
+export class OrdersStandin implements OrderService {
+  readonly taken: TakenOrder[] = [];
+  /** Returns what an order for backends meets. */
+  getCapacityWord: (order: CapacityOrder) => OrderWord = () => OrderWord.Taken;
+  isDown = false;
+
+  private constructor() {}
+
+  static create(): OrdersStandin {
+    return new OrdersStandin();
+  }
+
+  async reportUsage(usage: UsageReport, sender: OrderSender): Promise<Result<OrderWord, Failure>> {
+    if (this.isDown) return Err(Failure.create(FailureCode.ServiceUnavailable, { detail: "down" }));
+    this.taken.push({ sender, usage });
+    return Ok(OrderWord.Taken);
+  }
+
+  async orderCapacity(capacity: CapacityOrder, sender: OrderSender): Promise<Result<OrderWord, Failure>> {
+    if (this.isDown) return Err(Failure.create(FailureCode.ServiceUnavailable, { detail: "down" }));
+    this.taken.push({ sender, capacity });
+    return Ok(this.getCapacityWord(capacity));
+  }
+
+  async close(): Promise<void> {
+    this.isDown = true;
+  }
+}
+
+interface WireConfiguration extends Omit<ServingConfiguration, "services"> {
+  readonly services: readonly Service[];
+}
+
+const platforms = new Map<string, StandinPlatform>();
+
+/** The platform of one test. */
+export class StandinPlatform {
+  readonly shared: SharedStore;
+  readonly orders = OrdersStandin.create();
+  /** Clients of the store, in the order in which nodes were created. */
+  readonly stores: MetadataStoreStandin[] = [];
+  private version = 0;
+
+  private constructor(
+    readonly address: string,
+    private readonly clock: Clock,
+  ) {
+    this.shared = SharedStore.create(clock);
+  }
+
+  /** Creates a platform and registers it under an address that no other test uses. */
+  static create(clock: Clock = SystemClock.create()): StandinPlatform {
+    const platform = new StandinPlatform(`standin:${platforms.size + 1}`, clock);
+    platforms.set(platform.address, platform);
+    return platform;
+  }
+
+  /** Acknowledges a configuration; what is left out stays at small defaults. */
+  configure(
+    configuration: Partial<Omit<ServingConfiguration, "services">> & { services?: readonly Service[] },
+  ): number {
+    this.version += 1;
+    const whole: WireConfiguration = {
+      version: this.version,
+      routes: [createRoute({})],
+      services: [createService({})],
+      tenants: [],
+      limits: { maxHeaderBytes: 16_384, maxBodyBytes: 65_536, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
+      ...configuration,
+    };
+    this.shared.put(configurationKey, JSON.stringify(whole));
+    return this.version;
+  }
+
+  /** Lists a backend, or changes its record. */
+  list(record: Partial<BackendRecord> & { readonly id: string; readonly address: string }): void {
+    const whole: BackendRecord = {
+      service: "web",
+      zone: "a",
+      slots: 4,
+      isLeaving: false,
+      isReclaimable: false,
+      ...record,
+    };
+    this.shared.put(`${backendPrefix}${record.id}`, JSON.stringify(whole));
+  }
+
+  unlist(id: string): void {
+    this.shared.remove(`${backendPrefix}${id}`);
+  }
+
+  createAdapter(): PlatformAdapter {
+    const store = MetadataStoreStandin.create(this.shared, this.clock);
+    this.stores.push(store);
+    return {
+      store,
+      orders: this.orders,
+      callers: { readinessPath: "/ready", readHead, createOwnHeaders: () => [] },
+      backends: { createHeaders, readAnswer },
+      configurationKey,
+      backendPrefix,
+      decodeConfiguration: (value) => {
+        const wire = JSON.parse(Buffer.from(value).toString("utf8")) as WireConfiguration;
+        const services = wire.services.map((service): [string, Service] => [
+          service.name,
+          reviveService(service),
+        ]);
+        return Ok({ ...wire, services: new Map(services) });
+      },
+      decodeBackend: (_, value) => Ok(JSON.parse(Buffer.from(value).toString("utf8")) as BackendRecord),
+    };
+  }
+}
+
+registerPlugin<PlatformOptions, PlatformAdapter>({
+  kind: PluginKind.Platform,
+  name: standinPlatformName,
+  create: ({ storeAddress }) => {
+    const platform = platforms.get(storeAddress);
+    if (!platform) throw new Error(`no stand-in platform at ${storeAddress}`);
+    return platform.createAdapter();
+  },
+});
+
+/** Creates a route with defaults for what is left out. */
+export function createRoute(route: Partial<Route>): Route {
+  return {
+    name: "route",
+    host: "app.test",
+    prefix: "/",
+    kind: RouteKind.Safe,
+    targets: [{ service: "web", weight: 1 }],
+    timeoutMs: 5_000,
+    goalMs: 500,
+    gapGoalMs: undefined,
+    attempts: 2,
+    priority: 0,
+    isPublic: false,
+    isResumable: false,
+    ...route,
+  };
+}
+
+/** Creates a service with defaults for what is left out. */
+export function createService(service: Partial<Service>): Service {
+  return { name: "web", maxConnections: 100, engine: undefined, scaling: undefined, ...service };
+}
+
+/** Creates a tenant with defaults for what is left out. */
+export function createTenant(tenant: Partial<Tenant>): Tenant {
+  return {
+    name: "tenant",
+    keys: ["key"],
+    priority: 0,
+    unit: QuotaUnit.Requests,
+    plainTokens: 1,
+    ratePerSecond: 0,
+    burst: 0,
+    ...tenant,
+  };
+}
+
+/** JSON turns the map of prices into an empty object; tests give them as entries. */
+function reviveService(service: Service): Service {
+  const { scaling } = service;
+  if (!scaling) return service;
+  return { ...service, scaling: { ...scaling, zonePrices: new Map() } };
+}
+
+function readHead(headers: IncomingHttpHeaders): Result<CallerHead, Failure> {
+  const id = headers["x-id"];
+  if (typeof id !== "string") return Err(Failure.create(FailureCode.BadRequest, { detail: "no x-id" }));
+  const tokens = headers["x-tokens"];
+  return Ok({
+    id,
+    deadlineMs: headers["x-deadline"] === undefined ? undefined : Number(headers["x-deadline"]),
+    key: headers.authorization,
+    promptTokens: tokens === undefined ? undefined : Number(tokens),
+    outputTokens: 0,
+    parts: [],
+    lastEventId: undefined,
+  });
+}
+
+const replaced = new Set([
+  "connection",
+  "transfer-encoding",
+  "content-length",
+  "authorization",
+  "x-deadline",
+]);
+
+function createHeaders(callerHeaders: readonly string[], dispatch: DispatchHead): string[] {
+  const headers: string[] = [];
+  for (let index = 0; index < callerHeaders.length; index += 2) {
+    const name = callerHeaders[index] ?? "";
+    if (!replaced.has(name.toLowerCase())) headers.push(name, callerHeaders[index + 1] ?? "");
+  }
+  headers.push("x-expect", dispatch.backendId, "x-deadline", String(Math.floor(dispatch.deadlineMs)));
+  if (dispatch.tenant !== undefined) headers.push("x-tenant", dispatch.tenant);
+  if (dispatch.lastEventId !== undefined) headers.push("last-event-id", dispatch.lastEventId);
+  return headers;
+}
+
+const misdirected = 421;
+const firstFailure = 300;
+
+function readAnswer(requestId: string, status: number, headers: IncomingHttpHeaders): AnswerHead {
+  const load = undefined;
+  if (headers["x-id"] !== undefined && headers["x-id"] !== requestId)
+    return { word: AnswerWord.Foreign, load };
+  if (status === misdirected) return { word: AnswerWord.WrongBackend, load };
+  if (headers["x-not-run"] !== undefined) return { word: AnswerWord.NotRun, load };
+  const isUnsigned = status < firstFailure && headers["x-stamp"] === undefined;
+  return { word: isUnsigned ? AnswerWord.Foreign : AnswerWord.Ran, load };
+}
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -11,3 +11,7 @@
 export * from "./engineStandin.js";
 export * from "./webStandin.js";
 export * from "./memoryKeyValue.js";
+export * from "./metadataStoreStandin.js";
+export * from "./gatewayPlatform.js";
+export * from "./scriptedBackend.js";
+export * from "./gatewayBench.js";
--- /dev/null
+++ b/packages/standins/src/metadataStoreStandin.ts
@@ -0,0 +1,231 @@
+/**
+ * The gateway's store in memory, with the troubles that a platform's store has: it may be down, lose the answers of
+ * writes, turn watches deaf, and forget its history.
+ * @module
+ */
+import type { GrantedLease } from "@gladewall/coordination";
+import type {
+  MetadataStore,
+  StoreChanges,
+  StoreEvent,
+  StoreItem,
+  StoreListing,
+  StoreTransaction,
+} from "@gladewall/gateway";
+import { type Clock, Failure, FailureCode, waitFor } from "@gladewall/kernel";
+import { Err, Ok, type Result } from "ts-results-es";
+
+/** What calls meet. */
+export enum StoreTrouble {
+  None = 0,
+  /** Calls fail without effect. */
+  Down = 1,
+  /** Writes take effect, and their answers are lost. */
+  LosesAnswers = 2,
+}
+
+interface Entry extends StoreItem {
+  readonly lease: string | undefined;
+}
+
+const pollMs = 5;
+
+/** What all nodes of a test share. */
+export class SharedStore {
+  trouble = StoreTrouble.None;
+  /** Whether watches hear nothing. */
+  isDeaf = false;
+  reads = 0;
+  writes = 0;
+  readonly entries = new Map<string, Entry>();
+  private readonly events: StoreEvent[] = [];
+  private readonly leases = new Map<string, { readonly ttlMs: number; endsAt: number }>();
+  private oldest = 0;
+  private counter = 0;
+  private nextLease = 1;
+
+  private constructor(private readonly clock: Clock) {}
+
+  static create(clock: Clock): SharedStore {
+    return new SharedStore(clock);
+  }
+
+  get revision(): number {
+    this.expire();
+    return this.counter;
+  }
+
+  /** Writes without a condition, as operators and backends do; returns the revision. */
+  put(key: string, value: string | Uint8Array, lease?: string): number {
+    this.expire();
+    this.counter += 1;
+    const bytes = typeof value === "string" ? Buffer.from(value) : value;
+    this.entries.set(key, { key, value: bytes, revision: this.counter, lease });
+    this.events.push({ key, revision: this.counter, value: bytes });
+    return this.counter;
+  }
+
+  remove(key: string): void {
+    if (!this.entries.delete(key)) return;
+    this.counter += 1;
+    this.events.push({ key, revision: this.counter, value: undefined });
+  }
+
+  /** Forgets all changes up to now: watches that continue from before fail. */
+  forgetHistory(): void {
+    this.oldest = this.counter;
+  }
+
+  grant(ttlMs: number): string {
+    const lease = String(this.nextLease++);
+    this.leases.set(lease, { ttlMs, endsAt: this.clock.getTime() + ttlMs });
+    return lease;
+  }
+
+  keep(lease: string): boolean {
+    this.expire();
+    const found = this.leases.get(lease);
+    if (!found) return false;
+    found.endsAt = this.clock.getTime() + found.ttlMs;
+    return true;
+  }
+
+  endLease(lease: string): void {
+    this.leases.delete(lease);
+    for (const { key, lease: held } of [...this.entries.values()]) if (held === lease) this.remove(key);
+  }
+
+  /** Ends every lease at once, as a store does that lost time. */
+  lapse(): void {
+    for (const lease of [...this.leases.keys()]) this.endLease(lease);
+  }
+
+  hasLease(lease: string): boolean {
+    this.expire();
+    return this.leases.has(lease);
+  }
+
+  /** Returns the changes after a revision under a prefix; undefined where they are forgotten. */
+  getChanges(prefix: string, since: number): readonly StoreEvent[] | undefined {
+    this.expire();
+    if (since < this.oldest) return undefined;
+    return this.events.filter((event) => event.revision > since && event.key.startsWith(prefix));
+  }
+
+  private expire(): void {
+    const time = this.clock.getTime();
+    for (const [lease, { endsAt }] of [...this.leases]) if (endsAt <= time) this.endLease(lease);
+  }
+}
+
+/** One node's client of the shared store. */
+export class MetadataStoreStandin implements MetadataStore {
+  /** Trouble of this node alone. */
+  trouble = StoreTrouble.None;
+
+  private constructor(
+    private readonly shared: SharedStore,
+    private readonly clock: Clock,
+  ) {}
+
+  static create(shared: SharedStore, clock: Clock): MetadataStoreStandin {
+    return new MetadataStoreStandin(shared, clock);
+  }
+
+  async read(key: string): Promise<Result<StoreItem | undefined, Failure>> {
+    this.shared.reads += 1;
+    if (this.isDown()) return Err(createDown());
+    return Ok(this.shared.revision >= 0 ? this.shared.entries.get(key) : undefined);
+  }
+
+  async list(prefix: string): Promise<Result<StoreListing, Failure>> {
+    this.shared.reads += 1;
+    if (this.isDown()) return Err(createDown());
+    const { revision } = this.shared;
+    const items = [...this.shared.entries.values()].filter(({ key }) => key.startsWith(prefix));
+    return Ok({ items, revision });
+  }
+
+  async watch(
+    prefix: string,
+    since: number,
+    waitMs: number,
+    signal: AbortSignal,
+  ): Promise<Result<StoreChanges, Failure>> {
+    const endsAt = this.clock.getTime() + waitMs;
+    for (;;) {
+      if (signal.aborted || this.isDown()) return Err(createDown());
+      const events = this.shared.isDeaf ? [] : this.shared.getChanges(prefix, since);
+      if (!events) return Err(Failure.create(FailureCode.HistoryLost, { revision: since }));
+      const last = events.at(-1);
+      if (last) return Ok({ events, revision: last.revision });
+      if (this.clock.getTime() >= endsAt) return Ok({ events: [], revision: since });
+      await waitFor(this.clock, pollMs, signal);
+    }
+  }
+
+  async transact({ expected, put, remove }: StoreTransaction): Promise<Result<number, Failure>> {
+    this.shared.writes += 1;
+    if (this.isDown()) return Err(createDown());
+    for (const { key, revision } of expected) {
+      const present = this.shared.revision >= 0 ? (this.shared.entries.get(key)?.revision ?? 0) : 0;
+      if (present !== revision) return Err(Failure.create(FailureCode.ServiceConflict, { key }));
+    }
+    for (const { key, value, lease } of put) {
+      if (lease !== undefined && !this.shared.hasLease(lease)) {
+        return Err(Failure.create(FailureCode.LeaseLost, { lease }));
+      }
+      this.shared.put(key, value, lease);
+    }
+    for (const key of remove) this.shared.remove(key);
+    return this.losesAnswers()
+      ? Err(Failure.create(FailureCode.ServiceAnswerLost))
+      : Ok(this.shared.revision);
+  }
+
+  async grantLease(ttlMs: number): Promise<Result<string, Failure>> {
+    if (this.isDown()) return Err(createDown());
+    return Ok(this.shared.grant(ttlMs));
+  }
+
+  async acquireLease(
+    name: string,
+    holder: string,
+    ttl: number,
+  ): Promise<Result<GrantedLease | undefined, Failure>> {
+    const lease = await this.grantLease(ttl);
+    if (lease.isErr()) return lease;
+    const put = [{ key: name, value: Buffer.from(holder), lease: lease.value }];
+    const taken = await this.transact({ expected: [{ key: name, revision: 0 }], put, remove: [] });
+    if (taken.isOk()) return Ok({ session: lease.value, fence: taken.value });
+    return taken.error.code === FailureCode.ServiceConflict ? Ok(undefined) : taken;
+  }
+
+  async renewLease(session: string): Promise<Result<void, Failure>> {
+    if (this.isDown()) return Err(createDown());
+    if (!this.shared.keep(session)) return Err(Failure.create(FailureCode.LeaseLost, { lease: session }));
+    return Ok(undefined);
+  }
+
+  async releaseLease(session: string): Promise<Result<void, Failure>> {
+    if (this.isDown()) return Err(createDown());
+    this.shared.endLease(session);
+    return Ok(undefined);
+  }
+
+  async close(): Promise<void> {
+    this.trouble = StoreTrouble.Down;
+  }
+
+  private isDown(): boolean {
+    return this.trouble === StoreTrouble.Down || this.shared.trouble === StoreTrouble.Down;
+  }
+
+  private losesAnswers(): boolean {
+    return this.trouble === StoreTrouble.LosesAnswers || this.shared.trouble === StoreTrouble.LosesAnswers;
+  }
+}
+
+function createDown(): Failure {
+  return Failure.create(FailureCode.ServiceUnavailable, { detail: "stand-in is down" });
+}
--- /dev/null
+++ b/packages/standins/src/scriptedBackend.ts
@@ -0,0 +1,100 @@
+/**
+ * A backend that answers as a test's script says, down to the bytes on its connections.
+ * @module
+ */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { AddressInfo, Socket } from "node:net";
+import type { Closeable } from "@gladewall/kernel";
+
+/** A request as the backend got it. */
+export interface BackendCall {
+  readonly id: string;
+  readonly method: string;
+  readonly target: string;
+  readonly headers: IncomingMessage["headers"];
+  readonly body: string;
+  readonly message: IncomingMessage;
+  readonly response: ServerResponse;
+  /** For bytes that no HTTP library would send. */
+  readonly socket: Socket;
+}
+
+/** Answers one request. */
+export type BackendScript = (call: BackendCall) => void;
+
+/** One scripted backend on loopback. */
+export class ScriptedBackend implements Closeable {
+  readonly calls: BackendCall[] = [];
+  connections = 0;
+  private waiters: (() => void)[] = [];
+
+  private constructor(
+    readonly id: string,
+    private readonly server: Server,
+  ) {}
+
+  /** Starts a backend on a free port. */
+  static async create(id: string, script: BackendScript = answerGood): Promise<ScriptedBackend> {
+    const server = createServer({ keepAliveTimeout: 60_000 });
+    const backend = new ScriptedBackend(id, server);
+    server.on("connection", () => (backend.connections += 1));
+    server.on("request", (message: IncomingMessage, response: ServerResponse) => {
+      const parts: Buffer[] = [];
+      message.on("data", (part: Buffer) => parts.push(part));
+      message.on("end", () => {
+        const call: BackendCall = {
+          id: String(message.headers["x-id"]),
+          method: message.method ?? "",
+          target: message.url ?? "",
+          headers: message.headers,
+          body: Buffer.concat(parts).toString("utf8"),
+          message,
+          response,
+          socket: message.socket,
+        };
+        backend.calls.push(call);
+        for (const wake of backend.waiters.splice(0)) wake();
+        (backend.script ?? script)(call);
+      });
+    });
+    await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+    return backend;
+  }
+
+  /** Replaces the script given at creation. */
+  script: BackendScript | undefined;
+
+  get address(): string {
+    return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+  }
+
+  /** Resolves when so many requests have arrived. */
+  async waitForCalls(count: number): Promise<void> {
+    while (this.calls.length < count) await new Promise<void>((resolve) => this.waiters.push(resolve));
+  }
+
+  async close(): Promise<void> {
+    const done = new Promise<void>((resolve) => this.server.close(() => resolve()));
+    this.server.closeAllConnections();
+    await done;
+  }
+}
+
+/** Answers with a signed body that names the backend's request. */
+export function answerGood({ id, response }: BackendCall): void {
+  const body = `answer to ${id}`;
+  response.writeHead(200, { "x-id": id, "x-stamp": "signed", "content-length": body.length });
+  response.end(body);
+}
+
+/** Answers that the request was not run. */
+export function answerNotRun({ id, response }: BackendCall): void {
+  response.writeHead(503, { "x-id": id, "x-not-run": "1", "content-length": 0 });
+  response.end();
+}
+
+/** Begins a stream; the test writes events and ends it. */
+export function beginEvents({ id, response }: BackendCall): void {
+  response.writeHead(200, { "x-id": id, "x-stamp": "signed", "content-type": "text/event-stream" });
+  response.flushHeaders();
+}
--- /dev/null
+++ b/scripts/bundle.mjs
@@ -0,0 +1,35 @@
+// Bundles the daemon of the operators' platform into one file under target/, straight from the sources.
+import { fileURLToPath } from "node:url";
+import { build } from "esbuild";
+
+const root = fileURLToPath(new URL("..", import.meta.url));
+const source = (path) => `${root}${path}`;
+
+await build({
+  absWorkingDir: root,
+  entryPoints: ["deploy/gladewalld.ts"],
+  outfile: "target/gladewalld.mjs",
+  bundle: true,
+  platform: "node",
+  target: "node20",
+  format: "esm",
+  legalComments: "none",
+  logLevel: "warning",
+  alias: {
+    "@gladewall/kernel/commandLine": source("packages/kernel/src/commandLine.ts"),
+    "@gladewall/kernel": source("packages/kernel/src/index.ts"),
+    "@gladewall/coordination": source("packages/coordination/src/index.ts"),
+    "@gladewall/gateway": source("packages/gateway/src/index.ts"),
+    "@gladewall/platform": source("platform/src/index.ts"),
+  },
+  // CommonJS packages inside a module need what CommonJS gives them.
+  banner: {
+    js: [
+      'import { createRequire as __createRequire } from "node:module";',
+      'import { fileURLToPath as __fileURLToPath } from "node:url";',
+      "const require = __createRequire(import.meta.url);",
+      "const __filename = __fileURLToPath(import.meta.url);",
+      'const __dirname = __filename.slice(0, __filename.lastIndexOf("/"));',
+    ].join("\n"),
+  },
+});
