Order backends by load, keep limits by a leaky bucket over the fleet

A sliding window let a tenant spend its whole limit at once and then refused what was inside its limit for seconds.

Ruled out: refusals of cut nodes (the refused requests were taken by nodes in touch); 409 handling alone (a zone that stopped being asked counted as able to give, and on-demand backends were given up before each order).

Change: demand is counted in prompt tokens over the fleet and held for 15 s; on-demand backends fill what is missing and are kept while a zone is dry; limits are a level that falls at the tenant's rate; peers that fell silent keep their parts. The first holder ever does not wait for a predecessor.

--- a/packages/gateway/src/admission.ts
+++ b/packages/gateway/src/admission.ts
@@ -29,16 +29,15 @@
   readonly quotaSlack: number;
   /** Whether this life is the system's first: there is no use before it that it could not know of. */
   readonly isFirstStart: boolean;
-  readonly getFleetSize: () => number;
-  readonly getHeardShare: () => number;
+  /** Returns the share of the fleet whose counts are known. */
+  readonly getKnownShare: () => number;
 }
 
 const notReadyRetryMs = 500;
-/** Share of the burst that a life which does not know what was used before it counts as used. */
-const seededBurstShare = 0.75;
-/** Share of the slack that is used up for delays between nodes. */
-const usedSlackShare = 0.1;
-const millisecondsPerSecond = 1_000;
+/** Share of the room that a life which does not know what was used before it counts as taken. */
+const seededShare = 0.9;
+/** Share of the slack that is given out; the rest covers delays between nodes. */
+const usedSlackShare = 0.35;
 const shortestRetryMs = 100;
 
 /** Decides on requests. */
@@ -80,12 +79,16 @@
 
   /** Takes units of a tenant's limit; fails with `QuotaSpent`. */
   takeQuota(tenant: Tenant, cost: number): Result<void, Failure> {
-    const { counters, quotaWindowMs } = this.options;
+    const { counters } = this.options;
     if (tenant.ratePerSecond <= 0) return Ok(undefined);
-    this.seedOnce(tenant);
-    const limit = (tenant.ratePerSecond * quotaWindowMs) / millisecondsPerSecond + tenant.burst;
-    const used = counters.getSum(CounterKind.Quota, tenant.name);
-    const excess = Math.max(used + cost - limit - this.getSlack(), this.getOwnExcess(tenant, cost, limit));
+    // Nodes that may be serving unheard keep their parts, so that the parts of all add up to the limit.
+    const share = this.options.getKnownShare();
+    const room = (tenant.burst + this.options.quotaSlack * usedSlackShare) * share;
+    this.seedOnce(tenant, room);
+    counters.setRate(tenant.name, tenant.ratePerSecond * share);
+    const level = counters.getSum(CounterKind.Quota, tenant.name);
+    // A request larger than the room is let in when nothing else is.
+    const excess = level === 0 ? 0 : level + cost - room;
     if (excess > 0) {
       const wait = counters.getTimeUntilFreed(CounterKind.Quota, tenant.name, excess);
       const values = { tenant: tenant.name, limit: tenant.ratePerSecond };
@@ -100,30 +103,12 @@
     if (tenant.ratePerSecond > 0) this.options.counters.add(CounterKind.Quota, tenant.name, -cost);
   }
 
-  private getSlack(): number {
-    return this.options.quotaSlack * usedSlackShare;
-  }
-
-  /**
-   * Units by which this node alone would be over its part of the limit. Nodes that hear few of the others keep to an
-   * equal part, so that the parts of all add up to the limit whoever is cut off from whom.
-   */
-  private getOwnExcess(tenant: Tenant, cost: number, limit: number): number {
-    const { counters, getFleetSize, getHeardShare } = this.options;
-    const fleet = getFleetSize();
-    const heard = 1 + getHeardShare() * (fleet - 1);
-    const part = limit * (heard / fleet) + this.getSlack() / fleet;
-    return counters.getOwnSum(CounterKind.Quota, tenant.name) + cost - part;
-  }
-
-  /** A life that is not the first cannot know what was used just before it: it counts the limit as used. */
-  private seedOnce(tenant: Tenant): void {
+  /** A life that is not the first cannot know what was used just before it: it counts the room as taken. */
+  private seedOnce(tenant: Tenant, room: number): void {
     if (this.seeded.has(tenant.name)) return;
     this.seeded.add(tenant.name);
     const { counters, quotaWindowMs, isFirstStart } = this.options;
     if (isFirstStart || counters.isInformed || counters.getUptime() > quotaWindowMs) return;
-    const steady = (tenant.ratePerSecond * quotaWindowMs) / millisecondsPerSecond;
-    const left = 1 - counters.getUptime() / quotaWindowMs;
-    counters.seed(CounterKind.Quota, tenant.name, (steady + tenant.burst * seededBurstShare) * left);
+    counters.seed(CounterKind.Quota, tenant.name, room * seededShare);
   }
 }
--- a/packages/gateway/src/capacityOrders.ts
+++ b/packages/gateway/src/capacityOrders.ts
@@ -21,7 +21,7 @@
   readonly logger: Logger;
   readonly getBackends: (service: string) => readonly Backend[];
   /** Backends that the load ahead of a service needs. */
-  readonly getNeeded: (service: Service, zones: number) => number;
+  readonly getNeeded: (service: Service, zones: number, present: number) => number;
 }
 
 interface LastOrder {
@@ -29,7 +29,8 @@
   readonly at: number;
 }
 
-const refusedPauseMs = 1_500;
+const refusedPauseMs = 2_000;
+const failedPauseMs = 800;
 /** A wanted number that is not there yet is ordered again after this long. */
 const repeatMs = 6_000;
 /** How long reclaimable backends count as scarce after a refusal. */
@@ -38,8 +39,11 @@
 /** Keeps the numbers of backends as planned. */
 export class CapacityOrders {
   private readonly last = new Map<string, LastOrder>();
+  /** When each zone last refused reclaimable backends; forgotten once it gives some. */
   private readonly refusedAt = new Map<string, number>();
   private scarceUntil = -Infinity;
+  /** Time of the last order that had no answer. */
+  private failedAt = -Infinity;
 
   private constructor(private readonly options: CapacityOrdersOptions) {}
 
@@ -56,20 +60,25 @@
   /** Gives the orders of one service that are due. */
   async step(service: Service, getSender: () => OrderSender | undefined): Promise<void> {
     const { scaling } = service;
-    if (!scaling) return;
+    if (!scaling || this.options.clock.getTime() - this.failedAt < failedPauseMs) return;
     const zones = this.countZones(service.name, scaling);
+    const onDemand = zones.reduce((sum, zone) => sum + zone.onDemand, 0);
+    const reclaimable = zones.reduce((sum, zone) => sum + zone.reclaimable, 0);
+    // While one class takes the place of the other both are there for a time; they are not needed twice.
+    const present = Math.max(onDemand, reclaimable);
     const plan = planCapacity({
       service: service.name,
       limits: scaling,
       zones,
-      needed: this.options.getNeeded(service, zones.length),
+      needed: this.options.getNeeded(service, zones.length, present),
       isReclaimableScarce: this.options.clock.getTime() < this.scarceUntil,
     });
     for (const order of plan) {
       if (!this.isDue(order, zones)) continue;
       const sender = getSender();
       if (!sender) return;
-      await this.give(order, sender);
+      const isAnswered = await this.give(order, sender);
+      if (!isAnswered) return;
     }
   }
 
@@ -80,8 +89,19 @@
     return [...names].map((zone) => {
       const here = backends.filter((backend) => backend.record.zone === zone);
       const reclaimable = here.filter((backend) => backend.record.isReclaimable).length;
-      const isReclaimableRefused = time - (this.refusedAt.get(zone) ?? -Infinity) < refusedPauseMs;
-      return { zone, reclaimable, onDemand: here.length - reclaimable, isReclaimableRefused };
+      const refusedAt = this.refusedAt.get(zone);
+      const isReclaimableDry = refusedAt !== undefined;
+      const isReclaimableRefused = isReclaimableDry && time - refusedAt < refusedPauseMs;
+      const onDemand = here.length - reclaimable;
+      const ordered = this.last.get(getKey({ service, zone, isReclaimable: false }))?.desired;
+      return {
+        zone,
+        reclaimable,
+        onDemand,
+        onDemandOrdered: ordered ?? onDemand,
+        isReclaimableRefused,
+        isReclaimableDry,
+      };
     });
   }
 
@@ -95,23 +115,28 @@
     return present !== order.desired && this.options.clock.getTime() - last.at > repeatMs;
   }
 
-  private async give(order: CapacityOrder, sender: OrderSender): Promise<void> {
+  private async give(order: CapacityOrder, sender: OrderSender): Promise<boolean> {
     const { orders, clock, logger } = this.options;
     const at = clock.getTime();
     const taken = await orders.orderCapacity(order, sender);
     const outcome = taken.isErr() ? taken.error.name : OrderWord[taken.value];
     const { service, zone, desired, isReclaimable } = order;
     logger.info("capacity.ordered", { service, zone, desired, isReclaimable, fence: sender.fence, outcome });
-    if (taken.isErr()) return;
+    if (taken.isErr()) {
+      this.failedAt = clock.getTime();
+      return false;
+    }
     if (taken.value === OrderWord.Taken) {
       this.last.set(getKey(order), { desired, at });
-      return;
+      if (isReclaimable) this.refusedAt.delete(zone);
+      return true;
     }
     this.refusedAt.set(zone, at);
     this.scarceUntil = at + scarceMs;
+    return true;
   }
 }
 
-function getKey({ service, zone, isReclaimable }: CapacityOrder): string {
+function getKey({ service, zone, isReclaimable }: Omit<CapacityOrder, "desired">): string {
   return `${service}/${zone}/${isReclaimable}`;
 }
--- a/packages/gateway/src/capacityPlan.ts
+++ b/packages/gateway/src/capacityPlan.ts
@@ -11,8 +11,12 @@
   /** Backends that take work. */
   readonly reclaimable: number;
   readonly onDemand: number;
-  /** Whether reclaimable ones were refused there a moment ago. */
+  /** On-demand ones that were ordered last; those present where nothing was ordered. */
+  readonly onDemandOrdered: number;
+  /** Whether reclaimable ones were refused there a moment ago: they are not asked for now. */
   readonly isReclaimableRefused: boolean;
+  /** Whether the last order for reclaimable ones was refused there, however long ago. */
+  readonly isReclaimableDry: boolean;
 }
 
 /** What a plan is made from. */
@@ -28,6 +32,8 @@
 
 /** Share of the needed backends that must serve before on-demand ones are given up. */
 const releaseShare = 0.85;
+/** On-demand backends that are kept, as a share of those that are missing. */
+const surplusShare = 1.2;
 
 /** Returns the wanted numbers of every zone and class. */
 export function planCapacity(input: CapacityInput): readonly CapacityOrder[] {
@@ -58,35 +64,63 @@
   return wanted;
 }
 
-/** Fills what is missing with on-demand backends, the cheapest zones first; keeps them until others serve. */
+/**
+ * Fills what is missing with on-demand backends, the cheapest zones first. Those ordered before are kept as long as
+ * they are needed: given up while reclaimable ones start, they would be missed at once.
+ */
 function planOnDemand(input: CapacityInput, reclaimable: ReadonlyMap<string, number>): Map<string, number> {
   const { zones, needed, limits, isReclaimableScarce } = input;
   const serving = zones.reduce(sumReclaimable, 0);
-  const present = zones.reduce((sum, zone) => sum + zone.onDemand, 0);
-  const missing = Math.max(0, needed - serving);
   const isEnough = serving >= needed * releaseShare;
-  // While ordered reclaimable backends start, those on demand that are there are kept.
-  const target = isEnough ? 0 : isReclaimableScarce ? missing : Math.min(missing, present);
+  const missing = isEnough ? 0 : needed - serving;
+  const sorted = [...zones].sort((one, other) => getPrice(limits, one.zone) - getPrice(limits, other.zone));
   const wanted = new Map<string, number>();
-  for (const { zone } of zones) {
-    wanted.set(zone, Math.max(0, limits.min - (reclaimable.get(zone) ?? 0)));
+  for (const zone of sorted) {
+    const room = getRoom(zone, limits, reclaimable.get(zone.zone) ?? 0);
+    const least = Math.max(0, limits.min - (reclaimable.get(zone.zone) ?? 0));
+    wanted.set(zone.zone, Math.max(least, Math.min(room, isEnough ? 0 : zone.onDemandOrdered)));
   }
-  let left = target - [...wanted.values()].reduce((sum, count) => sum + count, 0);
-  const sorted = [...zones].sort(
-    (one, other) =>
-      other.onDemand - one.onDemand || getPrice(limits, one.zone) - getPrice(limits, other.zone),
-  );
-  const perZone = Math.max(1, Math.ceil(target / zones.length));
-  for (const { zone, onDemand } of sorted) {
-    const room = Math.max(0, limits.max - (reclaimable.get(zone) ?? 0) - (wanted.get(zone) ?? 0));
-    const added = Math.min(left, room, Math.max(onDemand, perZone));
-    if (added <= 0) continue;
-    wanted.set(zone, (wanted.get(zone) ?? 0) + added);
-    left -= added;
+  releaseSurplus(wanted, sorted, missing);
+  if (!isReclaimableScarce) return wanted;
+  let left = missing - sumValues(wanted);
+  while (left > 0) {
+    const open = sorted.filter(
+      (zone) => (wanted.get(zone.zone) ?? 0) < getRoom(zone, limits, reclaimable.get(zone.zone) ?? 0),
+    );
+    const next = findLeast(open, wanted, limits.max);
+    if (next === undefined) return wanted;
+    wanted.set(next, (wanted.get(next) ?? 0) + 1);
+    left -= 1;
   }
   return wanted;
 }
 
+/** On-demand backends that a zone has room for: the limit counts both classes together. */
+function getRoom(zone: ZoneCount, limits: ScalingLimits, reclaimableWanted: number): number {
+  // Where reclaimable ones can be had, on-demand ones must not keep their places; but only an order that was taken
+  // shows that they can, or on-demand ones would be given up before each order that is refused.
+  const taken = zone.isReclaimableDry ? zone.reclaimable : Math.max(zone.reclaimable, reclaimableWanted);
+  return Math.max(0, limits.max - taken);
+}
+
+/** Gives up what is clearly more than needed, the dearest zones first. */
+function releaseSurplus(
+  wanted: Map<string, number>,
+  cheapestFirst: readonly ZoneCount[],
+  missing: number,
+): void {
+  let surplus = sumValues(wanted) - Math.ceil(missing * surplusShare);
+  for (const { zone } of [...cheapestFirst].reverse()) {
+    const given = Math.min(Math.max(0, surplus), wanted.get(zone) ?? 0);
+    wanted.set(zone, (wanted.get(zone) ?? 0) - given);
+    surplus -= given;
+  }
+}
+
+function sumValues(counts: ReadonlyMap<string, number>): number {
+  return [...counts.values()].reduce((sum, count) => sum + count, 0);
+}
+
 function findLeast(
   zones: readonly ZoneCount[],
   wanted: ReadonlyMap<string, number>,
--- /dev/null
+++ b/packages/gateway/src/demand.ts
@@ -0,0 +1,71 @@
+/**
+ * How many backends the load of a service needs: prompt tokens that came over the last seconds, against what one
+ * backend reads at the utilization that still leaves first events in time.
+ * @module
+ */
+import type { Clock } from "@gladewall/kernel";
+import { CounterKind, type SharedCounters } from "./sharedCounters.js";
+import type { Service } from "./types.js";
+
+/** Options of the estimate. */
+export interface DemandOptions {
+  readonly clock: Clock;
+  readonly counters: SharedCounters;
+  /** Prompt tokens that an engine reads in a millisecond. */
+  readonly prefillRate: number;
+  /** Share of that rate at which an engine still answers in time. */
+  readonly utilization: number;
+  /** Backends of a zone that are kept without load. */
+  readonly leastPerZone: number;
+  /** Length of the window that load is counted over. */
+  readonly windowMs: number;
+}
+
+/** Time for which a need that has passed is still provided for. */
+const holdMs = 15_000;
+/** Time after which the load seen says more than the number of backends that was found. */
+const learnMs = 8_000;
+
+interface Peak {
+  needed: number;
+  at: number;
+}
+
+/** Estimates the need of every service. */
+export class Demand {
+  private readonly peaks = new Map<string, Peak>();
+  private readonly loadSince = new Map<string, number>();
+
+  private constructor(private readonly options: DemandOptions) {}
+
+  static create(options: DemandOptions): Demand {
+    return new Demand(options);
+  }
+
+  /** Counts the prompt tokens of a request. */
+  count(service: string, tokens: number): void {
+    this.options.counters.add(CounterKind.Work, service, tokens);
+  }
+
+  /** Returns the backends that a service needs, `present` of which are there over so many zones. */
+  getNeeded(service: Service, zones: number, present: number): number {
+    const { clock, counters, prefillRate, utilization, leastPerZone, windowMs } = this.options;
+    const time = clock.getTime();
+    const tokensPerMs = counters.getSum(CounterKind.Work, service.name) / windowMs;
+    if (tokensPerMs > 0 && !this.loadSince.has(service.name)) this.loadSince.set(service.name, time);
+    const forLoad = Math.ceil(tokensPerMs / (prefillRate * utilization));
+    const hasLearnt = time - (this.loadSince.get(service.name) ?? time) > learnMs;
+    // Until the load is known, the number that was found is the operators' own estimate of it.
+    const least = hasLearnt
+      ? Math.ceil(zones * leastPerZone)
+      : Math.max(present, Math.ceil(zones * leastPerZone));
+    return this.holdPeak(service.name, Math.max(forLoad, least), time);
+  }
+
+  private holdPeak(service: string, needed: number, time: number): number {
+    const peak = this.peaks.get(service);
+    if (peak && peak.needed > needed && time - peak.at < holdMs) return peak.needed;
+    this.peaks.set(service, { needed, at: time });
+    return needed;
+  }
+}
--- a/packages/gateway/src/duties.ts
+++ b/packages/gateway/src/duties.ts
@@ -20,6 +20,8 @@
   readonly name: string;
   /** Key of the lease. */
   readonly leaseKey: string;
+  /** Key of the mark that duties have begun. */
+  readonly markKey: string;
   readonly leaseMs: number;
   readonly usage: UsageReporter;
   readonly capacity: CapacityOrders;
@@ -38,6 +40,9 @@
   private readonly stop = new AbortController();
   private task: Promise<void> = Promise.resolve();
   private actingFence = 0;
+  /** Whether nobody ever acted before: then there is nobody to wait for. */
+  private isFirstEver = false;
+  private markedFence = 0;
 
   private constructor(private readonly options: DutiesOptions) {
     const { store, clock, logger, name, leaseKey, leaseMs, isFree } = options;
@@ -73,16 +78,30 @@
   private getSender(): OrderSender | undefined {
     const { name, leaseMs } = this.options;
     const fence = this.holder.getFence();
-    if (this.stop.signal.aborted || fence.isErr() || this.holder.getTenure() < leaseMs) return undefined;
+    if (this.stop.signal.aborted || fence.isErr()) return undefined;
+    if (!this.isFirstEver && this.holder.getTenure() < leaseMs) return undefined;
     return { holder: name, fence: fence.value };
   }
 
+  /** Leaves a mark in the store that duties have begun; whoever makes it is the first. */
+  private async markFirst(): Promise<void> {
+    const { store, markKey } = this.options;
+    const fence = this.holder.getFence();
+    if (fence.isErr() || fence.value === this.markedFence) return;
+    this.markedFence = fence.value;
+    this.isFirstEver = false;
+    const put = [{ key: markKey, value: Buffer.from(String(fence.value)) }];
+    const marked = await store.transact({ expected: [{ key: markKey, revision: 0 }], put, remove: [] });
+    this.isFirstEver = marked.isOk();
+  }
+
   private async act(): Promise<void> {
     const { clock, usage, capacity, getServices, logger } = this.options;
     const { signal } = this.stop;
     const getSender = (): OrderSender | undefined => this.getSender();
     while (!signal.aborted) {
       await waitFor(clock, stepMs, signal);
+      await this.markFirst();
       const sender = this.getSender();
       if (!sender) continue;
       if (sender.fence !== this.actingFence) {
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -12,6 +12,7 @@
 import { Attempt, AttemptEnd, type AttemptResult } from "./attempt.js";
 import type { Backend } from "./backend.js";
 import type { BackendConnections } from "./backendConnections.js";
+import type { Demand } from "./demand.js";
 import type { BackendDirectory } from "./backendDirectory.js";
 import { type BodyEnd, readWholeBody } from "./answerBody.js";
 import type { Placement, Placer } from "./placement.js";
@@ -28,6 +29,7 @@
   readonly connections: BackendConnections;
   readonly placer: Placer;
   readonly budget: RetryBudget;
+  readonly demand: Demand;
   readonly connectTimeoutMs: number;
   /** Called once a request has begun to run, with the time of day at which it did. */
   readonly countRun: (tenant: string, at: number) => void;
@@ -107,6 +109,7 @@
     response.on("close", handleClose);
     this.timer = this.parts.clock.startTimer(this.getTimeLeft(), () => this.handleTimeout());
     this.parts.budget.countRequest(this.request.service.name);
+    this.parts.demand.count(this.request.service.name, this.request.head.promptTokens ?? 0);
     let next = Next.TryAgain;
     while (next === Next.TryAgain && !this.isOver) next = await this.tryOnce();
     if (next === Next.GiveUp && !this.isOver) this.answerFailure(this.createFinalFailure());
--- a/packages/gateway/src/gatewayParts.ts
+++ b/packages/gateway/src/gatewayParts.ts
@@ -9,6 +9,7 @@
 import { BackendDirectory } from "./backendDirectory.js";
 import { CapacityOrders } from "./capacityOrders.js";
 import { ConfigurationFollower } from "./configurationFollower.js";
+import { Demand } from "./demand.js";
 import { Duties } from "./duties.js";
 import type { GatewaySettings } from "./gatewaySettings.js";
 import { Members, ownPrefix } from "./members.js";
@@ -21,7 +22,9 @@
 import { UsageReporter } from "./usageReporter.js";
 
 const dutyKey = `${ownPrefix}duty`;
+const dutyMarkKey = `${ownPrefix}duties-begun`;
 const usagePrefix = `${ownPrefix}usage/`;
+const demandWindowMs = 4_000;
 
 /** What everything stands on. */
 interface GatewayBase {
@@ -38,6 +41,7 @@
   readonly directory: BackendDirectory;
   readonly usage: UsageCounts;
   readonly counters: SharedCounters;
+  readonly demand: Demand;
 }
 
 /** All parts of a node. */
@@ -49,6 +53,7 @@
   readonly admission: Admission;
   readonly placer: Placer;
   readonly budget: RetryBudget;
+  readonly demand: Demand;
   readonly duties: Duties;
   readonly connectTimeoutMs: number;
   readonly countRun: (tenant: string, at: number) => void;
@@ -67,10 +72,7 @@
   const { retries, backends } = settings;
   const reporter: UsageReporter = createReporter(views, (key) => members.items.get(key));
   const members = createMembers(views, reporter);
-  const fleet = {
-    getFleetSize: () => members.getFleetSize(),
-    getHeardShare: () => members.getHeardShare(),
-  };
+  const getKnownShare = (): number => members.getKnownShare();
   return {
     settings,
     platform,
@@ -80,7 +82,7 @@
     directory,
     connections: BackendConnections.create(),
     members,
-    admission: createAdmission(views, fleet),
+    admission: createAdmission(views, getKnownShare),
     placer: Placer.create({
       clock,
       prefillRate: backends.prefill_rate,
@@ -88,7 +90,8 @@
       getPeerWork: (backend) => members.getPeerWork(backend),
       getRandom: Math.random,
     }),
-    budget: RetryBudget.create({ counters, ratio: retries.ratio, slack: retries.slack, ...fleet }),
+    budget: RetryBudget.create({ counters, ratio: retries.ratio, slack: retries.slack, getKnownShare }),
+    demand: views.demand,
     duties: createDuties(views, members, reporter),
     connectTimeoutMs: backends.connect_timeout,
     countRun: (tenant, at) => usage.add(reporter.getWindow(at), tenant),
@@ -111,14 +114,24 @@
     [CounterKind.Quota]: quotas.window,
     [CounterKind.Requests]: retries.window,
     [CounterKind.Repeats]: retries.window,
+    [CounterKind.Work]: demandWindowMs,
   };
+  const counters = SharedCounters.create({ clock, windows });
   return {
     ...base,
     time: TrueTime.create(clock),
     follower,
     directory: BackendDirectory.create({ platform, clock, logger, getTimeSinceTrouble }),
     usage: UsageCounts.create(),
-    counters: SharedCounters.create({ clock, windows }),
+    counters,
+    demand: Demand.create({
+      clock,
+      counters,
+      prefillRate: settings.backends.prefill_rate,
+      utilization: settings.orders.utilization,
+      leastPerZone: settings.orders.least_per_zone,
+      windowMs: demandWindowMs,
+    }),
   };
 }
 
@@ -157,10 +170,7 @@
   });
 }
 
-function createAdmission(
-  views: GatewayViews,
-  fleet: { readonly getFleetSize: () => number; readonly getHeardShare: () => number },
-): Admission {
+function createAdmission(views: GatewayViews, getKnownShare: () => number): Admission {
   const { settings, clock, follower, counters } = views;
   return Admission.create({
     clock,
@@ -169,19 +179,19 @@
     quotaWindowMs: settings.quotas.window,
     quotaSlack: settings.quotas.slack,
     isFirstStart: settings.node.first_start,
-    ...fleet,
+    getKnownShare,
   });
 }
 
 function createDuties(views: GatewayViews, members: Members, reporter: UsageReporter): Duties {
-  const { settings, platform, clock, logger, directory, follower } = views;
+  const { settings, platform, clock, logger, directory, follower, demand } = views;
   const { orders, node } = settings;
   const capacity = CapacityOrders.create({
     orders: platform.orders,
     clock,
     logger,
     getBackends: (service) => directory.getOfService(service),
-    getNeeded: (_, zones) => Math.ceil(zones * orders.backends_per_zone),
+    getNeeded: (service, zones, present) => demand.getNeeded(service, zones, present),
   });
   return Duties.create({
     store: platform.store,
@@ -189,6 +199,7 @@
     logger,
     name: node.name,
     leaseKey: dutyKey,
+    markKey: dutyMarkKey,
     leaseMs: orders.lease,
     usage: reporter,
     capacity,
--- a/packages/gateway/src/gatewaySettings.ts
+++ b/packages/gateway/src/gatewaySettings.ts
@@ -44,7 +44,7 @@
   configuration: {
     proof_interval: createInteger(
       "ms",
-      700,
+      1_500,
       [50, minute],
       "time between two reads that prove the version in force",
     ),
@@ -83,12 +83,13 @@
       [1_000, 10 * minute],
       "time after a window's end at which its report is due",
     ),
-    backends_per_zone: createDecimal(
+    least_per_zone: createDecimal(
       "backends",
-      2,
+      1.5,
       [0, 1_000],
-      "backends of a zone that are ordered without load",
+      "backends of a zone that are kept without load",
     ),
+    utilization: createDecimal("", 0.4, [0.01, 1], "share of an engine's reading rate that is planned with"),
   },
   leaving: {
     grace: createInteger("ms", 8_000, [1_000, 10 * minute], "time between the request to stop and the kill"),
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -17,6 +17,7 @@
 export { ConfigurationFollower } from "./configurationFollower.js";
 export { Duties } from "./duties.js";
 export { EventSplitter } from "./eventSplitter.js";
+export { LeakyBucket } from "./leakyBucket.js";
 export { Placer } from "./placement.js";
 export { PrefixFollower } from "./prefixFollower.js";
 export { RetryBudget } from "./retryBudget.js";
--- a/packages/gateway/src/members.ts
+++ b/packages/gateway/src/members.ts
@@ -69,6 +69,8 @@
 const vanishedMs = 15_000;
 /** Reports older than this say nothing of a peer's work. */
 const reportLifetimeMs = 1_000;
+/** A node that is cut off from the store serves no longer than this. */
+const silentMs = 6_000;
 const toldWindows = 4;
 const pingIntervalMs = 1_000;
 const lostAfterMs = 2_500;
@@ -83,6 +85,8 @@
   readonly items = new Map<string, StoreItem>();
   private readonly records = new Map<string, MemberRecord>();
   private readonly views = new Map<string, PeerView>();
+  /** Peers whose link was lost by silence, and until when they may still be serving. */
+  private readonly silentUntil = new Map<string, number>();
   private readonly follower: PrefixFollower;
   private readonly stop = new AbortController();
   private lease: string | undefined;
@@ -108,7 +112,10 @@
       this.takeReport(message as ReportMessage, peer),
     );
     this.links.onUp((peer) => logger.info("peer.linked", { peer: peer.name }));
-    this.links.onDown((peer) => logger.info("peer.lost", { peer: peer.name }));
+    this.links.onDown((peer) => {
+      logger.info("peer.lost", { peer: peer.name });
+      this.handleDown(peer.name);
+    });
     const listener = {
       handlePut: (item: StoreItem) => this.handlePut(item),
       handleRemoved: (key: string) => this.handleRemoved(key),
@@ -132,11 +139,31 @@
     return Math.max(1, this.records.size);
   }
 
-  /** Share of the fleet's other nodes that spoke a moment ago, 0 to 1; 1 where there are no others. */
-  getHeardShare(): number {
-    const others = this.getFleetSize() - 1;
-    if (others <= 0) return 1;
-    return Math.min(1, this.getHeard().length / others);
+  /**
+   * Share of the fleet whose counts are known, this node's included: all but the nodes that may be serving unheard.
+   * A peer whose connection was closed has ended; one that fell silent may only be cut off.
+   */
+  getKnownShare(): number {
+    const fleet = this.getFleetSize();
+    const time = this.options.clock.getTime();
+    let silent = 0;
+    for (const name of this.records.keys()) {
+      if (name !== this.options.name && this.isSilent(name, time)) silent += 1;
+    }
+    return Math.max(1, fleet - silent) / fleet;
+  }
+
+  private isSilent(name: string, time: number): boolean {
+    if ((this.silentUntil.get(name) ?? -Infinity) > time) return true;
+    const heardAt = this.views.get(name)?.heardAt;
+    if (heardAt === undefined) return false;
+    return this.links.isLinked(name) && time - heardAt > reportLifetimeMs;
+  }
+
+  private handleDown(name: string): void {
+    const time = this.options.clock.getTime();
+    const silence = time - (this.views.get(name)?.heardAt ?? -Infinity);
+    if (silence > reportLifetimeMs) this.silentUntil.set(name, time + silentMs);
   }
 
   /** Other nodes' work at a backend, as they told it a moment ago. */
--- a/packages/gateway/src/retryBudget.ts
+++ b/packages/gateway/src/retryBudget.ts
@@ -11,8 +11,8 @@
   readonly ratio: number;
   /** Repeats of a window allowed beside these. */
   readonly slack: number;
-  readonly getFleetSize: () => number;
-  readonly getHeardShare: () => number;
+  /** Returns the share of the fleet whose counts are known. */
+  readonly getKnownShare: () => number;
 }
 
 /** Share of the budget that is given out; the rest covers the delay between nodes. */
@@ -33,13 +33,9 @@
 
   /** Takes one repeat; false where the budget is spent. */
   tryTake(service: string): boolean {
-    const { counters, ratio, slack, getFleetSize, getHeardShare } = this.options;
+    const { counters, ratio, slack, getKnownShare } = this.options;
     const allowed = (ratio * counters.getSum(CounterKind.Requests, service) + slack) * usedShare;
-    const fleet = getFleetSize();
-    const ownPart = allowed * ((1 + getHeardShare() * (fleet - 1)) / fleet);
-    const used = counters.getSum(CounterKind.Repeats, service);
-    const isOver = used + 1 > allowed || counters.getOwnSum(CounterKind.Repeats, service) + 1 > ownPart;
-    if (isOver) return false;
+    if (counters.getSum(CounterKind.Repeats, service) + 1 > allowed * getKnownShare()) return false;
     counters.add(CounterKind.Repeats, service, 1);
     return true;
   }
--- a/packages/gateway/src/sharedCounters.ts
+++ b/packages/gateway/src/sharedCounters.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Clock } from "@gladewall/kernel";
+import { LeakyBucket } from "./leakyBucket.js";
 import { SlidingWindow } from "./slidingWindow.js";
 
 /** What is counted. */
@@ -14,6 +15,8 @@
   Requests = 2,
   /** Arrivals at backends past the first of each request, by service. */
   Repeats = 3,
+  /** Prompt tokens by service. */
+  Work = 4,
 }
 
 /** Running totals of one life of a node, by `kind:name`. */
@@ -45,6 +48,7 @@
 export class SharedCounters {
   private readonly own: Record<string, number> = {};
   private readonly sums = new Map<string, SlidingWindow>();
+  private readonly buckets = new Map<string, LeakyBucket>();
   private readonly ownSums = new Map<string, SlidingWindow>();
   private readonly peers = new Map<string, PeerTotals>();
   private readonly startedAt: number;
@@ -64,24 +68,25 @@
     const time = this.options.clock.getTime();
     const key = createKey(kind, name);
     this.own[key] = (this.own[key] ?? 0) + amount;
-    this.getWindow(this.sums, kind, key).add(time, amount);
+    this.getTotal(kind, key).add(time, amount);
     this.getWindow(this.ownSums, kind, key).add(time, amount);
   }
 
-  /** Returns the fleet's sum over the window that ends now. */
+  /** Returns the fleet's sum over the window that ends now; of limits, the level of their bucket. */
   getSum(kind: CounterKind, name: string): number {
-    return this.getWindow(this.sums, kind, createKey(kind, name)).getSum(this.options.clock.getTime());
+    return this.getTotal(kind, createKey(kind, name)).getSum(this.options.clock.getTime());
   }
 
-  /** Returns this node's sum over the window that ends now. */
-  getOwnSum(kind: CounterKind, name: string): number {
-    return this.getWindow(this.ownSums, kind, createKey(kind, name)).getSum(this.options.clock.getTime());
+  /** Sets how fast a limit's level falls. */
+  setRate(name: string, perSecond: number): void {
+    const key = createKey(CounterKind.Quota, name);
+    this.getBucket(key).setRate(this.options.clock.getTime(), perSecond);
   }
 
   /** Milliseconds until the fleet's sum will have fallen by an amount. */
   getTimeUntilFreed(kind: CounterKind, name: string, amount: number): number {
-    const window = this.getWindow(this.sums, kind, createKey(kind, name));
-    return window.getTimeUntilFreed(this.options.clock.getTime(), amount);
+    const total = this.getTotal(kind, createKey(kind, name));
+    return total.getTimeUntilFreed(this.options.clock.getTime(), amount);
   }
 
   /** Whether what was counted before this life is known. */
@@ -89,10 +94,9 @@
     return this.hasAdopted;
   }
 
-  /** Counts an amount as if it had come steadily over the window before now; for what a new life cannot know. */
+  /** Sets a sum to what it may have been before this life; for what a new life cannot know. */
   seed(kind: CounterKind, name: string, amount: number): void {
-    const key = createKey(kind, name);
-    this.getWindow(this.sums, kind, key).seed(this.options.clock.getTime(), amount);
+    this.getTotal(kind, createKey(kind, name)).seed(this.options.clock.getTime(), amount);
   }
 
   /** Milliseconds that this life has lasted. */
@@ -103,7 +107,7 @@
   createReport(): CounterReport {
     const time = this.options.clock.getTime();
     const sums: Record<string, number> = {};
-    for (const [key, window] of this.sums) sums[key] = Math.round(window.getSum(time));
+    for (const [key, total] of [...this.sums, ...this.buckets]) sums[key] = Math.round(total.getSum(time));
     return { uptime: Math.round(this.getUptime()), totals: { ...this.own }, sums };
   }
 
@@ -132,9 +136,9 @@
     for (const [key, sum] of Object.entries(sums)) {
       const kind: CounterKind = Number.parseInt(key, 10);
       if (this.options.windows[kind] === undefined) continue;
-      const window = this.getWindow(this.sums, kind, key);
-      window.seed(time, sum);
-      window.add(time, this.ownSums.get(key)?.getSum(time) ?? 0);
+      const total = this.getTotal(kind, key);
+      total.seed(time, sum);
+      total.add(time, this.ownSums.get(key)?.getSum(time) ?? 0);
     }
   }
 
@@ -148,10 +152,20 @@
       if (windowMs === undefined) continue;
       // Of what came over a longer silence, only the part that can lie in the window counts.
       const share = elapsed > windowMs ? windowMs / elapsed : 1;
-      this.getWindow(this.sums, kind, key).add(time, amount * share);
+      this.getTotal(kind, key).add(time, amount * share);
     }
   }
 
+  private getTotal(kind: CounterKind, key: string): SlidingWindow | LeakyBucket {
+    return kind === CounterKind.Quota ? this.getBucket(key) : this.getWindow(this.sums, kind, key);
+  }
+
+  private getBucket(key: string): LeakyBucket {
+    let bucket = this.buckets.get(key);
+    if (!bucket) this.buckets.set(key, (bucket = LeakyBucket.create()));
+    return bucket;
+  }
+
   private getWindow(windows: Map<string, SlidingWindow>, kind: CounterKind, key: string): SlidingWindow {
     let window = windows.get(key);
     if (!window) windows.set(key, (window = SlidingWindow.create(this.options.windows[kind])));
