Answer before the grace ends, hold duties with a shorter lease, name what decided a refusal

Ruled out: late ends of streams as the cause of the kills alone (requests without an answer kept the node, too).

Change: what has no answer shortly before the grace ends gets its final answer; the duty's lease is half the time in which no two nodes may act by turns and a new holder waits a little more than that; on-demand backends make up 70 % of what is missing while reclaimable ones are scarce; 429 spreads its Retry-After and logs level, room and share.

--- a/packages/gateway/src/admission.ts
+++ b/packages/gateway/src/admission.ts
@@ -31,6 +31,8 @@
   readonly isFirstStart: boolean;
   /** Returns the share of the fleet whose counts are known. */
   readonly getKnownShare: () => number;
+  /** Returns a number from 0 to 1, to spread those who come back. */
+  readonly getRandom: () => number;
 }
 
 const notReadyRetryMs = 500;
@@ -38,7 +40,8 @@
 const seededShare = 0.9;
 /** Share of the slack that is given out; the rest covers delays between nodes. */
 const usedSlackShare = 0.35;
-const shortestRetryMs = 100;
+const shortestRetryMs = 300;
+const percent = 100;
 
 /** Decides on requests. */
 export class Admission {
@@ -91,8 +94,16 @@
     const excess = level === 0 ? 0 : level + cost - room;
     if (excess > 0) {
       const wait = counters.getTimeUntilFreed(CounterKind.Quota, tenant.name, excess);
-      const values = { tenant: tenant.name, limit: tenant.ratePerSecond };
-      return Err(Failure.create(FailureCode.QuotaSpent, values, Math.max(shortestRetryMs, wait)));
+      const values = {
+        tenant: tenant.name,
+        limit: tenant.ratePerSecond,
+        level: Math.round(level),
+        room: Math.round(room),
+        share: Math.round(share * percent),
+      };
+      // Others wait for the same room: coming back a little later spares being refused again.
+      const retryAfter = shortestRetryMs + wait * (1 + this.options.getRandom());
+      return Err(Failure.create(FailureCode.QuotaSpent, values, retryAfter));
     }
     counters.add(CounterKind.Quota, tenant.name, cost);
     return Ok(undefined);
--- a/packages/gateway/src/capacityPlan.ts
+++ b/packages/gateway/src/capacityPlan.ts
@@ -32,6 +32,8 @@
 
 /** Share of the needed backends that must serve before on-demand ones are given up. */
 const releaseShare = 0.85;
+/** Share of the needed backends that is made up with on-demand ones: at their price, less headroom is worth it. */
+const dearShare = 0.7;
 /** On-demand backends that are kept, as a share of those that are missing. */
 const surplusShare = 1.2;
 
@@ -72,7 +74,9 @@
   const { zones, needed, limits, isReclaimableScarce } = input;
   const serving = zones.reduce(sumReclaimable, 0);
   const isEnough = serving >= needed * releaseShare;
-  const missing = isEnough ? 0 : needed - serving;
+  const missing = isEnough
+    ? 0
+    : Math.max(0, Math.ceil(needed * (isReclaimableScarce ? dearShare : 1)) - serving);
   const sorted = [...zones].sort((one, other) => getPrice(limits, one.zone) - getPrice(limits, other.zone));
   const wanted = new Map<string, number>();
   for (const zone of sorted) {
--- a/packages/gateway/src/duties.ts
+++ b/packages/gateway/src/duties.ts
@@ -22,7 +22,8 @@
   readonly leaseKey: string;
   /** Key of the mark that duties have begun. */
   readonly markKey: string;
-  readonly leaseMs: number;
+  /** Time in which no two nodes may act by turns. */
+  readonly turnMs: number;
   readonly usage: UsageReporter;
   readonly capacity: CapacityOrders;
   /** Whether the lease is free, as far as is known. */
@@ -31,6 +32,10 @@
 }
 
 const stepMs = 250;
+/** Length of the lease, as a share of the time in which no two nodes may act by turns. */
+const leaseShare = 0.5;
+/** Time that a new holder waits, as a share of it: twice this wait is longer than that time. */
+const settleShare = 0.57;
 /** Part of the lease that is not acted in: covers clocks and the way of a call. */
 const marginShare = 0.25;
 
@@ -45,15 +50,15 @@
   private markedFence = 0;
 
   private constructor(private readonly options: DutiesOptions) {
-    const { store, clock, logger, name, leaseKey, leaseMs, isFree } = options;
+    const { store, clock, logger, name, leaseKey, turnMs, isFree } = options;
     this.holder = LeaseHolder.create({
       service: store,
       clock,
       logger,
       name: leaseKey,
       holder: name,
-      ttl: leaseMs,
-      margin: leaseMs * marginShare,
+      ttl: turnMs * leaseShare,
+      margin: turnMs * leaseShare * marginShare,
       getRandom: Math.random,
       shouldAcquire: isFree,
     });
@@ -76,10 +81,10 @@
   }
 
   private getSender(): OrderSender | undefined {
-    const { name, leaseMs } = this.options;
+    const { name, turnMs } = this.options;
     const fence = this.holder.getFence();
     if (this.stop.signal.aborted || fence.isErr()) return undefined;
-    if (!this.isFirstEver && this.holder.getTenure() < leaseMs) return undefined;
+    if (!this.isFirstEver && this.holder.getTenure() < turnMs * settleShare) return undefined;
     return { holder: name, fence: fence.value };
   }
 
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -107,7 +107,7 @@
     const { response } = this.request;
     const handleClose = (): void => this.handleCallerGone();
     response.on("close", handleClose);
-    this.timer = this.parts.clock.startTimer(this.getTimeLeft(), () => this.handleTimeout());
+    this.timer = this.parts.clock.startTimer(this.getTimeLeft(), () => this.giveUp());
     this.parts.budget.countRequest(this.request.service.name);
     this.parts.demand.count(this.request.service.name, this.request.head.promptTokens ?? 0);
     let next = Next.TryAgain;
@@ -299,12 +299,13 @@
     return this.lastFailure;
   }
 
-  private handleTimeout(): void {
+  /** Ends the request now: the route's time is over, or the node's. */
+  giveUp(): void {
     if (this.isOver) return;
     const { route } = this.request.admitted;
     const mayHaveRun = this.runs > 0 || this.attempt?.mayHaveRun === true;
     this.isOver = true;
-    this.attempt?.abort("route timeout");
+    this.attempt?.abort("given up");
     const failure = mayHaveRun
       ? Failure.create(FailureCode.RouteTimeout, { limit: route.timeoutMs })
       : createRefusal(FailureCode.Overloaded, this.request.service);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -21,6 +21,7 @@
 import type { GatewaySettings } from "./gatewaySettings.js";
 import { readRequestBody } from "./requestBody.js";
 import { drawTarget } from "./routeTable.js";
+import { CounterKind } from "./sharedCounters.js";
 import {
   type CallerHead,
   type PlatformAdapter,
@@ -30,10 +31,10 @@
 } from "./types.js";
 
 const leavingRetryMs = 200;
-/** Time after the request to stop during which callers may still be sent here. */
-const balancerMs = 3_200;
 /** Part of the grace that is kept for the end of the process. */
-const exitMarginMs = 400;
+const exitMarginMs = 800;
+/** Time for the last answers to leave. */
+const lastAnswersMs = 100;
 /** Requests that may last longer than this are refused once the node leaves. */
 const shortRequestMs = 2_500;
 const idleCheckMs = 50;
@@ -42,6 +43,7 @@
 export class Gateway {
   private readonly front: Front;
   private readonly exchangeParts: ExchangeParts;
+  private readonly exchanges = new Set<Exchange>();
   /** Requests that have no final answer. */
   private open = 0;
   private leavingSince: number | undefined;
@@ -114,6 +116,21 @@
     return isReady;
   }
 
+  /** Version of the configuration in force; 0 before the first. */
+  get version(): number {
+    return this.parts.follower.getTable()?.version ?? 0;
+  }
+
+  /** Nodes that this one is linked with. */
+  get linkedPeers(): number {
+    return this.parts.members.links.getLinked().length;
+  }
+
+  /** How much of a tenant's limit the fleet has taken, as far as this node knows. */
+  getQuotaLevel(tenant: string): number {
+    return this.parts.counters.getSum(CounterKind.Quota, tenant);
+  }
+
   /** Backends of a service that take work. */
   countBackends(service: string): number {
     return this.parts.directory.getOfService(service).filter((backend) => backend.isUsable()).length;
@@ -127,10 +144,13 @@
     const endsAt = this.leavingSince + this.settings.leaving.grace - exitMarginMs;
     logger.info("node.leaving", { open: this.open });
     const dutiesClosed = this.parts.duties.close();
-    await waitFor(clock, balancerMs);
+    await waitFor(clock, this.settings.leaving.unnoticed);
     this.front.stopAccepting();
     while (this.open > 0 && clock.getTime() < endsAt) await waitFor(clock, idleCheckMs);
-    await Promise.race([dutiesClosed, waitFor(clock, exitMarginMs)]);
+    logger.info("node.stopping", { open: this.open });
+    for (const exchange of this.exchanges) exchange.giveUp();
+    await Promise.race([dutiesClosed, waitFor(clock, lastAnswersMs)]);
+    await waitFor(clock, lastAnswersMs);
     logger.info("node.stopped", { open: this.open });
   }
 
@@ -186,7 +206,10 @@
       body: body.value,
       arrivedAt,
     };
-    const end = await Exchange.create(this.exchangeParts, request).run();
+    const exchange = Exchange.create(this.exchangeParts, request);
+    this.exchanges.add(exchange);
+    const end = await exchange.run();
+    this.exchanges.delete(exchange);
     this.finish(admitted.value, head, service, end, arrivedAt, charge.value);
     return undefined;
   }
@@ -239,6 +262,7 @@
       request,
       status: failure.status,
       failure: failure.name,
+      cause: failure.text,
       retryAfterMs: failure.retryAfterMs,
       version: this.parts.follower.getTable()?.version,
       proofAgeMs: Math.round(this.parts.follower.getProofAge()),
--- a/packages/gateway/src/gatewayParts.ts
+++ b/packages/gateway/src/gatewayParts.ts
@@ -54,6 +54,7 @@
   readonly placer: Placer;
   readonly budget: RetryBudget;
   readonly demand: Demand;
+  readonly counters: SharedCounters;
   readonly duties: Duties;
   readonly connectTimeoutMs: number;
   readonly countRun: (tenant: string, at: number) => void;
@@ -92,6 +93,7 @@
     }),
     budget: RetryBudget.create({ counters, ratio: retries.ratio, slack: retries.slack, getKnownShare }),
     demand: views.demand,
+    counters,
     duties: createDuties(views, members, reporter),
     connectTimeoutMs: backends.connect_timeout,
     countRun: (tenant, at) => usage.add(reporter.getWindow(at), tenant),
@@ -180,6 +182,7 @@
     quotaSlack: settings.quotas.slack,
     isFirstStart: settings.node.first_start,
     getKnownShare,
+    getRandom: Math.random,
   });
 }
 
@@ -200,7 +203,7 @@
     name: node.name,
     leaseKey: dutyKey,
     markKey: dutyMarkKey,
-    leaseMs: orders.lease,
+    turnMs: orders.turn,
     usage: reporter,
     capacity,
     isFree: () => members.isListed && directory.isListed && !members.items.has(dutyKey),
--- a/packages/gateway/src/gatewaySettings.ts
+++ b/packages/gateway/src/gatewaySettings.ts
@@ -70,11 +70,11 @@
     slack: createInteger("units", 0, [0, 1_000_000_000], "units over a limit that are borne once"),
   },
   orders: {
-    lease: createInteger(
+    turn: createInteger(
       "ms",
       3_000,
       [1_000, 10 * minute],
-      "time that the right to give orders lasts without renewal",
+      "time in which no two nodes may give orders by turns",
     ),
     usage_window: createInteger("ms", 5_000, [1_000, 10 * minute], "length of a usage window"),
     usage_due: createInteger(
@@ -92,6 +92,12 @@
     utilization: createDecimal("", 0.4, [0.01, 1], "share of an engine's reading rate that is planned with"),
   },
   leaving: {
+    unnoticed: createInteger(
+      "ms",
+      3_200,
+      [0, minute],
+      "time after the request to stop in which new callers may still be sent here",
+    ),
     grace: createInteger("ms", 8_000, [1_000, 10 * minute], "time between the request to stop and the kill"),
   },
   logs: {
--- a/packages/gateway/src/sharedCounters.ts
+++ b/packages/gateway/src/sharedCounters.ts
@@ -117,9 +117,9 @@
     this.adopt(uptime, sums);
     const known = this.peers.get(peer);
     const isSameLife = known?.life === life;
-    // A life that began before this one was counted for by the seed; only what it adds from now on is new.
-    const isOlderThanOwn = uptime > this.getUptime();
-    if (isSameLife || !isOlderThanOwn) {
+    // Of a life that is longer than every window, the adopted sums hold what counts; only what it adds is new.
+    const isYoung = uptime < Math.max(...Object.values(this.options.windows));
+    if (isSameLife || isYoung) {
       const before = isSameLife ? known.totals : {};
       this.addDifferences(before, totals, isSameLife ? time - known.heardAt : uptime);
     }
--- a/packages/kernel/src/failures.ts
+++ b/packages/kernel/src/failures.ts
@@ -187,7 +187,11 @@
   ),
   [FailureCode.RetryBudgetSpent]: createRow(503, notRun, "the retry budget is spent"),
   [FailureCode.UnknownRoute]: createRow(404, notRun, "no route matches this host and path"),
-  [FailureCode.QuotaSpent]: createRow(429, notRun, "tenant {tenant} is over its limit of {limit} a second"),
+  [FailureCode.QuotaSpent]: createRow(
+    429,
+    notRun,
+    "tenant {tenant} is over its limit of {limit} a second: {level} of {room} taken, {share} % of the fleet heard",
+  ),
   [FailureCode.Overloaded]: createRow(503, notRun, "service {service} cannot start the request in time"),
   [FailureCode.RouteTimeout]: createRow(504, unknown, "no whole answer within {limit} ms"),
   [FailureCode.NoBackend]: createRow(503, notRun, "service {service} has no backend that takes work"),
