Tell a reset from an orderly end; end work at a backend whose record vanished in this node's own trouble

Ruled out: the socket's error flag and the message's completeness (both said whole on every one of them).

Change: connections are watched for resets; a record that vanishes in trouble is used on for 0.65 of the drain time, longer only where half of the service's records vanish together. Each fault has a test that failed first.

--- a/packages/gateway/src/answerBody.ts
+++ b/packages/gateway/src/answerBody.ts
@@ -3,6 +3,7 @@
  * @module
  */
 import type { IncomingMessage } from "node:http";
+import { hasEndedInOrder } from "./connectionEnds.js";
 
 /** A body and whether all of it came. */
 export interface BodyEnd {
@@ -16,7 +17,7 @@
  */
 export function isWholeAnswer({ complete, headers, socket }: IncomingMessage): boolean {
   const isFramed = headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
-  return complete && (isFramed || (socket.readableEnded && !socket.errored));
+  return complete && (isFramed || hasEndedInOrder(socket));
 }
 
 /** Resolves when the body has ended, whole or cut. */
--- a/packages/gateway/src/backendConnections.ts
+++ b/packages/gateway/src/backendConnections.ts
@@ -8,6 +8,7 @@
 import type { Duplex } from "node:stream";
 import { parseAddress } from "@gladewall/kernel";
 import type { Backend } from "./backend.js";
+import { watchEnd } from "./connectionEnds.js";
 
 const mostIdle = 32;
 /** Idle connections are closed after this long, unless the backend names a shorter time. */
@@ -26,6 +27,7 @@
       port: Number(options.port),
       noDelay: true,
     });
+    watchEnd(socket);
     socket.on("data", () => {
       if (this.idle.has(socket)) socket.destroy();
     });
--- a/packages/gateway/src/backendDirectory.ts
+++ b/packages/gateway/src/backendDirectory.ts
@@ -17,12 +17,18 @@
   readonly logger: Logger;
   /** Milliseconds since the store was last in trouble. */
   readonly getTimeSinceTrouble: () => number;
+  /** Time in which work must stop going to a backend that leaves. */
+  readonly drainMs: number;
 }
 
 /** Trouble of the store within this time explains that a record vanished. */
 const troubleWindowMs = 3_000;
-/** How long a backend whose record vanished in trouble is used on. */
-const unlistedMs = 5_000;
+/** Share of the time in which work must stop going to a backend that leaves, for which an unlisted one is used on. */
+const unlistedShare = 0.65;
+/** How long backends are used on whose records vanished together. */
+const unlistedTogetherMs = 5_000;
+/** Share of a service's backends that vanish only together, by the store's own trouble. */
+const togetherShare = 0.5;
 
 /** All backends. */
 export class BackendDirectory implements Closeable {
@@ -126,11 +132,23 @@
       return;
     }
     this.setState(backend, BackendState.Unlisted, "record gone in trouble");
-    clock.startTimer(unlistedMs, () => {
-      if (backend.state !== BackendState.Unlisted) return;
-      this.setState(backend, BackendState.Leaving, "not listed again");
-      this.forget(backend);
+    clock.startTimer(this.options.drainMs * unlistedShare, () => {
+      // This node's own path may have been the trouble: then the record tells of a backend that leaves.
+      if (!this.haveManyVanished(backend.record.service)) this.endUnlisted(backend);
     });
+    clock.startTimer(unlistedTogetherMs, () => this.endUnlisted(backend));
+  }
+
+  private haveManyVanished(service: string): boolean {
+    const group = this.getOfService(service);
+    const unlisted = group.filter(({ state }) => state === BackendState.Unlisted).length;
+    return unlisted > 1 && unlisted >= group.length * togetherShare;
+  }
+
+  private endUnlisted(backend: Backend): void {
+    if (backend.state !== BackendState.Unlisted) return;
+    this.setState(backend, BackendState.Leaving, "not listed again");
+    this.forget(backend);
   }
 
   private forget(backend: Backend): void {
--- a/packages/gateway/src/duties.ts
+++ b/packages/gateway/src/duties.ts
@@ -80,6 +80,11 @@
     this.holder.abandon();
   }
 
+  /** Whether this node may act now. */
+  isActing(): boolean {
+    return this.getSender() !== undefined;
+  }
+
   private getSender(): OrderSender | undefined {
     const { name, turnMs } = this.options;
     const fence = this.holder.getFence();
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -18,6 +18,7 @@
 import type { Placement, Placer } from "./placement.js";
 import type { RetryBudget } from "./retryBudget.js";
 import { type CallerHead, type PlatformAdapter, RouteKind, type Service } from "./types.js";
+import type { GatewayMetrics } from "./gatewayMetrics.js";
 import { StreamRelay, RelayEnd } from "./streamRelay.js";
 
 /** What exchanges work with. */
@@ -30,6 +31,7 @@
   readonly placer: Placer;
   readonly budget: RetryBudget;
   readonly demand: Demand;
+  readonly metrics: GatewayMetrics;
   readonly connectTimeoutMs: number;
   /** Called once a request has begun to run, with the time of day at which it did. */
   readonly countRun: (tenant: string, at: number) => void;
@@ -166,6 +168,7 @@
     const attempt = this.createAttempt(backend);
     this.attempt = attempt;
     const result = await attempt.result;
+    this.parts.metrics.countAttempt(this.request.service.name, AttemptEnd[result.end]);
     if (result.end !== AttemptEnd.NotSent) this.arrivals += 1;
     if (result.load) backend.noteLoad(result.load, this.parts.clock.getTime());
     if (this.isOver) return Next.Done;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -67,6 +67,15 @@
       connections.remove(backend);
       placer.memory.removeBackend(backend.id);
     });
+    parts.metrics.setSources({
+      isReady: () => this.isReady(),
+      getVersion: () => this.version,
+      getProofAge: () => follower.getProofAge(),
+      getOpenRequests: () => this.open,
+      getLinkedPeers: () => this.linkedPeers,
+      getUsableBackends: () => [...directory.getAll()].filter((backend) => backend.isUsable()).length,
+      isDutyHolder: () => parts.duties.isActing(),
+    });
     follower.onChange((table) => this.front.setLimits(table.configuration.limits));
     follower.onRegained(() => {
       directory.restart();
@@ -97,6 +106,7 @@
     this.parts.follower.start();
     this.parts.directory.start();
     await this.front.open();
+    await this.parts.metrics.open();
     await this.parts.members.open();
     this.parts.duties.start();
     this.parts.logger.info("node.started", { node: node.name, zone: node.zone, callers: listen.callers });
@@ -158,6 +168,7 @@
   async close(): Promise<void> {
     await Promise.all([
       this.front.close(),
+      this.parts.metrics.close(),
       this.parts.duties.close(),
       this.parts.follower.close(),
       this.parts.directory.close(),
@@ -239,6 +250,7 @@
       mayHaveRun,
       tookMs: Math.round(this.parts.clock.getTime() - arrivedAt),
     };
+    this.parts.metrics.countRequest(service.name, status, failure?.name ?? "none", fields.tookMs);
     if (failure) this.parts.logger.info("request.failed", fields);
     else this.parts.logger.debug("request.served", fields);
   }
@@ -267,6 +279,7 @@
       version: this.parts.follower.getTable()?.version,
       proofAgeMs: Math.round(this.parts.follower.getProofAge()),
     });
+    this.parts.metrics.countRefusal(failure.name, failure.status);
     if (failure.code === FailureCode.CallerGone || response.headersSent) return;
     const own = this.parts.platform.callers.createOwnHeaders(request);
     // What is left of a body that was not read would be taken for the next request.
--- a/packages/gateway/src/gatewayParts.ts
+++ b/packages/gateway/src/gatewayParts.ts
@@ -11,6 +11,7 @@
 import { ConfigurationFollower } from "./configurationFollower.js";
 import { Demand } from "./demand.js";
 import { Duties } from "./duties.js";
+import { GatewayMetrics } from "./gatewayMetrics.js";
 import type { GatewaySettings } from "./gatewaySettings.js";
 import { Members, ownPrefix } from "./members.js";
 import { Placer } from "./placement.js";
@@ -55,6 +56,7 @@
   readonly budget: RetryBudget;
   readonly demand: Demand;
   readonly counters: SharedCounters;
+  readonly metrics: GatewayMetrics;
   readonly duties: Duties;
   readonly connectTimeoutMs: number;
   readonly countRun: (tenant: string, at: number) => void;
@@ -94,6 +96,7 @@
     budget: RetryBudget.create({ counters, ratio: retries.ratio, slack: retries.slack, getKnownShare }),
     demand: views.demand,
     counters,
+    metrics: GatewayMetrics.create(settings.listen.metrics),
     duties: createDuties(views, members, reporter),
     connectTimeoutMs: backends.connect_timeout,
     countRun: (tenant, at) => usage.add(reporter.getWindow(at), tenant),
@@ -123,7 +126,13 @@
     ...base,
     time: TrueTime.create(clock),
     follower,
-    directory: BackendDirectory.create({ platform, clock, logger, getTimeSinceTrouble }),
+    directory: BackendDirectory.create({
+      platform,
+      clock,
+      logger,
+      getTimeSinceTrouble,
+      drainMs: settings.backends.drain,
+    }),
     usage: UsageCounts.create(),
     counters,
     demand: Demand.create({
--- a/packages/gateway/src/gatewaySettings.ts
+++ b/packages/gateway/src/gatewaySettings.ts
@@ -52,6 +52,12 @@
     revoke_margin: createInteger("ms", 400, [0, minute], "part of it that is kept for clocks and scheduling"),
   },
   backends: {
+    drain: createInteger(
+      "ms",
+      2_000,
+      [100, minute],
+      "time in which work must stop going to a backend that leaves",
+    ),
     connect_timeout: createInteger("ms", 250, [10, minute], "longest time to open a connection"),
     prefill_rate: createDecimal(
       "tokens/ms",
--- a/packages/gateway/test/freshness.test.ts
+++ b/packages/gateway/test/freshness.test.ts
@@ -1,10 +1,13 @@
 import t, { type Test } from "tap";
+import { BackendDirectory } from "@gladewall/gateway";
+import { Logger, VirtualClock } from "@gladewall/kernel";
 import {
   answerGood,
   createRoute,
   createTenant,
   GatewayBench,
   ScriptedBackend,
+  StandinPlatform,
   StoreTrouble,
   waitUntil,
 } from "@gladewall/standins";
@@ -90,6 +93,39 @@
   t.equal(backend.calls.length, 6);
 });
 
+t.test(
+  "a record that vanishes in this node's own trouble ends work in time; many together do not",
+  async (t) => {
+    const clock = VirtualClock.create();
+    const platform = StandinPlatform.create(clock);
+    const directory = BackendDirectory.create({
+      platform: platform.createAdapter(),
+      clock,
+      logger: Logger.createSilent(),
+      getTimeSinceTrouble: () => 500,
+      drainMs: 2_000,
+    });
+    for (const id of ["a", "b", "c", "d"]) platform.list({ id, address: "127.0.0.1:1" });
+    directory.start();
+    await clock.advance(50);
+    const count = (): number => directory.getOfService("web").filter((backend) => backend.isUsable()).length;
+    platform.unlist("a");
+    await clock.advance(50);
+    t.equal(count(), 4);
+    await clock.advance(1_500);
+    t.equal(count(), 3);
+    for (const id of ["b", "c", "d"]) platform.unlist(id);
+    await clock.advance(3_000);
+    t.equal(count(), 3);
+    platform.list({ id: "b", address: "127.0.0.1:1" });
+    await clock.advance(5_000);
+    t.equal(count(), 1);
+    const closed = directory.close();
+    await clock.advance(20_000);
+    await closed;
+  },
+);
+
 t.test(
   "a backend that leaves gets nothing new, and never again under its id; a replaced one is found out by its answer",
   async (t) => {
--- a/packages/gateway/test/wholeAnswers.test.ts
+++ b/packages/gateway/test/wholeAnswers.test.ts
@@ -94,6 +94,16 @@
   }
 });
 
+t.test("an answer without length whose data and reset arrive together is not whole", async (t) => {
+  const script: BackendScript = ({ id, socket }) => {
+    socket.write(`HTTP/1.1 200 OK\r\nx-id: ${id}\r\nx-stamp: s\r\nConnection: close\r\n\r\nhalf of`, () =>
+      socket.resetAndDestroy(),
+    );
+  };
+  const { bench, node } = await createBench(t, { kind: RouteKind.Unsafe, attempts: 1 }, [script]);
+  t.equal((await bench.call(node, { method: "POST", body: "x" })).status, 502);
+});
+
 t.test("a stream without length that is reset does not look complete", async (t) => {
   const { bench, backends, node } = await createBench(t, { kind: RouteKind.Stream, attempts: 1 }, [
     ({ id, socket }) => {
