--- a/packages/gateway/src/backend.ts
+++ b/packages/gateway/src/backend.ts
@@ -20,6 +20,7 @@
 }
 
 const failureWeight = 0.2;
+const failureHalfLifeMs = 2_500;
 const latencyWeight = 0.2;
 const suspicionStepMs = 400;
 const longestSuspicionMs = 3_000;
@@ -36,12 +37,12 @@
   /** Load it last told. */
   load: BackendLoad | undefined;
   loadAt = -Infinity;
-  /** Share of late attempts that failed, 0 to 1. */
-  failureShare = 0;
   /** Usual milliseconds of an answer; undefined before the first. */
   latencyMs: number | undefined;
   private suspectUntil = -Infinity;
   private suspicions = 0;
+  private failureShare = 0;
+  private failureShareAt = 0;
 
   private constructor(public record: BackendRecord) {}
 
@@ -68,12 +69,20 @@
     this.suspicions += 1;
     const length = Math.min(longestSuspicionMs, suspicionStepMs * 2 ** (this.suspicions - 1));
     this.suspectUntil = time + length;
-    this.noteEnd(false);
+    this.noteEnd(false, time);
+  }
+
+  /** Share of late attempts that failed, 0 to 1; fades, or a backend that failed would never be tried again. */
+  getFailureShare(time: number): number {
+    const age = Math.max(0, time - this.failureShareAt);
+    return this.failureShare * 0.5 ** (age / failureHalfLifeMs);
   }
 
   /** Takes note of how an attempt ended; one that ends well clears all suspicion. */
-  noteEnd(isGood: boolean): void {
-    this.failureShare += ((isGood ? 0 : 1) - this.failureShare) * failureWeight;
+  noteEnd(isGood: boolean, time: number): void {
+    const share = this.getFailureShare(time);
+    this.failureShare = share + ((isGood ? 0 : 1) - share) * failureWeight;
+    this.failureShareAt = time;
     if (this.failureShare < soundShare) this.failureShare = 0;
     if (!isGood) return;
     this.suspicions = 0;
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -209,13 +209,13 @@
     if (result.end === AttemptEnd.Lost) {
       this.runs += 1;
       this.countOnce(beganAt);
-      backend.noteEnd(false);
+      backend.noteEnd(false, time);
       this.lastFailure = Failure.create(FailureCode.EndpointCut, { endpoint: backend.id });
       return this.isRepeatAllowed() ? Next.TryAgain : Next.GiveUp;
     }
     if (result.end === AttemptEnd.NotSent) backend.noteUnreachable(time);
     if (result.end === AttemptEnd.WrongBackend) directory.handleReplaced(backend);
-    if (result.end === AttemptEnd.NotRun) backend.noteEnd(false);
+    if (result.end === AttemptEnd.NotRun) backend.noteEnd(false, time);
     this.lastFailure = createRefusal(FailureCode.Overloaded, service);
     this.notRunTries += 1;
     return this.notRunTries < mostNotRunTries ? Next.TryAgain : Next.GiveUp;
@@ -231,7 +231,7 @@
     if (this.isOver) return Next.Done;
     const status = response.statusCode ?? 0;
     const isFailed = !body.isComplete || status >= firstServerError;
-    backend.noteEnd(!isFailed);
+    backend.noteEnd(!isFailed, this.parts.clock.getTime());
     if (!isFailed) backend.noteLatency(this.parts.clock.getTime() - startedAt);
     if (isFailed && this.isRepeatAllowed()) {
       this.log("attempt.failed", { backend: backend.id, end: "Answered", status, complete: body.isComplete });
@@ -279,7 +279,7 @@
     };
     const relayEnd = await this.relay.relay(answer, onFirst);
     if (this.isOver) return Next.Done;
-    backend.noteEnd(relayEnd === RelayEnd.Complete);
+    backend.noteEnd(relayEnd === RelayEnd.Complete, this.parts.clock.getTime());
     if (relayEnd === RelayEnd.Complete) return Next.Done;
     this.log("stream.cut", { backend: backend.id, lastEvent: this.relay.lastEventId });
     this.lastFailure = Failure.create(FailureCode.EndpointCut, { endpoint: backend.id });
--- a/packages/gateway/src/placement.ts
+++ b/packages/gateway/src/placement.ts
@@ -117,7 +117,7 @@
 
   private getPenalty(backend: Backend): number {
     const unlisted = backend.state === BackendState.Unlisted ? unlistedPenaltyMs : 0;
-    return backend.failureShare * failurePenaltyMs + unlisted;
+    return backend.getFailureShare(this.options.clock.getTime()) * failurePenaltyMs + unlisted;
   }
 }
 
--- /dev/null
+++ b/packages/gateway/test/duties.test.ts
@@ -0,0 +1,183 @@
+import t from "tap";
+import {
+  CapacityOrders,
+  type CapacityOrder,
+  Duties,
+  OrderWord,
+  type StoreItem,
+  UsageReporter,
+} from "@gladewall/gateway";
+import { Logger, VirtualClock } from "@gladewall/kernel";
+import {
+  createService,
+  MetadataStoreStandin,
+  OrdersStandin,
+  SharedStore,
+  StoreTrouble,
+  type TakenOrder,
+} from "@gladewall/standins";
+
+const turnMs = 3_000;
+const windowMs = 5_000;
+const leaseKey = "gladewall/duty";
+const prefix = "gladewall/usage/";
+
+/** Nodes that compete for the duties of one store; time is virtual. */
+class DutyBench {
+  readonly clock = VirtualClock.create();
+  readonly shared = SharedStore.create(this.clock);
+  readonly orders = OrdersStandin.create();
+  readonly times: { readonly at: number; readonly order: TakenOrder }[] = [];
+
+  constructor() {
+    const { taken } = this.orders;
+    const push = taken.push.bind(taken);
+    taken.push = (...items) => {
+      for (const order of items) this.times.push({ at: this.clock.getTime(), order });
+      return push(...items);
+    };
+  }
+
+  /** Starts a node whose counts of every window are given. */
+  start(name: string, counts: Record<string, number>) {
+    const { clock, shared, orders } = this;
+    const store = MetadataStoreStandin.create(shared, clock);
+    const logger = Logger.createSilent();
+    const getItem = (key: string): StoreItem | undefined => shared.entries.get(key);
+    const usage = UsageReporter.create({
+      store,
+      orders,
+      clock,
+      logger,
+      prefix,
+      windowMs,
+      getTimeOfDay: () => clock.getWallTime(),
+      getCounts: () => counts,
+      getItem,
+    });
+    const capacity = CapacityOrders.create({
+      orders,
+      clock,
+      logger,
+      getBackends: () => [],
+      getNeeded: () => 0,
+    });
+    const duties = Duties.create({
+      store,
+      clock,
+      logger,
+      name,
+      leaseKey,
+      markKey: "gladewall/duties-begun",
+      turnMs,
+      usage,
+      capacity,
+      isFree: () => shared.revision >= 0 && !shared.entries.has(leaseKey),
+      getServices: () => [],
+    });
+    duties.start();
+    return { duties, store };
+  }
+}
+
+t.test(
+  "a window is reported with the same counts by whoever reports it, also after a lost answer",
+  async (t) => {
+    const bench = new DutyBench();
+    const one = bench.start("one", { a: 1 });
+    await bench.clock.advance(6_000);
+    const two = bench.start("two", { a: 2 });
+    await bench.clock.advance(6_000);
+    t.ok(one.duties.isActing());
+    one.store.trouble = StoreTrouble.LosesAnswers;
+    await bench.clock.advance(6_000);
+    // The first holder is gone without a word.
+    one.store.trouble = StoreTrouble.Down;
+    await bench.clock.advance(30_000);
+    t.ok(two.duties.isActing());
+    const counts = new Map<number, Set<string>>();
+    for (const { usage } of bench.orders.taken) {
+      if (!usage) continue;
+      const told = counts.get(usage.window) ?? new Set();
+      counts.set(usage.window, told.add(JSON.stringify(usage.counts)));
+    }
+    t.ok(counts.size > 6);
+    for (const [window, told] of counts) t.equal(told.size, 1, `window ${window}`);
+  },
+);
+
+t.test(
+  "fences rise with each holder, and no two act by turns in time, even where leases lapse early",
+  async (t) => {
+    const bench = new DutyBench();
+    for (const name of ["one", "two", "three"]) bench.start(name, {});
+    for (let round = 0; round < 40; round++) {
+      await bench.clock.advance(700 + ((round * 977) % 3_100));
+      bench.shared.lapse();
+    }
+    const acts = bench.times.map(({ at, order }) => ({ at, ...order.sender }));
+    const holders = new Set(acts.map(({ holder }) => holder));
+    t.ok(holders.size > 1, "the duties changed hands");
+    let highest = 0;
+    for (const { fence } of acts) {
+      t.ok(fence >= highest);
+      highest = Math.max(highest, fence);
+    }
+    for (const [index, first] of acts.entries()) {
+      const turned = acts.slice(index).find(({ holder }) => holder !== first.holder);
+      const again = turned && acts.find(({ at, holder }) => holder === first.holder && at >= turned.at);
+      t.notOk(again && again.at - first.at < turnMs && again.at > turned.at);
+    }
+  },
+);
+
+t.test("the first holder ever acts at once; a later one waits", async (t) => {
+  const bench = new DutyBench();
+  const one = bench.start("one", {});
+  await bench.clock.advance(1_600);
+  t.ok(one.duties.isActing());
+  one.store.trouble = StoreTrouble.Down;
+  const two = bench.start("two", {});
+  await bench.clock.advance(2_300);
+  t.notOk(two.duties.isActing());
+  await bench.clock.advance(3_000);
+  t.ok(two.duties.isActing());
+});
+
+t.test("an order is given once, and a zone that has none is left alone for a while", async (t) => {
+  const clock = VirtualClock.create();
+  const orders = OrdersStandin.create();
+  const isDry = (order: CapacityOrder): boolean => order.isReclaimable && order.zone === "a";
+  orders.getCapacityWord = (order) => (isDry(order) ? OrderWord.NoneAvailable : OrderWord.Taken);
+  const capacity = CapacityOrders.create({
+    orders,
+    clock,
+    logger: Logger.createSilent(),
+    getBackends: () => [],
+    getNeeded: () => 4,
+  });
+  const zonePrices = new Map([
+    ["a", 1],
+    ["b", 2],
+  ]);
+  const scaling = { min: 0, max: 6, bootMs: 4_000, reclaimablePrice: 0.2, zonePrices };
+  const step = (): Promise<void> =>
+    capacity.step(createService({ scaling }), () => ({ holder: "one", fence: 1 }));
+  for (let count = 0; count < 4; count++) await step();
+  const words = orders.taken.map(({ capacity: order }) =>
+    order ? `${order.zone}${order.isReclaimable ? "r" : "d"}${order.desired}` : "",
+  );
+  t.same(
+    words.filter((word) => word.startsWith("ar")),
+    ["ar2"],
+    "asked once",
+  );
+  t.ok(words.includes("br4"), "the other zone takes its part");
+  t.ok(
+    words.some((word) => word.startsWith("ad") || word.startsWith("bd")),
+    "on demand for what is missing",
+  );
+  const given = orders.taken.length;
+  await step();
+  t.equal(orders.taken.length, given, "nothing is ordered twice");
+});
