Keep a draft of usage counts; a peer whose connection was closed keeps no part of the limits

Ruled out: the limits' level itself (it stood below the whole room; only the part of it that counted was small).

Change: the holder writes the counts of all lives each 0.6 s under a key that nobody watches, and a new holder takes them in, the higher figure of each tenant; silence ends with the next report and never begins before one.

--- a/packages/gateway/src/duties.ts
+++ b/packages/gateway/src/duties.ts
@@ -117,10 +117,12 @@
       if (sender.fence !== this.actingFence) {
         this.actingFence = sender.fence;
         capacity.reset();
+        await usage.takeDraft();
         logger.info("duties.begun", { fence: sender.fence });
       }
       for (const service of getServices()) await capacity.step(service, getSender);
       await usage.step(getSender);
+      if (this.getSender()) await usage.saveDraft();
     }
   }
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -136,6 +136,11 @@
     return this.parts.members.links.getLinked().length;
   }
 
+  /** Share of the fleet whose counts are known, 0 to 1. */
+  get knownShare(): number {
+    return this.parts.members.getKnownShare();
+  }
+
   /** How much of a tenant's limit the fleet has taken, as far as this node knows. */
   getQuotaLevel(tenant: string): number {
     return this.parts.counters.getSum(CounterKind.Quota, tenant);
--- a/packages/gateway/src/gatewayParts.ts
+++ b/packages/gateway/src/gatewayParts.ts
@@ -25,6 +25,8 @@
 const dutyKey = `${ownPrefix}duty`;
 const dutyMarkKey = `${ownPrefix}duties-begun`;
 const usagePrefix = `${ownPrefix}usage/`;
+// Outside the prefix that all nodes watch: each change there costs a call of every node.
+const usageDraftKey = "gladewall-usage-draft";
 const demandWindowMs = 4_000;
 
 /** What everything stands on. */
@@ -37,6 +39,8 @@
 
 /** What is known of the platform and counted with the other nodes. */
 interface GatewayViews extends GatewayBase {
+  /** Grows with each life of the node. */
+  readonly incarnation: number;
   readonly time: TrueTime;
   readonly follower: ConfigurationFollower;
   readonly directory: BackendDirectory;
@@ -124,6 +128,7 @@
   const counters = SharedCounters.create({ clock, windows });
   return {
     ...base,
+    incarnation: clock.getWallTime(),
     time: TrueTime.create(clock),
     follower,
     directory: BackendDirectory.create({
@@ -156,7 +161,9 @@
     prefix: usagePrefix,
     windowMs: settings.orders.usage_window,
     getTimeOfDay: () => time.get(),
-    getCounts: (window) => usage.getTotal(window),
+    draftKey: usageDraftKey,
+    usage,
+    life: `${settings.node.name}/${views.incarnation}`,
     getItem,
   });
 }
@@ -169,7 +176,7 @@
     clock,
     logger,
     name: node.name,
-    incarnation: clock.getWallTime(),
+    incarnation: views.incarnation,
     address: listen.peers,
     secret: peers.secret,
     reportIntervalMs: peers.report_interval,
--- a/packages/gateway/src/members.ts
+++ b/packages/gateway/src/members.ts
@@ -162,8 +162,10 @@
 
   private handleDown(name: string): void {
     const time = this.options.clock.getTime();
-    const silence = time - (this.views.get(name)?.heardAt ?? -Infinity);
-    if (silence > reportLifetimeMs) this.silentUntil.set(name, time + silentMs);
+    const heardAt = this.views.get(name)?.heardAt;
+    // A peer that never reported has served nothing that this node could have missed by its silence.
+    if (heardAt === undefined || time - heardAt <= reportLifetimeMs) return;
+    this.silentUntil.set(name, time + silentMs);
   }
 
   /** Other nodes' work at a backend, as they told it a moment ago. */
@@ -256,6 +258,7 @@
     const life = `${peer.name}/${peer.incarnation}`;
     counters.takeReport(peer.name, life, message.counters);
     usage.takePeer(life, message.usage);
+    this.silentUntil.delete(peer.name);
     const timeDifference = message.time - time.get();
     this.views.set(peer.name, { work: message.work, heardAt: clock.getTime(), timeDifference });
   }
--- a/packages/gateway/src/usageCounts.ts
+++ b/packages/gateway/src/usageCounts.ts
@@ -51,11 +51,23 @@
     const node = this.peers.get(life) ?? new NodeCounts();
     this.peers.set(life, node);
     for (const [window, counts] of Object.entries(told)) {
-      node.windows.set(Number(window), counts);
+      const known = node.windows.get(Number(window));
+      node.windows.set(Number(window), known ? mergeCounts(known, counts) : counts);
       forgetOld(node, Number(window));
     }
   }
 
+  /** Returns the counts of the latest windows by life, this node's under the name it is given. */
+  getLives(ownLife: string, newest: number, count: number): Record<string, WindowCounts> {
+    const lives: Record<string, WindowCounts> = {};
+    for (const [life, node] of [[ownLife, this.own] as const, ...this.peers]) {
+      const windows: WindowCounts = {};
+      for (const [window, counts] of node.windows) if (window > newest - count) windows[window] = counts;
+      if (Object.keys(windows).length > 0) lives[life] = windows;
+    }
+    return lives;
+  }
+
   /** Returns a window's counts over all nodes. */
   getTotal(window: number): TenantCounts {
     const total: TenantCounts = {};
@@ -76,6 +88,13 @@
   }
 }
 
+/** Counts of one life only grow: of two tellings, the higher figure of each tenant is the later one. */
+function mergeCounts(one: TenantCounts, other: TenantCounts): TenantCounts {
+  const merged = { ...one };
+  for (const [tenant, count] of Object.entries(other)) merged[tenant] = Math.max(merged[tenant] ?? 0, count);
+  return merged;
+}
+
 function forgetOld(node: NodeCounts, newest: number): void {
   for (const window of node.windows.keys()) {
     if (window <= newest - keptWindows) node.windows.delete(window);
--- a/packages/gateway/src/usageReporter.ts
+++ b/packages/gateway/src/usageReporter.ts
@@ -5,7 +5,7 @@
  */
 import { type Clock, FailureCode, type Logger } from "@gladewall/kernel";
 import type { MetadataStore, OrderSender, OrderService, StoreItem } from "./types.js";
-import type { TenantCounts } from "./usageCounts.js";
+import type { TenantCounts, UsageCounts, WindowCounts } from "./usageCounts.js";
 
 /** Options of the reporter. */
 export interface UsageReporterOptions {
@@ -15,11 +15,15 @@
   readonly logger: Logger;
   /** Prefix of the keys that hold fixed windows. */
   readonly prefix: string;
+  /** Key of the draft: what is counted but not fixed, for when all nodes are killed. */
+  readonly draftKey: string;
+  /** Counts of all lives; a draft is written from them and taken into them. */
+  readonly usage: UsageCounts;
+  /** Names this life of this node. */
+  readonly life: string;
   readonly windowMs: number;
   /** Returns the time of day. */
   readonly getTimeOfDay: () => number;
-  /** Returns a window's counts over all nodes. */
-  readonly getCounts: (window: number) => TenantCounts;
   /** Returns what the store holds of a key, as last heard. */
   readonly getItem: (key: string) => StoreItem | undefined;
 }
@@ -28,13 +32,17 @@
 const settleMs = 1_200;
 /** Windows that are looked back to. */
 const keptWindows = 6;
+const draftIntervalMs = 600;
+/** Windows that a draft holds: the open one and those that may not be fixed yet. */
+const draftWindows = 3;
 /** Windows after which a fixed one is removed from the store. */
 const removedAfter = 12;
 
 /** Reports windows that have ended. */
 export class UsageReporter {
   private readonly done = new Set<number>();
-  private readonly firstWindow: number;
+  private firstWindow: number;
+  private draftAt = -Infinity;
 
   private constructor(private readonly options: UsageReporterOptions) {
     this.firstWindow = this.getWindow(options.getTimeOfDay());
@@ -49,6 +57,31 @@
     return Math.floor(timeOfDay / this.options.windowMs);
   }
 
+  /** Takes the draft of whoever held the duties before; called once by a new holder, before it reports. */
+  async takeDraft(): Promise<void> {
+    const { store, draftKey, usage, life: ownLife, logger } = this.options;
+    const draft = await store.read(draftKey);
+    if (draft.isErr() || !draft.value) return;
+    const lives = JSON.parse(Buffer.from(draft.value.value).toString("utf8")) as Record<string, WindowCounts>;
+    for (const [life, windows] of Object.entries(lives)) {
+      if (life !== ownLife) usage.takePeer(life, windows);
+      for (const window of Object.keys(windows)) {
+        this.firstWindow = Math.min(this.firstWindow, Number(window));
+      }
+    }
+    logger.info("usage.draft-taken", { lives: Object.keys(lives).length, revision: draft.value.revision });
+  }
+
+  /** Writes the draft from time to time. */
+  async saveDraft(): Promise<void> {
+    const { store, draftKey, usage, life, clock, getTimeOfDay } = this.options;
+    if (clock.getTime() - this.draftAt < draftIntervalMs) return;
+    this.draftAt = clock.getTime();
+    const lives = usage.getLives(life, this.getWindow(getTimeOfDay()), draftWindows);
+    const value = Buffer.from(JSON.stringify(lives));
+    await store.transact({ expected: [], put: [{ key: draftKey, value }], remove: [] });
+  }
+
   /** Reports what is due; `getSender` is asked right before each call and ends the step where it has no right. */
   async step(getSender: () => OrderSender | undefined): Promise<void> {
     const newest = this.getWindow(this.options.getTimeOfDay() - settleMs) - 1;
@@ -89,12 +122,12 @@
     window: number,
     getSender: () => OrderSender | undefined,
   ): Promise<TenantCounts | undefined> {
-    const { store, getItem, getCounts } = this.options;
+    const { store, getItem, usage } = this.options;
     const key = this.getKey(window);
     const known = getItem(key);
     if (known) return decodeCounts(known.value);
     if (!getSender()) return undefined;
-    const counts = getCounts(window);
+    const counts = usage.getTotal(window);
     const put = [{ key, value: Buffer.from(JSON.stringify(counts)) }];
     const outdated = this.getKey(window - removedAfter);
     const remove = getItem(outdated) ? [outdated] : [];
--- a/packages/gateway/test/duties.test.ts
+++ b/packages/gateway/test/duties.test.ts
@@ -5,6 +5,7 @@
   Duties,
   OrderWord,
   type StoreItem,
+  UsageCounts,
   UsageReporter,
 } from "@gladewall/gateway";
 import { Logger, VirtualClock } from "@gladewall/kernel";
@@ -38,8 +39,8 @@
     };
   }
 
-  /** Starts a node whose counts of every window are given. */
-  start(name: string, counts: Record<string, number>) {
+  /** Starts a node with the counts it has. */
+  start(name: string, counts: UsageCounts = UsageCounts.create()) {
     const { clock, shared, orders } = this;
     const store = MetadataStoreStandin.create(shared, clock);
     const logger = Logger.createSilent();
@@ -52,7 +53,9 @@
       prefix,
       windowMs,
       getTimeOfDay: () => clock.getWallTime(),
-      getCounts: () => counts,
+      draftKey: "draft",
+      usage: counts,
+      life: `${name}/1`,
       getItem,
     });
     const capacity = CapacityOrders.create({
@@ -80,13 +83,37 @@
   }
 }
 
+/** Counts of a node in the windows of the next seconds. */
+function createCounts(bench: DutyBench, amount: number): UsageCounts {
+  const counts = UsageCounts.create();
+  const first = Math.floor(bench.clock.getWallTime() / windowMs);
+  for (let window = first; window < first + 8; window++) {
+    for (let count = 0; count < amount; count++) counts.add(window, "a");
+  }
+  return counts;
+}
+
+t.test("what was counted when all nodes were killed is reported by the next holder", async (t) => {
+  const bench = new DutyBench();
+  const first = Math.floor(bench.clock.getWallTime() / windowMs);
+  const one = bench.start("one", createCounts(bench, 3));
+  await bench.clock.advance(4_000);
+  one.store.trouble = StoreTrouble.Down;
+  const counts = UsageCounts.create();
+  counts.add(first, "a");
+  bench.start("two", counts);
+  await bench.clock.advance(20_000);
+  const reported = bench.orders.taken.find(({ usage }) => usage?.window === first);
+  t.same(reported?.usage?.counts, { a: 4 });
+});
+
 t.test(
   "a window is reported with the same counts by whoever reports it, also after a lost answer",
   async (t) => {
     const bench = new DutyBench();
-    const one = bench.start("one", { a: 1 });
+    const one = bench.start("one", createCounts(bench, 1));
     await bench.clock.advance(6_000);
-    const two = bench.start("two", { a: 2 });
+    const two = bench.start("two", createCounts(bench, 2));
     await bench.clock.advance(6_000);
     t.ok(one.duties.isActing());
     one.store.trouble = StoreTrouble.LosesAnswers;
@@ -110,7 +137,7 @@
   "fences rise with each holder, and no two act by turns in time, even where leases lapse early",
   async (t) => {
     const bench = new DutyBench();
-    for (const name of ["one", "two", "three"]) bench.start(name, {});
+    for (const name of ["one", "two", "three"]) bench.start(name);
     for (let round = 0; round < 40; round++) {
       await bench.clock.advance(700 + ((round * 977) % 3_100));
       bench.shared.lapse();
@@ -133,11 +160,11 @@
 
 t.test("the first holder ever acts at once; a later one waits", async (t) => {
   const bench = new DutyBench();
-  const one = bench.start("one", {});
+  const one = bench.start("one");
   await bench.clock.advance(1_600);
   t.ok(one.duties.isActing());
   one.store.trouble = StoreTrouble.Down;
-  const two = bench.start("two", {});
+  const two = bench.start("two");
   await bench.clock.advance(2_300);
   t.notOk(two.duties.isActing());
   await bench.clock.advance(3_000);
--- a/packages/gateway/test/freshness.test.ts
+++ b/packages/gateway/test/freshness.test.ts
@@ -147,3 +147,20 @@
     t.equal(node.gateway.countBackends("web"), 0);
   },
 );
+
+t.test(
+  "a peer whose connection was closed keeps no part of the limits, whether it was heard or not",
+  async (t) => {
+    const bench = GatewayBench.create();
+    bench.platform.configure({});
+    const one = await bench.startReady(0, "web", ["peers.report_interval=20"]);
+    t.teardown(() => bench.close());
+    for (const reportInterval of [20, 10_000]) {
+      const two = await bench.startReady(0, "web", [`peers.report_interval=${reportInterval}`]);
+      await waitUntil(() => one.gateway.linkedPeers === 1);
+      await two.gateway.close();
+      await waitUntil(() => one.gateway.linkedPeers === 0);
+      t.equal(one.gateway.knownShare, 1);
+    }
+  },
+);
