--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -59,6 +59,8 @@
   /** Whether it may have run. */
   readonly mayHaveRun: boolean;
   readonly failure: Failure | undefined;
+  /** Backend that it was sent to last; undefined where it was sent to none. */
+  readonly backend: string | undefined;
 }
 
 /** What a finished attempt means for the request. */
@@ -84,6 +86,7 @@
   private runs = 0;
   private notRunTries = 0;
   private arrivals = 0;
+  private lastBackend: string | undefined;
   private isCounted = false;
   private isOver = false;
   private timer: Timer | undefined;
@@ -118,7 +121,14 @@
     this.isOver = true;
     this.timer.cancel();
     response.off("close", handleClose);
-    return this.end ?? { status: response.statusCode, mayHaveRun: this.runs > 0, failure: undefined };
+    return (
+      this.end ?? {
+        status: response.statusCode,
+        mayHaveRun: this.runs > 0,
+        failure: undefined,
+        backend: this.lastBackend,
+      }
+    );
   }
 
   private getTimeLeft(): number {
@@ -147,6 +157,7 @@
     }
     const { backend } = placement;
     this.excluded.add(backend.id);
+    this.lastBackend = backend.id;
     backend.active += 1;
     const pending = service.engine ? placement.uncachedTokens : 0;
     backend.pendingTokens += pending;
@@ -320,14 +331,19 @@
     this.isOver = true;
     this.attempt?.abort("caller gone");
     const mayHaveRun = this.runs > 0 || this.attempt?.mayHaveRun === true;
-    this.end = { status: 0, mayHaveRun, failure: Failure.create(FailureCode.CallerGone) };
+    this.end = {
+      status: 0,
+      mayHaveRun,
+      failure: Failure.create(FailureCode.CallerGone),
+      backend: this.lastBackend,
+    };
   }
 
   /** Gives the final answer; an answer that has begun is cut, so that it does not look complete. */
   private answerFailure(failure: Failure): void {
     const { response, head } = this.request;
     const mayHaveRun = this.runs > 0 || this.attempt?.mayHaveRun === true;
-    this.end = { status: failure.status, mayHaveRun, failure };
+    this.end = { status: failure.status, mayHaveRun, failure, backend: this.lastBackend };
     if (response.headersSent) {
       response.destroy();
       return;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -240,7 +240,7 @@
     { tenant, route }: Admitted,
     head: CallerHead,
     service: Service,
-    { status, mayHaveRun, failure }: ExchangeEnd,
+    { status, mayHaveRun, failure, backend }: ExchangeEnd,
     arrivedAt: number,
     cost: number,
   ): void {
@@ -253,6 +253,7 @@
       status,
       failure: failure?.name,
       mayHaveRun,
+      backend,
       tookMs: Math.round(this.parts.clock.getTime() - arrivedAt),
     };
     this.parts.metrics.countRequest(service.name, status, failure?.name ?? "none", fields.tookMs);
@@ -280,7 +281,7 @@
       status: failure.status,
       failure: failure.name,
       cause: failure.text,
-      retryAfterMs: failure.retryAfterMs,
+      retryAfterMs: failure.retryAfterMs && Math.round(failure.retryAfterMs),
       version: this.parts.follower.getTable()?.version,
       proofAgeMs: Math.round(this.parts.follower.getProofAge()),
     });
--- a/packages/standins/src/gatewayBench.ts
+++ b/packages/standins/src/gatewayBench.ts
@@ -44,15 +44,21 @@
 export class GatewayBench implements Closeable {
   readonly nodes: BenchNode[] = [];
 
-  private constructor(readonly platform: StandinPlatform) {}
+  private constructor(
+    readonly platform: StandinPlatform,
+    private readonly logger: Logger,
+  ) {}
 
-  static create(platform: StandinPlatform = StandinPlatform.create()): GatewayBench {
-    return new GatewayBench(platform);
+  static create(
+    platform: StandinPlatform = StandinPlatform.create(),
+    logger: Logger = Logger.createSilent(),
+  ): GatewayBench {
+    return new GatewayBench(platform, logger);
   }
 
   /** Starts a node; `overrides` are `section.key=value`. Resolves when its ports are open. */
   async start(overrides: readonly string[] = []): Promise<BenchNode> {
-    const [callers, readiness, peers] = await findPorts(3);
+    const [callers, readiness, peers, metrics] = await findPorts(4);
     const text = [
       "[node]",
       `name = node-${this.nodes.length + 1}`,
@@ -62,6 +68,7 @@
       `callers = 127.0.0.1:${callers}`,
       `readiness = 127.0.0.1:${readiness}`,
       `peers = 127.0.0.1:${peers}`,
+      `metrics = 127.0.0.1:${metrics}`,
       "[platform]",
       `adapter = ${standinPlatformName}`,
       `store_address = ${this.platform.address}`,
@@ -72,7 +79,7 @@
     const source = { file: "bench.ini", environment: {}, overrides };
     const settings = parseSettings(gatewaySchema, text, source);
     assertThat(settings.isOk(), "the bench's settings are good");
-    const gateway = Gateway.create(settings.value, Logger.createSilent());
+    const gateway = Gateway.create(settings.value, this.logger);
     assertThat(gateway.isOk(), "the bench's platform is registered");
     const node = { gateway: gateway.value, settings: settings.value };
     this.nodes.push(node);
@@ -120,6 +127,11 @@
     });
   }
 
+  /** Reads a node's metrics. */
+  async readMetrics({ settings }: BenchNode): Promise<string> {
+    return (await fetch(`http://${settings.listen.metrics}/metrics`)).text();
+  }
+
   async close(): Promise<void> {
     await Promise.all(this.nodes.map(({ gateway }) => gateway.close()));
   }
