One list of connection headers, one way to find the log level and to say what is wrong

Cause: the list of headers that are not passed on stood three times, reading the log level and printing failures of settings twice, in two daemons.

Change: kernel/connectionHeaders and kernel/daemonSettings serve all. Behaviour stays; answers now also lose Proxy-Authorization, which is a request's header.

--- a/packages/entry/src/headers.ts
+++ b/packages/entry/src/headers.ts
@@ -3,23 +3,10 @@
  * @module
  */
 import type { IncomingHttpHeaders } from "node:http";
-import { Failure, FailureCode } from "@gladewall/kernel";
+import { connectionHeaders, Failure, FailureCode } from "@gladewall/kernel";
 import { Err, Ok, type Result } from "ts-results-es";
 import type { Header } from "./types.js";
 
-/** Headers that speak of one connection only (RFC 9110, 7.6.1). */
-const hopByHop: ReadonlySet<string> = new Set([
-  "connection",
-  "keep-alive",
-  "proxy-authenticate",
-  "proxy-authorization",
-  "proxy-connection",
-  "te",
-  "trailer",
-  "transfer-encoding",
-  "upgrade",
-]);
-
 /** Headers of ours that an endpoint must not take from a caller. */
 const ownHeaders: ReadonlySet<string> = new Set([
   "authorization",
@@ -86,7 +73,8 @@
     const name = (rawHeaders[index] ?? "").toLowerCase();
     const value = rawHeaders[index + 1] ?? "";
     if (name === "x-forwarded-for") forwarded.push(...value.split(",").map((part) => part.trim()));
-    if (hopByHop.has(name) || ownHeaders.has(name) || named.has(name) || name.startsWith(ownPrefix)) continue;
+    if (connectionHeaders.has(name) || ownHeaders.has(name) || named.has(name) || name.startsWith(ownPrefix))
+      continue;
     headers.push([name, value]);
   }
   // Only the last hops were written by balancers we trust; what stands before them is the caller's own claim.
@@ -117,7 +105,7 @@
   const named = getConnectionNames(connection === undefined ? [] : ["connection", connection]);
   const selected: Header[] = [];
   for (const [name, value] of Object.entries(headers)) {
-    if (value === undefined || name === "x-load" || hopByHop.has(name) || named.has(name)) continue;
+    if (value === undefined || name === "x-load" || connectionHeaders.has(name) || named.has(name)) continue;
     for (const single of Array.isArray(value) ? value : [value]) selected.push([name, single]);
   }
   return selected;
--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -6,10 +6,10 @@
  */
 import {
   type Failure,
+  findLogLevel,
   formatSettings,
   Logger,
-  LogLevel,
-  logLevelNames,
+  printFailures,
   readSettings,
 } from "@gladewall/kernel";
 import { type DaemonArguments, ExitCode, parseArguments } from "@gladewall/kernel/commandLine";
@@ -25,15 +25,6 @@
   });
 }
 
-function getLogLevel(settings: EntrySettings): LogLevel {
-  const found = Object.entries(logLevelNames).find(([, name]) => name === settings.logs.level);
-  return found ? Number(found[0]) : LogLevel.Info;
-}
-
-function printFailures(failures: readonly Failure[]): void {
-  for (const failure of failures) process.stderr.write(`gladewalld: ${failure.code} ${failure.text}\n`);
-}
-
 function handleSignals(entry: Entry, logger: Logger, options: DaemonArguments): void {
   let isStopping = false;
   const stop = (): void => {
@@ -53,7 +44,7 @@
         logger.error("settings.refused", { failure: failure.name, text: failure.text });
       return;
     }
-    logger.setLevel(getLogLevel(settings.value));
+    logger.setLevel(findLogLevel(settings.value.logs.level));
     entry.reload(settings.value);
     logger.info("settings.reloaded", {});
   });
@@ -70,7 +61,7 @@
     printFailures(settings.error);
     process.exit(ExitCode.BadSettings);
   }
-  const logger = Logger.create(getLogLevel(settings.value));
+  const logger = Logger.create(findLogLevel(settings.value.logs.level));
   const entry = Entry.create(settings.value, logger);
   if (entry.isErr()) {
     printFailures([entry.error]);
--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -6,11 +6,11 @@
 import { statSync } from "node:fs";
 import {
   type Failure,
+  findLogLevel,
   formatReference,
   formatSettings,
   Logger,
-  LogLevel,
-  logLevelNames,
+  printFailures,
   readSettings,
 } from "@gladewall/kernel";
 import type { DaemonArguments } from "@gladewall/kernel/commandLine";
@@ -32,7 +32,9 @@
   }
   const settings = readDaemonSettings(options);
   if (settings.isErr()) return exitWith(settings.error);
-  const logger = Logger.create(getLogLevel(settings.value)).with({ node: settings.value.node.name });
+  const logger = Logger.create(findLogLevel(settings.value.logs.level)).with({
+    node: settings.value.node.name,
+  });
   const gateway = Gateway.create(settings.value, logger);
   if (gateway.isErr()) return exitWith([gateway.error]);
   if (options.print) process.stdout.write(formatSettings(gatewaySchema, settings.value));
@@ -58,13 +60,8 @@
   });
 }
 
-function getLogLevel(settings: GatewaySettings): LogLevel {
-  const found = Object.entries(logLevelNames).find(([, name]) => name === settings.logs.level);
-  return found ? Number(found[0]) : LogLevel.Info;
-}
-
 function exitWith(failures: readonly Failure[]): void {
-  for (const failure of failures) process.stderr.write(`gladewalld: ${failure.code} ${failure.text}\n`);
+  printFailures(failures);
   process.exitCode = badSettings;
 }
 
@@ -78,7 +75,7 @@
       for (const { name, text } of settings.error) logger.error("settings.refused", { failure: name, text });
       return;
     }
-    logger.setLevel(getLogLevel(settings.value));
+    logger.setLevel(findLogLevel(settings.value.logs.level));
     logger.info("settings.reloaded", { file: options.settings });
   };
   process.on("SIGHUP", reload);
