End a request that may have run with what became of it, whatever a later try says

Cause: createFinalFailure took the last failure; where a safe request ran once (cut) and a second backend then answered that it did not run it, the caller got that 503, which promises that the request has not run. Ruled out: routes that may not be repeated; they have no second try after one that may have run. Change: the refusal of a try that did not run and the failure of one that may have run are kept apart.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -90,7 +90,10 @@
   private isCounted = false;
   private isOver = false;
   private timer: Timer | undefined;
-  private lastFailure = Failure.create(FailureCode.NoBackend);
+  /** Why the last try did not run; undefined before the first that did not. */
+  private refusal: Failure | undefined;
+  /** What became of the last try that may have run: from then on the request can't be said not to have run. */
+  private runFailure: Failure | undefined;
   private readonly endsAt: number;
   private end: ExchangeEnd | undefined;
 
@@ -146,8 +149,7 @@
     const { promptTokens = 0, parts } = head;
     const placement = this.parts.placer.choose({ service, promptTokens, parts, excluded: this.excluded });
     if (!placement) {
-      this.lastFailure =
-        this.arrivals === 0 ? createRefusal(FailureCode.NoBackend, service) : this.lastFailure;
+      this.refusal ??= createRefusal(FailureCode.NoBackend, service);
       return Next.GiveUp;
     }
     if (this.getTimeLeft() < leastAttemptMs) return Next.GiveUp;
@@ -221,13 +223,13 @@
       this.runs += 1;
       this.countOnce(beganAt);
       backend.noteEnd(false, time);
-      this.lastFailure = Failure.create(FailureCode.EndpointCut, { endpoint: backend.id });
+      this.runFailure = Failure.create(FailureCode.EndpointCut, { endpoint: backend.id });
       return this.isRepeatAllowed() ? Next.TryAgain : Next.GiveUp;
     }
     if (result.end === AttemptEnd.NotSent) backend.noteUnreachable(time);
     if (result.end === AttemptEnd.WrongBackend) directory.handleReplaced(backend);
     if (result.end === AttemptEnd.NotRun) backend.noteEnd(false, time);
-    this.lastFailure = createRefusal(FailureCode.Overloaded, service);
+    this.refusal = createRefusal(FailureCode.Overloaded, service);
     this.notRunTries += 1;
     return this.notRunTries < mostNotRunTries ? Next.TryAgain : Next.GiveUp;
   }
@@ -246,11 +248,11 @@
     if (!isFailed) backend.noteLatency(this.parts.clock.getTime() - startedAt);
     if (isFailed && this.isRepeatAllowed()) {
       this.log("attempt.failed", { backend: backend.id, end: "Answered", status, complete: body.isComplete });
-      this.lastFailure = Failure.create(FailureCode.EndpointFailed, { endpoint: backend.id, status });
+      this.runFailure = Failure.create(FailureCode.EndpointFailed, { endpoint: backend.id, status });
       return Next.TryAgain;
     }
     if (!body.isComplete) {
-      this.lastFailure = Failure.create(FailureCode.EndpointCut, { endpoint: backend.id });
+      this.runFailure = Failure.create(FailureCode.EndpointCut, { endpoint: backend.id });
       return Next.GiveUp;
     }
     this.writeWhole(response, body.bytes);
@@ -293,7 +295,7 @@
     backend.noteEnd(relayEnd === RelayEnd.Complete, this.parts.clock.getTime());
     if (relayEnd === RelayEnd.Complete) return Next.Done;
     this.log("stream.cut", { backend: backend.id, lastEvent: this.relay.lastEventId });
-    this.lastFailure = Failure.create(FailureCode.EndpointCut, { endpoint: backend.id });
+    this.runFailure = Failure.create(FailureCode.EndpointCut, { endpoint: backend.id });
     return this.isRepeatAllowed() ? Next.TryAgain : Next.GiveUp;
   }
 
@@ -305,12 +307,8 @@
   }
 
   private createFinalFailure(): Failure {
-    const { service } = this.request;
-    if (this.runs === 0) {
-      const { code } = this.lastFailure;
-      return createRefusal(code === FailureCode.NoBackend ? code : FailureCode.Overloaded, service);
-    }
-    return this.lastFailure;
+    if (this.runFailure) return this.runFailure;
+    return this.refusal ?? createRefusal(FailureCode.Overloaded, this.request.service);
   }
 
   /** Ends the request now: the route's time is over, or the node's. */
--- a/packages/gateway/test/wholeAnswers.test.ts
+++ b/packages/gateway/test/wholeAnswers.test.ts
@@ -240,3 +240,19 @@
     t.equal((await alone.call(node)).status, 503);
   },
 );
+
+t.test("a request that ran once and was then not run elsewhere is not said to be not run", async (t) => {
+  const reset: BackendScript = ({ socket }) => socket.resetAndDestroy();
+  const { bench, backends, node } = await createBench(t, {}, [reset, reset]);
+  for (const backend of backends) {
+    backend.script = (call) => {
+      const isFirst = backends.every((other) => other === backend || other.calls.length === 0);
+      if (isFirst) reset(call);
+      else answerNotRun(call);
+    };
+  }
+  const answer = await bench.call(node);
+  t.equal(backends[0]!.calls.length + backends[1]!.calls.length, 2);
+  t.match(answer, { status: 502, isComplete: true });
+  t.equal(answer.headers["retry-after"], undefined);
+});
