In a large fleet, report to a few collectors and hear the fleet from one of them

Ruled out: a full mesh (83 x 82 messages each turn); sums passed on by a tree of groups (a node that changes its group is counted twice or not at all, unless single totals are passed on, which costs as much as this does). Change: beyond 24 nodes each reports to three collectors, the same for all by capacity and hash, and one of them answers with the fleet's sums, the share that is heard and the work at backends. Totals stay those of one life, so nothing is counted twice. One that can't be reached is passed over; without a view a node keeps to its own part. What a view does not show yet is foreseen from the fleet's use of the last second. The duties are taken by collectors only. Records of members, the choice of collectors and the reports are three files now. A link whose peer was dropped while it came about is closed; timers of vanished records end with their node. Figures: tests of a fleet of six with a mesh of two at most.

--- a/packages/coordination/src/peerLinks.ts
+++ b/packages/coordination/src/peerLinks.ts
@@ -106,15 +106,19 @@
     this.downListeners.add(listener);
   }
 
-  /** Says which peers there are. Standing links are opened to some of them; links to others are closed. */
-  setPeers(addresses: readonly PeerAddress[]): void {
+  /**
+   * Says which peers there are and which of them to keep links to; where that is left out, they are chosen by hash.
+   * Links to peers that are no longer there, or no longer named, are closed.
+   */
+  setPeers(addresses: readonly PeerAddress[], named?: readonly string[]): void {
     this.known.clear();
     for (const address of addresses) {
       if (address.name !== this.options.own.name) this.known.set(address.name, address);
     }
-    const standing = new Set(this.selectStanding());
+    const standing = new Set(named ?? this.selectStanding());
     for (const [name, peer] of this.peers) {
-      if (!isSameAddress(this.known.get(name), peer.address)) this.dropPeer(name);
+      const isDropped = named !== undefined && !standing.has(name);
+      if (isDropped || !isSameAddress(this.known.get(name), peer.address)) this.dropPeer(name);
     }
     for (const name of standing) this.wantPeer(name);
   }
@@ -212,7 +216,7 @@
       if (this.connections.has(peer.address.name)) {
         backoff = firstBackoff;
       } else {
-        const isServed = await this.dial(peer.address);
+        const isServed = await this.dial(peer);
         backoff = isServed ? firstBackoff : Math.min(highestBackoff, backoff * 2);
       }
       await waitFor(clock, backoff * (0.5 + getRandom() / 2), signal);
@@ -220,7 +224,7 @@
   }
 
   /** Opens a connection and serves it to its end; false where it did not come about. */
-  private async dial(address: PeerAddress): Promise<boolean> {
+  private async dial({ address, stop }: Peer): Promise<boolean> {
     const { host, port } = parseAddress(address.address);
     const socket = connect(port, host);
     this.track(socket);
@@ -236,7 +240,8 @@
       this.logRefusal(connection.error);
       return false;
     }
-    if (connection.value.peer.name !== address.name) {
+    // The peer may have been dropped while the connection came about.
+    if (stop.signal.aborted || connection.value.peer.name !== address.name) {
       connection.value.close();
       return false;
     }
--- a/packages/gateway/src/admission.ts
+++ b/packages/gateway/src/admission.ts
@@ -86,9 +86,8 @@
     if (tenant.ratePerSecond <= 0) return Ok(undefined);
     // Nodes that may be serving unheard keep their parts, so that the parts of all add up to the limit.
     const share = this.options.getKnownShare();
-    const room = (tenant.burst + this.options.quotaSlack * usedSlackShare) * share;
-    this.seedOnce(tenant, room);
-    counters.setRate(tenant.name, tenant.ratePerSecond * share);
+    const room = this.getRoom(tenant, share);
+    this.prepareLimit(tenant, share);
     const level = counters.getSum(CounterKind.Quota, tenant.name);
     // A request larger than the room is let in when nothing else is.
     const excess = level === 0 ? 0 : level + cost - room;
@@ -109,6 +108,23 @@
     return Ok(undefined);
   }
 
+  /** Lets the levels of all limits fall as they should, also of those that no request comes for here. */
+  refreshLimits(): void {
+    const share = this.options.getKnownShare();
+    for (const tenant of this.options.follower.getTable()?.configuration.tenants ?? []) {
+      if (tenant.ratePerSecond > 0) this.prepareLimit(tenant, share);
+    }
+  }
+
+  private getRoom(tenant: Tenant, share: number): number {
+    return (tenant.burst + this.options.quotaSlack * usedSlackShare) * share;
+  }
+
+  private prepareLimit(tenant: Tenant, share: number): void {
+    this.seedOnce(tenant, this.getRoom(tenant, share));
+    this.options.counters.setRate(tenant.name, tenant.ratePerSecond * share);
+  }
+
   /** Gives units back of a request that did not run. */
   returnQuota(tenant: Tenant, cost: number): void {
     if (tenant.ratePerSecond > 0) this.options.counters.add(CounterKind.Quota, tenant.name, -cost);
--- /dev/null
+++ b/packages/gateway/src/collectors.ts
@@ -0,0 +1,95 @@
+/**
+ * Which nodes hear the whole fleet. While it is small, every node hears every other. In a large one the reports go to
+ * a few collectors only, the same for all nodes: those that can carry most, by a hash where they are alike. One that
+ * can't be reached is passed over for the next, so no list of them is kept anywhere and nothing is agreed on.
+ * @module
+ */
+import { type Clock, hashText } from "@gladewall/kernel";
+
+/** Options of the choice. */
+export interface CollectorsOptions {
+  readonly clock: Clock;
+  readonly own: string;
+  /** Largest fleet in which every node hears every other. */
+  readonly largestMesh: number;
+  readonly count: number;
+  readonly getNames: () => Iterable<string>;
+  readonly getCapacity: (name: string) => number;
+  readonly isLinked: (name: string) => boolean;
+}
+
+/** Time for a link to come up, after which the next node is asked too. */
+const patienceMs = 800;
+
+/** Chooses the collectors. */
+export class Collectors {
+  private names: readonly string[] = [];
+  private ranking: readonly string[] = [];
+  /** Since when each node that is wanted has had no link. */
+  private readonly unlinkedSince = new Map<string, number>();
+
+  private constructor(private readonly options: CollectorsOptions) {}
+
+  static create(options: CollectorsOptions): Collectors {
+    return new Collectors(options);
+  }
+
+  /** Whether the fleet is so small that every node hears every other. */
+  get isMesh(): boolean {
+    return this.ranking.length <= this.options.largestMesh;
+  }
+
+  /** Whether this node hears the whole fleet. */
+  get isOwn(): boolean {
+    return this.isMesh || this.names.includes(this.options.own);
+  }
+
+  /** Nodes to be linked with; those that can't be reached now are among them. */
+  getNames(): readonly string[] {
+    return this.names;
+  }
+
+  /** Nodes that reports go to. */
+  getLinked(): readonly string[] {
+    return this.names.filter((name) => this.options.isLinked(name));
+  }
+
+  /** Takes the fleet's new list. */
+  setFleet(): void {
+    const { own, getNames, getCapacity } = this.options;
+    const names = new Set([...getNames(), own]);
+    const ranked = [...names].map((name) => ({ name, capacity: getCapacity(name), hash: hashText(name) }));
+    ranked.sort((one, other) => other.capacity - one.capacity || other.hash - one.hash);
+    this.ranking = ranked.map(({ name }) => name);
+    this.choose();
+  }
+
+  /** Chooses anew, by the links that are up; returns whether the choice has changed. */
+  choose(): boolean {
+    const { own, count } = this.options;
+    const chosen: string[] = [];
+    let reachable = 0;
+    for (const name of this.ranking) {
+      if (!this.isMesh && reachable >= count) break;
+      chosen.push(name);
+      if (name === own || !this.isHopeless(name)) reachable += 1;
+    }
+    for (const name of this.unlinkedSince.keys()) {
+      if (!chosen.includes(name)) this.unlinkedSince.delete(name);
+    }
+    const isChanged = chosen.join() !== this.names.join();
+    this.names = chosen;
+    return isChanged;
+  }
+
+  private isHopeless(name: string): boolean {
+    if (this.options.isLinked(name)) {
+      this.unlinkedSince.delete(name);
+      return false;
+    }
+    const time = this.options.clock.getTime();
+    const since = this.unlinkedSince.get(name) ?? time;
+    this.unlinkedSince.set(name, since);
+    return time - since > patienceMs;
+  }
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -141,9 +141,19 @@
     return this.parts.members.getKnownShare();
   }
 
+  /** Nodes that are listed, this one included. */
+  get fleetSize(): number {
+    return this.parts.members.getFleetSize();
+  }
+
+  /** Whether this node hears the whole fleet. */
+  get isCollector(): boolean {
+    return this.parts.members.isCollector;
+  }
+
   /** How much of a tenant's limit the fleet has taken, as far as this node knows. */
   getQuotaLevel(tenant: string): number {
-    return this.parts.counters.getSum(CounterKind.Quota, tenant);
+    return this.parts.counters.getKnownSum(CounterKind.Quota, tenant);
   }
 
   /** Backends of a service that take work. */
--- a/packages/gateway/src/gatewayParts.ts
+++ b/packages/gateway/src/gatewayParts.ts
@@ -13,7 +13,8 @@
 import { Duties } from "./duties.js";
 import { GatewayMetrics } from "./gatewayMetrics.js";
 import type { GatewaySettings } from "./gatewaySettings.js";
-import { Members, ownPrefix } from "./members.js";
+import { ownPrefix } from "./memberRecords.js";
+import { Members } from "./members.js";
 import { Placer } from "./placement.js";
 import { RetryBudget } from "./retryBudget.js";
 import { CounterKind, SharedCounters } from "./sharedCounters.js";
@@ -78,8 +79,9 @@
   const { time, follower, directory, usage, counters } = views;
   const { retries, backends } = settings;
   const reporter: UsageReporter = createReporter(views, (key) => members.items.get(key));
-  const members = createMembers(views, reporter);
   const getKnownShare = (): number => members.getKnownShare();
+  const admission = createAdmission(views, getKnownShare);
+  const members: Members = createMembers(views, reporter, () => admission.refreshLimits());
   return {
     settings,
     platform,
@@ -89,7 +91,7 @@
     directory,
     connections: BackendConnections.create(),
     members,
-    admission: createAdmission(views, getKnownShare),
+    admission,
     placer: Placer.create({
       clock,
       prefillRate: backends.prefill_rate,
@@ -168,7 +170,7 @@
   });
 }
 
-function createMembers(views: GatewayViews, reporter: UsageReporter): Members {
+function createMembers(views: GatewayViews, reporter: UsageReporter, onTurn: () => void): Members {
   const { settings, platform, clock, logger, counters, usage, time, directory } = views;
   const { node, listen, peers } = settings;
   return Members.create({
@@ -180,11 +182,15 @@
     address: listen.peers,
     secret: peers.secret,
     reportIntervalMs: peers.report_interval,
+    largeFleetIntervalMs: peers.large_fleet_interval,
+    capacity: peers.capacity,
+    largestMesh: peers.largest_mesh,
     counters,
     usage,
     time,
     getWindow: () => reporter.getWindow(time.get()),
     getWork: () => getWork(directory),
+    onTurn,
   });
 }
 
@@ -222,7 +228,9 @@
     turnMs: orders.turn,
     usage: reporter,
     capacity,
-    isFree: () => members.isListed && directory.isListed && !members.items.has(dutyKey),
+    // Only who hears the whole fleet knows its usage and its load.
+    isFree: () =>
+      members.isCollector && members.isListed && directory.isListed && !members.items.has(dutyKey),
     getServices: () => follower.getTable()?.configuration.services.values() ?? [],
   });
 }
--- a/packages/gateway/src/gatewaySettings.ts
+++ b/packages/gateway/src/gatewaySettings.ts
@@ -40,6 +40,24 @@
     report_interval: createReloadable(
       createInteger("ms", 150, [20, 10_000], "time between two reports to peers"),
     ),
+    largest_mesh: createInteger(
+      "nodes",
+      24,
+      [1, 1_000],
+      "nodes up to which each reports to every other; beyond it, to a few collectors only",
+    ),
+    large_fleet_interval: createInteger(
+      "ms",
+      250,
+      [20, 10_000],
+      "time between two reports while there are more nodes than that",
+    ),
+    capacity: createDecimal(
+      "",
+      0,
+      [0, 1_000_000_000],
+      "what the node can carry, for instance Mbit/s; those with the most become collectors",
+    ),
   },
   configuration: {
     proof_interval: createInteger(
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -14,6 +14,7 @@
 export { BackendDirectory } from "./backendDirectory.js";
 export { CapacityOrders } from "./capacityOrders.js";
 export { planCapacity, type CapacityInput, type ZoneCount } from "./capacityPlan.js";
+export { Collectors } from "./collectors.js";
 export { ConfigurationFollower } from "./configurationFollower.js";
 export { Duties } from "./duties.js";
 export { EventSplitter } from "./eventSplitter.js";
--- a/packages/gateway/src/leakyBucket.ts
+++ b/packages/gateway/src/leakyBucket.ts
@@ -31,7 +31,7 @@
   }
 
   /** Sets the level to one that another node knows. */
-  seed(time: number, level: number): void {
+  set(time: number, level: number): void {
     this.advance(time);
     this.level = level;
   }
--- /dev/null
+++ b/packages/gateway/src/memberRecords.ts
@@ -0,0 +1,158 @@
+/**
+ * The fleet as the store lists it: each node records itself under a lease and follows the others' records.
+ * @module
+ */
+import type { PeerAddress } from "@gladewall/coordination";
+import { type Clock, type Closeable, type Logger, type Timer, waitFor } from "@gladewall/kernel";
+import { PrefixFollower } from "./prefixFollower.js";
+import type { MetadataStore, StoreItem } from "./types.js";
+
+/** Keys of the gateway's own items in the store. */
+export const ownPrefix = "gladewall/";
+const memberPrefix = `${ownPrefix}members/`;
+
+/** Options of the records. */
+export interface MemberRecordsOptions {
+  readonly store: MetadataStore;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly name: string;
+  /** Grows with each life of the node. */
+  readonly incarnation: number;
+  /** `host:port` that peers reach this node at. */
+  readonly address: string;
+  /** How much the node can carry of what is done for all; any unit that all nodes share. */
+  readonly capacity: number;
+  /** Called after each change, and now and then without one. */
+  readonly onChange: () => void;
+  /** Whether a node is linked: its record is kept even where the store has none. */
+  readonly isLinked: (name: string) => boolean;
+}
+
+interface MemberRecord {
+  readonly address: string;
+  readonly incarnation: number;
+  readonly capacity?: number;
+}
+
+const leaseMs = 6_000;
+const renewIntervalMs = 2_000;
+/** A vanished record is kept this long: records also vanish when the store is in trouble. */
+const vanishedMs = 15_000;
+
+/** Records of all nodes. */
+export class MemberRecords implements Closeable {
+  /** The gateway's other items of the store, as last heard of. */
+  readonly items = new Map<string, StoreItem>();
+  private readonly records = new Map<string, MemberRecord>();
+  private readonly follower: PrefixFollower;
+  private readonly stop = new AbortController();
+  /** Timers after which vanished records are forgotten. */
+  private readonly forgetTimers = new Map<string, Timer>();
+  private lease: string | undefined;
+  private task: Promise<void> = Promise.resolve();
+
+  private constructor(private readonly options: MemberRecordsOptions) {
+    const { store, clock, logger } = options;
+    const listener = {
+      handlePut: (item: StoreItem) => this.handlePut(item),
+      handleRemoved: (key: string) => this.handleRemoved(key),
+    };
+    this.follower = PrefixFollower.create({ store, prefix: ownPrefix, clock, logger, listener });
+  }
+
+  static create(options: MemberRecordsOptions): MemberRecords {
+    return new MemberRecords(options);
+  }
+
+  start(): void {
+    this.follower.start();
+    this.task = this.keepRecord();
+  }
+
+  /** Names of all nodes that are listed. */
+  getNames(): Iterable<string> {
+    return this.records.keys();
+  }
+
+  /** Nodes that are listed, this one included. */
+  get size(): number {
+    return Math.max(1, this.records.size);
+  }
+
+  /** Whether the gateway's own items have ever been read. */
+  get isListed(): boolean {
+    return this.follower.isListed;
+  }
+
+  getAddresses(): readonly PeerAddress[] {
+    return [...this.records].map(([name, { address, incarnation }]) => ({ name, address, incarnation }));
+  }
+
+  /** How much a node can carry of what is done for all. */
+  getCapacity(name: string): number {
+    return this.records.get(name)?.capacity ?? 0;
+  }
+
+  /** Lists anew; for when the store comes back. */
+  restart(): void {
+    this.follower.restart();
+  }
+
+  async close(): Promise<void> {
+    this.stop.abort();
+    for (const timer of this.forgetTimers.values()) timer.cancel();
+    if (this.lease !== undefined) await this.options.store.releaseLease(this.lease);
+    await Promise.all([this.follower.close(), this.task]);
+  }
+
+  private async keepRecord(): Promise<void> {
+    const { clock } = this.options;
+    const { signal } = this.stop;
+    while (!signal.aborted) {
+      await this.keepRecordOnce();
+      await waitFor(clock, renewIntervalMs, signal);
+    }
+  }
+
+  private async keepRecordOnce(): Promise<void> {
+    const { store, name, address, incarnation, capacity } = this.options;
+    if (this.lease !== undefined) {
+      const renewed = await store.renewLease(this.lease);
+      // Only a clear word ends the lease; it may have been renewed where the answer was lost.
+      if (renewed.isOk() || renewed.error.name !== "LeaseLost") return;
+      this.lease = undefined;
+    }
+    const granted = await store.grantLease(leaseMs);
+    if (granted.isErr()) return;
+    const lease = granted.value;
+    const value = Buffer.from(JSON.stringify({ address, incarnation, capacity } satisfies MemberRecord));
+    const put = [{ key: `${memberPrefix}${name}`, value, lease }];
+    const written = await store.transact({ expected: [], put, remove: [] });
+    if (written.isOk()) this.lease = lease;
+  }
+
+  private handlePut(item: StoreItem): void {
+    if (!item.key.startsWith(memberPrefix)) {
+      this.items.set(item.key, item);
+      return;
+    }
+    const record = JSON.parse(Buffer.from(item.value).toString("utf8")) as MemberRecord;
+    this.records.set(item.key.slice(memberPrefix.length), record);
+    this.options.onChange();
+  }
+
+  private handleRemoved(key: string): void {
+    this.items.delete(key);
+    if (!key.startsWith(memberPrefix)) return;
+    const name = key.slice(memberPrefix.length);
+    const record = this.records.get(name);
+    this.forgetTimers.get(name)?.cancel();
+    const timer = this.options.clock.startTimer(vanishedMs, () => {
+      if (this.records.get(name) !== record || this.options.isLinked(name)) return;
+      this.records.delete(name);
+      this.options.onChange();
+    });
+    this.forgetTimers.set(name, timer);
+  }
+}
--- a/packages/gateway/src/members.ts
+++ b/packages/gateway/src/members.ts
@@ -1,34 +1,58 @@
 /**
- * The nodes of the fleet: each records itself in the store under a lease, follows the others' records, links to them,
- * and tells them several times a second what it counted and what work it has at backends.
+ * What the nodes of the fleet tell each other: counts, work at backends, the time of day.
+ *
+ * In a small fleet every node reports to every other several times a second. In a large one each reports to the
+ * collectors only, and one of them answers with a view of the whole fleet: what a node sends and hears does not grow
+ * with the fleet.
  * @module
  */
-import { type PeerAddress, type PeerIdentity, PeerLinks, type PeerMessage } from "@gladewall/coordination";
-import { type Clock, type Closeable, type Logger, waitFor } from "@gladewall/kernel";
+import { LinkMessageKind, type PeerIdentity, PeerLinks, type PeerMessage } from "@gladewall/coordination";
+import { type Clock, type Closeable, hashText, type Logger, waitFor } from "@gladewall/kernel";
 import type { PeerWork } from "./backend.js";
-import { PrefixFollower } from "./prefixFollower.js";
-import type { CounterReport, SharedCounters } from "./sharedCounters.js";
+import { Collectors } from "./collectors.js";
+import { MemberRecords } from "./memberRecords.js";
+import type { CounterReport, CounterTotals, CounterView, SharedCounters } from "./sharedCounters.js";
 import type { TrueTime } from "./trueTime.js";
 import type { MetadataStore, StoreItem } from "./types.js";
 import type { UsageCounts, WindowCounts } from "./usageCounts.js";
 
-/** Keys of the gateway's own items in the store. */
-export const ownPrefix = "gladewall/";
-const memberPrefix = `${ownPrefix}members/`;
-
 /** Numbers of the messages between members; the links keep the lower ones. */
 enum MemberMessageKind {
   Report = 32,
+  View = 33,
 }
 
+/** Active requests and pending prompt tokens by backend. */
+type BackendWork = Readonly<Record<string, readonly [active: number, pendingTokens: number]>>;
+
 interface ReportMessage extends PeerMessage {
   readonly kind: MemberMessageKind.Report;
+  /** Number of the report within the sender's life. */
+  readonly sequence: number;
   /** Time of day as the sender counts it. */
   readonly time: number;
   readonly counters: CounterReport;
-  readonly usage: WindowCounts;
-  /** Active requests and pending prompt tokens by backend. */
-  readonly work: Readonly<Record<string, readonly [active: number, pendingTokens: number]>>;
+  readonly work: BackendWork;
+  /** Left out in some reports. */
+  readonly usage?: WindowCounts;
+  /** Whether the sender wants a view in answer. */
+  readonly wantsView?: boolean;
+}
+
+interface ViewMessage extends PeerMessage {
+  readonly kind: MemberMessageKind.View;
+  /** Report of the receiver up to which its counts are included. */
+  readonly sequence: number;
+  readonly counters: CounterView;
+  /** Work of all nodes but the receiver. */
+  readonly work: BackendWork;
+  /** Share of the fleet that is heard. */
+  readonly knownShare: number;
+}
+
+/** Field that the links' pings carry. */
+interface PingMessage extends PeerMessage {
+  readonly time?: number;
 }
 
 /** Options of the members. */
@@ -42,7 +66,13 @@
   /** `host:port` that peers reach this node at. */
   readonly address: string;
   readonly secret: string;
+  /** Time between two reports, while the fleet is small and when it is large. */
   readonly reportIntervalMs: number;
+  readonly largeFleetIntervalMs: number;
+  /** How much the node can carry of what is done for all. */
+  readonly capacity: number;
+  /** Largest fleet in which every node reports to every other. */
+  readonly largestMesh: number;
   readonly counters: SharedCounters;
   readonly usage: UsageCounts;
   readonly time: TrueTime;
@@ -50,77 +80,106 @@
   readonly getWindow: () => number;
   /** Returns this node's work by backend. */
   readonly getWork: () => ReadonlyMap<string, PeerWork>;
+  /** Called before each report. */
+  readonly onTurn: () => void;
 }
 
-interface MemberRecord {
-  readonly address: string;
-  readonly incarnation: number;
+/** What a peer last told. */
+interface PeerView {
+  readonly work: BackendWork;
+  readonly heardAt: number;
 }
 
-interface PeerView {
-  work: ReportMessage["work"];
-  heardAt: number;
-  timeDifference: number;
+/** What the collector that is asked last answered. */
+interface FleetView {
+  readonly work: BackendWork;
+  readonly knownShare: number;
+  readonly heardAt: number;
 }
 
-const memberLeaseMs = 6_000;
-const renewIntervalMs = 2_000;
-/** A vanished record is kept this long: records also vanish when the store is in trouble. */
-const vanishedMs = 15_000;
+const collectorCount = 3;
 /** Reports older than this say nothing of a peer's work. */
 const reportLifetimeMs = 1_000;
+/** A collector that has not answered for this long is passed over. */
+const viewPatienceMs = 600;
+/** Without a view for this long, a node uses no more than its own part of what is shared. */
+const viewLifetimeMs = 1_500;
 /** A node that is cut off from the store serves no longer than this. */
 const silentMs = 6_000;
 const toldWindows = 4;
+/** Reports between two that carry usage, in a large fleet. */
+const usageEvery = 2;
 const pingIntervalMs = 1_000;
 const lostAfterMs = 2_500;
 const handshakeTimeoutMs = 1_000;
 const outboxBytes = 262_144;
-const standingLinks = 24;
+/** A collector that started this much later than this node knows less of what was counted before. */
+const youngerByMs = 1_000;
+const keptReports = 16;
 
 /** All members of the fleet. */
 export class Members implements Closeable {
   readonly links: PeerLinks;
-  /** The gateway's own items of the store, as last heard of. */
-  readonly items = new Map<string, StoreItem>();
-  private readonly records = new Map<string, MemberRecord>();
+  private readonly records: MemberRecords;
+  private readonly collectors: Collectors;
   private readonly views = new Map<string, PeerView>();
+  private readonly timeDifferences = new Map<string, { readonly difference: number; readonly at: number }>();
   /** Peers whose link was lost by silence, and until when they may still be serving. */
   private readonly silentUntil = new Map<string, number>();
-  private readonly follower: PrefixFollower;
   private readonly stop = new AbortController();
-  private lease: string | undefined;
-  private tasks: readonly Promise<void>[] = [];
+  private task: Promise<void> = Promise.resolve();
+  private sequence = 0;
+  /** Totals as they were told, by the report's number. */
+  private readonly toldTotals = new Map<number, CounterTotals>();
+  private fleetView: FleetView | undefined;
+  /** How often the collector that is asked was passed over for the next. */
+  private turns = 0;
+  private askedSince = 0;
+  /** Whether a collector asked what was counted before its life. */
+  private isHistoryWanted = false;
+  /** Work of the other nodes, and of this one, as of this turn. */
+  private fleetWork: BackendWork = {};
+  private ownWork: BackendWork = {};
 
   private constructor(private readonly options: MembersOptions) {
-    const { store, clock, logger, name, incarnation, secret } = options;
+    const { store, clock, logger, name, incarnation, secret, address, capacity, largestMesh } = options;
     this.links = PeerLinks.create({
       own: { name, incarnation },
       secret,
       clock,
       logger,
-      listen: options.address,
+      listen: address,
       handshakeTimeout: handshakeTimeoutMs,
       outboxBytes,
       pingInterval: pingIntervalMs,
       lostAfter: lostAfterMs,
-      standingLinks,
+      standingLinks: largestMesh,
       getRandom: Math.random,
-      getPing: () => ({}),
+      getPing: () => ({ time: options.time.get() }),
     });
-    this.links.setHandler(MemberMessageKind.Report, (message, peer) =>
-      this.takeReport(message as ReportMessage, peer),
-    );
-    this.links.onUp((peer) => logger.info("peer.linked", { peer: peer.name }));
-    this.links.onDown((peer) => {
-      logger.info("peer.lost", { peer: peer.name });
-      this.handleDown(peer.name);
+    const isLinked = (peer: string): boolean => this.links.isLinked(peer);
+    const onChange = (): void => this.setFleet();
+    this.records = MemberRecords.create({
+      store,
+      clock,
+      logger,
+      name,
+      incarnation,
+      address,
+      capacity,
+      onChange,
+      isLinked,
     });
-    const listener = {
-      handlePut: (item: StoreItem) => this.handlePut(item),
-      handleRemoved: (key: string) => this.handleRemoved(key),
-    };
-    this.follower = PrefixFollower.create({ store, prefix: ownPrefix, clock, logger, listener });
+    this.collectors = Collectors.create({
+      clock,
+      own: name,
+      largestMesh,
+      count: collectorCount,
+      getNames: () => this.records.getNames(),
+      getCapacity: (peer) => this.records.getCapacity(peer),
+      isLinked,
+    });
+    this.listen();
   }
 
   static create(options: MembersOptions): Members {
@@ -130,13 +189,28 @@
   /** Opens the peers' port and starts to follow. */
   async open(): Promise<void> {
     await this.links.open();
-    this.follower.start();
-    this.tasks = [this.keepRecord(), this.tell()];
+    this.records.start();
+    this.task = this.tell();
+  }
+
+  /** The gateway's own items of the store, as last heard of. */
+  get items(): ReadonlyMap<string, StoreItem> {
+    return this.records.items;
+  }
+
+  /** Whether the gateway's own items have ever been read. */
+  get isListed(): boolean {
+    return this.records.isListed;
+  }
+
+  /** Whether this node hears the whole fleet, as far as it knows. */
+  get isCollector(): boolean {
+    return this.collectors.isOwn;
   }
 
   /** Nodes that are listed, this one included. */
   getFleetSize(): number {
-    return Math.max(1, this.records.size);
+    return this.records.size;
   }
 
   /**
@@ -145,14 +219,54 @@
    */
   getKnownShare(): number {
     const fleet = this.getFleetSize();
+    if (!this.collectors.isOwn) return this.getFleetView()?.knownShare ?? 1 / fleet;
     const time = this.options.clock.getTime();
     let silent = 0;
-    for (const name of this.records.keys()) {
+    for (const name of this.records.getNames()) {
       if (name !== this.options.name && this.isSilent(name, time)) silent += 1;
     }
     return Math.max(1, fleet - silent) / fleet;
   }
 
+  /** Other nodes' work at a backend, as they told it a moment ago. */
+  getPeerWork(backend: string): PeerWork {
+    const told = this.fleetWork[backend];
+    return told ? { active: told[0], pendingTokens: told[1] } : noWork;
+  }
+
+  /** Lists anew; for when the store comes back. */
+  restart(): void {
+    this.records.restart();
+  }
+
+  async close(): Promise<void> {
+    this.stop.abort();
+    await Promise.all([this.records.close(), this.links.close(), this.task]);
+  }
+
+  private listen(): void {
+    const { logger } = this.options;
+    this.links.setHandler(MemberMessageKind.Report, (message, peer) =>
+      this.takeReport(message as ReportMessage, peer),
+    );
+    this.links.setHandler(MemberMessageKind.View, (message, peer) =>
+      this.takeView(message as ViewMessage, peer),
+    );
+    this.links.setHandler(LinkMessageKind.Ping, ({ time }: PingMessage, peer) => {
+      if (time !== undefined) this.takeTime(peer.name, time);
+    });
+    this.links.onUp((peer) => logger.info("peer.linked", { peer: peer.name }));
+    this.links.onDown((peer) => {
+      logger.info("peer.lost", { peer: peer.name });
+      this.handleDown(peer.name);
+    });
+  }
+
+  private setFleet(): void {
+    this.collectors.setFleet();
+    this.links.setPeers(this.records.getAddresses(), this.collectors.getNames());
+  }
+
   private isSilent(name: string, time: number): boolean {
     if ((this.silentUntil.get(name) ?? -Infinity) > time) return true;
     const heardAt = this.views.get(name)?.heardAt;
@@ -168,74 +282,48 @@
     this.silentUntil.set(name, time + silentMs);
   }
 
-  /** Other nodes' work at a backend, as they told it a moment ago. */
-  getPeerWork(backend: string): PeerWork {
-    let active = 0;
-    let pendingTokens = 0;
-    for (const { work } of this.getHeard()) {
-      const told = work[backend];
-      if (!told) continue;
-      active += told[0];
-      pendingTokens += told[1];
+  private async tell(): Promise<void> {
+    const { clock, reportIntervalMs, largeFleetIntervalMs, onTurn } = this.options;
+    const { signal } = this.stop;
+    while (!signal.aborted) {
+      await waitFor(clock, this.collectors.isMesh ? reportIntervalMs : largeFleetIntervalMs, signal);
+      this.adjustTime();
+      if (!this.collectors.isMesh && this.collectors.choose()) this.setFleet();
+      this.fleetWork = this.getFleetWork();
+      onTurn();
+      this.report();
     }
-    return { active, pendingTokens };
-  }
-
-  /** Lists anew; for when the store comes back. */
-  restart(): void {
-    this.follower.restart();
   }
 
-  /** Whether the gateway's own items have ever been read. */
-  get isListed(): boolean {
-    return this.follower.isListed;
+  private adjustTime(): void {
+    const limit = this.options.clock.getTime() - pingIntervalMs - reportLifetimeMs;
+    const heard = [...this.timeDifferences.values()].filter(({ at }) => at >= limit);
+    this.options.time.adjust(heard.map(({ difference }) => difference));
   }
 
-  async close(): Promise<void> {
-    this.stop.abort();
-    if (this.lease !== undefined) await this.options.store.releaseLease(this.lease);
-    await Promise.all([this.follower.close(), this.links.close(), ...this.tasks]);
-  }
-
-  private getHeard(): readonly PeerView[] {
-    const limit = this.options.clock.getTime() - reportLifetimeMs;
-    return [...this.views.values()].filter((view) => view.heardAt >= limit);
-  }
-
-  private async keepRecord(): Promise<void> {
-    const { clock } = this.options;
-    const { signal } = this.stop;
-    while (!signal.aborted) {
-      await this.keepRecordOnce();
-      await waitFor(clock, renewIntervalMs, signal);
+  private report(): void {
+    const report = this.createReport();
+    if (this.collectors.isMesh) {
+      this.links.broadcast(report);
+      return;
     }
-  }
-
-  private async keepRecordOnce(): Promise<void> {
-    const { store, name, address, incarnation } = this.options;
-    if (this.lease !== undefined) {
-      const renewed = await store.renewLease(this.lease);
-      // Only a clear word ends the lease; it may have been renewed where the answer was lost.
-      if (renewed.isOk() || renewed.error.name !== "LeaseLost") return;
-      this.lease = undefined;
+    const asked = this.chooseAsked();
+    for (const name of this.collectors.getLinked()) {
+      this.links.send(name, name === asked ? { ...report, wantsView: true } : report);
     }
-    const granted = await store.grantLease(memberLeaseMs);
-    if (granted.isErr()) return;
-    const lease = granted.value;
-    const value = Buffer.from(JSON.stringify({ address, incarnation } satisfies MemberRecord));
-    const put = [{ key: `${memberPrefix}${name}`, value, lease }];
-    const written = await store.transact({ expected: [], put, remove: [] });
-    if (written.isOk()) this.lease = lease;
   }
 
-  private async tell(): Promise<void> {
-    const { clock, reportIntervalMs } = this.options;
-    const { signal } = this.stop;
-    while (!signal.aborted) {
-      await waitFor(clock, reportIntervalMs, signal);
-      this.options.time.adjust(this.getHeard().map((view) => view.timeDifference));
-      this.links.broadcast(this.createReport());
+  /** The collector that is asked for a view; nodes spread over them, and pass over one that does not answer. */
+  private chooseAsked(): string | undefined {
+    if (this.collectors.isOwn) return undefined;
+    const linked = this.collectors.getLinked();
+    const time = this.options.clock.getTime();
+    const answeredAt = Math.max(this.fleetView?.heardAt ?? -Infinity, this.askedSince);
+    if (time - answeredAt > viewPatienceMs) {
+      this.turns += 1;
+      this.askedSince = time;
     }
+    return linked[(hashText(this.options.name) + this.turns) % Math.max(1, linked.length)];
   }
 
   private createReport(): ReportMessage {
@@ -244,51 +332,113 @@
     for (const [backend, { active, pendingTokens }] of getWork()) {
       if (active > 0 || pendingTokens > 0) work[backend] = [active, Math.round(pendingTokens)];
     }
+    this.ownWork = work;
+    this.sequence += 1;
+    const { isMesh, isOwn } = this.collectors;
+    const report = counters.createReport(isMesh || isOwn || this.isHistoryWanted);
+    this.isHistoryWanted = false;
+    this.keepTold(report.totals);
+    const hasUsage = isMesh || this.sequence % usageEvery === 0;
     return {
       kind: MemberMessageKind.Report,
+      sequence: this.sequence,
       time: time.get(),
-      counters: counters.createReport(),
-      usage: usage.getOwn(getWindow(), toldWindows),
+      counters: report,
       work,
+      ...(hasUsage ? { usage: usage.getOwn(getWindow(), toldWindows) } : {}),
     };
   }
 
+  private keepTold(totals: CounterTotals): void {
+    this.toldTotals.set(this.sequence, totals);
+    this.toldTotals.delete(this.sequence - keptReports);
+  }
+
   private takeReport(message: ReportMessage, peer: PeerIdentity): void {
-    const { counters, usage, time, clock } = this.options;
+    const { counters, usage, clock } = this.options;
     const life = `${peer.name}/${peer.incarnation}`;
     counters.takeReport(peer.name, life, message.counters);
-    usage.takePeer(life, message.usage);
+    if (message.usage) usage.takePeer(life, message.usage);
     this.silentUntil.delete(peer.name);
-    const timeDifference = message.time - time.get();
-    this.views.set(peer.name, { work: message.work, heardAt: clock.getTime(), timeDifference });
+    this.takeTime(peer.name, message.time);
+    this.views.set(peer.name, { work: message.work, heardAt: clock.getTime() });
+    if (message.wantsView === true) this.links.send(peer.name, this.createView(message));
+  }
+
+  private takeTime(peer: string, time: number): void {
+    this.timeDifferences.set(peer, {
+      difference: time - this.options.time.get(),
+      at: this.options.clock.getTime(),
+    });
   }
 
-  private handlePut(item: StoreItem): void {
-    if (!item.key.startsWith(memberPrefix)) {
-      this.items.set(item.key, item);
+  private createView({ sequence, work }: ReportMessage): ViewMessage {
+    return {
+      kind: MemberMessageKind.View,
+      sequence,
+      counters: this.options.counters.createView(),
+      work: subtractWork(sumWork([this.fleetWork, this.ownWork]), work),
+      knownShare: this.getKnownShare(),
+    };
+  }
+
+  private takeView({ sequence, counters, work, knownShare }: ViewMessage, peer: PeerIdentity): void {
+    const told = this.toldTotals.get(sequence);
+    if (!told || this.collectors.isOwn) return;
+    const own = this.options.counters;
+    if (!counters.isInformed && own.getUptime() > counters.uptime + youngerByMs && own.isInformed) {
+      this.isHistoryWanted = true;
+      this.options.logger.debug("view.passed-over", { peer: peer.name, uptimeMs: counters.uptime });
       return;
     }
-    const record = JSON.parse(Buffer.from(item.value).toString("utf8")) as MemberRecord;
-    this.records.set(item.key.slice(memberPrefix.length), record);
-    this.setPeers();
+    own.takeView(counters, told);
+    this.fleetView = { work, knownShare, heardAt: this.options.clock.getTime() };
   }
 
-  private handleRemoved(key: string): void {
-    this.items.delete(key);
-    if (!key.startsWith(memberPrefix)) return;
-    const name = key.slice(memberPrefix.length);
-    const record = this.records.get(name);
-    this.options.clock.startTimer(vanishedMs, () => {
-      if (this.records.get(name) !== record || this.links.isLinked(name)) return;
-      this.records.delete(name);
-      this.setPeers();
+  /** The last view while it is young enough; once it is not, the node keeps to its own part of what is shared. */
+  private getFleetView(): FleetView | undefined {
+    const view = this.fleetView;
+    if (!view) return undefined;
+    const age = this.options.clock.getTime() - view.heardAt;
+    if (age <= viewLifetimeMs) return view;
+    this.fleetView = undefined;
+    this.options.counters.scaleLevels(1 / this.getFleetSize());
+    this.options.logger.warn("view.lost", {
+      ageMs: Math.round(age),
+      linked: this.collectors.getLinked().length,
     });
+    return undefined;
+  }
+
+  private getFleetWork(): BackendWork {
+    const view = this.collectors.isOwn ? undefined : this.getFleetView();
+    if (view) return view.work;
+    const limit = this.options.clock.getTime() - reportLifetimeMs;
+    const heard = [...this.views.values()].filter(({ heardAt }) => heardAt >= limit);
+    return sumWork(heard.map(({ work }) => work));
   }
+}
+
+const noWork: PeerWork = { active: 0, pendingTokens: 0 };
+
+function sumWork(parts: readonly BackendWork[]): BackendWork {
+  const sum: Record<string, [number, number]> = {};
+  for (const part of parts) {
+    for (const [backend, [active, pendingTokens]] of Object.entries(part)) {
+      const known = (sum[backend] ??= [0, 0]);
+      known[0] += active;
+      known[1] += pendingTokens;
+    }
+  }
+  return sum;
+}
 
-  private setPeers(): void {
-    const addresses: PeerAddress[] = [];
-    for (const [name, { address, incarnation }] of this.records)
-      addresses.push({ name, address, incarnation });
-    this.links.setPeers(addresses);
+/** Returns what is left of a sum without a part of it; the part may be newer than the sum. */
+function subtractWork(sum: BackendWork, part: BackendWork): BackendWork {
+  const left: Record<string, readonly [number, number]> = { ...sum };
+  for (const [backend, [active, pendingTokens]] of Object.entries(part)) {
+    const known = left[backend];
+    if (known) left[backend] = [Math.max(0, known[0] - active), Math.max(0, known[1] - pendingTokens)];
   }
+  return left;
 }
--- a/packages/gateway/src/sharedCounters.ts
+++ b/packages/gateway/src/sharedCounters.ts
@@ -31,6 +31,17 @@
   readonly sums: CounterTotals;
 }
 
+/** What a node that hears the whole fleet knows, for those that hear only it. */
+export interface CounterView {
+  /** Milliseconds that the teller's life has lasted. */
+  readonly uptime: number;
+  /** Whether the sums hold what was counted before that life. */
+  readonly isInformed: boolean;
+  readonly sums: CounterTotals;
+  /** Units of each limit that the fleet took over the last `rateWindowMs`. */
+  readonly inflows: CounterTotals;
+}
+
 interface PeerTotals {
   life: string;
   totals: CounterTotals;
@@ -44,6 +55,11 @@
   readonly windows: Readonly<Record<CounterKind, number>>;
 }
 
+/** Time over which the fleet's use of a limit is measured, to foresee what a view does not show yet. */
+const rateWindowMs = 1_000;
+/** Longest time for which use is foreseen from one view. */
+const longestForesightMs = 1_000;
+
 /** This node's counters and the fleet's sums. */
 export class SharedCounters {
   private readonly own: Record<string, number> = {};
@@ -51,7 +67,11 @@
   private readonly buckets = new Map<string, LeakyBucket>();
   private readonly ownSums = new Map<string, SlidingWindow>();
   private readonly peers = new Map<string, PeerTotals>();
+  /** Use of limits over the last moments, by key. */
+  private readonly inflows = new Map<string, SlidingWindow>();
   private readonly startedAt: number;
+  private viewedInflows: CounterTotals = {};
+  private viewedAt = -Infinity;
   /** Whether the sums from before this life were taken over from a peer. */
   private hasAdopted = false;
 
@@ -68,15 +88,29 @@
     const time = this.options.clock.getTime();
     const key = createKey(kind, name);
     this.own[key] = (this.own[key] ?? 0) + amount;
-    this.getTotal(kind, key).add(time, amount);
+    this.addToTotal(kind, key, time, amount);
     this.getWindow(this.ownSums, kind, key).add(time, amount);
   }
 
   /** Returns the fleet's sum over the window that ends now; of limits, the level of their bucket. */
   getSum(kind: CounterKind, name: string): number {
+    const time = this.options.clock.getTime();
+    return this.getKnownSum(kind, name) + this.foresee(createKey(kind, name), time);
+  }
+
+  /** The same without what is foreseen. */
+  getKnownSum(kind: CounterKind, name: string): number {
     return this.getTotal(kind, createKey(kind, name)).getSum(this.options.clock.getTime());
   }
 
+  /** What the fleet is expected to have taken of a limit since the last view, by what it took before. */
+  private foresee(key: string, time: number): number {
+    const inflow = this.viewedInflows[key];
+    if (inflow === undefined) return 0;
+    const age = time - this.viewedAt;
+    return age < longestForesightMs ? (inflow * age) / rateWindowMs : 0;
+  }
+
   /** Sets how fast a limit's level falls. */
   setRate(name: string, perSecond: number): void {
     const key = createKey(CounterKind.Quota, name);
@@ -91,12 +125,12 @@
 
   /** Whether what was counted before this life is known. */
   get isInformed(): boolean {
-    return this.hasAdopted;
+    return this.hasAdopted || this.getUptime() > this.longestWindow;
   }
 
   /** Sets a sum to what it may have been before this life; for what a new life cannot know. */
   seed(kind: CounterKind, name: string, amount: number): void {
-    this.getTotal(kind, createKey(kind, name)).seed(this.options.clock.getTime(), amount);
+    this.getTotal(kind, createKey(kind, name)).set(this.options.clock.getTime(), amount);
   }
 
   /** Milliseconds that this life has lasted. */
@@ -104,11 +138,63 @@
     return this.options.clock.getTime() - this.startedAt;
   }
 
-  createReport(): CounterReport {
+  /** Returns the report; the fleet's sums are left out where nobody needs them. */
+  createReport(hasSums = true): CounterReport {
+    const sums = hasSums ? this.getSums() : {};
+    return { uptime: Math.round(this.getUptime()), totals: { ...this.own }, sums };
+  }
+
+  /** Returns what this node, which hears the whole fleet, knows of it. */
+  createView(): CounterView {
+    const time = this.options.clock.getTime();
+    const inflows: Record<string, number> = {};
+    for (const [key, inflow] of this.inflows) inflows[key] = Math.max(0, Math.round(inflow.getSum(time)));
+    const uptime = Math.round(this.getUptime());
+    return { uptime, isInformed: this.isInformed, sums: this.getSums(), inflows };
+  }
+
+  /**
+   * Takes a view in place of what was known; `told` are this life's totals that the view includes. A view by a life
+   * that cannot know what was counted before it only raises what is known.
+   */
+  takeView({ sums, inflows, isInformed }: CounterView, told: CounterTotals): void {
+    const time = this.options.clock.getTime();
+    this.hasAdopted ||= isInformed;
+    this.viewedAt = time;
+    this.viewedInflows = inflows;
+    for (const [key, sum] of Object.entries(sums)) {
+      const kind: CounterKind = Number.parseInt(key, 10);
+      if (this.options.windows[kind] === undefined) continue;
+      const total = this.getTotal(kind, key);
+      const sinceTold = (this.own[key] ?? 0) - (told[key] ?? 0);
+      const known = isInformed ? 0 : total.getSum(time);
+      total.set(time, Math.max(0, sum + sinceTold, known));
+    }
+  }
+
+  /** Keeps only a part of every limit's level; for when the rest of the fleet is no longer heard. */
+  scaleLevels(share: number): void {
+    const time = this.options.clock.getTime();
+    for (const bucket of this.buckets.values()) bucket.set(time, bucket.getSum(time) * share);
+  }
+
+  private get longestWindow(): number {
+    return Math.max(...Object.values(this.options.windows));
+  }
+
+  private getSums(): CounterTotals {
     const time = this.options.clock.getTime();
     const sums: Record<string, number> = {};
     for (const [key, total] of [...this.sums, ...this.buckets]) sums[key] = Math.round(total.getSum(time));
-    return { uptime: Math.round(this.getUptime()), totals: { ...this.own }, sums };
+    return sums;
+  }
+
+  private addToTotal(kind: CounterKind, key: string, time: number, amount: number): void {
+    this.getTotal(kind, key).add(time, amount);
+    if (kind !== CounterKind.Quota) return;
+    let inflow = this.inflows.get(key);
+    if (!inflow) this.inflows.set(key, (inflow = SlidingWindow.create(rateWindowMs)));
+    inflow.add(time, amount);
   }
 
   /** Takes what a peer tells of one of its lives. */
@@ -117,8 +203,9 @@
     this.adopt(uptime, sums);
     const known = this.peers.get(peer);
     const isSameLife = known?.life === life;
-    // Of a life that is longer than every window, the adopted sums hold what counts; only what it adds is new.
-    const isYoung = uptime < Math.max(...Object.values(this.options.windows));
+    // Of a life that is longer than every window, the adopted sums hold what counts; only what it adds is new. The
+    // same holds of a young one where a view has just told of it.
+    const isYoung = uptime < this.longestWindow && time - this.viewedAt > longestForesightMs;
     if (isSameLife || isYoung) {
       const before = isSameLife ? known.totals : {};
       this.addDifferences(before, totals, isSameLife ? time - known.heardAt : uptime);
@@ -128,8 +215,8 @@
 
   /** Takes over what was counted before this life from the first peer that has seen a whole window. */
   private adopt(uptime: number, sums: CounterTotals): void {
-    const longest = Math.max(...Object.values(this.options.windows));
-    if (this.hasAdopted || uptime < longest || this.getUptime() > longest) return;
+    if (this.isInformed || uptime < this.longestWindow) return;
+    if (Object.keys(sums).length === 0) return;
     this.hasAdopted = true;
     const time = this.options.clock.getTime();
     this.sums.clear();
@@ -137,7 +224,7 @@
       const kind: CounterKind = Number.parseInt(key, 10);
       if (this.options.windows[kind] === undefined) continue;
       const total = this.getTotal(kind, key);
-      total.seed(time, sum);
+      total.set(time, sum);
       total.add(time, this.ownSums.get(key)?.getSum(time) ?? 0);
     }
   }
@@ -152,7 +239,7 @@
       if (windowMs === undefined) continue;
       // Of what came over a longer silence, only the part that can lie in the window counts.
       const share = elapsed > windowMs ? windowMs / elapsed : 1;
-      this.getTotal(kind, key).add(time, amount * share);
+      this.addToTotal(kind, key, time, amount * share);
     }
   }
 
--- a/packages/gateway/src/slidingWindow.ts
+++ b/packages/gateway/src/slidingWindow.ts
@@ -27,14 +27,14 @@
     this.total += amount;
   }
 
-  /** Spreads an amount evenly over the window that ends at a time, as if it had come steadily. */
-  seed(time: number, amount: number): void {
+  /** Replaces the sum by an amount that is spread evenly over the window, as if it had come steadily. */
+  set(time: number, amount: number): void {
     this.advance(time);
+    this.amounts.fill(0);
     for (let index = 0; index < slices; index++) {
-      this.amounts[(this.current - index + this.amounts.length * 2) % this.amounts.length]! +=
-        amount / slices;
+      this.amounts[(this.current - index + this.amounts.length * 2) % this.amounts.length] = amount / slices;
     }
-    this.total += amount;
+    this.total = amount;
   }
 
   /** Returns the sum at a time. */
--- /dev/null
+++ b/packages/gateway/test/largeFleet.test.ts
@@ -0,0 +1,130 @@
+import t, { type Test } from "tap";
+import { Collectors, CounterKind, SharedCounters } from "@gladewall/gateway";
+import { VirtualClock } from "@gladewall/kernel";
+import { answerGood, createTenant, GatewayBench, ScriptedBackend, waitUntil } from "@gladewall/standins";
+
+const windows = {
+  [CounterKind.Quota]: 8_000,
+  [CounterKind.Requests]: 10_000,
+  [CounterKind.Repeats]: 10_000,
+  [CounterKind.Work]: 4_000,
+};
+
+// Bursts have a fraction, so that what is foreseen between two reports does not decide.
+/** A fleet of six nodes that is larger than what may be a mesh. */
+async function createFleet(t: Pick<Test, "teardown">, burst: number) {
+  const bench = GatewayBench.create();
+  bench.platform.configure({ tenants: [createTenant({ ratePerSecond: 0.001, burst })] });
+  const backend = await ScriptedBackend.create("b", answerGood);
+  bench.platform.list({ id: "b", address: backend.address });
+  const overrides = ["peers.report_interval=20", "peers.large_fleet_interval=20", "peers.largest_mesh=2"];
+  for (let index = 0; index < 6; index++) {
+    await bench.startReady(1, "web", [...overrides, `peers.capacity=${index}`]);
+  }
+  t.teardown(() => Promise.all([bench.close(), backend.close()]));
+  await waitUntil(() => bench.nodes.every(({ gateway }) => gateway.fleetSize === 6));
+  return { bench, backend };
+}
+
+t.test(
+  "in a large fleet the nodes that can carry most hear all, and a limit holds over all nodes",
+  async (t) => {
+    const { bench, backend } = await createFleet(t, 6.9);
+    const { nodes } = bench;
+    await waitUntil(() => nodes.slice(3).every(({ gateway }) => gateway.linkedPeers === 5));
+    await waitUntil(() => nodes.slice(0, 3).every(({ gateway }) => gateway.linkedPeers === 3));
+    t.same(
+      nodes.map(({ gateway }) => gateway.isCollector),
+      [false, false, false, true, true, true],
+    );
+    await waitUntil(() => nodes.every(({ gateway }) => gateway.knownShare === 1));
+    for (const node of nodes) {
+      const before = backend.calls.length;
+      t.equal((await bench.call(node, { key: "key" })).status, 200);
+      await waitUntil(() => nodes.every(({ gateway }) => gateway.getQuotaLevel("tenant") > before + 0.95));
+    }
+    for (const node of nodes) t.equal((await bench.call(node, { key: "key" })).status, 429);
+    t.equal(backend.calls.length, 6);
+  },
+);
+
+t.test("a collector that ends is replaced by the next, which knows what was counted before", async (t) => {
+  const { bench } = await createFleet(t, 4.9);
+  const { nodes } = bench;
+  await waitUntil(() => nodes.every(({ gateway }) => gateway.knownShare === 1));
+  const [first, second, third, , , last] = nodes;
+  for (const node of [first!, second!, third!]) t.equal((await bench.call(node, { key: "key" })).status, 200);
+  await waitUntil(() => nodes.every(({ gateway }) => gateway.getQuotaLevel("tenant") > 2.9));
+  await last!.gateway.close();
+  await waitUntil(() => third!.gateway.isCollector && third!.gateway.linkedPeers === 4);
+  t.equal((await bench.call(third!, { key: "key" })).status, 200);
+  await waitUntil(() => first!.gateway.getQuotaLevel("tenant") > 3.9);
+  t.equal((await bench.call(first!, { key: "key" })).status, 429);
+});
+
+t.test("collectors are the same for all nodes, and one that can't be reached is passed over", async (t) => {
+  const clock = VirtualClock.create();
+  const names = Array.from({ length: 40 }, (_, index) => `n${index}`);
+  const down = new Set<string>();
+  const create = (own: string): Collectors => {
+    const collectors = Collectors.create({
+      clock,
+      own,
+      largestMesh: 24,
+      count: 3,
+      getNames: () => names,
+      getCapacity: (name) => (name === "n7" ? 10 : 1),
+      isLinked: (name) => !down.has(name),
+    });
+    collectors.setFleet();
+    return collectors;
+  };
+  const [one, other] = [create("n1"), create("n2")];
+  t.equal(one.getNames()[0], "n7");
+  t.equal(one.getNames().length, 3);
+  t.same(other.getNames(), one.getNames());
+  down.add("n7");
+  t.notOk(one.choose(), "a link may take a moment to come up");
+  await clock.advance(1_000);
+  t.ok(one.choose());
+  t.equal(one.getNames().length, 4);
+  t.notOk(one.getLinked().includes("n7"));
+  down.delete("n7");
+  one.choose();
+  t.equal(one.getNames().length, 3);
+});
+
+t.test("a view takes the place of what was known, and what it does not show yet is foreseen", async (t) => {
+  const clock = VirtualClock.create();
+  const collector = SharedCounters.create({ clock, windows });
+  const member = SharedCounters.create({ clock, windows });
+  await clock.advance(11_000);
+  collector.setRate("tenant", 100);
+  member.setRate("tenant", 100);
+  collector.add(CounterKind.Quota, "tenant", 500);
+  member.add(CounterKind.Quota, "tenant", 40);
+  const { totals } = member.createReport();
+  collector.takeReport("member", "member/1", member.createReport());
+  member.add(CounterKind.Quota, "tenant", 5);
+  member.takeView(collector.createView(), totals);
+  // The member had lived for longer than the window: what it told first is taken as known.
+  t.equal(member.getSum(CounterKind.Quota, "tenant"), 505);
+  await clock.advance(400);
+  t.equal(member.getSum(CounterKind.Quota, "tenant"), 505 - 40 + 200);
+  await clock.advance(700);
+  t.equal(member.getSum(CounterKind.Quota, "tenant"), 505 - 110, "nothing is foreseen from an old view");
+});
+
+t.test("a view by a life that can't know what was before it only raises what is known", async (t) => {
+  const clock = VirtualClock.create();
+  const member = SharedCounters.create({ clock, windows });
+  member.add(CounterKind.Quota, "tenant", 300);
+  const { totals } = member.createReport();
+  const young = SharedCounters.create({ clock, windows });
+  young.add(CounterKind.Quota, "tenant", 10);
+  member.takeView(young.createView(), totals);
+  t.equal(member.getSum(CounterKind.Quota, "tenant"), 300);
+  young.add(CounterKind.Quota, "tenant", 400);
+  member.takeView(young.createView(), totals);
+  t.equal(member.getSum(CounterKind.Quota, "tenant"), 410);
+});
