Hand the store's contents on from collectors; peers vouch for the configuration; relist within two seconds

A node that the store turned away refused keyed requests although its peers knew the configuration. Ruled out: watching less often on every node (calls still grow with nodes times changes, and changes come late). Change: revisions count for the whole store, so a follower can take from any other what came after the revision it knows. A collector's view carries that for backends and members, and the configuration with the age of its proof, counted from when the question was sent. Nodes that are fed ask the store nothing; when no collector that the store serves answers, they ask it themselves and ask peers for their word. While the store is lost nobody polls it but the proving read. Changes that come within 120 ms cost one watch. Records that vanished together are given up 2.2 s after the store has become well, after 5 s at the latest; the test that demanded more than that was replaced by one that looks at both ends of it.

--- a/packages/gateway/src/backendDirectory.ts
+++ b/packages/gateway/src/backendDirectory.ts
@@ -25,8 +25,13 @@
 const troubleWindowMs = 3_000;
 /** Share of the time in which work must stop going to a backend that leaves, for which an unlisted one is used on. */
 const unlistedShare = 0.65;
-/** How long backends are used on whose records vanished together. */
-const unlistedTogetherMs = 5_000;
+/**
+ * Records that lapsed while the store was in trouble are written again within two seconds of its return, by those
+ * backends that live; one that is still missing after this long is gone.
+ */
+const relistedWithinMs = 2_200;
+/** Longest time that backends are used on whose records vanished together, however long the trouble lasts. */
+const longestUnlistedMs = 5_000;
 /** Share of a service's backends that vanish only together, by the store's own trouble. */
 const togetherShare = 0.5;
 
@@ -34,7 +39,7 @@
 export class BackendDirectory implements Closeable {
   private readonly backends = new Map<string, Backend>();
   private readonly byService = new Map<string, Backend[]>();
-  private readonly follower: PrefixFollower;
+  readonly follower: PrefixFollower;
   private readonly removeListeners: ((backend: Backend) => void)[] = [];
 
   private constructor(private readonly options: BackendDirectoryOptions) {
@@ -136,7 +141,18 @@
       // This node's own path may have been the trouble: then the record tells of a backend that leaves.
       if (!this.haveManyVanished(backend.record.service)) this.endUnlisted(backend);
     });
-    clock.startTimer(unlistedTogetherMs, () => this.endUnlisted(backend));
+    this.awaitRelisting(backend, clock.getTime() + longestUnlistedMs);
+  }
+
+  /** Gives a vanished record up once the store has been well for as long as living backends need to come back. */
+  private awaitRelisting(backend: Backend, endsAt: number): void {
+    const { clock, getTimeSinceTrouble } = this.options;
+    const left = Math.min(relistedWithinMs, endsAt - clock.getTime());
+    clock.startTimer(left, () => {
+      const isStoreWell = getTimeSinceTrouble() >= relistedWithinMs;
+      if (isStoreWell || clock.getTime() >= endsAt) this.endUnlisted(backend);
+      else this.awaitRelisting(backend, endsAt);
+    });
   }
 
   private haveManyVanished(service: string): boolean {
--- a/packages/gateway/src/configurationFollower.ts
+++ b/packages/gateway/src/configurationFollower.ts
@@ -11,6 +11,16 @@
 import { RouteTable } from "./routeTable.js";
 import type { PlatformAdapter, StoreItem } from "./types.js";
 
+/** A peer's word on the configuration. */
+export interface Vouch {
+  /** Age of the peer's own proof, milliseconds, when it answered. */
+  readonly proofAgeMs: number;
+  /** Revision of the newest configuration that the peer has. */
+  readonly revision: number;
+  /** That configuration as stored; left out where the asker has it. */
+  readonly value?: Uint8Array | undefined;
+}
+
 /** Options of a follower. */
 export interface ConfigurationFollowerOptions {
   readonly platform: PlatformAdapter;
@@ -20,10 +30,16 @@
   readonly proofIntervalMs: number;
   /** Milliseconds after which a proof counts for nothing. */
   readonly proofLifetimeMs: number;
+  /** Asks some peers for their word, given the revision that is held here. */
+  readonly askPeers: (revision: number) => Promise<readonly Vouch[]>;
 }
 
 /** Reads that may be under way at once. */
 const mostReads = 4;
+/** Time between two looks at the age of the proof while others tell it. */
+const fedIntervalMs = 500;
+/** Share of a proof's lifetime after which peers are asked for theirs. */
+const askPeersShare = 0.45;
 
 /** Follows the operators' configuration. */
 export class ConfigurationFollower implements Closeable {
@@ -32,7 +48,13 @@
   private readsUnderWay = 0;
   /** Revision of the newest item that was looked at. */
   private takenRevision = 0;
-  private isStoreLost = false;
+  /** Newest item that was put in force or refused, for peers that ask. */
+  private takenItem: StoreItem | undefined;
+  private isAskingPeers = false;
+  private isLost = false;
+  /** Whether others tell this node what the store holds. */
+  private isFed = false;
+  private storeReadAt = -Infinity;
   private lastTroubleAt = -Infinity;
   private readonly follower: PrefixFollower;
   private readonly stop = new AbortController();
@@ -75,6 +97,34 @@
     return this.table !== undefined && this.getProofAge() < this.options.proofLifetimeMs;
   }
 
+  /** Whether the store did not answer this node's last read. */
+  get isStoreLost(): boolean {
+    return this.isLost;
+  }
+
+  /** Revision of the newest configuration that was looked at; 0 before the first. */
+  getRevision(): number {
+    return this.takenRevision;
+  }
+
+  /** Milliseconds since a read was sent that the store answered to this node itself; infinite before the first. */
+  getStoreAge(): number {
+    return this.options.clock.getTime() - this.storeReadAt;
+  }
+
+  /** Says whether others tell this node what the store holds; it then reads only where their proof grows old. */
+  setFed(isFed: boolean): void {
+    const hasLost = this.isFed && !isFed;
+    this.isFed = isFed;
+    this.follower.setPassive(isFed || this.isLost);
+    if (hasLost && this.readsUnderWay < mostReads) void this.readOnce();
+  }
+
+  /** Takes note of trouble that whoever tells this node had so long ago. */
+  noteTrouble(ageMs: number): void {
+    this.lastTroubleAt = Math.max(this.lastTroubleAt, this.options.clock.getTime() - ageMs);
+  }
+
   /** Milliseconds since a call on the store last failed. */
   getTimeSinceTrouble(): number {
     return this.options.clock.getTime() - this.lastTroubleAt;
@@ -95,10 +145,12 @@
   }
 
   private async prove(): Promise<void> {
-    const { clock, proofIntervalMs } = this.options;
+    const { clock, proofIntervalMs, proofLifetimeMs } = this.options;
     while (!this.stop.signal.aborted) {
-      if (this.readsUnderWay < mostReads) void this.readOnce();
-      await waitFor(clock, proofIntervalMs, this.stop.signal);
+      const isOld = this.getProofAge() > proofLifetimeMs * askPeersShare;
+      if ((isOld || !this.isFed) && this.readsUnderWay < mostReads) void this.readOnce();
+      if (isOld) void this.askPeers();
+      await waitFor(clock, this.isFed ? fedIntervalMs : proofIntervalMs, this.stop.signal);
     }
   }
 
@@ -113,16 +165,55 @@
       this.setLost(item.error.name);
       return;
     }
+    this.storeReadAt = Math.max(this.storeReadAt, sentAt);
     this.setRegained();
     if (!item.value) return;
     this.take(item.value);
     this.provenAt = Math.max(this.provenAt ?? -Infinity, sentAt);
   }
 
+  /** This node's word for a peer that holds a revision; undefined where it has no proof itself. */
+  vouch(heldRevision: number): Vouch | undefined {
+    const item = this.takenItem;
+    if (!item || !this.isProven()) return undefined;
+    const value = item.revision > heldRevision ? item.value : undefined;
+    return { proofAgeMs: this.getProofAge(), revision: item.revision, value };
+  }
+
+  /**
+   * Asks peers, for when the store turns this node away and serves others. A peer that answers with a proof so old has
+   * had it since before that time ahead of the question, whatever the way of the answer took.
+   */
+  private async askPeers(): Promise<void> {
+    if (this.isAskingPeers) return;
+    this.isAskingPeers = true;
+    const askedAt = this.options.clock.getTime();
+    const vouches = await this.options.askPeers(this.takenRevision);
+    this.isAskingPeers = false;
+    if (this.stop.signal.aborted) return;
+    for (const vouch of vouches) this.takeVouch(vouch, askedAt);
+  }
+
+  /** Takes a peer's word that was asked for at a time. */
+  takeVouch({ proofAgeMs, revision, value }: Vouch, askedAt: number): void {
+    if (value) this.take({ key: this.options.platform.configurationKey, revision, value });
+    // A word on an older version than the one held says nothing of it, and one on a newer can't be relied on alone.
+    if (this.takenRevision < revision || !this.table) return;
+    const provenAt = askedAt - proofAgeMs;
+    if (provenAt <= (this.provenAt ?? -Infinity)) return;
+    this.provenAt = provenAt;
+    this.options.logger.debug("configuration.vouched", {
+      version: this.table.version,
+      revision,
+      proofAgeMs: Math.round(this.getProofAge()),
+    });
+  }
+
   private take(item: StoreItem): void {
     const { logger, platform } = this.options;
     if (this.takenRevision >= item.revision) return;
     this.takenRevision = item.revision;
+    this.takenItem = item;
     const decoded = platform.decodeConfiguration(item.value);
     if (decoded.isErr()) {
       logger.error("configuration.refused", { revision: item.revision, text: decoded.error.text });
@@ -142,14 +233,14 @@
 
   private setLost(failure: string): void {
     this.lastTroubleAt = this.options.clock.getTime();
-    if (this.isStoreLost) return;
-    this.isStoreLost = true;
+    if (this.isLost) return;
+    this.isLost = true;
     this.options.logger.warn("store.lost", { failure, proofAgeMs: Math.round(this.getProofAge()) });
   }
 
   private setRegained(): void {
-    if (!this.isStoreLost) return;
-    this.isStoreLost = false;
+    if (!this.isLost) return;
+    this.isLost = false;
     this.lastTroubleAt = this.options.clock.getTime();
     this.options.logger.info("store.regained", { proofAgeMs: Math.round(this.getProofAge()) });
     this.follower.restart();
--- /dev/null
+++ b/packages/gateway/src/fleetFeed.ts
@@ -0,0 +1,87 @@
+/**
+ * What the platform's store holds, handed on by collectors: the configuration with the age of its proof, backends,
+ * members. In a large fleet only the collectors ask the store, so its calls do not grow with nodes times changes.
+ * @module
+ */
+import type { ConfigurationFollower, Vouch } from "./configurationFollower.js";
+import type { PrefixChanges, PrefixFollower } from "./prefixFollower.js";
+
+/** What a node knows already, for the one that it asks. */
+export interface FeedState {
+  /** Revision of the configuration that is held; 0 before the first. */
+  readonly configuration: number;
+  /** Revision up to which each prefix is known; left out before its first listing. */
+  readonly prefixes: Readonly<Record<string, number>>;
+}
+
+/** What a node has yet to know. */
+export interface FeedMessage {
+  /** Left out where the teller has no proof. */
+  readonly vouch?: Vouch | undefined;
+  /** Milliseconds since the teller sent a read that the store answered. */
+  readonly storeAgeMs: number;
+  /** Milliseconds since a call of the teller last failed. */
+  readonly troubleAgeMs: number;
+  readonly prefixes: Readonly<Record<string, PrefixChanges>>;
+}
+
+/** A teller whose store has been silent for longer is passed over. */
+const longestStoreAgeMs = 2_600;
+/** Stands for no trouble ever: infinity has no place in every codec. */
+const noTroubleMs = 1_000_000_000;
+
+/** Hands on, and takes what was handed on. */
+export class FleetFeed {
+  private constructor(
+    private readonly configuration: ConfigurationFollower,
+    private readonly followers: Readonly<Record<string, PrefixFollower>>,
+  ) {}
+
+  static create(
+    configuration: ConfigurationFollower,
+    followers: Readonly<Record<string, PrefixFollower>>,
+  ): FleetFeed {
+    return new FleetFeed(configuration, followers);
+  }
+
+  getState(): FeedState {
+    const prefixes: Record<string, number> = {};
+    for (const [prefix, follower] of Object.entries(this.followers)) {
+      const revision = follower.getRevision();
+      if (revision !== undefined) prefixes[prefix] = revision;
+    }
+    return { configuration: this.configuration.getRevision(), prefixes };
+  }
+
+  createMessage(state: FeedState): FeedMessage {
+    const prefixes: Record<string, PrefixChanges> = {};
+    for (const [prefix, follower] of Object.entries(this.followers)) {
+      const changes = follower.getChanges(state.prefixes[prefix]);
+      if (changes) prefixes[prefix] = changes;
+    }
+    const { configuration } = this;
+    return {
+      vouch: configuration.vouch(state.configuration),
+      storeAgeMs: Math.min(noTroubleMs, configuration.getStoreAge()),
+      troubleAgeMs: Math.min(noTroubleMs, configuration.getTimeSinceTrouble()),
+      prefixes,
+    };
+  }
+
+  /** Takes what was told in answer to a question asked at a time; returns whether the teller is served by the store. */
+  take({ vouch, storeAgeMs, troubleAgeMs, prefixes }: FeedMessage, askedAt: number): boolean {
+    if (storeAgeMs > longestStoreAgeMs) return false;
+    this.configuration.noteTrouble(troubleAgeMs);
+    if (vouch) this.configuration.takeVouch(vouch, askedAt);
+    for (const [prefix, changes] of Object.entries(prefixes)) this.followers[prefix]?.takeChanges(changes);
+    return true;
+  }
+
+  /** Says whether others tell this node what changes; while the store is lost, nothing is to be had from it either. */
+  setFed(isFed: boolean): void {
+    this.configuration.setFed(isFed);
+    for (const follower of Object.values(this.followers)) {
+      follower.setPassive(isFed || this.configuration.isStoreLost);
+    }
+  }
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -151,6 +151,16 @@
     return this.parts.members.isCollector;
   }
 
+  /** Monotonic time before which no newer configuration than this node's was acknowledged. */
+  get provenAt(): number {
+    return this.parts.clock.getTime() - this.parts.follower.getProofAge();
+  }
+
+  /** Whether others tell this node what the store holds. */
+  get isFed(): boolean {
+    return this.parts.members.isFed;
+  }
+
   /** How much of a tenant's limit the fleet has taken, as far as this node knows. */
   getQuotaLevel(tenant: string): number {
     return this.parts.counters.getKnownSum(CounterKind.Quota, tenant);
--- a/packages/gateway/src/gatewayParts.ts
+++ b/packages/gateway/src/gatewayParts.ts
@@ -8,7 +8,7 @@
 import { BackendConnections } from "./backendConnections.js";
 import { BackendDirectory } from "./backendDirectory.js";
 import { CapacityOrders } from "./capacityOrders.js";
-import { ConfigurationFollower } from "./configurationFollower.js";
+import { ConfigurationFollower, type ConfigurationFollowerOptions } from "./configurationFollower.js";
 import { Demand } from "./demand.js";
 import { Duties } from "./duties.js";
 import { GatewayMetrics } from "./gatewayMetrics.js";
@@ -22,6 +22,7 @@
 import type { PlatformAdapter } from "./types.js";
 import { UsageCounts } from "./usageCounts.js";
 import { UsageReporter } from "./usageReporter.js";
+import { Vouching } from "./vouching.js";
 
 const dutyKey = `${ownPrefix}duty`;
 const dutyMarkKey = `${ownPrefix}duties-begun`;
@@ -30,6 +31,8 @@
 const usageDraftKey = "gladewall-usage-draft";
 const demandWindowMs = 4_000;
 
+type AskPeers = ConfigurationFollowerOptions["askPeers"];
+
 /** What everything stands on. */
 interface GatewayBase {
   readonly settings: GatewaySettings;
@@ -75,13 +78,15 @@
   clock: Clock,
   logger: Logger,
 ): GatewayParts {
-  const views = createViews({ settings, platform, clock, logger });
+  const askPeers: AskPeers = (revision) => vouching.ask(revision);
+  const views = createViews({ settings, platform, clock, logger }, askPeers);
   const { time, follower, directory, usage, counters } = views;
   const { retries, backends } = settings;
   const reporter: UsageReporter = createReporter(views, (key) => members.items.get(key));
   const getKnownShare = (): number => members.getKnownShare();
   const admission = createAdmission(views, getKnownShare);
   const members: Members = createMembers(views, reporter, () => admission.refreshLimits());
+  const vouching: Vouching = Vouching.create(members.links, follower, Math.random);
   return {
     settings,
     platform,
@@ -110,7 +115,7 @@
   };
 }
 
-function createViews(base: GatewayBase): GatewayViews {
+function createViews(base: GatewayBase, askPeers: AskPeers): GatewayViews {
   const { settings, platform, clock, logger } = base;
   const { configuration, retries, quotas } = settings;
   const follower = ConfigurationFollower.create({
@@ -119,6 +124,7 @@
     logger,
     proofIntervalMs: configuration.proof_interval,
     proofLifetimeMs: configuration.revoke_within - configuration.revoke_margin,
+    askPeers,
   });
   const getTimeSinceTrouble = (): number => follower.getTimeSinceTrouble();
   const windows = {
@@ -171,7 +177,7 @@
 }
 
 function createMembers(views: GatewayViews, reporter: UsageReporter, onTurn: () => void): Members {
-  const { settings, platform, clock, logger, counters, usage, time, directory } = views;
+  const { settings, platform, clock, logger, counters, usage, time, directory, follower } = views;
   const { node, listen, peers } = settings;
   return Members.create({
     store: platform.store,
@@ -188,6 +194,9 @@
     counters,
     usage,
     time,
+    configuration: follower,
+    backends: directory.follower,
+    backendPrefix: platform.backendPrefix,
     getWindow: () => reporter.getWindow(time.get()),
     getWork: () => getWork(directory),
     onTurn,
--- a/packages/gateway/src/memberRecords.ts
+++ b/packages/gateway/src/memberRecords.ts
@@ -45,7 +45,7 @@
   /** The gateway's other items of the store, as last heard of. */
   readonly items = new Map<string, StoreItem>();
   private readonly records = new Map<string, MemberRecord>();
-  private readonly follower: PrefixFollower;
+  readonly follower: PrefixFollower;
   private readonly stop = new AbortController();
   /** Timers after which vanished records are forgotten. */
   private readonly forgetTimers = new Map<string, Timer>();
--- a/packages/gateway/src/members.ts
+++ b/packages/gateway/src/members.ts
@@ -9,8 +9,11 @@
 import { LinkMessageKind, type PeerIdentity, PeerLinks, type PeerMessage } from "@gladewall/coordination";
 import { type Clock, type Closeable, hashText, type Logger, waitFor } from "@gladewall/kernel";
 import type { PeerWork } from "./backend.js";
+import type { ConfigurationFollower } from "./configurationFollower.js";
+import { type FeedMessage, type FeedState, FleetFeed } from "./fleetFeed.js";
+import type { PrefixFollower } from "./prefixFollower.js";
 import { Collectors } from "./collectors.js";
-import { MemberRecords } from "./memberRecords.js";
+import { MemberRecords, ownPrefix } from "./memberRecords.js";
 import type { CounterReport, CounterTotals, CounterView, SharedCounters } from "./sharedCounters.js";
 import type { TrueTime } from "./trueTime.js";
 import type { MetadataStore, StoreItem } from "./types.js";
@@ -35,8 +38,8 @@
   readonly work: BackendWork;
   /** Left out in some reports. */
   readonly usage?: WindowCounts;
-  /** Whether the sender wants a view in answer. */
-  readonly wantsView?: boolean;
+  /** What the sender knows of the store, where it wants a view in answer. */
+  readonly feed?: FeedState;
 }
 
 interface ViewMessage extends PeerMessage {
@@ -48,6 +51,7 @@
   readonly work: BackendWork;
   /** Share of the fleet that is heard. */
   readonly knownShare: number;
+  readonly feed: FeedMessage;
 }
 
 /** Field that the links' pings carry. */
@@ -76,6 +80,10 @@
   readonly counters: SharedCounters;
   readonly usage: UsageCounts;
   readonly time: TrueTime;
+  readonly configuration: ConfigurationFollower;
+  /** Follower of the backends' records, and their prefix. */
+  readonly backends: PrefixFollower;
+  readonly backendPrefix: string;
   /** Returns the number of the usage window that is open now. */
   readonly getWindow: () => number;
   /** Returns this node's work by backend. */
@@ -84,6 +92,12 @@
   readonly onTurn: () => void;
 }
 
+/** What this node told in one report, and when. */
+interface ToldReport {
+  readonly totals: CounterTotals;
+  readonly at: number;
+}
+
 /** What a peer last told. */
 interface PeerView {
   readonly work: BackendWork;
@@ -122,6 +136,7 @@
   readonly links: PeerLinks;
   private readonly records: MemberRecords;
   private readonly collectors: Collectors;
+  private readonly feed: FleetFeed;
   private readonly views = new Map<string, PeerView>();
   private readonly timeDifferences = new Map<string, { readonly difference: number; readonly at: number }>();
   /** Peers whose link was lost by silence, and until when they may still be serving. */
@@ -129,12 +144,14 @@
   private readonly stop = new AbortController();
   private task: Promise<void> = Promise.resolve();
   private sequence = 0;
-  /** Totals as they were told, by the report's number. */
-  private readonly toldTotals = new Map<number, CounterTotals>();
+  /** What was told last, by the report's number. */
+  private readonly told = new Map<number, ToldReport>();
   private fleetView: FleetView | undefined;
   /** How often the collector that is asked was passed over for the next. */
   private turns = 0;
   private askedSince = 0;
+  /** When a collector that the store serves last answered. */
+  private fedAt = -Infinity;
   /** Whether a collector asked what was counted before its life. */
   private isHistoryWanted = false;
   /** Work of the other nodes, and of this one, as of this turn. */
@@ -179,6 +196,10 @@
       getCapacity: (peer) => this.records.getCapacity(peer),
       isLinked,
     });
+    this.feed = FleetFeed.create(options.configuration, {
+      [options.backendPrefix]: options.backends,
+      [ownPrefix]: this.records.follower,
+    });
     this.listen();
   }
 
@@ -290,6 +311,7 @@
       this.adjustTime();
       if (!this.collectors.isMesh && this.collectors.choose()) this.setFleet();
       this.fleetWork = this.getFleetWork();
+      this.feed.setFed(this.isFed);
       onTurn();
       this.report();
     }
@@ -309,7 +331,7 @@
     }
     const asked = this.chooseAsked();
     for (const name of this.collectors.getLinked()) {
-      this.links.send(name, name === asked ? { ...report, wantsView: true } : report);
+      this.links.send(name, name === asked ? { ...report, feed: this.feed.getState() } : report);
     }
   }
 
@@ -319,13 +341,20 @@
     const linked = this.collectors.getLinked();
     const time = this.options.clock.getTime();
     const answeredAt = Math.max(this.fleetView?.heardAt ?? -Infinity, this.askedSince);
-    if (time - answeredAt > viewPatienceMs) {
-      this.turns += 1;
-      this.askedSince = time;
-    }
+    if (time - answeredAt > viewPatienceMs) this.passOver(time);
     return linked[(hashText(this.options.name) + this.turns) % Math.max(1, linked.length)];
   }
 
+  private passOver(time: number): void {
+    this.turns += 1;
+    this.askedSince = time;
+  }
+
+  /** Whether a collector tells this node what the store holds. */
+  get isFed(): boolean {
+    return !this.collectors.isOwn && this.options.clock.getTime() - this.fedAt < viewLifetimeMs;
+  }
+
   private createReport(): ReportMessage {
     const { counters, usage, time, getWindow, getWork } = this.options;
     const work: Record<string, [number, number]> = {};
@@ -350,8 +379,8 @@
   }
 
   private keepTold(totals: CounterTotals): void {
-    this.toldTotals.set(this.sequence, totals);
-    this.toldTotals.delete(this.sequence - keptReports);
+    this.told.set(this.sequence, { totals, at: this.options.clock.getTime() });
+    this.told.delete(this.sequence - keptReports);
   }
 
   private takeReport(message: ReportMessage, peer: PeerIdentity): void {
@@ -362,7 +391,7 @@
     this.silentUntil.delete(peer.name);
     this.takeTime(peer.name, message.time);
     this.views.set(peer.name, { work: message.work, heardAt: clock.getTime() });
-    if (message.wantsView === true) this.links.send(peer.name, this.createView(message));
+    if (message.feed) this.links.send(peer.name, this.createView(message, message.feed));
   }
 
   private takeTime(peer: string, time: number): void {
@@ -372,27 +401,31 @@
     });
   }
 
-  private createView({ sequence, work }: ReportMessage): ViewMessage {
+  private createView({ sequence, work }: ReportMessage, state: FeedState): ViewMessage {
     return {
       kind: MemberMessageKind.View,
       sequence,
       counters: this.options.counters.createView(),
       work: subtractWork(sumWork([this.fleetWork, this.ownWork]), work),
       knownShare: this.getKnownShare(),
+      feed: this.feed.createMessage(state),
     };
   }
 
-  private takeView({ sequence, counters, work, knownShare }: ViewMessage, peer: PeerIdentity): void {
-    const told = this.toldTotals.get(sequence);
+  private takeView({ sequence, counters, work, knownShare, feed }: ViewMessage, peer: PeerIdentity): void {
+    const told = this.told.get(sequence);
     if (!told || this.collectors.isOwn) return;
+    const time = this.options.clock.getTime();
+    if (this.feed.take(feed, told.at)) this.fedAt = time;
+    else this.passOver(time);
     const own = this.options.counters;
     if (!counters.isInformed && own.getUptime() > counters.uptime + youngerByMs && own.isInformed) {
       this.isHistoryWanted = true;
       this.options.logger.debug("view.passed-over", { peer: peer.name, uptimeMs: counters.uptime });
       return;
     }
-    own.takeView(counters, told);
-    this.fleetView = { work, knownShare, heardAt: this.options.clock.getTime() };
+    own.takeView(counters, told.totals);
+    this.fleetView = { work, knownShare, heardAt: time };
   }
 
   /** The last view while it is young enough; once it is not, the node keeps to its own part of what is shared. */
--- a/packages/gateway/src/prefixFollower.ts
+++ b/packages/gateway/src/prefixFollower.ts
@@ -1,6 +1,9 @@
 /**
  * Follows all items under a prefix of the store: a listing, then a watch from its revision on. Whatever goes wrong
  * with the watch, the next step is a new listing.
+ *
+ * What a follower knows can be handed on to another one: revisions count for the whole store, so a follower that knows
+ * all changes up to one revision needs only what came after it, from whoever knows that.
  * @module
  */
 import { type Clock, type Closeable, type Failure, type Logger, waitFor } from "@gladewall/kernel";
@@ -21,17 +24,39 @@
   readonly listener: PrefixListener;
 }
 
+/** What changed under a prefix after some revision. */
+export interface PrefixChanges {
+  /** Revision up to which this tells everything. */
+  readonly revision: number;
+  readonly items: readonly StoreItem[];
+  /** Keys that went; not told where this is a listing. */
+  readonly removed: readonly { readonly key: string; readonly revision: number }[];
+  /** Whether the items are all there are. */
+  readonly isListing: boolean;
+}
+
 const watchWaitMs = 15_000;
+/** Time between two watches: changes that come close together cost one call. */
+const batchMs = 120;
 const firstPauseMs = 50;
-const longestPauseMs = 400;
+const longestPauseMs = 800;
+/** Keys that went, kept to be handed on. */
+const keptRemoved = 500;
 
 /** Follows one prefix. */
 export class PrefixFollower implements Closeable {
   /** Whether a listing has ever been had. */
   isListed = false;
-  private readonly revisions = new Map<string, number>();
+  /** Revision up to which everything is known. */
+  private revision = 0;
+  private readonly items = new Map<string, StoreItem>();
+  private readonly removed: { readonly key: string; readonly revision: number }[] = [];
+  /** Revision up to which keys that went are no longer remembered. */
+  private forgottenRevision = 0;
   private readonly stop = new AbortController();
   private round = new AbortController();
+  private isPassive = false;
+  private wake: () => void = () => undefined;
   private task: Promise<void> = Promise.resolve();
 
   private constructor(private readonly options: PrefixFollowerOptions) {}
@@ -49,9 +74,46 @@
     this.round.abort();
   }
 
+  /** While it is passive, a follower that has been listed asks the store nothing: others tell it what changes. */
+  setPassive(isPassive: boolean): void {
+    if (isPassive === this.isPassive) return;
+    this.isPassive = isPassive;
+    if (isPassive) this.round.abort();
+    else this.wake();
+  }
+
+  /** Revision up to which everything is known; undefined before the first listing. */
+  getRevision(): number | undefined {
+    return this.isListed ? this.revision : undefined;
+  }
+
+  /** Returns what changed after a revision; undefined where nothing is known here. */
+  getChanges(since: number | undefined): PrefixChanges | undefined {
+    if (!this.isListed) return undefined;
+    const { revision } = this;
+    const isListing = since === undefined || since < this.forgottenRevision;
+    if (isListing) return { revision, items: [...this.items.values()], removed: [], isListing };
+    const items = [...this.items.values()].filter((item) => item.revision > since);
+    const removed = this.removed.filter((entry) => entry.revision > since);
+    return { revision, items, removed, isListing };
+  }
+
+  /** Takes what another follower handed on. */
+  takeChanges({ revision, items, removed, isListing }: PrefixChanges): void {
+    if (isListing && revision < this.revision) return;
+    if (isListing) {
+      this.takeListing(items, revision);
+      return;
+    }
+    for (const item of items) this.put(item);
+    for (const entry of removed) this.takeRemoval(entry.key, entry.revision);
+    this.revision = Math.max(this.revision, revision);
+  }
+
   async close(): Promise<void> {
     this.stop.abort();
     this.round.abort();
+    this.wake();
     await this.task;
   }
 
@@ -59,53 +121,72 @@
     const { clock, logger, prefix } = this.options;
     let pause = firstPauseMs;
     while (!this.stop.signal.aborted) {
+      await this.waitWhilePassive();
+      if (this.stop.signal.aborted) return;
       this.round = new AbortController();
       const startedAt = clock.getTime();
       const failure = await this.followOnce(this.round.signal);
       if (this.stop.signal.aborted) return;
+      if (this.isPassive && this.isListed) continue;
       const hasLasted = clock.getTime() - startedAt > longestPauseMs;
-      pause = hasLasted ? firstPauseMs : Math.min(longestPauseMs, pause * 2);
+      pause = hasLasted || this.round.signal.aborted ? firstPauseMs : Math.min(longestPauseMs, pause * 2);
       logger.info("store.follow", { prefix, outcome: "relist", failure: failure.name, pauseMs: pause });
-      await waitFor(clock, pause, this.stop.signal);
+      await waitFor(clock, pause, this.round.signal.aborted ? this.stop.signal : this.round.signal);
+    }
+  }
+
+  private async waitWhilePassive(): Promise<void> {
+    while (this.isPassive && this.isListed && !this.stop.signal.aborted) {
+      await new Promise<void>((resolve) => (this.wake = resolve));
     }
   }
 
   /** Lists, then watches until something fails. */
   private async followOnce(signal: AbortSignal): Promise<Failure> {
-    const { store, prefix } = this.options;
+    const { store, prefix, clock } = this.options;
     const listing = await store.list(prefix);
     if (listing.isErr()) return listing.error;
-    this.takeListing(listing.value.items);
-    let { revision } = listing.value;
+    this.takeListing(listing.value.items, listing.value.revision);
     for (;;) {
-      const changes = await store.watch(prefix, revision, watchWaitMs, signal);
+      const changes = await store.watch(prefix, this.revision, watchWaitMs, signal);
       if (changes.isErr()) return changes.error;
       for (const event of changes.value.events) this.takeEvent(event);
-      revision = Math.max(revision, changes.value.revision);
+      this.revision = Math.max(this.revision, changes.value.revision);
+      if (changes.value.events.length > 0) await waitFor(clock, batchMs, signal);
     }
   }
 
-  private takeListing(items: readonly StoreItem[]): void {
+  private takeListing(items: readonly StoreItem[], revision: number): void {
     const listed = new Set(items.map(({ key }) => key));
-    for (const key of [...this.revisions.keys()]) {
-      if (!listed.has(key)) this.remove(key);
+    for (const { key, revision: putAt } of [...this.items.values()]) {
+      // What was put after the listing was taken is not missing from it.
+      if (!listed.has(key) && putAt <= revision) this.remove(key, revision);
     }
     for (const item of items) this.put(item);
+    this.revision = Math.max(this.revision, revision);
     this.isListed = true;
   }
 
   private takeEvent({ key, revision, value }: StoreEvent): void {
     if (value) this.put({ key, revision, value });
-    else if ((this.revisions.get(key) ?? 0) < revision) this.remove(key);
+    else this.takeRemoval(key, revision);
+  }
+
+  private takeRemoval(key: string, revision: number): void {
+    const item = this.items.get(key);
+    if (item && item.revision < revision) this.remove(key, revision);
   }
 
   private put(item: StoreItem): void {
-    if ((this.revisions.get(item.key) ?? -1) >= item.revision) return;
-    this.revisions.set(item.key, item.revision);
+    if ((this.items.get(item.key)?.revision ?? -1) >= item.revision) return;
+    this.items.set(item.key, item);
     this.options.listener.handlePut(item);
   }
 
-  private remove(key: string): void {
-    if (this.revisions.delete(key)) this.options.listener.handleRemoved(key);
+  private remove(key: string, revision: number): void {
+    if (!this.items.delete(key)) return;
+    this.removed.push({ key, revision });
+    if (this.removed.length > keptRemoved) this.forgottenRevision = this.removed.shift()!.revision;
+    this.options.listener.handleRemoved(key);
   }
 }
--- /dev/null
+++ b/packages/gateway/src/vouching.ts
@@ -0,0 +1,56 @@
+/**
+ * Peers' words on the configuration: a node that the store turns away asks some of those it is linked with, which may
+ * still be served.
+ * @module
+ */
+import type { PeerLinks, PeerMessage } from "@gladewall/coordination";
+import type { ConfigurationFollower, Vouch } from "./configurationFollower.js";
+
+/** Numbers of the messages; after those of members. */
+enum VouchMessageKind {
+  Ask = 40,
+}
+
+interface AskMessage extends PeerMessage {
+  readonly kind: VouchMessageKind.Ask;
+  /** Revision of the configuration that the asker holds. */
+  readonly revision: number;
+}
+
+const askedPeers = 3;
+const askTimeoutMs = 400;
+
+/** Asks and answers. */
+export class Vouching {
+  private constructor(
+    private readonly links: PeerLinks,
+    private readonly getRandom: () => number,
+  ) {}
+
+  /** Answers peers from now on with what the follower knows. */
+  static create(links: PeerLinks, follower: ConfigurationFollower, getRandom: () => number): Vouching {
+    links.setHandler(VouchMessageKind.Ask, (message) => follower.vouch((message as AskMessage).revision));
+    return new Vouching(links, getRandom);
+  }
+
+  /** Asks some linked peers; returns the words of those that have a proof. */
+  async ask(revision: number): Promise<readonly Vouch[]> {
+    const message: AskMessage = { kind: VouchMessageKind.Ask, revision };
+    const answers = await Promise.all(
+      this.choosePeers().map((name) => this.links.call(name, message, askTimeoutMs)),
+    );
+    return answers.flatMap((answer) => (answer.isOk() && isVouch(answer.value) ? [answer.value] : []));
+  }
+
+  private choosePeers(): readonly string[] {
+    const drawn = this.links.getLinked().map((name) => ({ name, order: this.getRandom() }));
+    drawn.sort((one, other) => one.order - other.order);
+    return drawn.slice(0, askedPeers).map(({ name }) => name);
+  }
+}
+
+function isVouch(value: unknown): value is Vouch {
+  if (typeof value !== "object" || value === null) return false;
+  const { proofAgeMs, revision } = value as Partial<Vouch>;
+  return Number.isFinite(proofAgeMs) && proofAgeMs! >= 0 && Number.isInteger(revision);
+}
--- a/packages/gateway/test/freshness.test.ts
+++ b/packages/gateway/test/freshness.test.ts
@@ -94,15 +94,16 @@
 });
 
 t.test(
-  "a record that vanishes in this node's own trouble ends work in time; many together do not",
+  "a record that vanishes in this node's own trouble ends work in time; many together have until the store is back",
   async (t) => {
     const clock = VirtualClock.create();
     const platform = StandinPlatform.create(clock);
+    let troubleAt = clock.getTime();
     const directory = BackendDirectory.create({
       platform: platform.createAdapter(),
       clock,
       logger: Logger.createSilent(),
-      getTimeSinceTrouble: () => 500,
+      getTimeSinceTrouble: () => clock.getTime() - troubleAt,
       drainMs: 2_000,
     });
     for (const id of ["a", "b", "c", "d"]) platform.list({ id, address: "127.0.0.1:1" });
@@ -114,12 +115,26 @@
     t.equal(count(), 4);
     await clock.advance(1_500);
     t.equal(count(), 3);
+    troubleAt = clock.getTime();
     for (const id of ["b", "c", "d"]) platform.unlist(id);
-    await clock.advance(3_000);
+    await clock.advance(2_000);
     t.equal(count(), 3);
     platform.list({ id: "b", address: "127.0.0.1:1" });
-    await clock.advance(5_000);
+    // The store has been well for longer than a living backend needs to record itself again.
+    await clock.advance(2_500);
     t.equal(count(), 1);
+    platform.list({ id: "e", address: "127.0.0.1:1" });
+    await clock.advance(50);
+    troubleAt = clock.getTime();
+    for (const id of ["b", "e"]) platform.unlist(id);
+    for (let second = 0; second < 4; second++) {
+      troubleAt = clock.getTime();
+      await clock.advance(1_000);
+    }
+    t.equal(count(), 2, "as long as the trouble lasts, nobody can be back");
+    troubleAt = clock.getTime();
+    await clock.advance(1_500);
+    t.equal(count(), 0, "but no longer than this");
     const closed = directory.close();
     await clock.advance(20_000);
     await closed;
--- a/packages/gateway/test/largeFleet.test.ts
+++ b/packages/gateway/test/largeFleet.test.ts
@@ -1,7 +1,14 @@
 import t, { type Test } from "tap";
 import { Collectors, CounterKind, SharedCounters } from "@gladewall/gateway";
-import { VirtualClock } from "@gladewall/kernel";
-import { answerGood, createTenant, GatewayBench, ScriptedBackend, waitUntil } from "@gladewall/standins";
+import { SystemClock, VirtualClock } from "@gladewall/kernel";
+import {
+  answerGood,
+  createTenant,
+  GatewayBench,
+  ScriptedBackend,
+  StoreTrouble,
+  waitUntil,
+} from "@gladewall/standins";
 
 const windows = {
   [CounterKind.Quota]: 8_000,
@@ -12,14 +19,14 @@
 
 // Bursts have a fraction, so that what is foreseen between two reports does not decide.
 /** A fleet of six nodes that is larger than what may be a mesh. */
-async function createFleet(t: Pick<Test, "teardown">, burst: number) {
+async function createFleet(t: Pick<Test, "teardown">, burst: number, more: readonly string[] = []) {
   const bench = GatewayBench.create();
   bench.platform.configure({ tenants: [createTenant({ ratePerSecond: 0.001, burst })] });
   const backend = await ScriptedBackend.create("b", answerGood);
   bench.platform.list({ id: "b", address: backend.address });
   const overrides = ["peers.report_interval=20", "peers.large_fleet_interval=20", "peers.largest_mesh=2"];
   for (let index = 0; index < 6; index++) {
-    await bench.startReady(1, "web", [...overrides, `peers.capacity=${index}`]);
+    await bench.startReady(1, "web", [...overrides, ...more, `peers.capacity=${index}`]);
   }
   t.teardown(() => Promise.all([bench.close(), backend.close()]));
   await waitUntil(() => bench.nodes.every(({ gateway }) => gateway.fleetSize === 6));
@@ -62,6 +69,62 @@
   t.equal((await bench.call(first!, { key: "key" })).status, 429);
 });
 
+t.test(
+  "only collectors ask the store: others learn of changes from them, and a proof as well",
+  { timeout: 20_000 },
+  async (t) => {
+    const { bench, backend } = await createFleet(t, 0, [
+      "configuration.proof_interval=50",
+      "configuration.revoke_within=900",
+      "configuration.revoke_margin=100",
+    ]);
+    const { nodes, platform } = bench;
+    await waitUntil(() => nodes.every(({ gateway }) => gateway.isCollector || gateway.isFed));
+    for (const store of platform.stores.slice(0, 3)) store.trouble = StoreTrouble.Down;
+    const before = platform.stores.slice(0, 3).map((store) => store.calls);
+    platform.list({ id: "c", address: backend.address });
+    platform.configure({ tenants: [createTenant({ keys: ["two"] })] });
+    await waitUntil(() =>
+      nodes.every(({ gateway }) => gateway.version === 2 && gateway.countBackends("web") === 2),
+    );
+    platform.unlist("c");
+    await waitUntil(() => nodes.every(({ gateway }) => gateway.countBackends("web") === 1));
+    const since = SystemClock.create().getTime();
+    await waitUntil(() => nodes.every(({ gateway }) => gateway.provenAt > since));
+    t.ok(nodes.every(({ gateway }) => gateway.isReady()));
+    t.equal((await bench.call(nodes[0]!, { key: "two" })).status, 200);
+    const after = platform.stores.slice(0, 3).map((store) => store.calls);
+    t.ok(
+      after.every((calls, index) => calls - before[index]! <= 4),
+      "renewals of their own records, and little else",
+    );
+  },
+);
+
+t.test(
+  "a node whose collectors are turned away by the store asks it itself",
+  { timeout: 20_000 },
+  async (t) => {
+    const { bench } = await createFleet(t, 0, [
+      "configuration.proof_interval=50",
+      "configuration.revoke_within=900",
+      "configuration.revoke_margin=100",
+    ]);
+    const { nodes, platform } = bench;
+    await waitUntil(() => nodes.every(({ gateway }) => gateway.isCollector || gateway.isFed));
+    for (const store of platform.stores.slice(3)) store.trouble = StoreTrouble.Down;
+    platform.configure({ tenants: [createTenant({ keys: ["two"] })] });
+    await waitUntil(() => nodes.every(({ gateway }) => gateway.version === 2));
+    const since = Date.now();
+    await waitUntil(() => Date.now() - since > 1_500);
+    t.ok(
+      nodes.every(({ gateway }) => gateway.isReady()),
+      "collectors have the others' word",
+    );
+    await waitUntil(() => !nodes[0]!.gateway.isFed);
+  },
+);
+
 t.test("collectors are the same for all nodes, and one that can't be reached is passed over", async (t) => {
   const clock = VirtualClock.create();
   const names = Array.from({ length: 40 }, (_, index) => `n${index}`);
--- a/packages/standins/src/metadataStoreStandin.ts
+++ b/packages/standins/src/metadataStoreStandin.ts
@@ -122,6 +122,8 @@
 export class MetadataStoreStandin implements MetadataStore {
   /** Trouble of this node alone. */
   trouble = StoreTrouble.None;
+  /** Calls of this node, refused ones included. */
+  calls = 0;
 
   private constructor(
     private readonly shared: SharedStore,
@@ -153,8 +155,9 @@
     signal: AbortSignal,
   ): Promise<Result<StoreChanges, Failure>> {
     const endsAt = this.clock.getTime() + waitMs;
+    this.calls += 1;
     for (;;) {
-      if (signal.aborted || this.isDown()) return Err(createDown());
+      if (signal.aborted || this.isTroubled(StoreTrouble.Down)) return Err(createDown());
       const events = this.shared.isDeaf ? [] : this.shared.getChanges(prefix, since);
       if (!events) return Err(Failure.create(FailureCode.HistoryLost, { revision: since }));
       const last = events.at(-1);
@@ -218,11 +221,16 @@
   }
 
   private isDown(): boolean {
-    return this.trouble === StoreTrouble.Down || this.shared.trouble === StoreTrouble.Down;
+    this.calls += 1;
+    return this.isTroubled(StoreTrouble.Down);
+  }
+
+  private isTroubled(trouble: StoreTrouble): boolean {
+    return this.trouble === trouble || this.shared.trouble === trouble;
   }
 
   private losesAnswers(): boolean {
-    return this.trouble === StoreTrouble.LosesAnswers || this.shared.trouble === StoreTrouble.LosesAnswers;
+    return this.isTroubled(StoreTrouble.LosesAnswers);
   }
 }
 
