Bound the logs, write them to standard output without waiting, one line for each request; need by slots

Cause: a flood of refusals wrote a line each, synchronously, to standard error; a reader that stalled would have stalled every request. Requests that were served left no line at the usual level. Change: sixty lines of each event in a second, what is left out counted and said; lines that wait for their reader are bounded in bytes. request.served and request.failed name backend, candidates, expected time and sendings. Need is also requests under way over half of the slots. At the system's first start, before any load, on-demand backends are given up as soon as orders for reclaimable ones are taken.

--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -5,12 +5,13 @@
  * @module
  */
 import {
+  DaemonLogs,
   type Failure,
   findLogLevel,
   formatSettings,
-  Logger,
   printFailures,
   readSettings,
+  SystemClock,
 } from "@gladewall/kernel";
 import { type DaemonArguments, ExitCode, parseArguments } from "@gladewall/kernel/commandLine";
 import type { Result } from "ts-results-es";
@@ -25,7 +26,8 @@
   });
 }
 
-function handleSignals(entry: Entry, logger: Logger, options: DaemonArguments): void {
+function handleSignals(entry: Entry, logs: DaemonLogs, options: DaemonArguments): void {
+  const { logger } = logs;
   let isStopping = false;
   const stop = (): void => {
     if (isStopping) {
@@ -33,7 +35,10 @@
       return;
     }
     isStopping = true;
-    void entry.stop().then(() => process.exit(ExitCode.Good));
+    void entry
+      .stop()
+      .then(() => logs.close())
+      .then(() => process.exit(ExitCode.Good));
   };
   process.on("SIGTERM", stop);
   process.on("SIGINT", stop);
@@ -61,15 +66,15 @@
     printFailures(settings.error);
     process.exit(ExitCode.BadSettings);
   }
-  const logger = Logger.create(findLogLevel(settings.value.logs.level));
-  const entry = Entry.create(settings.value, logger);
+  const logs = DaemonLogs.create(SystemClock.create(), findLogLevel(settings.value.logs.level), {});
+  const entry = Entry.create(settings.value, logs.logger);
   if (entry.isErr()) {
     printFailures([entry.error]);
     process.exit(ExitCode.BadSettings);
   }
   if (options.print) process.stdout.write(formatSettings(entrySchema, settings.value));
   if (options.check || options.print) process.exit(ExitCode.Good);
-  handleSignals(entry.value, logger, options);
+  handleSignals(entry.value, logs, options);
   await entry.value.start();
 }
 
--- a/packages/gateway/src/capacityOrders.ts
+++ b/packages/gateway/src/capacityOrders.ts
@@ -22,6 +22,8 @@
   readonly getBackends: (service: string) => readonly Backend[];
   /** Backends that the load ahead of a service needs. */
   readonly getNeeded: (service: Service, zones: number, present: number) => number;
+  /** Whether the system starts for the first time and nothing was asked of a service yet. */
+  readonly isLoadAwaited: (service: string) => boolean;
 }
 
 interface LastOrder {
@@ -72,6 +74,7 @@
       zones,
       needed: this.options.getNeeded(service, zones.length, present),
       isReclaimableScarce: this.options.clock.getTime() < this.scarceUntil,
+      isLoadAwaited: this.options.isLoadAwaited(service.name),
     });
     for (const order of plan) {
       if (!this.isDue(order, zones)) continue;
@@ -98,6 +101,7 @@
         zone,
         reclaimable,
         onDemand,
+        reclaimableOrdered: this.last.get(getKey({ service, zone, isReclaimable: true }))?.desired ?? 0,
         onDemandOrdered: ordered ?? onDemand,
         isReclaimableRefused,
         isReclaimableDry,
--- a/packages/gateway/src/capacityPlan.ts
+++ b/packages/gateway/src/capacityPlan.ts
@@ -11,6 +11,8 @@
   /** Backends that take work. */
   readonly reclaimable: number;
   readonly onDemand: number;
+  /** Reclaimable ones whose order was taken. */
+  readonly reclaimableOrdered?: number;
   /** On-demand ones that were ordered last; those present where nothing was ordered. */
   readonly onDemandOrdered: number;
   /** Whether reclaimable ones were refused there a moment ago: they are not asked for now. */
@@ -28,6 +30,8 @@
   readonly needed: number;
   /** Whether reclaimable backends could not be had lately, or were taken away. */
   readonly isReclaimableScarce: boolean;
+  /** Whether the system starts for the first time and nothing was asked of the service yet. */
+  readonly isLoadAwaited?: boolean;
 }
 
 /** Share of the needed backends that must serve before on-demand ones are given up. */
@@ -73,7 +77,9 @@
 function planOnDemand(input: CapacityInput, reclaimable: ReadonlyMap<string, number>): Map<string, number> {
   const { zones, needed, limits, isReclaimableScarce } = input;
   const serving = zones.reduce(sumReclaimable, 0);
-  const isEnough = serving >= needed * releaseShare;
+  // Before the first load nobody misses the dear ones while the others boot.
+  const counted = input.isLoadAwaited ? Math.max(serving, zones.reduce(sumOrdered, 0)) : serving;
+  const isEnough = counted >= needed * releaseShare;
   const missing = isEnough
     ? 0
     : Math.max(0, Math.ceil(needed * (isReclaimableScarce ? dearShare : 1)) - serving);
@@ -145,6 +151,10 @@
   return sum + zone.reclaimable;
 }
 
+function sumOrdered(sum: number, { reclaimableOrdered = 0 }: ZoneCount): number {
+  return sum + reclaimableOrdered;
+}
+
 function getPrice(limits: ScalingLimits, zone: string): number {
   return limits.zonePrices.get(zone) ?? 1;
 }
--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -5,13 +5,14 @@
  */
 import { statSync } from "node:fs";
 import {
+  DaemonLogs,
   type Failure,
   findLogLevel,
   formatReference,
   formatSettings,
-  Logger,
   printFailures,
   readSettings,
+  SystemClock,
 } from "@gladewall/kernel";
 import type { DaemonArguments } from "@gladewall/kernel/commandLine";
 import type { Result } from "ts-results-es";
@@ -32,14 +33,14 @@
   }
   const settings = readDaemonSettings(options);
   if (settings.isErr()) return exitWith(settings.error);
-  const logger = Logger.create(findLogLevel(settings.value.logs.level)).with({
-    node: settings.value.node.name,
-  });
-  const gateway = Gateway.create(settings.value, logger);
-  if (gateway.isErr()) return exitWith([gateway.error]);
   if (options.print) process.stdout.write(formatSettings(gatewaySchema, settings.value));
-  if (options.check || options.print) return;
-  handleSignals(gateway.value, logger, options);
+  const { node, logs: logSettings } = settings.value;
+  const clock = SystemClock.create();
+  const logs = DaemonLogs.create(clock, findLogLevel(logSettings.level), { node: node.name });
+  const gateway = Gateway.create(settings.value, logs.logger, clock);
+  if (gateway.isErr()) exitWith([gateway.error]);
+  if (gateway.isErr() || options.check || options.print) return logs.close();
+  handleSignals(gateway.value, logs, options);
   await gateway.value.start();
 }
 
@@ -65,8 +66,14 @@
   process.exitCode = badSettings;
 }
 
-function handleSignals(gateway: Gateway, logger: Logger, options: DaemonArguments): void {
-  const stop = (): void => void gateway.leave().then(() => process.exit(0));
+function handleSignals(gateway: Gateway, logs: DaemonLogs, options: DaemonArguments): void {
+  const { logger } = logs;
+  const leave = async (): Promise<void> => {
+    await gateway.leave();
+    await logs.close();
+    process.exit(0);
+  };
+  const stop = (): void => void leave();
   process.on("SIGTERM", stop);
   process.on("SIGINT", stop);
   const reload = (): void => {
--- a/packages/gateway/src/demand.ts
+++ b/packages/gateway/src/demand.ts
@@ -1,6 +1,6 @@
 /**
  * How many backends the load of a service needs: prompt tokens that came over the last seconds, against what one
- * backend reads at the utilization that still leaves first events in time.
+ * backend reads at the utilization that still leaves first events in time; and requests under way, against its slots.
  * @module
  */
 import type { Clock } from "@gladewall/kernel";
@@ -19,8 +19,13 @@
   readonly leastPerZone: number;
   /** Length of the window that load is counted over. */
   readonly windowMs: number;
+  /** Returns the requests of a service that all nodes have at its backends. */
+  readonly getActive: (service: string) => number;
 }
 
+/** Share of an engine's slots that is planned with: requests come in clumps, and none should wait for a slot. */
+const slotShare = 0.5;
+
 /** Time for which a need that has passed is still provided for. */
 const holdMs = 15_000;
 /** Time after which the load seen says more than the number of backends that was found. */
@@ -47,13 +52,19 @@
     this.options.counters.add(CounterKind.Work, service, tokens);
   }
 
+  /** Whether any load of a service has been seen. */
+  hasSeenLoad(service: string): boolean {
+    return this.loadSince.has(service);
+  }
+
   /** Returns the backends that a service needs, `present` of which are there over so many zones. */
   getNeeded(service: Service, zones: number, present: number): number {
     const { clock, counters, prefillRate, utilization, leastPerZone, windowMs } = this.options;
     const time = clock.getTime();
     const tokensPerMs = counters.getSum(CounterKind.Work, service.name) / windowMs;
     if (tokensPerMs > 0 && !this.loadSince.has(service.name)) this.loadSince.set(service.name, time);
-    const forLoad = Math.ceil(tokensPerMs / (prefillRate * utilization));
+    const forTokens = Math.ceil(tokensPerMs / (prefillRate * utilization));
+    const forLoad = Math.max(forTokens, this.getNeededForSlots(service));
     const hasLearnt = time - (this.loadSince.get(service.name) ?? time) > learnMs;
     // Until the load is known, the number that was found is the operators' own estimate of it.
     const least = hasLearnt
@@ -62,6 +73,11 @@
     return this.holdPeak(service.name, Math.max(forLoad, least), time);
   }
 
+  private getNeededForSlots({ name, engine }: Service): number {
+    if (!engine) return 0;
+    return Math.ceil(this.options.getActive(name) / (engine.slots * slotShare));
+  }
+
   private holdPeak(service: string, needed: number, time: number): number {
     const peak = this.peaks.get(service);
     if (peak && peak.needed > needed && time - peak.at < holdMs) return peak.needed;
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -59,8 +59,10 @@
   /** Whether it may have run. */
   readonly mayHaveRun: boolean;
   readonly failure: Failure | undefined;
-  /** Backend that it was sent to last; undefined where it was sent to none. */
-  readonly backend: string | undefined;
+  /** Where it was sent to last, and by what; undefined where it was sent nowhere. */
+  readonly placement: Placement | undefined;
+  /** Sendings that reached a backend. */
+  readonly arrivals: number;
 }
 
 /** What a finished attempt means for the request. */
@@ -86,7 +88,7 @@
   private runs = 0;
   private notRunTries = 0;
   private arrivals = 0;
-  private lastBackend: string | undefined;
+  private placement: Placement | undefined;
   private isCounted = false;
   private isOver = false;
   private timer: Timer | undefined;
@@ -124,14 +126,11 @@
     this.isOver = true;
     this.timer.cancel();
     response.off("close", handleClose);
-    return (
-      this.end ?? {
-        status: response.statusCode,
-        mayHaveRun: this.runs > 0,
-        failure: undefined,
-        backend: this.lastBackend,
-      }
-    );
+    return this.end ?? this.createEnd(response.statusCode, this.runs > 0, undefined);
+  }
+
+  private createEnd(status: number, mayHaveRun: boolean, failure: Failure | undefined): ExchangeEnd {
+    return { status, mayHaveRun, failure, placement: this.placement, arrivals: this.arrivals };
   }
 
   private getTimeLeft(): number {
@@ -159,7 +158,7 @@
     }
     const { backend } = placement;
     this.excluded.add(backend.id);
-    this.lastBackend = backend.id;
+    this.placement = placement;
     backend.active += 1;
     const pending = service.engine ? placement.uncachedTokens : 0;
     backend.pendingTokens += pending;
@@ -329,19 +328,14 @@
     this.isOver = true;
     this.attempt?.abort("caller gone");
     const mayHaveRun = this.runs > 0 || this.attempt?.mayHaveRun === true;
-    this.end = {
-      status: 0,
-      mayHaveRun,
-      failure: Failure.create(FailureCode.CallerGone),
-      backend: this.lastBackend,
-    };
+    this.end = this.createEnd(0, mayHaveRun, Failure.create(FailureCode.CallerGone));
   }
 
   /** Gives the final answer; an answer that has begun is cut, so that it does not look complete. */
   private answerFailure(failure: Failure): void {
     const { response, head } = this.request;
     const mayHaveRun = this.runs > 0 || this.attempt?.mayHaveRun === true;
-    this.end = { status: failure.status, mayHaveRun, failure, backend: this.lastBackend };
+    this.end = this.createEnd(failure.status, mayHaveRun, failure);
     if (response.headersSent) {
       response.destroy();
       return;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -260,7 +260,7 @@
     { tenant, route }: Admitted,
     head: CallerHead,
     service: Service,
-    { status, mayHaveRun, failure, backend }: ExchangeEnd,
+    { status, mayHaveRun, failure, placement, arrivals }: ExchangeEnd,
     arrivedAt: number,
     cost: number,
   ): void {
@@ -273,12 +273,15 @@
       status,
       failure: failure?.name,
       mayHaveRun,
-      backend,
+      backend: placement?.backend.id,
+      candidates: placement?.candidates,
+      expectedMs: placement && Math.round(placement.expectedMs),
+      arrivals,
       tookMs: Math.round(this.parts.clock.getTime() - arrivedAt),
     };
     this.parts.metrics.countRequest(service.name, status, failure?.name ?? "none", fields.tookMs);
     if (failure) this.parts.logger.info("request.failed", fields);
-    else this.parts.logger.debug("request.served", fields);
+    else this.parts.logger.info("request.served", fields);
   }
 
   /** Whether a request could outlast the time that a leaving node has. */
--- a/packages/gateway/src/gatewayParts.ts
+++ b/packages/gateway/src/gatewayParts.ts
@@ -4,7 +4,7 @@
  */
 import type { Clock, Logger } from "@gladewall/kernel";
 import { Admission } from "./admission.js";
-import type { PeerWork } from "./backend.js";
+import type { Backend, PeerWork } from "./backend.js";
 import { BackendConnections } from "./backendConnections.js";
 import { BackendDirectory } from "./backendDirectory.js";
 import { CapacityOrders } from "./capacityOrders.js";
@@ -31,7 +31,11 @@
 const usageDraftKey = "gladewall-usage-draft";
 const demandWindowMs = 4_000;
 
-type AskPeers = ConfigurationFollowerOptions["askPeers"];
+/** What the fleet says, asked of parts that are created later. */
+interface FleetViews {
+  readonly askPeers: ConfigurationFollowerOptions["askPeers"];
+  readonly getPeerWork: (backend: string) => PeerWork;
+}
 
 /** What everything stands on. */
 interface GatewayBase {
@@ -78,8 +82,13 @@
   clock: Clock,
   logger: Logger,
 ): GatewayParts {
-  const askPeers: AskPeers = (revision) => vouching.ask(revision);
-  const views = createViews({ settings, platform, clock, logger }, askPeers);
+  const views = createViews(
+    { settings, platform, clock, logger },
+    {
+      askPeers: (revision) => vouching.ask(revision),
+      getPeerWork: (backend) => members.getPeerWork(backend),
+    },
+  );
   const { time, follower, directory, usage, counters } = views;
   const { retries, backends } = settings;
   const reporter: UsageReporter = createReporter(views, (key) => members.items.get(key));
@@ -115,7 +124,7 @@
   };
 }
 
-function createViews(base: GatewayBase, askPeers: AskPeers): GatewayViews {
+function createViews(base: GatewayBase, { askPeers, getPeerWork }: FleetViews): GatewayViews {
   const { settings, platform, clock, logger } = base;
   const { configuration, retries, quotas } = settings;
   const follower = ConfigurationFollower.create({
@@ -134,18 +143,20 @@
     [CounterKind.Work]: demandWindowMs,
   };
   const counters = SharedCounters.create({ clock, windows });
+  const directory = BackendDirectory.create({
+    platform,
+    clock,
+    logger,
+    getTimeSinceTrouble,
+    drainMs: settings.backends.drain,
+  });
+  const countActive = (sum: number, { id, active }: Backend): number => sum + active + getPeerWork(id).active;
   return {
     ...base,
     incarnation: clock.getWallTime(),
     time: TrueTime.create(clock),
     follower,
-    directory: BackendDirectory.create({
-      platform,
-      clock,
-      logger,
-      getTimeSinceTrouble,
-      drainMs: settings.backends.drain,
-    }),
+    directory,
     usage: UsageCounts.create(),
     counters,
     demand: Demand.create({
@@ -155,6 +166,7 @@
       utilization: settings.orders.utilization,
       leastPerZone: settings.orders.least_per_zone,
       windowMs: demandWindowMs,
+      getActive: (service) => directory.getOfService(service).reduce(countActive, 0),
     }),
   };
 }
@@ -226,6 +238,7 @@
     logger,
     getBackends: (service) => directory.getOfService(service),
     getNeeded: (service, zones, present) => demand.getNeeded(service, zones, present),
+    isLoadAwaited: (service) => node.first_start && !demand.hasSeenLoad(service),
   });
   return Duties.create({
     store: platform.store,
--- a/packages/gateway/test/decisions.test.ts
+++ b/packages/gateway/test/decisions.test.ts
@@ -191,6 +191,30 @@
   t.same([plan(1), plan(3), plan(4)], [3, 2, 0]);
 });
 
+t.test("before the first load, on-demand backends go as soon as orders for others are taken", async (t) => {
+  const scaling = { min: 0, max: 12, bootMs: 4_000, reclaimablePrice: 0.2, zonePrices: new Map([["a", 1]]) };
+  const plan = (reclaimableOrdered: number, isLoadAwaited: boolean) =>
+    planCapacity({
+      service: "s",
+      limits: scaling,
+      zones: [
+        {
+          zone: "a",
+          reclaimable: 0,
+          reclaimableOrdered,
+          onDemand: 4,
+          onDemandOrdered: 4,
+          isReclaimableRefused: false,
+          isReclaimableDry: false,
+        },
+      ],
+      needed: 4,
+      isReclaimableScarce: false,
+      isLoadAwaited,
+    }).find(({ isReclaimable }) => !isReclaimable)?.desired;
+  t.same([plan(0, true), plan(4, true), plan(4, false)], [4, 0, 4]);
+});
+
 t.test(
   "a zone full of on-demand backends makes room for reclaimable ones that can be had, and surplus is given up",
   async (t) => {
--- /dev/null
+++ b/packages/gateway/test/demand.test.ts
@@ -0,0 +1,57 @@
+import t from "tap";
+import { CounterKind, Demand, SharedCounters } from "@gladewall/gateway";
+import { VirtualClock } from "@gladewall/kernel";
+import { createService } from "@gladewall/standins";
+
+const windowMs = 4_000;
+
+function createDemand(getActive: () => number) {
+  const clock = VirtualClock.create();
+  const windows = {
+    [CounterKind.Quota]: 8_000,
+    [CounterKind.Requests]: 10_000,
+    [CounterKind.Repeats]: 10_000,
+    [CounterKind.Work]: windowMs,
+  };
+  const counters = SharedCounters.create({ clock, windows });
+  const demand = Demand.create({
+    clock,
+    counters,
+    prefillRate: 50,
+    utilization: 0.4,
+    leastPerZone: 1,
+    windowMs,
+    getActive,
+  });
+  return { clock, demand };
+}
+
+const service = createService({ name: "pool", engine: { slots: 16, tokenCapacity: 400_000 } });
+
+t.test("the need is what prompts ask for or what requests under way occupy, whichever is more", async (t) => {
+  let active = 0;
+  const { clock, demand } = createDemand(() => active);
+  for (let second = 0; second < 10; second++) {
+    demand.count("pool", 100_000);
+    demand.getNeeded(service, 4, 4);
+    await clock.advance(1_000);
+  }
+  // The window of four seconds holds five prompts: 125 tokens a millisecond, at 20 a backend.
+  t.equal(demand.getNeeded(service, 4, 4), 7);
+  active = 96;
+  t.equal(demand.getNeeded(service, 4, 4), 12);
+});
+
+t.test("a need that has passed is provided for a while longer", async (t) => {
+  let active = 96;
+  const { clock, demand } = createDemand(() => active);
+  demand.count("pool", 1_000);
+  demand.getNeeded(service, 4, 0);
+  await clock.advance(9_000);
+  t.equal(demand.getNeeded(service, 4, 0), 12);
+  active = 0;
+  await clock.advance(10_000);
+  t.equal(demand.getNeeded(service, 4, 0), 12);
+  await clock.advance(10_000);
+  t.equal(demand.getNeeded(service, 4, 0), 4);
+});
--- a/packages/gateway/test/duties.test.ts
+++ b/packages/gateway/test/duties.test.ts
@@ -64,6 +64,7 @@
       logger,
       getBackends: () => [],
       getNeeded: () => 0,
+      isLoadAwaited: () => false,
     });
     const duties = Duties.create({
       store,
@@ -182,6 +183,7 @@
     logger: Logger.createSilent(),
     getBackends: () => [],
     getNeeded: () => 4,
+    isLoadAwaited: () => false,
   });
   const zonePrices = new Map([
     ["a", 1],
--- a/packages/gateway/test/largeFleet.test.ts
+++ b/packages/gateway/test/largeFleet.test.ts
@@ -1,8 +1,10 @@
 import t, { type Test } from "tap";
-import { Collectors, CounterKind, SharedCounters } from "@gladewall/gateway";
+import { Collectors, CounterKind, QuotaUnit, SharedCounters } from "@gladewall/gateway";
 import { SystemClock, VirtualClock } from "@gladewall/kernel";
 import {
   answerGood,
+  type BenchNode,
+  type CallerView,
   createTenant,
   GatewayBench,
   ScriptedBackend,
@@ -17,11 +19,17 @@
   [CounterKind.Work]: 4_000,
 };
 
-// Bursts have a fraction, so that what is foreseen between two reports does not decide.
+/** Asks for so many tokens; what is foreseen between two views is at most as much as was taken in the last second. */
+function ask(bench: GatewayBench, node: BenchNode, tokens: number): Promise<CallerView> {
+  return bench.call(node, { key: "key", headers: { "x-tokens": String(tokens) } });
+}
+
 /** A fleet of six nodes that is larger than what may be a mesh. */
 async function createFleet(t: Pick<Test, "teardown">, burst: number, more: readonly string[] = []) {
   const bench = GatewayBench.create();
-  bench.platform.configure({ tenants: [createTenant({ ratePerSecond: 0.001, burst })] });
+  bench.platform.configure({
+    tenants: [createTenant({ ratePerSecond: 0.001, burst, unit: QuotaUnit.Tokens })],
+  });
   const backend = await ScriptedBackend.create("b", answerGood);
   bench.platform.list({ id: "b", address: backend.address });
   const overrides = ["peers.report_interval=20", "peers.large_fleet_interval=20", "peers.largest_mesh=2"];
@@ -36,7 +44,7 @@
 t.test(
   "in a large fleet the nodes that can carry most hear all, and a limit holds over all nodes",
   async (t) => {
-    const { bench, backend } = await createFleet(t, 6.9);
+    const { bench, backend } = await createFleet(t, 100);
     const { nodes } = bench;
     await waitUntil(() => nodes.slice(3).every(({ gateway }) => gateway.linkedPeers === 5));
     await waitUntil(() => nodes.slice(0, 3).every(({ gateway }) => gateway.linkedPeers === 3));
@@ -45,28 +53,30 @@
       [false, false, false, true, true, true],
     );
     await waitUntil(() => nodes.every(({ gateway }) => gateway.knownShare === 1));
-    for (const node of nodes) {
-      const before = backend.calls.length;
-      t.equal((await bench.call(node, { key: "key" })).status, 200);
-      await waitUntil(() => nodes.every(({ gateway }) => gateway.getQuotaLevel("tenant") > before + 0.95));
+    let taken = 0;
+    for (const [index, node] of nodes.entries()) {
+      const tokens = index < 5 ? 1 : 60;
+      t.equal((await ask(bench, node, tokens)).status, 200);
+      taken += tokens;
+      await waitUntil(() => nodes.every(({ gateway }) => gateway.getQuotaLevel("tenant") > taken - 0.5));
     }
-    for (const node of nodes) t.equal((await bench.call(node, { key: "key" })).status, 429);
+    for (const node of nodes) t.equal((await ask(bench, node, 60)).status, 429);
     t.equal(backend.calls.length, 6);
   },
 );
 
 t.test("a collector that ends is replaced by the next, which knows what was counted before", async (t) => {
-  const { bench } = await createFleet(t, 4.9);
+  const { bench } = await createFleet(t, 100);
   const { nodes } = bench;
   await waitUntil(() => nodes.every(({ gateway }) => gateway.knownShare === 1));
   const [first, second, third, , , last] = nodes;
-  for (const node of [first!, second!, third!]) t.equal((await bench.call(node, { key: "key" })).status, 200);
-  await waitUntil(() => nodes.every(({ gateway }) => gateway.getQuotaLevel("tenant") > 2.9));
+  for (const node of [first!, second!, third!]) t.equal((await ask(bench, node, 1)).status, 200);
+  await waitUntil(() => nodes.every(({ gateway }) => gateway.getQuotaLevel("tenant") > 2.5));
   await last!.gateway.close();
   await waitUntil(() => third!.gateway.isCollector && third!.gateway.linkedPeers === 4);
-  t.equal((await bench.call(third!, { key: "key" })).status, 200);
-  await waitUntil(() => first!.gateway.getQuotaLevel("tenant") > 3.9);
-  t.equal((await bench.call(first!, { key: "key" })).status, 429);
+  t.equal((await ask(bench, third!, 60)).status, 200);
+  await waitUntil(() => first!.gateway.getQuotaLevel("tenant") > 62.5);
+  t.equal((await ask(bench, first!, 60)).status, 429);
 });
 
 t.test(
--- a/packages/kernel/src/logs.ts
+++ b/packages/kernel/src/logs.ts
@@ -5,6 +5,7 @@
  * backslash; otherwise it is quoted as a JSON string, so a caller's control bytes never reach the terminal.
  * @module
  */
+import { LogGate } from "./logGate.js";
 import { createConsola, type ConsolaInstance, type LogObject } from "consola";
 
 /** Severity of an event. */
@@ -56,16 +57,18 @@
   private constructor(
     private readonly sink: ConsolaInstance,
     private readonly base: LogFields,
+    private readonly gate: LogGate,
   ) {}
 
-  /** Creates a logger that writes lines through `write`, stderr by default. */
+  /** Creates a logger that writes lines through `write`, stderr by default; the gate bounds how many. */
   static create(
     level: LogLevel,
     base: LogFields = {},
     write: (line: string) => void = writeToStderr,
+    gate: LogGate = LogGate.createOpen(),
   ): Logger {
     const reporter = { log: (event: LogObject) => write(String(event.args[0])) };
-    return new Logger(createConsola({ level, reporters: [reporter] }), base);
+    return new Logger(createConsola({ level, reporters: [reporter] }), base, gate);
   }
 
   /** A logger that writes nothing, for tests and embedders. */
@@ -75,24 +78,28 @@
 
   /** Returns a logger whose lines carry more fields. */
   with(fields: LogFields): Logger {
-    return new Logger(this.sink, { ...this.base, ...fields });
+    return new Logger(this.sink, { ...this.base, ...fields }, this.gate);
   }
 
   error(event: string, fields: LogFields = {}): void {
-    this.sink.error(this.format(LogLevel.Error, event, fields));
+    if (this.gate.admit(event)) this.sink.error(this.format(LogLevel.Error, event, fields));
   }
 
   warn(event: string, fields: LogFields = {}): void {
-    this.sink.warn(this.format(LogLevel.Warn, event, fields));
+    if (this.isWritten(LogLevel.Warn, event)) this.sink.warn(this.format(LogLevel.Warn, event, fields));
   }
 
   info(event: string, fields: LogFields = {}): void {
-    this.sink.info(this.format(LogLevel.Info, event, fields));
+    if (this.isWritten(LogLevel.Info, event)) this.sink.info(this.format(LogLevel.Info, event, fields));
   }
 
   debug(event: string, fields: LogFields = {}): void {
-    if (this.sink.level < Number(LogLevel.Debug)) return;
-    this.sink.debug(this.format(LogLevel.Debug, event, fields));
+    if (this.isWritten(LogLevel.Debug, event)) this.sink.debug(this.format(LogLevel.Debug, event, fields));
+  }
+
+  /** Asked before a line is made: what is left out costs next to nothing. */
+  private isWritten(level: LogLevel, event: string): boolean {
+    return this.sink.level >= Number(level) && this.gate.admit(event);
   }
 
   /** Changes the level from now on, for this logger and all made from it. */
--- /dev/null
+++ b/packages/kernel/test/daemonLogs.test.ts
@@ -0,0 +1,53 @@
+import { PassThrough, Writable } from "node:stream";
+import t from "tap";
+import { DaemonLogs, LineWriter, LogGate, LogLevel, VirtualClock } from "@gladewall/kernel";
+
+/** A stream whose reader takes nothing. */
+function createStalledStream(): Writable {
+  return new Writable({ write: () => undefined });
+}
+
+t.test("a flood of one event is thinned, counted and said, and hides no other", async (t) => {
+  const clock = VirtualClock.create();
+  const stream = new PassThrough();
+  const logs = DaemonLogs.create(clock, LogLevel.Info, { node: "n" }, LineWriter.create(stream));
+  for (let count = 0; count < 1_000; count++) logs.logger.info("request.refused", { request: `r${count}` });
+  logs.logger.info("store.lost", {});
+  await clock.advance(1_000);
+  const lines = String(stream.read()).trim().split("\n");
+  t.equal(lines.filter((line) => line.includes("event=request.refused")).length, 60);
+  t.equal(lines.filter((line) => line.includes("event=store.lost")).length, 1);
+  t.match(lines.at(-1), /event=logs.thinned node=n what=request.refused lines=940/);
+  await logs.close();
+});
+
+t.test("an open gate thins nothing, and a line below the level costs no allowance", async (t) => {
+  const clock = VirtualClock.create();
+  const open = LogGate.createOpen();
+  t.ok(Array.from({ length: 500 }, () => open.admit("e")).every(Boolean));
+  const stream = new PassThrough();
+  const logs = DaemonLogs.create(clock, LogLevel.Info, {}, LineWriter.create(stream));
+  for (let count = 0; count < 500; count++) logs.logger.debug("e", {});
+  logs.logger.info("e", {});
+  t.match(String(stream.read()), /event=e/);
+  await logs.close();
+});
+
+t.test("a reader that takes nothing holds up nobody and grows no memory", async (t) => {
+  const stream = createStalledStream();
+  const writer = LineWriter.create(stream, 1_000);
+  for (let count = 0; count < 10_000; count++) writer.write("x".repeat(99));
+  t.ok(stream.writableLength <= 1_100);
+  t.equal(writer.takeDropped(), 10_000 - 11);
+  t.equal(writer.takeDropped(), 0);
+  await writer.flush(1);
+});
+
+t.test("a reader that has gone ends nothing", async (t) => {
+  const stream = new Writable({ write: (_chunk, _encoding, done) => done(new Error("EPIPE")) });
+  const writer = LineWriter.create(stream);
+  writer.write("one");
+  await new Promise((resolve) => setImmediate(resolve));
+  writer.write("two");
+  t.equal(writer.takeDropped(), 1);
+});
