Duties are left by who does not hear the whole fleet; spare backends in a wave of reclaims

Ruled out: late reports of members (their usage never reached the holder at all). Change: a lease is taken only once no new node was listed for 600 ms, and left to run out by a holder that is no collector. In a wave, what the next zone would lose counts as lost. All backends count as found once no more came for 1.6 s.

--- a/packages/coordination/src/leaseHolder.ts
+++ b/packages/coordination/src/leaseHolder.ts
@@ -25,6 +25,8 @@
   readonly getRandom: () => number;
   /** Tells whether asking for the lease makes sense now; where it is left out, it always does. */
   readonly shouldAcquire?: () => boolean;
+  /** Tells whether the lease makes sense here still; where it does not, it is left to run out. */
+  readonly shouldKeep?: () => boolean;
 }
 
 interface HeldLease {
@@ -108,7 +110,8 @@
   }
 
   private async renew(granted: GrantedLease): Promise<void> {
-    const { service, clock, name, logger } = this.options;
+    const { service, clock, name, logger, shouldKeep } = this.options;
+    if (shouldKeep && !shouldKeep()) return this.letRunOut(granted);
     const sentAt = clock.getTime();
     const renewed = await service.renewLease(granted.session);
     if (renewed.isOk()) return this.setHeld(granted, sentAt);
@@ -118,6 +121,12 @@
     logger.warn("lease.lost", { lease: name, fence: granted.fence });
   }
 
+  /** Acting ends at once; the lease is not given back, so that nobody follows sooner than after a lost holder. */
+  private letRunOut(granted: GrantedLease): void {
+    this.held = undefined;
+    this.options.logger.info("lease.left", { lease: this.options.name, fence: granted.fence });
+  }
+
   private setHeld(granted: GrantedLease, sentAt: number): void {
     const { clock, ttl, margin } = this.options;
     const since = this.held?.granted.fence === granted.fence ? this.held.since : clock.getTime();
--- a/packages/gateway/src/capacityOrders.ts
+++ b/packages/gateway/src/capacityOrders.ts
@@ -37,6 +37,12 @@
 const repeatMs = 6_000;
 /** How long reclaimable backends count as scarce after a refusal. */
 const scarceMs = 4_000;
+/** Share of a zone's reclaimable backends that leave together only where the zone is reclaimed. */
+const reclaimedShare = 0.5;
+/** Reclaims come in waves: so long after one, the next zone is provided for. */
+const waveMs = 8_000;
+/** Backends record themselves over some time; once none has been found for so long, all are known. */
+const settledMs = 1_600;
 
 /** Keeps the numbers of backends as planned. */
 export class CapacityOrders {
@@ -44,6 +50,10 @@
   /** When each zone last refused reclaimable backends; forgotten once it gives some. */
   private readonly refusedAt = new Map<string, number>();
   private scarceUntil = -Infinity;
+  /** When a zone's reclaimable backends were last taken away together. */
+  private reclaimedAt = -Infinity;
+  /** Most backends of each service that were ever found, and when the last of them was. */
+  private readonly found = new Map<string, { readonly count: number; readonly at: number }>();
   /** Time of the last order that had no answer. */
   private failedAt = -Infinity;
 
@@ -68,13 +78,15 @@
     const reclaimable = zones.reduce((sum, zone) => sum + zone.reclaimable, 0);
     // While one class takes the place of the other both are there for a time; they are not needed twice.
     const present = Math.max(onDemand, reclaimable);
+    const isSettled = this.noteFound(service.name, onDemand + reclaimable);
     const plan = planCapacity({
       service: service.name,
       limits: scaling,
       zones,
       needed: this.options.getNeeded(service, zones.length, present),
       isReclaimableScarce: this.options.clock.getTime() < this.scarceUntil,
-      isLoadAwaited: this.options.isLoadAwaited(service.name),
+      isLoadAwaited: isSettled && this.options.isLoadAwaited(service.name),
+      atRisk: this.countAtRisk(zones),
     });
     for (const order of plan) {
       if (!this.isDue(order, zones)) continue;
@@ -85,11 +97,36 @@
     }
   }
 
+  /** Takes note of how many backends were found; returns whether no more are to be expected. */
+  private noteFound(service: string, count: number): boolean {
+    const time = this.options.clock.getTime();
+    const found = this.found.get(service);
+    if (found && found.count >= count) return time - found.at > settledMs;
+    this.found.set(service, { count, at: time });
+    return false;
+  }
+
+  /** Reclaimable backends that the next reclaim of a wave would take. */
+  private countAtRisk(zones: readonly ZoneCount[]): number {
+    if (this.options.clock.getTime() - this.reclaimedAt > waveMs) return 0;
+    return Math.max(...zones.map(({ reclaimable }) => reclaimable));
+  }
+
+  /** Takes note of a zone whose reclaimable backends leave together. */
+  private noteLeaving(zone: string, backends: readonly Backend[]): void {
+    const here = backends.filter(({ record }) => record.zone === zone && record.isReclaimable);
+    const leaving = here.filter((backend) => !backend.isUsable()).length;
+    if (leaving > 1 && leaving >= here.length * reclaimedShare)
+      this.reclaimedAt = this.options.clock.getTime();
+  }
+
   private countZones(service: string, { zonePrices }: ScalingLimits): readonly ZoneCount[] {
     const time = this.options.clock.getTime();
-    const backends = this.options.getBackends(service).filter((backend) => backend.isUsable());
+    const known = this.options.getBackends(service);
+    const backends = known.filter((backend) => backend.isUsable());
     const names = new Set([...zonePrices.keys(), ...backends.map((backend) => backend.record.zone)]);
     return [...names].map((zone) => {
+      this.noteLeaving(zone, known);
       const here = backends.filter((backend) => backend.record.zone === zone);
       const reclaimable = here.filter((backend) => backend.record.isReclaimable).length;
       const refusedAt = this.refusedAt.get(zone);
--- a/packages/gateway/src/capacityPlan.ts
+++ b/packages/gateway/src/capacityPlan.ts
@@ -32,12 +32,14 @@
   readonly isReclaimableScarce: boolean;
   /** Whether the system starts for the first time and nothing was asked of the service yet. */
   readonly isLoadAwaited?: boolean;
+  /** Reclaimable backends that may be taken away before others could start. */
+  readonly atRisk?: number;
 }
 
 /** Share of the needed backends that must serve before on-demand ones are given up. */
 const releaseShare = 0.85;
 /** Share of the needed backends that is made up with on-demand ones: at their price, less headroom is worth it. */
-const dearShare = 0.7;
+const dearShare = 0.6;
 /** On-demand backends that are kept, as a share of those that are missing. */
 const surplusShare = 1.2;
 
@@ -79,10 +81,12 @@
   const serving = zones.reduce(sumReclaimable, 0);
   // Before the first load nobody misses the dear ones while the others boot.
   const counted = input.isLoadAwaited ? Math.max(serving, zones.reduce(sumOrdered, 0)) : serving;
-  const isEnough = counted >= needed * releaseShare;
+  const { atRisk = 0 } = input;
+  const isEnough = counted - atRisk >= needed * releaseShare;
+  const kept = serving - atRisk;
   const missing = isEnough
     ? 0
-    : Math.max(0, Math.ceil(needed * (isReclaimableScarce ? dearShare : 1)) - serving);
+    : Math.max(0, Math.ceil(needed * (isReclaimableScarce ? dearShare : 1)) - kept);
   const sorted = [...zones].sort((one, other) => getPrice(limits, one.zone) - getPrice(limits, other.zone));
   const wanted = new Map<string, number>();
   for (const zone of sorted) {
--- a/packages/gateway/src/demand.ts
+++ b/packages/gateway/src/demand.ts
@@ -24,7 +24,7 @@
 }
 
 /** Share of an engine's slots that is planned with: requests come in clumps, and none should wait for a slot. */
-const slotShare = 0.5;
+const slotShare = 0.4;
 
 /** Time for which a need that has passed is still provided for. */
 const holdMs = 15_000;
--- a/packages/gateway/src/duties.ts
+++ b/packages/gateway/src/duties.ts
@@ -28,6 +28,8 @@
   readonly capacity: CapacityOrders;
   /** Whether the lease is free, as far as is known. */
   readonly isFree: () => boolean;
+  /** Whether this node hears the whole fleet: nobody else knows its usage and its load. */
+  readonly isEligible: () => boolean;
   readonly getServices: () => Iterable<Service>;
 }
 
@@ -50,7 +52,7 @@
   private markedFence = 0;
 
   private constructor(private readonly options: DutiesOptions) {
-    const { store, clock, logger, name, leaseKey, turnMs, isFree } = options;
+    const { store, clock, logger, name, leaseKey, turnMs, isFree, isEligible } = options;
     this.holder = LeaseHolder.create({
       service: store,
       clock,
@@ -60,7 +62,8 @@
       ttl: turnMs * leaseShare,
       margin: turnMs * leaseShare * marginShare,
       getRandom: Math.random,
-      shouldAcquire: isFree,
+      shouldAcquire: () => isEligible() && isFree(),
+      shouldKeep: isEligible,
     });
   }
 
@@ -88,7 +91,7 @@
   private getSender(): OrderSender | undefined {
     const { name, turnMs } = this.options;
     const fence = this.holder.getFence();
-    if (this.stop.signal.aborted || fence.isErr()) return undefined;
+    if (this.stop.signal.aborted || fence.isErr() || !this.options.isEligible()) return undefined;
     if (!this.isFirstEver && this.holder.getTenure() < turnMs * settleShare) return undefined;
     return { holder: name, fence: fence.value };
   }
--- a/packages/gateway/src/gatewayParts.ts
+++ b/packages/gateway/src/gatewayParts.ts
@@ -250,9 +250,8 @@
     turnMs: orders.turn,
     usage: reporter,
     capacity,
-    // Only who hears the whole fleet knows its usage and its load.
-    isFree: () =>
-      members.isCollector && members.isListed && directory.isListed && !members.items.has(dutyKey),
+    isEligible: () => members.isCollector,
+    isFree: () => members.isSettled && members.isListed && directory.isListed && !members.items.has(dutyKey),
     getServices: () => follower.getTable()?.configuration.services.values() ?? [],
   });
 }
--- a/packages/gateway/src/memberRecords.ts
+++ b/packages/gateway/src/memberRecords.ts
@@ -50,10 +50,13 @@
   /** Timers after which vanished records are forgotten. */
   private readonly forgetTimers = new Map<string, Timer>();
   private lease: string | undefined;
+  /** When a name was listed that was not before. */
+  private grownAt: number;
   private task: Promise<void> = Promise.resolve();
 
   private constructor(private readonly options: MemberRecordsOptions) {
     const { store, clock, logger } = options;
+    this.grownAt = clock.getTime();
     const listener = {
       handlePut: (item: StoreItem) => this.handlePut(item),
       handleRemoved: (key: string) => this.handleRemoved(key),
@@ -94,6 +97,11 @@
     return this.records.get(name)?.capacity ?? 0;
   }
 
+  /** Milliseconds since a node was found that was not known before. */
+  getSettledTime(): number {
+    return this.options.clock.getTime() - this.grownAt;
+  }
+
   /** Lists anew; for when the store comes back. */
   restart(): void {
     this.follower.restart();
@@ -138,7 +146,9 @@
       return;
     }
     const record = JSON.parse(Buffer.from(item.value).toString("utf8")) as MemberRecord;
-    this.records.set(item.key.slice(memberPrefix.length), record);
+    const name = item.key.slice(memberPrefix.length);
+    if (!this.records.has(name)) this.grownAt = this.options.clock.getTime();
+    this.records.set(name, record);
     this.options.onChange();
   }
 
--- a/packages/gateway/src/members.ts
+++ b/packages/gateway/src/members.ts
@@ -130,6 +130,8 @@
 /** A collector that started this much later than this node knows less of what was counted before. */
 const youngerByMs = 1_000;
 const keptReports = 16;
+/** Time without a new node after which the fleet counts as known. */
+const settledMs = 600;
 
 /** All members of the fleet. */
 export class Members implements Closeable {
@@ -229,6 +231,11 @@
     return this.collectors.isOwn;
   }
 
+  /** Whether no node was found for a moment: while a fleet starts, it looks smaller than it is. */
+  get isSettled(): boolean {
+    return this.records.getSettledTime() > settledMs;
+  }
+
   /** Nodes that are listed, this one included. */
   getFleetSize(): number {
     return this.records.size;
--- a/packages/gateway/test/decisions.test.ts
+++ b/packages/gateway/test/decisions.test.ts
@@ -191,6 +191,31 @@
   t.same([plan(1), plan(3), plan(4)], [3, 2, 0]);
 });
 
+t.test("in a wave of reclaims, what the next zone would lose is provided for", async (t) => {
+  const scaling = { min: 0, max: 12, bootMs: 4_000, reclaimablePrice: 0.2, zonePrices: new Map([["a", 1]]) };
+  const createZone = (zone: string, reclaimable: number): ZoneCount => ({
+    zone,
+    reclaimable,
+    onDemand: 0,
+    onDemandOrdered: 0,
+    isReclaimableRefused: true,
+    isReclaimableDry: true,
+  });
+  const plan = (atRisk: number) =>
+    planCapacity({
+      service: "s",
+      limits: scaling,
+      zones: [createZone("a", 0), createZone("b", 6), createZone("c", 6)],
+      needed: 10,
+      isReclaimableScarce: true,
+      atRisk,
+    })
+      .filter(({ isReclaimable }) => !isReclaimable)
+      .reduce((sum, { desired }) => sum + desired, 0);
+  t.same([plan(0), plan(6)], [0, 0], "six are enough for the dear share of ten");
+  t.same([plan(9), plan(12)], [3, 6]);
+});
+
 t.test("before the first load, on-demand backends go as soon as orders for others are taken", async (t) => {
   const scaling = { min: 0, max: 12, bootMs: 4_000, reclaimablePrice: 0.2, zonePrices: new Map([["a", 1]]) };
   const plan = (reclaimableOrdered: number, isLoadAwaited: boolean) =>
--- a/packages/gateway/test/freshness.test.ts
+++ b/packages/gateway/test/freshness.test.ts
@@ -1,6 +1,6 @@
 import t, { type Test } from "tap";
 import { BackendDirectory } from "@gladewall/gateway";
-import { Logger, VirtualClock } from "@gladewall/kernel";
+import { Logger, SystemClock, VirtualClock } from "@gladewall/kernel";
 import {
   answerGood,
   createRoute,
@@ -63,6 +63,25 @@
   },
 );
 
+t.test(
+  "a node that the store turns away goes on by a peer's word, and learns of changes by it",
+  async (t) => {
+    const { bench, node, routes } = await createBench(t);
+    const other = await bench.startReady(1, "web", ["configuration.proof_interval=50"]);
+    await waitUntil(() => node.gateway.linkedPeers === 1 && other.gateway.linkedPeers === 1);
+    bench.platform.stores[0]!.trouble = StoreTrouble.Down;
+    bench.platform.configure({ routes, tenants: [createTenant({ keys: ["three"] })] });
+    await waitUntil(() => node.gateway.version === 2);
+    const since = SystemClock.create().getTime();
+    await waitUntil(() => node.gateway.provenAt > since);
+    t.equal((await bench.call(node, { key: "three" })).status, 200);
+    t.equal((await bench.call(node, { key: "one" })).status, 401);
+    bench.platform.shared.trouble = StoreTrouble.Down;
+    await waitUntil(() => !node.gateway.isReady());
+    t.equal((await bench.call(node, { key: "three" })).status, 503, "words of words grow old as well");
+  },
+);
+
 t.test("a version in force never falls, and deaf watches delay it by no more than a proof", async (t) => {
   const { bench, node, routes } = await createBench(t);
   bench.platform.shared.isDeaf = true;
--- /dev/null
+++ b/scripts/gatewaySettingsPage.mjs
@@ -0,0 +1,8 @@
+// Writes docs/operating/gateway-settings.md from the schema; a test compares the two.
+import { writeFileSync } from "node:fs";
+import { fileURLToPath } from "node:url";
+import { gatewaySchema } from "@gladewall/gateway";
+import { formatReference } from "@gladewall/kernel";
+
+const page = fileURLToPath(new URL("../docs/operating/gateway-settings.md", import.meta.url));
+writeFileSync(page, `# Settings of a gateway node\n\n${formatReference(gatewaySchema).trimEnd()}\n`);
