--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -8,7 +8,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { type Clock, Failure, FailureCode, type Logger, type Timer } from "@gladewall/kernel";
 import type { Admitted } from "./admission.js";
-import { copyAnswerHeaders } from "./answerHeaders.js";
+import { writeFailure, writeWholeAnswer } from "./answerWriter.js";
 import { Attempt, AttemptEnd, type AttemptResult } from "./attempt.js";
 import type { Backend } from "./backend.js";
 import type { BackendConnections } from "./backendConnections.js";
@@ -254,29 +254,16 @@
       this.runFailure = Failure.create(FailureCode.EndpointCut, { endpoint: backend.id });
       return Next.GiveUp;
     }
-    this.writeWhole(response, body.bytes);
+    writeWholeAnswer(
+      this.request.response,
+      this.request.message.method,
+      response,
+      body.bytes,
+      this.parts.isLeaving(),
+    );
     return Next.Done;
   }
 
-  private writeWhole(answer: IncomingMessage, bytes: Buffer): void {
-    const { response, message } = this.request;
-    if (response.headersSent) {
-      // The stream that began can't be ended by an answer of another kind.
-      response.destroy();
-      return;
-    }
-    const headers = copyAnswerHeaders(answer.rawHeaders);
-    if (message.method === "HEAD") {
-      const length = answer.headers["content-length"];
-      if (length !== undefined) headers.push("Content-Length", length);
-    } else {
-      headers.push("Content-Length", String(bytes.length));
-    }
-    if (this.parts.isLeaving()) headers.push("Connection", "close");
-    response.writeHead(answer.statusCode ?? 0, answer.statusMessage, headers);
-    response.end(bytes);
-  }
-
   private async relayStream(
     backend: Backend,
     answer: IncomingMessage,
@@ -363,28 +350,3 @@
 function createRefusal(code: FailureCode, service: Service): Failure {
   return Failure.create(code, { service: service.name }, retryAfterMs);
 }
-
-const millisecondsPerSecond = 1_000;
-
-/** Writes an answer of our own: status, when to come back, and the failure as a problem document. */
-export function writeFailure(
-  response: ServerResponse,
-  failure: Failure,
-  ownHeaders: readonly string[],
-  closes: boolean,
-): void {
-  const body = JSON.stringify({
-    type: "about:blank",
-    status: failure.status,
-    code: failure.code,
-    detail: failure.text,
-  });
-  const headers = [...ownHeaders, "Content-Type", "application/problem+json"];
-  headers.push("Content-Length", String(Buffer.byteLength(body)));
-  if (failure.retryAfterMs !== undefined) {
-    headers.push("Retry-After", (failure.retryAfterMs / millisecondsPerSecond).toFixed(2));
-  }
-  if (closes) headers.push("Connection", "close");
-  response.writeHead(failure.status, headers);
-  response.end(body);
-}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -15,7 +15,8 @@
 } from "@gladewall/kernel";
 import { Ok, type Result } from "ts-results-es";
 import type { Admitted } from "./admission.js";
-import { Exchange, type ExchangeEnd, type ExchangeParts, writeFailure } from "./exchange.js";
+import { Exchange, type ExchangeEnd, type ExchangeParts } from "./exchange.js";
+import { writeFailure } from "./answerWriter.js";
 import { Front } from "./front.js";
 import { createGatewayParts, type GatewayParts } from "./gatewayParts.js";
 import type { GatewaySettings } from "./gatewaySettings.js";
--- /dev/null
+++ b/packages/gateway/src/memberMessages.ts
@@ -0,0 +1,48 @@
+/**
+ * Shapes of what members tell each other.
+ * @module
+ */
+import type { PeerMessage } from "@gladewall/coordination";
+import type { BackendWork } from "./backendWork.js";
+import type { FeedMessage, FeedState } from "./fleetFeed.js";
+import type { CounterReport, CounterView } from "./sharedCounters.js";
+import type { WindowCounts } from "./usageCounts.js";
+
+/** Numbers of the messages between members; the links keep the lower ones. */
+export enum MemberMessageKind {
+  Report = 32,
+  View = 33,
+}
+
+/** What a node tells several times a second. */
+export interface ReportMessage extends PeerMessage {
+  readonly kind: MemberMessageKind.Report;
+  /** Number of the report within the sender's life. */
+  readonly sequence: number;
+  /** Time of day as the sender counts it. */
+  readonly time: number;
+  readonly counters: CounterReport;
+  readonly work: BackendWork;
+  /** Left out in some reports. */
+  readonly usage?: WindowCounts;
+  /** What the sender knows of the store, where it wants a view in answer. */
+  readonly feed?: FeedState;
+}
+
+/** What a collector answers. */
+export interface ViewMessage extends PeerMessage {
+  readonly kind: MemberMessageKind.View;
+  /** Report of the receiver up to which its counts are included. */
+  readonly sequence: number;
+  readonly counters: CounterView;
+  /** Work of all nodes but the receiver. */
+  readonly work: BackendWork;
+  /** Share of the fleet that is heard. */
+  readonly knownShare: number;
+  readonly feed: FeedMessage;
+}
+
+/** Field that the links' pings carry. */
+export interface PingMessage extends PeerMessage {
+  readonly time?: number;
+}
--- a/packages/gateway/src/members.ts
+++ b/packages/gateway/src/members.ts
@@ -6,58 +6,25 @@
  * with the fleet.
  * @module
  */
-import { LinkMessageKind, type PeerIdentity, PeerLinks, type PeerMessage } from "@gladewall/coordination";
+import { LinkMessageKind, type PeerIdentity, PeerLinks } from "@gladewall/coordination";
 import { type Clock, type Closeable, hashText, type Logger, waitFor } from "@gladewall/kernel";
 import type { PeerWork } from "./backend.js";
+import { type BackendWork, subtractWork, sumWork } from "./backendWork.js";
 import type { ConfigurationFollower } from "./configurationFollower.js";
-import { type FeedMessage, type FeedState, FleetFeed } from "./fleetFeed.js";
+import { type FeedState, FleetFeed } from "./fleetFeed.js";
 import type { PrefixFollower } from "./prefixFollower.js";
 import { Collectors } from "./collectors.js";
+import {
+  MemberMessageKind,
+  type PingMessage,
+  type ReportMessage,
+  type ViewMessage,
+} from "./memberMessages.js";
 import { MemberRecords, ownPrefix } from "./memberRecords.js";
-import type { CounterReport, CounterTotals, CounterView, SharedCounters } from "./sharedCounters.js";
+import type { CounterTotals, SharedCounters } from "./sharedCounters.js";
 import type { TrueTime } from "./trueTime.js";
 import type { MetadataStore, StoreItem } from "./types.js";
-import type { UsageCounts, WindowCounts } from "./usageCounts.js";
-
-/** Numbers of the messages between members; the links keep the lower ones. */
-enum MemberMessageKind {
-  Report = 32,
-  View = 33,
-}
-
-/** Active requests and pending prompt tokens by backend. */
-type BackendWork = Readonly<Record<string, readonly [active: number, pendingTokens: number]>>;
-
-interface ReportMessage extends PeerMessage {
-  readonly kind: MemberMessageKind.Report;
-  /** Number of the report within the sender's life. */
-  readonly sequence: number;
-  /** Time of day as the sender counts it. */
-  readonly time: number;
-  readonly counters: CounterReport;
-  readonly work: BackendWork;
-  /** Left out in some reports. */
-  readonly usage?: WindowCounts;
-  /** What the sender knows of the store, where it wants a view in answer. */
-  readonly feed?: FeedState;
-}
-
-interface ViewMessage extends PeerMessage {
-  readonly kind: MemberMessageKind.View;
-  /** Report of the receiver up to which its counts are included. */
-  readonly sequence: number;
-  readonly counters: CounterView;
-  /** Work of all nodes but the receiver. */
-  readonly work: BackendWork;
-  /** Share of the fleet that is heard. */
-  readonly knownShare: number;
-  readonly feed: FeedMessage;
-}
-
-/** Field that the links' pings carry. */
-interface PingMessage extends PeerMessage {
-  readonly time?: number;
-}
+import type { UsageCounts } from "./usageCounts.js";
 
 /** Options of the members. */
 export interface MembersOptions {
@@ -111,6 +78,7 @@
   readonly heardAt: number;
 }
 
+const noWork: PeerWork = { active: 0, pendingTokens: 0 };
 const collectorCount = 3;
 /** Reports older than this say nothing of a peer's work. */
 const reportLifetimeMs = 1_000;
@@ -458,27 +426,3 @@
     return sumWork(heard.map(({ work }) => work));
   }
 }
-
-const noWork: PeerWork = { active: 0, pendingTokens: 0 };
-
-function sumWork(parts: readonly BackendWork[]): BackendWork {
-  const sum: Record<string, [number, number]> = {};
-  for (const part of parts) {
-    for (const [backend, [active, pendingTokens]] of Object.entries(part)) {
-      const known = (sum[backend] ??= [0, 0]);
-      known[0] += active;
-      known[1] += pendingTokens;
-    }
-  }
-  return sum;
-}
-
-/** Returns what is left of a sum without a part of it; the part may be newer than the sum. */
-function subtractWork(sum: BackendWork, part: BackendWork): BackendWork {
-  const left: Record<string, readonly [number, number]> = { ...sum };
-  for (const [backend, [active, pendingTokens]] of Object.entries(part)) {
-    const known = left[backend];
-    if (known) left[backend] = [Math.max(0, known[0] - active), Math.max(0, known[1] - pendingTokens)];
-  }
-  return left;
-}
