--- a/packages/gateway/src/configurationFollower.ts
+++ b/packages/gateway/src/configurationFollower.ts
@@ -17,7 +17,7 @@
   readonly proofAgeMs: number;
   /** Revision of the newest configuration that the peer has. */
   readonly revision: number;
-  /** That configuration as stored; left out where the asker has it. */
+  /** That configuration as stored; left out where the asker has it, and where it is large: it is read then. */
   readonly value?: Uint8Array | undefined;
 }
 
@@ -38,6 +38,8 @@
 const mostReads = 4;
 /** Time between two looks at the age of the proof while others tell it. */
 const fedIntervalMs = 500;
+/** Larger configurations are not passed on: a peer's link may be narrow, the store's is not. */
+const largestPassedBytes = 32_768;
 /** Share of a proof's lifetime after which peers are asked for theirs. */
 const askPeersShare = 0.45;
 
@@ -176,7 +178,8 @@
   vouch(heldRevision: number): Vouch | undefined {
     const item = this.takenItem;
     if (!item || !this.isProven()) return undefined;
-    const value = item.revision > heldRevision ? item.value : undefined;
+    const isPassed = item.revision > heldRevision && item.value.length <= largestPassedBytes;
+    const value = isPassed ? item.value : undefined;
     return { proofAgeMs: this.getProofAge(), revision: item.revision, value };
   }
 
@@ -197,8 +200,12 @@
   /** Takes a peer's word that was asked for at a time. */
   takeVouch({ proofAgeMs, revision, value }: Vouch, askedAt: number): void {
     if (value) this.take({ key: this.options.platform.configurationKey, revision, value });
-    // A word on an older version than the one held says nothing of it, and one on a newer can't be relied on alone.
-    if (this.takenRevision < revision || !this.table) return;
+    if (this.takenRevision < revision) {
+      // There is a newer configuration, too large to be passed on.
+      if (this.readsUnderWay < mostReads) void this.readOnce();
+      return;
+    }
+    if (!this.table) return;
     const provenAt = askedAt - proofAgeMs;
     if (provenAt <= (this.provenAt ?? -Infinity)) return;
     this.provenAt = provenAt;
