Do not let words that were long under way drive the time of day back

Where most nodes are busy, they drive each other's time back, and runs are counted in windows that have been fixed. Change: peers' times are carried on by the monotonic clock and reckoned anew at each look; only a difference of 400 ms counts as a jump of the own clock. The test fails on the threshold before.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -20,6 +20,7 @@
 export { Duties } from "./duties.js";
 export { EventSplitter } from "./eventSplitter.js";
 export { LeakyBucket } from "./leakyBucket.js";
+export { PeerTimes } from "./peerTimes.js";
 export { Placer } from "./placement.js";
 export { PrefixFollower } from "./prefixFollower.js";
 export { RetryBudget } from "./retryBudget.js";
--- a/packages/gateway/src/members.ts
+++ b/packages/gateway/src/members.ts
@@ -12,6 +12,7 @@
 import { type BackendWork, subtractWork, sumWork } from "./backendWork.js";
 import type { ConfigurationFollower } from "./configurationFollower.js";
 import { type FeedState, FleetFeed } from "./fleetFeed.js";
+import { PeerTimes } from "./peerTimes.js";
 import type { PrefixFollower } from "./prefixFollower.js";
 import { Collectors } from "./collectors.js";
 import {
@@ -108,7 +109,7 @@
   private readonly collectors: Collectors;
   private readonly feed: FleetFeed;
   private readonly views = new Map<string, PeerView>();
-  private readonly timeDifferences = new Map<string, { readonly difference: number; readonly at: number }>();
+  private readonly peerTimes: PeerTimes;
   /** Peers whose link was lost by silence, and until when they may still be serving. */
   private readonly silentUntil = new Map<string, number>();
   private readonly stop = new AbortController();
@@ -130,6 +131,7 @@
 
   private constructor(private readonly options: MembersOptions) {
     const { store, clock, logger, name, incarnation, secret, address, capacity, largestMesh } = options;
+    this.peerTimes = PeerTimes.create(clock);
     this.links = PeerLinks.create({
       own: { name, incarnation },
       secret,
@@ -249,7 +251,7 @@
       this.takeView(message as ViewMessage, peer),
     );
     this.links.setHandler(LinkMessageKind.Ping, ({ time }: PingMessage, peer) => {
-      if (time !== undefined) this.takeTime(peer.name, time);
+      if (time !== undefined) this.peerTimes.take(peer.name, time);
     });
     this.links.onUp((peer) => logger.info("peer.linked", { peer: peer.name }));
     this.links.onDown((peer) => {
@@ -279,11 +281,11 @@
   }
 
   private async tell(): Promise<void> {
-    const { clock, reportIntervalMs, largeFleetIntervalMs, onTurn } = this.options;
+    const { clock, time, reportIntervalMs, largeFleetIntervalMs, onTurn } = this.options;
     const { signal } = this.stop;
     while (!signal.aborted) {
       await waitFor(clock, this.collectors.isMesh ? reportIntervalMs : largeFleetIntervalMs, signal);
-      this.adjustTime();
+      time.adjust(this.peerTimes.getDifferences(time.get()));
       if (!this.collectors.isMesh && this.collectors.choose()) this.setFleet();
       this.fleetWork = this.getFleetWork();
       this.feed.setFed(this.isFed);
@@ -292,12 +294,6 @@
     }
   }
 
-  private adjustTime(): void {
-    const limit = this.options.clock.getTime() - pingIntervalMs - reportLifetimeMs;
-    const heard = [...this.timeDifferences.values()].filter(({ at }) => at >= limit);
-    this.options.time.adjust(heard.map(({ difference }) => difference));
-  }
-
   private report(): void {
     const report = this.createReport();
     if (this.collectors.isMesh) {
@@ -364,18 +360,11 @@
     counters.takeReport(peer.name, life, message.counters);
     if (message.usage) usage.takePeer(life, message.usage);
     this.silentUntil.delete(peer.name);
-    this.takeTime(peer.name, message.time);
+    this.peerTimes.take(peer.name, message.time);
     this.views.set(peer.name, { work: message.work, heardAt: clock.getTime() });
     if (message.feed) this.links.send(peer.name, this.createView(message, message.feed));
   }
 
-  private takeTime(peer: string, time: number): void {
-    this.timeDifferences.set(peer, {
-      difference: time - this.options.time.get(),
-      at: this.options.clock.getTime(),
-    });
-  }
-
   private createView({ sequence, work }: ReportMessage, state: FeedState): ViewMessage {
     return {
       kind: MemberMessageKind.View,
--- /dev/null
+++ b/packages/gateway/src/peerTimes.ts
@@ -0,0 +1,40 @@
+/**
+ * What time of day the peers said it was, carried on by the monotonic clock.
+ * @module
+ */
+import type { Clock } from "@gladewall/kernel";
+
+/** Words older than this are not looked at. */
+const lifetimeMs = 2_000;
+
+interface ToldTime {
+  readonly time: number;
+  /** Monotonic time at which it was heard. */
+  readonly at: number;
+}
+
+/** Peers' times of day. */
+export class PeerTimes {
+  private readonly told = new Map<string, ToldTime>();
+
+  private constructor(private readonly clock: Clock) {}
+
+  static create(clock: Clock): PeerTimes {
+    return new PeerTimes(clock);
+  }
+
+  /** Takes what a peer says that its time of day is now. */
+  take(peer: string, time: number): void {
+    this.told.set(peer, { time, at: this.clock.getTime() });
+  }
+
+  /**
+   * Returns how far the peers are ahead of a time of day. Reckoned from what is given, so a difference that was
+   * corrected is gone, also where no new word has come since.
+   */
+  getDifferences(timeOfDay: number): readonly number[] {
+    const now = this.clock.getTime();
+    const fresh = [...this.told.values()].filter(({ at }) => now - at <= lifetimeMs);
+    return fresh.map(({ time, at }) => time + (now - at) - timeOfDay);
+  }
+}
--- a/packages/gateway/src/trueTime.ts
+++ b/packages/gateway/src/trueTime.ts
@@ -7,6 +7,11 @@
 
 /** Differences below this are drift and followed; above, a jump. */
 const jumpMs = 100;
+/**
+ * Difference from most peers that is a jump of the own clock. What peers say is as old as the message was under way and
+ * waiting; were that taken for a difference, a fleet of busy nodes would drive each other's time back without end.
+ */
+const peerJumpMs = 400;
 const driftShare = 0.1;
 /** How long a jump must last until it is believed without peers. */
 const beliefMs = 30_000;
@@ -32,7 +37,7 @@
   /** Compares with the wall clock and with peers' times, given as their difference from `get`. Call it often. */
   adjust(peerDifferences: readonly number[]): void {
     const median = getMedian(peerDifferences);
-    if (median !== undefined && peerDifferences.length > 1 && Math.abs(median) > jumpMs) {
+    if (median !== undefined && peerDifferences.length > 1 && Math.abs(median) > peerJumpMs) {
       this.offset += median;
       this.jumpSince = undefined;
       return;
--- a/packages/gateway/test/decisions.test.ts
+++ b/packages/gateway/test/decisions.test.ts
@@ -5,6 +5,7 @@
   LeakyBucket,
   planCapacity,
   RouteTable,
+  PeerTimes,
   SharedCounters,
   SlidingWindow,
   TrueTime,
@@ -123,6 +124,27 @@
   t.ok(Math.abs(late.get() - before) < 50);
 });
 
+t.test(
+  "words that were long under way do not drive the time of day back, one word is not corrected twice",
+  async (t) => {
+    const clock = VirtualClock.create();
+    const time = TrueTime.create(clock);
+    for (let turn = 0; turn < 40; turn++) {
+      await clock.advance(250);
+      time.adjust([-150, -180, -160]);
+    }
+    t.ok(Math.abs(time.get() - clock.getWallTime()) < 50);
+    const peers = PeerTimes.create(clock);
+    const late = TrueTime.create(clock);
+    for (const peer of ["a", "b", "c"]) peers.take(peer, late.get() - 2_000);
+    const before = late.get();
+    for (let turn = 0; turn < 4; turn++) late.adjust(peers.getDifferences(late.get()));
+    t.ok(Math.abs(late.get() - (before - 2_000)) < 50);
+    await clock.advance(3_000);
+    t.same(peers.getDifferences(late.get()), []);
+  },
+);
+
 t.test("reclaimable backends are spread over zones, on-demand ones fill only what is missing", async (t) => {
   const scaling = {
     min: 1,
