--- a/packages/gateway/src/capacityOrders.ts
+++ b/packages/gateway/src/capacityOrders.ts
@@ -41,6 +41,8 @@
 const reclaimedShare = 0.5;
 /** Reclaims come in waves: so long after one, the next zone is provided for. */
 const waveMs = 8_000;
+/** Share of that zone that is provided for: on-demand backends are dear, and not every wave goes on. */
+const providedShare = 0.5;
 /** Backends record themselves over some time; once none has been found for so long, all are known. */
 const settledMs = 1_600;
 
@@ -109,7 +111,7 @@
   /** Reclaimable backends that the next reclaim of a wave would take. */
   private countAtRisk(zones: readonly ZoneCount[]): number {
     if (this.options.clock.getTime() - this.reclaimedAt > waveMs) return 0;
-    return Math.max(...zones.map(({ reclaimable }) => reclaimable));
+    return Math.floor(Math.max(...zones.map(({ reclaimable }) => reclaimable)) * providedShare);
   }
 
   /** Takes note of a zone whose reclaimable backends leave together. */
