Give a large configuration to who asks for a peer's word

Change: the bound holds for what collectors hand on to the nodes that they feed, not for an answer to a node that asks. The test waits in vain on the code before.

--- a/packages/gateway/src/configurationFollower.ts
+++ b/packages/gateway/src/configurationFollower.ts
@@ -38,8 +38,6 @@
 const mostReads = 4;
 /** Time between two looks at the age of the proof while others tell it. */
 const fedIntervalMs = 500;
-/** Larger configurations are not passed on: a peer's link may be narrow, the store's is not. */
-const largestPassedBytes = 32_768;
 /** Share of a proof's lifetime after which peers are asked for theirs. */
 const askPeersShare = 0.45;
 
@@ -174,11 +172,14 @@
     this.provenAt = Math.max(this.provenAt ?? -Infinity, sentAt);
   }
 
-  /** This node's word for a peer that holds a revision; undefined where it has no proof itself. */
-  vouch(heldRevision: number): Vouch | undefined {
+  /**
+   * This node's word for a peer that holds a revision; undefined where it has no proof itself. A newer configuration
+   * goes with it if it has no more bytes than are given.
+   */
+  vouch(heldRevision: number, mostBytes = Infinity): Vouch | undefined {
     const item = this.takenItem;
     if (!item || !this.isProven()) return undefined;
-    const isPassed = item.revision > heldRevision && item.value.length <= largestPassedBytes;
+    const isPassed = item.revision > heldRevision && item.value.length <= mostBytes;
     const value = isPassed ? item.value : undefined;
     return { proofAgeMs: this.getProofAge(), revision: item.revision, value };
   }
--- a/packages/gateway/src/fleetFeed.ts
+++ b/packages/gateway/src/fleetFeed.ts
@@ -25,6 +25,11 @@
   readonly prefixes: Readonly<Record<string, PrefixChanges>>;
 }
 
+/**
+ * Larger configurations are not handed on to the many nodes that a collector feeds: its link may be narrow, the store's
+ * is not. Who asks for a peer's word because the store turns it away gets them all the same.
+ */
+const largestPassedBytes = 32_768;
 /** A teller whose store has been silent for longer is passed over. */
 const longestStoreAgeMs = 2_600;
 /** Stands for no trouble ever: infinity has no place in every codec. */
@@ -61,7 +66,7 @@
     }
     const { configuration } = this;
     return {
-      vouch: configuration.vouch(state.configuration),
+      vouch: configuration.vouch(state.configuration, largestPassedBytes),
       storeAgeMs: Math.min(noTroubleMs, configuration.getStoreAge()),
       troubleAgeMs: Math.min(noTroubleMs, configuration.getTimeSinceTrouble()),
       prefixes,
--- a/packages/gateway/test/freshness.test.ts
+++ b/packages/gateway/test/freshness.test.ts
@@ -76,6 +76,11 @@
     await waitUntil(() => node.gateway.provenAt > since);
     t.equal((await bench.call(node, { key: "three" })).status, 200);
     t.equal((await bench.call(node, { key: "one" })).status, 401);
+    const large = Array.from({ length: 400 }, (_, index) =>
+      createRoute({ name: `route-${index}`, prefix: `/${"p".repeat(60)}/${index}/` }),
+    );
+    bench.platform.configure({ routes: [...routes, ...large], tenants: [createTenant({ keys: ["three"] })] });
+    await waitUntil(() => node.gateway.version === 3);
     bench.platform.shared.trouble = StoreTrouble.Down;
     await waitUntil(() => !node.gateway.isReady());
     t.equal((await bench.call(node, { key: "three" })).status, 503, "words of words grow old as well");
