--- a/packages/coordination/src/peerLinks.ts
+++ b/packages/coordination/src/peerLinks.ts
@@ -15,6 +15,7 @@
   type Logger,
   mixHashes,
   parseAddress,
+  type Timer,
   waitFor,
 } from "@gladewall/kernel";
 import { Err, type Result } from "ts-results-es";
@@ -73,6 +74,8 @@
   private readonly upListeners = new Set<LinkListener>();
   private readonly downListeners = new Set<LinkListener>();
   private readonly server: Server;
+  /** Ends of connections that are used no more. */
+  private readonly retiring = new Set<Timer>();
   private readonly stop = new AbortController();
   private pingTask: Promise<void> = Promise.resolve();
 
@@ -176,6 +179,7 @@
 
   async close(): Promise<void> {
     this.stop.abort();
+    for (const timer of this.retiring) timer.cancel();
     for (const name of [...this.peers.keys()]) this.dropPeer(name);
     const closed = new Promise<void>((resolve) => this.server.close(() => resolve()));
     for (const socket of this.sockets) socket.destroy();
@@ -294,8 +298,11 @@
 
   /** Uses a connection no more, but lets what is under way on it be answered: the peer may not know yet. */
   private retire(connection: PeerConnection): void {
-    const timer = this.options.clock.startTimer(this.options.lostAfter, () => connection.close());
-    this.stop.signal.addEventListener("abort", () => timer.cancel());
+    const timer = this.options.clock.startTimer(this.options.lostAfter, () => {
+      this.retiring.delete(timer);
+      connection.close();
+    });
+    this.retiring.add(timer);
   }
 
   /** Of two connections of one pair both sides keep the same: the newer incarnation's, then the lower name's. */
--- a/packages/gateway/src/capacityPlan.ts
+++ b/packages/gateway/src/capacityPlan.ts
@@ -39,7 +39,7 @@
 /** Share of the needed backends that must serve before on-demand ones are given up. */
 const releaseShare = 0.85;
 /** Share of the needed backends that is made up with on-demand ones: at their price, less headroom is worth it. */
-const dearShare = 0.6;
+const dearShare = 0.7;
 /** On-demand backends that are kept, as a share of those that are missing. */
 const surplusShare = 1.2;
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -14,6 +14,7 @@
   waitFor,
 } from "@gladewall/kernel";
 import { Ok, type Result } from "ts-results-es";
+import type { ConnectionTraffic } from "@gladewall/coordination";
 import type { Admitted } from "./admission.js";
 import { Exchange, type ExchangeEnd, type ExchangeParts } from "./exchange.js";
 import { writeFailure } from "./answerWriter.js";
@@ -74,6 +75,8 @@
       getProofAge: () => follower.getProofAge(),
       getOpenRequests: () => this.open,
       getLinkedPeers: () => this.linkedPeers,
+      getPeerTraffic: () => this.peerTraffic,
+      isCollector: () => this.isCollector,
       getUsableBackends: () => [...directory.getAll()].filter((backend) => backend.isUsable()).length,
       isDutyHolder: () => parts.duties.isActing(),
     });
@@ -147,6 +150,11 @@
     return this.parts.members.getFleetSize();
   }
 
+  /** Bytes and messages that went over links to other nodes. */
+  get peerTraffic(): Readonly<ConnectionTraffic> {
+    return this.parts.members.links.traffic;
+  }
+
   /** Whether this node hears the whole fleet. */
   get isCollector(): boolean {
     return this.parts.members.isCollector;
--- a/packages/gateway/src/gatewayMetrics.ts
+++ b/packages/gateway/src/gatewayMetrics.ts
@@ -3,6 +3,7 @@
  * @module
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { ConnectionTraffic } from "@gladewall/coordination";
 import { type Closeable, listen, Metrics } from "@gladewall/kernel";
 
 /** Values that are read when the page is. */
@@ -12,6 +13,8 @@
   readonly getProofAge: () => number;
   readonly getOpenRequests: () => number;
   readonly getLinkedPeers: () => number;
+  readonly getPeerTraffic: () => Readonly<ConnectionTraffic>;
+  readonly isCollector: () => boolean;
   readonly getUsableBackends: () => number;
   readonly isDutyHolder: () => boolean;
 }
@@ -64,6 +67,15 @@
     set("gladewall_proof_age_milliseconds", "Age of the proof of that version.", sources.getProofAge);
     set("gladewall_open_requests", "Requests without a final answer.", sources.getOpenRequests);
     set("gladewall_linked_peers", "Other nodes that are linked.", sources.getLinkedPeers);
+    set("gladewall_peer_sent_bytes", "Bytes sent to other nodes.", () => sources.getPeerTraffic().sentBytes);
+    set(
+      "gladewall_peer_received_bytes",
+      "Bytes received from other nodes.",
+      () => sources.getPeerTraffic().receivedBytes,
+    );
+    set("gladewall_collector", "1 while this node hears the whole fleet.", () =>
+      Number(sources.isCollector()),
+    );
     set("gladewall_usable_backends", "Backends that take work.", sources.getUsableBackends);
     set("gladewall_duty_holder", "1 while this node gives orders.", () => Number(sources.isDutyHolder()));
   }
--- a/packages/gateway/src/gatewaySettings.ts
+++ b/packages/gateway/src/gatewaySettings.ts
@@ -113,7 +113,7 @@
       [0, 1_000],
       "backends of a zone that are kept without load",
     ),
-    utilization: createDecimal("", 0.3, [0.01, 1], "share of an engine's reading rate that is planned with"),
+    utilization: createDecimal("", 0.4, [0.01, 1], "share of an engine's reading rate that is planned with"),
   },
   leaving: {
     unnoticed: createInteger(
--- /dev/null
+++ b/packages/operator/src/bench/fleetBench.ts
@@ -0,0 +1,93 @@
+/**
+ * `npm run bench -- fleet`: what gateways tell each other and ask the store without a load, against their number. All
+ * of them run in one process with stand-ins, so bytes, messages and calls are measured, processor time is not.
+ * @module
+ */
+import { SystemClock, waitFor } from "@gladewall/kernel";
+import { createTenant, GatewayBench, StandinPlatform, waitUntil } from "@gladewall/standins";
+
+/** One measured size of fleet. */
+export interface FleetPoint {
+  readonly nodes: number;
+  /** Of a node that is no collector, and of one that is; in a mesh every node is one. */
+  readonly member: PeerTrafficRate | undefined;
+  readonly collector: PeerTrafficRate | undefined;
+  /** Calls on the store a second, all nodes together. */
+  readonly storeCalls: number;
+}
+
+/** Bytes and messages a second. */
+export interface PeerTrafficRate {
+  readonly sentBytes: number;
+  readonly receivedBytes: number;
+  readonly sentMessages: number;
+}
+
+const sizes = [8, 16, 24, 32, 48, 64, 96];
+const tenants = 16;
+const backends = 60;
+const millisecondsPerSecond = 1_000;
+
+/** Runs the bench, `window` milliseconds a size. */
+export async function runFleetBench(window: number, print: (line: string) => void): Promise<unknown> {
+  const points: FleetPoint[] = [];
+  for (const size of sizes) {
+    const point = await measureFleet(size, window);
+    points.push(point);
+    print(formatPoint(point));
+  }
+  return { command: "npm run bench -- fleet", window, tenants, backends, points };
+}
+
+async function measureFleet(size: number, window: number): Promise<FleetPoint> {
+  const platform = StandinPlatform.create();
+  const names = Array.from({ length: tenants }, (_, index) => `tenant-${index}`);
+  platform.configure({
+    tenants: names.map((name) => createTenant({ name, keys: [name], ratePerSecond: 1_000, burst: 1_000 })),
+  });
+  for (let index = 0; index < backends; index++)
+    platform.list({ id: `backend-${index}`, address: "127.0.0.1:1" });
+  const bench = GatewayBench.create(platform);
+  for (let index = 0; index < size; index++) await bench.start();
+  const gateways = bench.nodes.map(({ gateway }) => gateway);
+  await waitUntil(() => gateways.every((gateway) => gateway.fleetSize === size && gateway.isReady()));
+  await waitUntil(() => gateways.every((gateway) => gateway.isCollector || gateway.isFed));
+  const countCalls = (): number => platform.stores.reduce((sum, { calls }) => sum + calls, 0);
+  const before = gateways.map((gateway) => ({ ...gateway.peerTraffic }));
+  const callsBefore = countCalls();
+  const clock = SystemClock.create();
+  const since = clock.getTime();
+  await waitFor(clock, window);
+  const seconds = (clock.getTime() - since) / millisecondsPerSecond;
+  const rates = gateways.map((gateway, index) => ({
+    isCollector: gateway.isCollector,
+    sentBytes: (gateway.peerTraffic.sentBytes - before[index]!.sentBytes) / seconds,
+    receivedBytes: (gateway.peerTraffic.receivedBytes - before[index]!.receivedBytes) / seconds,
+    sentMessages: (gateway.peerTraffic.sentFrames - before[index]!.sentFrames) / seconds,
+  }));
+  const storeCalls = (countCalls() - callsBefore) / seconds;
+  await bench.close();
+  return {
+    nodes: size,
+    member: getMean(rates.filter(({ isCollector }) => !isCollector)),
+    collector: getMean(rates.filter(({ isCollector }) => isCollector)),
+    storeCalls,
+  };
+}
+
+function getMean(rates: readonly PeerTrafficRate[]): PeerTrafficRate | undefined {
+  if (rates.length === 0) return undefined;
+  const mean = (read: (rate: PeerTrafficRate) => number): number =>
+    Math.round(rates.reduce((sum, rate) => sum + read(rate), 0) / rates.length);
+  return {
+    sentBytes: mean(({ sentBytes }) => sentBytes),
+    receivedBytes: mean(({ receivedBytes }) => receivedBytes),
+    sentMessages: mean(({ sentMessages }) => sentMessages),
+  };
+}
+
+function formatPoint({ nodes, member, collector, storeCalls }: FleetPoint): string {
+  const format = (rate: PeerTrafficRate | undefined): string =>
+    rate ? `${rate.sentBytes} B/s sent, ${rate.receivedBytes} B/s received` : "none";
+  return `${nodes} nodes: a member ${format(member)}; a collector ${format(collector)}; ${storeCalls.toFixed(1)} store calls/s`;
+}
--- a/packages/operator/src/bench/main.ts
+++ b/packages/operator/src/bench/main.ts
@@ -6,6 +6,7 @@
 import { fileURLToPath } from "node:url";
 import { runCapacityBench } from "./capacityBench.js";
 import { runClaimsBench } from "./claimsBench.js";
+import { runFleetBench } from "./fleetBench.js";
 
 type Bench = (print: (line: string) => void) => Promise<unknown>;
 
@@ -13,10 +14,12 @@
 const resultsFolder = fileURLToPath(new URL("../../../../../docs/results/", import.meta.url));
 
 const claimsWindow = 4_000;
+const fleetWindow = 4_000;
 
 const benches: Readonly<Record<string, Bench>> = {
   claims: (print) => runClaimsBench(claimsWindow, print),
   capacity: (print) => runCapacityBench(capacityWindow, print),
+  fleet: (print) => runFleetBench(fleetWindow, print),
 };
 
 function print(line: string): void {
