--- a/packages/gateway/src/capacityOrders.ts
+++ b/packages/gateway/src/capacityOrders.ts
@@ -80,7 +80,7 @@
     const reclaimable = zones.reduce((sum, zone) => sum + zone.reclaimable, 0);
     // While one class takes the place of the other both are there for a time; they are not needed twice.
     const present = Math.max(onDemand, reclaimable);
-    const isSettled = this.noteFound(service.name, onDemand + reclaimable);
+    const isSettled = this.noteFound(service.name, onDemand);
     const plan = planCapacity({
       service: service.name,
       limits: scaling,
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,4 +1,5 @@
-// Bundles the daemon of the operators' platform into one file under target/, straight from the sources.
+// Bundles the daemon of the operators' platform into target/, straight from the sources. What a daemon without
+// arguments does not need (the command line) is a file of its own, so that a start does not read it.
 import { fileURLToPath } from "node:url";
 import { build } from "esbuild";
 
@@ -8,8 +9,13 @@
 await build({
   absWorkingDir: root,
   entryPoints: ["deploy/gladewalld.ts"],
-  outfile: "target/gladewalld.mjs",
+  outdir: "target",
+  outExtension: { ".js": ".mjs" },
   bundle: true,
+  splitting: true,
+  // Half of a start is reading the sources; names are kept, so that stack traces stay readable.
+  minifyWhitespace: true,
+  minifySyntax: true,
   platform: "node",
   target: "node20",
   format: "esm",
@@ -19,6 +25,7 @@
     "@gladewall/kernel/commandLine": source("packages/kernel/src/commandLine.ts"),
     "@gladewall/kernel": source("packages/kernel/src/index.ts"),
     "@gladewall/coordination": source("packages/coordination/src/index.ts"),
+    "@gladewall/policy": source("packages/policy/src/index.ts"),
     "@gladewall/gateway": source("packages/gateway/src/index.ts"),
     "@gladewall/platform": source("platform/src/index.ts"),
   },
