Stop acting with a fence that the platform has refused

Cause, by reading: where fences are checked, a 409 means that a higher one has been used. It was taken for "none available" by orders of any class, and a usage report that met it counted as taken: the window was never reported, and the holder went on calling with the refused fence.

The first refusal ends all use of that fence, and the holder leaves its lease to run out, so that the next one is higher. New failure 5016.

--- a/packages/gateway/src/duties.ts
+++ b/packages/gateway/src/duties.ts
@@ -28,6 +28,8 @@
   readonly capacity: CapacityOrders;
   /** Whether the lease is free, as far as is known. */
   readonly isFree: () => boolean;
+  /** Whether the platform has refused a fence, as a higher one has been used. */
+  readonly isRefused: (fence: number) => boolean;
   /** Whether this node hears the whole fleet: nobody else knows its usage and its load. */
   readonly isEligible: () => boolean;
   readonly getServices: () => Iterable<Service>;
@@ -63,7 +65,7 @@
       margin: turnMs * leaseShare * marginShare,
       getRandom: Math.random,
       shouldAcquire: () => isEligible() && isFree(),
-      shouldKeep: isEligible,
+      shouldKeep: () => isEligible() && !this.isFenceRefused(),
     });
   }
 
@@ -92,10 +94,17 @@
     const { name, turnMs } = this.options;
     const fence = this.holder.getFence();
     if (this.stop.signal.aborted || fence.isErr() || !this.options.isEligible()) return undefined;
+    if (this.options.isRefused(fence.value)) return undefined;
     if (!this.isFirstEver && this.holder.getTenure() < turnMs * settleShare) return undefined;
     return { holder: name, fence: fence.value };
   }
 
+  /** A lease whose fence was refused is left: the next one comes with a higher fence. */
+  private isFenceRefused(): boolean {
+    const fence = this.holder.getFence();
+    return fence.isOk() && this.options.isRefused(fence.value);
+  }
+
   /** Leaves a mark in the store that duties have begun; whoever makes it is the first. */
   private async markFirst(): Promise<void> {
     const { store, markKey } = this.options;
--- /dev/null
+++ b/packages/gateway/src/fencedOrders.ts
@@ -0,0 +1,52 @@
+/**
+ * Orders whose fence the platform may refuse: a higher one has been used, so this node is not the holder any more,
+ * whatever it believes. From then on nothing is sent with that fence.
+ * @module
+ */
+import { Failure, FailureCode, type Logger } from "@gladewall/kernel";
+import { Err, type Result } from "ts-results-es";
+import type { CapacityOrder, OrderSender, OrderService, OrderWord, UsageReport } from "./types.js";
+
+/** An order service that remembers the highest fence that was refused. */
+export class FencedOrders implements OrderService {
+  private refusedFence = -Infinity;
+
+  private constructor(
+    private readonly orders: OrderService,
+    private readonly logger: Logger,
+  ) {}
+
+  static create(orders: OrderService, logger: Logger): FencedOrders {
+    return new FencedOrders(orders, logger);
+  }
+
+  /** Whether a fence, or a higher one of this node's, was refused. */
+  isRefused(fence: number): boolean {
+    return fence <= this.refusedFence;
+  }
+
+  reportUsage(report: UsageReport, sender: OrderSender): Promise<Result<OrderWord, Failure>> {
+    return this.send(sender, () => this.orders.reportUsage(report, sender));
+  }
+
+  orderCapacity(order: CapacityOrder, sender: OrderSender): Promise<Result<OrderWord, Failure>> {
+    return this.send(sender, () => this.orders.orderCapacity(order, sender));
+  }
+
+  async close(): Promise<void> {
+    await this.orders.close();
+  }
+
+  private async send(
+    { fence }: OrderSender,
+    call: () => Promise<Result<OrderWord, Failure>>,
+  ): Promise<Result<OrderWord, Failure>> {
+    if (this.isRefused(fence)) return Err(Failure.create(FailureCode.FenceOutdated, { fence }));
+    const answer = await call();
+    if (answer.isErr() && answer.error.code === FailureCode.FenceOutdated) {
+      this.refusedFence = Math.max(this.refusedFence, fence);
+      this.logger.warn("fence.refused", { fence });
+    }
+    return answer;
+  }
+}
--- a/packages/gateway/src/gatewayParts.ts
+++ b/packages/gateway/src/gatewayParts.ts
@@ -11,6 +11,7 @@
 import { ConfigurationFollower, type ConfigurationFollowerOptions } from "./configurationFollower.js";
 import { Demand } from "./demand.js";
 import { Duties } from "./duties.js";
+import { FencedOrders } from "./fencedOrders.js";
 import { GatewayMetrics } from "./gatewayMetrics.js";
 import type { GatewaySettings } from "./gatewaySettings.js";
 import { ownPrefix } from "./memberRecords.js";
@@ -54,6 +55,7 @@
   readonly follower: ConfigurationFollower;
   readonly directory: BackendDirectory;
   readonly usage: UsageCounts;
+  readonly orders: FencedOrders;
   readonly counters: SharedCounters;
   readonly rates: ReadingRates;
   readonly demand: Demand;
@@ -163,6 +165,7 @@
     follower,
     directory,
     usage: UsageCounts.create(),
+    orders: FencedOrders.create(platform.orders, logger),
     counters,
     rates,
     demand: Demand.create({
@@ -182,7 +185,7 @@
   const { settings, platform, clock, logger, time, usage } = views;
   return UsageReporter.create({
     store: platform.store,
-    orders: platform.orders,
+    orders: views.orders,
     clock,
     logger,
     prefix: usagePrefix,
@@ -241,7 +244,7 @@
   const { settings, platform, clock, logger, directory, follower, demand } = views;
   const { orders, node } = settings;
   const capacity = CapacityOrders.create({
-    orders: platform.orders,
+    orders: views.orders,
     clock,
     logger,
     getBackends: (service) => directory.getOfService(service),
@@ -259,6 +262,7 @@
     usage: reporter,
     capacity,
     isEligible: () => members.isCollector,
+    isRefused: (fence) => views.orders.isRefused(fence),
     isFree: () => members.isSettled && members.isListed && directory.isListed && !members.items.has(dutyKey),
     getServices: () => follower.getTable()?.configuration.services.values() ?? [],
   });
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -19,6 +19,7 @@
 export { Demand } from "./demand.js";
 export { Duties } from "./duties.js";
 export { EventSplitter } from "./eventSplitter.js";
+export { FencedOrders } from "./fencedOrders.js";
 export { LeakyBucket } from "./leakyBucket.js";
 export { PeerTimes } from "./peerTimes.js";
 export { Placer } from "./placement.js";
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -283,7 +283,10 @@
   NoneAvailable = 2,
 }
 
-/** The platform's interface for orders. Failures: `ServiceUnavailable`, `ServiceAnswerLost`. */
+/**
+ * The platform's interface for orders. Failures: `ServiceUnavailable`, `ServiceAnswerLost`, and `FenceOutdated` where a
+ * higher fence has been used for the same matter.
+ */
 export interface OrderService {
   reportUsage(report: UsageReport, sender: OrderSender): Promise<Result<OrderWord, Failure>>;
   orderCapacity(order: CapacityOrder, sender: OrderSender): Promise<Result<OrderWord, Failure>>;
--- a/packages/gateway/test/duties.test.ts
+++ b/packages/gateway/test/duties.test.ts
@@ -3,6 +3,7 @@
   CapacityOrders,
   type CapacityOrder,
   Duties,
+  FencedOrders,
   OrderWord,
   type StoreItem,
   UsageCounts,
@@ -41,7 +42,8 @@
 
   /** Starts a node with the counts it has. */
   start(name: string, counts: UsageCounts = UsageCounts.create(), isEligible = (): boolean => true) {
-    const { clock, shared, orders } = this;
+    const { clock, shared } = this;
+    const orders = FencedOrders.create(this.orders, Logger.createSilent());
     const store = MetadataStoreStandin.create(shared, clock);
     const logger = Logger.createSilent();
     const getItem = (key: string): StoreItem | undefined => shared.entries.get(key);
@@ -77,6 +79,7 @@
       usage,
       capacity,
       isEligible,
+      isRefused: (fence) => orders.isRefused(fence),
       isFree: () => shared.revision >= 0 && !shared.entries.has(leaseKey),
       getServices: () => [],
     });
@@ -232,3 +235,28 @@
     await closed;
   },
 );
+
+t.test(
+  "a holder whose fence is refused sends nothing more with it and comes back with a higher one",
+  async (t) => {
+    const bench = new DutyBench();
+    const one = bench.start("one", createCounts(bench, 3));
+    await bench.clock.advance(12_000);
+    const before = bench.orders.taken.length;
+    t.ok(before > 0);
+    const outdated = bench.orders.taken.at(-1)!.sender.fence;
+      bench.orders.leastFence = outdated + 1;
+    await bench.clock.advance(40_000);
+    t.equal(bench.orders.refused, 1, "one call learns of it");
+    const later = bench.orders.taken.slice(before);
+    t.ok(later.length > 3, "windows are reported again");
+    t.ok(later.every(({ sender }) => sender.fence > outdated));
+    const windows = bench.orders.taken.map(({ usage }) => usage?.window);
+    t.equal(new Set(windows).size, windows.length, "no window is reported twice");
+    const missing = windows.filter((window, index) => index > 0 && window !== (windows[index - 1] ?? 0) + 1);
+    t.same(missing, [], "and none is left out");
+    const closed = one.duties.close();
+    await bench.clock.advance(5_000);
+    await closed;
+  },
+);
--- a/packages/kernel/src/failures.ts
+++ b/packages/kernel/src/failures.ts
@@ -71,6 +71,7 @@
   HistoryLost = 5013,
   ConfigurationUnreadable = 5014,
   BackendRecordUnreadable = 5015,
+  FenceOutdated = 5016,
   TableInvalid = 6001,
   TableConflict = 6002,
   OperatorUnauthorized = 6003,
@@ -253,6 +254,7 @@
     notRun,
     "the record of backend {key} cannot be read: {detail}",
   ),
+  [FailureCode.FenceOutdated]: createRow(409, notRun, "a fence higher than {fence} has been used"),
   [FailureCode.TableInvalid]: createRow(400, notRun, "row {row}, column {column}: {detail}"),
   [FailureCode.TableConflict]: createRow(
     409,
--- a/packages/standins/src/gatewayPlatform.ts
+++ b/packages/standins/src/gatewayPlatform.ts
@@ -46,6 +46,10 @@
   /** Returns what an order for backends meets. */
   getCapacityWord: (order: CapacityOrder) => OrderWord = () => OrderWord.Taken;
   isDown = false;
+  /** Calls with a lower fence are refused. */
+  leastFence = -Infinity;
+  /** Calls that were refused for their fence. */
+  refused = 0;
 
   private constructor() {}
 
@@ -54,17 +58,25 @@
   }
 
   async reportUsage(usage: UsageReport, sender: OrderSender): Promise<Result<OrderWord, Failure>> {
-    if (this.isDown) return Err(Failure.create(FailureCode.ServiceUnavailable, { detail: "down" }));
+    const refusal = this.findRefusal(sender);
+    if (refusal) return Err(refusal);
     this.taken.push({ sender, usage });
     return Ok(OrderWord.Taken);
   }
 
   async orderCapacity(capacity: CapacityOrder, sender: OrderSender): Promise<Result<OrderWord, Failure>> {
-    if (this.isDown) return Err(Failure.create(FailureCode.ServiceUnavailable, { detail: "down" }));
+    const refusal = this.findRefusal(sender);
+    if (refusal) return Err(refusal);
     this.taken.push({ sender, capacity });
     return Ok(this.getCapacityWord(capacity));
   }
 
+  private findRefusal({ fence }: OrderSender): Failure | undefined {
+    if (this.isDown) return Failure.create(FailureCode.ServiceUnavailable, { detail: "down" });
+    this.refused += fence < this.leastFence ? 1 : 0;
+    return fence < this.leastFence ? Failure.create(FailureCode.FenceOutdated, { fence }) : undefined;
+  }
+
   async close(): Promise<void> {
     this.isDown = true;
   }
