Tell peers at once of long prompts, and what backends have read

Reports come each 150 ms and were added up each 150 ms. And each node knew only of its own prompts what an engine keeps of them.

Tests on the stand-ins, without which the words did not exist: peerWords, silentPeers.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -37,6 +37,8 @@
   readonly connectTimeoutMs: number;
   /** Called once a request has begun to run, with the time of day at which it did. */
   readonly countRun: (tenant: string, at: number) => void;
+  /** Tells the other nodes at once of prompt tokens that were sent to a backend. */
+  readonly tellPlaced: (backend: string, tokens: number) => void;
   /** Returns the time of day. */
   readonly getTimeOfDay: () => number;
   /** Whether answers should close their connections. */
@@ -79,6 +81,8 @@
 const mostNotRunTries = 4;
 const firstServerError = 500;
 const leastAttemptMs = 5;
+/** Reading that would make another request late if it came behind unknown: a tenth of the shortest usual objective. */
+const toldAtOnceMs = 25;
 const retryAfterMs = 300;
 const urgencyLevels = 9;
 const urgencyPerTenantRank = 3;
@@ -168,6 +172,7 @@
     backend.active += 1;
     const pending = service.engine ? placement.uncachedTokens : 0;
     backend.pendingTokens += pending;
+    this.tellIfLong(placement, pending);
     let isPending = true;
     const clearPending = (): void => {
       if (isPending) backend.pendingTokens -= pending;
@@ -179,6 +184,12 @@
     return next;
   }
 
+  private tellIfLong({ backend }: Placement, tokens: number): void {
+    const { rates, tellPlaced } = this.parts;
+    if (tokens / rates.get(this.request.service.name) < toldAtOnceMs) return;
+    tellPlaced(backend.id, tokens);
+  }
+
   private async send(placement: Placement, clearPending: () => void): Promise<Next> {
     const { backend } = placement;
     const startedAt = this.parts.clock.getTime();
@@ -285,7 +296,7 @@
       this.firstEventMs ??= time - this.request.arrivedAt;
       this.noteFirstEvent(placement, time - startedAt);
       this.countOnce(this.parts.getTimeOfDay());
-      this.parts.placer.memory.add(head.parts, backend.id);
+      this.parts.placer.memory.note(head.parts, backend.id);
     };
     const relayEnd = await this.relay.relay(answer, onFirst);
     if (this.isOver) return Next.Done;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -175,6 +175,11 @@
     return this.parts.counters.getKnownSum(CounterKind.Quota, tenant);
   }
 
+  /** Prompt tokens that other nodes have waiting at a backend, as they told. */
+  getPeerTokens(backend: string): number {
+    return this.parts.members.getPeerWork(backend).pendingTokens;
+  }
+
   /** Backends of a service that take work. */
   countBackends(service: string): number {
     return this.parts.directory.getOfService(service).filter((backend) => backend.isUsable()).length;
--- a/packages/gateway/src/gatewayParts.ts
+++ b/packages/gateway/src/gatewayParts.ts
@@ -17,6 +17,7 @@
 import { ownPrefix } from "./memberRecords.js";
 import { Members } from "./members.js";
 import { Placer } from "./placement.js";
+import { PrefixMemory } from "./prefixMemory.js";
 import { ReadingRates } from "./readingRates.js";
 import { RetryBudget } from "./retryBudget.js";
 import { CounterKind, SharedCounters } from "./sharedCounters.js";
@@ -58,6 +59,7 @@
   readonly orders: FencedOrders;
   readonly counters: SharedCounters;
   readonly rates: ReadingRates;
+  readonly memory: PrefixMemory;
   readonly demand: Demand;
 }
 
@@ -76,6 +78,7 @@
   readonly metrics: GatewayMetrics;
   readonly duties: Duties;
   readonly connectTimeoutMs: number;
+  readonly tellPlaced: (backend: string, tokens: number) => void;
   readonly countRun: (tenant: string, at: number) => void;
   readonly getTimeOfDay: () => number;
 }
@@ -114,6 +117,7 @@
     rates,
     placer: Placer.create({
       clock,
+      memory: views.memory,
       getReadingRate: (service) => rates.get(service),
       getBackends: (service) => directory.getOfService(service),
       getPeerWork: (backend) => members.getPeerWork(backend),
@@ -125,6 +129,7 @@
     metrics: GatewayMetrics.create(settings.listen.metrics),
     duties: createDuties(views, members, reporter),
     connectTimeoutMs: backends.connect_timeout,
+    tellPlaced: (backend, tokens) => members.tellPlaced(backend, tokens),
     countRun: (tenant, at) => usage.add(reporter.getWindow(at), tenant),
     getTimeOfDay: () => time.get(),
   };
@@ -168,6 +173,7 @@
     orders: FencedOrders.create(platform.orders, logger),
     counters,
     rates,
+    memory: PrefixMemory.create(),
     demand: Demand.create({
       clock,
       counters,
@@ -215,6 +221,7 @@
     largestMesh: peers.largest_mesh,
     counters,
     rates,
+    memory: views.memory,
     usage,
     time,
     configuration: follower,
--- a/packages/gateway/src/memberMessages.ts
+++ b/packages/gateway/src/memberMessages.ts
@@ -5,6 +5,7 @@
 import type { PeerMessage } from "@gladewall/coordination";
 import type { BackendWork } from "./backendWork.js";
 import type { FeedMessage, FeedState } from "./fleetFeed.js";
+import type { ReadReport } from "./prefixMemory.js";
 import type { RateReport } from "./readingRates.js";
 import type { CounterReport, CounterView } from "./sharedCounters.js";
 import type { WindowCounts } from "./usageCounts.js";
@@ -13,6 +14,7 @@
 export enum MemberMessageKind {
   Report = 32,
   View = 33,
+  Placed = 34,
 }
 
 /** What a node tells several times a second. */
@@ -26,6 +28,8 @@
   readonly work: BackendWork;
   /** Reading rates that the sender has learned. */
   readonly rates: RateReport;
+  /** Parts of prompts that backends have read since the last report; left out in a large fleet. */
+  readonly read?: ReadReport;
   /** Left out in some reports. */
   readonly usage?: WindowCounts;
   /** What the sender knows of the store, where it wants a view in answer. */
@@ -47,6 +51,13 @@
   readonly feed: FeedMessage;
 }
 
+/** A long prompt was sent to a backend; told at once, as the next report may come too late to keep others away. */
+export interface PlacedMessage extends PeerMessage {
+  readonly kind: MemberMessageKind.Placed;
+  readonly backend: string;
+  readonly tokens: number;
+}
+
 /** Field that the links' pings carry. */
 export interface PingMessage extends PeerMessage {
   readonly time?: number;
--- a/packages/gateway/src/members.ts
+++ b/packages/gateway/src/members.ts
@@ -18,12 +18,16 @@
 import {
   MemberMessageKind,
   type PingMessage,
+  type PlacedMessage,
   type ReportMessage,
   type ViewMessage,
 } from "./memberMessages.js";
 import { MemberRecords, ownPrefix } from "./memberRecords.js";
+import { PeerWorkViews } from "./peerWorkViews.js";
+import type { PrefixMemory } from "./prefixMemory.js";
 import type { ReadingRates } from "./readingRates.js";
 import type { CounterTotals, SharedCounters } from "./sharedCounters.js";
+import { SilentPeers } from "./silentPeers.js";
 import type { TrueTime } from "./trueTime.js";
 import type { MetadataStore, StoreItem } from "./types.js";
 import type { UsageCounts } from "./usageCounts.js";
@@ -48,6 +52,7 @@
   readonly largestMesh: number;
   readonly counters: SharedCounters;
   readonly rates: ReadingRates;
+  readonly memory: PrefixMemory;
   readonly usage: UsageCounts;
   readonly time: TrueTime;
   readonly configuration: ConfigurationFollower;
@@ -68,12 +73,6 @@
   readonly at: number;
 }
 
-/** What a peer last told. */
-interface PeerView {
-  readonly work: BackendWork;
-  readonly heardAt: number;
-}
-
 /** What the collector that is asked last answered. */
 interface FleetView {
   readonly work: BackendWork;
@@ -83,14 +82,10 @@
 
 const noWork: PeerWork = { active: 0, pendingTokens: 0 };
 const collectorCount = 3;
-/** Reports older than this say nothing of a peer's work. */
-const reportLifetimeMs = 1_000;
 /** A collector that has not answered for this long is passed over. */
 const viewPatienceMs = 600;
 /** Without a view for this long, a node uses no more than its own part of what is shared. */
 const viewLifetimeMs = 1_500;
-/** A node that is cut off from the store serves no longer than this. */
-const silentMs = 6_000;
 const toldWindows = 4;
 /** Reports between two that carry usage, in a large fleet. */
 const usageEvery = 2;
@@ -110,10 +105,9 @@
   private readonly records: MemberRecords;
   private readonly collectors: Collectors;
   private readonly feed: FleetFeed;
-  private readonly views = new Map<string, PeerView>();
+  private readonly peerWork: PeerWorkViews;
   private readonly peerTimes: PeerTimes;
-  /** Peers whose link was lost by silence, and until when they may still be serving. */
-  private readonly silentUntil = new Map<string, number>();
+  private readonly silentPeers = SilentPeers.create();
   private readonly stop = new AbortController();
   private task: Promise<void> = Promise.resolve();
   private sequence = 0;
@@ -129,10 +123,13 @@
   private isHistoryWanted = false;
   /** Work of the other nodes, and of this one, as of this turn. */
   private fleetWork: BackendWork = {};
+  /** Whether a peer of a small fleet has told something since. */
+  private isFleetWorkStale = false;
   private ownWork: BackendWork = {};
 
   private constructor(private readonly options: MembersOptions) {
     const { store, clock, logger, name, incarnation, secret, address, capacity, largestMesh } = options;
+    this.peerWork = PeerWorkViews.create(clock);
     this.peerTimes = PeerTimes.create(clock);
     this.links = PeerLinks.create({
       own: { name, incarnation },
@@ -223,13 +220,22 @@
     const time = this.options.clock.getTime();
     let silent = 0;
     for (const name of this.records.getNames()) {
-      if (name !== this.options.name && this.isSilent(name, time)) silent += 1;
+      if (name !== this.options.name && this.silentPeers.isSilent(name, time, this.links.isLinked(name)))
+        silent += 1;
     }
     return Math.max(1, fleet - silent) / fleet;
   }
 
+  /** Tells peers at once of a long prompt; in a large fleet it waits for the next report. */
+  tellPlaced(backend: string, tokens: number): void {
+    if (!this.collectors.isMesh) return;
+    const message: PlacedMessage = { kind: MemberMessageKind.Placed, backend, tokens: Math.round(tokens) };
+    this.links.broadcast(message);
+  }
+
   /** Other nodes' work at a backend, as they told it a moment ago. */
   getPeerWork(backend: string): PeerWork {
+    if (this.isFleetWorkStale) this.setFleetWork();
     const told = this.fleetWork[backend];
     return told ? { active: told[0], pendingTokens: told[1] } : noWork;
   }
@@ -252,13 +258,16 @@
     this.links.setHandler(MemberMessageKind.View, (message, peer) =>
       this.takeView(message as ViewMessage, peer),
     );
+    this.links.setHandler(MemberMessageKind.Placed, (message, peer) =>
+      this.takePlaced(message as PlacedMessage, peer),
+    );
     this.links.setHandler(LinkMessageKind.Ping, ({ time }: PingMessage, peer) => {
       if (time !== undefined) this.peerTimes.take(peer.name, time);
     });
     this.links.onUp((peer) => logger.info("peer.linked", { peer: peer.name }));
     this.links.onDown((peer) => {
       logger.info("peer.lost", { peer: peer.name });
-      this.handleDown(peer.name);
+      this.silentPeers.noteDown(peer.name, this.options.clock.getTime());
     });
   }
 
@@ -267,21 +276,6 @@
     this.links.setPeers(this.records.getAddresses(), this.collectors.getNames());
   }
 
-  private isSilent(name: string, time: number): boolean {
-    if ((this.silentUntil.get(name) ?? -Infinity) > time) return true;
-    const heardAt = this.views.get(name)?.heardAt;
-    if (heardAt === undefined) return false;
-    return this.links.isLinked(name) && time - heardAt > reportLifetimeMs;
-  }
-
-  private handleDown(name: string): void {
-    const time = this.options.clock.getTime();
-    const heardAt = this.views.get(name)?.heardAt;
-    // A peer that never reported has served nothing that this node could have missed by its silence.
-    if (heardAt === undefined || time - heardAt <= reportLifetimeMs) return;
-    this.silentUntil.set(name, time + silentMs);
-  }
-
   private async tell(): Promise<void> {
     const { clock, time, reportIntervalMs, largeFleetIntervalMs, onTurn } = this.options;
     const { signal } = this.stop;
@@ -289,7 +283,7 @@
       await waitFor(clock, this.collectors.isMesh ? reportIntervalMs : largeFleetIntervalMs, signal);
       time.adjust(this.peerTimes.getDifferences(time.get()));
       if (!this.collectors.isMesh && this.collectors.choose()) this.setFleet();
-      this.fleetWork = this.getFleetWork();
+      this.setFleetWork();
       this.feed.setFed(this.isFed);
       onTurn();
       this.report();
@@ -340,6 +334,7 @@
     const report = counters.createReport(isMesh || isOwn || this.isHistoryWanted);
     this.isHistoryWanted = false;
     this.keepTold(report.totals);
+    const read = this.options.memory.takeUntold();
     const hasUsage = isMesh || this.sequence % usageEvery === 0;
     return {
       kind: MemberMessageKind.Report,
@@ -348,6 +343,8 @@
       counters: report,
       work,
       rates: rates.createReport(),
+      // In a large fleet only collectors would hear it, and none passes it on.
+      ...(isMesh ? { read } : {}),
       ...(hasUsage ? { usage: usage.getOwn(getWindow(), toldWindows) } : {}),
     };
   }
@@ -363,12 +360,19 @@
     counters.takeReport(peer.name, life, message.counters);
     if (message.usage) usage.takePeer(life, message.usage);
     rates.takePeer(peer.name, message.rates);
-    this.silentUntil.delete(peer.name);
+    if (message.read) this.options.memory.takePeer(message.read);
+    this.silentPeers.noteHeard(peer.name, clock.getTime());
     this.peerTimes.take(peer.name, message.time);
-    this.views.set(peer.name, { work: message.work, heardAt: clock.getTime() });
+    this.peerWork.take(peer.name, message.work);
+    this.isFleetWorkStale = this.collectors.isMesh;
     if (message.feed) this.links.send(peer.name, this.createView(message, message.feed));
   }
 
+  private takePlaced({ backend, tokens }: PlacedMessage, peer: PeerIdentity): void {
+    this.peerWork.add(peer.name, backend, tokens);
+    this.isFleetWorkStale = true;
+  }
+
   private createView({ sequence, work }: ReportMessage, state: FeedState): ViewMessage {
     return {
       kind: MemberMessageKind.View,
@@ -416,11 +420,13 @@
     return undefined;
   }
 
+  private setFleetWork(): void {
+    this.fleetWork = this.getFleetWork();
+    this.isFleetWorkStale = false;
+  }
+
   private getFleetWork(): BackendWork {
     const view = this.collectors.isOwn ? undefined : this.getFleetView();
-    if (view) return view.work;
-    const limit = this.options.clock.getTime() - reportLifetimeMs;
-    const heard = [...this.views.values()].filter(({ heardAt }) => heardAt >= limit);
-    return sumWork(heard.map(({ work }) => work));
+    return view ? view.work : this.peerWork.getSum();
   }
 }
--- /dev/null
+++ b/packages/gateway/src/peerWorkViews.ts
@@ -0,0 +1,43 @@
+/**
+ * Work at backends as each peer last told it, and its sum.
+ * @module
+ */
+import type { Clock } from "@gladewall/kernel";
+import { type BackendWork, sumWork } from "./backendWork.js";
+import { reportLifetimeMs } from "./silentPeers.js";
+
+interface PeerView {
+  readonly work: BackendWork;
+  readonly heardAt: number;
+}
+
+/** What all peers told. */
+export class PeerWorkViews {
+  private readonly views = new Map<string, PeerView>();
+
+  private constructor(private readonly clock: Clock) {}
+
+  static create(clock: Clock): PeerWorkViews {
+    return new PeerWorkViews(clock);
+  }
+
+  /** Takes all of a peer's work, in place of what it told before. */
+  take(peer: string, work: BackendWork): void {
+    this.views.set(peer, { work, heardAt: this.clock.getTime() });
+  }
+
+  /** Adds a prompt that a peer has just sent to a backend; its next report includes it. */
+  add(peer: string, backend: string, tokens: number): void {
+    const view = this.views.get(peer) ?? { work: {}, heardAt: this.clock.getTime() };
+    const [active, pendingTokens] = view.work[backend] ?? [0, 0];
+    const work = { ...view.work, [backend]: [active + 1, pendingTokens + tokens] as const };
+    this.views.set(peer, { ...view, work });
+  }
+
+  /** Sum over the peers that were heard a moment ago; older words say nothing of a peer's work. */
+  getSum(): BackendWork {
+    const limit = this.clock.getTime() - reportLifetimeMs;
+    const heard = [...this.views.values()].filter(({ heardAt }) => heardAt >= limit);
+    return sumWork(heard.map(({ work }) => work));
+  }
+}
--- a/packages/gateway/src/placement.ts
+++ b/packages/gateway/src/placement.ts
@@ -6,7 +6,7 @@
 import { type Clock, hashText, mixHashes } from "@gladewall/kernel";
 import type { Backend, PeerWork } from "./backend.js";
 import { BackendState } from "./backend.js";
-import { PrefixMemory } from "./prefixMemory.js";
+import type { PrefixMemory } from "./prefixMemory.js";
 import type { PromptPart, Service } from "./types.js";
 
 /** A request as placement sees it. */
@@ -33,6 +33,7 @@
 /** Options of placement. */
 export interface PlacementOptions {
   readonly clock: Clock;
+  readonly memory: PrefixMemory;
   /** Returns the prompt tokens that a service's engine reads in a millisecond. */
   readonly getReadingRate: (service: string) => number;
   readonly getBackends: (service: string) => readonly Backend[];
@@ -54,9 +55,11 @@
 
 /** Chooses backends. */
 export class Placer {
-  readonly memory = PrefixMemory.create();
+  readonly memory: PrefixMemory;
 
-  private constructor(private readonly options: PlacementOptions) {}
+  private constructor(private readonly options: PlacementOptions) {
+    this.memory = options.memory;
+  }
 
   static create(options: PlacementOptions): Placer {
     return new Placer(options);
--- a/packages/gateway/src/prefixMemory.ts
+++ b/packages/gateway/src/prefixMemory.ts
@@ -1,14 +1,26 @@
 /**
- * Which backends were sent which parts of prompts, bounded by forgetting the parts unused longest.
+ * Which backends were sent which parts of prompts, by this node and its peers, bounded by forgetting the parts unused
+ * longest.
  * @module
  */
+import type { PromptPart } from "./types.js";
 
 const keptParts = 4_000;
+/** Parts that save less reading than this are not told: 256 tokens are 2 to 8 ms. */
+const leastToldTokens = 256;
+/** Most parts kept for one report: what is beyond it is only not known elsewhere. */
+const mostTold = 64;
+
+/** Parts of prompts that a node's requests made backends read, by backend. */
+export type ReadReport = Readonly<Record<string, readonly string[]>>;
 
 /** Remembers parts by backend. */
 export class PrefixMemory {
   /** Backends by part, the part used last at the end. */
   private readonly holders = new Map<string, Set<string>>();
+  /** What peers have not been told yet. */
+  private untold: Record<string, string[]> = {};
+  private untoldCount = 0;
 
   private constructor() {}
 
@@ -21,9 +33,35 @@
     return this.holders.get(part)?.has(backend) === true;
   }
 
-  /** Takes note that a backend has read parts. */
-  add(parts: readonly { readonly id: string }[], backend: string): void {
-    for (const { id } of parts) {
+  /** Takes note that a request of this node made a backend read its prompt. */
+  note(parts: readonly PromptPart[], backend: string): void {
+    // The last part is the request's own: no other will bring it, but for its session's next one, which comes here.
+    for (const { id, tokens } of parts.slice(0, -1)) {
+      if (tokens < leastToldTokens || this.holds(id, backend) || this.untoldCount >= mostTold) continue;
+      (this.untold[backend] ??= []).push(id);
+      this.untoldCount += 1;
+    }
+    this.add(
+      parts.map(({ id }) => id),
+      backend,
+    );
+  }
+
+  /** Returns what peers have not been told yet; they count as told from then on. */
+  takeUntold(): ReadReport {
+    const { untold } = this;
+    this.untold = {};
+    this.untoldCount = 0;
+    return untold;
+  }
+
+  /** Takes what a peer tells. */
+  takePeer(report: ReadReport): void {
+    for (const [backend, parts] of Object.entries(report)) this.add(parts, backend);
+  }
+
+  private add(parts: readonly string[], backend: string): void {
+    for (const id of parts) {
       const holders = this.holders.get(id) ?? new Set<string>();
       this.holders.delete(id);
       this.holders.set(id, holders);
--- /dev/null
+++ b/packages/gateway/src/silentPeers.ts
@@ -0,0 +1,44 @@
+/**
+ * Peers that fell silent and may be serving unheard: cut off, they serve as long as their proof of the configuration
+ * lasts, and keep their part of what is shared for so long. A peer whose connection was closed has ended.
+ * @module
+ */
+
+/** A peer that has not been heard for this long is silent, milliseconds: six reports of a small fleet. */
+export const reportLifetimeMs = 1_000;
+/**
+ * Time from its last word for which a silent peer may be serving: the 5 s after which removed keys must not run, and
+ * one more for clocks, scheduling and what reached it after its last word left.
+ */
+const servingMs = 6_000;
+
+/** Knows which peers may be serving unheard. */
+export class SilentPeers {
+  private readonly heardAt = new Map<string, number>();
+  private readonly servingUntil = new Map<string, number>();
+
+  private constructor() {}
+
+  static create(): SilentPeers {
+    return new SilentPeers();
+  }
+
+  noteHeard(name: string, time: number): void {
+    this.heardAt.set(name, time);
+    this.servingUntil.delete(name);
+  }
+
+  /** Takes note that the link to a peer is gone. One that was heard until then has ended, and serves nothing. */
+  noteDown(name: string, time: number): void {
+    const heardAt = this.heardAt.get(name);
+    if (heardAt === undefined || time - heardAt <= reportLifetimeMs) return;
+    this.servingUntil.set(name, heardAt + servingMs);
+  }
+
+  /** Whether a peer may be serving unheard. One that never reported has served nothing that could have been missed. */
+  isSilent(name: string, time: number, isLinked: boolean): boolean {
+    if ((this.servingUntil.get(name) ?? -Infinity) > time) return true;
+    const heardAt = this.heardAt.get(name);
+    return heardAt !== undefined && isLinked && time - heardAt > reportLifetimeMs;
+  }
+}
--- /dev/null
+++ b/packages/gateway/test/peerWords.test.ts
@@ -0,0 +1,60 @@
+import t from "tap";
+import { PrefixMemory, RouteKind } from "@gladewall/gateway";
+import {
+  answerGood,
+  type BackendCall,
+  createRoute,
+  createService,
+  GatewayBench,
+  ScriptedBackend,
+  waitUntil,
+} from "@gladewall/standins";
+
+/** Longer than the test lasts: whatever is known before has been told at once. */
+const seldom = "peers.report_interval=10000";
+
+t.test("a long prompt is told at once, a short one waits for the next report", async (t) => {
+  const bench = GatewayBench.create();
+  bench.platform.configure({
+    routes: [createRoute({ kind: RouteKind.Stream })],
+    services: [createService({ engine: { slots: 8, tokenCapacity: 100_000 } })],
+  });
+  const held: BackendCall[] = [];
+  const backend = await ScriptedBackend.create("b", (call) => void held.push(call));
+  bench.platform.list({ id: "b", address: backend.address });
+  const one = await bench.startReady(1, "web", [seldom]);
+  const two = await bench.startReady(1, "web", [seldom]);
+  t.teardown(() => Promise.all([bench.close(), backend.close()]));
+  await waitUntil(() => one.gateway.linkedPeers === 1 && two.gateway.linkedPeers === 1);
+  const short = bench.call(two, { headers: { "x-tokens": "100" } });
+  await waitUntil(() => held.length === 1);
+  const long = bench.call(two, { headers: { "x-tokens": "12000" } });
+  await waitUntil(() => one.gateway.getPeerTokens("b") > 0);
+  t.equal(one.gateway.getPeerTokens("b"), 12_000);
+  t.equal(two.gateway.getPeerTokens("b"), 0, "nobody is told of its own");
+  await waitUntil(() => held.length === 2);
+  for (const call of held) answerGood(call);
+  t.same([(await short).status, (await long).status], [200, 200]);
+});
+
+t.test("peers are told once which backends read which shared parts, and go by it", async (t) => {
+  const own = PrefixMemory.create();
+  const peer = PrefixMemory.create();
+  const parts = [
+    { id: "shared", tokens: 500 },
+    { id: "small", tokens: 100 },
+    { id: "session", tokens: 4_000 },
+    { id: "rest", tokens: 6_000 },
+  ];
+  own.note(parts, "b");
+  own.note(parts, "b");
+  const told = own.takeUntold();
+  t.same(told, { b: ["shared", "session"] }, "not what is small or the request's own");
+  t.same(own.takeUntold(), {}, "told once");
+  peer.takePeer(told);
+  t.ok(peer.holds("session", "b"));
+  t.notOk(peer.holds("rest", "b"));
+  t.same(peer.takeUntold(), {}, "and not passed on");
+  for (let index = 0; index < 200; index++) own.note([{ id: `p${index}`, tokens: 900 }, ...parts], "b");
+  t.equal(own.takeUntold().b?.length, 64, "bounded");
+});
--- a/packages/gateway/test/placement.test.ts
+++ b/packages/gateway/test/placement.test.ts
@@ -1,5 +1,13 @@
 import t from "tap";
-import { Backend, BackendState, CounterKind, Placer, RetryBudget, SharedCounters } from "@gladewall/gateway";
+import {
+  Backend,
+  BackendState,
+  CounterKind,
+  Placer,
+  PrefixMemory,
+  RetryBudget,
+  SharedCounters,
+} from "@gladewall/gateway";
 import { VirtualClock } from "@gladewall/kernel";
 import { createService } from "@gladewall/standins";
 
@@ -21,6 +29,7 @@
 
 function createPlacer(backends: readonly Backend[], clock = VirtualClock.create()): Placer {
   return Placer.create({
+    memory: PrefixMemory.create(),
     clock,
     getReadingRate: () => 50,
     getBackends: () => backends,
--- a/packages/gateway/test/readingRates.test.ts
+++ b/packages/gateway/test/readingRates.test.ts
@@ -1,5 +1,13 @@
 import t from "tap";
-import { Backend, Demand, CounterKind, Placer, ReadingRates, SharedCounters } from "@gladewall/gateway";
+import {
+  Backend,
+  Demand,
+  CounterKind,
+  Placer,
+  PrefixMemory,
+  ReadingRates,
+  SharedCounters,
+} from "@gladewall/gateway";
 import { Logger, VirtualClock } from "@gladewall/kernel";
 import { createService } from "@gladewall/standins";
 
@@ -61,6 +69,7 @@
     getActive: () => 0,
   });
   const placer = Placer.create({
+    memory: PrefixMemory.create(),
     clock,
     getReadingRate,
     getBackends: () => [createBackend()],
--- /dev/null
+++ b/packages/gateway/test/silentPeers.test.ts
@@ -0,0 +1,29 @@
+import t from "tap";
+import { SilentPeers } from "@gladewall/gateway";
+
+t.test(
+  "a peer that is cut off keeps its part for as long as it may serve, from its last word on",
+  async (t) => {
+    const peers = SilentPeers.create();
+    peers.noteHeard("cut", 1_000);
+    t.notOk(peers.isSilent("cut", 1_900, true));
+    t.ok(peers.isSilent("cut", 2_100, true), "linked and silent");
+    peers.noteDown("cut", 3_500);
+    t.ok(peers.isSilent("cut", 6_900, false));
+    t.notOk(
+      peers.isSilent("cut", 7_000, false),
+      "the time in which the loss was noticed does not count twice",
+    );
+    peers.noteHeard("cut", 7_500);
+    t.notOk(peers.isSilent("cut", 7_600, true));
+  },
+);
+
+t.test("a peer whose connection was closed, or that never reported, keeps nothing", async (t) => {
+  const peers = SilentPeers.create();
+  peers.noteHeard("ended", 1_000);
+  peers.noteDown("ended", 1_400);
+  t.notOk(peers.isSilent("ended", 1_500, false));
+  peers.noteDown("unheard", 9_000);
+  t.notOk(peers.isSilent("unheard", 9_100, true));
+});
