--- a/packages/gateway/src/configurationFollower.ts
+++ b/packages/gateway/src/configurationFollower.ts
@@ -117,7 +117,7 @@
     const hasLost = this.isFed && !isFed;
     this.isFed = isFed;
     this.follower.setPassive(isFed || this.isLost);
-    if (hasLost && this.readsUnderWay < mostReads) void this.readOnce();
+    if (hasLost) void this.tryRead();
   }
 
   /** Takes note of trouble that whoever tells this node had so long ago. */
@@ -148,13 +148,15 @@
     const { clock, proofIntervalMs, proofLifetimeMs } = this.options;
     while (!this.stop.signal.aborted) {
       const isOld = this.getProofAge() > proofLifetimeMs * askPeersShare;
-      if ((isOld || !this.isFed) && this.readsUnderWay < mostReads) void this.readOnce();
+      if (isOld || !this.isFed) void this.tryRead();
       if (isOld) void this.askPeers();
       await waitFor(clock, this.isFed ? fedIntervalMs : proofIntervalMs, this.stop.signal);
     }
   }
 
-  private async readOnce(): Promise<void> {
+  /** Reads the configuration, unless so many reads are under way that one more would only load a slow store. */
+  private async tryRead(): Promise<void> {
+    if (this.readsUnderWay >= mostReads) return;
     const { clock, platform } = this.options;
     const sentAt = clock.getTime();
     this.readsUnderWay += 1;
@@ -203,7 +205,7 @@
     if (value) this.take({ key: this.options.platform.configurationKey, revision, value });
     if (this.takenRevision < revision) {
       // There is a newer configuration, too large to be passed on.
-      if (this.readsUnderWay < mostReads) void this.readOnce();
+      void this.tryRead();
       return;
     }
     if (!this.table) return;
