--- a/packages/gateway/test/duties.test.ts
+++ b/packages/gateway/test/duties.test.ts
@@ -245,7 +245,7 @@
     const before = bench.orders.taken.length;
     t.ok(before > 0);
     const outdated = bench.orders.taken.at(-1)!.sender.fence;
-      bench.orders.leastFence = outdated + 1;
+    bench.orders.leastFence = outdated + 1;
     await bench.clock.advance(40_000);
     t.equal(bench.orders.refused, 1, "one call learns of it");
     const later = bench.orders.taken.slice(before);
