Bear peers of earlier builds that tell no reading rates

A rolling change of builds has both kinds at once; without the guard the first report of an earlier build would end the handler with an error.

--- a/packages/gateway/src/memberMessages.ts
+++ b/packages/gateway/src/memberMessages.ts
@@ -26,8 +26,8 @@
   readonly time: number;
   readonly counters: CounterReport;
   readonly work: BackendWork;
-  /** Reading rates that the sender has learned. */
-  readonly rates: RateReport;
+  /** Reading rates that the sender has learned; earlier builds leave them out. */
+  readonly rates?: RateReport;
   /** Parts of prompts that backends have read since the last report; left out in a large fleet. */
   readonly read?: ReadReport;
   /** Left out in some reports. */
@@ -46,8 +46,8 @@
   readonly work: BackendWork;
   /** Share of the fleet that is heard. */
   readonly knownShare: number;
-  /** Reading rates that the sender goes by. */
-  readonly rates: RateReport;
+  /** Reading rates that the sender goes by; earlier builds leave them out. */
+  readonly rates?: RateReport;
   readonly feed: FeedMessage;
 }
 
--- a/packages/gateway/src/members.ts
+++ b/packages/gateway/src/members.ts
@@ -359,7 +359,7 @@
     const life = `${peer.name}/${peer.incarnation}`;
     counters.takeReport(peer.name, life, message.counters);
     if (message.usage) usage.takePeer(life, message.usage);
-    rates.takePeer(peer.name, message.rates);
+    if (message.rates) rates.takePeer(peer.name, message.rates);
     if (message.read) this.options.memory.takePeer(message.read);
     this.silentPeers.noteHeard(peer.name, clock.getTime());
     this.peerTimes.take(peer.name, message.time);
@@ -394,7 +394,7 @@
     const time = this.options.clock.getTime();
     if (this.feed.take(feed, told.at)) this.fedAt = time;
     else this.passOver(time);
-    this.options.rates.takePeer(peer.name, rates);
+    if (rates) this.options.rates.takePeer(peer.name, rates);
     const own = this.options.counters;
     if (!counters.isInformed && own.getUptime() > counters.uptime + youngerByMs && own.isInformed) {
       this.isHistoryWanted = true;
