Read fractions and units in settings; the time a silent peer serves follows the operators' bound

SilentPeers held 6 s as a constant, which is right for a bound of 5 s only. Ruled out: rounding in the template (the platform fills, it does not reckon). Change: a type of setting for durations, with units; slack of retries and limits may be fractions; the constant is the operators' bound and 1 s. The settings that differ from their defaults are logged at the start. The dead setting [orders] usage_due is gone.

--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -10,6 +10,7 @@
   findLogLevel,
   formatReference,
   formatSettings,
+  listChangedSettings,
   printFailures,
   readSettings,
   SystemClock,
@@ -40,6 +41,10 @@
   const gateway = Gateway.create(settings.value, logs.logger, clock);
   if (gateway.isErr()) exitWith([gateway.error]);
   if (gateway.isErr() || options.check || options.print) return logs.close();
+  logs.logger.info("settings.read", {
+    file: options.settings,
+    ...listChangedSettings(gatewaySchema, settings.value),
+  });
   handleSignals(gateway.value, logs, options);
   await gateway.value.start();
 }
--- a/packages/gateway/src/gatewayParts.ts
+++ b/packages/gateway/src/gatewayParts.ts
@@ -219,6 +219,7 @@
     largeFleetIntervalMs: peers.large_fleet_interval,
     capacity: peers.capacity,
     largestMesh: peers.largest_mesh,
+    revokeWithinMs: settings.configuration.revoke_within,
     counters,
     rates,
     memory: views.memory,
--- a/packages/gateway/src/gatewaySettings.ts
+++ b/packages/gateway/src/gatewaySettings.ts
@@ -6,6 +6,7 @@
   createAddress,
   createChoice,
   createDecimal,
+  createDuration,
   createFlag,
   createInteger,
   createReloadable,
@@ -33,21 +34,18 @@
     adapter: createText("name of the platform plug-in"),
     store_address: createAddress("the platform's store"),
     orders_address: createAddress("the platform's interface for orders"),
-    timeout: createInteger("ms", 1_200, [50, minute], "longest time of a call"),
+    timeout: createDuration(1_200, [50, minute], "longest time of a call"),
   },
   peers: {
     secret: createSecret("secret that all nodes share"),
-    report_interval: createReloadable(
-      createInteger("ms", 150, [20, 10_000], "time between two reports to peers"),
-    ),
+    report_interval: createReloadable(createDuration(150, [20, 10_000], "time between two reports to peers")),
     largest_mesh: createInteger(
       "nodes",
       24,
       [1, 1_000],
       "nodes up to which each reports to every other; beyond it, to a few collectors only",
     ),
-    large_fleet_interval: createInteger(
-      "ms",
+    large_fleet_interval: createDuration(
       250,
       [20, 10_000],
       "time between two reports while there are more nodes than that",
@@ -60,23 +58,21 @@
     ),
   },
   configuration: {
-    proof_interval: createInteger(
-      "ms",
+    proof_interval: createDuration(
       1_500,
       [50, minute],
       "time between two reads that prove the version in force",
     ),
-    revoke_within: createInteger("ms", 5_000, [500, minute], "time after which a removed key runs nothing"),
-    revoke_margin: createInteger("ms", 400, [0, minute], "part of it that is kept for clocks and scheduling"),
+    revoke_within: createDuration(5_000, [500, minute], "time after which a removed key runs nothing"),
+    revoke_margin: createDuration(400, [0, minute], "part of it that is kept for clocks and scheduling"),
   },
   backends: {
-    drain: createInteger(
-      "ms",
+    drain: createDuration(
       2_000,
       [100, minute],
       "time in which work must stop going to a backend that leaves",
     ),
-    connect_timeout: createInteger("ms", 250, [10, minute], "longest time to open a connection"),
+    connect_timeout: createDuration(250, [10, minute], "longest time to open a connection"),
     prefill_rate: createDecimal(
       "tokens/ms",
       50,
@@ -86,27 +82,16 @@
   },
   retries: {
     ratio: createDecimal("", 0.2, [0, 10], "repeats that a service may get for each of its requests"),
-    window: createInteger("ms", 10_000, [1_000, 10 * minute], "window that repeats are counted over"),
-    slack: createInteger("requests", 56, [0, 1_000_000], "repeats of a window beside the ratio"),
+    window: createDuration(10_000, [1_000, 10 * minute], "window that repeats are counted over"),
+    slack: createDecimal("requests", 56, [0, 1_000_000], "repeats of a window beside the ratio"),
   },
   quotas: {
-    window: createInteger("ms", 8_000, [1_000, 10 * minute], "window that limits are counted over"),
-    slack: createInteger("units", 0, [0, 1_000_000_000], "units over a limit that are borne once"),
+    window: createDuration(8_000, [1_000, 10 * minute], "window that limits are counted over"),
+    slack: createDecimal("units", 0, [0, 1_000_000_000], "units over a limit that are borne once"),
   },
   orders: {
-    turn: createInteger(
-      "ms",
-      3_000,
-      [1_000, 10 * minute],
-      "time in which no two nodes may give orders by turns",
-    ),
-    usage_window: createInteger("ms", 5_000, [1_000, 10 * minute], "length of a usage window"),
-    usage_due: createInteger(
-      "ms",
-      10_000,
-      [1_000, 10 * minute],
-      "time after a window's end at which its report is due",
-    ),
+    turn: createDuration(3_000, [1_000, 10 * minute], "time in which no two nodes may give orders by turns"),
+    usage_window: createDuration(5_000, [1_000, 10 * minute], "length of a usage window"),
     least_per_zone: createDecimal(
       "backends",
       1.5,
@@ -116,13 +101,12 @@
     utilization: createDecimal("", 0.4, [0.01, 1], "share of an engine's reading rate that is planned with"),
   },
   leaving: {
-    unnoticed: createInteger(
-      "ms",
+    unnoticed: createDuration(
       3_200,
       [0, minute],
       "time after the request to stop in which new callers may still be sent here",
     ),
-    grace: createInteger("ms", 8_000, [1_000, 10 * minute], "time between the request to stop and the kill"),
+    grace: createDuration(8_000, [1_000, 10 * minute], "time between the request to stop and the kill"),
   },
   logs: {
     level: createReloadable(
--- a/packages/gateway/src/members.ts
+++ b/packages/gateway/src/members.ts
@@ -50,6 +50,8 @@
   readonly capacity: number;
   /** Largest fleet in which every node reports to every other. */
   readonly largestMesh: number;
+  /** Time after which a removed key must run nothing. */
+  readonly revokeWithinMs: number;
   readonly counters: SharedCounters;
   readonly rates: ReadingRates;
   readonly memory: PrefixMemory;
@@ -107,7 +109,7 @@
   private readonly feed: FleetFeed;
   private readonly peerWork: PeerWorkViews;
   private readonly peerTimes: PeerTimes;
-  private readonly silentPeers = SilentPeers.create();
+  private readonly silentPeers: SilentPeers;
   private readonly stop = new AbortController();
   private task: Promise<void> = Promise.resolve();
   private sequence = 0;
@@ -131,6 +133,7 @@
     const { store, clock, logger, name, incarnation, secret, address, capacity, largestMesh } = options;
     this.peerWork = PeerWorkViews.create(clock);
     this.peerTimes = PeerTimes.create(clock);
+    this.silentPeers = SilentPeers.create(options.revokeWithinMs);
     this.links = PeerLinks.create({
       own: { name, incarnation },
       secret,
--- a/packages/gateway/src/silentPeers.ts
+++ b/packages/gateway/src/silentPeers.ts
@@ -7,20 +7,21 @@
 /** A peer that has not been heard for this long is silent, milliseconds: six reports of a small fleet. */
 export const reportLifetimeMs = 1_000;
 /**
- * Time from its last word for which a silent peer may be serving: the 5 s after which removed keys must not run, and
- * one more for clocks, scheduling and what reached it after its last word left.
+ * Added to the time after which removed keys must not run: clocks, scheduling and what reached a peer after its
+ * last word left. Assumed; a second is ten times what links and turns of the event loop take in calm.
  */
-const servingMs = 6_000;
+const servingMarginMs = 1_000;
 
 /** Knows which peers may be serving unheard. */
 export class SilentPeers {
   private readonly heardAt = new Map<string, number>();
   private readonly servingUntil = new Map<string, number>();
 
-  private constructor() {}
+  private constructor(private readonly servingMs: number) {}
 
-  static create(): SilentPeers {
-    return new SilentPeers();
+  /** `revokeWithinMs`: time after which removed keys must not run; a node that is cut off serves no longer than that. */
+  static create(revokeWithinMs: number): SilentPeers {
+    return new SilentPeers(revokeWithinMs + servingMarginMs);
   }
 
   noteHeard(name: string, time: number): void {
@@ -32,7 +33,7 @@
   noteDown(name: string, time: number): void {
     const heardAt = this.heardAt.get(name);
     if (heardAt === undefined || time - heardAt <= reportLifetimeMs) return;
-    this.servingUntil.set(name, heardAt + servingMs);
+    this.servingUntil.set(name, heardAt + this.servingMs);
   }
 
   /** Whether a peer may be serving unheard. One that never reported has served nothing that could have been missed. */
--- a/packages/gateway/test/silentPeers.test.ts
+++ b/packages/gateway/test/silentPeers.test.ts
@@ -4,7 +4,7 @@
 t.test(
   "a peer that is cut off keeps its part for as long as it may serve, from its last word on",
   async (t) => {
-    const peers = SilentPeers.create();
+    const peers = SilentPeers.create(5_000);
     peers.noteHeard("cut", 1_000);
     t.notOk(peers.isSilent("cut", 1_900, true));
     t.ok(peers.isSilent("cut", 2_100, true), "linked and silent");
@@ -20,10 +20,20 @@
 );
 
 t.test("a peer whose connection was closed, or that never reported, keeps nothing", async (t) => {
-  const peers = SilentPeers.create();
+  const peers = SilentPeers.create(5_000);
   peers.noteHeard("ended", 1_000);
   peers.noteDown("ended", 1_400);
   t.notOk(peers.isSilent("ended", 1_500, false));
   peers.noteDown("unheard", 9_000);
   t.notOk(peers.isSilent("unheard", 9_100, true));
 });
+
+t.test("how long a peer may serve unheard follows from the operators' bound on removed keys", async (t) => {
+  for (const revokeWithinMs of [3_000, 8_000]) {
+    const peers = SilentPeers.create(revokeWithinMs);
+    peers.noteHeard("cut", 0);
+    peers.noteDown("cut", 2_500);
+    t.ok(peers.isSilent("cut", revokeWithinMs + 900, false));
+    t.notOk(peers.isSilent("cut", revokeWithinMs + 1_000, false));
+  }
+});
--- a/packages/kernel/src/settings.ts
+++ b/packages/kernel/src/settings.ts
@@ -35,6 +35,8 @@
 const environmentPrefix = "GLADEWALL_";
 const secretMask = "(secret)";
 const addressPattern = /^(\[[0-9a-fA-F:]+\]|[A-Za-z0-9.-]+):(\d{1,5})$/;
+const durationPattern = /^(\d+(?:\.\d+)?)\s*(ms|s)?$/;
+const millisecondsPerSecond = 1_000;
 const highestPort = 65_535;
 
 /** Reads and checks settings. Returns every mistake found, so that one run shows them all. */
@@ -201,11 +203,21 @@
 
 function parseNumber(text: string, key: SettingKey, pattern: RegExp): Parsed {
   if (!pattern.test(text)) return Mistake.WrongType;
-  const value = Number(text);
+  return checkRange(Number(text), key);
+}
+
+function checkRange(value: number, key: SettingKey): Parsed {
   const isInRange = value >= (key.lowest ?? -Infinity) && value <= (key.highest ?? Infinity);
   return isInRange ? { value } : Mistake.OutOfRange;
 }
 
+function parseDuration(text: string, key: SettingKey): Parsed {
+  const found = durationPattern.exec(text);
+  if (!found) return Mistake.WrongType;
+  const value = Math.round(Number(found[1]) * (found[2] === "s" ? millisecondsPerSecond : 1));
+  return checkRange(value, key);
+}
+
 function parseFlag(text: string): Parsed {
   if (text === "true") return { value: true };
   if (text === "false") return { value: false };
@@ -235,6 +247,7 @@
   [SettingType.Text]: parseText,
   [SettingType.Integer]: (text, key) => parseNumber(text, key, /^-?\d+$/),
   [SettingType.Decimal]: (text, key) => parseNumber(text, key, /^-?\d+(\.\d+)?$/),
+  [SettingType.Duration]: parseDuration,
   [SettingType.Flag]: parseFlag,
   [SettingType.Choice]: parseChoice,
   [SettingType.Address]: parseAddress,
@@ -246,6 +259,7 @@
   [SettingType.Text]: "text",
   [SettingType.Integer]: "a whole number",
   [SettingType.Decimal]: "a decimal number",
+  [SettingType.Duration]: "a duration",
   [SettingType.Flag]: "true or false",
   [SettingType.Choice]: "one of",
   [SettingType.Address]: "an address host:port",
@@ -284,6 +298,26 @@
   return `${lines.join("\n")}`;
 }
 
+/** Returns the settings that differ from their defaults, by `section.key`, with secrets masked; for a log line. */
+export function listChangedSettings<Schema extends SettingSchema>(
+  schema: Schema,
+  settings: SettingsOf<Schema>,
+): Readonly<Record<string, string>> {
+  const changed: Record<string, string> = {};
+  for (const [section, keys] of Object.entries(schema)) {
+    const values = settings[section] as Readonly<Record<string, Value>>;
+    for (const [name, key] of Object.entries(keys)) {
+      const shown = formatValue(key, values[name]);
+      if (shown !== key.fallback) changed[`${section}.${name}`] = shown;
+    }
+  }
+  return changed;
+}
+
+function formatValue(key: SettingKey, value: Value | undefined): string {
+  return key.type === SettingType.Secret && value !== "" ? secretMask : String(value);
+}
+
 /** Returns settings as INI text with secrets masked. */
 export function formatSettings<Schema extends SettingSchema>(
   schema: Schema,
@@ -294,9 +328,7 @@
     lines.push(`[${section}]`);
     const values = settings[section] as Readonly<Record<string, Value>>;
     for (const [name, key] of Object.entries(keys)) {
-      const value = values[name];
-      const shown = key.type === SettingType.Secret && value !== "" ? secretMask : String(value);
-      lines.push(`${name} = ${shown}`);
+      lines.push(`${name} = ${formatValue(key, values[name])}`);
     }
     lines.push("");
   }
--- a/packages/kernel/src/settingsSchema.ts
+++ b/packages/kernel/src/settingsSchema.ts
@@ -17,6 +17,8 @@
   /** Text that is never printed. */
   Secret = 7,
   Decimal = 8,
+  /** Milliseconds; written as a number of them, or with a unit: `1500`, `1500ms`, `1.5s`. */
+  Duration = 9,
 }
 
 /** One key of a section. */
@@ -40,7 +42,9 @@
 /** Sections by name. */
 export type SettingSchema = Readonly<Record<string, SettingSection>>;
 
-type ValueOf<Key extends SettingKey> = Key["type"] extends SettingType.Integer | SettingType.Decimal
+type NumberType = SettingType.Integer | SettingType.Decimal | SettingType.Duration;
+
+type ValueOf<Key extends SettingKey> = Key["type"] extends NumberType
   ? number
   : Key["type"] extends SettingType.Flag
     ? boolean
@@ -77,6 +81,16 @@
   return { type: SettingType.Decimal, unit, fallback: String(fallback), lowest, highest, help };
 }
 
+/** Creates a duration key; fallback and range are in milliseconds, and so is its value, a whole number. */
+export function createDuration(
+  fallback: number,
+  range: readonly [lowest: number, highest: number],
+  help: string,
+): SettingKey & { type: SettingType.Duration } {
+  const [lowest, highest] = range;
+  return { type: SettingType.Duration, unit: "ms", fallback: String(fallback), lowest, highest, help };
+}
+
 /** Creates a text key; without a fallback it is required. */
 export function createText(help: string, fallback?: string): SettingKey & { type: SettingType.Text } {
   return { type: SettingType.Text, unit: "", fallback, help };
--- a/packages/kernel/test/settings.test.ts
+++ b/packages/kernel/test/settings.test.ts
@@ -2,11 +2,13 @@
 import {
   createAddress,
   createChoice,
+  createDuration,
   createInteger,
   createSecret,
   createText,
   FailureCode,
   formatSettings,
+  listChangedSettings,
   parseSettings,
   readSettings,
 } from "../src/index.js";
@@ -92,6 +94,25 @@
   }
 });
 
+t.test("a duration is a number of milliseconds, whole or not, or has a unit", async (t) => {
+  const timed = { calls: { timeout: createDuration(1_500, [100, 60_000], "Timeout.") } };
+  const read = (value: string) =>
+    parseSettings(timed, `[calls]\ntimeout = ${value}\n`, { file: "f.ini", environment: {}, overrides: [] });
+  const good: readonly [string, number][] = [
+    ["250", 250],
+    ["7.5s", 7_500],
+    ["7.50 s", 7_500],
+    ["2000.4ms", 2_000],
+    ["60s", 60_000],
+  ];
+  for (const [text, value] of good) t.equal(read(text).unwrap().calls.timeout, value);
+  for (const text of ["7.5000s5", "1m", "s", "-1s", "1e3"]) {
+    t.equal(read(text).unwrapErr()[0]?.code, FailureCode.SettingsWrongType, text);
+  }
+  const [late] = read("61s").unwrapErr();
+  t.match(late?.text, "[calls] timeout is out of range; allowed: a duration from 100 to 60000 ms");
+});
+
 t.test("a missing required key and a missing file are told", async (t) => {
   t.equal(parse("[front]\n").unwrapErr()[0]?.code, FailureCode.SettingsMissingKey);
   const missing = readSettings(schema, { file: "/nonexistent/f.ini", environment: {}, overrides: [] });
@@ -108,6 +129,11 @@
   t.match(printed, "secret = (secret)");
 });
 
+t.test("what differs from the defaults is listed for the log, secrets masked", async (t) => {
+  const settings = parse(`${good}[front]\nwidth = 5\n`).unwrap();
+  t.same(listChangedSettings(schema, settings), { "front.width": "5", "peers.secret": "(secret)" });
+});
+
 t.test("names of Object's own are not taken for keys", async (t) => {
   t.equal(parse(`${good}[front]\nconstructor = 1\n`).unwrapErr()[0]?.code, FailureCode.SettingsUnknownKey);
 });
