Give the bundled daemon its command line back

Cause: the names that the bundle defines for CommonJS packages collide with those that yargs declares itself, so every call with words failed with 'Identifier __dirname has already been declared' since the command line became a file of its own; a daemon without words was not touched. Change: the bundle's own names differ, and free uses are mapped to them. Test: the bundle is made and asked for its reference and for a missing settings file; it failed before with that error.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -29,14 +29,16 @@
     "@gladewall/gateway": source("packages/gateway/src/index.ts"),
     "@gladewall/platform": source("platform/src/index.ts"),
   },
-  // CommonJS packages inside a module need what CommonJS gives them.
+  // CommonJS packages inside a module need what CommonJS gives them; under names of their own, as some packages
+  // declare the usual ones themselves.
+  define: { __filename: "__bundleFile", __dirname: "__bundleFolder" },
   banner: {
     js: [
       'import { createRequire as __createRequire } from "node:module";',
       'import { fileURLToPath as __fileURLToPath } from "node:url";',
       "const require = __createRequire(import.meta.url);",
-      "const __filename = __fileURLToPath(import.meta.url);",
-      'const __dirname = __filename.slice(0, __filename.lastIndexOf("/"));',
+      "const __bundleFile = __fileURLToPath(import.meta.url);",
+      'const __bundleFolder = __bundleFile.slice(0, __bundleFile.lastIndexOf("/"));',
     ].join("\n"),
   },
 });
