Let three nodes read the store in fleets of any size, and tell the others

Beyond 24, three collectors did; so the cost fell off a cliff. Change: reading the store and hearing the fleet are two things. Three readers at any size, every other node asks one of them with its report; in a small fleet all still hear all. The asking of readers is a class of its own. Tests: in a fleet of five, three read and the others learn and prove by them; watches do not grow with the told; all readers turned away; the times against bounds of 0.5 to 30 s.

--- /dev/null
+++ b/packages/gateway/src/askedReader.ts
@@ -0,0 +1,40 @@
+/**
+ * The reader that a node asks what the store holds. Nodes spread over the readers by a hash of their names, and pass
+ * over one that does not answer.
+ * @module
+ */
+import { hashText } from "@gladewall/kernel";
+
+/** Which reader is asked, and when it last answered. */
+export class AskedReader {
+  /** How often the reader that is asked was passed over for the next. */
+  private turns = 0;
+  private askedSince = 0;
+  private answeredAt = -Infinity;
+
+  private constructor(
+    private readonly own: string,
+    private readonly patienceMs: number,
+  ) {}
+
+  /** `patienceMs`: time without an answer after which a reader is passed over. */
+  static create(own: string, patienceMs: number): AskedReader {
+    return new AskedReader(own, patienceMs);
+  }
+
+  /** Chooses the reader to be asked now; undefined where none is linked. */
+  choose(linked: readonly string[], time: number): string | undefined {
+    if (time - Math.max(this.answeredAt, this.askedSince) > this.patienceMs) this.passOver(time);
+    return linked[(hashText(this.own) + this.turns) % Math.max(1, linked.length)];
+  }
+
+  noteAnswered(time: number): void {
+    this.answeredAt = time;
+  }
+
+  /** Asks the next reader from now on. */
+  passOver(time: number): void {
+    this.turns += 1;
+    this.askedSince = time;
+  }
+}
--- a/packages/gateway/src/collectors.ts
+++ b/packages/gateway/src/collectors.ts
@@ -1,7 +1,8 @@
 /**
- * Which nodes hear the whole fleet. While it is small, every node hears every other. In a large one the reports go to
- * a few collectors only, the same for all nodes: those that can carry most, by a hash where they are alike. One that
- * can't be reached is passed over for the next, so no list of them is kept anywhere and nothing is agreed on.
+ * Which nodes do for all what need not be done by each. A few readers ask the platform's store and hand on what it
+ * holds, in a fleet of any size: they are the same for all nodes, those that can carry most, by a hash where they are
+ * alike. One that can't be reached is passed over for the next, so no list of them is kept anywhere and nothing is
+ * agreed on. While the fleet is small, every node hears every other's reports; in a large one only the readers do.
  * @module
  */
 import { type Clock, hashText } from "@gladewall/kernel";
@@ -12,6 +13,7 @@
   readonly own: string;
   /** Largest fleet in which every node hears every other. */
   readonly largestMesh: number;
+  /** Readers of the store. */
   readonly count: number;
   readonly getNames: () => Iterable<string>;
   readonly getCapacity: (name: string) => number;
@@ -23,7 +25,7 @@
 
 /** Chooses the collectors. */
 export class Collectors {
-  private names: readonly string[] = [];
+  private readers: readonly string[] = [];
   private ranking: readonly string[] = [];
   /** Since when each node that is wanted has had no link. */
   private readonly unlinkedSince = new Map<string, number>();
@@ -41,17 +43,22 @@
 
   /** Whether this node hears the whole fleet. */
   get isOwn(): boolean {
-    return this.isMesh || this.names.includes(this.options.own);
+    return this.isMesh || this.isReader;
+  }
+
+  /** Whether this node asks the store for others. */
+  get isReader(): boolean {
+    return this.readers.includes(this.options.own);
   }
 
   /** Nodes to be linked with; those that can't be reached now are among them. */
   getNames(): readonly string[] {
-    return this.names;
+    return this.isMesh ? this.ranking : this.readers;
   }
 
-  /** Nodes that reports go to. */
-  getLinked(): readonly string[] {
-    return this.names.filter((name) => this.options.isLinked(name));
+  /** Readers that can be asked. */
+  getLinkedReaders(): readonly string[] {
+    return this.readers.filter((name) => this.options.isLinked(name));
   }
 
   /** Takes the fleet's new list. */
@@ -64,21 +71,21 @@
     this.choose();
   }
 
-  /** Chooses anew, by the links that are up; returns whether the choice has changed. */
+  /** Chooses the readers anew, by the links that are up; returns whether the choice has changed. */
   choose(): boolean {
     const { own, count } = this.options;
     const chosen: string[] = [];
     let reachable = 0;
     for (const name of this.ranking) {
-      if (!this.isMesh && reachable >= count) break;
+      if (reachable >= count) break;
       chosen.push(name);
       if (name === own || !this.isHopeless(name)) reachable += 1;
     }
     for (const name of this.unlinkedSince.keys()) {
       if (!chosen.includes(name)) this.unlinkedSince.delete(name);
     }
-    const isChanged = chosen.join() !== this.names.join();
-    this.names = chosen;
+    const isChanged = chosen.join() !== this.readers.join();
+    this.readers = chosen;
     return isChanged;
   }
 
--- /dev/null
+++ b/packages/gateway/src/feedTimes.ts
@@ -0,0 +1,36 @@
+/**
+ * How old what a node knows of the platform's store may grow, reckoned from the shortest time in which the operators
+ * want a change taken in. Whatever fails on the way (a reader that the store turns away, a reader that falls silent,
+ * all of them at once), a node must have asked the store itself, and had an answer, before that time is over.
+ * @module
+ */
+
+/** Times of those who ask the store for others and of those who are told; milliseconds. */
+export interface FeedTimes {
+  /** Time between two proving reads of a reader. */
+  readonly proofIntervalMs: number;
+  /** A reader whose last answered read was sent longer ago is not believed. */
+  readonly longestStoreAgeMs: number;
+  /** A node that no reader has answered for so long asks the store itself. */
+  readonly lifetimeMs: number;
+  /** A reader that has not answered for so long is passed over for the next. */
+  readonly patienceMs: number;
+}
+
+/** Two reads fit into the longest age, so that one that is lost does not end the belief in a reader. */
+const proofShare = 0.3;
+const storeAgeShare = 0.6;
+/** What is left of the time is for one listing, its retry and the turn in which the silence is noticed. */
+const lifetimeShare = 0.5;
+/** Two readers can be asked within the lifetime. */
+const patienceShare = 0.2;
+
+/** Returns the times for a bound in which a change has to be taken in. */
+export function createFeedTimes(boundMs: number): FeedTimes {
+  return {
+    proofIntervalMs: boundMs * proofShare,
+    longestStoreAgeMs: boundMs * storeAgeShare,
+    lifetimeMs: boundMs * lifetimeShare,
+    patienceMs: boundMs * patienceShare,
+  };
+}
--- a/packages/gateway/src/fleetFeed.ts
+++ b/packages/gateway/src/fleetFeed.ts
@@ -1,6 +1,6 @@
 /**
- * What the platform's store holds, handed on by collectors: the configuration with the age of its proof, backends,
- * members. In a large fleet only the collectors ask the store, so its calls do not grow with nodes times changes.
+ * What the platform's store holds, handed on by its readers: the configuration with the age of its proof, backends,
+ * members. Only the readers ask the store, so its calls do not grow with nodes times changes.
  * @module
  */
 import type { ConfigurationFollower, Vouch } from "./configurationFollower.js";
@@ -26,12 +26,10 @@
 }
 
 /**
- * Larger configurations are not handed on to the many nodes that a collector feeds: its link may be narrow, the store's
+ * Larger configurations are not handed on to the many nodes that a reader feeds: its link may be narrow, the store's
  * is not. Who asks for a peer's word because the store turns it away gets them all the same.
  */
 const largestPassedBytes = 32_768;
-/** A teller whose store has been silent for longer is passed over. */
-const longestStoreAgeMs = 2_600;
 /** Stands for no trouble ever: infinity has no place in every codec. */
 const noTroubleMs = 1_000_000_000;
 
@@ -40,13 +38,16 @@
   private constructor(
     private readonly configuration: ConfigurationFollower,
     private readonly followers: Readonly<Record<string, PrefixFollower>>,
+    private readonly longestStoreAgeMs: number,
   ) {}
 
+  /** `longestStoreAgeMs`: a teller whose store has been silent for longer is not believed. */
   static create(
     configuration: ConfigurationFollower,
     followers: Readonly<Record<string, PrefixFollower>>,
+    longestStoreAgeMs: number,
   ): FleetFeed {
-    return new FleetFeed(configuration, followers);
+    return new FleetFeed(configuration, followers, longestStoreAgeMs);
   }
 
   getState(): FeedState {
@@ -75,7 +76,7 @@
 
   /** Takes what was told in answer to a question asked at a time; returns whether the teller is served by the store. */
   take({ vouch, storeAgeMs, troubleAgeMs, prefixes }: FeedMessage, askedAt: number): boolean {
-    if (storeAgeMs > longestStoreAgeMs) return false;
+    if (storeAgeMs > this.longestStoreAgeMs) return false;
     this.configuration.noteTrouble(troubleAgeMs);
     if (vouch) this.configuration.takeVouch(vouch, askedAt);
     for (const [prefix, changes] of Object.entries(prefixes)) this.followers[prefix]?.takeChanges(changes);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -160,6 +160,11 @@
     return this.parts.members.isCollector;
   }
 
+  /** Whether this node asks the store for others. */
+  get isReader(): boolean {
+    return this.parts.members.isReader;
+  }
+
   /** Monotonic time before which no newer configuration than this node's was acknowledged. */
   get provenAt(): number {
     return this.parts.clock.getTime() - this.parts.follower.getProofAge();
--- a/packages/gateway/src/gatewayParts.ts
+++ b/packages/gateway/src/gatewayParts.ts
@@ -11,6 +11,7 @@
 import { ConfigurationFollower, type ConfigurationFollowerOptions } from "./configurationFollower.js";
 import { Demand } from "./demand.js";
 import { Duties } from "./duties.js";
+import { createFeedTimes, type FeedTimes } from "./feedTimes.js";
 import { FencedOrders } from "./fencedOrders.js";
 import { GatewayMetrics } from "./gatewayMetrics.js";
 import type { GatewaySettings } from "./gatewaySettings.js";
@@ -53,6 +54,7 @@
   /** Grows with each life of the node. */
   readonly incarnation: number;
   readonly time: TrueTime;
+  readonly feedTimes: FeedTimes;
   readonly follower: ConfigurationFollower;
   readonly directory: BackendDirectory;
   readonly usage: UsageCounts;
@@ -137,12 +139,13 @@
 
 function createViews(base: GatewayBase, { askPeers, getPeerWork }: FleetViews): GatewayViews {
   const { settings, platform, clock, logger } = base;
-  const { configuration, retries, quotas } = settings;
+  const { configuration, retries, quotas, backends } = settings;
+  const feedTimes = createFeedTimes(Math.min(backends.drain, configuration.apply_within));
   const follower = ConfigurationFollower.create({
     platform,
     clock,
     logger,
-    proofIntervalMs: configuration.proof_interval,
+    proofIntervalMs: Math.min(configuration.proof_interval, feedTimes.proofIntervalMs),
     proofLifetimeMs: configuration.revoke_within - configuration.revoke_margin,
     askPeers,
   });
@@ -159,14 +162,15 @@
     clock,
     logger,
     getTimeSinceTrouble,
-    drainMs: settings.backends.drain,
+    drainMs: backends.drain,
   });
-  const rates = ReadingRates.create({ clock, logger, startRate: settings.backends.prefill_rate });
+  const rates = ReadingRates.create({ clock, logger, startRate: backends.prefill_rate });
   const countActive = (sum: number, { id, active }: Backend): number => sum + active + getPeerWork(id).active;
   return {
     ...base,
     incarnation: clock.getWallTime(),
     time: TrueTime.create(clock),
+    feedTimes,
     follower,
     directory,
     usage: UsageCounts.create(),
@@ -220,6 +224,7 @@
     capacity: peers.capacity,
     largestMesh: peers.largest_mesh,
     revokeWithinMs: settings.configuration.revoke_within,
+    feedTimes: views.feedTimes,
     counters,
     rates,
     memory: views.memory,
--- a/packages/gateway/src/gatewaySettings.ts
+++ b/packages/gateway/src/gatewaySettings.ts
@@ -43,7 +43,7 @@
       "nodes",
       24,
       [1, 1_000],
-      "nodes up to which each reports to every other; beyond it, to a few collectors only",
+      "nodes up to which each reports to every other; beyond it, to a few readers of the store only",
     ),
     large_fleet_interval: createDuration(
       250,
@@ -54,7 +54,7 @@
       "",
       0,
       [0, 1_000_000_000],
-      "what the node can carry, for instance Mbit/s; those with the most become collectors",
+      "what the node can carry, for instance Mbit/s; those with the most read the store for all",
     ),
   },
   configuration: {
@@ -63,6 +63,11 @@
       [50, minute],
       "time between two reads that prove the version in force",
     ),
+    apply_within: createDuration(
+      2_000,
+      [200, minute],
+      "time in which a newer configuration must be in force",
+    ),
     revoke_within: createDuration(5_000, [500, minute], "time after which a removed key runs nothing"),
     revoke_margin: createDuration(400, [0, minute], "part of it that is kept for clocks and scheduling"),
   },
--- a/packages/gateway/src/memberMessages.ts
+++ b/packages/gateway/src/memberMessages.ts
@@ -15,6 +15,7 @@
   Report = 32,
   View = 33,
   Placed = 34,
+  Feed = 35,
 }
 
 /** What a node tells several times a second. */
@@ -32,11 +33,21 @@
   readonly read?: ReadReport;
   /** Left out in some reports. */
   readonly usage?: WindowCounts;
-  /** What the sender knows of the store, where it wants a view in answer. */
+  /** What the sender knows of the store, where it asks what it holds. */
   readonly feed?: FeedState;
+  /** Whether the sender hears the whole fleet: asked what the store holds, a reader then answers with no view. */
+  readonly hearsAll?: boolean;
 }
 
-/** What a collector answers. */
+/** What a reader answers to a node that hears the whole fleet itself. */
+export interface FeedAnswer extends PeerMessage {
+  readonly kind: MemberMessageKind.Feed;
+  /** Report of the receiver that asked. */
+  readonly sequence: number;
+  readonly feed: FeedMessage;
+}
+
+/** What a reader answers to a node of a large fleet. */
 export interface ViewMessage extends PeerMessage {
   readonly kind: MemberMessageKind.View;
   /** Report of the receiver up to which its counts are included. */
--- a/packages/gateway/src/members.ts
+++ b/packages/gateway/src/members.ts
@@ -2,20 +2,23 @@
  * What the nodes of the fleet tell each other: counts, work at backends, the time of day.
  *
  * In a small fleet every node reports to every other several times a second. In a large one each reports to the
- * collectors only, and one of them answers with a view of the whole fleet: what a node sends and hears does not grow
- * with the fleet.
+ * readers of the store only, and one of them answers with a view of the whole fleet: what a node sends and hears does
+ * not grow with the fleet. In a fleet of any size, what the store holds comes from a reader.
  * @module
  */
 import { LinkMessageKind, type PeerIdentity, PeerLinks } from "@gladewall/coordination";
-import { type Clock, type Closeable, hashText, type Logger, waitFor } from "@gladewall/kernel";
+import { type Clock, type Closeable, type Logger, waitFor } from "@gladewall/kernel";
+import { AskedReader } from "./askedReader.js";
 import type { PeerWork } from "./backend.js";
 import { type BackendWork, subtractWork, sumWork } from "./backendWork.js";
 import type { ConfigurationFollower } from "./configurationFollower.js";
-import { type FeedState, FleetFeed } from "./fleetFeed.js";
+import type { FeedTimes } from "./feedTimes.js";
+import { type FeedMessage, type FeedState, FleetFeed } from "./fleetFeed.js";
 import { PeerTimes } from "./peerTimes.js";
 import type { PrefixFollower } from "./prefixFollower.js";
 import { Collectors } from "./collectors.js";
 import {
+  type FeedAnswer,
   MemberMessageKind,
   type PingMessage,
   type PlacedMessage,
@@ -52,6 +55,7 @@
   readonly largestMesh: number;
   /** Time after which a removed key must run nothing. */
   readonly revokeWithinMs: number;
+  readonly feedTimes: FeedTimes;
   readonly counters: SharedCounters;
   readonly rates: ReadingRates;
   readonly memory: PrefixMemory;
@@ -83,9 +87,8 @@
 }
 
 const noWork: PeerWork = { active: 0, pendingTokens: 0 };
-const collectorCount = 3;
-/** A collector that has not answered for this long is passed over. */
-const viewPatienceMs = 600;
+/** Nodes that ask the store for all: one may end and another be cut off from the store at the same time. */
+const readerCount = 3;
 /** Without a view for this long, a node uses no more than its own part of what is shared. */
 const viewLifetimeMs = 1_500;
 const toldWindows = 4;
@@ -116,12 +119,10 @@
   /** What was told last, by the report's number. */
   private readonly told = new Map<number, ToldReport>();
   private fleetView: FleetView | undefined;
-  /** How often the collector that is asked was passed over for the next. */
-  private turns = 0;
-  private askedSince = 0;
-  /** When a collector that the store serves last answered. */
+  private readonly asked: AskedReader;
+  /** When a reader that the store serves last answered. */
   private fedAt = -Infinity;
-  /** Whether a collector asked what was counted before its life. */
+  /** Whether a reader asked what was counted before its life. */
   private isHistoryWanted = false;
   /** Work of the other nodes, and of this one, as of this turn. */
   private fleetWork: BackendWork = {};
@@ -165,15 +166,15 @@
       clock,
       own: name,
       largestMesh,
-      count: collectorCount,
+      count: readerCount,
       getNames: () => this.records.getNames(),
       getCapacity: (peer) => this.records.getCapacity(peer),
       isLinked,
     });
-    this.feed = FleetFeed.create(options.configuration, {
-      [options.backendPrefix]: options.backends,
-      [ownPrefix]: this.records.follower,
-    });
+    const { longestStoreAgeMs, patienceMs } = options.feedTimes;
+    const followers = { [options.backendPrefix]: options.backends, [ownPrefix]: this.records.follower };
+    this.feed = FleetFeed.create(options.configuration, followers, longestStoreAgeMs);
+    this.asked = AskedReader.create(name, patienceMs);
     this.listen();
   }
 
@@ -203,6 +204,11 @@
     return this.collectors.isOwn;
   }
 
+  /** Whether this node asks the store for others. */
+  get isReader(): boolean {
+    return this.collectors.isReader;
+  }
+
   /** Whether no node was found for a moment: while a fleet starts, it looks smaller than it is. */
   get isSettled(): boolean {
     return this.records.getSettledTime() > settledMs;
@@ -261,6 +267,10 @@
     this.links.setHandler(MemberMessageKind.View, (message, peer) =>
       this.takeView(message as ViewMessage, peer),
     );
+    this.links.setHandler(MemberMessageKind.Feed, (message) => {
+      const { sequence, feed } = message as FeedAnswer;
+      this.takeFeed(sequence, feed);
+    });
     this.links.setHandler(MemberMessageKind.Placed, (message, peer) =>
       this.takePlaced(message as PlacedMessage, peer),
     );
@@ -285,7 +295,7 @@
     while (!signal.aborted) {
       await waitFor(clock, this.collectors.isMesh ? reportIntervalMs : largeFleetIntervalMs, signal);
       time.adjust(this.peerTimes.getDifferences(time.get()));
-      if (!this.collectors.isMesh && this.collectors.choose()) this.setFleet();
+      if (this.collectors.choose()) this.setFleet();
       this.setFleetWork();
       this.feed.setFed(this.isFed);
       onTurn();
@@ -295,34 +305,18 @@
 
   private report(): void {
     const report = this.createReport();
-    if (this.collectors.isMesh) {
-      this.links.broadcast(report);
-      return;
-    }
-    const asked = this.chooseAsked();
-    for (const name of this.collectors.getLinked()) {
+    const { isMesh, isReader } = this.collectors;
+    const linked = this.collectors.getLinkedReaders();
+    const asked = isReader ? undefined : this.asked.choose(linked, this.options.clock.getTime());
+    for (const name of isMesh ? this.links.getLinked() : linked) {
       this.links.send(name, name === asked ? { ...report, feed: this.feed.getState() } : report);
     }
   }
 
-  /** The collector that is asked for a view; nodes spread over them, and pass over one that does not answer. */
-  private chooseAsked(): string | undefined {
-    if (this.collectors.isOwn) return undefined;
-    const linked = this.collectors.getLinked();
-    const time = this.options.clock.getTime();
-    const answeredAt = Math.max(this.fleetView?.heardAt ?? -Infinity, this.askedSince);
-    if (time - answeredAt > viewPatienceMs) this.passOver(time);
-    return linked[(hashText(this.options.name) + this.turns) % Math.max(1, linked.length)];
-  }
-
-  private passOver(time: number): void {
-    this.turns += 1;
-    this.askedSince = time;
-  }
-
-  /** Whether a collector tells this node what the store holds. */
+  /** Whether a reader tells this node what the store holds. */
   get isFed(): boolean {
-    return !this.collectors.isOwn && this.options.clock.getTime() - this.fedAt < viewLifetimeMs;
+    const age = this.options.clock.getTime() - this.fedAt;
+    return !this.collectors.isReader && age < this.options.feedTimes.lifetimeMs;
   }
 
   private createReport(): ReportMessage {
@@ -346,7 +340,8 @@
       counters: report,
       work,
       rates: rates.createReport(),
-      // In a large fleet only collectors would hear it, and none passes it on.
+      hearsAll: isMesh || isOwn,
+      // In a large fleet only readers would hear it, and none passes it on.
       ...(isMesh ? { read } : {}),
       ...(hasUsage ? { usage: usage.getOwn(getWindow(), toldWindows) } : {}),
     };
@@ -368,7 +363,13 @@
     this.peerTimes.take(peer.name, message.time);
     this.peerWork.take(peer.name, message.work);
     this.isFleetWorkStale = this.collectors.isMesh;
-    if (message.feed) this.links.send(peer.name, this.createView(message, message.feed));
+    if (message.feed) this.links.send(peer.name, this.createAnswer(message, message.feed));
+  }
+
+  private createAnswer(report: ReportMessage, state: FeedState): FeedAnswer | ViewMessage {
+    if (!report.hearsAll) return this.createView(report, state);
+    const feed = this.feed.createMessage(state);
+    return { kind: MemberMessageKind.Feed, sequence: report.sequence, feed };
   }
 
   private takePlaced({ backend, tokens }: PlacedMessage, peer: PeerIdentity): void {
@@ -395,8 +396,7 @@
     const told = this.told.get(sequence);
     if (!told || this.collectors.isOwn) return;
     const time = this.options.clock.getTime();
-    if (this.feed.take(feed, told.at)) this.fedAt = time;
-    else this.passOver(time);
+    this.takeFeed(sequence, feed);
     if (rates) this.options.rates.takePeer(peer.name, rates);
     const own = this.options.counters;
     if (!counters.isInformed && own.getUptime() > counters.uptime + youngerByMs && own.isInformed) {
@@ -408,6 +408,21 @@
     this.fleetView = { work, knownShare, heardAt: time };
   }
 
+  private takeFeed(sequence: number, feed: FeedMessage): void {
+    const told = this.told.get(sequence);
+    if (!told || this.collectors.isReader) return;
+    const time = this.options.clock.getTime();
+    this.asked.noteAnswered(time);
+    if (this.feed.take(feed, told.at)) {
+      this.fedAt = time;
+      return;
+    }
+    // The store may have turned away more readers than this one: this node asks it itself until another tells more.
+    this.fedAt = -Infinity;
+    this.asked.passOver(time);
+    this.options.logger.info("feed.passed-over", { storeAgeMs: Math.round(feed.storeAgeMs) });
+  }
+
   /** The last view while it is young enough; once it is not, the node keeps to its own part of what is shared. */
   private getFleetView(): FleetView | undefined {
     const view = this.fleetView;
@@ -418,7 +433,7 @@
     this.options.counters.scaleLevels(1 / this.getFleetSize());
     this.options.logger.warn("view.lost", {
       ageMs: Math.round(age),
-      linked: this.collectors.getLinked().length,
+      linked: this.collectors.getLinkedReaders().length,
     });
     return undefined;
   }
--- a/packages/gateway/test/largeFleet.test.ts
+++ b/packages/gateway/test/largeFleet.test.ts
@@ -164,7 +164,7 @@
   await clock.advance(1_000);
   t.ok(one.choose());
   t.equal(one.getNames().length, 4);
-  t.notOk(one.getLinked().includes("n7"));
+  t.notOk(one.getLinkedReaders().includes("n7"));
   down.delete("n7");
   one.choose();
   t.equal(one.getNames().length, 3);
--- /dev/null
+++ b/packages/gateway/test/readers.test.ts
@@ -0,0 +1,115 @@
+import t, { type Test } from "tap";
+import { AskedReader, createFeedTimes } from "@gladewall/gateway";
+import { SystemClock } from "@gladewall/kernel";
+import {
+  answerGood,
+  createTenant,
+  GatewayBench,
+  ScriptedBackend,
+  StoreTrouble,
+  waitUntil,
+} from "@gladewall/standins";
+
+/** A fleet so small that every node hears every other; all of them know a backend. */
+async function createSmallFleet(t: Pick<Test, "teardown">, size: number) {
+  const bench = GatewayBench.create();
+  bench.platform.configure({ tenants: [createTenant({ keys: ["one"] })] });
+  const backend = await ScriptedBackend.create("b", answerGood);
+  bench.platform.list({ id: "b", address: backend.address });
+  const overrides = [
+    "peers.report_interval=20",
+    "configuration.proof_interval=50",
+    "configuration.revoke_within=4000",
+    "configuration.revoke_margin=100",
+  ];
+  for (let index = 0; index < size; index++) {
+    await bench.startReady(1, "web", [...overrides, `peers.capacity=${index}`]);
+  }
+  t.teardown(() => Promise.all([bench.close(), backend.close()]));
+  const { nodes } = bench;
+  await waitUntil(() => nodes.every(({ gateway }) => gateway.linkedPeers === size - 1));
+  // Each node begins as a reader, while it knows of no other.
+  await waitUntil(() => nodes.every(({ gateway }, index) => gateway.isReader === index >= size - 3));
+  await waitUntil(() => nodes.every(({ gateway }) => gateway.isReader || gateway.isFed));
+  return { bench, backend, nodes };
+}
+
+t.test("in a small fleet too, three nodes ask the store and the others learn from them", async (t) => {
+  const { bench, backend, nodes } = await createSmallFleet(t, 5);
+  t.same(
+    nodes.map(({ gateway }) => [gateway.isReader, gateway.isCollector]),
+    [
+      [false, true],
+      [false, true],
+      [true, true],
+      [true, true],
+      [true, true],
+    ],
+    "each hears all, those that can carry most read",
+  );
+  const told = bench.platform.stores.slice(0, 2);
+  for (const store of told) store.trouble = StoreTrouble.Down;
+  const since = SystemClock.create().getTime();
+  bench.platform.list({ id: "c", address: backend.address });
+  bench.platform.configure({ tenants: [createTenant({ keys: ["two"] })] });
+  await waitUntil(() =>
+    nodes.every(({ gateway }) => gateway.version === 2 && gateway.countBackends("web") === 2),
+  );
+  await waitUntil(() => nodes.every(({ gateway }) => gateway.provenAt > since));
+  t.equal((await bench.call(nodes[0]!, { key: "two" })).status, 200);
+  t.equal((await bench.call(nodes[0]!, { key: "one" })).status, 401);
+});
+
+t.test("changes cost calls of three nodes, however many are told of them", async (t) => {
+  const { bench, backend, nodes } = await createSmallFleet(t, 6);
+  const { stores } = bench.platform;
+  const list = async (count: number): Promise<void> => {
+    bench.platform.list({ id: `more-${count}`, address: backend.address });
+    await waitUntil(() => nodes.every(({ gateway }) => gateway.countBackends("web") === count));
+  };
+  // With the first change, those that are told give up the watch that they began with.
+  await list(2);
+  await list(3);
+  const before = stores.map(({ watches }) => watches);
+  for (let count = 4; count < 14; count++) await list(count);
+  const made = stores.map(({ watches }, index) => watches - before[index]!);
+  t.same(made.slice(0, 3), [0, 0, 0]);
+  for (const watches of made.slice(3)) t.ok(watches >= 5, `${watches} watches`);
+});
+
+t.test(
+  "once the store turns all readers away, the others ask it themselves, and readers have their word",
+  async (t) => {
+    const { bench, nodes } = await createSmallFleet(t, 5);
+    for (const store of bench.platform.stores.slice(2)) store.trouble = StoreTrouble.Down;
+    bench.platform.unlist("b");
+    await waitUntil(() => nodes.slice(0, 2).every(({ gateway }) => gateway.countBackends("web") === 0));
+    await waitUntil(() => nodes.slice(0, 2).every(({ gateway }) => !gateway.isFed));
+    const since = SystemClock.create().getTime();
+    await waitUntil(() => nodes.every(({ gateway }) => gateway.provenAt > since));
+  },
+);
+
+t.test("whatever fails on the way, the store is asked well before a change must be taken in", async (t) => {
+  for (const boundMs of [500, 2_000, 3_000, 4_000, 30_000]) {
+    const { proofIntervalMs, longestStoreAgeMs, lifetimeMs, patienceMs } = createFeedTimes(boundMs);
+    t.ok(longestStoreAgeMs >= 2 * proofIntervalMs, "one read may be lost");
+    t.ok(lifetimeMs > 2 * patienceMs, "two readers are asked in time");
+    t.ok(Math.max(longestStoreAgeMs, lifetimeMs) <= 0.6 * boundMs, "the rest is for a listing and its retry");
+  }
+});
+
+t.test("a reader that does not answer, or knows nothing new, is passed over for the next", async (t) => {
+  const readers = ["r1", "r2", "r3"];
+  const asked = AskedReader.create("node", 400);
+  asked.noteAnswered(1_000);
+  const first = asked.choose(readers, 1_400);
+  t.equal(asked.choose(readers, 1_100), first);
+  const second = asked.choose(readers, 1_401);
+  t.not(second, first);
+  t.equal(asked.choose(readers, 1_700), second, "it has its time to answer as well");
+  asked.noteAnswered(1_700);
+  asked.passOver(1_700);
+  t.equal(new Set([first, second, asked.choose(readers, 1_800)]).size, 3);
+  t.equal(asked.choose([], 1_800), undefined);
+});
--- a/packages/standins/src/metadataStoreStandin.ts
+++ b/packages/standins/src/metadataStoreStandin.ts
@@ -124,6 +124,8 @@
   trouble = StoreTrouble.None;
   /** Calls of this node, refused ones included. */
   calls = 0;
+  /** Watches among them. */
+  watches = 0;
 
   private constructor(
     private readonly shared: SharedStore,
@@ -156,6 +158,7 @@
   ): Promise<Result<StoreChanges, Failure>> {
     const endsAt = this.clock.getTime() + waitMs;
     this.calls += 1;
+    this.watches += 1;
     for (;;) {
       if (signal.aborted || this.isTroubled(StoreTrouble.Down)) return Err(createDown());
       const events = this.shared.isDeaf ? [] : this.shared.getChanges(prefix, since);
