Keep what is known of the fleet's work in a class of its own

One fault found on the way and mended: a reader's own work in a view was as of its last report, while the number beside it was as of the last sum, so that its own long prompts between the two were told to nobody until the next view; both are taken at once now.

--- /dev/null
+++ b/packages/gateway/src/fleetWork.ts
@@ -0,0 +1,125 @@
+/**
+ * Work at backends over the whole fleet, as this node knows it: by the peers' reports where it hears them all, else by a
+ * reader's view and what was relayed since.
+ * @module
+ */
+import type { PeerIdentity } from "@gladewall/coordination";
+import type { Clock } from "@gladewall/kernel";
+import type { PeerWork } from "./backend.js";
+import { type BackendWork, subtractWork, sumWork } from "./backendWork.js";
+import type { PlacedEntry, RelayedMessage, ReportMessage } from "./memberMessages.js";
+import { PeerWorkViews } from "./peerWorkViews.js";
+import { PlacementRelay } from "./placementRelay.js";
+import { RecentPlacements } from "./recentPlacements.js";
+
+/** Options of the fleet's work. */
+export interface FleetWorkOptions {
+  readonly clock: Clock;
+  /** Name of this node. */
+  readonly own: string;
+  /** Returns this node's work by backend. */
+  readonly getOwn: () => ReadonlyMap<string, PeerWork>;
+  /** Returns the work of all others by the last view; undefined where this node goes by reports. */
+  readonly findView: () => BackendWork | undefined;
+  /** Sends to a node that asks this one. */
+  readonly send: (name: string, message: RelayedMessage) => void;
+}
+
+const noWork: PeerWork = { active: 0, pendingTokens: 0 };
+
+/** What is known of others' work, and what others are told of it. */
+export class FleetWork {
+  private readonly reports: PeerWorkViews;
+  private readonly relay: PlacementRelay;
+  private readonly placements = RecentPlacements.create();
+  /** Work of the other nodes, and of this one, as of the last sum. */
+  private others: BackendWork = {};
+  private own: BackendWork = {};
+  /** Number of the last relayed placement that the sum includes. */
+  private lastNumber = 0;
+  /** Whether something was told since the last sum. */
+  private isStale = false;
+
+  private constructor(private readonly options: FleetWorkOptions) {
+    const { clock, send } = options;
+    this.reports = PeerWorkViews.create(clock);
+    this.relay = PlacementRelay.create({ clock, send });
+  }
+
+  static create(options: FleetWorkOptions): FleetWork {
+    return new FleetWork(options);
+  }
+
+  /** Other nodes' work at a backend, as they told it a moment ago. */
+  get(backend: string): PeerWork {
+    if (this.isStale) this.refresh();
+    const told = this.others[backend];
+    return told ? { active: told[0], pendingTokens: told[1] } : noWork;
+  }
+
+  /** Sums up anew; also for what has grown too old to count. */
+  refresh(): void {
+    const view = this.options.findView();
+    this.others = view ? sumWork([view, this.placements.getWork()]) : this.reports.getSum();
+    this.own = this.createOwn();
+    this.lastNumber = this.relay.lastNumber;
+    this.isStale = false;
+  }
+
+  /** This node's work, for its peers. */
+  createOwn(): BackendWork {
+    const work: Record<string, [number, number]> = {};
+    for (const [backend, { active, pendingTokens }] of this.options.getOwn()) {
+      if (active > 0 || pendingTokens > 0) work[backend] = [active, Math.round(pendingTokens)];
+    }
+    return work;
+  }
+
+  /** Work of all nodes but the one that reported, and the placement up to which it is told. */
+  createView({ work }: ReportMessage): { readonly work: BackendWork; readonly placedNumber: number } {
+    const all = sumWork([this.others, this.own]);
+    return { work: subtractWork(all, work), placedNumber: this.lastNumber };
+  }
+
+  takeReport(peer: string, work: BackendWork): void {
+    this.reports.take(peer, work);
+    this.isStale = true;
+  }
+
+  /** Takes a placement that a peer told at once. */
+  takePlaced(peer: string, entry: PlacedEntry): void {
+    const [backend, tokens] = entry;
+    this.reports.add(peer, backend, tokens);
+    this.relay.add(peer, entry);
+    this.isStale = true;
+  }
+
+  /** Takes note of a placement of this node, for those that ask it. */
+  notePlaced(entry: PlacedEntry): void {
+    this.relay.add(this.options.own, entry);
+  }
+
+  /** Takes note that a node asks this one for views, and is told placements from now on. */
+  noteAsked(name: string): void {
+    this.relay.noteAsked(name);
+  }
+
+  takeRelayed({ first, entries }: RelayedMessage, peer: PeerIdentity): void {
+    if (this.placements.take(getLife(peer), first, entries)) this.isStale = true;
+  }
+
+  /** Takes note of a view that includes all placements up to a number. */
+  noteView(peer: PeerIdentity, placedNumber: number): void {
+    this.placements.noteView(getLife(peer), placedNumber);
+    this.isStale = true;
+  }
+
+  close(): void {
+    this.relay.close();
+  }
+}
+
+/** Names one life of a peer. */
+export function getLife({ name, incarnation }: PeerIdentity): string {
+  return `${name}/${incarnation}`;
+}
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -21,6 +21,7 @@
 export { Duties } from "./duties.js";
 export { EventSplitter } from "./eventSplitter.js";
 export { createFeedTimes } from "./feedTimes.js";
+export { FleetWork } from "./fleetWork.js";
 export { FencedOrders } from "./fencedOrders.js";
 export { LeakyBucket } from "./leakyBucket.js";
 export { MemberMessageKind, type RelayedMessage } from "./memberMessages.js";
--- a/packages/gateway/src/members.ts
+++ b/packages/gateway/src/members.ts
@@ -10,9 +10,10 @@
 import { type Clock, type Closeable, type Logger, waitFor } from "@gladewall/kernel";
 import { AskedReader } from "./askedReader.js";
 import type { PeerWork } from "./backend.js";
-import { type BackendWork, subtractWork, sumWork } from "./backendWork.js";
+import type { BackendWork } from "./backendWork.js";
 import type { ConfigurationFollower } from "./configurationFollower.js";
 import type { FeedTimes } from "./feedTimes.js";
+import { FleetWork, getLife } from "./fleetWork.js";
 import { type FeedMessage, type FeedState, FleetFeed } from "./fleetFeed.js";
 import { PeerTimes } from "./peerTimes.js";
 import type { PrefixFollower } from "./prefixFollower.js";
@@ -27,10 +28,7 @@
   type ViewMessage,
 } from "./memberMessages.js";
 import { MemberRecords, ownPrefix } from "./memberRecords.js";
-import { PlacementRelay } from "./placementRelay.js";
-import { PeerWorkViews } from "./peerWorkViews.js";
 import type { PrefixMemory } from "./prefixMemory.js";
-import { RecentPlacements } from "./recentPlacements.js";
 import type { ReadingRates } from "./readingRates.js";
 import type { CounterTotals, SharedCounters } from "./sharedCounters.js";
 import { SilentPeers } from "./silentPeers.js";
@@ -89,7 +87,6 @@
   readonly heardAt: number;
 }
 
-const noWork: PeerWork = { active: 0, pendingTokens: 0 };
 /** Nodes that ask the store for all: one may end and another be cut off from the store at the same time. */
 const readerCount = 3;
 /** Without a view for this long, a node uses no more than its own part of what is shared. */
@@ -113,9 +110,7 @@
   private readonly records: MemberRecords;
   private readonly collectors: Collectors;
   private readonly feed: FleetFeed;
-  private readonly peerWork: PeerWorkViews;
-  private readonly relay: PlacementRelay;
-  private readonly placements = RecentPlacements.create();
+  private readonly work: FleetWork;
   private readonly peerTimes: PeerTimes;
   private readonly silentPeers: SilentPeers;
   private readonly stop = new AbortController();
@@ -129,17 +124,8 @@
   private fedAt = -Infinity;
   /** Whether a reader asked what was counted before its life. */
   private isHistoryWanted = false;
-  /** Work of the other nodes, and of this one, as of this turn. */
-  private fleetWork: BackendWork = {};
-  /** Whether a peer has told something since. */
-  private isFleetWorkStale = false;
-  /** Number of the last relayed placement that the others' work includes. */
-  private fleetWorkNumber = 0;
-  private ownWork: BackendWork = {};
-
   private constructor(private readonly options: MembersOptions) {
     const { store, clock, logger, name, incarnation, secret, address, capacity, largestMesh } = options;
-    this.peerWork = PeerWorkViews.create(clock);
     this.peerTimes = PeerTimes.create(clock);
     this.silentPeers = SilentPeers.create(options.revokeWithinMs);
     this.links = PeerLinks.create({
@@ -182,8 +168,11 @@
     const followers = { [options.backendPrefix]: options.backends, [ownPrefix]: this.records.follower };
     this.feed = FleetFeed.create(options.configuration, followers, longestStoreAgeMs);
     this.asked = AskedReader.create(name, patienceMs);
-    this.relay = PlacementRelay.create({
+    this.work = FleetWork.create({
       clock,
+      own: name,
+      getOwn: options.getWork,
+      findView: () => (this.collectors.isOwn ? undefined : this.getFleetView()?.work),
       send: (peer, message) => void this.links.send(peer, message),
     });
     this.listen();
@@ -254,14 +243,12 @@
       return;
     }
     for (const name of this.collectors.getLinkedReaders()) this.links.send(name, message);
-    this.relay.add(this.options.name, [backend, message.tokens]);
+    this.work.notePlaced([backend, message.tokens]);
   }
 
   /** Other nodes' work at a backend, as they told it a moment ago. */
   getPeerWork(backend: string): PeerWork {
-    if (this.isFleetWorkStale) this.setFleetWork();
-    const told = this.fleetWork[backend];
-    return told ? { active: told[0], pendingTokens: told[1] } : noWork;
+    return this.work.get(backend);
   }
 
   /** Lists anew; for when the store comes back. */
@@ -271,7 +258,7 @@
 
   async close(): Promise<void> {
     this.stop.abort();
-    this.relay.close();
+    this.work.close();
     await Promise.all([this.records.close(), this.links.close(), this.task]);
   }
 
@@ -284,7 +271,7 @@
       this.takeView(message as ViewMessage, peer),
     );
     this.links.setHandler(MemberMessageKind.Relayed, (message, peer) =>
-      this.takeRelayed(message as RelayedMessage, peer),
+      this.work.takeRelayed(message as RelayedMessage, peer),
     );
     this.links.setHandler(MemberMessageKind.Feed, (message) => {
       const { sequence, feed } = message as FeedAnswer;
@@ -315,7 +302,7 @@
       await waitFor(clock, this.collectors.isMesh ? reportIntervalMs : largeFleetIntervalMs, signal);
       time.adjust(this.peerTimes.getDifferences(time.get()));
       if (this.collectors.choose()) this.setFleet();
-      this.setFleetWork();
+      this.work.refresh();
       this.feed.setFed(this.isFed);
       onTurn();
       this.report();
@@ -339,12 +326,7 @@
   }
 
   private createReport(): ReportMessage {
-    const { counters, rates, usage, time, getWindow, getWork } = this.options;
-    const work: Record<string, [number, number]> = {};
-    for (const [backend, { active, pendingTokens }] of getWork()) {
-      if (active > 0 || pendingTokens > 0) work[backend] = [active, Math.round(pendingTokens)];
-    }
-    this.ownWork = work;
+    const { counters, rates, usage, time, getWindow } = this.options;
     this.sequence += 1;
     const { isMesh, isOwn } = this.collectors;
     const report = counters.createReport(isMesh || isOwn || this.isHistoryWanted);
@@ -357,7 +339,7 @@
       sequence: this.sequence,
       time: time.get(),
       counters: report,
-      work,
+      work: this.work.createOwn(),
       rates: rates.createReport(),
       hearsAll: isMesh || isOwn,
       // In a large fleet only readers would hear it, and none passes it on.
@@ -380,10 +362,9 @@
     if (message.read) this.options.memory.takePeer(message.read);
     this.silentPeers.noteHeard(peer.name, clock.getTime());
     this.peerTimes.take(peer.name, message.time);
-    this.peerWork.take(peer.name, message.work);
-    this.isFleetWorkStale ||= this.collectors.isOwn;
+    this.work.takeReport(peer.name, message.work);
     if (!message.feed) return;
-    if (!message.hearsAll) this.relay.noteAsked(peer.name);
+    if (!message.hearsAll) this.work.noteAsked(peer.name);
     this.links.send(peer.name, this.createAnswer(message, message.feed));
   }
 
@@ -394,22 +375,15 @@
   }
 
   private takePlaced({ backend, tokens }: PlacedMessage, peer: PeerIdentity): void {
-    this.peerWork.add(peer.name, backend, tokens);
-    this.relay.add(peer.name, [backend, tokens]);
-    this.isFleetWorkStale = true;
+    this.work.takePlaced(peer.name, [backend, tokens]);
   }
 
-  private takeRelayed({ first, entries }: RelayedMessage, peer: PeerIdentity): void {
-    if (this.placements.take(getLife(peer), first, entries)) this.isFleetWorkStale = true;
-  }
-
-  private createView({ sequence, work }: ReportMessage, state: FeedState): ViewMessage {
+  private createView(report: ReportMessage, state: FeedState): ViewMessage {
     return {
       kind: MemberMessageKind.View,
-      sequence,
+      sequence: report.sequence,
       counters: this.options.counters.createView(),
-      work: subtractWork(sumWork([this.fleetWork, this.ownWork]), work),
-      placedNumber: this.fleetWorkNumber,
+      ...this.work.createView(report),
       knownShare: this.getKnownShare(),
       rates: this.options.rates.createView(),
       feed: this.feed.createMessage(state),
@@ -433,8 +407,7 @@
     }
     own.takeView(counters, told.totals);
     this.fleetView = { work, knownShare, heardAt: time };
-    this.placements.noteView(getLife(peer), placedNumber ?? 0);
-    this.isFleetWorkStale = true;
+    this.work.noteView(peer, placedNumber ?? 0);
   }
 
   private takeFeed(sequence: number, feed: FeedMessage): void {
@@ -466,20 +439,4 @@
     });
     return undefined;
   }
-
-  private setFleetWork(): void {
-    this.fleetWork = this.getFleetWork();
-    this.fleetWorkNumber = this.relay.lastNumber;
-    this.isFleetWorkStale = false;
-  }
-
-  private getFleetWork(): BackendWork {
-    const view = this.collectors.isOwn ? undefined : this.getFleetView();
-    return view ? sumWork([view.work, this.placements.getWork()]) : this.peerWork.getSum();
-  }
-}
-
-/** Names one life of a peer. */
-function getLife({ name, incarnation }: PeerIdentity): string {
-  return `${name}/${incarnation}`;
 }
