A peer's late word does not bring back a backend that has ended; count waiting prompts in one place

Ids of backends are never used again, so the last 256 that ended are remembered and what peers tell of them is dropped (a test failed first); before, their parts stayed among the holders until the bound on parts pushed them out. Placement added up waiting prompts twice.

--- a/packages/gateway/src/placement.ts
+++ b/packages/gateway/src/placement.ts
@@ -116,7 +116,7 @@
       const latency = backend.latencyMs ?? unknownLatencyMs;
       return latency * (1 + active / Math.max(1, backend.record.slots));
     }
-    const tokens = backend.pendingTokens + peers.pendingTokens + uncachedTokens;
+    const tokens = this.getPendingTokens(backend) + uncachedTokens;
     const readingMs = tokens / this.options.getReadingRate(service.name);
     const full = active >= service.engine.slots ? active - service.engine.slots + 1 : 0;
     return readingMs + active * runningCostMs + full * unknownLatencyMs;
--- a/packages/gateway/src/prefixMemory.ts
+++ b/packages/gateway/src/prefixMemory.ts
@@ -11,6 +11,9 @@
 /** Most parts kept for one report: what is beyond it is only not known elsewhere. */
 const mostTold = 64;
 
+/** Ended backends that are remembered, so that a peer's late word does not bring one back. */
+const keptEnded = 256;
+
 /** Parts of prompts that a node's requests made backends read, by backend. */
 export type ReadReport = Readonly<Record<string, readonly string[]>>;
 
@@ -21,6 +24,8 @@
   /** What peers have not been told yet. */
   private untold: Record<string, string[]> = {};
   private untoldCount = 0;
+  /** Backends that have ended, the latest at the end; ids are never used again. */
+  private readonly ended = new Set<string>();
 
   private constructor() {}
 
@@ -61,6 +66,7 @@
   }
 
   private add(parts: readonly string[], backend: string): void {
+    if (this.ended.has(backend)) return;
     for (const id of parts) {
       const holders = this.holders.get(id) ?? new Set<string>();
       this.holders.delete(id);
@@ -77,5 +83,8 @@
   /** Forgets a backend that has ended. */
   removeBackend(backend: string): void {
     for (const holders of this.holders.values()) holders.delete(backend);
+    this.ended.add(backend);
+    const [oldest] = this.ended;
+    if (this.ended.size > keptEnded && oldest !== undefined) this.ended.delete(oldest);
   }
 }
--- a/packages/gateway/test/peerWords.test.ts
+++ b/packages/gateway/test/peerWords.test.ts
@@ -55,6 +55,9 @@
   t.ok(peer.holds("session", "b"));
   t.notOk(peer.holds("rest", "b"));
   t.same(peer.takeUntold(), {}, "and not passed on");
+  peer.removeBackend("b");
+  peer.takePeer(told);
+  t.notOk(peer.holds("session", "b"), "a late word does not bring back a backend that has ended");
   for (let index = 0; index < 200; index++) own.note([{ id: `p${index}`, tokens: 900 }, ...parts], "b");
   t.equal(own.takeUntold().b?.length, 64, "bounded");
 });
