Relay to large fleets which parts of prompts backends have read

In small fleets nodes tell each other what backends have read; in large ones nobody did. Change: readers hear it with each report and hand it on with the placements, at most 64 parts at once; nothing is sent that would not be sent anyway. Members take their record's options as they are, in place of a second list. Tests: parts go along, once, within the bound.

--- a/packages/gateway/src/fleetWork.ts
+++ b/packages/gateway/src/fleetWork.ts
@@ -10,6 +10,7 @@
 import type { PlacedEntry, RelayedMessage, ReportMessage } from "./memberMessages.js";
 import { PeerWorkViews } from "./peerWorkViews.js";
 import { PlacementRelay } from "./placementRelay.js";
+import type { ReadReport } from "./prefixMemory.js";
 import { RecentPlacements } from "./recentPlacements.js";
 
 /** Options of the fleet's work. */
@@ -99,6 +100,11 @@
     this.relay.add(this.options.own, entry);
   }
 
+  /** Hands on to those that ask this node which parts of prompts backends have read. */
+  relayRead(read: ReadReport): void {
+    this.relay.addRead(read);
+  }
+
   /** Takes note that a node asks this one for views, and is told placements from now on. */
   noteAsked(name: string): void {
     this.relay.noteAsked(name);
--- a/packages/gateway/src/memberMessages.ts
+++ b/packages/gateway/src/memberMessages.ts
@@ -30,7 +30,7 @@
   readonly work: BackendWork;
   /** Reading rates that the sender has learned; earlier builds leave them out. */
   readonly rates?: RateReport;
-  /** Parts of prompts that backends have read since the last report; left out in a large fleet. */
+  /** Parts of prompts that backends have read since the last report; earlier builds leave them out in large fleets. */
   readonly read?: ReadReport;
   /** Left out in some reports. */
   readonly usage?: WindowCounts;
@@ -87,4 +87,6 @@
   readonly first: number;
   /** The receiver's own have an empty backend. */
   readonly entries: readonly PlacedEntry[];
+  /** Parts of prompts that backends have read. */
+  readonly read: ReadReport;
 }
--- a/packages/gateway/src/members.ts
+++ b/packages/gateway/src/members.ts
@@ -7,7 +7,7 @@
  * @module
  */
 import { LinkMessageKind, type PeerIdentity, PeerLinks } from "@gladewall/coordination";
-import { type Clock, type Closeable, type Logger, waitFor } from "@gladewall/kernel";
+import { type Closeable, waitFor } from "@gladewall/kernel";
 import { AskedReader } from "./askedReader.js";
 import type { PeerWork } from "./backend.js";
 import type { BackendWork } from "./backendWork.js";
@@ -27,31 +27,21 @@
   type ReportMessage,
   type ViewMessage,
 } from "./memberMessages.js";
-import { MemberRecords, ownPrefix } from "./memberRecords.js";
+import { MemberRecords, type MemberRecordsOptions, ownPrefix } from "./memberRecords.js";
 import type { PrefixMemory } from "./prefixMemory.js";
 import type { ReadingRates } from "./readingRates.js";
 import type { CounterTotals, SharedCounters } from "./sharedCounters.js";
 import { SilentPeers } from "./silentPeers.js";
 import type { TrueTime } from "./trueTime.js";
-import type { MetadataStore, StoreItem } from "./types.js";
+import type { StoreItem } from "./types.js";
 import type { UsageCounts } from "./usageCounts.js";
 
-/** Options of the members. */
-export interface MembersOptions {
-  readonly store: MetadataStore;
-  readonly clock: Clock;
-  readonly logger: Logger;
-  readonly name: string;
-  /** Grows with each life of the node. */
-  readonly incarnation: number;
-  /** `host:port` that peers reach this node at. */
-  readonly address: string;
+/** Options of the members; the node's own record among them. */
+export interface MembersOptions extends Omit<MemberRecordsOptions, "onChange" | "isLinked"> {
   readonly secret: string;
   /** Time between two reports, while the fleet is small and when it is large. */
   readonly reportIntervalMs: number;
   readonly largeFleetIntervalMs: number;
-  /** How much the node can carry of what is done for all. */
-  readonly capacity: number;
   /** Largest fleet in which every node reports to every other. */
   readonly largestMesh: number;
   /** Time after which a removed key must run nothing. */
@@ -125,7 +115,7 @@
   /** Whether a reader asked what was counted before its life. */
   private isHistoryWanted = false;
   private constructor(private readonly options: MembersOptions) {
-    const { store, clock, logger, name, incarnation, secret, address, capacity, largestMesh } = options;
+    const { clock, logger, name, incarnation, secret, address, largestMesh } = options;
     this.peerTimes = PeerTimes.create(clock);
     this.silentPeers = SilentPeers.create(options.revokeWithinMs);
     this.links = PeerLinks.create({
@@ -144,17 +134,7 @@
     });
     const isLinked = (peer: string): boolean => this.links.isLinked(peer);
     const onChange = (): void => this.setFleet();
-    this.records = MemberRecords.create({
-      store,
-      clock,
-      logger,
-      name,
-      incarnation,
-      address,
-      capacity,
-      onChange,
-      isLinked,
-    });
+    this.records = MemberRecords.create({ ...options, onChange, isLinked });
     this.collectors = Collectors.create({
       clock,
       own: name,
@@ -270,9 +250,11 @@
     this.links.setHandler(MemberMessageKind.View, (message, peer) =>
       this.takeView(message as ViewMessage, peer),
     );
-    this.links.setHandler(MemberMessageKind.Relayed, (message, peer) =>
-      this.work.takeRelayed(message as RelayedMessage, peer),
-    );
+    this.links.setHandler(MemberMessageKind.Relayed, (message, peer) => {
+      const relayed = message as RelayedMessage;
+      this.work.takeRelayed(relayed, peer);
+      this.options.memory.takePeer(relayed.read);
+    });
     this.links.setHandler(MemberMessageKind.Feed, (message) => {
       const { sequence, feed } = message as FeedAnswer;
       this.takeFeed(sequence, feed);
@@ -333,6 +315,7 @@
     this.isHistoryWanted = false;
     this.keepTold(report.totals);
     const read = this.options.memory.takeUntold();
+    this.work.relayRead(read);
     const hasUsage = isMesh || this.sequence % usageEvery === 0;
     return {
       kind: MemberMessageKind.Report,
@@ -342,8 +325,7 @@
       work: this.work.createOwn(),
       rates: rates.createReport(),
       hearsAll: isMesh || isOwn,
-      // In a large fleet only readers would hear it, and none passes it on.
-      ...(isMesh ? { read } : {}),
+      read,
       ...(hasUsage ? { usage: usage.getOwn(getWindow(), toldWindows) } : {}),
     };
   }
@@ -359,7 +341,10 @@
     counters.takeReport(peer.name, life, message.counters);
     if (message.usage) usage.takePeer(life, message.usage);
     if (message.rates) rates.takePeer(peer.name, message.rates);
-    if (message.read) this.options.memory.takePeer(message.read);
+    if (message.read) {
+      this.options.memory.takePeer(message.read);
+      this.work.relayRead(message.read);
+    }
     this.silentPeers.noteHeard(peer.name, clock.getTime());
     this.peerTimes.take(peer.name, message.time);
     this.work.takeReport(peer.name, message.work);
--- a/packages/gateway/src/placementRelay.ts
+++ b/packages/gateway/src/placementRelay.ts
@@ -3,11 +3,13 @@
  * each reader hands it on, some times a second, to the nodes that ask it. What a node knows of others' work is then some
  * 20 ms old in place of a report and a view, some 400 ms.
  *
- * Placements are numbered, and a view says up to which number it includes them, so none is counted twice.
+ * Placements are numbered, and a view says up to which number it includes them, so none is counted twice. Parts of prompts
+ * that backends have read go along with them.
  * @module
  */
 import { type Clock, type Timer } from "@gladewall/kernel";
 import { MemberMessageKind, type PlacedEntry, type RelayedMessage } from "./memberMessages.js";
+import type { ReadReport } from "./prefixMemory.js";
 
 /** Options of the relay. */
 export interface PlacementRelayOptions {
@@ -27,6 +29,8 @@
 const batchMs = 20;
 /** Placements handed on at once; more say little beside the next view. Bounds what a node hears to 10 KB/s. */
 const mostEntries = 16;
+/** Parts that go along at once, as many as one node tells with a report; what is beyond it is only not known. */
+const mostParts = 64;
 /** A node that has not asked for this long is told nothing more: it asks another reader. */
 const audienceLifetimeMs = 1_500;
 /** What stands in place of a node's own placements, so that all nodes are told the same numbers. */
@@ -37,6 +41,9 @@
   private queue: Queued[] = [];
   /** Number of the first placement in the queue. */
   private first = 1;
+  /** Parts that backends have read, to go along with the next placements. */
+  private read: Record<string, string[]> = {};
+  private partCount = 0;
   /** When each node last asked. */
   private readonly audience = new Map<string, number>();
   private timer: Timer | undefined;
@@ -67,27 +74,45 @@
     this.timer ??= this.options.clock.startTimer(batchMs, () => this.flush());
   }
 
+  /** Takes what a node tells of parts that backends have read. */
+  addRead(report: ReadReport): void {
+    if (this.audience.size === 0) return;
+    for (const [backend, parts] of Object.entries(report)) {
+      const room = Math.max(0, mostParts - this.partCount);
+      const taken = parts.slice(0, room);
+      if (taken.length === 0) continue;
+      (this.read[backend] ??= []).push(...taken);
+      this.partCount += taken.length;
+    }
+  }
+
   close(): void {
     this.timer?.cancel();
   }
 
   private flush(): void {
     this.timer = undefined;
-    const queue = this.queue;
-    const first = this.first;
+    const { queue, first, read } = this;
     this.queue = [];
     this.first += queue.length;
+    this.read = {};
+    this.partCount = 0;
     const limit = this.options.clock.getTime() - audienceLifetimeMs;
     for (const [name, askedAt] of this.audience) {
       if (askedAt < limit) this.audience.delete(name);
-      else this.options.send(name, createMessage(name, first, queue));
+      else this.options.send(name, createMessage(name, first, queue, read));
     }
   }
 }
 
-function createMessage(receiver: string, first: number, queue: readonly Queued[]): RelayedMessage {
+function createMessage(
+  receiver: string,
+  first: number,
+  queue: readonly Queued[],
+  read: ReadReport,
+): RelayedMessage {
   // The latest are told: an older one is nearer to the next view.
   const told = queue.slice(-mostEntries);
   const entries = told.map(({ sender, entry }) => (sender === receiver ? none : entry));
-  return { kind: MemberMessageKind.Relayed, first: first + queue.length - told.length, entries };
+  return { kind: MemberMessageKind.Relayed, first: first + queue.length - told.length, entries, read };
 }
--- a/packages/gateway/test/relay.test.ts
+++ b/packages/gateway/test/relay.test.ts
@@ -30,11 +30,12 @@
   t.equal(relay.lastNumber, 1, "counted although nobody is told");
   relay.noteAsked("a");
   relay.noteAsked("c");
+  relay.addRead({ b1: ["shared"] });
   relay.add("a", ["b1", 10_000]);
   relay.add("reader", ["b2", 20_000]);
   t.equal(relay.lastNumber, 3);
   await clock.advance(20);
-  const message = { kind: MemberMessageKind.Relayed, first: 2 };
+  const message = { kind: MemberMessageKind.Relayed, first: 2, read: { b1: ["shared"] } };
   t.same(sent, [
     [
       "a",
@@ -74,6 +75,23 @@
   t.equal(relay.lastNumber, 40);
 });
 
+t.test("parts that backends have read go along with placements, so many at once", async (t) => {
+  const { clock, relay, sent } = createRelay();
+  relay.addRead({ b0: ["nobody asked"] });
+  relay.noteAsked("c");
+  const parts = Array.from({ length: 50 }, (_, index) => `p${index}`);
+  relay.addRead({ b1: parts });
+  relay.addRead({ b2: parts });
+  await clock.advance(100);
+  t.equal(sent.length, 0, "they wait for a placement");
+  relay.add("a", ["b1", 10_000]);
+  await clock.advance(20);
+  t.same(sent[0]?.[1].read, { b1: parts, b2: parts.slice(0, 14) });
+  relay.add("a", ["b1", 10_000]);
+  await clock.advance(20);
+  t.same(sent[1]?.[1].read, {}, "told once");
+});
+
 t.test(
   "what a view includes is not counted beside it, and another reader's numbers mean nothing",
   async (t) => {
