--- a/packages/gateway/src/placementRelay.ts
+++ b/packages/gateway/src/placementRelay.ts
@@ -27,7 +27,7 @@
  * others' prompts 25 ms late costs a mean wait of 11 ms, 10 ms late 6 ms, a view's 375 ms 42 ms.
  */
 const batchMs = 20;
-/** Placements handed on at once; more say little beside the next view. Bounds what a node hears to 10 KB/s. */
+/** Placements handed on at once, of some 20 bytes each: a node hears 16 KB/s of them at most, whatever the load. */
 const mostEntries = 16;
 /** Parts that go along at once, as many as one node tells with a report; what is beyond it is only not known. */
 const mostParts = 64;
