--- a/packages/gateway/src/collectors.ts
+++ b/packages/gateway/src/collectors.ts
@@ -23,7 +23,7 @@
 /** Time for a link to come up, after which the next node is asked too. */
 const patienceMs = 800;
 
-/** Chooses the collectors. */
+/** Chooses the readers, and knows who hears the whole fleet. */
 export class Collectors {
   private readers: readonly string[] = [];
   private ranking: readonly string[] = [];
--- a/packages/gateway/src/members.ts
+++ b/packages/gateway/src/members.ts
@@ -70,7 +70,7 @@
   readonly at: number;
 }
 
-/** What the collector that is asked last answered. */
+/** What the reader that is asked last answered. */
 interface FleetView {
   readonly work: BackendWork;
   readonly knownShare: number;
@@ -88,7 +88,7 @@
 const lostAfterMs = 2_500;
 const handshakeTimeoutMs = 1_000;
 const outboxBytes = 262_144;
-/** A collector that started this much later than this node knows less of what was counted before. */
+/** A reader that started this much later than this node knows less of what was counted before. */
 const youngerByMs = 1_000;
 const keptReports = 16;
 /** Time without a new node after which the fleet counts as known. */
