--- /dev/null
+++ b/packages/gateway/test/engineBench.ts
@@ -0,0 +1,34 @@
+/**
+ * A bench with one engine that answers nothing until the test says so.
+ * @module
+ */
+import type { Test } from "tap";
+import { RouteKind } from "@gladewall/gateway";
+import {
+  type BackendCall,
+  createRoute,
+  createService,
+  GatewayBench,
+  ScriptedBackend,
+} from "@gladewall/standins";
+
+/** What a test works with. */
+export interface EngineBench {
+  readonly bench: GatewayBench;
+  /** Requests that the engine has and has not answered. */
+  readonly held: BackendCall[];
+}
+
+/** Creates the bench; the engine is listed as `b`, with eight slots. */
+export async function createEngineBench(t: Pick<Test, "teardown">): Promise<EngineBench> {
+  const bench = GatewayBench.create();
+  bench.platform.configure({
+    routes: [createRoute({ kind: RouteKind.Stream })],
+    services: [createService({ engine: { slots: 8, tokenCapacity: 100_000 } })],
+  });
+  const held: BackendCall[] = [];
+  const engine = await ScriptedBackend.create("b", (call) => void held.push(call));
+  bench.platform.list({ id: "b", address: engine.address });
+  t.teardown(() => Promise.all([bench.close(), engine.close()]));
+  return { bench, held };
+}
--- a/packages/gateway/test/peerWords.test.ts
+++ b/packages/gateway/test/peerWords.test.ts
@@ -1,30 +1,15 @@
 import t from "tap";
-import { PrefixMemory, RouteKind } from "@gladewall/gateway";
-import {
-  answerGood,
-  type BackendCall,
-  createRoute,
-  createService,
-  GatewayBench,
-  ScriptedBackend,
-  waitUntil,
-} from "@gladewall/standins";
+import { PrefixMemory } from "@gladewall/gateway";
+import { answerGood, waitUntil } from "@gladewall/standins";
+import { createEngineBench } from "./engineBench.js";
 
 /** Longer than the test lasts: whatever is known before has been told at once. */
 const seldom = "peers.report_interval=10000";
 
 t.test("a long prompt is told at once, a short one waits for the next report", async (t) => {
-  const bench = GatewayBench.create();
-  bench.platform.configure({
-    routes: [createRoute({ kind: RouteKind.Stream })],
-    services: [createService({ engine: { slots: 8, tokenCapacity: 100_000 } })],
-  });
-  const held: BackendCall[] = [];
-  const backend = await ScriptedBackend.create("b", (call) => void held.push(call));
-  bench.platform.list({ id: "b", address: backend.address });
+  const { bench, held } = await createEngineBench(t);
   const one = await bench.startReady(1, "web", [seldom]);
   const two = await bench.startReady(1, "web", [seldom]);
-  t.teardown(() => Promise.all([bench.close(), backend.close()]));
   await waitUntil(() => one.gateway.linkedPeers === 1 && two.gateway.linkedPeers === 1);
   const short = bench.call(two, { headers: { "x-tokens": "100" } });
   await waitUntil(() => held.length === 1);
--- a/packages/gateway/test/relay.test.ts
+++ b/packages/gateway/test/relay.test.ts
@@ -1,21 +1,8 @@
 import t from "tap";
-import {
-  MemberMessageKind,
-  PlacementRelay,
-  RecentPlacements,
-  type RelayedMessage,
-  RouteKind,
-} from "@gladewall/gateway";
+import { MemberMessageKind, PlacementRelay, RecentPlacements, type RelayedMessage } from "@gladewall/gateway";
 import { VirtualClock } from "@gladewall/kernel";
-import {
-  answerGood,
-  type BackendCall,
-  createRoute,
-  createService,
-  GatewayBench,
-  ScriptedBackend,
-  waitUntil,
-} from "@gladewall/standins";
+import { answerGood, waitUntil } from "@gladewall/standins";
+import { createEngineBench } from "./engineBench.js";
 
 function createRelay() {
   const clock = VirtualClock.create();
@@ -116,19 +103,11 @@
 );
 
 t.test("in a large fleet a long prompt is known to every node, and counted once", async (t) => {
-  const bench = GatewayBench.create();
-  bench.platform.configure({
-    routes: [createRoute({ kind: RouteKind.Stream })],
-    services: [createService({ engine: { slots: 8, tokenCapacity: 100_000 } })],
-  });
-  const held: BackendCall[] = [];
-  const backend = await ScriptedBackend.create("b", (call) => void held.push(call));
-  bench.platform.list({ id: "b", address: backend.address });
+  const { bench, held } = await createEngineBench(t);
   const overrides = ["peers.large_fleet_interval=40", "peers.largest_mesh=2"];
   for (let index = 0; index < 6; index++) {
     await bench.startReady(1, "web", [...overrides, `peers.capacity=${index}`]);
   }
-  t.teardown(() => Promise.all([bench.close(), backend.close()]));
   const [sender, ...others] = bench.nodes;
   await waitUntil(() => bench.nodes.every(({ gateway }) => gateway.isReader || gateway.isFed));
   await waitUntil(() => others.slice(2).every(({ gateway }) => gateway.isReader));
