--- a/packages/operator/src/bench/main.ts
+++ b/packages/operator/src/bench/main.ts
@@ -7,6 +7,7 @@
 import { runCapacityBench } from "./capacityBench.js";
 import { runClaimsBench } from "./claimsBench.js";
 import { runFleetBench } from "./fleetBench.js";
+import { runStalenessBench } from "./stalenessBench.js";
 
 type Bench = (print: (line: string) => void) => Promise<unknown>;
 
@@ -20,6 +21,7 @@
   claims: (print) => runClaimsBench(claimsWindow, print),
   capacity: (print) => runCapacityBench(capacityWindow, print),
   fleet: (print) => runFleetBench(fleetWindow, print),
+  staleness: runStalenessBench,
 };
 
 function print(line: string): void {
--- /dev/null
+++ b/packages/operator/src/bench/stalenessBench.ts
@@ -0,0 +1,147 @@
+/**
+ * `npm run bench -- staleness`: a model of engines that read prompts one after another while many nodes place requests by
+ * what they knew of each engine some time ago. It tells what old knowledge costs, against choosing with full knowledge,
+ * and whether choosing among few drawn engines, or by noise, makes up for it. No clock, no network: draws are seeded.
+ * @module
+ */
+import { Seeded } from "../soak/seeded.js";
+
+/** How nodes choose. */
+export interface ChoiceRule {
+  readonly name: string;
+  /** Engines drawn to choose among; undefined: all. */
+  readonly drawn?: number;
+  /** Milliseconds by which what is known of each engine is spread. */
+  readonly spreadMs: number;
+}
+
+/** One measured case; times in milliseconds of waiting before a prompt is read. */
+export interface StalenessPoint {
+  readonly engines: number;
+  readonly nodes: number;
+  readonly requestsPerSecond: number;
+  /** Mean age of what a node knows of others' requests. */
+  readonly ageMs: number;
+  readonly rule: string;
+  readonly meanMs: number;
+  readonly p90Ms: number;
+  readonly p99Ms: number;
+}
+
+interface Fleet {
+  readonly engines: number;
+  readonly nodes: number;
+  readonly requestsPerSecond: number;
+}
+
+interface Placed {
+  readonly engine: number;
+  readonly at: number;
+  readonly readingMs: number;
+}
+
+const fleets: readonly Fleet[] = [
+  { engines: 18, nodes: 24, requestsPerSecond: 110 },
+  { engines: 69, nodes: 195, requestsPerSecond: 444 },
+  { engines: 69, nodes: 195, requestsPerSecond: 800 },
+];
+const ages = [0, 10, 25, 50, 100, 375];
+const rules: readonly ChoiceRule[] = [
+  { name: "least known", spreadMs: 4 },
+  { name: "least known, spread 150 ms", spreadMs: 150 },
+  { name: "least of 2 drawn", drawn: 2, spreadMs: 4 },
+  { name: "least of 8 drawn", drawn: 8, spreadMs: 4 },
+];
+/** Reading times and how often they come, as of long, short and middle prompts at 64 tokens a millisecond. */
+const prompts = [
+  { weight: 21, readingMs: 187 },
+  { weight: 33, readingMs: 13 },
+  { weight: 46, readingMs: 37 },
+];
+const seed = 26;
+const warmUpMs = 5_000;
+const lengthMs = 40_000;
+/** Placements older than this are shown in every view. */
+const keptMs = 1_500;
+const resolution = 1_000_000;
+
+/** Runs all cases. */
+export async function runStalenessBench(print: (line: string) => void): Promise<unknown> {
+  const points: StalenessPoint[] = [];
+  for (const fleet of fleets) {
+    for (const ageMs of ages) {
+      for (const rule of rules) {
+        const point = measureCase(fleet, ageMs, rule);
+        points.push(point);
+        print(formatPoint(point));
+      }
+    }
+  }
+  return { command: "npm run bench -- staleness", seed, lengthMs, points };
+}
+
+/** Plays one case. */
+export function measureCase(fleet: Fleet, ageMs: number, rule: ChoiceRule): StalenessPoint {
+  const draws = Seeded.create(seed);
+  const getShare = (): number => draws.getInteger(0, resolution - 1) / resolution;
+  const busyUntil = new Float64Array(fleet.engines);
+  const waits: number[] = [];
+  let recent: Placed[] = [];
+  for (let time = 0; time < lengthMs;) {
+    time += (-Math.log(1 - getShare()) * 1_000) / fleet.requestsPerSecond;
+    const readingMs = (draws.chooseWeighted(prompts)?.readingMs ?? 0) * (0.5 + getShare());
+    // A node's own requests are a share of all: it knows those at once, the others after the age.
+    const unseen = recent.filter(
+      ({ at }) => at > time - ageMs * (0.5 + getShare()) && getShare() > 1 / fleet.nodes,
+    );
+    const engine = chooseEngine(busyUntil, unseen, time, rule, getShare);
+    const startsAt = Math.max(time, busyUntil[engine]!);
+    busyUntil[engine] = startsAt + readingMs;
+    recent = [...recent.filter(({ at }) => at > time - keptMs), { engine, at: time, readingMs }];
+    if (time > warmUpMs) waits.push(startsAt - time);
+  }
+  return { ...fleet, ageMs, rule: rule.name, ...summarize(waits) };
+}
+
+function chooseEngine(
+  busyUntil: Float64Array,
+  unseen: readonly Placed[],
+  time: number,
+  { drawn, spreadMs }: ChoiceRule,
+  getShare: () => number,
+): number {
+  const hidden = new Map<number, number>();
+  for (const { engine, readingMs } of unseen) hidden.set(engine, (hidden.get(engine) ?? 0) + readingMs);
+  let best = 0;
+  let leastMs = Infinity;
+  for (const engine of drawEngines(busyUntil.length, drawn, getShare)) {
+    const knownMs = Math.max(0, busyUntil[engine]! - time - (hidden.get(engine) ?? 0));
+    const score = knownMs + getShare() * spreadMs;
+    if (score >= leastMs) continue;
+    leastMs = score;
+    best = engine;
+  }
+  return best;
+}
+
+function drawEngines(count: number, drawn: number | undefined, getShare: () => number): Iterable<number> {
+  if (drawn === undefined || drawn >= count) return Array.from({ length: count }, (_, engine) => engine);
+  const chosen = new Set<number>();
+  while (chosen.size < drawn) chosen.add(Math.floor(getShare() * count));
+  return chosen;
+}
+
+function summarize(waits: readonly number[]): Pick<StalenessPoint, "meanMs" | "p90Ms" | "p99Ms"> {
+  const sorted = Float64Array.from(waits).sort();
+  const getQuantile = (share: number): number => Math.round(sorted[Math.floor(sorted.length * share)] ?? 0);
+  const meanMs = Math.round(waits.reduce((sum, wait) => sum + wait, 0) / Math.max(1, waits.length));
+  return { meanMs, p90Ms: getQuantile(0.9), p99Ms: getQuantile(0.99) };
+}
+
+function formatPoint(point: StalenessPoint): string {
+  const { engines, requestsPerSecond, ageMs, rule, meanMs, p90Ms, p99Ms } = point;
+  return (
+    `${engines} engines, ${requestsPerSecond} requests/s, known after ${ageMs} ms, ${rule}: ` +
+    `waits ${meanMs} ms in the mean, 90th ${p90Ms}, 99th ${p99Ms}`
+  );
+}
