Keep how an instance comes by the store's contents in a class of its own

Moved out of members.ts without a change of behaviour: which reader is asked, whether it is believed, and the role that follows, so that a test can play them on a virtual clock without links. The stand-in store's watches can look less often, since each look costs turns of the event loop on a virtual clock.

--- a/packages/gateway/src/members.ts
+++ b/packages/gateway/src/members.ts
@@ -8,13 +8,12 @@
  */
 import { LinkMessageKind, type PeerIdentity, PeerLinks } from "@gladewall/coordination";
 import { type Closeable, waitFor } from "@gladewall/kernel";
-import { AskedReader } from "./askedReader.js";
 import type { PeerWork } from "./backend.js";
 import type { BackendWork } from "./backendWork.js";
-import { type ConfigurationFollower, StoreRole } from "./configurationFollower.js";
+import type { ConfigurationFollower } from "./configurationFollower.js";
 import type { FeedTimes } from "./feedTimes.js";
 import { FleetWork, getLife } from "./fleetWork.js";
-import { type FeedMessage, type FeedState, FleetFeed } from "./fleetFeed.js";
+import type { FeedMessage, FeedState } from "./fleetFeed.js";
 import { PeerTimes } from "./peerTimes.js";
 import type { PrefixFollower } from "./prefixFollower.js";
 import { Collectors } from "./collectors.js";
@@ -32,6 +31,7 @@
 import type { ReadingRates } from "./readingRates.js";
 import type { CounterTotals, SharedCounters } from "./sharedCounters.js";
 import { SilentPeers } from "./silentPeers.js";
+import { StoreFeed } from "./storeFeed.js";
 import type { TrueTime } from "./trueTime.js";
 import type { StoreItem } from "./types.js";
 import type { UsageCounts } from "./usageCounts.js";
@@ -99,7 +99,7 @@
   readonly links: PeerLinks;
   private readonly records: MemberRecords;
   private readonly collectors: Collectors;
-  private readonly feed: FleetFeed;
+  private readonly feed: StoreFeed;
   private readonly work: FleetWork;
   private readonly peerTimes: PeerTimes;
   private readonly silentPeers: SilentPeers;
@@ -109,11 +109,9 @@
   /** What was told last, by the report's number. */
   private readonly told = new Map<number, ToldReport>();
   private fleetView: FleetView | undefined;
-  private readonly asked: AskedReader;
-  /** When a reader that the store serves last answered. */
-  private fedAt = -Infinity;
   /** Whether a reader asked what was counted before its life. */
   private isHistoryWanted = false;
+
   private constructor(private readonly options: MembersOptions) {
     const { clock, logger, name, incarnation, secret, address, largestMesh } = options;
     this.peerTimes = PeerTimes.create(clock);
@@ -144,10 +142,14 @@
       getCapacity: (peer) => this.records.getCapacity(peer),
       isLinked,
     });
-    const { longestStoreAgeMs, patienceMs } = options.feedTimes;
-    const followers = { [options.backendPrefix]: options.backends, [ownPrefix]: this.records.follower };
-    this.feed = FleetFeed.create(options.configuration, followers, longestStoreAgeMs);
-    this.asked = AskedReader.create(name, patienceMs);
+    this.feed = StoreFeed.create({
+      clock,
+      logger,
+      own: name,
+      times: options.feedTimes,
+      configuration: options.configuration,
+      followers: { [options.backendPrefix]: options.backends, [ownPrefix]: this.records.follower },
+    });
     this.work = FleetWork.create({
       clock,
       own: name,
@@ -285,7 +287,7 @@
       time.adjust(this.peerTimes.getDifferences(time.get()));
       if (this.collectors.choose()) this.setFleet();
       this.work.refresh();
-      this.feed.setRole(this.storeRole);
+      this.feed.setRole(this.collectors.isReader);
       onTurn();
       this.report();
     }
@@ -295,21 +297,15 @@
     const report = this.createReport();
     const { isMesh, isReader } = this.collectors;
     const linked = this.collectors.getLinkedReaders();
-    const asked = isReader ? undefined : this.asked.choose(linked, this.options.clock.getTime());
+    const asked = isReader ? undefined : this.feed.chooseReader(linked);
     for (const name of isMesh ? this.links.getLinked() : linked) {
       this.links.send(name, name === asked ? { ...report, feed: this.feed.getState() } : report);
     }
   }
 
-  private get storeRole(): StoreRole {
-    if (this.collectors.isReader) return StoreRole.Reader;
-    return this.isFed ? StoreRole.Fed : StoreRole.Alone;
-  }
-
   /** Whether a reader tells this node what the store holds. */
   get isFed(): boolean {
-    const age = this.options.clock.getTime() - this.fedAt;
-    return !this.collectors.isReader && age < this.options.feedTimes.lifetimeMs;
+    return !this.collectors.isReader && this.feed.isFed;
   }
 
   private createReport(): ReportMessage {
@@ -403,16 +399,7 @@
   private takeFeed(sequence: number, feed: FeedMessage): void {
     const told = this.told.get(sequence);
     if (!told || this.collectors.isReader) return;
-    const time = this.options.clock.getTime();
-    this.asked.noteAnswered(time);
-    if (this.feed.take(feed, told.at)) {
-      this.fedAt = time;
-      return;
-    }
-    // The store may have turned away more readers than this one: this node asks it itself until another tells more.
-    this.fedAt = -Infinity;
-    this.asked.passOver(time);
-    this.options.logger.info("feed.passed-over", { storeAgeMs: Math.round(feed.storeAgeMs) });
+    this.feed.take(feed, told.at);
   }
 
   /** The last view while it is young enough; once it is not, the node keeps to its own part of what is shared. */
--- a/packages/standins/src/gatewayPlatform.ts
+++ b/packages/standins/src/gatewayPlatform.ts
@@ -99,13 +99,14 @@
   private constructor(
     readonly address: string,
     private readonly clock: Clock,
+    pollMs: number | undefined,
   ) {
-    this.shared = SharedStore.create(clock);
+    this.shared = SharedStore.create(clock, pollMs);
   }
 
   /** Creates a platform and registers it under an address that no other test uses. */
-  static create(clock: Clock = SystemClock.create()): StandinPlatform {
-    const platform = new StandinPlatform(`standin:${platforms.size + 1}`, clock);
+  static create(clock: Clock = SystemClock.create(), pollMs?: number): StandinPlatform {
+    const platform = new StandinPlatform(`standin:${platforms.size + 1}`, clock, pollMs);
     platforms.set(platform.address, platform);
     return platform;
   }
--- a/packages/standins/src/metadataStoreStandin.ts
+++ b/packages/standins/src/metadataStoreStandin.ts
@@ -28,7 +28,8 @@
   readonly lease: string | undefined;
 }
 
-const pollMs = 5;
+/** Time between two looks of a watch, unless the test says otherwise. */
+const usualPollMs = 5;
 
 /** What all nodes of a test share. */
 export class SharedStore {
@@ -44,10 +45,15 @@
   private counter = 0;
   private nextLease = 1;
 
-  private constructor(private readonly clock: Clock) {}
+  private constructor(
+    private readonly clock: Clock,
+    /** Milliseconds between two looks of a watch. */
+    readonly pollMs: number,
+  ) {}
 
-  static create(clock: Clock): SharedStore {
-    return new SharedStore(clock);
+  /** On a virtual clock each look costs turns of the event loop, so tests of long times look less often. */
+  static create(clock: Clock, pollMs = usualPollMs): SharedStore {
+    return new SharedStore(clock, pollMs);
   }
 
   get revision(): number {
@@ -166,7 +172,7 @@
       const last = events.at(-1);
       if (last) return Ok({ events, revision: last.revision });
       if (this.clock.getTime() >= endsAt) return Ok({ events: [], revision: since });
-      await waitFor(this.clock, pollMs, signal);
+      await waitFor(this.clock, this.shared.pollMs, signal);
     }
   }
 
