A test for a listing that is older than a removal; it fails

A node that asks the store itself may be told of a removal by a reader while its listing is under way; the listing then puts the record back, and no later change takes it away again.

--- a/packages/gateway/test/leavingBackends.test.ts
+++ b/packages/gateway/test/leavingBackends.test.ts
@@ -13,10 +13,12 @@
   BackendDirectory,
   ConfigurationFollower,
   createFeedTimes,
+  type MetadataStore,
   type PlatformAdapter,
+  PrefixFollower,
   StoreFeed,
 } from "@gladewall/gateway";
-import { Logger, VirtualClock } from "@gladewall/kernel";
+import { Logger, settlePromises, VirtualClock } from "@gladewall/kernel";
 import { StandinPlatform, StoreTrouble } from "@gladewall/standins";
 
 const drainMs = 3_000;
@@ -194,3 +196,48 @@
   const report = await fc.check(property, { seed: 31, numRuns: 40, endOnFailure: true });
   t.equal(report.failed, false, JSON.stringify(report.counterexample));
 });
+
+t.test("a listing that was under way when a removal came in does not bring back what went", async (t) => {
+  const clock = VirtualClock.create();
+  const platform = StandinPlatform.create(clock);
+  platform.list({ id: "a", address: "127.0.0.1:1" });
+  const { store, backendPrefix } = platform.createAdapter();
+  let deliver: () => void = () => undefined;
+  const slowStore: MetadataStore = Object.assign(Object.create(store) as MetadataStore, {
+    list: async (prefix: string) => {
+      const listing = await store.list(prefix);
+      await new Promise<void>((resolve) => (deliver = resolve));
+      return listing;
+    },
+  });
+  const present = new Set<string>();
+  const logger = Logger.createSilent();
+  const listener = {
+    handlePut: ({ key }: { key: string }) => void present.add(key),
+    handleRemoved: (key: string) => void present.delete(key),
+  };
+  const follower = PrefixFollower.create({
+    store: slowStore,
+    prefix: backendPrefix,
+    clock,
+    logger,
+    listener,
+  });
+  follower.start();
+  await settlePromises();
+  deliver();
+  await settlePromises();
+  t.equal(present.size, 1);
+  follower.restart();
+  await clock.advance(200);
+  const key = `${backendPrefix}a`;
+  const revision = platform.shared.revision + 1;
+  follower.takeChanges({ revision, items: [], removed: [{ key, revision }], isListing: false }, Infinity);
+  t.equal(present.size, 0);
+  deliver();
+  await settlePromises();
+  t.equal(present.size, 0);
+  const closed = follower.close();
+  await clock.advance(20_000);
+  await closed;
+});
