A listing does not bring back what was removed after it was taken

Cause: what was removed was forgotten as soon as it was; a listing of a node's own, taken before a removal that a reader told meanwhile, put the record back.

--- a/packages/gateway/src/prefixFollower.ts
+++ b/packages/gateway/src/prefixFollower.ts
@@ -51,7 +51,8 @@
   /** Revision up to which everything is known. */
   private revision = 0;
   private readonly items = new Map<string, StoreItem>();
-  private readonly removed: { readonly key: string; readonly revision: number }[] = [];
+  /** Keys that went, by when they did; the oldest first. */
+  private readonly removed = new Map<string, number>();
   /** Revision up to which keys that went are no longer remembered. */
   private forgottenRevision = 0;
   private readonly stop = new AbortController();
@@ -95,7 +96,9 @@
     const isListing = since === undefined || since < this.forgottenRevision;
     if (isListing) return { revision, items: [...this.items.values()], removed: [], isListing };
     const items = [...this.items.values()].filter((item) => item.revision > since);
-    const removed = this.removed.filter((entry) => entry.revision > since);
+    const removed = [...this.removed]
+      .filter(([, removedAt]) => removedAt > since)
+      .map(([key, removedAt]) => ({ key, revision: removedAt }));
     return { revision, items, removed, isListing };
   }
 
@@ -179,15 +182,28 @@
   }
 
   private put(item: StoreItem): void {
-    if ((this.items.get(item.key)?.revision ?? -1) >= item.revision) return;
+    // A listing may be older than a removal that another follower handed on: a backend put back by it would stay.
+    const knownAt = this.items.get(item.key)?.revision ?? this.removed.get(item.key) ?? -1;
+    if (knownAt >= item.revision) return;
     this.items.set(item.key, item);
     this.options.listener.handlePut(item);
   }
 
+  private forgetOldest(): void {
+    if (this.removed.size <= keptRemoved) return;
+    for (const [key, removedAt] of this.removed) {
+      this.removed.delete(key);
+      this.forgottenRevision = removedAt;
+      return;
+    }
+  }
+
   private remove(key: string, revision: number, troubleAgeMs: number | undefined): void {
     if (!this.items.delete(key)) return;
-    this.removed.push({ key, revision });
-    if (this.removed.length > keptRemoved) this.forgottenRevision = this.removed.shift()!.revision;
+    // Deleted first, so that the map stays in the order of revisions.
+    this.removed.delete(key);
+    this.removed.set(key, revision);
+    this.forgetOldest();
     this.options.listener.handleRemoved(key, troubleAgeMs);
   }
 }
