--- a/packages/gateway/test/leavingBackends.test.ts
+++ b/packages/gateway/test/leavingBackends.test.ts
@@ -129,6 +129,8 @@
   readonly leavesAt: number;
   /** Whether its record says that it leaves; else the record vanishes. */
   readonly isStated: boolean;
+  /** When the watches that are under way fall silent. */
+  readonly silentAt?: number;
 }
 
 /** Milliseconds after the acknowledgement of a departure for which the backend was used. */
@@ -139,7 +141,7 @@
 }
 
 /** Plays a departure. */
-async function playDeparture({ troubles, leavesAt, isStated }: Departure): Promise<UsedFor> {
+async function playDeparture({ troubles, leavesAt, isStated, silentAt }: Departure): Promise<UsedFor> {
   const fleet = await ToldFleet.create();
   const { platform, clock } = fleet;
   const startedAt = clock.getTime();
@@ -148,6 +150,9 @@
     clock.startTimer(at, () => (store.trouble = StoreTrouble.Down));
     clock.startTimer(at + lasts, () => (store.trouble = StoreTrouble.None));
   }
+  if (silentAt !== undefined) {
+    clock.startTimer(silentAt, () => platform.stores.forEach((store) => store.silenceWatches()));
+  }
   clock.startTimer(leavesAt, () => {
     if (isStated) platform.list({ id: "a", address: "127.0.0.1:1", isLeaving: true });
     else platform.unlist("a");
@@ -197,6 +202,21 @@
   t.equal(report.failed, false, JSON.stringify(report.counterexample));
 });
 
+t.test("a watch that falls silent without an error is found out in time", async (t) => {
+  const silent = fc.record({
+    troubles: fc.constant([]),
+    silentAt: fc.integer({ min: 0, max: 3_000 }),
+    leavesAt: fc.integer({ min: 0, max: 6_000 }),
+    isStated: fc.boolean(),
+  });
+  const property = fc.asyncProperty(silent, async (drawn) => {
+    const usedFor = await playDeparture(drawn);
+    return Math.max(usedFor.told, usedFor.readers) + sendingMs <= drainMs;
+  });
+  const report = await fc.check(property, { seed: 31, numRuns: 30, endOnFailure: true });
+  t.equal(report.failed, false, JSON.stringify(report.counterexample));
+});
+
 t.test("a listing that was under way when a removal came in does not bring back what went", async (t) => {
   const clock = VirtualClock.create();
   const platform = StandinPlatform.create(clock);
--- a/packages/standins/src/metadataStoreStandin.ts
+++ b/packages/standins/src/metadataStoreStandin.ts
@@ -24,6 +24,9 @@
   LosesAnswers = 2,
 }
 
+/** Longest time of a call, as the platform's client has it; a call that waits has that long beyond, or its wait. */
+const callTimeoutMs = 1_200;
+
 interface Entry extends StoreItem {
   readonly lease: string | undefined;
 }
@@ -132,6 +135,7 @@
   calls = 0;
   /** Watches among them. */
   watches = 0;
+  private silencedAt = -Infinity;
 
   private constructor(
     private readonly shared: SharedStore,
@@ -142,6 +146,11 @@
     return new MetadataStoreStandin(shared, clock);
   }
 
+  /** Lets the watches that are under way hear nothing more, without an error; new ones work. */
+  silenceWatches(): void {
+    this.silencedAt = this.clock.getTime();
+  }
+
   async read(key: string): Promise<Result<StoreItem | undefined, Failure>> {
     this.shared.reads += 1;
     if (this.isDown()) return Err(createDown());
@@ -162,11 +171,18 @@
     waitMs: number,
     signal: AbortSignal,
   ): Promise<Result<StoreChanges, Failure>> {
-    const endsAt = this.clock.getTime() + waitMs;
+    const startedAt = this.clock.getTime();
+    const endsAt = startedAt + waitMs;
+    const givenUpAt = endsAt + Math.min(callTimeoutMs, waitMs);
     this.calls += 1;
     this.watches += 1;
     for (;;) {
       if (signal.aborted || this.isTroubled(StoreTrouble.Down)) return Err(createDown());
+      if (startedAt <= this.silencedAt) {
+        if (this.clock.getTime() >= givenUpAt) return Err(createDown());
+        await waitFor(this.clock, this.shared.pollMs, signal);
+        continue;
+      }
       const events = this.shared.isDeaf ? [] : this.shared.getChanges(prefix, since);
       if (!events) return Err(Failure.create(FailureCode.HistoryLost, { revision: since }));
       const last = events.at(-1);
