--- a/packages/gateway/src/answerBody.ts
+++ b/packages/gateway/src/answerBody.ts
@@ -1,5 +1,5 @@
 /**
- * Reads the body of a backend's answer as a whole.
+ * Reads the body of an endpoint's answer as a whole.
  * @module
  */
 import type { IncomingMessage } from "node:http";
@@ -12,7 +12,7 @@
 }
 
 /**
- * Whether an answer that has ended is all of it. One without length ends with its connection, and Node takes a reset
+ * Whether an answer that has ended is all of it. One without length ends with its connection, and Node.js takes a reset
  * for such an end as well; only an orderly end of the other side counts.
  */
 export function isWholeAnswer({ complete, headers, socket }: IncomingMessage): boolean {
--- a/packages/gateway/src/answerHeaders.ts
+++ b/packages/gateway/src/answerHeaders.ts
@@ -7,7 +7,7 @@
 /** Set anew with the body's length. */
 const lengthHeader = "content-length";
 
-/** Copies a backend's headers, without those of its connection. Both are name, value, name, value, … */
+/** Copies an endpoint's headers, without those of its connection. Both are name, value, name, value, … */
 export function copyAnswerHeaders(rawHeaders: readonly string[]): string[] {
   const headers: string[] = [];
   for (let index = 0; index < rawHeaders.length; index += 2) {
--- a/packages/gateway/src/answerWriter.ts
+++ b/packages/gateway/src/answerWriter.ts
@@ -1,12 +1,12 @@
 /**
- * Writes final answers to callers: a backend's whole answer, or one of our own.
+ * Writes final answers to callers: an endpoint's whole answer, or one of our own.
  * @module
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Failure } from "@gladewall/kernel";
 import { copyAnswerHeaders } from "./answerHeaders.js";
 
-/** Writes a backend's answer whose body has been read as a whole. */
+/** Writes an endpoint's answer whose body has been read as a whole. */
 export function writeWholeAnswer(
   response: ServerResponse,
   method: string | undefined,
--- a/packages/gateway/src/askedReader.ts
+++ b/packages/gateway/src/askedReader.ts
@@ -1,6 +1,6 @@
 /**
- * The reader that a node asks what the store holds. Nodes spread over the readers by a hash of their names, and pass
- * over one that does not answer.
+ * The reader that an instance asks what the store holds. Instances spread over the readers by a hash of their names,
+ * and pass over one that does not answer.
  * @module
  */
 import { hashText } from "@gladewall/kernel";
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -1,21 +1,21 @@
 /**
- * One sending of a request to one backend, up to the head of its answer.
+ * One sending of a request to one endpoint, up to the head of its answer.
  *
  * What may have run is told apart by one fact: whether the connection was up. Before that no byte can have left.
  * @module
  */
 import { type ClientRequest, type IncomingMessage, request } from "node:http";
-import type { BackendEndpoint } from "./backendConnections.js";
-import { AnswerWord, type BackendLoad, type BackendProtocol } from "./types.js";
+import type { EndpointPool } from "./endpointConnections.js";
+import { AnswerWord, type EndpointLoad, type EndpointProtocol } from "./types.js";
 
 /** How a sending ended. */
 export enum AttemptEnd {
   /** No byte was sent. */
   NotSent = 1,
-  /** The backend says that it did not run the request. */
+  /** The endpoint says that it did not run the request. */
   NotRun = 2,
-  /** Another backend has the address; nothing ran. */
-  WrongBackend = 3,
+  /** Another endpoint has the address; nothing ran. */
+  WrongEndpoint = 3,
   /** It was sent and no usable answer came: it may have run. */
   Lost = 4,
   /** An answer's head came. */
@@ -26,14 +26,14 @@
 export interface AttemptResult {
   readonly end: AttemptEnd;
   readonly detail: string;
-  readonly load: BackendLoad | undefined;
+  readonly load: EndpointLoad | undefined;
   readonly response: IncomingMessage | undefined;
 }
 
 /** What is sent. */
 export interface AttemptOptions {
-  readonly endpoint: BackendEndpoint;
-  readonly protocol: BackendProtocol;
+  readonly pool: EndpointPool;
+  readonly protocol: EndpointProtocol;
   readonly requestId: string;
   readonly method: string;
   readonly target: string;
@@ -46,7 +46,7 @@
 const endsByWord: Readonly<Record<AnswerWord, AttemptEnd>> = {
   [AnswerWord.Ran]: AttemptEnd.Answered,
   [AnswerWord.NotRun]: AttemptEnd.NotRun,
-  [AnswerWord.WrongBackend]: AttemptEnd.WrongBackend,
+  [AnswerWord.WrongEndpoint]: AttemptEnd.WrongEndpoint,
   [AnswerWord.Foreign]: AttemptEnd.Lost,
 };
 
@@ -72,14 +72,14 @@
     return this.isConnected;
   }
 
-  /** Gives up: closes the connection, so that the backend drops the request. */
+  /** Gives up: closes the connection, so that the endpoint drops the request. */
   abort(detail: string): void {
     this.sent.destroy(new Error(detail));
   }
 
   private send(): ClientRequest {
-    const { endpoint, method, target, headers, body } = this.options;
-    const { host, port, agent } = endpoint;
+    const { pool, method, target, headers, body } = this.options;
+    const { host, port, agent } = pool;
     const sent = request({
       host,
       port,
--- a/packages/gateway/src/collectors.ts
+++ b/packages/gateway/src/collectors.ts
@@ -1,8 +1,8 @@
 /**
- * Which nodes do for all what need not be done by each. A few readers ask the platform's store and hand on what it
- * holds, in a fleet of any size: they are the same for all nodes, those that can carry most, by a hash where they are
- * alike. One that can't be reached is passed over for the next, so no list of them is kept anywhere and nothing is
- * agreed on. While the fleet is small, every node hears every other's reports; in a large one only the readers do.
+ * Which instances do for all what need not be done by each. A few readers ask the platform's store and hand on what it
+ * holds, in a fleet of any size: they are the same for all instances, those that can carry most, by a hash where they
+ * are alike. One that can't be reached is passed over for the next, so no list of them is kept anywhere and nothing is
+ * agreed on. While the fleet is small, every instance hears every other's reports; in a large one only the readers do.
  * @module
  */
 import { type Clock, hashText } from "@gladewall/kernel";
@@ -11,7 +11,7 @@
 export interface CollectorsOptions {
   readonly clock: Clock;
   readonly own: string;
-  /** Largest fleet in which every node hears every other. */
+  /** Largest fleet in which every instance hears every other. */
   readonly largestMesh: number;
   /** Readers of the store. */
   readonly count: number;
@@ -20,14 +20,14 @@
   readonly isLinked: (name: string) => boolean;
 }
 
-/** Time for a link to come up, after which the next node is asked too. */
+/** Time for a link to come up, after which the next instance is asked too. */
 const patienceMs = 800;
 
 /** Chooses the readers, and knows who hears the whole fleet. */
 export class Collectors {
   private readers: readonly string[] = [];
   private ranking: readonly string[] = [];
-  /** Since when each node that is wanted has had no link. */
+  /** Since when each instance that is wanted has had no link. */
   private readonly unlinkedSince = new Map<string, number>();
 
   private constructor(private readonly options: CollectorsOptions) {}
@@ -36,22 +36,22 @@
     return new Collectors(options);
   }
 
-  /** Whether the fleet is so small that every node hears every other. */
+  /** Whether the fleet is so small that every instance hears every other. */
   get isMesh(): boolean {
     return this.ranking.length <= this.options.largestMesh;
   }
 
-  /** Whether this node hears the whole fleet. */
+  /** Whether this instance hears the whole fleet. */
   get isOwn(): boolean {
     return this.isMesh || this.isReader;
   }
 
-  /** Whether this node asks the store for others. */
+  /** Whether this instance asks the store for others. */
   get isReader(): boolean {
     return this.readers.includes(this.options.own);
   }
 
-  /** Nodes to be linked with; those that can't be reached now are among them. */
+  /** Instances to be linked with; those that can't be reached now are among them. */
   getNames(): readonly string[] {
     return this.isMesh ? this.ranking : this.readers;
   }
--- a/packages/gateway/src/configurationFollower.ts
+++ b/packages/gateway/src/configurationFollower.ts
@@ -21,7 +21,7 @@
   readonly value?: Uint8Array | undefined;
 }
 
-/** How a node comes by what the store holds. */
+/** How an instance comes by what the store holds. */
 export enum StoreRole {
   /** It asks for itself. */
   Alone = 1,
@@ -36,7 +36,7 @@
   readonly platform: PlatformAdapter;
   readonly clock: Clock;
   readonly logger: Logger;
-  /** Milliseconds between two proving reads of a node that asks for itself. */
+  /** Milliseconds between two proving reads of an instance that asks for itself. */
   readonly proofIntervalMs: number;
   /** The same of a reader: others go by its proofs, which have to be young. */
   readonly readerIntervalMs: number;
@@ -108,7 +108,7 @@
     return this.table !== undefined && this.getProofAge() < this.options.proofLifetimeMs;
   }
 
-  /** Whether the store did not answer this node's last read. */
+  /** Whether the store did not answer this instance's last read. */
   get isStoreLost(): boolean {
     return this.isLost;
   }
@@ -118,12 +118,12 @@
     return this.takenRevision;
   }
 
-  /** Milliseconds since a read was sent that the store answered to this node itself; infinite before the first. */
+  /** Milliseconds since a read was sent that the store answered to this instance itself; infinite before the first. */
   getStoreAge(): number {
     return this.options.clock.getTime() - this.storeReadAt;
   }
 
-  /** Says how this node comes by what the store holds; one that is fed reads only where its proof grows old. */
+  /** Says how this instance comes by what the store holds; one that is fed reads only where its proof grows old. */
   setRole(role: StoreRole): void {
     const hasLost = this.isFed && role !== StoreRole.Fed;
     this.role = role;
@@ -195,8 +195,8 @@
   }
 
   /**
-   * This node's word for a peer that holds a revision; undefined where it has no proof itself. A newer configuration
-   * goes with it if it has no more bytes than are given.
+   * This instance's word for a peer that holds a revision; undefined where it has no proof itself. A newer
+   * configuration goes with it if it has no more bytes than are given.
    */
   vouch(heldRevision: number, mostBytes = Infinity): Vouch | undefined {
     const item = this.takenItem;
@@ -207,8 +207,8 @@
   }
 
   /**
-   * Asks peers, for when the store turns this node away and serves others. A peer that answers with a proof so old has
-   * had it since before that time ahead of the question, whatever the way of the answer took.
+   * Asks peers, for when the store turns this instance away and serves others. A peer that answers with a proof so old
+   * has had it since before that time ahead of the question, whatever the way of the answer took.
    */
   private async askPeers(): Promise<void> {
     if (this.isAskingPeers) return;
@@ -251,12 +251,12 @@
     }
     if (this.table && decoded.value.version <= this.table.version) return;
     this.table = RouteTable.create(decoded.value);
-    const { routes, tenants } = decoded.value;
+    const { routes, workspaces } = decoded.value;
     logger.info("configuration.in-force", {
       version: decoded.value.version,
       revision: item.revision,
       routes: routes.length,
-      tenants: tenants.length,
+      workspaces: workspaces.length,
     });
     for (const listener of this.changeListeners) listener(this.table);
   }
--- a/packages/gateway/src/connectionEnds.ts
+++ b/packages/gateway/src/connectionEnds.ts
@@ -12,7 +12,7 @@
 /** Watches a connection; to be called before anything else listens to it. */
 export function watchEnd(socket: Socket): void {
   socket.on("end", () => {
-    // Node remembers the address from the first time it is asked for; nobody asks before.
+    // Node.js remembers the address from the first time it is asked for; nobody asks before.
     if (socket.remoteAddress === undefined) resetSockets.add(socket);
   });
 }
--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -1,6 +1,6 @@
 /**
- * The daemon of a gateway node. SIGTERM and SIGINT are a planned stop, SIGHUP re-reads the settings; the file is also
- * looked at from time to time, as it may change without a signal.
+ * The daemon of a gateway instance. SIGTERM and SIGINT are a planned stop, SIGHUP re-reads the settings; the file is
+ * also looked at from time to time, as it may change without a signal.
  * @module
  */
 import { statSync } from "node:fs";
@@ -18,14 +18,14 @@
 import type { DaemonArguments } from "@gladewall/kernel/commandLine";
 import type { Result } from "ts-results-es";
 import { Gateway } from "./gateway.js";
-import { gatewaySchema, type GatewaySettings } from "./gatewaySettings.js";
+import { gatewaySchema, type GatewaySettings, renamedGatewaySettings } from "./gatewaySettings.js";
 
 /** Environment variable that names the settings file. */
 const fileVariable = "GLADEWALL_CONFIG";
 const badSettings = 2;
 const filePollMs = 2_000;
 
-/** Runs one node until it is told to stop. */
+/** Runs one instance until it is told to stop. */
 export async function runGatewayDaemon(words: readonly string[]): Promise<void> {
   const options = await readArguments(words);
   if (options.reference) {
@@ -35,9 +35,9 @@
   const settings = readDaemonSettings(options);
   if (settings.isErr()) return exitWith(settings.error);
   if (options.print) process.stdout.write(formatSettings(gatewaySchema, settings.value));
-  const { node, logs: logSettings } = settings.value;
+  const { instance, logs: logSettings } = settings.value;
   const clock = SystemClock.create();
-  const logs = DaemonLogs.create(clock, findLogLevel(logSettings.level), { node: node.name });
+  const logs = DaemonLogs.create(clock, findLogLevel(logSettings.level), { instance: instance.name });
   const gateway = Gateway.create(settings.value, logs.logger, clock);
   if (gateway.isErr()) exitWith([gateway.error]);
   if (gateway.isErr() || options.check || options.print) return logs.close();
@@ -60,6 +60,7 @@
 
 function readDaemonSettings(options: DaemonArguments): Result<GatewaySettings, Failure[]> {
   return readSettings(gatewaySchema, {
+    renamed: renamedGatewaySettings,
     file: options.settings,
     environment: process.env,
     overrides: options.set,
--- a/packages/gateway/src/demand.ts
+++ b/packages/gateway/src/demand.ts
@@ -1,6 +1,6 @@
 /**
- * How many backends the load of a service needs: prompt tokens that came over the last seconds, against what one
- * backend reads at the utilization that still leaves first events in time; and requests under way, against its slots.
+ * How many endpoints the load of a service needs: prompt tokens that came over the last seconds, against what one
+ * endpoint reads at the utilization that still leaves first events in time; and requests under way, against its slots.
  * @module
  */
 import type { Clock } from "@gladewall/kernel";
@@ -17,11 +17,11 @@
   readonly isRateLearned: (service: string) => boolean;
   /** Share of that rate at which an engine still answers in time. */
   readonly utilization: number;
-  /** Backends of a zone that are kept without load. */
-  readonly leastPerZone: number;
+  /** Endpoints of a data hall that are kept without load. */
+  readonly leastPerHall: number;
   /** Length of the window that load is counted over. */
   readonly windowMs: number;
-  /** Returns the requests of a service that all nodes have at its backends. */
+  /** Returns the requests of a service that all instances have at its endpoints. */
   readonly getActive: (service: string) => number;
 }
 
@@ -30,7 +30,7 @@
 
 /** Time for which a need that has passed is still provided for. */
 const holdMs = 15_000;
-/** Time after which the load seen says more than the number of backends that was found. */
+/** Time after which the load seen says more than the number of endpoints that was found. */
 const learnMs = 8_000;
 
 interface Peak {
@@ -59,9 +59,9 @@
     return this.loadSince.has(service);
   }
 
-  /** Returns the backends that a service needs, `present` of which are there over so many zones. */
-  getNeeded(service: Service, zones: number, present: number): number {
-    const { clock, counters, getReadingRate, isRateLearned, utilization, leastPerZone, windowMs } =
+  /** Returns the endpoints that a service needs, `present` of which are there over so many data halls. */
+  getNeeded(service: Service, halls: number, present: number): number {
+    const { clock, counters, getReadingRate, isRateLearned, utilization, leastPerHall, windowMs } =
       this.options;
     const time = clock.getTime();
     const tokensPerMs = counters.getSum(CounterKind.Work, service.name) / windowMs;
@@ -69,13 +69,13 @@
     const hasLearnt = time - (this.loadSince.get(service.name) ?? time) > learnMs;
     // An assumed rate may be far off: until engines have shown theirs, it is no reason to order any.
     const isRateKnown = hasLearnt || isRateLearned(service.name);
-    const tokensPerBackend = getReadingRate(service.name) * utilization;
-    const forTokens = isRateKnown ? Math.ceil(tokensPerMs / tokensPerBackend) : 0;
+    const tokensPerEndpoint = getReadingRate(service.name) * utilization;
+    const forTokens = isRateKnown ? Math.ceil(tokensPerMs / tokensPerEndpoint) : 0;
     const forLoad = Math.max(forTokens, this.getNeededForSlots(service));
     // Until the load is known, the number that was found is the operators' own estimate of it.
     const least = hasLearnt
-      ? Math.ceil(zones * leastPerZone)
-      : Math.max(present, Math.ceil(zones * leastPerZone));
+      ? Math.ceil(halls * leastPerHall)
+      : Math.max(present, Math.ceil(halls * leastPerHall));
     return this.holdPeak(service.name, Math.max(forLoad, least), time);
   }
 
--- a/packages/gateway/src/duties.ts
+++ b/packages/gateway/src/duties.ts
@@ -1,5 +1,5 @@
 /**
- * What one node at a time does for all: reports usage and orders backends.
+ * What one instance at a time does for all: reports usage and orders endpoints.
  *
  * The holder acts only while its lease, counted from the send of the renewal, has a margin left. A new holder waits
  * until whatever its predecessor could still have believed has run out, even where the store let the lease lapse
@@ -22,7 +22,7 @@
   readonly leaseKey: string;
   /** Key of the mark that duties have begun. */
   readonly markKey: string;
-  /** Time in which no two nodes may act by turns. */
+  /** Time in which no two instances may act by turns. */
   readonly turnMs: number;
   readonly usage: UsageReporter;
   readonly capacity: CapacityOrders;
@@ -30,13 +30,13 @@
   readonly isFree: () => boolean;
   /** Whether the platform has refused a fence, as a higher one has been used. */
   readonly isRefused: (fence: number) => boolean;
-  /** Whether this node hears the whole fleet: nobody else knows its usage and its load. */
+  /** Whether this instance hears the whole fleet: nobody else knows its usage and its load. */
   readonly isEligible: () => boolean;
   readonly getServices: () => Iterable<Service>;
 }
 
 const stepMs = 250;
-/** Length of the lease, as a share of the time in which no two nodes may act by turns. */
+/** Length of the lease, as a share of the time in which no two instances may act by turns. */
 const leaseShare = 0.5;
 /** Time that a new holder waits, as a share of it: twice this wait is longer than that time. */
 const settleShare = 0.57;
@@ -78,14 +78,14 @@
     this.task = this.act();
   }
 
-  /** Stops acting. The lease runs out by itself: given back early, it could come round to this node too soon. */
+  /** Stops acting. The lease runs out by itself: given back early, it could come round to this instance too soon. */
   async close(): Promise<void> {
     this.stop.abort();
     await this.task;
     this.holder.abandon();
   }
 
-  /** Whether this node may act now. */
+  /** Whether this instance may act now. */
   isActing(): boolean {
     return this.getSender() !== undefined;
   }
--- a/packages/gateway/src/backend.ts
+++ b/packages/gateway/src/endpoint.ts
@@ -1,11 +1,11 @@
 /**
- * One backend as this node knows it: its record, whether it takes work, and how it has answered lately.
+ * One endpoint as this instance knows it: its record, whether it takes work, and how it has answered lately.
  * @module
  */
-import type { BackendLoad, BackendRecord } from "./types.js";
+import type { EndpointLoad, EndpointRecord } from "./types.js";
 
-/** Whether a backend takes work. */
-export enum BackendState {
+/** Whether an endpoint takes work. */
+export enum EndpointState {
   Ready = 1,
   /** Its record vanished while the store was in trouble; it is used as long as it answers, for a short time. */
   Unlisted = 2,
@@ -13,7 +13,7 @@
   Leaving = 3,
 }
 
-/** Work of other nodes at a backend. */
+/** Work of other instances at an endpoint. */
 export interface PeerWork {
   readonly active: number;
   readonly pendingTokens: number;
@@ -24,18 +24,18 @@
 const latencyWeight = 0.2;
 const suspicionStepMs = 400;
 const longestSuspicionMs = 3_000;
-/** Share of failures below which a backend counts as sound. */
+/** Share of failures below which an endpoint counts as sound. */
 const soundShare = 0.02;
 
-/** A backend and this node's own view of it. */
-export class Backend {
-  state = BackendState.Ready;
-  /** Requests of this node that it has and that have not ended. */
+/** An endpoint and this instance's own view of it. */
+export class Endpoint {
+  state = EndpointState.Ready;
+  /** Requests of this instance that it has and that have not ended. */
   active = 0;
-  /** Prompt tokens of this node's requests that have not given a first event. */
+  /** Prompt tokens of this instance's requests that have not given a first event. */
   pendingTokens = 0;
   /** Load it last told. */
-  load: BackendLoad | undefined;
+  load: EndpointLoad | undefined;
   loadAt = -Infinity;
   /** Usual milliseconds of an answer; undefined before the first. */
   latencyMs: number | undefined;
@@ -44,10 +44,10 @@
   private failureShare = 0;
   private failureShareAt = 0;
 
-  private constructor(public record: BackendRecord) {}
+  private constructor(public record: EndpointRecord) {}
 
-  static create(record: BackendRecord): Backend {
-    return new Backend(record);
+  static create(record: EndpointRecord): Endpoint {
+    return new Endpoint(record);
   }
 
   get id(): string {
@@ -56,7 +56,7 @@
 
   /** Whether new work may go there. */
   isUsable(): boolean {
-    return this.state !== BackendState.Leaving;
+    return this.state !== EndpointState.Leaving;
   }
 
   /** Whether it could not be reached a moment ago. */
@@ -72,7 +72,7 @@
     this.noteEnd(false, time);
   }
 
-  /** Share of late attempts that failed, 0 to 1; fades, or a backend that failed would never be tried again. */
+  /** Share of late attempts that failed, 0 to 1; fades, or an endpoint that failed would never be tried again. */
   getFailureShare(time: number): number {
     const age = Math.max(0, time - this.failureShareAt);
     return this.failureShare * 0.5 ** (age / failureHalfLifeMs);
@@ -94,7 +94,7 @@
     this.latencyMs += (milliseconds - this.latencyMs) * latencyWeight;
   }
 
-  noteLoad(load: BackendLoad, time: number): void {
+  noteLoad(load: EndpointLoad, time: number): void {
     this.load = load;
     this.loadAt = time;
   }
--- a/packages/gateway/src/backendConnections.ts
+++ b/packages/gateway/src/endpointConnections.ts
@@ -1,5 +1,5 @@
 /**
- * Kept connections to backends, one pool a backend. A connection on which bytes come while no request is under way
+ * Kept connections to endpoints, one pool an endpoint. A connection on which bytes come while no request is under way
  * is closed: whatever they are, they belong to nobody.
  * @module
  */
@@ -7,14 +7,14 @@
 import { connect, type Socket } from "node:net";
 import type { Duplex } from "node:stream";
 import { parseAddress } from "@gladewall/kernel";
-import type { Backend } from "./backend.js";
+import type { Endpoint } from "./endpoint.js";
 import { watchEnd } from "./connectionEnds.js";
 
 const mostIdle = 32;
-/** Idle connections are closed after this long, unless the backend names a shorter time. */
+/** Idle connections are closed after this long, unless the endpoint names a shorter time. */
 const idleMs = 8_000;
 
-class BackendAgent extends Agent {
+class PoolAgent extends Agent {
   private readonly idle = new WeakSet<Duplex>();
 
   constructor() {
@@ -46,44 +46,44 @@
   }
 }
 
-/** Where and over what a backend is reached. */
-export interface BackendEndpoint {
+/** Where and over what an endpoint is reached. */
+export interface EndpointPool {
   readonly host: string;
   readonly port: number;
   readonly agent: Agent;
 }
 
-/** Pools of all backends. */
-export class BackendConnections {
-  private readonly endpoints = new Map<string, BackendEndpoint>();
+/** Pools of all endpoints. */
+export class EndpointConnections {
+  private readonly pools = new Map<string, EndpointPool>();
 
   private constructor() {}
 
-  static create(): BackendConnections {
-    return new BackendConnections();
+  static create(): EndpointConnections {
+    return new EndpointConnections();
   }
 
-  get(backend: Backend): BackendEndpoint {
-    let endpoint = this.endpoints.get(backend.id);
-    if (!endpoint) {
-      endpoint = { ...parseAddress(backend.record.address), agent: new BackendAgent() };
-      this.endpoints.set(backend.id, endpoint);
+  get(endpoint: Endpoint): EndpointPool {
+    let pool = this.pools.get(endpoint.id);
+    if (!pool) {
+      pool = { ...parseAddress(endpoint.record.address), agent: new PoolAgent() };
+      this.pools.set(endpoint.id, pool);
     }
-    return endpoint;
+    return pool;
   }
 
-  /** Closes the idle connections of a backend that has ended; those in use end with their requests. */
-  remove(backend: Backend): void {
-    const endpoint = this.endpoints.get(backend.id);
-    if (!endpoint) return;
-    this.endpoints.delete(backend.id);
-    for (const sockets of Object.values(endpoint.agent.freeSockets)) {
+  /** Closes the idle connections of an endpoint that has ended; those in use end with their requests. */
+  remove(endpoint: Endpoint): void {
+    const pool = this.pools.get(endpoint.id);
+    if (!pool) return;
+    this.pools.delete(endpoint.id);
+    for (const sockets of Object.values(pool.agent.freeSockets)) {
       for (const socket of sockets ?? []) socket.destroy();
     }
   }
 
   close(): void {
-    for (const { agent } of this.endpoints.values()) agent.destroy();
-    this.endpoints.clear();
+    for (const { agent } of this.pools.values()) agent.destroy();
+    this.pools.clear();
   }
 }
--- /dev/null
+++ b/packages/gateway/src/endpointDirectory.ts
@@ -0,0 +1,198 @@
+/**
+ * The one view of endpoints, merged from their own records, their answers, and attempts to reach them.
+ *
+ * An id names one life of one endpoint: its word that it leaves is never undone. A record that vanishes means that the
+ * endpoint leaves, unless the store was in trouble: then records vanish by themselves, and the endpoint is used on.
+ * @module
+ */
+import { type Clock, type Closeable, type Logger } from "@gladewall/kernel";
+import { Endpoint, EndpointState } from "./endpoint.js";
+import { PrefixFollower } from "./prefixFollower.js";
+import type { EndpointRecord, PlatformAdapter, StoreItem } from "./types.js";
+
+/** Options of a directory. */
+export interface EndpointDirectoryOptions {
+  readonly platform: PlatformAdapter;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  /** Milliseconds since the store was last in trouble. */
+  readonly getTimeSinceTrouble: () => number;
+  /** Longest time of a watch of the records; milliseconds. */
+  readonly watchWaitMs: number;
+  /** Time for which an endpoint is used on whose record vanished in the store's trouble; milliseconds. */
+  readonly unlistedMs: number;
+}
+
+/** Trouble of the store within this time explains that a record vanished. */
+const troubleWindowMs = 3_000;
+/**
+ * Records that lapsed while the store was in trouble are written again within two seconds of its return, by those
+ * endpoints that live; one that is still missing after this long is gone.
+ */
+const relistedWithinMs = 2_200;
+/** Longest time that endpoints are used on whose records vanished together, however long the trouble lasts. */
+const longestUnlistedMs = 5_000;
+/** Share of a service's endpoints that vanish only together, by the store's own trouble. */
+const togetherShare = 0.5;
+
+/** All endpoints. */
+export class EndpointDirectory implements Closeable {
+  private readonly endpoints = new Map<string, Endpoint>();
+  private readonly byService = new Map<string, Endpoint[]>();
+  readonly follower: PrefixFollower;
+  private readonly removeListeners: ((endpoint: Endpoint) => void)[] = [];
+
+  private constructor(private readonly options: EndpointDirectoryOptions) {
+    const { platform, clock, logger } = options;
+    this.follower = PrefixFollower.create({
+      store: platform.store,
+      prefix: platform.endpointPrefix,
+      clock,
+      logger,
+      watchWaitMs: options.watchWaitMs,
+      listener: {
+        handlePut: (item) => this.take(item),
+        handleRemoved: (key, troubleAgeMs) =>
+          this.handleRemoved(
+            key.slice(platform.endpointPrefix.length),
+            troubleAgeMs ?? options.getTimeSinceTrouble(),
+          ),
+      },
+    });
+  }
+
+  static create(options: EndpointDirectoryOptions): EndpointDirectory {
+    return new EndpointDirectory(options);
+  }
+
+  start(): void {
+    this.follower.start();
+  }
+
+  /** Whether the list has ever been read. */
+  get isListed(): boolean {
+    return this.follower.isListed;
+  }
+
+  /** Lists anew; for when the store comes back. */
+  restart(): void {
+    this.follower.restart();
+  }
+
+  /** Endpoints of a service, those that leave too. */
+  getOfService(service: string): readonly Endpoint[] {
+    return this.byService.get(service) ?? [];
+  }
+
+  get(id: string): Endpoint | undefined {
+    return this.endpoints.get(id);
+  }
+
+  getAll(): Iterable<Endpoint> {
+    return this.endpoints.values();
+  }
+
+  /** Calls back when an endpoint is forgotten. */
+  onRemoved(listener: (endpoint: Endpoint) => void): void {
+    this.removeListeners.push(listener);
+  }
+
+  /** Takes an answer's word that the endpoint has ended and another has its address. */
+  handleReplaced(endpoint: Endpoint): void {
+    this.setState(endpoint, EndpointState.Leaving, "replaced");
+  }
+
+  async close(): Promise<void> {
+    await this.follower.close();
+  }
+
+  private take({ key, value }: StoreItem): void {
+    const decoded = this.options.platform.decodeEndpoint(key, value);
+    if (decoded.isErr()) {
+      this.options.logger.error("endpoint.refused", { key, text: decoded.error.text });
+      return;
+    }
+    const record = decoded.value;
+    const endpoint = this.endpoints.get(record.id) ?? this.add(record);
+    const wasLeaving = endpoint.record.isLeaving;
+    endpoint.record = { ...record, isLeaving: record.isLeaving || wasLeaving };
+    const state = endpoint.record.isLeaving ? EndpointState.Leaving : EndpointState.Ready;
+    this.setState(endpoint, state, "record");
+  }
+
+  private add(record: EndpointRecord): Endpoint {
+    const endpoint = Endpoint.create(record);
+    this.endpoints.set(record.id, endpoint);
+    const group = this.byService.get(record.service) ?? [];
+    this.byService.set(record.service, group);
+    group.push(endpoint);
+    const { id, service, hall, address, isReclaimable } = record;
+    this.options.logger.info("endpoint.added", { endpoint: id, service, hall, address, isReclaimable });
+    return endpoint;
+  }
+
+  private handleRemoved(id: string, troubleAgeMs: number): void {
+    const endpoint = this.endpoints.get(id);
+    if (!endpoint) return;
+    const { clock } = this.options;
+    // Only trouble of whoever brings the word explains it: another reader that the store turned away says nothing of
+    // the store, and by its trouble endpoints that left were used for 4.1 s of a drain time of 3 s (drawn departures).
+    const isExplained = troubleAgeMs < troubleWindowMs && !endpoint.record.isLeaving;
+    if (!isExplained) {
+      this.setState(endpoint, EndpointState.Leaving, "record gone");
+      this.forget(endpoint);
+      return;
+    }
+    this.setState(endpoint, EndpointState.Unlisted, "record gone in trouble");
+    clock.startTimer(this.options.unlistedMs, () => {
+      // This instance's own path may have been the trouble: then the record tells of an endpoint that leaves.
+      if (!this.haveManyVanished(endpoint.record.service)) this.endUnlisted(endpoint);
+    });
+    this.awaitRelisting(endpoint, clock.getTime() + longestUnlistedMs);
+  }
+
+  /** Gives a vanished record up once the store has been well for as long as living endpoints need to come back. */
+  private awaitRelisting(endpoint: Endpoint, endsAt: number): void {
+    const { clock, getTimeSinceTrouble } = this.options;
+    const left = Math.min(relistedWithinMs, endsAt - clock.getTime());
+    clock.startTimer(left, () => {
+      const isStoreWell = getTimeSinceTrouble() >= relistedWithinMs;
+      if (isStoreWell || clock.getTime() >= endsAt) this.endUnlisted(endpoint);
+      else this.awaitRelisting(endpoint, endsAt);
+    });
+  }
+
+  private haveManyVanished(service: string): boolean {
+    const group = this.getOfService(service);
+    const unlisted = group.filter(({ state }) => state === EndpointState.Unlisted).length;
+    return unlisted > 1 && unlisted >= group.length * togetherShare;
+  }
+
+  private endUnlisted(endpoint: Endpoint): void {
+    if (endpoint.state !== EndpointState.Unlisted) return;
+    this.setState(endpoint, EndpointState.Leaving, "not listed again");
+    this.forget(endpoint);
+  }
+
+  private forget(endpoint: Endpoint): void {
+    if (this.endpoints.get(endpoint.id) !== endpoint) return;
+    this.endpoints.delete(endpoint.id);
+    const { service } = endpoint.record;
+    const left = this.getOfService(service).filter((other) => other !== endpoint);
+    this.byService.set(service, left);
+    for (const listener of this.removeListeners) listener(endpoint);
+  }
+
+  private setState(endpoint: Endpoint, state: EndpointState, cause: string): void {
+    if (endpoint.state === state) return;
+    endpoint.state = state;
+    const { id, record } = endpoint;
+    this.options.logger.info("endpoint.state", {
+      endpoint: id,
+      service: record.service,
+      hall: record.hall,
+      state: EndpointState[state],
+      cause,
+    });
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/endpointWork.ts
@@ -0,0 +1,30 @@
+/**
+ * Work at endpoints, as instances tell each other.
+ * @module
+ */
+
+/** Active requests and pending prompt tokens by endpoint. */
+export type EndpointWork = Readonly<Record<string, readonly [active: number, pendingTokens: number]>>;
+
+/** Adds work up, endpoint by endpoint. */
+export function sumWork(parts: readonly EndpointWork[]): EndpointWork {
+  const sum: Record<string, [number, number]> = {};
+  for (const part of parts) {
+    for (const [endpoint, [active, pendingTokens]] of Object.entries(part)) {
+      const known = (sum[endpoint] ??= [0, 0]);
+      known[0] += active;
+      known[1] += pendingTokens;
+    }
+  }
+  return sum;
+}
+
+/** Returns what is left of a sum without a part of it; the part may be newer than the sum. */
+export function subtractWork(sum: EndpointWork, part: EndpointWork): EndpointWork {
+  const left: Record<string, readonly [number, number]> = { ...sum };
+  for (const [endpoint, [active, pendingTokens]] of Object.entries(part)) {
+    const known = left[endpoint];
+    if (known) left[endpoint] = [Math.max(0, known[0] - active), Math.max(0, known[1] - pendingTokens)];
+  }
+  return left;
+}
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -10,10 +10,10 @@
 import type { Admitted } from "./admission.js";
 import { writeFailure, writeWholeAnswer } from "./answerWriter.js";
 import { Attempt, AttemptEnd, type AttemptResult } from "./attempt.js";
-import type { Backend } from "./backend.js";
-import type { BackendConnections } from "./backendConnections.js";
+import type { Endpoint } from "./endpoint.js";
+import type { EndpointConnections } from "./endpointConnections.js";
 import type { Demand } from "./demand.js";
-import type { BackendDirectory } from "./backendDirectory.js";
+import type { EndpointDirectory } from "./endpointDirectory.js";
 import { type BodyEnd, readWholeBody } from "./answerBody.js";
 import type { Placement, Placer } from "./placement.js";
 import type { ReadingRates } from "./readingRates.js";
@@ -27,8 +27,8 @@
   readonly platform: PlatformAdapter;
   readonly clock: Clock;
   readonly logger: Logger;
-  readonly directory: BackendDirectory;
-  readonly connections: BackendConnections;
+  readonly directory: EndpointDirectory;
+  readonly connections: EndpointConnections;
   readonly placer: Placer;
   readonly rates: ReadingRates;
   readonly budget: RetryBudget;
@@ -36,9 +36,9 @@
   readonly metrics: GatewayMetrics;
   readonly connectTimeoutMs: number;
   /** Called once a request has begun to run, with the time of day at which it did. */
-  readonly countRun: (tenant: string, at: number) => void;
-  /** Tells the other nodes at once of prompt tokens that were sent to a backend. */
-  readonly tellPlaced: (backend: string, tokens: number) => void;
+  readonly countRun: (workspace: string, at: number) => void;
+  /** Tells the other instances at once of prompt tokens that were sent to an endpoint. */
+  readonly tellPlaced: (endpoint: string, tokens: number) => void;
   /** Returns the time of day. */
   readonly getTimeOfDay: () => number;
   /** Whether answers should close their connections. */
@@ -65,7 +65,7 @@
   readonly failure: Failure | undefined;
   /** Where it was sent to last, and by what; undefined where it was sent nowhere. */
   readonly placement: Placement | undefined;
-  /** Sendings that reached a backend. */
+  /** Sendings that reached an endpoint. */
   readonly arrivals: number;
   /** Milliseconds from the request's arrival to its first event; undefined where none came. */
   readonly firstEventMs: number | undefined;
@@ -85,7 +85,7 @@
 const toldAtOnceMs = 25;
 const retryAfterMs = 300;
 const urgencyLevels = 9;
-const urgencyPerTenantRank = 3;
+const urgencyPerWorkspaceRank = 3;
 
 /** Serves one request. */
 export class Exchange {
@@ -147,7 +147,7 @@
     return this.endsAt - this.parts.clock.getTime();
   }
 
-  /** Whether the request may run on more than one backend. */
+  /** Whether the request may run on more than one endpoint. */
   private get isRepeatable(): boolean {
     const { kind, isResumable } = this.request.admitted.route;
     return kind === RouteKind.Safe || (kind === RouteKind.Stream && isResumable);
@@ -158,7 +158,7 @@
     const { promptTokens = 0, parts } = head;
     const placement = this.parts.placer.choose({ service, promptTokens, parts, excluded: this.excluded });
     if (!placement) {
-      this.refusal ??= createRefusal(FailureCode.NoBackend, service);
+      this.refusal ??= createRefusal(FailureCode.NoEndpoint, service);
       return Next.GiveUp;
     }
     if (this.getTimeLeft() < leastAttemptMs) return Next.GiveUp;
@@ -166,85 +166,85 @@
       this.log("retry.refused", { service: service.name, cause: "budget" });
       return Next.GiveUp;
     }
-    const { backend } = placement;
-    this.excluded.add(backend.id);
+    const { endpoint } = placement;
+    this.excluded.add(endpoint.id);
     this.placement = placement;
-    backend.active += 1;
+    endpoint.active += 1;
     const pending = service.engine ? placement.uncachedTokens : 0;
-    backend.pendingTokens += pending;
+    endpoint.pendingTokens += pending;
     this.tellIfLong(placement, pending);
     let isPending = true;
     const clearPending = (): void => {
-      if (isPending) backend.pendingTokens -= pending;
+      if (isPending) endpoint.pendingTokens -= pending;
       isPending = false;
     };
     const next = await this.send(placement, clearPending);
     clearPending();
-    backend.active -= 1;
+    endpoint.active -= 1;
     return next;
   }
 
-  private tellIfLong({ backend }: Placement, tokens: number): void {
+  private tellIfLong({ endpoint }: Placement, tokens: number): void {
     const { rates, tellPlaced } = this.parts;
     if (tokens / rates.get(this.request.service.name) < toldAtOnceMs) return;
-    tellPlaced(backend.id, tokens);
+    tellPlaced(endpoint.id, tokens);
   }
 
   private async send(placement: Placement, clearPending: () => void): Promise<Next> {
-    const { backend } = placement;
+    const { endpoint } = placement;
     const startedAt = this.parts.clock.getTime();
     const beganAt = this.parts.getTimeOfDay();
-    const attempt = this.createAttempt(backend);
+    const attempt = this.createAttempt(endpoint);
     this.attempt = attempt;
     const result = await attempt.result;
     this.parts.metrics.countAttempt(this.request.service.name, AttemptEnd[result.end]);
     if (result.end !== AttemptEnd.NotSent) this.arrivals += 1;
-    if (result.load) backend.noteLoad(result.load, this.parts.clock.getTime());
+    if (result.load) endpoint.noteLoad(result.load, this.parts.clock.getTime());
     if (this.isOver) return Next.Done;
     if (result.end !== AttemptEnd.Answered || !result.response)
-      return this.handleNoAnswer(backend, result, beganAt);
+      return this.handleNoAnswer(endpoint, result, beganAt);
     this.runs += 1;
     const { route } = this.request.admitted;
     const isStream = route.kind === RouteKind.Stream && (result.response.statusCode ?? 0) < 300;
     if (isStream) return this.relayStream(placement, result.response, startedAt, clearPending);
     this.countOnce(beganAt);
-    return this.answerWhole(backend, result.response, startedAt);
+    return this.answerWhole(endpoint, result.response, startedAt);
   }
 
-  private createAttempt(backend: Backend): Attempt {
+  private createAttempt(endpoint: Endpoint): Attempt {
     const { platform, connections, connectTimeoutMs } = this.parts;
     const { admitted, message, head, body, service } = this.request;
-    const { tenant, route } = admitted;
-    const rank = (tenant?.priority ?? 0) * urgencyPerTenantRank + route.priority;
-    const headers = platform.backends.createHeaders(message.rawHeaders, {
-      backendId: backend.id,
-      tenant: tenant?.name,
+    const { workspace, route } = admitted;
+    const rank = (workspace?.priority ?? 0) * urgencyPerWorkspaceRank + route.priority;
+    const headers = platform.endpoints.createHeaders(message.rawHeaders, {
+      endpointId: endpoint.id,
+      workspace: workspace?.name,
       deadlineMs: this.getTimeLeft(),
       urgency: service.engine ? Math.min(urgencyLevels, rank) : undefined,
       lastEventId: this.relay?.lastEventId,
     });
-    const endpoint = connections.get(backend);
+    const pool = connections.get(endpoint);
     const method = message.method ?? "GET";
     const target = message.url ?? "/";
-    const base = { endpoint, protocol: platform.backends, requestId: head.id, connectTimeoutMs };
+    const base = { pool, protocol: platform.endpoints, requestId: head.id, connectTimeoutMs };
     return Attempt.create({ ...base, method, target, headers, body });
   }
 
-  private handleNoAnswer(backend: Backend, result: AttemptResult, beganAt: number): Next {
+  private handleNoAnswer(endpoint: Endpoint, result: AttemptResult, beganAt: number): Next {
     const { clock, directory } = this.parts;
     const { service } = this.request;
     const time = clock.getTime();
-    this.log("attempt.failed", { backend: backend.id, end: AttemptEnd[result.end], detail: result.detail });
+    this.log("attempt.failed", { endpoint: endpoint.id, end: AttemptEnd[result.end], detail: result.detail });
     if (result.end === AttemptEnd.Lost) {
       this.runs += 1;
       this.countOnce(beganAt);
-      backend.noteEnd(false, time);
-      this.runFailure = Failure.create(FailureCode.EndpointCut, { endpoint: backend.id });
+      endpoint.noteEnd(false, time);
+      this.runFailure = Failure.create(FailureCode.EndpointCut, { endpoint: endpoint.id });
       return this.isRepeatAllowed() ? Next.TryAgain : Next.GiveUp;
     }
-    if (result.end === AttemptEnd.NotSent) backend.noteUnreachable(time);
-    if (result.end === AttemptEnd.WrongBackend) directory.handleReplaced(backend);
-    if (result.end === AttemptEnd.NotRun) backend.noteEnd(false, time);
+    if (result.end === AttemptEnd.NotSent) endpoint.noteUnreachable(time);
+    if (result.end === AttemptEnd.WrongEndpoint) directory.handleReplaced(endpoint);
+    if (result.end === AttemptEnd.NotRun) endpoint.noteEnd(false, time);
     this.refusal = createRefusal(FailureCode.Overloaded, service);
     this.notRunTries += 1;
     return this.notRunTries < mostNotRunTries ? Next.TryAgain : Next.GiveUp;
@@ -254,21 +254,26 @@
     return this.isRepeatable && this.runs < this.request.admitted.route.attempts && !this.isOver;
   }
 
-  /** Reads a whole answer, then passes it on; a failure of the backend's own may be tried elsewhere first. */
-  private async answerWhole(backend: Backend, response: IncomingMessage, startedAt: number): Promise<Next> {
+  /** Reads a whole answer, then passes it on; a failure of the endpoint's own may be tried elsewhere first. */
+  private async answerWhole(endpoint: Endpoint, response: IncomingMessage, startedAt: number): Promise<Next> {
     const body: BodyEnd = await readWholeBody(response);
     if (this.isOver) return Next.Done;
     const status = response.statusCode ?? 0;
     const isFailed = !body.isComplete || status >= firstServerError;
-    backend.noteEnd(!isFailed, this.parts.clock.getTime());
-    if (!isFailed) backend.noteLatency(this.parts.clock.getTime() - startedAt);
+    endpoint.noteEnd(!isFailed, this.parts.clock.getTime());
+    if (!isFailed) endpoint.noteLatency(this.parts.clock.getTime() - startedAt);
     if (isFailed && this.isRepeatAllowed()) {
-      this.log("attempt.failed", { backend: backend.id, end: "Answered", status, complete: body.isComplete });
-      this.runFailure = Failure.create(FailureCode.EndpointFailed, { endpoint: backend.id, status });
+      this.log("attempt.failed", {
+        endpoint: endpoint.id,
+        end: "Answered",
+        status,
+        complete: body.isComplete,
+      });
+      this.runFailure = Failure.create(FailureCode.EndpointFailed, { endpoint: endpoint.id, status });
       return Next.TryAgain;
     }
     if (!body.isComplete) {
-      this.runFailure = Failure.create(FailureCode.EndpointCut, { endpoint: backend.id });
+      this.runFailure = Failure.create(FailureCode.EndpointCut, { endpoint: endpoint.id });
       return Next.GiveUp;
     }
     writeWholeAnswer(
@@ -288,7 +293,7 @@
     clearPending: () => void,
   ): Promise<Next> {
     const { response, admitted, head } = this.request;
-    const { backend } = placement;
+    const { endpoint } = placement;
     this.relay ??= StreamRelay.create(response, admitted.route.isResumable, this.parts.isLeaving);
     const onFirst = (): void => {
       clearPending();
@@ -296,14 +301,14 @@
       this.firstEventMs ??= time - this.request.arrivedAt;
       this.noteFirstEvent(placement, time - startedAt);
       this.countOnce(this.parts.getTimeOfDay());
-      this.parts.placer.memory.note(head.parts, backend.id);
+      this.parts.placer.memory.note(head.parts, endpoint.id);
     };
     const relayEnd = await this.relay.relay(answer, onFirst);
     if (this.isOver) return Next.Done;
-    backend.noteEnd(relayEnd === RelayEnd.Complete, this.parts.clock.getTime());
+    endpoint.noteEnd(relayEnd === RelayEnd.Complete, this.parts.clock.getTime());
     if (relayEnd === RelayEnd.Complete) return Next.Done;
-    this.log("stream.cut", { backend: backend.id, lastEvent: this.relay.lastEventId });
-    this.runFailure = Failure.create(FailureCode.EndpointCut, { endpoint: backend.id });
+    this.log("stream.cut", { endpoint: endpoint.id, lastEvent: this.relay.lastEventId });
+    this.runFailure = Failure.create(FailureCode.EndpointCut, { endpoint: endpoint.id });
     return this.isRepeatAllowed() ? Next.TryAgain : Next.GiveUp;
   }
 
@@ -316,10 +321,10 @@
   }
 
   private countOnce(at: number): void {
-    const tenant = this.request.admitted.tenant?.name;
-    if (this.isCounted || tenant === undefined) return;
+    const workspace = this.request.admitted.workspace?.name;
+    if (this.isCounted || workspace === undefined) return;
     this.isCounted = true;
-    this.parts.countRun(tenant, at);
+    this.parts.countRun(workspace, at);
   }
 
   private createFinalFailure(): Failure {
@@ -327,7 +332,7 @@
     return this.refusal ?? createRefusal(FailureCode.Overloaded, this.request.service);
   }
 
-  /** Ends the request now: the route's time is over, or the node's. */
+  /** Ends the request now: the route's time is over, or the instance's. */
   giveUp(): void {
     if (this.isOver) return;
     const { route } = this.request.admitted;
--- a/packages/gateway/src/feedTimes.ts
+++ b/packages/gateway/src/feedTimes.ts
@@ -1,7 +1,8 @@
 /**
- * How old what a node knows of the platform's store may grow, reckoned from the shortest time in which the operators
- * want a change taken in. Whatever fails on the way (a reader that the store turns away, a reader that falls silent,
- * all of them at once), a node must have asked the store itself, and had an answer, before that time is over.
+ * How old what an instance knows of the platform's store may grow, reckoned from the shortest time in which the
+ * operators want a change taken in. Whatever fails on the way (a reader that the store turns away, a reader that falls
+ * silent, all of them at once), an instance must have asked the store itself, and had an answer, before that time is
+ * over.
  * @module
  */
 
@@ -11,13 +12,13 @@
   readonly proofIntervalMs: number;
   /** A reader whose last answered read was sent longer ago is not believed. */
   readonly longestStoreAgeMs: number;
-  /** A node that no reader has answered for so long asks the store itself. */
+  /** An instance that no reader has answered for so long asks the store itself. */
   readonly lifetimeMs: number;
   /** A reader that has not answered for so long is passed over for the next. */
   readonly patienceMs: number;
-  /** Longest time of a watch of backends. */
+  /** Longest time of a watch of endpoints. */
   readonly watchWaitMs: number;
-  /** A backend whose record vanished, maybe by the store's trouble, is used on for so long. */
+  /** An endpoint whose record vanished, maybe by the store's trouble, is used on for so long. */
   readonly unlistedMs: number;
 }
 
@@ -31,12 +32,13 @@
 
 /**
  * A silent watch is found out within twice this, and a listing and a turn come after it. With watches of 15 s, requests
- * reached backends 2.9 s after they had said that they leave, of a drain time of 2 s (half of all connections silenced).
+ * reached endpoints 2.9 s after they had said that they leave, of a drain time of 2 s (half of all connections
+ * silenced).
  */
 const watchShare = 0.3;
 /**
  * A change is heard of after 0.73 of the time at most (150 drawn departures on a virtual clock, readers turned away by
- * turns): with the 0.65 that vanished records had before, backends that left were used for up to 1.25 of the time.
+ * turns): with the 0.65 that vanished records had before, endpoints that left were used for up to 1.25 of the time.
  */
 const unlistedShare = 0.2;
 
--- a/packages/gateway/src/fencedOrders.ts
+++ b/packages/gateway/src/fencedOrders.ts
@@ -1,5 +1,5 @@
 /**
- * Orders whose fence the platform may refuse: a higher one has been used, so this node is not the holder any more,
+ * Orders whose fence the platform may refuse: a higher one has been used, so this instance is not the holder any more,
  * whatever it believes. From then on nothing is sent with that fence.
  * @module
  */
@@ -20,7 +20,7 @@
     return new FencedOrders(orders, logger);
   }
 
-  /** Whether a fence, or a higher one of this node's, was refused. */
+  /** Whether a fence, or a higher one of this instance's, was refused. */
   isRefused(fence: number): boolean {
     return fence <= this.refusedFence;
   }
--- a/packages/gateway/src/fleetFeed.ts
+++ b/packages/gateway/src/fleetFeed.ts
@@ -1,12 +1,12 @@
 /**
- * What the platform's store holds, handed on by its readers: the configuration with the age of its proof, backends,
- * members. Only the readers ask the store, so its calls do not grow with nodes times changes.
+ * What the platform's store holds, handed on by its readers: the configuration with the age of its proof, endpoints,
+ * members. Only the readers ask the store, so its calls do not grow with instances times changes.
  * @module
  */
 import { type ConfigurationFollower, StoreRole, type Vouch } from "./configurationFollower.js";
 import type { PrefixChanges, PrefixFollower } from "./prefixFollower.js";
 
-/** What a node knows already, for the one that it asks. */
+/** What an instance knows already, for the one that it asks. */
 export interface FeedState {
   /** Revision of the configuration that is held; 0 before the first. */
   readonly configuration: number;
@@ -14,7 +14,7 @@
   readonly prefixes: Readonly<Record<string, number>>;
 }
 
-/** What a node has yet to know. */
+/** What an instance has yet to know. */
 export interface FeedMessage {
   /** Left out where the teller has no proof. */
   readonly vouch?: Vouch | undefined;
@@ -26,8 +26,8 @@
 }
 
 /**
- * Larger configurations are not handed on to the many nodes that a reader feeds: its link may be narrow, the store's
- * is not. Who asks for a peer's word because the store turns it away gets them all the same.
+ * Larger configurations are not handed on to the many instances that a reader feeds: its link may be narrow, the
+ * store's is not. Who asks for a peer's word because the store turns it away gets them all the same.
  */
 const largestPassedBytes = 32_768;
 /** Stands for no trouble ever: infinity has no place in every codec. */
@@ -84,7 +84,7 @@
     return true;
   }
 
-  /** Says how this node comes by what the store holds; while the store is lost, nothing is to be had from it. */
+  /** Says how this instance comes by what the store holds; while the store is lost, nothing is to be had from it. */
   setRole(role: StoreRole): void {
     this.configuration.setRole(role);
     const isPassive = role === StoreRole.Fed || this.configuration.isStoreLost;
--- a/packages/gateway/src/fleetWork.ts
+++ b/packages/gateway/src/fleetWork.ts
@@ -1,12 +1,12 @@
 /**
- * Work at backends over the whole fleet, as this node knows it: by the peers' reports where it hears them all, else by a
- * reader's view and what was relayed since.
+ * Work at endpoints over the whole fleet, as this instance knows it: by the peers' reports where it hears them all,
+ * else by a reader's view and what was relayed since.
  * @module
  */
 import type { PeerIdentity } from "@gladewall/coordination";
 import type { Clock } from "@gladewall/kernel";
-import type { PeerWork } from "./backend.js";
-import { type BackendWork, subtractWork, sumWork } from "./backendWork.js";
+import type { PeerWork } from "./endpoint.js";
+import { type EndpointWork, subtractWork, sumWork } from "./endpointWork.js";
 import type { PlacedEntry, RelayedMessage, ReportMessage } from "./memberMessages.js";
 import { PeerWorkViews } from "./peerWorkViews.js";
 import { PlacementRelay } from "./placementRelay.js";
@@ -16,13 +16,13 @@
 /** Options of the fleet's work. */
 export interface FleetWorkOptions {
   readonly clock: Clock;
-  /** Name of this node. */
+  /** Name of this instance. */
   readonly own: string;
-  /** Returns this node's work by backend. */
+  /** Returns this instance's work by endpoint. */
   readonly getOwn: () => ReadonlyMap<string, PeerWork>;
-  /** Returns the work of all others by the last view; undefined where this node goes by reports. */
-  readonly findView: () => BackendWork | undefined;
-  /** Sends to a node that asks this one. */
+  /** Returns the work of all others by the last view; undefined where this instance goes by reports. */
+  readonly findView: () => EndpointWork | undefined;
+  /** Sends to an instance that asks this one. */
   readonly send: (name: string, message: RelayedMessage) => void;
 }
 
@@ -33,9 +33,9 @@
   private readonly reports: PeerWorkViews;
   private readonly relay: PlacementRelay;
   private readonly placements = RecentPlacements.create();
-  /** Work of the other nodes, and of this one, as of the last sum. */
-  private others: BackendWork = {};
-  private own: BackendWork = {};
+  /** Work of the other instances, and of this one, as of the last sum. */
+  private others: EndpointWork = {};
+  private own: EndpointWork = {};
   /** Number of the last relayed placement that the sum includes. */
   private lastNumber = 0;
   /** Whether something was told since the last sum. */
@@ -51,10 +51,10 @@
     return new FleetWork(options);
   }
 
-  /** Other nodes' work at a backend, as they told it a moment ago. */
-  get(backend: string): PeerWork {
+  /** Other instances' work at an endpoint, as they told it a moment ago. */
+  get(endpoint: string): PeerWork {
     if (this.isStale) this.refresh();
-    const told = this.others[backend];
+    const told = this.others[endpoint];
     return told ? { active: told[0], pendingTokens: told[1] } : noWork;
   }
 
@@ -67,45 +67,45 @@
     this.isStale = false;
   }
 
-  /** This node's work, for its peers. */
-  createOwn(): BackendWork {
+  /** This instance's work, for its peers. */
+  createOwn(): EndpointWork {
     const work: Record<string, [number, number]> = {};
-    for (const [backend, { active, pendingTokens }] of this.options.getOwn()) {
-      if (active > 0 || pendingTokens > 0) work[backend] = [active, Math.round(pendingTokens)];
+    for (const [endpoint, { active, pendingTokens }] of this.options.getOwn()) {
+      if (active > 0 || pendingTokens > 0) work[endpoint] = [active, Math.round(pendingTokens)];
     }
     return work;
   }
 
-  /** Work of all nodes but the one that reported, and the placement up to which it is told. */
-  createView({ work }: ReportMessage): { readonly work: BackendWork; readonly placedNumber: number } {
+  /** Work of all instances but the one that reported, and the placement up to which it is told. */
+  createView({ work }: ReportMessage): { readonly work: EndpointWork; readonly placedNumber: number } {
     const all = sumWork([this.others, this.own]);
     return { work: subtractWork(all, work), placedNumber: this.lastNumber };
   }
 
-  takeReport(peer: string, work: BackendWork): void {
+  takeReport(peer: string, work: EndpointWork): void {
     this.reports.take(peer, work);
     this.isStale = true;
   }
 
   /** Takes a placement that a peer told at once. */
   takePlaced(peer: string, entry: PlacedEntry): void {
-    const [backend, tokens] = entry;
-    this.reports.add(peer, backend, tokens);
+    const [endpoint, tokens] = entry;
+    this.reports.add(peer, endpoint, tokens);
     this.relay.add(peer, entry);
     this.isStale = true;
   }
 
-  /** Takes note of a placement of this node, for those that ask it. */
+  /** Takes note of a placement of this instance, for those that ask it. */
   notePlaced(entry: PlacedEntry): void {
     this.relay.add(this.options.own, entry);
   }
 
-  /** Hands on to those that ask this node which parts of prompts backends have read. */
+  /** Hands on to those that ask this instance which parts of prompts endpoints have read. */
   relayRead(read: ReadReport): void {
     this.relay.addRead(read);
   }
 
-  /** Takes note that a node asks this one for views, and is told placements from now on. */
+  /** Takes note that an instance asks this one for views, and is told placements from now on. */
   noteAsked(name: string): void {
     this.relay.noteAsked(name);
   }
--- a/packages/gateway/src/front.ts
+++ b/packages/gateway/src/front.ts
@@ -21,7 +21,7 @@
 const notFound = 404;
 const unavailable = 503;
 
-/** Listens for callers and for the platform's question whether the node is ready. */
+/** Listens for callers and for the platform's question whether the instance is ready. */
 export class Front implements Closeable {
   private readonly callers: Server;
   private readonly readiness: Server;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,5 +1,5 @@
 /**
- * One node of the gateway: puts the parts together, starts them, serves, and leaves in order.
+ * One instance of the gateway: puts the parts together, starts them, serves, and leaves in order.
  * @module
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
@@ -37,11 +37,11 @@
 const exitMarginMs = 800;
 /** Time for the last answers to leave. */
 const lastAnswersMs = 100;
-/** Requests that may last longer than this are refused once the node leaves. */
+/** Requests that may last longer than this are refused once the instance leaves. */
 const shortRequestMs = 2_500;
 const idleCheckMs = 50;
 
-/** A running node. */
+/** A running instance. */
 export class Gateway {
   private readonly front: Front;
   private readonly exchangeParts: ExchangeParts;
@@ -65,9 +65,9 @@
       isReady: () => this.isReady(),
       handle: (message, response) => this.handle(message, response),
     });
-    directory.onRemoved((backend) => {
-      connections.remove(backend);
-      placer.memory.removeBackend(backend.id);
+    directory.onRemoved((endpoint) => {
+      connections.remove(endpoint);
+      placer.memory.removeEndpoint(endpoint.id);
     });
     parts.metrics.setSources({
       isReady: () => this.isReady(),
@@ -77,7 +77,7 @@
       getLinkedPeers: () => this.linkedPeers,
       getPeerTraffic: () => this.peerTraffic,
       isCollector: () => this.isCollector,
-      getUsableBackends: () => [...directory.getAll()].filter((backend) => backend.isUsable()).length,
+      getUsableEndpoints: () => [...directory.getAll()].filter((endpoint) => endpoint.isUsable()).length,
       isDutyHolder: () => parts.duties.isActing(),
     });
     follower.onChange((table) => this.front.setLimits(table.configuration.limits));
@@ -87,7 +87,7 @@
     });
   }
 
-  /** Creates a node; fails where the settings name an unknown plug-in. Nothing is opened yet. */
+  /** Creates an instance; fails where the settings name an unknown plug-in. Nothing is opened yet. */
   static create(
     settings: GatewaySettings,
     logger: Logger,
@@ -104,24 +104,28 @@
     );
   }
 
-  /** Opens the ports and starts to follow; the node is ready as soon as it knows enough. */
+  /** Opens the ports and starts to follow; the instance is ready as soon as it knows enough. */
   async start(): Promise<void> {
-    const { node, listen } = this.settings;
+    const { instance, listen } = this.settings;
     this.parts.follower.start();
     this.parts.directory.start();
     await this.front.open();
     await this.parts.metrics.open();
     await this.parts.members.open();
     this.parts.duties.start();
-    this.parts.logger.info("node.started", { node: node.name, zone: node.zone, callers: listen.callers });
+    this.parts.logger.info("instance.started", {
+      instance: instance.name,
+      hall: instance.hall,
+      callers: listen.callers,
+    });
   }
 
-  /** Whether the node takes requests: it knows a configuration, its proof, and the backends. */
+  /** Whether the instance takes requests: it knows a configuration, its proof, and the endpoints. */
   isReady(): boolean {
     const isReady =
       this.leavingSince === undefined && this.parts.follower.isProven() && this.parts.directory.isListed;
     if (isReady !== this.wasReady) {
-      this.parts.logger.info("node.ready", {
+      this.parts.logger.info("instance.ready", {
         ready: isReady,
         proofAgeMs: Math.round(this.parts.follower.getProofAge()),
       });
@@ -135,7 +139,7 @@
     return this.parts.follower.getTable()?.version ?? 0;
   }
 
-  /** Nodes that this one is linked with. */
+  /** Instances that this one is linked with. */
   get linkedPeers(): number {
     return this.parts.members.links.getLinked().length;
   }
@@ -145,49 +149,49 @@
     return this.parts.members.getKnownShare();
   }
 
-  /** Nodes that are listed, this one included. */
+  /** Instances that are listed, this one included. */
   get fleetSize(): number {
     return this.parts.members.getFleetSize();
   }
 
-  /** Bytes and messages that went over links to other nodes. */
+  /** Bytes and messages that went over links to other instances. */
   get peerTraffic(): Readonly<ConnectionTraffic> {
     return this.parts.members.links.traffic;
   }
 
-  /** Whether this node hears the whole fleet. */
+  /** Whether this instance hears the whole fleet. */
   get isCollector(): boolean {
     return this.parts.members.isCollector;
   }
 
-  /** Whether this node asks the store for others. */
+  /** Whether this instance asks the store for others. */
   get isReader(): boolean {
     return this.parts.members.isReader;
   }
 
-  /** Monotonic time before which no newer configuration than this node's was acknowledged. */
+  /** Monotonic time before which no newer configuration than this instance's was acknowledged. */
   get provenAt(): number {
     return this.parts.clock.getTime() - this.parts.follower.getProofAge();
   }
 
-  /** Whether others tell this node what the store holds. */
+  /** Whether others tell this instance what the store holds. */
   get isFed(): boolean {
     return this.parts.members.isFed;
   }
 
-  /** How much of a tenant's limit the fleet has taken, as far as this node knows. */
-  getQuotaLevel(tenant: string): number {
-    return this.parts.counters.getKnownSum(CounterKind.Quota, tenant);
+  /** How much of a workspace's limit the fleet has taken, as far as this instance knows. */
+  getQuotaLevel(workspace: string): number {
+    return this.parts.counters.getKnownSum(CounterKind.Quota, workspace);
   }
 
-  /** Prompt tokens that other nodes have waiting at a backend, as they told. */
-  getPeerTokens(backend: string): number {
-    return this.parts.members.getPeerWork(backend).pendingTokens;
+  /** Prompt tokens that other instances have waiting at an endpoint, as they told. */
+  getPeerTokens(endpoint: string): number {
+    return this.parts.members.getPeerWork(endpoint).pendingTokens;
   }
 
-  /** Backends of a service that take work. */
-  countBackends(service: string): number {
-    return this.parts.directory.getOfService(service).filter((backend) => backend.isUsable()).length;
+  /** Endpoints of a service that take work. */
+  countEndpoints(service: string): number {
+    return this.parts.directory.getOfService(service).filter((endpoint) => endpoint.isUsable()).length;
   }
 
   /** Leaves as planned: unready at once, every request finished within the grace. */
@@ -196,16 +200,16 @@
     const { clock, logger } = this.parts;
     this.leavingSince = clock.getTime();
     const endsAt = this.leavingSince + this.settings.leaving.grace - exitMarginMs;
-    logger.info("node.leaving", { open: this.open });
+    logger.info("instance.leaving", { open: this.open });
     const dutiesClosed = this.parts.duties.close();
     await waitFor(clock, this.settings.leaving.unnoticed);
     this.front.stopAccepting();
     while (this.open > 0 && clock.getTime() < endsAt) await waitFor(clock, idleCheckMs);
-    logger.info("node.stopping", { open: this.open });
+    logger.info("instance.stopping", { open: this.open });
     for (const exchange of this.exchanges) exchange.giveUp();
     await Promise.race([dutiesClosed, waitFor(clock, lastAnswersMs)]);
     await waitFor(clock, lastAnswersMs);
-    logger.info("node.stopped", { open: this.open });
+    logger.info("instance.stopped", { open: this.open });
   }
 
   /** Closes everything at once. */
@@ -249,7 +253,7 @@
     const body = await readRequestBody(message, table.configuration.limits.maxBodyBytes);
     if (body.isErr()) return body.error;
     const service = table.findService(drawTarget(route.targets, Math.random()));
-    if (!service) return Failure.create(FailureCode.NoBackend, { service: route.name }, leavingRetryMs);
+    if (!service) return Failure.create(FailureCode.NoEndpoint, { service: route.name }, leavingRetryMs);
     const charge = this.charge(admitted.value, head);
     if (charge.isErr()) return charge.error;
     const request = {
@@ -269,30 +273,30 @@
     return undefined;
   }
 
-  private charge({ tenant }: Admitted, head: CallerHead): Result<number, Failure> {
-    if (!tenant) return Ok(0);
-    const cost = this.parts.admission.getCost(tenant, head);
-    return this.parts.admission.takeQuota(tenant, cost).map(() => cost);
+  private charge({ workspace }: Admitted, head: CallerHead): Result<number, Failure> {
+    if (!workspace) return Ok(0);
+    const cost = this.parts.admission.getCost(workspace, head);
+    return this.parts.admission.takeQuota(workspace, cost).map(() => cost);
   }
 
   private finish(
-    { tenant, route }: Admitted,
+    { workspace, route }: Admitted,
     head: CallerHead,
     service: Service,
     { status, mayHaveRun, failure, placement, arrivals, firstEventMs }: ExchangeEnd,
     arrivedAt: number,
     cost: number,
   ): void {
-    if (tenant && !mayHaveRun) this.parts.admission.returnQuota(tenant, cost);
+    if (workspace && !mayHaveRun) this.parts.admission.returnQuota(workspace, cost);
     const fields = {
       request: head.id,
       route: route.name,
       service: service.name,
-      tenant: tenant?.name,
+      workspace: workspace?.name,
       status,
       failure: failure?.name,
       mayHaveRun,
-      backend: placement?.backend.id,
+      endpoint: placement?.endpoint.id,
       candidates: placement?.candidates,
       expectedMs: placement && Math.round(placement.expectedMs),
       uncached: placement && service.engine ? placement.uncachedTokens : undefined,
@@ -306,7 +310,7 @@
     else this.parts.logger.info("request.served", fields);
   }
 
-  /** Whether a request could outlast the time that a leaving node has. */
+  /** Whether a request could outlast the time that a leaving instance has. */
   private isTooLateFor({ route }: Admitted): boolean {
     if (this.leavingSince === undefined) return false;
     const elapsed = this.parts.clock.getTime() - this.leavingSince;
--- a/packages/gateway/src/gatewayMetrics.ts
+++ b/packages/gateway/src/gatewayMetrics.ts
@@ -1,5 +1,5 @@
 /**
- * Counters and latencies of a node, and the port they are read at.
+ * Counters and latencies of an instance, and the port they are read at.
  * @module
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
@@ -15,7 +15,7 @@
   readonly getLinkedPeers: () => number;
   readonly getPeerTraffic: () => Readonly<ConnectionTraffic>;
   readonly isCollector: () => boolean;
-  readonly getUsableBackends: () => number;
+  readonly getUsableEndpoints: () => number;
   readonly isDutyHolder: () => boolean;
 }
 
@@ -24,7 +24,7 @@
 const notFound = 404;
 const contentType = "text/plain; version=0.0.4";
 
-/** All metrics of a node. */
+/** All metrics of an instance. */
 export class GatewayMetrics implements Closeable {
   private readonly registry = Metrics.create();
   private readonly server: Server;
@@ -37,7 +37,7 @@
     return new GatewayMetrics(address);
   }
 
-  /** Counts a request that came to its end. `failure` is the name of ours, `none` for a backend's answer. */
+  /** Counts a request that came to its end. `failure` is the name of ours, `none` for an endpoint's answer. */
   countRequest(service: string, status: number, failure: string, milliseconds: number): void {
     const labels = { service, status: String(status), failure };
     this.registry.getCounter("gladewall_requests_total", "Requests by their final answer.", labels).add();
@@ -53,9 +53,9 @@
       .add();
   }
 
-  /** Counts one sending of a request to a backend. */
+  /** Counts one sending of a request to an endpoint. */
   countAttempt(service: string, end: string): void {
-    const help = "Sendings to backends by how they ended.";
+    const help = "Sendings to endpoints by how they ended.";
     this.registry.getCounter("gladewall_attempts_total", help, { service, end }).add();
   }
 
@@ -66,18 +66,22 @@
     set("gladewall_configuration_version", "Version in force.", sources.getVersion);
     set("gladewall_proof_age_milliseconds", "Age of the proof of that version.", sources.getProofAge);
     set("gladewall_open_requests", "Requests without a final answer.", sources.getOpenRequests);
-    set("gladewall_linked_peers", "Other nodes that are linked.", sources.getLinkedPeers);
-    set("gladewall_peer_sent_bytes", "Bytes sent to other nodes.", () => sources.getPeerTraffic().sentBytes);
+    set("gladewall_linked_peers", "Other instances that are linked.", sources.getLinkedPeers);
+    set(
+      "gladewall_peer_sent_bytes",
+      "Bytes sent to other instances.",
+      () => sources.getPeerTraffic().sentBytes,
+    );
     set(
       "gladewall_peer_received_bytes",
-      "Bytes received from other nodes.",
+      "Bytes received from other instances.",
       () => sources.getPeerTraffic().receivedBytes,
     );
-    set("gladewall_collector", "1 while this node hears the whole fleet.", () =>
+    set("gladewall_collector", "1 while this instance hears the whole fleet.", () =>
       Number(sources.isCollector()),
     );
-    set("gladewall_usable_backends", "Backends that take work.", sources.getUsableBackends);
-    set("gladewall_duty_holder", "1 while this node gives orders.", () => Number(sources.isDutyHolder()));
+    set("gladewall_usable_endpoints", "Endpoints that take work.", sources.getUsableEndpoints);
+    set("gladewall_duty_holder", "1 while this instance gives orders.", () => Number(sources.isDutyHolder()));
   }
 
   async open(): Promise<void> {
--- a/packages/gateway/src/gatewayParts.ts
+++ b/packages/gateway/src/gatewayParts.ts
@@ -1,12 +1,12 @@
 /**
- * Puts the parts of a node together, each from those it stands on.
+ * Puts the parts of an instance together, each from those it stands on.
  * @module
  */
 import type { Clock, Logger } from "@gladewall/kernel";
 import { Admission } from "./admission.js";
-import type { Backend, PeerWork } from "./backend.js";
-import { BackendConnections } from "./backendConnections.js";
-import { BackendDirectory } from "./backendDirectory.js";
+import type { Endpoint, PeerWork } from "./endpoint.js";
+import { EndpointConnections } from "./endpointConnections.js";
+import { EndpointDirectory } from "./endpointDirectory.js";
 import { CapacityOrders } from "./capacityOrders.js";
 import { ConfigurationFollower, type ConfigurationFollowerOptions } from "./configurationFollower.js";
 import { Demand } from "./demand.js";
@@ -31,14 +31,14 @@
 const dutyKey = `${ownPrefix}duty`;
 const dutyMarkKey = `${ownPrefix}duties-begun`;
 const usagePrefix = `${ownPrefix}usage/`;
-// Outside the prefix that all nodes watch: each change there costs a call of every node.
+// Outside the prefix that all instances watch: each change there costs a call of every instance.
 const usageDraftKey = "gladewall-usage-draft";
 const demandWindowMs = 4_000;
 
 /** What the fleet says, asked of parts that are created later. */
 interface FleetViews {
   readonly askPeers: ConfigurationFollowerOptions["askPeers"];
-  readonly getPeerWork: (backend: string) => PeerWork;
+  readonly getPeerWork: (endpoint: string) => PeerWork;
 }
 
 /** What everything stands on. */
@@ -49,14 +49,14 @@
   readonly logger: Logger;
 }
 
-/** What is known of the platform and counted with the other nodes. */
+/** What is known of the platform and counted with the other instances. */
 interface GatewayViews extends GatewayBase {
-  /** Grows with each life of the node. */
+  /** Grows with each life of the instance. */
   readonly incarnation: number;
   readonly time: TrueTime;
   readonly feedTimes: FeedTimes;
   readonly follower: ConfigurationFollower;
-  readonly directory: BackendDirectory;
+  readonly directory: EndpointDirectory;
   readonly usage: UsageCounts;
   readonly orders: FencedOrders;
   readonly counters: SharedCounters;
@@ -65,11 +65,11 @@
   readonly demand: Demand;
 }
 
-/** All parts of a node. */
+/** All parts of an instance. */
 export interface GatewayParts extends GatewayBase {
   readonly follower: ConfigurationFollower;
-  readonly directory: BackendDirectory;
-  readonly connections: BackendConnections;
+  readonly directory: EndpointDirectory;
+  readonly connections: EndpointConnections;
   readonly members: Members;
   readonly admission: Admission;
   readonly placer: Placer;
@@ -80,8 +80,8 @@
   readonly metrics: GatewayMetrics;
   readonly duties: Duties;
   readonly connectTimeoutMs: number;
-  readonly tellPlaced: (backend: string, tokens: number) => void;
-  readonly countRun: (tenant: string, at: number) => void;
+  readonly tellPlaced: (endpoint: string, tokens: number) => void;
+  readonly countRun: (workspace: string, at: number) => void;
   readonly getTimeOfDay: () => number;
 }
 
@@ -96,11 +96,11 @@
     { settings, platform, clock, logger },
     {
       askPeers: (revision) => vouching.ask(revision),
-      getPeerWork: (backend) => members.getPeerWork(backend),
+      getPeerWork: (endpoint) => members.getPeerWork(endpoint),
     },
   );
   const { time, follower, directory, usage, counters, rates } = views;
-  const { retries, backends } = settings;
+  const { retries, endpoints } = settings;
   const reporter: UsageReporter = createReporter(views, (key) => members.items.get(key));
   const getKnownShare = (): number => members.getKnownShare();
   const admission = createAdmission(views, getKnownShare);
@@ -113,7 +113,7 @@
     logger,
     follower,
     directory,
-    connections: BackendConnections.create(),
+    connections: EndpointConnections.create(),
     members,
     admission,
     rates,
@@ -121,8 +121,8 @@
       clock,
       memory: views.memory,
       getReadingRate: (service) => rates.get(service),
-      getBackends: (service) => directory.getOfService(service),
-      getPeerWork: (backend) => members.getPeerWork(backend),
+      getEndpoints: (service) => directory.getOfService(service),
+      getPeerWork: (endpoint) => members.getPeerWork(endpoint),
       getRandom: Math.random,
     }),
     budget: RetryBudget.create({ counters, ratio: retries.ratio, slack: retries.slack, getKnownShare }),
@@ -130,17 +130,17 @@
     counters,
     metrics: GatewayMetrics.create(settings.listen.metrics),
     duties: createDuties(views, members, reporter),
-    connectTimeoutMs: backends.connect_timeout,
-    tellPlaced: (backend, tokens) => members.tellPlaced(backend, tokens),
-    countRun: (tenant, at) => usage.add(reporter.getWindow(at), tenant),
+    connectTimeoutMs: endpoints.connect_timeout,
+    tellPlaced: (endpoint, tokens) => members.tellPlaced(endpoint, tokens),
+    countRun: (workspace, at) => usage.add(reporter.getWindow(at), workspace),
     getTimeOfDay: () => time.get(),
   };
 }
 
 function createViews(base: GatewayBase, { askPeers, getPeerWork }: FleetViews): GatewayViews {
   const { settings, platform, clock, logger } = base;
-  const { configuration, retries, quotas, backends } = settings;
-  const feedTimes = createFeedTimes(Math.min(backends.drain, configuration.apply_within));
+  const { configuration, retries, quotas, endpoints } = settings;
+  const feedTimes = createFeedTimes(Math.min(endpoints.drain, configuration.apply_within));
   const follower = ConfigurationFollower.create({
     platform,
     clock,
@@ -158,7 +158,7 @@
     [CounterKind.Work]: demandWindowMs,
   };
   const counters = SharedCounters.create({ clock, windows });
-  const directory = BackendDirectory.create({
+  const directory = EndpointDirectory.create({
     platform,
     clock,
     logger,
@@ -166,8 +166,9 @@
     watchWaitMs: feedTimes.watchWaitMs,
     unlistedMs: feedTimes.unlistedMs,
   });
-  const rates = ReadingRates.create({ clock, logger, startRate: backends.prefill_rate });
-  const countActive = (sum: number, { id, active }: Backend): number => sum + active + getPeerWork(id).active;
+  const rates = ReadingRates.create({ clock, logger, startRate: endpoints.prefill_rate });
+  const countActive = (sum: number, { id, active }: Endpoint): number =>
+    sum + active + getPeerWork(id).active;
   return {
     ...base,
     incarnation: clock.getWallTime(),
@@ -186,7 +187,7 @@
       getReadingRate: (service) => rates.get(service),
       isRateLearned: (service) => rates.isLearned(service),
       utilization: settings.orders.utilization,
-      leastPerZone: settings.orders.least_per_zone,
+      leastPerHall: settings.orders.least_per_hall,
       windowMs: demandWindowMs,
       getActive: (service) => directory.getOfService(service).reduce(countActive, 0),
     }),
@@ -205,19 +206,19 @@
     getTimeOfDay: () => time.get(),
     draftKey: usageDraftKey,
     usage,
-    life: `${settings.node.name}/${views.incarnation}`,
+    life: `${settings.instance.name}/${views.incarnation}`,
     getItem,
   });
 }
 
 function createMembers(views: GatewayViews, reporter: UsageReporter, onTurn: () => void): Members {
   const { settings, platform, clock, logger, counters, usage, time, directory, follower, rates } = views;
-  const { node, listen, peers } = settings;
+  const { instance, listen, peers } = settings;
   return Members.create({
     store: platform.store,
     clock,
     logger,
-    name: node.name,
+    name: instance.name,
     incarnation: views.incarnation,
     address: listen.peers,
     secret: peers.secret,
@@ -233,8 +234,8 @@
     usage,
     time,
     configuration: follower,
-    backends: directory.follower,
-    backendPrefix: platform.backendPrefix,
+    endpoints: directory.follower,
+    endpointPrefix: platform.endpointPrefix,
     getWindow: () => reporter.getWindow(time.get()),
     getWork: () => getWork(directory),
     onTurn,
@@ -249,7 +250,7 @@
     counters,
     quotaWindowMs: settings.quotas.window,
     quotaSlack: settings.quotas.slack,
-    isFirstStart: settings.node.first_start,
+    isFirstStart: settings.instance.first_start,
     getKnownShare,
     getRandom: Math.random,
   });
@@ -257,20 +258,20 @@
 
 function createDuties(views: GatewayViews, members: Members, reporter: UsageReporter): Duties {
   const { settings, platform, clock, logger, directory, follower, demand } = views;
-  const { orders, node } = settings;
+  const { orders, instance } = settings;
   const capacity = CapacityOrders.create({
     orders: views.orders,
     clock,
     logger,
-    getBackends: (service) => directory.getOfService(service),
-    getNeeded: (service, zones, present) => demand.getNeeded(service, zones, present),
-    isLoadAwaited: (service) => node.first_start && !demand.hasSeenLoad(service),
+    getEndpoints: (service) => directory.getOfService(service),
+    getNeeded: (service, halls, present) => demand.getNeeded(service, halls, present),
+    isLoadAwaited: (service) => instance.first_start && !demand.hasSeenLoad(service),
   });
   return Duties.create({
     store: platform.store,
     clock,
     logger,
-    name: node.name,
+    name: instance.name,
     leaseKey: dutyKey,
     markKey: dutyMarkKey,
     turnMs: orders.turn,
@@ -283,10 +284,10 @@
   });
 }
 
-function getWork(directory: BackendDirectory): ReadonlyMap<string, PeerWork> {
+function getWork(directory: EndpointDirectory): ReadonlyMap<string, PeerWork> {
   const work = new Map<string, PeerWork>();
-  for (const backend of directory.getAll()) {
-    work.set(backend.id, { active: backend.active, pendingTokens: backend.pendingTokens });
+  for (const endpoint of directory.getAll()) {
+    work.set(endpoint.id, { active: endpoint.active, pendingTokens: endpoint.pendingTokens });
   }
   return work;
 }
--- a/packages/gateway/src/gatewaySettings.ts
+++ b/packages/gateway/src/gatewaySettings.ts
@@ -1,5 +1,5 @@
 /**
- * Settings of a node that runs the gateway.
+ * Settings of an instance that runs the gateway.
  * @module
  */
 import {
@@ -19,15 +19,15 @@
 
 /** Every section and key. */
 export const gatewaySchema = {
-  node: {
-    name: createText("name of the node; unlike every other node's"),
-    zone: createText("zone that the node runs in"),
+  instance: {
+    name: createText("name of the instance; unlike every other instance's"),
+    hall: createText("data hall that the instance runs in"),
     first_start: createFlag(false, "whether the whole system starts for the first time"),
   },
   listen: {
     callers: createAddress("where callers connect"),
-    readiness: createAddress("where the platform asks whether the node is ready"),
-    peers: createAddress("where other nodes connect"),
+    readiness: createAddress("where the platform asks whether the instance is ready"),
+    peers: createAddress("where other instances connect"),
     metrics: createAddress("where metrics are read", "127.0.0.1:0"),
   },
   platform: {
@@ -37,24 +37,24 @@
     timeout: createDuration(1_200, [50, minute], "longest time of a call"),
   },
   peers: {
-    secret: createSecret("secret that all nodes share"),
+    secret: createSecret("secret that all instances share"),
     report_interval: createReloadable(createDuration(150, [20, 10_000], "time between two reports to peers")),
     largest_mesh: createInteger(
-      "nodes",
+      "instances",
       10,
       [1, 1_000],
-      "nodes up to which each reports to every other; beyond it, to a few readers of the store only",
+      "instances up to which each reports to every other; beyond it, to a few readers of the store only",
     ),
     large_fleet_interval: createDuration(
       250,
       [20, 10_000],
-      "time between two reports while there are more nodes than that",
+      "time between two reports while there are more instances than that",
     ),
     capacity: createDecimal(
       "",
       0,
       [0, 1_000_000_000],
-      "what the node can carry, for instance Mbit/s; those with the most read the store for all",
+      "what the instance can carry, for instance Mbit/s; those with the most read the store for all",
     ),
   },
   configuration: {
@@ -71,11 +71,11 @@
     revoke_within: createDuration(5_000, [500, minute], "time after which a removed key runs nothing"),
     revoke_margin: createDuration(400, [0, minute], "part of it that is kept for clocks and scheduling"),
   },
-  backends: {
+  endpoints: {
     drain: createDuration(
       2_000,
       [100, minute],
-      "time in which work must stop going to a backend that leaves",
+      "time in which work must stop going to an endpoint that leaves",
     ),
     connect_timeout: createDuration(250, [10, minute], "longest time to open a connection"),
     prefill_rate: createDecimal(
@@ -95,13 +95,17 @@
     slack: createDecimal("units", 0, [0, 1_000_000_000], "units over a limit that are borne once"),
   },
   orders: {
-    turn: createDuration(3_000, [1_000, 10 * minute], "time in which no two nodes may give orders by turns"),
+    turn: createDuration(
+      3_000,
+      [1_000, 10 * minute],
+      "time in which no two instances may give orders by turns",
+    ),
     usage_window: createDuration(5_000, [1_000, 10 * minute], "length of a usage window"),
-    least_per_zone: createDecimal(
-      "backends",
+    least_per_hall: createDecimal(
+      "endpoints",
       1.5,
       [0, 1_000],
-      "backends of a zone that are kept without load",
+      "endpoints of a data hall that are kept without load",
     ),
     utilization: createDecimal("", 0.4, [0.01, 1], "share of an engine's reading rate that is planned with"),
   },
@@ -120,5 +124,13 @@
   },
 } as const;
 
+/** Earlier names of sections and keys, and what they are called now. */
+export const renamedGatewaySettings: ReadonlyMap<string, string> = new Map([
+  ["node", "instance"],
+  ["backends", "endpoints"],
+  ["instance.zone", "instance.hall"],
+  ["orders.least_per_zone", "orders.least_per_hall"],
+]);
+
 /** Settings as read. */
 export type GatewaySettings = SettingsOf<typeof gatewaySchema>;
--- a/packages/gateway/src/leakyBucket.ts
+++ b/packages/gateway/src/leakyBucket.ts
@@ -30,7 +30,7 @@
     this.level = Math.max(0, this.level + amount);
   }
 
-  /** Sets the level to one that another node knows. */
+  /** Sets the level to one that another instance knows. */
   set(time: number, level: number): void {
     this.advance(time);
     this.level = level;
--- a/packages/gateway/src/memberMessages.ts
+++ b/packages/gateway/src/memberMessages.ts
@@ -3,7 +3,7 @@
  * @module
  */
 import type { PeerMessage } from "@gladewall/coordination";
-import type { BackendWork } from "./backendWork.js";
+import type { EndpointWork } from "./endpointWork.js";
 import type { FeedMessage, FeedState } from "./fleetFeed.js";
 import type { ReadReport } from "./prefixMemory.js";
 import type { RateReport } from "./readingRates.js";
@@ -19,7 +19,7 @@
   Relayed = 36,
 }
 
-/** What a node tells several times a second. */
+/** What an instance tells several times a second. */
 export interface ReportMessage extends PeerMessage {
   readonly kind: MemberMessageKind.Report;
   /** Number of the report within the sender's life. */
@@ -27,10 +27,10 @@
   /** Time of day as the sender counts it. */
   readonly time: number;
   readonly counters: CounterReport;
-  readonly work: BackendWork;
+  readonly work: EndpointWork;
   /** Reading rates that the sender has learned; earlier builds leave them out. */
   readonly rates?: RateReport;
-  /** Parts of prompts that backends have read since the last report; earlier builds leave them out in large fleets. */
+  /** Parts of prompts that endpoints have read since the last report; earlier builds leave them out in large fleets. */
   readonly read?: ReadReport;
   /** Left out in some reports. */
   readonly usage?: WindowCounts;
@@ -40,7 +40,7 @@
   readonly hearsAll?: boolean;
 }
 
-/** What a reader answers to a node that hears the whole fleet itself. */
+/** What a reader answers to an instance that hears the whole fleet itself. */
 export interface FeedAnswer extends PeerMessage {
   readonly kind: MemberMessageKind.Feed;
   /** Report of the receiver that asked. */
@@ -48,14 +48,14 @@
   readonly feed: FeedMessage;
 }
 
-/** What a reader answers to a node of a large fleet. */
+/** What a reader answers to an instance of a large fleet. */
 export interface ViewMessage extends PeerMessage {
   readonly kind: MemberMessageKind.View;
   /** Report of the receiver up to which its counts are included. */
   readonly sequence: number;
   readonly counters: CounterView;
-  /** Work of all nodes but the receiver. */
-  readonly work: BackendWork;
+  /** Work of all instances but the receiver. */
+  readonly work: EndpointWork;
   /** Number of the last relayed placement that the work includes; earlier builds relay none. */
   readonly placedNumber?: number;
   /** Share of the fleet that is heard. */
@@ -65,10 +65,11 @@
   readonly feed: FeedMessage;
 }
 
-/** A long prompt was sent to a backend; told at once, as the next report may come too late to keep others away. */
+/** A long prompt was sent to an endpoint; told at once, as the next report may come too late to keep others away. */
 export interface PlacedMessage extends PeerMessage {
   readonly kind: MemberMessageKind.Placed;
-  readonly backend: string;
+  /** Earlier builds name it otherwise. */
+  readonly endpoint?: string;
   readonly tokens: number;
 }
 
@@ -78,15 +79,15 @@
 }
 
 /** A long prompt and where it was sent. */
-export type PlacedEntry = readonly [backend: string, tokens: number];
+export type PlacedEntry = readonly [endpoint: string, tokens: number];
 
-/** Placements of other nodes, handed on by a reader of a large fleet. */
+/** Placements of other instances, handed on by a reader of a large fleet. */
 export interface RelayedMessage extends PeerMessage {
   readonly kind: MemberMessageKind.Relayed;
   /** Number of the first entry within the reader's life; the others follow. */
   readonly first: number;
-  /** The receiver's own have an empty backend. */
+  /** The receiver's own have an empty endpoint. */
   readonly entries: readonly PlacedEntry[];
-  /** Parts of prompts that backends have read. */
+  /** Parts of prompts that endpoints have read. */
   readonly read: ReadReport;
 }
--- a/packages/gateway/src/memberRecords.ts
+++ b/packages/gateway/src/memberRecords.ts
@@ -1,5 +1,5 @@
 /**
- * The fleet as the store lists it: each node records itself under a lease and follows the others' records.
+ * The fleet as the store lists it: each instance records itself under a lease and follows the others' records.
  * @module
  */
 import type { PeerAddress } from "@gladewall/coordination";
@@ -17,15 +17,15 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly name: string;
-  /** Grows with each life of the node. */
+  /** Grows with each life of the instance. */
   readonly incarnation: number;
-  /** `host:port` that peers reach this node at. */
+  /** `host:port` that peers reach this instance at. */
   readonly address: string;
-  /** How much the node can carry of what is done for all; any unit that all nodes share. */
+  /** How much the instance can carry of what is done for all; any unit that all instances share. */
   readonly capacity: number;
   /** Called after each change, and now and then without one. */
   readonly onChange: () => void;
-  /** Whether a node is linked: its record is kept even where the store has none. */
+  /** Whether an instance is linked: its record is kept even where the store has none. */
   readonly isLinked: (name: string) => boolean;
 }
 
@@ -40,7 +40,7 @@
 /** A vanished record is kept this long: records also vanish when the store is in trouble. */
 const vanishedMs = 15_000;
 
-/** Records of all nodes. */
+/** Records of all instances. */
 export class MemberRecords implements Closeable {
   /** The gateway's other items of the store, as last heard of. */
   readonly items = new Map<string, StoreItem>();
@@ -73,12 +73,12 @@
     this.task = this.keepRecord();
   }
 
-  /** Names of all nodes that are listed. */
+  /** Names of all instances that are listed. */
   getNames(): Iterable<string> {
     return this.records.keys();
   }
 
-  /** Nodes that are listed, this one included. */
+  /** Instances that are listed, this one included. */
   get size(): number {
     return Math.max(1, this.records.size);
   }
@@ -92,12 +92,12 @@
     return [...this.records].map(([name, { address, incarnation }]) => ({ name, address, incarnation }));
   }
 
-  /** How much a node can carry of what is done for all. */
+  /** How much an instance can carry of what is done for all. */
   getCapacity(name: string): number {
     return this.records.get(name)?.capacity ?? 0;
   }
 
-  /** Milliseconds since a node was found that was not known before. */
+  /** Milliseconds since an instance was found that was not known before. */
   getSettledTime(): number {
     return this.options.clock.getTime() - this.grownAt;
   }
--- a/packages/gateway/src/members.ts
+++ b/packages/gateway/src/members.ts
@@ -1,15 +1,15 @@
 /**
- * What the nodes of the fleet tell each other: counts, work at backends, the time of day.
+ * What the instances of the fleet tell each other: counts, work at endpoints, the time of day.
  *
- * In a small fleet every node reports to every other several times a second. In a large one each reports to the
- * readers of the store only, and one of them answers with a view of the whole fleet: what a node sends and hears does
- * not grow with the fleet. In a fleet of any size, what the store holds comes from a reader.
+ * In a small fleet every instance reports to every other several times a second. In a large one each reports to the
+ * readers of the store only, and one of them answers with a view of the whole fleet: what an instance sends and hears
+ * does not grow with the fleet. In a fleet of any size, what the store holds comes from a reader.
  * @module
  */
 import { LinkMessageKind, type PeerIdentity, PeerLinks } from "@gladewall/coordination";
 import { type Closeable, waitFor } from "@gladewall/kernel";
-import type { PeerWork } from "./backend.js";
-import type { BackendWork } from "./backendWork.js";
+import type { PeerWork } from "./endpoint.js";
+import type { EndpointWork } from "./endpointWork.js";
 import type { ConfigurationFollower } from "./configurationFollower.js";
 import type { FeedTimes } from "./feedTimes.js";
 import { FleetWork, getLife } from "./fleetWork.js";
@@ -36,13 +36,13 @@
 import type { StoreItem } from "./types.js";
 import type { UsageCounts } from "./usageCounts.js";
 
-/** Options of the members; the node's own record among them. */
+/** Options of the members; the instance's own record among them. */
 export interface MembersOptions extends Omit<MemberRecordsOptions, "onChange" | "isLinked"> {
   readonly secret: string;
   /** Time between two reports, while the fleet is small and when it is large. */
   readonly reportIntervalMs: number;
   readonly largeFleetIntervalMs: number;
-  /** Largest fleet in which every node reports to every other. */
+  /** Largest fleet in which every instance reports to every other. */
   readonly largestMesh: number;
   /** Time after which a removed key must run nothing. */
   readonly revokeWithinMs: number;
@@ -53,18 +53,18 @@
   readonly usage: UsageCounts;
   readonly time: TrueTime;
   readonly configuration: ConfigurationFollower;
-  /** Follower of the backends' records, and their prefix. */
-  readonly backends: PrefixFollower;
-  readonly backendPrefix: string;
+  /** Follower of the endpoints' records, and their prefix. */
+  readonly endpoints: PrefixFollower;
+  readonly endpointPrefix: string;
   /** Returns the number of the usage window that is open now. */
   readonly getWindow: () => number;
-  /** Returns this node's work by backend. */
+  /** Returns this instance's work by endpoint. */
   readonly getWork: () => ReadonlyMap<string, PeerWork>;
   /** Called before each report. */
   readonly onTurn: () => void;
 }
 
-/** What this node told in one report, and when. */
+/** What this instance told in one report, and when. */
 interface ToldReport {
   readonly totals: CounterTotals;
   readonly at: number;
@@ -72,14 +72,14 @@
 
 /** What the reader that is asked last answered. */
 interface FleetView {
-  readonly work: BackendWork;
+  readonly work: EndpointWork;
   readonly knownShare: number;
   readonly heardAt: number;
 }
 
-/** Nodes that ask the store for all: one may end and another be cut off from the store at the same time. */
+/** Instances that ask the store for all: one may end and another be cut off from the store at the same time. */
 const readerCount = 3;
-/** Without a view for this long, a node uses no more than its own part of what is shared. */
+/** Without a view for this long, an instance uses no more than its own part of what is shared. */
 const viewLifetimeMs = 1_500;
 const toldWindows = 4;
 /** Reports between two that carry usage, in a large fleet. */
@@ -88,10 +88,10 @@
 const lostAfterMs = 2_500;
 const handshakeTimeoutMs = 1_000;
 const outboxBytes = 262_144;
-/** A reader that started this much later than this node knows less of what was counted before. */
+/** A reader that started this much later than this instance knows less of what was counted before. */
 const youngerByMs = 1_000;
 const keptReports = 16;
-/** Time without a new node after which the fleet counts as known. */
+/** Time without a new instance after which the fleet counts as known. */
 const settledMs = 600;
 
 /** All members of the fleet. */
@@ -148,7 +148,7 @@
       own: name,
       times: options.feedTimes,
       configuration: options.configuration,
-      followers: { [options.backendPrefix]: options.backends, [ownPrefix]: this.records.follower },
+      followers: { [options.endpointPrefix]: options.endpoints, [ownPrefix]: this.records.follower },
     });
     this.work = FleetWork.create({
       clock,
@@ -181,29 +181,29 @@
     return this.records.isListed;
   }
 
-  /** Whether this node hears the whole fleet, as far as it knows. */
+  /** Whether this instance hears the whole fleet, as far as it knows. */
   get isCollector(): boolean {
     return this.collectors.isOwn;
   }
 
-  /** Whether this node asks the store for others. */
+  /** Whether this instance asks the store for others. */
   get isReader(): boolean {
     return this.collectors.isReader;
   }
 
-  /** Whether no node was found for a moment: while a fleet starts, it looks smaller than it is. */
+  /** Whether no instance was found for a moment: while a fleet starts, it looks smaller than it is. */
   get isSettled(): boolean {
     return this.records.getSettledTime() > settledMs;
   }
 
-  /** Nodes that are listed, this one included. */
+  /** Instances that are listed, this one included. */
   getFleetSize(): number {
     return this.records.size;
   }
 
   /**
-   * Share of the fleet whose counts are known, this node's included: all but the nodes that may be serving unheard.
-   * A peer whose connection was closed has ended; one that fell silent may only be cut off.
+   * Share of the fleet whose counts are known, this instance's included: all but the instances that may be serving
+   * unheard. A peer whose connection was closed has ended; one that fell silent may only be cut off.
    */
   getKnownShare(): number {
     const fleet = this.getFleetSize();
@@ -218,19 +218,19 @@
   }
 
   /** Tells peers at once of a long prompt; in a large fleet the readers, which hand it on. */
-  tellPlaced(backend: string, tokens: number): void {
-    const message: PlacedMessage = { kind: MemberMessageKind.Placed, backend, tokens: Math.round(tokens) };
+  tellPlaced(endpoint: string, tokens: number): void {
+    const message: PlacedMessage = { kind: MemberMessageKind.Placed, endpoint, tokens: Math.round(tokens) };
     if (this.collectors.isMesh) {
       this.links.broadcast(message);
       return;
     }
     for (const name of this.collectors.getLinkedReaders()) this.links.send(name, message);
-    this.work.notePlaced([backend, message.tokens]);
+    this.work.notePlaced([endpoint, message.tokens]);
   }
 
-  /** Other nodes' work at a backend, as they told it a moment ago. */
-  getPeerWork(backend: string): PeerWork {
-    return this.work.get(backend);
+  /** Other instances' work at an endpoint, as they told it a moment ago. */
+  getPeerWork(endpoint: string): PeerWork {
+    return this.work.get(endpoint);
   }
 
   /** Lists anew; for when the store comes back. */
@@ -303,7 +303,7 @@
     }
   }
 
-  /** Whether a reader tells this node what the store holds. */
+  /** Whether a reader tells this instance what the store holds. */
   get isFed(): boolean {
     return !this.collectors.isReader && this.feed.isFed;
   }
@@ -360,8 +360,8 @@
     return { kind: MemberMessageKind.Feed, sequence: report.sequence, feed };
   }
 
-  private takePlaced({ backend, tokens }: PlacedMessage, peer: PeerIdentity): void {
-    this.work.takePlaced(peer.name, [backend, tokens]);
+  private takePlaced({ endpoint, tokens }: PlacedMessage, peer: PeerIdentity): void {
+    if (endpoint !== undefined) this.work.takePlaced(peer.name, [endpoint, tokens]);
   }
 
   private createView(report: ReportMessage, state: FeedState): ViewMessage {
@@ -402,7 +402,7 @@
     this.feed.take(feed, told.at);
   }
 
-  /** The last view while it is young enough; once it is not, the node keeps to its own part of what is shared. */
+  /** The last view while it is young enough; once it is not, the instance keeps to its own part of what is shared. */
   private getFleetView(): FleetView | undefined {
     const view = this.fleetView;
     if (!view) return undefined;
--- a/packages/gateway/src/peerWorkViews.ts
+++ b/packages/gateway/src/peerWorkViews.ts
@@ -1,13 +1,13 @@
 /**
- * Work at backends as each peer last told it, and its sum.
+ * Work at endpoints as each peer last told it, and its sum.
  * @module
  */
 import type { Clock } from "@gladewall/kernel";
-import { type BackendWork, sumWork } from "./backendWork.js";
+import { type EndpointWork, sumWork } from "./endpointWork.js";
 import { reportLifetimeMs } from "./silentPeers.js";
 
 interface PeerView {
-  readonly work: BackendWork;
+  readonly work: EndpointWork;
   readonly heardAt: number;
 }
 
@@ -22,20 +22,20 @@
   }
 
   /** Takes all of a peer's work, in place of what it told before. */
-  take(peer: string, work: BackendWork): void {
+  take(peer: string, work: EndpointWork): void {
     this.views.set(peer, { work, heardAt: this.clock.getTime() });
   }
 
-  /** Adds a prompt that a peer has just sent to a backend; its next report includes it. */
-  add(peer: string, backend: string, tokens: number): void {
+  /** Adds a prompt that a peer has just sent to an endpoint; its next report includes it. */
+  add(peer: string, endpoint: string, tokens: number): void {
     const view = this.views.get(peer) ?? { work: {}, heardAt: this.clock.getTime() };
-    const [active, pendingTokens] = view.work[backend] ?? [0, 0];
-    const work = { ...view.work, [backend]: [active + 1, pendingTokens + tokens] as const };
+    const [active, pendingTokens] = view.work[endpoint] ?? [0, 0];
+    const work = { ...view.work, [endpoint]: [active + 1, pendingTokens + tokens] as const };
     this.views.set(peer, { ...view, work });
   }
 
   /** Sum over the peers that were heard a moment ago; older words say nothing of a peer's work. */
-  getSum(): BackendWork {
+  getSum(): EndpointWork {
     const limit = this.clock.getTime() - reportLifetimeMs;
     const heard = [...this.views.values()].filter(({ heardAt }) => heardAt >= limit);
     return sumWork(heard.map(({ work }) => work));
--- a/packages/gateway/src/placement.ts
+++ b/packages/gateway/src/placement.ts
@@ -1,11 +1,11 @@
 /**
- * Chooses a backend: for model engines by the prompt tokens to be read before the first event, less what its memory
+ * Chooses an endpoint: for model engines by the prompt tokens to be read before the first event, less what its memory
  * holds of the prompt; for others by the share of slots taken.
  * @module
  */
 import { type Clock, hashText, mixHashes } from "@gladewall/kernel";
-import type { Backend, PeerWork } from "./backend.js";
-import { BackendState } from "./backend.js";
+import type { Endpoint, PeerWork } from "./endpoint.js";
+import { EndpointState } from "./endpoint.js";
 import type { PrefixMemory } from "./prefixMemory.js";
 import type { PromptPart, Service } from "./types.js";
 
@@ -14,14 +14,14 @@
   readonly service: Service;
   readonly promptTokens: number;
   readonly parts: readonly PromptPart[];
-  /** Backends that it was sent to before. */
+  /** Endpoints that it was sent to before. */
   readonly excluded: ReadonlySet<string>;
 }
 
 /** A choice and its reason. */
 export interface Placement {
-  readonly backend: Backend;
-  /** Prompt tokens that the backend is expected to read. */
+  readonly endpoint: Endpoint;
+  /** Prompt tokens that the endpoint is expected to read. */
   readonly uncachedTokens: number;
   /** Expected milliseconds until the first event or the answer's start. */
   readonly expectedMs: number;
@@ -36,8 +36,8 @@
   readonly memory: PrefixMemory;
   /** Returns the prompt tokens that a service's engine reads in a millisecond. */
   readonly getReadingRate: (service: string) => number;
-  readonly getBackends: (service: string) => readonly Backend[];
-  readonly getPeerWork: (backend: string) => PeerWork;
+  readonly getEndpoints: (service: string) => readonly Endpoint[];
+  readonly getPeerWork: (endpoint: string) => PeerWork;
   /** Returns a number from 0 to 1, to spread equal choices. */
   readonly getRandom: () => number;
 }
@@ -53,7 +53,7 @@
 /** Milliseconds that work is taken to last where no answer has been seen. */
 const unknownLatencyMs = 50;
 
-/** Chooses backends. */
+/** Chooses endpoints. */
 export class Placer {
   readonly memory: PrefixMemory;
 
@@ -65,36 +65,36 @@
     return new Placer(options);
   }
 
-  /** Chooses the backend with the least expected time; undefined where none takes work. */
+  /** Chooses the endpoint with the least expected time; undefined where none takes work. */
   choose(request: PlacementRequest): Placement | undefined {
     const candidates = this.getCandidates(request);
     const home = findHome(request.parts, candidates);
     let best: Placement | undefined;
     let bestScore = Infinity;
-    for (const backend of candidates) {
-      const uncachedTokens = this.getUncachedTokens(request, backend, backend === home);
-      const expectedMs = this.getExpectedMs(request.service, backend, uncachedTokens);
-      const score = expectedMs + this.getPenalty(backend) + this.options.getRandom() * spreadMs;
+    for (const endpoint of candidates) {
+      const uncachedTokens = this.getUncachedTokens(request, endpoint, endpoint === home);
+      const expectedMs = this.getExpectedMs(request.service, endpoint, uncachedTokens);
+      const score = expectedMs + this.getPenalty(endpoint) + this.options.getRandom() * spreadMs;
       if (score >= bestScore) continue;
       bestScore = score;
-      const tokensAhead = this.getPendingTokens(backend);
-      best = { backend, uncachedTokens, expectedMs, tokensAhead, candidates: candidates.length };
+      const tokensAhead = this.getPendingTokens(endpoint);
+      best = { endpoint, uncachedTokens, expectedMs, tokensAhead, candidates: candidates.length };
     }
     return best;
   }
 
-  private getCandidates({ service, excluded }: PlacementRequest): readonly Backend[] {
+  private getCandidates({ service, excluded }: PlacementRequest): readonly Endpoint[] {
     const time = this.options.clock.getTime();
-    const usable = this.options.getBackends(service.name).filter((backend) => backend.isUsable());
-    const fresh = usable.filter((backend) => !excluded.has(backend.id));
-    const sound = fresh.filter((backend) => !backend.isSuspect(time));
+    const usable = this.options.getEndpoints(service.name).filter((endpoint) => endpoint.isUsable());
+    const fresh = usable.filter((endpoint) => !excluded.has(endpoint.id));
+    const sound = fresh.filter((endpoint) => !endpoint.isSuspect(time));
     if (sound.length > 0) return sound;
     return fresh;
   }
 
   private getUncachedTokens(
     { promptTokens, parts }: PlacementRequest,
-    backend: Backend,
+    endpoint: Endpoint,
     isHome: boolean,
   ): number {
     let cached = 0;
@@ -102,48 +102,48 @@
     for (let index = 0; index < parts.length; index++) {
       const part = parts[index];
       if (!part) break;
-      const isHeld = this.memory.holds(part.id, backend.id) || (isHome && index < shared);
+      const isHeld = this.memory.holds(part.id, endpoint.id) || (isHome && index < shared);
       if (!isHeld) break;
       cached += part.tokens;
     }
     return Math.max(1, promptTokens - cached);
   }
 
-  private getExpectedMs(service: Service, backend: Backend, uncachedTokens: number): number {
-    const peers = this.options.getPeerWork(backend.id);
-    const active = backend.active + peers.active;
+  private getExpectedMs(service: Service, endpoint: Endpoint, uncachedTokens: number): number {
+    const peers = this.options.getPeerWork(endpoint.id);
+    const active = endpoint.active + peers.active;
     if (!service.engine) {
-      const latency = backend.latencyMs ?? unknownLatencyMs;
-      return latency * (1 + active / Math.max(1, backend.record.slots));
+      const latency = endpoint.latencyMs ?? unknownLatencyMs;
+      return latency * (1 + active / Math.max(1, endpoint.record.slots));
     }
-    const tokens = this.getPendingTokens(backend) + uncachedTokens;
+    const tokens = this.getPendingTokens(endpoint) + uncachedTokens;
     const readingMs = tokens / this.options.getReadingRate(service.name);
     const full = active >= service.engine.slots ? active - service.engine.slots + 1 : 0;
     return readingMs + active * runningCostMs + full * unknownLatencyMs;
   }
 
-  private getPendingTokens(backend: Backend): number {
-    return backend.pendingTokens + this.options.getPeerWork(backend.id).pendingTokens;
+  private getPendingTokens(endpoint: Endpoint): number {
+    return endpoint.pendingTokens + this.options.getPeerWork(endpoint.id).pendingTokens;
   }
 
-  private getPenalty(backend: Backend): number {
-    const unlisted = backend.state === BackendState.Unlisted ? unlistedPenaltyMs : 0;
-    return backend.getFailureShare(this.options.clock.getTime()) * failurePenaltyMs + unlisted;
+  private getPenalty(endpoint: Endpoint): number {
+    const unlisted = endpoint.state === EndpointState.Unlisted ? unlistedPenaltyMs : 0;
+    return endpoint.getFailureShare(this.options.clock.getTime()) * failurePenaltyMs + unlisted;
   }
 }
 
-/** The backend that all nodes choose alike for prompts with the same shared parts. */
-function findHome(parts: readonly PromptPart[], candidates: readonly Backend[]): Backend | undefined {
+/** The endpoint that all instances choose alike for prompts with the same shared parts. */
+function findHome(parts: readonly PromptPart[], candidates: readonly Endpoint[]): Endpoint | undefined {
   const part = parts.at(-2) ?? parts.at(-1);
   if (!part) return undefined;
   const partHash = hashText(part.id);
-  let home: Backend | undefined;
+  let home: Endpoint | undefined;
   let highest = -1;
-  for (const backend of candidates) {
-    const score = mixHashes(partHash, hashText(backend.id));
+  for (const endpoint of candidates) {
+    const score = mixHashes(partHash, hashText(endpoint.id));
     if (score <= highest) continue;
     highest = score;
-    home = backend;
+    home = endpoint;
   }
   return home;
 }
--- a/packages/gateway/src/placementRelay.ts
+++ b/packages/gateway/src/placementRelay.ts
@@ -1,10 +1,10 @@
 /**
- * Long prompts on their way through a reader: in a large fleet, nodes tell the readers at once what they sent where, and
- * each reader hands it on, some times a second, to the nodes that ask it. What a node knows of others' work is then some
- * 20 ms old in place of a report and a view, some 400 ms.
+ * Long prompts on their way through a reader: in a large fleet, instances tell the readers at once what they sent
+ * where, and each reader hands it on, some times a second, to the instances that ask it. What an instance knows of
+ * others' work is then some 20 ms old in place of a report and a view, some 400 ms.
  *
- * Placements are numbered, and a view says up to which number it includes them, so none is counted twice. Parts of prompts
- * that backends have read go along with them.
+ * Placements are numbered, and a view says up to which number it includes them, so none is counted twice. Parts of
+ * prompts that endpoints have read go along with them.
  * @module
  */
 import { type Clock, type Timer } from "@gladewall/kernel";
@@ -23,17 +23,19 @@
 }
 
 /**
- * Time that placements wait to be handed on together. In a model of 69 engines and 195 nodes at half load, knowing
+ * Time that placements wait to be handed on together. In a model of 69 engines and 195 instances at half load, knowing
  * others' prompts 25 ms late costs a mean wait of 11 ms, 10 ms late 6 ms, a view's 375 ms 42 ms.
  */
 const batchMs = 20;
-/** Placements handed on at once, of some 20 bytes each: a node hears 16 KB/s of them at most, whatever the load. */
+/**
+ * Placements handed on at once, of some 20 bytes each: an instance hears 16 KB/s of them at most, whatever the load.
+ */
 const mostEntries = 16;
-/** Parts that go along at once, as many as one node tells with a report; what is beyond it is only not known. */
+/** Parts that go along at once, as many as one instance tells with a report; what is beyond it is only not known. */
 const mostParts = 64;
-/** A node that has not asked for this long is told nothing more: it asks another reader. */
+/** An instance that has not asked for this long is told nothing more: it asks another reader. */
 const audienceLifetimeMs = 1_500;
-/** What stands in place of a node's own placements, so that all nodes are told the same numbers. */
+/** What stands in place of an instance's own placements, so that all instances are told the same numbers. */
 const none: PlacedEntry = ["", 0];
 
 /** A reader's part. */
@@ -41,10 +43,10 @@
   private queue: Queued[] = [];
   /** Number of the first placement in the queue. */
   private first = 1;
-  /** Parts that backends have read, to go along with the next placements. */
+  /** Parts that endpoints have read, to go along with the next placements. */
   private read: Record<string, string[]> = {};
   private partCount = 0;
-  /** When each node last asked. */
+  /** When each instance last asked. */
   private readonly audience = new Map<string, number>();
   private timer: Timer | undefined;
 
@@ -59,12 +61,12 @@
     return this.first + this.queue.length - 1;
   }
 
-  /** Takes note that a node asks this one. */
+  /** Takes note that an instance asks this one. */
   noteAsked(name: string): void {
     this.audience.set(name, this.options.clock.getTime());
   }
 
-  /** Takes a placement of this or another node. */
+  /** Takes a placement of this or another instance. */
   add(sender: string, entry: PlacedEntry): void {
     if (this.audience.size === 0) {
       this.first += 1;
@@ -74,14 +76,14 @@
     this.timer ??= this.options.clock.startTimer(batchMs, () => this.flush());
   }
 
-  /** Takes what a node tells of parts that backends have read. */
+  /** Takes what an instance tells of parts that endpoints have read. */
   addRead(report: ReadReport): void {
     if (this.audience.size === 0) return;
-    for (const [backend, parts] of Object.entries(report)) {
+    for (const [endpoint, parts] of Object.entries(report)) {
       const room = Math.max(0, mostParts - this.partCount);
       const taken = parts.slice(0, room);
       if (taken.length === 0) continue;
-      (this.read[backend] ??= []).push(...taken);
+      (this.read[endpoint] ??= []).push(...taken);
       this.partCount += taken.length;
     }
   }
--- a/packages/gateway/src/prefixFollower.ts
+++ b/packages/gateway/src/prefixFollower.ts
@@ -188,7 +188,7 @@
   }
 
   private put(item: StoreItem): void {
-    // A listing may be older than a removal that another follower handed on: a backend put back by it would stay.
+    // A listing may be older than a removal that another follower handed on: an endpoint put back by it would stay.
     const knownAt = this.items.get(item.key)?.revision ?? this.removed.get(item.key) ?? -1;
     if (knownAt >= item.revision) return;
     this.items.set(item.key, item);
--- a/packages/gateway/src/prefixMemory.ts
+++ b/packages/gateway/src/prefixMemory.ts
@@ -1,6 +1,6 @@
 /**
- * Which backends were sent which parts of prompts, by this node and its peers, bounded by forgetting the parts unused
- * longest.
+ * Which endpoints were sent which parts of prompts, by this instance and its peers, bounded by forgetting the parts
+ * unused longest.
  * @module
  */
 import type { PromptPart } from "./types.js";
@@ -11,20 +11,20 @@
 /** Most parts kept for one report: what is beyond it is only not known elsewhere. */
 const mostTold = 64;
 
-/** Ended backends that are remembered, so that a peer's late word does not bring one back. */
+/** Ended endpoints that are remembered, so that a peer's late word does not bring one back. */
 const keptEnded = 256;
 
-/** Parts of prompts that a node's requests made backends read, by backend. */
+/** Parts of prompts that an instance's requests made endpoints read, by endpoint. */
 export type ReadReport = Readonly<Record<string, readonly string[]>>;
 
-/** Remembers parts by backend. */
+/** Remembers parts by endpoint. */
 export class PrefixMemory {
-  /** Backends by part, the part used last at the end. */
+  /** Endpoints by part, the part used last at the end. */
   private readonly holders = new Map<string, Set<string>>();
   /** What peers have not been told yet. */
   private untold: Record<string, string[]> = {};
   private untoldCount = 0;
-  /** Backends that have ended, the latest at the end; ids are never used again. */
+  /** Endpoints that have ended, the latest at the end; ids are never used again. */
   private readonly ended = new Set<string>();
 
   private constructor() {}
@@ -33,22 +33,22 @@
     return new PrefixMemory();
   }
 
-  /** Whether a backend was sent a part. */
-  holds(part: string, backend: string): boolean {
-    return this.holders.get(part)?.has(backend) === true;
+  /** Whether an endpoint was sent a part. */
+  holds(part: string, endpoint: string): boolean {
+    return this.holders.get(part)?.has(endpoint) === true;
   }
 
-  /** Takes note that a request of this node made a backend read its prompt. */
-  note(parts: readonly PromptPart[], backend: string): void {
+  /** Takes note that a request of this instance made an endpoint read its prompt. */
+  note(parts: readonly PromptPart[], endpoint: string): void {
     // The last part is the request's own: no other will bring it, but for its session's next one, which comes here.
     for (const { id, tokens } of parts.slice(0, -1)) {
-      if (tokens < leastToldTokens || this.holds(id, backend) || this.untoldCount >= mostTold) continue;
-      (this.untold[backend] ??= []).push(id);
+      if (tokens < leastToldTokens || this.holds(id, endpoint) || this.untoldCount >= mostTold) continue;
+      (this.untold[endpoint] ??= []).push(id);
       this.untoldCount += 1;
     }
     this.add(
       parts.map(({ id }) => id),
-      backend,
+      endpoint,
     );
   }
 
@@ -62,16 +62,16 @@
 
   /** Takes what a peer tells. */
   takePeer(report: ReadReport): void {
-    for (const [backend, parts] of Object.entries(report)) this.add(parts, backend);
+    for (const [endpoint, parts] of Object.entries(report)) this.add(parts, endpoint);
   }
 
-  private add(parts: readonly string[], backend: string): void {
-    if (this.ended.has(backend)) return;
+  private add(parts: readonly string[], endpoint: string): void {
+    if (this.ended.has(endpoint)) return;
     for (const id of parts) {
       const holders = this.holders.get(id) ?? new Set<string>();
       this.holders.delete(id);
       this.holders.set(id, holders);
-      holders.add(backend);
+      holders.add(endpoint);
     }
     while (this.holders.size > keptParts) {
       const oldest = this.holders.keys().next().value;
@@ -80,10 +80,10 @@
     }
   }
 
-  /** Forgets a backend that has ended. */
-  removeBackend(backend: string): void {
-    for (const holders of this.holders.values()) holders.delete(backend);
-    this.ended.add(backend);
+  /** Forgets an endpoint that has ended. */
+  removeEndpoint(endpoint: string): void {
+    for (const holders of this.holders.values()) holders.delete(endpoint);
+    this.ended.add(endpoint);
     const [oldest] = this.ended;
     if (this.ended.size > keptEnded && oldest !== undefined) this.ended.delete(oldest);
   }
--- a/packages/gateway/src/readingRates.ts
+++ b/packages/gateway/src/readingRates.ts
@@ -1,8 +1,8 @@
 /**
- * The reading rate of each service's engines, as this node has learned it and as its peers tell theirs.
+ * The reading rate of each service's engines, as this instance has learned it and as its peers tell theirs.
  *
- * A node uses the median of what it and its peers have learned, so that a young node has a rate at once and one node's
- * odd observations move nobody else.
+ * An instance uses the median of what it and its peers have learned, so that a young instance has a rate at once and
+ * one instance's odd observations move nobody else.
  * @module
  */
 import type { Clock, Logger } from "@gladewall/kernel";
@@ -61,12 +61,12 @@
     return this.find(service) ?? this.options.startRate;
   }
 
-  /** Whether this node or a peer has learned the rate of a service's engines. */
+  /** Whether this instance or a peer has learned the rate of a service's engines. */
   isLearned(service: string): boolean {
     return this.find(service) !== undefined;
   }
 
-  /** Takes note of a first event whose prompt had the engine's reading to itself, as far as this node knows. */
+  /** Takes note of a first event whose prompt had the engine's reading to itself, as far as this instance knows. */
   note(service: string, observation: ReadingObservation): void {
     const learned = this.learned.get(service) ?? this.add(service);
     learned.observations.push(observation);
@@ -79,7 +79,7 @@
     this.logChange(service, learned);
   }
 
-  /** What this node itself has learned, for its peers. */
+  /** What this instance itself has learned, for its peers. */
   createReport(): RateReport {
     const report: Record<string, number> = {};
     for (const [service, { rate }] of this.learned) {
@@ -88,7 +88,7 @@
     return report;
   }
 
-  /** What this node goes by, for those that hear only it. */
+  /** What this instance goes by, for those that hear only it. */
   createView(): RateReport {
     const view: Record<string, number> = {};
     const peers = [...this.peers.values()].flatMap(({ rates }) => Object.keys(rates));
--- a/packages/gateway/src/recentPlacements.ts
+++ b/packages/gateway/src/recentPlacements.ts
@@ -1,8 +1,8 @@
 /**
- * Long prompts that others have sent to backends since the last view, as a reader hands them on.
+ * Long prompts that others have sent to endpoints since the last view, as a reader hands them on.
  * @module
  */
-import type { BackendWork } from "./backendWork.js";
+import type { EndpointWork } from "./endpointWork.js";
 import type { PlacedEntry } from "./memberMessages.js";
 
 interface Numbered {
@@ -10,7 +10,7 @@
   readonly entry: PlacedEntry;
 }
 
-/** A node's part: what came after the view that it goes by. */
+/** An instance's part: what came after the view that it goes by. */
 export class RecentPlacements {
   /** Life of the reader whose view is gone by; numbers of others mean nothing beside it. */
   private reader: string | undefined;
@@ -40,13 +40,13 @@
     return fresh.length > 0;
   }
 
-  /** Returns them as work at backends. */
-  getWork(): BackendWork {
+  /** Returns them as work at endpoints. */
+  getWork(): EndpointWork {
     const work: Record<string, [number, number]> = {};
     for (const { entry } of this.placements) {
-      const [backend, tokens] = entry;
-      if (backend === "") continue;
-      const known = (work[backend] ??= [0, 0]);
+      const [endpoint, tokens] = entry;
+      if (endpoint === "") continue;
+      const known = (work[endpoint] ??= [0, 0]);
       known[0] += 1;
       known[1] += tokens;
     }
--- a/packages/gateway/src/retryBudget.ts
+++ b/packages/gateway/src/retryBudget.ts
@@ -1,5 +1,5 @@
 /**
- * The budget of arrivals past the first of each request, shared by all nodes.
+ * The budget of arrivals past the first of each request, shared by all instances.
  * @module
  */
 import { CounterKind, type SharedCounters } from "./sharedCounters.js";
@@ -15,7 +15,7 @@
   readonly getKnownShare: () => number;
 }
 
-/** Share of the budget that is given out; the rest covers the delay between nodes. */
+/** Share of the budget that is given out; the rest covers the delay between instances. */
 const usedShare = 0.7;
 
 /** Gives repeats out. */
--- a/packages/gateway/src/routeTable.ts
+++ b/packages/gateway/src/routeTable.ts
@@ -1,18 +1,18 @@
 /**
- * The configuration in the form requests are looked up in: routes by host and longest prefix, tenants by key.
+ * The configuration in the form requests are looked up in: routes by host and longest prefix, workspaces by key.
  * @module
  */
-import type { Route, RouteTarget, Service, ServingConfiguration, Tenant } from "./types.js";
+import type { Route, RouteTarget, Service, ServingConfiguration, Workspace } from "./types.js";
 
-/** Looks routes and tenants up in one version of the configuration. */
+/** Looks routes and workspaces up in one version of the configuration. */
 export class RouteTable {
   private readonly routesByHost = new Map<string, Map<string, Route>>();
-  private readonly tenantsByKey = new Map<string, Tenant>();
+  private readonly workspacesByKey = new Map<string, Workspace>();
 
   private constructor(readonly configuration: ServingConfiguration) {
     for (const route of configuration.routes) this.addRoute(route);
-    for (const tenant of configuration.tenants) {
-      for (const key of tenant.keys) this.tenantsByKey.set(key, tenant);
+    for (const workspace of configuration.workspaces) {
+      for (const key of workspace.keys) this.workspacesByKey.set(key, workspace);
     }
   }
 
@@ -25,8 +25,8 @@
   }
 
   /** Whether requests carry keys at all. */
-  get hasTenants(): boolean {
-    return this.configuration.tenants.length > 0;
+  get hasWorkspaces(): boolean {
+    return this.configuration.workspaces.length > 0;
   }
 
   /** Finds the route of a host (its port is ignored) and a path with query; undefined where there is none. */
@@ -42,8 +42,8 @@
     return undefined;
   }
 
-  findTenant(key: string): Tenant | undefined {
-    return this.tenantsByKey.get(key);
+  findWorkspace(key: string): Workspace | undefined {
+    return this.workspacesByKey.get(key);
   }
 
   findService(name: string): Service | undefined {
--- a/packages/gateway/src/sharedCounters.ts
+++ b/packages/gateway/src/sharedCounters.ts
@@ -1,6 +1,6 @@
 /**
- * Counters that all nodes share: each tells its running totals, and every node keeps the fleet's sums over sliding
- * windows. A total that was missed is made up by the next one, so lost messages cost only time.
+ * Counters that all instances share: each tells its running totals, and every instance keeps the fleet's sums over
+ * sliding windows. A total that was missed is made up by the next one, so lost messages cost only time.
  * @module
  */
 import type { Clock } from "@gladewall/kernel";
@@ -9,20 +9,20 @@
 
 /** What is counted. */
 export enum CounterKind {
-  /** Quota units by tenant. */
+  /** Quota units by workspace. */
   Quota = 1,
   /** Requests by service. */
   Requests = 2,
-  /** Arrivals at backends past the first of each request, by service. */
+  /** Arrivals at endpoints past the first of each request, by service. */
   Repeats = 3,
   /** Prompt tokens by service. */
   Work = 4,
 }
 
-/** Running totals of one life of a node, by `kind:name`. */
+/** Running totals of one life of an instance, by `kind:name`. */
 export type CounterTotals = Readonly<Record<string, number>>;
 
-/** What one node tells. */
+/** What one instance tells. */
 export interface CounterReport {
   /** Milliseconds that this life has lasted. */
   readonly uptime: number;
@@ -31,7 +31,7 @@
   readonly sums: CounterTotals;
 }
 
-/** What a node that hears the whole fleet knows, for those that hear only it. */
+/** What an instance that hears the whole fleet knows, for those that hear only it. */
 export interface CounterView {
   /** Milliseconds that the teller's life has lasted. */
   readonly uptime: number;
@@ -60,7 +60,7 @@
 /** Longest time for which use is foreseen from one view. */
 const longestForesightMs = 1_000;
 
-/** This node's counters and the fleet's sums. */
+/** This instance's counters and the fleet's sums. */
 export class SharedCounters {
   private readonly own: Record<string, number> = {};
   private readonly sums = new Map<string, SlidingWindow>();
@@ -144,7 +144,7 @@
     return { uptime: Math.round(this.getUptime()), totals: { ...this.own }, sums };
   }
 
-  /** Returns what this node, which hears the whole fleet, knows of it. */
+  /** Returns what this instance, which hears the whole fleet, knows of it. */
   createView(): CounterView {
     const time = this.options.clock.getTime();
     const inflows: Record<string, number> = {};
--- a/packages/gateway/src/silentPeers.ts
+++ b/packages/gateway/src/silentPeers.ts
@@ -19,7 +19,10 @@
 
   private constructor(private readonly servingMs: number) {}
 
-  /** `revokeWithinMs`: time after which removed keys must not run; a node that is cut off serves no longer than that. */
+  /**
+   * `revokeWithinMs`: time after which removed keys must not run; an instance that is cut off serves no longer than
+   * that.
+   */
   static create(revokeWithinMs: number): SilentPeers {
     return new SilentPeers(revokeWithinMs + servingMarginMs);
   }
--- a/packages/gateway/src/storeFeed.ts
+++ b/packages/gateway/src/storeFeed.ts
@@ -1,6 +1,6 @@
 /**
- * How a node that is no reader of the store comes by what the store holds: from the reader that it asks, or from the
- * store itself while no reader tells it.
+ * How an instance that is no reader of the store comes by what the store holds: from the reader that it asks, or from
+ * the store itself while no reader tells it.
  * @module
  */
 import type { Clock, Logger } from "@gladewall/kernel";
@@ -14,7 +14,7 @@
 export interface StoreFeedOptions {
   readonly clock: Clock;
   readonly logger: Logger;
-  /** Name of this node. */
+  /** Name of this instance. */
   readonly own: string;
   readonly times: FeedTimes;
   readonly configuration: ConfigurationFollower;
@@ -39,14 +39,15 @@
     return new StoreFeed(options);
   }
 
-  /** Whether a reader told this node a moment ago what the store holds. */
+  /** Whether a reader told this instance a moment ago what the store holds. */
   get isFed(): boolean {
     return this.options.clock.getTime() - this.fedAt < this.options.times.lifetimeMs;
   }
 
   /**
-   * Whether this node asks the readers. One that is a reader itself does so while the store turns it away: without it,
-   * it used backends that had left for 6.0 s of a drain time of 3 s, and no longer than 1.2 s with it (100 drawn departures).
+   * Whether this instance asks the readers. One that is a reader itself does so while the store turns it away: without
+   * it, it used endpoints that had left for 6.0 s of a drain time of 3 s, and no longer than 1.2 s with it (100 drawn
+   * departures).
    */
   isAsking(isReader: boolean): boolean {
     return !isReader || this.options.configuration.isStoreLost;
@@ -57,12 +58,12 @@
     return this.asked.choose(linked, this.options.clock.getTime());
   }
 
-  /** What this node knows already, for the reader that it asks. */
+  /** What this instance knows already, for the reader that it asks. */
   getState(): FeedState {
     return this.feed.getState();
   }
 
-  /** What this node knows and the one that asks does not. */
+  /** What this instance knows and the one that asks does not. */
   createMessage(state: FeedState): FeedMessage {
     return this.feed.createMessage(state);
   }
@@ -75,13 +76,13 @@
       this.fedAt = time;
       return;
     }
-    // The store may have turned away more readers than this one: this node asks it itself until another tells more.
+    // The store may have turned away more readers than this one: this instance asks it itself until another tells more.
     this.fedAt = -Infinity;
     this.asked.passOver(time);
     this.options.logger.info("feed.passed-over", { storeAgeMs: Math.round(message.storeAgeMs) });
   }
 
-  /** Takes up the role that follows from whether this node is a reader, and from what it was told. */
+  /** Takes up the role that follows from whether this instance is a reader, and from what it was told. */
   setRole(isReader: boolean): void {
     const ownRole = this.isFed ? StoreRole.Fed : StoreRole.Alone;
     this.feed.setRole(isReader ? StoreRole.Reader : ownRole);
--- a/packages/gateway/src/streamRelay.ts
+++ b/packages/gateway/src/streamRelay.ts
@@ -1,5 +1,5 @@
 /**
- * Passes a stream of events on to the caller as they arrive, whole events only, and goes on with a second backend's
+ * Passes a stream of events on to the caller as they arrive, whole events only, and goes on with a second endpoint's
  * stream inside the same answer where the first was cut.
  * @module
  */
@@ -8,7 +8,7 @@
 import { copyAnswerHeaders } from "./answerHeaders.js";
 import { EventSplitter } from "./eventSplitter.js";
 
-/** How a backend's stream ended. */
+/** How an endpoint's stream ended. */
 export enum RelayEnd {
   Complete = 1,
   Cut = 2,
@@ -36,7 +36,7 @@
     return this.splitter.lastEventId ?? this.lastId;
   }
 
-  /** Passes one backend's stream on to its end. `onFirst` is called with the first event. */
+  /** Passes one endpoint's stream on to its end. `onFirst` is called with the first event. */
   relay(answer: IncomingMessage, onFirst: () => void): Promise<RelayEnd> {
     this.lastId = this.lastEventId;
     this.splitter = EventSplitter.create(this.isResumable);
--- a/packages/gateway/src/trueTime.ts
+++ b/packages/gateway/src/trueTime.ts
@@ -9,14 +9,14 @@
 const jumpMs = 100;
 /**
  * Difference from most peers that is a jump of the own clock. What peers say is as old as the message was under way and
- * waiting; were that taken for a difference, a fleet of busy nodes would drive each other's time back without end.
+ * waiting; were that taken for a difference, a fleet of busy instances would drive each other's time back without end.
  */
 const peerJumpMs = 400;
 const driftShare = 0.1;
 /** How long a jump must last until it is believed without peers. */
 const beliefMs = 30_000;
 
-/** Time of day of this node. */
+/** Time of day of this instance. */
 export class TrueTime {
   private offset: number;
   private jumpSince: number | undefined;
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -37,7 +37,7 @@
   readonly goalMs: number;
   /** Longest pause between events at which a stream has its full worth; undefined where nothing is said. */
   readonly gapGoalMs: number | undefined;
-  /** Backends that one request may run on. */
+  /** Endpoints that one request may run on. */
   readonly attempts: number;
   /** Rank; 0 is the highest. */
   readonly priority: number;
@@ -54,17 +54,17 @@
   readonly tokenCapacity: number;
 }
 
-/** How many backends of a service may be ordered. */
+/** How many endpoints of a service may be ordered. */
 export interface ScalingLimits {
-  /** Fewest and most backends of one zone, both price classes together. */
+  /** Fewest and most endpoints of one data hall, both price classes together. */
   readonly min: number;
   readonly max: number;
-  /** Time from an order until a backend serves. */
+  /** Time from an order until an endpoint serves. */
   readonly bootMs: number;
-  /** Price of a reclaimable backend, as a share of an on-demand one. */
+  /** Price of a reclaimable endpoint, as a share of an on-demand one. */
   readonly reclaimablePrice: number;
-  /** Relative price by zone. */
-  readonly zonePrices: ReadonlyMap<string, number>;
+  /** Relative price by data hall. */
+  readonly hallPrices: ReadonlyMap<string, number>;
 }
 
 /** A service of the configuration. */
@@ -75,14 +75,14 @@
   readonly scaling: ScalingLimits | undefined;
 }
 
-/** Unit that a tenant's rate is counted in. */
+/** Unit that a workspace's rate is counted in. */
 export enum QuotaUnit {
   Requests = 1,
   Tokens = 2,
 }
 
-/** A tenant of the configuration. */
-export interface Tenant {
+/** A workspace of the configuration. */
+export interface Workspace {
   readonly name: string;
   readonly keys: readonly string[];
   /** Rank before that of the route; 0 is the highest. */
@@ -109,18 +109,18 @@
   readonly routes: readonly Route[];
   readonly services: ReadonlyMap<string, Service>;
   /** Empty where requests carry no keys. */
-  readonly tenants: readonly Tenant[];
+  readonly workspaces: readonly Workspace[];
   readonly limits: ClientLimits;
 }
 
-/** A backend as it records itself. */
-export interface BackendRecord {
-  /** Names one life of one backend; never used again. */
+/** An endpoint as it records itself. */
+export interface EndpointRecord {
+  /** Names one life of one endpoint; never used again. */
   readonly id: string;
   readonly service: string;
   /** `host:port`. */
   readonly address: string;
-  readonly zone: string;
+  readonly hall: string;
   readonly slots: number;
   readonly isLeaving: boolean;
   readonly isReclaimable: boolean;
@@ -204,10 +204,10 @@
   readonly lastEventId: string | undefined;
 }
 
-/** What the gateway says to a backend beside the caller's own headers. */
+/** What the gateway says to an endpoint beside the caller's own headers. */
 export interface DispatchHead {
-  readonly backendId: string;
-  readonly tenant: string | undefined;
+  readonly endpointId: string;
+  readonly workspace: string | undefined;
   readonly deadlineMs: number;
   /** 0 to 9, 0 first; undefined where the service has no order of its own. */
   readonly urgency: number | undefined;
@@ -217,18 +217,18 @@
 
 /** What an answer's head says. */
 export enum AnswerWord {
-  /** The backend ran the request. */
+  /** The endpoint ran the request. */
   Ran = 1,
-  /** The backend did not run it and never will. */
+  /** The endpoint did not run it and never will. */
   NotRun = 2,
-  /** Another backend has the address now. Nothing ran. */
-  WrongBackend = 3,
+  /** Another endpoint has the address now. Nothing ran. */
+  WrongEndpoint = 3,
   /** It belongs to another request, or to nobody. */
   Foreign = 4,
 }
 
-/** Load that a backend tells with an answer. */
-export interface BackendLoad {
+/** Load that an endpoint tells with an answer. */
+export interface EndpointLoad {
   readonly running: number;
   readonly waiting: number;
   readonly slots: number;
@@ -237,7 +237,7 @@
 /** An answer's head, read. */
 export interface AnswerHead {
   readonly word: AnswerWord;
-  readonly load: BackendLoad | undefined;
+  readonly load: EndpointLoad | undefined;
 }
 
 /** How callers speak. */
@@ -249,8 +249,8 @@
   createOwnHeaders(requestId: string | undefined): string[];
 }
 
-/** How backends are spoken to. */
-export interface BackendProtocol {
+/** How endpoints are spoken to. */
+export interface EndpointProtocol {
   /** Headers of a request from those of the caller; both are name, value, name, value, … */
   createHeaders(callerHeaders: readonly string[], dispatch: DispatchHead): string[];
   readAnswer(requestId: string, status: number, headers: IncomingHttpHeaders): AnswerHead;
@@ -262,16 +262,16 @@
   readonly fence: number;
 }
 
-/** Runs that began in one window, by tenant. */
+/** Runs that began in one window, by workspace. */
 export interface UsageReport {
   readonly window: number;
   readonly counts: Readonly<Record<string, number>>;
 }
 
-/** How many backends of one price class a zone should have. */
+/** How many endpoints of one price class a data hall should have. */
 export interface CapacityOrder {
   readonly service: string;
-  readonly zone: string;
+  readonly hall: string;
   readonly desired: number;
   readonly isReclaimable: boolean;
 }
@@ -298,11 +298,11 @@
   readonly store: MetadataStore;
   readonly orders: OrderService;
   readonly callers: CallerProtocol;
-  readonly backends: BackendProtocol;
+  readonly endpoints: EndpointProtocol;
   readonly configurationKey: string;
-  readonly backendPrefix: string;
+  readonly endpointPrefix: string;
   decodeConfiguration(value: Uint8Array): Result<ServingConfiguration, Failure>;
-  decodeBackend(key: string, value: Uint8Array): Result<BackendRecord, Failure>;
+  decodeEndpoint(key: string, value: Uint8Array): Result<EndpointRecord, Failure>;
 }
 
 /** Options that platform plug-ins are created with. */
--- a/packages/gateway/src/usageReporter.ts
+++ b/packages/gateway/src/usageReporter.ts
@@ -5,7 +5,7 @@
  */
 import { type Clock, FailureCode, type Logger } from "@gladewall/kernel";
 import type { MetadataStore, OrderSender, OrderService, StoreItem } from "./types.js";
-import type { TenantCounts, UsageCounts, WindowCounts } from "./usageCounts.js";
+import type { WorkspaceCounts, UsageCounts, WindowCounts } from "./usageCounts.js";
 
 /** Options of the reporter. */
 export interface UsageReporterOptions {
@@ -15,11 +15,11 @@
   readonly logger: Logger;
   /** Prefix of the keys that hold fixed windows. */
   readonly prefix: string;
-  /** Key of the draft: what is counted but not fixed, for when all nodes are killed. */
+  /** Key of the draft: what is counted but not fixed, for when all instances are killed. */
   readonly draftKey: string;
   /** Counts of all lives; a draft is written from them and taken into them. */
   readonly usage: UsageCounts;
-  /** Names this life of this node. */
+  /** Names this life of this instance. */
   readonly life: string;
   readonly windowMs: number;
   /** Returns the time of day. */
@@ -28,7 +28,7 @@
   readonly getItem: (key: string) => StoreItem | undefined;
 }
 
-/** Time after a window's end at which the last counts of other nodes have come. */
+/** Time after a window's end at which the last counts of other instances have come. */
 const settleMs = 1_200;
 /** Windows that are looked back to. */
 const keptWindows = 6;
@@ -121,7 +121,7 @@
   private async fix(
     window: number,
     getSender: () => OrderSender | undefined,
-  ): Promise<TenantCounts | undefined> {
+  ): Promise<WorkspaceCounts | undefined> {
     const { store, getItem, usage } = this.options;
     const key = this.getKey(window);
     const known = getItem(key);
@@ -140,6 +140,6 @@
   }
 }
 
-function decodeCounts(value: Uint8Array): TenantCounts {
-  return JSON.parse(Buffer.from(value).toString("utf8")) as TenantCounts;
+function decodeCounts(value: Uint8Array): WorkspaceCounts {
+  return JSON.parse(Buffer.from(value).toString("utf8")) as WorkspaceCounts;
 }
--- a/packages/gateway/src/vouching.ts
+++ b/packages/gateway/src/vouching.ts
@@ -1,6 +1,6 @@
 /**
- * Peers' words on the configuration: a node that the store turns away asks some of those it is linked with, which may
- * still be served.
+ * Peers' words on the configuration: an instance that the store turns away asks some of those it is linked with, which
+ * may still be served.
  * @module
  */
 import type { PeerLinks, PeerMessage } from "@gladewall/coordination";
--- a/packages/gateway/test/capacityPlan.test.ts
+++ b/packages/gateway/test/capacityPlan.test.ts
@@ -1,16 +1,16 @@
 import t from "tap";
-import { planCapacity, type ScalingLimits, type ZoneCount } from "@gladewall/gateway";
+import { planCapacity, type ScalingLimits, type HallCount } from "@gladewall/gateway";
 
-const zoneNames = ["a", "b", "c", "d"];
+const hallNames = ["a", "b", "c", "d"];
 
 function createLimits(max: number, prices: readonly number[]): ScalingLimits {
-  const zonePrices = new Map(zoneNames.map((zone, index) => [zone, prices[index] ?? 1]));
-  return { min: 0, max, bootMs: 4_000, reclaimablePrice: 0.2, zonePrices };
+  const hallPrices = new Map(hallNames.map((hall, index) => [hall, prices[index] ?? 1]));
+  return { min: 0, max, bootMs: 4_000, reclaimablePrice: 0.2, hallPrices };
 }
 
-function createZone(zone: string): ZoneCount {
+function createHall(hall: string): HallCount {
   return {
-    zone,
+    hall,
     reclaimable: 0,
     onDemand: 0,
     onDemandOrdered: 0,
@@ -19,18 +19,18 @@
   };
 }
 
-/** All ways to spread a number over the zones. */
-function* spread(needed: number, max: number, zones = zoneNames.length): Generator<readonly number[]> {
-  if (zones === 1) {
+/** All ways to spread a number over the data halls. */
+function* spread(needed: number, max: number, halls = hallNames.length): Generator<readonly number[]> {
+  if (halls === 1) {
     if (needed <= max) yield [needed];
     return;
   }
   for (let count = 0; count <= Math.min(max, needed); count++) {
-    for (const rest of spread(needed - count, max, zones - 1)) yield [count, ...rest];
+    for (const rest of spread(needed - count, max, halls - 1)) yield [count, ...rest];
   }
 }
 
-/** Grows with the loss of one zone and of any further ones: reclaims come in waves. */
+/** Grows with the loss of one data hall and of any further ones: reclaims come in waves. */
 function getLoss(counts: readonly number[]): number {
   return counts.reduce((sum, count) => sum + count * count, 0);
 }
@@ -40,7 +40,7 @@
 }
 
 t.test(
-  "of all ways to spread reclaimable backends, the plan's loses least with its zones, and of these it is the cheapest",
+  "of all ways to spread reclaimable endpoints, the plan's loses least with its data halls, and of these it is the cheapest",
   async (t) => {
     for (const prices of [
       [1, 0.8, 1.25, 0.9],
@@ -52,12 +52,12 @@
         const orders = planCapacity({
           service: "s",
           limits: createLimits(max, prices),
-          zones: zoneNames.map(createZone),
+          halls: hallNames.map(createHall),
           needed,
           isReclaimableScarce: false,
         });
-        const planned = zoneNames.map(
-          (zone) => orders.find((order) => order.zone === zone && order.isReclaimable)?.desired ?? 0,
+        const planned = hallNames.map(
+          (hall) => orders.find((order) => order.hall === hall && order.isReclaimable)?.desired ?? 0,
         );
         const ways = [...spread(needed, max)];
         const leastLoss = Math.min(...ways.map((way) => getLoss(way)));
@@ -65,7 +65,10 @@
           ...ways.filter((way) => getLoss(way) === leastLoss).map((way) => getCost(way, prices)),
         );
         t.equal(getLoss(planned), leastLoss);
-        t.ok(Math.abs(getCost(planned, prices) - best) < 1e-9, `${needed} backends, prices ${prices.join()}`);
+        t.ok(
+          Math.abs(getCost(planned, prices) - best) < 1e-9,
+          `${needed} endpoints, prices ${prices.join()}`,
+        );
       }
     }
   },
--- a/packages/gateway/test/decisions.test.ts
+++ b/packages/gateway/test/decisions.test.ts
@@ -11,10 +11,10 @@
   TrueTime,
   UsageCounts,
   drawTarget,
-  type ZoneCount,
+  type HallCount,
 } from "@gladewall/gateway";
 import { VirtualClock } from "@gladewall/kernel";
-import { createRoute, createTenant } from "@gladewall/standins";
+import { createRoute, createWorkspace } from "@gladewall/standins";
 
 const limits = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
 
@@ -24,7 +24,7 @@
     version: 1,
     routes,
     services: new Map(),
-    tenants: [createTenant({})],
+    workspaces: [createWorkspace({})],
     limits,
   });
   const find = (host: string, target: string): string | undefined => table.findRoute(host, target)?.name;
@@ -32,8 +32,8 @@
   t.equal(find("APP.test:80", "/a/b"), "/a/");
   t.equal(find("app.test", "/a?x=/a/b/"), "/");
   t.equal(find("other.test", "/a/"), undefined);
-  t.equal(table.findTenant("key")?.name, "tenant");
-  t.equal(table.findTenant("none"), undefined);
+  t.equal(table.findWorkspace("key")?.name, "workspace");
+  t.equal(table.findWorkspace("none"), undefined);
 });
 
 t.test("targets are drawn by weight", async (t) => {
@@ -96,14 +96,17 @@
   t.ok(restarted.getSum(CounterKind.Work, "x") >= 3);
 });
 
-t.test("usage adds up over lives of nodes, and a life's later word replaces its earlier one", async (t) => {
-  const usage = UsageCounts.create();
-  usage.add(7, "a");
-  usage.takePeer("n/1", { 7: { a: 2 } });
-  usage.takePeer("n/1", { 7: { a: 3, b: 1 } });
-  usage.takePeer("n/2", { 7: { a: 1 } });
-  t.same(usage.getTotal(7), { a: 5, b: 1 });
-});
+t.test(
+  "usage adds up over lives of instances, and a life's later word replaces its earlier one",
+  async (t) => {
+    const usage = UsageCounts.create();
+    usage.add(7, "a");
+    usage.takePeer("n/1", { 7: { a: 2 } });
+    usage.takePeer("n/1", { 7: { a: 3, b: 1 } });
+    usage.takePeer("n/2", { 7: { a: 1 } });
+    t.same(usage.getTotal(7), { a: 5, b: 1 });
+  },
+);
 
 t.test("the time of day does not follow a jump of the wall clock, but most peers", async (t) => {
   const clock = VirtualClock.create();
@@ -145,61 +148,64 @@
   },
 );
 
-t.test("reclaimable backends are spread over zones, on-demand ones fill only what is missing", async (t) => {
-  const scaling = {
-    min: 1,
-    max: 6,
-    bootMs: 4_000,
-    reclaimablePrice: 0.2,
-    zonePrices: new Map([
-      ["a", 1],
-      ["b", 0.8],
-    ]),
-  };
-  const createZone = (zone: string, change: Partial<ZoneCount> = {}): ZoneCount => ({
-    zone,
-    reclaimable: 0,
-    onDemand: 0,
-    onDemandOrdered: change.onDemand ?? 0,
-    isReclaimableRefused: false,
-    isReclaimableDry: change.isReclaimableRefused ?? false,
-    ...change,
-  });
-  const plan = (zones: readonly ZoneCount[], needed: number, isReclaimableScarce = false) =>
-    planCapacity({ service: "s", limits: scaling, zones, needed, isReclaimableScarce }).map(
-      ({ zone, desired, isReclaimable }) => `${zone}${isReclaimable ? "r" : "d"}${desired}`,
-    );
-  t.same(plan([createZone("a", { onDemand: 2 }), createZone("b", { onDemand: 1 })], 4), [
-    "ar2",
-    "ad2",
-    "br2",
-    "bd1",
-  ]);
-  t.same(plan([createZone("a", { reclaimable: 2, onDemand: 2 }), createZone("b", { reclaimable: 2 })], 4), [
-    "ar2",
-    "ad0",
-    "br2",
-    "bd0",
-  ]);
-  const dry = [
-    createZone("a", { isReclaimableRefused: true }),
-    createZone("b", { reclaimable: 2, isReclaimableRefused: true }),
-  ];
-  // On-demand backends make up for most of what is missing, not for all: they are dear.
-  t.same(plan(dry, 4, true), ["ar0", "ad1", "br2", "bd0"]);
-  const asked = dry.map((zone) => ({ ...zone, isReclaimableRefused: false }));
-  t.same(plan(asked, 4, true), ["ar2", "ad0", "br2", "bd1"]);
-});
+t.test(
+  "reclaimable endpoints are spread over data halls, on-demand ones fill only what is missing",
+  async (t) => {
+    const scaling = {
+      min: 1,
+      max: 6,
+      bootMs: 4_000,
+      reclaimablePrice: 0.2,
+      hallPrices: new Map([
+        ["a", 1],
+        ["b", 0.8],
+      ]),
+    };
+    const createHall = (hall: string, change: Partial<HallCount> = {}): HallCount => ({
+      hall,
+      reclaimable: 0,
+      onDemand: 0,
+      onDemandOrdered: change.onDemand ?? 0,
+      isReclaimableRefused: false,
+      isReclaimableDry: change.isReclaimableRefused ?? false,
+      ...change,
+    });
+    const plan = (halls: readonly HallCount[], needed: number, isReclaimableScarce = false) =>
+      planCapacity({ service: "s", limits: scaling, halls, needed, isReclaimableScarce }).map(
+        ({ hall, desired, isReclaimable }) => `${hall}${isReclaimable ? "r" : "d"}${desired}`,
+      );
+    t.same(plan([createHall("a", { onDemand: 2 }), createHall("b", { onDemand: 1 })], 4), [
+      "ar2",
+      "ad2",
+      "br2",
+      "bd1",
+    ]);
+    t.same(plan([createHall("a", { reclaimable: 2, onDemand: 2 }), createHall("b", { reclaimable: 2 })], 4), [
+      "ar2",
+      "ad0",
+      "br2",
+      "bd0",
+    ]);
+    const dry = [
+      createHall("a", { isReclaimableRefused: true }),
+      createHall("b", { reclaimable: 2, isReclaimableRefused: true }),
+    ];
+    // On-demand endpoints make up for most of what is missing, not for all: they are dear.
+    t.same(plan(dry, 4, true), ["ar0", "ad1", "br2", "bd0"]);
+    const asked = dry.map((hall) => ({ ...hall, isReclaimableRefused: false }));
+    t.same(plan(asked, 4, true), ["ar2", "ad0", "br2", "bd1"]);
+  },
+);
 
-t.test("on-demand backends that were ordered are kept until enough reclaimable ones serve", async (t) => {
-  const scaling = { min: 0, max: 12, bootMs: 4_000, reclaimablePrice: 0.2, zonePrices: new Map([["a", 1]]) };
+t.test("on-demand endpoints that were ordered are kept until enough reclaimable ones serve", async (t) => {
+  const scaling = { min: 0, max: 12, bootMs: 4_000, reclaimablePrice: 0.2, hallPrices: new Map([["a", 1]]) };
   const plan = (reclaimable: number) =>
     planCapacity({
       service: "s",
       limits: scaling,
-      zones: [
+      halls: [
         {
-          zone: "a",
+          hall: "a",
           reclaimable,
           onDemand: 0,
           onDemandOrdered: 3,
@@ -213,10 +219,10 @@
   t.same([plan(1), plan(3), plan(4)], [3, 2, 0]);
 });
 
-t.test("in a wave of reclaims, what the next zone would lose is provided for", async (t) => {
-  const scaling = { min: 0, max: 12, bootMs: 4_000, reclaimablePrice: 0.2, zonePrices: new Map([["a", 1]]) };
-  const createZone = (zone: string, reclaimable: number): ZoneCount => ({
-    zone,
+t.test("in a wave of reclaims, what the next data hall would lose is provided for", async (t) => {
+  const scaling = { min: 0, max: 12, bootMs: 4_000, reclaimablePrice: 0.2, hallPrices: new Map([["a", 1]]) };
+  const createHall = (hall: string, reclaimable: number): HallCount => ({
+    hall,
     reclaimable,
     onDemand: 0,
     onDemandOrdered: 0,
@@ -227,7 +233,7 @@
     planCapacity({
       service: "s",
       limits: scaling,
-      zones: [createZone("a", 0), createZone("b", 6), createZone("c", 6)],
+      halls: [createHall("a", 0), createHall("b", 6), createHall("c", 6)],
       needed: 10,
       isReclaimableScarce: true,
       atRisk,
@@ -238,15 +244,15 @@
   t.same([plan(9), plan(12)], [4, 7]);
 });
 
-t.test("before the first load, on-demand backends go as soon as orders for others are taken", async (t) => {
-  const scaling = { min: 0, max: 12, bootMs: 4_000, reclaimablePrice: 0.2, zonePrices: new Map([["a", 1]]) };
+t.test("before the first load, on-demand endpoints go as soon as orders for others are taken", async (t) => {
+  const scaling = { min: 0, max: 12, bootMs: 4_000, reclaimablePrice: 0.2, hallPrices: new Map([["a", 1]]) };
   const plan = (reclaimableOrdered: number, isLoadAwaited: boolean) =>
     planCapacity({
       service: "s",
       limits: scaling,
-      zones: [
+      halls: [
         {
-          zone: "a",
+          hall: "a",
           reclaimable: 0,
           reclaimableOrdered,
           onDemand: 4,
@@ -263,16 +269,16 @@
 });
 
 t.test(
-  "a zone full of on-demand backends makes room for reclaimable ones that can be had, and surplus is given up",
+  "a data hall full of on-demand endpoints makes room for reclaimable ones that can be had, and surplus is given up",
   async (t) => {
-    const scaling = { min: 0, max: 7, bootMs: 4_000, reclaimablePrice: 0.2, zonePrices: new Map([["a", 1]]) };
+    const scaling = { min: 0, max: 7, bootMs: 4_000, reclaimablePrice: 0.2, hallPrices: new Map([["a", 1]]) };
     const plan = (needed: number, isReclaimableRefused: boolean, isReclaimableDry = isReclaimableRefused) =>
       planCapacity({
         service: "s",
         limits: scaling,
-        zones: [
+        halls: [
           {
-            zone: "a",
+            hall: "a",
             reclaimable: 0,
             onDemand: 7,
             onDemandOrdered: 7,
--- a/packages/gateway/test/demand.test.ts
+++ b/packages/gateway/test/demand.test.ts
@@ -20,7 +20,7 @@
     getReadingRate: () => 50,
     isRateLearned: () => true,
     utilization: 0.4,
-    leastPerZone: 1,
+    leastPerHall: 1,
     windowMs,
     getActive,
   });
@@ -37,7 +37,7 @@
     demand.getNeeded(service, 4, 4);
     await clock.advance(1_000);
   }
-  // The window of four seconds holds five prompts: 125 tokens a millisecond, at 20 a backend.
+  // The window of four seconds holds five prompts: 125 tokens a millisecond, at 20 an endpoint.
   t.equal(demand.getNeeded(service, 4, 4), 7);
   active = 96;
   t.equal(demand.getNeeded(service, 4, 4), 15);
--- a/packages/gateway/test/duties.test.ts
+++ b/packages/gateway/test/duties.test.ts
@@ -24,7 +24,7 @@
 const leaseKey = "gladewall/duty";
 const prefix = "gladewall/usage/";
 
-/** Nodes that compete for the duties of one store; time is virtual. */
+/** Instances that compete for the duties of one store; time is virtual. */
 class DutyBench {
   readonly clock = VirtualClock.create();
   readonly shared = SharedStore.create(this.clock);
@@ -40,7 +40,7 @@
     };
   }
 
-  /** Starts a node with the counts it has. */
+  /** Starts an instance with the counts it has. */
   start(name: string, counts: UsageCounts = UsageCounts.create(), isEligible = (): boolean => true) {
     const { clock, shared } = this;
     const orders = FencedOrders.create(this.orders, Logger.createSilent());
@@ -64,7 +64,7 @@
       orders,
       clock,
       logger,
-      getBackends: () => [],
+      getEndpoints: () => [],
       getNeeded: () => 0,
       isLoadAwaited: () => false,
     });
@@ -88,7 +88,7 @@
   }
 }
 
-/** Counts of a node in the windows of the next seconds. */
+/** Counts of an instance in the windows of the next seconds. */
 function createCounts(bench: DutyBench, amount: number): UsageCounts {
   const counts = UsageCounts.create();
   const first = Math.floor(bench.clock.getWallTime() / windowMs);
@@ -98,7 +98,7 @@
   return counts;
 }
 
-t.test("what was counted when all nodes were killed is reported by the next holder", async (t) => {
+t.test("what was counted when all instances were killed is reported by the next holder", async (t) => {
   const bench = new DutyBench();
   const first = Math.floor(bench.clock.getWallTime() / windowMs);
   const one = bench.start("one", createCounts(bench, 3));
@@ -176,36 +176,36 @@
   t.ok(two.duties.isActing());
 });
 
-t.test("an order is given once, and a zone that has none is left alone for a while", async (t) => {
+t.test("an order is given once, and a data hall that has none is left alone for a while", async (t) => {
   const clock = VirtualClock.create();
   const orders = OrdersStandin.create();
-  const isDry = (order: CapacityOrder): boolean => order.isReclaimable && order.zone === "a";
+  const isDry = (order: CapacityOrder): boolean => order.isReclaimable && order.hall === "a";
   orders.getCapacityWord = (order) => (isDry(order) ? OrderWord.NoneAvailable : OrderWord.Taken);
   const capacity = CapacityOrders.create({
     orders,
     clock,
     logger: Logger.createSilent(),
-    getBackends: () => [],
+    getEndpoints: () => [],
     getNeeded: () => 4,
     isLoadAwaited: () => false,
   });
-  const zonePrices = new Map([
+  const hallPrices = new Map([
     ["a", 1],
     ["b", 2],
   ]);
-  const scaling = { min: 0, max: 6, bootMs: 4_000, reclaimablePrice: 0.2, zonePrices };
+  const scaling = { min: 0, max: 6, bootMs: 4_000, reclaimablePrice: 0.2, hallPrices };
   const step = (): Promise<void> =>
     capacity.step(createService({ scaling }), () => ({ holder: "one", fence: 1 }));
   for (let count = 0; count < 4; count++) await step();
   const words = orders.taken.map(({ capacity: order }) =>
-    order ? `${order.zone}${order.isReclaimable ? "r" : "d"}${order.desired}` : "",
+    order ? `${order.hall}${order.isReclaimable ? "r" : "d"}${order.desired}` : "",
   );
   t.same(
     words.filter((word) => word.startsWith("ar")),
     ["ar2"],
     "asked once",
   );
-  t.ok(words.includes("br4"), "the other zone takes its part");
+  t.ok(words.includes("br4"), "the other data hall takes its part");
   t.ok(
     words.some((word) => word.startsWith("ad") || word.startsWith("bd")),
     "on demand for what is missing",
--- a/packages/gateway/test/engineBench.ts
+++ b/packages/gateway/test/engineBench.ts
@@ -5,18 +5,18 @@
 import type { Test } from "tap";
 import { RouteKind } from "@gladewall/gateway";
 import {
-  type BackendCall,
+  type EndpointCall,
   createRoute,
   createService,
   GatewayBench,
-  ScriptedBackend,
+  ScriptedEndpoint,
 } from "@gladewall/standins";
 
 /** What a test works with. */
 export interface EngineBench {
   readonly bench: GatewayBench;
   /** Requests that the engine has and has not answered. */
-  readonly held: BackendCall[];
+  readonly held: EndpointCall[];
 }
 
 /** Creates the bench; the engine is listed as `b`, with eight slots. */
@@ -26,8 +26,8 @@
     routes: [createRoute({ kind: RouteKind.Stream })],
     services: [createService({ engine: { slots: 8, tokenCapacity: 100_000 } })],
   });
-  const held: BackendCall[] = [];
-  const engine = await ScriptedBackend.create("b", (call) => void held.push(call));
+  const held: EndpointCall[] = [];
+  const engine = await ScriptedEndpoint.create("b", (call) => void held.push(call));
   bench.platform.list({ id: "b", address: engine.address });
   t.teardown(() => Promise.all([bench.close(), engine.close()]));
   return { bench, held };
--- a/packages/gateway/test/explain.test.ts
+++ b/packages/gateway/test/explain.test.ts
@@ -7,72 +7,72 @@
   answerGood,
   beginEvents,
   createRoute,
-  createTenant,
+  createWorkspace,
   GatewayBench,
-  ScriptedBackend,
+  ScriptedEndpoint,
   waitUntil,
 } from "@gladewall/standins";
 
-/** One node whose log lines are kept. */
+/** One instance whose log lines are kept. */
 async function createBench(t: Pick<Test, "teardown">, route: Parameters<typeof createRoute>[0]) {
   const lines: string[] = [];
   const bench = GatewayBench.create(
     undefined,
     Logger.create(LogLevel.Info, {}, (line) => lines.push(line)),
   );
-  const tenants = [createTenant({ ratePerSecond: 0.001, burst: 1 })];
-  bench.platform.configure({ routes: [createRoute(route)], tenants });
-  const backend = await ScriptedBackend.create("b1", answerGood);
-  bench.platform.list({ id: "b1", address: backend.address });
-  const node = await bench.startReady(1);
-  t.teardown(() => Promise.all([bench.close(), backend.close()]));
+  const workspaces = [createWorkspace({ ratePerSecond: 0.001, burst: 1 })];
+  bench.platform.configure({ routes: [createRoute(route)], workspaces });
+  const endpoint = await ScriptedEndpoint.create("b1", answerGood);
+  bench.platform.list({ id: "b1", address: endpoint.address });
+  const instance = await bench.startReady(1);
+  t.teardown(() => Promise.all([bench.close(), endpoint.close()]));
   const find = (event: string, part: string): string | undefined =>
     lines.find((line) => line.includes(`event=${event} `) && line.includes(part));
-  return { bench, node, backend, find };
+  return { bench, instance, endpoint, find };
 }
 
 t.test(
   "a refusal for a limit leads from its id to the level, the room and the part of the fleet heard",
   async (t) => {
-    const { bench, node, find } = await createBench(t, {});
-    t.equal((await bench.call(node, { key: "key" })).status, 200);
-    t.equal((await bench.call(node, { id: "limited", key: "key" })).status, 429);
+    const { bench, instance, find } = await createBench(t, {});
+    t.equal((await bench.call(instance, { key: "key" })).status, 200);
+    t.equal((await bench.call(instance, { id: "limited", key: "key" })).status, 429);
     const line = find("request.refused", "request=limited");
     t.match(line, /status=429 failure=QuotaSpent/);
-    t.match(line, /tenant tenant is over its limit .* 1 of 1 taken, 100 % of the fleet heard/);
+    t.match(line, /workspace workspace is over its limit .* 1 of 1 taken, 100 % of the fleet heard/);
     t.match(line, /retryAfterMs=\d+ version=1 proofAgeMs=\d+/);
   },
 );
 
-t.test("a cut stream leads from its id to its backend, and from there to the backend's end", async (t) => {
-  const { bench, node, backend, find } = await createBench(t, { kind: RouteKind.Stream, attempts: 1 });
-  backend.script = (call) => {
+t.test("a cut stream leads from its id to its endpoint, and from there to the endpoint's end", async (t) => {
+  const { bench, instance, endpoint, find } = await createBench(t, { kind: RouteKind.Stream, attempts: 1 });
+  endpoint.script = (call) => {
     beginEvents(call);
     call.response.write("id: 1\ndata: a\n\n");
   };
   const onData = (): void => {
-    bench.platform.list({ id: "b1", address: backend.address, isLeaving: true });
-    void waitUntil(() => node.gateway.countBackends("web") === 0).then(() =>
-      backend.calls[0]?.socket.destroy(),
+    bench.platform.list({ id: "b1", address: endpoint.address, isLeaving: true });
+    void waitUntil(() => instance.gateway.countEndpoints("web") === 0).then(() =>
+      endpoint.calls[0]?.socket.destroy(),
     );
   };
-  await bench.call(node, { id: "cut", key: "key", method: "POST", body: "x", onData });
+  await bench.call(instance, { id: "cut", key: "key", method: "POST", body: "x", onData });
   await waitUntil(() => find("request.failed", "request=cut") !== undefined);
-  t.match(find("stream.cut", "request=cut"), /backend=b1/);
-  t.match(find("request.failed", "request=cut"), /failure=EndpointCut mayHaveRun=true backend=b1/);
-  t.match(find("backend.state", "backend=b1"), /state=Leaving cause=record/);
+  t.match(find("stream.cut", "request=cut"), /endpoint=b1/);
+  t.match(find("request.failed", "request=cut"), /failure=EndpointCut mayHaveRun=true endpoint=b1/);
+  t.match(find("endpoint.state", "endpoint=b1"), /state=Leaving cause=record/);
 });
 
-t.test("a 504 leads from its id to the backend that was silent", async (t) => {
-  const { bench, node, backend, find } = await createBench(t, { timeoutMs: 50, attempts: 1 });
-  backend.script = () => undefined;
-  t.equal((await bench.call(node, { id: "late", key: "key" })).status, 504);
+t.test("a 504 leads from its id to the endpoint that was silent", async (t) => {
+  const { bench, instance, endpoint, find } = await createBench(t, { timeoutMs: 50, attempts: 1 });
+  endpoint.script = () => undefined;
+  t.equal((await bench.call(instance, { id: "late", key: "key" })).status, 504);
   await waitUntil(() => find("request.failed", "request=late") !== undefined);
   t.match(
     find("request.failed", "request=late"),
-    /status=504 failure=RouteTimeout mayHaveRun=true backend=b1/,
+    /status=504 failure=RouteTimeout mayHaveRun=true endpoint=b1/,
   );
-  const page = await bench.readMetrics(node);
+  const page = await bench.readMetrics(instance);
   t.match(page, /gladewall_requests_total\{service="web",status="504",failure="RouteTimeout"\} 1/);
   t.match(page, /gladewall_ready 1/);
 });
@@ -81,9 +81,9 @@
   const page = fileURLToPath(new URL("../../../../docs/operating/gateway-settings.md", import.meta.url));
   t.equal(
     readFileSync(page, "utf8").trim(),
-    `# Settings of a gateway node\n\n${formatReference(gatewaySchema)}`.trim(),
+    `# Settings of a gateway instance\n\n${formatReference(gatewaySchema)}`.trim(),
   );
-  const text = "[node]\nname = n\nzone = z\n[listen]\ncallers = nowhere\n";
+  const text = "[instance]\nname = n\nhall = z\n[listen]\ncallers = nowhere\n";
   const settings = parseSettings(gatewaySchema, text, { file: "f.ini", environment: {}, overrides: [] });
   const texts = settings.isErr() ? settings.error.map((failure) => failure.text) : [];
   t.ok(texts.some((found) => found.includes("[listen] callers is not an address")));
--- a/packages/gateway/test/largeFleet.test.ts
+++ b/packages/gateway/test/largeFleet.test.ts
@@ -3,12 +3,12 @@
 import { SystemClock, VirtualClock } from "@gladewall/kernel";
 import {
   answerGood,
-  type BenchNode,
+  type BenchInstance,
   type CallerView,
   createRoute,
-  createTenant,
+  createWorkspace,
   GatewayBench,
-  ScriptedBackend,
+  ScriptedEndpoint,
   StoreTrouble,
   waitUntil,
 } from "@gladewall/standins";
@@ -21,62 +21,64 @@
 };
 
 /** Asks for so many tokens; what is foreseen between two views is at most as much as was taken in the last second. */
-function ask(bench: GatewayBench, node: BenchNode, tokens: number): Promise<CallerView> {
-  return bench.call(node, { key: "key", headers: { "x-tokens": String(tokens) } });
+function ask(bench: GatewayBench, instance: BenchInstance, tokens: number): Promise<CallerView> {
+  return bench.call(instance, { key: "key", headers: { "x-tokens": String(tokens) } });
 }
 
-/** A fleet of six nodes that is larger than what may be a mesh. */
+/** A fleet of six instances that is larger than what may be a mesh. */
 async function createFleet(t: Pick<Test, "teardown">, burst: number, more: readonly string[] = []) {
   const bench = GatewayBench.create();
   bench.platform.configure({
-    tenants: [createTenant({ ratePerSecond: 0.001, burst, unit: QuotaUnit.Tokens })],
+    workspaces: [createWorkspace({ ratePerSecond: 0.001, burst, unit: QuotaUnit.Tokens })],
   });
-  const backend = await ScriptedBackend.create("b", answerGood);
-  bench.platform.list({ id: "b", address: backend.address });
+  const endpoint = await ScriptedEndpoint.create("b", answerGood);
+  bench.platform.list({ id: "b", address: endpoint.address });
   const overrides = ["peers.report_interval=20", "peers.large_fleet_interval=20", "peers.largest_mesh=2"];
   for (let index = 0; index < 6; index++) {
     await bench.startReady(1, "web", [...overrides, ...more, `peers.capacity=${index}`]);
   }
-  t.teardown(() => Promise.all([bench.close(), backend.close()]));
-  await waitUntil(() => bench.nodes.every(({ gateway }) => gateway.fleetSize === 6));
-  return { bench, backend };
+  t.teardown(() => Promise.all([bench.close(), endpoint.close()]));
+  await waitUntil(() => bench.instances.every(({ gateway }) => gateway.fleetSize === 6));
+  return { bench, endpoint };
 }
 
 t.test(
-  "in a large fleet the nodes that can carry most hear all, and a limit holds over all nodes",
+  "in a large fleet the instances that can carry most hear all, and a limit holds over all instances",
   async (t) => {
-    const { bench, backend } = await createFleet(t, 100);
-    const { nodes } = bench;
-    await waitUntil(() => nodes.slice(3).every(({ gateway }) => gateway.linkedPeers === 5));
-    await waitUntil(() => nodes.slice(0, 3).every(({ gateway }) => gateway.linkedPeers === 3));
+    const { bench, endpoint } = await createFleet(t, 100);
+    const { instances } = bench;
+    await waitUntil(() => instances.slice(3).every(({ gateway }) => gateway.linkedPeers === 5));
+    await waitUntil(() => instances.slice(0, 3).every(({ gateway }) => gateway.linkedPeers === 3));
     t.same(
-      nodes.map(({ gateway }) => gateway.isCollector),
+      instances.map(({ gateway }) => gateway.isCollector),
       [false, false, false, true, true, true],
     );
-    await waitUntil(() => nodes.every(({ gateway }) => gateway.knownShare === 1));
+    await waitUntil(() => instances.every(({ gateway }) => gateway.knownShare === 1));
     let taken = 0;
-    for (const [index, node] of nodes.entries()) {
+    for (const [index, instance] of instances.entries()) {
       const tokens = index < 5 ? 1 : 60;
-      t.equal((await ask(bench, node, tokens)).status, 200);
+      t.equal((await ask(bench, instance, tokens)).status, 200);
       taken += tokens;
-      await waitUntil(() => nodes.every(({ gateway }) => gateway.getQuotaLevel("tenant") > taken - 0.5));
+      await waitUntil(() =>
+        instances.every(({ gateway }) => gateway.getQuotaLevel("workspace") > taken - 0.5),
+      );
     }
-    for (const node of nodes) t.equal((await ask(bench, node, 60)).status, 429);
-    t.equal(backend.calls.length, 6);
+    for (const instance of instances) t.equal((await ask(bench, instance, 60)).status, 429);
+    t.equal(endpoint.calls.length, 6);
   },
 );
 
 t.test("a collector that ends is replaced by the next, which knows what was counted before", async (t) => {
   const { bench } = await createFleet(t, 100);
-  const { nodes } = bench;
-  await waitUntil(() => nodes.every(({ gateway }) => gateway.knownShare === 1));
-  const [first, second, third, , , last] = nodes;
-  for (const node of [first!, second!, third!]) t.equal((await ask(bench, node, 1)).status, 200);
-  await waitUntil(() => nodes.every(({ gateway }) => gateway.getQuotaLevel("tenant") > 2.5));
+  const { instances } = bench;
+  await waitUntil(() => instances.every(({ gateway }) => gateway.knownShare === 1));
+  const [first, second, third, , , last] = instances;
+  for (const instance of [first!, second!, third!]) t.equal((await ask(bench, instance, 1)).status, 200);
+  await waitUntil(() => instances.every(({ gateway }) => gateway.getQuotaLevel("workspace") > 2.5));
   await last!.gateway.close();
   await waitUntil(() => third!.gateway.isCollector && third!.gateway.linkedPeers === 4);
   t.equal((await ask(bench, third!, 60)).status, 200);
-  await waitUntil(() => first!.gateway.getQuotaLevel("tenant") > 62.5);
+  await waitUntil(() => first!.gateway.getQuotaLevel("workspace") > 62.5);
   t.equal((await ask(bench, first!, 60)).status, 429);
 });
 
@@ -84,38 +86,41 @@
   "only collectors ask the store: others learn of changes from them, and a proof as well",
   { timeout: 20_000 },
   async (t) => {
-    const { bench, backend } = await createFleet(t, 0, [
+    const { bench, endpoint } = await createFleet(t, 0, [
       "configuration.proof_interval=50",
       "configuration.revoke_within=4000",
       "configuration.revoke_margin=100",
     ]);
-    const { nodes, platform } = bench;
-    await waitUntil(() => nodes.every(({ gateway }) => gateway.isCollector || gateway.isFed));
+    const { instances, platform } = bench;
+    await waitUntil(() => instances.every(({ gateway }) => gateway.isCollector || gateway.isFed));
     for (const store of platform.stores.slice(0, 3)) store.trouble = StoreTrouble.Down;
-    platform.list({ id: "c", address: backend.address });
-    platform.configure({ tenants: [createTenant({ keys: ["two"] })] });
+    platform.list({ id: "c", address: endpoint.address });
+    platform.configure({ workspaces: [createWorkspace({ keys: ["two"] })] });
     await waitUntil(() =>
-      nodes.every(({ gateway }) => gateway.version === 2 && gateway.countBackends("web") === 2),
+      instances.every(({ gateway }) => gateway.version === 2 && gateway.countEndpoints("web") === 2),
     );
-    // One too large to be passed on is read by each node itself.
+    // One too large to be passed on is read by each instance itself.
     const large = Array.from({ length: 400 }, (_, index) =>
       createRoute({ name: `route-${index}`, prefix: `/${"p".repeat(40)}/${index}/` }),
     );
     for (const store of platform.stores.slice(0, 3)) store.trouble = StoreTrouble.None;
-    platform.configure({ routes: [createRoute({}), ...large], tenants: [createTenant({ keys: ["two"] })] });
-    await waitUntil(() => nodes.every(({ gateway }) => gateway.version === 3));
+    platform.configure({
+      routes: [createRoute({}), ...large],
+      workspaces: [createWorkspace({ keys: ["two"] })],
+    });
+    await waitUntil(() => instances.every(({ gateway }) => gateway.version === 3));
     for (const store of platform.stores.slice(0, 3)) store.trouble = StoreTrouble.Down;
     platform.unlist("c");
-    await waitUntil(() => nodes.every(({ gateway }) => gateway.countBackends("web") === 1));
+    await waitUntil(() => instances.every(({ gateway }) => gateway.countEndpoints("web") === 1));
     const since = SystemClock.create().getTime();
-    await waitUntil(() => nodes.every(({ gateway }) => gateway.provenAt > since));
-    t.ok(nodes.every(({ gateway }) => gateway.isReady()));
-    t.equal((await bench.call(nodes[0]!, { key: "two" })).status, 200);
+    await waitUntil(() => instances.every(({ gateway }) => gateway.provenAt > since));
+    t.ok(instances.every(({ gateway }) => gateway.isReady()));
+    t.equal((await bench.call(instances[0]!, { key: "two" })).status, 200);
   },
 );
 
 t.test(
-  "a node whose collectors are turned away by the store asks it itself",
+  "an instance whose collectors are turned away by the store asks it itself",
   { timeout: 20_000 },
   async (t) => {
     const { bench } = await createFleet(t, 0, [
@@ -123,84 +128,87 @@
       "configuration.revoke_within=4000",
       "configuration.revoke_margin=100",
     ]);
-    const { nodes, platform } = bench;
-    await waitUntil(() => nodes.every(({ gateway }) => gateway.isCollector || gateway.isFed));
+    const { instances, platform } = bench;
+    await waitUntil(() => instances.every(({ gateway }) => gateway.isCollector || gateway.isFed));
     for (const store of platform.stores.slice(3)) store.trouble = StoreTrouble.Down;
-    platform.configure({ tenants: [createTenant({ keys: ["two"] })] });
-    await waitUntil(() => nodes.every(({ gateway }) => gateway.version === 2));
+    platform.configure({ workspaces: [createWorkspace({ keys: ["two"] })] });
+    await waitUntil(() => instances.every(({ gateway }) => gateway.version === 2));
     const since = SystemClock.create().getTime();
-    await waitUntil(() => nodes.every(({ gateway }) => gateway.provenAt > since));
+    await waitUntil(() => instances.every(({ gateway }) => gateway.provenAt > since));
     t.ok(
-      nodes.every(({ gateway }) => gateway.isReady()),
+      instances.every(({ gateway }) => gateway.isReady()),
       "collectors have the others' word",
     );
-    await waitUntil(() => !nodes[0]!.gateway.isFed);
+    await waitUntil(() => !instances[0]!.gateway.isFed);
   },
 );
 
-t.test("collectors are the same for all nodes, and one that can't be reached is passed over", async (t) => {
-  const clock = VirtualClock.create();
-  const names = Array.from({ length: 40 }, (_, index) => `n${index}`);
-  const down = new Set<string>();
-  const create = (own: string): Collectors => {
-    const collectors = Collectors.create({
-      clock,
-      own,
-      largestMesh: 24,
-      count: 3,
-      getNames: () => names,
-      getCapacity: (name) => (name === "n7" ? 10 : 1),
-      isLinked: (name) => !down.has(name),
-    });
-    collectors.setFleet();
-    return collectors;
-  };
-  const [one, other] = [create("n1"), create("n2")];
-  t.equal(one.getNames()[0], "n7");
-  t.equal(one.getNames().length, 3);
-  t.same(other.getNames(), one.getNames());
-  down.add("n7");
-  t.notOk(one.choose(), "a link may take a moment to come up");
-  await clock.advance(1_000);
-  t.ok(one.choose());
-  t.equal(one.getNames().length, 4);
-  t.notOk(one.getLinkedReaders().includes("n7"));
-  down.delete("n7");
-  one.choose();
-  t.equal(one.getNames().length, 3);
-});
+t.test(
+  "collectors are the same for all instances, and one that can't be reached is passed over",
+  async (t) => {
+    const clock = VirtualClock.create();
+    const names = Array.from({ length: 40 }, (_, index) => `n${index}`);
+    const down = new Set<string>();
+    const create = (own: string): Collectors => {
+      const collectors = Collectors.create({
+        clock,
+        own,
+        largestMesh: 24,
+        count: 3,
+        getNames: () => names,
+        getCapacity: (name) => (name === "n7" ? 10 : 1),
+        isLinked: (name) => !down.has(name),
+      });
+      collectors.setFleet();
+      return collectors;
+    };
+    const [one, other] = [create("n1"), create("n2")];
+    t.equal(one.getNames()[0], "n7");
+    t.equal(one.getNames().length, 3);
+    t.same(other.getNames(), one.getNames());
+    down.add("n7");
+    t.notOk(one.choose(), "a link may take a moment to come up");
+    await clock.advance(1_000);
+    t.ok(one.choose());
+    t.equal(one.getNames().length, 4);
+    t.notOk(one.getLinkedReaders().includes("n7"));
+    down.delete("n7");
+    one.choose();
+    t.equal(one.getNames().length, 3);
+  },
+);
 
 t.test("a view takes the place of what was known, and what it does not show yet is foreseen", async (t) => {
   const clock = VirtualClock.create();
   const collector = SharedCounters.create({ clock, windows });
   const member = SharedCounters.create({ clock, windows });
   await clock.advance(11_000);
-  collector.setRate("tenant", 100);
-  member.setRate("tenant", 100);
-  collector.add(CounterKind.Quota, "tenant", 500);
-  member.add(CounterKind.Quota, "tenant", 40);
+  collector.setRate("workspace", 100);
+  member.setRate("workspace", 100);
+  collector.add(CounterKind.Quota, "workspace", 500);
+  member.add(CounterKind.Quota, "workspace", 40);
   const { totals } = member.createReport();
   collector.takeReport("member", "member/1", member.createReport());
-  member.add(CounterKind.Quota, "tenant", 5);
+  member.add(CounterKind.Quota, "workspace", 5);
   member.takeView(collector.createView(), totals);
   // The member had lived for longer than the window: what it told first is taken as known.
-  t.equal(member.getSum(CounterKind.Quota, "tenant"), 505);
+  t.equal(member.getSum(CounterKind.Quota, "workspace"), 505);
   await clock.advance(400);
-  t.equal(member.getSum(CounterKind.Quota, "tenant"), 505 - 40 + 200);
+  t.equal(member.getSum(CounterKind.Quota, "workspace"), 505 - 40 + 200);
   await clock.advance(700);
-  t.equal(member.getSum(CounterKind.Quota, "tenant"), 505 - 110, "nothing is foreseen from an old view");
+  t.equal(member.getSum(CounterKind.Quota, "workspace"), 505 - 110, "nothing is foreseen from an old view");
 });
 
 t.test("a view by a life that can't know what was before it only raises what is known", async (t) => {
   const clock = VirtualClock.create();
   const member = SharedCounters.create({ clock, windows });
-  member.add(CounterKind.Quota, "tenant", 300);
+  member.add(CounterKind.Quota, "workspace", 300);
   const { totals } = member.createReport();
   const young = SharedCounters.create({ clock, windows });
-  young.add(CounterKind.Quota, "tenant", 10);
+  young.add(CounterKind.Quota, "workspace", 10);
   member.takeView(young.createView(), totals);
-  t.equal(member.getSum(CounterKind.Quota, "tenant"), 300);
-  young.add(CounterKind.Quota, "tenant", 400);
+  t.equal(member.getSum(CounterKind.Quota, "workspace"), 300);
+  young.add(CounterKind.Quota, "workspace", 400);
   member.takeView(young.createView(), totals);
-  t.equal(member.getSum(CounterKind.Quota, "tenant"), 410);
+  t.equal(member.getSum(CounterKind.Quota, "workspace"), 410);
 });
--- a/packages/gateway/test/leavingBackends.test.ts
+++ b/packages/gateway/test/leavingEndpoints.test.ts
@@ -1,16 +1,16 @@
 /*
- * What happened: requests still reached a backend later than the drain time after the store had acknowledged that it
- * was leaving. Sequence: the store turns one reader of three away; a backend's record vanishes; a node that asks that
- * reader goes on believing it for 0.6 of the drain time, hears of the removal from the next reader, holds the first
- * reader's trouble for the explanation, and only then begins the 0.65 of the drain time for which a record that
- * vanishes in trouble is used on. Cause: two allowances out of one bound, the second counted from when a node hears of
- * a change and not from when the store may have acknowledged it. What settled it: 120 drawn departures, the drain time
- * 3,000 ms: heard after 2,189 ms at most; used for 4,139 ms at most, over 2,850 ms in 14 of them.
+ * What happened: requests still reached an endpoint later than the drain time after the store had acknowledged that it
+ * was leaving. Sequence: the store turns one reader of three away; an endpoint's record vanishes; an instance that asks
+ * that reader goes on believing it for 0.6 of the drain time, hears of the removal from the next reader, holds the
+ * first reader's trouble for the explanation, and only then begins the 0.65 of the drain time for which a record that
+ * vanishes in trouble is used on. Cause: two allowances out of one bound, the second counted from when an instance
+ * hears of a change and not from when the store may have acknowledged it. What settled it: 120 drawn departures, the
+ * drain time 3,000 ms: heard after 2,189 ms at most; used for 4,139 ms at most, over 2,850 ms in 14 of them.
  */
 import * as fc from "fast-check";
 import t from "tap";
 import {
-  BackendDirectory,
+  EndpointDirectory,
   ConfigurationFollower,
   createFeedTimes,
   type MetadataStore,
@@ -25,14 +25,14 @@
 const turnMs = 250;
 /** How closely times are told apart. */
 const stepMs = 50;
-/** What the way of a request to its backend may take. */
+/** What the way of a request to its endpoint may take. */
 const sendingMs = 150;
 
-/** A node's view of the store, without its links: who asks whom is said by the test. */
+/** An instance's view of the store, without its links: who asks whom is said by the test. */
 class StoreView {
   private constructor(
     readonly configuration: ConfigurationFollower,
-    readonly directory: BackendDirectory,
+    readonly directory: EndpointDirectory,
     readonly feed: StoreFeed,
     readonly platform: PlatformAdapter,
   ) {}
@@ -50,7 +50,7 @@
       proofLifetimeMs: 4_600,
       askPeers: async () => [],
     });
-    const directory = BackendDirectory.create({
+    const directory = EndpointDirectory.create({
       platform: adapter,
       clock,
       logger,
@@ -58,7 +58,7 @@
       watchWaitMs: times.watchWaitMs,
       unlistedMs: times.unlistedMs,
     });
-    const followers = { [adapter.backendPrefix]: directory.follower };
+    const followers = { [adapter.endpointPrefix]: directory.follower };
     const feed = StoreFeed.create({ clock, logger, own: name, times, configuration, followers });
     return new StoreView(configuration, directory, feed, adapter);
   }
@@ -79,7 +79,7 @@
 
 const readerNames = ["r1", "r2", "r3"];
 
-/** Three readers of the store, and a node that they tell. */
+/** Three readers of the store, and an instance that they tell. */
 class ToldFleet {
   readonly clock = VirtualClock.create();
   readonly platform = StandinPlatform.create(this.clock, stepMs);
@@ -96,7 +96,7 @@
     return fleet;
   }
 
-  /** What a node does at each of its reports. */
+  /** What an instance does at each of its reports. */
   private takeTurn(): void {
     this.clock.startTimer(turnMs, () => this.takeTurn());
     for (const reader of this.readers) {
@@ -122,11 +122,11 @@
   }
 }
 
-/** One way in which a backend leaves while the store turns some readers away. */
+/** One way in which an endpoint leaves while the store turns some readers away. */
 interface Departure {
   /** When the store turns each reader away, and for how long; milliseconds. */
   readonly troubles: readonly { readonly at: number; readonly lasts: number }[];
-  /** When the store acknowledges that the backend leaves. */
+  /** When the store acknowledges that the endpoint leaves. */
   readonly leavesAt: number;
   /** Whether its record says that it leaves; else the record vanishes. */
   readonly isStated: boolean;
@@ -134,7 +134,7 @@
   readonly silentAt?: number;
 }
 
-/** Milliseconds after the acknowledgement of a departure for which the backend was used. */
+/** Milliseconds after the acknowledgement of a departure for which the endpoint was used. */
 interface UsedFor {
   readonly told: number;
   /** The longest of all readers. */
@@ -178,7 +178,7 @@
 });
 
 t.test(
-  "whichever readers the store turns away, work stops going to a backend that leaves in time",
+  "whichever readers the store turns away, work stops going to an endpoint that leaves in time",
   async (t) => {
     const property = fc.asyncProperty(departure, async (drawn) => {
       const usedFor = await playDeparture(drawn);
@@ -189,7 +189,7 @@
   },
 );
 
-t.test("a reader that the store turns away learns from another that a backend leaves", async (t) => {
+t.test("a reader that the store turns away learns from another that an endpoint leaves", async (t) => {
   const one = fc.record({
     troubles: fc.array(trouble, { minLength: 1, maxLength: 2 }),
     leavesAt: fc.integer({ min: 0, max: 6_000 }),
@@ -222,7 +222,7 @@
   const clock = VirtualClock.create();
   const platform = StandinPlatform.create(clock);
   platform.list({ id: "a", address: "127.0.0.1:1" });
-  const { store, backendPrefix } = platform.createAdapter();
+  const { store, endpointPrefix } = platform.createAdapter();
   let deliver: () => void = () => undefined;
   const slowStore: MetadataStore = Object.assign(Object.create(store) as MetadataStore, {
     list: async (prefix: string) => {
@@ -239,7 +239,7 @@
   };
   const follower = PrefixFollower.create({
     store: slowStore,
-    prefix: backendPrefix,
+    prefix: endpointPrefix,
     clock,
     logger,
     listener,
@@ -251,7 +251,7 @@
   t.equal(present.size, 1);
   follower.restart();
   await clock.advance(200);
-  const key = `${backendPrefix}a`;
+  const key = `${endpointPrefix}a`;
   const revision = platform.shared.revision + 1;
   follower.takeChanges({ revision, items: [], removed: [{ key, revision }], isListing: false }, Infinity);
   t.equal(present.size, 0);
--- a/packages/gateway/test/peerWords.test.ts
+++ b/packages/gateway/test/peerWords.test.ts
@@ -22,7 +22,7 @@
   t.same([(await short).status, (await long).status], [200, 200]);
 });
 
-t.test("peers are told once which backends read which shared parts, and go by it", async (t) => {
+t.test("peers are told once which endpoints read which shared parts, and go by it", async (t) => {
   const own = PrefixMemory.create();
   const peer = PrefixMemory.create();
   const parts = [
@@ -40,9 +40,9 @@
   t.ok(peer.holds("session", "b"));
   t.notOk(peer.holds("rest", "b"));
   t.same(peer.takeUntold(), {}, "and not passed on");
-  peer.removeBackend("b");
+  peer.removeEndpoint("b");
   peer.takePeer(told);
-  t.notOk(peer.holds("session", "b"), "a late word does not bring back a backend that has ended");
+  t.notOk(peer.holds("session", "b"), "a late word does not bring back an endpoint that has ended");
   for (let index = 0; index < 200; index++) own.note([{ id: `p${index}`, tokens: 900 }, ...parts], "b");
   t.equal(own.takeUntold().b?.length, 64, "bounded");
 });
