--- a/packages/gateway/test/leavingEndpoints.test.ts
+++ b/packages/gateway/test/leavingEndpoints.test.ts
@@ -262,3 +262,32 @@
   await clock.advance(20_000);
   await closed;
 });
+
+t.test("a watch that was deaf while something changed does not hide the change", async (t) => {
+  const clock = VirtualClock.create();
+  const platform = StandinPlatform.create(clock, stepMs);
+  platform.list({ id: "a", address: "127.0.0.1:1" });
+  const { store, endpointPrefix } = platform.createAdapter();
+  const present = new Set<string>();
+  const listener = {
+    handlePut: ({ key }: { key: string }) => void present.add(key),
+    handleRemoved: (key: string) => void present.delete(key),
+  };
+  const logger = Logger.createSilent();
+  const base = { store, prefix: endpointPrefix, clock, logger, listener };
+  const follower = PrefixFollower.create({ ...base, watchWaitMs: 600 });
+  follower.start();
+  await clock.advance(100);
+  t.equal(present.size, 1);
+  platform.shared.isDeaf = true;
+  platform.unlist("a");
+  // Long enough for a watch to end that has heard nothing, and for the next one to begin.
+  await clock.advance(1_000);
+  platform.shared.forgetHistory();
+  platform.shared.isDeaf = false;
+  await clock.advance(1_500);
+  t.equal(present.size, 0);
+  const closed = follower.close();
+  await clock.advance(20_000);
+  await closed;
+});
--- a/packages/standins/src/metadataStoreStandin.ts
+++ b/packages/standins/src/metadataStoreStandin.ts
@@ -187,7 +187,7 @@
       if (!events) return Err(Failure.create(FailureCode.HistoryLost, { revision: since }));
       const last = events.at(-1);
       if (last) return Ok({ events, revision: last.revision });
-      if (this.clock.getTime() >= endsAt) return Ok({ events: [], revision: since });
+      if (this.clock.getTime() >= endsAt) return Ok({ events: [], revision: this.shared.revision });
       await waitFor(this.clock, this.shared.pollMs, signal);
     }
   }
