Go on from the last event that a watch brought, not from where an empty one ended

Cause: an empty answer moved the follower's revision on; whatever changed while the watch was deaf was skipped, and after that no 410 told of it. Change: only events move it on.

--- a/packages/gateway/src/prefixFollower.ts
+++ b/packages/gateway/src/prefixFollower.ts
@@ -160,9 +160,13 @@
     for (;;) {
       const changes = await store.watch(prefix, this.revision, watchWaitMs, signal);
       if (changes.isErr()) return changes.error;
-      for (const event of changes.value.events) this.takeEvent(event);
-      this.revision = Math.max(this.revision, changes.value.revision);
-      if (changes.value.events.length > 0) await waitFor(clock, batchMs, signal);
+      const { events, revision } = changes.value;
+      // A watch that was deaf for a moment ends without events as well: gone on from its revision, what changed meanwhile
+      // would never be heard of. From the old one the store tells it, or that its history is gone.
+      if (events.length === 0) continue;
+      for (const event of events) this.takeEvent(event);
+      this.revision = Math.max(this.revision, revision);
+      await waitFor(clock, batchMs, signal);
     }
   }
 
