--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -7,7 +7,7 @@
 export * from "./versionedDocument.js";
 export * from "./frames.js";
 export * from "./peerMessages.js";
-export { type ConnectionTraffic, type PeerIdentity } from "./peerConnection.js";
+export { type ConnectionTraffic, getLife, type PeerIdentity } from "./peerConnection.js";
 export * from "./peerLinks.js";
 export * from "./serviceBudget.js";
 export * from "./leaseHolder.js";
--- a/packages/coordination/src/peerConnection.ts
+++ b/packages/coordination/src/peerConnection.ts
@@ -23,6 +23,11 @@
   readonly incarnation: number;
 }
 
+/** Names one life of a peer. */
+export function getLife({ name, incarnation }: PeerIdentity): string {
+  return `${name}/${incarnation}`;
+}
+
 /** What a connection needs of its side. */
 export interface ConnectionOptions {
   readonly own: PeerIdentity;
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -5,71 +5,17 @@
  * certainly did not run is refused with a status that promises so.
  * @module
  */
-import type { IncomingMessage, ServerResponse } from "node:http";
-import { type Clock, Failure, FailureCode, type Logger, type Timer } from "@gladewall/kernel";
-import type { Admitted } from "./admission.js";
+import type { IncomingMessage } from "node:http";
+import { Failure, FailureCode, type Timer } from "@gladewall/kernel";
+import { type BodyEnd, readWholeBody } from "./answerBody.js";
 import { writeFailure, writeWholeAnswer } from "./answerWriter.js";
 import { Attempt, AttemptEnd, type AttemptResult } from "./attempt.js";
+import { AttemptHistory } from "./attemptHistory.js";
 import type { Endpoint } from "./endpoint.js";
-import type { EndpointConnections } from "./endpointConnections.js";
-import type { Demand } from "./demand.js";
-import type { EndpointDirectory } from "./endpointDirectory.js";
-import { type BodyEnd, readWholeBody } from "./answerBody.js";
-import type { Placement, Placer } from "./placement.js";
-import type { ReadingRates } from "./readingRates.js";
-import type { RetryBudget } from "./retryBudget.js";
-import { type CallerHead, type PlatformAdapter, RouteKind, type Service } from "./types.js";
-import type { GatewayMetrics } from "./gatewayMetrics.js";
-import { StreamRelay, RelayEnd } from "./streamRelay.js";
-
-/** What exchanges work with. */
-export interface ExchangeParts {
-  readonly platform: PlatformAdapter;
-  readonly clock: Clock;
-  readonly logger: Logger;
-  readonly directory: EndpointDirectory;
-  readonly connections: EndpointConnections;
-  readonly placer: Placer;
-  readonly rates: ReadingRates;
-  readonly budget: RetryBudget;
-  readonly demand: Demand;
-  readonly metrics: GatewayMetrics;
-  readonly connectTimeoutMs: number;
-  /** Called once a request has begun to run, with the time of day at which it did. */
-  readonly countRun: (workspace: string, at: number) => void;
-  /** Tells the other instances at once of prompt tokens that were sent to an endpoint. */
-  readonly tellPlaced: (endpoint: string, tokens: number) => void;
-  /** Returns the time of day. */
-  readonly getTimeOfDay: () => number;
-  /** Whether answers should close their connections. */
-  readonly isLeaving: () => boolean;
-}
-
-/** One request. */
-export interface ExchangeRequest {
-  readonly admitted: Admitted;
-  readonly service: Service;
-  readonly head: CallerHead;
-  readonly message: IncomingMessage;
-  readonly response: ServerResponse;
-  readonly body: Buffer;
-  /** Monotonic time at which the request arrived. */
-  readonly arrivedAt: number;
-}
-
-/** What became of a request, for logs and counts. */
-export interface ExchangeEnd {
-  readonly status: number;
-  /** Whether it may have run. */
-  readonly mayHaveRun: boolean;
-  readonly failure: Failure | undefined;
-  /** Where it was sent to last, and by what; undefined where it was sent nowhere. */
-  readonly placement: Placement | undefined;
-  /** Sendings that reached an endpoint. */
-  readonly arrivals: number;
-  /** Milliseconds from the request's arrival to its first event; undefined where none came. */
-  readonly firstEventMs: number | undefined;
-}
+import type { ExchangeEnd, ExchangeParts, ExchangeRequest } from "./exchangeTypes.js";
+import type { Placement } from "./placement.js";
+import { RelayEnd, StreamRelay } from "./streamRelay.js";
+import { RouteKind, type Service } from "./types.js";
 
 /** What a finished attempt means for the request. */
 enum Next {
@@ -78,7 +24,6 @@
   GiveUp = 3,
 }
 
-const mostNotRunTries = 4;
 const firstServerError = 500;
 const leastAttemptMs = 5;
 /** Reading that would make another request late if it came behind unknown: a tenth of the shortest usual objective. */
@@ -92,19 +37,12 @@
   private attempt: Attempt | undefined;
   private relay: StreamRelay | undefined;
   private readonly excluded = new Set<string>();
-  /** Sendings that may have run. */
-  private runs = 0;
-  private notRunTries = 0;
-  private arrivals = 0;
+  private readonly history = AttemptHistory.create();
   private placement: Placement | undefined;
   private firstEventMs: number | undefined;
   private isCounted = false;
   private isOver = false;
   private timer: Timer | undefined;
-  /** Why the last try did not run; undefined before the first that did not. */
-  private refusal: Failure | undefined;
-  /** What became of the last try that may have run: from then on the request can't be said not to have run. */
-  private runFailure: Failure | undefined;
   private readonly endsAt: number;
   private end: ExchangeEnd | undefined;
 
@@ -135,12 +73,12 @@
     this.isOver = true;
     this.timer.cancel();
     response.off("close", handleClose);
-    return this.end ?? this.createEnd(response.statusCode, this.runs > 0, undefined);
+    return this.end ?? this.createEnd(response.statusCode, this.history.runs > 0, undefined);
   }
 
   private createEnd(status: number, mayHaveRun: boolean, failure: Failure | undefined): ExchangeEnd {
-    const { placement, arrivals, firstEventMs } = this;
-    return { status, mayHaveRun, failure, placement, arrivals, firstEventMs };
+    const { placement, history, firstEventMs } = this;
+    return { status, mayHaveRun, failure, placement, arrivals: history.arrivals, firstEventMs };
   }
 
   private getTimeLeft(): number {
@@ -158,11 +96,11 @@
     const { promptTokens = 0, parts } = head;
     const placement = this.parts.placer.choose({ service, promptTokens, parts, excluded: this.excluded });
     if (!placement) {
-      this.refusal ??= createRefusal(FailureCode.NoEndpoint, service);
+      this.history.noteNoEndpoint(createRefusal(FailureCode.NoEndpoint, service));
       return Next.GiveUp;
     }
     if (this.getTimeLeft() < leastAttemptMs) return Next.GiveUp;
-    if (this.arrivals > 0 && !this.parts.budget.tryTake(service.name)) {
+    if (this.history.arrivals > 0 && !this.parts.budget.tryTake(service.name)) {
       this.log("retry.refused", { service: service.name, cause: "budget" });
       return Next.GiveUp;
     }
@@ -198,12 +136,12 @@
     this.attempt = attempt;
     const result = await attempt.result;
     this.parts.metrics.countAttempt(this.request.service.name, AttemptEnd[result.end]);
-    if (result.end !== AttemptEnd.NotSent) this.arrivals += 1;
+    if (result.end !== AttemptEnd.NotSent) this.history.noteArrival();
     if (result.load) endpoint.noteLoad(result.load, this.parts.clock.getTime());
     if (this.isOver) return Next.Done;
     if (result.end !== AttemptEnd.Answered || !result.response)
       return this.handleNoAnswer(endpoint, result, beganAt);
-    this.runs += 1;
+    this.history.noteRun();
     const { route } = this.request.admitted;
     const isStream = route.kind === RouteKind.Stream && (result.response.statusCode ?? 0) < 300;
     if (isStream) return this.relayStream(placement, result.response, startedAt, clearPending);
@@ -236,22 +174,21 @@
     const time = clock.getTime();
     this.log("attempt.failed", { endpoint: endpoint.id, end: AttemptEnd[result.end], detail: result.detail });
     if (result.end === AttemptEnd.Lost) {
-      this.runs += 1;
+      this.history.noteRun();
       this.countOnce(beganAt);
       endpoint.noteEnd(false, time);
-      this.runFailure = Failure.create(FailureCode.EndpointCut, { endpoint: endpoint.id });
+      this.history.noteRunFailed(Failure.create(FailureCode.EndpointCut, { endpoint: endpoint.id }));
       return this.isRepeatAllowed() ? Next.TryAgain : Next.GiveUp;
     }
     if (result.end === AttemptEnd.NotSent) endpoint.noteUnreachable(time);
     if (result.end === AttemptEnd.WrongEndpoint) directory.handleReplaced(endpoint);
     if (result.end === AttemptEnd.NotRun) endpoint.noteEnd(false, time);
-    this.refusal = createRefusal(FailureCode.Overloaded, service);
-    this.notRunTries += 1;
-    return this.notRunTries < mostNotRunTries ? Next.TryAgain : Next.GiveUp;
+    this.history.noteNotRun(createRefusal(FailureCode.Overloaded, service));
+    return this.history.isTriedOut ? Next.GiveUp : Next.TryAgain;
   }
 
   private isRepeatAllowed(): boolean {
-    return this.isRepeatable && this.runs < this.request.admitted.route.attempts && !this.isOver;
+    return this.isRepeatable && this.history.runs < this.request.admitted.route.attempts && !this.isOver;
   }
 
   /** Reads a whole answer, then passes it on; a failure of the endpoint's own may be tried elsewhere first. */
@@ -269,11 +206,13 @@
         status,
         complete: body.isComplete,
       });
-      this.runFailure = Failure.create(FailureCode.EndpointFailed, { endpoint: endpoint.id, status });
+      this.history.noteRunFailed(
+        Failure.create(FailureCode.EndpointFailed, { endpoint: endpoint.id, status }),
+      );
       return Next.TryAgain;
     }
     if (!body.isComplete) {
-      this.runFailure = Failure.create(FailureCode.EndpointCut, { endpoint: endpoint.id });
+      this.history.noteRunFailed(Failure.create(FailureCode.EndpointCut, { endpoint: endpoint.id }));
       return Next.GiveUp;
     }
     writeWholeAnswer(
@@ -308,14 +247,14 @@
     endpoint.noteEnd(relayEnd === RelayEnd.Complete, this.parts.clock.getTime());
     if (relayEnd === RelayEnd.Complete) return Next.Done;
     this.log("stream.cut", { endpoint: endpoint.id, lastEvent: this.relay.lastEventId });
-    this.runFailure = Failure.create(FailureCode.EndpointCut, { endpoint: endpoint.id });
+    this.history.noteRunFailed(Failure.create(FailureCode.EndpointCut, { endpoint: endpoint.id }));
     return this.isRepeatAllowed() ? Next.TryAgain : Next.GiveUp;
   }
 
   /** Only a prompt that is read from its beginning, with none before it, tells how fast an engine reads. */
   private noteFirstEvent({ uncachedTokens, tokensAhead }: Placement, elapsedMs: number): void {
     const { service, head } = this.request;
-    const isResumed = head.lastEventId !== undefined || this.runs > 1;
+    const isResumed = head.lastEventId !== undefined || this.history.runs > 1;
     if (!service.engine || isResumed || tokensAhead > 0) return;
     this.parts.rates.note(service.name, { tokens: uncachedTokens, elapsedMs });
   }
@@ -328,15 +267,19 @@
   }
 
   private createFinalFailure(): Failure {
-    if (this.runFailure) return this.runFailure;
-    return this.refusal ?? createRefusal(FailureCode.Overloaded, this.request.service);
+    return this.history.findFailure() ?? createRefusal(FailureCode.Overloaded, this.request.service);
+  }
+
+  /** Whether the request may have run, by what came of its tries or what is under way. */
+  private get mayHaveRun(): boolean {
+    return this.history.runs > 0 || this.attempt?.mayHaveRun === true;
   }
 
   /** Ends the request now: the route's time is over, or the instance's. */
   giveUp(): void {
     if (this.isOver) return;
     const { route } = this.request.admitted;
-    const mayHaveRun = this.runs > 0 || this.attempt?.mayHaveRun === true;
+    const { mayHaveRun } = this;
     this.isOver = true;
     this.attempt?.abort("given up");
     const failure = mayHaveRun
@@ -349,14 +292,14 @@
     if (this.isOver || this.request.response.writableFinished) return;
     this.isOver = true;
     this.attempt?.abort("caller gone");
-    const mayHaveRun = this.runs > 0 || this.attempt?.mayHaveRun === true;
+    const { mayHaveRun } = this;
     this.end = this.createEnd(0, mayHaveRun, Failure.create(FailureCode.CallerGone));
   }
 
   /** Gives the final answer; an answer that has begun is cut, so that it does not look complete. */
   private answerFailure(failure: Failure): void {
     const { response, head } = this.request;
-    const mayHaveRun = this.runs > 0 || this.attempt?.mayHaveRun === true;
+    const { mayHaveRun } = this;
     this.end = this.createEnd(failure.status, mayHaveRun, failure);
     if (response.headersSent) {
       response.destroy();
--- a/packages/gateway/src/fleetWork.ts
+++ b/packages/gateway/src/fleetWork.ts
@@ -3,7 +3,7 @@
  * else by a reader's view and what was relayed since.
  * @module
  */
-import type { PeerIdentity } from "@gladewall/coordination";
+import { getLife, type PeerIdentity } from "@gladewall/coordination";
 import type { Clock } from "@gladewall/kernel";
 import type { PeerWork } from "./endpoint.js";
 import { type EndpointWork, subtractWork, sumWork } from "./endpointWork.js";
@@ -33,9 +33,9 @@
   private readonly reports: PeerWorkViews;
   private readonly relay: PlacementRelay;
   private readonly placements = RecentPlacements.create();
-  /** Work of the other instances, and of this one, as of the last sum. */
+  /** Work of the other instances as of the last sum. */
   private others: EndpointWork = {};
-  private own: EndpointWork = {};
+  private ownWork: EndpointWork = {};
   /** Number of the last relayed placement that the sum includes. */
   private lastNumber = 0;
   /** Whether something was told since the last sum. */
@@ -62,13 +62,17 @@
   refresh(): void {
     const view = this.options.findView();
     this.others = view ? sumWork([view, this.placements.getWork()]) : this.reports.getSum();
-    this.own = this.createOwn();
+    this.ownWork = this.createOwn();
     this.lastNumber = this.relay.lastNumber;
     this.isStale = false;
   }
 
-  /** This instance's work, for its peers. */
-  createOwn(): EndpointWork {
+  /** This instance's work as of the last sum, for its peers. */
+  get own(): EndpointWork {
+    return this.ownWork;
+  }
+
+  private createOwn(): EndpointWork {
     const work: Record<string, [number, number]> = {};
     for (const [endpoint, { active, pendingTokens }] of this.options.getOwn()) {
       if (active > 0 || pendingTokens > 0) work[endpoint] = [active, Math.round(pendingTokens)];
@@ -78,7 +82,7 @@
 
   /** Work of all instances but the one that reported, and the placement up to which it is told. */
   createView({ work }: ReportMessage): { readonly work: EndpointWork; readonly placedNumber: number } {
-    const all = sumWork([this.others, this.own]);
+    const all = sumWork([this.others, this.ownWork]);
     return { work: subtractWork(all, work), placedNumber: this.lastNumber };
   }
 
@@ -124,8 +128,3 @@
     this.relay.close();
   }
 }
-
-/** Names one life of a peer. */
-export function getLife({ name, incarnation }: PeerIdentity): string {
-  return `${name}/${incarnation}`;
-}
--- a/packages/gateway/src/gatewayParts.ts
+++ b/packages/gateway/src/gatewayParts.ts
@@ -2,6 +2,7 @@
  * Puts the parts of an instance together, each from those it stands on.
  * @module
  */
+import { getLife } from "@gladewall/coordination";
 import type { Clock, Logger } from "@gladewall/kernel";
 import { Admission } from "./admission.js";
 import type { Endpoint, PeerWork } from "./endpoint.js";
@@ -206,7 +207,7 @@
     getTimeOfDay: () => time.get(),
     draftKey: usageDraftKey,
     usage,
-    life: `${settings.instance.name}/${views.incarnation}`,
+    life: getLife({ name: settings.instance.name, incarnation: views.incarnation }),
     getItem,
   });
 }
--- a/packages/gateway/src/members.ts
+++ b/packages/gateway/src/members.ts
@@ -6,13 +6,12 @@
  * does not grow with the fleet. In a fleet of any size, what the store holds comes from a reader.
  * @module
  */
-import { LinkMessageKind, type PeerIdentity, PeerLinks } from "@gladewall/coordination";
+import { getLife, LinkMessageKind, type PeerIdentity, PeerLinks } from "@gladewall/coordination";
 import { type Closeable, waitFor } from "@gladewall/kernel";
 import type { PeerWork } from "./endpoint.js";
-import type { EndpointWork } from "./endpointWork.js";
 import type { ConfigurationFollower } from "./configurationFollower.js";
 import type { FeedTimes } from "./feedTimes.js";
-import { FleetWork, getLife } from "./fleetWork.js";
+import { FleetWork } from "./fleetWork.js";
 import type { FeedMessage, FeedState } from "./fleetFeed.js";
 import { PeerTimes } from "./peerTimes.js";
 import type { PrefixFollower } from "./prefixFollower.js";
@@ -29,7 +28,8 @@
 import { MemberRecords, type MemberRecordsOptions, ownPrefix } from "./memberRecords.js";
 import type { PrefixMemory } from "./prefixMemory.js";
 import type { ReadingRates } from "./readingRates.js";
-import type { CounterTotals, SharedCounters } from "./sharedCounters.js";
+import { ReaderViews } from "./readerViews.js";
+import type { SharedCounters } from "./sharedCounters.js";
 import { SilentPeers } from "./silentPeers.js";
 import { StoreFeed } from "./storeFeed.js";
 import type { TrueTime } from "./trueTime.js";
@@ -64,23 +64,8 @@
   readonly onTurn: () => void;
 }
 
-/** What this instance told in one report, and when. */
-interface ToldReport {
-  readonly totals: CounterTotals;
-  readonly at: number;
-}
-
-/** What the reader that is asked last answered. */
-interface FleetView {
-  readonly work: EndpointWork;
-  readonly knownShare: number;
-  readonly heardAt: number;
-}
-
 /** Instances that ask the store for all: one may end and another be cut off from the store at the same time. */
 const readerCount = 3;
-/** Without a view for this long, an instance uses no more than its own part of what is shared. */
-const viewLifetimeMs = 1_500;
 const toldWindows = 4;
 /** Reports between two that carry usage, in a large fleet. */
 const usageEvery = 2;
@@ -88,9 +73,6 @@
 const lostAfterMs = 2_500;
 const handshakeTimeoutMs = 1_000;
 const outboxBytes = 262_144;
-/** A reader that started this much later than this instance knows less of what was counted before. */
-const youngerByMs = 1_000;
-const keptReports = 16;
 /** Time without a new instance after which the fleet counts as known. */
 const settledMs = 600;
 
@@ -106,11 +88,7 @@
   private readonly stop = new AbortController();
   private task: Promise<void> = Promise.resolve();
   private sequence = 0;
-  /** What was told last, by the report's number. */
-  private readonly told = new Map<number, ToldReport>();
-  private fleetView: FleetView | undefined;
-  /** Whether a reader asked what was counted before its life. */
-  private isHistoryWanted = false;
+  private readonly views: ReaderViews;
 
   private constructor(private readonly options: MembersOptions) {
     const { clock, logger, name, incarnation, secret, address, largestMesh } = options;
@@ -150,11 +128,18 @@
       configuration: options.configuration,
       followers: { [options.endpointPrefix]: options.endpoints, [ownPrefix]: this.records.follower },
     });
+    this.views = ReaderViews.create({
+      clock,
+      logger,
+      counters: options.counters,
+      getFleetSize: () => this.getFleetSize(),
+      countLinkedReaders: () => this.collectors.getLinkedReaders().length,
+    });
     this.work = FleetWork.create({
       clock,
       own: name,
       getOwn: options.getWork,
-      findView: () => (this.collectors.isOwn ? undefined : this.getFleetView()?.work),
+      findView: () => (this.collectors.isOwn ? undefined : this.views.find()?.work),
       send: (peer, message) => void this.links.send(peer, message),
     });
     this.listen();
@@ -207,7 +192,7 @@
    */
   getKnownShare(): number {
     const fleet = this.getFleetSize();
-    if (!this.collectors.isOwn) return this.getFleetView()?.knownShare ?? 1 / fleet;
+    if (!this.collectors.isOwn) return this.views.find()?.knownShare ?? 1 / fleet;
     const time = this.options.clock.getTime();
     let silent = 0;
     for (const name of this.records.getNames()) {
@@ -312,9 +297,9 @@
     const { counters, rates, usage, time, getWindow } = this.options;
     this.sequence += 1;
     const { isMesh, isOwn } = this.collectors;
-    const report = counters.createReport(isMesh || isOwn || this.isHistoryWanted);
-    this.isHistoryWanted = false;
-    this.keepTold(report.totals);
+    const isHistoryWanted = this.views.takeHistoryWanted();
+    const report = counters.createReport(isOwn || isHistoryWanted);
+    this.views.noteTold(this.sequence, report.totals);
     const read = this.options.memory.takeUntold();
     this.work.relayRead(read);
     const hasUsage = isMesh || this.sequence % usageEvery === 0;
@@ -323,19 +308,14 @@
       sequence: this.sequence,
       time: time.get(),
       counters: report,
-      work: this.work.createOwn(),
+      work: this.work.own,
       rates: rates.createReport(),
-      hearsAll: isMesh || isOwn,
+      hearsAll: isOwn,
       read,
       ...(hasUsage ? { usage: usage.getOwn(getWindow(), toldWindows) } : {}),
     };
   }
 
-  private keepTold(totals: CounterTotals): void {
-    this.told.set(this.sequence, { totals, at: this.options.clock.getTime() });
-    this.told.delete(this.sequence - keptReports);
-  }
-
   private takeReport(message: ReportMessage, peer: PeerIdentity): void {
     const { counters, rates, usage, clock } = this.options;
     const life = getLife(peer);
@@ -376,44 +356,16 @@
     };
   }
 
-  private takeView(
-    { sequence, counters, work, placedNumber, knownShare, rates, feed }: ViewMessage,
-    peer: PeerIdentity,
-  ): void {
-    const told = this.told.get(sequence);
-    if (!told || this.collectors.isOwn) return;
-    const time = this.options.clock.getTime();
-    this.takeFeed(sequence, feed);
-    if (rates) this.options.rates.takePeer(peer.name, rates);
-    const own = this.options.counters;
-    if (!counters.isInformed && own.getUptime() > counters.uptime + youngerByMs && own.isInformed) {
-      this.isHistoryWanted = true;
-      this.options.logger.debug("view.passed-over", { peer: peer.name, uptimeMs: counters.uptime });
-      return;
-    }
-    own.takeView(counters, told.totals);
-    this.fleetView = { work, knownShare, heardAt: time };
-    this.work.noteView(peer, placedNumber ?? 0);
+  private takeView(view: ViewMessage, peer: PeerIdentity): void {
+    if (this.collectors.isOwn || this.views.findToldAt(view.sequence) === undefined) return;
+    this.takeFeed(view.sequence, view.feed);
+    if (view.rates) this.options.rates.takePeer(peer.name, view.rates);
+    if (this.views.take(view, peer)) this.work.noteView(peer, view.placedNumber ?? 0);
   }
 
   private takeFeed(sequence: number, feed: FeedMessage): void {
-    const told = this.told.get(sequence);
-    if (!told || !this.feed.isAsking(this.collectors.isReader)) return;
-    this.feed.take(feed, told.at);
-  }
-
-  /** The last view while it is young enough; once it is not, the instance keeps to its own part of what is shared. */
-  private getFleetView(): FleetView | undefined {
-    const view = this.fleetView;
-    if (!view) return undefined;
-    const age = this.options.clock.getTime() - view.heardAt;
-    if (age <= viewLifetimeMs) return view;
-    this.fleetView = undefined;
-    this.options.counters.scaleLevels(1 / this.getFleetSize());
-    this.options.logger.warn("view.lost", {
-      ageMs: Math.round(age),
-      linked: this.collectors.getLinkedReaders().length,
-    });
-    return undefined;
+    const toldAt = this.views.findToldAt(sequence);
+    if (toldAt === undefined || !this.feed.isAsking(this.collectors.isReader)) return;
+    this.feed.take(feed, toldAt);
   }
 }
--- /dev/null
+++ b/packages/gateway/src/readerViews.ts
@@ -0,0 +1,102 @@
+/**
+ * What a reader of the store answers this instance's reports with in a large fleet: the fleet's sums and work, as of the
+ * report that is answered.
+ * @module
+ */
+import type { PeerIdentity } from "@gladewall/coordination";
+import type { Clock, Logger } from "@gladewall/kernel";
+import type { EndpointWork } from "./endpointWork.js";
+import type { ViewMessage } from "./memberMessages.js";
+import type { CounterTotals, SharedCounters } from "./sharedCounters.js";
+
+/** Options of the views. */
+export interface ReaderViewsOptions {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly counters: SharedCounters;
+  /** Returns the number of instances that are listed, this one included. */
+  readonly getFleetSize: () => number;
+  readonly countLinkedReaders: () => number;
+}
+
+/** What the reader that is asked last answered. */
+export interface FleetView {
+  readonly work: EndpointWork;
+  readonly knownShare: number;
+  readonly heardAt: number;
+}
+
+/** What this instance told in one report, and when. */
+interface ToldReport {
+  readonly totals: CounterTotals;
+  readonly at: number;
+}
+
+/** Without a view for this long, an instance uses no more than its own part of what is shared. */
+const viewLifetimeMs = 1_500;
+/** A reader that started this much later than this instance knows less of what was counted before. */
+const youngerByMs = 1_000;
+const keptReports = 16;
+
+/** The last view, and the reports that a view may answer. */
+export class ReaderViews {
+  /** What was told last, by the report's number. */
+  private readonly told = new Map<number, ToldReport>();
+  private view: FleetView | undefined;
+  /** Whether a reader asked what was counted before its life. */
+  private isHistoryWanted = false;
+
+  private constructor(private readonly options: ReaderViewsOptions) {}
+
+  static create(options: ReaderViewsOptions): ReaderViews {
+    return new ReaderViews(options);
+  }
+
+  /** Remembers what was told in a report. */
+  noteTold(sequence: number, totals: CounterTotals): void {
+    this.told.set(sequence, { totals, at: this.options.clock.getTime() });
+    this.told.delete(sequence - keptReports);
+  }
+
+  /** Monotonic time at which a report was told; undefined where it is no longer remembered. */
+  findToldAt(sequence: number): number | undefined {
+    return this.told.get(sequence)?.at;
+  }
+
+  /** Whether the next report should tell what was counted before the reader's life; asked once. */
+  takeHistoryWanted(): boolean {
+    const isWanted = this.isHistoryWanted;
+    this.isHistoryWanted = false;
+    return isWanted;
+  }
+
+  /** Takes a view; returns whether it counts: not where its reader knows less than this instance. */
+  take({ sequence, counters, work, knownShare }: ViewMessage, peer: PeerIdentity): boolean {
+    const told = this.told.get(sequence);
+    if (!told) return false;
+    const { clock, logger, counters: own } = this.options;
+    if (!counters.isInformed && own.getUptime() > counters.uptime + youngerByMs && own.isInformed) {
+      this.isHistoryWanted = true;
+      logger.debug("view.passed-over", { peer: peer.name, uptimeMs: counters.uptime });
+      return false;
+    }
+    own.takeView(counters, told.totals);
+    this.view = { work, knownShare, heardAt: clock.getTime() };
+    return true;
+  }
+
+  /** The last view while it is young enough; once it is not, the instance keeps to its own part of what is shared. */
+  find(): FleetView | undefined {
+    const { view } = this;
+    if (!view) return undefined;
+    const age = this.options.clock.getTime() - view.heardAt;
+    if (age <= viewLifetimeMs) return view;
+    this.view = undefined;
+    this.options.counters.scaleLevels(1 / this.options.getFleetSize());
+    this.options.logger.warn("view.lost", {
+      ageMs: Math.round(age),
+      linked: this.options.countLinkedReaders(),
+    });
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/requestServer.ts
@@ -0,0 +1,175 @@
+/**
+ * Requests of one instance, from their arrival to their final answer: admission, body, charge, exchange, and the log
+ * line that says what became of each.
+ * @module
+ */
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { Failure, FailureCode } from "@gladewall/kernel";
+import { Ok, type Result } from "ts-results-es";
+import type { Admitted } from "./admission.js";
+import { writeFailure } from "./answerWriter.js";
+import { Exchange } from "./exchange.js";
+import type { ExchangeEnd, ExchangeParts } from "./exchangeTypes.js";
+import type { GatewayParts } from "./gatewayParts.js";
+import { readRequestBody } from "./requestBody.js";
+import { drawTarget } from "./routeTable.js";
+import { type CallerHead, RouteKind, type Service } from "./types.js";
+
+/** Options of a server. */
+export interface RequestServerOptions {
+  readonly parts: GatewayParts;
+  /** Milliseconds after it began to leave for which an instance serves. */
+  readonly servedMs: number;
+  /** Monotonic time at which the instance began to leave; undefined while it does not. */
+  readonly getLeavingSince: () => number | undefined;
+}
+
+const leavingRetryMs = 200;
+/** Requests that may last longer than this are refused once the instance leaves. */
+const shortRequestMs = 2_500;
+
+/** Serves requests. */
+export class RequestServer {
+  private readonly exchangeParts: ExchangeParts;
+  private readonly exchanges = new Set<Exchange>();
+  private openCount = 0;
+
+  private constructor(private readonly options: RequestServerOptions) {
+    const { parts, getLeavingSince } = options;
+    this.exchangeParts = { ...parts, isLeaving: () => getLeavingSince() !== undefined };
+  }
+
+  static create(options: RequestServerOptions): RequestServer {
+    return new RequestServer(options);
+  }
+
+  /** Requests that have no final answer. */
+  get open(): number {
+    return this.openCount;
+  }
+
+  /** Ends all requests that are under way now. */
+  giveUpAll(): void {
+    for (const exchange of this.exchanges) exchange.giveUp();
+  }
+
+  /** Serves one request to its final answer. */
+  async handle(message: IncomingMessage, response: ServerResponse): Promise<void> {
+    const arrivedAt = this.options.parts.clock.getTime();
+    this.openCount += 1;
+    // A broken connection is seen where answers are written; the event needs a listener all the same.
+    message.on("error", () => undefined);
+    response.on("error", () => undefined);
+    const head = this.options.parts.platform.callers.readHead(message.headers);
+    const failure = head.isErr() ? head.error : await this.serve(message, response, head.value, arrivedAt);
+    this.openCount -= 1;
+    if (!failure) return;
+    this.refuse(message, response, head.isOk() ? head.value.id : undefined, failure);
+  }
+
+  /** Serves a request; returns why it was refused where nothing was done with it. */
+  private async serve(
+    message: IncomingMessage,
+    response: ServerResponse,
+    head: CallerHead,
+    arrivedAt: number,
+  ): Promise<Failure | undefined> {
+    const admitted = this.options.parts.admission.admit(message.headers.host ?? "", message.url ?? "/", head);
+    if (admitted.isErr()) return admitted.error;
+    const { route, table } = admitted.value;
+    if (this.isTooLateFor(admitted.value)) return Failure.create(FailureCode.Leaving, {}, leavingRetryMs);
+    const body = await readRequestBody(message, table.configuration.limits.maxBodyBytes);
+    if (body.isErr()) return body.error;
+    const service = table.findService(drawTarget(route.targets, Math.random()));
+    if (!service) return Failure.create(FailureCode.NoEndpoint, { service: route.name }, leavingRetryMs);
+    const charge = this.charge(admitted.value, head);
+    if (charge.isErr()) return charge.error;
+    const request = {
+      admitted: admitted.value,
+      service,
+      head,
+      message,
+      response,
+      body: body.value,
+      arrivedAt,
+    };
+    const exchange = Exchange.create(this.exchangeParts, request);
+    this.exchanges.add(exchange);
+    const end = await exchange.run();
+    this.exchanges.delete(exchange);
+    this.finish(admitted.value, head, service, end, arrivedAt, charge.value);
+    return undefined;
+  }
+
+  private charge({ workspace }: Admitted, head: CallerHead): Result<number, Failure> {
+    if (!workspace) return Ok(0);
+    const cost = this.options.parts.admission.getCost(workspace, head);
+    return this.options.parts.admission.takeQuota(workspace, cost).map(() => cost);
+  }
+
+  private finish(
+    { workspace, route }: Admitted,
+    head: CallerHead,
+    service: Service,
+    { status, mayHaveRun, failure, placement, arrivals, firstEventMs }: ExchangeEnd,
+    arrivedAt: number,
+    cost: number,
+  ): void {
+    if (workspace && !mayHaveRun) this.options.parts.admission.returnQuota(workspace, cost);
+    const fields = {
+      request: head.id,
+      route: route.name,
+      service: service.name,
+      workspace: workspace?.name,
+      status,
+      failure: failure?.name,
+      mayHaveRun,
+      endpoint: placement?.endpoint.id,
+      candidates: placement?.candidates,
+      expectedMs: placement && Math.round(placement.expectedMs),
+      uncached: placement && service.engine ? placement.uncachedTokens : undefined,
+      ahead: placement && service.engine ? placement.tokensAhead : undefined,
+      firstMs: firstEventMs && Math.round(firstEventMs),
+      arrivals,
+      tookMs: Math.round(this.options.parts.clock.getTime() - arrivedAt),
+    };
+    this.options.parts.metrics.countRequest(service.name, status, failure?.name ?? "none", fields.tookMs);
+    if (failure) this.options.parts.logger.info("request.failed", fields);
+    else this.options.parts.logger.info("request.served", fields);
+  }
+
+  /** Whether a request could outlast the time that a leaving instance has. */
+  private isTooLateFor({ route }: Admitted): boolean {
+    const { parts, servedMs, getLeavingSince } = this.options;
+    const leavingSince = getLeavingSince();
+    if (leavingSince === undefined) return false;
+    const elapsed = parts.clock.getTime() - leavingSince;
+    if (elapsed < shortRequestMs) return false;
+    const left = servedMs - elapsed;
+    return route.kind === RouteKind.Stream || route.timeoutMs > left;
+  }
+
+  private refuse(
+    message: IncomingMessage,
+    response: ServerResponse,
+    request: string | undefined,
+    failure: Failure,
+  ): void {
+    this.options.parts.logger.info("request.refused", {
+      request,
+      status: failure.status,
+      failure: failure.name,
+      cause: failure.text,
+      retryAfterMs: failure.retryAfterMs && Math.round(failure.retryAfterMs),
+      version: this.options.parts.follower.getTable()?.version,
+      proofAgeMs: Math.round(this.options.parts.follower.getProofAge()),
+    });
+    this.options.parts.metrics.countRefusal(failure.name, failure.status);
+    if (failure.code === FailureCode.CallerGone || response.headersSent) return;
+    const own = this.options.parts.platform.callers.createOwnHeaders(request);
+    // What is left of a body that was not read would be taken for the next request.
+    const closes = this.options.getLeavingSince() !== undefined || failure.code === FailureCode.BodyTooLarge;
+    writeFailure(response, failure, own, closes);
+    message.resume();
+  }
+}
