Say in the log how old a word may be that an endpoint leaves

No line told when the store may have acknowledged a change, only when an instance heard of it; so a reader that was not served, a silent watch and a slow peer looked alike. endpoint.state now has unheardMs (for how long nothing had been heard of endpoints when the word came) and troubleAgeMs (the trouble that may explain a vanished record). A test on a virtual clock has both.

--- a/packages/gateway/src/endpointDirectory.ts
+++ b/packages/gateway/src/endpointDirectory.ts
@@ -139,11 +139,11 @@
     // the store, and by its trouble endpoints that left were used for 4.1 s of a drain time of 3 s (drawn departures).
     const isExplained = troubleAgeMs < troubleWindowMs && !endpoint.record.isLeaving;
     if (!isExplained) {
-      this.setState(endpoint, EndpointState.Leaving, "record gone");
+      this.setState(endpoint, EndpointState.Leaving, "record gone", troubleAgeMs);
       this.forget(endpoint);
       return;
     }
-    this.setState(endpoint, EndpointState.Unlisted, "record gone in trouble");
+    this.setState(endpoint, EndpointState.Unlisted, "record gone in trouble", troubleAgeMs);
     clock.startTimer(this.options.unlistedMs, () => {
       // This instance's own path may have been the trouble: then the record tells of an endpoint that leaves.
       if (!this.haveManyVanished(endpoint.record.service)) this.endUnlisted(endpoint);
@@ -183,7 +183,7 @@
     for (const listener of this.removeListeners) listener(endpoint);
   }
 
-  private setState(endpoint: Endpoint, state: EndpointState, cause: string): void {
+  private setState(endpoint: Endpoint, state: EndpointState, cause: string, troubleAgeMs?: number): void {
     if (endpoint.state === state) return;
     endpoint.state = state;
     const { id, record } = endpoint;
@@ -193,6 +193,8 @@
       hall: record.hall,
       state: EndpointState[state],
       cause,
+      unheardMs: Math.round(this.follower.unheardMs),
+      troubleAgeMs: troubleAgeMs && Math.round(troubleAgeMs),
     });
   }
 }
--- a/packages/gateway/src/prefixFollower.ts
+++ b/packages/gateway/src/prefixFollower.ts
@@ -54,6 +54,12 @@
 export class PrefixFollower implements Closeable {
   /** Whether a listing has ever been had. */
   isListed = false;
+  /**
+   * For how long nothing had been heard, of whoever tells, when the last word came; milliseconds. What that word brought
+   * may have been acknowledged so long before.
+   */
+  unheardMs = Infinity;
+  private heardAt = -Infinity;
   /** Revision up to which everything is known. */
   private revision = 0;
   private readonly items = new Map<string, StoreItem>();
@@ -111,6 +117,7 @@
   /** Takes what another follower handed on, whom the store last failed so many milliseconds ago. */
   takeChanges({ revision, items, removed, isListing }: PrefixChanges, troubleAgeMs: number): void {
     if (isListing && revision < this.revision) return;
+    this.noteHeard();
     if (isListing) {
       this.takeListing(items, revision, troubleAgeMs);
       return;
@@ -156,10 +163,12 @@
     const { store, prefix, clock, watchWaitMs = usualWatchWaitMs } = this.options;
     const listing = await store.list(prefix);
     if (listing.isErr()) return listing.error;
+    this.noteHeard();
     this.takeListing(listing.value.items, listing.value.revision);
     for (;;) {
       const changes = await store.watch(prefix, this.revision, watchWaitMs, signal);
       if (changes.isErr()) return changes.error;
+      this.noteHeard();
       const { events, revision } = changes.value;
       // A watch that was deaf for a moment ends without events as well: gone on from its revision, what changed meanwhile
       // would never be heard of. From the old one the store tells it, or that its history is gone.
@@ -170,6 +179,12 @@
     }
   }
 
+  private noteHeard(): void {
+    const time = this.options.clock.getTime();
+    this.unheardMs = time - this.heardAt;
+    this.heardAt = time;
+  }
+
   private takeListing(items: readonly StoreItem[], revision: number, troubleAgeMs?: number): void {
     const listed = new Set(items.map(({ key }) => key));
     for (const { key, revision: putAt } of [...this.items.values()]) {
--- a/packages/gateway/test/leavingEndpoints.test.ts
+++ b/packages/gateway/test/leavingEndpoints.test.ts
@@ -18,7 +18,7 @@
   PrefixFollower,
   StoreFeed,
 } from "@gladewall/gateway";
-import { Logger, settlePromises, VirtualClock } from "@gladewall/kernel";
+import { Logger, LogLevel, settlePromises, VirtualClock } from "@gladewall/kernel";
 import { StandinPlatform, StoreTrouble } from "@gladewall/standins";
 
 const drainMs = 3_000;
@@ -291,3 +291,35 @@
   await clock.advance(20_000);
   await closed;
 });
+
+t.test(
+  "the log says how old a word may be that an endpoint leaves, and which trouble explains it",
+  async (t) => {
+    const clock = VirtualClock.create();
+    const platform = StandinPlatform.create(clock, stepMs);
+    const lines: string[] = [];
+    const adapter = platform.createAdapter();
+    const directory = EndpointDirectory.create({
+      platform: adapter,
+      clock,
+      logger: Logger.create(LogLevel.Info, {}, (line) => lines.push(line)),
+      getTimeSinceTrouble: () => 400,
+      watchWaitMs: 600,
+      unlistedMs: 500,
+    });
+    for (const id of ["a", "b", "c"]) platform.list({ id, address: "127.0.0.1:1" });
+    directory.start();
+    await clock.advance(100);
+    platform.shared.isDeaf = true;
+    await clock.advance(300);
+    platform.shared.isDeaf = false;
+    platform.unlist("a");
+    await clock.advance(1_000);
+    const states = lines.filter((line) => line.includes("event=endpoint.state"));
+    t.match(states[0], /state=Unlisted cause="record gone in trouble" unheardMs=450 troubleAgeMs=400/);
+    t.match(states[1], /state=Leaving cause="not listed again"/);
+    const closed = directory.close();
+    await clock.advance(20_000);
+    await closed;
+  },
+);
