--- /dev/null
+++ b/packages/gateway/test/toldFleet.ts
@@ -0,0 +1,161 @@
+/**
+ * Three readers of the store and an instance that they tell, on a virtual clock and without links, and departures of an
+ * endpoint played on them.
+ * @module
+ */
+import {
+  ConfigurationFollower,
+  createFeedTimes,
+  EndpointDirectory,
+  type PlatformAdapter,
+  StoreFeed,
+} from "@gladewall/gateway";
+import { Logger, VirtualClock } from "@gladewall/kernel";
+import { StandinPlatform, StoreTrouble } from "@gladewall/standins";
+
+/** Time in which work must stop going to an endpoint that leaves; milliseconds. */
+export const drainMs = 3_000;
+const turnMs = 250;
+/** How closely times are told apart. */
+export const stepMs = 50;
+
+/** An instance's view of the store, without its links: who asks whom is said by the test. */
+class StoreView {
+  private constructor(
+    readonly configuration: ConfigurationFollower,
+    readonly directory: EndpointDirectory,
+    readonly feed: StoreFeed,
+    readonly platform: PlatformAdapter,
+  ) {}
+
+  static create(name: string, platform: StandinPlatform, clock: VirtualClock): StoreView {
+    const adapter = platform.createAdapter();
+    const times = createFeedTimes(drainMs);
+    const logger = Logger.createSilent();
+    const configuration = ConfigurationFollower.create({
+      platform: adapter,
+      clock,
+      logger,
+      proofIntervalMs: 1_500,
+      readerIntervalMs: times.proofIntervalMs,
+      proofLifetimeMs: 4_600,
+      askPeers: async () => [],
+    });
+    const directory = EndpointDirectory.create({
+      platform: adapter,
+      clock,
+      logger,
+      getTimeSinceTrouble: () => configuration.getTimeSinceTrouble(),
+      watchWaitMs: times.watchWaitMs,
+      unlistedMs: times.unlistedMs,
+    });
+    const followers = { [adapter.endpointPrefix]: directory.follower };
+    const feed = StoreFeed.create({ clock, logger, own: name, times, configuration, followers });
+    return new StoreView(configuration, directory, feed, adapter);
+  }
+
+  start(): void {
+    this.configuration.start();
+    this.directory.start();
+  }
+
+  uses(id: string): boolean {
+    return this.directory.get(id)?.isUsable() === true;
+  }
+
+  async close(): Promise<void> {
+    await Promise.all([this.configuration.close(), this.directory.close()]);
+  }
+}
+
+const readerNames = ["r1", "r2", "r3"];
+
+/** Three readers of the store, and an instance that they tell. */
+class ToldFleet {
+  readonly clock = VirtualClock.create();
+  readonly platform = StandinPlatform.create(this.clock, stepMs);
+  readonly readers = readerNames.map((name) => StoreView.create(name, this.platform, this.clock));
+  readonly told = StoreView.create("told", this.platform, this.clock);
+
+  static async create(): Promise<ToldFleet> {
+    const fleet = new ToldFleet();
+    fleet.platform.configure({});
+    for (const id of ["a", "b", "c", "d", "e", "f"]) fleet.platform.list({ id, address: "127.0.0.1:1" });
+    for (const view of [...fleet.readers, fleet.told]) view.start();
+    fleet.takeTurn();
+    await fleet.clock.advance(6_000);
+    return fleet;
+  }
+
+  /** What an instance does at each of its reports. */
+  private takeTurn(): void {
+    this.clock.startTimer(turnMs, () => this.takeTurn());
+    for (const reader of this.readers) {
+      reader.feed.setRole(true);
+      const others = readerNames.filter((_, index) => this.readers[index] !== reader);
+      if (reader.feed.isAsking(true)) this.ask(reader, others);
+    }
+    this.told.feed.setRole(false);
+    this.ask(this.told, readerNames);
+  }
+
+  private ask(asker: StoreView, linked: readonly string[]): void {
+    const name = asker.feed.chooseReader(linked);
+    const asked = this.readers[readerNames.indexOf(name ?? "")];
+    const answer = asked?.feed.createMessage(asker.feed.getState());
+    if (answer) asker.feed.take(answer, this.clock.getTime());
+  }
+
+  async close(): Promise<void> {
+    const closed = Promise.all([...this.readers, this.told].map((view) => view.close()));
+    await this.clock.advance(20_000);
+    await closed;
+  }
+}
+
+/** One way in which an endpoint leaves while the store turns some readers away. */
+export interface Departure {
+  /** When the store turns each reader away, and for how long; milliseconds. */
+  readonly troubles: readonly { readonly at: number; readonly lasts: number }[];
+  /** When the store acknowledges that the endpoint leaves. */
+  readonly leavesAt: number;
+  /** Whether its record says that it leaves; else the record vanishes. */
+  readonly isStated: boolean;
+  /** When the watches that are under way fall silent. */
+  readonly silentAt?: number;
+}
+
+/** Milliseconds after the acknowledgement of a departure for which the endpoint was used. */
+export interface UsedFor {
+  readonly told: number;
+  /** The longest of all readers. */
+  readonly readers: number;
+}
+
+/** Plays a departure. */
+export async function playDeparture({ troubles, leavesAt, isStated, silentAt }: Departure): Promise<UsedFor> {
+  const fleet = await ToldFleet.create();
+  const { platform, clock } = fleet;
+  const startedAt = clock.getTime();
+  for (const [index, { at, lasts }] of troubles.entries()) {
+    const store = platform.stores[index]!;
+    clock.startTimer(at, () => (store.trouble = StoreTrouble.Down));
+    clock.startTimer(at + lasts, () => (store.trouble = StoreTrouble.None));
+  }
+  if (silentAt !== undefined) {
+    clock.startTimer(silentAt, () => platform.stores.forEach((store) => store.silenceWatches()));
+  }
+  clock.startTimer(leavesAt, () => {
+    if (isStated) platform.list({ id: "a", address: "127.0.0.1:1", isLeaving: true });
+    else platform.unlist("a");
+  });
+  const usedFor = { told: 0, readers: 0 };
+  for (let time = 0; time < leavesAt + 2 * drainMs; time += stepMs) {
+    const elapsed = clock.getTime() - startedAt - leavesAt;
+    if (fleet.told.uses("a")) usedFor.told = elapsed;
+    if (fleet.readers.some((reader) => reader.uses("a"))) usedFor.readers = elapsed;
+    await clock.advance(stepMs);
+  }
+  await fleet.close();
+  return usedFor;
+}
