--- a/packages/gateway/test/leaving.test.ts
+++ b/packages/gateway/test/leaving.test.ts
@@ -1,5 +1,8 @@
+import { once } from "node:events";
+import { connect } from "node:net";
 import t from "tap";
 import { RouteKind } from "@gladewall/gateway";
+import { Logger, LogLevel } from "@gladewall/kernel";
 import {
   answerGood,
   beginEvents,
@@ -61,3 +64,35 @@
   t.match(await answer, { status: 200, isComplete: true, body: "id: 1\ndata: a\n\nid: 2\ndata: b\n\n" });
   await left;
 });
+
+/*
+ * What happened: a request that came 4.7 s after the request to stop, on a connection that was open, was passed on to an
+ * endpoint and cut 9 ms later. Sequence: nothing was under way, so the instance waited 0.2 s for its last answers to
+ * leave; the request came in that time and was served as any other; the process ended. Cause: the end was decided once,
+ * and nothing kept requests from being taken after it.
+ */
+t.test("what comes on an open connection after the end has begun is refused, not passed on", async (t) => {
+  let send: () => void = () => undefined;
+  const logger = Logger.create(LogLevel.Info, {}, (line) => {
+    if (line.includes("event=instance.stopping")) send();
+  });
+  const bench = GatewayBench.create(undefined, logger);
+  bench.platform.configure({ routes: [createRoute({ kind: RouteKind.Unsafe, attempts: 1 })] });
+  const endpoint = await ScriptedEndpoint.create("b", () => undefined);
+  bench.platform.list({ id: "b", address: endpoint.address });
+  const instance = await bench.startReady(1, "web", overrides);
+  t.teardown(() => Promise.all([bench.close(), endpoint.close()]));
+  const { callers } = instance.settings.listen;
+  const socket = connect(Number(callers.slice(callers.lastIndexOf(":") + 1)), "127.0.0.1");
+  await once(socket, "connect");
+  // The front knows of the connection once it has read something of it.
+  socket.write("POST / HTTP/1.1\r\n");
+  const first = once(socket, "data") as Promise<[Buffer]>;
+  send = () => void socket.write("host: app.test\r\nx-id: late\r\ncontent-length: 1\r\n\r\nx");
+  const left = instance.gateway.leave();
+  const [answer] = await first;
+  t.match(answer.toString(), /^HTTP\/1\.1 503 /);
+  await left;
+  t.equal(endpoint.calls.length, 0);
+  socket.destroy();
+});
