Refuse what comes on an open connection once an instance has begun to end

Cause: leave() waits until nothing is under way, then 0.2 s for the last answers; a request that came in that time on an open connection was passed on to an endpoint and cut by the end of the process. Ruled out: the endpoint broke off (its run ended 2 ms before our connection did, with ours); the grace (4.7 s of 8 s). Change: the end begins only after a moment without requests; from then on they are refused as not run, with a time to come back.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -191,7 +191,9 @@
     const dutiesClosed = this.parts.duties.close();
     await waitFor(clock, this.settings.leaving.unnoticed);
     this.front.stopAccepting();
-    while (requests.open > 0 && clock.getTime() < endsAt) await waitFor(clock, idleCheckMs);
+    await this.finishRequests(endsAt);
+    // What comes from now on would be cut by the end of the process: seen once, 9 ms after it had been passed on.
+    requests.stop();
     logger.info("instance.stopping", { open: requests.open });
     requests.giveUpAll();
     await Promise.race([dutiesClosed, waitFor(clock, lastAnswersMs)]);
@@ -199,6 +201,16 @@
     logger.info("instance.stopped", { open: requests.open });
   }
 
+  /** Resolves when nothing has been under way for a moment: a request may come while the last answers leave. */
+  private async finishRequests(endsAt: number): Promise<void> {
+    const { clock } = this.parts;
+    const isBusy = (): boolean => this.requests.open > 0 && clock.getTime() < endsAt;
+    do {
+      while (isBusy()) await waitFor(clock, idleCheckMs);
+      await waitFor(clock, lastAnswersMs);
+    } while (isBusy());
+  }
+
   /** Closes everything at once. */
   async close(): Promise<void> {
     await Promise.all([
--- a/packages/gateway/src/requestServer.ts
+++ b/packages/gateway/src/requestServer.ts
@@ -33,6 +33,7 @@
   private readonly exchangeParts: ExchangeParts;
   private readonly exchanges = new Set<Exchange>();
   private openCount = 0;
+  private isStopped = false;
 
   private constructor(private readonly options: RequestServerOptions) {
     const { parts, getLeavingSince } = options;
@@ -48,6 +49,11 @@
     return this.openCount;
   }
 
+  /** Refuses every request that comes from now on. */
+  stop(): void {
+    this.isStopped = true;
+  }
+
   /** Ends all requests that are under way now. */
   giveUpAll(): void {
     for (const exchange of this.exchanges) exchange.giveUp();
@@ -74,12 +80,15 @@
     head: CallerHead,
     arrivedAt: number,
   ): Promise<Failure | undefined> {
+    if (this.isStopped) return Failure.create(FailureCode.Leaving, {}, leavingRetryMs);
     const admitted = this.options.parts.admission.admit(message.headers.host ?? "", message.url ?? "/", head);
     if (admitted.isErr()) return admitted.error;
     const { route, table } = admitted.value;
     if (this.isTooLateFor(admitted.value)) return Failure.create(FailureCode.Leaving, {}, leavingRetryMs);
     const body = await readRequestBody(message, table.configuration.limits.maxBodyBytes);
     if (body.isErr()) return body.error;
+    // The body may have come late.
+    if (this.isStopped) return Failure.create(FailureCode.Leaving, {}, leavingRetryMs);
     const service = table.findService(drawTarget(route.targets, Math.random()));
     if (!service) return Failure.create(FailureCode.NoEndpoint, { service: route.name }, leavingRetryMs);
     const charge = this.charge(admitted.value, head);
