Say plainly when a file of tests failed without a failing test of its own

Cause: the loop that reads the results kept a count by three conditions in a row where one flag and one branch do. Change: scripts/test.mjs only; no runtime code, no test, no check.

--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -37,7 +37,7 @@
 const run = runNode(tapArguments, { stdio: ["ignore", "ignore", "inherit"] });
 const report = existsSync(`${root}.tap/results.tap`) ? readFileSync(`${root}.tap/results.tap`, "utf8") : "";
 const results = [];
-let redInFile = 0;
+let hasRedTest = false;
 for (const line of report.split("\n")) {
   const found = /^( {4})?(not ok|ok) \d+ - (.*?)(?: # time=.*)?$/.exec(line);
   if (!found) continue;
@@ -45,10 +45,13 @@
   const name = found[3].trim();
   // Top-level lines are files; the named tests of a file stand one level in, before it.
   const isFile = found[1] === undefined;
-  if (isFile && !isGood && redInFile === 0) results.push({ name, isGood });
-  redInFile = isFile || isGood ? redInFile : redInFile + 1;
-  if (isFile) redInFile = 0;
-  if (isFile) continue;
+  if (isFile) {
+    // A file that fails without a failing test of its own has crashed or run out of time.
+    if (!isGood && !hasRedTest) results.push({ name, isGood });
+    hasRedTest = false;
+    continue;
+  }
+  hasRedTest ||= !isGood;
   console.log(line.trim());
   results.push({ name, isGood });
 }
