--- a/packages/gateway/test/placement.test.ts
+++ b/packages/gateway/test/placement.test.ts
@@ -1,7 +1,7 @@
 import t from "tap";
 import {
-  Backend,
-  BackendState,
+  Endpoint,
+  EndpointState,
   CounterKind,
   Placer,
   PrefixMemory,
@@ -13,13 +13,13 @@
 
 const engine = createService({ name: "model", engine: { slots: 4, tokenCapacity: 100_000 } });
 
-function createBackends(count: number): readonly Backend[] {
+function createEndpoints(count: number): readonly Endpoint[] {
   return Array.from({ length: count }, (_, index) =>
-    Backend.create({
+    Endpoint.create({
       id: `b${index}`,
       service: "model",
       address: "127.0.0.1:1",
-      zone: "a",
+      hall: "a",
       slots: 4,
       isLeaving: false,
       isReclaimable: false,
@@ -27,12 +27,12 @@
   );
 }
 
-function createPlacer(backends: readonly Backend[], clock = VirtualClock.create()): Placer {
+function createPlacer(endpoints: readonly Endpoint[], clock = VirtualClock.create()): Placer {
   return Placer.create({
     memory: PrefixMemory.create(),
     clock,
     getReadingRate: () => 50,
-    getBackends: () => backends,
+    getEndpoints: () => endpoints,
     getPeerWork: () => ({ active: 0, pendingTokens: 0 }),
     getRandom: () => 0,
   });
@@ -41,55 +41,58 @@
 const request = { service: engine, promptTokens: 1_000, parts: [], excluded: new Set<string>() };
 
 t.test("prompts go where the fewest tokens wait, and the choice agrees with trying all", async (t) => {
-  const backends = createBackends(5);
-  const placer = createPlacer(backends);
+  const endpoints = createEndpoints(5);
+  const placer = createPlacer(endpoints);
   for (let round = 0; round < 50; round++) {
-    for (const [index, backend] of backends.entries())
-      backend.pendingTokens = ((round + 3) * (index + 7) * 379) % 9_000;
-    const least = Math.min(...backends.map(({ pendingTokens }) => pendingTokens));
-    t.equal(placer.choose(request)?.backend.pendingTokens, least);
+    for (const [index, endpoint] of endpoints.entries())
+      endpoint.pendingTokens = ((round + 3) * (index + 7) * 379) % 9_000;
+    const least = Math.min(...endpoints.map(({ pendingTokens }) => pendingTokens));
+    t.equal(placer.choose(request)?.endpoint.pendingTokens, least);
   }
 });
 
-t.test("prompts with the same shared part meet at one home on every node, unless it is busy", async (t) => {
-  const backends = createBackends(6);
-  const parts = [
-    { id: "shared", tokens: 5_000 },
-    { id: "own", tokens: 1_000 },
-  ];
-  const asked = { ...request, promptTokens: 6_000, parts };
-  const homes = [createPlacer(backends), createPlacer(backends)].map(
-    (placer) => placer.choose(asked)?.backend,
-  );
-  t.ok(homes[0]);
-  t.equal(homes[0], homes[1]);
-  homes[0]!.pendingTokens = 20_000;
-  t.not(createPlacer(backends).choose(asked)?.backend, homes[0]);
-});
+t.test(
+  "prompts with the same shared part meet at one home on every instance, unless it is busy",
+  async (t) => {
+    const endpoints = createEndpoints(6);
+    const parts = [
+      { id: "shared", tokens: 5_000 },
+      { id: "own", tokens: 1_000 },
+    ];
+    const asked = { ...request, promptTokens: 6_000, parts };
+    const homes = [createPlacer(endpoints), createPlacer(endpoints)].map(
+      (placer) => placer.choose(asked)?.endpoint,
+    );
+    t.ok(homes[0]);
+    t.equal(homes[0], homes[1]);
+    homes[0]!.pendingTokens = 20_000;
+    t.not(createPlacer(endpoints).choose(asked)?.endpoint, homes[0]);
+  },
+);
 
-t.test("backends that leave, that were tried, or that can't be reached are passed over", async (t) => {
+t.test("endpoints that leave, that were tried, or that can't be reached are passed over", async (t) => {
   const clock = VirtualClock.create();
-  const backends = createBackends(3);
-  const placer = createPlacer(backends, clock);
-  backends[0]!.state = BackendState.Leaving;
-  backends[1]!.noteUnreachable(clock.getTime());
-  t.equal(placer.choose(request)?.backend.id, "b2");
-  t.equal(placer.choose({ ...request, excluded: new Set(["b2"]) })?.backend.id, "b1", "better than none");
+  const endpoints = createEndpoints(3);
+  const placer = createPlacer(endpoints, clock);
+  endpoints[0]!.state = EndpointState.Leaving;
+  endpoints[1]!.noteUnreachable(clock.getTime());
+  t.equal(placer.choose(request)?.endpoint.id, "b2");
+  t.equal(placer.choose({ ...request, excluded: new Set(["b2"]) })?.endpoint.id, "b1", "better than none");
   t.equal(placer.choose({ ...request, excluded: new Set(["b1", "b2"]) }), undefined);
   await clock.advance(10_000);
-  backends[2]!.pendingTokens = 9_000;
-  t.equal(placer.choose(request)?.backend.id, "b1");
+  endpoints[2]!.pendingTokens = 9_000;
+  t.equal(placer.choose(request)?.endpoint.id, "b1");
 });
 
-t.test("a backend that fails part of its requests gets less, though it looks idle", async (t) => {
-  const backends = createBackends(2);
-  const placer = createPlacer(backends);
-  for (let count = 0; count < 6; count++) backends[0]!.noteEnd(count % 2 === 0, 0);
-  backends[1]!.active = 3;
-  t.equal(placer.choose(request)?.backend.id, "b1");
+t.test("an endpoint that fails part of its requests gets less, though it looks idle", async (t) => {
+  const endpoints = createEndpoints(2);
+  const placer = createPlacer(endpoints);
+  for (let count = 0; count < 6; count++) endpoints[0]!.noteEnd(count % 2 === 0, 0);
+  endpoints[1]!.active = 3;
+  t.equal(placer.choose(request)?.endpoint.id, "b1");
 });
 
-t.test("repeats of a service never exceed the budget that all nodes share", async (t) => {
+t.test("repeats of a service never exceed the budget that all instances share", async (t) => {
   const clock = VirtualClock.create();
   const windows = {
     [CounterKind.Quota]: 10_000,
--- a/packages/gateway/test/readers.test.ts
+++ b/packages/gateway/test/readers.test.ts
@@ -3,20 +3,20 @@
 import { Logger, SystemClock, VirtualClock } from "@gladewall/kernel";
 import {
   answerGood,
-  createTenant,
+  createWorkspace,
   GatewayBench,
-  ScriptedBackend,
+  ScriptedEndpoint,
   StandinPlatform,
   StoreTrouble,
   waitUntil,
 } from "@gladewall/standins";
 
-/** A fleet so small that every node hears every other; all of them know a backend. */
+/** A fleet so small that every instance hears every other; all of them know an endpoint. */
 async function createSmallFleet(t: Pick<Test, "teardown">, size: number) {
   const bench = GatewayBench.create();
-  bench.platform.configure({ tenants: [createTenant({ keys: ["one"] })] });
-  const backend = await ScriptedBackend.create("b", answerGood);
-  bench.platform.list({ id: "b", address: backend.address });
+  bench.platform.configure({ workspaces: [createWorkspace({ keys: ["one"] })] });
+  const endpoint = await ScriptedEndpoint.create("b", answerGood);
+  bench.platform.list({ id: "b", address: endpoint.address });
   const overrides = [
     "peers.report_interval=20",
     "configuration.proof_interval=50",
@@ -26,19 +26,19 @@
   for (let index = 0; index < size; index++) {
     await bench.startReady(1, "web", [...overrides, `peers.capacity=${index}`]);
   }
-  t.teardown(() => Promise.all([bench.close(), backend.close()]));
-  const { nodes } = bench;
-  await waitUntil(() => nodes.every(({ gateway }) => gateway.linkedPeers === size - 1));
-  // Each node begins as a reader, while it knows of no other.
-  await waitUntil(() => nodes.every(({ gateway }, index) => gateway.isReader === index >= size - 3));
-  await waitUntil(() => nodes.every(({ gateway }) => gateway.isReader || gateway.isFed));
-  return { bench, backend, nodes };
+  t.teardown(() => Promise.all([bench.close(), endpoint.close()]));
+  const { instances } = bench;
+  await waitUntil(() => instances.every(({ gateway }) => gateway.linkedPeers === size - 1));
+  // Each instance begins as a reader, while it knows of no other.
+  await waitUntil(() => instances.every(({ gateway }, index) => gateway.isReader === index >= size - 3));
+  await waitUntil(() => instances.every(({ gateway }) => gateway.isReader || gateway.isFed));
+  return { bench, endpoint, instances };
 }
 
-t.test("in a small fleet too, three nodes ask the store and the others learn from them", async (t) => {
-  const { bench, backend, nodes } = await createSmallFleet(t, 5);
+t.test("in a small fleet too, three instances ask the store and the others learn from them", async (t) => {
+  const { bench, endpoint, instances } = await createSmallFleet(t, 5);
   t.same(
-    nodes.map(({ gateway }) => [gateway.isReader, gateway.isCollector]),
+    instances.map(({ gateway }) => [gateway.isReader, gateway.isCollector]),
     [
       [false, true],
       [false, true],
@@ -51,22 +51,22 @@
   const told = bench.platform.stores.slice(0, 2);
   for (const store of told) store.trouble = StoreTrouble.Down;
   const since = SystemClock.create().getTime();
-  bench.platform.list({ id: "c", address: backend.address });
-  bench.platform.configure({ tenants: [createTenant({ keys: ["two"] })] });
+  bench.platform.list({ id: "c", address: endpoint.address });
+  bench.platform.configure({ workspaces: [createWorkspace({ keys: ["two"] })] });
   await waitUntil(() =>
-    nodes.every(({ gateway }) => gateway.version === 2 && gateway.countBackends("web") === 2),
+    instances.every(({ gateway }) => gateway.version === 2 && gateway.countEndpoints("web") === 2),
   );
-  await waitUntil(() => nodes.every(({ gateway }) => gateway.provenAt > since));
-  t.equal((await bench.call(nodes[0]!, { key: "two" })).status, 200);
-  t.equal((await bench.call(nodes[0]!, { key: "one" })).status, 401);
+  await waitUntil(() => instances.every(({ gateway }) => gateway.provenAt > since));
+  t.equal((await bench.call(instances[0]!, { key: "two" })).status, 200);
+  t.equal((await bench.call(instances[0]!, { key: "one" })).status, 401);
 });
 
-t.test("changes cost calls of three nodes, however many are told of them", async (t) => {
-  const { bench, backend, nodes } = await createSmallFleet(t, 6);
+t.test("changes cost calls of three instances, however many are told of them", async (t) => {
+  const { bench, endpoint, instances } = await createSmallFleet(t, 6);
   const { stores } = bench.platform;
   const list = async (count: number): Promise<void> => {
-    bench.platform.list({ id: `more-${count}`, address: backend.address });
-    await waitUntil(() => nodes.every(({ gateway }) => gateway.countBackends("web") === count));
+    bench.platform.list({ id: `more-${count}`, address: endpoint.address });
+    await waitUntil(() => instances.every(({ gateway }) => gateway.countEndpoints("web") === count));
   };
   // With the first change, those that are told give up the watch that they began with.
   await list(2);
@@ -81,13 +81,13 @@
 t.test(
   "once the store turns all readers away, the others ask it themselves, and readers have their word",
   async (t) => {
-    const { bench, nodes } = await createSmallFleet(t, 5);
+    const { bench, instances } = await createSmallFleet(t, 5);
     for (const store of bench.platform.stores.slice(2)) store.trouble = StoreTrouble.Down;
     bench.platform.unlist("b");
-    await waitUntil(() => nodes.slice(0, 2).every(({ gateway }) => gateway.countBackends("web") === 0));
-    await waitUntil(() => nodes.slice(0, 2).every(({ gateway }) => !gateway.isFed));
+    await waitUntil(() => instances.slice(0, 2).every(({ gateway }) => gateway.countEndpoints("web") === 0));
+    await waitUntil(() => instances.slice(0, 2).every(({ gateway }) => !gateway.isFed));
     const since = SystemClock.create().getTime();
-    await waitUntil(() => nodes.every(({ gateway }) => gateway.provenAt > since));
+    await waitUntil(() => instances.every(({ gateway }) => gateway.provenAt > since));
   },
 );
 
@@ -102,7 +102,7 @@
 
 t.test("a reader that does not answer, or knows nothing new, is passed over for the next", async (t) => {
   const readers = ["r1", "r2", "r3"];
-  const asked = AskedReader.create("node", 400);
+  const asked = AskedReader.create("instance", 400);
   asked.noteAnswered(1_000);
   const first = asked.choose(readers, 1_400);
   t.equal(asked.choose(readers, 1_100), first);
--- a/packages/gateway/test/readingRates.test.ts
+++ b/packages/gateway/test/readingRates.test.ts
@@ -1,6 +1,6 @@
 import t from "tap";
 import {
-  Backend,
+  Endpoint,
   Demand,
   CounterKind,
   Placer,
@@ -35,7 +35,7 @@
   }
 });
 
-t.test("a young node goes by its peers, and one odd peer moves nobody", async (t) => {
+t.test("a young instance goes by its peers, and one odd peer moves nobody", async (t) => {
   const clock = VirtualClock.create();
   const rates = createRates(clock);
   rates.takePeer("one", { model: 150 });
@@ -64,7 +64,7 @@
     getReadingRate,
     isRateLearned: (name) => rates.isLearned(name),
     utilization: 0.4,
-    leastPerZone: 1,
+    leastPerHall: 1,
     windowMs: 4_000,
     getActive: () => 0,
   });
@@ -72,7 +72,7 @@
     memory: PrefixMemory.create(),
     clock,
     getReadingRate,
-    getBackends: () => [createBackend()],
+    getEndpoints: () => [createEndpoint()],
     getPeerWork: () => ({ active: 0, pendingTokens: 0 }),
     getRandom: () => 0,
   });
@@ -87,12 +87,12 @@
   t.ok((placer.choose(asked)?.expectedMs ?? 0) < 90);
 });
 
-function createBackend(): Backend {
-  return Backend.create({
+function createEndpoint(): Endpoint {
+  return Endpoint.create({
     id: "b0",
     service: "model",
     address: "127.0.0.1:1",
-    zone: "a",
+    hall: "a",
     slots: 24,
     isLeaving: false,
     isReclaimable: false,
--- a/packages/gateway/test/relay.test.ts
+++ b/packages/gateway/test/relay.test.ts
@@ -62,7 +62,7 @@
   t.equal(relay.lastNumber, 40);
 });
 
-t.test("parts that backends have read go along with placements, so many at once", async (t) => {
+t.test("parts that endpoints have read go along with placements, so many at once", async (t) => {
   const { clock, relay, sent } = createRelay();
   relay.addRead({ b0: ["nobody asked"] });
   relay.noteAsked("c");
@@ -102,14 +102,14 @@
   },
 );
 
-t.test("in a large fleet a long prompt is known to every node, and counted once", async (t) => {
+t.test("in a large fleet a long prompt is known to every instance, and counted once", async (t) => {
   const { bench, held } = await createEngineBench(t);
   const overrides = ["peers.large_fleet_interval=40", "peers.largest_mesh=2"];
   for (let index = 0; index < 6; index++) {
     await bench.startReady(1, "web", [...overrides, `peers.capacity=${index}`]);
   }
-  const [sender, ...others] = bench.nodes;
-  await waitUntil(() => bench.nodes.every(({ gateway }) => gateway.isReader || gateway.isFed));
+  const [sender, ...others] = bench.instances;
+  await waitUntil(() => bench.instances.every(({ gateway }) => gateway.isReader || gateway.isFed));
   await waitUntil(() => others.slice(2).every(({ gateway }) => gateway.isReader));
   const answer = bench.call(sender!, { headers: { "x-tokens": "12000" } });
   const seen = new Set<number>();
--- a/packages/gateway/test/wholeAnswers.test.ts
+++ b/packages/gateway/test/wholeAnswers.test.ts
@@ -6,47 +6,47 @@
 import {
   answerGood,
   answerNotRun,
-  type BackendScript,
+  type EndpointScript,
   beginEvents,
   createRoute,
   GatewayBench,
-  ScriptedBackend,
+  ScriptedEndpoint,
   waitUntil,
 } from "@gladewall/standins";
 
 interface Bench {
   readonly bench: GatewayBench;
-  readonly backends: readonly ScriptedBackend[];
-  readonly node: Awaited<ReturnType<GatewayBench["startReady"]>>;
+  readonly endpoints: readonly ScriptedEndpoint[];
+  readonly instance: Awaited<ReturnType<GatewayBench["startReady"]>>;
 }
 
-/** One node before backends with scripts, and one route of a kind. */
+/** One instance before endpoints with scripts, and one route of a kind. */
 async function createBench(
   t: Tap,
   route: Parameters<typeof createRoute>[0],
-  scripts: readonly BackendScript[],
+  scripts: readonly EndpointScript[],
 ): Promise<Bench> {
   const bench = GatewayBench.create();
   bench.platform.configure({ routes: [createRoute(route)] });
-  const backends = await Promise.all(
-    scripts.map((script, index) => ScriptedBackend.create(`b${index}`, script)),
+  const endpoints = await Promise.all(
+    scripts.map((script, index) => ScriptedEndpoint.create(`b${index}`, script)),
   );
-  for (const { id, address } of backends) bench.platform.list({ id, address });
-  const node = await bench.startReady(backends.length);
+  for (const { id, address } of endpoints) bench.platform.list({ id, address });
+  const instance = await bench.startReady(endpoints.length);
   t.teardown(async () => {
     await bench.close();
-    await Promise.all(backends.map((backend) => backend.close()));
+    await Promise.all(endpoints.map((endpoint) => endpoint.close()));
   });
-  return { bench, backends, node };
+  return { bench, endpoints, instance };
 }
 
 type Tap = Pick<typeof t, "teardown">;
 
 t.test(
-  "an answer comes back byte for byte, with the backend's signature and without its connection's headers",
+  "an answer comes back byte for byte, with the endpoint's signature and without its connection's headers",
   async (t) => {
-    const { bench, backends, node } = await createBench(t, {}, [answerGood]);
-    const answer = await bench.call(node, {
+    const { bench, endpoints, instance } = await createBench(t, {}, [answerGood]);
+    const answer = await bench.call(instance, {
       id: "r1",
       path: "/a/b?c=%2F",
       headers: { "x-expect": "forged" },
@@ -57,18 +57,18 @@
       isComplete: true,
       headers: { "x-stamp": "signed" },
     });
-    const call = backends[0]?.calls[0];
+    const call = endpoints[0]?.calls[0];
     t.equal(call?.target, "/a/b?c=%2F");
     t.match(call?.headers["x-expect"], /b0/);
   },
 );
 
 t.test("an answer without length that ends with its connection is whole", async (t) => {
-  const script: BackendScript = ({ id, socket }) => {
+  const script: EndpointScript = ({ id, socket }) => {
     socket.end(`HTTP/1.1 200 OK\r\nx-id: ${id}\r\nx-stamp: s\r\nConnection: close\r\n\r\nall of it`);
   };
-  const { bench, node } = await createBench(t, {}, [script]);
-  t.match(await bench.call(node), { status: 200, body: "all of it", isComplete: true });
+  const { bench, instance } = await createBench(t, {}, [script]);
+  t.match(await bench.call(instance), { status: 200, body: "all of it", isComplete: true });
 });
 
 t.test("an answer without length that is reset is not whole, one that ends in order is", async (t) => {
@@ -95,100 +95,100 @@
 });
 
 t.test("an answer without length whose data and reset arrive together is not whole", async (t) => {
-  const script: BackendScript = ({ id, socket }) => {
+  const script: EndpointScript = ({ id, socket }) => {
     socket.write(`HTTP/1.1 200 OK\r\nx-id: ${id}\r\nx-stamp: s\r\nConnection: close\r\n\r\nhalf of`, () =>
       socket.resetAndDestroy(),
     );
   };
-  const { bench, node } = await createBench(t, { kind: RouteKind.Unsafe, attempts: 1 }, [script]);
-  t.equal((await bench.call(node, { method: "POST", body: "x" })).status, 502);
+  const { bench, instance } = await createBench(t, { kind: RouteKind.Unsafe, attempts: 1 }, [script]);
+  t.equal((await bench.call(instance, { method: "POST", body: "x" })).status, 502);
 });
 
 t.test("a stream without length that is reset does not look complete", async (t) => {
-  const { bench, backends, node } = await createBench(t, { kind: RouteKind.Stream, attempts: 1 }, [
+  const { bench, endpoints, instance } = await createBench(t, { kind: RouteKind.Stream, attempts: 1 }, [
     ({ id, socket }) => {
       const head = `HTTP/1.1 200 OK\r\nx-id: ${id}\r\nx-stamp: s\r\nConnection: close\r\n\r\n`;
       socket.write(`${head}id: 1\ndata: a\n\n`);
     },
   ]);
-  const onData = (): void => void backends[0]?.calls[0]?.socket.resetAndDestroy();
-  const answer = await bench.call(node, { method: "POST", body: "x", onData });
+  const onData = (): void => void endpoints[0]?.calls[0]?.socket.resetAndDestroy();
+  const answer = await bench.call(instance, { method: "POST", body: "x", onData });
   t.match(answer, { status: 200, isComplete: false });
 });
 
 t.test(
-  "a cut answer of a safe request is had from another backend; of an unsafe one it is a 502",
+  "a cut answer of a safe request is had from another endpoint; of an unsafe one it is a 502",
   async (t) => {
-    const cut: BackendScript = ({ id, response, socket }) => {
+    const cut: EndpointScript = ({ id, response, socket }) => {
       response.writeHead(200, { "x-id": id, "x-stamp": "s", "content-length": 100 });
       response.write("part", () => socket.destroy());
     };
     const safe = await createBench(t, {}, [cut, cut]);
-    for (const backend of safe.backends) {
+    for (const endpoint of safe.endpoints) {
       let isFirst = true;
-      backend.script = (call) => {
-        // Whichever backend comes first cuts its answer.
-        const hasOther = safe.backends.some((other) => other !== backend && other.calls.length > 0);
+      endpoint.script = (call) => {
+        // Whichever endpoint comes first cuts its answer.
+        const hasOther = safe.endpoints.some((other) => other !== endpoint && other.calls.length > 0);
         if (isFirst && !hasOther) cut(call);
         else answerGood(call);
         isFirst = false;
       };
     }
-    t.match(await safe.bench.call(safe.node, { id: "s" }), { status: 200, body: "answer to s" });
+    t.match(await safe.bench.call(safe.instance, { id: "s" }), { status: 200, body: "answer to s" });
     const unsafe = await createBench(t, { kind: RouteKind.Unsafe, attempts: 2 }, [cut, cut]);
-    t.equal((await unsafe.bench.call(unsafe.node, { method: "POST", body: "x" })).status, 502);
-    t.equal(unsafe.backends[0]!.calls.length + unsafe.backends[1]!.calls.length, 1);
+    t.equal((await unsafe.bench.call(unsafe.instance, { method: "POST", body: "x" })).status, 502);
+    t.equal(unsafe.endpoints[0]!.calls.length + unsafe.endpoints[1]!.calls.length, 1);
   },
 );
 
 t.test(
-  "what a backend did not run is sent elsewhere, an unsafe request too; where none runs it, 503",
+  "what an endpoint did not run is sent elsewhere, an unsafe request too; where none runs it, 503",
   async (t) => {
-    const { bench, node, backends } = await createBench(t, { kind: RouteKind.Unsafe, attempts: 1 }, [
+    const { bench, instance, endpoints } = await createBench(t, { kind: RouteKind.Unsafe, attempts: 1 }, [
       answerNotRun,
       answerNotRun,
     ]);
-    const refused = await bench.call(node, { method: "POST", body: "x" });
+    const refused = await bench.call(instance, { method: "POST", body: "x" });
     t.equal(refused.status, 503);
     t.ok(Number(refused.headers["retry-after"]) > 0);
-    for (const backend of backends) {
-      backend.script = (call) =>
-        backends.every((other) => other.calls.length > 1) ? answerGood(call) : answerNotRun(call);
+    for (const endpoint of endpoints) {
+      endpoint.script = (call) =>
+        endpoints.every((other) => other.calls.length > 1) ? answerGood(call) : answerNotRun(call);
     }
-    t.equal((await bench.call(node, { method: "POST", body: "x" })).status, 200);
+    t.equal((await bench.call(instance, { method: "POST", body: "x" })).status, 200);
   },
 );
 
 t.test("an answer that belongs to another request reaches nobody", async (t) => {
-  const foreign: BackendScript = ({ response }) => {
+  const foreign: EndpointScript = ({ response }) => {
     response.writeHead(200, { "x-id": "somebody-else", "x-stamp": "s", "content-length": 5 });
     response.end("wrong");
   };
-  const { bench, node } = await createBench(t, { kind: RouteKind.Unsafe, attempts: 1 }, [foreign]);
-  const answer = await bench.call(node, { method: "POST", body: "x" });
+  const { bench, instance } = await createBench(t, { kind: RouteKind.Unsafe, attempts: 1 }, [foreign]);
+  const answer = await bench.call(instance, { method: "POST", body: "x" });
   t.equal(answer.status, 502);
   t.notMatch(answer.body, "wrong");
 });
 
 t.test("a second answer on a kept connection is never taken for the next request's", async (t) => {
-  const twice: BackendScript = ({ id, socket }) => {
+  const twice: EndpointScript = ({ id, socket }) => {
     const answer = `HTTP/1.1 200 OK\r\nx-id: ${id}\r\nx-stamp: s\r\nContent-Length: 2\r\n\r\nok`;
     socket.write(answer + answer);
   };
-  const { bench, node } = await createBench(t, { kind: RouteKind.Unsafe, attempts: 1 }, [twice]);
+  const { bench, instance } = await createBench(t, { kind: RouteKind.Unsafe, attempts: 1 }, [twice]);
   for (const id of ["one", "two", "three"]) {
-    const answer = await bench.call(node, { id, method: "POST", body: "x" });
+    const answer = await bench.call(instance, { id, method: "POST", body: "x" });
     t.ok(answer.status === 502 || (answer.status === 200 && answer.body === "ok"));
   }
 });
 
 t.test(
-  "a stream that is cut goes on at another backend after the last whole event, in the same answer",
+  "a stream that is cut goes on at another endpoint after the last whole event, in the same answer",
   async (t) => {
     const route = { kind: RouteKind.Stream, attempts: 2, isResumable: true };
-    const { bench, node, backends } = await createBench(t, route, [beginEvents, beginEvents]);
-    for (const backend of backends) {
-      backend.script = (call) => {
+    const { bench, instance, endpoints } = await createBench(t, route, [beginEvents, beginEvents]);
+    for (const endpoint of endpoints) {
+      endpoint.script = (call) => {
         beginEvents(call);
         const after = Number(call.headers["last-event-id"] ?? 0);
         if (after === 0) {
@@ -200,31 +200,31 @@
         }
       };
     }
-    const answer = await bench.call(node, { method: "POST", body: "x" });
+    const answer = await bench.call(instance, { method: "POST", body: "x" });
     t.match(answer, { status: 200, isComplete: true, body: "id: 1\ndata: a\n\nid: 2\ndata: b\n\n" });
   },
 );
 
 t.test(
-  "a stream that may not be resumed is cut off, and a client that leaves frees its backend",
+  "a stream that may not be resumed is cut off, and a client that leaves frees its endpoint",
   async (t) => {
-    const { bench, node, backends } = await createBench(t, { kind: RouteKind.Stream, attempts: 1 }, [
+    const { bench, instance, endpoints } = await createBench(t, { kind: RouteKind.Stream, attempts: 1 }, [
       beginEvents,
     ]);
     const leaving = new AbortController();
-    const [backend] = backends;
-    const seen = bench.call(node, {
+    const [endpoint] = endpoints;
+    const seen = bench.call(instance, {
       method: "POST",
       body: "x",
       signal: leaving.signal,
       onData: () => leaving.abort(),
     });
-    await backend!.waitForCalls(1);
-    const { response, socket } = backend!.calls[0]!;
+    await endpoint!.waitForCalls(1);
+    const { response, socket } = endpoint!.calls[0]!;
     response.write("id: 1\ndata: a\n\n");
     await seen;
     await waitUntil(() => socket.destroyed);
-    t.equal(backend!.calls.length, 1);
+    t.equal(endpoint!.calls.length, 1);
   },
 );
 
@@ -232,27 +232,27 @@
   "a request without an answer ends at its route's time with 504, one that was never sent with 503",
   async (t) => {
     const silent = await createBench(t, { timeoutMs: 60, attempts: 1 }, [() => undefined]);
-    t.equal((await silent.bench.call(silent.node)).status, 504);
+    t.equal((await silent.bench.call(silent.instance)).status, 504);
     const alone = GatewayBench.create();
     t.teardown(() => alone.close());
     alone.platform.configure({});
-    const node = await alone.startReady(0);
-    t.equal((await alone.call(node)).status, 503);
+    const instance = await alone.startReady(0);
+    t.equal((await alone.call(instance)).status, 503);
   },
 );
 
 t.test("a request that ran once and was then not run elsewhere is not said to be not run", async (t) => {
-  const reset: BackendScript = ({ socket }) => socket.resetAndDestroy();
-  const { bench, backends, node } = await createBench(t, {}, [reset, reset]);
-  for (const backend of backends) {
-    backend.script = (call) => {
-      const isFirst = backends.every((other) => other === backend || other.calls.length === 0);
+  const reset: EndpointScript = ({ socket }) => socket.resetAndDestroy();
+  const { bench, endpoints, instance } = await createBench(t, {}, [reset, reset]);
+  for (const endpoint of endpoints) {
+    endpoint.script = (call) => {
+      const isFirst = endpoints.every((other) => other === endpoint || other.calls.length === 0);
       if (isFirst) reset(call);
       else answerNotRun(call);
     };
   }
-  const answer = await bench.call(node);
-  t.equal(backends[0]!.calls.length + backends[1]!.calls.length, 2);
+  const answer = await bench.call(instance);
+  t.equal(endpoints[0]!.calls.length + endpoints[1]!.calls.length, 2);
   t.match(answer, { status: 502, isComplete: true });
   t.equal(answer.headers["retry-after"], undefined);
 });
--- a/packages/kernel/src/failures.ts
+++ b/packages/kernel/src/failures.ts
@@ -19,6 +19,7 @@
   SettingsMissingKey = 1008,
   SettingsSyntax = 1009,
   PluginUnknown = 1010,
+  SettingsRenamed = 1011,
   BadRequest = 2001,
   Unauthorized = 2002,
   UnknownService = 2003,
@@ -48,7 +49,6 @@
   QuotaSpent = 3014,
   Overloaded = 3015,
   RouteTimeout = 3016,
-  NoBackend = 3017,
   EndpointRefused = 4001,
   EndpointUnreachable = 4002,
   EndpointCut = 4003,
@@ -70,7 +70,7 @@
   ValueTooLarge = 5012,
   HistoryLost = 5013,
   ConfigurationUnreadable = 5014,
-  BackendRecordUnreadable = 5015,
+  EndpointRecordUnreadable = 5015,
   FenceOutdated = 5016,
   TableInvalid = 6001,
   TableConflict = 6002,
@@ -107,6 +107,7 @@
     notRun,
     "{file}: [{section}] has an unknown key {key}; allowed: {allowed}",
   ),
+  [FailureCode.SettingsRenamed]: createRow(500, notRun, "{file}: {name} is now called {current}"),
   [FailureCode.SettingsWrongType]: createRow(500, notRun, "{file}: [{section}] {key} is not {allowed}"),
   [FailureCode.SettingsOutOfRange]: createRow(
     500,
@@ -191,11 +192,10 @@
   [FailureCode.QuotaSpent]: createRow(
     429,
     notRun,
-    "tenant {tenant} is over its limit of {limit} a second: {level} of {room} taken, {share} % of the fleet heard",
+    "workspace {workspace} is over its limit of {limit} a second: {level} of {room} taken, {share} % of the fleet heard",
   ),
   [FailureCode.Overloaded]: createRow(503, notRun, "service {service} cannot start the request in time"),
   [FailureCode.RouteTimeout]: createRow(504, unknown, "no whole answer within {limit} ms"),
-  [FailureCode.NoBackend]: createRow(503, notRun, "service {service} has no backend that takes work"),
   [FailureCode.EndpointRefused]: createRow(
     503,
     notRun,
@@ -249,10 +249,10 @@
   ),
   [FailureCode.HistoryLost]: createRow(410, notRun, "the store no longer has the changes after {revision}"),
   [FailureCode.ConfigurationUnreadable]: createRow(500, notRun, "the configuration cannot be read: {detail}"),
-  [FailureCode.BackendRecordUnreadable]: createRow(
+  [FailureCode.EndpointRecordUnreadable]: createRow(
     500,
     notRun,
-    "the record of backend {key} cannot be read: {detail}",
+    "the record of endpoint {key} cannot be read: {detail}",
   ),
   [FailureCode.FenceOutdated]: createRow(409, notRun, "a fence higher than {fence} has been used"),
   [FailureCode.TableInvalid]: createRow(400, notRun, "row {row}, column {column}: {detail}"),
--- a/packages/kernel/src/settings.ts
+++ b/packages/kernel/src/settings.ts
@@ -25,6 +25,8 @@
   readonly environment: Readonly<Record<string, string | undefined>>;
   /** `section.key=value` flags; they override the environment. */
   readonly overrides: readonly string[];
+  /** What earlier names of sections (`section`) and keys (`section.key`) are called now; those are refused. */
+  readonly renamed?: ReadonlyMap<string, string>;
 }
 
 type RawSection = Record<string, string>;
@@ -61,7 +63,7 @@
   const raw = readRaw(text);
   applyEnvironment(schema, raw, source.environment);
   failures.push(...applyOverrides(raw, source.overrides));
-  failures.push(...findUnknown(schema, raw, source.file));
+  failures.push(...findUnknown(schema, raw, source));
   const values: Record<string, Record<string, Value>> = {};
   for (const [section, keys] of Object.entries(schema)) {
     values[section] = readSection(section, keys, raw[section] ?? {}, source.file, failures);
@@ -144,10 +146,21 @@
   return failures;
 }
 
-function findUnknown(schema: SettingSchema, raw: RawSettings, file: string): Failure[] {
+function findUnknown(
+  schema: SettingSchema,
+  raw: RawSettings,
+  { file, renamed = new Map() }: SettingsSource,
+): Failure[] {
   const failures: Failure[] = [];
   for (const [section, keys] of Object.entries(raw)) {
     const known = Object.hasOwn(schema, section) ? schema[section] : undefined;
+    const current = renamed.get(section);
+    if (!known && current !== undefined) {
+      failures.push(
+        Failure.create(FailureCode.SettingsRenamed, { file, name: `[${section}]`, current: `[${current}]` }),
+      );
+      continue;
+    }
     if (!known) {
       const allowed = Object.keys(schema).join(", ");
       failures.push(Failure.create(FailureCode.SettingsUnknownSection, { file, section, allowed }));
@@ -155,6 +168,17 @@
     }
     for (const key of Object.keys(keys)) {
       if (Object.hasOwn(known, key)) continue;
+      const currentKey = renamed.get(`${section}.${key}`);
+      if (currentKey !== undefined) {
+        failures.push(
+          Failure.create(FailureCode.SettingsRenamed, {
+            file,
+            name: `${section}.${key}`,
+            current: currentKey,
+          }),
+        );
+        continue;
+      }
       const allowed = Object.keys(known).join(", ");
       failures.push(Failure.create(FailureCode.SettingsUnknownKey, { file, section, key, allowed }));
     }
--- a/packages/kernel/test/daemonLogs.test.ts
+++ b/packages/kernel/test/daemonLogs.test.ts
@@ -10,14 +10,14 @@
 t.test("a flood of one event is thinned, counted and said, and hides no other", async (t) => {
   const clock = VirtualClock.create();
   const stream = new PassThrough();
-  const logs = DaemonLogs.create(clock, LogLevel.Info, { node: "n" }, LineWriter.create(stream));
+  const logs = DaemonLogs.create(clock, LogLevel.Info, { instance: "n" }, LineWriter.create(stream));
   for (let count = 0; count < 1_000; count++) logs.logger.info("request.refused", { request: `r${count}` });
   logs.logger.info("store.lost", {});
   await clock.advance(1_000);
   const lines = String(stream.read()).trim().split("\n");
   t.equal(lines.filter((line) => line.includes("event=request.refused")).length, 60);
   t.equal(lines.filter((line) => line.includes("event=store.lost")).length, 1);
-  t.match(lines.at(-1), /event=logs.thinned node=n what=request.refused lines=940/);
+  t.match(lines.at(-1), /event=logs.thinned instance=n what=request.refused lines=940/);
   await logs.close();
 });
 
--- a/packages/kernel/test/settings.test.ts
+++ b/packages/kernel/test/settings.test.ts
@@ -137,3 +137,23 @@
 t.test("names of Object's own are not taken for keys", async (t) => {
   t.equal(parse(`${good}[front]\nconstructor = 1\n`).unwrapErr()[0]?.code, FailureCode.SettingsUnknownKey);
 });
+
+t.test("earlier names of sections and keys are refused with what they are called now", async (t) => {
+  const renamed = new Map([
+    ["back", "front"],
+    ["front.size", "front.width"],
+  ]);
+  const source = { file: "f.ini", environment: {}, overrides: [], renamed };
+  const failures = parseSettings(
+    schema,
+    `${good}[back]\nmode = fast\n[front]\nsize = 5\n`,
+    source,
+  ).unwrapErr();
+  t.same(
+    failures.map(({ code, text }) => [code, text]),
+    [
+      [FailureCode.SettingsRenamed, "f.ini: [back] is now called [front]"],
+      [FailureCode.SettingsRenamed, "f.ini: front.size is now called front.width"],
+    ],
+  );
+});
--- a/packages/operator/src/bench/capacityBench.ts
+++ b/packages/operator/src/bench/capacityBench.ts
@@ -1,6 +1,6 @@
 /**
  * `npm run bench -- capacity`: what control costs an entry, against the number of entries and of endpoints. All
- * entries run in this process; figures a node are the process's divided by the entries.
+ * entries run in this process; figures an instance are the process's divided by the entries.
  * @module
  */
 import { InstanceRole, InstanceState, PriceClass } from "@gladewall/coordination";
@@ -18,19 +18,19 @@
 export interface CapacityPoint {
   readonly entries: number;
   readonly endpoints: number;
-  /** Control bytes sent a second and node, idle. */
+  /** Control bytes sent a second and instance, idle. */
   readonly sentBytes: number;
-  /** Control frames sent a second and node, idle. */
+  /** Control frames sent a second and instance, idle. */
   readonly sentFrames: number;
-  /** Processor time a node, idle, in percent of a core. */
+  /** Processor time an instance, idle, in percent of a core. */
   readonly processor: number;
-  /** Heap a node, bytes. */
+  /** Heap an instance, bytes. */
   readonly memory: number;
-  /** Calls on the key-value service a second and node, idle. */
+  /** Calls on the key-value service a second and instance, idle. */
   readonly serviceCalls: number;
   /** Milliseconds from a saved configuration to in force everywhere. */
   readonly inForceMs: number;
-  /** Bytes that one configuration change makes a node send. */
+  /** Bytes that one configuration change makes an instance send. */
   readonly changeBytes: number;
 }
 
@@ -95,7 +95,7 @@
   const { sentBytes, processor, memory, serviceCalls, inForceMs } = point;
   print(
     `${entries} entries, ${endpoints} endpoints: ${sentBytes.toFixed(0)} B/s, ${processor.toFixed(2)} % of a core, ` +
-      `${(memory / 1e6).toFixed(1)} MB, ${serviceCalls.toFixed(2)} calls/s a node; in force after ${inForceMs.toFixed(0)} ms`,
+      `${(memory / 1e6).toFixed(1)} MB, ${serviceCalls.toFixed(2)} calls/s an instance; in force after ${inForceMs.toFixed(0)} ms`,
   );
   return point;
 }
@@ -131,19 +131,19 @@
   collectGarbage();
   const memory = (process.memoryUsage().heapUsed - heapBefore) / entries;
   const seconds = window / millisecondsPerSecond;
-  const perNode = (amount: number): number => amount / seconds / entries;
+  const perInstance = (amount: number): number => amount / seconds / entries;
   const change = await measureChange(fleet);
   await fleet.close();
   return {
     entries,
     endpoints,
-    sentBytes: perNode(after.sentBytes - before.sentBytes),
-    sentFrames: perNode(after.sentFrames - before.sentFrames),
-    processor: perNode(
+    sentBytes: perInstance(after.sentBytes - before.sentBytes),
+    sentFrames: perInstance(after.sentFrames - before.sentFrames),
+    processor: perInstance(
       ((used.user + used.system) / microsecondsPerMillisecond / millisecondsPerSecond) * percent,
     ),
     memory,
-    serviceCalls: perNode(after.serviceCalls - before.serviceCalls),
+    serviceCalls: perInstance(after.serviceCalls - before.serviceCalls),
     ...change,
   };
 }
--- a/packages/operator/src/bench/fleetBench.ts
+++ b/packages/operator/src/bench/fleetBench.ts
@@ -4,15 +4,15 @@
  * @module
  */
 import { SystemClock, waitFor } from "@gladewall/kernel";
-import { createTenant, GatewayBench, StandinPlatform, waitUntil } from "@gladewall/standins";
+import { createWorkspace, GatewayBench, StandinPlatform, waitUntil } from "@gladewall/standins";
 
 /** One measured size of fleet. */
 export interface FleetPoint {
-  readonly nodes: number;
-  /** Of a node that is no collector, and of one that is; in a mesh every node is one. */
+  readonly instances: number;
+  /** Of an instance that is no collector, and of one that is; in a mesh every instance is one. */
   readonly member: PeerTrafficRate | undefined;
   readonly collector: PeerTrafficRate | undefined;
-  /** Calls on the store a second, all nodes together. */
+  /** Calls on the store a second, all instances together. */
   readonly storeCalls: number;
 }
 
@@ -24,8 +24,8 @@
 }
 
 const sizes = [8, 16, 24, 32, 48, 64, 96];
-const tenants = 16;
-const backends = 60;
+const workspaces = 16;
+const endpoints = 60;
 const millisecondsPerSecond = 1_000;
 
 /** Runs the bench, `window` milliseconds a size. */
@@ -36,20 +36,22 @@
     points.push(point);
     print(formatPoint(point));
   }
-  return { command: "npm run bench -- fleet", window, tenants, backends, points };
+  return { command: "npm run bench -- fleet", window, workspaces, endpoints, points };
 }
 
 async function measureFleet(size: number, window: number): Promise<FleetPoint> {
   const platform = StandinPlatform.create();
-  const names = Array.from({ length: tenants }, (_, index) => `tenant-${index}`);
+  const names = Array.from({ length: workspaces }, (_, index) => `workspace-${index}`);
   platform.configure({
-    tenants: names.map((name) => createTenant({ name, keys: [name], ratePerSecond: 1_000, burst: 1_000 })),
+    workspaces: names.map((name) =>
+      createWorkspace({ name, keys: [name], ratePerSecond: 1_000, burst: 1_000 }),
+    ),
   });
-  for (let index = 0; index < backends; index++)
-    platform.list({ id: `backend-${index}`, address: "127.0.0.1:1" });
+  for (let index = 0; index < endpoints; index++)
+    platform.list({ id: `endpoint-${index}`, address: "127.0.0.1:1" });
   const bench = GatewayBench.create(platform);
   for (let index = 0; index < size; index++) await bench.start();
-  const gateways = bench.nodes.map(({ gateway }) => gateway);
+  const gateways = bench.instances.map(({ gateway }) => gateway);
   await waitUntil(() => gateways.every((gateway) => gateway.fleetSize === size && gateway.isReady()));
   await waitUntil(() => gateways.every((gateway) => gateway.isCollector || gateway.isFed));
   const countCalls = (): number => platform.stores.reduce((sum, { calls }) => sum + calls, 0);
@@ -68,7 +70,7 @@
   const storeCalls = (countCalls() - callsBefore) / seconds;
   await bench.close();
   return {
-    nodes: size,
+    instances: size,
     member: getMean(rates.filter(({ isCollector }) => !isCollector)),
     collector: getMean(rates.filter(({ isCollector }) => isCollector)),
     storeCalls,
@@ -86,8 +88,8 @@
   };
 }
 
-function formatPoint({ nodes, member, collector, storeCalls }: FleetPoint): string {
+function formatPoint({ instances, member, collector, storeCalls }: FleetPoint): string {
   const format = (rate: PeerTrafficRate | undefined): string =>
     rate ? `${rate.sentBytes} B/s sent, ${rate.receivedBytes} B/s received` : "none";
-  return `${nodes} nodes: a member ${format(member)}; a collector ${format(collector)}; ${storeCalls.toFixed(1)} store calls/s`;
+  return `${instances} instances: a member ${format(member)}; a collector ${format(collector)}; ${storeCalls.toFixed(1)} store calls/s`;
 }
--- a/packages/operator/src/bench/stalenessBench.ts
+++ b/packages/operator/src/bench/stalenessBench.ts
@@ -1,12 +1,13 @@
 /**
- * `npm run bench -- staleness`: a model of engines that read prompts one after another while many nodes place requests by
- * what they knew of each engine some time ago. It tells what old knowledge costs, against choosing with full knowledge,
- * and whether choosing among few drawn engines, or by noise, makes up for it. No clock, no network: draws are seeded.
+ * `npm run bench -- staleness`: a model of engines that read prompts one after another while many instances place
+ * requests by what they knew of each engine some time ago. It tells what old knowledge costs, against choosing with
+ * full knowledge, and whether choosing among few drawn engines, or by noise, makes up for it. No clock, no network:
+ * draws are seeded.
  * @module
  */
 import { Seeded } from "../soak/seeded.js";
 
-/** How nodes choose. */
+/** How instances choose. */
 export interface ChoiceRule {
   readonly name: string;
   /** Engines drawn to choose among; undefined: all. */
@@ -18,9 +19,9 @@
 /** One measured case; times in milliseconds of waiting before a prompt is read. */
 export interface StalenessPoint {
   readonly engines: number;
-  readonly nodes: number;
+  readonly instances: number;
   readonly requestsPerSecond: number;
-  /** Mean age of what a node knows of others' requests. */
+  /** Mean age of what an instance knows of others' requests. */
   readonly ageMs: number;
   readonly rule: string;
   readonly meanMs: number;
@@ -30,7 +31,7 @@
 
 interface Fleet {
   readonly engines: number;
-  readonly nodes: number;
+  readonly instances: number;
   readonly requestsPerSecond: number;
 }
 
@@ -41,9 +42,9 @@
 }
 
 const fleets: readonly Fleet[] = [
-  { engines: 18, nodes: 24, requestsPerSecond: 110 },
-  { engines: 69, nodes: 195, requestsPerSecond: 444 },
-  { engines: 69, nodes: 195, requestsPerSecond: 800 },
+  { engines: 18, instances: 24, requestsPerSecond: 110 },
+  { engines: 69, instances: 195, requestsPerSecond: 444 },
+  { engines: 69, instances: 195, requestsPerSecond: 800 },
 ];
 const ages = [0, 10, 25, 50, 100, 375];
 const rules: readonly ChoiceRule[] = [
@@ -90,9 +91,9 @@
   for (let time = 0; time < lengthMs;) {
     time += (-Math.log(1 - getShare()) * 1_000) / fleet.requestsPerSecond;
     const readingMs = (draws.chooseWeighted(prompts)?.readingMs ?? 0) * (0.5 + getShare());
-    // A node's own requests are a share of all: it knows those at once, the others after the age.
+    // An instance's own requests are a share of all: it knows those at once, the others after the age.
     const unseen = recent.filter(
-      ({ at }) => at > time - ageMs * (0.5 + getShare()) && getShare() > 1 / fleet.nodes,
+      ({ at }) => at > time - ageMs * (0.5 + getShare()) && getShare() > 1 / fleet.instances,
     );
     const engine = chooseEngine(busyUntil, unseen, time, rule, getShare);
     const startsAt = Math.max(time, busyUntil[engine]!);
--- a/packages/standins/src/gatewayBench.ts
+++ b/packages/standins/src/gatewayBench.ts
@@ -1,10 +1,10 @@
 /**
- * One or more gateway nodes on loopback before a stand-in platform, and a caller that sees whole answers.
+ * One or more gateway instances on loopback before a stand-in platform, and a caller that sees whole answers.
  * @module
  */
 import { type IncomingHttpHeaders, request } from "node:http";
 import { createServer, type AddressInfo } from "node:net";
-import { Gateway, gatewaySchema, type GatewaySettings } from "@gladewall/gateway";
+import { Gateway, gatewaySchema, type GatewaySettings, renamedGatewaySettings } from "@gladewall/gateway";
 import { assertThat, type Closeable, Logger, parseSettings } from "@gladewall/kernel";
 import { StandinPlatform, standinPlatformName } from "./gatewayPlatform.js";
 
@@ -32,17 +32,17 @@
   readonly signal?: AbortSignal;
 }
 
-/** A node and where callers reach it. */
-export interface BenchNode {
+/** An instance and where callers reach it. */
+export interface BenchInstance {
   readonly gateway: Gateway;
   readonly settings: GatewaySettings;
 }
 
 let nextId = 1;
 
-/** Nodes of one test. */
+/** Instances of one test. */
 export class GatewayBench implements Closeable {
-  readonly nodes: BenchNode[] = [];
+  readonly instances: BenchInstance[] = [];
 
   private constructor(
     readonly platform: StandinPlatform,
@@ -56,13 +56,13 @@
     return new GatewayBench(platform, logger);
   }
 
-  /** Starts a node; `overrides` are `section.key=value`. Resolves when its ports are open. */
-  async start(overrides: readonly string[] = []): Promise<BenchNode> {
+  /** Starts an instance; `overrides` are `section.key=value`. Resolves when its ports are open. */
+  async start(overrides: readonly string[] = []): Promise<BenchInstance> {
     const [callers, readiness, peers, metrics] = await findPorts(4);
     const text = [
-      "[node]",
-      `name = node-${this.nodes.length + 1}`,
-      "zone = a",
+      "[instance]",
+      `name = instance-${this.instances.length + 1}`,
+      "hall = a",
       "first_start = true",
       "[listen]",
       `callers = 127.0.0.1:${callers}`,
@@ -76,27 +76,33 @@
       "[peers]",
       "secret = bench",
     ].join("\n");
-    const source = { file: "bench.ini", environment: {}, overrides };
+    const source = { file: "bench.ini", environment: {}, overrides, renamed: renamedGatewaySettings };
     const settings = parseSettings(gatewaySchema, text, source);
     assertThat(settings.isOk(), "the bench's settings are good");
     const gateway = Gateway.create(settings.value, this.logger);
     assertThat(gateway.isOk(), "the bench's platform is registered");
-    const node = { gateway: gateway.value, settings: settings.value };
-    this.nodes.push(node);
-    await node.gateway.start();
-    return node;
+    const instance = { gateway: gateway.value, settings: settings.value };
+    this.instances.push(instance);
+    await instance.gateway.start();
+    return instance;
   }
 
-  /** Starts a node and waits until it takes requests and knows so many backends of a service. */
-  async startReady(backends: number, service = "web", overrides: readonly string[] = []): Promise<BenchNode> {
-    const node = await this.start(overrides);
-    await waitUntil(() => node.gateway.isReady() && node.gateway.countBackends(service) >= backends);
-    return node;
+  /** Starts an instance and waits until it takes requests and knows so many endpoints of a service. */
+  async startReady(
+    endpoints: number,
+    service = "web",
+    overrides: readonly string[] = [],
+  ): Promise<BenchInstance> {
+    const instance = await this.start(overrides);
+    await waitUntil(
+      () => instance.gateway.isReady() && instance.gateway.countEndpoints(service) >= endpoints,
+    );
+    return instance;
   }
 
-  /** Sends one request to a node and resolves with what came of it. Never rejects. */
-  call(node: BenchNode, options: CallOptions = {}): Promise<CallerView> {
-    const { callers } = node.settings.listen;
+  /** Sends one request to an instance and resolves with what came of it. Never rejects. */
+  call(instance: BenchInstance, options: CallOptions = {}): Promise<CallerView> {
+    const { callers } = instance.settings.listen;
     const port = Number(callers.slice(callers.lastIndexOf(":") + 1));
     const { id = `request-${nextId++}`, method = "GET", path = "/", host = "app.test", key, body } = options;
     const headers: Record<string, string> = { host, "x-id": id, ...options.headers };
@@ -127,13 +133,13 @@
     });
   }
 
-  /** Reads a node's metrics. */
-  async readMetrics({ settings }: BenchNode): Promise<string> {
+  /** Reads an instance's metrics. */
+  async readMetrics({ settings }: BenchInstance): Promise<string> {
     return (await fetch(`http://${settings.listen.metrics}/metrics`)).text();
   }
 
   async close(): Promise<void> {
-    await Promise.all(this.nodes.map(({ gateway }) => gateway.close()));
+    await Promise.all(this.instances.map(({ gateway }) => gateway.close()));
   }
 }
 
--- a/packages/standins/src/gatewayPlatform.ts
+++ b/packages/standins/src/gatewayPlatform.ts
@@ -6,7 +6,7 @@
 import {
   type AnswerHead,
   AnswerWord,
-  type BackendRecord,
+  type EndpointRecord,
   type CallerHead,
   type CapacityOrder,
   type DispatchHead,
@@ -20,7 +20,7 @@
   RouteKind,
   type Service,
   type ServingConfiguration,
-  type Tenant,
+  type Workspace,
   type UsageReport,
 } from "@gladewall/gateway";
 import { type Clock, Failure, FailureCode, PluginKind, registerPlugin, SystemClock } from "@gladewall/kernel";
@@ -31,7 +31,7 @@
 export const standinPlatformName = "standin";
 
 const configurationKey = "operator/configuration";
-const backendPrefix = "backends/";
+const endpointPrefix = "endpoints/";
 
 /** An order as it arrived. */
 export interface TakenOrder {
@@ -40,10 +40,10 @@
   readonly capacity?: CapacityOrder;
 }
 
-/** Orders of all nodes of a test. */
+/** Orders of all instances of a test. */
 export class OrdersStandin implements OrderService {
   readonly taken: TakenOrder[] = [];
-  /** Returns what an order for backends meets. */
+  /** Returns what an order for endpoints meets. */
   getCapacityWord: (order: CapacityOrder) => OrderWord = () => OrderWord.Taken;
   isDown = false;
   /** Calls with a lower fence are refused. */
@@ -92,7 +92,7 @@
 export class StandinPlatform {
   readonly shared: SharedStore;
   readonly orders = OrdersStandin.create();
-  /** Clients of the store, in the order in which nodes were created. */
+  /** Clients of the store, in the order in which instances were created. */
   readonly stores: MetadataStoreStandin[] = [];
   private version = 0;
 
@@ -120,7 +120,7 @@
       version: this.version,
       routes: [createRoute({})],
       services: [createService({})],
-      tenants: [],
+      workspaces: [],
       limits: { maxHeaderBytes: 16_384, maxBodyBytes: 65_536, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
       ...configuration,
     };
@@ -128,21 +128,21 @@
     return this.version;
   }
 
-  /** Lists a backend, or changes its record. */
-  list(record: Partial<BackendRecord> & { readonly id: string; readonly address: string }): void {
-    const whole: BackendRecord = {
+  /** Lists an endpoint, or changes its record. */
+  list(record: Partial<EndpointRecord> & { readonly id: string; readonly address: string }): void {
+    const whole: EndpointRecord = {
       service: "web",
-      zone: "a",
+      hall: "a",
       slots: 4,
       isLeaving: false,
       isReclaimable: false,
       ...record,
     };
-    this.shared.put(`${backendPrefix}${record.id}`, JSON.stringify(whole));
+    this.shared.put(`${endpointPrefix}${record.id}`, JSON.stringify(whole));
   }
 
   unlist(id: string): void {
-    this.shared.remove(`${backendPrefix}${id}`);
+    this.shared.remove(`${endpointPrefix}${id}`);
   }
 
   createAdapter(): PlatformAdapter {
@@ -152,9 +152,9 @@
       store,
       orders: this.orders,
       callers: { readinessPath: "/ready", readHead, createOwnHeaders: () => [] },
-      backends: { createHeaders, readAnswer },
+      endpoints: { createHeaders, readAnswer },
       configurationKey,
-      backendPrefix,
+      endpointPrefix,
       decodeConfiguration: (value) => {
         const wire = JSON.parse(Buffer.from(value).toString("utf8")) as WireConfiguration;
         const services = wire.services.map((service): [string, Service] => [
@@ -163,7 +163,7 @@
         ]);
         return Ok({ ...wire, services: new Map(services) });
       },
-      decodeBackend: (_, value) => Ok(JSON.parse(Buffer.from(value).toString("utf8")) as BackendRecord),
+      decodeEndpoint: (_, value) => Ok(JSON.parse(Buffer.from(value).toString("utf8")) as EndpointRecord),
     };
   }
 }
@@ -202,17 +202,17 @@
   return { name: "web", maxConnections: 100, engine: undefined, scaling: undefined, ...service };
 }
 
-/** Creates a tenant with defaults for what is left out. */
-export function createTenant(tenant: Partial<Tenant>): Tenant {
+/** Creates a workspace with defaults for what is left out. */
+export function createWorkspace(workspace: Partial<Workspace>): Workspace {
   return {
-    name: "tenant",
+    name: "workspace",
     keys: ["key"],
     priority: 0,
     unit: QuotaUnit.Requests,
     plainTokens: 1,
     ratePerSecond: 0,
     burst: 0,
-    ...tenant,
+    ...workspace,
   };
 }
 
@@ -220,7 +220,7 @@
 function reviveService(service: Service): Service {
   const { scaling } = service;
   if (!scaling) return service;
-  return { ...service, scaling: { ...scaling, zonePrices: new Map() } };
+  return { ...service, scaling: { ...scaling, hallPrices: new Map() } };
 }
 
 function readHead(headers: IncomingHttpHeaders): Result<CallerHead, Failure> {
@@ -252,8 +252,8 @@
     const name = callerHeaders[index] ?? "";
     if (!replaced.has(name.toLowerCase())) headers.push(name, callerHeaders[index + 1] ?? "");
   }
-  headers.push("x-expect", dispatch.backendId, "x-deadline", String(Math.floor(dispatch.deadlineMs)));
-  if (dispatch.tenant !== undefined) headers.push("x-tenant", dispatch.tenant);
+  headers.push("x-expect", dispatch.endpointId, "x-deadline", String(Math.floor(dispatch.deadlineMs)));
+  if (dispatch.workspace !== undefined) headers.push("x-workspace", dispatch.workspace);
   if (dispatch.lastEventId !== undefined) headers.push("last-event-id", dispatch.lastEventId);
   return headers;
 }
@@ -265,7 +265,7 @@
   const load = undefined;
   if (headers["x-id"] !== undefined && headers["x-id"] !== requestId)
     return { word: AnswerWord.Foreign, load };
-  if (status === misdirected) return { word: AnswerWord.WrongBackend, load };
+  if (status === misdirected) return { word: AnswerWord.WrongEndpoint, load };
   if (headers["x-not-run"] !== undefined) return { word: AnswerWord.NotRun, load };
   const isUnsigned = status < firstFailure && headers["x-stamp"] === undefined;
   return { word: isUnsigned ? AnswerWord.Foreign : AnswerWord.Ran, load };
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -13,5 +13,5 @@
 export * from "./memoryKeyValue.js";
 export * from "./metadataStoreStandin.js";
 export * from "./gatewayPlatform.js";
-export * from "./scriptedBackend.js";
+export * from "./scriptedEndpoint.js";
 export * from "./gatewayBench.js";
--- a/packages/standins/src/metadataStoreStandin.ts
+++ b/packages/standins/src/metadataStoreStandin.ts
@@ -34,7 +34,7 @@
 /** Time between two looks of a watch, unless the test says otherwise. */
 const usualPollMs = 5;
 
-/** What all nodes of a test share. */
+/** What all instances of a test share. */
 export class SharedStore {
   trouble = StoreTrouble.None;
   /** Whether watches hear nothing. */
@@ -64,7 +64,7 @@
     return this.counter;
   }
 
-  /** Writes without a condition, as operators and backends do; returns the revision. */
+  /** Writes without a condition, as operators and endpoints do; returns the revision. */
   put(key: string, value: string | Uint8Array, lease?: string): number {
     this.expire();
     this.counter += 1;
@@ -127,11 +127,11 @@
   }
 }
 
-/** One node's client of the shared store. */
+/** One instance's client of the shared store. */
 export class MetadataStoreStandin implements MetadataStore {
-  /** Trouble of this node alone. */
+  /** Trouble of this instance alone. */
   trouble = StoreTrouble.None;
-  /** Calls of this node, refused ones included. */
+  /** Calls of this instance, refused ones included. */
   calls = 0;
   /** Watches among them. */
   watches = 0;
--- a/packages/standins/src/scriptedBackend.ts
+++ b/packages/standins/src/scriptedEndpoint.ts
@@ -1,13 +1,13 @@
 /**
- * A backend that answers as a test's script says, down to the bytes on its connections.
+ * An endpoint that answers as a test's script says, down to the bytes on its connections.
  * @module
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
 import type { Closeable } from "@gladewall/kernel";
 
-/** A request as the backend got it. */
-export interface BackendCall {
+/** A request as the endpoint got it. */
+export interface EndpointCall {
   readonly id: string;
   readonly method: string;
   readonly target: string;
@@ -20,11 +20,11 @@
 }
 
 /** Answers one request. */
-export type BackendScript = (call: BackendCall) => void;
+export type EndpointScript = (call: EndpointCall) => void;
 
-/** One scripted backend on loopback. */
-export class ScriptedBackend implements Closeable {
-  readonly calls: BackendCall[] = [];
+/** One scripted endpoint on loopback. */
+export class ScriptedEndpoint implements Closeable {
+  readonly calls: EndpointCall[] = [];
   connections = 0;
   private waiters: (() => void)[] = [];
 
@@ -33,16 +33,16 @@
     private readonly server: Server,
   ) {}
 
-  /** Starts a backend on a free port. */
-  static async create(id: string, script: BackendScript = answerGood): Promise<ScriptedBackend> {
+  /** Starts an endpoint on a free port. */
+  static async create(id: string, script: EndpointScript = answerGood): Promise<ScriptedEndpoint> {
     const server = createServer({ keepAliveTimeout: 60_000 });
-    const backend = new ScriptedBackend(id, server);
-    server.on("connection", () => (backend.connections += 1));
+    const endpoint = new ScriptedEndpoint(id, server);
+    server.on("connection", () => (endpoint.connections += 1));
     server.on("request", (message: IncomingMessage, response: ServerResponse) => {
       const parts: Buffer[] = [];
       message.on("data", (part: Buffer) => parts.push(part));
       message.on("end", () => {
-        const call: BackendCall = {
+        const call: EndpointCall = {
           id: String(message.headers["x-id"]),
           method: message.method ?? "",
           target: message.url ?? "",
@@ -52,17 +52,17 @@
           response,
           socket: message.socket,
         };
-        backend.calls.push(call);
-        for (const wake of backend.waiters.splice(0)) wake();
-        (backend.script ?? script)(call);
+        endpoint.calls.push(call);
+        for (const wake of endpoint.waiters.splice(0)) wake();
+        (endpoint.script ?? script)(call);
       });
     });
     await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
-    return backend;
+    return endpoint;
   }
 
   /** Replaces the script given at creation. */
-  script: BackendScript | undefined;
+  script: EndpointScript | undefined;
 
   get address(): string {
     return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
@@ -80,21 +80,21 @@
   }
 }
 
-/** Answers with a signed body that names the backend's request. */
-export function answerGood({ id, response }: BackendCall): void {
+/** Answers with a signed body that names the endpoint's request. */
+export function answerGood({ id, response }: EndpointCall): void {
   const body = `answer to ${id}`;
   response.writeHead(200, { "x-id": id, "x-stamp": "signed", "content-length": body.length });
   response.end(body);
 }
 
 /** Answers that the request was not run. */
-export function answerNotRun({ id, response }: BackendCall): void {
+export function answerNotRun({ id, response }: EndpointCall): void {
   response.writeHead(503, { "x-id": id, "x-not-run": "1", "content-length": 0 });
   response.end();
 }
 
 /** Begins a stream; the test writes events and ends it. */
-export function beginEvents({ id, response }: BackendCall): void {
+export function beginEvents({ id, response }: EndpointCall): void {
   response.writeHead(200, { "x-id": id, "x-stamp": "signed", "content-type": "text/event-stream" });
   response.flushHeaders();
 }
--- a/scripts/capacityPage.mjs
+++ b/scripts/capacityPage.mjs
@@ -45,7 +45,7 @@
 
 function formatReckoned() {
   const bytesPerLink = fit("bytes by entries").slope;
-  const perNode = size.requestsPerSecond / size.entries;
+  const perInstance = size.requestsPerSecond / size.entries;
   const memory = fit("memory by endpoints");
   const processor = fit("processor by endpoints");
   const change = Math.max(...result.points.map((p) => p.changeBytes));
@@ -75,17 +75,17 @@
     [
       "watches on the service, all entries",
       `${format(calls * size.entries, 0)} calls/s`,
-      "reckoned: calls a node × 320",
+      "reckoned: calls an instance × 320",
     ],
     [
       "claims, all entries",
       `${format(onceOnly, 0)}/s in at most 80 swaps/s`,
       "reckoned: 5% once-only; 8 shards, one swap each 100 ms",
     ],
-    ["requests a node", `${format(perNode, 0)}/s`, "reckoned: 8,000 / 320"],
+    ["requests an instance", `${format(perInstance, 0)}/s`, "reckoned: 8,000 / 320"],
     [
-      "copies and progress a node (data, not control)",
-      `${format((perNode * request("Stream").peerBytes) / 1000, 0)} kB/s`,
+      "copies and progress an instance (data, not control)",
+      `${format((perInstance * request("Stream").peerBytes) / 1000, 0)} kB/s`,
       "reckoned: bytes a streamed request of 50 tokens × requests",
     ],
   ];
--- a/scripts/gatewaySettingsPage.mjs
+++ b/scripts/gatewaySettingsPage.mjs
@@ -5,4 +5,4 @@
 import { formatReference } from "@gladewall/kernel";
 
 const page = fileURLToPath(new URL("../docs/operating/gateway-settings.md", import.meta.url));
-writeFileSync(page, `# Settings of a gateway node\n\n${formatReference(gatewaySchema).trimEnd()}\n`);
+writeFileSync(page, `# Settings of a gateway instance\n\n${formatReference(gatewaySchema).trimEnd()}\n`);
