Hold the loss of half of all records, not of one service's, for the store's own

Cause: records of half a service that vanish together in a reader's trouble counted as lapsed by the store, and were used on until it had been well for 2.2 s, 5 s at the most. A service of four endpoints loses half with two, which leave unsaid while the store turns away nobody but that one reader. Ruled out: a shorter time for all (living endpoints need two seconds to record themselves again, and after a lapse a whole service would be out); a gap in the proofs of the configuration as the sign of an outage (a short outage that lapses all records leaves none). Change: together means half of all endpoints. What a store loses, it loses of all services. Before: drawn departures of half a service used beyond the drain time of 3 s, counterexample kept.

--- a/packages/gateway/src/endpointDirectory.ts
+++ b/packages/gateway/src/endpointDirectory.ts
@@ -32,7 +32,10 @@
 const relistedWithinMs = 2_200;
 /** Longest time that endpoints are used on whose records vanished together, however long the trouble lasts. */
 const longestUnlistedMs = 5_000;
-/** Share of a service's endpoints that vanish only together, by the store's own trouble. */
+/**
+ * Share of all endpoints that vanish together only by the store's own trouble. Of one service alone it said too much: a
+ * service of four loses half with two, and those were used beyond the drain time (drawn departures of half a service).
+ */
 const togetherShare = 0.5;
 
 /** All endpoints. */
@@ -146,7 +149,7 @@
     this.setState(endpoint, EndpointState.Unlisted, "record gone in trouble", troubleAgeMs);
     clock.startTimer(this.options.unlistedMs, () => {
       // This instance's own path may have been the trouble: then the record tells of an endpoint that leaves.
-      if (!this.haveManyVanished(endpoint.record.service)) this.endUnlisted(endpoint);
+      if (!this.haveManyVanished()) this.endUnlisted(endpoint);
     });
     this.awaitRelisting(endpoint, clock.getTime() + longestUnlistedMs);
   }
@@ -162,10 +165,10 @@
     });
   }
 
-  private haveManyVanished(service: string): boolean {
-    const group = this.getOfService(service);
-    const unlisted = group.filter(({ state }) => state === EndpointState.Unlisted).length;
-    return unlisted > 1 && unlisted >= group.length * togetherShare;
+  private haveManyVanished(): boolean {
+    let unlisted = 0;
+    for (const { state } of this.endpoints.values()) unlisted += state === EndpointState.Unlisted ? 1 : 0;
+    return unlisted > 1 && unlisted >= this.endpoints.size * togetherShare;
   }
 
   private endUnlisted(endpoint: Endpoint): void {
