Keep out of a start what only compresses, starts processes or compiles WebAssembly

Cause: a profile of a start shows 30 to 60 ms of the processor in modules that serving never uses: a WebAssembly hash and its compilation, the histogram library's WebAssembly and compression, the native decoder's search for its binary (which reads files and loads child_process). On an instance with a third of a core that is three times as long. Ruled out: a cache of compiled code (10 ms less of some 190, and a second file that must match the runtime). Change: hashText in plain code (FNV-1a and a finalizer), the histogram without the library's index, cbor-x without its native part.

--- a/packages/coordination/src/claimLedger.ts
+++ b/packages/coordination/src/claimLedger.ts
@@ -10,7 +10,7 @@
  */
 import { type Clock, Failure, FailureCode, hashText, waitFor } from "@gladewall/kernel";
 import { Err, Ok, type Result } from "ts-results-es";
-import { Decoder, Encoder } from "cbor-x";
+import { Decoder, Encoder } from "cbor-x/encode";
 import type { KeyValueService } from "./types.js";
 
 /** One claim: the right of one request to be sent. */
--- a/packages/coordination/src/frames.ts
+++ b/packages/coordination/src/frames.ts
@@ -3,7 +3,7 @@
  * @module
  */
 import { Failure, FailureCode } from "@gladewall/kernel";
-import { Decoder, Encoder } from "cbor-x";
+import { Decoder, Encoder } from "cbor-x/encode";
 import { Err, Ok, type Result } from "ts-results-es";
 
 const headBytes = 4;
--- a/packages/kernel/src/hashing.ts
+++ b/packages/kernel/src/hashing.ts
@@ -2,15 +2,21 @@
  * Hashes that every process computes alike: fast text hashes and rendezvous scores.
  * @module
  */
-import xxhash from "xxhash-wasm";
-
-const hasher = await xxhash();
 // `>>> 0` turns a signed 32-bit number into an unsigned one.
 const unsignedBits = 0;
+const fnvOffset = 0x811c9dc5;
+const fnvPrime = 0x01000193;
 
-/** Returns a 32-bit hash of text. */
+/**
+ * Returns a 32-bit hash of text: FNV-1a over its UTF-16 units, then a finalizer, as FNV alone spreads short names badly.
+ * A WebAssembly hash took 20 ms of a start to compile, and a copy of the text for each call.
+ */
 export function hashText(text: string, seed = 0): number {
-  return hasher.h32(text, seed) >>> unsignedBits;
+  let hash = fnvOffset ^ seed;
+  for (let index = 0; index < text.length; index++) {
+    hash = Math.imul(hash ^ text.charCodeAt(index), fnvPrime);
+  }
+  return mixHashes(hash, 0);
 }
 
 /** Mixes two 32-bit hashes into a rendezvous score; cheap enough for every endpoint of a decision. */
--- a/packages/kernel/src/metrics.ts
+++ b/packages/kernel/src/metrics.ts
@@ -2,7 +2,9 @@
  * Metrics of a process: counters, gauges and latencies (HDR histograms), written in the Prometheus text format.
  * @module
  */
-import * as hdr from "hdr-histogram-js";
+import type { Histogram } from "hdr-histogram-js";
+// The package's index brings its compression and its WebAssembly, which took a third of a start to compile.
+import int32Histogram from "hdr-histogram-js/dist/Int32Histogram.js";
 
 /** Label values of one series. */
 export type Labels = Readonly<Record<string, string>>;
@@ -11,6 +13,8 @@
 const highestMicroseconds = 3_600_000_000;
 // Histograms start small and grow: most series never see a minute.
 const initialHighestMicroseconds = 2_000_000;
+const significantDigits = 3;
+const microsecondsPerMs = 1_000;
 
 function formatLabels(labels: Labels): string {
   const parts = Object.entries(labels).map(([key, value]) => `${key}="${escapeLabel(value)}"`);
@@ -36,18 +40,16 @@
 
 /** Latencies in milliseconds, kept in microseconds with three significant digits. */
 export class Latency {
-  private readonly histogram = hdr.build({
-    lowestDiscernibleValue: 1,
-    highestTrackableValue: initialHighestMicroseconds,
-    numberOfSignificantValueDigits: 3,
-    autoResize: true,
-    bitBucketSize: 32,
-  });
+  /** Durations in microseconds. */
+  readonly histogram: Histogram = createHistogram();
   private sum = 0;
 
   /** Records one duration in milliseconds. */
   record(milliseconds: number): void {
-    const microseconds = Math.min(highestMicroseconds, Math.max(1, Math.round(milliseconds * 1000)));
+    const microseconds = Math.min(
+      highestMicroseconds,
+      Math.max(1, Math.round(milliseconds * microsecondsPerMs)),
+    );
     this.histogram.recordValue(microseconds);
     this.sum += milliseconds;
   }
@@ -65,22 +67,22 @@
   /** Duration in milliseconds below which `share` (0..1) of the durations lie; 0 when there is none. */
   getQuantile(share: number): number {
     if (this.histogram.totalCount === 0) return 0;
-    return this.histogram.getValueAtPercentile(share * 100) / 1000;
+    return this.histogram.getValueAtPercentile(share * 100) / microsecondsPerMs;
   }
 
-  /** The histogram in HDR's compressed form, so that several entries' can be added up. */
-  encode(): string {
-    return hdr.encodeIntoCompressedBase64(this.histogram);
-  }
-
-  /** Adds a histogram that `encode` wrote. */
-  addEncoded(encoded: string): void {
-    const other = hdr.decodeFromCompressedBase64(encoded);
+  /** Adds another histogram's durations. */
+  add(other: Histogram): void {
     this.histogram.add(other);
-    this.sum += (other.mean * other.totalCount) / 1000;
+    this.sum += (other.mean * other.totalCount) / microsecondsPerMs;
   }
 }
 
+function createHistogram(): Histogram {
+  const histogram = new int32Histogram.default(1, initialHighestMicroseconds, significantDigits);
+  histogram.autoResize = true;
+  return histogram;
+}
+
 interface Family<T> {
   readonly help: string;
   readonly series: Map<string, T>;
--- a/packages/kernel/test/kernel.test.ts
+++ b/packages/kernel/test/kernel.test.ts
@@ -16,6 +16,7 @@
   VirtualClock,
   waitFor,
 } from "../src/index.js";
+import { addEncodedLatency, encodeLatency } from "../src/latencyCodec.js";
 
 t.test("a logfmt line quotes what could break it and keeps control bytes out", async (t) => {
   t.equal(formatLine({ a: 1, b: "x y", c: 'q"', d: undefined, e: "a=b" }), 'a=1 b="x y" c="q\\"" e="a=b"');
@@ -53,7 +54,7 @@
   const [left, right] = [new Latency(), new Latency()];
   for (let value = 1; value <= 50; value++) left.record(value);
   for (let value = 51; value <= 100; value++) right.record(value);
-  left.addEncoded(right.encode());
+  addEncodedLatency(left, encodeLatency(right));
   t.equal(left.getCount(), 100);
   t.ok(Math.abs(left.getQuantile(0.95) - 95) < 0.2);
 });
