--- a/packages/gateway/src/endpoint.ts
+++ b/packages/gateway/src/endpoint.ts
@@ -2,6 +2,7 @@
  * One endpoint as this instance knows it: its record, whether it takes work, and how it has answered lately.
  * @module
  */
+import { hashText } from "@gladewall/kernel";
 import type { EndpointLoad, EndpointRecord } from "./types.js";
 
 /** Whether an endpoint takes work. */
@@ -44,7 +45,12 @@
   private failureShare = 0;
   private failureShareAt = 0;
 
-  private constructor(public record: EndpointRecord) {}
+  /** Hash of the id, the same on all instances. */
+  readonly hash: number;
+
+  private constructor(public record: EndpointRecord) {
+    this.hash = hashText(record.id);
+  }
 
   static create(record: EndpointRecord): Endpoint {
     return new Endpoint(record);
@@ -74,6 +80,7 @@
 
   /** Share of late attempts that failed, 0 to 1; fades, or an endpoint that failed would never be tried again. */
   getFailureShare(time: number): number {
+    if (this.failureShare === 0) return 0;
     const age = Math.max(0, time - this.failureShareAt);
     return this.failureShare * 0.5 ** (age / failureHalfLifeMs);
   }
--- a/packages/gateway/src/placement.ts
+++ b/packages/gateway/src/placement.ts
@@ -67,29 +67,33 @@
 
   /** Chooses the endpoint with the least expected time; undefined where none takes work. */
   choose(request: PlacementRequest): Placement | undefined {
-    const candidates = this.getCandidates(request);
+    const time = this.options.clock.getTime();
+    const candidates = this.getCandidates(request, time);
     const home = findHome(request.parts, candidates);
     let best: Placement | undefined;
     let bestScore = Infinity;
     for (const endpoint of candidates) {
+      const peers = this.options.getPeerWork(endpoint.id);
       const uncachedTokens = this.getUncachedTokens(request, endpoint, endpoint === home);
-      const expectedMs = this.getExpectedMs(request.service, endpoint, uncachedTokens);
-      const score = expectedMs + this.getPenalty(endpoint) + this.options.getRandom() * spreadMs;
+      const expectedMs = this.getExpectedMs(request.service, endpoint, peers, uncachedTokens);
+      const score = expectedMs + getPenalty(endpoint, time) + this.options.getRandom() * spreadMs;
       if (score >= bestScore) continue;
       bestScore = score;
-      const tokensAhead = this.getPendingTokens(endpoint);
+      const tokensAhead = endpoint.pendingTokens + peers.pendingTokens;
       best = { endpoint, uncachedTokens, expectedMs, tokensAhead, candidates: candidates.length };
     }
     return best;
   }
 
-  private getCandidates({ service, excluded }: PlacementRequest): readonly Endpoint[] {
-    const time = this.options.clock.getTime();
-    const usable = this.options.getEndpoints(service.name).filter((endpoint) => endpoint.isUsable());
-    const fresh = usable.filter((endpoint) => !excluded.has(endpoint.id));
-    const sound = fresh.filter((endpoint) => !endpoint.isSuspect(time));
-    if (sound.length > 0) return sound;
-    return fresh;
+  private getCandidates({ service, excluded }: PlacementRequest, time: number): readonly Endpoint[] {
+    const fresh: Endpoint[] = [];
+    const sound: Endpoint[] = [];
+    for (const endpoint of this.options.getEndpoints(service.name)) {
+      if (!endpoint.isUsable() || excluded.has(endpoint.id)) continue;
+      fresh.push(endpoint);
+      if (!endpoint.isSuspect(time)) sound.push(endpoint);
+    }
+    return sound.length > 0 ? sound : fresh;
   }
 
   private getUncachedTokens(
@@ -109,27 +113,27 @@
     return Math.max(1, promptTokens - cached);
   }
 
-  private getExpectedMs(service: Service, endpoint: Endpoint, uncachedTokens: number): number {
-    const peers = this.options.getPeerWork(endpoint.id);
+  private getExpectedMs(
+    service: Service,
+    endpoint: Endpoint,
+    peers: PeerWork,
+    uncachedTokens: number,
+  ): number {
     const active = endpoint.active + peers.active;
     if (!service.engine) {
       const latency = endpoint.latencyMs ?? unknownLatencyMs;
       return latency * (1 + active / Math.max(1, endpoint.record.slots));
     }
-    const tokens = this.getPendingTokens(endpoint) + uncachedTokens;
+    const tokens = endpoint.pendingTokens + peers.pendingTokens + uncachedTokens;
     const readingMs = tokens / this.options.getReadingRate(service.name);
     const full = active >= service.engine.slots ? active - service.engine.slots + 1 : 0;
     return readingMs + active * runningCostMs + full * unknownLatencyMs;
   }
+}
 
-  private getPendingTokens(endpoint: Endpoint): number {
-    return endpoint.pendingTokens + this.options.getPeerWork(endpoint.id).pendingTokens;
-  }
-
-  private getPenalty(endpoint: Endpoint): number {
-    const unlisted = endpoint.state === EndpointState.Unlisted ? unlistedPenaltyMs : 0;
-    return endpoint.getFailureShare(this.options.clock.getTime()) * failurePenaltyMs + unlisted;
-  }
+function getPenalty(endpoint: Endpoint, time: number): number {
+  const unlisted = endpoint.state === EndpointState.Unlisted ? unlistedPenaltyMs : 0;
+  return endpoint.getFailureShare(time) * failurePenaltyMs + unlisted;
 }
 
 /** The endpoint that all instances choose alike for prompts with the same shared parts. */
@@ -140,7 +144,7 @@
   let home: Endpoint | undefined;
   let highest = -1;
   for (const endpoint of candidates) {
-    const score = mixHashes(partHash, hashText(endpoint.id));
+    const score = mixHashes(partHash, endpoint.hash);
     if (score <= highest) continue;
     highest = score;
     home = endpoint;
