Say once that the fleet has changed when it is listed

Cause: each record of a listing was told by itself, so while the first listing was taken a large fleet looked small, and an instance began a link to each of up to ten peers it then dropped: noted before as 1,300 links of 19 instances. Change: what comes together is told once, when all of it is in the list. A test lists 40 instances: told 40 times with sizes from 1 up before, once with 40 after.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -7,6 +7,7 @@
 export { Gateway } from "./gateway.js";
 export { runGatewayDaemon } from "./daemon.js";
 export { Admission } from "./admission.js";
+export { MemberRecords } from "./memberRecords.js";
 export { isWholeAnswer, readWholeBody } from "./answerBody.js";
 export { AskedReader } from "./askedReader.js";
 export { Attempt, AttemptEnd } from "./attempt.js";
--- a/packages/gateway/src/memberRecords.ts
+++ b/packages/gateway/src/memberRecords.ts
@@ -23,7 +23,7 @@
   readonly address: string;
   /** How much the instance can carry of what is done for all; any unit that all instances share. */
   readonly capacity: number;
-  /** Called after each change, and now and then without one. */
+  /** Called after changes, once for those that came together. */
   readonly onChange: () => void;
   /** Whether an instance is linked: its record is kept even where the store has none. */
   readonly isLinked: (name: string) => boolean;
@@ -52,6 +52,7 @@
   /** Timers after which vanished records are forgotten. */
   private readonly forgetTimers = new Map<string, Timer>();
   private lease: string | undefined;
+  private isChangeDue = false;
   /** When a name was listed that was not before. */
   private grownAt: number;
   private task: Promise<void> = Promise.resolve();
@@ -158,7 +159,20 @@
     const name = item.key.slice(memberPrefix.length);
     if (!this.records.has(name)) this.grownAt = this.options.clock.getTime();
     this.records.set(name, record);
-    this.options.onChange();
+    this.announceChange();
+  }
+
+  /**
+   * Says once that the list has changed, when all that came together is in it: said for each record of a listing, a large
+   * fleet looked small for a moment, and 19 instances made and dropped 1,300 links as they started.
+   */
+  private announceChange(): void {
+    if (this.isChangeDue) return;
+    this.isChangeDue = true;
+    queueMicrotask(() => {
+      this.isChangeDue = false;
+      if (!this.stop.signal.aborted) this.options.onChange();
+    });
   }
 
   private handleRemoved(key: string): void {
@@ -170,7 +184,7 @@
     const timer = this.options.clock.startTimer(vanishedMs, () => {
       if (this.records.get(name) !== record || this.options.isLinked(name)) return;
       this.records.delete(name);
-      this.options.onChange();
+      this.announceChange();
     });
     this.forgetTimers.set(name, timer);
   }
--- /dev/null
+++ b/packages/gateway/test/restarts.test.ts
@@ -0,0 +1,36 @@
+/*
+ * What happened: after all instances had been killed at once, the first second served few. Requests that came before an
+ * instance knew its configuration were refused and came back late, limits counted nine tenths of their room as taken, and
+ * instances linked with many peers that they dropped at once.
+ */
+import t from "tap";
+import { MemberRecords } from "@gladewall/gateway";
+import { Logger, VirtualClock } from "@gladewall/kernel";
+import { StandinPlatform } from "@gladewall/standins";
+
+t.test("a fleet that is listed at once is told of once", async (t) => {
+  const clock = VirtualClock.create();
+  const platform = StandinPlatform.create(clock);
+  for (let index = 0; index < 40; index++) {
+    const record = { address: `127.0.0.1:${index + 1}`, incarnation: 1 };
+    platform.shared.put(`gladewall/members/instance-${index}`, JSON.stringify(record));
+  }
+  const sizes: number[] = [];
+  const records: MemberRecords = MemberRecords.create({
+    store: platform.createAdapter().store,
+    clock,
+    logger: Logger.createSilent(),
+    name: "own",
+    incarnation: 1,
+    address: "127.0.0.1:99",
+    capacity: 1,
+    onChange: () => void sizes.push(records.size),
+    isLinked: () => false,
+  });
+  records.start();
+  await clock.advance(50);
+  t.ok(sizes.length > 0 && sizes.every((size) => size >= 40), sizes.join());
+  const closed = records.close();
+  await clock.advance(20_000);
+  await closed;
+});
