Let requests wait for an instance that is just starting

Cause: logs of a kill of all 17 instances: the first requests reach an instance 0.1 to 0.3 s before it knows its configuration and endpoints, get 503 with 500 ms to come back, or 503 for want of an endpoint, and then are late. Ruled out: a shorter time to come back (a new connection each, and the way twice). Change: for the first 400 ms of a life, a setting, a request waits until the instance knows enough; after that it is refused at once as before.

--- a/packages/gateway/src/gatewaySettings.ts
+++ b/packages/gateway/src/gatewaySettings.ts
@@ -29,6 +29,12 @@
     readiness: createAddress("where the platform asks whether the instance is ready"),
     peers: createAddress("where other instances connect"),
     metrics: createAddress("where metrics are read", "127.0.0.1:0"),
+    // An instance knows enough 0.1 to 0.3 s after its first open port (logs of restarts); who is refused comes back late.
+    start_hold: createDuration(
+      400,
+      [0, minute],
+      "time after a start in which requests wait for the instance to be ready",
+    ),
   },
   platform: {
     adapter: createText("name of the platform plug-in"),
--- a/packages/gateway/src/requestServer.ts
+++ b/packages/gateway/src/requestServer.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { Failure, FailureCode } from "@gladewall/kernel";
+import { Failure, FailureCode, waitFor } from "@gladewall/kernel";
 import { Ok, type Result } from "ts-results-es";
 import type { Admitted } from "./admission.js";
 import { writeFailure } from "./answerWriter.js";
@@ -25,6 +25,7 @@
 }
 
 const leavingRetryMs = 200;
+const startingCheckMs = 10;
 /** Requests that may last longer than this are refused once the instance leaves. */
 const shortRequestMs = 2_500;
 
@@ -34,9 +35,11 @@
   private readonly exchanges = new Set<Exchange>();
   private openCount = 0;
   private isStopped = false;
+  private readonly startedAt: number;
 
   private constructor(private readonly options: RequestServerOptions) {
     const { parts, getLeavingSince } = options;
+    this.startedAt = parts.clock.getTime();
     this.exchangeParts = { ...parts, isLeaving: () => getLeavingSince() !== undefined };
   }
 
@@ -81,6 +84,7 @@
     arrivedAt: number,
   ): Promise<Failure | undefined> {
     if (this.isStopped) return Failure.create(FailureCode.Leaving, {}, leavingRetryMs);
+    if (this.isStarting) await this.awaitStart(message);
     const admitted = this.options.parts.admission.admit(message.headers.host ?? "", message.url ?? "/", head);
     if (admitted.isErr()) return admitted.error;
     const { route, table } = admitted.value;
@@ -110,6 +114,17 @@
     return undefined;
   }
 
+  /** Whether the instance has just begun and does not know enough yet. */
+  private get isStarting(): boolean {
+    const { follower, directory, clock, settings } = this.options.parts;
+    if (follower.isProven() && directory.isListed) return false;
+    return clock.getTime() - this.startedAt < settings.listen.start_hold;
+  }
+
+  private async awaitStart(message: IncomingMessage): Promise<void> {
+    while (this.isStarting && !message.destroyed) await waitFor(this.options.parts.clock, startingCheckMs);
+  }
+
   private charge({ workspace }: Admitted, head: CallerHead): Result<number, Failure> {
     if (!workspace) return Ok(0);
     const cost = this.options.parts.admission.getCost(workspace, head);
--- a/packages/gateway/test/restarts.test.ts
+++ b/packages/gateway/test/restarts.test.ts
@@ -6,7 +6,38 @@
 import t from "tap";
 import { MemberRecords } from "@gladewall/gateway";
 import { Logger, VirtualClock } from "@gladewall/kernel";
-import { StandinPlatform } from "@gladewall/standins";
+import {
+  answerGood,
+  GatewayBench,
+  ScriptedEndpoint,
+  StandinPlatform,
+  StoreTrouble,
+} from "@gladewall/standins";
+
+t.test("a request that comes while an instance starts waits for it and is served", async (t) => {
+  const bench = GatewayBench.create();
+  bench.platform.configure({});
+  const endpoint = await ScriptedEndpoint.create("b", answerGood);
+  bench.platform.list({ id: "b", address: endpoint.address });
+  bench.platform.shared.trouble = StoreTrouble.Down;
+  const instance = await bench.start(["configuration.proof_interval=50", "listen.start_hold=60000"]);
+  t.teardown(() => Promise.all([bench.close(), endpoint.close()]));
+  const answer = bench.call(instance);
+  while (!(await bench.readMetrics(instance)).includes("gladewall_open_requests 1")) continue;
+  t.equal(instance.gateway.isReady(), false);
+  bench.platform.shared.trouble = StoreTrouble.None;
+  t.equal((await answer).status, 200);
+});
+
+t.test("one that comes to an instance which has not known enough for longer is refused", async (t) => {
+  const bench = GatewayBench.create();
+  bench.platform.shared.trouble = StoreTrouble.Down;
+  const instance = await bench.start(["listen.start_hold=0"]);
+  t.teardown(() => bench.close());
+  const refused = await bench.call(instance);
+  t.equal(refused.status, 503);
+  t.ok(Number(refused.headers["retry-after"]) > 0);
+});
 
 t.test("a fleet that is listed at once is told of once", async (t) => {
   const clock = VirtualClock.create();
