Count less of a limit as taken after a restart, where the slack bears it

Change: what is counted as free is half of the slack that is not given out otherwise, and a tenth of the room at least: two restarts of the whole fleet within a window fit into the operators' bound.

--- a/packages/gateway/src/admission.ts
+++ b/packages/gateway/src/admission.ts
@@ -36,10 +36,12 @@
 }
 
 const notReadyRetryMs = 500;
-/** Share of the room that a life which does not know what was used before it counts as taken. */
-const seededShare = 0.9;
-/** Share of the slack that is given out; the rest covers delays between instances. */
+/** Most of the room that a life which does not know what was used before it counts as taken. */
+const mostSeededShare = 0.9;
+/** Share of the slack that is given out; the rest covers delays between instances, and what restarts don't know. */
 const usedSlackShare = 0.35;
+/** Share of the rest that one restart of the whole fleet may give out again: two of them within a window fit into it. */
+const restartSlackShare = 0.5;
 const shortestRetryMs = 300;
 const percent = 100;
 
@@ -130,12 +132,17 @@
     if (workspace.ratePerSecond > 0) this.options.counters.add(CounterKind.Quota, workspace.name, -cost);
   }
 
-  /** A life that is not the first cannot know what was used just before it: it counts the room as taken. */
+  /** A life that is not the first cannot know what was used just before it: it counts most of the room as taken. */
   private seedOnce(workspace: Workspace, room: number): void {
     if (this.seeded.has(workspace.name)) return;
     this.seeded.add(workspace.name);
     const { counters, quotaWindowMs, isFirstStart } = this.options;
     if (isFirstStart || counters.isInformed || counters.getUptime() > quotaWindowMs) return;
-    counters.seed(CounterKind.Quota, workspace.name, room * seededShare);
+    const unknown = this.options.quotaSlack * (1 - usedSlackShare) * restartSlackShare;
+    const seeded = Math.min(
+      room * mostSeededShare,
+      Math.max(0, room - unknown * this.options.getKnownShare()),
+    );
+    counters.seed(CounterKind.Quota, workspace.name, seeded);
   }
 }
--- a/packages/gateway/test/restarts.test.ts
+++ b/packages/gateway/test/restarts.test.ts
@@ -4,10 +4,17 @@
  * instances linked with many peers that they dropped at once.
  */
 import t from "tap";
-import { MemberRecords } from "@gladewall/gateway";
+import {
+  Admission,
+  ConfigurationFollower,
+  CounterKind,
+  MemberRecords,
+  SharedCounters,
+} from "@gladewall/gateway";
 import { Logger, VirtualClock } from "@gladewall/kernel";
 import {
   answerGood,
+  createWorkspace,
   GatewayBench,
   ScriptedEndpoint,
   StandinPlatform,
@@ -39,6 +46,64 @@
   t.ok(Number(refused.headers["retry-after"]) > 0);
 });
 
+const windowMs = 8_000;
+const windows = {
+  [CounterKind.Quota]: windowMs,
+  [CounterKind.Requests]: 10_000,
+  [CounterKind.Repeats]: 10_000,
+  [CounterKind.Work]: 4_000,
+};
+const limit = { ratePerSecond: 36_000, burst: 36_000 };
+const quotaSlack = 140_000;
+
+/** Takes as much of a limit as one life of the fleet gives out over some time; returns the units taken. */
+async function takeAll(clock: VirtualClock, isFirstStart: boolean, forMs: number): Promise<number> {
+  const follower = ConfigurationFollower.create({
+    platform: StandinPlatform.create(clock).createAdapter(),
+    clock,
+    logger: Logger.createSilent(),
+    proofIntervalMs: 1_500,
+    readerIntervalMs: 600,
+    proofLifetimeMs: 4_600,
+    askPeers: async () => [],
+  });
+  const admission = Admission.create({
+    clock,
+    follower,
+    counters: SharedCounters.create({ clock, windows }),
+    quotaWindowMs: windowMs,
+    quotaSlack,
+    isFirstStart,
+    getKnownShare: () => 1,
+    getRandom: () => 0,
+  });
+  const workspace = createWorkspace(limit);
+  let taken = 0;
+  for (let time = 0; time < forMs; time += 100) {
+    while (admission.takeQuota(workspace, 1_000).isOk()) taken += 1_000;
+    await clock.advance(100);
+  }
+  return taken;
+}
+
+t.test(
+  "restarts of the whole fleet neither exceed a limit nor refuse all that comes after them",
+  async (t) => {
+    const { ratePerSecond, burst } = limit;
+    for (const livesMs of [[4_000], [1_000, 3_000], [2_000, 2_000, 2_000], [500, 500, 6_000]]) {
+      const clock = VirtualClock.create();
+      let taken = await takeAll(clock, true, 1_000);
+      const before = taken;
+      for (const lifeMs of livesMs) taken += await takeAll(clock, false, lifeMs);
+      const allowed = (ratePerSecond * windowMs) / 1_000 + burst;
+      t.ok(taken <= allowed * 1.1 + quotaSlack, `${taken} of ${allowed * 1.1 + quotaSlack}`);
+      t.ok(before > burst);
+    }
+    const atOnce = await takeAll(VirtualClock.create(), false, 100);
+    t.ok(atOnce >= ratePerSecond, `a second's worth at once: ${atOnce}`);
+  },
+);
+
 t.test("a fleet that is listed at once is told of once", async (t) => {
   const clock = VirtualClock.create();
   const platform = StandinPlatform.create(clock);
