--- a/packages/gateway/test/largeFleet.test.ts
+++ b/packages/gateway/test/largeFleet.test.ts
@@ -2,16 +2,15 @@
 import { Collectors, CounterKind, QuotaUnit, SharedCounters } from "@gladewall/gateway";
 import { SystemClock, VirtualClock } from "@gladewall/kernel";
 import {
-  answerGood,
   type BenchInstance,
   type CallerView,
   createRoute,
   createWorkspace,
   GatewayBench,
-  ScriptedEndpoint,
   StoreTrouble,
   waitUntil,
 } from "@gladewall/standins";
+import { startFleet } from "./startedFleet.js";
 
 const windows = {
   [CounterKind.Quota]: 8_000,
@@ -27,17 +26,13 @@
 
 /** A fleet of six instances that is larger than what may be a mesh. */
 async function createFleet(t: Pick<Test, "teardown">, burst: number, more: readonly string[] = []) {
-  const bench = GatewayBench.create();
-  bench.platform.configure({
-    workspaces: [createWorkspace({ ratePerSecond: 0.001, burst, unit: QuotaUnit.Tokens })],
-  });
-  const endpoint = await ScriptedEndpoint.create("b", answerGood);
-  bench.platform.list({ id: "b", address: endpoint.address });
-  const overrides = ["peers.report_interval=20", "peers.large_fleet_interval=20", "peers.largest_mesh=2"];
-  for (let index = 0; index < 6; index++) {
-    await bench.startReady(1, "web", [...overrides, ...more, `peers.capacity=${index}`]);
-  }
-  t.teardown(() => Promise.all([bench.close(), endpoint.close()]));
+  const workspace = createWorkspace({ ratePerSecond: 0.001, burst, unit: QuotaUnit.Tokens });
+  const { bench, endpoint } = await startFleet(
+    t,
+    6,
+    ({ platform }) => platform.configure({ workspaces: [workspace] }),
+    ["peers.report_interval=20", "peers.large_fleet_interval=20", "peers.largest_mesh=2", ...more],
+  );
   await waitUntil(() => bench.instances.every(({ gateway }) => gateway.fleetSize === 6));
   return { bench, endpoint };
 }
--- a/packages/gateway/test/readers.test.ts
+++ b/packages/gateway/test/readers.test.ts
@@ -1,39 +1,23 @@
 import t, { type Test } from "tap";
-import {
-  AskedReader,
-  ConfigurationFollower,
-  createFeedTimes,
-  PrefixFollower,
-  StoreRole,
-} from "@gladewall/gateway";
+import { AskedReader, createFeedTimes, PrefixFollower, StoreRole } from "@gladewall/gateway";
 import { Logger, SystemClock, VirtualClock } from "@gladewall/kernel";
-import {
-  answerGood,
-  createWorkspace,
-  GatewayBench,
-  ScriptedEndpoint,
-  StandinPlatform,
-  StoreTrouble,
-  waitUntil,
-} from "@gladewall/standins";
+import { createWorkspace, StandinPlatform, StoreTrouble, waitUntil } from "@gladewall/standins";
+import { createConfigurationFollower } from "./followers.js";
+import { startFleet } from "./startedFleet.js";
 
 /** A fleet so small that every instance hears every other; all of them know an endpoint. */
 async function createSmallFleet(t: Pick<Test, "teardown">, size: number) {
-  const bench = GatewayBench.create();
-  bench.platform.configure({ workspaces: [createWorkspace({ keys: ["one"] })] });
-  const endpoint = await ScriptedEndpoint.create("b", answerGood);
-  bench.platform.list({ id: "b", address: endpoint.address });
-  const overrides = [
-    "peers.report_interval=20",
-    "configuration.proof_interval=50",
-    "configuration.revoke_within=4000",
-    "configuration.revoke_margin=100",
-  ];
-  for (let index = 0; index < size; index++) {
-    await bench.startReady(1, "web", [...overrides, `peers.capacity=${index}`]);
-  }
-  t.teardown(() => Promise.all([bench.close(), endpoint.close()]));
-  const { instances } = bench;
+  const { bench, endpoint, instances } = await startFleet(
+    t,
+    size,
+    ({ platform }) => platform.configure({ workspaces: [createWorkspace({ keys: ["one"] })] }),
+    [
+      "peers.report_interval=20",
+      "configuration.proof_interval=50",
+      "configuration.revoke_within=4000",
+      "configuration.revoke_margin=100",
+    ],
+  );
   await waitUntil(() => instances.every(({ gateway }) => gateway.linkedPeers === size - 1));
   // Each instance begins as a reader, while it knows of no other.
   await waitUntil(() => instances.every(({ gateway }, index) => gateway.isReader === index >= size - 3));
@@ -125,15 +109,7 @@
   const clock = VirtualClock.create();
   const platform = StandinPlatform.create(clock);
   platform.configure({});
-  const follower = ConfigurationFollower.create({
-    platform: platform.createAdapter(),
-    clock,
-    logger: Logger.createSilent(),
-    proofIntervalMs: 1_500,
-    readerIntervalMs: 600,
-    proofLifetimeMs: 4_600,
-    askPeers: async () => [],
-  });
+  const follower = createConfigurationFollower(platform, clock);
   follower.start();
   t.teardown(() => follower.close());
   const countReads = async (role: StoreRole): Promise<number> => {
@@ -194,16 +170,7 @@
     const clock = VirtualClock.create();
     const platform = StandinPlatform.create(clock);
     platform.configure({});
-    const follower = ConfigurationFollower.create({
-      platform: platform.createAdapter(),
-      clock,
-      logger: Logger.createSilent(),
-      proofIntervalMs: 1_500,
-      readerIntervalMs: 600,
-      proofLifetimeMs: 4_600,
-      firstWatchPauseMs: 800,
-      askPeers: async () => [],
-    });
+    const follower = createConfigurationFollower(platform, clock, { firstWatchPauseMs: 800 });
     follower.start();
     await clock.advance(700);
     t.equal(follower.getTable()?.version, 1);
--- a/packages/gateway/test/restarts.test.ts
+++ b/packages/gateway/test/restarts.test.ts
@@ -4,13 +4,7 @@
  * instances linked with many peers that they dropped at once.
  */
 import t from "tap";
-import {
-  Admission,
-  ConfigurationFollower,
-  CounterKind,
-  MemberRecords,
-  SharedCounters,
-} from "@gladewall/gateway";
+import { Admission, CounterKind, MemberRecords, SharedCounters } from "@gladewall/gateway";
 import { Logger, VirtualClock } from "@gladewall/kernel";
 import {
   answerGood,
@@ -20,6 +14,7 @@
   StandinPlatform,
   StoreTrouble,
 } from "@gladewall/standins";
+import { createConfigurationFollower } from "./followers.js";
 
 t.test("a request that comes while an instance starts waits for it and is served", async (t) => {
   const bench = GatewayBench.create();
@@ -58,15 +53,7 @@
 
 /** Takes as much of a limit as one life of the fleet gives out over some time; returns the units taken. */
 async function takeAll(clock: VirtualClock, isFirstStart: boolean, forMs: number): Promise<number> {
-  const follower = ConfigurationFollower.create({
-    platform: StandinPlatform.create(clock).createAdapter(),
-    clock,
-    logger: Logger.createSilent(),
-    proofIntervalMs: 1_500,
-    readerIntervalMs: 600,
-    proofLifetimeMs: 4_600,
-    askPeers: async () => [],
-  });
+  const follower = createConfigurationFollower(StandinPlatform.create(clock), clock);
   const admission = Admission.create({
     clock,
     follower,
--- /dev/null
+++ b/packages/gateway/test/startedFleet.ts
@@ -0,0 +1,25 @@
+/**
+ * A fleet of instances of one test, started one after the other before one endpoint that all of them know; each can carry
+ * more than the one before it.
+ * @module
+ */
+import type { Test } from "tap";
+import { answerGood, GatewayBench, ScriptedEndpoint } from "@gladewall/standins";
+
+/** Starts so many instances on a platform that `prepare` has configured; `overrides` are `section.key=value`. */
+export async function startFleet(
+  t: Pick<Test, "teardown">,
+  size: number,
+  prepare: (bench: GatewayBench) => void,
+  overrides: readonly string[],
+) {
+  const bench = GatewayBench.create();
+  prepare(bench);
+  const endpoint = await ScriptedEndpoint.create("b", answerGood);
+  bench.platform.list({ id: "b", address: endpoint.address });
+  for (let index = 0; index < size; index++) {
+    await bench.startReady(1, "web", [...overrides, `peers.capacity=${index}`]);
+  }
+  t.teardown(() => Promise.all([bench.close(), endpoint.close()]));
+  return { bench, endpoint, instances: bench.instances };
+}
