--- a/packages/gateway/src/endpoint.ts
+++ b/packages/gateway/src/endpoint.ts
@@ -42,8 +42,6 @@
   latencyMs: number | undefined;
   private suspectUntil = -Infinity;
   private suspicions = 0;
-  /** Tries that were silent for too long since the last one that ended well. */
-  private silences = 0;
   private failureShare = 0;
   private failureShareAt = 0;
 
@@ -95,19 +93,9 @@
     if (this.failureShare < soundShare) this.failureShare = 0;
     if (!isGood) return;
     this.suspicions = 0;
-    this.silences = 0;
     this.suspectUntil = -Infinity;
   }
 
-  /**
-   * Takes note of a try that was silent for too long. One in a hundred is so at any endpoint: only where another follows
-   * before an answer does it count as a failure. Counted at once, late answers of a web service rose from 25 to 60 of 1,157.
-   */
-  noteSilence(time: number): void {
-    this.silences += 1;
-    if (this.silences > 1) this.noteEnd(false, time);
-  }
-
   noteLatency(milliseconds: number): void {
     this.latencyMs ??= milliseconds;
     this.latencyMs += (milliseconds - this.latencyMs) * latencyWeight;
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -43,10 +43,6 @@
   private isCounted = false;
   private isOver = false;
   private timer: Timer | undefined;
-  /** Runs while nothing has come of the try under way. */
-  private silence: Timer | undefined;
-  /** Whether the last try was given up for its silence: that is noted of its endpoint already. */
-  private isSilenced = false;
   private readonly endsAt: number;
   private end: ExchangeEnd | undefined;
 
@@ -76,7 +72,6 @@
     if (next === Next.GiveUp && !this.isOver) this.answerFailure(this.createFinalFailure());
     this.isOver = true;
     this.timer.cancel();
-    this.silence?.cancel();
     response.off("close", handleClose);
     return this.end ?? this.createEnd(response.statusCode, this.history.runs > 0, undefined);
   }
@@ -97,8 +92,9 @@
   }
 
   private async tryOnce(): Promise<Next> {
-    const { service } = this.request;
-    const placement = this.choosePlacement();
+    const { service, head } = this.request;
+    const { promptTokens = 0, parts } = head;
+    const placement = this.parts.placer.choose({ service, promptTokens, parts, excluded: this.excluded });
     if (!placement) {
       this.history.noteNoEndpoint(createRefusal(FailureCode.NoEndpoint, service));
       return Next.GiveUp;
@@ -126,13 +122,6 @@
     return next;
   }
 
-  /** Chooses among the endpoints that the request was not sent to yet. */
-  private choosePlacement(): Placement | undefined {
-    const { service, head } = this.request;
-    const { promptTokens = 0, parts } = head;
-    return this.parts.placer.choose({ service, promptTokens, parts, excluded: this.excluded });
-  }
-
   private tellIfLong({ endpoint }: Placement, tokens: number): void {
     const { rates, tellPlaced } = this.parts;
     if (tokens / rates.get(this.request.service.name) < toldAtOnceMs) return;
@@ -145,13 +134,11 @@
     const beganAt = this.parts.getTimeOfDay();
     const attempt = this.createAttempt(endpoint);
     this.attempt = attempt;
-    this.awaitFirst(placement, attempt);
     const result = await attempt.result;
     this.parts.metrics.countAttempt(this.request.service.name, AttemptEnd[result.end]);
     if (result.end !== AttemptEnd.NotSent) this.history.noteArrival();
     if (result.load) endpoint.noteLoad(result.load, this.parts.clock.getTime());
     if (this.isOver) return Next.Done;
-    if (result.end !== AttemptEnd.Answered) this.silence?.cancel();
     if (result.end !== AttemptEnd.Answered || !result.response)
       return this.handleNoAnswer(endpoint, result, beganAt);
     this.history.noteRun();
@@ -159,45 +146,7 @@
     const isStream = route.kind === RouteKind.Stream && (result.response.statusCode ?? 0) < 300;
     if (isStream) return this.relayStream(placement, result.response, startedAt, clearPending);
     this.countOnce(beganAt);
-    return this.answerWhole(placement, result.response, startedAt);
-  }
-
-  /**
-   * Notes the silence of an endpoint that has given nothing after as long as others take. What may be repeated is then
-   * tried elsewhere; what may not is waited for, and the endpoint gets less of what comes after it.
-   */
-  private awaitFirst({ endpoint, expectedMs }: Placement, attempt: Attempt): void {
-    const { clock, times } = this.parts;
-    const { service } = this.request;
-    const patienceMs = times.getPatience(service.name, expectedMs);
-    this.isSilenced = false;
-    this.silence = clock.startTimer(patienceMs, () => {
-      const isGivenUp = this.canRepeatNow(expectedMs);
-      this.log("attempt.silent", {
-        endpoint: endpoint.id,
-        expectedMs: Math.round(expectedMs),
-        patienceMs: Math.round(patienceMs),
-        isGivenUp,
-      });
-      endpoint.noteSilence(clock.getTime());
-      this.isSilenced = isGivenUp;
-      if (isGivenUp) attempt.abort("silent");
-    });
-  }
-
-  /** Whether another try may begin now, and has time to be served. */
-  private canRepeatNow(expectedMs: number): boolean {
-    const { service, admitted } = this.request;
-    const isAllowed =
-      this.isRepeatable && !this.isOver && this.history.arrivals + 1 < admitted.route.attempts;
-    if (!isAllowed || this.getTimeLeft() <= expectedMs) return false;
-    return this.parts.budget.isLeft(service.name) && this.choosePlacement() !== undefined;
-  }
-
-  /** Takes note of how long an answer, or its first event, has taken. */
-  private noteFirst({ expectedMs }: Placement, elapsedMs: number): void {
-    this.silence?.cancel();
-    this.parts.times.noteFirst(this.request.service.name, expectedMs, elapsedMs);
+    return this.answerWhole(endpoint, result.response, startedAt);
   }
 
   private createAttempt(endpoint: Endpoint): Attempt {
@@ -227,7 +176,7 @@
     if (result.end === AttemptEnd.Lost) {
       this.history.noteRun();
       this.countOnce(beganAt);
-      if (!this.isSilenced) endpoint.noteEnd(false, time);
+      endpoint.noteEnd(false, time);
       this.history.noteRunFailed(Failure.create(FailureCode.EndpointCut, { endpoint: endpoint.id }));
       return this.isRepeatAllowed() ? Next.TryAgain : Next.GiveUp;
     }
@@ -243,21 +192,13 @@
   }
 
   /** Reads a whole answer, then passes it on; a failure of the endpoint's own may be tried elsewhere first. */
-  private async answerWhole(
-    placement: Placement,
-    response: IncomingMessage,
-    startedAt: number,
-  ): Promise<Next> {
-    const { endpoint } = placement;
+  private async answerWhole(endpoint: Endpoint, response: IncomingMessage, startedAt: number): Promise<Next> {
     const body: BodyEnd = await readWholeBody(response);
-    this.silence?.cancel();
     if (this.isOver) return Next.Done;
     const status = response.statusCode ?? 0;
     const isFailed = !body.isComplete || status >= firstServerError;
-    const elapsedMs = this.parts.clock.getTime() - startedAt;
-    if (!isFailed || !this.isSilenced) endpoint.noteEnd(!isFailed, this.parts.clock.getTime());
-    if (!isFailed) endpoint.noteLatency(elapsedMs);
-    if (!isFailed) this.noteFirst(placement, elapsedMs);
+    endpoint.noteEnd(!isFailed, this.parts.clock.getTime());
+    if (!isFailed) endpoint.noteLatency(this.parts.clock.getTime() - startedAt);
     if (isFailed && this.isRepeatAllowed()) {
       this.log("attempt.failed", {
         endpoint: endpoint.id,
@@ -297,15 +238,13 @@
       clearPending();
       const time = this.parts.clock.getTime();
       this.firstEventMs ??= time - this.request.arrivedAt;
-      this.noteFirst(placement, time - startedAt);
       this.noteFirstEvent(placement, time - startedAt);
       this.countOnce(this.parts.getTimeOfDay());
       this.parts.placer.memory.note(head.parts, endpoint.id);
     };
     const relayEnd = await this.relay.relay(answer, onFirst);
-    this.silence?.cancel();
     if (this.isOver) return Next.Done;
-    if (!this.isSilenced) endpoint.noteEnd(relayEnd === RelayEnd.Complete, this.parts.clock.getTime());
+    endpoint.noteEnd(relayEnd === RelayEnd.Complete, this.parts.clock.getTime());
     if (relayEnd === RelayEnd.Complete) return Next.Done;
     this.log("stream.cut", { endpoint: endpoint.id, lastEvent: this.relay.lastEventId });
     this.history.noteRunFailed(Failure.create(FailureCode.EndpointCut, { endpoint: endpoint.id }));
--- a/packages/gateway/src/exchangeTypes.ts
+++ b/packages/gateway/src/exchangeTypes.ts
@@ -12,7 +12,6 @@
 import type { Placement, Placer } from "./placement.js";
 import type { ReadingRates } from "./readingRates.js";
 import type { RetryBudget } from "./retryBudget.js";
-import type { ServiceTimes } from "./serviceTimes.js";
 import type { CallerHead, PlatformAdapter, Service } from "./types.js";
 
 /** What exchanges work with. */
@@ -25,7 +24,6 @@
   readonly placer: Placer;
   readonly rates: ReadingRates;
   readonly budget: RetryBudget;
-  readonly times: ServiceTimes;
   readonly demand: Demand;
   readonly metrics: GatewayMetrics;
   readonly connectTimeoutMs: number;
--- a/packages/gateway/src/gatewayParts.ts
+++ b/packages/gateway/src/gatewayParts.ts
@@ -22,7 +22,6 @@
 import { PrefixMemory } from "./prefixMemory.js";
 import { ReadingRates } from "./readingRates.js";
 import { RetryBudget } from "./retryBudget.js";
-import { ServiceTimes } from "./serviceTimes.js";
 import { CounterKind, SharedCounters } from "./sharedCounters.js";
 import { TrueTime } from "./trueTime.js";
 import type { PlatformAdapter } from "./types.js";
@@ -79,7 +78,6 @@
   readonly placer: Placer;
   readonly rates: ReadingRates;
   readonly budget: RetryBudget;
-  readonly times: ServiceTimes;
   readonly demand: Demand;
   readonly counters: SharedCounters;
   readonly metrics: GatewayMetrics;
@@ -110,7 +108,6 @@
   const getKnownShare = (): number => members.getKnownShare();
   const admission = createAdmission(views, getKnownShare);
   const members: Members = createMembers(views, reporter, () => admission.refreshLimits());
-  const times = ServiceTimes.create();
   const vouching: Vouching = Vouching.create(members.links, follower, Math.random);
   return {
     settings,
@@ -132,7 +129,6 @@
       getRandom: Math.random,
     }),
     budget: RetryBudget.create({ counters, ratio: retries.ratio, slack: retries.slack, getKnownShare }),
-    times,
     demand: views.demand,
     counters,
     metrics: GatewayMetrics.create(settings.listen.metrics),
--- a/packages/gateway/src/retryBudget.ts
+++ b/packages/gateway/src/retryBudget.ts
@@ -31,17 +31,12 @@
     this.options.counters.add(CounterKind.Requests, service, 1);
   }
 
-  /** Whether one more repeat may be taken. */
-  isLeft(service: string): boolean {
-    const { counters, ratio, slack, getKnownShare } = this.options;
-    const allowed = (ratio * counters.getSum(CounterKind.Requests, service) + slack) * usedShare;
-    return counters.getSum(CounterKind.Repeats, service) + 1 <= allowed * getKnownShare();
-  }
-
   /** Takes one repeat; false where the budget is spent. */
   tryTake(service: string): boolean {
-    if (!this.isLeft(service)) return false;
-    this.options.counters.add(CounterKind.Repeats, service, 1);
+    const { counters, ratio, slack, getKnownShare } = this.options;
+    const allowed = (ratio * counters.getSum(CounterKind.Requests, service) + slack) * usedShare;
+    if (counters.getSum(CounterKind.Repeats, service) + 1 > allowed * getKnownShare()) return false;
+    counters.add(CounterKind.Repeats, service, 1);
     return true;
   }
 }
--- a/packages/gateway/test/placement.test.ts
+++ b/packages/gateway/test/placement.test.ts
@@ -92,17 +92,6 @@
   t.equal(placer.choose(request)?.endpoint.id, "b1");
 });
 
-t.test("one silence says nothing of an endpoint, a second one before it answers does", async (t) => {
-  const [endpoint] = createEndpoints(1);
-  endpoint!.noteSilence(0);
-  t.equal(endpoint!.getFailureShare(0), 0);
-  endpoint!.noteEnd(true, 100);
-  endpoint!.noteSilence(200);
-  t.equal(endpoint!.getFailureShare(200), 0);
-  endpoint!.noteSilence(300);
-  t.ok(endpoint!.getFailureShare(300) > 0.1);
-});
-
 t.test("repeats of a service never exceed the budget that all instances share", async (t) => {
   const clock = VirtualClock.create();
   const windows = {
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -12,7 +12,6 @@
 export * from "./load.js";
 export * from "./prefixes.js";
 export * from "./placement.js";
-export * from "./patience.js";
 export * from "./readingRate.js";
 export * from "./retry.js";
 export * from "./reasons.js";
