One piece where the same stood twice; no change of behaviour

Found on reading the whole change again: - the loop that destroys an agent's resting sockets stood in platform/jsonCalls and endpointConnections: dropRestingSockets. - "knows enough to serve" stood in the gateway's readiness and in the hold at a start: canServe. - ExchangeParts repeated fourteen fields of GatewayParts: a Pick of it. - the refusal of a leaving instance was created three times; whom to ask was decided in members and in the test's fleet: now chooseReader alone; the known share of the fleet was asked for twice in one seeding; an optional option was spread.

Before and after: the same tests, unchanged in what they assert.

--- a/packages/gateway/src/admission.ts
+++ b/packages/gateway/src/admission.ts
@@ -123,7 +123,7 @@
   }
 
   private prepareLimit(workspace: Workspace, share: number): void {
-    this.seedOnce(workspace, this.getRoom(workspace, share));
+    this.seedOnce(workspace, share);
     this.options.counters.setRate(workspace.name, workspace.ratePerSecond * share);
   }
 
@@ -133,16 +133,14 @@
   }
 
   /** A life that is not the first cannot know what was used just before it: it counts most of the room as taken. */
-  private seedOnce(workspace: Workspace, room: number): void {
+  private seedOnce(workspace: Workspace, share: number): void {
     if (this.seeded.has(workspace.name)) return;
     this.seeded.add(workspace.name);
     const { counters, quotaWindowMs, isFirstStart } = this.options;
     if (isFirstStart || counters.isInformed || counters.getUptime() > quotaWindowMs) return;
-    const unknown = this.options.quotaSlack * (1 - usedSlackShare) * restartSlackShare;
-    const seeded = Math.min(
-      room * mostSeededShare,
-      Math.max(0, room - unknown * this.options.getKnownShare()),
-    );
+    const room = this.getRoom(workspace, share);
+    const unknown = this.options.quotaSlack * (1 - usedSlackShare) * restartSlackShare * share;
+    const seeded = Math.min(room * mostSeededShare, Math.max(0, room - unknown));
     counters.seed(CounterKind.Quota, workspace.name, seeded);
   }
 }
--- a/packages/gateway/src/endpointConnections.ts
+++ b/packages/gateway/src/endpointConnections.ts
@@ -6,7 +6,7 @@
 import { Agent, type ClientRequest, type ClientRequestArgs } from "node:http";
 import { connect, type Socket } from "node:net";
 import type { Duplex } from "node:stream";
-import { parseAddress } from "@gladewall/kernel";
+import { dropRestingSockets, parseAddress } from "@gladewall/kernel";
 import type { Endpoint } from "./endpoint.js";
 import { watchEnd } from "./connectionEnds.js";
 
@@ -77,9 +77,7 @@
     const pool = this.pools.get(endpoint.id);
     if (!pool) return;
     this.pools.delete(endpoint.id);
-    for (const sockets of Object.values(pool.agent.freeSockets)) {
-      for (const socket of sockets ?? []) socket.destroy();
-    }
+    dropRestingSockets(pool.agent);
   }
 
   close(): void {
--- a/packages/gateway/src/endpointDirectory.ts
+++ b/packages/gateway/src/endpointDirectory.ts
@@ -55,7 +55,7 @@
       clock,
       logger,
       watchWaitMs: options.watchWaitMs,
-      ...(options.firstWatchPauseMs === undefined ? {} : { firstWatchPauseMs: options.firstWatchPauseMs }),
+      firstWatchPauseMs: options.firstWatchPauseMs,
       listener: {
         handlePut: (item) => this.take(item),
         handleRemoved: (key, troubleAgeMs) =>
--- a/packages/gateway/src/exchangeTypes.ts
+++ b/packages/gateway/src/exchangeTypes.ts
@@ -3,36 +3,31 @@
  * @module
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
-import type { Clock, Failure, Logger } from "@gladewall/kernel";
+import type { Failure } from "@gladewall/kernel";
 import type { Admitted } from "./admission.js";
-import type { Demand } from "./demand.js";
-import type { EndpointConnections } from "./endpointConnections.js";
-import type { EndpointDirectory } from "./endpointDirectory.js";
-import type { GatewayMetrics } from "./gatewayMetrics.js";
-import type { Placement, Placer } from "./placement.js";
-import type { ReadingRates } from "./readingRates.js";
-import type { RetryBudget } from "./retryBudget.js";
-import type { CallerHead, PlatformAdapter, Service } from "./types.js";
+import type { GatewayParts } from "./gatewayParts.js";
+import type { Placement } from "./placement.js";
+import type { CallerHead, Service } from "./types.js";
+
+/** Parts of an instance that exchanges work with. */
+type UsedParts =
+  | "platform"
+  | "clock"
+  | "logger"
+  | "directory"
+  | "connections"
+  | "placer"
+  | "rates"
+  | "budget"
+  | "demand"
+  | "metrics"
+  | "connectTimeoutMs"
+  | "countRun"
+  | "tellPlaced"
+  | "getTimeOfDay";
 
 /** What exchanges work with. */
-export interface ExchangeParts {
-  readonly platform: PlatformAdapter;
-  readonly clock: Clock;
-  readonly logger: Logger;
-  readonly directory: EndpointDirectory;
-  readonly connections: EndpointConnections;
-  readonly placer: Placer;
-  readonly rates: ReadingRates;
-  readonly budget: RetryBudget;
-  readonly demand: Demand;
-  readonly metrics: GatewayMetrics;
-  readonly connectTimeoutMs: number;
-  /** Called once a request has begun to run, with the time of day at which it did. */
-  readonly countRun: (workspace: string, at: number) => void;
-  /** Tells the other instances at once of prompt tokens that were sent to an endpoint. */
-  readonly tellPlaced: (endpoint: string, tokens: number) => void;
-  /** Returns the time of day. */
-  readonly getTimeOfDay: () => number;
+export interface ExchangeParts extends Pick<GatewayParts, UsedParts> {
   /** Whether answers should close their connections. */
   readonly isLeaving: () => boolean;
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -14,7 +14,7 @@
 import type { Result } from "ts-results-es";
 import type { ConnectionTraffic } from "@gladewall/coordination";
 import { Front } from "./front.js";
-import { createGatewayParts, type GatewayParts } from "./gatewayParts.js";
+import { canServe, createGatewayParts, type GatewayParts } from "./gatewayParts.js";
 import type { GatewaySettings } from "./gatewaySettings.js";
 import { RequestServer } from "./requestServer.js";
 import { CounterKind } from "./sharedCounters.js";
@@ -108,8 +108,7 @@
 
   /** Whether the instance takes requests: it knows a configuration, its proof, and the endpoints. */
   isReady(): boolean {
-    const isReady =
-      this.leavingSince === undefined && this.parts.follower.isProven() && this.parts.directory.isListed;
+    const isReady = this.leavingSince === undefined && canServe(this.parts);
     if (isReady !== this.wasReady) {
       this.parts.logger.info("instance.ready", {
         ready: isReady,
--- a/packages/gateway/src/gatewayParts.ts
+++ b/packages/gateway/src/gatewayParts.ts
@@ -83,8 +83,11 @@
   readonly metrics: GatewayMetrics;
   readonly duties: Duties;
   readonly connectTimeoutMs: number;
+  /** Tells the other instances at once of prompt tokens that were sent to an endpoint. */
   readonly tellPlaced: (endpoint: string, tokens: number) => void;
+  /** Called once a request has begun to run, with the time of day at which it did. */
   readonly countRun: (workspace: string, at: number) => void;
+  /** Returns the time of day. */
   readonly getTimeOfDay: () => number;
 }
 
@@ -140,6 +143,11 @@
   };
 }
 
+/** Whether an instance knows enough to serve: a proven configuration, and the endpoints. */
+export function canServe({ follower, directory }: Pick<GatewayParts, "follower" | "directory">): boolean {
+  return follower.isProven() && directory.isListed;
+}
+
 function createViews(base: GatewayBase, { askPeers, getPeerWork }: FleetViews): GatewayViews {
   const { settings, platform, clock, logger } = base;
   const { configuration, retries, quotas, endpoints } = settings;
--- a/packages/gateway/src/members.ts
+++ b/packages/gateway/src/members.ts
@@ -282,7 +282,7 @@
     const report = this.createReport();
     const { isMesh, isReader } = this.collectors;
     const linked = this.collectors.getLinkedReaders();
-    const asked = this.feed.isAsking(isReader) ? this.feed.chooseReader(linked) : undefined;
+    const asked = this.feed.chooseReader(isReader, linked);
     for (const name of isMesh ? this.links.getLinked() : linked) {
       this.links.send(name, name === asked ? { ...report, feed: this.feed.getState() } : report);
     }
--- a/packages/gateway/src/requestServer.ts
+++ b/packages/gateway/src/requestServer.ts
@@ -10,7 +10,7 @@
 import { writeFailure } from "./answerWriter.js";
 import { Exchange } from "./exchange.js";
 import type { ExchangeEnd, ExchangeParts } from "./exchangeTypes.js";
-import type { GatewayParts } from "./gatewayParts.js";
+import { canServe, type GatewayParts } from "./gatewayParts.js";
 import { readRequestBody } from "./requestBody.js";
 import { drawTarget } from "./routeTable.js";
 import { type CallerHead, RouteKind, type Service } from "./types.js";
@@ -83,16 +83,16 @@
     head: CallerHead,
     arrivedAt: number,
   ): Promise<Failure | undefined> {
-    if (this.isStopped) return Failure.create(FailureCode.Leaving, {}, leavingRetryMs);
+    if (this.isStopped) return createLeavingRefusal();
     if (this.isStarting) await this.awaitStart(message);
     const admitted = this.options.parts.admission.admit(message.headers.host ?? "", message.url ?? "/", head);
     if (admitted.isErr()) return admitted.error;
     const { route, table } = admitted.value;
-    if (this.isTooLateFor(admitted.value)) return Failure.create(FailureCode.Leaving, {}, leavingRetryMs);
+    if (this.isTooLateFor(admitted.value)) return createLeavingRefusal();
     const body = await readRequestBody(message, table.configuration.limits.maxBodyBytes);
     if (body.isErr()) return body.error;
     // The body may have come late.
-    if (this.isStopped) return Failure.create(FailureCode.Leaving, {}, leavingRetryMs);
+    if (this.isStopped) return createLeavingRefusal();
     const service = table.findService(drawTarget(route.targets, Math.random()));
     if (!service) return Failure.create(FailureCode.NoEndpoint, { service: route.name }, leavingRetryMs);
     const charge = this.charge(admitted.value, head);
@@ -116,8 +116,9 @@
 
   /** Whether the instance has just begun and does not know enough yet. */
   private get isStarting(): boolean {
-    const { follower, directory, clock, settings } = this.options.parts;
-    if (follower.isProven() && directory.isListed) return false;
+    const { parts } = this.options;
+    if (canServe(parts)) return false;
+    const { clock, settings } = parts;
     return clock.getTime() - this.startedAt < settings.listen.start_hold;
   }
 
@@ -197,3 +198,7 @@
     message.resume();
   }
 }
+
+function createLeavingRefusal(): Failure {
+  return Failure.create(FailureCode.Leaving, {}, leavingRetryMs);
+}
--- a/packages/gateway/src/storeFeed.ts
+++ b/packages/gateway/src/storeFeed.ts
@@ -53,8 +53,9 @@
     return !isReader || this.options.configuration.isStoreLost;
   }
 
-  /** Chooses the reader to be asked now; undefined where none is linked. */
-  chooseReader(linked: readonly string[]): string | undefined {
+  /** Chooses the reader to be asked now; undefined where this instance asks none, or none is linked. */
+  chooseReader(isReader: boolean, linked: readonly string[]): string | undefined {
+    if (!this.isAsking(isReader)) return undefined;
     return this.asked.choose(linked, this.options.clock.getTime());
   }
 
--- a/packages/gateway/test/followers.ts
+++ b/packages/gateway/test/followers.ts
@@ -2,20 +2,19 @@
  * Followers of the configuration on a virtual clock, with the times of a small fleet.
  * @module
  */
-import { ConfigurationFollower } from "@gladewall/gateway";
+import { ConfigurationFollower, type PlatformAdapter } from "@gladewall/gateway";
 import { Logger, type VirtualClock } from "@gladewall/kernel";
-import type { StandinPlatform } from "@gladewall/standins";
 
 type FollowerOptions = Parameters<typeof ConfigurationFollower.create>[0];
 
 /** Creates a follower that has no peers to ask; `options` replace the usual ones. */
 export function createConfigurationFollower(
-  platform: StandinPlatform,
+  platform: PlatformAdapter,
   clock: VirtualClock,
   options: Partial<FollowerOptions> = {},
 ): ConfigurationFollower {
   return ConfigurationFollower.create({
-    platform: platform.createAdapter(),
+    platform,
     clock,
     logger: Logger.createSilent(),
     proofIntervalMs: 1_500,
--- a/packages/gateway/test/readers.test.ts
+++ b/packages/gateway/test/readers.test.ts
@@ -109,7 +109,7 @@
   const clock = VirtualClock.create();
   const platform = StandinPlatform.create(clock);
   platform.configure({});
-  const follower = createConfigurationFollower(platform, clock);
+  const follower = createConfigurationFollower(platform.createAdapter(), clock);
   follower.start();
   t.teardown(() => follower.close());
   const countReads = async (role: StoreRole): Promise<number> => {
@@ -170,7 +170,7 @@
     const clock = VirtualClock.create();
     const platform = StandinPlatform.create(clock);
     platform.configure({});
-    const follower = createConfigurationFollower(platform, clock, { firstWatchPauseMs: 800 });
+    const follower = createConfigurationFollower(platform.createAdapter(), clock, { firstWatchPauseMs: 800 });
     follower.start();
     await clock.advance(700);
     t.equal(follower.getTable()?.version, 1);
--- a/packages/gateway/test/restarts.test.ts
+++ b/packages/gateway/test/restarts.test.ts
@@ -53,7 +53,7 @@
 
 /** Takes as much of a limit as one life of the fleet gives out over some time; returns the units taken. */
 async function takeAll(clock: VirtualClock, isFirstStart: boolean, forMs: number): Promise<number> {
-  const follower = createConfigurationFollower(StandinPlatform.create(clock), clock);
+  const follower = createConfigurationFollower(StandinPlatform.create(clock).createAdapter(), clock);
   const admission = Admission.create({
     clock,
     follower,
--- a/packages/gateway/test/toldFleet.ts
+++ b/packages/gateway/test/toldFleet.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import {
-  ConfigurationFollower,
+  type ConfigurationFollower,
   createFeedTimes,
   EndpointDirectory,
   type PlatformAdapter,
@@ -12,6 +12,7 @@
 } from "@gladewall/gateway";
 import { Logger, VirtualClock } from "@gladewall/kernel";
 import { StandinPlatform, StoreTrouble } from "@gladewall/standins";
+import { createConfigurationFollower } from "./followers.js";
 
 /** Time in which work must stop going to an endpoint that leaves; milliseconds. */
 export const drainMs = 3_000;
@@ -32,14 +33,8 @@
     const adapter = platform.createAdapter();
     const times = createFeedTimes(drainMs);
     const logger = Logger.createSilent();
-    const configuration = ConfigurationFollower.create({
-      platform: adapter,
-      clock,
-      logger,
-      proofIntervalMs: 1_500,
+    const configuration = createConfigurationFollower(adapter, clock, {
       readerIntervalMs: times.proofIntervalMs,
-      proofLifetimeMs: 4_600,
-      askPeers: async () => [],
     });
     const directory = EndpointDirectory.create({
       platform: adapter,
@@ -96,14 +91,14 @@
     for (const reader of this.readers) {
       reader.feed.setRole(true);
       const others = readerNames.filter((_, index) => this.readers[index] !== reader);
-      if (reader.feed.isAsking(true)) this.ask(reader, others);
+      this.ask(reader, true, others);
     }
     this.told.feed.setRole(false);
-    this.ask(this.told, readerNames);
+    this.ask(this.told, false, readerNames);
   }
 
-  private ask(asker: StoreView, linked: readonly string[]): void {
-    const name = asker.feed.chooseReader(linked);
+  private ask(asker: StoreView, isReader: boolean, linked: readonly string[]): void {
+    const name = asker.feed.chooseReader(isReader, linked);
     const asked = this.readers[readerNames.indexOf(name ?? "")];
     const answer = asked?.feed.createMessage(asker.feed.getState());
     if (answer) asker.feed.take(answer, this.clock.getTime());
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -15,6 +15,7 @@
 export * from "./logs.js";
 export * from "./metrics.js";
 export * from "./registry.js";
+export * from "./restingSockets.js";
 export * from "./tokenBucket.js";
 export * from "./settings.js";
 export * from "./settingsSchema.js";
