--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -129,6 +129,11 @@
     return this.parts.members.links.getLinked().length;
   }
 
+  /** Instances that have reported their counts to this one. */
+  get heardPeers(): number {
+    return this.parts.counters.heardPeers;
+  }
+
   /** Share of the fleet whose counts are known, 0 to 1. */
   get knownShare(): number {
     return this.parts.members.getKnownShare();
--- a/packages/gateway/src/sharedCounters.ts
+++ b/packages/gateway/src/sharedCounters.ts
@@ -123,6 +123,11 @@
     return total.getTimeUntilFreed(this.options.clock.getTime(), amount);
   }
 
+  /** Peers that have reported to this instance. */
+  get heardPeers(): number {
+    return this.peers.size;
+  }
+
   /** Whether what was counted before this life is known. */
   get isInformed(): boolean {
     return this.hasAdopted || this.getUptime() > this.longestWindow;
--- a/packages/gateway/test/largeFleet.test.ts
+++ b/packages/gateway/test/largeFleet.test.ts
@@ -67,11 +67,15 @@
   const { bench } = await createFleet(t, 100);
   const { instances } = bench;
   await waitUntil(() => instances.every(({ gateway }) => gateway.knownShare === 1));
+  // What a peer's first report tells in the second after a view is lost: a fault of its own, with its own test below.
+  await waitUntil(() => instances.slice(3).every(({ gateway }) => gateway.heardPeers === 5));
   const [first, second, third, , , last] = instances;
   for (const instance of [first!, second!, third!]) t.equal((await ask(bench, instance, 1)).status, 200);
   await waitUntil(() => instances.every(({ gateway }) => gateway.getQuotaLevel("workspace") > 2.5));
   await last!.gateway.close();
   await waitUntil(() => third!.gateway.isCollector && third!.gateway.linkedPeers === 4);
+  // Until it hears all, a new collector keeps to its own part of the limit, and rightly refuses.
+  await waitUntil(() => third!.gateway.knownShare === 1);
   t.equal((await ask(bench, third!, 60)).status, 200);
   await waitUntil(() => first!.gateway.getQuotaLevel("workspace") > 62.5);
   t.equal((await ask(bench, first!, 60)).status, 429);
@@ -194,6 +198,24 @@
   t.equal(member.getSum(CounterKind.Quota, "workspace"), 505 - 110, "nothing is foreseen from an old view");
 });
 
+/*
+ * What happened: one collector of three never counted a unit that a peer had taken while the fleet started. Sequence: it
+ * takes a view as it is no collector yet, becomes one, and within a second hears a peer for the first time. Cause: what a
+ * young peer tells first is held to be in the view, also what it took after the view. What settled it: the levels of all
+ * six instances at the stop, 2.99 at five and 1.99 at one collector (5 of 66 runs beside load).
+ */
+t.test("what a peer took after a view is counted when it first reports soon after it", async (t) => {
+  const clock = VirtualClock.create();
+  const [peer, reader, late] = [1, 2, 3].map(() => SharedCounters.create({ clock, windows }));
+  peer!.add(CounterKind.Quota, "w", 1);
+  reader!.takeReport("peer", "peer/1", peer!.createReport());
+  late!.takeView(reader!.createView(), late!.createReport().totals);
+  await clock.advance(100);
+  peer!.add(CounterKind.Quota, "w", 1);
+  late!.takeReport("peer", "peer/1", peer!.createReport());
+  t.equal(late!.getKnownSum(CounterKind.Quota, "w"), 2);
+});
+
 t.test("a view by a life that can't know what was before it only raises what is known", async (t) => {
   const clock = VirtualClock.create();
   const member = SharedCounters.create({ clock, windows });
