Tell of each limit what was charged, ran, was refused and given back

Cause: a 429 names the level, and nothing tells what was let in near a limit, by which view, or how often it ran; the hypotheses of the overrun look alike. On the endpoints' side RunWindows judges runs of a workspace by an exact sliding window.

--- a/packages/gateway/src/admission.ts
+++ b/packages/gateway/src/admission.ts
@@ -18,6 +18,17 @@
   readonly workspace: Workspace | undefined;
 }
 
+/** What is known of one workspace's limit. */
+export interface QuotaState {
+  /** Units taken, with those that are foreseen. */
+  readonly level: number;
+  /** Units taken, without what is foreseen. */
+  readonly known: number;
+  readonly room: number;
+  /** Share of the fleet whose counts are known. */
+  readonly share: number;
+}
+
 /** Options of admission. */
 export interface AdmissionOptions {
   readonly clock: Clock;
@@ -110,6 +121,18 @@
     return Ok(undefined);
   }
 
+  /** Returns what is known of a workspace's limit now. */
+  getQuotaState(workspace: Workspace): QuotaState {
+    const { counters, getKnownShare } = this.options;
+    const share = getKnownShare();
+    return {
+      level: counters.getSum(CounterKind.Quota, workspace.name),
+      known: counters.getKnownSum(CounterKind.Quota, workspace.name),
+      room: this.getRoom(workspace, share),
+      share,
+    };
+  }
+
   /** Lets the levels of all limits fall as they should, also of those that no request comes for here. */
   refreshLimits(): void {
     const share = this.options.getKnownShare();
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -78,7 +78,8 @@
 
   private createEnd(status: number, mayHaveRun: boolean, failure: Failure | undefined): ExchangeEnd {
     const { placement, history, firstEventMs } = this;
-    return { status, mayHaveRun, failure, placement, arrivals: history.arrivals, firstEventMs };
+    const { arrivals, runs } = history;
+    return { status, mayHaveRun, failure, placement, arrivals, runs, firstEventMs };
   }
 
   private getTimeLeft(): number {
--- a/packages/gateway/src/exchangeTypes.ts
+++ b/packages/gateway/src/exchangeTypes.ts
@@ -54,6 +54,8 @@
   readonly placement: Placement | undefined;
   /** Sendings that reached an endpoint. */
   readonly arrivals: number;
+  /** Sendings that may have run. */
+  readonly runs: number;
   /** Milliseconds from the request's arrival to its first event; undefined where none came. */
   readonly firstEventMs: number | undefined;
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -25,6 +25,8 @@
 /** Time for the last answers to leave. */
 const lastAnswersMs = 100;
 const idleCheckMs = 50;
+/** Age told of a view where there is none. */
+const noViewAge = -1;
 
 /** A running instance. */
 export class Gateway {
@@ -63,6 +65,8 @@
       getLinkedPeers: () => this.linkedPeers,
       getPeerTraffic: () => this.peerTraffic,
       isCollector: () => this.isCollector,
+      getKnownShare: () => this.knownShare,
+      getViewAge: () => parts.members.viewAge ?? noViewAge,
       getUsableEndpoints: () => [...directory.getAll()].filter((endpoint) => endpoint.isUsable()).length,
       isDutyHolder: () => parts.duties.isActing(),
     });
--- a/packages/gateway/src/gatewayMetrics.ts
+++ b/packages/gateway/src/gatewayMetrics.ts
@@ -15,10 +15,32 @@
   readonly getLinkedPeers: () => number;
   readonly getPeerTraffic: () => Readonly<ConnectionTraffic>;
   readonly isCollector: () => boolean;
+  readonly getKnownShare: () => number;
+  readonly getViewAge: () => number;
   readonly getUsableEndpoints: () => number;
   readonly isDutyHolder: () => boolean;
 }
 
+/** What became of units of a workspace's limit. */
+export enum QuotaEvent {
+  /** Taken of the limit. */
+  Charged = 1,
+  /** Asked for and not given. */
+  Refused = 2,
+  /** Given back, as nothing ran. */
+  Returned = 3,
+  /** May have run at an endpoint; a request counts once for each run. */
+  Run = 4,
+}
+
+/** What an instance knows of one workspace's limit. */
+export interface QuotaGauges {
+  /** Units that the fleet has taken, as known here. */
+  readonly getLevel: () => number;
+  /** Units that it may have taken. */
+  readonly getRoom: () => number;
+}
+
 const metricsPath = "/metrics";
 const good = 200;
 const notFound = 404;
@@ -59,6 +81,21 @@
     this.registry.getCounter("gladewall_attempts_total", help, { service, end }).add();
   }
 
+  /** Counts units of a workspace's limit. */
+  countQuota(workspace: string, event: QuotaEvent, units: number): void {
+    const labels = { workspace, event: QuotaEvent[event].toLowerCase() };
+    this.registry
+      .getCounter("gladewall_quota_units_total", "Units of limits by what became of them.", labels)
+      .add(units);
+  }
+
+  /** Shows a workspace's limit; called again, it changes nothing. */
+  showQuota(workspace: string, { getLevel, getRoom }: QuotaGauges): void {
+    const labels = { workspace };
+    this.registry.setGauge("gladewall_quota_level", "Units taken, as known here.", getLevel, labels);
+    this.registry.setGauge("gladewall_quota_room", "Units that may be taken.", getRoom, labels);
+  }
+
   setSources(sources: MetricSources): void {
     const set = (name: string, help: string, read: () => number): void =>
       this.registry.setGauge(name, help, read);
@@ -80,6 +117,12 @@
     set("gladewall_collector", "1 while this instance hears the whole fleet.", () =>
       Number(sources.isCollector()),
     );
+    set("gladewall_known_share", "Share of the fleet whose counts are known.", sources.getKnownShare);
+    set(
+      "gladewall_view_age_milliseconds",
+      "Age of what a reader told; -1 before the first.",
+      sources.getViewAge,
+    );
     set("gladewall_usable_endpoints", "Endpoints that take work.", sources.getUsableEndpoints);
     set("gladewall_duty_holder", "1 while this instance gives orders.", () => Number(sources.isDutyHolder()));
   }
--- a/packages/gateway/src/gatewayParts.ts
+++ b/packages/gateway/src/gatewayParts.ts
@@ -21,6 +21,7 @@
 import { Placer } from "./placement.js";
 import { PrefixMemory } from "./prefixMemory.js";
 import { ReadingRates } from "./readingRates.js";
+import { QuotaCharges } from "./quotaCharges.js";
 import { RetryBudget } from "./retryBudget.js";
 import { CounterKind, SharedCounters } from "./sharedCounters.js";
 import { TrueTime } from "./trueTime.js";
@@ -75,6 +76,7 @@
   readonly connections: EndpointConnections;
   readonly members: Members;
   readonly admission: Admission;
+  readonly charges: QuotaCharges;
   readonly placer: Placer;
   readonly rates: ReadingRates;
   readonly budget: RetryBudget;
@@ -111,6 +113,7 @@
   const getKnownShare = (): number => members.getKnownShare();
   const admission = createAdmission(views, getKnownShare);
   const members: Members = createMembers(views, reporter, () => admission.refreshLimits());
+  const metrics = GatewayMetrics.create(settings.listen.metrics);
   const vouching: Vouching = Vouching.create(members.links, follower, Math.random);
   return {
     settings,
@@ -122,6 +125,7 @@
     connections: EndpointConnections.create(),
     members,
     admission,
+    charges: QuotaCharges.create({ admission, logger, metrics, getViewAge: () => members.viewAge }),
     rates,
     placer: Placer.create({
       clock,
@@ -134,7 +138,7 @@
     budget: RetryBudget.create({ counters, ratio: retries.ratio, slack: retries.slack, getKnownShare }),
     demand: views.demand,
     counters,
-    metrics: GatewayMetrics.create(settings.listen.metrics),
+    metrics,
     duties: createDuties(views, members, reporter),
     connectTimeoutMs: endpoints.connect_timeout,
     tellPlaced: (endpoint, tokens) => members.tellPlaced(endpoint, tokens),
--- a/packages/gateway/src/members.ts
+++ b/packages/gateway/src/members.ts
@@ -202,6 +202,11 @@
     return Math.max(1, fleet - silent) / fleet;
   }
 
+  /** Milliseconds since a reader told this instance what the fleet has taken; undefined before the first time. */
+  get viewAge(): number | undefined {
+    return this.views.age;
+  }
+
   /** Tells peers at once of a long prompt; in a large fleet the readers, which hand it on. */
   tellPlaced(endpoint: string, tokens: number): void {
     const message: PlacedMessage = { kind: MemberMessageKind.Placed, endpoint, tokens: Math.round(tokens) };
--- a/packages/gateway/src/readerViews.ts
+++ b/packages/gateway/src/readerViews.ts
@@ -70,6 +70,11 @@
     return isWanted;
   }
 
+  /** Milliseconds since the last view was heard; undefined before the first, and once it is given up. */
+  get age(): number | undefined {
+    return this.view && this.options.clock.getTime() - this.view.heardAt;
+  }
+
   /** Takes a view; returns whether it counts: not where its reader knows less than this instance. */
   take({ sequence, counters, work, knownShare }: ViewMessage, peer: PeerIdentity): boolean {
     const told = this.told.get(sequence);
--- a/packages/gateway/src/requestServer.ts
+++ b/packages/gateway/src/requestServer.ts
@@ -11,6 +11,7 @@
 import { Exchange } from "./exchange.js";
 import type { ExchangeEnd, ExchangeParts } from "./exchangeTypes.js";
 import { canServe, type GatewayParts } from "./gatewayParts.js";
+import type { QuotaCharge } from "./quotaCharges.js";
 import { readRequestBody } from "./requestBody.js";
 import { drawTarget } from "./routeTable.js";
 import { type CallerHead, RouteKind, type Service } from "./types.js";
@@ -126,21 +127,21 @@
     while (this.isStarting && !message.destroyed) await waitFor(this.options.parts.clock, startingCheckMs);
   }
 
-  private charge({ workspace }: Admitted, head: CallerHead): Result<number, Failure> {
-    if (!workspace) return Ok(0);
-    const cost = this.options.parts.admission.getCost(workspace, head);
-    return this.options.parts.admission.takeQuota(workspace, cost).map(() => cost);
+  private charge({ workspace }: Admitted, head: CallerHead): Result<QuotaCharge | undefined, Failure> {
+    if (!workspace) return Ok(undefined);
+    const { admission, charges } = this.options.parts;
+    return charges.take(head.id, workspace, admission.getCost(workspace, head));
   }
 
   private finish(
     { workspace, route }: Admitted,
     head: CallerHead,
     service: Service,
-    { status, mayHaveRun, failure, placement, arrivals, firstEventMs }: ExchangeEnd,
+    { status, mayHaveRun, failure, placement, arrivals, runs, firstEventMs }: ExchangeEnd,
     arrivedAt: number,
-    cost: number,
+    charge: QuotaCharge | undefined,
   ): void {
-    if (workspace && !mayHaveRun) this.options.parts.admission.returnQuota(workspace, cost);
+    if (charge) this.options.parts.charges.settle(charge, runs, mayHaveRun);
     const fields = {
       request: head.id,
       route: route.name,
@@ -156,6 +157,7 @@
       ahead: placement && service.engine ? placement.tokensAhead : undefined,
       firstMs: firstEventMs && Math.round(firstEventMs),
       arrivals,
+      runs,
       tookMs: Math.round(this.options.parts.clock.getTime() - arrivedAt),
     };
     this.options.parts.metrics.countRequest(service.name, status, failure?.name ?? "none", fields.tookMs);
--- /dev/null
+++ b/packages/gateway/test/quotaCharges.test.ts
@@ -0,0 +1,38 @@
+import t from "tap";
+import { answerGood, createWorkspace, GatewayBench, RunWindows, ScriptedEndpoint } from "@gladewall/standins";
+
+t.test("units of a limit are counted by workspace and by what became of them", async (t) => {
+  const bench = GatewayBench.create();
+  bench.platform.configure({ workspaces: [createWorkspace({ ratePerSecond: 0.001, burst: 2 })] });
+  const endpoint = await ScriptedEndpoint.create("b", answerGood);
+  bench.platform.list({ id: "b", address: endpoint.address });
+  const instance = await bench.startReady(1);
+  t.teardown(() => Promise.all([bench.close(), endpoint.close()]));
+  const statuses = [];
+  for (let index = 0; index < 3; index++) statuses.push((await bench.call(instance, { key: "key" })).status);
+  t.same(statuses, [200, 200, 429]);
+  // A charge ends when its answer has left, so the caller may be ahead of it.
+  const series = (event: string): string =>
+    `gladewall_quota_units_total{workspace="workspace",event="${event}"}`;
+  while (!(await bench.readMetrics(instance)).includes(`${series("run")} 2\n`)) continue;
+  const page = await bench.readMetrics(instance);
+  t.ok(page.includes(`${series("charged")} 2\n`));
+  t.ok(page.includes(`${series("refused")} 1\n`));
+  t.match(page, /gladewall_quota_level\{workspace="workspace"\} 1\.99/);
+  t.ok(page.includes('gladewall_quota_room{workspace="workspace"} 2\n'));
+});
+
+t.test("the endpoints' side judges a limit by the worst span, wherever it begins", async (t) => {
+  const windows = RunWindows.create();
+  for (const [at, units] of [
+    [0, 5],
+    [900, 7],
+    [1_000, 1],
+    [1_950, 6],
+  ] as const) {
+    windows.note("w", at, units);
+  }
+  t.same(windows.getWorst("w", 1_000), { units: 13, at: 1_000 });
+  t.same(windows.getWorst("none", 1_000), { units: 0, at: 0 });
+  t.equal(windows.getSum("w", 900, 1_950), 8);
+});
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -15,3 +15,4 @@
 export * from "./gatewayPlatform.js";
 export * from "./scriptedEndpoint.js";
 export * from "./gatewayBench.js";
+export * from "./runWindows.js";
--- /dev/null
+++ b/packages/standins/src/runWindows.ts
@@ -0,0 +1,53 @@
+/**
+ * What endpoints ran, by workspace: units in an exact sliding window, so that a test judges a limit as an operator sees it.
+ * @module
+ */
+
+interface Run {
+  readonly at: number;
+  readonly units: number;
+}
+
+/** Units that ran in one window, and the time at which it ends. */
+export interface RunSum {
+  readonly units: number;
+  readonly at: number;
+}
+
+/** Runs of all endpoints of one test; times are milliseconds of any clock. */
+export class RunWindows {
+  private readonly runs = new Map<string, Run[]>();
+
+  private constructor() {}
+
+  static create(): RunWindows {
+    return new RunWindows();
+  }
+
+  /** Counts a run that began at a time. */
+  note(workspace: string, at: number, units: number): void {
+    let runs = this.runs.get(workspace);
+    if (!runs) this.runs.set(workspace, (runs = []));
+    runs.push({ at, units });
+  }
+
+  /** Returns the largest sum of a workspace over any span of a length. */
+  getWorst(workspace: string, windowMs: number): RunSum {
+    const runs = [...(this.runs.get(workspace) ?? [])].sort((one, other) => one.at - other.at);
+    let worst: RunSum = { units: 0, at: 0 };
+    let sum = 0;
+    let oldest = 0;
+    for (const { at, units } of runs) {
+      sum += units;
+      while (runs[oldest]!.at < at - windowMs) sum -= runs[oldest++]!.units;
+      if (sum > worst.units) worst = { units: sum, at };
+    }
+    return worst;
+  }
+
+  /** Returns the units of a workspace that ran from one time to another. */
+  getSum(workspace: string, from: number, to: number): number {
+    const runs = this.runs.get(workspace) ?? [];
+    return runs.reduce((sum, { at, units }) => (at >= from && at < to ? sum + units : sum), 0);
+  }
+}
