Charge each run of a request, and give back what did not run

Cause: a request was charged once, when it was let in; a further run, after an answer was lost, cut or failed, was not charged. And what endpoints had turned away was never given back: an attempt that had been connected counted as one that may have run, also after its endpoint said that it had not, in logs as well (mayHaveRun). Ruled out: charging repeats without room (the level then has no bound while many answers are lost). Change: one more run is charged before it is sent, and not sent where the limit is spent; a charge ends with the runs that may have been, the rest is given back.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -35,6 +35,8 @@
 /** Serves one request. */
 export class Exchange {
   private attempt: Attempt | undefined;
+  /** Whether the attempt has neither an answer's head nor failed. */
+  private isUnderWay = false;
   private relay: StreamRelay | undefined;
   private readonly excluded = new Set<string>();
   private readonly history = AttemptHistory.create();
@@ -73,13 +75,12 @@
     this.isOver = true;
     this.timer.cancel();
     response.off("close", handleClose);
-    return this.end ?? this.createEnd(response.statusCode, this.history.runs > 0, undefined);
+    return this.end ?? this.createEnd(response.statusCode, undefined);
   }
 
-  private createEnd(status: number, mayHaveRun: boolean, failure: Failure | undefined): ExchangeEnd {
-    const { placement, history, firstEventMs } = this;
-    const { arrivals, runs } = history;
-    return { status, mayHaveRun, failure, placement, arrivals, runs, firstEventMs };
+  private createEnd(status: number, failure: Failure | undefined): ExchangeEnd {
+    const { placement, history, firstEventMs, runs } = this;
+    return { status, failure, placement, arrivals: history.arrivals, runs, firstEventMs };
   }
 
   private getTimeLeft(): number {
@@ -94,6 +95,10 @@
 
   private async tryOnce(): Promise<Next> {
     const { service, head } = this.request;
+    if (!this.tryCharge()) {
+      this.log("retry.refused", { service: service.name, cause: "limit" });
+      return Next.GiveUp;
+    }
     const { promptTokens = 0, parts } = head;
     const placement = this.parts.placer.choose({ service, promptTokens, parts, excluded: this.excluded });
     if (!placement) {
@@ -123,6 +128,13 @@
     return next;
   }
 
+  /** Charges one more run where all that were charged may have run; false where the limit is spent. */
+  private tryCharge(): boolean {
+    const { charge } = this.request;
+    if (!charge || this.history.runs < charge.runs) return true;
+    return this.parts.charges.takeRepeat(charge).isOk();
+  }
+
   private tellIfLong({ endpoint }: Placement, tokens: number): void {
     const { rates, tellPlaced } = this.parts;
     if (tokens / rates.get(this.request.service.name) < toldAtOnceMs) return;
@@ -135,7 +147,9 @@
     const beganAt = this.parts.getTimeOfDay();
     const attempt = this.createAttempt(endpoint);
     this.attempt = attempt;
+    this.isUnderWay = true;
     const result = await attempt.result;
+    this.isUnderWay = false;
     this.parts.metrics.countAttempt(this.request.service.name, AttemptEnd[result.end]);
     if (result.end !== AttemptEnd.NotSent) this.history.noteArrival();
     if (result.load) endpoint.noteLoad(result.load, this.parts.clock.getTime());
@@ -271,21 +285,23 @@
     return this.history.findFailure() ?? createRefusal(FailureCode.Overloaded, this.request.service);
   }
 
-  /** Whether the request may have run, by what came of its tries or what is under way. */
-  private get mayHaveRun(): boolean {
-    return this.history.runs > 0 || this.attempt?.mayHaveRun === true;
+  /** Sendings that may have run, by what came of them or is under way. */
+  private get runs(): number {
+    const isRunning = this.isUnderWay && this.attempt?.mayHaveRun === true;
+    return this.history.runs + (isRunning ? 1 : 0);
   }
 
   /** Ends the request now: the route's time is over, or the instance's. */
   giveUp(): void {
     if (this.isOver) return;
     const { route } = this.request.admitted;
-    const { mayHaveRun } = this;
+    const { runs } = this;
     this.isOver = true;
     this.attempt?.abort("given up");
-    const failure = mayHaveRun
-      ? Failure.create(FailureCode.RouteTimeout, { limit: route.timeoutMs })
-      : createRefusal(FailureCode.Overloaded, this.request.service);
+    const failure =
+      runs > 0
+        ? Failure.create(FailureCode.RouteTimeout, { limit: route.timeoutMs })
+        : createRefusal(FailureCode.Overloaded, this.request.service);
     this.answerFailure(failure);
   }
 
@@ -293,15 +309,13 @@
     if (this.isOver || this.request.response.writableFinished) return;
     this.isOver = true;
     this.attempt?.abort("caller gone");
-    const { mayHaveRun } = this;
-    this.end = this.createEnd(0, mayHaveRun, Failure.create(FailureCode.CallerGone));
+    this.end = this.createEnd(0, Failure.create(FailureCode.CallerGone));
   }
 
   /** Gives the final answer; an answer that has begun is cut, so that it does not look complete. */
   private answerFailure(failure: Failure): void {
     const { response, head } = this.request;
-    const { mayHaveRun } = this;
-    this.end = this.createEnd(failure.status, mayHaveRun, failure);
+    this.end = this.createEnd(failure.status, failure);
     if (response.headersSent) {
       response.destroy();
       return;
--- a/packages/gateway/src/exchangeTypes.ts
+++ b/packages/gateway/src/exchangeTypes.ts
@@ -6,6 +6,7 @@
 import type { Failure } from "@gladewall/kernel";
 import type { Admitted } from "./admission.js";
 import type { GatewayParts } from "./gatewayParts.js";
+import type { RequestCharge } from "./quotaCharges.js";
 import type { Placement } from "./placement.js";
 import type { CallerHead, Service } from "./types.js";
 
@@ -19,6 +20,7 @@
   | "placer"
   | "rates"
   | "budget"
+  | "charges"
   | "demand"
   | "metrics"
   | "connectTimeoutMs"
@@ -42,19 +44,19 @@
   readonly body: Buffer;
   /** Monotonic time at which the request arrived. */
   readonly arrivedAt: number;
+  /** What it was charged; undefined where it counts towards no limit. */
+  readonly charge: RequestCharge | undefined;
 }
 
 /** What became of a request, for logs and counts. */
 export interface ExchangeEnd {
   readonly status: number;
-  /** Whether it may have run. */
-  readonly mayHaveRun: boolean;
   readonly failure: Failure | undefined;
   /** Where it was sent to last, and by what; undefined where it was sent nowhere. */
   readonly placement: Placement | undefined;
   /** Sendings that reached an endpoint. */
   readonly arrivals: number;
-  /** Sendings that may have run. */
+  /** Sendings that may have run; 0: it certainly did not run. */
   readonly runs: number;
   /** Milliseconds from the request's arrival to its first event; undefined where none came. */
   readonly firstEventMs: number | undefined;
--- a/packages/gateway/src/quotaCharges.ts
+++ b/packages/gateway/src/quotaCharges.ts
@@ -18,10 +18,14 @@
   readonly getViewAge: () => number | undefined;
 }
 
-/** Units that a request was charged. */
-export interface QuotaCharge {
+/** What a request was charged: its units once for each of its runs. */
+export interface RequestCharge {
+  readonly request: string;
   readonly workspace: Workspace;
+  /** Units of one run. */
   readonly units: number;
+  /** Runs that were charged. */
+  runs: number;
 }
 
 /** Share of the room from which on charges are logged: below it, no error of the count can matter. */
@@ -38,23 +42,39 @@
     return new QuotaCharges(options);
   }
 
-  /** Charges a request; fails with `QuotaSpent`. */
-  take(request: string, workspace: Workspace, units: number): Result<QuotaCharge, Failure> {
-    const { admission, metrics } = this.options;
+  /** Charges a request for its first run; fails with `QuotaSpent`. */
+  take(request: string, workspace: Workspace, units: number): Result<RequestCharge, Failure> {
     this.show(workspace);
-    const taken = admission.takeQuota(workspace, units);
-    metrics.countQuota(workspace.name, taken.isOk() ? QuotaEvent.Charged : QuotaEvent.Refused, units);
-    if (taken.isOk()) this.logTaken(request, workspace, units);
-    return taken.map(() => ({ workspace, units }));
+    return this.charge(request, workspace, units).map(() => ({ request, workspace, units, runs: 1 }));
+  }
+
+  /**
+   * Charges a request for one more run; fails with `QuotaSpent`. Uncharged, runs whose answers were lost went beyond the
+   * limit: 12 runs of a limit of 4, every answer lost; 1.18 of what is allowed, two of five lost (12 processes).
+   */
+  takeRepeat(charge: RequestCharge): Result<void, Failure> {
+    const { request, workspace, units } = charge;
+    const taken = this.charge(request, workspace, units);
+    if (taken.isOk()) charge.runs += 1;
+    return taken;
   }
 
-  /** Ends a charge: what ran so often stays taken, what did not run is given back. */
-  settle({ workspace, units }: QuotaCharge, runs: number, mayHaveRun: boolean): void {
+  /** Ends a charge: what ran stays taken, what was charged and did not run is given back. */
+  settle({ workspace, units, runs: charged }: RequestCharge, runs: number): void {
     const { admission, metrics } = this.options;
     if (runs > 0) metrics.countQuota(workspace.name, QuotaEvent.Run, units * runs);
-    if (mayHaveRun) return;
-    metrics.countQuota(workspace.name, QuotaEvent.Returned, units);
-    admission.returnQuota(workspace, units);
+    if (charged <= runs) return;
+    const unused = units * (charged - runs);
+    metrics.countQuota(workspace.name, QuotaEvent.Returned, unused);
+    admission.returnQuota(workspace, unused);
+  }
+
+  private charge(request: string, workspace: Workspace, units: number): Result<void, Failure> {
+    const { admission, metrics } = this.options;
+    const taken = admission.takeQuota(workspace, units);
+    metrics.countQuota(workspace.name, taken.isOk() ? QuotaEvent.Charged : QuotaEvent.Refused, units);
+    if (taken.isOk()) this.logTaken(request, workspace, units);
+    return taken;
   }
 
   private show(workspace: Workspace): void {
--- a/packages/gateway/src/requestServer.ts
+++ b/packages/gateway/src/requestServer.ts
@@ -11,7 +11,7 @@
 import { Exchange } from "./exchange.js";
 import type { ExchangeEnd, ExchangeParts } from "./exchangeTypes.js";
 import { canServe, type GatewayParts } from "./gatewayParts.js";
-import type { QuotaCharge } from "./quotaCharges.js";
+import type { RequestCharge } from "./quotaCharges.js";
 import { readRequestBody } from "./requestBody.js";
 import { drawTarget } from "./routeTable.js";
 import { type CallerHead, RouteKind, type Service } from "./types.js";
@@ -106,12 +106,14 @@
       response,
       body: body.value,
       arrivedAt,
+      charge: charge.value,
     };
     const exchange = Exchange.create(this.exchangeParts, request);
     this.exchanges.add(exchange);
     const end = await exchange.run();
     this.exchanges.delete(exchange);
-    this.finish(admitted.value, head, service, end, arrivedAt, charge.value);
+    if (charge.value) this.options.parts.charges.settle(charge.value, end.runs);
+    this.finish(admitted.value, head, service, end, arrivedAt);
     return undefined;
   }
 
@@ -127,7 +129,7 @@
     while (this.isStarting && !message.destroyed) await waitFor(this.options.parts.clock, startingCheckMs);
   }
 
-  private charge({ workspace }: Admitted, head: CallerHead): Result<QuotaCharge | undefined, Failure> {
+  private charge({ workspace }: Admitted, head: CallerHead): Result<RequestCharge | undefined, Failure> {
     if (!workspace) return Ok(undefined);
     const { admission, charges } = this.options.parts;
     return charges.take(head.id, workspace, admission.getCost(workspace, head));
@@ -137,11 +139,9 @@
     { workspace, route }: Admitted,
     head: CallerHead,
     service: Service,
-    { status, mayHaveRun, failure, placement, arrivals, runs, firstEventMs }: ExchangeEnd,
+    { status, failure, placement, arrivals, runs, firstEventMs }: ExchangeEnd,
     arrivedAt: number,
-    charge: QuotaCharge | undefined,
   ): void {
-    if (charge) this.options.parts.charges.settle(charge, runs, mayHaveRun);
     const fields = {
       request: head.id,
       route: route.name,
@@ -149,7 +149,7 @@
       workspace: workspace?.name,
       status,
       failure: failure?.name,
-      mayHaveRun,
+      mayHaveRun: runs > 0,
       endpoint: placement?.endpoint.id,
       candidates: placement?.candidates,
       expectedMs: placement && Math.round(placement.expectedMs),
--- a/packages/gateway/test/quotaCharges.test.ts
+++ b/packages/gateway/test/quotaCharges.test.ts
@@ -1,5 +1,12 @@
 import t from "tap";
-import { answerGood, createWorkspace, GatewayBench, RunWindows, ScriptedEndpoint } from "@gladewall/standins";
+import {
+  answerGood,
+  answerNotRun,
+  createWorkspace,
+  GatewayBench,
+  RunWindows,
+  ScriptedEndpoint,
+} from "@gladewall/standins";
 
 t.test("units of a limit are counted by workspace and by what became of them", async (t) => {
   const bench = GatewayBench.create();
@@ -36,3 +43,18 @@
   t.same(windows.getWorst("none", 1_000), { units: 0, at: 0 });
   t.equal(windows.getSum("w", 900, 1_950), 8);
 });
+
+t.test("units of what endpoints turned away are given back", async (t) => {
+  const bench = GatewayBench.create();
+  bench.platform.configure({ workspaces: [createWorkspace({ ratePerSecond: 0.001, burst: 2 })] });
+  const endpoint = await ScriptedEndpoint.create("b", answerNotRun);
+  bench.platform.list({ id: "b", address: endpoint.address });
+  const instance = await bench.startReady(1);
+  t.teardown(() => Promise.all([bench.close(), endpoint.close()]));
+  const call = async (): Promise<number> => (await bench.call(instance, { key: "key" })).status;
+  t.same([await call(), await call(), await call()], [503, 503, 503]);
+  const returned = 'gladewall_quota_units_total{workspace="workspace",event="returned"} 3\n';
+  while (!(await bench.readMetrics(instance)).includes(returned)) continue;
+  endpoint.script = answerGood;
+  t.same([await call(), await call(), await call()], [200, 200, 429]);
+});
