Count the room as taken anew where a life that knows nothing before it learns of a larger share

Cause: a life after a restart counted most of its room as taken, once, for the share of the fleet that it knew of at its first request: its own part. Become a reader before any view came, it had the whole room and a level for the part. Found: a drawn play, 77 instances twice killed at once, readers killed between, words 400 ms under way: 4.3 times the rate ran in one second. The seed stays as a test.

--- a/packages/gateway/src/admission.ts
+++ b/packages/gateway/src/admission.ts
@@ -70,7 +70,8 @@
 
 /** Decides on requests. */
 export class Admission {
-  private readonly seeded = new Set<string>();
+  /** Largest share of the fleet that a limit's level was seeded for, by workspace. */
+  private readonly seededShares = new Map<string, number>();
   /** Since when this instance has been asked about a limit, and when it was last, by workspace. */
   private readonly arbiterTerms = new Map<string, ArbiterTerm>();
 
@@ -244,7 +245,7 @@
   /** Sets how fast a limit's level falls; returns the share of the fleet whose counts are known. */
   private prepareLimit(workspace: Workspace): number {
     const share = this.options.getKnownShare();
-    this.seedOnce(workspace, share);
+    this.seedUnknown(workspace, share);
     this.options.counters.setRate(workspace.name, workspace.ratePerSecond * share);
     return share;
   }
@@ -254,16 +255,22 @@
     if (workspace.ratePerSecond > 0) this.options.counters.giveBack(workspace.name, cost, chargedAt);
   }
 
-  /** A life that is not the first cannot know what was used just before it: it counts most of the room as taken. */
-  private seedOnce(workspace: Workspace, share: number): void {
-    if (this.seeded.has(workspace.name)) return;
-    this.seeded.add(workspace.name);
+  /**
+   * A life that is not the first cannot know what was used just before it: it counts most of the room as taken. One that
+   * began with its own part of the room does so again for the whole: seeded for the part only, new readers let 4.3 times
+   * the rate run in a second after a restart of 77 instances (drawn, on a virtual clock).
+   */
+  private seedUnknown(workspace: Workspace, share: number): void {
+    const { name } = workspace;
+    if (share <= (this.seededShares.get(name) ?? 0)) return;
+    this.seededShares.set(name, share);
     const { counters, quotaWindowMs, isFirstStart } = this.options;
     if (isFirstStart || counters.isInformed || counters.getUptime() > quotaWindowMs) return;
     const room = this.getRoom(workspace, share, QuotaUse.First);
     const unknown = this.getAllowances(workspace).restart * share;
     const seeded = Math.min(room * mostSeededShare, Math.max(0, room - unknown));
-    counters.seed(CounterKind.Quota, workspace.name, seeded);
+    if (counters.getKnownSum(CounterKind.Quota, name) >= seeded) return;
+    counters.seed(CounterKind.Quota, name, seeded);
   }
 }
 
--- a/packages/gateway/test/limitedFleet.ts
+++ b/packages/gateway/test/limitedFleet.ts
@@ -51,6 +51,8 @@
   readonly worst: number;
   /** Share of the rate that ran after the first window of the surge. */
   readonly givenOut: number;
+  /** Share of the rate that ran in each second. */
+  readonly perSecond: readonly number[];
   /** Requests refused before the surge. */
   readonly refusedInCalm: number;
 }
@@ -298,6 +300,10 @@
     return {
       worst: this.runs.getWorst("w", windowMs).units / allowed,
       givenOut: (this.runs.getSum("w", from, endsAt) * 1_000) / (endsAt - from) / ratePerSecond,
+      perSecond: Array.from(
+        { length: endsAt / 1_000 },
+        (_, second) => this.runs.getSum("w", second * 1_000, (second + 1) * 1_000) / ratePerSecond,
+      ),
       refusedInCalm: this.refusedInCalm,
     };
   }
--- a/packages/gateway/test/overrunLimit.test.ts
+++ b/packages/gateway/test/overrunLimit.test.ts
@@ -58,7 +58,8 @@
 });
 
 t.test("drawn pauses, delays, kills and repeats never let more run than a limit allows", async (t) => {
-  for (let seed = 1; seed <= 12; seed++) {
+  // 45: readers that had begun with their own part of the room gave out all of it after a restart; 1.15.
+  for (const seed of [...Array.from({ length: 12 }, (_, index) => index + 1), 45]) {
     const play = drawPlay(seed);
     const { worst } = await playLimitedFleet(play);
     t.ok(worst <= 1, `${worst.toFixed(3)}: ${JSON.stringify(play)}`);
