Bound the wait for an arbiter of a limit by the time that the request has

Cause: where all arbiters are slow, a question could take two seconds, and routes have 0.6 s and up. Change: an arbiter is waited for half of the time that is left at most; what is then not decided goes by what is known here. Tests: packages/gateway/test/quotaArbiters.test.ts, no question longer than its request can wait; the gateway's tests pass.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -15,7 +15,7 @@
 import type { ExchangeEnd, ExchangeParts, ExchangeRequest } from "./exchangeTypes.js";
 import type { Placement } from "./placement.js";
 import { RelayEnd, StreamRelay } from "./streamRelay.js";
-import { RouteKind, type Service } from "./types.js";
+import { type CallerHead, type Route, RouteKind, type Service } from "./types.js";
 
 /** What a finished attempt means for the request. */
 enum Next {
@@ -53,8 +53,7 @@
     private readonly request: ExchangeRequest,
   ) {
     const { admitted, head, arrivedAt } = request;
-    const { timeoutMs } = admitted.route;
-    this.endsAt = arrivedAt + Math.min(timeoutMs, head.deadlineMs ?? timeoutMs);
+    this.endsAt = arrivedAt + getTimeLimit(admitted.route, head);
   }
 
   static create(parts: ExchangeParts, request: ExchangeRequest): Exchange {
@@ -138,7 +137,7 @@
   /** Charges one more run; false where the limit is spent. */
   private async tryCharge(): Promise<boolean> {
     const { charge } = this.request;
-    return !charge || (await this.parts.charges.takeRepeat(charge)).isOk();
+    return !charge || (await this.parts.charges.takeRepeat(charge, this.getTimeLeft())).isOk();
   }
 
   private tellIfLong({ endpoint }: Placement, tokens: number): void {
@@ -346,6 +345,11 @@
   }
 }
 
+/** Milliseconds from a request's arrival to its final answer. */
+export function getTimeLimit({ timeoutMs }: Route, { deadlineMs }: CallerHead): number {
+  return Math.min(timeoutMs, deadlineMs ?? timeoutMs);
+}
+
 function createRefusal(code: FailureCode, service: Service): Failure {
   return Failure.create(code, { service: service.name }, retryAfterMs);
 }
--- a/packages/gateway/src/quotaArbiters.ts
+++ b/packages/gateway/src/quotaArbiters.ts
@@ -69,15 +69,17 @@
 
   /**
    * Asks the workspace's arbiter, and the next where it does not answer; fails with `PeerUnreachable` where none gives a
-   * clear answer. A total that both have counted is counted once by each.
+   * clear answer within `waitMs`. A total that both have counted is counted once by each.
    */
-  async ask(question: QuotaQuestion): Promise<Result<QuotaAnswer, Failure>> {
-    const { own } = this.options;
+  async ask(question: QuotaQuestion, waitMs: number): Promise<Result<QuotaAnswer, Failure>> {
+    const { clock, own } = this.options;
+    const endsAt = clock.getTime() + waitMs;
     const silent: ArbiterState[] = [];
     for (let tries = 0; tries < mostTries; tries++) {
-      const arbiter = await this.waitForArbiter(question.workspace);
-      if (arbiter === undefined || arbiter === own) break;
-      const answer = await this.askOne(arbiter, question);
+      const arbiter = await this.waitForArbiter(question.workspace, endsAt);
+      const leftMs = endsAt - clock.getTime();
+      if (arbiter === undefined || arbiter === own || leftMs <= 0) break;
+      const answer = await this.askOne(arbiter, question, leftMs);
       if (answer && answer.word !== QuotaWord.Unknown) {
         for (const state of silent) state.restMs = Math.min(mostRestMs, state.restMs * 2);
         return Ok(answer);
@@ -91,9 +93,9 @@
   }
 
   /** Resolves with the arbiter once it can be asked; with undefined where none can be for a while. */
-  private async waitForArbiter(workspace: string): Promise<string | undefined> {
+  private async waitForArbiter(workspace: string, latestAt: number): Promise<string | undefined> {
     const { clock } = this.options;
-    const endsAt = clock.getTime() + linkWaitMs;
+    const endsAt = Math.min(latestAt, clock.getTime() + linkWaitMs);
     let arbiter = this.choose(workspace);
     while (arbiter === undefined && clock.getTime() < endsAt) {
       await waitFor(clock, linkCheckMs);
@@ -113,12 +115,16 @@
     return sortByRendezvous(workspace, readers, (name) => name).find(canDecide);
   }
 
-  private async askOne(arbiter: string, question: QuotaQuestion): Promise<QuotaAnswer | undefined> {
+  private async askOne(
+    arbiter: string,
+    question: QuotaQuestion,
+    leftMs: number,
+  ): Promise<QuotaAnswer | undefined> {
     const { clock, call } = this.options;
     const state = this.getState(arbiter);
     const askedAt = clock.getTime();
     const message: QuotaAsk = { kind: MemberMessageKind.QuotaAsk, ...question };
-    const answer = await call(arbiter, message, state.patienceMs);
+    const answer = await call(arbiter, message, Math.min(state.patienceMs, leftMs));
     if (answer.isErr()) return undefined;
     const tookMs = clock.getTime() - askedAt;
     state.restMs = firstRestMs;
--- a/packages/gateway/src/quotaCharges.ts
+++ b/packages/gateway/src/quotaCharges.ts
@@ -24,6 +24,16 @@
   readonly getViewAge: () => number | undefined;
 }
 
+/** A request that is to be charged. */
+export interface ChargeRequest {
+  readonly request: string;
+  readonly workspace: Workspace;
+  /** Units of one run. */
+  readonly units: number;
+  /** Time until the request must have its final answer. */
+  readonly leftMs: number;
+}
+
 /** What a request was charged: its units once for each of its runs. */
 export interface RequestCharge {
   readonly request: string;
@@ -36,6 +46,8 @@
   chargedAt: number;
 }
 
+/** Of the time that a request has left, an arbiter is waited for this share at most: the rest is for its run. */
+const waitedShare = 0.5;
 /** Share of the room from which on charges are logged: below it, no error of the count can matter. */
 const loggedShare = 0.5;
 
@@ -51,18 +63,18 @@
   }
 
   /** Charges a request for its first run; fails with `QuotaSpent`. */
-  async take(request: string, workspace: Workspace, units: number): Promise<Result<RequestCharge, Failure>> {
+  async take({ request, workspace, units, leftMs }: ChargeRequest): Promise<Result<RequestCharge, Failure>> {
     this.show(workspace);
     const charge: RequestCharge = { request, workspace, units, runs: 0, chargedAt: 0 };
-    return (await this.charge(charge, QuotaUse.First)).map(() => charge);
+    return (await this.charge(charge, QuotaUse.First, leftMs)).map(() => charge);
   }
 
   /**
    * Charges a request for one more run; fails with `QuotaSpent`. Uncharged, runs whose answers were lost went beyond the
    * limit: 12 runs of a limit of 4, every answer lost; 1.18 of what is allowed, two of five lost (12 processes).
    */
-  takeRepeat(charge: RequestCharge): Promise<Result<void, Failure>> {
-    return this.charge(charge, QuotaUse.Repeat);
+  takeRepeat(charge: RequestCharge, leftMs: number): Promise<Result<void, Failure>> {
+    return this.charge(charge, QuotaUse.Repeat, leftMs);
   }
 
   /** Ends a charge: what ran stays taken, what was charged and did not run is given back. */
@@ -75,10 +87,10 @@
     admission.returnQuota(workspace, unused, chargedAt);
   }
 
-  private async charge(charge: RequestCharge, use: QuotaUse): Promise<Result<void, Failure>> {
+  private async charge(charge: RequestCharge, use: QuotaUse, leftMs: number): Promise<Result<void, Failure>> {
     const { clock, metrics } = this.options;
     const { workspace, units } = charge;
-    const taken = await this.decide(charge, use);
+    const taken = await this.decide(charge, use, leftMs);
     metrics.countQuota(workspace.name, taken.isOk() ? QuotaEvent.Charged : QuotaEvent.Refused, units);
     if (taken.isErr()) return taken;
     charge.runs += 1;
@@ -88,7 +100,7 @@
   }
 
   /** Decides here where that is right or enough, else asks the arbiter of the limit. */
-  private async decide(charge: RequestCharge, use: QuotaUse): Promise<Result<void, Failure>> {
+  private async decide(charge: RequestCharge, use: QuotaUse, leftMs: number): Promise<Result<void, Failure>> {
     const { admission, arbiters } = this.options;
     const { workspace, units } = charge;
     if (workspace.ratePerSecond <= 0) return Ok(undefined);
@@ -96,21 +108,21 @@
     const refusal = admission.findRefusal(workspace, units, use);
     if (refusal) return Err(refusal);
     if (admission.tryTakeUntold(workspace, units)) return Ok(undefined);
-    return this.ask(charge, use);
+    return this.ask(charge, use, leftMs * waitedShare);
   }
 
   /**
    * Asks the arbiter. The units are counted before the question leaves, so that no report tells less than was granted; an
    * answer that is lost leaves the arbiter with too much until the next report.
    */
-  private async ask(charge: RequestCharge, use: QuotaUse): Promise<Result<void, Failure>> {
+  private async ask(charge: RequestCharge, use: QuotaUse, waitMs: number): Promise<Result<void, Failure>> {
     const { admission, arbiters, counters, metrics } = this.options;
     const { request, workspace, units } = charge;
     const { name } = workspace;
     admission.addQuota(workspace, units);
     const total = counters.getOwnTotal(name);
     const uptime = Math.round(counters.getUptime());
-    const answer = await arbiters.ask({ workspace: name, total, uptime, use });
+    const answer = await arbiters.ask({ workspace: name, total, uptime, use }, waitMs);
     const word = answer.isOk() ? answer.value.word : QuotaWord.Unknown;
     metrics.countQuotaAsk(QuotaWord[word]);
     this.options.logger.debug("quota.asked", {
--- a/packages/gateway/src/requestServer.ts
+++ b/packages/gateway/src/requestServer.ts
@@ -8,7 +8,7 @@
 import { Err, Ok, type Result } from "ts-results-es";
 import type { Admitted } from "./admission.js";
 import { writeFailure } from "./answerWriter.js";
-import { Exchange } from "./exchange.js";
+import { Exchange, getTimeLimit } from "./exchange.js";
 import type { ExchangeEnd, ExchangeParts } from "./exchangeTypes.js";
 import { canServe, type GatewayParts } from "./gatewayParts.js";
 import type { RequestCharge } from "./quotaCharges.js";
@@ -96,7 +96,7 @@
     if (this.isStopped) return createLeavingRefusal();
     const service = table.findService(drawTarget(route.targets, Math.random()));
     if (!service) return Failure.create(FailureCode.NoEndpoint, { service: route.name }, leavingRetryMs);
-    const charge = await this.charge(admitted.value, head, response);
+    const charge = await this.charge(admitted.value, head, response, arrivedAt);
     if (charge.isErr()) return charge.error;
     const request = {
       admitted: admitted.value,
@@ -131,13 +131,16 @@
 
   /** Charges a request; fails with `QuotaSpent`, or where it can't be served any more when the answer comes. */
   private async charge(
-    { workspace }: Admitted,
+    { workspace, route }: Admitted,
     head: CallerHead,
     response: ServerResponse,
+    arrivedAt: number,
   ): Promise<Result<RequestCharge | undefined, Failure>> {
     if (!workspace) return Ok(undefined);
-    const { admission, charges } = this.options.parts;
-    const charge = await charges.take(head.id, workspace, admission.getCost(workspace, head));
+    const { admission, charges, clock } = this.options.parts;
+    const units = admission.getCost(workspace, head);
+    const leftMs = arrivedAt + getTimeLimit(route, head) - clock.getTime();
+    const charge = await charges.take({ request: head.id, workspace, units, leftMs });
     if (charge.isErr()) return charge;
     if (!this.isStopped && !response.destroyed) return charge;
     charges.settle(charge.value, 0);
--- a/packages/gateway/test/limitedFleet.ts
+++ b/packages/gateway/test/limitedFleet.ts
@@ -78,6 +78,8 @@
 const silentMs = 1_000;
 const viewLifetimeMs = 1_500;
 const restartMs = 700;
+/** Time that each request has. */
+const leftMs = 5_000;
 /** Time after which a reader that ended is replaced. */
 const patienceMs = 800;
 
@@ -371,7 +373,12 @@
     const size = this.requests++ % sizes.length;
     const units = sizes[size]!;
     if (!isCalm) this.asked[size] = (this.asked[size] ?? 0) + 1;
-    const charge = await member.charges.take("request", this.workspace, units);
+    const charge = await member.charges.take({
+      request: "request",
+      workspace: this.workspace,
+      units,
+      leftMs,
+    });
     if (charge.isErr()) {
       if (isCalm) this.refusedInCalm += 1;
       return;
@@ -379,7 +386,7 @@
     if (!isCalm) this.served[size] = (this.served[size] ?? 0) + 1;
     this.noteRun(member, units);
     if (this.draw() >= repeatShare) return;
-    if ((await member.charges.takeRepeat(charge.value)).isOk()) this.noteRun(member, units);
+    if ((await member.charges.takeRepeat(charge.value, leftMs)).isOk()) this.noteRun(member, units);
   }
 
   /** What a paused instance had let in runs when it goes on. */
--- a/packages/gateway/test/quotaArbiters.test.ts
+++ b/packages/gateway/test/quotaArbiters.test.ts
@@ -8,7 +8,11 @@
 import { Err, Ok, type Result } from "ts-results-es";
 
 /** Asks over and over; each arbiter answers after a time of its own. Returns how long each question took. */
-async function askOften(answerMs: Readonly<Record<string, number>>, count: number): Promise<number[]> {
+async function askOften(
+  answerMs: Readonly<Record<string, number>>,
+  count: number,
+  waitMs = 5_000,
+): Promise<number[]> {
   const clock = VirtualClock.create();
   const granted: QuotaAnswer = { word: QuotaWord.Granted, level: 0 };
   const arbiters = QuotaArbiters.create({
@@ -29,7 +33,7 @@
     const startedAt = clock.getTime();
     let endedAt: number | undefined;
     void arbiters
-      .ask({ workspace: "w", total: index, uptime: 1, use: QuotaUse.First })
+      .ask({ workspace: "w", total: index, uptime: 1, use: QuotaUse.First }, waitMs)
       .then(() => (endedAt = clock.getTime()));
     while (endedAt === undefined) await clock.advance(10);
     times.push(endedAt - startedAt);
@@ -52,3 +56,8 @@
   const answered = times.slice(20).filter((time) => Math.round(time) === 800);
   t.ok(answered.length >= 30, times.join());
 });
+
+t.test("no question takes longer than its request can wait", async (t) => {
+  const times = await askOften({ a: 800, b: 800, c: 800 }, 40, 100);
+  t.ok(Math.max(...times) <= 110, times.join());
+});
