--- a/packages/gateway/test/limitedFleet.ts
+++ b/packages/gateway/test/limitedFleet.ts
@@ -20,7 +20,7 @@
   type Workspace,
 } from "@gladewall/gateway";
 import { type Clock, Failure, FailureCode, Logger, type Timer } from "@gladewall/kernel";
-import { createWorkspace, RunWindows } from "@gladewall/standins";
+import { createDraws, createWorkspace, RunWindows } from "@gladewall/standins";
 import { Err, Ok, type Result } from "ts-results-es";
 
 /** What is played; times are milliseconds from the start. */
@@ -83,13 +83,9 @@
 /** Time after which a reader that ended is replaced. */
 const patienceMs = 800;
 
-/** Draws from 0 to 1, the same for the same seed. */
-export function createDraws(seed: number): () => number {
-  let state = (seed * 2_654_435_761) >>> 0;
-  return () => {
-    state = (Math.imul(state, 1_664_525) + 1_013_904_223) >>> 0;
-    return state / 2 ** 32;
-  };
+/** Returns draws that differ from the first one on, also between seeds that are near each other. */
+function createSpreadDraws(seed: number): () => number {
+  return createDraws((seed * 2_654_435_761) >>> 0);
 }
 
 const limits = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
@@ -266,7 +262,7 @@
 
   constructor(readonly play: LimitPlay) {
     const { seed, instances, ratePerSecond } = play;
-    this.draw = createDraws(seed);
+    this.draw = createSpreadDraws(seed);
     this.workspace = createWorkspace({ ratePerSecond, burst: ratePerSecond });
     const configuration = { version: 1, routes: [], services: new Map(), limits };
     const table = RouteTable.create({ ...configuration, workspaces: [this.workspace] });
@@ -413,7 +409,7 @@
 
 /** Draws the troubles of a seed. */
 export function drawPlay(seed: number): LimitPlay {
-  const draw = createDraws(seed * 31);
+  const draw = createSpreadDraws(seed * 31);
   const choose = <Item>(items: readonly Item[]): Item => items[Math.floor(draw() * items.length)]!;
   const drawTimes = (count: number): number[] => Array.from({ length: count }, () => 3_000 + draw() * 14_000);
   return {
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -16,3 +16,4 @@
 export * from "./scriptedEndpoint.js";
 export * from "./gatewayBench.js";
 export * from "./runWindows.js";
+export * from "./draws.js";
