--- a/packages/gateway/test/overrunLimit.test.ts
+++ b/packages/gateway/test/overrunLimit.test.ts
@@ -25,7 +25,8 @@
 /*
  * Instances decided by views a quarter of a second old and more, each for itself: at the onset of a surge all of them took
  * the same room. With views 150 ms under way, 1.11 of what a limit of 900,000 a second allows ran in a window, then nothing
- * was let in for seconds; the level that was told came 400 ms behind the units charged.
+ * was let in for seconds. On a busy machine, 77 instances with each run charged let 8,410,397 units run in 8 s from the
+ * onset of a surge, of 8,321,439 that are allowed.
  */
 t.test("words that are late cost refusals, and never let more run than a limit allows", async (t) => {
   for (const [instances, ratePerSecond, delayMs] of [
