--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -14,6 +14,7 @@
 import type { Endpoint } from "./endpoint.js";
 import type { ExchangeEnd, ExchangeParts, ExchangeRequest } from "./exchangeTypes.js";
 import type { Placement } from "./placement.js";
+import { createFingerprint } from "./requestFingerprint.js";
 import { RelayEnd, StreamRelay } from "./streamRelay.js";
 import { type CallerHead, type Route, RouteKind, type Service } from "./types.js";
 
@@ -92,6 +93,14 @@
     return kind === RouteKind.Safe || (kind === RouteKind.Stream && isResumable);
   }
 
+  /** Tells the same request again, whatever its id and instance. */
+  private get fingerprint(): string {
+    const { admitted, message, body } = this.request;
+    const { method = "", url: target = "/", headers } = message;
+    const workspace = admitted.workspace?.name;
+    return createFingerprint({ workspace, method, host: headers.host ?? "", target, body });
+  }
+
   private async tryOnce(): Promise<Next> {
     const { service, head } = this.request;
     if (this.isChargeDue && !(await this.tryCharge())) {
@@ -192,8 +201,15 @@
     const { clock, directory } = this.parts;
     const { service } = this.request;
     const time = clock.getTime();
-    this.log("attempt.failed", { endpoint: endpoint.id, end: AttemptEnd[result.end], detail: result.detail });
-    if (result.end === AttemptEnd.Lost) {
+    const isLost = result.end === AttemptEnd.Lost;
+    const fingerprint = isLost ? this.fingerprint : undefined;
+    this.log("attempt.failed", {
+      endpoint: endpoint.id,
+      end: AttemptEnd[result.end],
+      detail: result.detail,
+      fingerprint,
+    });
+    if (isLost) {
       this.history.noteRun();
       this.countOnce(beganAt);
       endpoint.noteEnd(false, time);
@@ -266,7 +282,8 @@
     if (this.isOver) return Next.Done;
     endpoint.noteEnd(relayEnd === RelayEnd.Complete, this.parts.clock.getTime());
     if (relayEnd === RelayEnd.Complete) return Next.Done;
-    this.log("stream.cut", { endpoint: endpoint.id, lastEvent: this.relay.lastEventId });
+    const { fingerprint, relay } = this;
+    this.log("stream.cut", { endpoint: endpoint.id, lastEvent: relay.lastEventId, fingerprint });
     this.history.noteRunFailed(Failure.create(FailureCode.EndpointCut, { endpoint: endpoint.id }));
     return this.isRepeatAllowed() ? Next.TryAgain : Next.GiveUp;
   }
