--- /dev/null
+++ b/packages/gateway/test/crashingRequest.test.ts
@@ -0,0 +1,42 @@
+/*
+ * One request ended every endpoint that began to run it, and its caller sent it again and again. Each try had a new id and
+ * came to any instance, and nothing told it from a new request: it walked through the whole service, three times in 13 s,
+ * and between the waves everything else was refused. The endpoint's record says that 16 ended under one request, 5 of them
+ * long after the third:
+ *
+ *   event=stream.cut instance=edge-lenna-3 request=186938b5333cb5b6 endpoint=i-058f64051d
+ *   event=stream.cut instance=edge-lenna-3 request=186938b5333cb5b6 endpoint=i-548a815e37
+ *   event=attempt.failed request=52457a6935652311 endpoint=i-f6ce6a125a end=NotSent detail="connect ECONNREFUSED ..."
+ *   event=request.failed request=52457a6935652311 status=503 failure=Overloaded candidates=3
+ *
+ * The first two lines are one exchange that is sent to a second endpoint by its own retry; eleven requests that had run
+ * beside it were cut twice within 0.3 s, as all of them were sent on to the same endpoint as the one that ended it.
+ */
+import t from "tap";
+import { sendDeadly, startEndingFleet } from "./endingEndpoints.js";
+
+/** Endpoints that may end under one request. */
+const mostEnded = 3;
+
+t.test("a request that ends each endpoint which runs it ends three at most, whoever is asked", async (t) => {
+  const { bench, endpoints } = await startEndingFleet(t, 3, 4);
+  for (let index = 0; index < 12; index++) {
+    await sendDeadly(bench, endpoints, bench.instances[index % 3]!);
+  }
+  t.ok(endpoints.ended <= mostEnded, `${endpoints.ended} ended`);
+  const answer = await bench.call(bench.instances[0]!, { method: "POST", key: "key", body: "harmless" });
+  t.equal(answer.status, 200);
+});
+
+t.test("what is known of it outlives every instance", async (t) => {
+  const { bench, endpoints } = await startEndingFleet(t, 2, 4);
+  for (let index = 0; index < 6; index++) {
+    await sendDeadly(bench, endpoints, bench.instances[index % 2]!);
+  }
+  await Promise.all(bench.instances.splice(0).map(({ gateway }) => gateway.close()));
+  for (let index = 0; index < 2; index++) await bench.startReady(4);
+  for (let index = 0; index < 6; index++) {
+    await sendDeadly(bench, endpoints, bench.instances[index % 2]!);
+  }
+  t.ok(endpoints.ended <= mostEnded, `${endpoints.ended} ended`);
+});
--- /dev/null
+++ b/packages/gateway/test/endingEndpoints.ts
@@ -0,0 +1,101 @@
+/**
+ * A service whose endpoints end under certain requests and come back, as a new life at a new port.
+ * @module
+ */
+import { RouteKind } from "@gladewall/gateway";
+import type { Closeable } from "@gladewall/kernel";
+import {
+  answerGood,
+  type BenchInstance,
+  createRoute,
+  createWorkspace,
+  type EndpointCall,
+  GatewayBench,
+  ScriptedEndpoint,
+  waitUntil,
+} from "@gladewall/standins";
+import type { Test } from "tap";
+
+/** Body under which an endpoint ends. */
+export const deadlyBody = "deadly";
+
+/** Endpoints of one service. */
+export class EndingEndpoints implements Closeable {
+  readonly alive = new Set<ScriptedEndpoint>();
+  /** Endpoints that ended under a request. */
+  ended = 0;
+  private lives = 0;
+  /** Answers what ends no endpoint. */
+  script: (call: EndpointCall) => void = answerGood;
+
+  private constructor(private readonly bench: GatewayBench) {}
+
+  static async create(bench: GatewayBench, count: number): Promise<EndingEndpoints> {
+    const endpoints = new EndingEndpoints(bench);
+    for (let index = 0; index < count; index++) await endpoints.add();
+    return endpoints;
+  }
+
+  /** Starts one more endpoint and lists it. */
+  async add(): Promise<ScriptedEndpoint> {
+    this.lives += 1;
+    const endpoint = await ScriptedEndpoint.create(`e${this.lives}`);
+    endpoint.script = (call) => {
+      if (call.body.startsWith(deadlyBody)) this.end(endpoint);
+      else this.script(call);
+    };
+    this.alive.add(endpoint);
+    this.bench.platform.list({ id: endpoint.id, address: endpoint.address });
+    return endpoint;
+  }
+
+  /** Ends an endpoint without a word: its connections are gone, new ones are refused, its record stays for a while. */
+  private end(endpoint: ScriptedEndpoint): void {
+    if (!this.alive.delete(endpoint)) return;
+    this.ended += 1;
+    void endpoint.close();
+  }
+
+  /** Starts endpoints in place of those that ended, whose records go, and waits until every instance knows. */
+  async replace(ended: readonly ScriptedEndpoint[]): Promise<void> {
+    for (const { id } of ended) this.bench.platform.unlist(id);
+    for (let index = 0; index < ended.length; index++) await this.add();
+    await waitUntil(() =>
+      this.bench.instances.every(({ gateway }) => gateway.countEndpoints("web") === this.alive.size),
+    );
+  }
+
+  async close(): Promise<void> {
+    await Promise.all([...this.alive].map((endpoint) => endpoint.close()));
+  }
+}
+
+/** Instances before endpoints that may end. */
+export async function startEndingFleet(
+  t: Pick<Test, "teardown">,
+  instanceCount: number,
+  endpointCount: number,
+) {
+  const bench = GatewayBench.create();
+  const route = createRoute({ kind: RouteKind.Safe, attempts: 2 });
+  const workspaces = [createWorkspace({}), createWorkspace({ name: "other", keys: ["other-key"] })];
+  bench.platform.configure({ routes: [route], workspaces });
+  const endpoints = await EndingEndpoints.create(bench, endpointCount);
+  for (let index = 0; index < instanceCount; index++) await bench.startReady(endpointCount);
+  await waitUntil(() => bench.instances.every(({ gateway }) => gateway.linkedPeers === instanceCount - 1));
+  t.teardown(() => Promise.all([bench.close(), endpoints.close()]));
+  return { bench, endpoints };
+}
+
+/** Sends the deadly request to an instance; endpoints that end under it come back before it resolves. */
+export async function sendDeadly(
+  bench: GatewayBench,
+  endpoints: EndingEndpoints,
+  instance: BenchInstance,
+  body = deadlyBody,
+) {
+  const before = [...endpoints.alive];
+  const answer = await bench.call(instance, { method: "POST", key: "key", body });
+  await endpoints.replace(before.filter((endpoint) => !endpoints.alive.has(endpoint)));
+  return answer;
+}
