Know an endpoint by its life, and take no record of another writer for one

Cause: an id was held to name one life. A word that it leaves was never undone, so an endpoint that left and started again under its id was never used again; load, suspicion, prompt parts, connections and peers' words went by the id and touched the next life.

Change: a life is the id with its start, in the directory, in what peers tell, in connections and prompt memory. A record of an earlier life, or without a start where one is known, changes nothing.

--- a/packages/gateway/src/endpoint.ts
+++ b/packages/gateway/src/endpoint.ts
@@ -45,11 +45,17 @@
   private failureShare = 0;
   private failureShareAt = 0;
 
-  /** Hash of the id, the same on all instances. */
+  /**
+   * Names this life, the same on all instances. What is known by id would be held against, or counted for, the next life
+   * that has it: a name once told to be leaving was never used again.
+   */
+  readonly life: string;
+  /** Hash of the life, the same on all instances. */
   readonly hash: number;
 
   private constructor(public record: EndpointRecord) {
-    this.hash = hashText(record.id);
+    this.life = getEndpointLife(record);
+    this.hash = hashText(this.life);
   }
 
   static create(record: EndpointRecord): Endpoint {
@@ -106,3 +112,8 @@
     this.loadAt = time;
   }
 }
+
+/** Returns the name of a life; the id alone where its record does not say when it began. */
+export function getEndpointLife({ id, born }: Pick<EndpointRecord, "id" | "born">): string {
+  return born === undefined ? id : `${id}@${born}`;
+}
--- a/packages/gateway/src/endpointConnections.ts
+++ b/packages/gateway/src/endpointConnections.ts
@@ -55,6 +55,7 @@
 
 /** Pools of all endpoints. */
 export class EndpointConnections {
+  /** Pools by the endpoint's life. */
   private readonly pools = new Map<string, EndpointPool>();
 
   private constructor() {}
@@ -64,19 +65,19 @@
   }
 
   get(endpoint: Endpoint): EndpointPool {
-    let pool = this.pools.get(endpoint.id);
+    let pool = this.pools.get(endpoint.life);
     if (!pool) {
       pool = { ...parseAddress(endpoint.record.address), agent: new PoolAgent() };
-      this.pools.set(endpoint.id, pool);
+      this.pools.set(endpoint.life, pool);
     }
     return pool;
   }
 
   /** Closes the idle connections of an endpoint that has ended; those in use end with their requests. */
   remove(endpoint: Endpoint): void {
-    const pool = this.pools.get(endpoint.id);
+    const pool = this.pools.get(endpoint.life);
     if (!pool) return;
-    this.pools.delete(endpoint.id);
+    this.pools.delete(endpoint.life);
     dropRestingSockets(pool.agent);
   }
 
--- a/packages/gateway/src/endpointDirectory.ts
+++ b/packages/gateway/src/endpointDirectory.ts
@@ -1,12 +1,13 @@
 /**
  * The one view of endpoints, merged from their own records, their answers, and attempts to reach them.
  *
- * An id names one life of one endpoint: its word that it leaves is never undone. A record that vanishes means that the
- * endpoint leaves, unless the store was in trouble: then records vanish by themselves, and the endpoint is used on.
+ * A life's word that it leaves is never undone; the next life of the same id begins with nothing. A record that vanishes
+ * means that the endpoint leaves, unless the store was in trouble: then records vanish by themselves, and the endpoint is
+ * used on.
  * @module
  */
 import { type Clock, type Closeable, type Logger } from "@gladewall/kernel";
-import { Endpoint, EndpointState } from "./endpoint.js";
+import { Endpoint, EndpointState, getEndpointLife } from "./endpoint.js";
 import { PrefixFollower } from "./prefixFollower.js";
 import type { EndpointRecord, PlatformAdapter, StoreItem } from "./types.js";
 
@@ -113,12 +114,22 @@
   }
 
   private take({ key, value }: StoreItem): void {
-    const decoded = this.options.platform.decodeEndpoint(key, value);
+    const { platform, logger } = this.options;
+    const decoded = platform.decodeEndpoint(key, value);
     if (decoded.isErr()) {
-      this.options.logger.error("endpoint.refused", { key, text: decoded.error.text });
+      logger.error("endpoint.refused", { key, text: decoded.error.text });
       return;
     }
     const record = decoded.value;
+    const known = this.endpoints.get(record.id);
+    if (known && isBefore(record, known.record)) {
+      logger.info("endpoint.refused", { key, text: "the record is of an earlier life" });
+      return;
+    }
+    if (known && getEndpointLife(record) !== known.life) {
+      this.setState(known, EndpointState.Leaving, "started again");
+      this.forget(known);
+    }
     const endpoint = this.endpoints.get(record.id) ?? this.add(record);
     const wasLeaving = endpoint.record.isLeaving;
     endpoint.record = { ...record, isLeaving: record.isLeaving || wasLeaving };
@@ -132,8 +143,8 @@
     const group = this.byService.get(record.service) ?? [];
     this.byService.set(record.service, group);
     group.push(endpoint);
-    const { id, service, hall, address, isReclaimable } = record;
-    this.options.logger.info("endpoint.added", { endpoint: id, service, hall, address, isReclaimable });
+    const { id, born, service, hall, address, isReclaimable } = record;
+    this.options.logger.info("endpoint.added", { endpoint: id, born, service, hall, address, isReclaimable });
     return endpoint;
   }
 
@@ -204,3 +215,8 @@
     });
   }
 }
+
+/** Whether a record is of a life that ended before a known one began; one that does not say when it began can't be later. */
+function isBefore({ born }: EndpointRecord, known: EndpointRecord): boolean {
+  return known.born !== undefined && (born === undefined || born < known.born);
+}
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -120,7 +120,7 @@
       return Next.GiveUp;
     }
     const { endpoint } = placement;
-    this.excluded.add(endpoint.id);
+    this.excluded.add(endpoint.life);
     this.placement = placement;
     endpoint.active += 1;
     const pending = service.engine ? placement.uncachedTokens : 0;
@@ -152,7 +152,7 @@
   private tellIfLong({ endpoint }: Placement, tokens: number): void {
     const { rates, tellPlaced } = this.parts;
     if (tokens / rates.get(this.request.service.name) < toldAtOnceMs) return;
-    tellPlaced(endpoint.id, tokens);
+    tellPlaced(endpoint.life, tokens);
   }
 
   private async send(placement: Placement, clearPending: () => void): Promise<Next> {
@@ -276,7 +276,7 @@
       this.firstEventMs ??= time - this.request.arrivedAt;
       this.noteFirstEvent(placement, time - startedAt);
       this.countOnce(this.parts.getTimeOfDay());
-      this.parts.placer.memory.note(head.parts, endpoint.id);
+      this.parts.placer.memory.note(head.parts, endpoint.life);
     };
     const relayEnd = await this.relay.relay(answer, onFirst);
     if (this.isOver) return Next.Done;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -55,7 +55,7 @@
     });
     directory.onRemoved((endpoint) => {
       connections.remove(endpoint);
-      placer.memory.removeEndpoint(endpoint.id);
+      placer.memory.removeEndpoint(endpoint.life);
     });
     parts.metrics.setSources({
       isReady: () => this.isReady(),
--- a/packages/gateway/src/gatewayParts.ts
+++ b/packages/gateway/src/gatewayParts.ts
@@ -192,8 +192,8 @@
     unlistedMs: feedTimes.unlistedMs,
   });
   const rates = ReadingRates.create({ clock, logger, startRate: endpoints.prefill_rate });
-  const countActive = (sum: number, { id, active }: Endpoint): number =>
-    sum + active + getPeerWork(id).active;
+  const countActive = (sum: number, { life, active }: Endpoint): number =>
+    sum + active + getPeerWork(life).active;
   return {
     ...base,
     incarnation: clock.getWallTime(),
@@ -319,7 +319,7 @@
 function getWork(directory: EndpointDirectory): ReadonlyMap<string, PeerWork> {
   const work = new Map<string, PeerWork>();
   for (const endpoint of directory.getAll()) {
-    work.set(endpoint.id, { active: endpoint.active, pendingTokens: endpoint.pendingTokens });
+    work.set(endpoint.life, { active: endpoint.active, pendingTokens: endpoint.pendingTokens });
   }
   return work;
 }
--- a/packages/gateway/src/memberRecords.ts
+++ b/packages/gateway/src/memberRecords.ts
@@ -4,7 +4,9 @@
  */
 import type { PeerAddress } from "@gladewall/coordination";
 import { type Clock, type Closeable, type Logger, type Timer, waitFor } from "@gladewall/kernel";
+import { decodeItem } from "./itemCodec.js";
 import { PrefixFollower } from "./prefixFollower.js";
+import * as v from "valibot";
 import type { MetadataStore, StoreItem } from "./types.js";
 
 /** Keys of the gateway's own items in the store. */
@@ -29,11 +31,14 @@
   readonly isLinked: (name: string) => boolean;
 }
 
-interface MemberRecord {
-  readonly address: string;
-  readonly incarnation: number;
-  readonly capacity?: number;
-}
+const memberSchema = v.object({
+  /** `host:port` that peers reach the instance at. */
+  address: v.pipe(v.string(), v.includes(":")),
+  incarnation: v.number(),
+  capacity: v.optional(v.number()),
+});
+
+type MemberRecord = v.InferOutput<typeof memberSchema>;
 
 const leaseMs = 6_000;
 const renewIntervalMs = 2_000;
@@ -155,7 +160,11 @@
       this.items.set(item.key, item);
       return;
     }
-    const record = JSON.parse(Buffer.from(item.value).toString("utf8")) as MemberRecord;
+    const record = decodeItem(memberSchema, item.value);
+    if (!record) {
+      this.options.logger.warn("member.refused", { key: item.key, bytes: item.value.length });
+      return;
+    }
     const name = item.key.slice(memberPrefix.length);
     if (!this.records.has(name)) this.grownAt = this.options.clock.getTime();
     this.records.set(name, record);
--- a/packages/gateway/src/placement.ts
+++ b/packages/gateway/src/placement.ts
@@ -14,7 +14,7 @@
   readonly service: Service;
   readonly promptTokens: number;
   readonly parts: readonly PromptPart[];
-  /** Endpoints that it was sent to before. */
+  /** Lives of endpoints that it was sent to before. */
   readonly excluded: ReadonlySet<string>;
 }
 
@@ -73,7 +73,7 @@
     let best: Placement | undefined;
     let bestScore = Infinity;
     for (const endpoint of candidates) {
-      const peers = this.options.getPeerWork(endpoint.id);
+      const peers = this.options.getPeerWork(endpoint.life);
       const uncachedTokens = this.getUncachedTokens(request, endpoint, endpoint === home);
       const expectedMs = this.getExpectedMs(request.service, endpoint, peers, uncachedTokens);
       const score = expectedMs + getPenalty(endpoint, time) + this.options.getRandom() * spreadMs;
@@ -89,7 +89,7 @@
     const fresh: Endpoint[] = [];
     const sound: Endpoint[] = [];
     for (const endpoint of this.options.getEndpoints(service.name)) {
-      if (!endpoint.isUsable() || excluded.has(endpoint.id)) continue;
+      if (!endpoint.isUsable() || excluded.has(endpoint.life)) continue;
       fresh.push(endpoint);
       if (!endpoint.isSuspect(time)) sound.push(endpoint);
     }
@@ -106,7 +106,7 @@
     for (let index = 0; index < parts.length; index++) {
       const part = parts[index];
       if (!part) break;
-      const isHeld = this.memory.holds(part.id, endpoint.id) || (isHome && index < shared);
+      const isHeld = this.memory.holds(part.id, endpoint.life) || (isHome && index < shared);
       if (!isHeld) break;
       cached += part.tokens;
     }
--- a/packages/gateway/src/prefixMemory.ts
+++ b/packages/gateway/src/prefixMemory.ts
@@ -19,12 +19,12 @@
 
 /** Remembers parts by endpoint. */
 export class PrefixMemory {
-  /** Endpoints by part, the part used last at the end. */
+  /** Lives of endpoints by part, the part used last at the end. */
   private readonly holders = new Map<string, Set<string>>();
   /** What peers have not been told yet. */
   private untold: Record<string, string[]> = {};
   private untoldCount = 0;
-  /** Endpoints that have ended, the latest at the end; ids are never used again. */
+  /** Lives of endpoints that have ended, the latest at the end. */
   private readonly ended = new Set<string>();
 
   private constructor() {}
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -115,8 +115,10 @@
 
 /** An endpoint as it records itself. */
 export interface EndpointRecord {
-  /** Names one life of one endpoint; never used again. */
+  /** Name of the endpoint; a later life may have it again. */
   readonly id: string;
+  /** Unix milliseconds of the start of this life; undefined where the record does not say. */
+  readonly born?: number | undefined;
   readonly service: string;
   /** `host:port`. */
   readonly address: string;
--- a/packages/gateway/src/usageReporter.ts
+++ b/packages/gateway/src/usageReporter.ts
@@ -4,8 +4,15 @@
  * @module
  */
 import { type Clock, FailureCode, type Logger } from "@gladewall/kernel";
+import * as v from "valibot";
+import { decodeItem } from "./itemCodec.js";
 import type { MetadataStore, OrderSender, OrderService, StoreItem } from "./types.js";
-import type { WorkspaceCounts, UsageCounts, WindowCounts } from "./usageCounts.js";
+import type { WorkspaceCounts, UsageCounts } from "./usageCounts.js";
+
+/** Runs by workspace. */
+const countsSchema = v.record(v.string(), v.number());
+/** Runs by life of an instance, window and workspace. */
+const draftSchema = v.record(v.string(), v.record(v.string(), countsSchema));
 
 /** Options of the reporter. */
 export interface UsageReporterOptions {
@@ -62,7 +69,11 @@
     const { store, draftKey, usage, life: ownLife, logger } = this.options;
     const draft = await store.read(draftKey);
     if (draft.isErr() || !draft.value) return;
-    const lives = JSON.parse(Buffer.from(draft.value.value).toString("utf8")) as Record<string, WindowCounts>;
+    const lives = decodeItem(draftSchema, draft.value.value);
+    if (!lives) {
+      logger.warn("usage.draft-refused", { revision: draft.value.revision });
+      return;
+    }
     for (const [life, windows] of Object.entries(lives)) {
       if (life !== ownLife) usage.takePeer(life, windows);
       for (const window of Object.keys(windows)) {
@@ -125,7 +136,7 @@
     const { store, getItem, usage } = this.options;
     const key = this.getKey(window);
     const known = getItem(key);
-    if (known) return decodeCounts(known.value);
+    if (known) return decodeItem(countsSchema, known.value);
     if (!getSender()) return undefined;
     const counts = usage.getTotal(window);
     const put = [{ key, value: Buffer.from(JSON.stringify(counts)) }];
@@ -136,10 +147,6 @@
     // A lost answer is settled by reading; where the store does not answer, the next step tries again.
     if (written.error.code === FailureCode.ServiceUnavailable) return undefined;
     const read = await store.read(key);
-    return read.isOk() && read.value ? decodeCounts(read.value.value) : undefined;
+    return read.isOk() && read.value ? decodeItem(countsSchema, read.value.value) : undefined;
   }
 }
-
-function decodeCounts(value: Uint8Array): WorkspaceCounts {
-  return JSON.parse(Buffer.from(value).toString("utf8")) as WorkspaceCounts;
-}
