Know a request under which endpoints end, run it apart, and stop running it

Cause: nothing outlived one exchange. Each try of the caller had a new id and came to any instance, and a cut was no more than a reason to go to the next sound endpoint, also for everything that had run beside the guilty request.

Change: a request is known again by a digest of what it asks. A cut connection and a refused one at the same address together show that an endpoint ended; all that was there is a suspect, told to peers at once. A suspect runs where no other suspect does, as an arbiter grants it, while half of the service is left to the rest; if that endpoint ends as well, it alone is to blame. After the second end it rests for a minute, after the third it is not run any more: 503, not run. A whole answer clears, a record that is still there takes an end back. Verdicts from the second end on lie in the store, one item each, and an instance is ready only when it has read them. Without a suspect of its workspace no request is hashed.

Ruled out: counting what was cut (the innocent were cut twice beside it); the exchange's own repeat alone (two arrivals of one id at most).

--- /dev/null
+++ b/packages/gateway/src/crashStore.ts
@@ -0,0 +1,131 @@
+/**
+ * Verdicts that must outlast all instances, as items of the platform's store: written once a request rests and once it is
+ * convicted, removed when it is cleared, and read with the gateway's other items. An operator who removes one clears it.
+ * @module
+ */
+import type { Clock, Logger } from "@gladewall/kernel";
+import * as v from "valibot";
+import type { CrashRecords, CrashSubject, CrashWords } from "./crashRecords.js";
+import { decodeItem } from "./itemCodec.js";
+import { ownPrefix } from "./memberRecords.js";
+import type { MetadataStore, StoreItem } from "./types.js";
+
+/** Options of the store. */
+export interface CrashStoreOptions {
+  readonly store: MetadataStore;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly records: CrashRecords;
+  /** Whether this instance writes for a request: one does for all. */
+  readonly isWriter: (fingerprint: string) => boolean;
+}
+
+const crashPrefix = `${ownPrefix}crashes/`;
+/** Items in all, 200 bytes each: every instance reads them when it starts. */
+const mostItems = 256;
+/** Time between two attempts of a write that failed. */
+const retryMs = 1_000;
+
+const crashSchema = v.object({
+  workspace: v.string(),
+  /** Lives of endpoints that ended with the request there. */
+  lives: v.array(v.string()),
+});
+
+type CrashItem = v.InferOutput<typeof crashSchema>;
+
+/** Writes verdicts and reads them. */
+export class CrashStore {
+  /** Items as last heard of, by fingerprint. */
+  private readonly items = new Map<string, CrashItem>();
+  private isWriting = false;
+  private failedAt = -Infinity;
+
+  private constructor(private readonly options: CrashStoreOptions) {}
+
+  static create(options: CrashStoreOptions): CrashStore {
+    return new CrashStore(options);
+  }
+
+  /** Takes an item of the store, or that it is gone; passes over those of others. */
+  take(key: string, item: StoreItem | undefined): void {
+    if (!key.startsWith(crashPrefix)) return;
+    const fingerprint = key.slice(crashPrefix.length);
+    if (!item) return this.handleRemoved(fingerprint);
+    const decoded = decodeItem(crashSchema, item.value);
+    if (!decoded) {
+      this.options.logger.warn("crash.item-refused", { key, bytes: item.value.length });
+      return;
+    }
+    const { workspace, lives } = decoded;
+    this.items.set(fingerprint, decoded);
+    const subject = { workspace, fingerprint };
+    this.options.records.take({
+      reports: lives.map((life) => ({ life, suspects: [subject], others: [] })),
+    });
+  }
+
+  /** Writes what is not in the store yet and removes what no longer belongs there; called several times a second. */
+  review(): void {
+    const { clock } = this.options;
+    if (this.isWriting || clock.getTime() - this.failedAt < retryMs) return;
+    const kept = this.options.records.getKept();
+    const due = kept.find((subject) => this.isDue(subject));
+    if (due) {
+      void this.write(due);
+      return;
+    }
+    const fingerprints = new Set(kept.map(({ fingerprint }) => fingerprint));
+    const cleared = [...this.items.keys()].find((fingerprint) => this.isCleared(fingerprint, fingerprints));
+    if (cleared !== undefined) void this.remove(cleared);
+  }
+
+  private isDue({ fingerprint }: CrashSubject): boolean {
+    const { records, isWriter } = this.options;
+    const item = this.items.get(fingerprint);
+    if (!item && this.items.size >= mostItems) return false;
+    const known = item?.lives ?? [];
+    return isWriter(fingerprint) && records.getLives(fingerprint).some((life) => !known.includes(life));
+  }
+
+  private isCleared(fingerprint: string, kept: ReadonlySet<string>): boolean {
+    return !kept.has(fingerprint) && this.options.isWriter(fingerprint);
+  }
+
+  private async write({ workspace, fingerprint }: CrashSubject): Promise<void> {
+    const lives = [...this.options.records.getLives(fingerprint)];
+    const item: CrashItem = { workspace, lives };
+    const put = [{ key: crashPrefix + fingerprint, value: Buffer.from(JSON.stringify(item)) }];
+    if (await this.transact({ put, remove: [] }, "crash.kept", fingerprint))
+      this.items.set(fingerprint, item);
+  }
+
+  private async remove(fingerprint: string): Promise<void> {
+    const change = { put: [], remove: [crashPrefix + fingerprint] };
+    if (await this.transact(change, "crash.cleared", fingerprint)) this.items.delete(fingerprint);
+  }
+
+  private async transact(
+    change: Pick<Parameters<MetadataStore["transact"]>[0], "put" | "remove">,
+    event: string,
+    fingerprint: string,
+  ): Promise<boolean> {
+    this.isWriting = true;
+    const written = await this.options.store.transact({ expected: [], ...change });
+    this.isWriting = false;
+    if (written.isErr()) this.failedAt = this.options.clock.getTime();
+    this.options.logger.info(event, {
+      fingerprint,
+      outcome: written.isOk() ? "written" : written.error.name,
+    });
+    return written.isOk();
+  }
+
+  private handleRemoved(fingerprint: string): void {
+    const item = this.items.get(fingerprint);
+    if (!this.items.delete(fingerprint) || !item) return;
+    const words: CrashWords = { acquittals: [{ fingerprint, lives: item.lives }] };
+    this.options.records.take(words);
+    this.options.logger.info("crash.item-removed", { fingerprint, lives: item.lives.length });
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/crashWatch.ts
@@ -0,0 +1,130 @@
+/**
+ * Finds out which endpoints have ended with requests on them. A cut connection alone says little: answers are broken off,
+ * connections reset and callers leave while an endpoint is sound. Its end shows by two signs that come about apart: a request
+ * was cut, and its address refuses connections. A record that is still there some time later takes the word back.
+ * @module
+ */
+import type { Clock, Logger } from "@gladewall/kernel";
+import type { CrashRecords, CrashReport, CrashSubject, CrashWords } from "./crashRecords.js";
+import { type Endpoint, EndpointState } from "./endpoint.js";
+import { ProbeWord } from "./endpointProbe.js";
+
+/** A request that is at an endpoint. */
+export interface AboardRequest {
+  /** Costs a digest where it was not needed before. */
+  readonly subject: CrashSubject;
+}
+
+/** Options of the watch. */
+export interface CrashWatchOptions {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly records: CrashRecords;
+  /** Asks an address whether anybody listens there. */
+  readonly probe: (address: string) => Promise<ProbeWord>;
+  /** Returns an endpoint by its life; undefined once it is forgotten. */
+  readonly findEndpoint: (life: string) => Endpoint | undefined;
+  /** Milliseconds since the store was last in trouble: until then, records say nothing of their endpoints. */
+  readonly getTimeSinceTrouble: () => number;
+  /** Tells peers at once: the time until they know decides how many endpoints end. */
+  readonly tell: (words: CrashWords) => void;
+  readonly countEnd: (service: string) => void;
+}
+
+/** Connections that an endpoint takes right after a cut tell for as long that it lives. */
+const aliveMs = 100;
+/** Most requests of one instance that are reported of one end; endpoints have up to 64 slots. */
+const mostReported = 64;
+/** A record vanishes after three heartbeats without a write, 3.6 s; one that is there after this long is a live one's. */
+const recordedMs = 6_000;
+/** Fingerprints of suspects in a log line. */
+const mostLogged = 4;
+
+/** An attempt to find out whether an endpoint has ended, and who was cut there meanwhile. */
+interface EndCheck {
+  readonly cut: AboardRequest[];
+  readonly hasEnded: Promise<boolean>;
+}
+
+/** Watches endpoints for their end. */
+export class CrashWatch {
+  private readonly checks = new Map<Endpoint, EndCheck>();
+  /** When an endpoint last showed that it lives, though a request was cut there. */
+  private readonly aliveAt = new WeakMap<Endpoint, number>();
+
+  private constructor(private readonly options: CrashWatchOptions) {}
+
+  static create(options: CrashWatchOptions): CrashWatch {
+    return new CrashWatch(options);
+  }
+
+  /** Takes note that a request was cut at an endpoint; resolves with whether the endpoint has ended. */
+  async noteCut(endpoint: Endpoint, request: AboardRequest): Promise<boolean> {
+    const { clock, records } = this.options;
+    // One that leaves ends as planned, and one whose record is gone may: no request is to blame.
+    if (endpoint.state !== EndpointState.Ready) return false;
+    if (records.hasEnded(endpoint.life)) {
+      this.report(endpoint, [request]);
+      return true;
+    }
+    const aliveAt = this.aliveAt.get(endpoint) ?? -Infinity;
+    if (clock.getTime() - aliveAt < aliveMs) return false;
+    const check = this.checks.get(endpoint) ?? this.startCheck(endpoint);
+    check.cut.push(request);
+    return check.hasEnded;
+  }
+
+  /** Takes back what a record shows to be wrong; called several times a second. */
+  review(): void {
+    const { records, findEndpoint, getTimeSinceTrouble, logger, tell } = this.options;
+    if (getTimeSinceTrouble() < recordedMs) return;
+    for (const life of records.getEndedBefore(recordedMs)) {
+      if (findEndpoint(life)?.state !== EndpointState.Ready) continue;
+      logger.info("endpoint.end-refuted", { life });
+      const words = { refuted: [life] };
+      records.take(words);
+      tell(words);
+    }
+  }
+
+  private startCheck(endpoint: Endpoint): EndCheck {
+    const cut: AboardRequest[] = [];
+    const check = { cut, hasEnded: this.check(endpoint, cut) };
+    this.checks.set(endpoint, check);
+    return check;
+  }
+
+  private async check(endpoint: Endpoint, cut: readonly AboardRequest[]): Promise<boolean> {
+    const word = await this.options.probe(endpoint.record.address);
+    this.checks.delete(endpoint);
+    if (word === ProbeWord.Listening) this.aliveAt.set(endpoint, this.options.clock.getTime());
+    const hasEnded = word === ProbeWord.NobodyThere && endpoint.state === EndpointState.Ready;
+    if (hasEnded) this.report(endpoint, [...new Set([...cut, ...endpoint.aboard])]);
+    return hasEnded;
+  }
+
+  private report(endpoint: Endpoint, requests: readonly AboardRequest[]): void {
+    const { clock, logger, records, tell, countEnd } = this.options;
+    const { life, record } = endpoint;
+    const isFirst = !records.hasEnded(life);
+    const aboard = requests.slice(0, mostReported).map(({ subject }) => subject);
+    const report: CrashReport = records.createReport(life, aboard);
+    const words = { reports: [report] };
+    if (!records.take(words)) return;
+    tell(words);
+    logger.info("endpoint.ended", {
+      endpoint: record.id,
+      life,
+      service: record.service,
+      aboard: aboard.length,
+      suspects: report.suspects.length,
+      fingerprints: report.suspects
+        .slice(0, mostLogged)
+        .map(({ fingerprint }) => fingerprint)
+        .join(),
+    });
+    if (!isFirst) return;
+    endpoint.noteUnreachable(clock.getTime());
+    countEnd(record.service);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/crashes.ts
@@ -0,0 +1,115 @@
+/**
+ * Puts together what an instance knows of endpoints that ended and of the requests they had, and keeps it in step with peers
+ * and the store.
+ * @module
+ */
+import type { Clock, Logger } from "@gladewall/kernel";
+import { CrashLinks } from "./crashLinks.js";
+import { CrashRecords, type CrashWords } from "./crashRecords.js";
+import { CrashStore } from "./crashStore.js";
+import { CrashWatch } from "./crashWatch.js";
+import type { EndpointDirectory } from "./endpointDirectory.js";
+import { probeEndpoint } from "./endpointProbe.js";
+import type { GatewayMetrics } from "./gatewayMetrics.js";
+import type { Members } from "./members.js";
+import { Suspects } from "./suspects.js";
+import { TrialGrants } from "./trialGrants.js";
+import type { MetadataStore, StoreItem } from "./types.js";
+
+/** What the parts stand on. */
+export interface CrashesOptions {
+  /** Name of this instance. */
+  readonly own: string;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly store: MetadataStore;
+  readonly directory: EndpointDirectory;
+  readonly members: Members;
+  readonly metrics: GatewayMetrics;
+  /** Longest time to open a connection to an endpoint. */
+  readonly connectTimeoutMs: number;
+  readonly getTimeSinceTrouble: () => number;
+}
+
+/** All that an instance knows of endpoints that ended. */
+export class Crashes {
+  readonly records: CrashRecords;
+  /** What requests are asked about. */
+  readonly suspects: Suspects;
+  private readonly watch: CrashWatch;
+  private readonly grants: TrialGrants;
+  private readonly kept: CrashStore;
+
+  private constructor(private readonly options: CrashesOptions) {
+    const { own, clock, logger, store, directory, members, metrics } = options;
+    const records = CrashRecords.create(clock);
+    this.records = records;
+    const findEndpoint = directory.findLife.bind(directory);
+    this.grants = TrialGrants.create({
+      clock,
+      records,
+      getEndpoints: (service) => directory.getOfService(service),
+      getPeerWork: (life) => members.getPeerWork(life),
+    });
+    const onWords = (words: CrashWords): void => this.noteUnreachable(words);
+    const links = CrashLinks.create({ own, fleet: members, records, grants: this.grants, onWords });
+    const tell = (words: CrashWords): void => links.tell(words);
+    this.watch = CrashWatch.create({
+      clock,
+      logger,
+      records,
+      probe: (address) => probeEndpoint(address, options.connectTimeoutMs),
+      findEndpoint,
+      getTimeSinceTrouble: options.getTimeSinceTrouble,
+      tell,
+      countEnd: (service) => metrics.countEndpointEnd(service),
+    });
+    this.kept = CrashStore.create({
+      store,
+      clock,
+      logger,
+      records,
+      isWriter: (fingerprint) => members.isCollector && members.findArbiter(fingerprint) === own,
+    });
+    this.suspects = Suspects.create({
+      clock,
+      logger,
+      records,
+      watch: this.watch,
+      metrics,
+      tell,
+      ask: (question) => links.ask(question),
+      endTrial: (service, life, fingerprint) => links.endTrial(service, life, fingerprint),
+      findEndpoint,
+    });
+  }
+
+  static create(options: CrashesOptions): Crashes {
+    return new Crashes(options);
+  }
+
+  /** Takes an item of the store, or that it is gone. */
+  takeItem(key: string, item: StoreItem | undefined): void {
+    this.kept.take(key, item);
+  }
+
+  /** Looks again at what was held to have ended, and at what the store should hold. */
+  review(): void {
+    this.watch.review();
+    this.kept.review();
+  }
+
+  close(): void {
+    this.grants.close();
+  }
+
+  /** A peer found that an endpoint has ended: this instance need not find it out by requests of its own. */
+  private noteUnreachable({ reports = [] }: CrashWords): void {
+    const { clock, directory } = this.options;
+    for (const { life } of reports) {
+      const endpoint = directory.findLife(life);
+      const time = clock.getTime();
+      if (endpoint && !endpoint.isSuspect(time)) endpoint.noteUnreachable(time);
+    }
+  }
+}
--- a/packages/gateway/src/endpoint.ts
+++ b/packages/gateway/src/endpoint.ts
@@ -3,6 +3,7 @@
  * @module
  */
 import { hashText } from "@gladewall/kernel";
+import type { AboardRequest } from "./crashWatch.js";
 import type { EndpointLoad, EndpointRecord } from "./types.js";
 
 /** Whether an endpoint takes work. */
@@ -35,6 +36,8 @@
   active = 0;
   /** Prompt tokens of this instance's requests that have not given a first event. */
   pendingTokens = 0;
+  /** These requests, to tell which it had when it ends. */
+  readonly aboard = new Set<AboardRequest>();
   /** Load it last told. */
   load: EndpointLoad | undefined;
   loadAt = -Infinity;
@@ -113,7 +116,16 @@
   }
 }
 
+/** Stands between an endpoint's id and the start of its life. */
+const lifeMark = "@";
+
 /** Returns the name of a life; the id alone where its record does not say when it began. */
 export function getEndpointLife({ id, born }: Pick<EndpointRecord, "id" | "born">): string {
-  return born === undefined ? id : `${id}@${born}`;
+  return born === undefined ? id : `${id}${lifeMark}${born}`;
+}
+
+/** Returns the id that a life goes by. */
+export function getLifeId(life: string): string {
+  const end = life.lastIndexOf(lifeMark);
+  return end < 0 ? life : life.slice(0, end);
 }
--- a/packages/gateway/src/endpointDirectory.ts
+++ b/packages/gateway/src/endpointDirectory.ts
@@ -7,7 +7,7 @@
  * @module
  */
 import { type Clock, type Closeable, type Logger } from "@gladewall/kernel";
-import { Endpoint, EndpointState, getEndpointLife } from "./endpoint.js";
+import { Endpoint, EndpointState, getEndpointLife, getLifeId } from "./endpoint.js";
 import { PrefixFollower } from "./prefixFollower.js";
 import type { EndpointRecord, PlatformAdapter, StoreItem } from "./types.js";
 
@@ -95,6 +95,12 @@
     return this.endpoints.get(id);
   }
 
+  /** Returns an endpoint by its life. */
+  findLife(life: string): Endpoint | undefined {
+    const endpoint = this.endpoints.get(getLifeId(life)) ?? this.endpoints.get(life);
+    return endpoint?.life === life ? endpoint : undefined;
+  }
+
   getAll(): Iterable<Endpoint> {
     return this.endpoints.values();
   }
--- /dev/null
+++ b/packages/gateway/src/endpointProbe.ts
@@ -0,0 +1,34 @@
+/**
+ * Asks an endpoint's address whether anybody listens there.
+ * @module
+ */
+import { connect } from "node:net";
+import { parseAddress } from "@gladewall/kernel";
+
+/** What an attempt to connect shows. */
+export enum ProbeWord {
+  /** The address takes connections. */
+  Listening = 1,
+  /** Its machine answers that nobody listens: the process has ended. */
+  NobodyThere = 2,
+  /** No answer, or one that says neither: the way there may be cut. */
+  Unknown = 3,
+}
+
+const refusedCode = "ECONNREFUSED";
+
+/** Opens one connection and closes it again. Never rejects. */
+export function probeEndpoint(address: string, timeoutMs: number): Promise<ProbeWord> {
+  return new Promise((resolve) => {
+    const socket = connect(parseAddress(address));
+    const finish = (word: ProbeWord): void => {
+      socket.destroy();
+      resolve(word);
+    };
+    socket.setTimeout(timeoutMs, () => finish(ProbeWord.Unknown));
+    socket.once("connect", () => finish(ProbeWord.Listening));
+    socket.once("error", ({ code }: NodeJS.ErrnoException) =>
+      finish(code === refusedCode ? ProbeWord.NobodyThere : ProbeWord.Unknown),
+    );
+  });
+}
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -7,15 +7,19 @@
  */
 import type { IncomingMessage } from "node:http";
 import { Failure, FailureCode, type Timer } from "@gladewall/kernel";
+import { Err, Ok, type Result } from "ts-results-es";
 import { type BodyEnd, readWholeBody } from "./answerBody.js";
 import { writeFailure, writeWholeAnswer } from "./answerWriter.js";
 import { Attempt, AttemptEnd, type AttemptResult } from "./attempt.js";
 import { AttemptHistory } from "./attemptHistory.js";
+import type { CrashSubject } from "./crashRecords.js";
+import type { AboardRequest } from "./crashWatch.js";
 import type { Endpoint } from "./endpoint.js";
 import type { ExchangeEnd, ExchangeParts, ExchangeRequest } from "./exchangeTypes.js";
 import type { Placement } from "./placement.js";
 import { createFingerprint } from "./requestFingerprint.js";
 import { RelayEnd, StreamRelay } from "./streamRelay.js";
+import type { Trial } from "./suspects.js";
 import { type CallerHead, type Route, RouteKind, type Service } from "./types.js";
 
 /** What a finished attempt means for the request. */
@@ -30,11 +34,13 @@
 /** Reading that would make another request late if it came behind unknown: a tenth of the shortest usual objective. */
 const toldAtOnceMs = 25;
 const retryAfterMs = 300;
+/** Endpoints ended 40 to 120 ms after they began to run the request under which they did. */
+const survivedMs = 200;
 const urgencyLevels = 9;
 const urgencyPerWorkspaceRank = 3;
 
 /** Serves one request. */
-export class Exchange {
+export class Exchange implements AboardRequest {
   private attempt: Attempt | undefined;
   /** Whether the attempt has neither an answer's head nor failed. */
   private isUnderWay = false;
@@ -42,6 +48,9 @@
   private readonly excluded = new Set<string>();
   private readonly history = AttemptHistory.create();
   private placement: Placement | undefined;
+  /** Where a suspect runs apart from the others. */
+  private trial: Trial | undefined;
+  private knownSubject: CrashSubject | undefined;
   private firstEventMs: number | undefined;
   private isCounted = false;
   private isOver = false;
@@ -94,26 +103,67 @@
   }
 
   /** Tells the same request again, whatever its id and instance. */
-  private get fingerprint(): string {
-    const { admitted, message, body } = this.request;
+  get subject(): CrashSubject {
+    this.knownSubject ??= this.createSubject();
+    return this.knownSubject;
+  }
+
+  private createSubject(): CrashSubject {
+    const { message, body } = this.request;
+    const { workspace } = this;
     const { method = "", url: target = "/", headers } = message;
-    const workspace = admitted.workspace?.name;
-    return createFingerprint({ workspace, method, host: headers.host ?? "", target, body });
+    return {
+      workspace,
+      fingerprint: createFingerprint({ workspace, method, host: headers.host ?? "", target, body }),
+    };
+  }
+
+  /** Name of the workspace; empty on public routes. */
+  private get workspace(): string {
+    return this.request.admitted.workspace?.name ?? "";
   }
 
   private async tryOnce(): Promise<Next> {
-    const { service, head } = this.request;
+    const { service } = this.request;
     if (this.isChargeDue && !(await this.tryCharge())) {
       this.log("retry.refused", { service: service.name, cause: "limit" });
       return Next.GiveUp;
     }
     if (this.isOver) return Next.Done;
+    const placement = await this.choose();
+    const next = placement.isOk() ? await this.tryAt(placement.value) : this.noteNotPlaced(placement.error);
+    this.trial?.end();
+    this.trial = undefined;
+    return next;
+  }
+
+  private noteNotPlaced(failure: Failure): Next {
+    this.history.noteNoEndpoint(failure);
+    return Next.GiveUp;
+  }
+
+  /** Chooses an endpoint; a suspect has one to itself, apart from the other suspects. */
+  private async choose(): Promise<Result<Placement, Failure>> {
+    const { suspects, placer } = this.parts;
+    const { service, head } = this.request;
+    const { excluded } = this;
     const { promptTokens = 0, parts } = head;
-    const placement = this.parts.placer.choose({ service, promptTokens, parts, excluded: this.excluded });
-    if (!placement) {
-      this.history.noteNoEndpoint(createRefusal(FailureCode.NoEndpoint, service));
-      return Next.GiveUp;
+    const wanted = { service, promptTokens, parts, excluded };
+    if (suspects.isWatching(this.workspace)) {
+      const { subject } = this;
+      const leftMs = this.getTimeLeft();
+      const trial = await suspects.seek({ id: head.id, subject, service: service.name, excluded, leftMs });
+      if (trial.isErr()) return trial;
+      this.trial = trial.value;
     }
+    if (this.trial) return Ok(placer.describe(wanted, this.trial.endpoint));
+    const placement = placer.choose(wanted);
+    return placement ? Ok(placement) : Err(createRefusal(FailureCode.NoEndpoint, service));
+  }
+
+  private async tryAt(placement: Placement): Promise<Next> {
+    const { service } = this.request;
+    if (this.isOver) return Next.Done;
     if (this.getTimeLeft() < leastAttemptMs) return Next.GiveUp;
     if (this.history.arrivals > 0 && !this.parts.budget.tryTake(service.name)) {
       this.log("retry.refused", { service: service.name, cause: "budget" });
@@ -123,6 +173,7 @@
     this.excluded.add(endpoint.life);
     this.placement = placement;
     endpoint.active += 1;
+    endpoint.aboard.add(this);
     const pending = service.engine ? placement.uncachedTokens : 0;
     endpoint.pendingTokens += pending;
     this.tellIfLong(placement, pending);
@@ -134,6 +185,7 @@
     const next = await this.send(placement, clearPending);
     clearPending();
     endpoint.active -= 1;
+    endpoint.aboard.delete(this);
     return next;
   }
 
@@ -197,12 +249,12 @@
     return Attempt.create({ ...base, method, target, headers, body });
   }
 
-  private handleNoAnswer(endpoint: Endpoint, result: AttemptResult, beganAt: number): Next {
+  private async handleNoAnswer(endpoint: Endpoint, result: AttemptResult, beganAt: number): Promise<Next> {
     const { clock, directory } = this.parts;
     const { service } = this.request;
     const time = clock.getTime();
     const isLost = result.end === AttemptEnd.Lost;
-    const fingerprint = isLost ? this.fingerprint : undefined;
+    const fingerprint = isLost ? this.subject.fingerprint : undefined;
     this.log("attempt.failed", {
       endpoint: endpoint.id,
       end: AttemptEnd[result.end],
@@ -213,8 +265,7 @@
       this.history.noteRun();
       this.countOnce(beganAt);
       endpoint.noteEnd(false, time);
-      this.history.noteRunFailed(Failure.create(FailureCode.EndpointCut, { endpoint: endpoint.id }));
-      return this.isRepeatAllowed() ? Next.TryAgain : Next.GiveUp;
+      return this.handleCut(endpoint);
     }
     if (result.end === AttemptEnd.NotSent) endpoint.noteUnreachable(time);
     if (result.end === AttemptEnd.WrongEndpoint) directory.handleReplaced(endpoint);
@@ -223,6 +274,18 @@
     return this.history.isTriedOut ? Next.GiveUp : Next.TryAgain;
   }
 
+  /**
+   * Goes on after a run whose connection was cut. Sent on before it was known that the endpoint had ended, what had run there
+   * went on together at the next one: eleven requests were cut twice within 0.3 s, beside the one that ended both.
+   */
+  private async handleCut(endpoint: Endpoint): Promise<Next> {
+    this.history.noteRunFailed(Failure.create(FailureCode.EndpointCut, { endpoint: endpoint.id }));
+    const checked = this.parts.suspects.noteCut(endpoint, this);
+    if (!this.isRepeatAllowed()) return Next.GiveUp;
+    await checked;
+    return this.isOver ? Next.Done : Next.TryAgain;
+  }
+
   private isRepeatAllowed(): boolean {
     return this.isRepeatable && this.history.runs < this.request.admitted.route.attempts && !this.isOver;
   }
@@ -242,15 +305,14 @@
         status,
         complete: body.isComplete,
       });
+      if (!body.isComplete) return this.handleCut(endpoint);
       this.history.noteRunFailed(
         Failure.create(FailureCode.EndpointFailed, { endpoint: endpoint.id, status }),
       );
       return Next.TryAgain;
     }
-    if (!body.isComplete) {
-      this.history.noteRunFailed(Failure.create(FailureCode.EndpointCut, { endpoint: endpoint.id }));
-      return Next.GiveUp;
-    }
+    if (!body.isComplete) return this.handleCut(endpoint);
+    this.noteWhole();
     writeWholeAnswer(
       this.request.response,
       this.request.message.method,
@@ -275,17 +337,33 @@
       const time = this.parts.clock.getTime();
       this.firstEventMs ??= time - this.request.arrivedAt;
       this.noteFirstEvent(placement, time - startedAt);
+      this.endTrialLater();
       this.countOnce(this.parts.getTimeOfDay());
       this.parts.placer.memory.note(head.parts, endpoint.life);
     };
     const relayEnd = await this.relay.relay(answer, onFirst);
     if (this.isOver) return Next.Done;
     endpoint.noteEnd(relayEnd === RelayEnd.Complete, this.parts.clock.getTime());
-    if (relayEnd === RelayEnd.Complete) return Next.Done;
-    const { fingerprint, relay } = this;
+    if (relayEnd === RelayEnd.Complete) {
+      this.noteWhole();
+      return Next.Done;
+    }
+    const { relay, subject } = this;
+    const { fingerprint } = subject;
     this.log("stream.cut", { endpoint: endpoint.id, lastEvent: relay.lastEventId, fingerprint });
-    this.history.noteRunFailed(Failure.create(FailureCode.EndpointCut, { endpoint: endpoint.id }));
-    return this.isRepeatAllowed() ? Next.TryAgain : Next.GiveUp;
+    return this.handleCut(endpoint);
+  }
+
+  /** An endpoint that has answered it whole was not ended by it. */
+  private noteWhole(): void {
+    const { suspects } = this.parts;
+    if (suspects.isWatching(this.workspace)) suspects.clear(this.subject);
+  }
+
+  /** A suspect that has given events for a while lets the next one begin: it ends endpoints at once if at all. */
+  private endTrialLater(): void {
+    const { trial } = this;
+    if (trial) this.parts.clock.startTimer(survivedMs, () => trial.end());
   }
 
   /** Only a prompt that is read from its beginning, with none before it, tells how fast an engine reads. */
--- a/packages/gateway/src/exchangeTypes.ts
+++ b/packages/gateway/src/exchangeTypes.ts
@@ -21,6 +21,7 @@
   | "rates"
   | "budget"
   | "charges"
+  | "suspects"
   | "demand"
   | "metrics"
   | "connectTimeoutMs"
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -69,6 +69,7 @@
       getViewAge: () => parts.members.viewAge ?? noViewAge,
       getUsableEndpoints: () => [...directory.getAll()].filter((endpoint) => endpoint.isUsable()).length,
       isDutyHolder: () => parts.duties.isActing(),
+      countSuspects: () => parts.crashes.records.count(),
     });
     follower.onChange((table) => this.front.setLimits(table.configuration.limits));
     follower.onRegained(() => {
@@ -228,6 +229,7 @@
       this.parts.follower.close(),
       this.parts.directory.close(),
     ]);
+    this.parts.crashes.close();
     await this.parts.members.close();
     this.parts.connections.close();
     await Promise.all([this.parts.platform.store.close(), this.parts.platform.orders.close()]);
--- a/packages/gateway/src/gatewayMetrics.ts
+++ b/packages/gateway/src/gatewayMetrics.ts
@@ -19,6 +19,8 @@
   readonly getViewAge: () => number;
   readonly getUsableEndpoints: () => number;
   readonly isDutyHolder: () => boolean;
+  /** Requests under which an endpoint ended, and of these such as are not run any more. */
+  readonly countSuspects: () => { readonly watched: number; readonly convicted: number };
 }
 
 /** What became of units of a workspace's limit. */
@@ -95,6 +97,19 @@
     this.registry.getCounter("gladewall_quota_asks_total", "Questions to arbiters of limits.", labels).add();
   }
 
+  /** Counts an endpoint that ended with requests of this instance on it. */
+  countEndpointEnd(service: string): void {
+    const help = "Endpoints that ended with requests of this instance on them.";
+    this.registry.getCounter("gladewall_endpoint_ends_total", help, { service }).add();
+  }
+
+  /** Counts a refusal of a request under which endpoints ended. */
+  countSuspectRefusal(service: string, verdict: string): void {
+    const help = "Refusals of requests under which endpoints ended.";
+    const labels = { service, verdict: verdict.toLowerCase() };
+    this.registry.getCounter("gladewall_suspect_refusals_total", help, labels).add();
+  }
+
   /** Shows a workspace's limit; called again, it changes nothing. */
   showQuota(workspace: string, { getLevel, getRoom }: QuotaGauges): void {
     const labels = { workspace };
@@ -130,6 +145,16 @@
       sources.getViewAge,
     );
     set("gladewall_usable_endpoints", "Endpoints that take work.", sources.getUsableEndpoints);
+    set(
+      "gladewall_suspects",
+      "Requests watched because an endpoint ended.",
+      () => sources.countSuspects().watched,
+    );
+    set(
+      "gladewall_convicted",
+      "Of these, such as are not run any more.",
+      () => sources.countSuspects().convicted,
+    );
     set("gladewall_duty_holder", "1 while this instance gives orders.", () => Number(sources.isDutyHolder()));
   }
 
--- a/packages/gateway/src/gatewayParts.ts
+++ b/packages/gateway/src/gatewayParts.ts
@@ -9,6 +9,7 @@
 import { EndpointConnections } from "./endpointConnections.js";
 import { EndpointDirectory } from "./endpointDirectory.js";
 import { CapacityOrders } from "./capacityOrders.js";
+import { Crashes } from "./crashes.js";
 import { ConfigurationFollower, type ConfigurationFollowerOptions } from "./configurationFollower.js";
 import { Demand } from "./demand.js";
 import { Duties } from "./duties.js";
@@ -17,10 +18,11 @@
 import { GatewayMetrics } from "./gatewayMetrics.js";
 import type { GatewaySettings } from "./gatewaySettings.js";
 import { ownPrefix } from "./memberRecords.js";
-import { Members } from "./members.js";
+import { Members, type MembersOptions } from "./members.js";
 import { Placer } from "./placement.js";
 import { PrefixMemory } from "./prefixMemory.js";
 import { ReadingRates } from "./readingRates.js";
+import type { Suspects } from "./suspects.js";
 import { QuotaCharges } from "./quotaCharges.js";
 import { RetryBudget } from "./retryBudget.js";
 import { CounterKind, SharedCounters } from "./sharedCounters.js";
@@ -75,6 +77,10 @@
   readonly directory: EndpointDirectory;
   readonly connections: EndpointConnections;
   readonly members: Members;
+  /** What is known of endpoints that ended, and of the requests they had. */
+  readonly crashes: Crashes;
+  /** What may be done with such requests. */
+  readonly suspects: Suspects;
   readonly admission: Admission;
   readonly charges: QuotaCharges;
   readonly placer: Placer;
@@ -112,8 +118,26 @@
   const reporter: UsageReporter = createReporter(views, (key) => members.items.get(key));
   const getKnownShare = (): number => members.getKnownShare();
   const admission: Admission = createAdmission(views, getKnownShare, () => members.getFleetSize());
-  const members: Members = createMembers(views, reporter, admission);
+  const members: Members = createMembers(views, reporter, {
+    answerAsk: (peer, ask) => admission.answerAsk(peer, ask),
+    onItem: (key, item) => crashes.takeItem(key, item),
+    onTurn: () => {
+      admission.refreshLimits();
+      crashes.review();
+    },
+  });
   const metrics = GatewayMetrics.create(settings.listen.metrics);
+  const crashes: Crashes = Crashes.create({
+    own: settings.instance.name,
+    clock,
+    logger,
+    store: platform.store,
+    directory,
+    members,
+    metrics,
+    connectTimeoutMs: endpoints.connect_timeout,
+    getTimeSinceTrouble: () => follower.getTimeSinceTrouble(),
+  });
   const vouching: Vouching = Vouching.create(members.links, follower, Math.random);
   return {
     settings,
@@ -124,6 +148,8 @@
     directory,
     connections: EndpointConnections.create(),
     members,
+    crashes,
+    suspects: crashes.suspects,
     admission,
     charges: QuotaCharges.create({
       clock,
@@ -155,9 +181,16 @@
   };
 }
 
-/** Whether an instance knows enough to serve: a proven configuration, and the endpoints. */
-export function canServe({ follower, directory }: Pick<GatewayParts, "follower" | "directory">): boolean {
-  return follower.isProven() && directory.isListed;
+/**
+ * Whether an instance knows enough to serve: a proven configuration, the endpoints, and the gateway's own items, as they say
+ * which requests must not run.
+ */
+export function canServe({
+  follower,
+  directory,
+  members,
+}: Pick<GatewayParts, "follower" | "directory" | "members">): boolean {
+  return follower.isProven() && directory.isListed && members.isListed;
 }
 
 function createViews(base: GatewayBase, { askPeers, getPeerWork }: FleetViews): GatewayViews {
@@ -236,7 +269,11 @@
   });
 }
 
-function createMembers(views: GatewayViews, reporter: UsageReporter, admission: Admission): Members {
+function createMembers(
+  views: GatewayViews,
+  reporter: UsageReporter,
+  handlers: Pick<MembersOptions, "answerAsk" | "onItem" | "onTurn">,
+): Members {
   const { settings, platform, clock, logger, counters, usage, time, directory, follower, rates } = views;
   const { instance, listen, peers } = settings;
   return Members.create({
@@ -263,8 +300,7 @@
     endpointPrefix: platform.endpointPrefix,
     getWindow: () => reporter.getWindow(time.get()),
     getWork: () => getWork(directory),
-    onTurn: () => admission.refreshLimits(),
-    answerAsk: (peer, ask) => admission.answerAsk(peer, ask),
+    ...handlers,
   });
 }
 
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -19,8 +19,18 @@
 export { CountHandover } from "./countHandover.js";
 export { Collectors } from "./collectors.js";
 export { ConfigurationFollower, StoreRole } from "./configurationFollower.js";
+export {
+  type Acquittal,
+  CrashRecords,
+  type CrashReport,
+  type CrashSubject,
+  type CrashWords,
+  Verdict,
+} from "./crashRecords.js";
+export { CrashWatch } from "./crashWatch.js";
 export { Demand } from "./demand.js";
 export { Duties } from "./duties.js";
+export { probeEndpoint, ProbeWord } from "./endpointProbe.js";
 export { EventSplitter } from "./eventSplitter.js";
 export { createFeedTimes } from "./feedTimes.js";
 export { FleetFeed } from "./fleetFeed.js";
@@ -46,12 +56,14 @@
 export { QuotaArbiters } from "./quotaArbiters.js";
 export { QuotaCharges } from "./quotaCharges.js";
 export { RecentPlacements } from "./recentPlacements.js";
+export { createFingerprint } from "./requestFingerprint.js";
 export { RetryBudget } from "./retryBudget.js";
 export { drawTarget, RouteTable } from "./routeTable.js";
 export { CounterKind, type CounterTotals, SharedCounters } from "./sharedCounters.js";
 export { SilentPeers } from "./silentPeers.js";
 export { SlidingWindow } from "./slidingWindow.js";
 export { StoreFeed } from "./storeFeed.js";
+export { TrialGrants, TrialWord } from "./trialGrants.js";
 export { TrueTime } from "./trueTime.js";
 export { UsageCounts } from "./usageCounts.js";
 export { UsageReporter } from "./usageReporter.js";
--- a/packages/gateway/src/memberRecords.ts
+++ b/packages/gateway/src/memberRecords.ts
@@ -27,6 +27,8 @@
   readonly capacity: number;
   /** Called after changes, once for those that came together. */
   readonly onChange: () => void;
+  /** Called with each of the gateway's other items, and with `undefined` once one is gone. */
+  readonly onItem?: (key: string, item: StoreItem | undefined) => void;
   /** Whether an instance is linked: its record is kept even where the store has none. */
   readonly isLinked: (name: string) => boolean;
 }
@@ -158,6 +160,7 @@
   private handlePut(item: StoreItem): void {
     if (!item.key.startsWith(memberPrefix)) {
       this.items.set(item.key, item);
+      this.options.onItem?.(item.key, item);
       return;
     }
     const record = decodeItem(memberSchema, item.value);
@@ -186,7 +189,10 @@
 
   private handleRemoved(key: string): void {
     this.items.delete(key);
-    if (!key.startsWith(memberPrefix)) return;
+    if (!key.startsWith(memberPrefix)) {
+      this.options.onItem?.(key, undefined);
+      return;
+    }
     const name = key.slice(memberPrefix.length);
     const record = this.records.get(name);
     this.forgetTimers.get(name)?.cancel();
--- a/packages/gateway/src/members.ts
+++ b/packages/gateway/src/members.ts
@@ -190,6 +190,21 @@
     return this.collectors.isOwn;
   }
 
+  /** Whether the fleet is so small that every instance is linked with every other. */
+  get isMesh(): boolean {
+    return this.collectors.isMesh;
+  }
+
+  /** Names of the readers that are linked. */
+  getLinkedReaders(): readonly string[] {
+    return this.collectors.getLinkedReaders();
+  }
+
+  /** Name of the reader that decides for the fleet on a subject; undefined where none can be asked. */
+  findArbiter(subject: string): string | undefined {
+    return this.arbiters.find(subject);
+  }
+
   /** Whether this instance asks the store for others. */
   get isReader(): boolean {
     return this.collectors.isReader;
--- a/packages/gateway/src/placement.ts
+++ b/packages/gateway/src/placement.ts
@@ -85,6 +85,15 @@
     return best;
   }
 
+  /** Describes what a request meets at an endpoint that was chosen for it otherwise. */
+  describe(request: PlacementRequest, endpoint: Endpoint): Placement {
+    const peers = this.options.getPeerWork(endpoint.life);
+    const uncachedTokens = this.getUncachedTokens(request, endpoint, false);
+    const expectedMs = this.getExpectedMs(request.service, endpoint, peers, uncachedTokens);
+    const tokensAhead = endpoint.pendingTokens + peers.pendingTokens;
+    return { endpoint, uncachedTokens, expectedMs, tokensAhead, candidates: 1 };
+  }
+
   private getCandidates({ service, excluded }: PlacementRequest, time: number): readonly Endpoint[] {
     const fresh: Endpoint[] = [];
     const sound: Endpoint[] = [];
--- a/packages/gateway/src/quotaArbiters.ts
+++ b/packages/gateway/src/quotaArbiters.ts
@@ -64,7 +64,7 @@
 
   /** Whether this instance is the arbiter of a workspace's limit. */
   decidesHere(workspace: string): boolean {
-    return this.choose(workspace) === this.options.own;
+    return this.find(workspace) === this.options.own;
   }
 
   /**
@@ -96,23 +96,23 @@
   private async waitForArbiter(workspace: string, latestAt: number): Promise<string | undefined> {
     const { clock } = this.options;
     const endsAt = Math.min(latestAt, clock.getTime() + linkWaitMs);
-    let arbiter = this.choose(workspace);
+    let arbiter = this.find(workspace);
     while (arbiter === undefined && clock.getTime() < endsAt) {
       await waitFor(clock, linkCheckMs);
-      arbiter = this.choose(workspace);
+      arbiter = this.find(workspace);
     }
     return arbiter;
   }
 
   /** Returns the first reader that can decide, this instance among them; undefined where none can be reached. */
-  private choose(workspace: string): string | undefined {
+  find(subject: string): string | undefined {
     const { clock, own, getReaders, isLinked } = this.options;
     const time = clock.getTime();
     const readers = getReaders();
     if (readers.length === 0) return own;
     const canDecide = (name: string): boolean =>
       name === own || (isLinked(name) && this.getState(name).passedOverUntil <= time);
-    return sortByRendezvous(workspace, readers, (name) => name).find(canDecide);
+    return sortByRendezvous(subject, readers, (name) => name).find(canDecide);
   }
 
   private async askOne(
--- /dev/null
+++ b/packages/gateway/src/suspects.ts
@@ -0,0 +1,144 @@
+/**
+ * Requests under which endpoints ended, as the requests' own path sees them: what may be done with one, where a suspect runs,
+ * and when it is cleared.
+ * @module
+ */
+import { type Clock, Failure, FailureCode, type Logger } from "@gladewall/kernel";
+import { Err, Ok, type Result } from "ts-results-es";
+import { type CrashRecords, type CrashSubject, type CrashWords, restMs, Verdict } from "./crashRecords.js";
+import type { AboardRequest, CrashWatch } from "./crashWatch.js";
+import type { Endpoint } from "./endpoint.js";
+import type { GatewayMetrics } from "./gatewayMetrics.js";
+import { type TrialAnswer, type TrialQuestion, TrialWord } from "./trialGrants.js";
+
+/** Options of the suspects. */
+export interface SuspectsOptions {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly records: CrashRecords;
+  readonly watch: CrashWatch;
+  readonly metrics: GatewayMetrics;
+  readonly tell: (words: CrashWords) => void;
+  readonly ask: (question: TrialQuestion) => Promise<TrialAnswer>;
+  readonly endTrial: (service: string, life: string, fingerprint: string) => void;
+  readonly findEndpoint: (life: string) => Endpoint | undefined;
+}
+
+/** A request that may be a suspect. */
+export interface SuspectRequest {
+  readonly id: string;
+  readonly subject: CrashSubject;
+  readonly service: string;
+  /** Lives of endpoints that it was sent to before. */
+  readonly excluded: ReadonlySet<string>;
+  /** Time until it must have its final answer. */
+  readonly leftMs: number;
+}
+
+/** A suspect's run at an endpoint where no other suspect runs. */
+export interface Trial {
+  readonly endpoint: Endpoint;
+  /** Lets the next suspect run there; called again, it changes nothing. */
+  end(): void;
+}
+
+/** Longest wait for an endpoint: of ten suspects of one end, three run at once and the others 0.2 to 0.5 s later. */
+const mostWaitMs = 600;
+/** Of the time that a request has left, it waits this share at most. */
+const waitedShare = 0.3;
+/** When a suspect for which no endpoint was free may come back. */
+const busyRetryMs = 500;
+
+/** Decides about requests under which endpoints ended. */
+export class Suspects {
+  private constructor(private readonly options: SuspectsOptions) {}
+
+  static create(options: SuspectsOptions): Suspects {
+    return new Suspects(options);
+  }
+
+  /** Whether a request of a workspace may be a suspect at all; without any, no request is looked at. */
+  isWatching(workspace: string): boolean {
+    return this.options.records.isWatched(workspace);
+  }
+
+  /** Takes note that a request was cut at an endpoint; resolves with whether the endpoint has ended. */
+  noteCut(endpoint: Endpoint, request: AboardRequest): Promise<boolean> {
+    return this.options.watch.noteCut(endpoint, request);
+  }
+
+  /**
+   * Finds an endpoint for a suspect; `undefined` where the request is none. Fails with `CrashSuspect` where no endpoint is
+   * free for it, and with `CrashesEndpoints` where it is not run any more, or not for a time.
+   */
+  async seek(request: SuspectRequest): Promise<Result<Trial | undefined, Failure>> {
+    const { records, ask } = this.options;
+    const { subject, service, excluded, leftMs } = request;
+    const verdict = records.getVerdict(subject);
+    if (verdict === Verdict.Clear) return Ok(undefined);
+    if (verdict !== Verdict.Suspect) return Err(this.refuse(request, verdict));
+    const waitMs = Math.min(mostWaitMs, leftMs * waitedShare);
+    const answer = await ask({ service, subject, excluded: [...excluded], waitMs });
+    this.log(request, "suspect.asked", { word: TrialWord[answer.word], life: answer.life });
+    // It may have been cleared, or convicted, while it waited.
+    const current = records.getVerdict(subject);
+    if (answer.word === TrialWord.Granted && answer.life !== undefined) {
+      return this.begin(request, answer.life, current);
+    }
+    if (current === Verdict.Clear) return Ok(undefined);
+    return Err(this.refuse(request, current));
+  }
+
+  /** Takes note that a request was answered whole. */
+  clear({ workspace, fingerprint }: CrashSubject): void {
+    const { records, tell, logger } = this.options;
+    const lives = records.getLives(fingerprint);
+    if (lives.length === 0) return;
+    const words = { acquittals: [{ fingerprint, lives }] };
+    records.take(words);
+    tell(words);
+    logger.info("suspect.cleared", { workspace, fingerprint, lives: lives.length });
+  }
+
+  private begin(
+    { subject, service }: SuspectRequest,
+    life: string,
+    verdict: Verdict,
+  ): Result<Trial | undefined, Failure> {
+    const { endTrial, findEndpoint } = this.options;
+    const endpoint = findEndpoint(life);
+    let isOver = false;
+    const end = (): void => {
+      if (!isOver) endTrial(service, life, subject.fingerprint);
+      isOver = true;
+    };
+    const isRunnable = verdict === Verdict.Suspect || verdict === Verdict.Clear;
+    if (endpoint?.isUsable() && isRunnable) return Ok({ endpoint, end });
+    end();
+    return Err(createBusyRefusal(service));
+  }
+
+  private refuse(request: SuspectRequest, verdict: Verdict): Failure {
+    const { records, metrics } = this.options;
+    const { subject, service } = request;
+    const lives = records.getLives(subject.fingerprint);
+    this.log(request, "suspect.refused", { verdict: Verdict[verdict], lives: lives.join() });
+    metrics.countSuspectRefusal(service, Verdict[verdict]);
+    if (verdict === Verdict.Suspect || verdict === Verdict.Clear) return createBusyRefusal(service);
+    return Failure.create(FailureCode.CrashesEndpoints, { service, count: lives.length }, restMs);
+  }
+
+  private log(
+    { id, subject, service }: SuspectRequest,
+    event: string,
+    fields: Record<string, string | undefined>,
+  ): void {
+    const { workspace, fingerprint } = subject;
+    const ageMs = Math.round(this.options.records.getAge(fingerprint));
+    this.options.logger.info(event, { request: id, service, workspace, fingerprint, ageMs, ...fields });
+  }
+}
+
+function createBusyRefusal(service: string): Failure {
+  return Failure.create(FailureCode.CrashSuspect, { service }, busyRetryMs);
+}
--- a/packages/kernel/src/failures.ts
+++ b/packages/kernel/src/failures.ts
@@ -49,6 +49,8 @@
   QuotaSpent = 3014,
   Overloaded = 3015,
   RouteTimeout = 3016,
+  CrashSuspect = 3017,
+  CrashesEndpoints = 3018,
   EndpointRefused = 4001,
   EndpointUnreachable = 4002,
   EndpointCut = 4003,
@@ -195,6 +197,16 @@
     "workspace {workspace} is over its limit of {limit} a second: {level} of {room} taken, {share} % of the fleet heard",
   ),
   [FailureCode.Overloaded]: createRow(503, notRun, "service {service} cannot start the request in time"),
+  [FailureCode.CrashSuspect]: createRow(
+    503,
+    notRun,
+    "an endpoint of service {service} ended while it had a request like this one; no endpoint is free to try it apart",
+  ),
+  [FailureCode.CrashesEndpoints]: createRow(
+    503,
+    notRun,
+    "{count} endpoints of service {service} ended while they had a request like this one; it is not run for now",
+  ),
   [FailureCode.RouteTimeout]: createRow(504, unknown, "no whole answer within {limit} ms"),
   [FailureCode.EndpointRefused]: createRow(
     503,
