Let the suspects of one end run on, and run apart only those of two; tests of the innocent

Change: a suspect of one end runs like others while a quarter of the service is left. With the second end only the suspects there are to blame, and run apart. Two ends at one moment set a request apart too; 50 ms are left for peers' words.

--- a/packages/gateway/src/crashRecords.ts
+++ b/packages/gateway/src/crashRecords.ts
@@ -2,9 +2,9 @@
  * Which requests were at endpoints that ended, and what follows for each of them: state on a clock, merged from this
  * instance's own words and its peers', which may come late, twice and in any order.
  *
- * Whoever was at an endpoint that ended is a suspect, as nothing tells which request it was. A suspect then runs apart from
- * the other suspects: if that endpoint ends as well, it alone is to blame, and those beside it are not. Who is answered
- * whole is cleared.
+ * Whoever was at an endpoint that ended is a suspect, as nothing tells which request it was; most are innocent, and run on.
+ * Where the next endpoint ends as well, only the suspects there are to blame. From then on each of them runs apart from the
+ * others, until one is answered whole, which clears it, or is the only one to blame.
  * @module
  */
 import type { Clock } from "@gladewall/kernel";
@@ -44,23 +44,31 @@
 export enum Verdict {
   /** It is like any other. */
   Clear = 1,
-  /** It runs only where no other suspect does. */
+  /** It was at one endpoint that ended; it runs while enough of the service is left. */
   Suspect = 2,
-  /** It is not run for a time, then once more as a suspect. */
-  Resting = 3,
+  /** It was at two; it runs only where no other such request does. */
+  Isolated = 3,
+  /** It alone is to blame for two ends; it is not run for a time, then apart once more. */
+  Resting = 4,
   /** It is not run any more. */
-  Convicted = 4,
+  Convicted = 5,
 }
 
-/** Blame of one that was at an endpoint that ended: of the only suspect, and of one of several. */
-const soleBlame = 1;
-const sharedBlame = 0.5;
+/** Blame for one end: of one suspect alone; several share it. */
+const wholeBlame = 1;
 /**
- * Blame from which a request rests, and from which it is not run any more: two and three ends where it ran apart each time,
- * three and four where it never did. The platform bears three ends, and three more runs after them.
+ * Blame up to which a request runs like others, at which it rests, and above which it is not run any more. One that ends each
+ * endpoint it runs at comes to the last with its third end, or with its fourth where two of its runs began before anybody
+ * could know. The platform bears three ends, and three more runs after them.
  */
-const restingBlame = 1.5;
-const convictedBlame = 2.5;
+const suspectBlame = 1;
+/**
+ * Most blame for ends before anybody knew of an earlier one. A request that is at two such at once is asked for often, or sent
+ * again at once: enough to run it apart, but the ends may have another cause. Three copies of a request that were under way
+ * together ended four endpoints of four, and two or three with this and a wait for peers' words (six runs each).
+ */
+const mostFirstBlame = 1.5;
+const restingBlame = 2;
 /** Time without a run: two ends may still be chance, and a caller that asks again after a minute is served by then. */
 export const restMs = 60_000;
 /** A suspect that never came back is forgotten: endpoints end by themselves, and most suspects are innocent. */
@@ -116,11 +124,12 @@
   /** Returns what may be done with a request. */
   getVerdict({ fingerprint }: CrashSubject): Verdict {
     const blame = this.getBlame(fingerprint);
-    if (blame >= convictedBlame) return Verdict.Convicted;
+    if (blame === 0) return Verdict.Clear;
+    if (blame > restingBlame) return Verdict.Convicted;
     const age = this.getAge(fingerprint);
-    if (blame >= restingBlame && age < restMs) return Verdict.Resting;
-    if (blame >= restingBlame || (blame > 0 && age < suspicionMs)) return Verdict.Suspect;
-    return Verdict.Clear;
+    if (blame === restingBlame) return age < restMs ? Verdict.Resting : Verdict.Isolated;
+    if (age >= suspicionMs) return Verdict.Clear;
+    return blame > suspectBlame ? Verdict.Isolated : Verdict.Suspect;
   }
 
   /** Milliseconds since an endpoint last ended under a request, as heard here. */
@@ -156,15 +165,18 @@
     for (const fingerprints of this.watched.values()) {
       watched += fingerprints.size;
       for (const fingerprint of fingerprints) {
-        convicted += this.getBlame(fingerprint) >= convictedBlame ? 1 : 0;
+        convicted += this.getBlame(fingerprint) > restingBlame ? 1 : 0;
       }
     }
     return { watched, convicted };
   }
 
-  /** Sorts those that were at an endpoint by whether they were suspects before it ended. */
+  /** Sorts those that were at an endpoint by whether they were suspects before it ended; of these, the most to blame. */
   createReport(life: string, aboard: readonly CrashSubject[]): CrashReport {
-    const isSuspect = ({ fingerprint }: CrashSubject): boolean => this.getBlame(fingerprint, life) > 0;
+    const getBefore = ({ fingerprint }: CrashSubject): number => this.getBlame(fingerprint, life);
+    const hasIsolated = aboard.some((subject) => getBefore(subject) > suspectBlame);
+    const least = hasIsolated ? suspectBlame : 0;
+    const isSuspect = (subject: CrashSubject): boolean => getBefore(subject) > least;
     return {
       life,
       suspects: aboard.filter((subject) => isSuspect(subject)),
@@ -204,17 +216,16 @@
 
   /** The blame of a request, without the end of one life where that is given. */
   private getBlame(fingerprint: string, without?: string): number {
-    let alone = 0;
-    let firstBlame = 0;
+    let firstEnds = 0;
+    let repeated = 0;
     for (const end of this.endsByFingerprint.get(fingerprint) ?? []) {
       if (end.life === without || !isOpen(end, fingerprint)) continue;
       const suspects = countSuspects(end);
       const wasSuspect = end.aboard.get(fingerprint)?.wasSuspect === true;
-      if (wasSuspect) alone += suspects > 1 ? sharedBlame : soleBlame;
-      // Ends at the same moment, before anybody could know, count once: then innocent requests are there as well.
-      else if (suspects === 0) firstBlame = soleBlame;
+      if (wasSuspect) repeated += wholeBlame / suspects;
+      else if (suspects === 0) firstEnds += 1;
     }
-    return alone + firstBlame;
+    return Math.min(firstEnds * wholeBlame, mostFirstBlame) + repeated;
   }
 
   private takeReport({ life, suspects, others }: CrashReport): boolean {
--- a/packages/gateway/src/crashes.ts
+++ b/packages/gateway/src/crashes.ts
@@ -45,10 +45,11 @@
     const records = CrashRecords.create(clock);
     this.records = records;
     const findEndpoint = directory.findLife.bind(directory);
+    const getEndpoints = directory.getOfService.bind(directory);
     this.grants = TrialGrants.create({
       clock,
       records,
-      getEndpoints: (service) => directory.getOfService(service),
+      getEndpoints,
       getPeerWork: (life) => members.getPeerWork(life),
     });
     const onWords = (words: CrashWords): void => this.noteUnreachable(words);
@@ -80,6 +81,7 @@
       tell,
       ask: (question) => links.ask(question),
       endTrial: (service, life, fingerprint) => links.endTrial(service, life, fingerprint),
+      getEndpoints,
       findEndpoint,
     });
   }
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -48,7 +48,7 @@
   private readonly excluded = new Set<string>();
   private readonly history = AttemptHistory.create();
   private placement: Placement | undefined;
-  /** Where a suspect runs apart from the others. */
+  /** Where it runs apart from others under which endpoints ended. */
   private trial: Trial | undefined;
   private knownSubject: CrashSubject | undefined;
   private firstEventMs: number | undefined;
@@ -142,7 +142,7 @@
     return Next.GiveUp;
   }
 
-  /** Chooses an endpoint; a suspect has one to itself, apart from the other suspects. */
+  /** Chooses an endpoint; an isolated request has one apart from the others of its kind. */
   private async choose(): Promise<Result<Placement, Failure>> {
     const { suspects, placer } = this.parts;
     const { service, head } = this.request;
@@ -360,7 +360,7 @@
     if (suspects.isWatching(this.workspace)) suspects.clear(this.subject);
   }
 
-  /** A suspect that has given events for a while lets the next one begin: it ends endpoints at once if at all. */
+  /** An isolated request that has given events for a while lets the next begin: it ends endpoints at once if at all. */
   private endTrialLater(): void {
     const { trial } = this;
     if (trial) this.parts.clock.startTimer(survivedMs, () => trial.end());
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -27,6 +27,7 @@
   type CrashWords,
   Verdict,
 } from "./crashRecords.js";
+export { CrashStore } from "./crashStore.js";
 export { CrashWatch } from "./crashWatch.js";
 export { Demand } from "./demand.js";
 export { Duties } from "./duties.js";
--- a/packages/gateway/src/suspects.ts
+++ b/packages/gateway/src/suspects.ts
@@ -3,7 +3,7 @@
  * and when it is cleared.
  * @module
  */
-import { type Clock, Failure, FailureCode, type Logger } from "@gladewall/kernel";
+import { type Clock, Failure, FailureCode, type Logger, waitFor } from "@gladewall/kernel";
 import { Err, Ok, type Result } from "ts-results-es";
 import { type CrashRecords, type CrashSubject, type CrashWords, restMs, Verdict } from "./crashRecords.js";
 import type { AboardRequest, CrashWatch } from "./crashWatch.js";
@@ -21,6 +21,7 @@
   readonly tell: (words: CrashWords) => void;
   readonly ask: (question: TrialQuestion) => Promise<TrialAnswer>;
   readonly endTrial: (service: string, life: string, fingerprint: string) => void;
+  readonly getEndpoints: (service: string) => readonly Endpoint[];
   readonly findEndpoint: (life: string) => Endpoint | undefined;
 }
 
@@ -35,17 +36,21 @@
   readonly leftMs: number;
 }
 
-/** A suspect's run at an endpoint where no other suspect runs. */
+/** A run at an endpoint where no other isolated request runs. */
 export interface Trial {
   readonly endpoint: Endpoint;
-  /** Lets the next suspect run there; called again, it changes nothing. */
+  /** Lets the next one run there; called again, it changes nothing. */
   end(): void;
 }
 
-/** Longest wait for an endpoint: of ten suspects of one end, three run at once and the others 0.2 to 0.5 s later. */
+/** Time after an end until peers' words on others at the same moment are there: one or two hops of a few milliseconds. */
+const wordsMs = 50;
+/** Longest wait for an endpoint: a run that began at once lets the next begin after 0.2 to 0.5 s. */
 const mostWaitMs = 600;
 /** Of the time that a request has left, it waits this share at most. */
 const waitedShare = 0.3;
+/** Part of a service's endpoints that may have ended while suspects of one end still run like others. */
+const shortShare = 0.75;
 /** When a suspect for which no endpoint was free may come back. */
 const busyRetryMs = 500;
 
@@ -68,15 +73,17 @@
   }
 
   /**
-   * Finds an endpoint for a suspect; `undefined` where the request is none. Fails with `CrashSuspect` where no endpoint is
+   * Finds an endpoint for a request that must run apart; `undefined` where it may run like others. Fails with `CrashSuspect` where no endpoint is
    * free for it, and with `CrashesEndpoints` where it is not run any more, or not for a time.
    */
   async seek(request: SuspectRequest): Promise<Result<Trial | undefined, Failure>> {
     const { records, ask } = this.options;
     const { subject, service, excluded, leftMs } = request;
+    await this.awaitWords(subject);
     const verdict = records.getVerdict(subject);
     if (verdict === Verdict.Clear) return Ok(undefined);
-    if (verdict !== Verdict.Suspect) return Err(this.refuse(request, verdict));
+    if (verdict === Verdict.Suspect && !this.isShort(service)) return Ok(undefined);
+    if (verdict !== Verdict.Isolated) return Err(this.refuse(request, verdict));
     const waitMs = Math.min(mostWaitMs, leftMs * waitedShare);
     const answer = await ask({ service, subject, excluded: [...excluded], waitMs });
     this.log(request, "suspect.asked", { word: TrialWord[answer.word], life: answer.life });
@@ -89,6 +96,22 @@
     return Err(this.refuse(request, current));
   }
 
+  /** Leaves peers time to tell of ends at the same moment. */
+  private async awaitWords({ fingerprint }: CrashSubject): Promise<void> {
+    const { clock, records } = this.options;
+    const leftMs = wordsMs - records.getAge(fingerprint);
+    if (leftMs > 0) await waitFor(clock, leftMs);
+  }
+
+  /** Whether so many endpoints have ended that no suspect may cost another one. */
+  private isShort(service: string): boolean {
+    const { clock, records, getEndpoints } = this.options;
+    const time = clock.getTime();
+    const usable = getEndpoints(service).filter((endpoint) => endpoint.isUsable());
+    const ended = usable.filter((endpoint) => endpoint.isSuspect(time) || records.hasEnded(endpoint.life));
+    return ended.length > usable.length * shortShare;
+  }
+
   /** Takes note that a request was answered whole. */
   clear({ workspace, fingerprint }: CrashSubject): void {
     const { records, tell, logger } = this.options;
@@ -112,8 +135,7 @@
       if (!isOver) endTrial(service, life, subject.fingerprint);
       isOver = true;
     };
-    const isRunnable = verdict === Verdict.Suspect || verdict === Verdict.Clear;
-    if (endpoint?.isUsable() && isRunnable) return Ok({ endpoint, end });
+    if (endpoint?.isUsable() && isRunnable(verdict)) return Ok({ endpoint, end });
     end();
     return Err(createBusyRefusal(service));
   }
@@ -124,7 +146,7 @@
     const lives = records.getLives(subject.fingerprint);
     this.log(request, "suspect.refused", { verdict: Verdict[verdict], lives: lives.join() });
     metrics.countSuspectRefusal(service, Verdict[verdict]);
-    if (verdict === Verdict.Suspect || verdict === Verdict.Clear) return createBusyRefusal(service);
+    if (isRunnable(verdict)) return createBusyRefusal(service);
     return Failure.create(FailureCode.CrashesEndpoints, { service, count: lives.length }, restMs);
   }
 
@@ -139,6 +161,11 @@
   }
 }
 
+/** Whether a request may run, now or as soon as an endpoint is free for it. */
+function isRunnable(verdict: Verdict): boolean {
+  return verdict < Verdict.Resting;
+}
+
 function createBusyRefusal(service: string): Failure {
   return Failure.create(FailureCode.CrashSuspect, { service }, busyRetryMs);
 }
--- a/packages/gateway/src/trialGrants.ts
+++ b/packages/gateway/src/trialGrants.ts
@@ -1,13 +1,13 @@
 /**
- * Decides, for the whole fleet, at which endpoint a suspect runs next: one where no other suspect does, while half of the
- * service is left to everybody else.
+ * Decides, for the whole fleet, at which endpoint an isolated request runs next: one where no other such request does, while
+ * half of the service is left to everybody else.
  * @module
  */
 import type { Clock, Timer } from "@gladewall/kernel";
 import { type CrashRecords, type CrashSubject, Verdict } from "./crashRecords.js";
 import type { Endpoint, PeerWork } from "./endpoint.js";
 
-/** A suspect that is to run. */
+/** An isolated request that is to run. */
 export interface TrialQuestion {
   readonly service: string;
   readonly subject: CrashSubject;
@@ -17,11 +17,11 @@
   readonly waitMs: number;
 }
 
-/** What becomes of a suspect. */
+/** What becomes of it. */
 export enum TrialWord {
   /** It may run at an endpoint. */
   Granted = 1,
-  /** Other suspects run wherever it could, or too few endpoints are left. */
+  /** Others run wherever it could, or too few endpoints are left. */
   Busy = 2,
   /** It is not to be run now. */
   Refused = 3,
@@ -55,16 +55,16 @@
   readonly timer: Timer;
 }
 
-/** A grant whose end nobody tells is over after this long; a suspect that ends endpoints did so within 0.3 s. */
+/** A grant whose end nobody tells is over after this long; a request that ended endpoints did so within 0.3 s. */
 const grantMs = 1_500;
 /** Part of a service that may be ended or under trial at the same time. */
 const spentShare = 0.5;
-/** Suspects that wait for an endpoint; more are told at once that none is free. */
+/** Requests that wait for an endpoint; more are told at once that none is free. */
 const mostWaiting = 256;
 
 const busy: TrialAnswer = { word: TrialWord.Busy };
 
-/** Endpoints that suspects run at. */
+/** Endpoints that isolated requests run at. */
 export class TrialGrants {
   /** Grants by the endpoint's life. */
   private readonly grants = new Map<string, Grant>();
@@ -77,7 +77,7 @@
     return new TrialGrants(options);
   }
 
-  /** Resolves with an endpoint once one is free, or when the suspect can't wait any more. */
+  /** Resolves with an endpoint once one is free, or when the request can't wait any more. */
   ask(question: TrialQuestion): Promise<TrialAnswer> {
     const answer = this.decide(question);
     const isFinal = answer.word !== TrialWord.Busy || question.waitMs <= 0;
@@ -91,7 +91,7 @@
     });
   }
 
-  /** Takes note that a suspect's run is over, or has lasted long enough. */
+  /** Takes note that a run is over, or has lasted long enough. */
   end(life: string, fingerprint: string): void {
     if (this.grants.get(life)?.fingerprint === fingerprint) this.release(life);
   }
--- /dev/null
+++ b/packages/gateway/test/crashWatch.test.ts
@@ -0,0 +1,224 @@
+import t from "tap";
+import {
+  CrashRecords,
+  type CrashWords,
+  CrashStore,
+  CrashWatch,
+  Endpoint,
+  EndpointState,
+  ProbeWord,
+  TrialGrants,
+  TrialWord,
+  Verdict,
+} from "@gladewall/gateway";
+import { Logger, VirtualClock } from "@gladewall/kernel";
+import { MetadataStoreStandin, SharedStore } from "@gladewall/standins";
+
+const subject = { workspace: "w", fingerprint: "f" };
+const request = { subject };
+const logger = Logger.createSilent();
+
+function createEndpoint(id: string): Endpoint {
+  return Endpoint.create({
+    id,
+    service: "web",
+    address: "127.0.0.1:1",
+    hall: "a",
+    slots: 4,
+    isLeaving: false,
+    isReclaimable: false,
+  });
+}
+
+function createWatch(word: ProbeWord) {
+  const clock = VirtualClock.create();
+  const records = CrashRecords.create(clock);
+  const endpoint = createEndpoint("e");
+  const told: CrashWords[] = [];
+  const state = { probes: 0, troubleMs: Infinity, isListed: true };
+  const watch = CrashWatch.create({
+    clock,
+    logger,
+    records,
+    probe: async () => {
+      state.probes += 1;
+      return word;
+    },
+    findEndpoint: () => (state.isListed ? endpoint : undefined),
+    getTimeSinceTrouble: () => state.troubleMs,
+    tell: (words) => told.push(words),
+    countEnd: () => undefined,
+  });
+  return { clock, records, endpoint, told, watch, state };
+}
+
+t.test("a cut request and a refused connection together show that an endpoint has ended", async (t) => {
+  const { records, endpoint, told, watch, state } = createWatch(ProbeWord.NobodyThere);
+  const beside = { subject: { workspace: "w", fingerprint: "beside" } };
+  endpoint.aboard.add(beside);
+  const ends = await Promise.all([watch.noteCut(endpoint, request), watch.noteCut(endpoint, request)]);
+  t.same(ends, [true, true]);
+  t.equal(state.probes, 1, "both cuts are settled by one connection");
+  t.same(told, [{ reports: [{ life: "e", suspects: [], others: [subject, beside.subject] }] }]);
+  t.ok(await watch.noteCut(endpoint, { subject: { workspace: "w", fingerprint: "late" } }));
+  t.equal(state.probes, 1);
+  t.equal(records.getVerdict({ workspace: "w", fingerprint: "late" }), Verdict.Suspect);
+});
+
+t.test("one of the two signs alone shows nothing", async (t) => {
+  for (const word of [ProbeWord.Listening, ProbeWord.Unknown]) {
+    const { clock, records, endpoint, watch, state } = createWatch(word);
+    t.notOk(await watch.noteCut(endpoint, request));
+    t.notOk(await watch.noteCut(endpoint, request));
+    t.equal(state.probes, word === ProbeWord.Listening ? 1 : 2, "a live one is not asked twice in a row");
+    await clock.advance(200);
+    t.notOk(await watch.noteCut(endpoint, request));
+    t.equal(records.getVerdict(subject), Verdict.Clear);
+  }
+});
+
+t.test("an endpoint that leaves, or whose record is gone, ends by itself", async (t) => {
+  for (const state of [EndpointState.Leaving, EndpointState.Unlisted]) {
+    const { records, endpoint, watch } = createWatch(ProbeWord.NobodyThere);
+    endpoint.state = state;
+    t.notOk(await watch.noteCut(endpoint, request));
+    t.equal(records.getVerdict(subject), Verdict.Clear);
+  }
+});
+
+t.test("a record that is still there takes an end back, unless the store is in trouble", async (t) => {
+  const { clock, records, endpoint, told, watch, state } = createWatch(ProbeWord.NobodyThere);
+  await watch.noteCut(endpoint, request);
+  await clock.advance(5_000);
+  watch.review();
+  t.equal(records.getVerdict(subject), Verdict.Suspect, "a record outlasts its endpoint for a while");
+  await clock.advance(2_000);
+  state.troubleMs = 100;
+  watch.review();
+  t.equal(records.getVerdict(subject), Verdict.Suspect);
+  state.troubleMs = Infinity;
+  state.isListed = false;
+  watch.review();
+  t.equal(records.getVerdict(subject), Verdict.Suspect, "its record is gone: it has ended");
+  state.isListed = true;
+  watch.review();
+  t.equal(records.getVerdict(subject), Verdict.Clear);
+  t.same(told.at(-1), { refuted: ["e"] });
+});
+
+function createGrants(count: number) {
+  const clock = VirtualClock.create();
+  const records = CrashRecords.create(clock);
+  const endpoints = Array.from({ length: count }, (_, index) => createEndpoint(`e${index}`));
+  const grants = TrialGrants.create({
+    clock,
+    records,
+    getEndpoints: () => endpoints,
+    getPeerWork: () => ({ active: 0, pendingTokens: 0 }),
+  });
+  const ask = (fingerprint: string, waitMs = 0, excluded: readonly string[] = []) =>
+    grants.ask({ service: "web", subject: { workspace: "w", fingerprint }, excluded, waitMs });
+  return { clock, records, endpoints, grants, ask };
+}
+
+t.test(
+  "no two isolated requests run at one endpoint, and half of the service is left to others",
+  async (t) => {
+    const { clock, endpoints, grants, ask } = createGrants(6);
+    endpoints[3]!.active = 5;
+    endpoints[0]!.active = 1;
+    const first = await Promise.all(["a", "b", "c", "d"].map((fingerprint) => ask(fingerprint)));
+    t.same(
+      first.map(({ word }) => TrialWord[word]),
+      ["Granted", "Granted", "Granted", "Busy"],
+    );
+    t.same(
+      first.map(({ life }) => life),
+      ["e1", "e2", "e4", undefined],
+      "those with the least work",
+    );
+    const waiting = ask("d", 600);
+    grants.end("e2", "x");
+    grants.end("e2", "b");
+    t.match(await waiting, { word: TrialWord.Granted, life: "e2" });
+    const late = ask("e", 600);
+    await clock.advance(600);
+    t.equal((await late).word, TrialWord.Busy);
+    await clock.advance(2_000);
+    t.equal((await ask("f")).word, TrialWord.Granted, "a grant whose end nobody told is over");
+    grants.close();
+  },
+);
+
+t.test("endpoints that have ended count as spent; the only one of a service may be tried", async (t) => {
+  const { records, ask, grants } = createGrants(4);
+  records.take({ reports: [{ life: "e0", suspects: [], others: [] }] });
+  t.equal((await ask("a")).word, TrialWord.Granted);
+  t.equal((await ask("b")).word, TrialWord.Busy);
+  grants.close();
+  const single = createGrants(1);
+  t.match(await single.ask("a"), { word: TrialWord.Granted, life: "e0" });
+  t.equal((await single.ask("b")).word, TrialWord.Busy);
+  t.equal((await single.ask("b", 0, ["e0"])).word, TrialWord.Busy);
+  single.grants.close();
+});
+
+function createKept() {
+  const clock = VirtualClock.create();
+  const shared = SharedStore.create(clock);
+  const records = CrashRecords.create(clock);
+  const store = CrashStore.create({
+    store: MetadataStoreStandin.create(shared, clock),
+    clock,
+    logger,
+    records,
+    isWriter: () => true,
+  });
+  const endTwice = (): void => {
+    for (const life of ["e1", "e2"]) records.take({ reports: [{ life, suspects: [subject], others: [] }] });
+  };
+  return { clock, shared, records, store, endTwice };
+}
+
+const key = "gladewall/crashes/f";
+
+t.test(
+  "what rests or is not run any more lies in the store, and is removed once it is cleared",
+  async (t) => {
+    const { clock, shared, records, store, endTwice } = createKept();
+    records.take({
+      reports: [{ life: "e0", suspects: [], others: [{ workspace: "w", fingerprint: "other" }] }],
+    });
+    endTwice();
+    store.review();
+    await clock.advance(100);
+    store.review();
+    await clock.advance(100);
+    t.same([...shared.entries.keys()], [key], "one at a single endpoint that ended is not kept");
+    records.take({ acquittals: [{ fingerprint: "f", lives: ["e1", "e2"] }] });
+    store.review();
+    await clock.advance(100);
+    t.same([...shared.entries.keys()], []);
+  },
+);
+
+t.test("an item read from the store makes the verdict; one of another writer makes none", async (t) => {
+  const { records, store } = createKept();
+  const put = (value: string | Uint8Array): void =>
+    store.take(key, { key, revision: 1, value: Buffer.from(value as string) });
+  for (const value of [
+    "",
+    "{",
+    "[]",
+    '{"lives":["e1"]}',
+    '{"workspace":"w","lives":[1]}',
+    Buffer.from([0xff]),
+  ]) {
+    put(value);
+    t.equal(records.getVerdict(subject), Verdict.Clear);
+  }
+  put(JSON.stringify({ workspace: "w", lives: ["e1", "e2", "e3"] }));
+  t.equal(records.getVerdict(subject), Verdict.Convicted);
+  store.take(key, undefined);
+  t.equal(records.getVerdict(subject), Verdict.Clear, "an operator who removes the item clears it");
+});
--- /dev/null
+++ b/packages/gateway/test/innocentRequests.test.ts
@@ -0,0 +1,125 @@
+/*
+ * Connections are cut, answers lost and addresses refused while no endpoint has ended under a request: none of these may
+ * make a request count as one that ends endpoints.
+ */
+import t, { type Test } from "tap";
+import { RouteKind } from "@gladewall/gateway";
+import {
+  answerGood,
+  type BenchInstance,
+  createRoute,
+  type EndpointCall,
+  GatewayBench,
+  ScriptedEndpoint,
+  waitUntil,
+} from "@gladewall/standins";
+import { startEndingFleet } from "./endingEndpoints.js";
+
+/** What goes wrong with one request at an endpoint that lives. */
+const troubles: Readonly<Record<string, (call: EndpointCall) => void>> = {
+  "a connection that is reset": ({ socket }) => void socket.resetAndDestroy(),
+  "an answer that is lost": ({ socket }) => void socket.destroy(),
+  "an answer that is cut": ({ id, response, socket }) => {
+    response.writeHead(200, { "x-id": id, "x-stamp": "signed", "content-length": 100 });
+    response.write("half", () => socket.destroy());
+  },
+  "an answer of another request": ({ response }) => {
+    response.writeHead(200, { "x-id": "another", "x-stamp": "signed", "content-length": 2 });
+    response.end("no");
+  },
+  "bytes that are no answer": ({ socket }) => void socket.end("this is no answer\r\n\r\n"),
+};
+
+async function createBench(t: Pick<Test, "teardown">, kind: RouteKind) {
+  const bench = GatewayBench.create();
+  bench.platform.configure({ routes: [createRoute({ kind })] });
+  const endpoint = await ScriptedEndpoint.create("e", answerGood);
+  bench.platform.list({ id: "e", address: endpoint.address });
+  const instance = await bench.startReady(1);
+  t.teardown(() => Promise.all([bench.close(), endpoint.close()]));
+  return { bench, endpoint, instance };
+}
+
+async function readCount(bench: GatewayBench, instance: BenchInstance, name: string): Promise<number> {
+  const page = await bench.readMetrics(instance);
+  return Number(new RegExp(`^${name}(?:{[^}]*})? (\\d+)$`, "m").exec(page)?.[1] ?? 0);
+}
+
+for (const [trouble, script] of Object.entries(troubles)) {
+  for (const kind of [RouteKind.Safe, RouteKind.Unsafe]) {
+    t.test(`${trouble} speaks against no request (${RouteKind[kind].toLowerCase()})`, async (t) => {
+      const { bench, endpoint, instance } = await createBench(t, kind);
+      endpoint.script = script;
+      for (let index = 0; index < 5; index++) {
+        t.not((await bench.call(instance, { method: "POST", body: "same" })).status, 200);
+      }
+      endpoint.script = answerGood;
+      t.equal((await bench.call(instance, { method: "POST", body: "same" })).status, 200);
+      t.equal(await readCount(bench, instance, "gladewall_endpoint_ends_total"), 0);
+      t.equal(await readCount(bench, instance, "gladewall_suspects"), 0);
+    });
+  }
+}
+
+t.test("an address that refuses connections speaks against no request that was not cut there", async (t) => {
+  const { bench, endpoint, instance } = await createBench(t, RouteKind.Safe);
+  await endpoint.close();
+  for (let index = 0; index < 5; index++) {
+    t.equal((await bench.call(instance, { method: "POST", body: "same" })).status, 503);
+  }
+  t.equal(await readCount(bench, instance, "gladewall_suspects"), 0);
+});
+
+t.test("a planned end speaks against no request", async (t) => {
+  const { bench, endpoint, instance } = await createBench(t, RouteKind.Safe);
+  endpoint.script = () => undefined;
+  const answer = bench.call(instance, { method: "POST", body: "same" });
+  await endpoint.waitForCalls(1);
+  bench.platform.list({ id: "e", address: endpoint.address, isLeaving: true });
+  await waitUntil(() => instance.gateway.countEndpoints("web") === 0);
+  await endpoint.close();
+  t.equal((await answer).status, 502);
+  t.equal(await readCount(bench, instance, "gladewall_suspects"), 0);
+});
+
+t.test("a caller that left before its endpoint ended is no suspect", async (t) => {
+  const { bench, endpoint, instance } = await createBench(t, RouteKind.Safe);
+  endpoint.script = () => undefined;
+  const caller = new AbortController();
+  const left = bench.call(instance, { method: "POST", body: "left", signal: caller.signal });
+  await endpoint.waitForCalls(1);
+  caller.abort();
+  await left;
+  await waitUntil(() => endpoint.calls[0]?.socket.destroyed === true);
+  await endpoint.close();
+  t.equal(await readCount(bench, instance, "gladewall_suspects"), 0);
+});
+
+t.test(
+  "what ran beside a request that ends endpoints is answered, and not held against its callers",
+  async (t) => {
+    const { bench, endpoints } = await startEndingFleet(t, 3, 4);
+    const before = [...endpoints.alive];
+    const held: EndpointCall[] = [];
+    endpoints.script = (call) => void held.push(call);
+    const send = (body: string, index: number) =>
+      bench.call(bench.instances[index % 3]!, { method: "POST", key: "key", body });
+    const innocent = Array.from({ length: 12 }, (_, index) => send(`innocent ${index}`, index));
+    await waitUntil(() => held.length === 12);
+    const deadly = Array.from({ length: 3 }, (_, index) => send("deadly", index));
+    await Promise.all(deadly);
+    endpoints.script = answerGood;
+    // Those that were not cut are answered where they are, the others where they were sent on to.
+    for (const call of held) if (!call.socket.destroyed) answerGood(call);
+    await Promise.all(innocent);
+    await endpoints.replace(before.filter((endpoint) => !endpoints.alive.has(endpoint)));
+    const again = await Promise.all(
+      Array.from({ length: 12 }, (_, index) => send(`innocent ${index}`, index + 1)),
+    );
+    t.same(
+      again.map(({ status }) => status),
+      again.map(() => 200),
+    );
+    t.ok(endpoints.ended <= 3, `${endpoints.ended} ended`);
+  },
+);
