Count a suspension against the proof of the configuration and against a lease

Cause: the age of a proof, of a peer's word on it, and the end of a lease were counted on the monotonic clock, which stands still while a machine is suspended. After a suspension of any length keys that had been removed meanwhile still ran requests, and a lease that another instance had taken over counted as held.

Change: a boot time beside the monotonic one, which adds what the time of day gains on it; proofs, questions to peers and leases go by it. It is read at each use, so there is no moment at which a suspension is not counted. Set forward, the time of day ends them early, and set back it prolongs nothing.

Limits' windows stay on the monotonic clock: there a time that runs ahead would give out too much.

--- a/packages/coordination/src/leaseHolder.ts
+++ b/packages/coordination/src/leaseHolder.ts
@@ -2,8 +2,8 @@
  * Holds a lease on a name: at most one holder acts at a time, as far as clocks of equal rate allow, and every order it
  * gives carries a fence that grows with each change of hands.
  *
- * Validity counts from the time the renewal was *sent*, on the monotonic clock: what the service counts from cannot be
- * earlier. A holder that was paused finds its own lease out of date before it acts.
+ * Validity counts from the time the renewal was *sent*: what the service counts from cannot be earlier. A holder that was
+ * paused, or whose machine was suspended, finds its own lease out of date before it acts.
  * @module
  */
 import { type Clock, type Closeable, Failure, FailureCode, type Logger, waitFor } from "@gladewall/kernel";
@@ -31,7 +31,7 @@
 
 interface HeldLease {
   readonly granted: GrantedLease;
-  /** Monotonic time until which acting is safe. */
+  /** Boot time until which acting is safe. */
   readonly validUntil: number;
   /** Monotonic time at which it was granted. */
   readonly since: number;
@@ -62,7 +62,7 @@
    */
   getFence(): Result<number, Failure> {
     const { clock, name } = this.options;
-    if (!this.held || clock.getTime() >= this.held.validUntil) {
+    if (!this.held || clock.getBootTime() >= this.held.validUntil) {
       return Err(Failure.create(FailureCode.LeaseLost, { lease: name }));
     }
     return Ok(this.held.granted.fence);
@@ -102,7 +102,7 @@
   private async acquire(): Promise<void> {
     const { service, clock, name, holder, ttl, logger, shouldAcquire } = this.options;
     if (shouldAcquire && !shouldAcquire()) return;
-    const sentAt = clock.getTime();
+    const sentAt = clock.getBootTime();
     const granted = await service.acquireLease(name, holder, ttl);
     if (granted.isErr() || !granted.value) return;
     this.setHeld(granted.value, sentAt);
@@ -112,7 +112,7 @@
   private async renew(granted: GrantedLease): Promise<void> {
     const { service, clock, name, logger, shouldKeep } = this.options;
     if (shouldKeep && !shouldKeep()) return this.letRunOut(granted);
-    const sentAt = clock.getTime();
+    const sentAt = clock.getBootTime();
     const renewed = await service.renewLease(granted.session);
     if (renewed.isOk()) return this.setHeld(granted, sentAt);
     // Any other failure leaves the lease as it is: it may have been renewed, and runs out by itself if not.
--- a/packages/coordination/test/leaseHolder.test.ts
+++ b/packages/coordination/test/leaseHolder.test.ts
@@ -18,6 +18,10 @@
     return this.clock.getTime();
   }
 
+  getBootTime(): number {
+    return this.clock.getBootTime();
+  }
+
   startTimer(delay: number, callback: () => void): Timer {
     return this.clock.startTimer(delay, () =>
       this.isPaused ? void this.waiting.push(callback) : callback(),
@@ -98,6 +102,19 @@
   },
 );
 
+t.test("a lease is over by the time for which the holder's machine was suspended", async (t) => {
+  const { clock, createHolder } = createBench();
+  const holder = createHolder("left");
+  holder.start();
+  await clock.advance(10);
+  t.ok(holder.getFence().isOk());
+  clock.moveWallTime(2_600);
+  t.equal(holder.getFence().unwrapErr().code, FailureCode.LeaseLost, "at once, before any timer has run");
+  const closed = holder.close();
+  await clock.advance(5_000);
+  await closed;
+});
+
 t.test("validity counts from when a renewal was sent: a slow answer does not lengthen it", async (t) => {
   const { clock, service, createHolder } = createBench();
   const holder = createHolder("left");
--- a/packages/gateway/src/configurationFollower.ts
+++ b/packages/gateway/src/configurationFollower.ts
@@ -2,8 +2,8 @@
  * The configuration in force and the proof of its age.
  *
  * A watch brings changes at once. Reads, sent one after the other whether or not the last one was answered, prove that
- * nothing newer was acknowledged before they were sent; the proof's age counts from the send, on the monotonic clock,
- * so a process that was frozen finds its proof old before it admits anything. The version in force never falls.
+ * nothing newer was acknowledged before they were sent; the proof's age counts from the send, and a suspension is part of it,
+ * so a process that stood still finds its proof old before it admits anything. The version in force never falls.
  * @module
  */
 import { type Clock, type Closeable, type Logger, waitFor } from "@gladewall/kernel";
@@ -58,6 +58,7 @@
 /** Follows the operators' configuration. */
 export class ConfigurationFollower implements Closeable {
   private table: RouteTable | undefined;
+  /** Boot time at which the read was sent that the proof rests on. */
   private provenAt: number | undefined;
   private readsUnderWay = 0;
   /** Revision of the newest item that was looked at. */
@@ -67,6 +68,7 @@
   private isAskingPeers = false;
   private isLost = false;
   private role = StoreRole.Alone;
+  /** Boot time at which the last read was sent that the store answered. */
   private storeReadAt = -Infinity;
   private lastTroubleAt = -Infinity;
   private readonly follower: PrefixFollower;
@@ -107,7 +109,7 @@
 
   /** Milliseconds since the proof of the configuration was asked for; infinite without one. */
   getProofAge(): number {
-    return this.provenAt === undefined ? Infinity : this.options.clock.getTime() - this.provenAt;
+    return this.provenAt === undefined ? Infinity : this.options.clock.getBootTime() - this.provenAt;
   }
 
   /** Whether the configuration is known to be young enough to decide about keys. */
@@ -127,7 +129,7 @@
 
   /** Milliseconds since a read was sent that the store answered to this instance itself; infinite before the first. */
   getStoreAge(): number {
-    return this.options.clock.getTime() - this.storeReadAt;
+    return this.options.clock.getBootTime() - this.storeReadAt;
   }
 
   /** Says how this instance comes by what the store holds; one that is fed reads only where its proof grows old. */
@@ -191,7 +193,7 @@
   private async tryRead(): Promise<void> {
     if (this.readsUnderWay >= mostReads) return;
     const { clock, platform } = this.options;
-    const sentAt = clock.getTime();
+    const sentAt = clock.getBootTime();
     this.readsUnderWay += 1;
     const item = await platform.store.read(platform.configurationKey);
     this.readsUnderWay -= 1;
@@ -226,14 +228,14 @@
   private async askPeers(): Promise<void> {
     if (this.isAskingPeers) return;
     this.isAskingPeers = true;
-    const askedAt = this.options.clock.getTime();
+    const askedAt = this.options.clock.getBootTime();
     const vouches = await this.options.askPeers(this.takenRevision);
     this.isAskingPeers = false;
     if (this.stop.signal.aborted) return;
     for (const vouch of vouches) this.takeVouch(vouch, askedAt);
   }
 
-  /** Takes a peer's word that was asked for at a time. */
+  /** Takes a peer's word that was asked for at a boot time. */
   takeVouch({ proofAgeMs, revision, value }: Vouch, askedAt: number): void {
     if (value) this.take({ key: this.options.platform.configurationKey, revision, value });
     if (this.takenRevision < revision) {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -164,9 +164,9 @@
     return this.parts.members.isReader;
   }
 
-  /** Monotonic time before which no newer configuration than this instance's was acknowledged. */
+  /** Boot time before which no newer configuration than this instance's was acknowledged. */
   get provenAt(): number {
-    return this.parts.clock.getTime() - this.parts.follower.getProofAge();
+    return this.parts.clock.getBootTime() - this.parts.follower.getProofAge();
   }
 
   /** Whether others tell this instance what the store holds. */
--- a/packages/gateway/src/readerViews.ts
+++ b/packages/gateway/src/readerViews.ts
@@ -26,7 +26,7 @@
   readonly heardAt: number;
 }
 
-/** What this instance told in one report, and when. */
+/** What this instance told in one report, and the boot time at which it did. */
 interface ToldReport {
   readonly totals: CounterTotals;
   readonly at: number;
@@ -54,11 +54,11 @@
 
   /** Remembers what was told in a report. */
   noteTold(sequence: number, totals: CounterTotals): void {
-    this.told.set(sequence, { totals, at: this.options.clock.getTime() });
+    this.told.set(sequence, { totals, at: this.options.clock.getBootTime() });
     this.told.delete(sequence - keptReports);
   }
 
-  /** Monotonic time at which a report was told; undefined where it is no longer remembered. */
+  /** Boot time at which a report was told; undefined where it is no longer remembered. */
   findToldAt(sequence: number): number | undefined {
     return this.told.get(sequence)?.at;
   }
--- a/packages/gateway/test/decisions.test.ts
+++ b/packages/gateway/test/decisions.test.ts
@@ -114,6 +114,7 @@
   const stepped = {
     ...clock,
     getTime: () => clock.getTime(),
+    getBootTime: () => clock.getBootTime(),
     getWallTime: () => clock.getWallTime() + step,
     startTimer: clock.startTimer.bind(clock),
   };
--- a/packages/gateway/test/limitedFleet.ts
+++ b/packages/gateway/test/limitedFleet.ts
@@ -99,6 +99,10 @@
     return this.time;
   }
 
+  getBootTime(): number {
+    return this.time;
+  }
+
   getWallTime(): number {
     return this.time;
   }
--- a/packages/kernel/src/clock.ts
+++ b/packages/kernel/src/clock.ts
@@ -12,8 +12,13 @@
 export interface Clock {
   /** Wall clock, milliseconds since 1970; only for people and for stamps between machines. */
   getWallTime(): number;
-  /** Monotonic clock, milliseconds from an arbitrary start; for every duration and lease. */
+  /** Monotonic clock, milliseconds from an arbitrary start; for every duration. It stands still while a machine is suspended. */
   getTime(): number;
+  /**
+   * Time that a suspension is not missing from, milliseconds from an arbitrary start; for what must not be believed too long,
+   * such as a proof or a lease. It runs ahead where the time of day was set forward, and never falls behind `getTime`.
+   */
+  getBootTime(): number;
   /** Calls back once after `delay` milliseconds. */
   startTimer(delay: number, callback: () => void): Timer;
 }
@@ -32,8 +37,46 @@
   });
 }
 
+/** Less than this may be rounding, or the time of day being drawn slowly: 0.5 ms a second at the most. */
+const leastGainMs = 50;
+
+/**
+ * Adds to a monotonic clock what the time of day gains on it. Node reads no clock that counts suspensions; the time of day
+ * does, and where it was set forward instead, what is believed ends early. Without it a proof of 4.6 s still held after a
+ * suspension of any length.
+ */
+export class BootTime {
+  private gained = 0;
+  private offset: number;
+
+  private constructor(
+    private readonly getTime: () => number,
+    private readonly getWallTime: () => number,
+  ) {
+    this.offset = getWallTime() - getTime();
+  }
+
+  static create(getTime: () => number, getWallTime: () => number): BootTime {
+    return new BootTime(getTime, getWallTime);
+  }
+
+  get(): number {
+    const time = this.getTime();
+    const offset = this.getWallTime() - time;
+    const gain = offset - this.offset;
+    if (gain > leastGainMs) this.gained += gain;
+    this.offset = offset;
+    return time + this.gained;
+  }
+}
+
 /** The machine's clock. */
 export class SystemClock implements Clock {
+  private readonly bootTime = BootTime.create(
+    () => this.getTime(),
+    () => this.getWallTime(),
+  );
+
   private constructor() {}
 
   static create(): SystemClock {
@@ -48,6 +91,10 @@
     return performance.now();
   }
 
+  getBootTime(): number {
+    return this.bootTime.get();
+  }
+
   startTimer(delay: number, callback: () => void): Timer {
     const handle = setTimeout(callback, delay);
     return { cancel: () => clearTimeout(handle) };
@@ -65,8 +112,12 @@
   private time = 0;
   private order = 0;
   private timers: VirtualTimer[] = [];
+  private readonly bootTime = BootTime.create(
+    () => this.getTime(),
+    () => this.getWallTime(),
+  );
 
-  private constructor(private readonly wallStart: number) {}
+  private constructor(private wallStart: number) {}
 
   static create(wallStart = 1_700_000_000_000): VirtualClock {
     return new VirtualClock(wallStart);
@@ -80,6 +131,15 @@
     return this.time;
   }
 
+  getBootTime(): number {
+    return this.bootTime.get();
+  }
+
+  /** Moves the time of day alone: a machine that was suspended for so long, or whose time was set. */
+  moveWallTime(duration: number): void {
+    this.wallStart += duration;
+  }
+
   startTimer(delay: number, callback: () => void): Timer {
     const timer = { due: this.time + Math.max(0, delay), order: this.order++, callback };
     this.timers.push(timer);
