Write a verdict as soon as it is known; tests of large fleets, late instances and several requests

A verdict waited up to 150 ms for the next turn before it was written, and all instances may be killed in between. An endpoint that can't be reached is called unreachable in the code, as suspects are requests now; one function says whether an endpoint is lost.

--- a/packages/gateway/src/crashes.ts
+++ b/packages/gateway/src/crashes.ts
@@ -52,9 +52,15 @@
       getEndpoints,
       getPeerWork: (life) => members.getPeerWork(life),
     });
-    const onWords = (words: CrashWords): void => this.noteUnreachable(words);
+    const onWords = (words: CrashWords): void => {
+      this.noteUnreachable(words);
+      this.kept.review();
+    };
     const links = CrashLinks.create({ own, fleet: members, records, grants: this.grants, onWords });
-    const tell = (words: CrashWords): void => links.tell(words);
+    const tell = (words: CrashWords): void => {
+      links.tell(words);
+      this.kept.review();
+    };
     this.watch = CrashWatch.create({
       clock,
       logger,
@@ -111,7 +117,7 @@
     for (const { life } of reports) {
       const endpoint = directory.findLife(life);
       const time = clock.getTime();
-      if (endpoint && !endpoint.isSuspect(time)) endpoint.noteUnreachable(time);
+      if (endpoint && !endpoint.isUnreachable(time)) endpoint.noteUnreachable(time);
     }
   }
 }
--- a/packages/gateway/src/endpoint.ts
+++ b/packages/gateway/src/endpoint.ts
@@ -24,8 +24,8 @@
 const failureWeight = 0.2;
 const failureHalfLifeMs = 2_500;
 const latencyWeight = 0.2;
-const suspicionStepMs = 400;
-const longestSuspicionMs = 3_000;
+const unreachableStepMs = 400;
+const longestUnreachableMs = 3_000;
 /** Share of failures below which an endpoint counts as sound. */
 const soundShare = 0.02;
 
@@ -43,8 +43,8 @@
   loadAt = -Infinity;
   /** Usual milliseconds of an answer; undefined before the first. */
   latencyMs: number | undefined;
-  private suspectUntil = -Infinity;
-  private suspicions = 0;
+  private unreachableUntil = -Infinity;
+  private unreachableTimes = 0;
   private failureShare = 0;
   private failureShareAt = 0;
 
@@ -75,15 +75,15 @@
   }
 
   /** Whether it could not be reached a moment ago. */
-  isSuspect(time: number): boolean {
-    return time < this.suspectUntil;
+  isUnreachable(time: number): boolean {
+    return time < this.unreachableUntil;
   }
 
   /** Takes note that it could not be reached. */
   noteUnreachable(time: number): void {
-    this.suspicions += 1;
-    const length = Math.min(longestSuspicionMs, suspicionStepMs * 2 ** (this.suspicions - 1));
-    this.suspectUntil = time + length;
+    this.unreachableTimes += 1;
+    const length = Math.min(longestUnreachableMs, unreachableStepMs * 2 ** (this.unreachableTimes - 1));
+    this.unreachableUntil = time + length;
     this.noteEnd(false, time);
   }
 
@@ -94,15 +94,15 @@
     return this.failureShare * 0.5 ** (age / failureHalfLifeMs);
   }
 
-  /** Takes note of how an attempt ended; one that ends well clears all suspicion. */
+  /** Takes note of how an attempt ended; after one that ends well it counts as reachable. */
   noteEnd(isGood: boolean, time: number): void {
     const share = this.getFailureShare(time);
     this.failureShare = share + ((isGood ? 0 : 1) - share) * failureWeight;
     this.failureShareAt = time;
     if (this.failureShare < soundShare) this.failureShare = 0;
     if (!isGood) return;
-    this.suspicions = 0;
-    this.suspectUntil = -Infinity;
+    this.unreachableTimes = 0;
+    this.unreachableUntil = -Infinity;
   }
 
   noteLatency(milliseconds: number): void {
--- a/packages/gateway/src/placement.ts
+++ b/packages/gateway/src/placement.ts
@@ -100,7 +100,7 @@
     for (const endpoint of this.options.getEndpoints(service.name)) {
       if (!endpoint.isUsable() || excluded.has(endpoint.life)) continue;
       fresh.push(endpoint);
-      if (!endpoint.isSuspect(time)) sound.push(endpoint);
+      if (!endpoint.isUnreachable(time)) sound.push(endpoint);
     }
     return sound.length > 0 ? sound : fresh;
   }
--- a/packages/gateway/src/suspects.ts
+++ b/packages/gateway/src/suspects.ts
@@ -9,7 +9,7 @@
 import type { AboardRequest, CrashWatch } from "./crashWatch.js";
 import type { Endpoint } from "./endpoint.js";
 import type { GatewayMetrics } from "./gatewayMetrics.js";
-import { type TrialAnswer, type TrialQuestion, TrialWord } from "./trialGrants.js";
+import { isLost, type TrialAnswer, type TrialQuestion, TrialWord } from "./trialGrants.js";
 
 /** Options of the suspects. */
 export interface SuspectsOptions {
@@ -108,8 +108,8 @@
     const { clock, records, getEndpoints } = this.options;
     const time = clock.getTime();
     const usable = getEndpoints(service).filter((endpoint) => endpoint.isUsable());
-    const ended = usable.filter((endpoint) => endpoint.isSuspect(time) || records.hasEnded(endpoint.life));
-    return ended.length > usable.length * shortShare;
+    const lost = usable.filter((endpoint) => isLost(endpoint, records, time));
+    return lost.length > usable.length * shortShare;
   }
 
   /** Takes note that a request was answered whole. */
--- a/packages/gateway/src/trialGrants.ts
+++ b/packages/gateway/src/trialGrants.ts
@@ -135,7 +135,7 @@
     const time = this.options.clock.getTime();
     const usable = this.options.getEndpoints(service).filter((endpoint) => endpoint.isUsable());
     const isSpent = (endpoint: Endpoint): boolean =>
-      this.hasEnded(endpoint, time) || this.grants.has(endpoint.life);
+      isLost(endpoint, this.options.records, time) || this.grants.has(endpoint.life);
     const left = usable.filter((endpoint) => !isSpent(endpoint));
     const spent = usable.length - left.length;
     if (spent + 1 > Math.max(1, usable.length * spentShare)) return undefined;
@@ -147,11 +147,12 @@
     return best;
   }
 
-  private hasEnded(endpoint: Endpoint, time: number): boolean {
-    return endpoint.isSuspect(time) || this.options.records.hasEnded(endpoint.life);
-  }
-
   private getActive({ active, life }: Endpoint): number {
     return active + this.options.getPeerWork(life).active;
   }
 }
+
+/** Whether an endpoint serves nobody now, though its record may still say that it does. */
+export function isLost(endpoint: Endpoint, records: CrashRecords, time: number): boolean {
+  return endpoint.isUnreachable(time) || records.hasEnded(endpoint.life);
+}
--- a/packages/gateway/test/crashingRequest.test.ts
+++ b/packages/gateway/test/crashingRequest.test.ts
@@ -13,6 +13,7 @@
  * beside it were cut twice within 0.3 s, as all of them were sent on to the same endpoint as the one that ended it.
  */
 import t from "tap";
+import { waitUntil } from "@gladewall/standins";
 import { sendDeadly, startEndingFleet } from "./endingEndpoints.js";
 
 /** Endpoints that may end under one request. */
@@ -33,6 +34,9 @@
   for (let index = 0; index < 6; index++) {
     await sendDeadly(bench, endpoints, bench.instances[index % 2]!);
   }
+  const isKept = (): boolean =>
+    [...bench.platform.shared.entries.keys()].some((key) => key.startsWith("gladewall/crashes/"));
+  await waitUntil(isKept);
   await Promise.all(bench.instances.splice(0).map(({ gateway }) => gateway.close()));
   for (let index = 0; index < 2; index++) await bench.startReady(4);
   for (let index = 0; index < 6; index++) {
@@ -40,3 +44,42 @@
   }
   t.ok(endpoints.ended <= mostEnded, `${endpoints.ended} ended`);
 });
+
+t.test("in a large fleet the readers' words reach every instance in time", async (t) => {
+  const { bench, endpoints } = await startEndingFleet(t, 8, 6, true);
+  for (let index = 0; index < 16; index++) {
+    await sendDeadly(bench, endpoints, bench.instances[index % 8]!);
+  }
+  t.ok(endpoints.ended <= mostEnded, `${endpoints.ended} ended`);
+});
+
+t.test("an instance that starts later is told by its peers", async (t) => {
+  const { bench, endpoints } = await startEndingFleet(t, 2, 4);
+  for (let index = 0; index < 4; index++) await sendDeadly(bench, endpoints, bench.instances[index % 2]!);
+  const before = endpoints.ended;
+  const late = await bench.startReady(4);
+  await waitUntil(() => late.gateway.linkedPeers === 2);
+  const answer = await sendDeadly(bench, endpoints, late);
+  t.equal(answer.status, 503);
+  t.ok(Number(answer.headers["retry-after"]) >= 1);
+  t.equal(endpoints.ended, before);
+});
+
+t.test(
+  "several such requests at once end three endpoints each at most, and others are served between",
+  async (t) => {
+    const { bench, endpoints } = await startEndingFleet(t, 3, 6);
+    const bodies = ["deadly 1", "deadly 2", "deadly 3"];
+    for (let round = 0; round < 8; round++) {
+      const instance = bench.instances[round % 3]!;
+      for (const body of bodies) await sendDeadly(bench, endpoints, instance, body);
+      const answer = await bench.call(instance, {
+        method: "POST",
+        key: "other-key",
+        body: `harmless ${round}`,
+      });
+      t.equal(answer.status, 200);
+    }
+    t.ok(endpoints.ended <= mostEnded * bodies.length, `${endpoints.ended} ended`);
+  },
+);
--- a/packages/gateway/test/endingEndpoints.ts
+++ b/packages/gateway/test/endingEndpoints.ts
@@ -70,19 +70,28 @@
   }
 }
 
-/** Instances before endpoints that may end. */
+/** Settings of an instance of a large fleet: it tells the readers alone, and they tell the others. */
+const largeFleet = ["peers.largest_mesh=3", "peers.large_fleet_interval=40"];
+
+/** Instances before endpoints that may end; `isLarge` makes them tell each other as a large fleet does. */
 export async function startEndingFleet(
   t: Pick<Test, "teardown">,
   instanceCount: number,
   endpointCount: number,
+  isLarge = false,
 ) {
   const bench = GatewayBench.create();
   const route = createRoute({ kind: RouteKind.Safe, attempts: 2 });
   const workspaces = [createWorkspace({}), createWorkspace({ name: "other", keys: ["other-key"] })];
   bench.platform.configure({ routes: [route], workspaces });
   const endpoints = await EndingEndpoints.create(bench, endpointCount);
-  for (let index = 0; index < instanceCount; index++) await bench.startReady(endpointCount);
-  await waitUntil(() => bench.instances.every(({ gateway }) => gateway.linkedPeers === instanceCount - 1));
+  for (let index = 0; index < instanceCount; index++) {
+    const overrides = isLarge ? [...largeFleet, `peers.capacity=${index}`] : [];
+    await bench.startReady(endpointCount, "web", overrides);
+  }
+  const isTold = ({ gateway }: BenchInstance): boolean =>
+    isLarge ? gateway.isReader || gateway.isFed : gateway.linkedPeers === instanceCount - 1;
+  await waitUntil(() => bench.instances.every(isTold));
   t.teardown(() => Promise.all([bench.close(), endpoints.close()]));
   return { bench, endpoints };
 }
--- a/packages/gateway/test/endpointLives.test.ts
+++ b/packages/gateway/test/endpointLives.test.ts
@@ -41,7 +41,7 @@
   platform.list({ id: "e", born: 2, address: "127.0.0.1:2" });
   await clock.advance(200);
   t.ok(find()?.isUsable());
-  t.notOk(find()?.isSuspect(clock.getTime()));
+  t.notOk(find()?.isUnreachable(clock.getTime()));
   t.not(find()?.life, former?.life);
   t.same(forgotten, ["e@1"]);
   t.equal(directory.getOfService("web").length, 1);
