Keep the ends a verdict rests on as they were, and bound what a workspace keeps in the store

By reading: an item held lives alone, so ends that came at one moment counted whole where it was read, and a request asked for often could be convicted by two of them; a third of the ends that 256 verdicts rest on had room; of over 64 requests at an ended endpoint the newest were not reported; isolated requests could be pushed out by suspects of one end; one workspace could fill the store's 256 items. Tests for the item read back and for the bound.

--- a/packages/gateway/src/crashRecords.ts
+++ b/packages/gateway/src/crashRecords.ts
@@ -32,6 +32,13 @@
   readonly lives: readonly string[];
 }
 
+/** Lives of endpoints that ended while they had a request. */
+export interface CrashEvidence {
+  /** It was no suspect before them. */
+  readonly first: readonly string[];
+  readonly repeated: readonly string[];
+}
+
 /** What instances tell each other. */
 export interface CrashWords {
   readonly reports?: readonly CrashReport[];
@@ -73,8 +80,8 @@
 export const restMs = 60_000;
 /** A suspect that never came back is forgotten: endpoints end by themselves, and most suspects are innocent. */
 const suspicionMs = 600_000;
-/** Ended endpoints that are remembered, about 100 bytes for each request that was there. */
-const keptEnds = 512;
+/** Ended endpoints that are remembered, about 100 bytes for each request that was there: three for each verdict in the store. */
+const keptEnds = 1_024;
 /** Requests of one workspace that are watched: one that makes endpoints end on purpose pushes out only its own. */
 const watchedPerWorkspace = 256;
 /** Requests in one snapshot for a peer; 60 bytes each, a tenth of a link's outbox. */
@@ -147,6 +154,17 @@
     return ends.filter((end) => isOpen(end, fingerprint)).map(({ life }) => life);
   }
 
+  /** The ends that a verdict rests on: those before which a request was no suspect, and those before which it was. */
+  getEvidence(fingerprint: string): CrashEvidence {
+    const lives = this.getLives(fingerprint);
+    const wasSuspect = (life: string): boolean =>
+      this.ends.get(life)?.aboard.get(fingerprint)?.wasSuspect === true;
+    return {
+      first: lives.filter((life) => !wasSuspect(life)),
+      repeated: lives.filter((life) => wasSuspect(life)),
+    };
+  }
+
   /** Requests whose verdict must outlast this instance. */
   getKept(): readonly CrashSubject[] {
     const kept: CrashSubject[] = [];
@@ -300,7 +318,7 @@
     this.watched.set(workspace, fingerprints);
     fingerprints.add(fingerprint);
     if (fingerprints.size <= watchedPerWorkspace) return;
-    const dropped = [...fingerprints].find((other) => this.getBlame(other) < restingBlame) ?? fingerprint;
+    const dropped = [...fingerprints].find((other) => this.getBlame(other) <= suspectBlame) ?? fingerprint;
     this.drop(dropped);
     this.unwatch(workspace, dropped);
   }
--- a/packages/gateway/src/crashStore.ts
+++ b/packages/gateway/src/crashStore.ts
@@ -5,7 +5,7 @@
  */
 import type { Clock, Logger } from "@gladewall/kernel";
 import * as v from "valibot";
-import type { CrashRecords, CrashSubject, CrashWords } from "./crashRecords.js";
+import type { CrashRecords, CrashReport, CrashSubject, CrashWords } from "./crashRecords.js";
 import { decodeItem } from "./itemCodec.js";
 import { ownPrefix } from "./memberRecords.js";
 import type { MetadataStore, StoreItem } from "./types.js";
@@ -23,13 +23,16 @@
 const crashPrefix = `${ownPrefix}crashes/`;
 /** Items in all, 200 bytes each: every instance reads them when it starts. */
 const mostItems = 256;
+/** Items of one workspace: one that makes endpoints end on purpose takes no room from others. */
+const mostOfWorkspace = 64;
 /** Time between two attempts of a write that failed. */
 const retryMs = 1_000;
 
 const crashSchema = v.object({
   workspace: v.string(),
-  /** Lives of endpoints that ended with the request there. */
-  lives: v.array(v.string()),
+  /** Lives of endpoints that ended with the request there, before it was a suspect and after. */
+  first: v.array(v.string()),
+  repeated: v.array(v.string()),
 });
 
 type CrashItem = v.InferOutput<typeof crashSchema>;
@@ -57,12 +60,8 @@
       this.options.logger.warn("crash.item-refused", { key, bytes: item.value.length });
       return;
     }
-    const { workspace, lives } = decoded;
     this.items.set(fingerprint, decoded);
-    const subject = { workspace, fingerprint };
-    this.options.records.take({
-      reports: lives.map((life) => ({ life, suspects: [subject], others: [] })),
-    });
+    this.options.records.take({ reports: createReports(fingerprint, decoded) });
   }
 
   /** Writes what is not in the store yet and removes what no longer belongs there; called several times a second. */
@@ -80,12 +79,19 @@
     if (cleared !== undefined) void this.remove(cleared);
   }
 
-  private isDue({ fingerprint }: CrashSubject): boolean {
+  private isDue({ workspace, fingerprint }: CrashSubject): boolean {
     const { records, isWriter } = this.options;
+    if (!isWriter(fingerprint)) return false;
     const item = this.items.get(fingerprint);
-    if (!item && this.items.size >= mostItems) return false;
-    const known = item?.lives ?? [];
-    return isWriter(fingerprint) && records.getLives(fingerprint).some((life) => !known.includes(life));
+    if (!item) return this.hasRoom(workspace);
+    const known = getLives(item);
+    return records.getLives(fingerprint).some((life) => !known.includes(life));
+  }
+
+  private hasRoom(workspace: string): boolean {
+    const items = [...this.items.values()];
+    const own = items.filter((item) => item.workspace === workspace);
+    return items.length < mostItems && own.length < mostOfWorkspace;
   }
 
   private isCleared(fingerprint: string, kept: ReadonlySet<string>): boolean {
@@ -93,8 +99,8 @@
   }
 
   private async write({ workspace, fingerprint }: CrashSubject): Promise<void> {
-    const lives = [...this.options.records.getLives(fingerprint)];
-    const item: CrashItem = { workspace, lives };
+    const { first, repeated } = this.options.records.getEvidence(fingerprint);
+    const item: CrashItem = { workspace, first: [...first], repeated: [...repeated] };
     const put = [{ key: crashPrefix + fingerprint, value: Buffer.from(JSON.stringify(item)) }];
     if (await this.transact({ put, remove: [] }, "crash.kept", fingerprint))
       this.items.set(fingerprint, item);
@@ -124,8 +130,21 @@
   private handleRemoved(fingerprint: string): void {
     const item = this.items.get(fingerprint);
     if (!this.items.delete(fingerprint) || !item) return;
-    const words: CrashWords = { acquittals: [{ fingerprint, lives: item.lives }] };
+    const lives = getLives(item);
+    const words: CrashWords = { acquittals: [{ fingerprint, lives }] };
     this.options.records.take(words);
-    this.options.logger.info("crash.item-removed", { fingerprint, lives: item.lives.length });
+    this.options.logger.info("crash.item-removed", { fingerprint, lives: lives.length });
   }
 }
+
+function getLives({ first, repeated }: CrashItem): readonly string[] {
+  return [...first, ...repeated];
+}
+
+function createReports(fingerprint: string, { workspace, first, repeated }: CrashItem): CrashReport[] {
+  const subject = { workspace, fingerprint };
+  return [
+    ...first.map((life) => ({ life, suspects: [], others: [subject] })),
+    ...repeated.map((life) => ({ life, suspects: [subject], others: [] })),
+  ];
+}
--- a/packages/gateway/src/crashWatch.ts
+++ b/packages/gateway/src/crashWatch.ts
@@ -33,8 +33,8 @@
 
 /** Connections that an endpoint takes right after a cut tell for as long that it lives. */
 const aliveMs = 100;
-/** Most requests of one instance that are reported of one end; endpoints have up to 64 slots. */
-const mostReported = 64;
+/** Most requests of one instance that are reported of one end: those that run there and wait there, 60 bytes each. */
+const mostReported = 256;
 /** A record vanishes after three heartbeats without a write, 3.6 s; one that is there after this long is a live one's. */
 const recordedMs = 6_000;
 /** Fingerprints of suspects in a log line. */
--- a/packages/gateway/test/crashWatch.test.ts
+++ b/packages/gateway/test/crashWatch.test.ts
@@ -210,15 +210,48 @@
     "",
     "{",
     "[]",
-    '{"lives":["e1"]}',
-    '{"workspace":"w","lives":[1]}',
+    '{"first":[],"repeated":["e1"]}',
+    '{"workspace":"w","first":[],"repeated":[1]}',
     Buffer.from([0xff]),
   ]) {
     put(value);
     t.equal(records.getVerdict(subject), Verdict.Clear);
   }
-  put(JSON.stringify({ workspace: "w", lives: ["e1", "e2", "e3"] }));
+  put(JSON.stringify({ workspace: "w", first: ["e1"], repeated: ["e2", "e3"] }));
   t.equal(records.getVerdict(subject), Verdict.Convicted);
   store.take(key, undefined);
   t.equal(records.getVerdict(subject), Verdict.Clear, "an operator who removes the item clears it");
 });
+
+t.test(
+  "a verdict read from the store is the one that was written, also where ends came at one moment",
+  async (t) => {
+    const { clock, shared, records, store } = createKept();
+    const other = { workspace: "w", fingerprint: "other" };
+    for (const life of ["e1", "e2"]) records.take({ reports: [{ life, suspects: [], others: [subject] }] });
+    records.take({ reports: [{ life: "e3", suspects: [subject, other], others: [] }] });
+    t.equal(records.getVerdict(subject), Verdict.Resting);
+    store.review();
+    await clock.advance(100);
+    const item = shared.entries.get(key);
+    const later = createKept();
+    later.store.take(key, { key, revision: 1, value: item!.value });
+    t.not(later.records.getVerdict(subject), Verdict.Clear);
+    t.equal(later.records.getLives("f").length, 3);
+  },
+);
+
+t.test("one workspace takes no more than its part of the store", async (t) => {
+  const { clock, shared, records, store } = createKept();
+  for (let index = 0; index < 80; index++) {
+    const subjects = [{ workspace: "flood", fingerprint: `flood${index}` }];
+    for (const life of ["a", "b"]) {
+      records.take({ reports: [{ life: `${life}${index}`, suspects: subjects, others: [] }] });
+    }
+  }
+  for (let step = 0; step < 100; step++) {
+    store.review();
+    await clock.advance(1);
+  }
+  t.equal(shared.entries.size, 64);
+});
