--- /dev/null
+++ b/packages/gateway/test/readerListing.test.ts
@@ -0,0 +1,82 @@
+/*
+ * An instance used two endpoints that were gone, and went on for as long as it was watched: it is told what the store holds by
+ * a reader, and that reader had started after the endpoints' records went. It had never seen them, so it told of no removal;
+ * asked for what came after a revision from before its own listing, it answered as if it knew every change since.
+ *
+ *   instance-4 ready true eps 9 linked 3 reader false fed true    (seven are listed, and known to the five others)
+ *   instance-5 ready true eps 7 linked 5 reader true fed false    (started again a moment before)
+ */
+import t from "tap";
+import { PrefixFollower } from "@gladewall/gateway";
+import { Logger, settlePromises, VirtualClock } from "@gladewall/kernel";
+import { StandinPlatform } from "@gladewall/standins";
+
+function createBench() {
+  const clock = VirtualClock.create();
+  const platform = StandinPlatform.create(clock);
+  const { store, endpointPrefix: prefix } = platform.createAdapter();
+  const follow = () => {
+    const present = new Set<string>();
+    const follower = PrefixFollower.create({
+      store,
+      prefix,
+      clock,
+      logger: Logger.createSilent(),
+      listener: {
+        handlePut: ({ key }) => void present.add(key),
+        handleRemoved: (key) => void present.delete(key),
+      },
+    });
+    return { follower, present };
+  };
+  const close = async (followers: readonly PrefixFollower[]): Promise<void> => {
+    const closed = Promise.all(followers.map((follower) => follower.close()));
+    await clock.advance(10_000);
+    await closed;
+  };
+  return { clock, platform, prefix, follow, close };
+}
+
+t.test("a reader that listed after a removal tells of it all the same", async (t) => {
+  const { clock, platform, prefix, follow, close } = createBench();
+  for (const id of ["gone", "stays"]) platform.list({ id, address: "127.0.0.1:1" });
+  const told = follow();
+  told.follower.start();
+  await clock.advance(100);
+  t.equal(told.present.size, 2);
+  told.follower.setPassive(true);
+  platform.unlist("gone");
+  platform.list({ id: "new", address: "127.0.0.1:2" });
+  const reader = follow();
+  reader.follower.start();
+  await clock.advance(100);
+  const changes = reader.follower.getChanges(told.follower.getRevision());
+  told.follower.takeChanges(changes!, Infinity);
+  t.same([...told.present].sort(), [`${prefix}new`, `${prefix}stays`]);
+  await close([told.follower, reader.follower]);
+});
+
+t.test("so does one that lists anew and never saw what came and went between", async (t) => {
+  const { clock, platform, prefix, follow, close } = createBench();
+  platform.list({ id: "stays", address: "127.0.0.1:1" });
+  const reader = follow();
+  reader.follower.start();
+  await clock.advance(100);
+  reader.follower.setPassive(true);
+  await clock.advance(100);
+  platform.list({ id: "brief", address: "127.0.0.1:2" });
+  const told = follow();
+  told.follower.start();
+  await clock.advance(100);
+  told.follower.setPassive(true);
+  t.equal(told.present.size, 2);
+  platform.unlist("brief");
+  platform.shared.forgetHistory();
+  reader.follower.setPassive(false);
+  await settlePromises();
+  await clock.advance(3_000);
+  const changes = reader.follower.getChanges(told.follower.getRevision());
+  told.follower.takeChanges(changes!, Infinity);
+  t.same([...told.present], [`${prefix}stays`]);
+  await close([told.follower, reader.follower]);
+});
