Remove a verdict from the store only when its request is cleared

Cause: a verdict that a later word makes milder was removed from the store, and a removal clears a request on all instances, as an operator's does.

Change: an item goes when no end speaks against its request any more. Test: the two words in that order; fails before, passes now. Ruled out: words lost between instances (both reports are in every instance's log).

--- a/packages/gateway/src/crashStore.ts
+++ b/packages/gateway/src/crashStore.ts
@@ -74,8 +74,7 @@
       void this.write(due);
       return;
     }
-    const fingerprints = new Set(kept.map(({ fingerprint }) => fingerprint));
-    const cleared = [...this.items.keys()].find((fingerprint) => this.isCleared(fingerprint, fingerprints));
+    const cleared = [...this.items.keys()].find((fingerprint) => this.isCleared(fingerprint));
     if (cleared !== undefined) void this.remove(cleared);
   }
 
@@ -94,8 +93,10 @@
     return items.length < mostItems && own.length < mostOfWorkspace;
   }
 
-  private isCleared(fingerprint: string, kept: ReadonlySet<string>): boolean {
-    return !kept.has(fingerprint) && this.options.isWriter(fingerprint);
+  /** A removal clears a request on all instances: one that is only blamed for less must stay. */
+  private isCleared(fingerprint: string): boolean {
+    const { records, isWriter } = this.options;
+    return records.getLives(fingerprint).length === 0 && isWriter(fingerprint);
   }
 
   private async write({ workspace, fingerprint }: CrashSubject): Promise<void> {
--- a/packages/gateway/test/crashWatch.test.ts
+++ b/packages/gateway/test/crashWatch.test.ts
@@ -255,3 +255,27 @@
   }
   t.equal(shared.entries.size, 64);
 });
+
+/*
+ * Two instances had a suspect each at an endpoint that ended, and told of it 4 ms apart. The first word made one of them the
+ * only one to blame, which was written; with the second it was one of two, and the item was removed again. A removal is an
+ * operator's word that clears, so the guilty one was cleared everywhere and the other was the only one to blame.
+ */
+t.test("a verdict that a later word makes milder is not cleared by it", async (t) => {
+  const { clock, shared, records, store } = createKept();
+  const beside = { workspace: "w", fingerprint: "beside" };
+  records.take({ reports: [{ life: "e1", suspects: [], others: [subject, beside] }] });
+  records.take({ reports: [{ life: "e2", suspects: [subject], others: [] }] });
+  store.review();
+  await clock.advance(10);
+  records.take({ reports: [{ life: "e2", suspects: [beside], others: [] }] });
+  store.review();
+  await clock.advance(10);
+  store.review();
+  const item = shared.entries.get(key);
+  t.ok(item, "the item stays");
+  if (item) store.take(key, { key, revision: 2, value: item.value });
+  else store.take(key, undefined);
+  t.equal(records.getVerdict(subject), Verdict.Isolated);
+  t.equal(records.getVerdict(beside), Verdict.Isolated);
+});
--- a/scripts/crashSoak.mjs
+++ b/scripts/crashSoak.mjs
@@ -1,6 +1,7 @@
 // Plays requests that end endpoints before instances that end and start, as each seed draws. `node scripts/crashSoak.mjs
 // --seeds 50 [--from 1]`, after a build; exits with 1 where one ran too often, or where others were not served.
 import { fileURLToPath } from "node:url";
+import { clearTimeout, setTimeout } from "node:timers";
 import { parseArgs } from "node:util";
 
 const root = fileURLToPath(new URL("..", import.meta.url));
@@ -11,11 +12,21 @@
 
 /** Runs of one request after three endpoints ended under it. */
 const mostRuns = 3;
+/** A play takes 2 s; one that waits for something this long waits for ever. */
+const stuckMs = 60_000;
+
+function exitStuck(seed) {
+  console.log(`FAILED seed ${seed}: an instance never came to know what the others do`);
+  process.exit(1);
+}
+
 const from = Number(values.from);
 let failed = 0;
 for (let seed = from; seed < from + Number(values.seeds); seed++) {
   const closers = [];
+  const watchdog = setTimeout(() => exitStuck(seed), stuckMs);
   const play = await playCrashes({ teardown: (close) => closers.push(close) }, seed);
+  clearTimeout(watchdog);
   for (const close of closers) await close();
   const isGood = play.mostRunsAfterThird <= mostRuns && play.unserved === 0;
   failed += isGood ? 0 : 1;
