--- a/packages/gateway/src/crashRecords.ts
+++ b/packages/gateway/src/crashRecords.ts
@@ -64,15 +64,16 @@
 /** Blame for one end: of one suspect alone; several share it. */
 const wholeBlame = 1;
 /**
- * Blame up to which a request runs like others, at which it rests, and above which it is not run any more. One that ends each
- * endpoint it runs at comes to the last with its third end, or with its fourth where two of its runs began before anybody
- * could know. The platform bears three ends, and three more runs after them.
+ * Blame up to which a request runs like others, at which it rests, and above which it is not run any more. One that
+ * ends each endpoint it runs at comes to the last with its third end, or with its fourth where two of its runs began
+ * before anybody could know. The platform bears three ends, and three more runs after them.
  */
 const suspectBlame = 1;
 /**
- * Most blame for ends before anybody knew of an earlier one. A request that is at two such at once is asked for often, or sent
- * again at once: enough to run it apart, but the ends may have another cause. Three copies of a request that were under way
- * together ended four endpoints of four, and two or three with this and a wait for peers' words (six runs each).
+ * Most blame for ends before anybody knew of an earlier one. A request that is at two such at once is asked for often,
+ * or sent again at once: enough to run it apart, but the ends may have another cause. Three copies of a request that
+ * were under way together ended four endpoints of four, and two or three with this and a wait for peers' words (six
+ * runs each).
  */
 const mostFirstBlame = 1.5;
 const restingBlame = 2;
@@ -80,7 +81,10 @@
 export const restMs = 60_000;
 /** A suspect that never came back is forgotten: endpoints end by themselves, and most suspects are innocent. */
 const suspicionMs = 600_000;
-/** Ended endpoints that are remembered, about 100 bytes for each request that was there: three for each verdict in the store. */
+/**
+ * Ended endpoints that are remembered, about 100 bytes for each request that was there: three for each verdict in the
+ * store.
+ */
 const keptEnds = 1_024;
 /** Requests of one workspace that are watched: one that makes endpoints end on purpose pushes out only its own. */
 const watchedPerWorkspace = 256;
--- a/packages/gateway/src/crashWatch.ts
+++ b/packages/gateway/src/crashWatch.ts
@@ -1,7 +1,8 @@
 /**
- * Finds out which endpoints have ended with requests on them. A cut connection alone says little: answers are broken off,
- * connections reset and callers leave while an endpoint is sound. Its end shows by two signs that come about apart: a request
- * was cut, and its address refuses connections. A record that is still there some time later takes the word back.
+ * Finds out which endpoints have ended with requests on them. A cut connection alone says little: answers are broken
+ * off, connections reset and callers leave while an endpoint is sound. Its end shows by two signs that come about
+ * apart: a request was cut, and its address refuses connections. A record that is still there some time later takes the
+ * word back.
  * @module
  */
 import type { Clock, Logger } from "@gladewall/kernel";
--- a/packages/gateway/src/suspects.ts
+++ b/packages/gateway/src/suspects.ts
@@ -1,6 +1,6 @@
 /**
- * Requests under which endpoints ended, as the requests' own path sees them: what may be done with one, where a suspect runs,
- * and when it is cleared.
+ * Requests under which endpoints ended, as the requests' own path sees them: what may be done with one, where a suspect
+ * runs, and when it is cleared.
  * @module
  */
 import { type Clock, Failure, FailureCode, type Logger, waitFor } from "@gladewall/kernel";
@@ -73,8 +73,9 @@
   }
 
   /**
-   * Finds an endpoint for a request that must run apart; `undefined` where it may run like others. Fails with `CrashSuspect` where no endpoint is
-   * free for it, and with `CrashesEndpoints` where it is not run any more, or not for a time.
+   * Finds an endpoint for a request that must run apart; `undefined` where it may run like others. Fails with
+   * `CrashSuspect` where no endpoint is free for it, and with `CrashesEndpoints` where it is not run any more, or not
+   * for a time.
    */
   async seek(request: SuspectRequest): Promise<Result<Trial | undefined, Failure>> {
     const { records, ask } = this.options;
--- a/packages/gateway/test/crashPlays.ts
+++ b/packages/gateway/test/crashPlays.ts
@@ -102,8 +102,10 @@
 ): Promise<void> {
   const held: EndpointCall[] = [];
   endpoints.script = (call) => void held.push(call);
-  const answers = send();
-  await waitUntil(() => held.length >= 1);
+  let isOver = false;
+  const answers = send().finally(() => (isOver = true));
+  // All of them may be refused at once.
+  await waitUntil(() => held.length >= 1 || isOver);
   const alive = [...endpoints.alive];
   endpoints.end(alive[Math.floor(draw() * alive.length)]!);
   endpoints.script = answerGood;
--- a/packages/gateway/test/endingEndpoints.ts
+++ b/packages/gateway/test/endingEndpoints.ts
@@ -62,15 +62,24 @@
     void endpoint.close();
   }
 
-  /** Starts endpoints in place of those that ended, whose records go, and waits until every instance knows. */
+  /**
+   * Starts endpoints in place of those that ended, whose records go. Every instance knows first that those have gone, then of
+   * the new ones: by their number alone, as many old ones look the same.
+   */
   async replace(): Promise<void> {
-    for (const { id } of this.gone.splice(0)) {
-      this.bench.platform.unlist(id);
-      await this.add();
+    while (this.gone.length > 0) {
+      const gone = this.gone.splice(0);
+      for (const { id } of gone) this.bench.platform.unlist(id);
+      await waitUntil(() => this.isKnown());
+      for (let index = 0; index < gone.length; index++) await this.add();
+      await waitUntil(() => this.isKnown());
     }
-    await waitUntil(() =>
-      this.bench.instances.every(({ gateway }) => gateway.countEndpoints("web") === this.alive.size),
-    );
+  }
+
+  /** Whether every instance knows as many endpoints as are listed; one that has ended is, until it is replaced. */
+  private isKnown(): boolean {
+    const listed = this.alive.size + this.gone.length;
+    return this.bench.instances.every(({ gateway }) => gateway.countEndpoints("web") === listed);
   }
 
   async close(): Promise<void> {
--- a/packages/kernel/src/clock.ts
+++ b/packages/kernel/src/clock.ts
@@ -12,11 +12,15 @@
 export interface Clock {
   /** Wall clock, milliseconds since 1970; only for people and for stamps between machines. */
   getWallTime(): number;
-  /** Monotonic clock, milliseconds from an arbitrary start; for every duration. It stands still while a machine is suspended. */
+  /**
+   * Monotonic clock, milliseconds from an arbitrary start; for every duration. It stands still while a machine is
+   * suspended.
+   */
   getTime(): number;
   /**
-   * Time that a suspension is not missing from, milliseconds from an arbitrary start; for what must not be believed too long,
-   * such as a proof or a lease. It runs ahead where the time of day was set forward, and never falls behind `getTime`.
+   * Time that a suspension is not missing from, milliseconds from an arbitrary start; for what must not be believed too
+   * long, such as a proof or a lease. It runs ahead where the time of day was set forward, and never falls behind
+   * `getTime`.
    */
   getBootTime(): number;
   /** Calls back once after `delay` milliseconds. */
