Read what endpoints say of themselves in answers, and log it

Sight for the incident of endpoints that leave: no line told whether an answer's word was heard before the record's, or undone after it. Each answer of an endpoint, also one whose request was given up, now goes through one callback at its head; endpoint.notice names the life, the request, the status, the record's state and age, and since when the store was not heard. Nothing is chosen otherwise yet.

--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -6,7 +6,7 @@
  */
 import { type ClientRequest, type IncomingMessage, request } from "node:http";
 import type { EndpointPool } from "./endpointConnections.js";
-import { AnswerWord, type EndpointLoad, type EndpointProtocol } from "./types.js";
+import { type AnswerHead, AnswerWord, type EndpointProtocol } from "./types.js";
 
 /** How a sending ended. */
 export enum AttemptEnd {
@@ -26,7 +26,6 @@
 export interface AttemptResult {
   readonly end: AttemptEnd;
   readonly detail: string;
-  readonly load: EndpointLoad | undefined;
   readonly response: IncomingMessage | undefined;
 }
 
@@ -41,6 +40,8 @@
   readonly headers: readonly string[];
   readonly body: Buffer;
   readonly connectTimeoutMs: number;
+  /** Called with the head of the answer at once, also where nobody waits for the result any more. */
+  readonly onHead: (head: AnswerHead, status: number) => void;
 }
 
 const endsByWord: Readonly<Record<AnswerWord, AttemptEnd>> = {
@@ -108,23 +109,24 @@
 
   private fail(detail: string): void {
     const end = this.isConnected ? AttemptEnd.Lost : AttemptEnd.NotSent;
-    this.settle({ end, detail, load: undefined, response: undefined });
+    this.settle({ end, detail, response: undefined });
   }
 
   private takeResponse(response: IncomingMessage): void {
-    const { protocol, requestId } = this.options;
+    const { protocol, requestId, onHead } = this.options;
     const status = response.statusCode ?? 0;
-    const { word, load } = protocol.readAnswer(requestId, status, response.headers);
-    const end = endsByWord[word];
+    const head = protocol.readAnswer(requestId, status, response.headers);
+    const end = endsByWord[head.word];
+    onHead(head, status);
     // Errors of the body are seen by whoever reads it; an event without a listener would end the process.
     response.on("error", () => undefined);
     if (end === AttemptEnd.Answered) {
-      this.settle({ end, detail: `status ${status}`, load, response });
+      this.settle({ end, detail: `status ${status}`, response });
       return;
     }
     if (end === AttemptEnd.Lost) this.abort("foreign answer");
     else response.resume();
-    this.settle({ end, detail: `status ${status}`, load, response: undefined });
+    this.settle({ end, detail: `status ${status}`, response: undefined });
   }
 }
 
--- a/packages/gateway/src/endpoint.ts
+++ b/packages/gateway/src/endpoint.ts
@@ -32,6 +32,10 @@
 /** An endpoint and this instance's own view of it. */
 export class Endpoint {
   state = EndpointState.Ready;
+  /** Monotonic time at which the record was read last. */
+  recordAt = -Infinity;
+  /** Whether an answer of it has said that it leaves. */
+  hasSaidLeaving = false;
   /** Requests of this instance that it has and that have not ended. */
   active = 0;
   /** Prompt tokens of this instance's requests that have not given a first event. */
--- a/packages/gateway/src/endpointDirectory.ts
+++ b/packages/gateway/src/endpointDirectory.ts
@@ -9,7 +9,7 @@
 import { type Clock, type Closeable, type Logger } from "@gladewall/kernel";
 import { Endpoint, EndpointState, getEndpointLife, getLifeId } from "./endpoint.js";
 import { PrefixFollower } from "./prefixFollower.js";
-import type { EndpointRecord, PlatformAdapter, StoreItem } from "./types.js";
+import type { EndpointNotice, EndpointRecord, PlatformAdapter, StoreItem } from "./types.js";
 
 /** Options of a directory. */
 export interface EndpointDirectoryOptions {
@@ -26,6 +26,12 @@
   readonly unlistedMs: number;
 }
 
+/** The answer that brought a word. */
+export interface NoticeSource {
+  readonly requestId: string;
+  readonly status: number;
+}
+
 /** Trouble of the store within this time explains that a record vanished. */
 const troubleWindowMs = 3_000;
 /**
@@ -115,6 +121,27 @@
     this.setState(endpoint, EndpointState.Leaving, "replaced");
   }
 
+  /** Takes what an endpoint says of itself with an answer. */
+  takeNotice(endpoint: Endpoint, notice: EndpointNotice, source: NoticeSource): void {
+    if (notice.holdOffMs === undefined && notice.unreadableTime === undefined && endpoint.hasSaidLeaving)
+      return;
+    endpoint.hasSaidLeaving ||= notice.isLeaving;
+    const { life, record, state, recordAt } = endpoint;
+    this.options.logger.info("endpoint.notice", {
+      life,
+      service: record.service,
+      request: source.requestId,
+      status: source.status,
+      leaving: notice.isLeaving,
+      holdOffMs: notice.holdOffMs,
+      unreadableTime: notice.unreadableTime,
+      state: EndpointState[state],
+      isRecordLeaving: record.isLeaving,
+      recordAgeMs: Math.round(this.options.clock.getTime() - recordAt),
+      unheardMs: Math.round(this.follower.unheardMs),
+    });
+  }
+
   async close(): Promise<void> {
     await this.follower.close();
   }
@@ -139,6 +166,7 @@
     const endpoint = this.endpoints.get(record.id) ?? this.add(record);
     const wasLeaving = endpoint.record.isLeaving;
     endpoint.record = { ...record, isLeaving: record.isLeaving || wasLeaving };
+    endpoint.recordAt = this.options.clock.getTime();
     const state = endpoint.record.isLeaving ? EndpointState.Leaving : EndpointState.Ready;
     this.setState(endpoint, state, "record");
   }
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -20,7 +20,7 @@
 import { createFingerprint } from "./requestFingerprint.js";
 import { RelayEnd, StreamRelay } from "./streamRelay.js";
 import type { Trial } from "./suspects.js";
-import { type CallerHead, type Route, RouteKind, type Service } from "./types.js";
+import { type AnswerHead, type CallerHead, type Route, RouteKind, type Service } from "./types.js";
 
 /** What a finished attempt means for the request. */
 enum Next {
@@ -218,7 +218,6 @@
     this.isUnderWay = false;
     this.parts.metrics.countAttempt(this.request.service.name, AttemptEnd[result.end]);
     if (result.end !== AttemptEnd.NotSent) this.history.noteArrival();
-    if (result.load) endpoint.noteLoad(result.load, this.parts.clock.getTime());
     if (this.isOver) return Next.Done;
     if (result.end !== AttemptEnd.Answered || !result.response)
       return this.handleNoAnswer(endpoint, result, beganAt);
@@ -246,7 +245,15 @@
     const method = message.method ?? "GET";
     const target = message.url ?? "/";
     const base = { pool, protocol: platform.endpoints, requestId: head.id, connectTimeoutMs };
-    return Attempt.create({ ...base, method, target, headers, body });
+    const onHead = (answer: AnswerHead, status: number): void => this.takeHead(endpoint, answer, status);
+    return Attempt.create({ ...base, method, target, headers, body, onHead });
+  }
+
+  /** Takes what an endpoint says of itself, whatever becomes of the request. */
+  private takeHead(endpoint: Endpoint, { load, notice }: AnswerHead, status: number): void {
+    const { clock, directory } = this.parts;
+    if (load) endpoint.noteLoad(load, clock.getTime());
+    if (notice) directory.takeNotice(endpoint, notice, { requestId: this.request.head.id, status });
   }
 
   private async handleNoAnswer(endpoint: Endpoint, result: AttemptResult, beganAt: number): Promise<Next> {
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -58,6 +58,7 @@
 export { QuotaCharges } from "./quotaCharges.js";
 export { RecentPlacements } from "./recentPlacements.js";
 export { createFingerprint } from "./requestFingerprint.js";
+export { longestRetryAfterMs, parseRetryAfter } from "./retryAfter.js";
 export { RetryBudget } from "./retryBudget.js";
 export { drawTarget, RouteTable } from "./routeTable.js";
 export { CounterKind, type CounterTotals, SharedCounters } from "./sharedCounters.js";
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -236,10 +236,22 @@
   readonly slots: number;
 }
 
+/** What an endpoint says of itself with an answer, whatever it answers to the request. */
+export interface EndpointNotice {
+  /** Whether it leaves. */
+  readonly isLeaving: boolean;
+  /** Milliseconds for which it wants no request from this instance; undefined where it names no time. */
+  readonly holdOffMs: number | undefined;
+  /** Text of a time that could not be read. */
+  readonly unreadableTime?: string | undefined;
+}
+
 /** An answer's head, read. */
 export interface AnswerHead {
   readonly word: AnswerWord;
   readonly load: EndpointLoad | undefined;
+  /** Undefined where the endpoint says nothing of itself, or where the answer is not this endpoint's. */
+  readonly notice: EndpointNotice | undefined;
 }
 
 /** How callers speak. */
--- a/packages/standins/src/gatewayPlatform.ts
+++ b/packages/standins/src/gatewayPlatform.ts
@@ -6,6 +6,7 @@
 import {
   type AnswerHead,
   AnswerWord,
+  type EndpointNotice,
   type EndpointRecord,
   type CallerHead,
   type CapacityOrder,
@@ -262,11 +263,22 @@
 const firstFailure = 300;
 
 function readAnswer(requestId: string, status: number, headers: IncomingHttpHeaders): AnswerHead {
-  const load = undefined;
-  if (headers["x-id"] !== undefined && headers["x-id"] !== requestId)
-    return { word: AnswerWord.Foreign, load };
-  if (status === misdirected) return { word: AnswerWord.WrongEndpoint, load };
-  if (headers["x-not-run"] !== undefined) return { word: AnswerWord.NotRun, load };
+  const word = readWord(requestId, status, headers);
+  const isOwn = word === AnswerWord.Ran || word === AnswerWord.NotRun;
+  return { word, load: undefined, notice: isOwn ? readNotice(headers) : undefined };
+}
+
+function readWord(requestId: string, status: number, headers: IncomingHttpHeaders): AnswerWord {
+  if (headers["x-id"] !== undefined && headers["x-id"] !== requestId) return AnswerWord.Foreign;
+  if (status === misdirected) return AnswerWord.WrongEndpoint;
+  if (headers["x-not-run"] !== undefined) return AnswerWord.NotRun;
   const isUnsigned = status < firstFailure && headers["x-stamp"] === undefined;
-  return { word: isUnsigned ? AnswerWord.Foreign : AnswerWord.Ran, load };
+  return isUnsigned ? AnswerWord.Foreign : AnswerWord.Ran;
+}
+
+function readNotice(headers: IncomingHttpHeaders): EndpointNotice | undefined {
+  const isLeaving = headers["x-leaving"] === "1";
+  const holdOff = headers["x-hold-off"];
+  if (!isLeaving && holdOff === undefined) return undefined;
+  return { isLeaving, holdOffMs: holdOff === undefined ? undefined : Number(holdOff) };
 }
