--- /dev/null
+++ b/packages/gateway/test/endpointWords.test.ts
@@ -0,0 +1,284 @@
+/*
+ * Two requests reached an endpoint 11.7 and 2.4 seconds after it had told the same instance, in an answer that was passed on, that
+ * it leaves. The store was away, so its record still said ready, and nobody read what its answers said: the instance's log
+ * had request.served endpoint=i-e0eff66df2 at 8.583 s, and of its state nothing before 20.321 s, where the record went
+ * (endpoint.state state=Unlisted cause="record gone in trouble"). Written into the state alone, the word would have been
+ * undone by the next record, listing, or removal in the store's trouble.
+ */
+import * as fc from "fast-check";
+import t, { type Test } from "tap";
+import { type Endpoint, EndpointDirectory } from "@gladewall/gateway";
+import { Logger, LogLevel, VirtualClock } from "@gladewall/kernel";
+import {
+  answerGood,
+  answerLeaving,
+  type EndpointScript,
+  GatewayBench,
+  ScriptedEndpoint,
+  StandinPlatform,
+  StoreTrouble,
+  waitUntil,
+} from "@gladewall/standins";
+
+const notice = { isLeaving: true, holdOffMs: undefined };
+const source = { requestId: "r", status: 200 };
+const address = "127.0.0.1:1";
+
+/** What befalls an endpoint and its record. */
+enum Event {
+  /** An answer of the life that is listed says that it leaves. */
+  Word = 1,
+  /** An answer of an earlier life, which comes late, says so. */
+  LateWord = 2,
+  /** Its record is written again, still ready. */
+  Record = 3,
+  /** Its record goes while the store is in trouble, and while it is not. */
+  GoneInTrouble = 4,
+  Gone = 5,
+  /** Everything is listed anew. */
+  Listing = 6,
+  /** It starts again under its id. */
+  NextLife = 7,
+}
+
+/** A directory, and the record of one endpoint. */
+function createPlay(log: (line: string) => void = () => undefined) {
+  const clock = VirtualClock.create();
+  const platform = StandinPlatform.create(clock);
+  let troubleMs = Infinity;
+  let born = 1;
+  let slots = 4;
+  const seen: Endpoint[] = [];
+  const left = new Set<string>();
+  const directory = EndpointDirectory.create({
+    platform: platform.createAdapter(),
+    clock,
+    logger: Logger.create(LogLevel.Info, {}, log),
+    getTimeSinceTrouble: () => troubleMs,
+    watchWaitMs: 600,
+    unlistedMs: 400,
+  });
+  const list = (): void => platform.list({ id: "e", born, address, slots: (slots += 1) });
+  const takeWord = (endpoint: Endpoint | undefined): void => {
+    if (!endpoint) return;
+    left.add(endpoint.life);
+    directory.takeNotice(endpoint, notice, source);
+  };
+  const handlers: Readonly<Record<Event, () => void>> = {
+    [Event.Word]: () => takeWord(directory.get("e")),
+    [Event.LateWord]: () => takeWord(seen.at(-2)),
+    [Event.Record]: list,
+    [Event.GoneInTrouble]: () => {
+      troubleMs = 0;
+      platform.unlist("e");
+    },
+    [Event.Gone]: () => {
+      troubleMs = Infinity;
+      platform.unlist("e");
+    },
+    [Event.Listing]: () => directory.restart(),
+    [Event.NextLife]: () => {
+      born += 1;
+      list();
+    },
+  };
+  const look = (): void => {
+    const endpoint = directory.get("e");
+    if (endpoint && seen.at(-1) !== endpoint) seen.push(endpoint);
+  };
+  const play = async (event: Event, waitMs: number): Promise<void> => {
+    handlers[event]();
+    await clock.advance(waitMs);
+    look();
+  };
+  return { clock, directory, play, left, list, platform, close: () => closePlay(directory, clock) };
+}
+
+async function closePlay(directory: EndpointDirectory, clock: VirtualClock): Promise<void> {
+  const closed = directory.close();
+  await clock.advance(20_000);
+  await closed;
+}
+
+const drawnEvents = fc.array(
+  fc.tuple(
+    fc.constantFrom<Event>(
+      Event.Word,
+      Event.LateWord,
+      Event.Record,
+      Event.GoneInTrouble,
+      Event.Gone,
+      Event.Listing,
+      Event.NextLife,
+    ),
+    fc.integer({ min: 100, max: 1_500 }),
+  ),
+  { minLength: 2, maxLength: 12 },
+);
+
+/** Plays events; returns the first after which a life that left is used, or one that did not is not. */
+async function findWrongUse(events: readonly (readonly [Event, number])[]): Promise<string | undefined> {
+  const { clock, directory, play, left, list, close } = createPlay();
+  directory.start();
+  list();
+  await clock.advance(200);
+  await play(Event.Record, 200);
+  let wrong: string | undefined;
+  for (const [event, waitMs] of events) {
+    await play(event, waitMs);
+    const endpoint = directory.get("e");
+    const isListed = event === Event.Record || event === Event.NextLife;
+    if (endpoint?.isUsable() && left.has(endpoint.life)) wrong ??= `used after ${Event[event]}`;
+    if (isListed && endpoint && !endpoint.isUsable() && !left.has(endpoint.life)) {
+      wrong ??= `not used after ${Event[event]}`;
+    }
+  }
+  await close();
+  return wrong;
+}
+
+t.test("in whatever order words and records come, a life that said that it leaves is not used", async (t) => {
+  const property = fc.asyncProperty(drawnEvents, async (events) => {
+    return (await findWrongUse(events)) === undefined;
+  });
+  const examples: [[Event, number][]][] = [
+    [[[Event.Word, 100]]],
+    [
+      [
+        [Event.Word, 100],
+        [Event.Record, 100],
+      ],
+    ],
+    [
+      [
+        [Event.Word, 100],
+        [Event.GoneInTrouble, 100],
+      ],
+    ],
+    [
+      [
+        [Event.Word, 100],
+        [Event.Gone, 1_000],
+        [Event.Record, 100],
+      ],
+    ],
+    [
+      [
+        [Event.Word, 100],
+        [Event.NextLife, 100],
+        [Event.LateWord, 100],
+        [Event.Listing, 500],
+      ],
+    ],
+  ];
+  const report = await fc.check(property, { seed: 46, numRuns: 60, endOnFailure: true, examples });
+  t.equal(report.failed, false, JSON.stringify(report.counterexample));
+});
+
+/** Answers of each status and kind with the word, as an endpoint gives them that leaves. */
+const leavingAnswers: Readonly<Record<string, EndpointScript>> = {
+  "an answer that is passed on": answerLeaving,
+  "a refusal": ({ id, response }) => {
+    response.writeHead(503, { "x-id": id, "x-not-run": "1", "x-leaving": "1", "content-length": 0 });
+    response.end();
+  },
+  "a failure of its own": ({ id, response }) => {
+    response.writeHead(500, { "x-id": id, "x-stamp": "s", "x-leaving": "1", "content-length": 0 });
+    response.end();
+  },
+  "an answer that is cut after its head": ({ id, response, socket }) => {
+    response.writeHead(200, { "x-id": id, "x-stamp": "s", "x-leaving": "1", "content-length": 10 });
+    response.write("part", () => socket.destroy());
+  },
+};
+
+/** An instance before two endpoints; the one that is called first answers by a script from then on, the other well. */
+async function startPair(t: Pick<Test, "teardown">, script: EndpointScript) {
+  const bench = GatewayBench.create();
+  bench.platform.configure({});
+  const endpoints = await Promise.all(["a", "b"].map((id) => ScriptedEndpoint.create(id)));
+  let leaving: ScriptedEndpoint | undefined;
+  for (const endpoint of endpoints) {
+    bench.platform.list({ id: endpoint.id, address: endpoint.address });
+    endpoint.script = (call) => {
+      leaving ??= endpoint;
+      if (leaving === endpoint) script(call);
+      else answerGood(call);
+    };
+  }
+  const instance = await bench.startReady(2);
+  t.teardown(() => Promise.all([bench.close(), ...endpoints.map((endpoint) => endpoint.close())]));
+  const setTrouble = (trouble: StoreTrouble): void => {
+    for (const store of bench.platform.stores) store.trouble = trouble;
+  };
+  return { bench, instance, setTrouble, countCalls: () => leaving?.calls.length };
+}
+
+t.test("no request goes to an endpoint that said in an answer that it leaves", async (t) => {
+  for (const [name, script] of Object.entries(leavingAnswers)) {
+    await t.test(`${name} says so while the store is away`, async (t) => {
+      const { bench, instance, setTrouble, countCalls } = await startPair(t, script);
+      setTrouble(StoreTrouble.Down);
+      await bench.call(instance);
+      t.equal(instance.gateway.countEndpoints("web"), 1);
+      for (let index = 0; index < 20; index++) t.equal((await bench.call(instance)).status, 200);
+      t.equal(countCalls(), 1);
+    });
+  }
+  await t.test("all of a service leaves: refused at once; the next life is used", playWholeService);
+});
+
+t.test("a word that belongs to another request, or to nobody, says nothing", async (t) => {
+  const scripts: readonly EndpointScript[] = [
+    ({ response }) => {
+      response.writeHead(200, { "x-id": "other", "x-stamp": "s", "x-leaving": "1", "content-length": 0 });
+      response.end();
+    },
+    ({ id, response }) => {
+      response.writeHead(200, { "x-id": id, "x-leaving": "1", "content-length": 0 });
+      response.end();
+    },
+  ];
+  for (const script of scripts) {
+    const { bench, instance } = await startPair(t, script);
+    await bench.call(instance);
+    t.equal(instance.gateway.countEndpoints("web"), 2);
+  }
+});
+
+t.test("peers are told at once, without the store; one that is linked later, too", async (t) => {
+  const { bench, instance, setTrouble, countCalls } = await startPair(t, answerLeaving);
+  const other = await bench.startReady(2);
+  await waitUntil(() => bench.instances.every(({ gateway }) => gateway.linkedPeers === 1));
+  setTrouble(StoreTrouble.Down);
+  await bench.call(instance);
+  t.equal(instance.gateway.countEndpoints("web"), 1, "the instance that heard it");
+  if (instance.gateway.countEndpoints("web") > 1) return;
+  await waitUntil(() => other.gateway.countEndpoints("web") === 1);
+  for (let index = 0; index < 20; index++) t.equal((await bench.call(other)).status, 200);
+  t.equal(countCalls(), 1);
+  setTrouble(StoreTrouble.None);
+  const late = await bench.startReady(1);
+  await waitUntil(() => late.gateway.linkedPeers === 2 && late.gateway.countEndpoints("web") === 1);
+});
+
+async function playWholeService(t: Test): Promise<void> {
+  const bench = GatewayBench.create();
+  bench.platform.configure({});
+  const leaving = await ScriptedEndpoint.create("e", answerLeaving);
+  const next = await ScriptedEndpoint.create("e", answerGood);
+  bench.platform.list({ id: "e", born: 1, address: leaving.address });
+  const instance = await bench.startReady(1);
+  t.teardown(() => Promise.all([bench.close(), leaving.close(), next.close()]));
+  for (const store of bench.platform.stores) store.trouble = StoreTrouble.Down;
+  t.equal((await bench.call(instance)).status, 200);
+  const refused = await bench.call(instance);
+  t.equal(refused.status, 503);
+  t.ok(Number(refused.headers["retry-after"]) > 0);
+  t.equal(leaving.calls.length, 1);
+  for (const store of bench.platform.stores) store.trouble = StoreTrouble.None;
+  bench.platform.list({ id: "e", born: 2, address: next.address });
+  await waitUntil(() => instance.gateway.countEndpoints("web") === 1);
+  t.equal((await bench.call(instance)).status, 200);
+  t.equal(leaving.calls.length + next.calls.length, 2);
+}
--- a/packages/standins/src/scriptedEndpoint.ts
+++ b/packages/standins/src/scriptedEndpoint.ts
@@ -98,3 +98,9 @@
   response.writeHead(200, { "x-id": id, "x-stamp": "signed", "content-type": "text/event-stream" });
   response.flushHeaders();
 }
+
+/** Answers well, and says that the endpoint leaves. */
+export function answerLeaving(call: EndpointCall): void {
+  call.response.setHeader("x-leaving", "1");
+  answerGood(call);
+}
