Keep an endpoint's word that it leaves by its life, wherever it comes from

Cause: what an endpoint says of itself in its answers was read for the one request only; its record in the store was the one source of "it leaves". An endpoint that leaves while the store is away cannot write there, and was used for as long as its old record stood, and after it in the 0.4 s for which a record that vanishes in trouble is used on.

No record, listing or removal in trouble undoes it; the next life begins with nothing. 421's word and records' words go the same way. Peers are told at once, by life, in a large fleet through the readers; one that is linked later is told what is known. Whom to tell is one module now (fleetWords), which the words of ended endpoints use as well.

Ruled out: that the word was read and undone (no line before the record's removal), that the request was held (10 ms from arrival to arrival).

--- a/packages/gateway/src/crashLinks.ts
+++ b/packages/gateway/src/crashLinks.ts
@@ -3,8 +3,9 @@
  * in a large fleet the readers hand on to all what is new to them.
  * @module
  */
-import type { PeerIdentity, PeerLinks, PeerMessage } from "@gladewall/coordination";
+import type { PeerIdentity, PeerMessage } from "@gladewall/coordination";
 import type { CrashRecords, CrashWords } from "./crashRecords.js";
+import { FleetWords, type WordFleet } from "./fleetWords.js";
 import { type TrialAnswer, type TrialGrants, type TrialQuestion, TrialWord } from "./trialGrants.js";
 
 /** Numbers of the messages; after that of vouching. */
@@ -29,14 +30,7 @@
 }
 
 /** The fleet, as far as words and questions need it. */
-export interface CrashFleet {
-  readonly links: PeerLinks;
-  /** Whether this instance hears the whole fleet. */
-  readonly isCollector: boolean;
-  /** Whether every instance is linked with every other. */
-  readonly isMesh: boolean;
-  /** Names of the readers that are linked. */
-  getLinkedReaders(): readonly string[];
+export interface CrashFleet extends WordFleet {
   /** Name of the reader that decides on a service, this instance perhaps; undefined where none can be asked. */
   findArbiter(subject: string): string | undefined;
 }
@@ -56,7 +50,10 @@
 
 /** Tells and asks. */
 export class CrashLinks {
+  private readonly words: FleetWords;
+
   private constructor(private readonly options: CrashLinksOptions) {
+    this.words = FleetWords.create(options.fleet);
     const { links } = options.fleet;
     links.setHandler(CrashMessageKind.Words, (message, peer) => this.take(message, peer));
     links.setHandler(CrashMessageKind.TrialAsk, (message) => this.answer(message as TrialAskMessage));
@@ -73,10 +70,7 @@
 
   /** Tells all peers, or in a large fleet the readers. */
   tell(words: CrashWords): void {
-    const { fleet } = this.options;
-    const message: WordsMessage = { kind: CrashMessageKind.Words, ...words };
-    if (fleet.isCollector) fleet.links.broadcast(message);
-    else for (const name of fleet.getLinkedReaders()) fleet.links.send(name, message);
+    this.words.tell(createMessage(words));
   }
 
   /** Asks the arbiter of the service; where none answers, nobody knows where other suspects run. */
@@ -100,7 +94,7 @@
   }
 
   private take(message: WordsMessage, { name }: PeerIdentity): void {
-    const { fleet, records, onWords } = this.options;
+    const { records, onWords } = this.options;
     const { reports, acquittals, refuted } = message;
     const words: CrashWords = {
       ...(reports && { reports }),
@@ -109,9 +103,7 @@
     };
     if (!records.take(words)) return;
     onWords(words);
-    if (fleet.isCollector && !fleet.isMesh) {
-      fleet.links.broadcast({ kind: CrashMessageKind.Words, ...words }, name);
-    }
+    this.words.relay(createMessage(words), name);
   }
 
   /** One that does not hear the whole fleet knows too little to decide. */
@@ -129,6 +121,10 @@
   private tellNewcomer({ name }: PeerIdentity): void {
     const words = this.options.records.createWords();
     if (words.reports?.length === 0) return;
-    this.options.fleet.links.send(name, { kind: CrashMessageKind.Words, ...words });
+    this.options.fleet.links.send(name, createMessage(words));
   }
 }
+
+function createMessage(words: CrashWords): WordsMessage {
+  return { kind: CrashMessageKind.Words, ...words };
+}
--- a/packages/gateway/src/endpoint.ts
+++ b/packages/gateway/src/endpoint.ts
@@ -4,6 +4,7 @@
  */
 import { hashText } from "@gladewall/kernel";
 import type { AboardRequest } from "./crashWatch.js";
+import { EndpointWords } from "./endpointWords.js";
 import type { EndpointLoad, EndpointRecord } from "./types.js";
 
 /** Whether an endpoint takes work. */
@@ -34,8 +35,6 @@
   state = EndpointState.Ready;
   /** Monotonic time at which the record was read last. */
   recordAt = -Infinity;
-  /** Whether an answer of it has said that it leaves. */
-  hasSaidLeaving = false;
   /** Requests of this instance that it has and that have not ended. */
   active = 0;
   /** Prompt tokens of this instance's requests that have not given a first event. */
@@ -60,13 +59,17 @@
   /** Hash of the life, the same on all instances. */
   readonly hash: number;
 
-  private constructor(public record: EndpointRecord) {
+  private constructor(
+    public record: EndpointRecord,
+    /** What this life has said of itself. */
+    readonly words: EndpointWords,
+  ) {
     this.life = getEndpointLife(record);
     this.hash = hashText(this.life);
   }
 
-  static create(record: EndpointRecord): Endpoint {
-    return new Endpoint(record);
+  static create(record: EndpointRecord, words: EndpointWords = EndpointWords.create()): Endpoint {
+    return new Endpoint(record, words);
   }
 
   get id(): string {
--- a/packages/gateway/src/endpointDirectory.ts
+++ b/packages/gateway/src/endpointDirectory.ts
@@ -1,13 +1,14 @@
 /**
- * The one view of endpoints, merged from their own records, their answers, and attempts to reach them.
+ * The one view of endpoints, merged from their own records, their answers, peers' words, and attempts to reach them.
  *
- * A life's word that it leaves is never undone; the next life of the same id begins with nothing. A record that vanishes
- * means that the endpoint leaves, unless the store was in trouble: then records vanish by themselves, and the endpoint is
- * used on.
+ * A life's word that it leaves, wherever it comes from, is never undone, by no record or listing either; the next life of the
+ * same id begins with nothing. A record that vanishes means that the endpoint leaves, unless the store was in trouble: then
+ * records vanish by themselves, and the endpoint is used on.
  * @module
  */
 import { type Clock, type Closeable, type Logger } from "@gladewall/kernel";
 import { Endpoint, EndpointState, getEndpointLife, getLifeId } from "./endpoint.js";
+import { EndpointWords, WordMemory, WordSource } from "./endpointWords.js";
 import { PrefixFollower } from "./prefixFollower.js";
 import type { EndpointNotice, EndpointRecord, PlatformAdapter, StoreItem } from "./types.js";
 
@@ -47,15 +48,28 @@
  */
 const togetherShare = 0.5;
 
+type LogFields = Readonly<Record<string, string | number | undefined>>;
+
+const wordCauses: Readonly<Record<WordSource, string>> = {
+  [WordSource.Record]: "record",
+  [WordSource.Answer]: "said so in an answer",
+  [WordSource.Peer]: "said so to a peer",
+  [WordSource.Successor]: "replaced",
+};
+
 /** All endpoints. */
 export class EndpointDirectory implements Closeable {
   private readonly endpoints = new Map<string, Endpoint>();
   private readonly byService = new Map<string, Endpoint[]>();
   readonly follower: PrefixFollower;
+  /** What endpoints have said of themselves. */
+  readonly words: WordMemory;
   private readonly removeListeners: ((endpoint: Endpoint) => void)[] = [];
+  private readonly saidLeavingListeners: ((life: string) => void)[] = [];
 
   private constructor(private readonly options: EndpointDirectoryOptions) {
     const { platform, clock, logger } = options;
+    this.words = WordMemory.create(clock);
     this.follower = PrefixFollower.create({
       store: platform.store,
       prefix: platform.endpointPrefix,
@@ -116,30 +130,49 @@
     this.removeListeners.push(listener);
   }
 
+  /** Calls back with a life that has said in an answer to this instance that it leaves, once. */
+  onSaidLeaving(listener: (life: string) => void): void {
+    this.saidLeavingListeners.push(listener);
+  }
+
   /** Takes an answer's word that the endpoint has ended and another has its address. */
-  handleReplaced(endpoint: Endpoint): void {
-    this.setState(endpoint, EndpointState.Leaving, "replaced");
+  handleReplaced({ life }: Endpoint): void {
+    this.takeLeaving(life, WordSource.Successor);
+  }
+
+  /** Takes a peer's word that a life leaves; returns whether it is new. */
+  takePeerWord(life: string, peer: string): boolean {
+    return this.takeLeaving(life, WordSource.Peer, { peer });
   }
 
   /** Takes what an endpoint says of itself with an answer. */
-  takeNotice(endpoint: Endpoint, notice: EndpointNotice, source: NoticeSource): void {
-    if (notice.holdOffMs === undefined && notice.unreadableTime === undefined && endpoint.hasSaidLeaving)
-      return;
-    endpoint.hasSaidLeaving ||= notice.isLeaving;
-    const { life, record, state, recordAt } = endpoint;
-    this.options.logger.info("endpoint.notice", {
+  takeNotice({ life }: Endpoint, { isLeaving }: EndpointNotice, { requestId, status }: NoticeSource): void {
+    if (!isLeaving || !this.takeLeaving(life, WordSource.Answer, { request: requestId, status })) return;
+    for (const listener of this.saidLeavingListeners) listener(life);
+  }
+
+  /**
+   * Takes the word that a life leaves; returns whether it is new. Read for the one request only, it let 2 requests reach an
+   * endpoint 2.4 and 11.7 s after its word, while it could not write to the store.
+   */
+  private takeLeaving(life: string, source: WordSource, fields: LogFields = {}): boolean {
+    const { clock, logger } = this.options;
+    const time = clock.getTime();
+    const endpoint = this.findLife(life);
+    const words = endpoint?.words ?? this.words.find(life) ?? EndpointWords.create();
+    const isNew = words.noteLeaving(source, time);
+    this.words.keep(life, words);
+    if (!isNew) return false;
+    logger.info("endpoint.word", {
       life,
-      service: record.service,
-      request: source.requestId,
-      status: source.status,
-      leaving: notice.isLeaving,
-      holdOffMs: notice.holdOffMs,
-      unreadableTime: notice.unreadableTime,
-      state: EndpointState[state],
-      isRecordLeaving: record.isLeaving,
-      recordAgeMs: Math.round(this.options.clock.getTime() - recordAt),
+      source: WordSource[source],
+      ...fields,
+      state: endpoint && EndpointState[endpoint.state],
+      recordAgeMs: endpoint && Math.round(time - endpoint.recordAt),
       unheardMs: Math.round(this.follower.unheardMs),
     });
+    if (endpoint) this.setState(endpoint, EndpointState.Leaving, wordCauses[source]);
+    return true;
   }
 
   async close(): Promise<void> {
@@ -167,12 +200,17 @@
     const wasLeaving = endpoint.record.isLeaving;
     endpoint.record = { ...record, isLeaving: record.isLeaving || wasLeaving };
     endpoint.recordAt = this.options.clock.getTime();
-    const state = endpoint.record.isLeaving ? EndpointState.Leaving : EndpointState.Ready;
-    this.setState(endpoint, state, "record");
+    if (record.isLeaving) this.takeLeaving(endpoint.life, WordSource.Record);
+    const { leaving } = endpoint.words;
+    if (leaving === undefined) return this.setState(endpoint, EndpointState.Ready, "record");
+    if (!record.isLeaving) {
+      logger.info("endpoint.overruled", { life: endpoint.life, by: WordSource[leaving], record: "ready" });
+    }
+    this.setState(endpoint, EndpointState.Leaving, wordCauses[leaving]);
   }
 
   private add(record: EndpointRecord): Endpoint {
-    const endpoint = Endpoint.create(record);
+    const endpoint = Endpoint.create(record, this.words.find(getEndpointLife(record)));
     this.endpoints.set(record.id, endpoint);
     const group = this.byService.get(record.service) ?? [];
     this.byService.set(record.service, group);
@@ -188,7 +226,7 @@
     const { clock } = this.options;
     // Only trouble of whoever brings the word explains it: another reader that the store turned away says nothing of
     // the store, and by its trouble endpoints that left were used for 4.1 s of a drain time of 3 s (drawn departures).
-    const isExplained = troubleAgeMs < troubleWindowMs && !endpoint.record.isLeaving;
+    const isExplained = troubleAgeMs < troubleWindowMs && endpoint.words.leaving === undefined;
     if (!isExplained) {
       this.setState(endpoint, EndpointState.Leaving, "record gone", troubleAgeMs);
       this.forget(endpoint);
--- a/packages/gateway/src/gatewayParts.ts
+++ b/packages/gateway/src/gatewayParts.ts
@@ -14,6 +14,7 @@
 import { Demand } from "./demand.js";
 import { Duties } from "./duties.js";
 import { createFeedTimes, type FeedTimes } from "./feedTimes.js";
+import { EndpointWordLinks } from "./endpointWordLinks.js";
 import { FencedOrders } from "./fencedOrders.js";
 import { GatewayMetrics } from "./gatewayMetrics.js";
 import type { GatewaySettings } from "./gatewaySettings.js";
@@ -276,7 +277,7 @@
 ): Members {
   const { settings, platform, clock, logger, counters, usage, time, directory, follower, rates } = views;
   const { instance, listen, peers } = settings;
-  return Members.create({
+  const members = Members.create({
     store: platform.store,
     clock,
     logger,
@@ -302,6 +303,8 @@
     getWork: () => getWork(directory),
     ...handlers,
   });
+  EndpointWordLinks.create(members, directory);
+  return members;
 }
 
 function createAdmission(
