--- /dev/null
+++ b/packages/gateway/test/endpointHoldOff.test.ts
@@ -0,0 +1,94 @@
+/*
+ * An endpoint that turns a request away may name a time for which it wants nothing more from that instance. Nobody read it: each
+ * request of a service with one such endpoint was sent there, 21 of 21, and each was turned away. What holds for one instance
+ * holds for that one alone, and when the time is over the crowd must not come back at once.
+ */
+import t, { type Test } from "tap";
+import {
+  answerGood,
+  type EndpointCall,
+  type EndpointScript,
+  GatewayBench,
+  ScriptedEndpoint,
+  waitUntil,
+} from "@gladewall/standins";
+
+const longMs = 60_000;
+const shortMs = 40;
+
+/** Turns a request away and names a time. */
+function createRefusal(holdOffMs: number, notRun = true): EndpointScript {
+  return ({ id, response }) => {
+    const head = { "x-id": id, "x-hold-off": String(holdOffMs), "content-length": 0 };
+    response.writeHead(503, notRun ? { ...head, "x-not-run": "1" } : head);
+    response.end();
+  };
+}
+
+/** One instance before endpoints with scripts. */
+async function startBench(t: Pick<Test, "teardown">, scripts: readonly EndpointScript[]) {
+  const bench = GatewayBench.create();
+  bench.platform.configure({});
+  const endpoints = await Promise.all(
+    scripts.map((script, index) => ScriptedEndpoint.create(`e${index}`, script)),
+  );
+  for (const { id, address } of endpoints) bench.platform.list({ id, address });
+  const instance = await bench.startReady(endpoints.length);
+  t.teardown(() => Promise.all([bench.close(), ...endpoints.map((endpoint) => endpoint.close())]));
+  return { bench, instance, endpoints };
+}
+
+t.test("an endpoint that names a time is sent nothing by that instance until then", async (t) => {
+  for (const isNotRun of [true, false]) {
+    const { bench, instance, endpoints } = await startBench(t, [createRefusal(longMs, isNotRun)]);
+    await bench.call(instance);
+    for (let index = 0; index < 20; index++) {
+      const refused = await bench.call(instance);
+      t.equal(refused.status, 503);
+      const seconds = Number(refused.headers["retry-after"]);
+      t.ok(seconds > 1 && seconds <= longMs / 1_000, "says when it can be served, not earlier");
+    }
+    t.equal(endpoints[0]?.calls.length, 1);
+    t.equal(instance.gateway.countEndpoints("web"), 1, "it does not leave");
+  }
+});
+
+t.test("another instance is not bound by it, and other endpoints serve meanwhile", async (t) => {
+  const { bench, instance, endpoints } = await startBench(t, [createRefusal(longMs), answerGood]);
+  const other = await bench.startReady(2);
+  await waitUntil(() => bench.instances.every(({ gateway }) => gateway.linkedPeers === 1));
+  const [held, good] = endpoints;
+  good!.script = ({ socket }) => socket.destroy();
+  while (held!.calls.length === 0) await bench.call(instance);
+  good!.script = answerGood;
+  for (let index = 0; index < 20; index++) t.equal((await bench.call(instance)).status, 200);
+  t.equal(held!.calls.length, 1);
+  good!.script = ({ socket }) => socket.destroy();
+  while (held!.calls.length === 1) await bench.call(other);
+  t.equal(held!.calls.length, 2);
+});
+
+t.test("when the time is over one request goes first, and more only once it was taken", async (t) => {
+  const { bench, instance, endpoints } = await startBench(t, [createRefusal(shortMs)]);
+  const [endpoint] = endpoints;
+  await bench.call(instance);
+  const waiting: EndpointCall[] = [];
+  endpoint!.script = (call) => waiting.push(call);
+  const isTried = (): boolean => endpoint!.calls.length >= 2;
+  const first = (async () => {
+    let answer = await bench.call(instance);
+    while (!isTried()) answer = await bench.call(instance);
+    return answer;
+  })();
+  await waitUntil(isTried);
+  const crowd = await Promise.all(Array.from({ length: 10 }, () => bench.call(instance)));
+  t.ok(
+    crowd.every(({ status }) => status === 503),
+    "refused at once",
+  );
+  t.equal(endpoint!.calls.length, 2);
+  endpoint!.script = answerGood;
+  for (const call of waiting) answerGood(call);
+  t.equal((await first).status, 200);
+  t.equal((await bench.call(instance)).status, 200);
+});
