Send an endpoint nothing for the time that it names, and come back to it one request first

Cause: the time that an endpoint names when it turns a request away was read nowhere; the next request went there at once.

Change: it is kept by the life, for this instance alone: told to peers it would take away what they have. The later end holds; an answer to an earlier request does not shorten it. Until then the endpoint is no candidate, also where no other is left (the fallback to unreachable ones does not reach it), and a suspect's run is not granted there. After it one request goes first, then two and four, as long as all are taken. Gauges for endpoints that leave, by source, and for those held off.

Ruled out: waiting at the instance for the end of the time was not built; how it compares for callers is not measured.

--- a/packages/gateway/src/endpoint.ts
+++ b/packages/gateway/src/endpoint.ts
@@ -76,11 +76,16 @@
     return this.record.id;
   }
 
-  /** Whether new work may go there. */
+  /** Whether new work may go there, of whichever instance. */
   isUsable(): boolean {
     return this.state !== EndpointState.Leaving;
   }
 
+  /** Whether this instance may send it a request now. */
+  takesWork(time: number): boolean {
+    return this.isUsable() && this.words.mayTake(time);
+  }
+
   /** Whether it could not be reached a moment ago. */
   isUnreachable(time: number): boolean {
     return time < this.unreachableUntil;
--- a/packages/gateway/src/endpointDirectory.ts
+++ b/packages/gateway/src/endpointDirectory.ts
@@ -111,6 +111,13 @@
     return this.byService.get(service) ?? [];
   }
 
+  /** Milliseconds until some usable endpoint of a service wants requests of this instance; 0 where there is none. */
+  getOpeningMs(service: string): number {
+    const time = this.options.clock.getTime();
+    const usable = this.getOfService(service).filter((endpoint) => endpoint.isUsable());
+    return usable.length === 0 ? 0 : Math.min(...usable.map(({ words }) => words.getHeldOffMs(time)));
+  }
+
   get(id: string): Endpoint | undefined {
     return this.endpoints.get(id);
   }
@@ -146,11 +153,30 @@
   }
 
   /** Takes what an endpoint says of itself with an answer. */
-  takeNotice({ life }: Endpoint, { isLeaving }: EndpointNotice, { requestId, status }: NoticeSource): void {
-    if (!isLeaving || !this.takeLeaving(life, WordSource.Answer, { request: requestId, status })) return;
+  takeNotice({ life }: Endpoint, notice: EndpointNotice, { requestId, status }: NoticeSource): void {
+    const { isLeaving, holdOffMs, unreadableTime } = notice;
+    const heard = { request: requestId, status };
+    if (unreadableTime !== undefined) {
+      this.options.logger.warn("endpoint.time-unreadable", { life, ...heard, text: unreadableTime });
+    }
+    if (holdOffMs !== undefined) this.takeHoldOff(life, holdOffMs, heard);
+    if (!isLeaving || !this.takeLeaving(life, WordSource.Answer, heard)) return;
     for (const listener of this.saidLeavingListeners) listener(life);
   }
 
+  /** Binds this instance alone: told to peers, it would take away what the endpoint still gives them. */
+  private takeHoldOff(life: string, holdOffMs: number, heard: LogFields): void {
+    const { clock, logger } = this.options;
+    const words = this.getWords(life);
+    words.noteHoldOff(holdOffMs, clock.getTime());
+    this.words.keep(life, words);
+    logger.info("endpoint.held-off", { life, ...heard, forMs: Math.round(holdOffMs) });
+  }
+
+  private getWords(life: string): EndpointWords {
+    return this.findLife(life)?.words ?? this.words.find(life) ?? EndpointWords.create();
+  }
+
   /**
    * Takes the word that a life leaves; returns whether it is new. Read for the one request only, it let 2 requests reach an
    * endpoint 2.4 and 11.7 s after its word, while it could not write to the store.
@@ -159,7 +185,7 @@
     const { clock, logger } = this.options;
     const time = clock.getTime();
     const endpoint = this.findLife(life);
-    const words = endpoint?.words ?? this.words.find(life) ?? EndpointWords.create();
+    const words = this.getWords(life);
     const isNew = words.noteLeaving(source, time);
     this.words.keep(life, words);
     if (!isNew) return false;
--- a/packages/gateway/src/endpointWords.ts
+++ b/packages/gateway/src/endpointWords.ts
@@ -22,9 +22,21 @@
 /** Time that a word is kept for; an endpoint that leaves ends within a minute. */
 const keptMs = 600_000;
 
+/** Requests that may wait for an answer right after a hold-off. */
+const firstRoom = 1;
+/** Room at which it is given up: the rounds before, of one, two and four requests, were all taken. */
+const fullRoom = 8;
+
 /** Words of one life. */
 export class EndpointWords {
   private firstSource: WordSource | undefined;
+  /** Monotonic time until which it wants no request of this instance. */
+  private heldOffUntil = -Infinity;
+  /** Requests that may wait for an answer there; bounded from a hold-off on, until it takes what is sent. */
+  private room = Infinity;
+  private waiting = 0;
+  /** Grows with each hold-off: what was sent before one neither counts after it nor shows that it is over. */
+  private round = 0;
   /** Monotonic time of the last word. */
   heardAt = -Infinity;
 
@@ -46,6 +58,42 @@
     this.firstSource = source;
     return true;
   }
+
+  /** Takes note that it wants no request of this instance for a time; the later end holds. */
+  noteHoldOff(milliseconds: number, time: number): void {
+    this.heardAt = time;
+    this.heldOffUntil = Math.max(this.heldOffUntil, time + milliseconds);
+    this.room = firstRoom;
+    this.waiting = 0;
+    this.round += 1;
+  }
+
+  /** Milliseconds for which it wants no request of this instance; 0 where it names no time. */
+  getHeldOffMs(time: number): number {
+    return Math.max(0, this.heldOffUntil - time);
+  }
+
+  /**
+   * Whether it may be sent a request. After a hold-off one goes first, then twice as many each time that all were taken: with
+   * all that came meanwhile at once, 11 of 11 requests reached an endpoint that had not taken one yet.
+   */
+  mayTake(time: number): boolean {
+    return time >= this.heldOffUntil && this.waiting < this.room;
+  }
+
+  /** Takes note that a request is sent there; returns what its end is told with. */
+  beginTry(): number {
+    this.waiting += 1;
+    return this.round;
+  }
+
+  /** Takes note of what came of a request that was sent there. */
+  endTry(round: number, isTaken: boolean): void {
+    if (round !== this.round) return;
+    this.waiting -= 1;
+    if (isTaken) this.room += 1;
+    if (this.room >= fullRoom) this.room = Infinity;
+  }
 }
 
 /** Words of all lives, also of those whose records are gone or not there yet. */
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -214,7 +214,9 @@
     const attempt = this.createAttempt(endpoint);
     this.attempt = attempt;
     this.isUnderWay = true;
+    const round = endpoint.words.beginTry();
     const result = await attempt.result;
+    endpoint.words.endTry(round, result.end === AttemptEnd.Answered);
     this.isUnderWay = false;
     this.parts.metrics.countAttempt(this.request.service.name, AttemptEnd[result.end]);
     if (result.end !== AttemptEnd.NotSent) this.history.noteArrival();
@@ -390,7 +392,11 @@
   }
 
   private createFinalFailure(): Failure {
-    return this.history.findFailure() ?? createRefusal(FailureCode.Overloaded, this.request.service);
+    const { service } = this.request;
+    const failure = this.history.findFailure() ?? createRefusal(FailureCode.Overloaded, service);
+    if (failure.retryAfterMs === undefined) return failure;
+    const openingMs = this.parts.directory.getOpeningMs(service.name);
+    return failure.withRetryAfter(Math.max(failure.retryAfterMs, openingMs));
   }
 
   /** Sendings that may have run, by what came of them or is under way. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -68,6 +68,12 @@
       getKnownShare: () => this.knownShare,
       getViewAge: () => parts.members.viewAge ?? noViewAge,
       getUsableEndpoints: () => [...directory.getAll()].filter((endpoint) => endpoint.isUsable()).length,
+      countLeaving: (source) =>
+        [...directory.getAll()].filter(({ words }) => words.leaving === source).length,
+      countHeldOff: () => {
+        const time = parts.clock.getTime();
+        return [...directory.getAll()].filter(({ words }) => words.getHeldOffMs(time) > 0).length;
+      },
       isDutyHolder: () => parts.duties.isActing(),
       countSuspects: () => parts.crashes.records.count(),
     });
--- a/packages/gateway/src/gatewayMetrics.ts
+++ b/packages/gateway/src/gatewayMetrics.ts
@@ -5,6 +5,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { ConnectionTraffic } from "@gladewall/coordination";
 import { type Closeable, listen, Metrics } from "@gladewall/kernel";
+import { WordSource } from "./endpointWords.js";
 
 /** Values that are read when the page is. */
 export interface MetricSources {
@@ -18,6 +19,8 @@
   readonly getKnownShare: () => number;
   readonly getViewAge: () => number;
   readonly getUsableEndpoints: () => number;
+  readonly countLeaving: (source: WordSource) => number;
+  readonly countHeldOff: () => number;
   readonly isDutyHolder: () => boolean;
   /** Requests under which an endpoint ended, and of these such as are not run any more. */
   readonly countSuspects: () => { readonly watched: number; readonly convicted: number };
@@ -155,6 +158,16 @@
       "Of these, such as are not run any more.",
       () => sources.countSuspects().convicted,
     );
+    for (const source of [WordSource.Record, WordSource.Answer, WordSource.Peer, WordSource.Successor]) {
+      const labels = { source: WordSource[source].toLowerCase() };
+      const help = "Endpoints that leave, by whom that was first known from.";
+      this.registry.setGauge("gladewall_leaving_endpoints", help, () => sources.countLeaving(source), labels);
+    }
+    set(
+      "gladewall_held_off_endpoints",
+      "Endpoints that want no request of this instance for a time.",
+      sources.countHeldOff,
+    );
     set("gladewall_duty_holder", "1 while this instance gives orders.", () => Number(sources.isDutyHolder()));
   }
 
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -13,6 +13,7 @@
 export { Attempt, AttemptEnd } from "./attempt.js";
 export { Endpoint, EndpointState } from "./endpoint.js";
 export { EndpointConnections } from "./endpointConnections.js";
+export { EndpointWords, WordMemory, WordSource } from "./endpointWords.js";
 export { EndpointDirectory } from "./endpointDirectory.js";
 export { CapacityOrders } from "./capacityOrders.js";
 export { planCapacity, type CapacityInput, type HallCount } from "./capacityPlan.js";
--- a/packages/gateway/src/placement.ts
+++ b/packages/gateway/src/placement.ts
@@ -98,7 +98,7 @@
     const fresh: Endpoint[] = [];
     const sound: Endpoint[] = [];
     for (const endpoint of this.options.getEndpoints(service.name)) {
-      if (!endpoint.isUsable() || excluded.has(endpoint.life)) continue;
+      if (!endpoint.takesWork(time) || excluded.has(endpoint.life)) continue;
       fresh.push(endpoint);
       if (!endpoint.isUnreachable(time)) sound.push(endpoint);
     }
--- a/packages/gateway/src/suspects.ts
+++ b/packages/gateway/src/suspects.ts
@@ -79,14 +79,14 @@
    */
   async seek(request: SuspectRequest): Promise<Result<Trial | undefined, Failure>> {
     const { records, ask } = this.options;
-    const { subject, service, excluded, leftMs } = request;
+    const { subject, service, leftMs } = request;
     await this.awaitWords(subject);
     const verdict = records.getVerdict(subject);
     if (verdict === Verdict.Clear) return Ok(undefined);
     if (verdict === Verdict.Suspect && !this.isShort(service)) return Ok(undefined);
     if (verdict !== Verdict.Isolated) return Err(this.refuse(request, verdict));
     const waitMs = Math.min(mostWaitMs, leftMs * waitedShare);
-    const answer = await ask({ service, subject, excluded: [...excluded], waitMs });
+    const answer = await ask({ service, subject, excluded: this.getBarred(request), waitMs });
     this.log(request, "suspect.asked", { word: TrialWord[answer.word], life: answer.life });
     // It may have been cleared, or convicted, while it waited.
     const current = records.getVerdict(subject);
@@ -97,6 +97,14 @@
     return Err(this.refuse(request, current));
   }
 
+  /** Endpoints that this request, or this instance, must not be sent to: the arbiter knows of no hold-off here. */
+  private getBarred({ service, excluded }: SuspectRequest): readonly string[] {
+    const { clock, getEndpoints } = this.options;
+    const time = clock.getTime();
+    const heldOff = getEndpoints(service).filter(({ words }) => !words.mayTake(time));
+    return [...excluded, ...heldOff.map(({ life }) => life)];
+  }
+
   /** Leaves peers time to tell of ends at the same moment. */
   private async awaitWords({ fingerprint }: CrashSubject): Promise<void> {
     const { clock, records } = this.options;
@@ -129,14 +137,15 @@
     life: string,
     verdict: Verdict,
   ): Result<Trial | undefined, Failure> {
-    const { endTrial, findEndpoint } = this.options;
+    const { clock, endTrial, findEndpoint } = this.options;
     const endpoint = findEndpoint(life);
     let isOver = false;
     const end = (): void => {
       if (!isOver) endTrial(service, life, subject.fingerprint);
       isOver = true;
     };
-    if (endpoint?.isUsable() && isRunnable(verdict)) return Ok({ endpoint, end });
+    // Its endpoint may have said meanwhile that it leaves, or that it wants nothing.
+    if (endpoint?.takesWork(clock.getTime()) && isRunnable(verdict)) return Ok({ endpoint, end });
     end();
     return Err(createBusyRefusal(service));
   }
--- a/packages/gateway/test/endpointHoldOff.test.ts
+++ b/packages/gateway/test/endpointHoldOff.test.ts
@@ -4,6 +4,7 @@
  * holds for that one alone, and when the time is over the crowd must not come back at once.
  */
 import t, { type Test } from "tap";
+import { EndpointWords, longestRetryAfterMs, parseRetryAfter } from "@gladewall/gateway";
 import {
   answerGood,
   type EndpointCall,
@@ -92,3 +93,57 @@
   t.equal((await first).status, 200);
   t.equal((await bench.call(instance)).status, 200);
 });
+t.test("the later end holds, and an answer to an earlier request does not shorten it", async (t) => {
+  const words = EndpointWords.create();
+  t.ok(words.mayTake(0));
+  const earlier = words.beginTry();
+  words.noteHoldOff(1_000, 0);
+  words.noteHoldOff(300, 100);
+  t.notOk(words.mayTake(999));
+  t.ok(words.mayTake(1_000));
+  const first = words.beginTry();
+  words.endTry(earlier, true);
+  t.notOk(words.mayTake(1_000), "the first one is not answered");
+  words.endTry(first, true);
+  t.ok(words.mayTake(1_000));
+});
+
+t.test("requests come back one, two, four at a time; a refusal begins anew", async (t) => {
+  const words = EndpointWords.create();
+  words.noteHoldOff(1_000, 0);
+  const fill = (time: number): number[] => {
+    const tries: number[] = [];
+    while (tries.length < 100 && words.mayTake(time)) tries.push(words.beginTry());
+    return tries;
+  };
+  const counts: number[] = [];
+  for (const time of [1_000, 1_010, 1_020, 1_030]) {
+    const tries = fill(time);
+    counts.push(tries.length);
+    for (const round of tries) words.endTry(round, true);
+  }
+  t.same(counts, [1, 2, 4, 100]);
+  words.noteHoldOff(500, 2_000);
+  t.equal(fill(2_499).length, 0);
+  const [next = 0, ...others] = fill(2_500);
+  t.equal(others.length, 0);
+  words.endTry(next, false);
+  t.equal(fill(2_520).length, 1, "one that was not taken makes no room");
+});
+
+t.test("times are read as seconds, fractions, and dates that count from the answer's own", async (t) => {
+  const date = "Sun, 06 Nov 1994 08:49:37 GMT";
+  const wallTime = Date.parse(date) + 3_000;
+  const read = (text: string, own?: string): number | undefined => parseRetryAfter(text, own, wallTime);
+  t.equal(read("2"), 2_000);
+  t.equal(read(" 0.25 "), 250);
+  t.equal(read("0"), 0);
+  t.equal(read("Sun, 06 Nov 1994 08:49:42 GMT", date), 5_000);
+  t.equal(read("Sunday, 06-Nov-94 08:49:42 GMT", date), 5_000);
+  t.equal(read("Sun, 06 Nov 1994 08:49:42 GMT"), 2_000, "by this instance's clock where it has no date");
+  t.equal(read(date), 0, "a date that is over");
+  t.equal(read("31536000"), longestRetryAfterMs);
+  for (const junk of ["", "soon", "-1", "1e3", "NaN", "Infinity", "2 s", "1,2", "Sun, never"]) {
+    t.equal(read(junk), undefined, junk);
+  }
+});
