Choose ports of tests below those that the system gives to connections, in one place

One test of a run of all failed: listen EADDRINUSE on a port that the bench had found free and closed again, from the range that the system gives to connections of other tests.

--- a/packages/standins/src/gatewayBench.ts
+++ b/packages/standins/src/gatewayBench.ts
@@ -3,9 +3,9 @@
  * @module
  */
 import { type IncomingHttpHeaders, request } from "node:http";
-import { createServer, type AddressInfo } from "node:net";
 import { Gateway, gatewaySchema, type GatewaySettings, renamedGatewaySettings } from "@gladewall/gateway";
 import { assertThat, type Closeable, Logger, parseSettings } from "@gladewall/kernel";
+import { findFreeAddresses } from "./freePorts.js";
 import { StandinPlatform, standinPlatformName } from "./gatewayPlatform.js";
 
 /** What a caller saw. */
@@ -58,17 +58,17 @@
 
   /** Starts an instance; `overrides` are `section.key=value`. Resolves when its ports are open. */
   async start(overrides: readonly string[] = []): Promise<BenchInstance> {
-    const [callers, readiness, peers, metrics] = await findPorts(4);
+    const [callers, readiness, peers, metrics] = await findFreeAddresses(4);
     const text = [
       "[instance]",
       `name = instance-${this.instances.length + 1}`,
       "hall = a",
       "first_start = true",
       "[listen]",
-      `callers = 127.0.0.1:${callers}`,
-      `readiness = 127.0.0.1:${readiness}`,
-      `peers = 127.0.0.1:${peers}`,
-      `metrics = 127.0.0.1:${metrics}`,
+      `callers = ${callers}`,
+      `readiness = ${readiness}`,
+      `peers = ${peers}`,
+      `metrics = ${metrics}`,
       "[platform]",
       `adapter = ${standinPlatformName}`,
       `store_address = ${this.platform.address}`,
@@ -147,17 +147,3 @@
 export async function waitUntil(condition: () => boolean): Promise<void> {
   while (!condition()) await new Promise((resolve) => setImmediate(resolve));
 }
-
-async function findPorts(count: number): Promise<readonly number[]> {
-  const servers = Array.from({ length: count }, () => createServer());
-  const ports = await Promise.all(
-    servers.map(
-      (server) =>
-        new Promise<number>((resolve) =>
-          server.listen(0, "127.0.0.1", () => resolve((server.address() as AddressInfo).port)),
-        ),
-    ),
-  );
-  await Promise.all(servers.map((server) => new Promise((resolve) => server.close(resolve))));
-  return ports;
-}
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -17,3 +17,4 @@
 export * from "./gatewayBench.js";
 export * from "./runWindows.js";
 export * from "./draws.js";
+export * from "./freePorts.js";
