Tell a peer's new life what newcomers are told, also where its former link still stands

Cause: a link that replaces one of a former life gave no up event, so that life was not told which endpoints had ended (noted by reading earlier), and would not be told which leave. Test: up events [1] before, [1, 2] after. Ruled out: a second event for two connections of one life that dial each other (unchanged tests).

--- a/packages/coordination/src/peerLinks.ts
+++ b/packages/coordination/src/peerLinks.ts
@@ -286,7 +286,9 @@
     }
     this.connections.set(peer.name, connection);
     if (present) this.retire(present);
-    else this.announce(this.upListeners, peer);
+    // A new life knows nothing, also where its former life's connection is not known to be lost yet.
+    const isNewcomer = !present || present.peer.incarnation < peer.incarnation;
+    if (isNewcomer) this.announce(this.upListeners, peer);
     connection.send(this.createPing());
     await connection.serve((message) => this.handle(message, connection));
     if (this.connections.get(peer.name) === connection) {
--- a/packages/coordination/test/peerLinks.test.ts
+++ b/packages/coordination/test/peerLinks.test.ts
@@ -13,9 +13,12 @@
 
 const clock = SystemClock.create();
 
-async function createLinks(name: string, changes: { secret?: string; lostAfter?: number } = {}) {
+async function createLinks(
+  name: string,
+  changes: { secret?: string; lostAfter?: number; incarnation?: number } = {},
+) {
   const links = PeerLinks.create({
-    own: { name, incarnation: 1 },
+    own: { name, incarnation: changes.incarnation ?? 1 },
     secret: changes.secret ?? "a secret of all entries",
     clock,
     logger: Logger.createSilent(),
@@ -134,6 +137,26 @@
   await Promise.all([left.links.close(), again.links.close()]);
 });
 
+/*
+ * A peer that starts again may link before the connection of its former life is known to be lost. No up event came then, and
+ * what newcomers are told (endpoints that ended, or that leave) the new life was not told.
+ */
+t.test("a new life that links while the former one's link still stands comes up as well", async (t) => {
+  const left = await createLinks("left");
+  const lives = [await createLinks("right"), await createLinks("right", { incarnation: 2 })];
+  const up: number[] = [];
+  left.links.onUp(({ incarnation }) => up.push(incarnation));
+  for (const { links } of lives) {
+    links.setPeers([left.peer]);
+    await links.waitForLinks(1);
+    while (up.length === 0) await new Promise((resolve) => setImmediate(resolve));
+  }
+  const answered = await lives[1]!.links.call("left", { kind: firstFreeKind }, 50);
+  t.ok(answered.isErr(), "no handler answers; by then the link is in use");
+  t.same(up, [1, 2]);
+  await Promise.all([left, ...lives].map(({ links }) => links.close()));
+});
+
 t.test("a peer that is silent, not closed, counts as lost", async (t) => {
   const left = await createLinks("left", { lostAfter: 100 });
   const right = await createLinks("right");
