Note who was at an ended endpoint before making room for its end

Cause: room was made before the new end had its requests; where all 1,024 kept ends are needed, the new one was taken for the unneeded one and dropped, while its requests still pointed to it. Test at the bound: hasEnded false before, true after.

--- a/packages/gateway/src/crashRecords.ts
+++ b/packages/gateway/src/crashRecords.ts
@@ -257,6 +257,8 @@
     for (const subject of suspects) isNew = this.addAboard(end, subject, true) || isNew;
     for (const subject of others) isNew = this.addAboard(end, subject, false) || isNew;
     if (isNew) this.watchAll(end);
+    // Before its requests are noted a new end is needed by nobody, and would be the one to go.
+    this.forgetOldest();
     return isNew;
   }
 
@@ -265,7 +267,6 @@
     if (!end) {
       end = { life, notedAt: this.clock.getTime(), aboard: new Map(), isRefuted: false };
       this.ends.set(life, end);
-      this.forgetOldest();
     }
     return end;
   }
--- a/packages/gateway/test/crashRecords.test.ts
+++ b/packages/gateway/test/crashRecords.test.ts
@@ -50,6 +50,22 @@
   t.equal(records.getVerdict(guilty), Verdict.Convicted, "time alone changes nothing");
 });
 
+/*
+ * Where all ends that are kept were needed, a new one was dropped before its requests were noted: its endpoint was not held to
+ * have ended.
+ */
+t.test("an end is kept for the verdict that it makes, also where all others are needed", async (t) => {
+  const { records, end } = createBench();
+  for (let index = 0; index < 511; index++) {
+    const subject = createSubject(`f${index}`, `w${index % 4}`);
+    end(`a${index}`, subject);
+    end(`b${index}`, subject);
+  }
+  for (const life of ["g1", "g2", "g3"]) end(life, guilty);
+  t.equal(records.getVerdict(guilty), Verdict.Convicted);
+  t.ok(records.hasEnded("g3"));
+});
+
 t.test("several suspects share the blame, and run apart from then on", async (t) => {
   const { records, end } = createBench();
   const innocent = createSubject("innocent");
