Hold an end against its requests where the endpoint had only just begun to say in answers that it leaves

Cause: ends of endpoints that leave count as planned, and answers now make more of them known as leaving, earlier: a request that ends endpoints which have just said so would never have been found out.

Change: where the word came by answers or peers, an end within three quarters of the drain time after the last answer that did not say so counts as unplanned: the word can't be older than that answer. Ends of endpoints whose record says so, or is gone, count as planned as before.

--- a/packages/gateway/src/crashWatch.ts
+++ b/packages/gateway/src/crashWatch.ts
@@ -8,6 +8,7 @@
 import type { Clock, Logger } from "@gladewall/kernel";
 import type { CrashRecords, CrashReport, CrashSubject, CrashWords } from "./crashRecords.js";
 import { type Endpoint, EndpointState } from "./endpoint.js";
+import { WordSource } from "./endpointWords.js";
 import { ProbeWord } from "./endpointProbe.js";
 
 /** A request that is at an endpoint. */
@@ -25,6 +26,8 @@
   readonly probe: (address: string) => Promise<ProbeWord>;
   /** Returns an endpoint by its life; undefined once it is forgotten. */
   readonly findEndpoint: (life: string) => Endpoint | undefined;
+  /** Time for which an endpoint serves on after its word that it leaves; milliseconds. */
+  readonly drainMs: number;
   /** Milliseconds since the store was last in trouble: until then, records say nothing of their endpoints. */
   readonly getTimeSinceTrouble: () => number;
   /** Tells peers at once: the time until they know decides how many endpoints end. */
@@ -32,6 +35,8 @@
   readonly countEnd: (service: string) => void;
 }
 
+/** Part of the drain time after which an end may be the planned one: the word may be as old as the answer before it. */
+const plannedShare = 0.75;
 /** Connections that an endpoint takes right after a cut tell for as long that it lives. */
 const aliveMs = 100;
 /** Most requests of one instance that are reported of one end: those that run there and wait there, 60 bytes each. */
@@ -62,8 +67,7 @@
   /** Takes note that a request was cut at an endpoint; resolves with whether the endpoint has ended. */
   async noteCut(endpoint: Endpoint, request: AboardRequest): Promise<boolean> {
     const { clock, records } = this.options;
-    // One that leaves ends as planned, and one whose record is gone may: no request is to blame.
-    if (endpoint.state !== EndpointState.Ready) return false;
+    if (this.mayBePlanned(endpoint)) return false;
     if (records.hasEnded(endpoint.life)) {
       this.report(endpoint, [request]);
       return true;
@@ -88,6 +92,18 @@
     }
   }
 
+  /**
+   * Whether an end now would be one that was announced, so that no request is to blame. One that leaves ends as planned, and one
+   * whose record is gone may; but one that has only just begun to say so in answers does not end before its drain time.
+   */
+  private mayBePlanned({ state, words, servedAt }: Endpoint): boolean {
+    if (state === EndpointState.Ready) return false;
+    const isHeardInAnswers = words.leaving === WordSource.Answer || words.leaving === WordSource.Peer;
+    if (!isHeardInAnswers) return true;
+    const { clock, drainMs } = this.options;
+    return clock.getTime() - servedAt >= drainMs * plannedShare;
+  }
+
   private startCheck(endpoint: Endpoint): EndCheck {
     const cut: AboardRequest[] = [];
     const check = { cut, hasEnded: this.check(endpoint, cut) };
@@ -99,7 +115,7 @@
     const word = await this.options.probe(endpoint.record.address);
     this.checks.delete(endpoint);
     if (word === ProbeWord.Listening) this.aliveAt.set(endpoint, this.options.clock.getTime());
-    const hasEnded = word === ProbeWord.NobodyThere && endpoint.state === EndpointState.Ready;
+    const hasEnded = word === ProbeWord.NobodyThere && !this.mayBePlanned(endpoint);
     if (hasEnded) this.report(endpoint, [...new Set([...cut, ...endpoint.aboard])]);
     return hasEnded;
   }
--- a/packages/gateway/src/crashes.ts
+++ b/packages/gateway/src/crashes.ts
@@ -28,6 +28,8 @@
   readonly metrics: GatewayMetrics;
   /** Longest time to open a connection to an endpoint. */
   readonly connectTimeoutMs: number;
+  /** Time for which an endpoint serves on after its word that it leaves; milliseconds. */
+  readonly drainMs: number;
   readonly getTimeSinceTrouble: () => number;
 }
 
@@ -67,6 +69,7 @@
       records,
       probe: (address) => probeEndpoint(address, options.connectTimeoutMs),
       findEndpoint,
+      drainMs: options.drainMs,
       getTimeSinceTrouble: options.getTimeSinceTrouble,
       tell,
       countEnd: (service) => metrics.countEndpointEnd(service),
--- a/packages/gateway/src/endpoint.ts
+++ b/packages/gateway/src/endpoint.ts
@@ -46,6 +46,8 @@
   loadAt = -Infinity;
   /** Usual milliseconds of an answer; undefined before the first. */
   latencyMs: number | undefined;
+  /** Monotonic time of its last answer, while it counted as ready, that did not say that it leaves. */
+  servedAt = -Infinity;
   private unreachableUntil = -Infinity;
   private unreachableTimes = 0;
   private failureShare = 0;
@@ -117,6 +119,11 @@
     this.unreachableUntil = -Infinity;
   }
 
+  /** Takes note of an answer that did not say that it leaves; from a word on, whatever brought it, none counts any more. */
+  noteServed(time: number): void {
+    if (this.state === EndpointState.Ready) this.servedAt = time;
+  }
+
   noteLatency(milliseconds: number): void {
     this.latencyMs ??= milliseconds;
     this.latencyMs += (milliseconds - this.latencyMs) * latencyWeight;
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -20,7 +20,14 @@
 import { createFingerprint } from "./requestFingerprint.js";
 import { RelayEnd, StreamRelay } from "./streamRelay.js";
 import type { Trial } from "./suspects.js";
-import { type AnswerHead, type CallerHead, type Route, RouteKind, type Service } from "./types.js";
+import {
+  type AnswerHead,
+  AnswerWord,
+  type CallerHead,
+  type Route,
+  RouteKind,
+  type Service,
+} from "./types.js";
 
 /** What a finished attempt means for the request. */
 enum Next {
@@ -252,9 +259,10 @@
   }
 
   /** Takes what an endpoint says of itself, whatever becomes of the request. */
-  private takeHead(endpoint: Endpoint, { load, notice }: AnswerHead, status: number): void {
+  private takeHead(endpoint: Endpoint, { word, load, notice }: AnswerHead, status: number): void {
     const { clock, directory } = this.parts;
     if (load) endpoint.noteLoad(load, clock.getTime());
+    if (word === AnswerWord.Ran && !notice?.isLeaving) endpoint.noteServed(clock.getTime());
     if (notice) directory.takeNotice(endpoint, notice, { requestId: this.request.head.id, status });
   }
 
--- a/packages/gateway/src/gatewayParts.ts
+++ b/packages/gateway/src/gatewayParts.ts
@@ -128,17 +128,7 @@
     },
   });
   const metrics = GatewayMetrics.create(settings.listen.metrics);
-  const crashes: Crashes = Crashes.create({
-    own: settings.instance.name,
-    clock,
-    logger,
-    store: platform.store,
-    directory,
-    members,
-    metrics,
-    connectTimeoutMs: endpoints.connect_timeout,
-    getTimeSinceTrouble: () => follower.getTimeSinceTrouble(),
-  });
+  const crashes: Crashes = createCrashes(views, members, metrics);
   const vouching: Vouching = Vouching.create(members.links, follower, Math.random);
   return {
     settings,
@@ -307,6 +297,23 @@
   return members;
 }
 
+function createCrashes(views: GatewayViews, members: Members, metrics: GatewayMetrics): Crashes {
+  const { settings, platform, clock, logger, directory, follower } = views;
+  const { connect_timeout: connectTimeoutMs, drain: drainMs } = settings.endpoints;
+  return Crashes.create({
+    own: settings.instance.name,
+    clock,
+    logger,
+    store: platform.store,
+    directory,
+    members,
+    metrics,
+    connectTimeoutMs,
+    drainMs,
+    getTimeSinceTrouble: () => follower.getTimeSinceTrouble(),
+  });
+}
+
 function createAdmission(
   views: GatewayViews,
   getKnownShare: () => number,
--- a/packages/gateway/test/crashWatch.test.ts
+++ b/packages/gateway/test/crashWatch.test.ts
@@ -10,6 +10,7 @@
   TrialGrants,
   TrialWord,
   Verdict,
+  WordSource,
 } from "@gladewall/gateway";
 import { Logger, VirtualClock } from "@gladewall/kernel";
 import { MetadataStoreStandin, SharedStore } from "@gladewall/standins";
@@ -17,6 +18,7 @@
 const subject = { workspace: "w", fingerprint: "f" };
 const request = { subject };
 const logger = Logger.createSilent();
+const drainMs = 2_000;
 
 function createEndpoint(id: string): Endpoint {
   return Endpoint.create({
@@ -45,6 +47,7 @@
       return word;
     },
     findEndpoint: () => (state.isListed ? endpoint : undefined),
+    drainMs,
     getTimeSinceTrouble: () => state.troubleMs,
     tell: (words) => told.push(words),
     countEnd: () => undefined,
@@ -86,6 +89,38 @@
   }
 });
 
+t.test(
+  "one that ends before its drain time has gone by since it served as usual ends unplanned",
+  async (t) => {
+    const { clock, records, watch } = createWatch(ProbeWord.NobodyThere);
+    for (const id of ["e1", "e2", "e3"]) {
+      const endpoint = createEndpoint(id);
+      endpoint.servedAt = clock.getTime();
+      endpoint.words.noteLeaving(WordSource.Answer, clock.getTime());
+      endpoint.state = EndpointState.Leaving;
+      await clock.advance(100);
+      t.ok(await watch.noteCut(endpoint, request));
+    }
+    t.equal(records.getVerdict(subject), Verdict.Convicted, "three endpoints ended under it");
+  },
+);
+
+t.test(
+  "one that ends its drain time after its word ends as planned, as does one whose record says so",
+  async (t) => {
+    for (const source of [WordSource.Answer, WordSource.Peer, WordSource.Record, WordSource.Successor]) {
+      const { clock, records, endpoint, watch } = createWatch(ProbeWord.NobodyThere);
+      endpoint.servedAt = clock.getTime();
+      endpoint.words.noteLeaving(source, clock.getTime());
+      endpoint.state = EndpointState.Leaving;
+      const isOfRecord = source === WordSource.Record || source === WordSource.Successor;
+      await clock.advance(isOfRecord ? 100 : drainMs);
+      t.notOk(await watch.noteCut(endpoint, request), WordSource[source]);
+      t.equal(records.getVerdict(subject), Verdict.Clear);
+    }
+  },
+);
+
 t.test("a record that is still there takes an end back, unless the store is in trouble", async (t) => {
   const { clock, records, endpoint, told, watch, state } = createWatch(ProbeWord.NobodyThere);
   await watch.noteCut(endpoint, request);
