--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -66,6 +66,7 @@
 export { SilentPeers } from "./silentPeers.js";
 export { SlidingWindow } from "./slidingWindow.js";
 export { StoreFeed } from "./storeFeed.js";
+export { Suspects } from "./suspects.js";
 export { TrialGrants, TrialWord } from "./trialGrants.js";
 export { TrueTime } from "./trueTime.js";
 export { UsageCounts } from "./usageCounts.js";
--- a/packages/gateway/test/endingEndpoints.ts
+++ b/packages/gateway/test/endingEndpoints.ts
@@ -88,7 +88,7 @@
 }
 
 /** Settings of an instance of a large fleet: it tells the readers alone, and they tell the others. */
-const largeFleet = ["peers.largest_mesh=3", "peers.large_fleet_interval=40"];
+export const largeFleet = ["peers.largest_mesh=3", "peers.large_fleet_interval=40"];
 
 /** Instances before endpoints that may end; `isLarge` makes them tell each other as a large fleet does. */
 export async function startEndingFleet(
--- a/packages/gateway/test/endpointHoldOff.test.ts
+++ b/packages/gateway/test/endpointHoldOff.test.ts
@@ -4,7 +4,19 @@
  * holds for that one alone, and when the time is over the crowd must not come back at once.
  */
 import t, { type Test } from "tap";
-import { EndpointWords, longestRetryAfterMs, parseRetryAfter } from "@gladewall/gateway";
+import {
+  CrashRecords,
+  Endpoint,
+  EndpointWords,
+  type CrashWatch,
+  GatewayMetrics,
+  longestRetryAfterMs,
+  parseRetryAfter,
+  Suspects,
+  TrialWord,
+  Verdict,
+} from "@gladewall/gateway";
+import { Logger, VirtualClock } from "@gladewall/kernel";
 import {
   answerGood,
   type EndpointCall,
@@ -93,6 +105,66 @@
   t.equal((await first).status, 200);
   t.equal((await bench.call(instance)).status, 200);
 });
+/** A request that must run apart, two endpoints, and an arbiter that grants the one that is named. */
+function createSuspects() {
+  const clock = VirtualClock.create(10_000);
+  const records = CrashRecords.create(clock);
+  const subject = { workspace: "w", fingerprint: "f" };
+  for (const life of ["ended1", "ended2"]) {
+    const aboard = [subject, { workspace: "w", fingerprint: "beside" }];
+    records.take({ reports: [records.createReport(life, aboard)] });
+  }
+  const [held, open] = ["held", "open"].map((id) =>
+    Endpoint.create({
+      id,
+      service: "web",
+      address: "127.0.0.1:1",
+      hall: "a",
+      slots: 4,
+      isLeaving: false,
+      isReclaimable: false,
+    }),
+  ) as [Endpoint, Endpoint];
+  const asked: (readonly string[])[] = [];
+  const suspects = Suspects.create({
+    clock,
+    logger: Logger.createSilent(),
+    records,
+    watch: undefined as unknown as CrashWatch,
+    metrics: GatewayMetrics.create("127.0.0.1:0"),
+    tell: () => undefined,
+    ask: async ({ excluded }) => {
+      asked.push(excluded);
+      return { word: TrialWord.Granted, life: open.life };
+    },
+    endTrial: () => undefined,
+    getEndpoints: () => [held, open],
+    findEndpoint: (life) => [held, open].find((endpoint) => endpoint.life === life),
+  });
+  const seek = async () => {
+    await clock.advance(1_000);
+    return suspects.seek({ id: "r", subject, service: "web", excluded: new Set(), leftMs: 5_000 });
+  };
+  const isApart = (): boolean => records.getVerdict(subject) === Verdict.Isolated;
+  return { clock, seek, held, open, asked, isApart };
+}
+
+/*
+ * A suspect runs where an arbiter grants it, and the arbiter knows of no hold-off of the instance that asks: its endpoint would be
+ * sent a request that it had turned away.
+ */
+t.test("a suspect is not granted a run at an endpoint that holds this instance off", async (t) => {
+  const { clock, seek, held, open, asked, isApart } = createSuspects();
+  t.ok(isApart());
+  held.words.noteHoldOff(longMs, clock.getTime());
+  const first = await seek();
+  t.equal(first.unwrap()?.endpoint, open);
+  t.same(asked, [[held.life]]);
+  open.words.noteHoldOff(longMs, clock.getTime());
+  const second = await seek();
+  t.ok(second.isErr(), "granted all the same, it is not used");
+});
+
 t.test("the later end holds, and an answer to an earlier request does not shorten it", async (t) => {
   const words = EndpointWords.create();
   t.ok(words.mayTake(0));
--- a/packages/gateway/test/endpointWords.test.ts
+++ b/packages/gateway/test/endpointWords.test.ts
@@ -19,6 +19,7 @@
   StoreTrouble,
   waitUntil,
 } from "@gladewall/standins";
+import { largeFleet } from "./endingEndpoints.js";
 
 const notice = { isLeaving: true, holdOffMs: undefined };
 const source = { requestId: "r", status: 200 };
@@ -262,6 +263,24 @@
   await waitUntil(() => late.gateway.linkedPeers === 2 && late.gateway.countEndpoints("web") === 1);
 });
 
+t.test("in a large fleet the readers hand the word on to every instance", async (t) => {
+  const bench = GatewayBench.create();
+  bench.platform.configure({});
+  const leaving = await ScriptedEndpoint.create("leaving", answerLeaving);
+  bench.platform.list({ id: leaving.id, address: leaving.address });
+  t.teardown(() => Promise.all([bench.close(), leaving.close()]));
+  for (let index = 0; index < 7; index++) {
+    await bench.startReady(1, "web", [...largeFleet, `peers.capacity=${index}`]);
+  }
+  const [told] = bench.instances;
+  await waitUntil(() => bench.instances.every(({ gateway }) => gateway.isReader || gateway.isFed));
+  t.notOk(told!.gateway.isReader);
+  for (const store of bench.platform.stores) store.trouble = StoreTrouble.Down;
+  t.equal((await bench.call(told!)).status, 200);
+  await waitUntil(() => bench.instances.every(({ gateway }) => gateway.countEndpoints("web") === 0));
+  t.equal(leaving.calls.length, 1);
+});
+
 async function playWholeService(t: Test): Promise<void> {
   const bench = GatewayBench.create();
   bench.platform.configure({});
