--- a/packages/gateway/test/crashWatch.test.ts
+++ b/packages/gateway/test/crashWatch.test.ts
@@ -4,7 +4,6 @@
   type CrashWords,
   CrashStore,
   CrashWatch,
-  Endpoint,
   EndpointState,
   ProbeWord,
   TrialGrants,
@@ -14,28 +13,17 @@
 } from "@gladewall/gateway";
 import { Logger, VirtualClock } from "@gladewall/kernel";
 import { MetadataStoreStandin, SharedStore } from "@gladewall/standins";
+import { createKnownEndpoint } from "./knownEndpoints.js";
 
 const subject = { workspace: "w", fingerprint: "f" };
 const request = { subject };
 const logger = Logger.createSilent();
 const drainMs = 2_000;
 
-function createEndpoint(id: string): Endpoint {
-  return Endpoint.create({
-    id,
-    service: "web",
-    address: "127.0.0.1:1",
-    hall: "a",
-    slots: 4,
-    isLeaving: false,
-    isReclaimable: false,
-  });
-}
-
 function createWatch(word: ProbeWord) {
   const clock = VirtualClock.create();
   const records = CrashRecords.create(clock);
-  const endpoint = createEndpoint("e");
+  const endpoint = createKnownEndpoint({ id: "e" });
   const told: CrashWords[] = [];
   const state = { probes: 0, troubleMs: Infinity, isListed: true };
   const watch = CrashWatch.create({
@@ -94,7 +82,7 @@
   async (t) => {
     const { clock, records, watch } = createWatch(ProbeWord.NobodyThere);
     for (const id of ["e1", "e2", "e3"]) {
-      const endpoint = createEndpoint(id);
+      const endpoint = createKnownEndpoint({ id });
       endpoint.servedAt = clock.getTime();
       endpoint.words.noteLeaving(WordSource.Answer, clock.getTime());
       endpoint.state = EndpointState.Leaving;
@@ -144,7 +132,7 @@
 function createGrants(count: number) {
   const clock = VirtualClock.create();
   const records = CrashRecords.create(clock);
-  const endpoints = Array.from({ length: count }, (_, index) => createEndpoint(`e${index}`));
+  const endpoints = Array.from({ length: count }, (_, index) => createKnownEndpoint({ id: `e${index}` }));
   const grants = TrialGrants.create({
     clock,
     records,
--- a/packages/gateway/test/endpointHoldOff.test.ts
+++ b/packages/gateway/test/endpointHoldOff.test.ts
@@ -25,6 +25,7 @@
   ScriptedEndpoint,
   waitUntil,
 } from "@gladewall/standins";
+import { createKnownEndpoint } from "./knownEndpoints.js";
 
 const longMs = 60_000;
 const shortMs = 40;
@@ -114,17 +115,7 @@
     const aboard = [subject, { workspace: "w", fingerprint: "beside" }];
     records.take({ reports: [records.createReport(life, aboard)] });
   }
-  const [held, open] = ["held", "open"].map((id) =>
-    Endpoint.create({
-      id,
-      service: "web",
-      address: "127.0.0.1:1",
-      hall: "a",
-      slots: 4,
-      isLeaving: false,
-      isReclaimable: false,
-    }),
-  ) as [Endpoint, Endpoint];
+  const [held, open] = ["held", "open"].map((id) => createKnownEndpoint({ id })) as [Endpoint, Endpoint];
   const asked: (readonly string[])[] = [];
   const suspects = Suspects.create({
     clock,
--- /dev/null
+++ b/packages/gateway/test/knownEndpoints.ts
@@ -0,0 +1,18 @@
+/**
+ * Endpoints as an instance knows them from their records, for tests without a platform.
+ * @module
+ */
+import { Endpoint, type EndpointRecord } from "@gladewall/gateway";
+
+/** Creates an endpoint; what its record leaves out stays at small defaults. */
+export function createKnownEndpoint(record: Partial<EndpointRecord> & Pick<EndpointRecord, "id">): Endpoint {
+  return Endpoint.create({
+    service: "web",
+    address: "127.0.0.1:1",
+    hall: "a",
+    slots: 4,
+    isLeaving: false,
+    isReclaimable: false,
+    ...record,
+  });
+}
--- a/packages/gateway/test/placement.test.ts
+++ b/packages/gateway/test/placement.test.ts
@@ -10,20 +10,13 @@
 } from "@gladewall/gateway";
 import { VirtualClock } from "@gladewall/kernel";
 import { createService } from "@gladewall/standins";
+import { createKnownEndpoint } from "./knownEndpoints.js";
 
 const engine = createService({ name: "model", engine: { slots: 4, tokenCapacity: 100_000 } });
 
 function createEndpoints(count: number): readonly Endpoint[] {
   return Array.from({ length: count }, (_, index) =>
-    Endpoint.create({
-      id: `b${index}`,
-      service: "model",
-      address: "127.0.0.1:1",
-      hall: "a",
-      slots: 4,
-      isLeaving: false,
-      isReclaimable: false,
-    }),
+    createKnownEndpoint({ id: `b${index}`, service: "model" }),
   );
 }
 
--- a/packages/gateway/test/readingRates.test.ts
+++ b/packages/gateway/test/readingRates.test.ts
@@ -1,15 +1,8 @@
 import t from "tap";
-import {
-  Endpoint,
-  Demand,
-  CounterKind,
-  Placer,
-  PrefixMemory,
-  ReadingRates,
-  SharedCounters,
-} from "@gladewall/gateway";
+import { Demand, CounterKind, Placer, PrefixMemory, ReadingRates, SharedCounters } from "@gladewall/gateway";
 import { Logger, VirtualClock } from "@gladewall/kernel";
 import { createService } from "@gladewall/standins";
+import { createKnownEndpoint } from "./knownEndpoints.js";
 
 const service = createService({ name: "model", engine: { slots: 24, tokenCapacity: 700_000 } });
 
@@ -72,7 +65,7 @@
     memory: PrefixMemory.create(),
     clock,
     getReadingRate,
-    getEndpoints: () => [createEndpoint()],
+    getEndpoints: () => [createKnownEndpoint({ id: "b0", service: "model", slots: 24 })],
     getPeerWork: () => ({ active: 0, pendingTokens: 0 }),
     getRandom: () => 0,
   });
@@ -86,15 +79,3 @@
   t.equal(demand.getNeeded(service, 4, 0), 7);
   t.ok((placer.choose(asked)?.expectedMs ?? 0) < 90);
 });
-
-function createEndpoint(): Endpoint {
-  return Endpoint.create({
-    id: "b0",
-    service: "model",
-    address: "127.0.0.1:1",
-    hall: "a",
-    slots: 24,
-    isLeaving: false,
-    isReclaimable: false,
-  });
-}
--- /dev/null
+++ b/scripts/playSeeds.mjs
@@ -0,0 +1,41 @@
+// The command line of soaks of real processes: bundles the daemon, plays seed after seed, prints a line each, and exits with 1
+// where one was broken. `--seeds 50 [--from 1] [--instances N] [--seconds 12] [--logs FOLDER]`.
+import { spawnSync } from "node:child_process";
+import { fileURLToPath } from "node:url";
+import { parseArgs } from "node:util";
+
+const root = fileURLToPath(new URL("..", import.meta.url));
+
+/** Imports a module of the platform's tests, as built. */
+export function importTest(name) {
+  return import(`${root}platform/dist/test/${name}.js`);
+}
+
+/** Plays seeds; `play` gets seed, instances, lengthMs and logFolder, and returns `isBroken` and `text`. */
+export async function playSeeds(instances, play) {
+  const { values } = parseArgs({
+    options: {
+      seeds: { type: "string", default: "10" },
+      from: { type: "string", default: "1" },
+      instances: { type: "string", default: String(instances) },
+      seconds: { type: "string", default: "12" },
+      logs: { type: "string" },
+    },
+  });
+  const built = spawnSync(process.execPath, [`${root}scripts/bundle.mjs`], { stdio: "inherit" });
+  if (built.status !== 0) process.exit(1);
+  const from = Number(values.from);
+  const shape = {
+    instances: Number(values.instances),
+    lengthMs: Number(values.seconds) * 1_000,
+    logFolder: values.logs,
+  };
+  let broken = 0;
+  for (let seed = from; seed < from + Number(values.seeds); seed++) {
+    const { isBroken, text } = await play({ ...shape, seed });
+    broken += isBroken ? 1 : 0;
+    console.log(`${isBroken ? "BROKEN" : "ok"} seed ${seed} ${text}`);
+  }
+  console.log(`${values.seeds} seeds, ${broken} broken`);
+  process.exit(broken === 0 ? 0 : 1);
+}
