--- a/packages/gateway/src/quotaArbiters.ts
+++ b/packages/gateway/src/arbiters.ts
@@ -1,25 +1,32 @@
 /**
- * Who decides on a workspace's limit: one of the readers for each workspace, the same for all instances. It hears the whole
- * fleet, and what it grants is counted before the next question, so that instances which ask at the same moment do not all
- * take the same room.
+ * Who decides for the fleet on a subject that all instances share: one of the readers for each, the same for all. What it
+ * grants is counted before the next question, so that instances which ask at the same moment do not all take the same room.
  * @module
  */
+import type { PeerMessage } from "@gladewall/coordination";
 import { type Clock, Failure, FailureCode, type Logger, sortByRendezvous, waitFor } from "@gladewall/kernel";
 import { Err, Ok, type Result } from "ts-results-es";
-import { MemberMessageKind, type QuotaAnswer, type QuotaAsk, QuotaWord } from "./memberMessages.js";
 
-/** What an instance asks; the message without its kind. */
-export type QuotaQuestion = Omit<QuotaAsk, "kind" | "call">;
+/** A question that is decided for the whole fleet. */
+export interface ArbiterQuestion<Answer> {
+  /** What it is about; each subject has an arbiter of its own. */
+  readonly subject: string;
+  readonly message: PeerMessage;
+  /** Whether an answer says that its giver does not know enough. */
+  readonly isUnclear: (answer: Answer) => boolean;
+  /** Whether an instance knows this kind of question; where it is left out, all do. */
+  readonly isAble?: (name: string) => boolean;
+}
 
 /** Options of the choice. */
-export interface QuotaArbitersOptions {
+export interface ArbitersOptions {
   readonly clock: Clock;
   readonly logger: Logger;
   /** Name of this instance. */
   readonly own: string;
   readonly getReaders: () => readonly string[];
   readonly isLinked: (name: string) => boolean;
-  readonly call: (name: string, message: QuotaAsk, timeoutMs: number) => Promise<Result<unknown, Failure>>;
+  readonly call: (name: string, message: PeerMessage, timeoutMs: number) => Promise<Result<unknown, Failure>>;
 }
 
 /** Time for an answer of an arbiter that has not answered yet; in calm it comes within 5 ms. */
@@ -53,91 +60,106 @@
 }
 
 /** Chooses arbiters and asks them. */
-export class QuotaArbiters {
+export class Arbiters {
   private readonly states = new Map<string, ArbiterState>();
 
-  private constructor(private readonly options: QuotaArbitersOptions) {}
+  private constructor(private readonly options: ArbitersOptions) {}
 
-  static create(options: QuotaArbitersOptions): QuotaArbiters {
-    return new QuotaArbiters(options);
+  static create(options: ArbitersOptions): Arbiters {
+    return new Arbiters(options);
   }
 
-  /** Whether this instance is the arbiter of a workspace's limit. */
-  decidesHere(workspace: string): boolean {
-    return this.find(workspace) === this.options.own;
+  /** Whether this instance is the arbiter of a subject. */
+  decidesHere(subject: string): boolean {
+    return this.find(subject) === this.options.own;
   }
 
   /**
-   * Asks the workspace's arbiter, and the next where it does not answer; fails with `PeerUnreachable` where none gives a
-   * clear answer within `waitMs`. A total that both have counted is counted once by each.
+   * Asks the subject's arbiter, and the next where it does not answer; fails with `PeerUnreachable` where none gives a
+   * clear answer within `waitMs`. Both may have counted what was asked for.
    */
-  async ask(question: QuotaQuestion, waitMs: number): Promise<Result<QuotaAnswer, Failure>> {
+  async ask<Answer>(question: ArbiterQuestion<Answer>, waitMs: number): Promise<Result<Answer, Failure>> {
     const { clock, own } = this.options;
+    const { subject, isUnclear } = question;
     const endsAt = clock.getTime() + waitMs;
     const silent: ArbiterState[] = [];
     for (let tries = 0; tries < mostTries; tries++) {
-      const arbiter = await this.waitForArbiter(question.workspace, endsAt);
+      const arbiter = await this.waitForArbiter(question, endsAt);
       const leftMs = endsAt - clock.getTime();
       if (arbiter === undefined || arbiter === own || leftMs <= 0) break;
       const answer = await this.askOne(arbiter, question, leftMs);
-      if (answer && answer.word !== QuotaWord.Unknown) {
+      if (answer !== undefined && !isUnclear(answer)) {
         for (const state of silent) state.restMs = Math.min(mostRestMs, state.restMs * 2);
         return Ok(answer);
       }
-      if (!answer) silent.push(this.getState(arbiter));
-      this.passOver(arbiter, question.workspace, answer !== undefined);
+      if (answer === undefined) silent.push(this.getState(arbiter));
+      this.passOver(arbiter, subject, answer !== undefined);
     }
     // Where all are slow, their links are: only more time brings an answer.
     for (const state of silent) state.patienceMs = Math.min(mostPatienceMs, state.patienceMs * 2);
-    return Err(Failure.create(FailureCode.PeerUnreachable, { peer: question.workspace }));
+    return Err(Failure.create(FailureCode.PeerUnreachable, { peer: subject }));
   }
 
   /** Resolves with the arbiter once it can be asked; with undefined where none can be for a while. */
-  private async waitForArbiter(workspace: string, latestAt: number): Promise<string | undefined> {
+  private async waitForArbiter(
+    { subject, isAble }: Pick<ArbiterQuestion<unknown>, "subject" | "isAble">,
+    latestAt: number,
+  ): Promise<string | undefined> {
     const { clock } = this.options;
     const endsAt = Math.min(latestAt, clock.getTime() + linkWaitMs);
-    let arbiter = this.find(workspace);
+    let arbiter = this.find(subject, isAble);
     while (arbiter === undefined && clock.getTime() < endsAt) {
       await waitFor(clock, linkCheckMs);
-      arbiter = this.find(workspace);
+      arbiter = this.find(subject, isAble);
     }
     return arbiter;
   }
 
   /** Returns the first reader that can decide, this instance among them; undefined where none can be reached. */
-  find(subject: string): string | undefined {
+  find(subject: string, isAble: (name: string) => boolean = () => true): string | undefined {
     const { clock, own, getReaders, isLinked } = this.options;
     const time = clock.getTime();
     const readers = getReaders();
     if (readers.length === 0) return own;
     const canDecide = (name: string): boolean =>
-      name === own || (isLinked(name) && this.getState(name).passedOverUntil <= time);
-    return sortByRendezvous(subject, readers, (name) => name).find(canDecide);
+      name === own || (isLinked(name) && isAble(name) && this.getState(name).passedOverUntil <= time);
+    return rankReaders(subject, readers).find(canDecide);
   }
 
-  private async askOne(
+  /**
+   * Readers before this instance that may be deciding too, also for others that it can't reach itself; 0 where it is the first
+   * choice of all.
+   */
+  countBefore(subject: string, isAble: (name: string) => boolean): number {
+    const { own, getReaders, isLinked } = this.options;
+    const mayDecide = (name: string): boolean => name === own || isAble(name) || !isLinked(name);
+    const ranked = rankReaders(subject, getReaders().filter(mayDecide));
+    const place = ranked.indexOf(own);
+    return place < 0 ? ranked.length : place;
+  }
+
+  private async askOne<Answer>(
     arbiter: string,
-    question: QuotaQuestion,
+    { message }: ArbiterQuestion<Answer>,
     leftMs: number,
-  ): Promise<QuotaAnswer | undefined> {
+  ): Promise<Answer | undefined> {
     const { clock, call } = this.options;
     const state = this.getState(arbiter);
     const askedAt = clock.getTime();
-    const message: QuotaAsk = { kind: MemberMessageKind.QuotaAsk, ...question };
     const answer = await call(arbiter, message, Math.min(state.patienceMs, leftMs));
     if (answer.isErr()) return undefined;
     const tookMs = clock.getTime() - askedAt;
     state.restMs = firstRestMs;
     state.patienceMs = clampPatience(tookMs * patienceFactor + patienceMarginMs);
-    return answer.value as QuotaAnswer;
+    return answer.value as Answer;
   }
 
-  private passOver(arbiter: string, workspace: string, hasAnswered: boolean): void {
+  private passOver(arbiter: string, subject: string, hasAnswered: boolean): void {
     const { clock, logger } = this.options;
     const state = this.getState(arbiter);
     state.passedOverUntil = clock.getTime() + state.restMs;
     const { patienceMs } = state;
-    logger.warn("quota.arbiter-passed-over", { arbiter, workspace, answered: hasAnswered, patienceMs });
+    logger.warn("arbiter.passed-over", { arbiter, subject, answered: hasAnswered, patienceMs });
   }
 
   private getState(arbiter: string): ArbiterState {
@@ -153,3 +175,7 @@
 function clampPatience(patienceMs: number): number {
   return Math.min(mostPatienceMs, Math.max(leastPatienceMs, patienceMs));
 }
+
+function rankReaders(subject: string, readers: readonly string[]): readonly string[] {
+  return sortByRendezvous(subject, readers, (name) => name);
+}
--- a/packages/gateway/src/endpoint.ts
+++ b/packages/gateway/src/endpoint.ts
@@ -4,6 +4,7 @@
  */
 import { hashText } from "@gladewall/kernel";
 import type { AboardRequest } from "./crashWatch.js";
+import { leastUrgent } from "./endpointLimit.js";
 import { EndpointWords } from "./endpointWords.js";
 import type { EndpointLoad, EndpointRecord } from "./types.js";
 
@@ -83,9 +84,14 @@
     return this.state !== EndpointState.Leaving;
   }
 
-  /** Whether this instance may send it a request now. */
-  takesWork(time: number): boolean {
-    return this.isUsable() && this.words.mayTake(time);
+  /** Whether this instance may send it a request of a rank now. */
+  takesWork(time: number, rank = leastUrgent): boolean {
+    return this.isUsable() && this.words.mayTake(time, rank);
+  }
+
+  /** The same for a request that has a permit. */
+  isOpen(time: number): boolean {
+    return this.isUsable() && this.words.isOpen(time);
   }
 
   /** Whether it could not be reached a moment ago. */
--- a/packages/gateway/src/endpointDirectory.ts
+++ b/packages/gateway/src/endpointDirectory.ts
@@ -115,7 +115,7 @@
   getOpeningMs(service: string): number {
     const time = this.options.clock.getTime();
     const usable = this.getOfService(service).filter((endpoint) => endpoint.isUsable());
-    return usable.length === 0 ? 0 : Math.min(...usable.map(({ words }) => words.getHeldOffMs(time)));
+    return usable.length === 0 ? 0 : Math.min(...usable.map(({ words }) => words.getOpeningMs(time)));
   }
 
   get(id: string): Endpoint | undefined {
@@ -173,7 +173,8 @@
     logger.info("endpoint.held-off", { life, ...heard, forMs: Math.round(holdOffMs) });
   }
 
-  private getWords(life: string): EndpointWords {
+  /** Returns the words of a life; they are kept from the first one on. */
+  getWords(life: string): EndpointWords {
     return this.findLife(life)?.words ?? this.words.find(life) ?? EndpointWords.create();
   }
 
--- /dev/null
+++ b/packages/gateway/src/endpointLimits.ts
@@ -0,0 +1,94 @@
+/**
+ * What endpoints in need name as their limits: heard in answers, told by peers, ended by answers without the word.
+ * @module
+ */
+import type { Clock, Logger } from "@gladewall/kernel";
+import type { Endpoint } from "./endpoint.js";
+import type { EndpointDirectory, NoticeSource } from "./endpointDirectory.js";
+import { LimitChange } from "./endpointLimit.js";
+import type { ToldLimit } from "./limitMessages.js";
+import type { NamedLimit } from "./types.js";
+
+/** An answer, and when its request was sent; monotonic. */
+export interface LimitSource extends NoticeSource {
+  readonly sentAt: number;
+}
+
+/** Options of the limits. */
+export interface EndpointLimitsOptions {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly directory: EndpointDirectory;
+}
+
+type LogFields = Readonly<Record<string, string | number | undefined>>;
+
+/** Limits of all endpoints. */
+export class EndpointLimits {
+  private readonly listeners: ((life: string) => void)[] = [];
+
+  private constructor(private readonly options: EndpointLimitsOptions) {}
+
+  static create(options: EndpointLimitsOptions): EndpointLimits {
+    return new EndpointLimits(options);
+  }
+
+  /** Calls back with a life whose limit an answer to this instance began or ended. */
+  onHeard(listener: (life: string) => void): void {
+    this.listeners.push(listener);
+  }
+
+  /** Takes an answer of an endpoint; `limit` is undefined where it names none. */
+  takeAnswer({ life, words }: Endpoint, limit: NamedLimit | undefined, source: LimitSource): void {
+    // Nearly all answers end here.
+    if (limit === undefined && words.limit.perSecond === undefined) return;
+    const { requestId: request, status, sentAt } = source;
+    const heard = { request, status };
+    if (limit?.unreadable !== undefined) {
+      this.options.logger.warn("endpoint.limit-unreadable", { life, ...heard, text: limit.unreadable });
+    }
+    // A word that can't be read is a word all the same: it does not end the limit.
+    if (limit !== undefined && limit.perSecond === undefined) return;
+    const heardAt = this.options.clock.getTime();
+    const change = this.note(life, limit?.perSecond, { sentAt, heardAt }, heard);
+    if (change !== LimitChange.Begun && change !== LimitChange.Ended) return;
+    for (const listener of this.listeners) listener(life);
+  }
+
+  /** Takes a peer's word; returns whether it began or ended a limit here. */
+  takePeer({ life, perSecond, ageMs }: ToldLimit, peer: string): boolean {
+    const at = this.options.clock.getTime() - Math.max(0, ageMs);
+    const change = this.note(life, perSecond, { sentAt: at, heardAt: at }, { peer });
+    return change === LimitChange.Begun || change === LimitChange.Ended;
+  }
+
+  /** Returns what is known here of a life's limit. */
+  get(life: string): ToldLimit {
+    const { limit } = this.options.directory.getWords(life);
+    return {
+      life,
+      perSecond: limit.perSecond,
+      ageMs: Math.round(limit.getAge(this.options.clock.getTime())),
+    };
+  }
+
+  private note(
+    life: string,
+    perSecond: number | undefined,
+    times: { readonly sentAt: number; readonly heardAt: number },
+    heard: LogFields,
+  ): LimitChange {
+    const { clock, logger, directory } = this.options;
+    const time = clock.getTime();
+    const words = directory.getWords(life);
+    const former = words.limit.perSecond;
+    const formerAgeMs = former === undefined ? undefined : Math.round(words.limit.getAge(time));
+    const change =
+      perSecond === undefined ? words.endLimit(times.sentAt) : words.noteLimit(perSecond, times, time);
+    if (perSecond !== undefined) directory.words.keep(life, words);
+    if (change === LimitChange.None) return change;
+    const said = { change: LimitChange[change], perSecond, former, formerAgeMs };
+    logger.info("endpoint.limit", { life, ...said, ...heard });
+    return change;
+  }
+}
--- a/packages/gateway/src/endpointWords.ts
+++ b/packages/gateway/src/endpointWords.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Clock } from "@gladewall/kernel";
+import { type AnswerTimes, EndpointLimit, leastUrgent, LimitChange } from "./endpointLimit.js";
 
 /** From whom it is known that an endpoint leaves. */
 export enum WordSource {
@@ -39,6 +40,8 @@
   private round = 0;
   /** Monotonic time of the last word. */
   heardAt = -Infinity;
+  /** How many requests it takes of all instances together. */
+  readonly limit = EndpointLimit.create();
 
   private constructor() {}
 
@@ -63,21 +66,48 @@
   noteHoldOff(milliseconds: number, time: number): void {
     this.heardAt = time;
     this.heldOffUntil = Math.max(this.heldOffUntil, time + milliseconds);
+    this.beginReturn();
+  }
+
+  /** Takes note of an answer that names a limit. */
+  noteLimit(perSecond: number, times: AnswerTimes, time: number): LimitChange {
+    this.heardAt = time;
+    return this.limit.takeNamed(perSecond, times);
+  }
+
+  /** Takes note of an answer that names no limit; what waited for the end comes back as after a hold-off. */
+  endLimit(sentAt: number): LimitChange {
+    const change = this.limit.takeUnnamed(sentAt);
+    if (change === LimitChange.Ended) this.beginReturn();
+    return change;
+  }
+
+  private beginReturn(): void {
     this.room = firstRoom;
     this.waiting = 0;
     this.round += 1;
   }
 
+  /** Milliseconds until it may be sent a request of this instance. */
+  getOpeningMs(time: number): number {
+    return Math.max(this.getHeldOffMs(time), this.limit.getWaitMs(time));
+  }
+
   /** Milliseconds for which it wants no request of this instance; 0 where it names no time. */
   getHeldOffMs(time: number): number {
     return Math.max(0, this.heldOffUntil - time);
   }
 
   /**
-   * Whether it may be sent a request. After a hold-off one goes first, then twice as many each time that all were taken: with
+   * Whether it may be sent a request of a rank, with a permit where it has named a limit. After a hold-off one goes first, then twice as many each time that all were taken: with
    * all that came meanwhile at once, 11 of 11 requests reached an endpoint that had not taken one yet.
    */
-  mayTake(time: number): boolean {
+  mayTake(time: number, rank = leastUrgent): boolean {
+    return this.isOpen(time) && this.limit.mayAsk(time, rank);
+  }
+
+  /** The same where a permit is at hand. */
+  isOpen(time: number): boolean {
     return time >= this.heldOffUntil && this.waiting < this.room;
   }
 
@@ -124,10 +154,19 @@
 
   /** Lives that are known to leave by an answer, the latest first, so many at most. */
   getAnswered(most: number): readonly string[] {
-    const lives: string[] = [];
-    for (const [life, { leaving }] of this.words) {
-      if (leaving === WordSource.Answer || leaving === WordSource.Peer) lives.push(life);
-    }
-    return lives.reverse().slice(0, most);
+    return this.select(most, ({ leaving }) => leaving === WordSource.Answer || leaving === WordSource.Peer);
+  }
+
+  /** Lives that name a limit, the latest first, so many at most. */
+  getLimited(most: number): readonly string[] {
+    return this.select(most, ({ limit }) => limit.perSecond !== undefined);
+  }
+
+  private select(most: number, isMeant: (words: EndpointWords) => boolean): readonly string[] {
+    const meant = [...this.words].filter(([, words]) => isMeant(words));
+    return meant
+      .reverse()
+      .slice(0, most)
+      .map(([life]) => life);
   }
 }
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -15,6 +15,7 @@
 import type { CrashSubject } from "./crashRecords.js";
 import type { AboardRequest } from "./crashWatch.js";
 import type { Endpoint } from "./endpoint.js";
+import type { LimitSource } from "./endpointLimits.js";
 import type { ExchangeEnd, ExchangeParts, ExchangeRequest } from "./exchangeTypes.js";
 import type { Placement } from "./placement.js";
 import { createFingerprint } from "./requestFingerprint.js";
@@ -43,6 +44,10 @@
 const retryAfterMs = 300;
 /** Endpoints ended 40 to 120 ms after they began to run the request under which they did. */
 const survivedMs = 200;
+/** Refused permits after which a request goes only where none is needed. */
+const mostPermitRefusals = 3;
+/** Added to the rank of a repeat: permits go to first tries before. */
+const repeatRank = 1_000;
 const urgencyLevels = 9;
 const urgencyPerWorkspaceRank = 3;
 
@@ -59,6 +64,7 @@
   private trial: Trial | undefined;
   private knownSubject: CrashSubject | undefined;
   private firstEventMs: number | undefined;
+  private permitRefusals = 0;
   private isCounted = false;
   private isOver = false;
   private timer: Timer | undefined;
@@ -138,7 +144,9 @@
     }
     if (this.isOver) return Next.Done;
     const placement = await this.choose();
-    const next = placement.isOk() ? await this.tryAt(placement.value) : this.noteNotPlaced(placement.error);
+    const next = placement.isOk()
+      ? await this.tryPermitted(placement.value)
+      : this.noteNotPlaced(placement.error);
     this.trial?.end();
     this.trial = undefined;
     return next;
@@ -155,7 +163,8 @@
     const { service, head } = this.request;
     const { excluded } = this;
     const { promptTokens = 0, parts } = head;
-    const wanted = { service, promptTokens, parts, excluded };
+    const avoidsLimited = this.permitRefusals >= mostPermitRefusals;
+    const wanted = { service, promptTokens, parts, excluded, rank: this.permitRank, avoidsLimited };
     if (suspects.isWatching(this.workspace)) {
       const { subject } = this;
       const leftMs = this.getTimeLeft();
@@ -168,6 +177,38 @@
     return placement ? Ok(placement) : Err(createRefusal(FailureCode.NoEndpoint, service));
   }
 
+  /** Sends it where no permit is needed or one is to be had; else it is placed anew. */
+  private async tryPermitted(placement: Placement): Promise<Next> {
+    const { permits, clock } = this.parts;
+    const { endpoint } = placement;
+    if (permits.isFree(endpoint)) return this.tryAt(placement);
+    const wanted = { id: this.request.head.id, rank: this.permitRank, leftMs: this.getTimeLeft() };
+    const isGranted = await permits.take(endpoint, wanted);
+    // The endpoint may have said something else while the permit was asked for.
+    if (isGranted && endpoint.isOpen(clock.getTime())) return this.tryAt(placement);
+    this.permitRefusals += 1;
+    const { limit } = endpoint.words;
+    this.log("permit.refused", {
+      endpoint: endpoint.id,
+      perSecond: limit.perSecond,
+      limitAgeMs: Math.round(limit.getAge(clock.getTime())),
+      rank: wanted.rank,
+      waitMs: Math.round(limit.getWaitMs(clock.getTime())),
+    });
+    if (!this.trial) return Next.TryAgain;
+    return this.noteNotPlaced(createRefusal(FailureCode.CrashSuspect, this.request.service));
+  }
+
+  /** Urgency of the request, 0 first; of a repeat behind all first tries. */
+  private get permitRank(): number {
+    return this.rank + (this.history.arrivals > 0 ? repeatRank : 0);
+  }
+
+  private get rank(): number {
+    const { workspace, route } = this.request.admitted;
+    return (workspace?.priority ?? 0) * urgencyPerWorkspaceRank + route.priority;
+  }
+
   private async tryAt(placement: Placement): Promise<Next> {
     const { service } = this.request;
     if (this.isOver) return Next.Done;
@@ -241,29 +282,32 @@
   private createAttempt(endpoint: Endpoint): Attempt {
     const { platform, connections, connectTimeoutMs } = this.parts;
     const { admitted, message, head, body, service } = this.request;
-    const { workspace, route } = admitted;
-    const rank = (workspace?.priority ?? 0) * urgencyPerWorkspaceRank + route.priority;
+    const { workspace } = admitted;
     const headers = platform.endpoints.createHeaders(message.rawHeaders, {
       endpointId: endpoint.id,
       workspace: workspace?.name,
       deadlineMs: this.getTimeLeft(),
-      urgency: service.engine ? Math.min(urgencyLevels, rank) : undefined,
+      urgency: service.engine ? Math.min(urgencyLevels, this.rank) : undefined,
       lastEventId: this.relay?.lastEventId,
     });
     const pool = connections.get(endpoint);
     const method = message.method ?? "GET";
     const target = message.url ?? "/";
     const base = { pool, protocol: platform.endpoints, requestId: head.id, connectTimeoutMs };
-    const onHead = (answer: AnswerHead, status: number): void => this.takeHead(endpoint, answer, status);
+    const sentAt = this.parts.clock.getTime();
+    const onHead = (answer: AnswerHead, status: number): void =>
+      this.takeHead(endpoint, answer, { requestId: head.id, status, sentAt });
     return Attempt.create({ ...base, method, target, headers, body, onHead });
   }
 
   /** Takes what an endpoint says of itself, whatever becomes of the request. */
-  private takeHead(endpoint: Endpoint, { word, load, notice }: AnswerHead, status: number): void {
-    const { clock, directory } = this.parts;
+  private takeHead(endpoint: Endpoint, { word, load, notice, limit }: AnswerHead, source: LimitSource): void {
+    const { clock, directory, limits } = this.parts;
     if (load) endpoint.noteLoad(load, clock.getTime());
     if (word === AnswerWord.Ran && !notice?.isLeaving) endpoint.noteServed(clock.getTime());
-    if (notice) directory.takeNotice(endpoint, notice, { requestId: this.request.head.id, status });
+    if (notice) directory.takeNotice(endpoint, notice, source);
+    const isOwn = word === AnswerWord.Ran || word === AnswerWord.NotRun;
+    if (isOwn) limits.takeAnswer(endpoint, limit, source);
   }
 
   private async handleNoAnswer(endpoint: Endpoint, result: AttemptResult, beganAt: number): Promise<Next> {
--- a/packages/gateway/src/exchangeTypes.ts
+++ b/packages/gateway/src/exchangeTypes.ts
@@ -23,6 +23,8 @@
   | "charges"
   | "suspects"
   | "demand"
+  | "limits"
+  | "permits"
   | "metrics"
   | "connectTimeoutMs"
   | "countRun"
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -74,6 +74,10 @@
         const time = parts.clock.getTime();
         return [...directory.getAll()].filter(({ words }) => words.getHeldOffMs(time) > 0).length;
       },
+      countLimited: () => {
+        const named = [...directory.getAll()].flatMap(({ words }) => words.limit.perSecond ?? []);
+        return { endpoints: named.length, perSecond: named.reduce((sum, one) => sum + one, 0) };
+      },
       isDutyHolder: () => parts.duties.isActing(),
       countSuspects: () => parts.crashes.records.count(),
     });
--- a/packages/gateway/src/gatewayMetrics.ts
+++ b/packages/gateway/src/gatewayMetrics.ts
@@ -21,6 +21,8 @@
   readonly getUsableEndpoints: () => number;
   readonly countLeaving: (source: WordSource) => number;
   readonly countHeldOff: () => number;
+  /** Endpoints that name a limit, and what they take together. */
+  readonly countLimited: () => { readonly endpoints: number; readonly perSecond: number };
   readonly isDutyHolder: () => boolean;
   /** Requests under which an endpoint ended, and of these such as are not run any more. */
   readonly countSuspects: () => { readonly watched: number; readonly convicted: number };
@@ -100,6 +102,12 @@
     this.registry.getCounter("gladewall_quota_asks_total", "Questions to arbiters of limits.", labels).add();
   }
 
+  /** Counts a question for a permit, by its answer. */
+  countPermit(word: string): void {
+    const help = "Questions for permits to send to endpoints that name a limit.";
+    this.registry.getCounter("gladewall_permit_asks_total", help, { word: word.toLowerCase() }).add();
+  }
+
   /** Counts an endpoint that ended with requests of this instance on it. */
   countEndpointEnd(service: string): void {
     const help = "Endpoints that ended with requests of this instance on them.";
@@ -168,6 +176,16 @@
       "Endpoints that want no request of this instance for a time.",
       sources.countHeldOff,
     );
+    set(
+      "gladewall_limited_endpoints",
+      "Endpoints that name a limit of requests a second.",
+      () => sources.countLimited().endpoints,
+    );
+    set(
+      "gladewall_limited_requests_per_second",
+      "Requests a second that these take of all instances together.",
+      () => sources.countLimited().perSecond,
+    );
     set("gladewall_duty_holder", "1 while this instance gives orders.", () => Number(sources.isDutyHolder()));
   }
 
--- a/packages/gateway/src/gatewayParts.ts
+++ b/packages/gateway/src/gatewayParts.ts
@@ -15,9 +15,13 @@
 import { Duties } from "./duties.js";
 import { createFeedTimes, type FeedTimes } from "./feedTimes.js";
 import { EndpointWordLinks } from "./endpointWordLinks.js";
+import { EndpointLimits } from "./endpointLimits.js";
 import { FencedOrders } from "./fencedOrders.js";
 import { GatewayMetrics } from "./gatewayMetrics.js";
 import type { GatewaySettings } from "./gatewaySettings.js";
+import { LimitIssuer } from "./limitIssuer.js";
+import { LimitLinks } from "./limitLinks.js";
+import { LimitPermits } from "./limitPermits.js";
 import { ownPrefix } from "./memberRecords.js";
 import { Members, type MembersOptions } from "./members.js";
 import { Placer } from "./placement.js";
@@ -82,6 +86,10 @@
   readonly crashes: Crashes;
   /** What may be done with such requests. */
   readonly suspects: Suspects;
+  /** What endpoints in need take of all instances together. */
+  readonly limits: EndpointLimits;
+  /** Permits to send to them. */
+  readonly permits: LimitPermits;
   readonly admission: Admission;
   readonly charges: QuotaCharges;
   readonly placer: Placer;
@@ -129,6 +137,7 @@
   });
   const metrics = GatewayMetrics.create(settings.listen.metrics);
   const crashes: Crashes = createCrashes(views, members, metrics);
+  const { limits, permits } = createLimits(views, members, metrics);
   const vouching: Vouching = Vouching.create(members.links, follower, Math.random);
   return {
     settings,
@@ -141,6 +150,8 @@
     members,
     crashes,
     suspects: crashes.suspects,
+    limits,
+    permits,
     admission,
     charges: QuotaCharges.create({
       clock,
@@ -314,6 +325,32 @@
   });
 }
 
+function createLimits(
+  { settings, clock, logger, directory }: GatewayViews,
+  members: Members,
+  metrics: GatewayMetrics,
+): Pick<GatewayParts, "limits" | "permits"> {
+  const limits = EndpointLimits.create({ clock, logger, directory });
+  const permits: LimitPermits = LimitPermits.create({
+    own: settings.instance.name,
+    clock,
+    logger,
+    metrics,
+    limits,
+    issuer: LimitIssuer.create({ clock, logger, getRandom: Math.random }),
+    arbiters: members.arbiters,
+    isAble: (name) => links.isAble(name),
+    getFleetSize: () => members.getFleetSize(),
+  });
+  const links = LimitLinks.create({
+    fleet: members,
+    directory,
+    limits,
+    decide: (ask, asker) => permits.decide(ask, asker),
+  });
+  return { limits, permits };
+}
+
 function createAdmission(
   views: GatewayViews,
   getKnownShare: () => number,
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -9,10 +9,13 @@
 export { Admission } from "./admission.js";
 export { MemberRecords } from "./memberRecords.js";
 export { isWholeAnswer, readWholeBody } from "./answerBody.js";
+export { Arbiters } from "./arbiters.js";
 export { AskedReader } from "./askedReader.js";
 export { Attempt, AttemptEnd } from "./attempt.js";
 export { Endpoint, EndpointState } from "./endpoint.js";
 export { EndpointConnections } from "./endpointConnections.js";
+export { EndpointLimit, LimitChange } from "./endpointLimit.js";
+export { EndpointLimits } from "./endpointLimits.js";
 export { EndpointWords, WordMemory, WordSource } from "./endpointWords.js";
 export { EndpointDirectory } from "./endpointDirectory.js";
 export { CapacityOrders } from "./capacityOrders.js";
@@ -39,8 +42,13 @@
 export { FleetWork } from "./fleetWork.js";
 export { FencedOrders } from "./fencedOrders.js";
 export { GatewayMetrics } from "./gatewayMetrics.js";
+export { LimitIssuer } from "./limitIssuer.js";
+export { LimitLinks } from "./limitLinks.js";
+export { LimitMessageKind, type PermitAnswer, type PermitAsk, PermitWord } from "./limitMessages.js";
+export { LimitPermits, type PermitRequest } from "./limitPermits.js";
 export { LeakyBucket } from "./leakyBucket.js";
 export {
+  createQuotaQuestion,
   MemberMessageKind,
   type QuotaAnswer,
   type QuotaAsk,
@@ -55,10 +63,10 @@
 export { ReadingRates, type RateReport } from "./readingRates.js";
 export { PrefixMemory, type ReadReport } from "./prefixMemory.js";
 export { getAllowances, restartsPerWindow } from "./quotaAllowances.js";
-export { QuotaArbiters } from "./quotaArbiters.js";
 export { QuotaCharges } from "./quotaCharges.js";
 export { RecentPlacements } from "./recentPlacements.js";
 export { createFingerprint } from "./requestFingerprint.js";
+export { parseNamedLimit } from "./namedLimit.js";
 export { longestRetryAfterMs, parseRetryAfter } from "./retryAfter.js";
 export { RetryBudget } from "./retryBudget.js";
 export { drawTarget, RouteTable } from "./routeTable.js";
--- a/packages/gateway/src/memberMessages.ts
+++ b/packages/gateway/src/memberMessages.ts
@@ -3,6 +3,7 @@
  * @module
  */
 import type { PeerMessage } from "@gladewall/coordination";
+import type { ArbiterQuestion } from "./arbiters.js";
 import type { EndpointWork } from "./endpointWork.js";
 import type { FeedMessage, FeedState } from "./fleetFeed.js";
 import type { ReadReport } from "./prefixMemory.js";
@@ -123,6 +124,9 @@
   readonly use: QuotaUse;
 }
 
+/** What an instance asks; the message without its kind. */
+export type QuotaQuestion = Omit<QuotaAsk, "kind" | "call">;
+
 /** What an arbiter says to a question. */
 export enum QuotaWord {
   /** The total is counted. */
@@ -139,3 +143,12 @@
   /** Units of the limit that the fleet has taken, as the arbiter counts them. */
   readonly level: number;
 }
+
+/** Puts a question so that the arbiter of the workspace's limit can be asked. */
+export function createQuotaQuestion(question: QuotaQuestion): ArbiterQuestion<QuotaAnswer> {
+  return {
+    subject: question.workspace,
+    message: { kind: MemberMessageKind.QuotaAsk, ...question },
+    isUnclear: ({ word }) => word === QuotaWord.Unknown,
+  };
+}
--- a/packages/gateway/src/members.ts
+++ b/packages/gateway/src/members.ts
@@ -8,6 +8,7 @@
  */
 import { getLife, LinkMessageKind, type PeerIdentity, PeerLinks } from "@gladewall/coordination";
 import { type Closeable, waitFor } from "@gladewall/kernel";
+import { Arbiters } from "./arbiters.js";
 import type { PeerWork } from "./endpoint.js";
 import type { ConfigurationFollower } from "./configurationFollower.js";
 import type { FeedTimes } from "./feedTimes.js";
@@ -31,7 +32,6 @@
   type ViewMessage,
 } from "./memberMessages.js";
 import { MemberRecords, type MemberRecordsOptions, ownPrefix } from "./memberRecords.js";
-import { QuotaArbiters } from "./quotaArbiters.js";
 import type { PrefixMemory } from "./prefixMemory.js";
 import type { ReadingRates } from "./readingRates.js";
 import { ReaderViews } from "./readerViews.js";
@@ -87,8 +87,8 @@
 /** All members of the fleet. */
 export class Members implements Closeable {
   readonly links: PeerLinks;
-  /** Who decides on limits. */
-  readonly arbiters: QuotaArbiters;
+  /** Who decides for the fleet. */
+  readonly arbiters: Arbiters;
   private readonly records: MemberRecords;
   private readonly collectors: Collectors;
   private readonly feed: StoreFeed;
@@ -131,7 +131,7 @@
       getCapacity: (peer) => this.records.getCapacity(peer),
       isLinked,
     });
-    this.arbiters = QuotaArbiters.create({
+    this.arbiters = Arbiters.create({
       clock,
       logger,
       own: name,
--- a/packages/gateway/src/placement.ts
+++ b/packages/gateway/src/placement.ts
@@ -14,8 +14,12 @@
   readonly service: Service;
   readonly promptTokens: number;
   readonly parts: readonly PromptPart[];
-  /** Lives of endpoints that it was sent to before. */
+  /** Lives of endpoints that it was sent to before, or that gave no permit for it. */
   readonly excluded: ReadonlySet<string>;
+  /** Urgency, 0 first; the least where it is left out. */
+  readonly rank?: number;
+  /** Whether it goes only where no permit is needed. */
+  readonly avoidsLimited?: boolean;
 }
 
 /** A choice and its reason. */
@@ -94,11 +98,15 @@
     return { endpoint, uncachedTokens, expectedMs, tokensAhead, candidates: 1 };
   }
 
-  private getCandidates({ service, excluded }: PlacementRequest, time: number): readonly Endpoint[] {
+  private getCandidates(
+    { service, excluded, rank, avoidsLimited = false }: PlacementRequest,
+    time: number,
+  ): readonly Endpoint[] {
     const fresh: Endpoint[] = [];
     const sound: Endpoint[] = [];
     for (const endpoint of this.options.getEndpoints(service.name)) {
-      if (!endpoint.takesWork(time) || excluded.has(endpoint.life)) continue;
+      if (!endpoint.takesWork(time, rank) || excluded.has(endpoint.life)) continue;
+      if (avoidsLimited && endpoint.words.limit.perSecond !== undefined) continue;
       fresh.push(endpoint);
       if (!endpoint.isUnreachable(time)) sound.push(endpoint);
     }
--- a/packages/gateway/src/quotaCharges.ts
+++ b/packages/gateway/src/quotaCharges.ts
@@ -6,9 +6,9 @@
 import type { Clock, Failure, Logger } from "@gladewall/kernel";
 import { Err, Ok, type Result } from "ts-results-es";
 import type { Admission, QuotaState } from "./admission.js";
+import type { Arbiters } from "./arbiters.js";
 import { type GatewayMetrics, QuotaEvent } from "./gatewayMetrics.js";
-import { QuotaUse, QuotaWord } from "./memberMessages.js";
-import type { QuotaArbiters } from "./quotaArbiters.js";
+import { createQuotaQuestion, QuotaUse, QuotaWord } from "./memberMessages.js";
 import type { SharedCounters } from "./sharedCounters.js";
 import type { Workspace } from "./types.js";
 
@@ -17,7 +17,7 @@
   readonly clock: Clock;
   readonly admission: Admission;
   readonly counters: SharedCounters;
-  readonly arbiters: QuotaArbiters;
+  readonly arbiters: Arbiters;
   readonly logger: Logger;
   readonly metrics: GatewayMetrics;
   /** Milliseconds since a reader told what the fleet has taken; undefined where none did. */
@@ -122,7 +122,7 @@
     admission.addQuota(workspace, units);
     const total = counters.getOwnTotal(name);
     const uptime = Math.round(counters.getUptime());
-    const answer = await arbiters.ask({ workspace: name, total, uptime, use }, waitMs);
+    const answer = await arbiters.ask(createQuotaQuestion({ workspace: name, total, uptime, use }), waitMs);
     const word = answer.isOk() ? answer.value.word : QuotaWord.Unknown;
     metrics.countQuotaAsk(QuotaWord[word]);
     this.options.logger.debug("quota.asked", {
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -246,12 +246,22 @@
   readonly unreadableTime?: string | undefined;
 }
 
+/** How many requests a second an endpoint in need takes of all instances together. */
+export interface NamedLimit {
+  /** Undefined where the word can't be read. */
+  readonly perSecond: number | undefined;
+  /** Text of a word that could not be read. */
+  readonly unreadable?: string | undefined;
+}
+
 /** An answer's head, read. */
 export interface AnswerHead {
   readonly word: AnswerWord;
   readonly load: EndpointLoad | undefined;
   /** Undefined where the endpoint says nothing of itself, or where the answer is not this endpoint's. */
   readonly notice: EndpointNotice | undefined;
+  /** Undefined where the endpoint names no limit, or where the answer is not this endpoint's. */
+  readonly limit?: NamedLimit | undefined;
 }
 
 /** How callers speak. */
--- /dev/null
+++ b/packages/gateway/test/endpointLimitPlays.test.ts
@@ -0,0 +1,107 @@
+/*
+ * A limit is the fleet's, and each instance hears of it, and of what the others send, at another moment. Kept by each for itself, a
+ * limit of one a second let 35 requests of nine instances through in four seconds, and 169 of 320; shared out evenly, 91 of 320.
+ * One issuer gives permits out for each life; these plays kill it, pause it, slow it down and cut it off.
+ */
+import t from "tap";
+import { type PermitPlay, playPermitFleet } from "./permitFleet.js";
+
+const second = 1_000;
+const standing: PermitPlay = {
+  seed: 1,
+  instances: 9,
+  named: [{ from: 0, perSecond: 1 }],
+  wishedPerSecond: 40,
+  endsAt: 24 * second,
+};
+const seeds = [1, 2, 3];
+
+t.test("however many instances want more, an endpoint gets what it takes", async (t) => {
+  for (const [perSecond, instances] of [
+    [1, 1],
+    [0, 9],
+    [0.2, 9],
+    [0.5, 9],
+    [1, 9],
+    [1, 32],
+    [1, 320],
+    [5, 9],
+    [20, 32],
+    [20, 320],
+    [200, 9],
+  ] as const) {
+    const named = [{ from: 0, perSecond }];
+    const play = { ...standing, instances, named, wishedPerSecond: 40 * Math.max(1, perSecond) };
+    const { worst, givenOut, messagesPerSecond } = await playPermitFleet(play);
+    const told = `${perSecond} a second, ${instances} instances: ${worst.toFixed(2)}, given out ${givenOut.toFixed(2)}, ${messagesPerSecond.toFixed(1)} messages a second`;
+    t.ok(worst <= 1, told);
+    if (perSecond >= 0.5) t.ok(givenOut >= 0.75, told);
+  }
+});
+
+t.test("an issuer that is killed, stands still, is slow or cut off lets no more through", async (t) => {
+  const at = [6, 9, 9.6, 15].map((time) => time * second);
+  const troubles: Readonly<Record<string, Partial<PermitPlay>>> = {
+    killed: { issuerKills: at },
+    paused: { issuerPauses: at.map((time) => ({ at: time, forMs: 2 * second })) },
+    slow: { issuerSlow: [{ at: 5 * second, forMs: 15 * second }] },
+    "cut off": { issuerCuts: [{ at: 5 * second, forMs: 15 * second }] },
+    "all of these": {
+      issuerKills: [at[0]!, at[3]!],
+      issuerPauses: [{ at: 9 * second, forMs: 2 * second }],
+      issuerSlow: [{ at: 8 * second, forMs: 4 * second }],
+      issuerCuts: [{ at: 12 * second, forMs: 6 * second }],
+    },
+  };
+  for (const [name, trouble] of Object.entries(troubles)) {
+    for (const seed of seeds) {
+      for (const [perSecond, instances] of [
+        [1, 9],
+        [5, 9],
+        [20, 32],
+      ] as const) {
+        const base = { ...standing, seed, instances, named: [{ from: 0, perSecond }] };
+        const play = { ...base, wishedPerSecond: 40 * perSecond, ...trouble };
+        const { worst, givenOut } = await playPermitFleet(play);
+        const told = `${name}, seed ${seed}, ${perSecond} a second: ${worst.toFixed(2)}, given out ${givenOut.toFixed(2)}`;
+        t.ok(worst <= 1, told);
+      }
+    }
+  }
+});
+
+t.test("a limit that changes and ends is followed, and the crowd does not come back at once", async (t) => {
+  for (const seed of seeds) {
+    for (const instances of [9, 32]) {
+      const named = [
+        { from: 2 * second, perSecond: 20 },
+        { from: 8 * second, perSecond: 2 },
+        { from: 16 * second, perSecond: undefined },
+      ];
+      const play = { ...standing, seed, instances, named, wishedPerSecond: 200 };
+      const { worst, freedAfterMs } = await playPermitFleet(play);
+      const told = `${instances} instances, seed ${seed}: ${worst.toFixed(2)}, free after ${freedAfterMs} ms`;
+      t.ok(worst <= 1, told);
+      t.ok(freedAfterMs !== undefined, told);
+    }
+  }
+});
+
+t.test("the more urgent have the permits while they want them, the others what is left", async (t) => {
+  const base = { ...standing, named: [{ from: 0, perSecond: 5 }], endsAt: 40 * second };
+  const few = await playPermitFleet({ ...base, wishedPerSecond: 40, urgentShare: 0.05 });
+  const many = await playPermitFleet({ ...base, wishedPerSecond: 40, urgentShare: 0.5 });
+  const told = JSON.stringify({ few, many });
+  t.ok(few.givenOut >= 0.75 && few.urgentGivenOut >= 0.3, told);
+  t.ok(many.urgentGivenOut >= 0.75 * many.givenOut, told);
+  t.ok(few.worst <= 1 && many.worst <= 1, told);
+});
+
+t.test("beside builds that know nothing of limits, permits come from those that do", async (t) => {
+  for (const oldBuilds of [1, 2, 3, 8]) {
+    const { worst, givenOut } = await playPermitFleet({ ...standing, oldBuilds });
+    const told = `${oldBuilds} of 9: ${worst.toFixed(2)}, given out ${givenOut.toFixed(2)}`;
+    t.ok(worst <= 1, told);
+    t.ok(givenOut > 0, told);
+  }
+});
--- a/packages/gateway/test/endpointLimits.test.ts
+++ b/packages/gateway/test/endpointLimits.test.ts
@@ -1,15 +1,28 @@
 /*
  * Endpoints in need named in their answers how many requests a second they take of all instances together, and got more: two that
- * had named one a second got 12 within four seconds, 11 being borne. Seven instances sent them, none more than four of these.
+ * had named one a second got 12 within four seconds, 11 being borne. Nobody read the word: no line of a log told of it, and every
+ * request.served still had candidates=6, all endpoints of the service. Seven instances sent the 12 requests, none more than four, so
+ * each keeping to the limit by itself would have sent as many.
  */
 import t, { type Test } from "tap";
 import {
+  EndpointDirectory,
+  EndpointLimit,
+  EndpointLimits,
+  LimitChange,
+  parseNamedLimit,
+} from "@gladewall/gateway";
+import { Logger, LogLevel, VirtualClock } from "@gladewall/kernel";
+import {
+  type CallerView,
   type EndpointCall,
   GatewayBench,
   ScriptedEndpoint,
+  StandinPlatform,
   answerGood,
   waitUntil,
 } from "@gladewall/standins";
+import { createKnownEndpoint } from "./knownEndpoints.js";
 
 const windowMs = 4_000;
 /** Share of a limit, and requests beside it, that an endpoint in need bears in a window. */
@@ -37,7 +50,7 @@
   return { script, getWorst, arrivals };
 }
 
-/** Instances before one endpoint that names a limit, and others that do not. */
+/** Instances before one endpoint that names a limit and has told one of them so, and others that do not. */
 async function startLimited(
   t: Pick<Test, "teardown">,
   instanceCount: number,
@@ -48,18 +61,23 @@
   bench.platform.configure({});
   const limited = createLimited(perSecond);
   const endpoints = [await ScriptedEndpoint.create("limited", limited.script)];
-  for (let index = 0; index < others; index++) endpoints.push(await ScriptedEndpoint.create(`good${index}`));
-  for (const { id, address } of endpoints) bench.platform.list({ id, address });
-  for (let index = 0; index < instanceCount; index++) await bench.startReady(endpoints.length);
+  const list = ({ id, address }: ScriptedEndpoint): void => bench.platform.list({ id, address });
+  endpoints.forEach(list);
+  for (let index = 0; index < instanceCount; index++) await bench.startReady(1);
   await waitUntil(() => bench.instances.every(({ gateway }) => gateway.linkedPeers === instanceCount - 1));
   t.teardown(() => Promise.all([bench.close(), ...endpoints.map((endpoint) => endpoint.close())]));
-  const callAll = async (rounds: number): Promise<number[]> => {
-    const statuses: number[] = [];
+  await bench.call(bench.instances[0]!);
+  for (let index = 0; index < others; index++) endpoints.push(await ScriptedEndpoint.create(`good${index}`));
+  endpoints.slice(1).forEach(list);
+  await waitUntil(() =>
+    bench.instances.every(({ gateway }) => gateway.countEndpoints("web") === endpoints.length),
+  );
+  const callAll = async (rounds: number): Promise<readonly CallerView[]> => {
+    const answers: CallerView[] = [];
     for (let round = 0; round < rounds; round++) {
-      const answers = await Promise.all(bench.instances.map((instance) => bench.call(instance)));
-      statuses.push(...answers.map(({ status }) => status));
+      answers.push(...(await Promise.all(bench.instances.map((instance) => bench.call(instance)))));
     }
-    return statuses;
+    return answers;
   };
   return { bench, limited, callAll };
 }
@@ -72,13 +90,146 @@
     [4, 5],
   ] as const) {
     const { limited, callAll } = await startLimited(t, instances, perSecond, 1);
-    const statuses = await callAll(240 / instances);
-    t.ok(limited.arrivals.length > 0);
+    const answers = await callAll(240 / instances);
     const told = `${instances} instances, ${perSecond} a second: ${limited.getWorst()} in a window`;
     t.ok(limited.getWorst() <= getBorne(perSecond), told);
     t.ok(
-      statuses.every((status) => status === 200),
+      answers.every(({ status }) => status === 200),
       "others serve what it does not take",
     );
   }
 });
+
+t.test(
+  "where every endpoint names a limit, callers are refused at once, and told when to come back",
+  async (t) => {
+    const { bench, limited, callAll } = await startLimited(t, 3, 0.5, 0);
+    const answers = await callAll(60);
+    const refused = answers.filter(({ status }) => status === 503);
+    t.ok(limited.getWorst() <= getBorne(0.5), String(limited.getWorst()));
+    t.ok(refused.length > 150, String(refused.length));
+    for (const { headers } of refused) t.ok(Number(headers["retry-after"]) >= 0.3);
+    const metrics = await bench.readMetrics(bench.instances[0]!);
+    t.match(metrics, /gladewall_limited_endpoints 1\n/);
+    t.match(metrics, /gladewall_permit_asks_total\{word="refused"\} \d+/);
+  },
+);
+
+/** Times of an answer whose request was sent and which came then. */
+function at(sentAt: number, heardAt: number) {
+  return { sentAt, heardAt };
+}
+
+t.test("answers that pass each other neither end a limit nor bring it back", async (t) => {
+  const limit = EndpointLimit.create();
+  t.equal(limit.takeUnnamed(0), LimitChange.None);
+  t.equal(limit.takeNamed(5, at(10, 20)), LimitChange.Begun);
+  t.equal(limit.takeUnnamed(15), LimitChange.None, "sent before the word came");
+  t.equal(
+    limit.takeNamed(8, at(15, 30)),
+    LimitChange.None,
+    "not raised by an answer to a request sent before",
+  );
+  t.equal(limit.takeNamed(3, at(15, 35)), LimitChange.Changed, "but lowered");
+  t.equal(limit.takeNamed(9, at(40, 50)), LimitChange.Changed);
+  t.equal(limit.perSecond, 9);
+  t.equal(limit.takeUnnamed(50), LimitChange.None);
+  t.equal(limit.takeUnnamed(51), LimitChange.Ended);
+  t.equal(limit.takeNamed(9, at(45, 50)), LimitChange.None, "an answer that came before the end, told late");
+  t.equal(limit.takeNamed(9, at(45, 60)), LimitChange.Begun, "one that came after it");
+});
+
+t.test("permits are used within a short time, and a refusal holds off all but the more urgent", async (t) => {
+  const limit = EndpointLimit.create();
+  limit.takeNamed(1, at(0, 0));
+  t.ok(limit.mayAsk(0, 3));
+  t.equal(limit.beginAsk(), 1);
+  t.notOk(limit.mayAsk(1, 0), "one question at a time");
+  limit.endAsk({ permits: 1, waitMs: 0 }, 3, 10);
+  t.ok(limit.mayAsk(20, 3));
+  t.notOk(limit.tryUse(300), "lapsed");
+  limit.beginAsk();
+  limit.endAsk({ permits: 0, waitMs: 1_000 }, 3, 310);
+  t.notOk(limit.mayAsk(320, 3));
+  t.ok(limit.mayAsk(320, 2));
+  t.equal(limit.getWaitMs(320), 990);
+  t.ok(limit.mayAsk(1_310, 3));
+});
+
+t.test("limits are decimal numbers; of several the lowest holds; others can't be read", async (t) => {
+  const readable: Readonly<Record<string, number>> = {
+    0: 0,
+    "1.5": 1.5,
+    " 2 ": 2,
+    "3.": 3,
+    ".5": 0.5,
+    "4, 2": 2,
+  };
+  for (const [text, perSecond] of Object.entries(readable)) t.equal(parseNamedLimit(text), perSecond, text);
+  const endless = "9".repeat(400);
+  for (const text of ["", "-1", "1e3", "NaN", "Infinity", "1 s", "1,", "1, x", "0x10", endless]) {
+    t.equal(parseNamedLimit(text), undefined, text.slice(0, 10));
+  }
+});
+
+/** A directory that knows no records, and its limits. */
+function createLimits(lines: string[]) {
+  const clock = VirtualClock.create(1_000);
+  const logger = Logger.create(LogLevel.Info, {}, (line) => lines.push(line));
+  const directory = EndpointDirectory.create({
+    platform: StandinPlatform.create(clock).createAdapter(),
+    clock,
+    logger,
+    getTimeSinceTrouble: () => Infinity,
+    watchWaitMs: 600,
+    unlistedMs: 400,
+  });
+  return { clock, directory, limits: EndpointLimits.create({ clock, logger, directory }) };
+}
+
+t.test(
+  "a limit stays with its life: forgotten, listed again, unread words; the next life is free",
+  async (t) => {
+    const lines: string[] = [];
+    const { clock, directory, limits } = createLimits(lines);
+    const source = { requestId: "r", status: 200 };
+    const endpoint = createKnownEndpoint({ id: "e", born: 1 });
+    limits.takeAnswer(endpoint, { perSecond: 2 }, { ...source, sentAt: clock.getTime() });
+    await clock.advance(10);
+    limits.takeAnswer(
+      endpoint,
+      { perSecond: undefined, unreadable: "soon" },
+      { ...source, sentAt: clock.getTime() },
+    );
+    t.equal(directory.words.find(endpoint.life)?.limit.perSecond, 2);
+    t.match(lines.at(-1), /endpoint.limit-unreadable .*text=soon/);
+    t.equal(directory.words.find(createKnownEndpoint({ id: "e", born: 2 }).life), undefined);
+    const told = limits.get(endpoint.life);
+    t.match(told, { life: endpoint.life, perSecond: 2, ageMs: 10 });
+    const peer = createLimits([]);
+    t.equal(peer.limits.takePeer(told, "i2"), true);
+    t.equal(peer.limits.takePeer(told, "i2"), false, "told again, it is not handed on");
+    t.equal(
+      peer.limits.takePeer({ life: endpoint.life, ageMs: 20 }, "i3"),
+      false,
+      "an end from before the word",
+    );
+    t.equal(peer.limits.takePeer({ life: endpoint.life, ageMs: 5 }, "i3"), true);
+  },
+);
+
+t.test("a limit does not hide that its endpoint leaves, or wants nothing for a time", async (t) => {
+  const endpoint = createKnownEndpoint({ id: "e" });
+  const { words } = endpoint;
+  words.noteLimit(2, at(0, 0), 0);
+  t.ok(endpoint.takesWork(1));
+  words.noteHoldOff(1_000, 1);
+  t.notOk(endpoint.takesWork(500));
+  t.notOk(endpoint.isOpen(500), "nor with a permit");
+  t.equal(words.getOpeningMs(500), 501);
+  t.equal(words.endLimit(600), LimitChange.Ended);
+  t.notOk(endpoint.takesWork(700), "the end of the limit is not the end of the hold-off");
+  t.ok(endpoint.takesWork(1_001));
+  words.beginTry();
+  t.notOk(endpoint.takesWork(1_002), "one request goes first");
+});
--- a/packages/gateway/test/limitedFleet.ts
+++ b/packages/gateway/test/limitedFleet.ts
@@ -6,6 +6,7 @@
  */
 import {
   Admission,
+  Arbiters,
   CounterKind,
   CountHandover,
   type CounterTotals,
@@ -13,15 +14,15 @@
   type ConfigurationFollower,
   type QuotaAnswer,
   type QuotaAsk,
-  QuotaArbiters,
   QuotaCharges,
   RouteTable,
   SharedCounters,
   type Workspace,
 } from "@gladewall/gateway";
-import { type Clock, Failure, FailureCode, Logger, type Timer } from "@gladewall/kernel";
-import { createDraws, createWorkspace, RunWindows } from "@gladewall/standins";
+import { Failure, FailureCode, Logger } from "@gladewall/kernel";
+import { createWorkspace, RunWindows } from "@gladewall/standins";
 import { Err, Ok, type Result } from "ts-results-es";
+import { createSpreadDraws, StepClock } from "./stepClock.js";
 
 /** What is played; times are milliseconds from the start. */
 export interface LimitPlay {
@@ -83,50 +84,8 @@
 /** Time after which a reader that ended is replaced. */
 const patienceMs = 800;
 
-/** Returns draws that differ from the first one on, also between seeds that are near each other. */
-function createSpreadDraws(seed: number): () => number {
-  return createDraws((seed * 2_654_435_761) >>> 0);
-}
-
 const limits = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
 
-/** A clock that moves in milliseconds and lets promises settle once in each; cheap enough for hundreds of instances. */
-class StepClock implements Clock {
-  private time = 0;
-  private readonly timers = new Map<number, Set<() => void>>();
-
-  getTime(): number {
-    return this.time;
-  }
-
-  getBootTime(): number {
-    return this.time;
-  }
-
-  getWallTime(): number {
-    return this.time;
-  }
-
-  startTimer(delay: number, callback: () => void): Timer {
-    const due = Math.max(this.time + 1, Math.round(this.time + delay));
-    const callbacks = this.timers.get(due) ?? new Set();
-    this.timers.set(due, callbacks);
-    callbacks.add(callback);
-    return { cancel: () => void callbacks.delete(callback) };
-  }
-
-  async advance(duration: number): Promise<void> {
-    for (const end = this.time + duration; this.time < end;) {
-      this.time += 1;
-      const callbacks = this.timers.get(this.time);
-      if (!callbacks) continue;
-      for (const callback of callbacks) callback();
-      this.timers.delete(this.time);
-      await new Promise((resolve) => setImmediate(resolve));
-    }
-  }
-}
-
 /** One life of one instance. */
 class Member {
   readonly counters: SharedCounters;
@@ -169,13 +128,13 @@
       admission: this.admission,
       counters: this.counters,
       metrics: GatewayMetrics.create("127.0.0.1:0"),
-      arbiters: QuotaArbiters.create({
+      arbiters: Arbiters.create({
         clock,
         logger,
         own: name,
         getReaders: () => (play.hasArbiters ? fleet.readers : []),
         isLinked: (peer) => fleet.isAlive(peer),
-        call: (peer, ask, timeoutMs) => this.call(peer, ask, timeoutMs),
+        call: (peer, ask, timeoutMs) => this.call(peer, ask as QuotaAsk, timeoutMs),
       }),
       getViewAge: () => undefined,
     });
--- /dev/null
+++ b/packages/gateway/test/permitFleet.ts
@@ -0,0 +1,427 @@
+/**
+ * A fleet before one endpoint that names a limit, on a virtual clock and without sockets: instances hear the word in answers and
+ * from peers, ask for permits, are killed, paused, slowed and cut off; messages are under way for a while. Judged by what arrives
+ * at the endpoint in an exact sliding window.
+ * @module
+ */
+import {
+  Arbiters,
+  Endpoint,
+  type EndpointDirectory,
+  EndpointLimits,
+  LimitIssuer,
+  LimitLinks,
+  LimitMessageKind,
+  LimitPermits,
+  type PermitRequest,
+  WordMemory,
+} from "@gladewall/gateway";
+import type { PeerIdentity, PeerLinks, PeerMessage } from "@gladewall/coordination";
+import { Failure, FailureCode, Logger } from "@gladewall/kernel";
+import { Err, Ok, type Result } from "ts-results-es";
+import { createKnownEndpoint } from "./knownEndpoints.js";
+import { createSpreadDraws, StepClock } from "./stepClock.js";
+
+/** Trouble of some instances; times are milliseconds from the start. */
+export interface PlayTrouble {
+  readonly at: number;
+  readonly forMs: number;
+}
+
+/** What is played. */
+export interface PermitPlay {
+  readonly seed: number;
+  readonly instances: number;
+  /** What the endpoint names from a time on; undefined: nothing. */
+  readonly named: readonly { readonly from: number; readonly perSecond: number | undefined }[];
+  /** Requests a second that would go to the endpoint, over the whole fleet. */
+  readonly wishedPerSecond: number;
+  readonly endsAt: number;
+  /** When the issuer is killed; it starts again after `restartMs`. */
+  readonly issuerKills?: readonly number[];
+  /** When the issuer stands still. */
+  readonly issuerPauses?: readonly PlayTrouble[];
+  /** When half of the others can't reach the issuer. */
+  readonly issuerCuts?: readonly PlayTrouble[];
+  /** When the issuer's messages take `slowMs`. */
+  readonly issuerSlow?: readonly PlayTrouble[];
+  /** Instances of a build that knows nothing of limits. */
+  readonly oldBuilds?: number;
+  /** Share of requests that are more urgent than the others. */
+  readonly urgentShare?: number;
+}
+
+/** What came of a play. */
+export interface PermitResult {
+  /** Most that arrived in a window, as a share of what is borne. */
+  readonly worst: number;
+  /** Arrivals of the last naming of the play, as a share of the limit. */
+  readonly givenOut: number;
+  /** The same of the more urgent requests. */
+  readonly urgentGivenOut: number;
+  /** Questions and words a second of the busiest instance. */
+  readonly messagesPerSecond: number;
+  /** Time from the end of the last word until every instance knew it; undefined where some do not. */
+  readonly freedAfterMs: number | undefined;
+}
+
+const windowMs = 4_000;
+const borneShare = 1.5;
+const borneRequests = 5;
+/** Time after a word from which arrivals are judged. */
+const judgedAfterMs = 1_000;
+const delayMs = 3;
+const slowMs = 120;
+const workMs = 40;
+/** Share of requests whose connection is slow to come up, and how slow at the most. */
+const slowConnects = 0.05;
+const slowConnectMs = 250;
+const restartMs = 700;
+const lostAfterMs = 2_500;
+const largestMesh = 10;
+const readerCount = 3;
+const stepMs = 5;
+const leftMs = 5_000;
+const urgentRank = 0;
+const usualRank = 3;
+const millisecondsPerSecond = 1_000;
+
+interface Arrival {
+  readonly at: number;
+  readonly isUrgent: boolean;
+}
+
+type Handler = (message: PeerMessage, peer: PeerIdentity) => unknown;
+
+/** One life of one instance. */
+class Member {
+  readonly endpoint: Endpoint = createKnownEndpoint({ id: "e" });
+  readonly handlers = new Map<number, Handler>();
+  readonly limits: EndpointLimits;
+  readonly permits: LimitPermits;
+  readonly identity: PeerIdentity;
+  pausedUntil = 0;
+  slowUntil = 0;
+  messages = 0;
+  private readonly upListeners: ((peer: PeerIdentity) => void)[] = [];
+
+  constructor(
+    readonly name: string,
+    private readonly fleet: PermitFleet,
+    readonly knowsLimits: boolean,
+  ) {
+    const { clock, draw } = fleet;
+    const logger = Logger.createSilent();
+    this.identity = { name, incarnation: clock.getTime() + 1 };
+    const memory = WordMemory.create(clock);
+    memory.keep(this.endpoint.life, this.endpoint.words);
+    const directory = { words: memory, getWords: () => this.endpoint.words };
+    const known = directory as Partial<EndpointDirectory> as EndpointDirectory;
+    this.limits = EndpointLimits.create({ clock, logger, directory: known });
+    const arbiters = Arbiters.create({
+      clock,
+      logger,
+      own: name,
+      getReaders: () => fleet.getReaders(),
+      isLinked: (peer) => fleet.isLinked(name, peer),
+      call: (peer, message, timeoutMs) => this.call(peer, message, timeoutMs),
+    });
+    this.permits = LimitPermits.create({
+      own: name,
+      clock,
+      logger,
+      metrics: { countPermit: () => undefined },
+      limits: this.limits,
+      issuer: LimitIssuer.create({ clock, logger, getRandom: draw }),
+      arbiters,
+      isAble: (peer) => links.isAble(peer),
+      getFleetSize: () => fleet.play.instances,
+    });
+    const links = LimitLinks.create({
+      fleet: this.createFleet(),
+      directory: known,
+      limits: this.limits,
+      decide: (ask, asker) => this.permits.decide(ask, asker),
+    });
+    if (!knowsLimits) this.handlers.clear();
+  }
+
+  /** The fleet as words see it. */
+  private createFleet() {
+    const { fleet, name } = this;
+    const links = {
+      setHandler: (kind: number, handler: Handler) => void this.handlers.set(kind, handler),
+      onUp: (listener: (peer: PeerIdentity) => void) => void this.upListeners.push(listener),
+      send: (peer: string, message: PeerMessage) => this.send(peer, message),
+      broadcast: (message: PeerMessage, except?: string) => {
+        for (const peer of fleet.getLinked(name)) if (peer !== except) this.send(peer, message);
+      },
+    };
+    return {
+      links: links as Partial<PeerLinks> as PeerLinks,
+      get isCollector(): boolean {
+        return fleet.isMesh || fleet.getReaders().includes(name);
+      },
+      get isMesh(): boolean {
+        return fleet.isMesh;
+      },
+      getLinkedReaders: () => fleet.getReaders().filter((peer) => fleet.isLinked(name, peer)),
+    };
+  }
+
+  handleUp(peer: PeerIdentity): void {
+    if (this.knowsLimits) for (const listener of this.upListeners) listener(peer);
+  }
+
+  private send(peer: string, message: PeerMessage): boolean {
+    this.messages += 1;
+    const copy = structuredClone(message);
+    this.fleet.send(this, peer, (member) => void member.handlers.get(copy.kind)?.(copy, this.identity));
+    return true;
+  }
+
+  private call(peer: string, message: PeerMessage, timeoutMs: number): Promise<Result<unknown, Failure>> {
+    const { fleet } = this;
+    this.messages += 1;
+    return new Promise((resolve) => {
+      const fail = (): void => resolve(Err(Failure.create(FailureCode.PeerUnreachable, { peer })));
+      const timer = fleet.clock.startTimer(timeoutMs, fail);
+      fleet.send(this, peer, (member) => {
+        const handler = member.handlers.get(message.kind);
+        if (!handler) return;
+        member.messages += 1;
+        const answer = handler(structuredClone(message), this.identity);
+        fleet.send(member, this.name, () => {
+          timer.cancel();
+          resolve(Ok(answer));
+        });
+      });
+    });
+  }
+}
+
+/** All instances, the endpoint, and the clock that they share. */
+class PermitFleet {
+  readonly draw: () => number;
+  readonly clock = new StepClock();
+  private readonly members = new Map<string, Member>();
+  private readonly names: readonly string[];
+  private readonly arrivals: Arrival[] = [];
+  /** Since when an instance that stands still or is cut off has said nothing, by `from to`. */
+  private readonly silentSince = new Map<string, number>();
+  private readonly cutUntil = new Map<string, number>();
+  private requests = 0;
+
+  constructor(readonly play: PermitPlay) {
+    this.draw = createSpreadDraws(play.seed);
+    this.names = Array.from({ length: play.instances }, (_, index) => `i${index}`);
+    for (const name of this.names) this.start(name);
+    for (const name of this.names) this.link(name);
+  }
+
+  get isMesh(): boolean {
+    return this.play.instances <= largestMesh;
+  }
+
+  /** So many that live, and those before them that don't and are still listed. */
+  getReaders(): readonly string[] {
+    const alive = this.names.filter((name) => this.members.has(name)).slice(0, readerCount);
+    return this.names.slice(0, this.names.indexOf(alive.at(-1) ?? "") + 1);
+  }
+
+  getLinked(name: string): readonly string[] {
+    return this.names.filter((peer) => peer !== name && this.isLinked(name, peer));
+  }
+
+  isLinked(name: string, peer: string): boolean {
+    if (!this.members.has(name) || !this.members.has(peer)) return false;
+    const since = Math.min(this.findSilence(name, peer), this.findSilence(peer, name));
+    if (this.clock.getTime() - since > lostAfterMs) return false;
+    return this.isMesh || this.getReaders().includes(name) || this.getReaders().includes(peer);
+  }
+
+  private findSilence(name: string, peer: string): number {
+    return this.silentSince.get(`${name} ${peer}`) ?? this.silentSince.get(name) ?? Infinity;
+  }
+
+  private isCut(name: string, peer: string): boolean {
+    return (this.cutUntil.get(`${name} ${peer}`) ?? 0) > this.clock.getTime();
+  }
+
+  /** Delivers a message when it has arrived and its receiver does not stand still. */
+  send(from: Member, name: string, take: (member: Member) => void): void {
+    const time = this.clock.getTime();
+    const isSlow = from.slowUntil > time || (this.members.get(name)?.slowUntil ?? 0) > time;
+    const deliver = (): void => {
+      const member = this.members.get(name);
+      if (!member || this.isCut(from.name, name) || this.isCut(name, from.name)) return;
+      const wait = member.pausedUntil - this.clock.getTime();
+      if (wait > 0) this.clock.startTimer(wait, deliver);
+      else take(member);
+    };
+    this.clock.startTimer(isSlow ? slowMs : delayMs, deliver);
+  }
+
+  /** Plays to the end. */
+  async run(): Promise<PermitResult> {
+    const { clock, play } = this;
+    this.planTroubles();
+    const lastNamed = play.named.findLast(({ perSecond }) => perSecond !== undefined)!;
+    const freedFrom = play.named.find(
+      ({ from, perSecond }) => from > lastNamed.from && perSecond === undefined,
+    );
+    let freedAt: number | undefined;
+    for (
+      let due = 0;
+      clock.getTime() < play.endsAt;
+      due += (play.wishedPerSecond * stepMs) / millisecondsPerSecond
+    ) {
+      await clock.advance(stepMs);
+      for (; due >= 1; due--) this.request();
+      const isFree = ({ endpoint, knowsLimits }: Member): boolean =>
+        !knowsLimits || endpoint.words.limit.perSecond === undefined;
+      if (freedFrom === undefined || clock.getTime() < freedFrom.from) continue;
+      if ([...this.members.values()].every(isFree)) freedAt ??= clock.getTime();
+    }
+    const messages = Math.max(...[...this.members.values()].map((member) => member.messages));
+    const until = freedFrom?.from ?? play.endsAt;
+    return {
+      worst: this.getWorst(),
+      givenOut: this.getGivenOut(lastNamed, until, () => true),
+      urgentGivenOut: this.getGivenOut(lastNamed, until, ({ isUrgent }) => isUrgent),
+      messagesPerSecond: (messages / play.endsAt) * millisecondsPerSecond,
+      freedAfterMs: freedAt === undefined ? undefined : freedAt - freedFrom!.from,
+    };
+  }
+
+  private getGivenOut(
+    { from, perSecond }: PermitPlay["named"][number],
+    until: number,
+    isMeant: (arrival: Arrival) => boolean,
+  ): number {
+    const judged = this.arrivals.filter(
+      (one) => one.at >= from + judgedAfterMs && one.at < until && isMeant(one),
+    );
+    return judged.length / ((perSecond! * (until - from - judgedAfterMs)) / millisecondsPerSecond);
+  }
+
+  private getWorst(): number {
+    const { named, endsAt } = this.play;
+    const worst = named.map(({ from, perSecond }, index) => {
+      const until = named[index + 1]?.from ?? endsAt;
+      return perSecond === undefined ? 0 : this.getWorstWindow(perSecond, from + judgedAfterMs, until);
+    });
+    return Math.max(...worst);
+  }
+
+  private getWorstWindow(perSecond: number, from: number, until: number): number {
+    const times = this.arrivals.map(({ at }) => at).filter((at) => at >= from && at < until);
+    times.sort((one, other) => one - other);
+    let most = 0;
+    let first = 0;
+    for (let last = 0; last < times.length; last++) {
+      while (times[first]! <= times[last]! - windowMs) first += 1;
+      most = Math.max(most, last - first + 1);
+    }
+    return most / Math.floor((borneShare * perSecond * windowMs) / millisecondsPerSecond + borneRequests);
+  }
+
+  private start(name: string): void {
+    const isOld = this.names.indexOf(name) < (this.play.oldBuilds ?? 0);
+    this.members.set(name, new Member(name, this, !isOld));
+  }
+
+  private link(name: string): void {
+    const member = this.members.get(name)!;
+    for (const peer of this.getLinked(name)) {
+      member.handleUp(this.members.get(peer)!.identity);
+      this.members.get(peer)!.handleUp(member.identity);
+    }
+  }
+
+  private findIssuer(): Member {
+    const told = [...this.members.values()].find(({ knowsLimits }) => knowsLimits)!;
+    const known = this.getReaders().flatMap((name) => this.members.get(name) ?? []);
+    const asked = known.filter(({ handlers }) => handlers.has(LimitMessageKind.Ask));
+    return asked.reduce((best, one) => (one.messages > best.messages ? one : best), asked[0] ?? told);
+  }
+
+  private planTroubles(): void {
+    const { issuerKills = [], issuerPauses = [], issuerCuts = [], issuerSlow = [] } = this.play;
+    const plan = (at: number, act: () => void): void => void this.clock.startTimer(at, act);
+    for (const at of issuerKills) plan(at, () => this.kill(this.findIssuer().name));
+    for (const { at, forMs } of issuerPauses) plan(at, () => this.pause(this.findIssuer(), forMs));
+    for (const { at, forMs } of issuerCuts) plan(at, () => this.cut(this.findIssuer().name, forMs));
+    for (const { at, forMs } of issuerSlow) {
+      plan(at, () => (this.findIssuer().slowUntil = this.clock.getTime() + forMs));
+    }
+  }
+
+  private kill(name: string): void {
+    this.members.delete(name);
+    this.clock.startTimer(restartMs, () => {
+      this.start(name);
+      this.link(name);
+    });
+  }
+
+  private pause(member: Member, forMs: number): void {
+    member.pausedUntil = this.clock.getTime() + forMs;
+    this.silentSince.set(member.name, this.clock.getTime());
+    this.clock.startTimer(forMs, () => {
+      this.silentSince.delete(member.name);
+      if (this.members.get(member.name) === member) this.link(member.name);
+    });
+  }
+
+  private cut(issuer: string, forMs: number): void {
+    for (const name of this.names.filter((_, index) => index % 2 === 0)) {
+      const key = `${name} ${issuer}`;
+      this.cutUntil.set(key, this.clock.getTime() + forMs);
+      this.silentSince.set(key, this.clock.getTime());
+      this.clock.startTimer(forMs, () => void this.silentSince.delete(key));
+    }
+  }
+
+  /** One request comes to an instance, which sends it to the endpoint where it may. */
+  private request(): void {
+    const alive = [...this.members.values()].filter(({ pausedUntil }) => pausedUntil <= this.clock.getTime());
+    const member = alive[Math.floor(this.draw() * alive.length)];
+    if (!member) return;
+    const isUrgent = this.draw() < (this.play.urgentShare ?? 0);
+    const rank = isUrgent ? urgentRank : usualRank;
+    if (!member.knowsLimits) return;
+    if (!member.endpoint.takesWork(this.clock.getTime(), rank)) return;
+    void this.sendOne(member, { id: `r${(this.requests += 1)}`, rank, leftMs }, isUrgent);
+  }
+
+  private async sendOne(member: Member, request: PermitRequest, isUrgent: boolean): Promise<void> {
+    const { clock } = this;
+    const { endpoint, permits } = member;
+    const isPermitted = permits.isFree(endpoint) || (await permits.take(endpoint, request));
+    if (!isPermitted || !endpoint.isOpen(clock.getTime())) return;
+    const sentAt = clock.getTime();
+    const round = endpoint.words.beginTry();
+    const connectMs = this.draw() < slowConnects ? this.draw() * slowConnectMs : 0;
+    clock.startTimer(delayMs + connectMs, () => {
+      this.arrivals.push({ at: clock.getTime(), isUrgent });
+      const perSecond = this.getNamed();
+      clock.startTimer(workMs + delayMs, () => {
+        if (this.members.get(member.name) !== member) return;
+        endpoint.words.endTry(round, true);
+        const limit = perSecond === undefined ? undefined : { perSecond };
+        member.limits.takeAnswer(endpoint, limit, { requestId: request.id, status: 200, sentAt });
+      });
+    });
+  }
+
+  private getNamed(): number | undefined {
+    const time = this.clock.getTime();
+    return this.play.named.findLast(({ from }) => from <= time)?.perSecond;
+  }
+}
+
+/** Plays a fleet. */
+export function playPermitFleet(play: PermitPlay): Promise<PermitResult> {
+  return new PermitFleet(play).run();
+}
--- /dev/null
+++ b/packages/gateway/test/stepClock.ts
@@ -0,0 +1,48 @@
+/**
+ * A virtual clock and draws for plays of large fleets.
+ * @module
+ */
+import type { Clock, Timer } from "@gladewall/kernel";
+import { createDraws } from "@gladewall/standins";
+
+/** Returns draws that differ from the first one on, also between seeds that are near each other. */
+export function createSpreadDraws(seed: number): () => number {
+  return createDraws((seed * 2_654_435_761) >>> 0);
+}
+
+/** A clock that moves in milliseconds and lets promises settle once in each; cheap enough for hundreds of instances. */
+export class StepClock implements Clock {
+  private time = 0;
+  private readonly timers = new Map<number, Set<() => void>>();
+
+  getTime(): number {
+    return this.time;
+  }
+
+  getBootTime(): number {
+    return this.time;
+  }
+
+  getWallTime(): number {
+    return this.time;
+  }
+
+  startTimer(delay: number, callback: () => void): Timer {
+    const due = Math.max(this.time + 1, Math.round(this.time + delay));
+    const callbacks = this.timers.get(due) ?? new Set();
+    this.timers.set(due, callbacks);
+    callbacks.add(callback);
+    return { cancel: () => void callbacks.delete(callback) };
+  }
+
+  async advance(duration: number): Promise<void> {
+    for (const end = this.time + duration; this.time < end;) {
+      this.time += 1;
+      const callbacks = this.timers.get(this.time);
+      if (!callbacks) continue;
+      for (const callback of callbacks) callback();
+      this.timers.delete(this.time);
+      await new Promise((resolve) => setImmediate(resolve));
+    }
+  }
+}
--- a/packages/standins/src/gatewayPlatform.ts
+++ b/packages/standins/src/gatewayPlatform.ts
@@ -11,6 +11,7 @@
   type CallerHead,
   type CapacityOrder,
   type DispatchHead,
+  type NamedLimit,
   type OrderSender,
   type OrderService,
   OrderWord,
@@ -265,7 +266,8 @@
 function readAnswer(requestId: string, status: number, headers: IncomingHttpHeaders): AnswerHead {
   const word = readWord(requestId, status, headers);
   const isOwn = word === AnswerWord.Ran || word === AnswerWord.NotRun;
-  return { word, load: undefined, notice: isOwn ? readNotice(headers) : undefined };
+  if (!isOwn) return { word, load: undefined, notice: undefined };
+  return { word, load: undefined, notice: readNotice(headers), limit: readLimit(headers) };
 }
 
 function readWord(requestId: string, status: number, headers: IncomingHttpHeaders): AnswerWord {
@@ -276,6 +278,10 @@
   return isUnsigned ? AnswerWord.Foreign : AnswerWord.Ran;
 }
 
+function readLimit({ "x-limit": limit }: IncomingHttpHeaders): NamedLimit | undefined {
+  return limit === undefined ? undefined : { perSecond: Number(limit) };
+}
+
 function readNotice(headers: IncomingHttpHeaders): EndpointNotice | undefined {
   const isLeaving = headers["x-leaving"] === "1";
   const holdOff = headers["x-hold-off"];
