Decide repeats of a service by one arbiter, but for a few that each instance takes untold

Where endpoints end under many requests at once, every instance took all that the budget seemed to have left, as it hears of the others' repeats a quarter of a second later: the same class as limits that endpoints name. Seen by no rule or report so far; found by looking for the same cause elsewhere. Builds that do not know the question are not asked; beside them all is as before.

--- a/packages/gateway/src/admission.ts
+++ b/packages/gateway/src/admission.ts
@@ -164,7 +164,8 @@
     const { known, room } = this.getQuotaState(workspace);
     // Only short requests fit into the part: beside a spent limit they would take what long ones wait for.
     if (known + cost > room * uncheckedShare) return false;
-    if (counters.getUntold(workspace.name) + cost > untold / (getFleetSize?.() ?? 1)) return false;
+    if (counters.getUntold(CounterKind.Quota, workspace.name) + cost > untold / (getFleetSize?.() ?? 1))
+      return false;
     this.addQuota(workspace, cost);
     return true;
   }
@@ -182,7 +183,7 @@
     const share = this.prepareLimit(workspace);
     const room = this.getRoom(workspace, share, use) - this.getTakeoverMargin(workspace);
     const early = { peer: peer.name, life: getLife(peer), uptime, name, total };
-    const word = counters.takeTotal(early, (cost) => {
+    const word = counters.takeTotal(CounterKind.Quota, early, (cost) => {
       const level = counters.getSum(CounterKind.Quota, name);
       const needed = this.getNeeded(workspace, cost, room);
       return workspace.ratePerSecond <= 0 || getExcess({ workspace, cost, needed, level, room, share }) <= 0;
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -65,6 +65,8 @@
   private knownSubject: CrashSubject | undefined;
   private firstEventMs: number | undefined;
   private permitRefusals = 0;
+  /** Repeats that the budget has given. */
+  private repeats = 0;
   private isCounted = false;
   private isOver = false;
   private timer: Timer | undefined;
@@ -143,6 +145,11 @@
       return Next.GiveUp;
     }
     if (this.isOver) return Next.Done;
+    if (this.isRepeatDue && !(await this.tryRepeat())) {
+      this.log("retry.refused", { service: service.name, cause: "budget" });
+      return Next.GiveUp;
+    }
+    if (this.isOver) return Next.Done;
     const placement = await this.choose();
     const next = placement.isOk()
       ? await this.tryPermitted(placement.value)
@@ -213,10 +220,6 @@
     const { service } = this.request;
     if (this.isOver) return Next.Done;
     if (this.getTimeLeft() < leastAttemptMs) return Next.GiveUp;
-    if (this.history.arrivals > 0 && !this.parts.budget.tryTake(service.name)) {
-      this.log("retry.refused", { service: service.name, cause: "budget" });
-      return Next.GiveUp;
-    }
     const { endpoint } = placement;
     this.excluded.add(endpoint.life);
     this.placement = placement;
@@ -237,6 +240,18 @@
     return next;
   }
 
+  /** Whether the next sending is a repeat that the budget has not been asked for. */
+  private get isRepeatDue(): boolean {
+    return this.history.arrivals > this.repeats;
+  }
+
+  /** Takes one repeat of the budget that all instances share; false where it is spent. */
+  private async tryRepeat(): Promise<boolean> {
+    const isTaken = await this.parts.budget.take(this.request.service.name, this.getTimeLeft());
+    if (isTaken) this.repeats += 1;
+    return isTaken;
+  }
+
   /** Whether all runs that were charged may have been. */
   private get isChargeDue(): boolean {
     const { charge } = this.request;
--- a/packages/gateway/src/gatewayParts.ts
+++ b/packages/gateway/src/gatewayParts.ts
@@ -30,6 +30,7 @@
 import type { Suspects } from "./suspects.js";
 import { QuotaCharges } from "./quotaCharges.js";
 import { RetryBudget } from "./retryBudget.js";
+import { RetryLinks } from "./retryLinks.js";
 import { CounterKind, SharedCounters } from "./sharedCounters.js";
 import { TrueTime } from "./trueTime.js";
 import type { PlatformAdapter } from "./types.js";
@@ -137,7 +138,8 @@
   });
   const metrics = GatewayMetrics.create(settings.listen.metrics);
   const crashes: Crashes = createCrashes(views, members, metrics);
-  const { limits, permits } = createLimits(views, members, metrics);
+  const { limits, permits, links } = createLimits(views, members, metrics);
+  const budget = createBudget(views, members, links);
   const vouching: Vouching = Vouching.create(members.links, follower, Math.random);
   return {
     settings,
@@ -171,7 +173,7 @@
       getPeerWork: (endpoint) => members.getPeerWork(endpoint),
       getRandom: Math.random,
     }),
-    budget: RetryBudget.create({ counters, ratio: retries.ratio, slack: retries.slack, getKnownShare }),
+    budget,
     demand: views.demand,
     counters,
     metrics,
@@ -325,11 +327,32 @@
   });
 }
 
+function createBudget(
+  { settings, counters }: GatewayViews,
+  members: Members,
+  links: LimitLinks,
+): RetryBudget {
+  const { instance, retries } = settings;
+  const budget = RetryBudget.create({
+    counters,
+    ratio: retries.ratio,
+    slack: retries.slack,
+    getKnownShare: () => members.getKnownShare(),
+    own: instance.name,
+    arbiters: members.arbiters,
+    // Whoever knows limits of endpoints decides on repeats too.
+    isAble: (name) => links.isAble(name),
+    getFleetSize: () => members.getFleetSize(),
+  });
+  RetryLinks.create(members, (peer, ask) => budget.answerAsk(peer, ask));
+  return budget;
+}
+
 function createLimits(
   { settings, clock, logger, directory }: GatewayViews,
   members: Members,
   metrics: GatewayMetrics,
-): Pick<GatewayParts, "limits" | "permits"> {
+): Pick<GatewayParts, "limits" | "permits"> & { readonly links: LimitLinks } {
   const limits = EndpointLimits.create({ clock, logger, directory });
   const permits: LimitPermits = LimitPermits.create({
     own: settings.instance.name,
@@ -342,13 +365,13 @@
     isAble: (name) => links.isAble(name),
     getFleetSize: () => members.getFleetSize(),
   });
-  const links = LimitLinks.create({
+  const links: LimitLinks = LimitLinks.create({
     fleet: members,
     directory,
     limits,
     decide: (ask, asker) => permits.decide(ask, asker),
   });
-  return { limits, permits };
+  return { limits, permits, links };
 }
 
 function createAdmission(
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -69,6 +69,8 @@
 export { parseNamedLimit } from "./namedLimit.js";
 export { longestRetryAfterMs, parseRetryAfter } from "./retryAfter.js";
 export { RetryBudget } from "./retryBudget.js";
+export { type RetryAnswer, type RetryAsk, RetryLinks } from "./retryLinks.js";
+export type { WordFleet } from "./fleetWords.js";
 export { drawTarget, RouteTable } from "./routeTable.js";
 export { CounterKind, type CounterTotals, SharedCounters } from "./sharedCounters.js";
 export { SilentPeers } from "./silentPeers.js";
--- a/packages/gateway/src/quotaCharges.ts
+++ b/packages/gateway/src/quotaCharges.ts
@@ -9,7 +9,7 @@
 import type { Arbiters } from "./arbiters.js";
 import { type GatewayMetrics, QuotaEvent } from "./gatewayMetrics.js";
 import { createQuotaQuestion, QuotaUse, QuotaWord } from "./memberMessages.js";
-import type { SharedCounters } from "./sharedCounters.js";
+import { CounterKind, type SharedCounters } from "./sharedCounters.js";
 import type { Workspace } from "./types.js";
 
 /** Options of the charges. */
@@ -120,7 +120,7 @@
     const { request, workspace, units } = charge;
     const { name } = workspace;
     admission.addQuota(workspace, units);
-    const total = counters.getOwnTotal(name);
+    const total = counters.getOwnTotal(CounterKind.Quota, name);
     const uptime = Math.round(counters.getUptime());
     const answer = await arbiters.ask(createQuotaQuestion({ workspace: name, total, uptime, use }), waitMs);
     const word = answer.isOk() ? answer.value.word : QuotaWord.Unknown;
--- a/packages/gateway/src/retryBudget.ts
+++ b/packages/gateway/src/retryBudget.ts
@@ -1,7 +1,13 @@
 /**
- * The budget of arrivals past the first of each request, shared by all instances.
+ * The budget of arrivals past the first of each request, shared by all instances: a few are taken untold, the others are
+ * decided by one arbiter for each service.
  * @module
  */
+import type { PeerIdentity } from "@gladewall/coordination";
+import { getLife } from "@gladewall/coordination";
+import type { Arbiters } from "./arbiters.js";
+import { QuotaWord } from "./memberMessages.js";
+import { createRetryQuestion, type RetryAnswer, type RetryAsk } from "./retryLinks.js";
 import { CounterKind, type SharedCounters } from "./sharedCounters.js";
 
 /** Options of the budget. */
@@ -13,10 +19,22 @@
   readonly slack: number;
   /** Returns the share of the fleet whose counts are known. */
   readonly getKnownShare: () => number;
+  /** Who decides for the fleet; left out where there is one instance only. */
+  readonly arbiters?: Pick<Arbiters, "find" | "ask">;
+  /** Whether an instance decides on repeats. */
+  readonly isAble?: (name: string) => boolean;
+  /** Name of this instance. */
+  readonly own?: string;
+  /** Returns the number of instances; one where it is left out. */
+  readonly getFleetSize?: () => number;
 }
 
-/** Share of the budget that is given out; the rest covers the delay between instances. */
+/** Share of the budget that is given out; of the rest, a part is taken untold, and a part covers a change of arbiter. */
 const usedShare = 0.7;
+const untoldShare = 0.15;
+/** Of the time that a request has left, an arbiter is waited for this share at most, and no longer than `longestWaitMs`. */
+const waitedShare = 0.1;
+const longestWaitMs = 100;
 
 /** Gives repeats out. */
 export class RetryBudget {
@@ -31,12 +49,60 @@
     this.options.counters.add(CounterKind.Requests, service, 1);
   }
 
-  /** Takes one repeat; false where the budget is spent. */
+  /** Takes one repeat by what is known here; false where the budget is spent. */
   tryTake(service: string): boolean {
-    const { counters, ratio, slack, getKnownShare } = this.options;
-    const allowed = (ratio * counters.getSum(CounterKind.Requests, service) + slack) * usedShare;
-    if (counters.getSum(CounterKind.Repeats, service) + 1 > allowed * getKnownShare()) return false;
-    counters.add(CounterKind.Repeats, service, 1);
+    if (!this.hasRoom(service, 1)) return false;
+    this.options.counters.add(CounterKind.Repeats, service, 1);
     return true;
   }
+
+  /**
+   * Takes one repeat of a request that has so much time left; false where the budget is spent. By what each knows alone, eight
+   * instances took 306 repeats at once where 120 are borne.
+   */
+  async take(service: string, leftMs: number): Promise<boolean> {
+    const { arbiters, isAble, own, counters } = this.options;
+    const arbiter = arbiters?.find(service, isAble);
+    const isUntold = counters.getUntold(CounterKind.Repeats, service) + 1 <= this.getUntoldPart(service);
+    if (!arbiters || arbiter === undefined || arbiter === own || isUntold) return this.tryTake(service);
+    if (!this.hasRoom(service, 1)) return false;
+    counters.add(CounterKind.Repeats, service, 1);
+    const total = counters.getOwnTotal(CounterKind.Repeats, service);
+    const question = createRetryQuestion(
+      { service, total, uptime: Math.round(counters.getUptime()) },
+      isAble,
+    );
+    const answer = await arbiters.ask(question, Math.min(longestWaitMs, leftMs * waitedShare));
+    if (answer.isOk() && answer.value.word === QuotaWord.Granted) {
+      counters.confirm(CounterKind.Repeats, service, total);
+      return true;
+    }
+    counters.add(CounterKind.Repeats, service, -1);
+    return false;
+  }
+
+  /** Decides as the arbiter of a service on what a peer has taken in all. */
+  answerAsk(peer: PeerIdentity, { service, total, uptime }: RetryAsk): RetryAnswer {
+    const early = { peer: peer.name, life: getLife(peer), uptime, name: service, total };
+    const { counters } = this.options;
+    return {
+      word: counters.takeTotal(CounterKind.Repeats, early, (amount) => this.hasRoom(service, amount)),
+    };
+  }
+
+  private hasRoom(service: string, amount: number): boolean {
+    const { counters, getKnownShare } = this.options;
+    const allowed = this.getBorne(service) * usedShare * getKnownShare();
+    return counters.getSum(CounterKind.Repeats, service) + amount <= allowed;
+  }
+
+  /** Repeats that this instance may have taken without anybody having been told. */
+  private getUntoldPart(service: string): number {
+    return (this.getBorne(service) * untoldShare) / (this.options.getFleetSize?.() ?? 1);
+  }
+
+  private getBorne(service: string): number {
+    const { counters, ratio, slack } = this.options;
+    return ratio * counters.getSum(CounterKind.Requests, service) + slack;
+  }
 }
--- a/packages/gateway/src/sharedCounters.ts
+++ b/packages/gateway/src/sharedCounters.ts
@@ -55,7 +55,7 @@
   readonly heardAt: number;
 }
 
-/** A peer's new total of one limit, told ahead of its report. */
+/** A peer's new total of one count, told ahead of its report. */
 export interface EarlyTotal {
   readonly peer: string;
   readonly life: string;
@@ -126,26 +126,33 @@
     this.add(CounterKind.Quota, name, -Math.min(amount, lowest));
   }
 
-  /** Units of a limit that this life has taken. */
-  getOwnTotal(name: string): number {
-    return this.own[createKey(CounterKind.Quota, name)] ?? 0;
+  /** What this life has counted in all. */
+  getOwnTotal(kind: CounterKind, name: string): number {
+    return this.own[createKey(kind, name)] ?? 0;
   }
 
-  /** Units of a limit that were taken here and that nobody else is known to have counted. */
-  getUntold(name: string): number {
-    return Math.max(0, this.getOwnTotal(name) - (this.confirmed[createKey(CounterKind.Quota, name)] ?? 0));
+  /** What was counted here and nobody else is known to have counted. */
+  getUntold(kind: CounterKind, name: string): number {
+    return Math.max(0, this.getOwnTotal(kind, name) - (this.confirmed[createKey(kind, name)] ?? 0));
+  }
+
+  /** Takes note that another has counted this life's total. */
+  confirm(kind: CounterKind, name: string, total: number): void {
+    const key = createKey(kind, name);
+    this.confirmed[key] = Math.max(this.confirmed[key] ?? 0, total);
   }
 
   /** Takes the level of a limit as another instance counts it, which includes this life's total up to `told`. */
   takeLevel(name: string, level: number, told: number, isCounted: boolean): void {
     const key = createKey(CounterKind.Quota, name);
-    if (isCounted) this.confirmed[key] = Math.max(this.confirmed[key] ?? 0, told);
-    const since = Math.max(0, this.getOwnTotal(name) - told);
+    if (isCounted) this.confirm(CounterKind.Quota, name, told);
+    const since = Math.max(0, this.getOwnTotal(CounterKind.Quota, name) - told);
     this.getBucket(key).set(this.options.clock.getTime(), level + since);
   }
 
-  /** Counts a peer's new total of a limit, where `mayTake` allows what it adds. */
+  /** Counts a peer's new total, where `mayTake` allows what it adds. */
   takeTotal(
+    kind: CounterKind.Quota | CounterKind.Repeats,
     { peer, life, uptime, name, total }: EarlyTotal,
     mayTake: (amount: number) => boolean,
   ): QuotaWord {
@@ -153,12 +160,12 @@
     const known = this.peers.get(peer);
     const isSameLife = known?.life === life;
     if (!isSameLife && uptime >= this.longestWindow) return QuotaWord.Unknown;
-    const key = createKey(CounterKind.Quota, name);
+    const key = createKey(kind, name);
     const before: CounterTotals = isSameLife ? known.totals : {};
     const amount = total - (before[key] ?? 0);
     if (amount <= 0) return QuotaWord.Granted;
     if (!mayTake(amount)) return QuotaWord.Refused;
-    this.addToTotal(CounterKind.Quota, key, time, amount);
+    this.addToTotal(kind, key, time, amount);
     const heardAt = isSameLife ? known.heardAt : time;
     this.peers.set(peer, { life, totals: { ...before, [key]: total }, heardAt });
     return QuotaWord.Granted;
