--- a/packages/gateway/src/gatewayParts.ts
+++ b/packages/gateway/src/gatewayParts.ts
@@ -124,7 +124,7 @@
     },
   );
   const { time, follower, directory, usage, counters, rates } = views;
-  const { retries, endpoints } = settings;
+  const { endpoints } = settings;
   const reporter: UsageReporter = createReporter(views, (key) => members.items.get(key));
   const getKnownShare = (): number => members.getKnownShare();
   const admission: Admission = createAdmission(views, getKnownShare, () => members.getFleetSize());
