--- a/packages/gateway/src/arbiters.ts
+++ b/packages/gateway/src/arbiters.ts
@@ -123,7 +123,7 @@
     if (readers.length === 0) return own;
     const canDecide = (name: string): boolean =>
       name === own || (isLinked(name) && isAble(name) && this.getState(name).passedOverUntil <= time);
-    return rankReaders(subject, readers).find(canDecide);
+    return sortReaders(subject, readers).find(canDecide);
   }
 
   /**
@@ -133,7 +133,7 @@
   countBefore(subject: string, isAble: (name: string) => boolean): number {
     const { own, getReaders, isLinked } = this.options;
     const mayDecide = (name: string): boolean => name === own || isAble(name) || !isLinked(name);
-    const ranked = rankReaders(subject, getReaders().filter(mayDecide));
+    const ranked = sortReaders(subject, getReaders().filter(mayDecide));
     const place = ranked.indexOf(own);
     return place < 0 ? ranked.length : place;
   }
@@ -176,6 +176,6 @@
   return Math.min(mostPatienceMs, Math.max(leastPatienceMs, patienceMs));
 }
 
-function rankReaders(subject: string, readers: readonly string[]): readonly string[] {
+function sortReaders(subject: string, readers: readonly string[]): readonly string[] {
   return sortByRendezvous(subject, readers, (name) => name);
 }
--- a/packages/gateway/src/limitLinks.ts
+++ b/packages/gateway/src/limitLinks.ts
@@ -41,7 +41,7 @@
     this.words = FleetWords.create(fleet);
     fleet.links.setHandler(LimitMessageKind.Words, (message, peer) => this.take(message, peer));
     fleet.links.setHandler(LimitMessageKind.Ask, (message, peer) => this.answer(message as PermitAsk, peer));
-    fleet.links.onUp((peer) => this.greet(peer));
+    fleet.links.onUp((peer) => this.tellNewcomer(peer));
     limits.onHeard((life) => this.words.tell(createMessage([limits.get(life)])));
   }
 
@@ -70,7 +70,7 @@
   }
 
   /** Told also where there is nothing to tell: the peer then knows that permits are given out here. */
-  private greet({ name, incarnation }: PeerIdentity): void {
+  private tellNewcomer({ name, incarnation }: PeerIdentity): void {
     if (this.able.get(name) !== incarnation) this.able.delete(name);
     const { limits, directory, fleet } = this.options;
     const told = directory.words.getLimited(mostTold).map((life) => limits.get(life));
--- a/packages/gateway/src/retryBudget.ts
+++ b/packages/gateway/src/retryBudget.ts
@@ -32,6 +32,8 @@
 /** Share of the budget that is given out; of the rest, a part is taken untold, and a part covers a change of arbiter. */
 const usedShare = 0.7;
 const untoldShare = 0.15;
+/** Share of the budget up to which repeats are taken while the arbiter does not answer. */
+const unansweredShare = 0.2;
 /** Of the time that a request has left, an arbiter is waited for this share at most, and no longer than `longestWaitMs`. */
 const waitedShare = 0.1;
 const longestWaitMs = 100;
@@ -77,6 +79,8 @@
       counters.confirm(CounterKind.Repeats, service, total);
       return true;
     }
+    // Without a clear answer others may have taken the rest: only while little of the budget is taken it is enough.
+    if (answer.isErr() && this.hasRoom(service, 0, unansweredShare)) return true;
     counters.add(CounterKind.Repeats, service, -1);
     return false;
   }
@@ -90,9 +94,9 @@
     };
   }
 
-  private hasRoom(service: string, amount: number): boolean {
+  private hasRoom(service: string, amount: number, share = usedShare): boolean {
     const { counters, getKnownShare } = this.options;
-    const allowed = this.getBorne(service) * usedShare * getKnownShare();
+    const allowed = this.getBorne(service) * share * getKnownShare();
     return counters.getSum(CounterKind.Repeats, service) + amount <= allowed;
   }
 
