--- a/packages/gateway/src/limitPermits.ts
+++ b/packages/gateway/src/limitPermits.ts
@@ -72,6 +72,8 @@
 /** Fleets in which each instance may have one request saved up: what is borne beside the share is so many for the limit, and five. */
 const aloneFleetPerLimit = 4;
 const aloneFleetLeast = 5;
+/** Lives of which such a use is remembered; a share that is forgotten begins with nothing in hand. */
+const mostLives = 2_048;
 
 /** Permits at hand. */
 export class LimitPermits {
@@ -145,6 +147,7 @@
     const none = { source: PermitSource.Alone, word: PermitWord.Refused, permits: 0 };
     if (fleet > aloneFleetPerLimit * perSecond + aloneFleetLeast) return { ...none, waitMs: silentMs };
     const bucket = this.alone.get(life) ?? createSpentBucket(time);
+    if (this.alone.size >= mostLives) this.alone.clear();
     this.alone.set(life, bucket);
     bucket.setRate(time, (perSecond * aloneShare) / fleet);
     const missing = bucket.getSum(time);
