End a limit only with an answer that served a request

A refusal or a failure of an endpoint in need that does not repeat the word would have ended it for every instance: one request of each would have gone there before the word was heard again. Stand-ins: the test failed on the code before with a refusal without the word.

--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -321,8 +321,9 @@
     if (load) endpoint.noteLoad(load, clock.getTime());
     if (word === AnswerWord.Ran && !notice?.isLeaving) endpoint.noteServed(clock.getTime());
     if (notice) directory.takeNotice(endpoint, notice, source);
-    const isOwn = word === AnswerWord.Ran || word === AnswerWord.NotRun;
-    if (isOwn) limits.takeAnswer(endpoint, limit, source);
+    // A refusal or a failure without the word says nothing of its end: the endpoint may be in need all the same.
+    const isServed = word === AnswerWord.Ran && source.status < firstServerError;
+    if (limit !== undefined || isServed) limits.takeAnswer(endpoint, limit, source);
   }
 
   private async handleNoAnswer(endpoint: Endpoint, result: AttemptResult, beganAt: number): Promise<Next> {
--- a/packages/gateway/test/endpointLimits.test.ts
+++ b/packages/gateway/test/endpointLimits.test.ts
@@ -16,10 +16,12 @@
 import {
   type CallerView,
   type EndpointCall,
+  type EndpointScript,
   GatewayBench,
   ScriptedEndpoint,
   StandinPlatform,
   answerGood,
+  answerNotRun,
   waitUntil,
 } from "@gladewall/standins";
 import { createKnownEndpoint } from "./knownEndpoints.js";
@@ -79,7 +81,7 @@
     }
     return answers;
   };
-  return { bench, limited, callAll };
+  return { bench, limited, endpoint: endpoints[0]!, callAll };
 }
 
 t.test("all instances together send an endpoint no more than the limit that it names", async (t) => {
@@ -115,6 +117,26 @@
   },
 );
 
+t.test("only an answer that served a request ends a limit", async (t) => {
+  const { bench, endpoint } = await startLimited(t, 1, 1_000, 0);
+  const [instance] = bench.instances;
+  const isLimited = async (script: EndpointScript): Promise<boolean> => {
+    const known = endpoint.calls.length;
+    endpoint.script = script;
+    while (endpoint.calls.length === known) await bench.call(instance!);
+    return (await bench.readMetrics(instance!)).includes("gladewall_limited_endpoints 1");
+  };
+  t.ok(await isLimited(answerNotRun), "a refusal without the word");
+  t.ok(
+    await isLimited(({ id, response }) => {
+      response.writeHead(500, { "x-id": id, "content-length": 0 });
+      response.end();
+    }),
+    "a failure without the word",
+  );
+  t.notOk(await isLimited(answerGood));
+});
+
 /** Times of an answer whose request was sent and which came then. */
 function at(sentAt: number, heardAt: number) {
   return { sentAt, heardAt };
