--- a/packages/gateway/src/admission.ts
+++ b/packages/gateway/src/admission.ts
@@ -156,7 +156,7 @@
 
   /**
    * Takes units that nobody is told of before the next report; false where this instance's part of what may be untold is
-   * used. With no bound, instances that decide by views 150 ms old took 1.11 of what is allowed at the onset of a surge.
+   * used. With no bound, all instances would take the same room at the onset of a surge.
    */
   tryTakeUntold(workspace: Workspace, cost: number): boolean {
     const { counters, getFleetSize } = this.options;
@@ -192,8 +192,8 @@
   }
 
   /**
-   * Room that must be left for a request: that of the workspace's largest one of late. By its own size alone, 3 of 100 long
-   * requests were let in beside 86 of 100 short ones (77 instances, eight times a limit of 36,000 a second).
+   * Room that must be left for a request: that of the workspace's largest one of late. By its own size alone, hardly any long
+   * request would be let in beside short ones while the limit is spent.
    */
   private getNeeded({ name }: Workspace, cost: number, room: number): number {
     const time = this.options.clock.getTime();
@@ -204,8 +204,8 @@
   }
 
   /**
-   * Units that an arbiter before this one may have granted and that no report has told yet. Without it, four arbiters that
-   * ended in a row beside two restarts of 77 instances let 1.01 of what is allowed run (drawn, on a virtual clock).
+   * Units that an arbiter before this one may have granted and that no report has told yet. Without it, arbiters that
+   * end in a row would let more than what is allowed run.
    */
   private getTakeoverMargin({ name, ratePerSecond }: Workspace): number {
     const time = this.options.clock.getTime();
@@ -287,8 +287,8 @@
 
   /**
    * A life that is not the first cannot know what was used just before it: it counts most of the room as taken. One that
-   * began with its own part of the room does so again for the whole: seeded for the part only, new readers let 4.3 times
-   * the rate run in a second after a restart of 77 instances (drawn, on a virtual clock).
+   * began with its own part of the room does so again for the whole, or new readers would let many times
+   * the rate run after a restart of the whole fleet.
    */
   private seedUnknown(workspace: Workspace, share: number): void {
     const { name } = workspace;
--- a/packages/gateway/src/arbiters.ts
+++ b/packages/gateway/src/arbiters.ts
@@ -44,7 +44,7 @@
 const mostRestMs = 8_000;
 /**
  * Time for a link to an arbiter to come up: an instance that has just started has some within 0.2 s. Refused, a caller would
- * be back after 0.3 s: 116 and 126 refusals in the two seconds after a restart of nine instances, 13 and 26 without arbiters.
+ * be back later than that.
  */
 const linkWaitMs = 250;
 const linkCheckMs = 10;
--- a/packages/gateway/src/endpointDirectory.ts
+++ b/packages/gateway/src/endpointDirectory.ts
@@ -43,8 +43,8 @@
 /** Longest time that endpoints are used on whose records vanished together, however long the trouble lasts. */
 const longestUnlistedMs = 5_000;
 /**
- * Share of all endpoints that vanish together only by the store's own trouble. Of one service alone it said too much: a
- * service of four loses half with two, and those were used beyond the drain time (drawn departures of half a service).
+ * Share of all endpoints that vanish together only by the store's own trouble. Of one service alone it would say too much: a
+ * service of four loses half with two, and those would be used beyond the drain time.
  */
 const togetherShare = 0.5;
 
@@ -179,8 +179,8 @@
   }
 
   /**
-   * Takes the word that a life leaves; returns whether it is new. Read for the one request only, it let 2 requests reach an
-   * endpoint 2.4 and 11.7 s after its word, while it could not write to the store.
+   * Takes the word that a life leaves; returns whether it is new. Read for the one request only, it would let
+   * requests reach an endpoint long after its word, while it can't write to the store.
    */
   private takeLeaving(life: string, source: WordSource, fields: LogFields = {}): boolean {
     const { clock, logger } = this.options;
@@ -252,7 +252,7 @@
     if (!endpoint) return;
     const { clock } = this.options;
     // Only trouble of whoever brings the word explains it: another reader that the store turned away says nothing of
-    // the store, and by its trouble endpoints that left were used for 4.1 s of a drain time of 3 s (drawn departures).
+    // the store, and by its trouble endpoints that left would be used beyond the drain time.
     const isExplained = troubleAgeMs < troubleWindowMs && endpoint.words.leaving === undefined;
     if (!isExplained) {
       this.setState(endpoint, EndpointState.Leaving, "record gone", troubleAgeMs);
--- a/packages/gateway/src/endpointWords.ts
+++ b/packages/gateway/src/endpointWords.ts
@@ -99,8 +99,8 @@
   }
 
   /**
-   * Whether it may be sent a request of a rank, with a permit where it has named a limit. After a hold-off one goes first, then twice as many each time that all were taken: with
-   * all that came meanwhile at once, 11 of 11 requests reached an endpoint that had not taken one yet.
+   * Whether it may be sent a request of a rank, with a permit where it has named a limit. After a hold-off one goes first, then
+   * twice as many each time that all were taken, so that the crowd does not meet an endpoint that has taken none yet.
    */
   mayTake(time: number, rank = leastUrgent): boolean {
     return this.isOpen(time) && this.limit.mayAsk(time, rank);
--- a/packages/gateway/src/exchange.ts
+++ b/packages/gateway/src/exchange.ts
@@ -352,9 +352,8 @@
   }
 
   /**
-   * Goes on after a run whose connection was cut. Sent on before it was known that the endpoint had ended, what had run
-   * there went on together at the next one: eleven requests were cut twice within 0.3 s, beside the one that ended
-   * both.
+   * Goes on after a run whose connection was cut. Sent on before it is known that the endpoint has ended, what had run there
+   * would go on together at the next one, beside the request that ends both.
    */
   private async handleCut(endpoint: Endpoint): Promise<Next> {
     this.history.noteRunFailed(Failure.create(FailureCode.EndpointCut, { endpoint: endpoint.id }));
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -211,7 +211,7 @@
     await waitFor(clock, this.settings.leaving.unnoticed);
     this.front.stopAccepting();
     await this.finishRequests(endsAt);
-    // What comes from now on would be cut by the end of the process: seen once, 9 ms after it had been passed on.
+    // What comes from now on would be cut by the end of the process.
     requests.stop();
     logger.info("instance.stopping", { open: requests.open });
     requests.giveUpAll();
--- a/packages/gateway/src/gatewayParts.ts
+++ b/packages/gateway/src/gatewayParts.ts
@@ -44,7 +44,7 @@
 // Outside the prefix that all instances watch: each change there costs a call of every instance.
 const usageDraftKey = "gladewall-usage-draft";
 const demandWindowMs = 4_000;
-/** A restarted instance is told by a reader within 0.3 to 0.6 s of its first listing (logs of restarts). */
+/** A restarted instance is told by a reader within 0.3 to 0.6 s of its first listing. */
 const firstWatchPauseMs = 800;
 
 /** What the fleet says, asked of parts that are created later. */
--- a/packages/gateway/src/quotaCharges.ts
+++ b/packages/gateway/src/quotaCharges.ts
@@ -70,8 +70,8 @@
   }
 
   /**
-   * Charges a request for one more run; fails with `QuotaSpent`. Uncharged, runs whose answers were lost went beyond the
-   * limit: 12 runs of a limit of 4, every answer lost; 1.18 of what is allowed, two of five lost (12 processes).
+   * Charges a request for one more run; fails with `QuotaSpent`. Uncharged, runs whose answers are lost would go beyond the
+   * limit.
    */
   takeRepeat(charge: RequestCharge, leftMs: number): Promise<Result<void, Failure>> {
     return this.charge(charge, QuotaUse.Repeat, leftMs);
--- a/packages/gateway/src/retryBudget.ts
+++ b/packages/gateway/src/retryBudget.ts
@@ -59,8 +59,8 @@
   }
 
   /**
-   * Takes one repeat of a request that has so much time left; false where the budget is spent. By what each knows alone, eight
-   * instances took 306 repeats at once where 120 are borne.
+   * Takes one repeat of a request that has so much time left; false where the budget is spent. By what each knows alone, all
+   * would take the same room when endpoints end under many requests at once.
    */
   async take(service: string, leftMs: number): Promise<boolean> {
     const { arbiters, isAble, own, counters } = this.options;
--- a/packages/gateway/src/sharedCounters.ts
+++ b/packages/gateway/src/sharedCounters.ts
@@ -269,7 +269,7 @@
 
   /**
    * What peers tell next is counted from what the view includes of them. Noted as included without that, what they took
-   * between the view and their first word was lost: four readers that ended in a row let 1.10 of a limit run (24 processes).
+   * between the view and their first word would be lost.
    */
   private setIncluded(included: CounterView["included"]): void {
     const heardAt = this.options.clock.getTime();
