--- a/packages/gateway/test/endpointHoldOff.test.ts
+++ b/packages/gateway/test/endpointHoldOff.test.ts
@@ -156,6 +156,18 @@
   t.ok(second.isErr(), "granted all the same, it is not used");
 });
 
+t.test("a suspect is not granted a run at an endpoint that gives this instance no permit", async (t) => {
+  const { clock, seek, held, open, asked } = createSuspects();
+  const time = clock.getTime();
+  held.words.noteLimit(1, { sentAt: time, heardAt: time }, time);
+  t.equal((await seek()).unwrap()?.endpoint, open);
+  t.same(asked.pop(), [], "it may ask for a permit");
+  held.words.limit.beginAsk();
+  held.words.limit.endAsk({ permits: 0, waitMs: longMs }, 0, clock.getTime());
+  t.equal((await seek()).unwrap()?.endpoint, open);
+  t.same(asked.pop(), [held.life]);
+});
+
 t.test("the later end holds, and an answer to an earlier request does not shorten it", async (t) => {
   const words = EndpointWords.create();
   t.ok(words.mayTake(0));
--- a/packages/gateway/test/endpointLimits.test.ts
+++ b/packages/gateway/test/endpointLimits.test.ts
@@ -6,14 +6,18 @@
  */
 import t, { type Test } from "tap";
 import {
+  Arbiters,
   EndpointDirectory,
   EndpointLimit,
   EndpointLimits,
   LimitChange,
+  LimitIssuer,
+  LimitPermits,
   parseNamedLimit,
 } from "@gladewall/gateway";
 import { Logger, LogLevel, VirtualClock } from "@gladewall/kernel";
 import {
+  type BenchInstance,
   type CallerView,
   type EndpointCall,
   type EndpointScript,
@@ -24,6 +28,7 @@
   answerNotRun,
   waitUntil,
 } from "@gladewall/standins";
+import { largeFleet } from "./endingEndpoints.js";
 import { createKnownEndpoint } from "./knownEndpoints.js";
 
 const windowMs = 4_000;
@@ -58,6 +63,7 @@
   instanceCount: number,
   perSecond: number,
   others: number,
+  isLarge = false,
 ) {
   const bench = GatewayBench.create();
   bench.platform.configure({});
@@ -65,8 +71,12 @@
   const endpoints = [await ScriptedEndpoint.create("limited", limited.script)];
   const list = ({ id, address }: ScriptedEndpoint): void => bench.platform.list({ id, address });
   endpoints.forEach(list);
-  for (let index = 0; index < instanceCount; index++) await bench.startReady(1);
-  await waitUntil(() => bench.instances.every(({ gateway }) => gateway.linkedPeers === instanceCount - 1));
+  for (let index = 0; index < instanceCount; index++) {
+    await bench.startReady(1, "web", isLarge ? [...largeFleet, `peers.capacity=${index}`] : []);
+  }
+  const isTold = ({ gateway }: BenchInstance): boolean =>
+    isLarge ? gateway.isReader || gateway.isFed : gateway.linkedPeers === instanceCount - 1;
+  await waitUntil(() => bench.instances.every(isTold));
   t.teardown(() => Promise.all([bench.close(), ...endpoints.map((endpoint) => endpoint.close())]));
   await bench.call(bench.instances[0]!);
   for (let index = 0; index < others; index++) endpoints.push(await ScriptedEndpoint.create(`good${index}`));
@@ -255,3 +265,47 @@
   words.beginTry();
   t.notOk(endpoint.takesWork(1_002), "one request goes first");
 });
+
+/** Permits of one of some instances, none of which gives any out. */
+function createLonePermits(fleetSize: number) {
+  const { clock, limits } = createLimits([]);
+  const permits = LimitPermits.create({
+    own: "i1",
+    clock,
+    logger: Logger.createSilent(),
+    metrics: { countPermit: () => undefined },
+    limits,
+    issuer: LimitIssuer.create({ clock, logger: Logger.createSilent(), getRandom: () => 0 }),
+    arbiters: Arbiters.create({
+      clock,
+      logger: Logger.createSilent(),
+      own: "i1",
+      getReaders: () => ["i2", "i3"],
+      isLinked: () => true,
+      call: () => Promise.reject(new Error("nobody is asked")),
+    }),
+    isAble: () => false,
+    getFleetSize: () => fleetSize,
+  });
+  const endpoint = createKnownEndpoint({ id: "e" });
+  endpoint.words.noteLimit(1, at(0, 0), 0);
+  const request = { id: "r", rank: 0, leftMs: 5_000 };
+  const countIn = async (seconds: number): Promise<number> => {
+    let taken = 0;
+    for (let turn = 0; turn < seconds * 10; turn++) {
+      if (endpoint.takesWork(clock.getTime()) && (await permits.take(endpoint, request))) taken += 1;
+      await clock.advance(100);
+    }
+    return taken;
+  };
+  return { countIn };
+}
+
+t.test(
+  "without an issuer each instance keeps to its part of half of a limit, or goes elsewhere",
+  async (t) => {
+    const small = await createLonePermits(4).countIn(80);
+    t.ok(small >= 8 && small <= 10, `${small} of 10 in 80 s, a fleet of four`);
+    t.equal(await createLonePermits(10).countIn(80), 0, "a fleet in which one saved by each is too much");
+  },
+);
