--- a/packages/gateway/test/endpointLimits.test.ts
+++ b/packages/gateway/test/endpointLimits.test.ts
@@ -112,6 +112,13 @@
   }
 });
 
+t.test("the same holds where instances hear of each other from readers only", async (t) => {
+  const { limited, callAll } = await startLimited(t, 6, 1, 1, true);
+  const answers = await callAll(40);
+  t.ok(limited.getWorst() <= getBorne(1), String(limited.getWorst()));
+  t.ok(answers.every(({ status }) => status === 200));
+});
+
 t.test(
   "where every endpoint names a limit, callers are refused at once, and told when to come back",
   async (t) => {
