--- a/packages/gateway/src/endpointDirectory.ts
+++ b/packages/gateway/src/endpointDirectory.ts
@@ -48,7 +48,8 @@
  */
 const togetherShare = 0.5;
 
-type LogFields = Readonly<Record<string, string | number | undefined>>;
+/** Fields of a line of the log. */
+export type LogFields = Readonly<Record<string, string | number | undefined>>;
 
 const wordCauses: Readonly<Record<WordSource, string>> = {
   [WordSource.Record]: "record",
--- a/packages/gateway/src/endpointLimits.ts
+++ b/packages/gateway/src/endpointLimits.ts
@@ -4,8 +4,8 @@
  */
 import type { Clock, Logger } from "@gladewall/kernel";
 import type { Endpoint } from "./endpoint.js";
-import type { EndpointDirectory, NoticeSource } from "./endpointDirectory.js";
-import { LimitChange } from "./endpointLimit.js";
+import type { EndpointDirectory, LogFields, NoticeSource } from "./endpointDirectory.js";
+import { type AnswerTimes, LimitChange } from "./endpointLimit.js";
 import type { ToldLimit } from "./limitMessages.js";
 import type { NamedLimit } from "./types.js";
 
@@ -21,8 +21,6 @@
   readonly directory: EndpointDirectory;
 }
 
-type LogFields = Readonly<Record<string, string | number | undefined>>;
-
 /** Limits of all endpoints. */
 export class EndpointLimits {
   private readonly listeners: ((life: string) => void)[] = [];
@@ -75,7 +73,7 @@
   private note(
     life: string,
     perSecond: number | undefined,
-    times: { readonly sentAt: number; readonly heardAt: number },
+    times: AnswerTimes,
     heard: LogFields,
   ): LimitChange {
     const { clock, logger, directory } = this.options;
--- a/packages/gateway/src/placement.ts
+++ b/packages/gateway/src/placement.ts
@@ -14,7 +14,7 @@
   readonly service: Service;
   readonly promptTokens: number;
   readonly parts: readonly PromptPart[];
-  /** Lives of endpoints that it was sent to before, or that gave no permit for it. */
+  /** Lives of endpoints that it was sent to before. */
   readonly excluded: ReadonlySet<string>;
   /** Urgency, 0 first; the least where it is left out. */
   readonly rank?: number;
--- a/packages/gateway/src/retryBudget.ts
+++ b/packages/gateway/src/retryBudget.ts
@@ -3,8 +3,7 @@
  * decided by one arbiter for each service.
  * @module
  */
-import type { PeerIdentity } from "@gladewall/coordination";
-import { getLife } from "@gladewall/coordination";
+import { getLife, type PeerIdentity } from "@gladewall/coordination";
 import type { Arbiters } from "./arbiters.js";
 import { QuotaWord } from "./memberMessages.js";
 import { createRetryQuestion, type RetryAnswer, type RetryAsk } from "./retryLinks.js";
--- a/packages/gateway/test/endpointLimits.test.ts
+++ b/packages/gateway/test/endpointLimits.test.ts
@@ -26,21 +26,13 @@
   StandinPlatform,
   answerGood,
   answerNotRun,
+  getBorneArrivals,
+  getWorstArrivals,
   waitUntil,
 } from "@gladewall/standins";
 import { largeFleet } from "./endingEndpoints.js";
 import { createKnownEndpoint } from "./knownEndpoints.js";
 
-const windowMs = 4_000;
-/** Share of a limit, and requests beside it, that an endpoint in need bears in a window. */
-const borneShare = 1.5;
-const borneRequests = 5;
-
-/** Most requests that an endpoint bears in a window. */
-function getBorne(perSecond: number): number {
-  return borneShare * perSecond * (windowMs / 1_000) + borneRequests;
-}
-
 /** Answers well and names a limit; notes when requests arrive. */
 function createLimited(perSecond: number) {
   const arrivals: number[] = [];
@@ -49,11 +41,7 @@
     call.response.setHeader("x-limit", String(perSecond));
     answerGood(call);
   };
-  const getWorst = (): number =>
-    Math.max(
-      0,
-      ...arrivals.map((from) => arrivals.filter((at) => at >= from && at < from + windowMs).length),
-    );
+  const getWorst = (): number => getWorstArrivals(arrivals);
   return { script, getWorst, arrivals };
 }
 
@@ -104,7 +92,7 @@
     const { limited, callAll } = await startLimited(t, instances, perSecond, 1);
     const answers = await callAll(240 / instances);
     const told = `${instances} instances, ${perSecond} a second: ${limited.getWorst()} in a window`;
-    t.ok(limited.getWorst() <= getBorne(perSecond), told);
+    t.ok(limited.getWorst() <= getBorneArrivals(perSecond), told);
     t.ok(
       answers.every(({ status }) => status === 200),
       "others serve what it does not take",
@@ -115,7 +103,7 @@
 t.test("the same holds where instances hear of each other from readers only", async (t) => {
   const { limited, callAll } = await startLimited(t, 6, 1, 1, true);
   const answers = await callAll(40);
-  t.ok(limited.getWorst() <= getBorne(1), String(limited.getWorst()));
+  t.ok(limited.getWorst() <= getBorneArrivals(1), String(limited.getWorst()));
   t.ok(answers.every(({ status }) => status === 200));
 });
 
@@ -125,7 +113,7 @@
     const { bench, limited, callAll } = await startLimited(t, 3, 0.5, 0);
     const answers = await callAll(60);
     const refused = answers.filter(({ status }) => status === 503);
-    t.ok(limited.getWorst() <= getBorne(0.5), String(limited.getWorst()));
+    t.ok(limited.getWorst() <= getBorneArrivals(0.5), String(limited.getWorst()));
     t.ok(refused.length > 150, String(refused.length));
     for (const { headers } of refused) t.ok(Number(headers["retry-after"]) >= 0.3);
     const metrics = await bench.readMetrics(bench.instances[0]!);
--- a/packages/gateway/test/permitFleet.ts
+++ b/packages/gateway/test/permitFleet.ts
@@ -18,6 +18,7 @@
 } from "@gladewall/gateway";
 import type { PeerIdentity, PeerLinks, PeerMessage } from "@gladewall/coordination";
 import { Failure, FailureCode, Logger } from "@gladewall/kernel";
+import { getBorneArrivals, getWorstArrivals } from "@gladewall/standins";
 import { Err, Ok, type Result } from "ts-results-es";
 import { createKnownEndpoint } from "./knownEndpoints.js";
 import { createSpreadDraws, StepClock } from "./stepClock.js";
@@ -65,9 +66,6 @@
   readonly freedAfterMs: number | undefined;
 }
 
-const windowMs = 4_000;
-const borneShare = 1.5;
-const borneRequests = 5;
 /** Time after a word from which arrivals are judged. */
 const judgedAfterMs = 1_000;
 const delayMs = 3;
@@ -316,14 +314,7 @@
 
   private getWorstWindow(perSecond: number, from: number, until: number): number {
     const times = this.arrivals.map(({ at }) => at).filter((at) => at >= from && at < until);
-    times.sort((one, other) => one - other);
-    let most = 0;
-    let first = 0;
-    for (let last = 0; last < times.length; last++) {
-      while (times[first]! <= times[last]! - windowMs) first += 1;
-      most = Math.max(most, last - first + 1);
-    }
-    return most / Math.floor((borneShare * perSecond * windowMs) / millisecondsPerSecond + borneRequests);
+    return getWorstArrivals(times) / getBorneArrivals(perSecond);
   }
 
   private start(name: string): void {
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -18,3 +18,4 @@
 export * from "./runWindows.js";
 export * from "./draws.js";
 export * from "./freePorts.js";
+export * from "./endpointNeeds.js";
--- /dev/null
+++ b/scripts/needSoak.mjs
@@ -0,0 +1,12 @@
+// Plays endpoints that name how many requests a second they take before real processes, each seed with its own events.
+// `node scripts/needSoak.mjs --seeds 50 [--former DAEMON]`; broken is where all instances together sent more than is borne. With
+// a daemon of an earlier build, every second instance runs it until it is started again.
+import { importTest, playSeeds } from "./playSeeds.mjs";
+
+const { playNeeds } = await importTest("needSoak");
+
+await playSeeds(6, async (play) => {
+  const { worst, words, statuses } = await playNeeds(play);
+  const seen = JSON.stringify(Object.fromEntries(statuses));
+  return { isBroken: worst > 1, text: `worst ${worst.toFixed(2)} after ${words} words ${seen}` };
+});
--- a/scripts/playSeeds.mjs
+++ b/scripts/playSeeds.mjs
@@ -1,5 +1,6 @@
 // The command line of soaks of real processes: bundles the daemon, plays seed after seed, prints a line each, and exits with 1
-// where one was broken. `--seeds 50 [--from 1] [--instances N] [--seconds 12] [--logs FOLDER]`.
+// where one was broken. `--seeds 50 [--from 1] [--instances N] [--seconds 12] [--logs FOLDER]
+// [--former DAEMON]`.
 import { spawnSync } from "node:child_process";
 import { fileURLToPath } from "node:url";
 import { parseArgs } from "node:util";
@@ -11,7 +12,7 @@
   return import(`${root}platform/dist/test/${name}.js`);
 }
 
-/** Plays seeds; `play` gets seed, instances, lengthMs and logFolder, and returns `isBroken` and `text`. */
+/** Plays seeds; `play` gets seed, instances, lengthMs, logFolder and formerDaemon, and returns `isBroken` and `text`. */
 export async function playSeeds(instances, play) {
   const { values } = parseArgs({
     options: {
@@ -20,6 +21,7 @@
       instances: { type: "string", default: String(instances) },
       seconds: { type: "string", default: "12" },
       logs: { type: "string" },
+      former: { type: "string" },
     },
   });
   const built = spawnSync(process.execPath, [`${root}scripts/bundle.mjs`], { stdio: "inherit" });
@@ -29,6 +31,7 @@
     instances: Number(values.instances),
     lengthMs: Number(values.seconds) * 1_000,
     logFolder: values.logs,
+    formerDaemon: values.former,
   };
   let broken = 0;
   for (let seed = from; seed < from + Number(values.seeds); seed++) {
