--- a/packages/standins/src/metadataStoreStandin.ts
+++ b/packages/standins/src/metadataStoreStandin.ts
@@ -31,6 +31,21 @@
   readonly lease: string | undefined;
 }
 
+interface LeaseState {
+  readonly ttlMs: number;
+  endsAt: number;
+}
+
+/** All that a store holds at one moment. */
+export interface StoreCopy {
+  readonly takenAt: number;
+  readonly entries: ReadonlyMap<string, Entry>;
+  readonly events: readonly StoreEvent[];
+  readonly leases: ReadonlyMap<string, LeaseState>;
+  readonly counter: number;
+  readonly nextLease: number;
+}
+
 /** Time between two looks of a watch, unless the test says otherwise. */
 const usualPollMs = 5;
 
@@ -42,8 +57,12 @@
   reads = 0;
   writes = 0;
   readonly entries = new Map<string, Entry>();
-  private readonly events: StoreEvent[] = [];
-  private readonly leases = new Map<string, { readonly ttlMs: number; endsAt: number }>();
+  /** How often the store has come back from a copy, and with which number it began. */
+  era = 1;
+  /** Whether answers tell the era. */
+  tellsEra = true;
+  private events: StoreEvent[] = [];
+  private readonly leases = new Map<string, LeaseState>();
   private oldest = 0;
   private counter = 0;
   private nextLease = 1;
@@ -80,6 +99,33 @@
     this.events.push({ key, revision: this.counter, value: undefined });
   }
 
+  /** Copies all that is held now. */
+  copy(): StoreCopy {
+    this.expire();
+    return {
+      takenAt: this.clock.getTime(),
+      entries: new Map(this.entries),
+      events: [...this.events],
+      leases: new Map([...this.leases].map(([lease, state]) => [lease, { ...state }])),
+      counter: this.counter,
+      nextLease: this.nextLease,
+    };
+  }
+
+  /** Comes back from a copy: what was written since is gone, and revisions and leases are given out again. */
+  goBack({ takenAt, entries, events, leases, counter, nextLease }: StoreCopy): void {
+    const awayMs = this.clock.getTime() - takenAt;
+    this.era += 1;
+    this.entries.clear();
+    for (const [key, entry] of entries) this.entries.set(key, entry);
+    this.events = [...events];
+    this.leases.clear();
+    for (const [lease, { ttlMs, endsAt }] of leases)
+      this.leases.set(lease, { ttlMs, endsAt: endsAt + awayMs });
+    this.counter = counter;
+    this.nextLease = nextLease;
+  }
+
   /** Forgets all changes up to now: watches that continue from before fail. */
   forgetHistory(): void {
     this.oldest = this.counter;
@@ -117,7 +163,7 @@
   /** Returns the changes after a revision under a prefix; undefined where they are forgotten. */
   getChanges(prefix: string, since: number): readonly StoreEvent[] | undefined {
     this.expire();
-    if (since < this.oldest) return undefined;
+    if (since < this.oldest || since > this.counter) return undefined;
     return this.events.filter((event) => event.revision > since && event.key.startsWith(prefix));
   }
 
