--- a/packages/gateway/src/configurationFollower.ts
+++ b/packages/gateway/src/configurationFollower.ts
@@ -3,13 +3,17 @@
  *
  * A watch brings changes at once. Reads, sent one after the other whether or not the last one was answered, prove that
  * nothing newer was acknowledged before they were sent; the proof's age counts from the send, and a suspension is part of it,
- * so a process that stood still finds its proof old before it admits anything. The version in force never falls.
+ * so a process that stood still finds its proof old before it admits anything. The version in force never falls, and its own
+ * number orders configurations: the store's revisions go back with a store that comes back from a copy, and its reads prove
+ * nothing until what was lost is written again.
  * @module
  */
 import { type Clock, type Closeable, type Logger, waitFor } from "@gladewall/kernel";
+import type { EraSettling } from "./eraSettling.js";
 import { PrefixFollower } from "./prefixFollower.js";
 import { RouteTable } from "./routeTable.js";
-import type { PlatformAdapter, StoreItem } from "./types.js";
+import { type EraRise, isReturn, isSamePosition, type StorePosition, untoldEra } from "./storeEras.js";
+import type { PlatformAdapter, ServingConfiguration, StoreItem } from "./types.js";
 
 /** A peer's word on the configuration. */
 export interface Vouch {
@@ -17,10 +21,21 @@
   readonly proofAgeMs: number;
   /** Revision of the newest configuration that the peer has. */
   readonly revision: number;
+  /** Era of that revision, and the configuration's version; earlier builds leave both out. */
+  readonly era?: number;
+  readonly version?: number;
   /** That configuration as stored; left out where the asker has it, and where it is large: it is read then. */
   readonly value?: Uint8Array | undefined;
 }
 
+/** What an instance holds, for one that may know a newer configuration. */
+export interface HeldConfiguration {
+  /** Revision of the newest configuration; 0 before the first. */
+  readonly revision: number;
+  /** Its version; earlier builds leave it out. */
+  readonly version?: number | undefined;
+}
+
 /** How an instance comes by what the store holds. */
 export enum StoreRole {
   /** It asks for itself. */
@@ -44,8 +59,17 @@
   readonly proofLifetimeMs: number;
   /** Time after the start in which the proving reads alone are to bring the configuration; milliseconds. */
   readonly firstWatchPauseMs?: number;
-  /** Asks some peers for their word, given the revision that is held here. */
-  readonly askPeers: (revision: number) => Promise<readonly Vouch[]>;
+  /** Asks some peers for their word, given what is held here. */
+  readonly askPeers: (held: HeldConfiguration) => Promise<readonly Vouch[]>;
+  readonly settling: EraSettling;
+}
+
+/** A configuration that was looked at. */
+interface TakenConfiguration {
+  readonly item: StoreItem;
+  readonly position: StorePosition;
+  /** Undefined where it can't be read. */
+  readonly version: number | undefined;
 }
 
 /** Reads that may be under way at once. */
@@ -54,6 +78,8 @@
 const fedIntervalMs = 500;
 /** Share of a proof's lifetime after which peers are asked for theirs. */
 const askPeersShare = 0.45;
+/** A version that operators have not written again after this time of an era is not waited for any longer. */
+const longestRewriteMs = 5_000;
 
 /** Follows the operators' configuration. */
 export class ConfigurationFollower implements Closeable {
@@ -61,10 +87,12 @@
   /** Boot time at which the read was sent that the proof rests on. */
   private provenAt: number | undefined;
   private readsUnderWay = 0;
-  /** Revision of the newest item that was looked at. */
-  private takenRevision = 0;
-  /** Newest item that was put in force or refused, for peers that ask. */
-  private takenItem: StoreItem | undefined;
+  /** Newest configuration that was put in force or refused, for peers that ask. */
+  private taken: TakenConfiguration | undefined;
+  /** Last one that was looked at, whatever became of it. */
+  private seen: TakenConfiguration | undefined;
+  /** Era in which a read was last said to prove nothing. */
+  private withheldEra: number | undefined;
   private isAskingPeers = false;
   private isLost = false;
   private role = StoreRole.Alone;
@@ -86,9 +114,14 @@
       prefix: platform.configurationKey,
       clock,
       logger,
-      listener: { handlePut: (item) => this.take(item), handleRemoved: () => undefined },
+      listener: {
+        handlePut: (item) => void this.take(item, platform.store.eras.current),
+        handleRemoved: () => undefined,
+      },
       isListingNeeded: false,
     });
+    platform.store.eras.onRise((rise) => this.handleRise(rise));
+    options.settling.onSettled(() => void this.tryRead());
     this.watchesFrom = clock.getTime() + (options.firstWatchPauseMs ?? 0);
     this.setFollowing();
   }
@@ -122,9 +155,9 @@
     return this.isLost;
   }
 
-  /** Revision of the newest configuration that was looked at; 0 before the first. */
-  getRevision(): number {
-    return this.takenRevision;
+  /** What is held here, for those who may know more. */
+  getHeld(): HeldConfiguration {
+    return { revision: this.taken?.position.revision ?? 0, version: this.table?.version };
   }
 
   /** Milliseconds since a read was sent that the store answered to this instance itself; infinite before the first. */
@@ -195,30 +228,54 @@
     const { clock, platform } = this.options;
     const sentAt = clock.getBootTime();
     this.readsUnderWay += 1;
-    const item = await platform.store.read(platform.configurationKey);
+    const reading = await platform.store.read(platform.configurationKey);
     this.readsUnderWay -= 1;
     if (this.stop.signal.aborted) return;
-    if (item.isErr()) {
-      this.setLost(item.error.name);
+    if (reading.isErr()) {
+      this.setLost(reading.error.name);
       return;
     }
     this.storeReadAt = Math.max(this.storeReadAt, sentAt);
     this.setRegained();
-    if (!item.value) return;
-    this.take(item.value);
-    this.provenAt = Math.max(this.provenAt ?? -Infinity, sentAt);
+    const { item, era } = reading.value;
+    if (!item) return;
+    const version = this.take(item, era);
+    if (this.isWhole(version, sentAt)) this.provenAt = Math.max(this.provenAt ?? -Infinity, sentAt);
+  }
+
+  /** Whether a read that showed a version proves that nothing newer than what is in force was acknowledged before. */
+  private isWhole(version: number | undefined, sentAt: number): boolean {
+    const { settling, platform, logger } = this.options;
+    const { current: era } = platform.store.eras;
+    const inForce = this.table?.version;
+    const isLacking = version !== undefined && inForce !== undefined && version < inForce;
+    // In one era, an older version than the one in force is an answer that was passed by another.
+    const isAwaited = isLacking && settling.ageMs < longestRewriteMs;
+    const isWhole = settling.isWhole(sentAt) && !isAwaited;
+    if (!isWhole && this.withheldEra !== era) {
+      this.withheldEra = era;
+      const cause = isAwaited ? "not written again yet" : "operators may be writing again";
+      const proofAgeMs = Math.round(this.getProofAge());
+      logger.info("configuration.proof-withheld", { era, cause, version, inForce, proofAgeMs });
+    }
+    return isWhole;
   }
 
   /**
-   * This instance's word for a peer that holds a revision; undefined where it has no proof itself. A newer
+   * This instance's word for a peer that holds a configuration; undefined where it has no proof itself. A newer
    * configuration goes with it if it has no more bytes than are given.
    */
-  vouch(heldRevision: number, mostBytes = Infinity): Vouch | undefined {
-    const item = this.takenItem;
-    if (!item || !this.isProven()) return undefined;
-    const isPassed = item.revision > heldRevision && item.value.length <= mostBytes;
-    const value = isPassed ? item.value : undefined;
-    return { proofAgeMs: this.getProofAge(), revision: item.revision, value };
+  vouch(held: HeldConfiguration, mostBytes = Infinity): Vouch | undefined {
+    if (!this.taken || !this.isProven()) return undefined;
+    const { item, position, version } = this.taken;
+    const isNewer = isNewerThan(this.taken, held);
+    const value = isNewer && item.value.length <= mostBytes ? item.value : undefined;
+    return {
+      proofAgeMs: this.getProofAge(),
+      ...position,
+      ...(version === undefined ? {} : { version }),
+      value,
+    };
   }
 
   /**
@@ -229,53 +286,104 @@
     if (this.isAskingPeers) return;
     this.isAskingPeers = true;
     const askedAt = this.options.clock.getBootTime();
-    const vouches = await this.options.askPeers(this.takenRevision);
+    const vouches = await this.options.askPeers(this.getHeld());
     this.isAskingPeers = false;
     if (this.stop.signal.aborted) return;
     for (const vouch of vouches) this.takeVouch(vouch, askedAt);
   }
 
   /** Takes a peer's word that was asked for at a boot time. */
-  takeVouch({ proofAgeMs, revision, value }: Vouch, askedAt: number): void {
-    if (value) this.take({ key: this.options.platform.configurationKey, revision, value });
-    if (this.takenRevision < revision) {
+  takeVouch(vouch: Vouch, askedAt: number): void {
+    const { logger, platform } = this.options;
+    const { proofAgeMs, revision, era = untoldEra, value } = vouch;
+    platform.store.eras.takePeer(era);
+    if (value) this.take({ key: platform.configurationKey, revision, value }, era);
+    if (!this.table || !this.isVouchComparable(vouch)) return;
+    if (this.isBehind(vouch)) {
       // There is a newer configuration, too large to be passed on.
       void this.tryRead();
       return;
     }
-    if (!this.table) return;
     const provenAt = askedAt - proofAgeMs;
     if (provenAt <= (this.provenAt ?? -Infinity)) return;
     this.provenAt = provenAt;
-    this.options.logger.debug("configuration.vouched", {
+    logger.debug("configuration.vouched", {
       version: this.table.version,
       revision,
+      era,
       proofAgeMs: Math.round(this.getProofAge()),
     });
   }
 
-  private take(item: StoreItem): void {
-    const { logger, platform } = this.options;
-    if (this.takenRevision >= item.revision) return;
-    this.takenRevision = item.revision;
-    this.takenItem = item;
-    const decoded = platform.decodeConfiguration(item.value);
+  /** Whether a peer's word says which configuration it proves: of an earlier build it does so in the first era only. */
+  private isVouchComparable({ version }: Vouch): boolean {
+    return version !== undefined || this.options.platform.store.eras.current === untoldEra;
+  }
+
+  private isBehind({ version, era = untoldEra, revision }: Vouch): boolean {
+    const { taken, table } = this;
+    if (taken && isSamePosition(taken.position, { era, revision })) return false;
+    if (version !== undefined) return version > (table?.version ?? -Infinity);
+    return revision > (taken?.position.revision ?? 0);
+  }
+
+  /** Takes a configuration that was read in an era; returns its version, undefined where it can't be read. */
+  private take(item: StoreItem, era: number): number | undefined {
+    const position = { era, revision: item.revision };
+    if (this.seen && Buffer.compare(this.seen.item.value, item.value) === 0) {
+      return this.moveSeen(this.seen, item, position);
+    }
+    const decoded = this.options.platform.decodeConfiguration(item.value);
+    const version = decoded.isOk() ? decoded.value.version : undefined;
+    const inForce = this.table?.version ?? -Infinity;
+    this.seen = { item, position, version };
+    if (version !== undefined && version < inForce) {
+      this.logPassedOver(this.seen);
+      return version;
+    }
+    this.taken = this.seen;
     if (decoded.isErr()) {
-      logger.error("configuration.refused", { revision: item.revision, text: decoded.error.text });
-      return;
+      this.options.logger.error("configuration.refused", { ...position, text: decoded.error.text });
+    } else if (decoded.value.version > inForce) {
+      this.putInForce(decoded.value, position);
     }
-    if (this.table && decoded.value.version <= this.table.version) return;
-    this.table = RouteTable.create(decoded.value);
-    const { routes, workspaces } = decoded.value;
-    logger.info("configuration.in-force", {
-      version: decoded.value.version,
-      revision: item.revision,
+    return version;
+  }
+
+  /** Takes note that a configuration that was looked at stands at another place now. */
+  private moveSeen(seen: TakenConfiguration, item: StoreItem, position: StorePosition): number | undefined {
+    const moved = { item, position, version: seen.version };
+    if (this.taken === seen) this.taken = moved;
+    this.seen = moved;
+    return moved.version;
+  }
+
+  private logPassedOver({ version, position }: TakenConfiguration): void {
+    const inForce = this.table?.version;
+    const text = "a newer one is in force";
+    this.options.logger.info("configuration.passed-over", { version, ...position, inForce, text });
+  }
+
+  private putInForce(configuration: ServingConfiguration, position: StorePosition): void {
+    this.table = RouteTable.create(configuration);
+    const { version, routes, workspaces } = configuration;
+    this.options.logger.info("configuration.in-force", {
+      version,
+      ...position,
       routes: routes.length,
       workspaces: workspaces.length,
     });
     for (const listener of this.changeListeners) listener(this.table);
   }
 
+  /** What was lost with the era before is not proven by reads of this one yet, and its revisions are no order any more. */
+  private handleRise(rise: EraRise): void {
+    if (!isReturn(rise)) return;
+    this.lastTroubleAt = this.options.clock.getTime();
+    this.follower.restart();
+    if (!this.isFed) void this.tryRead();
+  }
+
   private setLost(failure: string): void {
     this.lastTroubleAt = this.options.clock.getTime();
     if (this.isLost) return;
@@ -292,3 +400,9 @@
     for (const listener of this.regainListeners) listener();
   }
 }
+
+/** Earlier builds say what they hold by its revision only. */
+function isNewerThan({ position, version }: TakenConfiguration, held: HeldConfiguration): boolean {
+  if (held.version === undefined || version === undefined) return position.revision > held.revision;
+  return version > held.version;
+}
--- a/packages/gateway/src/crashStore.ts
+++ b/packages/gateway/src/crashStore.ts
@@ -1,6 +1,7 @@
 /**
  * Verdicts that must outlast all instances, as items of the platform's store: written once a request rests and once it is
- * convicted, removed when it is cleared, and read with the gateway's other items. An operator who removes one clears it.
+ * convicted, removed when it is cleared, and read with the gateway's other items. An operator who removes one clears it; one
+ * that the store lost as it came back from a copy is written again.
  * @module
  */
 import type { Clock, Logger } from "@gladewall/kernel";
@@ -8,6 +9,7 @@
 import type { CrashRecords, CrashReport, CrashSubject, CrashWords } from "./crashRecords.js";
 import { decodeItem } from "./itemCodec.js";
 import { ownPrefix } from "./memberRecords.js";
+import { type Removal, RemovalCause } from "./prefixFollower.js";
 import type { MetadataStore, StoreItem } from "./types.js";
 
 /** Options of the store. */
@@ -50,10 +52,11 @@
     return new CrashStore(options);
   }
 
-  /** Takes an item of the store, or that it is gone; passes over those of others. */
-  take(key: string, item: StoreItem | undefined): void {
+  /** Takes an item of the store, or that it is gone and how; passes over those of others. */
+  take(key: string, item: StoreItem | undefined, removal?: Removal): void {
     if (!key.startsWith(crashPrefix)) return;
     const fingerprint = key.slice(crashPrefix.length);
+    if (!item && removal?.cause === RemovalCause.Lost) return this.handleLost(fingerprint);
     if (!item) return this.handleRemoved(fingerprint);
     const decoded = decodeItem(crashSchema, item.value);
     if (!decoded) {
@@ -128,6 +131,12 @@
     return written.isOk();
   }
 
+  /** The verdict stands; whoever writes for the request finds its item missing. */
+  private handleLost(fingerprint: string): void {
+    if (!this.items.delete(fingerprint)) return;
+    this.options.logger.info("crash.item-lost", { fingerprint });
+  }
+
   private handleRemoved(fingerprint: string): void {
     const item = this.items.get(fingerprint);
     if (!this.items.delete(fingerprint) || !item) return;
--- a/packages/gateway/src/crashes.ts
+++ b/packages/gateway/src/crashes.ts
@@ -12,6 +12,7 @@
 import { probeEndpoint } from "./endpointProbe.js";
 import type { GatewayMetrics } from "./gatewayMetrics.js";
 import type { Members } from "./members.js";
+import type { Removal } from "./prefixFollower.js";
 import { Suspects } from "./suspects.js";
 import { TrialGrants } from "./trialGrants.js";
 import type { MetadataStore, StoreItem } from "./types.js";
@@ -99,9 +100,9 @@
     return new Crashes(options);
   }
 
-  /** Takes an item of the store, or that it is gone. */
-  takeItem(key: string, item: StoreItem | undefined): void {
-    this.kept.take(key, item);
+  /** Takes an item of the store, or that it is gone and how. */
+  takeItem(key: string, item: StoreItem | undefined, removal?: Removal): void {
+    this.kept.take(key, item, removal);
   }
 
   /** Looks again at what was held to have ended, and at what the store should hold. */
--- a/packages/gateway/src/duties.ts
+++ b/packages/gateway/src/duties.ts
@@ -6,15 +6,19 @@
  * early; so two holders never act by turns within the time of one lease.
  * @module
  */
-import { LeaseHolder } from "@gladewall/coordination";
+import { LeaseHolder, type LeaseService } from "@gladewall/coordination";
 import { type Clock, type Closeable, type Logger, waitFor } from "@gladewall/kernel";
 import type { CapacityOrders } from "./capacityOrders.js";
+import { isReturn } from "./storeEras.js";
 import type { MetadataStore, OrderSender, Service } from "./types.js";
 import type { UsageReporter } from "./usageReporter.js";
 
 /** Options of the duties. */
 export interface DutiesOptions {
   readonly store: MetadataStore;
+  readonly leases: LeaseService;
+  /** Whether the system starts for the first time; in a later life there may have been a holder, mark or no mark. */
+  readonly isFirstStart: boolean;
   readonly clock: Clock;
   readonly logger: Logger;
   readonly name: string;
@@ -51,12 +55,20 @@
   private actingFence = 0;
   /** Whether nobody ever acted before: then there is nobody to wait for. */
   private isFirstEver = false;
+  /** Whether nobody can have acted unless the mark says so: a store that came back from a copy may have lost it. */
+  private isMarkSure: boolean;
   private markedFence = 0;
 
   private constructor(private readonly options: DutiesOptions) {
-    const { store, clock, logger, name, leaseKey, turnMs, isFree, isEligible } = options;
+    const { store, leases, clock, logger, name, leaseKey, turnMs, isFree, isEligible } = options;
+    this.isMarkSure = options.isFirstStart;
+    store.eras.onRise((rise) => {
+      if (!isReturn(rise)) return;
+      this.isMarkSure = false;
+      this.isFirstEver = false;
+    });
     this.holder = LeaseHolder.create({
-      service: store,
+      service: leases,
       clock,
       logger,
       name: leaseKey,
@@ -114,7 +126,7 @@
     this.isFirstEver = false;
     const put = [{ key: markKey, value: Buffer.from(String(fence.value)) }];
     const marked = await store.transact({ expected: [{ key: markKey, revision: 0 }], put, remove: [] });
-    this.isFirstEver = marked.isOk();
+    this.isFirstEver = marked.isOk() && this.isMarkSure;
   }
 
   private async act(): Promise<void> {
--- /dev/null
+++ b/packages/gateway/src/dutyLeases.ts
@@ -0,0 +1,102 @@
+/**
+ * Leases on names with a fence that grows over the store's eras, too.
+ *
+ * The fence is the revision of the taking, as earlier builds have it, and an offset. A store that comes back from a copy gives
+ * revisions out again, so the offset grows with each return by more than could have been lost. It is kept in the store,
+ * together with the era that it holds from; whoever takes a lease in a later era reckons on from there, so that a record
+ * which was lost itself leads to the same offset.
+ * @module
+ */
+import type { GrantedLease, LeaseService } from "@gladewall/coordination";
+import { type Failure, FailureCode, type Logger } from "@gladewall/kernel";
+import { Ok, type Result } from "ts-results-es";
+import * as v from "valibot";
+import { decodeItem } from "./itemCodec.js";
+import { untoldEra } from "./storeEras.js";
+import type { MetadataStore, StoreItem } from "./types.js";
+
+/** Options of the leases. */
+export interface DutyLeasesOptions {
+  readonly store: MetadataStore;
+  readonly logger: Logger;
+  /** Key of the offset. */
+  readonly offsetKey: string;
+}
+
+/** Offset of fences from an era on. */
+interface FenceOffset {
+  readonly era: number;
+  readonly offset: number;
+}
+
+/** Added to fences with each era: more revisions than a copy can lack, and a whole number for untold eras as well. */
+const offsetPerEra = 2 ** 24;
+
+const offsetSchema = v.object({ era: v.number(), offset: v.number() });
+
+/** Takes, renews and gives back leases. */
+export class DutyLeases implements LeaseService {
+  /** The latest that was heard of, also where the store has lost it. */
+  private heard: FenceOffset | undefined;
+
+  private constructor(private readonly options: DutyLeasesOptions) {}
+
+  static create(options: DutyLeasesOptions): DutyLeases {
+    return new DutyLeases(options);
+  }
+
+  /** Takes an item of the store; passes over those of others. */
+  takeItem(key: string, item: StoreItem | undefined): void {
+    if (key === this.options.offsetKey && item) this.hear(decodeItem(offsetSchema, item.value));
+  }
+
+  async acquireLease(
+    name: string,
+    holder: string,
+    ttl: number,
+  ): Promise<Result<GrantedLease | undefined, Failure>> {
+    const { store, offsetKey } = this.options;
+    const reading = await store.read(offsetKey);
+    if (reading.isErr()) return reading;
+    const { item, era } = reading.value;
+    this.hear(item && decodeItem(offsetSchema, item.value));
+    const granted = await store.grantLease(ttl);
+    if (granted.isErr()) return granted;
+    const lease = granted.value;
+    const current = createOffset(this.heard, era);
+    const expected = [
+      { key: name, revision: 0 },
+      { key: offsetKey, revision: item?.revision ?? 0 },
+    ];
+    const isKept = current.era === untoldEra || (item !== undefined && this.heard?.era === era);
+    const kept = isKept ? [] : [{ key: offsetKey, value: Buffer.from(JSON.stringify(current)) }];
+    const put = [{ key: name, value: Buffer.from(holder), lease }, ...kept];
+    const taken = await store.transact({ expected, put, remove: [] });
+    if (taken.isErr()) {
+      void store.releaseLease(lease);
+      return taken.error.code === FailureCode.ServiceConflict ? Ok(undefined) : taken;
+    }
+    this.hear(current);
+    return Ok({ session: lease, fence: current.offset + taken.value.revision });
+  }
+
+  renewLease(session: string): Promise<Result<void, Failure>> {
+    return this.options.store.renewLease(session);
+  }
+
+  releaseLease(session: string): Promise<Result<void, Failure>> {
+    return this.options.store.releaseLease(session);
+  }
+
+  private hear(told: FenceOffset | undefined): void {
+    if (told && told.offset >= (this.heard?.offset ?? 0) && told.era >= (this.heard?.era ?? 0))
+      this.heard = told;
+  }
+}
+
+/** Returns the offset of an era, reckoned from that of an earlier one. */
+function createOffset(earlier: FenceOffset | undefined, era: number): FenceOffset {
+  // A store that begins to tell its era has not come back by that.
+  if (!earlier || earlier.era === untoldEra) return { era, offset: earlier?.offset ?? 0 };
+  return { era, offset: earlier.offset + Math.max(0, era - earlier.era) * offsetPerEra };
+}
--- a/packages/gateway/src/endpointDirectory.ts
+++ b/packages/gateway/src/endpointDirectory.ts
@@ -2,14 +2,15 @@
  * The one view of endpoints, merged from their own records, their answers, peers' words, and attempts to reach them.
  *
  * A life's word that it leaves, wherever it comes from, is never undone, by no record or listing either; the next life of the
- * same id begins with nothing. A record that vanishes means that the endpoint leaves, unless the store was in trouble: then
- * records vanish by themselves, and the endpoint is used on.
+ * same id begins with nothing. A record that vanishes means that the endpoint leaves, unless the store was in trouble, or came
+ * back from a copy without it: then records vanish by themselves, and the endpoint is used on.
  * @module
  */
 import { type Clock, type Closeable, type Logger } from "@gladewall/kernel";
 import { Endpoint, EndpointState, getEndpointLife, getLifeId } from "./endpoint.js";
 import { EndpointWords, WordMemory, WordSource } from "./endpointWords.js";
-import { PrefixFollower } from "./prefixFollower.js";
+import { EndedLives } from "./endedLives.js";
+import { PrefixFollower, type Removal, RemovalCause } from "./prefixFollower.js";
 import type { EndpointNotice, EndpointRecord, PlatformAdapter, StoreItem } from "./types.js";
 
 /** Options of a directory. */
@@ -65,12 +66,15 @@
   readonly follower: PrefixFollower;
   /** What endpoints have said of themselves. */
   readonly words: WordMemory;
+  /** Lives whose records went. */
+  private readonly ended: EndedLives;
   private readonly removeListeners: ((endpoint: Endpoint) => void)[] = [];
   private readonly saidLeavingListeners: ((life: string) => void)[] = [];
 
   private constructor(private readonly options: EndpointDirectoryOptions) {
     const { platform, clock, logger } = options;
     this.words = WordMemory.create(clock);
+    this.ended = EndedLives.create(clock);
     this.follower = PrefixFollower.create({
       store: platform.store,
       prefix: platform.endpointPrefix,
@@ -79,12 +83,9 @@
       watchWaitMs: options.watchWaitMs,
       firstWatchPauseMs: options.firstWatchPauseMs,
       listener: {
-        handlePut: (item) => this.take(item),
-        handleRemoved: (key, troubleAgeMs) =>
-          this.handleRemoved(
-            key.slice(platform.endpointPrefix.length),
-            troubleAgeMs ?? options.getTimeSinceTrouble(),
-          ),
+        handlePut: (item, isRestored) => this.take(item, isRestored),
+        handleRemoved: (key, removal) =>
+          this.handleRemoved(key.slice(platform.endpointPrefix.length), removal),
       },
     });
   }
@@ -207,14 +208,16 @@
     await this.follower.close();
   }
 
-  private take({ key, value }: StoreItem): void {
+  private take(item: StoreItem, isRestored: boolean): void {
     const { platform, logger } = this.options;
+    const { key, value } = item;
     const decoded = platform.decodeEndpoint(key, value);
     if (decoded.isErr()) {
       logger.error("endpoint.refused", { key, text: decoded.error.text });
       return;
     }
     const record = decoded.value;
+    if (isRestored && this.ended.has(getEndpointLife(record))) return this.holdBack(item);
     const known = this.endpoints.get(record.id);
     if (known && isBefore(record, known.record)) {
       logger.info("endpoint.refused", { key, text: "the record is of an earlier life" });
@@ -237,6 +240,23 @@
     this.setState(endpoint, EndpointState.Leaving, wordCauses[leaving]);
   }
 
+  /**
+   * Leaves a record aside that is of a life whose record went before, as a copy may have it still: the store drops it unless
+   * that endpoint lives and goes on writing it.
+   */
+  private holdBack(item: StoreItem): void {
+    const { clock, logger } = this.options;
+    logger.info("endpoint.passed-over", {
+      key: item.key,
+      revision: item.revision,
+      text: "its record went before",
+    });
+    clock.startTimer(longestUnlistedMs, () => {
+      const present = this.follower.getItem(item.key);
+      if (present?.revision === item.revision) this.take(present, false);
+    });
+  }
+
   private add(record: EndpointRecord): Endpoint {
     const endpoint = Endpoint.create(record, this.words.find(getEndpointLife(record)));
     this.endpoints.set(record.id, endpoint);
@@ -248,22 +268,29 @@
     return endpoint;
   }
 
-  private handleRemoved(id: string, troubleAgeMs: number): void {
+  private handleRemoved(id: string, { cause, troubleAgeMs: toldAgeMs }: Removal): void {
     const endpoint = this.endpoints.get(id);
     if (!endpoint) return;
-    const { clock } = this.options;
+    const { clock, getTimeSinceTrouble } = this.options;
+    const troubleAgeMs = toldAgeMs ?? getTimeSinceTrouble();
+    const isLost = cause === RemovalCause.Lost;
     // Only trouble of whoever brings the word explains it: another reader that the store turned away says nothing of
     // the store, and by its trouble endpoints that left would be used beyond the drain time.
-    const isExplained = troubleAgeMs < troubleWindowMs && endpoint.words.leaving === undefined;
+    const isExplained = (isLost || troubleAgeMs < troubleWindowMs) && endpoint.words.leaving === undefined;
     if (!isExplained) {
       this.setState(endpoint, EndpointState.Leaving, "record gone", troubleAgeMs);
-      this.forget(endpoint);
+      this.forgetEnded(endpoint);
       return;
     }
-    this.setState(endpoint, EndpointState.Unlisted, "record gone in trouble", troubleAgeMs);
+    this.setState(
+      endpoint,
+      EndpointState.Unlisted,
+      isLost ? "record lost" : "record gone in trouble",
+      troubleAgeMs,
+    );
     clock.startTimer(this.options.unlistedMs, () => {
       // This instance's own path may have been the trouble: then the record tells of an endpoint that leaves.
-      if (!this.haveManyVanished()) this.endUnlisted(endpoint);
+      if (!isLost && !this.haveManyVanished()) this.endUnlisted(endpoint);
     });
     this.awaitRelisting(endpoint, clock.getTime() + longestUnlistedMs);
   }
@@ -288,6 +315,11 @@
   private endUnlisted(endpoint: Endpoint): void {
     if (endpoint.state !== EndpointState.Unlisted) return;
     this.setState(endpoint, EndpointState.Leaving, "not listed again");
+    this.forgetEnded(endpoint);
+  }
+
+  private forgetEnded(endpoint: Endpoint): void {
+    this.ended.add(endpoint.life);
     this.forget(endpoint);
   }
 
--- a/packages/gateway/src/fleetFeed.ts
+++ b/packages/gateway/src/fleetFeed.ts
@@ -5,11 +5,15 @@
  */
 import { type ConfigurationFollower, StoreRole, type Vouch } from "./configurationFollower.js";
 import type { PrefixChanges, PrefixFollower } from "./prefixFollower.js";
+import { type StoreEras, untoldEra } from "./storeEras.js";
 
 /** What an instance knows already, for the one that it asks. */
 export interface FeedState {
   /** Revision of the configuration that is held; 0 before the first. */
   readonly configuration: number;
+  /** Its version, and the era of all revisions here; earlier builds leave both out. */
+  readonly version?: number;
+  readonly era?: number;
   /** Revision up to which each prefix is known; left out before its first listing. */
   readonly prefixes: Readonly<Record<string, number>>;
 }
@@ -18,6 +22,8 @@
 export interface FeedMessage {
   /** Left out where the teller has no proof. */
   readonly vouch?: Vouch | undefined;
+  /** Newest era that the teller knows of; earlier builds leave it out. */
+  readonly era?: number;
   /** Milliseconds since the teller sent a read that the store answered. */
   readonly storeAgeMs: number;
   /** Milliseconds since a call of the teller last failed. */
@@ -36,6 +42,7 @@
 /** Hands on, and takes what was handed on. */
 export class FleetFeed {
   private constructor(
+    private readonly eras: StoreEras,
     private readonly configuration: ConfigurationFollower,
     private readonly followers: Readonly<Record<string, PrefixFollower>>,
     private readonly longestStoreAgeMs: number,
@@ -43,31 +50,40 @@
 
   /** `longestStoreAgeMs`: a teller whose store has been silent for longer is not believed. */
   static create(
+    eras: StoreEras,
     configuration: ConfigurationFollower,
     followers: Readonly<Record<string, PrefixFollower>>,
     longestStoreAgeMs: number,
   ): FleetFeed {
-    return new FleetFeed(configuration, followers, longestStoreAgeMs);
+    return new FleetFeed(eras, configuration, followers, longestStoreAgeMs);
   }
 
   getState(): FeedState {
     const prefixes: Record<string, number> = {};
     for (const [prefix, follower] of Object.entries(this.followers)) {
-      const revision = follower.getRevision();
-      if (revision !== undefined) prefixes[prefix] = revision;
+      const position = follower.getPosition();
+      if (position) prefixes[prefix] = position.revision;
     }
-    return { configuration: this.configuration.getRevision(), prefixes };
+    const { revision, version } = this.configuration.getHeld();
+    const held = { configuration: revision, ...(version === undefined ? {} : { version }) };
+    return { ...held, era: this.eras.current, prefixes };
   }
 
   createMessage(state: FeedState): FeedMessage {
+    // Whoever asks may have been served by the store later than this instance.
+    this.eras.takePeer(state.era ?? untoldEra);
+    // An earlier build names no era: its numbers are taken for those of the present one, as it takes them itself.
+    const { era = this.eras.current, configuration: revision, version } = state;
     const prefixes: Record<string, PrefixChanges> = {};
     for (const [prefix, follower] of Object.entries(this.followers)) {
-      const changes = follower.getChanges(state.prefixes[prefix]);
+      const since = state.prefixes[prefix];
+      const changes = follower.getChanges(since === undefined ? undefined : { era, revision: since });
       if (changes) prefixes[prefix] = changes;
     }
     const { configuration } = this;
     return {
-      vouch: configuration.vouch(state.configuration, largestPassedBytes),
+      vouch: configuration.vouch({ revision, version }, largestPassedBytes),
+      era: this.eras.current,
       storeAgeMs: Math.min(noTroubleMs, configuration.getStoreAge()),
       troubleAgeMs: Math.min(noTroubleMs, configuration.getTimeSinceTrouble()),
       prefixes,
@@ -75,9 +91,13 @@
   }
 
   /** Takes what was told in answer to a question asked at a time; returns whether the teller is served by the store. */
-  take({ vouch, storeAgeMs, troubleAgeMs, prefixes }: FeedMessage, askedAt: number): boolean {
+  take(message: FeedMessage, askedAt: number): boolean {
+    const { vouch, era = untoldEra, storeAgeMs, troubleAgeMs, prefixes } = message;
     if (storeAgeMs > this.longestStoreAgeMs) return false;
+    this.eras.takePeer(era);
     if (vouch) this.configuration.takeVouch(vouch, askedAt);
+    // Of an era that is over, or of an earlier build that knows of none, its numbers are no order here.
+    if (era < this.eras.current) return false;
     for (const [prefix, changes] of Object.entries(prefixes)) {
       this.followers[prefix]?.takeChanges(changes, troubleAgeMs);
     }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -18,6 +18,7 @@
 import type { GatewaySettings } from "./gatewaySettings.js";
 import { RequestServer } from "./requestServer.js";
 import { CounterKind } from "./sharedCounters.js";
+import { isReturn } from "./storeEras.js";
 import type { PlatformAdapter, PlatformOptions } from "./types.js";
 
 /** Part of the grace that is kept for the end of the process. */
@@ -79,12 +80,18 @@
         return { endpoints: named.length, perSecond: named.reduce((sum, one) => sum + one, 0) };
       },
       isDutyHolder: () => parts.duties.isActing(),
+      getEra: () => platform.store.eras.current,
+      isEraSettled: () => parts.settling.isSettled,
       countSuspects: () => parts.crashes.records.count(),
     });
     follower.onChange((table) => this.front.setLimits(table.configuration.limits));
-    follower.onRegained(() => {
+    const listAnew = (): void => {
       directory.restart();
       members.restart();
+    };
+    follower.onRegained(listAnew);
+    platform.store.eras.onRise((rise) => {
+      if (isReturn(rise)) listAnew();
     });
   }
 
--- a/packages/gateway/src/gatewayMetrics.ts
+++ b/packages/gateway/src/gatewayMetrics.ts
@@ -24,6 +24,9 @@
   /** Endpoints that name a limit, and what they take together. */
   readonly countLimited: () => { readonly endpoints: number; readonly perSecond: number };
   readonly isDutyHolder: () => boolean;
+  /** Era of the store, and whether its reads prove the configuration. */
+  readonly getEra: () => number;
+  readonly isEraSettled: () => boolean;
   /** Requests under which an endpoint ended, and of these such as are not run any more. */
   readonly countSuspects: () => { readonly watched: number; readonly convicted: number };
 }
@@ -108,6 +111,14 @@
     this.registry.getCounter("gladewall_permit_asks_total", help, { word: word.toLowerCase() }).add();
   }
 
+  /** Counts an answer of the store that is not of its present era. */
+  countPassedAnswer(cause: string): void {
+    const help = "Answers of the store that were passed over, as they are not of its present era.";
+    this.registry
+      .getCounter("gladewall_store_passed_answers_total", help, { cause: cause.toLowerCase() })
+      .add();
+  }
+
   /** Counts an endpoint that ended with requests of this instance on it. */
   countEndpointEnd(service: string): void {
     const help = "Endpoints that ended with requests of this instance on them.";
@@ -186,6 +197,10 @@
       "Requests a second that these take of all instances together.",
       () => sources.countLimited().perSecond,
     );
+    set("gladewall_store_era", "Era of the store; 0 where it tells none.", sources.getEra);
+    set("gladewall_store_settled", "1 while the store's reads prove the configuration.", () =>
+      Number(sources.isEraSettled()),
+    );
     set("gladewall_duty_holder", "1 while this instance gives orders.", () => Number(sources.isDutyHolder()));
   }
 
--- a/packages/gateway/src/gatewayParts.ts
+++ b/packages/gateway/src/gatewayParts.ts
@@ -13,10 +13,14 @@
 import { ConfigurationFollower, type ConfigurationFollowerOptions } from "./configurationFollower.js";
 import { Demand } from "./demand.js";
 import { Duties } from "./duties.js";
+import type { DutyLeases } from "./dutyLeases.js";
+import type { EraSettling } from "./eraSettling.js";
+import { watchEras } from "./eraWatch.js";
 import { createFeedTimes, type FeedTimes } from "./feedTimes.js";
 import { EndpointWordLinks } from "./endpointWordLinks.js";
 import { EndpointLimits } from "./endpointLimits.js";
 import { FencedOrders } from "./fencedOrders.js";
+import type { FixedWindows } from "./fixedWindows.js";
 import { GatewayMetrics } from "./gatewayMetrics.js";
 import type { GatewaySettings } from "./gatewaySettings.js";
 import { LimitIssuer } from "./limitIssuer.js";
@@ -24,6 +28,7 @@
 import { LimitPermits } from "./limitPermits.js";
 import { ownPrefix } from "./memberRecords.js";
 import { Members, type MembersOptions } from "./members.js";
+import { OwnItems, usagePrefix } from "./ownItems.js";
 import { Placer } from "./placement.js";
 import { PrefixMemory } from "./prefixMemory.js";
 import { ReadingRates } from "./readingRates.js";
@@ -40,7 +45,6 @@
 
 const dutyKey = `${ownPrefix}duty`;
 const dutyMarkKey = `${ownPrefix}duties-begun`;
-const usagePrefix = `${ownPrefix}usage/`;
 // Outside the prefix that all instances watch: each change there costs a call of every instance.
 const usageDraftKey = "gladewall-usage-draft";
 const demandWindowMs = 4_000;
@@ -63,6 +67,7 @@
 
 /** What is known of the platform and counted with the other instances. */
 interface GatewayViews extends GatewayBase {
+  readonly settling: EraSettling;
   /** Grows with each life of the instance. */
   readonly incarnation: number;
   readonly time: TrueTime;
@@ -100,6 +105,8 @@
   readonly counters: SharedCounters;
   readonly metrics: GatewayMetrics;
   readonly duties: Duties;
+  /** Whether the store shows all that was acknowledged. */
+  readonly settling: EraSettling;
   readonly connectTimeoutMs: number;
   /** Tells the other instances at once of prompt tokens that were sent to an endpoint. */
   readonly tellPlaced: (endpoint: string, tokens: number) => void;
@@ -116,27 +123,39 @@
   clock: Clock,
   logger: Logger,
 ): GatewayParts {
+  const base = { settings, platform, clock, logger };
+  const { store } = platform;
+  const own: OwnItems = OwnItems.create({
+    ...base,
+    store,
+    isFirstStart: settings.instance.first_start,
+    isWriter: () => members.isReader && members.isListed,
+  });
   const views = createViews(
-    { settings, platform, clock, logger },
+    { ...base, settling: own.settling },
     {
-      askPeers: (revision) => vouching.ask(revision),
+      askPeers: (held) => vouching.ask(held),
       getPeerWork: (endpoint) => members.getPeerWork(endpoint),
     },
   );
   const { time, follower, directory, usage, counters, rates } = views;
-  const { endpoints } = settings;
-  const reporter: UsageReporter = createReporter(views, (key) => members.items.get(key));
+  const reporter: UsageReporter = createReporter(views, own.fixed, (key) => members.items.get(key));
   const getKnownShare = (): number => members.getKnownShare();
   const admission: Admission = createAdmission(views, getKnownShare, () => members.getFleetSize());
   const members: Members = createMembers(views, reporter, {
     answerAsk: (peer, ask) => admission.answerAsk(peer, ask),
-    onItem: (key, item) => crashes.takeItem(key, item),
+    onItem: (key, item, removal) => {
+      own.takeItem(key, item, removal);
+      crashes.takeItem(key, item, removal);
+    },
     onTurn: () => {
       admission.refreshLimits();
       crashes.review();
+      own.review();
     },
   });
   const metrics = GatewayMetrics.create(settings.listen.metrics);
+  watchEras(store.eras, logger, metrics);
   const crashes: Crashes = createCrashes(views, members, metrics);
   const { limits, permits, links } = createLimits(views, members, metrics);
   const budget = createBudget(views, members, links);
@@ -165,20 +184,14 @@
       getViewAge: () => members.viewAge,
     }),
     rates,
-    placer: Placer.create({
-      clock,
-      memory: views.memory,
-      getReadingRate: (service) => rates.get(service),
-      getEndpoints: (service) => directory.getOfService(service),
-      getPeerWork: (endpoint) => members.getPeerWork(endpoint),
-      getRandom: Math.random,
-    }),
+    placer: createPlacer(views, members),
     budget,
     demand: views.demand,
     counters,
     metrics,
-    duties: createDuties(views, members, reporter),
-    connectTimeoutMs: endpoints.connect_timeout,
+    duties: createDuties(views, members, reporter, own.leases),
+    settling: own.settling,
+    connectTimeoutMs: settings.endpoints.connect_timeout,
     tellPlaced: (endpoint, tokens) => members.tellPlaced(endpoint, tokens),
     countRun: (workspace, at) => usage.add(reporter.getWindow(at), workspace),
     getTimeOfDay: () => time.get(),
@@ -197,8 +210,11 @@
   return follower.isProven() && directory.isListed && members.isListed;
 }
 
-function createViews(base: GatewayBase, { askPeers, getPeerWork }: FleetViews): GatewayViews {
-  const { settings, platform, clock, logger } = base;
+function createViews(
+  base: Pick<GatewayViews, keyof GatewayBase | "settling">,
+  { askPeers, getPeerWork }: FleetViews,
+): GatewayViews {
+  const { settings, platform, clock, logger, settling } = base;
   const { configuration, retries, quotas, endpoints } = settings;
   const feedTimes = createFeedTimes(Math.min(endpoints.drain, configuration.apply_within));
   const follower = ConfigurationFollower.create({
@@ -210,6 +226,7 @@
     proofLifetimeMs: configuration.revoke_within - configuration.revoke_margin,
     firstWatchPauseMs,
     askPeers,
+    settling,
   });
   const getTimeSinceTrouble = (): number => follower.getTimeSinceTrouble();
   const windows = {
@@ -256,7 +273,11 @@
   };
 }
 
-function createReporter(views: GatewayViews, getItem: Members["items"]["get"]): UsageReporter {
+function createReporter(
+  views: GatewayViews,
+  fixed: FixedWindows,
+  getItem: Members["items"]["get"],
+): UsageReporter {
   const { settings, platform, clock, logger, time, usage } = views;
   return UsageReporter.create({
     store: platform.store,
@@ -270,6 +291,7 @@
     usage,
     life: getLife({ name: settings.instance.name, incarnation: views.incarnation }),
     getItem,
+    fixed,
   });
 }
 
@@ -310,6 +332,17 @@
   return members;
 }
 
+function createPlacer({ clock, memory, rates, directory }: GatewayViews, members: Members): Placer {
+  return Placer.create({
+    clock,
+    memory,
+    getReadingRate: (service) => rates.get(service),
+    getEndpoints: (service) => directory.getOfService(service),
+    getPeerWork: (endpoint) => members.getPeerWork(endpoint),
+    getRandom: Math.random,
+  });
+}
+
 function createCrashes(views: GatewayViews, members: Members, metrics: GatewayMetrics): Crashes {
   const { settings, platform, clock, logger, directory, follower } = views;
   const { connect_timeout: connectTimeoutMs, drain: drainMs } = settings.endpoints;
@@ -394,7 +427,12 @@
   });
 }
 
-function createDuties(views: GatewayViews, members: Members, reporter: UsageReporter): Duties {
+function createDuties(
+  views: GatewayViews,
+  members: Members,
+  reporter: UsageReporter,
+  leases: DutyLeases,
+): Duties {
   const { settings, platform, clock, logger, directory, follower, demand } = views;
   const { orders, instance } = settings;
   const capacity = CapacityOrders.create({
@@ -407,6 +445,8 @@
   });
   return Duties.create({
     store: platform.store,
+    leases,
+    isFirstStart: instance.first_start,
     clock,
     logger,
     name: instance.name,
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -35,13 +35,17 @@
 export { CrashWatch } from "./crashWatch.js";
 export { Demand } from "./demand.js";
 export { Duties } from "./duties.js";
+export { DutyLeases } from "./dutyLeases.js";
+export { EraSettling } from "./eraSettling.js";
 export { probeEndpoint, ProbeWord } from "./endpointProbe.js";
 export { EventSplitter } from "./eventSplitter.js";
 export { createFeedTimes } from "./feedTimes.js";
 export { FleetFeed } from "./fleetFeed.js";
 export { FleetWork } from "./fleetWork.js";
 export { FencedOrders } from "./fencedOrders.js";
+export { FixedWindows } from "./fixedWindows.js";
 export { GatewayMetrics } from "./gatewayMetrics.js";
+export { formatLeaseHandle, parseLeaseHandle } from "./leaseHandle.js";
 export { LimitIssuer } from "./limitIssuer.js";
 export { LimitLinks } from "./limitLinks.js";
 export { LimitMessageKind, type PermitAnswer, type PermitAsk, PermitWord } from "./limitMessages.js";
@@ -59,7 +63,7 @@
 export { PeerTimes } from "./peerTimes.js";
 export { PlacementRelay } from "./placementRelay.js";
 export { Placer } from "./placement.js";
-export { PrefixFollower } from "./prefixFollower.js";
+export { PrefixFollower, RemovalCause } from "./prefixFollower.js";
 export { ReadingRates, type RateReport } from "./readingRates.js";
 export { PrefixMemory, type ReadReport } from "./prefixMemory.js";
 export { getAllowances, restartsPerWindow } from "./quotaAllowances.js";
@@ -75,6 +79,18 @@
 export { CounterKind, type CounterTotals, SharedCounters } from "./sharedCounters.js";
 export { SilentPeers } from "./silentPeers.js";
 export { SlidingWindow } from "./slidingWindow.js";
+export {
+  type CallStart,
+  type EraRise,
+  EraSource,
+  type EraWord,
+  hasCrossed,
+  isReturn,
+  PassedOver,
+  StoreEras,
+  type StorePosition,
+  untoldEra,
+} from "./storeEras.js";
 export { StoreFeed } from "./storeFeed.js";
 export { Suspects } from "./suspects.js";
 export { TrialGrants, TrialWord } from "./trialGrants.js";
--- a/packages/gateway/src/memberRecords.ts
+++ b/packages/gateway/src/memberRecords.ts
@@ -3,9 +3,9 @@
  * @module
  */
 import type { PeerAddress } from "@gladewall/coordination";
-import { type Clock, type Closeable, type Logger, type Timer, waitFor } from "@gladewall/kernel";
+import { type Clock, type Closeable, FailureCode, type Logger, type Timer, waitFor } from "@gladewall/kernel";
 import { decodeItem } from "./itemCodec.js";
-import { PrefixFollower } from "./prefixFollower.js";
+import { PrefixFollower, type Removal } from "./prefixFollower.js";
 import * as v from "valibot";
 import type { MetadataStore, StoreItem } from "./types.js";
 
@@ -27,8 +27,8 @@
   readonly capacity: number;
   /** Called after changes, once for those that came together. */
   readonly onChange: () => void;
-  /** Called with each of the gateway's other items, and with `undefined` once one is gone. */
-  readonly onItem?: (key: string, item: StoreItem | undefined) => void;
+  /** Called with each of the gateway's other items, and with `undefined` and how it went once one is gone. */
+  readonly onItem?: (key: string, item: StoreItem | undefined, removal?: Removal) => void;
   /** Whether an instance is linked: its record is kept even where the store has none. */
   readonly isLinked: (name: string) => boolean;
 }
@@ -69,7 +69,7 @@
     this.grownAt = clock.getTime();
     const listener = {
       handlePut: (item: StoreItem) => this.handlePut(item),
-      handleRemoved: (key: string) => this.handleRemoved(key),
+      handleRemoved: (key: string, removal: Removal) => this.handleRemoved(key, removal),
     };
     this.follower = PrefixFollower.create({
       store,
@@ -141,20 +141,44 @@
   }
 
   private async keepRecordOnce(): Promise<void> {
-    const { store, name, address, incarnation, capacity } = this.options;
-    if (this.lease !== undefined) {
-      const renewed = await store.renewLease(this.lease);
-      // Only a clear word ends the lease; it may have been renewed where the answer was lost.
-      if (renewed.isOk() || renewed.error.name !== "LeaseLost") return;
-      this.lease = undefined;
-    }
+    if (this.lease === undefined || (await this.isLeaseLost(this.lease))) await this.writeRecord();
+  }
+
+  /** Renews a lease; true where it is over, and no other carries this life's record. */
+  private async isLeaseLost(lease: string): Promise<boolean> {
+    const { store } = this.options;
+    const renewed = await store.renewLease(lease);
+    // Only a clear word ends the lease; it may have been renewed where the answer was lost.
+    if (renewed.isOk() || renewed.error.code !== FailureCode.LeaseLost) return false;
+    // A store that came back from a copy may have the record and its lease still: a read costs it less than two writes.
+    this.lease = await this.findOwnLease();
+    if (this.lease === undefined) return true;
+    await store.renewLease(this.lease);
+    return false;
+  }
+
+  /** Reads the lease that this life's record goes with; undefined where there is none. */
+  private async findOwnLease(): Promise<string | undefined> {
+    const { store, name, incarnation } = this.options;
+    const reading = await store.read(`${memberPrefix}${name}`);
+    if (reading.isErr() || !reading.value.item) return undefined;
+    const { value, lease } = reading.value.item;
+    const record = decodeItem(memberSchema, value);
+    return record?.incarnation === incarnation ? lease : undefined;
+  }
+
+  private async writeRecord(): Promise<void> {
+    const { store, logger, name, address, incarnation, capacity } = this.options;
+    this.lease = undefined;
     const granted = await store.grantLease(leaseMs);
     if (granted.isErr()) return;
     const lease = granted.value;
     const value = Buffer.from(JSON.stringify({ address, incarnation, capacity } satisfies MemberRecord));
     const put = [{ key: `${memberPrefix}${name}`, value, lease }];
     const written = await store.transact({ expected: [], put, remove: [] });
-    if (written.isOk()) this.lease = lease;
+    if (written.isErr()) return;
+    this.lease = lease;
+    logger.info("member.recorded", { era: written.value.era, revision: written.value.revision });
   }
 
   private handlePut(item: StoreItem): void {
@@ -187,10 +211,10 @@
     });
   }
 
-  private handleRemoved(key: string): void {
+  private handleRemoved(key: string, removal: Removal): void {
     this.items.delete(key);
     if (!key.startsWith(memberPrefix)) {
-      this.options.onItem?.(key, undefined);
+      this.options.onItem?.(key, undefined, removal);
       return;
     }
     const name = key.slice(memberPrefix.length);
--- a/packages/gateway/src/members.ts
+++ b/packages/gateway/src/members.ts
@@ -144,6 +144,7 @@
       logger,
       own: name,
       times: options.feedTimes,
+      eras: options.store.eras,
       configuration: options.configuration,
       followers: { [options.endpointPrefix]: options.endpoints, [ownPrefix]: this.records.follower },
     });
--- /dev/null
+++ b/packages/gateway/src/ownItems.ts
@@ -0,0 +1,55 @@
+/**
+ * What an instance remembers of the gateway's own items, and writes again where a store that came back from a copy lacks them.
+ * @module
+ */
+import type { Clock, Logger } from "@gladewall/kernel";
+import { DutyLeases } from "./dutyLeases.js";
+import { EraSettling } from "./eraSettling.js";
+import { FixedWindows } from "./fixedWindows.js";
+import { ownPrefix } from "./memberRecords.js";
+import type { Removal } from "./prefixFollower.js";
+import type { MetadataStore, StoreItem } from "./types.js";
+
+/** Prefix of the keys that hold fixed usage windows. */
+export const usagePrefix = `${ownPrefix}usage/`;
+const fenceOffsetKey = `${ownPrefix}fence-offset`;
+
+/** Options of the items. */
+export interface OwnItemsOptions {
+  readonly store: MetadataStore;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly isFirstStart: boolean;
+  /** Whether this instance knows what the store holds, and writes for all. */
+  readonly isWriter: () => boolean;
+}
+
+/** Items that are kept beyond the store. */
+export class OwnItems {
+  readonly settling: EraSettling;
+  readonly leases: DutyLeases;
+  readonly fixed: FixedWindows;
+
+  private constructor(options: OwnItemsOptions) {
+    this.settling = EraSettling.create(options);
+    this.leases = DutyLeases.create({ ...options, offsetKey: fenceOffsetKey });
+    this.fixed = FixedWindows.create({ ...options, prefix: usagePrefix });
+  }
+
+  static create(options: OwnItemsOptions): OwnItems {
+    return new OwnItems(options);
+  }
+
+  /** Takes an item of the store, or that it is gone and how. */
+  takeItem(key: string, item: StoreItem | undefined, removal?: Removal): void {
+    this.settling.takeItem(key, item);
+    this.leases.takeItem(key, item);
+    this.fixed.takeItem(key, item, removal);
+  }
+
+  /** Writes what is due; called several times a second. */
+  review(): void {
+    this.settling.review();
+    this.fixed.review();
+  }
+}
--- a/packages/gateway/src/prefixFollower.ts
+++ b/packages/gateway/src/prefixFollower.ts
@@ -7,13 +7,28 @@
  * @module
  */
 import { type Clock, type Closeable, Failure, FailureCode, type Logger, waitFor } from "@gladewall/kernel";
+import { type StorePosition, untoldEra } from "./storeEras.js";
 import type { MetadataStore, StoreEvent, StoreItem } from "./types.js";
 
+/** Why an item is no longer there. */
+export enum RemovalCause {
+  Removed = 1,
+  /** The store came back from a copy that does not have it; whoever wrote it may write it again. */
+  Lost = 2,
+}
+
+/** How an item went. */
+export interface Removal {
+  readonly cause: RemovalCause;
+  /** How long ago the store last failed whoever told of it; undefined where nobody did. */
+  readonly troubleAgeMs: number | undefined;
+}
+
 /** What a follower tells. Calls come in the order of the store's revisions. */
 export interface PrefixListener {
-  handlePut(item: StoreItem): void;
-  /** `troubleAgeMs`: how long ago the store last failed whoever told of it; undefined where nobody did. */
-  handleRemoved(key: string, troubleAgeMs?: number): void;
+  /** `isRestored`: the item may stand in the copy that the store came back from, older than what was heard before. */
+  handlePut(item: StoreItem, isRestored: boolean): void;
+  handleRemoved(key: string, removal: Removal): void;
 }
 
 /** Options of a follower. */
@@ -40,6 +55,8 @@
 
 /** What changed under a prefix after some revision. */
 export interface PrefixChanges {
+  /** Era of all revisions; earlier builds leave it out. */
+  readonly era?: number;
   /** Revision up to which this tells everything. */
   readonly revision: number;
   readonly items: readonly StoreItem[];
@@ -68,6 +85,8 @@
    */
   unheardMs = Infinity;
   private heardAt = -Infinity;
+  /** Era of all revisions that are kept here. */
+  private era = untoldEra;
   /** Revision up to which everything is known. */
   private revision = 0;
   private readonly items = new Map<string, StoreItem>();
@@ -105,30 +124,42 @@
     else this.wake();
   }
 
-  /** Revision up to which everything is known; undefined before the first listing. */
-  getRevision(): number | undefined {
-    return this.isListed ? this.revision : undefined;
+  /** Position up to which everything is known; undefined before the first listing of the store's present era. */
+  getPosition(): StorePosition | undefined {
+    const { era, revision } = this;
+    return this.isListed && era === this.options.store.eras.current ? { era, revision } : undefined;
   }
 
-  /** Returns what changed after a revision; undefined where nothing is known here. */
-  getChanges(since: number | undefined): PrefixChanges | undefined {
-    if (!this.isListed) return undefined;
-    const { revision } = this;
-    const isListing = since === undefined || since < this.forgottenRevision;
-    if (isListing) return { revision, items: [...this.items.values()], removed: [], isListing };
-    const items = [...this.items.values()].filter((item) => item.revision > since);
+  /** Returns an item as last heard of. */
+  getItem(key: string): StoreItem | undefined {
+    return this.items.get(key);
+  }
+
+  /** Returns what changed after a position; undefined where nothing is known here of the present era. */
+  getChanges(since: StorePosition | undefined): PrefixChanges | undefined {
+    const position = this.getPosition();
+    if (!position) return undefined;
+    const isComparable = since?.era === position.era && since.revision >= this.forgottenRevision;
+    if (!isComparable) return { ...position, items: [...this.items.values()], removed: [], isListing: true };
+    const items = [...this.items.values()].filter((item) => item.revision > since.revision);
     const removed = [...this.removed]
-      .filter(([, removedAt]) => removedAt > since)
+      .filter(([, removedAt]) => removedAt > since.revision)
       .map(([key, removedAt]) => ({ key, revision: removedAt }));
-    return { revision, items, removed, isListing };
+    return { ...position, items, removed, isListing: false };
   }
 
-  /** Takes what another follower handed on, whom the store last failed so many milliseconds ago. */
-  takeChanges({ revision, items, removed, isListing }: PrefixChanges, troubleAgeMs: number): void {
-    if (isListing && revision < this.revision) return;
+  /**
+   * Takes what another follower handed on, whom the store last failed so many milliseconds ago. Of another era than the
+   * present one it is passed over, and so are changes of an era of which no listing is known here.
+   */
+  takeChanges(changes: PrefixChanges, troubleAgeMs: number): void {
+    const { era = untoldEra, revision, items, removed, isListing } = changes;
+    const isOwnEra = era === this.era;
+    if (era !== this.options.store.eras.current || (!isListing && !isOwnEra)) return;
+    if (isListing && isOwnEra && revision < this.revision) return;
     this.noteHeard();
     if (isListing) {
-      this.takeListing(items, revision, troubleAgeMs);
+      this.takeListing(items, { era, revision }, troubleAgeMs);
       return;
     }
     for (const item of items) this.put(item);
@@ -178,18 +209,23 @@
     const listing = await store.list(prefix);
     if (listing.isErr()) return listing.error;
     this.noteHeard();
-    this.takeListing(listing.value.items, listing.value.revision);
+    this.takeListing(listing.value.items, listing.value.position);
     await this.pauseOnce(signal);
     while (!signal.aborted) {
-      const changes = await store.watch(prefix, this.revision, watchWaitMs, signal);
+      const { era, revision: since } = this;
+      const changes = await store.watch(prefix, { era, revision: since }, watchWaitMs, signal);
       if (changes.isErr()) return changes.error;
+      // Another follower may have handed on a later era meanwhile.
+      if (changes.value.position.era !== this.era) {
+        return Failure.create(FailureCode.HistoryLost, { revision: since });
+      }
       this.noteHeard();
-      const { events, revision } = changes.value;
+      const { events, position } = changes.value;
       // A watch that was deaf for a moment ends without events as well: gone on from its revision, what changed meanwhile
       // would never be heard of. From the old one the store tells it, or that its history is gone.
       if (events.length === 0) continue;
       for (const event of events) this.takeEvent(event);
-      this.revision = Math.max(this.revision, revision);
+      this.revision = Math.max(this.revision, position.revision);
       await waitFor(clock, batchMs, signal);
     }
     return Failure.create(FailureCode.ServiceUnavailable, { detail: "given up" });
@@ -208,11 +244,19 @@
     this.heardAt = time;
   }
 
-  private takeListing(items: readonly StoreItem[], revision: number, troubleAgeMs?: number): void {
+  private takeListing(
+    items: readonly StoreItem[],
+    { era, revision }: StorePosition,
+    troubleAgeMs?: number,
+  ): void {
+    if (era < this.era) return;
+    if (era > this.era && this.isListed) return this.takeRestored(items, { era, revision }, troubleAgeMs);
+    this.era = era;
     const listed = new Set(items.map(({ key }) => key));
     for (const { key, revision: putAt } of [...this.items.values()]) {
       // What was put after the listing was taken is not missing from it.
-      if (!listed.has(key) && putAt <= revision) this.remove(key, revision, troubleAgeMs);
+      if (listed.has(key) || putAt > revision) continue;
+      this.remove(key, revision, { cause: RemovalCause.Removed, troubleAgeMs });
     }
     for (const item of items) this.put(item);
     this.revision = Math.max(this.revision, revision);
@@ -222,6 +266,33 @@
     this.isListed = true;
   }
 
+  /** Takes the first listing of a new era: what was known is no order for it, and what is missing may be written again. */
+  private takeRestored(
+    items: readonly StoreItem[],
+    { era, revision }: StorePosition,
+    troubleAgeMs: number | undefined,
+  ): void {
+    const { logger, prefix, listener } = this.options;
+    const known = new Map(this.items);
+    logger.info("store.restored", {
+      prefix,
+      era,
+      revision,
+      revisionBefore: this.revision,
+      items: items.length,
+    });
+    this.era = era;
+    this.revision = revision;
+    this.forgottenRevision = revision;
+    this.items.clear();
+    this.removed.clear();
+    for (const item of items) this.items.set(item.key, item);
+    for (const key of known.keys()) {
+      if (!this.items.has(key)) listener.handleRemoved(key, { cause: RemovalCause.Lost, troubleAgeMs });
+    }
+    for (const item of items) if (!isSameItem(item, known.get(item.key))) listener.handlePut(item, true);
+  }
+
   private takeEvent({ key, revision, value }: StoreEvent): void {
     if (value) this.put({ key, revision, value });
     else this.takeRemoval(key, revision);
@@ -229,7 +300,8 @@
 
   private takeRemoval(key: string, revision: number, troubleAgeMs?: number): void {
     const item = this.items.get(key);
-    if (item && item.revision < revision) this.remove(key, revision, troubleAgeMs);
+    if (!item || item.revision >= revision) return;
+    this.remove(key, revision, { cause: RemovalCause.Removed, troubleAgeMs });
   }
 
   private put(item: StoreItem): void {
@@ -237,7 +309,7 @@
     const knownAt = this.items.get(item.key)?.revision ?? this.removed.get(item.key) ?? -1;
     if (knownAt >= item.revision) return;
     this.items.set(item.key, item);
-    this.options.listener.handlePut(item);
+    this.options.listener.handlePut(item, false);
   }
 
   private forgetOldest(): void {
@@ -249,12 +321,16 @@
     }
   }
 
-  private remove(key: string, revision: number, troubleAgeMs: number | undefined): void {
+  private remove(key: string, revision: number, removal: Removal): void {
     if (!this.items.delete(key)) return;
     // Deleted first, so that the map stays in the order of revisions.
     this.removed.delete(key);
     this.removed.set(key, revision);
     this.forgetOldest();
-    this.options.listener.handleRemoved(key, troubleAgeMs);
+    this.options.listener.handleRemoved(key, removal);
   }
 }
+
+function isSameItem(one: StoreItem, other: StoreItem | undefined): boolean {
+  return other?.revision === one.revision && Buffer.compare(one.value, other.value) === 0;
+}
--- /dev/null
+++ b/packages/gateway/src/storeEras.ts
@@ -0,0 +1,169 @@
+/**
+ * Places in the store's history. A store that comes back from a copy gives revisions out again, so they are an order
+ * within one era only. The store tells the era with its answers; where it tells none, a revision below one that was known
+ * when a call was sent shows that another has begun.
+ * @module
+ */
+
+/** A place in the store's history. */
+export interface StorePosition {
+  readonly era: number;
+  /** Counts within the era. */
+  readonly revision: number;
+}
+
+/** Whether two places are the same. */
+export function isSamePosition(one: StorePosition, other: StorePosition): boolean {
+  return one.era === other.era && one.revision === other.revision;
+}
+
+/** Era of a store that has told none and was not seen to go back. */
+export const untoldEra = 0;
+/** Each return that only revisions show counts so much: told eras are whole numbers, and above all of these. */
+export const untoldStep = 1 / 1_024;
+
+const leastTold = 1;
+
+/** What an answer tells of its era. */
+export interface EraWord {
+  /** Undefined where it tells none that can be read. */
+  readonly era: number | undefined;
+  /** Text of a word that could not be read. */
+  readonly unreadable?: string | undefined;
+}
+
+/** What was known when a call was sent. */
+export interface CallStart {
+  readonly era: number;
+  readonly revision: number;
+}
+
+/** By what a new era was found out. */
+export enum EraSource {
+  /** An answer of the store that tells it. */
+  Answer = 1,
+  /** A revision below one that was known. */
+  Revision = 2,
+  /** Another instance. */
+  Peer = 3,
+}
+
+/** The beginning of an era, as seen here. */
+export interface EraRise {
+  readonly from: number;
+  readonly to: number;
+  readonly source: EraSource;
+  /** Highest revision that was known in the era before; 0 where none was. */
+  readonly revisionBefore: number;
+}
+
+/** Whether the store came back from a copy, and did not only tell its era to this instance for the first time. */
+export function isReturn({ from, revisionBefore }: Pick<EraRise, "from" | "revisionBefore">): boolean {
+  return from !== untoldEra || revisionBefore > 0;
+}
+
+/** Whether a call that was sent in one era was answered in another one. */
+export function hasCrossed(start: CallStart, { era }: StorePosition): boolean {
+  return start.era !== era && isReturn({ from: start.era, revisionBefore: start.revision });
+}
+
+/** Why an answer is passed over. */
+export enum PassedOver {
+  /** It is of an era that was over when it came. */
+  Late = 1,
+  /** It was asked for in an era that was known, and is of one before. */
+  Fallen = 2,
+  /** It tells no era, though earlier ones did, or none that can be read. */
+  Untold = 3,
+}
+
+/** An answer that is passed over. */
+export interface PassedAnswer {
+  readonly cause: PassedOver;
+  /** Era of the answer, where it has one. */
+  readonly era: number | undefined;
+  readonly unreadable?: string | undefined;
+}
+
+/** The era that the store is in, as this instance knows. */
+export class StoreEras {
+  private known = untoldEra;
+  private isTold = false;
+  /** Highest revision that an answer of this era showed. */
+  private revision = 0;
+  private readonly riseListeners: ((rise: EraRise) => void)[] = [];
+  private readonly passedListeners: ((answer: PassedAnswer) => void)[] = [];
+
+  private constructor() {}
+
+  static create(): StoreEras {
+    return new StoreEras();
+  }
+
+  /** The newest era that is known. */
+  get current(): number {
+    return this.known;
+  }
+
+  /** Calls back when a new era is known, before anything of it is passed on; the first that is told is one, too. */
+  onRise(listener: (rise: EraRise) => void): void {
+    this.riseListeners.push(listener);
+  }
+
+  /** Calls back with each answer that is passed over. */
+  onPassedOver(listener: (answer: PassedAnswer) => void): void {
+    this.passedListeners.push(listener);
+  }
+
+  /** What is known now, for a call that is to be sent. */
+  startCall(): CallStart {
+    return { era: this.known, revision: this.revision };
+  }
+
+  /** Takes what the head of an answer tells, a refusal's too; returns the answer's era, undefined where it counts for nothing. */
+  takeWord(start: CallStart, { era, unreadable }: EraWord): number | undefined {
+    if (era === undefined) {
+      if (!this.isTold) return start.era;
+      this.passOver({ cause: PassedOver.Untold, era, unreadable });
+      return undefined;
+    }
+    // A first told era takes the place of what was counted here, whichever number is higher.
+    const isFirst = !this.isTold && this.known < leastTold;
+    this.isTold = true;
+    if (isFirst || era > this.known) this.rise(era, EraSource.Answer);
+    if (era === this.known) return era;
+    this.passOver({ cause: start.era > era ? PassedOver.Fallen : PassedOver.Late, era });
+    return undefined;
+  }
+
+  /**
+   * Takes the revision that a whole answer shows, where it shows one; returns the answer's position, undefined where its
+   * era is over.
+   */
+  place(start: CallStart, era: number, revision = this.revision): StorePosition | undefined {
+    if (era !== this.known) {
+      this.passOver({ cause: PassedOver.Late, era });
+      return undefined;
+    }
+    if (!this.isTold && revision < start.revision) this.rise(this.known + untoldStep, EraSource.Revision);
+    this.revision = Math.max(this.revision, revision);
+    return { era: this.known, revision };
+  }
+
+  /** Takes an era that another instance knows of: what is known of an earlier one is not gone on with. */
+  takePeer(era: number): void {
+    if (Number.isFinite(era) && era > this.known) this.rise(era, EraSource.Peer);
+  }
+
+  private rise(to: number, source: EraSource): void {
+    if (to === this.known) return;
+    const rise = { from: this.known, to, source, revisionBefore: this.revision };
+    this.known = to;
+    this.revision = 0;
+    for (const listener of this.riseListeners) listener(rise);
+  }
+
+  private passOver(answer: PassedAnswer): void {
+    for (const listener of this.passedListeners) listener(answer);
+  }
+}
--- a/packages/gateway/src/storeFeed.ts
+++ b/packages/gateway/src/storeFeed.ts
@@ -9,6 +9,7 @@
 import type { FeedTimes } from "./feedTimes.js";
 import { type FeedMessage, type FeedState, FleetFeed } from "./fleetFeed.js";
 import type { PrefixFollower } from "./prefixFollower.js";
+import type { StoreEras } from "./storeEras.js";
 
 /** Options of a feed. */
 export interface StoreFeedOptions {
@@ -17,6 +18,7 @@
   /** Name of this instance. */
   readonly own: string;
   readonly times: FeedTimes;
+  readonly eras: StoreEras;
   readonly configuration: ConfigurationFollower;
   /** Followers of what is handed on, by prefix. */
   readonly followers: Readonly<Record<string, PrefixFollower>>;
@@ -31,7 +33,7 @@
 
   private constructor(private readonly options: StoreFeedOptions) {
     const { own, times, configuration, followers } = options;
-    this.feed = FleetFeed.create(configuration, followers, times.longestStoreAgeMs);
+    this.feed = FleetFeed.create(options.eras, configuration, followers, times.longestStoreAgeMs);
     this.asked = AskedReader.create(own, times.patienceMs);
   }
 
@@ -80,7 +82,8 @@
     // The store may have turned away more readers than this one: this instance asks it itself until another tells more.
     this.fedAt = -Infinity;
     this.asked.passOver(time);
-    this.options.logger.info("feed.passed-over", { storeAgeMs: Math.round(message.storeAgeMs) });
+    const { era, storeAgeMs } = message;
+    this.options.logger.info("feed.passed-over", { era, storeAgeMs: Math.round(storeAgeMs) });
   }
 
   /** Takes up the role that follows from whether this instance is a reader, and from what it was told. */
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -3,9 +3,9 @@
  * @module
  */
 import type { IncomingHttpHeaders } from "node:http";
-import type { LeaseService } from "@gladewall/coordination";
 import type { Failure } from "@gladewall/kernel";
 import type { Result } from "ts-results-es";
+import type { StoreEras, StorePosition } from "./storeEras.js";
 
 /** What may be done again with a request of a route. */
 export enum RouteKind {
@@ -132,7 +132,17 @@
 export interface StoreItem {
   readonly key: string;
   readonly value: Uint8Array;
+  /** Counts within the era in which the item was read. */
   readonly revision: number;
+  /** Handle of the lease that it goes with; undefined where it has none. */
+  readonly lease?: string | undefined;
+}
+
+/** What a read showed. */
+export interface StoreReading {
+  /** Undefined where the key is absent. */
+  readonly item: StoreItem | undefined;
+  readonly era: number;
 }
 
 /** A change of the store; `value` is undefined where the item is gone. */
@@ -142,16 +152,16 @@
   readonly value: Uint8Array | undefined;
 }
 
-/** All items under a prefix; pages do not form a snapshot, so events from `revision` on may repeat some. */
+/** All items under a prefix; pages do not form a snapshot, so events from `position` on may repeat some. */
 export interface StoreListing {
   readonly items: readonly StoreItem[];
-  readonly revision: number;
+  readonly position: StorePosition;
 }
 
-/** What a watch brought. The next one continues from `revision`. */
+/** What a watch brought. The next one continues from `position`. */
 export interface StoreChanges {
   readonly events: readonly StoreEvent[];
-  readonly revision: number;
+  readonly position: StorePosition;
 }
 
 /** A write under conditions: all of it is done or nothing. */
@@ -169,20 +179,25 @@
 /**
  * The platform's store. Failures: `ServiceUnavailable` where a call cannot have taken effect, `ServiceAnswerLost`
  * where it may have, `ServiceConflict` where a condition did not hold, `HistoryLost` where a watch must start over,
- * `LeaseLost` where a lease is over.
+ * `LeaseLost` where a lease is over. An answer of an era that is over counts as lost, and so does that of a transaction
+ * which was sent in one era and done in another; a lease of an earlier era is over, whoever has its number now.
  */
-export interface MetadataStore extends LeaseService {
-  read(key: string): Promise<Result<StoreItem | undefined, Failure>>;
+export interface MetadataStore {
+  /** Eras, as the answers tell them. */
+  readonly eras: StoreEras;
+  read(key: string): Promise<Result<StoreReading, Failure>>;
   list(prefix: string): Promise<Result<StoreListing, Failure>>;
   watch(
     prefix: string,
-    since: number,
+    since: StorePosition,
     waitMs: number,
     signal: AbortSignal,
   ): Promise<Result<StoreChanges, Failure>>;
-  transact(transaction: StoreTransaction): Promise<Result<number, Failure>>;
+  transact(transaction: StoreTransaction): Promise<Result<StorePosition, Failure>>;
   /** Grants a lease; returns its handle. */
   grantLease(ttlMs: number): Promise<Result<string, Failure>>;
+  renewLease(lease: string): Promise<Result<void, Failure>>;
+  releaseLease(lease: string): Promise<Result<void, Failure>>;
   close(): Promise<void>;
 }
 
--- a/packages/gateway/src/usageReporter.ts
+++ b/packages/gateway/src/usageReporter.ts
@@ -5,6 +5,7 @@
  */
 import { type Clock, FailureCode, type Logger } from "@gladewall/kernel";
 import * as v from "valibot";
+import type { FixedWindows } from "./fixedWindows.js";
 import { decodeItem } from "./itemCodec.js";
 import type { MetadataStore, OrderSender, OrderService, StoreItem } from "./types.js";
 import type { WorkspaceCounts, UsageCounts } from "./usageCounts.js";
@@ -33,6 +34,8 @@
   readonly getTimeOfDay: () => number;
   /** Returns what the store holds of a key, as last heard. */
   readonly getItem: (key: string) => StoreItem | undefined;
+  /** Windows that were fixed, also those that the store has lost. */
+  readonly fixed: FixedWindows;
 }
 
 /** Time after a window's end at which the last counts of other instances have come. */
@@ -68,10 +71,11 @@
   async takeDraft(): Promise<void> {
     const { store, draftKey, usage, life: ownLife, logger } = this.options;
     const draft = await store.read(draftKey);
-    if (draft.isErr() || !draft.value) return;
-    const lives = decodeItem(draftSchema, draft.value.value);
+    const item = draft.isOk() ? draft.value.item : undefined;
+    if (!item) return;
+    const lives = decodeItem(draftSchema, item.value);
     if (!lives) {
-      logger.warn("usage.draft-refused", { revision: draft.value.revision });
+      logger.warn("usage.draft-refused", { revision: item.revision });
       return;
     }
     for (const [life, windows] of Object.entries(lives)) {
@@ -80,7 +84,7 @@
         this.firstWindow = Math.min(this.firstWindow, Number(window));
       }
     }
-    logger.info("usage.draft-taken", { lives: Object.keys(lives).length, revision: draft.value.revision });
+    logger.info("usage.draft-taken", { lives: Object.keys(lives).length, revision: item.revision });
   }
 
   /** Writes the draft from time to time. */
@@ -107,7 +111,12 @@
 
   /** Windows from before this life are only repeated where they were fixed; their counts here may lack some. */
   private isKnown(window: number): boolean {
-    return window >= this.firstWindow - 1 || this.options.getItem(this.getKey(window)) !== undefined;
+    const { getItem, fixed } = this.options;
+    return (
+      window >= this.firstWindow - 1 ||
+      fixed.find(window) !== undefined ||
+      getItem(this.getKey(window)) !== undefined
+    );
   }
 
   private getKey(window: number): string {
@@ -133,20 +142,28 @@
     window: number,
     getSender: () => OrderSender | undefined,
   ): Promise<WorkspaceCounts | undefined> {
-    const { store, getItem, usage } = this.options;
+    const { store, getItem, usage, fixed } = this.options;
     const key = this.getKey(window);
+    const remembered = fixed.find(window);
     const known = getItem(key);
-    if (known) return decodeItem(countsSchema, known.value);
+    // The store may have lost what was fixed first, and reported, and hold what was fixed after it.
+    if (known) return remembered ?? decodeItem(countsSchema, known.value);
     if (!getSender()) return undefined;
-    const counts = usage.getTotal(window);
+    const counts = remembered ?? usage.getTotal(window);
     const put = [{ key, value: Buffer.from(JSON.stringify(counts)) }];
     const outdated = this.getKey(window - removedAfter);
     const remove = getItem(outdated) ? [outdated] : [];
     const written = await store.transact({ expected: [{ key, revision: 0 }], put, remove });
-    if (written.isOk()) return counts;
+    if (written.isOk()) {
+      fixed.note(window, counts);
+      return counts;
+    }
     // A lost answer is settled by reading; where the store does not answer, the next step tries again.
     if (written.error.code === FailureCode.ServiceUnavailable) return undefined;
-    const read = await store.read(key);
-    return read.isOk() && read.value ? decodeItem(countsSchema, read.value.value) : undefined;
+    const reading = await store.read(key);
+    const item = reading.isOk() ? reading.value.item : undefined;
+    const read = item && decodeItem(countsSchema, item.value);
+    if (read) fixed.note(window, read);
+    return remembered ?? read;
   }
 }
--- a/packages/gateway/src/vouching.ts
+++ b/packages/gateway/src/vouching.ts
@@ -4,17 +4,15 @@
  * @module
  */
 import type { PeerLinks, PeerMessage } from "@gladewall/coordination";
-import type { ConfigurationFollower, Vouch } from "./configurationFollower.js";
+import type { ConfigurationFollower, HeldConfiguration, Vouch } from "./configurationFollower.js";
 
 /** Numbers of the messages; after those of members. */
 enum VouchMessageKind {
   Ask = 40,
 }
 
-interface AskMessage extends PeerMessage {
+interface AskMessage extends PeerMessage, HeldConfiguration {
   readonly kind: VouchMessageKind.Ask;
-  /** Revision of the configuration that the asker holds. */
-  readonly revision: number;
 }
 
 const askedPeers = 3;
@@ -29,13 +27,13 @@
 
   /** Answers peers from now on with what the follower knows. */
   static create(links: PeerLinks, follower: ConfigurationFollower, getRandom: () => number): Vouching {
-    links.setHandler(VouchMessageKind.Ask, (message) => follower.vouch((message as AskMessage).revision));
+    links.setHandler(VouchMessageKind.Ask, (message) => follower.vouch(message as AskMessage));
     return new Vouching(links, getRandom);
   }
 
   /** Asks some linked peers; returns the words of those that have a proof. */
-  async ask(revision: number): Promise<readonly Vouch[]> {
-    const message: AskMessage = { kind: VouchMessageKind.Ask, revision };
+  async ask(held: HeldConfiguration): Promise<readonly Vouch[]> {
+    const message: AskMessage = { kind: VouchMessageKind.Ask, ...held };
     const answers = await Promise.all(
       this.choosePeers().map((name) => this.links.call(name, message, askTimeoutMs)),
     );
--- a/packages/gateway/test/duties.test.ts
+++ b/packages/gateway/test/duties.test.ts
@@ -3,7 +3,9 @@
   CapacityOrders,
   type CapacityOrder,
   Duties,
+  DutyLeases,
   FencedOrders,
+  FixedWindows,
   OrderWord,
   type StoreItem,
   UsageCounts,
@@ -41,7 +43,12 @@
   }
 
   /** Starts an instance with the counts it has. */
-  start(name: string, counts: UsageCounts = UsageCounts.create(), isEligible = (): boolean => true) {
+  start(
+    name: string,
+    counts: UsageCounts = UsageCounts.create(),
+    isEligible = (): boolean => true,
+    isFirstStart = true,
+  ) {
     const { clock, shared } = this;
     const orders = FencedOrders.create(this.orders, Logger.createSilent());
     const store = MetadataStoreStandin.create(shared, clock);
@@ -59,6 +66,7 @@
       usage: counts,
       life: `${name}/1`,
       getItem,
+      fixed: FixedWindows.create({ store, clock, logger, prefix, isWriter: () => true }),
     });
     const capacity = CapacityOrders.create({
       orders,
@@ -70,6 +78,8 @@
     });
     const duties = Duties.create({
       store,
+      leases: DutyLeases.create({ store, logger, offsetKey: "gladewall/fence-offset" }),
+      isFirstStart,
       clock,
       logger,
       name,
@@ -84,7 +94,7 @@
       getServices: () => [],
     });
     duties.start();
-    return { duties, store };
+    return { duties, store, usage };
   }
 }
 
--- a/packages/gateway/test/leavingEndpoints.test.ts
+++ b/packages/gateway/test/leavingEndpoints.test.ts
@@ -178,7 +178,9 @@
   await clock.advance(200);
   const key = `${endpointPrefix}a`;
   const revision = platform.shared.revision + 1;
-  follower.takeChanges({ revision, items: [], removed: [{ key, revision }], isListing: false }, Infinity);
+  const { era } = platform.shared;
+  const changes = { era, revision, items: [], removed: [{ key, revision }], isListing: false };
+  follower.takeChanges(changes, Infinity);
   t.equal(present.size, 0);
   deliver();
   await settlePromises();
--- a/packages/gateway/test/readerListing.test.ts
+++ b/packages/gateway/test/readerListing.test.ts
@@ -50,7 +50,7 @@
   const reader = follow();
   reader.follower.start();
   await clock.advance(100);
-  const changes = reader.follower.getChanges(told.follower.getRevision());
+  const changes = reader.follower.getChanges(told.follower.getPosition());
   told.follower.takeChanges(changes!, Infinity);
   t.same([...told.present].sort(), [`${prefix}new`, `${prefix}stays`]);
   await close([told.follower, reader.follower]);
@@ -75,7 +75,7 @@
   reader.follower.setPassive(false);
   await settlePromises();
   await clock.advance(3_000);
-  const changes = reader.follower.getChanges(told.follower.getRevision());
+  const changes = reader.follower.getChanges(told.follower.getPosition());
   told.follower.takeChanges(changes!, Infinity);
   t.same([...told.present], [`${prefix}stays`]);
   await close([told.follower, reader.follower]);
--- a/packages/gateway/test/suspension.test.ts
+++ b/packages/gateway/test/suspension.test.ts
@@ -26,7 +26,7 @@
   clock.moveWallTime(5_000);
   t.notOk(follower.isProven(), "at once, before any timer has run");
   t.ok(follower.getProofAge() >= 5_000);
-  t.equal(follower.vouch(0), undefined, "nor does it vouch for the configuration");
+  t.equal(follower.vouch({ revision: 0 }), undefined, "nor does it vouch for the configuration");
   await clock.advance(1_600);
   t.ok(follower.isProven(), "the next read proves it again");
 });
@@ -35,14 +35,14 @@
   const { clock, follower } = await createProvenFollower(t);
   clock.moveWallTime(3_000);
   t.ok(follower.isProven());
-  t.ok((follower.vouch(0)?.proofAgeMs ?? 0) >= 3_000);
+  t.ok((follower.vouch({ revision: 0 })?.proofAgeMs ?? 0) >= 3_000);
 });
 
 t.test("a peer's word that was asked for before a suspension is as old as the question", async (t) => {
   const { clock, follower } = await createProvenFollower(t);
   const askedAt = clock.getBootTime();
   clock.moveWallTime(10_000);
-  follower.takeVouch({ proofAgeMs: 0, revision: follower.getRevision() }, askedAt);
+  follower.takeVouch({ proofAgeMs: 0, ...follower.getHeld() }, askedAt);
   t.notOk(follower.isProven());
 });
 
--- a/packages/gateway/test/toldFleet.ts
+++ b/packages/gateway/test/toldFleet.ts
@@ -45,7 +45,8 @@
       unlistedMs: times.unlistedMs,
     });
     const followers = { [adapter.endpointPrefix]: directory.follower };
-    const feed = StoreFeed.create({ clock, logger, own: name, times, configuration, followers });
+    const { eras } = adapter.store;
+    const feed = StoreFeed.create({ clock, logger, own: name, times, eras, configuration, followers });
     return new StoreView(configuration, directory, feed, adapter);
   }
 
--- a/packages/standins/src/metadataStoreStandin.ts
+++ b/packages/standins/src/metadataStoreStandin.ts
@@ -3,14 +3,20 @@
  * writes, turn watches deaf, and forget its history.
  * @module
  */
-import type { GrantedLease } from "@gladewall/coordination";
-import type {
-  MetadataStore,
-  StoreChanges,
-  StoreEvent,
-  StoreItem,
-  StoreListing,
-  StoreTransaction,
+import {
+  type CallStart,
+  formatLeaseHandle,
+  hasCrossed,
+  type MetadataStore,
+  parseLeaseHandle,
+  type StoreChanges,
+  StoreEras,
+  type StoreEvent,
+  type StoreItem,
+  type StoreListing,
+  type StorePosition,
+  type StoreReading,
+  type StoreTransaction,
 } from "@gladewall/gateway";
 import { type Clock, Failure, FailureCode, waitFor } from "@gladewall/kernel";
 import { Err, Ok, type Result } from "ts-results-es";
@@ -27,6 +33,7 @@
 /** Longest time of a call, as the platform's client has it; a call that waits has that long beyond, or its wait. */
 const callTimeoutMs = 1_200;
 
+/** An item; its lease is the store's own name of it. */
 interface Entry extends StoreItem {
   readonly lease: string | undefined;
 }
@@ -78,6 +85,11 @@
     return new SharedStore(clock, pollMs);
   }
 
+  /** What answers tell of the era; undefined where they tell nothing. */
+  get toldEra(): number | undefined {
+    return this.tellsEra ? this.era : undefined;
+  }
+
   get revision(): number {
     this.expire();
     return this.counter;
@@ -175,6 +187,9 @@
 
 /** One instance's client of the shared store. */
 export class MetadataStoreStandin implements MetadataStore {
+  readonly eras = StoreEras.create();
+  /** Time for which answers are held back on their way; milliseconds. */
+  heldBackMs = 0;
   /** Trouble of this instance alone. */
   trouble = StoreTrouble.None;
   /** Calls of this instance, refused ones included. */
@@ -197,23 +212,25 @@
     this.silencedAt = this.clock.getTime();
   }
 
-  async read(key: string): Promise<Result<StoreItem | undefined, Failure>> {
+  async read(key: string): Promise<Result<StoreReading, Failure>> {
     this.shared.reads += 1;
-    if (this.isDown()) return Err(createDown());
-    return Ok(this.shared.revision >= 0 ? this.shared.entries.get(key) : undefined);
+    return this.answer(({ era }) => {
+      const entry = this.shared.entries.get(key);
+      return Ok({ item: entry && createItem(entry, era), era });
+    });
   }
 
   async list(prefix: string): Promise<Result<StoreListing, Failure>> {
     this.shared.reads += 1;
-    if (this.isDown()) return Err(createDown());
-    const { revision } = this.shared;
-    const items = [...this.shared.entries.values()].filter(({ key }) => key.startsWith(prefix));
-    return Ok({ items, revision });
+    return this.answer((position) => {
+      const entries = [...this.shared.entries.values()].filter(({ key }) => key.startsWith(prefix));
+      return Ok({ items: entries.map((entry) => createItem(entry, position.era)), position });
+    });
   }
 
   async watch(
     prefix: string,
-    since: number,
+    since: StorePosition,
     waitMs: number,
     signal: AbortSignal,
   ): Promise<Result<StoreChanges, Failure>> {
@@ -222,6 +239,9 @@
     const givenUpAt = endsAt + Math.min(callTimeoutMs, waitMs);
     this.calls += 1;
     this.watches += 1;
+    const start = this.eras.startCall();
+    const failure = Failure.create(FailureCode.HistoryLost, { revision: since.revision });
+    if (since.era !== this.eras.current) return Err(failure);
     for (;;) {
       if (signal.aborted || this.isTroubled(StoreTrouble.Down)) return Err(createDown());
       if (startedAt <= this.silencedAt) {
@@ -229,71 +249,94 @@
         await waitFor(this.clock, this.shared.pollMs, signal);
         continue;
       }
-      const events = this.shared.isDeaf ? [] : this.shared.getChanges(prefix, since);
-      if (!events) return Err(Failure.create(FailureCode.HistoryLost, { revision: since }));
-      const last = events.at(-1);
-      if (last) return Ok({ events, revision: last.revision });
-      if (this.clock.getTime() >= endsAt) return Ok({ events: [], revision: this.shared.revision });
+      const events = this.shared.isDeaf ? [] : this.shared.getChanges(prefix, since.revision);
+      const isOver = !events || events.length > 0 || this.clock.getTime() >= endsAt;
+      if (isOver) {
+        const revision = events?.at(-1)?.revision ?? this.shared.revision;
+        const position = this.place(start, revision);
+        if (!position) return Err(createOutdated());
+        return events && position.era === since.era ? Ok({ events, position }) : Err(failure);
+      }
       await waitFor(this.clock, this.shared.pollMs, signal);
     }
   }
 
-  async transact({ expected, put, remove }: StoreTransaction): Promise<Result<number, Failure>> {
+  async transact(transaction: StoreTransaction): Promise<Result<StorePosition, Failure>> {
     this.shared.writes += 1;
-    if (this.isDown()) return Err(createDown());
+    const isOver = transaction.put.some(({ lease }) => lease !== undefined && this.isLeaseOver(lease));
+    if (isOver) return Err(Failure.create(FailureCode.LeaseLost, { lease: "" }));
+    return this.answer((_, start) => {
+      const failure = this.apply(transaction);
+      const position = { era: this.eras.current, revision: this.shared.revision };
+      if (hasCrossed(start, position)) return Err(createOutdated());
+      if (failure) return Err(failure);
+      return this.losesAnswers() ? Err(Failure.create(FailureCode.ServiceAnswerLost)) : Ok(position);
+    });
+  }
+
+  private apply({ expected, put, remove }: StoreTransaction): Failure | undefined {
     for (const { key, revision } of expected) {
       const present = this.shared.revision >= 0 ? (this.shared.entries.get(key)?.revision ?? 0) : 0;
-      if (present !== revision) return Err(Failure.create(FailureCode.ServiceConflict, { key }));
+      if (present !== revision) return Failure.create(FailureCode.ServiceConflict, { key });
     }
     for (const { key, value, lease } of put) {
-      if (lease !== undefined && !this.shared.hasLease(lease)) {
-        return Err(Failure.create(FailureCode.LeaseLost, { lease }));
+      const id = lease === undefined ? undefined : parseLeaseHandle(lease).id;
+      if (id !== undefined && !this.shared.hasLease(id)) {
+        return Failure.create(FailureCode.LeaseLost, { lease: id });
       }
-      this.shared.put(key, value, lease);
+      this.shared.put(key, value, id);
     }
     for (const key of remove) this.shared.remove(key);
-    return this.losesAnswers()
-      ? Err(Failure.create(FailureCode.ServiceAnswerLost))
-      : Ok(this.shared.revision);
+    return undefined;
   }
 
   async grantLease(ttlMs: number): Promise<Result<string, Failure>> {
-    if (this.isDown()) return Err(createDown());
-    return Ok(this.shared.grant(ttlMs));
-  }
-
-  async acquireLease(
-    name: string,
-    holder: string,
-    ttl: number,
-  ): Promise<Result<GrantedLease | undefined, Failure>> {
-    const lease = await this.grantLease(ttl);
-    if (lease.isErr()) return lease;
-    const put = [{ key: name, value: Buffer.from(holder), lease: lease.value }];
-    const taken = await this.transact({ expected: [{ key: name, revision: 0 }], put, remove: [] });
-    if (taken.isOk()) return Ok({ session: lease.value, fence: taken.value });
-    return taken.error.code === FailureCode.ServiceConflict ? Ok(undefined) : taken;
+    return this.answer(({ era }) => Ok(formatLeaseHandle({ era, id: this.shared.grant(ttlMs) })));
   }
 
-  async renewLease(session: string): Promise<Result<void, Failure>> {
-    if (this.isDown()) return Err(createDown());
-    if (!this.shared.keep(session)) return Err(Failure.create(FailureCode.LeaseLost, { lease: session }));
-    return Ok(undefined);
+  async renewLease(lease: string): Promise<Result<void, Failure>> {
+    const failure = Failure.create(FailureCode.LeaseLost, { lease });
+    if (this.isLeaseOver(lease)) return Err(failure);
+    const kept = await this.answer(() => Ok(this.shared.keep(parseLeaseHandle(lease).id)));
+    if (this.isLeaseOver(lease)) return Err(failure);
+    return kept.andThen((isKept) => (isKept ? Ok(undefined) : Err(failure)));
   }
 
-  async releaseLease(session: string): Promise<Result<void, Failure>> {
-    if (this.isDown()) return Err(createDown());
-    this.shared.endLease(session);
-    return Ok(undefined);
+  async releaseLease(lease: string): Promise<Result<void, Failure>> {
+    if (this.isLeaseOver(lease)) return Ok(undefined);
+    return this.answer(() => Ok(this.shared.endLease(parseLeaseHandle(lease).id)));
   }
 
   async close(): Promise<void> {
     this.trouble = StoreTrouble.Down;
   }
 
-  private isDown(): boolean {
+  private isLeaseOver(lease: string): boolean {
+    return parseLeaseHandle(lease).era !== this.eras.current;
+  }
+
+  /** Does a call, and passes its answer on if it is of the present era then; it may be held back on its way. */
+  private async answer<T>(
+    act: (position: StorePosition, start: CallStart) => Result<T, Failure>,
+  ): Promise<Result<T, Failure>> {
     this.calls += 1;
-    return this.isTroubled(StoreTrouble.Down);
+    const start = this.eras.startCall();
+    if (this.isTroubled(StoreTrouble.Down)) return Err(createDown());
+    const { heldBackMs } = this;
+    const told = this.shared.toldEra;
+    if (heldBackMs === 0) {
+      const position = this.place(start, this.shared.revision, told);
+      return position ? act(position, start) : Err(createOutdated());
+    }
+    const { revision } = this.shared;
+    const result = act({ era: told ?? start.era, revision }, start);
+    await waitFor(this.clock, heldBackMs);
+    return this.place(start, revision, told) ? result : Err(createOutdated());
+  }
+
+  private place(start: CallStart, revision: number, told = this.shared.toldEra): StorePosition | undefined {
+    const era = this.eras.takeWord(start, { era: told });
+    return era === undefined ? undefined : this.eras.place(start, era, revision);
   }
 
   private isTroubled(trouble: StoreTrouble): boolean {
@@ -305,6 +348,15 @@
   }
 }
 
+function createItem({ key, value, revision, lease }: Entry, era: number): StoreItem {
+  const item = { key, value, revision };
+  return lease === undefined ? item : { ...item, lease: formatLeaseHandle({ era, id: lease }) };
+}
+
+function createOutdated(): Failure {
+  return Failure.create(FailureCode.ServiceAnswerLost, { detail: "not of the store's present era" });
+}
+
 function createDown(): Failure {
   return Failure.create(FailureCode.ServiceUnavailable, { detail: "stand-in is down" });
 }
