--- a/packages/gateway/test/crashWatch.test.ts
+++ b/packages/gateway/test/crashWatch.test.ts
@@ -6,6 +6,7 @@
   CrashWatch,
   EndpointState,
   ProbeWord,
+  RemovalCause,
   TrialGrants,
   TrialWord,
   Verdict,
@@ -225,6 +226,33 @@
   },
 );
 
+t.test(
+  "a verdict that the store lost stands and is written again; one that an operator removed is not",
+  async (t) => {
+    const { clock, shared, records, store, endTwice } = createKept();
+    endTwice();
+    store.review();
+    await clock.advance(100);
+    const item = shared.entries.get(key)!;
+    store.take(key, item);
+    shared.remove(key);
+    store.take(key, undefined, { cause: RemovalCause.Lost, troubleAgeMs: undefined });
+    t.equal(records.getVerdict(subject), Verdict.Resting);
+    store.review();
+    await clock.advance(100);
+    t.ok(shared.entries.has(key));
+    shared.remove(key);
+    store.take(key, undefined, { cause: RemovalCause.Removed, troubleAgeMs: undefined });
+    t.equal(records.getVerdict(subject), Verdict.Clear);
+    shared.put(key, item.value);
+    store.take(key, item);
+    t.equal(records.getVerdict(subject), Verdict.Clear, "nor by a copy that has it still");
+    store.review();
+    await clock.advance(100);
+    t.notOk(shared.entries.has(key));
+  },
+);
+
 t.test("an item read from the store makes the verdict; one of another writer makes none", async (t) => {
   const { records, store } = createKept();
   const put = (value: string | Uint8Array): void =>
--- a/packages/gateway/test/duties.test.ts
+++ b/packages/gateway/test/duties.test.ts
@@ -1,4 +1,4 @@
-import t from "tap";
+import t, { type Test } from "tap";
 import {
   CapacityOrders,
   type CapacityOrder,
@@ -7,6 +7,7 @@
   FencedOrders,
   FixedWindows,
   OrderWord,
+  PrefixFollower,
   type StoreItem,
   UsageCounts,
   UsageReporter,
@@ -25,6 +26,7 @@
 const windowMs = 5_000;
 const leaseKey = "gladewall/duty";
 const prefix = "gladewall/usage/";
+const offsetKey = "gladewall/fence-offset";
 
 /** Instances that compete for the duties of one store; time is virtual. */
 class DutyBench {
@@ -53,7 +55,24 @@
     const orders = FencedOrders.create(this.orders, Logger.createSilent());
     const store = MetadataStoreStandin.create(shared, clock);
     const logger = Logger.createSilent();
-    const getItem = (key: string): StoreItem | undefined => shared.entries.get(key);
+    const fixed = FixedWindows.create({ store, clock, logger, prefix, isWriter: () => true });
+    const leases = DutyLeases.create({ store, logger, offsetKey });
+    const follower = PrefixFollower.create({
+      store,
+      prefix: "gladewall/",
+      clock,
+      logger,
+      listener: {
+        handlePut: (item) => {
+          fixed.takeItem(item.key, item);
+          leases.takeItem(item.key, item);
+        },
+        handleRemoved: (key, removal) => fixed.takeItem(key, undefined, removal),
+      },
+    });
+    store.eras.onRise(() => follower.restart());
+    follower.start();
+    const getItem = (key: string): StoreItem | undefined => follower.getItem(key);
     const usage = UsageReporter.create({
       store,
       orders,
@@ -66,7 +85,7 @@
       usage: counts,
       life: `${name}/1`,
       getItem,
-      fixed: FixedWindows.create({ store, clock, logger, prefix, isWriter: () => true }),
+      fixed,
     });
     const capacity = CapacityOrders.create({
       orders,
@@ -78,7 +97,7 @@
     });
     const duties = Duties.create({
       store,
-      leases: DutyLeases.create({ store, logger, offsetKey: "gladewall/fence-offset" }),
+      leases,
       isFirstStart,
       clock,
       logger,
@@ -90,7 +109,7 @@
       capacity,
       isEligible,
       isRefused: (fence) => orders.isRefused(fence),
-      isFree: () => shared.revision >= 0 && !shared.entries.has(leaseKey),
+      isFree: () => follower.isListed && getItem(leaseKey) === undefined,
       getServices: () => [],
     });
     duties.start();
@@ -186,6 +205,89 @@
   t.ok(two.duties.isActing());
 });
 
+/** Returns the acts of a bench as a platform judges them. */
+function getActs(bench: DutyBench) {
+  return bench.times.map(({ at, order }) => ({ at, ...order.sender, usage: order.usage }));
+}
+
+/** Checks that fences rise, that no two holders act by turns in time, and that no window is reported with two figures. */
+function checkActs(t: Pick<Test, "ok" | "notOk" | "equal">, bench: DutyBench): void {
+  const acts = getActs(bench);
+  let highest = 0;
+  const figures = new Map<number, Set<string>>();
+  for (const [index, { at, holder, fence, usage }] of acts.entries()) {
+    t.ok(fence >= highest && Number.isInteger(fence), `fence ${fence} after ${highest}`);
+    highest = Math.max(highest, fence);
+    const turned = acts.slice(index).find((act) => act.holder !== holder);
+    const again = turned && acts.find((act) => act.holder === holder && act.at > turned.at);
+    t.notOk(again && again.at - at < turnMs, `${holder} acts by turns`);
+    if (!usage) continue;
+    const told = figures.get(usage.window) ?? new Set();
+    figures.set(usage.window, told.add(JSON.stringify(usage.counts)));
+  }
+  for (const [window, told] of figures) t.equal(told.size, 1, `window ${window}: ${[...told].join(" ")}`);
+}
+
+t.test(
+  "after the store went back, one holder acts at a time, fences rise, and windows keep their figures",
+  async (t) => {
+    for (const [round, tellsEra] of [true, true, false, true].entries()) {
+      const bench = new DutyBench();
+      bench.shared.tellsEra = tellsEra;
+      const one = bench.start("one", createCounts(bench, 1));
+      bench.start("two", createCounts(bench, 2));
+      await bench.clock.advance(4_000);
+      for (let drill = 0; drill < 6; drill++) {
+        const copy = bench.shared.copy();
+        for (let count = 0; count < 30; count++) bench.shared.put("other", "x");
+        await bench.clock.advance(1_500 + ((drill * 1_777 + round * 977) % 6_000));
+        // The holder loses its lease while what it wrote is lost.
+        if (drill % 3 === 1) bench.shared.lapse();
+        if (drill % 2 === 0) one.store.heldBackMs = 400;
+        await bench.clock.advance(drill * 300);
+        bench.shared.goBack(copy);
+        await bench.clock.advance(100);
+        one.store.heldBackMs = 0;
+      }
+      await bench.clock.advance(20_000);
+      checkActs(t, bench);
+      t.ok(getActs(bench).at(-1)!.at > bench.clock.getTime() - 8_000, "somebody acts");
+    }
+  },
+);
+
+t.test("a mark that was lost with the store's last seconds makes nobody the first holder ever", async (t) => {
+  const bench = new DutyBench();
+  const copy = bench.shared.copy();
+  const one = bench.start("one");
+  await bench.clock.advance(2_000);
+  t.ok(one.duties.isActing());
+  one.store.trouble = StoreTrouble.Down;
+  bench.shared.goBack(copy);
+  const two = bench.start("two", UsageCounts.create(), () => true, false);
+  await bench.clock.advance(1_200);
+  t.notOk(two.duties.isActing());
+  await bench.clock.advance(2_000);
+  t.ok(two.duties.isActing());
+});
+
+t.test("a lease whose number another instance was granted is not held on to", async (t) => {
+  const bench = new DutyBench();
+  const copy = bench.shared.copy();
+  const one = bench.start("one");
+  await bench.clock.advance(6_000);
+  t.ok(one.duties.isActing());
+  bench.shared.goBack(copy);
+  const two = bench.start("two", UsageCounts.create(), () => true, false);
+  await bench.clock.advance(300);
+  for (let time = 0; time < 10_000; time += 100) {
+    await bench.clock.advance(100);
+    t.notOk(one.duties.isActing() && two.duties.isActing(), `${time} ms`);
+  }
+  t.ok(one.duties.isActing() || two.duties.isActing());
+  checkActs(t, bench);
+});
+
 t.test("an order is given once, and a data hall that has none is left alone for a while", async (t) => {
   const clock = VirtualClock.create();
   const orders = OrdersStandin.create();
--- a/packages/gateway/test/storeGoesBack.test.ts
+++ b/packages/gateway/test/storeGoesBack.test.ts
@@ -1,35 +1,293 @@
-import t from "tap";
+import t, { type Test } from "tap";
+import { type ConfigurationFollower, type MetadataStore, untoldEra } from "@gladewall/gateway";
 import { VirtualClock } from "@gladewall/kernel";
-import { createWorkspace, StandinPlatform } from "@gladewall/standins";
-import { createConfigurationFollower } from "./followers.js";
+import {
+  createWorkspace,
+  type MetadataStoreStandin,
+  StandinPlatform,
+  StoreTrouble,
+} from "@gladewall/standins";
+import { createConfigurationFollower, createSettling } from "./followers.js";
 
-// The store comes back from a copy and gives revisions out again: what is new then looks older than what was seen before.
-t.test("a key that was taken away after the store went back runs nothing, as nobody proves it", async (t) => {
+const both = ["kept", "removed"];
+
+/** A platform on a virtual clock, and followers of its configuration. */
+function createBench(t: Pick<Test, "teardown">) {
   const clock = VirtualClock.create();
-  const platform = StandinPlatform.create(clock);
-  const { shared } = platform;
+  const platform = StandinPlatform.create(clock, 20);
+  const followers: ConfigurationFollower[] = [];
   const configure = (keys: readonly string[]): number =>
     platform.configure({ workspaces: [createWorkspace({ keys })] });
-  configure(["kept", "removed"]);
-  const follower = createConfigurationFollower(platform.createAdapter(), clock);
-  follower.start();
+  const follow = (options: Partial<Parameters<typeof createConfigurationFollower>[2]> = {}) => {
+    const follower = createConfigurationFollower(platform.createAdapter(), clock, options);
+    followers.push(follower);
+    follower.start();
+    return { follower, store: platform.stores.at(-1)! };
+  };
+  /** Starts a follower in a life that is not the system's first. */
+  const followAgain = () => {
+    const adapter = platform.createAdapter();
+    const settling = createSettling(adapter.store, clock, false);
+    const follower = createConfigurationFollower(adapter, clock, { settling });
+    followers.push(follower);
+    follower.start();
+    return { follower, settling };
+  };
+  t.teardown(async () => {
+    const closed = Promise.all(followers.map((follower) => follower.close()));
+    await clock.advance(40_000);
+    await closed;
+  });
+  return { clock, platform, shared: platform.shared, configure, follow, followAgain };
+}
+
+/** Whether a request with the key that was taken away would be let in. */
+function letsIn(follower: ConfigurationFollower): boolean {
+  return follower.isProven() && follower.getTable()?.findWorkspace("removed") !== undefined;
+}
+
+// The store comes back from a copy and gives revisions out again: what is new then looks older than what was seen before.
+t.test("a key that was taken away after the store went back runs nothing, as nobody proves it", async (t) => {
+  const { clock, shared, configure, follow } = createBench(t);
+  configure(both);
+  const { follower } = follow();
   await clock.advance(2_000);
   const copy = shared.copy();
   for (let count = 0; count < 20; count++) shared.put("written-since", "x");
-  configure(["kept", "removed"]);
+  configure(both);
   await clock.advance(1_000);
   t.equal(follower.getTable()?.version, 2);
   shared.goBack(copy);
-  configure(["kept", "removed"]);
+  configure(both);
   await clock.advance(500);
   const removed = configure(["kept"]);
-  const lets = (): boolean =>
-    follower.isProven() && follower.getTable()?.findWorkspace("removed") !== undefined;
   await clock.advance(2_000);
-  t.notOk(lets(), `version ${follower.getTable()?.version} in force, ${removed} acknowledged`);
+  t.notOk(letsIn(follower), `version ${follower.getTable()?.version} in force, ${removed} acknowledged`);
   await clock.advance(8_000);
   t.ok(follower.isProven(), "what is known again is proven again");
-  const closed = follower.close();
-  await clock.advance(20_000);
-  await closed;
+});
+
+t.test("so it is where the store tells no era, by revisions below those that were known", async (t) => {
+  const { clock, shared, configure, follow } = createBench(t);
+  shared.tellsEra = false;
+  configure(both);
+  const { follower, store } = follow();
+  await clock.advance(2_000);
+  const copy = shared.copy();
+  for (let count = 0; count < 20; count++) shared.put("written-since", "x");
+  configure(both);
+  await clock.advance(2_000);
+  shared.goBack(copy);
+  configure(both);
+  await clock.advance(500);
+  configure(["kept"]);
+  await clock.advance(2_000);
+  t.notOk(letsIn(follower));
+  t.ok(store.eras.current > untoldEra);
+  t.equal(follower.getTable()?.version, 4);
+});
+
+t.test(
+  "a version in force never falls, and the key that it took away does not come back with a copy",
+  async (t) => {
+    const { clock, shared, configure, follow } = createBench(t);
+    configure(both);
+    const { follower } = follow();
+    await clock.advance(2_000);
+    const copy = shared.copy();
+    configure(["kept"]);
+    await clock.advance(1_000);
+    shared.goBack(copy);
+    for (let time = 0; time < 20_000; time += 250) {
+      await clock.advance(250);
+      t.notOk(letsIn(follower), `${time} ms`);
+      t.equal(follower.getTable()?.version, 2);
+    }
+    t.ok(follower.isProven(), "a version that nobody writes again is not waited for without an end");
+  },
+);
+
+t.test(
+  "reads prove nothing while what was acknowledged last may not be written again, and no longer",
+  async (t) => {
+    const { clock, shared, configure, follow } = createBench(t);
+    configure(both);
+    const { follower } = follow();
+    await clock.advance(2_000);
+    const copy = shared.copy();
+    shared.trouble = StoreTrouble.Down;
+    await clock.advance(4_000);
+    shared.trouble = StoreTrouble.None;
+    shared.goBack(copy);
+    await clock.advance(1_500);
+    t.notOk(follower.isProven(), "a removal may have been acknowledged right before");
+    configure(["kept"]);
+    await clock.advance(700);
+    t.notOk(letsIn(follower));
+    // One read may just have failed when the store came back.
+    await clock.advance(1_500);
+    t.ok(follower.isProven());
+  },
+);
+
+t.test(
+  "a short absence costs callers nothing: the proof from before lasts until reads count again",
+  async (t) => {
+    const { clock, shared, configure, follow } = createBench(t);
+    configure(both);
+    const { follower } = follow();
+    await clock.advance(2_000);
+    for (let round = 0; round < 3; round++) {
+      shared.goBack(shared.copy());
+      for (let time = 0; time < 6_000; time += 100) {
+        await clock.advance(100);
+        t.ok(follower.isProven(), `round ${round}, ${time} ms`);
+      }
+    }
+  },
+);
+
+t.test("a second return within the first one's recovery begins the wait anew", async (t) => {
+  const { clock, shared, configure, follow } = createBench(t);
+  configure(both);
+  const { follower } = follow();
+  await clock.advance(2_000);
+  const copy = shared.copy();
+  configure(["kept", "removed", "more"]);
+  await clock.advance(500);
+  for (const pauseMs of [1_000, 300, 2_000]) {
+    shared.goBack(copy);
+    await clock.advance(pauseMs);
+  }
+  shared.era += 3;
+  configure(["kept"]);
+  await clock.advance(6_000);
+  t.notOk(letsIn(follower));
+  t.ok(follower.isProven());
+  t.equal(follower.getTable()?.version, 3);
+});
+
+t.test(
+  "a process that starts in such a moment waits, unless a mark or a peer's proof tells more",
+  async (t) => {
+    const { clock, shared, configure, follow, followAgain } = createBench(t);
+    configure(both);
+    const { follower: living } = follow();
+    await clock.advance(2_000);
+    const copy = shared.copy();
+    configure(["kept"]);
+    await clock.advance(1_000);
+    shared.goBack(copy);
+    await clock.advance(50);
+    const { follower: fresh } = followAgain();
+    await clock.advance(500);
+    t.notOk(fresh.isProven(), "it knows the copy only");
+    const askedAt = clock.getBootTime();
+    const vouch = living.vouch(fresh.getHeld());
+    t.ok(vouch?.value, "a peer has a newer one");
+    fresh.takeVouch(vouch!, askedAt);
+    t.ok(fresh.isProven());
+    t.notOk(letsIn(fresh));
+    const { follower: later, settling } = followAgain();
+    await clock.advance(100);
+    t.notOk(later.isProven());
+    const value = Buffer.from(JSON.stringify({ era: shared.era }));
+    settling.takeItem("gladewall/store-era", { key: "gladewall/store-era", value, revision: 9 });
+    await clock.advance(50);
+    t.ok(later.isProven(), "the era was marked as settled");
+  },
+);
+
+t.test("an answer of an era that is over is dropped, whatever it brings", async (t) => {
+  const { clock, platform, shared, configure } = createBench(t);
+  configure(both);
+  const { store, endpointPrefix } = platform.createAdapter();
+  const standin: MetadataStoreStandin = platform.stores.at(-1)!;
+  const lease = (await store.grantLease(60_000)).unwrap();
+  const copy = shared.copy();
+  standin.heldBackMs = 500;
+  const calls = [
+    store.read(platform.createAdapter().configurationKey),
+    store.list(endpointPrefix),
+    store.renewLease(lease),
+    store.grantLease(1_000),
+    store.transact({ expected: [], put: [{ key: "k", value: Buffer.from("v") }], remove: [] }),
+  ];
+  await clock.advance(100);
+  standin.heldBackMs = 0;
+  shared.goBack(copy);
+  t.ok((await store.read("other")).isOk());
+  t.equal(standin.eras.current, 2);
+  await clock.advance(1_000);
+  for (const call of await Promise.all(calls)) t.ok(call.isErr());
+  t.ok(
+    (await store.renewLease(lease)).isErr(),
+    "nor is a lease of that era renewed, which another may have now",
+  );
+});
+
+t.test("a watch does not go on from a number of an earlier era", async (t) => {
+  const { clock, platform, shared } = createBench(t);
+  const { store } = platform.createAdapter();
+  const listing = (await store.list("p/")).unwrap();
+  const copy = shared.copy();
+  shared.goBack(copy);
+  for (let count = 0; count < 30; count++) shared.put("p/x", "x");
+  const watch = store.watch("p/", listing.position, 1_000, new AbortController().signal);
+  await clock.advance(2_000);
+  t.ok((await watch).isErr());
+  t.ok((await store.watch("p/", listing.position, 1_000, new AbortController().signal)).isErr());
+});
+
+t.test(
+  "who was cut off learns of the era from a peer, and does not use a number of the one before",
+  async (t) => {
+    const { clock, shared, configure, follow } = createBench(t);
+    configure(both);
+    const { follower: living } = follow();
+    const { follower: cutOff, store } = follow();
+    await clock.advance(2_000);
+    const copy = shared.copy();
+    store.trouble = StoreTrouble.Down;
+    shared.goBack(copy);
+    configure(["kept"]);
+    await clock.advance(3_500);
+    t.equal(store.eras.current, 1);
+    const askedAt = clock.getBootTime();
+    cutOff.takeVouch(living.vouch(cutOff.getHeld())!, askedAt);
+    t.equal(store.eras.current, 2);
+    t.equal(cutOff.getTable()?.version, 2);
+    t.notOk(letsIn(cutOff));
+  },
+);
+
+t.test("the word of an earlier build, which names no era, proves nothing once one was seen", async (t) => {
+  const { clock, shared, configure, follow } = createBench(t);
+  configure(both);
+  const { follower, store } = follow();
+  await clock.advance(2_000);
+  store.trouble = StoreTrouble.Down;
+  await clock.advance(6_000);
+  t.notOk(follower.isProven());
+  follower.takeVouch({ proofAgeMs: 0, revision: 1 }, clock.getBootTime());
+  t.notOk(follower.isProven(), "it may be blind");
+  configure(["kept"]);
+  const { value, revision } = [...shared.entries.values()].find(({ key }) => key.includes("configuration"))!;
+  follower.takeVouch({ proofAgeMs: 0, revision, value }, clock.getBootTime());
+  t.equal(follower.getTable()?.version, 2, "a newer version is taken, whoever tells it");
+  t.notOk(follower.isProven());
+});
+
+t.test("once eras were told, an answer without one, or of a lower one, counts for nothing", async (t) => {
+  const { platform, shared } = createBench(t);
+  const { store }: { store: MetadataStore } = platform.createAdapter();
+  t.ok((await store.read("k")).isOk());
+  shared.tellsEra = false;
+  t.ok((await store.read("k")).isErr());
+  shared.tellsEra = true;
+  t.ok((await store.read("k")).isOk());
+  shared.era -= 1;
+  t.ok((await store.read("k")).isErr());
+  shared.era += 1;
+  t.ok((await store.read("k")).isOk());
 });
--- /dev/null
+++ b/packages/gateway/test/storeGoesBackEndpoints.test.ts
@@ -0,0 +1,141 @@
+import t, { type Test } from "tap";
+import { EndpointDirectory, PrefixFollower, RemovalCause } from "@gladewall/gateway";
+import { Logger, VirtualClock } from "@gladewall/kernel";
+import { StandinPlatform, StoreTrouble } from "@gladewall/standins";
+
+const address = "127.0.0.1:1";
+
+/** A directory of endpoints on a virtual clock, before a store that can go back. */
+async function createBench(t: Pick<Test, "teardown">) {
+  const clock = VirtualClock.create();
+  const platform = StandinPlatform.create(clock, 20);
+  const adapter = platform.createAdapter();
+  const directory = EndpointDirectory.create({
+    platform: adapter,
+    clock,
+    logger: Logger.createSilent(),
+    getTimeSinceTrouble: () => Infinity,
+    watchWaitMs: 600,
+    unlistedMs: 400,
+  });
+  adapter.store.eras.onRise(() => directory.restart());
+  for (const id of ["a", "b", "c", "d"]) platform.list({ id, address });
+  directory.start();
+  await clock.advance(500);
+  t.teardown(async () => {
+    const closed = directory.close();
+    await clock.advance(20_000);
+    await closed;
+  });
+  const uses = (id: string): boolean => directory.get(id)?.isUsable() === true;
+  return { clock, platform, shared: platform.shared, directory, uses, store: platform.stores[0]! };
+}
+
+t.test("an endpoint that left stays out of use though a copy lists it as ready", async (t) => {
+  const { clock, platform, shared, uses } = await createBench(t);
+  const copy = shared.copy();
+  for (let count = 0; count < 20; count++) shared.put("other", "x");
+  platform.list({ id: "a", address, isLeaving: true });
+  platform.unlist("b");
+  await clock.advance(500);
+  t.notOk(uses("a") || uses("b"));
+  shared.goBack(copy);
+  for (let time = 0; time < 4_000; time += 100) {
+    await clock.advance(100);
+    t.notOk(uses("a") || uses("b"), `${time} ms`);
+    t.ok(uses("c") && uses("d"));
+  }
+  await clock.advance(3_000);
+  t.notOk(uses("a"), "its word stays");
+  t.ok(uses("b"), "a record that the store keeps is of an endpoint that lives");
+});
+
+t.test("what happens after the return is heard of, at revisions below those that were known", async (t) => {
+  const { clock, platform, shared, uses } = await createBench(t);
+  const copy = shared.copy();
+  for (let count = 0; count < 20; count++) shared.put("other", "x");
+  platform.list({ id: "new", address });
+  await clock.advance(500);
+  shared.goBack(copy);
+  platform.list({ id: "new", address });
+  platform.list({ id: "a", address, isLeaving: true });
+  platform.unlist("b");
+  await clock.advance(1_000);
+  t.notOk(uses("a"), "it leaves");
+  await clock.advance(2_500);
+  t.notOk(uses("b"), "it is gone");
+  t.ok(uses("new"));
+  platform.unlist("c");
+  await clock.advance(1_000);
+  t.notOk(uses("c"));
+});
+
+t.test(
+  "an endpoint that the copy lacks is used on until it is written again, and not for long if never",
+  async (t) => {
+    const { clock, platform, shared, uses } = await createBench(t);
+    const copy = shared.copy();
+    for (const id of ["again", "never"]) platform.list({ id, address });
+    await clock.advance(500);
+    shared.goBack(copy);
+    await clock.advance(1_000);
+    t.ok(uses("again") && uses("never"));
+    platform.list({ id: "again", address });
+    await clock.advance(5_000);
+    t.ok(uses("again"));
+    t.notOk(uses("never"));
+  },
+);
+
+t.test(
+  "a follower that was cut off meanwhile lists anew, also where the store names no lost history",
+  async (t) => {
+    const { clock, platform, shared, store, uses } = await createBench(t);
+    const copy = shared.copy();
+    store.trouble = StoreTrouble.Down;
+    shared.goBack(copy);
+    platform.unlist("a");
+    for (let count = 0; count < 40; count++) shared.put("other", "x");
+    store.trouble = StoreTrouble.None;
+    await clock.advance(4_000);
+    t.notOk(uses("a"));
+  },
+);
+
+t.test("changes of another era are passed over, and a listing of the new one replaces all", async (t) => {
+  const { clock, platform, shared } = await createBench(t);
+  const { store, endpointPrefix: prefix } = platform.createAdapter();
+  const lost: string[] = [];
+  const present = new Set<string>();
+  const follower = PrefixFollower.create({
+    store,
+    prefix,
+    clock,
+    logger: Logger.createSilent(),
+    listener: {
+      handlePut: ({ key }) => void present.add(key),
+      handleRemoved: (key, { cause }) => {
+        present.delete(key);
+        if (cause === RemovalCause.Lost) lost.push(key);
+      },
+    },
+  });
+  follower.start();
+  await clock.advance(200);
+  t.equal(present.size, 4);
+  const key = `${prefix}a`;
+  const removal = { revision: 90, items: [], removed: [{ key, revision: 90 }], isListing: false };
+  follower.takeChanges({ ...removal, era: shared.era + 1 }, Infinity);
+  follower.takeChanges(removal, Infinity);
+  t.equal(present.size, 4, "neither of an era that is not known, nor of none");
+  store.eras.takePeer(shared.era + 1);
+  t.equal(follower.getPosition(), undefined);
+  t.equal(follower.getChanges({ era: shared.era, revision: 1 }), undefined, "nor is an old number handed on");
+  const items = [{ key, value: Buffer.from("x"), revision: 2 }];
+  follower.takeChanges({ era: shared.era + 1, revision: 3, items, removed: [], isListing: true }, Infinity);
+  t.same([...present], [key]);
+  t.equal(lost.length, 3);
+  const closed = follower.close();
+  await clock.advance(20_000);
+  await closed;
+});
