--- a/packages/coordination/src/versionedDocument.ts
+++ b/packages/coordination/src/versionedDocument.ts
@@ -2,7 +2,8 @@
  * A versioned document under one key: followed by a watch and by peers' word, changed by compare-and-swap.
  *
  * A follower never steps back: of two documents the one with the higher version is in force, whoever brought it and
- * in whatever order they came.
+ * in whatever order they came. A service that holds an older document than the one in force has come back from a copy: what
+ * it says is no word on what is current, and the follower writes the document again.
  * @module
  */
 import { type Clock, Failure, FailureCode, type Logger, waitFor } from "@gladewall/kernel";
@@ -155,20 +156,48 @@
     // What the service says was true at some time after the call was sent; a watch that saw no change said so at the
     // end of its wait.
     const age = isUnchanged && elapsed >= watchWait ? elapsed - watchWait : elapsed;
-    if (!value) {
-      this.hear(age);
-      return;
+    const isWord = value ? value.revision === this.revision || this.takeStored(value) : this.takeAbsent();
+    if (isWord) this.hear(age);
+  }
+
+  /** Takes that the service holds no document; false where one was in force. */
+  private takeAbsent(): boolean {
+    this.revision = 0;
+    if (!this.inForce) return true;
+    void this.writeAgain(this.revision);
+    return false;
+  }
+
+  /** Takes what the service holds; false where that says nothing of what is current. */
+  private takeStored({ value, revision }: StoredValue): boolean {
+    const { codec, logger, key } = this.options;
+    this.revision = revision;
+    const decoded = codec.decode(value);
+    if (decoded.isErr()) {
+      logger.error("document.unreadable", { key, text: decoded.error.text });
+      return false;
     }
-    if (value.revision !== this.revision) {
-      this.revision = value.revision;
-      const decoded = this.options.codec.decode(value.value);
-      if (decoded.isErr()) {
-        this.options.logger.error("document.unreadable", { key: this.options.key, text: decoded.error.text });
-        return;
-      }
-      this.put(decoded.value, value.value);
+    const version = codec.getVersion(decoded.value);
+    if (version < this.version) {
+      logger.info("document.passed-over", { key, version, inForce: this.version, revision });
+      void this.writeAgain(revision);
+      return false;
     }
-    this.hear(age);
+    this.put(decoded.value, value);
+    return true;
+  }
+
+  /** Writes the document in force over an older one, unless another has done so. */
+  private async writeAgain(revision: number): Promise<void> {
+    const { service, key, logger } = this.options;
+    if (!this.inForce) return;
+    const { bytes, version } = this.inForce;
+    const written = await service.compareAndSwap(key, bytes, revision);
+    logger.info("document.written-again", {
+      key,
+      version,
+      outcome: written.isOk() ? "written" : written.error.name,
+    });
   }
 
   private put(document: Document, bytes: Uint8Array): boolean {
--- a/packages/coordination/test/document.test.ts
+++ b/packages/coordination/test/document.test.ts
@@ -66,6 +66,31 @@
   return promise;
 }
 
+t.test(
+  "a service that comes back with an older document is no word on it, and gets the newer one again",
+  async (t) => {
+    const { clock, service, createFollower } = createBench();
+    await Promise.all([edit(clock, service, "row", "one"), clock.advance(100)]);
+    const follower = createFollower();
+    follower.start();
+    await clock.advance(100);
+    const older = service.store.get("sheet")!;
+    await Promise.all([edit(clock, service, "row", "two"), clock.advance(200)]);
+    t.equal(follower.version, 2);
+    const fallen = service.store.trySwap("sheet", older.value, service.store.get("sheet")!.revision);
+    t.ok(fallen);
+    await clock.advance(100);
+    t.equal(follower.version, 2, "it never falls");
+    t.ok((service.store.get("sheet")?.revision ?? 0) > fallen!, "it is written again");
+    await Promise.all([edit(clock, service, "row", "three"), clock.advance(200)]);
+    t.equal(follower.version, 3, "the next change comes after it");
+    t.same(follower.get()?.document.edits, ["one", "two", "three"]);
+    const closed = follower.close();
+    await clock.advance(10_000);
+    await closed;
+  },
+);
+
 t.test("a save is in force at a follower as soon as its watch returns", async (t) => {
   const { clock, service, createFollower } = createBench();
   const follower = createFollower();
