--- /dev/null
+++ b/packages/gateway/test/returnCrowd.test.ts
@@ -0,0 +1,90 @@
+import t from "tap";
+import { MemberRecords } from "@gladewall/gateway";
+import { Logger, VirtualClock } from "@gladewall/kernel";
+import { StandinPlatform } from "@gladewall/standins";
+
+const fleetSize = 320;
+const startedWithinMs = 300;
+/** What a platform of that size gives to all instances together. */
+const readsPerSecond = 2_000;
+const writesPerSecond = 400;
+
+/** Records of a large fleet on a virtual clock; three of them ask the store, the others are told. */
+async function createFleet() {
+  const clock = VirtualClock.create();
+  const platform = StandinPlatform.create(clock, 200);
+  const start = (index: number): MemberRecords => {
+    const records = MemberRecords.create({
+      store: platform.createAdapter().store,
+      clock,
+      logger: Logger.createSilent(),
+      name: `instance-${index}`,
+      incarnation: 1,
+      address: "127.0.0.1:1",
+      capacity: index,
+      onChange: () => undefined,
+      isLinked: () => true,
+    });
+    records.follower.setPassive(index >= 3);
+    records.start();
+    return records;
+  };
+  const fleet: MemberRecords[] = [];
+  for (let index = 0; index < fleetSize; index++) {
+    clock.startTimer((index * startedWithinMs) / fleetSize, () => fleet.push(start(index)));
+  }
+  await clock.advance(6_000);
+  return { clock, platform, fleet };
+}
+
+// Every instance finds at once that its lease is of an era that is over.
+t.test("a large fleet stays within the store's rates when the store has come back", async (t) => {
+  const { clock, platform, fleet } = await createFleet();
+  const { shared } = platform;
+  shared.goBack(shared.copy());
+  let mostReads = 0;
+  let mostWrites = 0;
+  for (let second = 0; second < 6; second++) {
+    const { reads, writes } = shared;
+    await clock.advance(1_000);
+    mostReads = Math.max(mostReads, shared.reads - reads);
+    mostWrites = Math.max(mostWrites, shared.writes - writes);
+  }
+  t.ok(mostReads < readsPerSecond, `${mostReads} reads in a second`);
+  t.ok(mostWrites < writesPerSecond / 4, `${mostWrites} writes in a second`);
+  const recorded = [...shared.entries.keys()].filter((key) => key.startsWith("gladewall/members/"));
+  t.equal(recorded.length, fleetSize, "all are recorded");
+  await clock.advance(10_000);
+  t.equal([...shared.entries.keys()].filter((key) => key.startsWith("gladewall/members/")).length, fleetSize);
+  const closed = Promise.all(fleet.map((records) => records.close()));
+  await clock.advance(20_000);
+  await closed;
+});
+
+t.test("instances whose records the copy lacks record themselves again", async (t) => {
+  const clock = VirtualClock.create();
+  const platform = StandinPlatform.create(clock, 200);
+  const copy = platform.shared.copy();
+  const records = MemberRecords.create({
+    store: platform.createAdapter().store,
+    clock,
+    logger: Logger.createSilent(),
+    name: "one",
+    incarnation: 1,
+    address: "127.0.0.1:1",
+    capacity: 1,
+    onChange: () => undefined,
+    isLinked: () => true,
+  });
+  records.start();
+  await clock.advance(3_000);
+  t.ok(platform.shared.entries.has("gladewall/members/one"));
+  platform.shared.goBack(copy);
+  await clock.advance(3_000);
+  t.ok(platform.shared.entries.has("gladewall/members/one"));
+  await clock.advance(10_000);
+  t.ok(platform.shared.entries.has("gladewall/members/one"), "under a lease that is renewed");
+  const closed = records.close();
+  await clock.advance(20_000);
+  await closed;
+});
--- a/packages/gateway/test/storeGoesBack.test.ts
+++ b/packages/gateway/test/storeGoesBack.test.ts
@@ -1,5 +1,5 @@
 import t, { type Test } from "tap";
-import { type ConfigurationFollower, type MetadataStore, untoldEra } from "@gladewall/gateway";
+import { type ConfigurationFollower, type MetadataStore, StoreEras, untoldEra } from "@gladewall/gateway";
 import { VirtualClock } from "@gladewall/kernel";
 import {
   createWorkspace,
@@ -130,6 +130,28 @@
   },
 );
 
+t.test("while the store shows less than is in force, operators are still writing again", async (t) => {
+  const { clock, shared, configure, follow } = createBench(t);
+  configure(both);
+  const { follower } = follow();
+  await clock.advance(2_000);
+  const copy = shared.copy();
+  configure([...both, "more"]);
+  await clock.advance(500);
+  // Acknowledged and lost before anybody heard of it.
+  configure(["kept", "more"]);
+  shared.goBack(copy);
+  shared.trouble = StoreTrouble.Down;
+  await clock.advance(3_000);
+  shared.trouble = StoreTrouble.None;
+  await clock.advance(3_900);
+  t.notOk(letsIn(follower));
+  configure(["kept", "more"]);
+  await clock.advance(2_000);
+  t.ok(follower.isProven());
+  t.notOk(letsIn(follower));
+});
+
 t.test(
   "a short absence costs callers nothing: the proof from before lasts until reads count again",
   async (t) => {
@@ -226,6 +248,20 @@
   );
 });
 
+t.test(
+  "an answer whose end comes after another era began is dropped, though its head came before",
+  async (t) => {
+    const eras = StoreEras.create();
+    const first = eras.startCall();
+    t.ok(eras.place(first, eras.takeWord(first, { era: 3 })!, 10));
+    const start = eras.startCall();
+    const era = eras.takeWord(start, { era: 3 })!;
+    eras.takePeer(4);
+    t.equal(eras.place(start, era, 11), undefined);
+    t.equal(eras.startCall().revision, 0, "and its revision is none of the new era");
+  },
+);
+
 t.test("a watch does not go on from a number of an earlier era", async (t) => {
   const { clock, platform, shared } = createBench(t);
   const { store } = platform.createAdapter();
