A life that never heard of a window's figures fixes none that may have been reported and lost

The mark of an era says since when nothing can have been lost: windows that ended before it, and before this life, are only repeated where the store or a peer has them. One that is left out is a report missing; two figures break the rule of one report.

Where the store tells no era nothing changes.

--- a/packages/gateway/src/eraSettling.ts
+++ b/packages/gateway/src/eraSettling.ts
@@ -20,6 +20,8 @@
   readonly isFirstStart: boolean;
   /** Whether this instance writes the mark for all. */
   readonly isWriter: () => boolean;
+  /** Returns the time of day. */
+  readonly getTimeOfDay: () => number;
 }
 
 const markKey = `${ownPrefix}store-era`;
@@ -28,7 +30,11 @@
 /** Time between two attempts to write the mark. */
 const retryMs = 1_000;
 
-const markSchema = v.object({ era: v.number() });
+const markSchema = v.object({
+  era: v.number(),
+  /** Time of day at which it was written. */
+  at: v.number(),
+});
 
 /** Follows the eras of one instance's store. */
 export class EraSettling {
@@ -37,7 +43,9 @@
   /** Boot time from which on reads show everything; undefined while the era is not settled. */
   private settledAt: number | undefined = -Infinity;
   private markItem: StoreItem | undefined;
-  private markedEra: number | undefined;
+  private mark: v.InferOutput<typeof markSchema> | undefined;
+  /** Whether this is the system's first life, in the first era that was told it. */
+  private isSystemsFirst = true;
   private writtenAt = -Infinity;
   private isFirst = true;
   private readonly listeners: (() => void)[] = [];
@@ -73,18 +81,27 @@
   takeItem(key: string, item: StoreItem | undefined): void {
     if (key !== markKey) return;
     this.markItem = item;
-    this.markedEra = item && decodeItem(markSchema, item.value)?.era;
-    if (this.markedEra === undefined) return;
+    this.mark = item && decodeItem(markSchema, item.value);
+    if (this.mark === undefined) return;
     // Where the store tells no era, the mark is all that an instance which starts later can know it by.
-    this.eras.takePeer(this.markedEra);
-    if (this.markedEra === this.eras.current) this.settle("mark");
+    this.eras.takePeer(this.mark.era);
+    if (this.mark.era === this.eras.current) this.settle("mark");
+  }
+
+  /**
+   * Time of day after which nothing that was written can have been lost by the last return; infinite while that is not
+   * known.
+   */
+  getKeptSince(): number {
+    if (this.eras.current === untoldEra || this.isSystemsFirst) return -Infinity;
+    return this.mark?.era === this.eras.current ? this.mark.at : Infinity;
   }
 
   /** Writes the mark where it is due; called several times a second. */
   review(): void {
     const { clock, isWriter } = this.options;
     const { current } = this.eras;
-    const isDue = current !== untoldEra && this.isSettled && this.markedEra !== current;
+    const isDue = current !== untoldEra && this.isSettled && this.mark?.era !== current;
     if (!isDue || !isWriter() || clock.getTime() - this.writtenAt < retryMs) return;
     this.writtenAt = clock.getTime();
     void this.writeMark(current);
@@ -97,10 +114,10 @@
   private handleRise({ to, revisionBefore }: EraRise): void {
     const { clock, isFirstStart } = this.options;
     this.seenAt = clock.getBootTime();
-    const isSystemsFirst = this.isFirst && isFirstStart && revisionBefore === 0;
+    this.isSystemsFirst = this.isFirst && isFirstStart && revisionBefore === 0;
     this.isFirst = false;
     this.settledAt = undefined;
-    if (isSystemsFirst) {
+    if (this.isSystemsFirst) {
       this.seenAt = -Infinity;
       this.settledAt = -Infinity;
       return;
@@ -122,11 +139,12 @@
   }
 
   private async writeMark(era: number): Promise<void> {
-    const { store, logger } = this.options;
+    const { store, logger, getTimeOfDay } = this.options;
     const expected = [{ key: markKey, revision: this.markItem?.revision ?? 0 }];
-    const put = [{ key: markKey, value: Buffer.from(JSON.stringify({ era })) }];
+    const mark = { era, at: getTimeOfDay() };
+    const put = [{ key: markKey, value: Buffer.from(JSON.stringify(mark)) }];
     const written = await store.transact({ expected, put, remove: [] });
-    if (written.isOk()) this.markedEra = era;
+    if (written.isOk()) this.mark = mark;
     logger.info("store.era-marked", { era, outcome: written.isOk() ? "written" : written.error.name });
   }
 }
--- a/packages/gateway/src/gatewayParts.ts
+++ b/packages/gateway/src/gatewayParts.ts
@@ -20,7 +20,6 @@
 import { EndpointWordLinks } from "./endpointWordLinks.js";
 import { EndpointLimits } from "./endpointLimits.js";
 import { FencedOrders } from "./fencedOrders.js";
-import type { FixedWindows } from "./fixedWindows.js";
 import { GatewayMetrics } from "./gatewayMetrics.js";
 import type { GatewaySettings } from "./gatewaySettings.js";
 import { LimitIssuer } from "./limitIssuer.js";
@@ -130,6 +129,7 @@
     store,
     isFirstStart: settings.instance.first_start,
     isWriter: () => members.isReader && members.isListed,
+    getTimeOfDay: () => time.get(),
   });
   const views = createViews(
     { ...base, settling: own.settling },
@@ -139,9 +139,8 @@
     },
   );
   const { time, follower, directory, usage, counters, rates } = views;
-  const reporter: UsageReporter = createReporter(views, own.fixed, (key) => members.items.get(key));
-  const getKnownShare = (): number => members.getKnownShare();
-  const admission: Admission = createAdmission(views, getKnownShare, () => members.getFleetSize());
+  const reporter: UsageReporter = createReporter(views, own, (key) => members.items.get(key));
+  const admission: Admission = createAdmission(views, () => members);
   const members: Members = createMembers(views, reporter, {
     answerAsk: (peer, ask) => admission.answerAsk(peer, ask),
     onItem: (key, item, removal) => {
@@ -275,7 +274,7 @@
 
 function createReporter(
   views: GatewayViews,
-  fixed: FixedWindows,
+  { fixed, settling }: OwnItems,
   getItem: Members["items"]["get"],
 ): UsageReporter {
   const { settings, platform, clock, logger, time, usage } = views;
@@ -292,6 +291,7 @@
     life: getLife({ name: settings.instance.name, incarnation: views.incarnation }),
     getItem,
     fixed,
+    getKeptSince: () => settling.getKeptSince(),
   });
 }
 
@@ -407,11 +407,7 @@
   return { limits, permits, links };
 }
 
-function createAdmission(
-  views: GatewayViews,
-  getKnownShare: () => number,
-  getFleetSize: () => number,
-): Admission {
+function createAdmission(views: GatewayViews, getMembers: () => Members): Admission {
   const { settings, clock, follower, counters } = views;
   return Admission.create({
     clock,
@@ -420,9 +416,9 @@
     quotaWindowMs: settings.quotas.window,
     quotaSlack: settings.quotas.slack,
     quotaOvershoot: settings.quotas.overshoot,
-    getFleetSize,
+    getFleetSize: () => getMembers().getFleetSize(),
     isFirstStart: settings.instance.first_start,
-    getKnownShare,
+    getKnownShare: () => getMembers().getKnownShare(),
     getRandom: Math.random,
   });
 }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -70,6 +70,7 @@
 export { QuotaCharges } from "./quotaCharges.js";
 export { RecentPlacements } from "./recentPlacements.js";
 export { createFingerprint } from "./requestFingerprint.js";
+export { OwnItems } from "./ownItems.js";
 export { parseNamedLimit } from "./namedLimit.js";
 export { longestRetryAfterMs, parseRetryAfter } from "./retryAfter.js";
 export { RetryBudget } from "./retryBudget.js";
--- a/packages/gateway/src/ownItems.ts
+++ b/packages/gateway/src/ownItems.ts
@@ -22,6 +22,8 @@
   readonly isFirstStart: boolean;
   /** Whether this instance knows what the store holds, and writes for all. */
   readonly isWriter: () => boolean;
+  /** Returns the time of day. */
+  readonly getTimeOfDay: () => number;
 }
 
 /** Items that are kept beyond the store. */
--- a/packages/gateway/src/usageReporter.ts
+++ b/packages/gateway/src/usageReporter.ts
@@ -36,6 +36,8 @@
   readonly getItem: (key: string) => StoreItem | undefined;
   /** Windows that were fixed, also those that the store has lost. */
   readonly fixed: FixedWindows;
+  /** Returns the time of day after which nothing that the store held can have been lost. */
+  readonly getKeptSince: () => number;
 }
 
 /** Time after a window's end at which the last counts of other instances have come. */
@@ -52,10 +54,13 @@
 export class UsageReporter {
   private readonly done = new Set<number>();
   private firstWindow: number;
+  /** Time of day at which this life began. */
+  private readonly bornAt: number;
   private draftAt = -Infinity;
 
   private constructor(private readonly options: UsageReporterOptions) {
-    this.firstWindow = this.getWindow(options.getTimeOfDay());
+    this.bornAt = options.getTimeOfDay();
+    this.firstWindow = this.getWindow(this.bornAt);
   }
 
   static create(options: UsageReporterOptions): UsageReporter {
@@ -112,11 +117,14 @@
   /** Windows from before this life are only repeated where they were fixed; their counts here may lack some. */
   private isKnown(window: number): boolean {
     const { getItem, fixed } = this.options;
-    return (
-      window >= this.firstWindow - 1 ||
-      fixed.find(window) !== undefined ||
-      getItem(this.getKey(window)) !== undefined
-    );
+    const isFixed = fixed.find(window) !== undefined || getItem(this.getKey(window)) !== undefined;
+    return isFixed || (window >= this.firstWindow - 1 && !this.mayBeLost(window));
+  }
+
+  /** Whether a window may have been fixed, reported and lost before this life could hear of it. */
+  private mayBeLost(window: number): boolean {
+    const endsAt = (window + 1) * this.options.windowMs;
+    return endsAt <= this.bornAt && endsAt <= this.options.getKeptSince();
   }
 
   private getKey(window: number): string {
--- a/packages/gateway/test/duties.test.ts
+++ b/packages/gateway/test/duties.test.ts
@@ -3,10 +3,9 @@
   CapacityOrders,
   type CapacityOrder,
   Duties,
-  DutyLeases,
   FencedOrders,
-  FixedWindows,
   OrderWord,
+  OwnItems,
   PrefixFollower,
   type StoreItem,
   UsageCounts,
@@ -26,7 +25,7 @@
 const windowMs = 5_000;
 const leaseKey = "gladewall/duty";
 const prefix = "gladewall/usage/";
-const offsetKey = "gladewall/fence-offset";
+const reviewEveryMs = 250;
 
 /** Instances that compete for the duties of one store; time is virtual. */
 class DutyBench {
@@ -55,23 +54,26 @@
     const orders = FencedOrders.create(this.orders, Logger.createSilent());
     const store = MetadataStoreStandin.create(shared, clock);
     const logger = Logger.createSilent();
-    const fixed = FixedWindows.create({ store, clock, logger, prefix, isWriter: () => true });
-    const leases = DutyLeases.create({ store, logger, offsetKey });
+    const getTimeOfDay = (): number => clock.getWallTime();
+    const own = OwnItems.create({ store, clock, logger, isFirstStart, isWriter: () => true, getTimeOfDay });
+    const { fixed, leases, settling } = own;
     const follower = PrefixFollower.create({
       store,
       prefix: "gladewall/",
       clock,
       logger,
       listener: {
-        handlePut: (item) => {
-          fixed.takeItem(item.key, item);
-          leases.takeItem(item.key, item);
-        },
-        handleRemoved: (key, removal) => fixed.takeItem(key, undefined, removal),
+        handlePut: (item) => own.takeItem(item.key, item),
+        handleRemoved: (key, removal) => own.takeItem(key, undefined, removal),
       },
     });
     store.eras.onRise(() => follower.restart());
     follower.start();
+    const review = (): void => {
+      own.review();
+      clock.startTimer(reviewEveryMs, review);
+    };
+    review();
     const getItem = (key: string): StoreItem | undefined => follower.getItem(key);
     const usage = UsageReporter.create({
       store,
@@ -80,12 +82,13 @@
       logger,
       prefix,
       windowMs,
-      getTimeOfDay: () => clock.getWallTime(),
+      getTimeOfDay,
       draftKey: "draft",
       usage: counts,
       life: `${name}/1`,
       getItem,
       fixed,
+      getKeptSince: () => settling.getKeptSince(),
     });
     const capacity = CapacityOrders.create({
       orders,
@@ -256,6 +259,30 @@
   },
 );
 
+// Counts of a draft in the copy lack what came after it.
+t.test(
+  "a window that was reported and lost is not reported with other figures by a life that never heard of it",
+  async (t) => {
+    const bench = new DutyBench();
+    const counts = createCounts(bench, 1);
+    const one = bench.start("one", counts);
+    await bench.clock.advance(12_000);
+    const copy = bench.shared.copy();
+    const window = Math.floor(bench.clock.getWallTime() / windowMs);
+    counts.add(window, "a");
+    await bench.clock.advance(6_000);
+    t.ok(bench.orders.taken.some(({ usage }) => usage?.window === window));
+    one.store.trouble = StoreTrouble.Down;
+    bench.shared.goBack(copy);
+    await bench.clock.advance(1_000);
+    bench.start("two", UsageCounts.create(), () => true, false);
+    await bench.clock.advance(30_000);
+    checkActs(t, bench);
+    const later = bench.orders.taken.filter(({ sender }) => sender.holder === "two");
+    t.ok(later.length > 2, "what ends later is reported");
+  },
+);
+
 t.test("a mark that was lost with the store's last seconds makes nobody the first holder ever", async (t) => {
   const bench = new DutyBench();
   const copy = bench.shared.copy();
--- a/packages/gateway/test/followers.ts
+++ b/packages/gateway/test/followers.ts
@@ -20,6 +20,7 @@
     logger: Logger.createSilent(),
     isFirstStart,
     isWriter: () => false,
+    getTimeOfDay: () => clock.getWallTime(),
   });
 }
 
--- a/packages/gateway/test/storeGoesBack.test.ts
+++ b/packages/gateway/test/storeGoesBack.test.ts
@@ -213,7 +213,7 @@
     const { follower: later, settling } = followAgain();
     await clock.advance(100);
     t.notOk(later.isProven());
-    const value = Buffer.from(JSON.stringify({ era: shared.era }));
+    const value = Buffer.from(JSON.stringify({ era: shared.era, at: 0 }));
     settling.takeItem("gladewall/store-era", { key: "gladewall/store-era", value, revision: 9 });
     await clock.advance(50);
     t.ok(later.isProven(), "the era was marked as settled");
