--- a/packages/gateway/src/crashRecords.ts
+++ b/packages/gateway/src/crashRecords.ts
@@ -70,10 +70,8 @@
  */
 const suspectBlame = 1;
 /**
- * Most blame for ends before anybody knew of an earlier one. A request that is at two such at once is asked for often,
- * or sent again at once: enough to run it apart, but the ends may have another cause. Three copies of a request that
- * were under way together ended four endpoints of four, and two or three with this and a wait for peers' words (six
- * runs each).
+ * Most blame for ends before anybody knew of an earlier one. A request that is at two such at once is asked for often, or
+ * sent again at once: enough to run it apart, but the ends may have another cause.
  */
 const mostFirstBlame = 1.5;
 const restingBlame = 2;
--- a/packages/gateway/src/feedTimes.ts
+++ b/packages/gateway/src/feedTimes.ts
@@ -30,16 +30,9 @@
 /** Two readers can be asked within the lifetime. */
 const patienceShare = 0.2;
 
-/**
- * A silent watch is found out within twice this, and a listing and a turn come after it. With watches of 15 s, requests
- * reached endpoints 2.9 s after they had said that they leave, of a drain time of 2 s (half of all connections
- * silenced).
- */
+/** A silent watch is found out within twice this, and a listing and a turn come after it. */
 const watchShare = 0.3;
-/**
- * A change is heard of after 0.73 of the time at most (150 drawn departures on a virtual clock, readers turned away by
- * turns): with the 0.65 that vanished records had before, endpoints that left were used for up to 1.25 of the time.
- */
+/** What a vanished record may add to the longest time until a change is heard of. */
 const unlistedShare = 0.2;
 
 /** Returns the times for a bound in which a change has to be taken in. */
--- a/packages/gateway/src/gatewayParts.ts
+++ b/packages/gateway/src/gatewayParts.ts
@@ -47,7 +47,7 @@
 // Outside the prefix that all instances watch: each change there costs a call of every instance.
 const usageDraftKey = "gladewall-usage-draft";
 const demandWindowMs = 4_000;
-/** A restarted instance is told by a reader within 0.3 to 0.6 s of its first listing. */
+/** Longer than a reader takes to tell an instance that has just listed. */
 const firstWatchPauseMs = 800;
 
 /** What the fleet says, asked of parts that are created later. */
--- a/packages/gateway/src/memberRecords.ts
+++ b/packages/gateway/src/memberRecords.ts
@@ -44,7 +44,7 @@
 
 const leaseMs = 6_000;
 const renewIntervalMs = 2_000;
-/** Instances that start together record themselves within 0.3 s; until they are known, the fleet looks smaller than it is. */
+/** Instances that start together record themselves within less; until they are known, the fleet looks smaller than it is. */
 const firstWatchPauseMs = 400;
 /** A vanished record is kept this long: records also vanish when the store is in trouble. */
 const vanishedMs = 15_000;
@@ -200,7 +200,7 @@
 
   /**
    * Says once that the list has changed, when all that came together is in it: said for each record of a listing, a large
-   * fleet looked small for a moment, and 19 instances made and dropped 1,300 links as they started.
+   * fleet looks small for a moment, and every instance links with all that it knows by then.
    */
   private announceChange(): void {
     if (this.isChangeDue) return;
--- a/packages/gateway/src/prefixFollower.ts
+++ b/packages/gateway/src/prefixFollower.ts
@@ -45,8 +45,7 @@
   readonly watchWaitMs?: number;
   /**
    * Time between the first listing of a life and its first watch, none unless given; milliseconds. An instance that is
-   * told meanwhile what changes needs no watch: of 17 instances that started together each made eight in its first four
-   * seconds (calls counted over a day).
+   * told meanwhile what changes needs no watch.
    */
   readonly firstWatchPauseMs?: number;
   /** Whether a first listing is needed even where others tell what there is; it is, unless said otherwise. */
--- a/packages/gateway/src/storeFeed.ts
+++ b/packages/gateway/src/storeFeed.ts
@@ -47,9 +47,8 @@
   }
 
   /**
-   * Whether this instance asks the readers. One that is a reader itself does so while the store turns it away: without
-   * it, it used endpoints that had left for 6.0 s of a drain time of 3 s, and no longer than 1.2 s with it (100 drawn
-   * departures).
+   * Whether this instance asks the readers. One that is a reader itself does so while the store turns it away: it would go
+   * on using endpoints that have left.
    */
   isAsking(isReader: boolean): boolean {
     return !isReader || this.options.configuration.isStoreLost;
--- a/packages/gateway/test/leavingEndpoints.test.ts
+++ b/packages/gateway/test/leavingEndpoints.test.ts
@@ -1,12 +1,4 @@
-/*
- * What happened: requests still reached an endpoint later than the drain time after the store had acknowledged that it
- * was leaving. Sequence: the store turns one reader of three away; an endpoint's record vanishes; an instance that asks
- * that reader goes on believing it for 0.6 of the drain time, hears of the removal from the next reader, holds the
- * first reader's trouble for the explanation, and only then begins the 0.65 of the drain time for which a record that
- * vanishes in trouble is used on. Cause: two allowances out of one bound, the second counted from when an instance
- * hears of a change and not from when the store may have acknowledged it. What settled it: 120 drawn departures, the
- * drain time 3,000 ms: heard after 2,189 ms at most; used for 4,139 ms at most, over 2,850 ms in 14 of them.
- */
+// Allowances out of one bound added up: a change was heard of late, and then its record was used on as if it had vanished.
 import * as fc from "fast-check";
 import t from "tap";
 import { EndpointDirectory, type MetadataStore, PrefixFollower } from "@gladewall/gateway";
@@ -25,7 +17,7 @@
   isStated: fc.boolean(),
 });
 
-/** Drawn departures after which an endpoint was used for 4,139, 3,638 and 3,767 ms. */
+/** Drawn departures after which an endpoint was used for too long. */
 const found: readonly Departure[] = [
   {
     troubles: [
@@ -97,11 +89,7 @@
   together: ["b", "c"],
 };
 
-/*
- * What happened: half of a small service's endpoints vanished unsaid while the store turned one reader away, and were
- * used on for up to 5 s. Cause: records of half of one service that vanish together counted as the store's own loss,
- * which has until the store is back; a service of four loses half of its endpoints with two.
- */
+// Half of one small service counted as the store's own loss, which has until the store is back.
 t.test("half of one service that leaves while other services stay stops being used in time", async (t) => {
   const half: fc.Arbitrary<Departure> = fc.record({
     troubles: fc.array(trouble, { minLength: 1, maxLength: 3 }),
