--- a/packages/gateway/src/eraSettling.ts
+++ b/packages/gateway/src/eraSettling.ts
@@ -26,7 +26,7 @@
 
 const markKey = `${ownPrefix}store-era`;
 /** Operators and endpoints have written again what was lost within this time of the store's return. */
-export const rewrittenWithinMs = 2_200;
+const rewrittenWithinMs = 2_200;
 /** Time between two attempts to write the mark. */
 const retryMs = 1_000;
 
--- a/packages/gateway/src/storeEras.ts
+++ b/packages/gateway/src/storeEras.ts
@@ -20,7 +20,7 @@
 /** Era of a store that has told none and was not seen to go back. */
 export const untoldEra = 0;
 /** Each return that only revisions show counts so much: told eras are whole numbers, and above all of these. */
-export const untoldStep = 1 / 1_024;
+const untoldStep = 1 / 1_024;
 
 const leastTold = 1;
 
