--- a/packages/gateway/test/storeGoesBack.test.ts
+++ b/packages/gateway/test/storeGoesBack.test.ts
@@ -24,6 +24,13 @@
     follower.start();
     return { follower, store: platform.stores.at(-1)! };
   };
+  /** Configures both keys and starts a follower, which has proven them by then. */
+  const followProven = async () => {
+    configure(both);
+    const started = follow();
+    await clock.advance(2_000);
+    return started;
+  };
   /** Starts a follower in a life that is not the system's first. */
   const followAgain = () => {
     const adapter = platform.createAdapter();
@@ -38,7 +45,7 @@
     await clock.advance(40_000);
     await closed;
   });
-  return { clock, platform, shared: platform.shared, configure, follow, followAgain };
+  return { clock, platform, shared: platform.shared, configure, follow, followProven, followAgain };
 }
 
 /** Whether a request with the key that was taken away would be let in. */
@@ -48,10 +55,8 @@
 
 // The store comes back from a copy and gives revisions out again: what is new then looks older than what was seen before.
 t.test("a key that was taken away after the store went back runs nothing, as nobody proves it", async (t) => {
-  const { clock, shared, configure, follow } = createBench(t);
-  configure(both);
-  const { follower } = follow();
-  await clock.advance(2_000);
+  const { clock, shared, configure, followProven } = createBench(t);
+  const { follower } = await followProven();
   const copy = shared.copy();
   for (let count = 0; count < 20; count++) shared.put("written-since", "x");
   configure(both);
@@ -68,11 +73,9 @@
 });
 
 t.test("so it is where the store tells no era, by revisions below those that were known", async (t) => {
-  const { clock, shared, configure, follow } = createBench(t);
+  const { clock, shared, configure, followProven } = createBench(t);
   shared.tellsEra = false;
-  configure(both);
-  const { follower, store } = follow();
-  await clock.advance(2_000);
+  const { follower, store } = await followProven();
   const copy = shared.copy();
   for (let count = 0; count < 20; count++) shared.put("written-since", "x");
   configure(both);
@@ -90,10 +93,8 @@
 t.test(
   "a version in force never falls, and the key that it took away does not come back with a copy",
   async (t) => {
-    const { clock, shared, configure, follow } = createBench(t);
-    configure(both);
-    const { follower } = follow();
-    await clock.advance(2_000);
+    const { clock, shared, configure, followProven } = createBench(t);
+    const { follower } = await followProven();
     const copy = shared.copy();
     configure(["kept"]);
     await clock.advance(1_000);
@@ -110,10 +111,8 @@
 t.test(
   "reads prove nothing while what was acknowledged last may not be written again, and no longer",
   async (t) => {
-    const { clock, shared, configure, follow } = createBench(t);
-    configure(both);
-    const { follower } = follow();
-    await clock.advance(2_000);
+    const { clock, shared, configure, followProven } = createBench(t);
+    const { follower } = await followProven();
     const copy = shared.copy();
     shared.trouble = StoreTrouble.Down;
     await clock.advance(4_000);
@@ -131,10 +130,8 @@
 );
 
 t.test("while the store shows less than is in force, operators are still writing again", async (t) => {
-  const { clock, shared, configure, follow } = createBench(t);
-  configure(both);
-  const { follower } = follow();
-  await clock.advance(2_000);
+  const { clock, shared, configure, followProven } = createBench(t);
+  const { follower } = await followProven();
   const copy = shared.copy();
   configure([...both, "more"]);
   await clock.advance(500);
@@ -155,10 +152,8 @@
 t.test(
   "a short absence costs callers nothing: the proof from before lasts until reads count again",
   async (t) => {
-    const { clock, shared, configure, follow } = createBench(t);
-    configure(both);
-    const { follower } = follow();
-    await clock.advance(2_000);
+    const { clock, shared, followProven } = createBench(t);
+    const { follower } = await followProven();
     for (let round = 0; round < 3; round++) {
       shared.goBack(shared.copy());
       for (let time = 0; time < 6_000; time += 100) {
@@ -170,10 +165,8 @@
 );
 
 t.test("a second return within the first one's recovery begins the wait anew", async (t) => {
-  const { clock, shared, configure, follow } = createBench(t);
-  configure(both);
-  const { follower } = follow();
-  await clock.advance(2_000);
+  const { clock, shared, configure, followProven } = createBench(t);
+  const { follower } = await followProven();
   const copy = shared.copy();
   configure(["kept", "removed", "more"]);
   await clock.advance(500);
@@ -298,10 +291,8 @@
 );
 
 t.test("the word of an earlier build, which names no era, proves nothing once one was seen", async (t) => {
-  const { clock, shared, configure, follow } = createBench(t);
-  configure(both);
-  const { follower, store } = follow();
-  await clock.advance(2_000);
+  const { clock, shared, configure, followProven } = createBench(t);
+  const { follower, store } = await followProven();
   store.trouble = StoreTrouble.Down;
   await clock.advance(6_000);
   t.notOk(follower.isProven());
