A failing test: after a return of a store that tells no era, fences fall

Found by reading the change once more: dutyLeases.createOffset takes the first offset of a store that tells no era for one from before it told any, and keeps it at 0 when a lower revision shows a return.

--- a/packages/gateway/test/duties.test.ts
+++ b/packages/gateway/test/duties.test.ts
@@ -283,6 +283,19 @@
   },
 );
 
+// The first offset of a store that tells no era is taken for one from before it told any.
+t.test("fences rise after a return of a store that tells no era", async (t) => {
+  const bench = new DutyBench();
+  bench.shared.tellsEra = false;
+  bench.start("one", createCounts(bench, 1));
+  const copy = bench.shared.copy();
+  for (let count = 0; count < 200; count++) bench.shared.put("other", "x");
+  await bench.clock.advance(12_000);
+  bench.shared.goBack(copy);
+  await bench.clock.advance(20_000);
+  checkActs(t, bench);
+});
+
 t.test("a mark that was lost with the store's last seconds makes nobody the first holder ever", async (t) => {
   const bench = new DutyBench();
   const copy = bench.shared.copy();
