--- a/packages/gateway/test/followers.ts
+++ b/packages/gateway/test/followers.ts
@@ -1,5 +1,5 @@
 /**
- * Followers of the configuration on a virtual clock, with the times of a small fleet.
+ * Followers of the configuration and of prefixes on a virtual clock, with the times of a small fleet.
  * @module
  */
 import {
@@ -7,6 +7,8 @@
   EraSettling,
   type MetadataStore,
   type PlatformAdapter,
+  PrefixFollower,
+  RemovalCause,
 } from "@gladewall/gateway";
 import { type Clock, Logger, type VirtualClock } from "@gladewall/kernel";
 
@@ -42,3 +44,36 @@
     ...options,
   });
 }
+
+/** A follower, not started, with the keys that are there and those that the store lost. */
+export interface FollowedPrefix {
+  readonly follower: PrefixFollower;
+  readonly present: ReadonlySet<string>;
+  readonly lost: readonly string[];
+}
+
+/** Creates a follower of a prefix that keeps which keys are there. */
+export function followPrefix(
+  store: MetadataStore,
+  prefix: string,
+  clock: VirtualClock,
+  options: { readonly watchWaitMs?: number } = {},
+): FollowedPrefix {
+  const present = new Set<string>();
+  const lost: string[] = [];
+  const follower = PrefixFollower.create({
+    store,
+    prefix,
+    clock,
+    logger: Logger.createSilent(),
+    listener: {
+      handlePut: ({ key }) => void present.add(key),
+      handleRemoved: (key, { cause }) => {
+        present.delete(key);
+        if (cause === RemovalCause.Lost) lost.push(key);
+      },
+    },
+    ...options,
+  });
+  return { follower, present, lost };
+}
--- a/packages/gateway/test/leavingEndpoints.test.ts
+++ b/packages/gateway/test/leavingEndpoints.test.ts
@@ -1,9 +1,10 @@
 // Allowances out of one bound added up: a change was heard of late, and then its record was used on as if it had vanished.
 import * as fc from "fast-check";
 import t from "tap";
-import { EndpointDirectory, type MetadataStore, PrefixFollower } from "@gladewall/gateway";
+import { EndpointDirectory, type MetadataStore } from "@gladewall/gateway";
 import { Logger, LogLevel, settlePromises, VirtualClock } from "@gladewall/kernel";
 import { StandinPlatform } from "@gladewall/standins";
+import { type FollowedPrefix, followPrefix } from "./followers.js";
 import { type Departure, drainMs, playDeparture, stepMs } from "./toldFleet.js";
 
 /** What the way of a request to its endpoint may take. */
@@ -126,16 +127,10 @@
 });
 
 /** Follows the endpoints of a platform; the keys that are present are kept. */
-function follow(store: MetadataStore, prefix: string, clock: VirtualClock) {
-  const present = new Set<string>();
-  const listener = {
-    handlePut: ({ key }: { key: string }) => void present.add(key),
-    handleRemoved: (key: string) => void present.delete(key),
-  };
-  const logger = Logger.createSilent();
-  const follower = PrefixFollower.create({ store, prefix, clock, logger, listener, watchWaitMs: 600 });
-  follower.start();
-  return { follower, present };
+function follow(store: MetadataStore, prefix: string, clock: VirtualClock): FollowedPrefix {
+  const followed = followPrefix(store, prefix, clock, { watchWaitMs: 600 });
+  followed.follower.start();
+  return followed;
 }
 
 /** Closes what runs on a virtual clock. */
--- a/packages/gateway/test/readerListing.test.ts
+++ b/packages/gateway/test/readerListing.test.ts
@@ -7,28 +7,16 @@
  *   instance-5 ready true eps 7 linked 5 reader true fed false    (started again a moment before)
  */
 import t from "tap";
-import { PrefixFollower } from "@gladewall/gateway";
-import { Logger, settlePromises, VirtualClock } from "@gladewall/kernel";
+import type { PrefixFollower } from "@gladewall/gateway";
+import { settlePromises, VirtualClock } from "@gladewall/kernel";
 import { StandinPlatform } from "@gladewall/standins";
+import { type FollowedPrefix, followPrefix } from "./followers.js";
 
 function createBench() {
   const clock = VirtualClock.create();
   const platform = StandinPlatform.create(clock);
   const { store, endpointPrefix: prefix } = platform.createAdapter();
-  const follow = () => {
-    const present = new Set<string>();
-    const follower = PrefixFollower.create({
-      store,
-      prefix,
-      clock,
-      logger: Logger.createSilent(),
-      listener: {
-        handlePut: ({ key }) => void present.add(key),
-        handleRemoved: (key) => void present.delete(key),
-      },
-    });
-    return { follower, present };
-  };
+  const follow = (): FollowedPrefix => followPrefix(store, prefix, clock);
   const close = async (followers: readonly PrefixFollower[]): Promise<void> => {
     const closed = Promise.all(followers.map((follower) => follower.close()));
     await clock.advance(10_000);
--- a/packages/gateway/test/storeGoesBackEndpoints.test.ts
+++ b/packages/gateway/test/storeGoesBackEndpoints.test.ts
@@ -1,7 +1,8 @@
 import t, { type Test } from "tap";
-import { EndpointDirectory, PrefixFollower, RemovalCause } from "@gladewall/gateway";
+import { EndpointDirectory } from "@gladewall/gateway";
 import { Logger, VirtualClock } from "@gladewall/kernel";
 import { StandinPlatform, StoreTrouble } from "@gladewall/standins";
+import { followPrefix } from "./followers.js";
 
 const address = "127.0.0.1:1";
 
@@ -105,21 +106,7 @@
 t.test("changes of another era are passed over, and a listing of the new one replaces all", async (t) => {
   const { clock, platform, shared } = await createBench(t);
   const { store, endpointPrefix: prefix } = platform.createAdapter();
-  const lost: string[] = [];
-  const present = new Set<string>();
-  const follower = PrefixFollower.create({
-    store,
-    prefix,
-    clock,
-    logger: Logger.createSilent(),
-    listener: {
-      handlePut: ({ key }) => void present.add(key),
-      handleRemoved: (key, { cause }) => {
-        present.delete(key);
-        if (cause === RemovalCause.Lost) lost.push(key);
-      },
-    },
-  });
+  const { follower, present, lost } = followPrefix(store, prefix, clock);
   follower.start();
   await clock.advance(200);
   t.equal(present.size, 4);
