Replace the bundle's files whole, so that daemons that start meanwhile don't end

Cause: five test files bundle the daemon into target/ beside each other, and the bundler emptied and filled the files in place. A daemon that was started in between read a part and ended (exit 1 with a SyntaxError, or exit 0 with an empty file); the test's fleet went on asking it for its readiness for ever. Ruled out: slowness. A fleet is ready within a second, and the whole test takes 20 to 25 s beside six others. Change: the bundler returns its files, and each is written beside its place and renamed into it. The daemon's bundle is the same text as before.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,16 +1,20 @@
 // Bundles the daemon of the operators' platform into target/, straight from the sources. What a daemon without
-// arguments does not need (the command line) is a file of its own, so that a start does not read it.
+// arguments does not need (the command line) is a file of its own, so that a start does not read it. Files are replaced
+// whole: a process that starts meanwhile reads the former ones or the new ones, never a part.
+import { mkdirSync, renameSync, writeFileSync } from "node:fs";
+import { dirname } from "node:path";
 import { fileURLToPath } from "node:url";
 import { build } from "esbuild";
 
 const root = fileURLToPath(new URL("..", import.meta.url));
 const source = (path) => `${root}${path}`;
 
-await build({
+const { outputFiles } = await build({
   absWorkingDir: root,
   entryPoints: ["deploy/gladewalld.ts"],
   outdir: "target",
   outExtension: { ".js": ".mjs" },
+  write: false,
   bundle: true,
   splitting: true,
   // Half of a start is reading the sources; names are kept, so that stack traces stay readable.
@@ -42,3 +46,10 @@
     ].join("\n"),
   },
 });
+
+for (const { path, contents } of outputFiles) {
+  const written = `${path}.${process.pid}`;
+  mkdirSync(dirname(path), { recursive: true });
+  writeFileSync(written, contents);
+  renameSync(written, path);
+}
