--- a/packages/gateway/src/dutyLeases.ts
+++ b/packages/gateway/src/dutyLeases.ts
@@ -12,7 +12,7 @@
 import { Ok, type Result } from "ts-results-es";
 import * as v from "valibot";
 import { decodeItem } from "./itemCodec.js";
-import { untoldEra } from "./storeEras.js";
+import { isTold, untoldEra } from "./storeEras.js";
 import type { MetadataStore, StoreItem } from "./types.js";
 
 /** Options of the leases. */
@@ -96,7 +96,9 @@
 
 /** Returns the offset of an era, reckoned from that of an earlier one. */
 function createOffset(earlier: FenceOffset | undefined, era: number): FenceOffset {
+  const { era: earlierEra, offset } = earlier ?? { era: untoldEra, offset: 0 };
   // A store that begins to tell its era has not come back by that.
-  if (!earlier || earlier.era === untoldEra) return { era, offset: earlier?.offset ?? 0 };
-  return { era, offset: earlier.offset + Math.max(0, era - earlier.era) * offsetPerEra };
+  const isFirstTold = earlierEra === untoldEra && isTold(era);
+  const grownBy = isFirstTold ? 0 : Math.max(0, era - earlierEra);
+  return { era, offset: offset + grownBy * offsetPerEra };
 }
--- a/packages/gateway/src/storeEras.ts
+++ b/packages/gateway/src/storeEras.ts
@@ -24,6 +24,11 @@
 
 const leastTold = 1;
 
+/** Whether an era is one that the store told; others are counted from revisions that fell. */
+export function isTold(era: number): boolean {
+  return era >= leastTold;
+}
+
 /** What an answer tells of its era. */
 export interface EraWord {
   /** Undefined where it tells none that can be read. */
@@ -128,7 +133,7 @@
       return undefined;
     }
     // A first told era takes the place of what was counted here, whichever number is higher.
-    const isFirst = !this.isTold && this.known < leastTold;
+    const isFirst = !this.isTold && !isTold(this.known);
     this.isTold = true;
     if (isFirst || era > this.known) this.rise(era, EraSource.Answer);
     if (era === this.known) return era;
