--- a/packages/gateway/test/duties.test.ts
+++ b/packages/gateway/test/duties.test.ts
@@ -283,7 +283,7 @@
   },
 );
 
-// The first offset of a store that tells no era is taken for one from before it told any.
+// The first offset of a store that tells no era was taken for one from before it told any.
 t.test("fences rise after a return of a store that tells no era", async (t) => {
   const bench = new DutyBench();
   bench.shared.tellsEra = false;
