--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,20 +1,19 @@
 // Bundles the daemon of the operators' platform into target/, straight from the sources. What a daemon without
 // arguments does not need (the command line) is a file of its own, so that a start does not read it. Files are replaced
 // whole: a process that starts meanwhile reads the former ones or the new ones, never a part.
-import { mkdirSync, renameSync, writeFileSync } from "node:fs";
+import { mkdirSync, realpathSync, renameSync, writeFileSync } from "node:fs";
 import { dirname } from "node:path";
+import { argv } from "node:process";
 import { fileURLToPath } from "node:url";
 import { build } from "esbuild";
 
 const root = fileURLToPath(new URL("..", import.meta.url));
 const source = (path) => `${root}${path}`;
 
-const { outputFiles } = await build({
+const options = {
   absWorkingDir: root,
   entryPoints: ["deploy/gladewalld.ts"],
-  outdir: "target",
   outExtension: { ".js": ".mjs" },
-  write: false,
   bundle: true,
   splitting: true,
   // Half of a start is reading the sources; names are kept, so that stack traces stay readable.
@@ -45,11 +44,17 @@
       'const __bundleFolder = __bundleFile.slice(0, __bundleFile.lastIndexOf("/"));',
     ].join("\n"),
   },
-});
+};
 
-for (const { path, contents } of outputFiles) {
-  const written = `${path}.${process.pid}`;
-  mkdirSync(dirname(path), { recursive: true });
-  writeFileSync(written, contents);
-  renameSync(written, path);
+/** Bundles the daemon into a folder of the repository, with more of the bundler's plug-ins. */
+export async function bundle(outdir = "target", plugins = []) {
+  const { outputFiles } = await build({ ...options, outdir, plugins, write: false });
+  for (const { path, contents } of outputFiles) {
+    const written = `${path}.${process.pid}`;
+    mkdirSync(dirname(path), { recursive: true });
+    writeFileSync(written, contents);
+    renameSync(written, path);
+  }
 }
+
+if (argv[1] && realpathSync(argv[1]) === fileURLToPath(import.meta.url)) await bundle();
--- /dev/null
+++ b/scripts/mutants.mjs
@@ -0,0 +1,123 @@
+// Takes one guard after another out of the daemon, and plays the soak that has to find it. `node scripts/mutants.mjs [--seeds 4]
+// [--only NAME]`, after a build; prints a line each and exits with 1 where one was not found. The sources stay as they are.
+import { readFileSync } from "node:fs";
+import { fileURLToPath } from "node:url";
+import { parseArgs } from "node:util";
+import { bundle } from "./bundle.mjs";
+import { importTest } from "./playSeeds.mjs";
+
+const root = fileURLToPath(new URL("..", import.meta.url));
+const gateway = "packages/gateway/src/";
+const { playAnswers } = await importTest("answerSoak");
+const { playStore } = await importTest("storeSoak");
+
+/** Each guard: the source it stands in, its text, and what stands there without it. */
+const guards = [
+  {
+    name: "once-only-requests",
+    play: playAnswers,
+    file: `${gateway}exchange.ts`,
+    from: "return kind === RouteKind.Safe || (kind === RouteKind.Stream && isResumable);",
+    to: "return kind !== undefined || isResumable;",
+  },
+  {
+    name: "whose-answer",
+    play: playAnswers,
+    file: "platform/src/headers.ts",
+    from: "if (echoed !== undefined && echoed !== requestId) return AnswerWord.Foreign;",
+    to: "",
+  },
+  {
+    name: "true-refusals",
+    play: playAnswers,
+    file: `${gateway}exchange.ts`,
+    from: "return this.history.runs + (isRunning ? 1 : 0);",
+    to: "return isRunning ? 0 : 0;",
+  },
+  {
+    name: "place-in-stream",
+    play: playAnswers,
+    file: `${gateway}exchange.ts`,
+    from: "lastEventId: this.relay?.lastEventId,",
+    to: "lastEventId: undefined,",
+  },
+  {
+    name: "cancel",
+    play: playAnswers,
+    file: `${gateway}exchange.ts`,
+    from: 'this.attempt?.abort("caller gone");',
+    to: "",
+  },
+  {
+    name: "repeat-budget",
+    play: playAnswers,
+    file: `${gateway}exchange.ts`,
+    from: "await this.parts.budget.take(this.request.service.name, this.getTimeLeft());",
+    to: "this.parts.budget !== undefined;",
+  },
+  {
+    name: "planned-stop",
+    play: playAnswers,
+    file: `${gateway}gateway.ts`,
+    from: "await this.finishRequests(endsAt);",
+    to: "",
+  },
+  {
+    name: "conditional-write",
+    play: playStore,
+    file: `${gateway}dutyLeases.ts`,
+    from: "{ key: name, revision: 0 },",
+    to: "",
+  },
+  {
+    name: "fence",
+    play: playStore,
+    file: `${gateway}dutyLeases.ts`,
+    from: "fence: current.offset + taken.value.revision",
+    to: "fence: taken.value.revision",
+  },
+  {
+    name: "version",
+    play: playStore,
+    file: `${gateway}configurationFollower.ts`,
+    from: "if (version !== undefined && version < inForce) {",
+    to: "if (version !== undefined && version < -1) {",
+  },
+];
+
+/** A plug-in of the bundler that takes a guard out; fails where its text is no longer there. */
+function createMutation({ name, file, from, to }) {
+  const filter = new RegExp(`${file.replaceAll(".", "\\.")}$`);
+  return {
+    name,
+    setup: ({ onLoad }) =>
+      onLoad({ filter }, () => {
+        const text = readFileSync(`${root}${file}`, "utf8");
+        if (text.split(from).length !== 2) throw new Error(`${file} does not hold once: ${from}`);
+        return { contents: text.replace(from, to), loader: "ts" };
+      }),
+  };
+}
+
+/** Plays seeds until one shows that the guard is missing; returns what it showed. */
+async function find({ name, play }, seeds) {
+  const daemon = `${root}target/mutants/${name}/gladewalld.mjs`;
+  for (let seed = 1; seed <= seeds; seed++) {
+    const { broken } = await play({ instances: 6, seed, lengthMs: 20_000, daemon });
+    if (broken.length > 0) return `seed ${seed}: ${broken[0]}`;
+  }
+  return undefined;
+}
+
+const { values } = parseArgs({
+  options: { seeds: { type: "string", default: "4" }, only: { type: "string" } },
+});
+let missed = 0;
+for (const guard of guards) {
+  if (values.only !== undefined && values.only !== guard.name) continue;
+  await bundle(`target/mutants/${guard.name}`, [createMutation(guard)]);
+  const found = await find(guard, Number(values.seeds));
+  if (found === undefined) missed += 1;
+  console.log(`${found === undefined ? "NOT FOUND" : "found"} ${guard.name} ${found ?? ""}`);
+}
+process.exit(missed === 0 ? 0 : 1);
