--- a/scripts/answerSoak.mjs
+++ b/scripts/answerSoak.mjs
@@ -6,8 +6,8 @@
 const { playAnswers } = await importTest("answerSoak");
 
 await playSeeds(6, async (play) => {
-  const { broken, requests, repeats, stops, troubles, statuses } = await playAnswers(play);
+  const { broken, requests, quiet, repeats, stops, troubles, statuses } = await playAnswers(play);
   const seen = JSON.stringify(Object.fromEntries(statuses));
-  const text = `${requests} requests, ${repeats} repeats, ${stops} stops, ${troubles} troubles ${seen}`;
+  const text = `${requests} requests, ${quiet} of them quiet, ${repeats} repeats, ${stops} stops, ${troubles} troubles ${seen}`;
   return { isBroken: broken.length > 0, text: [text, ...broken].join("; ") };
 });
