Replace on-demand endpoints in steps, and never on the strength of ones that do not serve yet

Cause: the plan counted reclaimable endpoints that were wanted as present unless this leader remembered a refusal. As soon as an order for them was accepted, or a new leader had forgotten the refusal, all on-demand endpoints were released, and the data halls had none for the boot time. An order sent shortly before a reclaim counted as still under way. Change: on-demand endpoints make way only where an order for reclaimable ones was accepted, and only as many as the need can spare (0.85 of it keeps serving); the order of a data hall that is being reclaimed is sent again at the notice.

--- a/packages/gateway/src/capacityOrders.ts
+++ b/packages/gateway/src/capacityOrders.ts
@@ -57,6 +57,8 @@
   private scarceUntil = -Infinity;
   /** Monotonic time at which a data hall was last reclaimed. */
   private reclaimedAt = -Infinity;
+  /** Data halls that are being reclaimed, by service. */
+  private readonly reclaimedHalls = new Set<string>();
   /** Highest number of on-demand endpoints found so far of each service, and when it was reached. */
   private readonly discovered = new Map<string, { readonly count: number; readonly at: number }>();
   /** Monotonic time of the last call that failed. */
@@ -117,12 +119,22 @@
     return Math.floor(Math.max(...halls.map(({ reclaimable }) => reclaimable)) * provisionShare);
   }
 
-  /** Records the time if the data hall's reclaimable endpoints leave together. */
-  private detectReclaim(hall: string, endpoints: readonly Endpoint[]): void {
+  /**
+   * Records the time if the data hall's reclaimable endpoints leave together, and forgets the order for them: whether it still
+   * holds shows only once it is sent again.
+   */
+  private detectReclaim(service: string, hall: string, endpoints: readonly Endpoint[]): void {
     const here = endpoints.filter(({ record }) => record.hall === hall && record.isReclaimable);
     const leaving = here.filter((endpoint) => !endpoint.isUsable()).length;
-    if (leaving > 1 && leaving >= here.length * reclaimDetectionShare)
-      this.reclaimedAt = this.options.clock.getTime();
+    const key = getKey({ service, hall, isReclaimable: true });
+    if (leaving <= 1 || leaving < here.length * reclaimDetectionShare) {
+      this.reclaimedHalls.delete(key);
+      return;
+    }
+    this.reclaimedAt = this.options.clock.getTime();
+    if (this.reclaimedHalls.has(key)) return;
+    this.reclaimedHalls.add(key);
+    this.lastOrders.delete(key);
   }
 
   private countHalls(service: string, { hallPrices }: ScalingLimits): readonly HallCount[] {
@@ -131,7 +143,7 @@
     const endpoints = known.filter((endpoint) => endpoint.isUsable());
     const names = new Set([...hallPrices.keys(), ...endpoints.map((endpoint) => endpoint.record.hall)]);
     return [...names].map((hall) => {
-      this.detectReclaim(hall, known);
+      this.detectReclaim(service, hall, known);
       const here = endpoints.filter((endpoint) => endpoint.record.hall === hall);
       const reclaimable = here.filter((endpoint) => endpoint.record.isReclaimable).length;
       const refusedAt = this.refusedAt.get(hall);
@@ -143,7 +155,7 @@
         hall,
         reclaimable,
         onDemand,
-        reclaimableOrdered: this.lastOrders.get(getKey({ service, hall, isReclaimable: true }))?.desired ?? 0,
+        reclaimableOrdered: this.lastOrders.get(getKey({ service, hall, isReclaimable: true }))?.desired,
         onDemandOrdered: ordered ?? onDemand,
         isReclaimableRefused,
         isReclaimableExhausted,
--- a/packages/gateway/src/capacityPlan.ts
+++ b/packages/gateway/src/capacityPlan.ts
@@ -12,8 +12,8 @@
   readonly reclaimable: number;
   /** On-demand endpoints that accept requests. */
   readonly onDemand: number;
-  /** Reclaimable endpoints in the last accepted order. */
-  readonly reclaimableOrdered?: number;
+  /** Reclaimable endpoints in the last accepted order; undefined if this leader has had none accepted. */
+  readonly reclaimableOrdered?: number | undefined;
   /** On-demand endpoints in the last order; those present if nothing was ordered. */
   readonly onDemandOrdered: number;
   /** Whether an order for reclaimable endpoints was refused so recently that none is sent now. */
@@ -37,7 +37,7 @@
   readonly atRisk?: number;
 }
 
-/** Share of the needed endpoints that must serve before on-demand ones are released. */
+/** Share of the needed endpoints that must serve while on-demand ones are released. */
 const releaseShare = 0.85;
 /** Share of the needed endpoints up to which on-demand ones fill in: at their price, less headroom is worthwhile. */
 const onDemandShare = 0.7;
@@ -89,11 +89,13 @@
     ? 0
     : Math.max(0, Math.ceil(needed * (isReclaimableScarce ? onDemandShare : 1)) - remaining);
   const sorted = [...halls].sort((one, other) => getPrice(limits, one.hall) - getPrice(limits, other.hall));
+  const cleared = planClearedPlaces(input, sorted, reclaimable);
   const desired = new Map<string, number>();
   for (const hall of sorted) {
-    const freePlaces = getFreePlaces(hall, limits, reclaimable.get(hall.hall) ?? 0);
+    const places = Math.max(0, limits.max - hall.reclaimable);
+    const kept = Math.max(0, hall.onDemandOrdered - (cleared.get(hall.hall) ?? 0));
     const minimum = Math.max(0, limits.min - (reclaimable.get(hall.hall) ?? 0));
-    desired.set(hall.hall, Math.max(minimum, Math.min(freePlaces, isEnough ? 0 : hall.onDemandOrdered)));
+    desired.set(hall.hall, Math.max(minimum, Math.min(places, isEnough ? 0 : kept)));
   }
   releaseSurplus(desired, sorted, missing);
   if (!isReclaimableScarce) return desired;
@@ -110,7 +112,32 @@
   return desired;
 }
 
-/** Returns how many on-demand endpoints a data hall can hold; the maximum counts both price classes together. */
+/**
+ * Returns how many on-demand endpoints of each data hall make way for reclaimable ones, where the hall's maximum leaves no place
+ * for these. They go in steps: the replacements take their boot time, so that all of a data hall at once would leave it without
+ * any. Only an accepted order shows that reclaimable endpoints are available.
+ */
+function planClearedPlaces(
+  { halls, needed, limits, atRisk = 0 }: CapacityInput,
+  cheapestFirst: readonly HallCount[],
+  reclaimable: ReadonlyMap<string, number>,
+): Map<string, number> {
+  const attainable = Math.min(needed, limits.max * halls.length);
+  const serving = halls.reduce(sumServing, 0) - atRisk;
+  let left = Math.max(0, serving - Math.ceil(attainable * releaseShare));
+  const cleared = new Map<string, number>();
+  for (const hall of [...cheapestFirst].reverse()) {
+    if (hall.reclaimableOrdered === undefined || hall.isReclaimableExhausted) continue;
+    const wanted = Math.min(reclaimable.get(hall.hall) ?? 0, hall.reclaimableOrdered);
+    const lacking = Math.max(0, wanted + hall.onDemandOrdered - limits.max);
+    const count = Math.min(left, lacking, hall.onDemandOrdered);
+    cleared.set(hall.hall, count);
+    left -= count;
+  }
+  return cleared;
+}
+
+/** Returns how many on-demand endpoints may be added up to; the maximum counts both price classes together. */
 function getFreePlaces(hall: HallCount, limits: ScalingLimits, reclaimableWanted: number): number {
   // On-demand endpoints must not occupy places of reclaimable ones that are available. Only an accepted order shows that
   // they are; otherwise on-demand endpoints would be released before each order that is refused.
@@ -158,6 +185,11 @@
   return sum + hall.reclaimable;
 }
 
+/** On-demand endpoints that have been released no longer count, although they accept requests until the order is carried out. */
+function sumServing(sum: number, { reclaimable, onDemand, onDemandOrdered }: HallCount): number {
+  return sum + reclaimable + Math.min(onDemand, onDemandOrdered);
+}
+
 function sumOrdered(sum: number, { reclaimableOrdered = 0 }: HallCount): number {
   return sum + reclaimableOrdered;
 }
