Expect the plan to keep what serves until replacements are accepted

Cause: the test of a data hall full of on-demand endpoints expected 4 of 7 to be released for reclaimable ones although no order for those had been accepted, which left 3 serving for a need of 4. Change: without an accepted order only the surplus goes; with one, as many as the need can spare. Checks as strict as before, and one more at the maximum.

--- a/packages/gateway/test/decisions.test.ts
+++ b/packages/gateway/test/decisions.test.ts
@@ -279,13 +279,14 @@
 );
 
 t.test(
-  "a data hall full of on-demand endpoints yields places to available reclaimable ones and releases surplus",
+  "a data hall full of on-demand endpoints releases surplus, and yields places to reclaimable ones once an order for them is accepted",
   async (t) => {
     const scaling = { min: 0, max: 7, bootMs: 4_000, reclaimablePrice: 0.2, hallPrices: new Map([["a", 1]]) };
     const plan = (
       needed: number,
       isReclaimableRefused: boolean,
       isReclaimableExhausted = isReclaimableRefused,
+      reclaimableOrdered?: number,
     ) =>
       planCapacity({
         service: "s",
@@ -296,6 +297,7 @@
             reclaimable: 0,
             onDemand: 7,
             onDemandOrdered: 7,
+            reclaimableOrdered,
             isReclaimableRefused,
             isReclaimableExhausted,
           },
@@ -303,7 +305,9 @@
         needed,
         isReclaimableScarce: isReclaimableRefused,
       }).map(({ desired }) => desired);
-    t.same(plan(4, false), [4, 3]);
+    t.same(plan(4, false), [4, 5], "no order is known to be accepted: only the surplus goes");
+    t.same(plan(4, false, false, 4), [4, 4], "as many as the need can spare");
+    t.same(plan(7, false, false, 7), [7, 6]);
     t.same(plan(4, true), [0, 4]);
     t.same(plan(7, true), [0, 6]);
     // The cooldown after a refusal has ended, and no order has been accepted since.
