Split the active request into its stages

Cause: activeRequest.ts chose endpoints, obtained permits, sent and relayed in one class of 555 lines, with no place for a queue. Change: placement, permit, attempt and relay are a file and a class each; RequestContext holds what they share. Behaviour is the same.

--- /dev/null
+++ b/packages/gateway/src/attemptStage.ts
@@ -0,0 +1,177 @@
+/**
+ * Sends a request to the endpoint that was chosen for it, and decides what follows if no response comes back.
+ * @module
+ */
+import { Failure, FailureCode } from "@gladewall/kernel";
+import { Attempt, AttemptOutcome, type AttemptResult } from "./attempt.js";
+import type { Endpoint } from "./endpoint.js";
+import type { LimitSource } from "./endpointLimits.js";
+import type { Placement } from "./placement.js";
+import { RelayStage } from "./relayStage.js";
+import { NextStep, type RequestContext } from "./requestContext.js";
+import { createRefusal } from "./requestRefusal.js";
+import { ExecutionStatus, type ResponseHead, RouteKind } from "./types.js";
+
+const minServerErrorStatus = 500;
+const firstRedirectStatus = 300;
+/** An attempt is not started if less time than this is left. */
+const minAttemptMs = 5;
+/**
+ * Prefill time from which a placement is announced to peers at once: a request that another instance unknowingly queues
+ * behind it would miss its latency objective. A tenth of the shortest usual objective.
+ */
+const minAnnouncedPrefillMs = 25;
+const maxUrgency = 9;
+
+/** Sends the attempts of one request. */
+export class AttemptStage {
+  private readonly relayStage: RelayStage;
+
+  private constructor(private readonly context: RequestContext) {
+    this.relayStage = RelayStage.create(context, (endpoint) => this.handleInterruption(endpoint));
+  }
+
+  static create(context: RequestContext): AttemptStage {
+    return new AttemptStage(context);
+  }
+
+  /** Sends the request and forwards the response. */
+  async run(placement: Placement): Promise<NextStep> {
+    const { context } = this;
+    const { service } = context.request;
+    if (context.isOver) return NextStep.Done;
+    if (context.getTimeLeft() < minAttemptMs) return NextStep.Fail;
+    const { endpoint } = placement;
+    context.excluded.add(endpoint.incarnation);
+    context.placement = placement;
+    endpoint.active += 1;
+    endpoint.inFlight.add(context);
+    const pending = service.engine ? placement.uncachedTokens : 0;
+    endpoint.pendingTokens += pending;
+    this.announceIfLong(placement, pending);
+    let isPending = true;
+    const clearPending = (): void => {
+      if (isPending) endpoint.pendingTokens -= pending;
+      isPending = false;
+    };
+    const next = await this.send(placement, clearPending);
+    clearPending();
+    endpoint.active -= 1;
+    endpoint.inFlight.delete(context);
+    return next;
+  }
+
+  private announceIfLong({ endpoint }: Placement, tokens: number): void {
+    const { rates, announcePlacement } = this.context.parts;
+    if (tokens / rates.get(this.context.request.service.name) < minAnnouncedPrefillMs) return;
+    announcePlacement(endpoint.incarnation, tokens);
+  }
+
+  private async send(placement: Placement, clearPending: () => void): Promise<NextStep> {
+    const { context } = this;
+    const { endpoint } = placement;
+    const { clock, getTimeOfDay, metrics } = context.parts;
+    const startedAt = clock.getTime();
+    const beganAt = getTimeOfDay();
+    const attempt = this.createAttempt(endpoint);
+    context.attempt = attempt;
+    context.isAttemptPending = true;
+    const round = endpoint.availability.beginAttempt();
+    const result = await attempt.result;
+    endpoint.availability.endAttempt(round, result.outcome === AttemptOutcome.Answered);
+    context.isAttemptPending = false;
+    metrics.countAttempt(context.request.service.name, AttemptOutcome[result.outcome]);
+    if (result.outcome !== AttemptOutcome.NotSent) context.history.recordArrival();
+    if (context.isOver) return NextStep.Done;
+    if (result.outcome !== AttemptOutcome.Answered || !result.response)
+      return this.handleNoResponse(endpoint, result, beganAt);
+    context.history.recordRun();
+    const { route } = context.request.admitted;
+    const isSuccess = (result.response.statusCode ?? 0) < firstRedirectStatus;
+    if (route.kind === RouteKind.Stream && isSuccess)
+      return this.relayStage.relayStream(placement, result.response, startedAt, clearPending);
+    context.countUsageOnce(beganAt);
+    return this.relayStage.forwardResponse(endpoint, result.response, startedAt);
+  }
+
+  private createAttempt(endpoint: Endpoint): Attempt {
+    const { context } = this;
+    const { platform, connections, connectTimeoutMs } = context.parts;
+    const { admitted, message, head, body, service } = context.request;
+    const { workspace } = admitted;
+    const headers = platform.endpoints.createHeaders(message.rawHeaders, {
+      endpointId: endpoint.id,
+      workspace: workspace?.name,
+      deadlineMs: context.getTimeLeft(),
+      urgency: service.engine ? Math.min(maxUrgency, context.rank) : undefined,
+      lastEventId: context.relay?.lastEventId,
+    });
+    const pool = connections.get(endpoint);
+    const method = message.method ?? "GET";
+    const target = message.url ?? "/";
+    const base = { pool, protocol: platform.endpoints, requestId: head.id, connectTimeoutMs };
+    const sentAt = context.parts.clock.getTime();
+    const onHead = (responseHead: ResponseHead, status: number): void =>
+      this.handleResponseHead(endpoint, responseHead, { requestId: head.id, status, sentAt });
+    return Attempt.create({ ...base, method, target, headers, body, onHead });
+  }
+
+  /** Records what an endpoint reports about itself, whatever becomes of the request. */
+  private handleResponseHead(
+    endpoint: Endpoint,
+    { executionStatus, load, notice, limit }: ResponseHead,
+    source: LimitSource,
+  ): void {
+    const { clock, directory, limits } = this.context.parts;
+    if (load) endpoint.recordLoad(load, clock.getTime());
+    if (executionStatus === ExecutionStatus.Ran && !notice?.isLeaving) endpoint.recordServed(clock.getTime());
+    if (notice) directory.handleNotice(endpoint, notice, source);
+    // A refusal or failure without a limit does not mean that the limit has ended: the endpoint may still be overloaded.
+    const isServed = executionStatus === ExecutionStatus.Ran && source.status < minServerErrorStatus;
+    if (limit !== undefined || isServed) limits.handleResponse(endpoint, limit, source);
+  }
+
+  private async handleNoResponse(
+    endpoint: Endpoint,
+    result: AttemptResult,
+    beganAt: number,
+  ): Promise<NextStep> {
+    const { context } = this;
+    const { clock, directory } = context.parts;
+    const { service } = context.request;
+    const time = clock.getTime();
+    const isLost = result.outcome === AttemptOutcome.Lost;
+    const fingerprint = isLost ? context.subject.fingerprint : undefined;
+    context.log("attempt.failed", {
+      endpoint: endpoint.id,
+      end: AttemptOutcome[result.outcome],
+      detail: result.detail,
+      fingerprint,
+    });
+    if (isLost) {
+      context.history.recordRun();
+      context.countUsageOnce(beganAt);
+      endpoint.recordOutcome(false, time);
+      return this.handleInterruption(endpoint);
+    }
+    if (result.outcome === AttemptOutcome.NotSent) endpoint.recordUnreachable(time);
+    if (result.outcome === AttemptOutcome.WrongEndpoint) directory.handleReplaced(endpoint);
+    if (result.outcome === AttemptOutcome.NotRun) endpoint.recordOutcome(false, time);
+    context.history.recordNotRun(createRefusal(FailureCode.Overloaded, service));
+    return context.history.isExhausted ? NextStep.Fail : NextStep.Retry;
+  }
+
+  /**
+   * Continues after a run whose connection was interrupted. A retry waits until it is known whether the endpoint has
+   * crashed; otherwise all requests that ran there would move to the next endpoint together, along with the request that
+   * crashes both.
+   */
+  private async handleInterruption(endpoint: Endpoint): Promise<NextStep> {
+    const { context } = this;
+    context.history.recordRunFailure(Failure.create(FailureCode.EndpointCut, { endpoint: endpoint.id }));
+    const checked = context.parts.suspects.recordInterruption(endpoint, context);
+    if (!context.isRetryAllowed()) return NextStep.Fail;
+    await checked;
+    return context.isOver ? NextStep.Done : NextStep.Retry;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/requestContext.ts
@@ -0,0 +1,138 @@
+/**
+ * State of one admitted request that the stages of its way share: placement, permit, attempt and relay.
+ * @module
+ */
+import type { Attempt } from "./attempt.js";
+import type { ActiveRequestInput, ActiveRequestParts, RequestOutcome } from "./activeRequestTypes.js";
+import { AttemptHistory } from "./attemptHistory.js";
+import type { InFlightRequest } from "./crashDetector.js";
+import type { CrashSubject } from "./crashRecords.js";
+import type { Placement } from "./placement.js";
+import { createFingerprint } from "./requestFingerprint.js";
+import type { StreamRelay } from "./streamRelay.js";
+import type { Trial } from "./suspectGate.js";
+import { type CallerRequestHead, type Route, RouteKind } from "./types.js";
+
+/** What to do with the request after a stage. */
+export enum NextStep {
+  Done = 1,
+  Retry = 2,
+  Fail = 3,
+}
+
+/** Added to the rank of a retry, so that first attempts get permits before retries. */
+const retryRankOffset = 1_000;
+const urgencyPerWorkspaceRank = 3;
+
+/** A request that has been admitted and has no final response yet. */
+export class RequestContext implements InFlightRequest {
+  readonly history = AttemptHistory.create();
+  /** Incarnations of endpoints that the request was sent to. */
+  readonly excluded = new Set<string>();
+  /** Monotonic time by which the request must have its final response. */
+  readonly deadlineAt: number;
+  /** Whether the request has its final response, or needs none any more. */
+  isOver = false;
+  /** The last placement; undefined if the request was sent nowhere. */
+  placement: Placement | undefined;
+  attempt: Attempt | undefined;
+  /** Whether the current attempt has neither received a response head nor failed. */
+  isAttemptPending = false;
+  relay: StreamRelay | undefined;
+  /** Reserved endpoint at which an isolated request runs; undefined if the request runs like others. */
+  trial: Trial | undefined;
+  firstEventMs: number | undefined;
+  permitRefusals = 0;
+  private isUsageCounted = false;
+  private cachedSubject: CrashSubject | undefined;
+
+  private constructor(
+    readonly parts: ActiveRequestParts,
+    readonly request: ActiveRequestInput,
+  ) {
+    const { admitted, head, arrivedAt } = request;
+    this.deadlineAt = arrivedAt + getTimeLimit(admitted.route, head);
+  }
+
+  static create(parts: ActiveRequestParts, request: ActiveRequestInput): RequestContext {
+    return new RequestContext(parts, request);
+  }
+
+  getTimeLeft(): number {
+    return this.deadlineAt - this.parts.clock.getTime();
+  }
+
+  /** Name of the workspace; empty on public routes. */
+  get workspace(): string {
+    return this.request.admitted.workspace?.name ?? "";
+  }
+
+  /** Identifies all requests with this content, whatever their ids and the instances that serve them. */
+  get subject(): CrashSubject {
+    this.cachedSubject ??= this.createSubject();
+    return this.cachedSubject;
+  }
+
+  private createSubject(): CrashSubject {
+    const { message, body } = this.request;
+    const { workspace } = this;
+    const { method = "", url: target = "/", headers } = message;
+    return {
+      workspace,
+      fingerprint: createFingerprint({ workspace, method, host: headers.host ?? "", target, body }),
+    };
+  }
+
+  /** Urgency of the request, 0 being the most urgent. */
+  get rank(): number {
+    const { workspace, route } = this.request.admitted;
+    return (workspace?.priority ?? 0) * urgencyPerWorkspaceRank + route.priority;
+  }
+
+  /** The same for permits; retries rank behind all first attempts. */
+  get permitRank(): number {
+    return this.rank + (this.history.arrivals > 0 ? retryRankOffset : 0);
+  }
+
+  /** Attempts that may have run, finished ones and the current one. */
+  get runs(): number {
+    const isRunning = this.isAttemptPending && this.attempt?.mayHaveRun === true;
+    return this.history.runs + (isRunning ? 1 : 0);
+  }
+
+  /** Whether the request may run on one more endpoint. */
+  isRetryAllowed(): boolean {
+    const { kind, isResumable, attempts } = this.request.admitted.route;
+    const isRetryable = kind === RouteKind.Safe || (kind === RouteKind.Stream && isResumable);
+    return isRetryable && this.history.runs < attempts && !this.isOver;
+  }
+
+  /** Counts the run for the usage report, once for all attempts. `at` is the time of day at which it began. */
+  countUsageOnce(at: number): void {
+    const workspace = this.request.admitted.workspace?.name;
+    if (this.isUsageCounted || workspace === undefined) return;
+    this.isUsageCounted = true;
+    this.parts.countRun(workspace, at);
+  }
+
+  createOutcome(status: number, failure: RequestOutcome["failure"]): RequestOutcome {
+    const { placement, history, firstEventMs, runs } = this;
+    return { status, failure, placement, arrivals: history.arrivals, runs, firstEventMs };
+  }
+
+  log(event: string, fields: Readonly<Record<string, string | number | boolean | undefined>>): void {
+    const { head, admitted, arrivedAt } = this.request;
+    this.parts.logger.info(event, {
+      request: head.id,
+      route: admitted.route.name,
+      version: admitted.table.version,
+      sinceMs: Math.round(this.parts.clock.getTime() - arrivedAt),
+      ...fields,
+    });
+  }
+}
+
+/** Returns the milliseconds after its arrival within which a request must have its final response. */
+export function getTimeLimit({ timeoutMs }: Route, { deadlineMs }: CallerRequestHead): number {
+  return Math.min(timeoutMs, deadlineMs ?? timeoutMs);
+}
