--- a/packages/gateway/src/gatewaySettings.ts
+++ b/packages/gateway/src/gatewaySettings.ts
@@ -118,6 +118,27 @@
     ),
     utilization: createDecimal("", 0.4, [0.01, 1], "share of an engine's reading rate that is planned with"),
   },
+  overload: {
+    mode: markReloadable(
+      createChoice(
+        ["off", "observe", "on"],
+        "on",
+        "whether short capacity is shared out: not at all, only decided and logged, or in effect",
+      ),
+    ),
+    max_waiting: createInteger(
+      "requests",
+      256,
+      [1, 100_000],
+      "requests that wait for a slot of one service, all instances together",
+    ),
+    max_wait: createDecimal(
+      "",
+      3,
+      [0, 100],
+      "longest wait for a slot, as a multiple of the route's latency objective; then the request is refused",
+    ),
+  },
   leaving: {
     unnoticed: createDuration(
       3_200,
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -4,9 +4,12 @@
  */
 import type { IncomingHttpHeaders } from "node:http";
 import type { Failure } from "@gladewall/kernel";
+import type { EndpointLoad } from "@gladewall/policy";
 import type { Result } from "ts-results-es";
 import type { StoreEras, StorePosition } from "./storeEras.js";
 
+export type { EndpointLoad } from "@gladewall/policy";
+
 /** Whether a request of a route may be run again. */
 export enum RouteKind {
   /** May run more than once. */
@@ -245,13 +248,6 @@
   Mismatched = 4,
 }
 
-/** Load that an endpoint reports with a response. */
-export interface EndpointLoad {
-  readonly running: number;
-  readonly waiting: number;
-  readonly slots: number;
-}
-
 /** What an endpoint reports about its availability with a response, independent of the request's result. */
 export interface EndpointNotice {
   /** Whether the endpoint is leaving. */
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -4,6 +4,7 @@
  * @module
  */
 export * from "./types.js";
+export * from "./capacityTypes.js";
 export * from "./configuration.js";
 export * from "./policyTable.js";
 export * from "./blocks.js";
--- a/scripts/gatewaySettingsPage.mjs
+++ b/scripts/gatewaySettingsPage.mjs
@@ -2,7 +2,7 @@
 import { writeFileSync } from "node:fs";
 import { fileURLToPath } from "node:url";
 import { gatewaySchema } from "@gladewall/gateway";
-import { formatReference } from "@gladewall/kernel";
+import { formatSettingsReference } from "@gladewall/kernel";
 
 const page = fileURLToPath(new URL("../docs/operating/gateway-settings.md", import.meta.url));
-writeFileSync(page, `# Settings of a gateway instance\n\n${formatReference(gatewaySchema).trimEnd()}\n`);
+writeFileSync(page, `# Settings of a gateway instance\n\n${formatSettingsReference(gatewaySchema).trimEnd()}\n`);
