--- a/scripts/gatewaySettingsPage.mjs
+++ b/scripts/gatewaySettingsPage.mjs
@@ -5,4 +5,7 @@
 import { formatSettingsReference } from "@gladewall/kernel";
 
 const page = fileURLToPath(new URL("../docs/operating/gateway-settings.md", import.meta.url));
-writeFileSync(page, `# Settings of a gateway instance\n\n${formatSettingsReference(gatewaySchema).trimEnd()}\n`);
+writeFileSync(
+  page,
+  `# Settings of a gateway instance\n\n${formatSettingsReference(gatewaySchema).trimEnd()}\n`,
+);
