--- a/packages/gateway/src/activeRequest.ts
+++ b/packages/gateway/src/activeRequest.ts
@@ -21,6 +21,7 @@
   private readonly permitStage: PermitStage;
   private readonly attemptStage: AttemptStage;
   private outcome: RequestOutcome | undefined;
+  private isDemandCounted = false;
 
   private constructor(private readonly context: RequestContext) {
     this.placementStage = PlacementStage.create(context);
@@ -35,13 +36,12 @@
   /** Resolves with the outcome once the final response is sent or the caller is gone. Never rejects. */
   async run(): Promise<RequestOutcome> {
     const { context } = this;
-    const { clock, budget, demand } = context.parts;
-    const { response, service, head } = context.request;
+    const { clock, budget } = context.parts;
+    const { response, service } = context.request;
     const handleClose = (): void => this.handleCallerGone();
     response.on("close", handleClose);
     const timer = clock.startTimer(context.getTimeLeft(), () => this.abort());
     budget.countRequest(service.name);
-    demand.countPromptTokens(service.name, head.promptTokens ?? 0);
     let next = NextStep.Retry;
     while (next === NextStep.Retry && !context.isOver) next = await this.attemptOnce();
     if (next === NextStep.Fail && !context.isOver) this.respondWithFailure(this.createFinalFailure());
@@ -58,6 +58,7 @@
     if (!(await this.permitStage.acquireRetry())) return NextStep.Fail;
     if (context.isOver) return NextStep.Done;
     const placement = await this.placementStage.choose();
+    this.countDemandOnce(placement.isOk() ? placement.value : undefined);
     const next = placement.isOk()
       ? await this.sendWithPermit(placement.value)
       : this.failUnplaced(placement.error);
@@ -66,6 +67,19 @@
     return next;
   }
 
+  /**
+   * Counts the prompt tokens that have to be read. Without an endpoint the whole prompt counts: endpoints that fail together do
+   * not lower the load.
+   */
+  private countDemandOnce(placement: Placement | undefined): void {
+    if (this.isDemandCounted) return;
+    this.isDemandCounted = true;
+    const { parts, request } = this.context;
+    const { service, head } = request;
+    const tokens = service.engine && placement ? placement.uncachedTokens : (head.promptTokens ?? 0);
+    parts.demand.countPromptTokens(service.name, tokens);
+  }
+
   private failUnplaced(failure: Failure): NextStep {
     this.context.history.recordNoEndpoint(failure);
     return NextStep.Fail;
--- a/packages/gateway/src/demandEstimator.ts
+++ b/packages/gateway/src/demandEstimator.ts
@@ -1,7 +1,7 @@
 /**
- * Estimates how many endpoints the load of a service needs. Two figures are compared: the prompt tokens of the last seconds,
- * divided by what one endpoint prefills at the utilization that still keeps first events on time; and the requests in
- * progress, divided by the planned share of an endpoint's slots.
+ * Estimates how many endpoints the load of a service needs. Two figures are compared: the prompt tokens of the last seconds
+ * that were not cached, divided by what one endpoint prefills at the utilization that still keeps first events on time; and the
+ * requests in progress, divided by the planned share of an endpoint's slots.
  * @module
  */
 import type { Clock } from "@gladewall/kernel";
@@ -50,7 +50,7 @@
     return new DemandEstimator(options);
   }
 
-  /** Counts the prompt tokens of a request. */
+  /** Counts the prompt tokens of a request that an endpoint has to prefill. */
   countPromptTokens(service: string, tokens: number): void {
     this.options.counters.add(CounterKind.PromptTokens, service, tokens);
   }
