Place by the load and the pace that endpoints report

Cause: the load that endpoints report was stored and not used. Requests went to endpoints that were slow or full at the moment, and the latency average mixed the pace of some hundred milliseconds ago into each choice. Change: policy/endpointCapacity.ts estimates requests, free slots and pace from the last report and the requests sent and ended since. Services without an engine whose endpoints report a pace are placed by the expected completion time, with two endpoints drawn among those nearly best; the expected time of engines is multiplied by the pace. A refusal marks an endpoint as full for one run time. The latency average is free of the pace. request.served and request.failed log the pace. [overload] mode = off leaves placement as before.

--- a/packages/gateway/src/attemptStage.ts
+++ b/packages/gateway/src/attemptStage.ts
@@ -44,7 +44,7 @@
     const { endpoint } = placement;
     context.excluded.add(endpoint.incarnation);
     context.placement = placement;
-    endpoint.active += 1;
+    endpoint.recordSent();
     endpoint.inFlight.add(context);
     const pending = service.engine ? placement.uncachedTokens : 0;
     endpoint.pendingTokens += pending;
@@ -56,7 +56,7 @@
     };
     const next = await this.send(placement, clearPending);
     clearPending();
-    endpoint.active -= 1;
+    endpoint.recordEnded();
     endpoint.inFlight.delete(context);
     return next;
   }
@@ -156,7 +156,11 @@
     }
     if (result.outcome === AttemptOutcome.NotSent) endpoint.recordUnreachable(time);
     if (result.outcome === AttemptOutcome.WrongEndpoint) directory.handleReplaced(endpoint);
-    if (result.outcome === AttemptOutcome.NotRun) endpoint.recordOutcome(false, time);
+    if (result.outcome === AttemptOutcome.NotRun) {
+      endpoint.recordOutcome(false, time);
+      // A leaving endpoint also refuses requests; it is not chosen again in any case.
+      if (endpoint.isUsable()) endpoint.recordRejected(time);
+    }
     context.history.recordNotRun(createRefusal(FailureCode.Overloaded, service));
     return context.history.isExhausted ? NextStep.Fail : NextStep.Retry;
   }
--- a/packages/gateway/src/endpoint.ts
+++ b/packages/gateway/src/endpoint.ts
@@ -3,6 +3,7 @@
  * @module
  */
 import { hashText } from "@gladewall/kernel";
+import { EndpointCapacity } from "@gladewall/policy";
 import type { InFlightRequest } from "./crashDetector.js";
 import { leastUrgentRank } from "./endpointLimit.js";
 import { EndpointAvailability } from "./endpointAvailability.js";
@@ -26,6 +27,8 @@
 const failureWeight = 0.2;
 const failureHalfLifeMs = 2_500;
 const latencyWeight = 0.2;
+/** Assumed latency in milliseconds of an endpoint that has not responded yet. */
+export const unknownLatencyMs = 50;
 const firstUnreachableMs = 400;
 const maxUnreachableMs = 3_000;
 /** Failure share below which an endpoint counts as healthy. */
@@ -42,10 +45,9 @@
   pendingTokens = 0;
   /** The open requests themselves, so that a crash can be attributed to them. */
   readonly inFlight = new Set<InFlightRequest>();
-  /** Load that the endpoint last reported. */
-  load: EndpointLoad | undefined;
-  loadAt = -Infinity;
-  /** Moving average of the response time in milliseconds; undefined before the first response. */
+  /** Room at the endpoint, from the load that it reports. */
+  readonly capacity: EndpointCapacity;
+  /** Moving average of the response time at the usual pace, in milliseconds; undefined before the first response. */
   latencyMs: number | undefined;
   /** Monotonic time of the last response without a leaving notice that came while the endpoint was ready. */
   servedAt = -Infinity;
@@ -69,6 +71,7 @@
   ) {
     this.incarnation = getIncarnation(record);
     this.hash = hashText(this.incarnation);
+    this.capacity = EndpointCapacity.create(record.slots);
   }
 
   static create(
@@ -139,14 +142,37 @@
     if (this.state === EndpointState.Ready) this.servedAt = time;
   }
 
-  recordLatency(milliseconds: number): void {
-    this.latencyMs ??= milliseconds;
-    this.latencyMs += (milliseconds - this.latencyMs) * latencyWeight;
+  /** Records a response time; `pace` is the factor by which the endpoint's work took longer than usual during it. */
+  recordLatency(milliseconds: number, pace = 1): void {
+    const usualMs = milliseconds / pace;
+    this.latencyMs ??= usualMs;
+    this.latencyMs += (usualMs - this.latencyMs) * latencyWeight;
+  }
+
+  /** Counts a request that this instance sends. */
+  recordSent(): void {
+    this.active += 1;
+    this.capacity.recordSent();
+  }
+
+  /** Counts the end of a request that this instance has sent. */
+  recordEnded(): void {
+    this.active -= 1;
+    this.capacity.recordEnded();
   }
 
   recordLoad(load: EndpointLoad, time: number): void {
-    this.load = load;
-    this.loadAt = time;
+    this.capacity.recordReport(load, time, this.getLatency());
+  }
+
+  /** Records that the endpoint refused a request because it was full. */
+  recordRejected(time: number): void {
+    this.capacity.recordRejected(time, this.getLatency());
+  }
+
+  /** Returns the mean response time at the usual pace; an assumed one before the first response. */
+  getLatency(): number {
+    return this.latencyMs ?? unknownLatencyMs;
   }
 }
 
--- a/packages/gateway/src/gatewayParts.ts
+++ b/packages/gateway/src/gatewayParts.ts
@@ -333,13 +333,15 @@
   return members;
 }
 
-function createPlacer({ clock, memory, rates, directory }: GatewayState, members: Members): Placer {
+function createPlacer({ settings, clock, memory, rates, directory }: GatewayState, members: Members): Placer {
   return Placer.create({
     clock,
     memory,
     getPrefillRate: (service) => rates.get(service),
     getEndpoints: (service) => directory.getOfService(service),
     getPeerWork: (endpoint) => members.getPeerWork(endpoint),
+    getFleetSize: () => members.getFleetSize(),
+    usesReportedLoad: () => settings.overload.mode !== "off",
     getRandom: Math.random,
   });
 }
--- a/packages/gateway/src/placement.ts
+++ b/packages/gateway/src/placement.ts
@@ -1,11 +1,13 @@
 /**
  * Chooses an endpoint for a request. Model engines are compared by the prompt tokens to prefill before the first event, less
- * the part of the prompt that the engine has cached; other endpoints by the share of their slots that is taken.
+ * the part of the prompt that the engine has cached; other endpoints by the share of their slots that is taken or, if they report
+ * their pace, by the time at which they are expected to complete the request.
  * @module
  */
 import { type Clock, hashText, mixHashes } from "@gladewall/kernel";
 import type { Endpoint, PeerWork } from "./endpoint.js";
-import { EndpointState } from "./endpoint.js";
+import { EndpointState, unknownLatencyMs } from "./endpoint.js";
+import { CompletionDraw } from "./completionDraw.js";
 import type { PrefixIndex } from "./prefixIndex.js";
 import type { PromptPart, Service } from "./types.js";
 
@@ -31,6 +33,8 @@
   readonly expectedMs: number;
   /** Prompt tokens known to be queued at the endpoint before this request. */
   readonly tokensAhead: number;
+  /** Reported pace of the endpoint that the choice is based on; undefined if it is not based on one. */
+  readonly pace: number | undefined;
   /** Number of endpoints that were compared. */
   readonly candidates: number;
 }
@@ -43,6 +47,10 @@
   readonly getPrefillRate: (service: string) => number;
   readonly getEndpoints: (service: string) => readonly Endpoint[];
   readonly getPeerWork: (endpoint: string) => PeerWork;
+  /** Returns the number of instances that read the same reports; 1 if omitted. */
+  readonly getFleetSize?: () => number;
+  /** Whether the load that endpoints report is used; it is if omitted. */
+  readonly usesReportedLoad?: () => boolean;
   /** Returns a number from 0 to 1, to break ties between endpoints. */
   readonly getRandom: () => number;
 }
@@ -55,12 +63,13 @@
 const runningCostMs = 1.5;
 /** Largest random addition in milliseconds; it spreads requests over endpoints that are nearly equal. */
 const tieBreakMs = 4;
-/** Assumed latency in milliseconds of an endpoint that has not responded yet. */
-const unknownLatencyMs = 50;
+/** Milliseconds that each request beyond an engine's slots adds. */
+const queuedCostMs = 50;
 
 /** Chooses endpoints. */
 export class Placer {
   readonly memory: PrefixIndex;
+  private readonly draw = CompletionDraw.create();
 
   private constructor(private readonly options: PlacementOptions) {
     this.memory = options.memory;
@@ -74,29 +83,94 @@
   choose(request: PlacementRequest): Placement | undefined {
     const time = this.options.clock.getTime();
     const candidates = this.getCandidates(request, time);
+    if (this.comparesCompletion(request, candidates, time))
+      return this.chooseByCompletion(request, candidates, time);
     const home = findAffinityEndpoint(request.parts, candidates);
-    let best: Placement | undefined;
+    const usesPace = this.usesReportedLoad();
+    let best: Endpoint | undefined;
     let bestScore = Infinity;
+    let uncachedTokens = 0;
+    let expectedMs = 0;
     for (const endpoint of candidates) {
       const peers = this.options.getPeerWork(endpoint.incarnation);
-      const uncachedTokens = this.getUncachedTokens(request, endpoint, endpoint === home);
-      const expectedMs = this.getExpectedMs(request.service, endpoint, peers, uncachedTokens);
-      const score = expectedMs + getPenalty(endpoint, time) + this.options.getRandom() * tieBreakMs;
+      const tokens = this.getUncachedTokens(request, endpoint, endpoint === home);
+      const pace = usesPace ? endpoint.capacity.getPace(time) : 1;
+      const milliseconds = this.getExpectedMs(request.service, endpoint, peers, tokens, pace);
+      const score = milliseconds + getPenalty(endpoint, time) + this.options.getRandom() * tieBreakMs;
       if (score >= bestScore) continue;
       bestScore = score;
-      const tokensAhead = endpoint.pendingTokens + peers.pendingTokens;
-      best = { endpoint, uncachedTokens, expectedMs, tokensAhead, candidates: candidates.length };
+      best = endpoint;
+      uncachedTokens = tokens;
+      expectedMs = milliseconds;
     }
-    return best;
+    if (!best) return undefined;
+    const tokensAhead = best.pendingTokens + this.options.getPeerWork(best.incarnation).pendingTokens;
+    const pace = this.findEnginePace(request.service, best, time);
+    return { endpoint: best, uncachedTokens, expectedMs, tokensAhead, pace, candidates: candidates.length };
   }
 
   /** Returns the estimates for an endpoint that was chosen by other means. */
   describe(request: PlacementRequest, endpoint: Endpoint): Placement {
+    const time = this.options.clock.getTime();
+    const { service } = request;
     const peers = this.options.getPeerWork(endpoint.incarnation);
     const uncachedTokens = this.getUncachedTokens(request, endpoint, false);
-    const expectedMs = this.getExpectedMs(request.service, endpoint, peers, uncachedTokens);
+    const expectedMs = this.getExpectedMs(
+      service,
+      endpoint,
+      peers,
+      uncachedTokens,
+      this.getPace(endpoint, time),
+    );
     const tokensAhead = endpoint.pendingTokens + peers.pendingTokens;
-    return { endpoint, uncachedTokens, expectedMs, tokensAhead, candidates: 1 };
+    const pace = this.findEnginePace(service, endpoint, time);
+    return { endpoint, uncachedTokens, expectedMs, tokensAhead, pace, candidates: 1 };
+  }
+
+  /** Returns the factor by which work takes longer than usual at an endpoint; 1 if it is unknown or not to be used. */
+  getPace(endpoint: Endpoint, time: number): number {
+    return this.usesReportedLoad() ? endpoint.capacity.getPace(time) : 1;
+  }
+
+  private usesReportedLoad(): boolean {
+    return this.options.usesReportedLoad?.() ?? true;
+  }
+
+  private comparesCompletion(
+    { service }: PlacementRequest,
+    candidates: readonly Endpoint[],
+    time: number,
+  ): boolean {
+    if (service.engine || !this.usesReportedLoad()) return false;
+    return candidates.some(({ capacity }) => capacity.hasPace(time));
+  }
+
+  private chooseByCompletion(
+    { promptTokens }: PlacementRequest,
+    candidates: readonly Endpoint[],
+    time: number,
+  ): Placement | undefined {
+    const { draw } = this;
+    const { getPeerWork, getFleetSize, getRandom } = this.options;
+    draw.begin(time, getMeanLatency(candidates));
+    for (const endpoint of candidates)
+      draw.add(endpoint, getPeerWork(endpoint.incarnation).active, getPenalty(endpoint, time));
+    const index = draw.select(getFleetSize?.() ?? 1, getRandom);
+    const endpoint = candidates[index];
+    if (!endpoint) return undefined;
+    return {
+      endpoint,
+      uncachedTokens: Math.max(1, promptTokens),
+      expectedMs: draw.getExpectedMs(index),
+      tokensAhead: endpoint.pendingTokens + getPeerWork(endpoint.incarnation).pendingTokens,
+      pace: endpoint.capacity.hasPace(time) ? endpoint.capacity.getPace(time) : undefined,
+      candidates: candidates.length,
+    };
+  }
+
+  private findEnginePace(service: Service, { capacity }: Endpoint, time: number): number | undefined {
+    if (!service.engine || !this.usesReportedLoad() || !capacity.hasPace(time)) return undefined;
+    return capacity.getPace(time);
   }
 
   private getCandidates(
@@ -104,14 +178,15 @@
     time: number,
   ): readonly Endpoint[] {
     const eligible: Endpoint[] = [];
-    const reachable: Endpoint[] = [];
+    let reachable = 0;
     for (const endpoint of this.options.getEndpoints(service.name)) {
       if (!endpoint.acceptsRequest(time, rank) || excluded.has(endpoint.incarnation)) continue;
       if (avoidsLimited && endpoint.availability.limit.perSecond !== undefined) continue;
       eligible.push(endpoint);
-      if (!endpoint.isUnreachable(time)) reachable.push(endpoint);
+      if (!endpoint.isUnreachable(time)) reachable += 1;
     }
-    return reachable.length > 0 ? reachable : eligible;
+    if (reachable === 0 || reachable === eligible.length) return eligible;
+    return eligible.filter((endpoint) => !endpoint.isUnreachable(time));
   }
 
   private getUncachedTokens(
@@ -136,17 +211,30 @@
     endpoint: Endpoint,
     peers: PeerWork,
     uncachedTokens: number,
+    pace: number,
   ): number {
     const active = endpoint.active + peers.active;
     if (!service.engine) {
-      const latency = endpoint.latencyMs ?? unknownLatencyMs;
-      return latency * (1 + active / Math.max(1, endpoint.record.slots));
+      return endpoint.getLatency() * (1 + active / Math.max(1, endpoint.record.slots));
     }
     const tokens = endpoint.pendingTokens + peers.pendingTokens + uncachedTokens;
     const prefillMs = tokens / this.options.getPrefillRate(service.name);
     const full = active >= service.engine.slots ? active - service.engine.slots + 1 : 0;
-    return prefillMs + active * runningCostMs + full * unknownLatencyMs;
+    const usualMs = prefillMs + active * runningCostMs + full * queuedCostMs;
+    return usualMs * pace;
+  }
+}
+
+/** Returns the mean of the latencies of the endpoints that have responded; an assumed one if none has. */
+function getMeanLatency(endpoints: readonly Endpoint[]): number {
+  let sum = 0;
+  let count = 0;
+  for (const { latencyMs } of endpoints) {
+    if (latencyMs === undefined) continue;
+    sum += latencyMs;
+    count += 1;
   }
+  return count > 0 ? sum / count : unknownLatencyMs;
 }
 
 function getPenalty(endpoint: Endpoint, time: number): number {
--- a/packages/gateway/src/relayStage.ts
+++ b/packages/gateway/src/relayStage.ts
@@ -33,13 +33,14 @@
   /** Reads the complete response, then forwards it; after an endpoint's own failure the request may be retried first. */
   async forwardResponse(endpoint: Endpoint, response: IncomingMessage, startedAt: number): Promise<NextStep> {
     const { context } = this;
-    const { clock, isLeaving } = context.parts;
+    const { clock, isLeaving, placer } = context.parts;
     const body: ReceivedBody = await readResponseBody(response);
     if (context.isOver) return NextStep.Done;
     const status = response.statusCode ?? 0;
     const isFailed = !body.isComplete || status >= minServerErrorStatus;
-    endpoint.recordOutcome(!isFailed, clock.getTime());
-    if (!isFailed) endpoint.recordLatency(clock.getTime() - startedAt);
+    const time = clock.getTime();
+    endpoint.recordOutcome(!isFailed, time);
+    if (!isFailed) endpoint.recordLatency(time - startedAt, placer.getPace(endpoint, time));
     if (isFailed && context.isRetryAllowed()) {
       const { isComplete } = body;
       context.log("attempt.failed", { endpoint: endpoint.id, end: "Answered", status, complete: isComplete });
--- a/packages/gateway/src/requestServer.ts
+++ b/packages/gateway/src/requestServer.ts
@@ -167,6 +167,7 @@
       endpoint: placement?.endpoint.id,
       candidates: placement?.candidates,
       expectedMs: placement && Math.round(placement.expectedMs),
+      pace: placement?.pace && Math.round(placement.pace * 100) / 100,
       uncached: placement && service.engine ? placement.uncachedTokens : undefined,
       ahead: placement && service.engine ? placement.tokensAhead : undefined,
       firstMs: firstEventMs && Math.round(firstEventMs),
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -12,6 +12,7 @@
 export * from "./rowLimiter.js";
 export * from "./fairQueue.js";
 export * from "./endpointLoadEstimate.js";
+export * from "./endpointCapacity.js";
 export * from "./prefixes.js";
 export * from "./placement.js";
 export * from "./prefillRate.js";
