--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -269,6 +269,7 @@
 /** Head of an endpoint's response, parsed. */
 export interface ResponseHead {
   readonly executionStatus: ExecutionStatus;
+  /** Undefined if the endpoint reports none, or if the response is not this endpoint's. */
   readonly load: EndpointLoad | undefined;
   /** Undefined if the endpoint reports nothing about itself, or if the response is not this endpoint's. */
   readonly notice: EndpointNotice | undefined;
--- a/packages/gateway/test/unevenLoad.ts
+++ b/packages/gateway/test/unevenLoad.ts
@@ -63,7 +63,7 @@
 }
 
 /** Events in order of time, as a binary heap. */
-class EventQueue {
+export class EventQueue {
   time = 0;
   private readonly heap: Event[] = [];
 
--- a/packages/policy/src/endpointCapacity.ts
+++ b/packages/policy/src/endpointCapacity.ts
@@ -14,10 +14,10 @@
 const maxPacePercent = 10_000;
 const usualPacePercent = 100;
 /**
- * Bounds of the factor that an estimate uses. An endpoint that always reports a fast pace would otherwise get a queue of ten times
- * the length of the others'; beyond ten, a slow endpoint gets no requests in any case.
+ * Bounds of the factor that an estimate uses. Work is slowed down by other workloads, hardly ever sped up: an endpoint that always
+ * reports a fast pace must not attract a long queue. Beyond ten, a slow endpoint gets no requests in any case.
  */
-const minPace = 0.5;
+const minPace = 0.8;
 const maxPace = 10;
 /** Time constant with which an aging pace returns to 1: the pace of an endpoint changes several times a second. */
 const paceDecayMs = 400;
--- a/packages/policy/test/endpointCapacity.test.ts
+++ b/packages/policy/test/endpointCapacity.test.ts
@@ -151,7 +151,7 @@
           Number.isFinite(requests) &&
           freeSlots >= 0 &&
           freeSlots <= most &&
-          pace >= 0.5 &&
+          pace >= 0.8 &&
           pace <= 10 &&
           (isReported || pace === 1);
         if (!isPossible) return false;
