--- a/packages/gateway/src/activeRequest.ts
+++ b/packages/gateway/src/activeRequest.ts
@@ -1,5 +1,5 @@
 /**
- * Serves one admitted request until its final response. Each attempt passes the stages placement, permit, attempt and relay.
+ * Serves one admitted request until its final response. Each attempt passes the stages queue, placement, permit, attempt and relay.
  *
  * The caller gets a final response as soon as the request is given up, and no later than the route's timeout. A status
  * that promises that the request did not run is only sent if it certainly did not run.
@@ -11,18 +11,21 @@
 import { PermitStage } from "./permitStage.js";
 import type { Placement } from "./placement.js";
 import { PlacementStage } from "./placementStage.js";
+import { QueueStage } from "./queueStage.js";
 import { NextStep, RequestContext } from "./requestContext.js";
 import { createRefusal } from "./requestRefusal.js";
 import { writeProblemResponse } from "./responseWriter.js";
 
 /** A request that has been admitted and has no final response yet. */
 export class ActiveRequest {
+  private readonly queueStage: QueueStage;
   private readonly placementStage: PlacementStage;
   private readonly permitStage: PermitStage;
   private readonly attemptStage: AttemptStage;
   private outcome: RequestOutcome | undefined;
 
   private constructor(private readonly context: RequestContext) {
+    this.queueStage = QueueStage.create(context);
     this.placementStage = PlacementStage.create(context);
     this.permitStage = PermitStage.create(context);
     this.attemptStage = AttemptStage.create(context);
@@ -57,15 +60,20 @@
     if (context.isOver) return NextStep.Done;
     if (!(await this.permitStage.acquireRetry())) return NextStep.Fail;
     if (context.isOver) return NextStep.Done;
-    const placement = await this.placementStage.choose();
-    const next = placement.isOk()
-      ? await this.sendWithPermit(placement.value)
-      : this.failUnplaced(placement.error);
+    const queued = await this.queueStage.acquireSlot();
+    if (queued !== NextStep.Retry) return queued;
+    const next = await this.placeAndSend();
+    this.queueStage.release();
     context.trial?.end();
     context.trial = undefined;
     return next;
   }
 
+  private async placeAndSend(): Promise<NextStep> {
+    const placement = await this.placementStage.choose();
+    return placement.isOk() ? this.sendWithPermit(placement.value) : this.failUnplaced(placement.error);
+  }
+
   private failUnplaced(failure: Failure): NextStep {
     this.context.history.recordNoEndpoint(failure);
     return NextStep.Fail;
@@ -95,6 +103,7 @@
     const { admitted, service } = context.request;
     const { runs } = context;
     context.isOver = true;
+    context.queueing?.abort();
     context.attempt?.abort("given up");
     const failure =
       runs > 0
@@ -107,6 +116,7 @@
     const { context } = this;
     if (context.isOver || context.request.response.writableFinished) return;
     context.isOver = true;
+    context.queueing?.abort();
     context.attempt?.abort("caller gone");
     this.outcome = context.createOutcome(0, Failure.create(FailureCode.CallerGone));
   }
--- a/packages/gateway/src/activeRequestTypes.ts
+++ b/packages/gateway/src/activeRequestTypes.ts
@@ -25,6 +25,8 @@
   | "demand"
   | "limits"
   | "permits"
+  | "slots"
+  | "contention"
   | "metrics"
   | "connectTimeoutMs"
   | "countRun"
--- a/packages/gateway/src/attemptStage.ts
+++ b/packages/gateway/src/attemptStage.ts
@@ -77,10 +77,12 @@
     context.attempt = attempt;
     context.isAttemptPending = true;
     const round = endpoint.availability.beginAttempt();
+    context.slot?.recordSending();
     const result = await attempt.result;
     endpoint.availability.endAttempt(round, result.outcome === AttemptOutcome.Answered);
     context.isAttemptPending = false;
     metrics.countAttempt(context.request.service.name, AttemptOutcome[result.outcome]);
+    this.recordSlotUse(result.outcome);
     if (result.outcome !== AttemptOutcome.NotSent) context.history.recordArrival();
     if (context.isOver) return NextStep.Done;
     if (result.outcome !== AttemptOutcome.Answered || !result.response)
@@ -94,6 +96,16 @@
     return this.relayStage.forwardResponse(endpoint, result.response, startedAt);
   }
 
+  /** Frees the slot of an attempt without a response now; that of others is freed when the response has been read. */
+  private recordSlotUse(outcome: AttemptOutcome): void {
+    const { slot, parts, request } = this.context;
+    if (outcome === AttemptOutcome.NotRun) parts.contention.recordRejection(request.service.name);
+    if (outcome === AttemptOutcome.Answered) return;
+    // The arbiter sends nothing for a while to an endpoint that takes no requests, whatever the reason.
+    if (outcome !== AttemptOutcome.Lost) slot?.recordRejection();
+    slot?.end();
+  }
+
   private createAttempt(endpoint: Endpoint): Attempt {
     const { context } = this;
     const { platform, connections, connectTimeoutMs } = context.parts;
@@ -124,6 +136,7 @@
   ): void {
     const { clock, directory, limits } = this.context.parts;
     if (load) endpoint.recordLoad(load, clock.getTime());
+    this.context.slot?.recordResponse(load);
     if (executionStatus === ExecutionStatus.Ran && !notice?.isLeaving) endpoint.recordServed(clock.getTime());
     if (notice) directory.handleNotice(endpoint, notice, source);
     // A refusal or failure without a limit does not mean that the limit has ended: the endpoint may still be overloaded.
--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -1,6 +1,6 @@
 /**
  * Runs a gateway instance as a daemon. SIGTERM and SIGINT shut it down gracefully. SIGHUP reads the settings again and applies
- * the log level; the file is also polled, because it may change without a signal.
+ * the reloadable settings; the file is also polled, because it may change without a signal.
  * @module
  */
 import { statSync } from "node:fs";
@@ -89,6 +89,7 @@
       return;
     }
     logger.setLevel(parseLogLevel(settings.value.logs.level));
+    gateway.applySettings(settings.value);
     logger.info("settings.reloaded", { file: options.settings });
   };
   process.on("SIGHUP", reload);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -14,7 +14,12 @@
 import type { Result } from "ts-results-es";
 import type { ConnectionTraffic } from "@gladewall/coordination";
 import { CallerServer } from "./callerServer.js";
-import { canServe, createGatewayParts, type GatewayParts } from "./gatewayParts.js";
+import {
+  canServe,
+  createGatewayParts,
+  type GatewayParts,
+  type SlotSchedulerFactory,
+} from "./gatewayParts.js";
 import type { GatewaySettings } from "./gatewaySettings.js";
 import { RequestServer } from "./requestServer.js";
 import { CounterKind } from "./sharedCounters.js";
@@ -82,6 +87,7 @@
         );
         return { endpoints: advertised.length, perSecond: advertised.reduce((sum, one) => sum + one, 0) };
       },
+      countWaitingForSlots: () => ({ own: parts.slots.waiting, here: parts.slotArbiter.countWaiting() }),
       isLeader: () => parts.leaderTasks.isActing(),
       getEra: () => platform.store.eras.current,
       isEraSettled: () => parts.settling.isSettled,
@@ -103,6 +109,7 @@
     settings: GatewaySettings,
     logger: Logger,
     clock: Clock = SystemClock.create(),
+    createSlotScheduler?: SlotSchedulerFactory,
   ): Result<Gateway, Failure> {
     const { adapter, store_address, orders_address, timeout } = settings.platform;
     const platform = createFromPlugin<PlatformOptions, PlatformAdapter>(PluginKind.Platform, adapter, {
@@ -111,7 +118,8 @@
       timeoutMs: timeout,
     });
     return platform.map(
-      (created) => new Gateway(settings, createGatewayParts(settings, created, clock, logger)),
+      (created) =>
+        new Gateway(settings, createGatewayParts(settings, created, clock, logger, createSlotScheduler)),
     );
   }
 
@@ -131,6 +139,11 @@
     });
   }
 
+  /** Applies those of the settings that may change while the instance runs. */
+  applySettings({ overload }: GatewaySettings): void {
+    this.parts.overload.setMode(overload.mode);
+  }
+
   /** Whether the instance accepts requests: it is not leaving and `canServe` is true. Logs changes. */
   isReady(): boolean {
     const isReady = this.leavingSince === undefined && canServe(this.parts);
@@ -250,6 +263,8 @@
       this.parts.directory.close(),
     ]);
     this.parts.crashProtection.close();
+    this.parts.slotArbiter.close();
+    this.parts.contention.close();
     await this.parts.members.close();
     this.parts.connections.close();
     await Promise.all([this.parts.platform.store.close(), this.parts.platform.orders.close()]);
--- a/packages/gateway/src/gatewayMetrics.ts
+++ b/packages/gateway/src/gatewayMetrics.ts
@@ -23,6 +23,8 @@
   readonly countHeldOff: () => number;
   /** Endpoints that advertise a limit, and the sum of their limits in requests a second. */
   readonly countLimited: () => { readonly endpoints: number; readonly perSecond: number };
+  /** Requests of this instance that wait for a slot, and requests of all instances that wait here. */
+  readonly countWaitingForSlots: () => { readonly own: number; readonly here: number };
   readonly isLeader: () => boolean;
   /** Era of the store, and whether its reads prove the configuration. */
   readonly getEra: () => number;
@@ -116,6 +118,21 @@
     this.registry.getCounter("gladewall_permit_asks_total", help, { word: word.toLowerCase() }).add();
   }
 
+  /** Counts a decision on a request for a slot of a service, by who made it: `own`, `remote` or `none`. */
+  countSlotDecision(service: string, outcome: string, by: string): void {
+    const help = "Requests for slots of contended services, by decision and by who decided.";
+    const labels = { service, outcome: outcome.toLowerCase(), by };
+    this.registry.getCounter("gladewall_slot_decisions_total", help, labels).add();
+  }
+
+  /** Records how long a request of this instance waited for a slot. */
+  recordSlotWait(service: string, milliseconds: number): void {
+    const help = "Time for which queued requests waited for a slot.";
+    this.registry
+      .getLatencyHistogram("gladewall_slot_wait_milliseconds", help, { service })
+      .record(milliseconds);
+  }
+
   /** Counts a discarded response of the store, which is not of its current era. */
   countDiscardedResponse(cause: string): void {
     const help = "Answers of the store that were passed over, as they are not of its present era.";
@@ -212,6 +229,7 @@
       "Requests a second that these take of all instances together.",
       () => sources.countLimited().perSecond,
     );
+    this.setSlotSources(sources);
     set("gladewall_store_era", "Era of the store; 0 where it tells none.", sources.getEra);
     set("gladewall_store_settled", "1 while the store's reads prove the configuration.", () =>
       Number(sources.isEraSettled()),
@@ -219,6 +237,19 @@
     set("gladewall_duty_holder", "1 while this instance gives orders.", () => Number(sources.isLeader()));
   }
 
+  private setSlotSources({ countWaitingForSlots }: MetricSources): void {
+    this.registry.registerGauge(
+      "gladewall_slot_waiting_requests",
+      "Requests of this instance that wait for a slot.",
+      () => countWaitingForSlots().own,
+    );
+    this.registry.registerGauge(
+      "gladewall_slot_queued_requests",
+      "Requests of all instances that wait for a slot in the queues of this arbiter.",
+      () => countWaitingForSlots().here,
+    );
+  }
+
   async open(): Promise<void> {
     await listen(this.server, this.address);
   }
--- a/packages/gateway/src/gatewayParts.ts
+++ b/packages/gateway/src/gatewayParts.ts
@@ -4,6 +4,7 @@
  */
 import { getIncarnationKey } from "@gladewall/coordination";
 import type { Clock, Logger } from "@gladewall/kernel";
+import type { SlotScheduler } from "@gladewall/policy";
 import { Admission } from "./admission.js";
 import type { Endpoint, PeerWork } from "./endpoint.js";
 import { EndpointConnections } from "./endpointConnections.js";
@@ -22,6 +23,7 @@
 import { FencedOrders } from "./fencedOrders.js";
 import { GatewayMetrics } from "./gatewayMetrics.js";
 import type { GatewaySettings } from "./gatewaySettings.js";
+import { OverloadMode, OverloadSwitch } from "./overloadSwitch.js";
 import { PermitIssuer } from "./permitIssuer.js";
 import { LimitGossip } from "./limitGossip.js";
 import { PermitClient } from "./permitClient.js";
@@ -36,6 +38,10 @@
 import { RetryBudget } from "./retryBudget.js";
 import { RetryLinks } from "./retryLinks.js";
 import { CounterKind, SharedCounters } from "./sharedCounters.js";
+import { SlotArbiter } from "./slotArbiter.js";
+import { SlotClient } from "./slotClient.js";
+import { SlotContention } from "./slotContention.js";
+import { SlotTransport } from "./slotTransport.js";
 import { DisciplinedClock } from "./disciplinedClock.js";
 import type { PlatformAdapter } from "./types.js";
 import { UsageCounts } from "./usageCounts.js";
@@ -48,6 +54,12 @@
 // instance.
 const usageCheckpointKey = "gladewall-usage-draft";
 const demandWindowMs = 4_000;
+
+/** Creates the scheduler of a service's slots. */
+export type SlotSchedulerFactory = (settings: GatewaySettings, clock: Clock) => SlotScheduler;
+
+/** Scheduler of slots; while it is undefined, no slots are requested. */
+const defaultSlotScheduler: SlotSchedulerFactory | undefined = undefined;
 /** Longer than a reader takes to begin to feed an instance that has just been listed. */
 const firstWatchPauseMs = 800;
 
@@ -96,6 +108,14 @@
   readonly limits: EndpointLimits;
   /** Requests permits to send to endpoints with an advertised limit. */
   readonly permits: PermitClient;
+  /** Mode of the decisions on short capacity. */
+  readonly overload: OverloadSwitch;
+  /** Which services are contended. */
+  readonly contention: SlotContention;
+  /** Decides on slots for this instance and its peers. */
+  readonly slotArbiter: SlotArbiter;
+  /** Requests slots of contended services. */
+  readonly slots: SlotClient;
   readonly admission: Admission;
   readonly charges: QuotaCharges;
   readonly placer: Placer;
@@ -122,6 +142,7 @@
   platform: PlatformAdapter,
   clock: Clock,
   logger: Logger,
+  createSlotScheduler = defaultSlotScheduler,
 ): GatewayParts {
   const base = { settings, platform, clock, logger };
   const { store } = platform;
@@ -173,16 +194,9 @@
     suspects: crashes.suspects,
     limits,
     permits,
+    ...createSlots(state, members, metrics, createSlotScheduler),
     admission,
-    charges: QuotaCharges.create({
-      clock,
-      admission,
-      counters,
-      arbiters: members.arbiters,
-      logger,
-      metrics,
-      getViewAge: () => members.viewAge,
-    }),
+    charges: createCharges(state, admission, members, metrics),
     rates,
     placer: createPlacer(state, members),
     budget,
@@ -408,6 +422,40 @@
   return { limits, permits, links };
 }
 
+function createSlots(
+  { settings, incarnation, clock, logger, directory }: GatewayState,
+  members: Members,
+  metrics: GatewayMetrics,
+  createScheduler: SlotSchedulerFactory | undefined,
+): Pick<GatewayParts, "overload" | "contention" | "slotArbiter" | "slots"> {
+  const ownName = settings.instance.name;
+  const overload = OverloadSwitch.create(settings.overload.mode);
+  const base = {
+    ownName,
+    clock,
+    logger,
+    directory,
+    overload: createScheduler ? overload : { mode: OverloadMode.Off },
+  };
+  const getFleetSize = (): number => members.getFleetSize();
+  const contention = SlotContention.create({ clock, logger, directory, getFleetSize });
+  const slotArbiter = SlotArbiter.create({
+    ...base,
+    fleet: members,
+    createScheduler: () => createScheduler!(settings, clock),
+  });
+  const own = { name: ownName, incarnation };
+  const { slotArbiters: arbiters } = members;
+  const slots = SlotClient.create({
+    ...base,
+    metrics,
+    transport: SlotTransport.create({ own, arbiters, arbiter: slotArbiter, fleet: members }),
+    contention,
+    maxWaitFactor: settings.overload.max_wait,
+  });
+  return { overload, contention, slotArbiter, slots };
+}
+
 function createAdmission(state: GatewayState, getMembers: () => Members): Admission {
   const { settings, clock, follower, counters } = state;
   return Admission.create({
@@ -424,6 +472,23 @@
   });
 }
 
+function createCharges(
+  { clock, logger, counters }: GatewayState,
+  admission: Admission,
+  members: Members,
+  metrics: GatewayMetrics,
+): QuotaCharges {
+  return QuotaCharges.create({
+    clock,
+    admission,
+    counters,
+    arbiters: members.arbiters,
+    logger,
+    metrics,
+    getViewAge: () => members.viewAge,
+  });
+}
+
 function createLeaderTasks(
   state: GatewayState,
   members: Members,
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -79,6 +79,23 @@
 export { pickWeightedTarget, RouteTable } from "./routeTable.js";
 export { CounterKind, type CounterTotals, SharedCounters } from "./sharedCounters.js";
 export { SilentPeers } from "./silentPeers.js";
+export { SlotArbiter } from "./slotArbiter.js";
+export { SlotClient } from "./slotClient.js";
+export { SlotContention } from "./slotContention.js";
+export { SlotAction, type SlotAnswer, type SlotWish } from "./slotAsk.js";
+export { SlotTransport } from "./slotTransport.js";
+export type { SlotSchedulerFactory } from "./gatewayParts.js";
+export { OverloadMode, OverloadSwitch } from "./overloadSwitch.js";
+export {
+  isSlotCall,
+  isSlotEnd,
+  isSlotReply,
+  isSlotWait,
+  type SlotCall,
+  SlotMessageKind,
+  type SlotReply,
+  SlotWord,
+} from "./slotMessages.js";
 export { SlidingWindow } from "./slidingWindow.js";
 export {
   type CallStart,
--- a/packages/gateway/src/members.ts
+++ b/packages/gateway/src/members.ts
@@ -9,7 +9,7 @@
  */
 import { getIncarnationKey, LinkMessageKind, type PeerIdentity, PeerLinks } from "@gladewall/coordination";
 import { type Closeable, waitFor } from "@gladewall/kernel";
-import { Arbiters } from "./arbiters.js";
+import { Arbiters, type ArbitersOptions } from "./arbiters.js";
 import type { PeerWork } from "./endpoint.js";
 import type { ConfigurationFollower } from "./configurationFollower.js";
 import type { FeedTimings } from "./feedTimings.js";
@@ -90,6 +90,8 @@
   readonly links: PeerLinks;
   /** Chooses the arbiter of each subject among the readers, and sends calls to it. */
   readonly arbiters: Arbiters;
+  /** The same for slots. They are separate because their short time limits must not make limits change their arbiters. */
+  readonly slotArbiters: Arbiters;
   private readonly records: MemberRecords;
   private readonly roles: FleetRoles;
   private readonly feed: StoreFeed;
@@ -132,14 +134,16 @@
       getCapacity: (peer) => this.records.getCapacity(peer),
       isLinked,
     });
-    this.arbiters = Arbiters.create({
+    const arbiterOptions: ArbitersOptions = {
       clock,
       logger,
       ownName: name,
       getReaders: () => this.roles.getReaders(),
       isLinked,
       call: (peer, message, timeoutMs) => this.links.call(peer, message, timeoutMs),
-    });
+    };
+    this.arbiters = Arbiters.create(arbiterOptions);
+    this.slotArbiters = Arbiters.create(arbiterOptions);
     this.feed = StoreFeed.create({
       clock,
       logger,
--- a/packages/gateway/src/placementStage.ts
+++ b/packages/gateway/src/placementStage.ts
@@ -36,11 +36,33 @@
       if (trial.isErr()) return trial;
       context.trial = trial.value;
     }
+    const granted = this.takeGranted(placementRequest);
+    if (granted) return Ok(granted);
     if (context.trial) return Ok(placer.describe(placementRequest, context.trial.endpoint));
     const placement = placer.choose(placementRequest);
     return placement ? Ok(placement) : Err(createRefusal(FailureCode.NoEndpoint, service));
   }
 
+  /** Returns the endpoint of the request's slot; the slot is returned if the request can't be sent there. */
+  private takeGranted(request: PlacementRequest): Placement | undefined {
+    const { context } = this;
+    const { clock, directory, placer } = context.parts;
+    const { slot, trial } = context;
+    if (!slot) return undefined;
+    const time = clock.getTime();
+    const endpoint = directory.find(slot.endpoint);
+    const isAccepted =
+      endpoint?.record.service === request.service.name &&
+      endpoint.acceptsRequest(time, request.rank) &&
+      !endpoint.isUnreachable(time) &&
+      !request.excluded.has(endpoint.incarnation);
+    const mustAvoid = request.avoidsLimited === true && endpoint?.availability.limit.perSecond !== undefined;
+    if (isAccepted && !mustAvoid && !trial) return placer.describe(request, endpoint);
+    slot.end();
+    context.slot = undefined;
+    return undefined;
+  }
+
   private createPlacementRequest(): PlacementRequest {
     const { context } = this;
     const { service, head } = context.request;
--- /dev/null
+++ b/packages/gateway/src/queueStage.ts
@@ -0,0 +1,88 @@
+/**
+ * Waits for a slot of the request's service before the request is placed, if the service is contended and has fewer slots than the
+ * fleet has instances.
+ * @module
+ */
+import { FailureCode } from "@gladewall/kernel";
+import { NextStep, type RequestContext } from "./requestContext.js";
+import { createRefusal } from "./requestRefusal.js";
+import { SlotAction, type SlotAnswer, type SlotWish } from "./slotAsk.js";
+
+/** Obtains the slot of each attempt of one request. */
+export class QueueStage {
+  private observedEnd: (() => void) | undefined;
+
+  private constructor(private readonly context: RequestContext) {}
+
+  static create(context: RequestContext): QueueStage {
+    return new QueueStage(context);
+  }
+
+  /**
+   * Waits for a slot if one is needed. Returns `Retry` if the request may be placed now, with `context.slot` if it has a slot;
+   * `Fail` if it is refused; `Done` if nobody waits for it any more.
+   */
+  async acquireSlot(): Promise<NextStep> {
+    const { context } = this;
+    const { slots } = context.parts;
+    const { service } = context.request;
+    if (service.engine || this.isSuspect()) return NextStep.Retry;
+    if (slots.isObserved({ service })) this.observedEnd = slots.observe(this.createWish()).end;
+    if (!slots.isNeeded({ service })) return NextStep.Retry;
+    const queueing = new AbortController();
+    context.queueing = queueing;
+    const answer = await slots.acquire(this.createWish(), queueing.signal);
+    context.queueing = undefined;
+    return this.apply(answer);
+  }
+
+  /** Ends the grant of the attempt; it is cancelled if the attempt was not made with it. */
+  release(): void {
+    const { context } = this;
+    context.slot?.end();
+    context.slot = undefined;
+    this.observedEnd?.();
+    this.observedEnd = undefined;
+  }
+
+  private apply({ action, slot, retryAfterMs }: SlotAnswer): NextStep {
+    const { context } = this;
+    if (context.isOver || action === SlotAction.Abandon) {
+      slot?.end();
+      return NextStep.Done;
+    }
+    if (action === SlotAction.Refuse) {
+      const refusal = createRefusal(FailureCode.Overloaded, context.request.service);
+      // A request that may have run before fails with that run's failure, which takes precedence.
+      context.history.recordNotRun(
+        retryAfterMs === undefined ? refusal : refusal.withRetryAfter(retryAfterMs),
+      );
+      return NextStep.Fail;
+    }
+    context.slot = slot;
+    return NextStep.Retry;
+  }
+
+  /** Whether the request may have to run isolated from others. */
+  private isSuspect(): boolean {
+    const { context } = this;
+    const { suspects } = context.parts;
+    return suspects.hasSuspects(context.workspace) && suspects.isSuspect(context.subject);
+  }
+
+  private createWish(): SlotWish {
+    const { context } = this;
+    const { head, service, admitted, arrivedAt } = context.request;
+    return {
+      request: head.id,
+      service,
+      workspace: context.workspace,
+      route: admitted.route.name,
+      rank: context.rank,
+      arrivedAt,
+      objectiveMs: admitted.route.latencyObjectiveMs,
+      deadlineAt: context.deadlineAt,
+      excluded: context.excluded,
+    };
+  }
+}
--- a/packages/gateway/src/requestContext.ts
+++ b/packages/gateway/src/requestContext.ts
@@ -7,6 +7,7 @@
 import { AttemptHistory } from "./attemptHistory.js";
 import type { InFlightRequest } from "./crashDetector.js";
 import type { CrashSubject } from "./crashRecords.js";
+import type { HeldSlot } from "./heldSlot.js";
 import type { Placement } from "./placement.js";
 import { createFingerprint } from "./requestFingerprint.js";
 import type { StreamRelay } from "./streamRelay.js";
@@ -41,6 +42,10 @@
   relay: StreamRelay | undefined;
   /** Reserved endpoint at which an isolated request runs; undefined if the request runs like others. */
   trial: Trial | undefined;
+  /** Slot that the arbiter of the service has granted to the current attempt; undefined if it needs none. */
+  slot: HeldSlot | undefined;
+  /** Ends the wait for a slot; undefined while the request does not wait for one. */
+  queueing: AbortController | undefined;
   firstEventMs: number | undefined;
   permitRefusals = 0;
   private isUsageCounted = false;
--- /dev/null
+++ b/packages/gateway/src/slotArbiter.ts
@@ -0,0 +1,162 @@
+/**
+ * Decides as the arbiter who gets the slots of services, for this instance and for its peers. Each service has its own queue, which
+ * is dropped when it has been idle. Also records which peers' builds answer slot calls.
+ * @module
+ */
+import type { PeerIdentity, PeerMessage } from "@gladewall/coordination";
+import type { Clock, Logger, Timer } from "@gladewall/kernel";
+import type { SlotEndpoint, SlotScheduler } from "@gladewall/policy";
+import type { EndpointDirectory } from "./endpointDirectory.js";
+import type { FleetTopology } from "./fleetBroadcast.js";
+import { OverloadMode, type OverloadSwitch } from "./overloadSwitch.js";
+import {
+  createSlotAnnouncement,
+  isSlotCall,
+  isSlotEnd,
+  isSlotWait,
+  type SlotCall,
+  type SlotEndReport,
+  SlotMessageKind,
+  type SlotReply,
+  type SlotWait,
+  SlotWord,
+} from "./slotMessages.js";
+import { SlotQueue } from "./slotQueue.js";
+
+/** Options of the arbiter. */
+export interface SlotArbiterOptions {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly ownName: string;
+  readonly fleet: Pick<FleetTopology, "links" | "isCollector">;
+  readonly directory: Pick<EndpointDirectory, "getOfService">;
+  readonly overload: Pick<OverloadSwitch, "mode">;
+  readonly createScheduler: () => SlotScheduler;
+}
+
+/** Time without requests after which a service's queue is dropped. */
+const idleTimeoutMs = 60_000;
+const unknownReply: SlotReply = { word: SlotWord.Unknown };
+
+/** Decides on slots. */
+export class SlotArbiter {
+  private readonly queues = new Map<string, SlotQueue>();
+  /** Incarnations of peers that answer slot calls, by name. */
+  private readonly announced = new Map<string, number>();
+  private idleTimer: Timer | undefined;
+  private isClosed = false;
+
+  private constructor(private readonly options: SlotArbiterOptions) {
+    const { links } = options.fleet;
+    links.setHandler(SlotMessageKind.Call, (message, peer) => this.handleCall(message, peer));
+    links.setHandler(SlotMessageKind.Wait, (message, peer) => this.handleWait(message, peer));
+    links.setHandler(SlotMessageKind.End, (message, peer) => this.handleEnd(message, peer));
+    links.onLinkUp((peer) => this.handleLinkUp(peer));
+    links.onLinkDown(({ name }) => this.cancelPeer(name, undefined));
+  }
+
+  static create(options: SlotArbiterOptions): SlotArbiter {
+    return new SlotArbiter(options);
+  }
+
+  /** Whether a peer's build answers slot calls. */
+  supportsSlots(name: string): boolean {
+    return this.announced.has(name);
+  }
+
+  /** Requests that wait here for a slot, of all instances and services. */
+  countWaiting(): number {
+    let count = 0;
+    for (const queue of this.queues.values()) count += queue.waiting;
+    return count;
+  }
+
+  /** Decides on a request. Replies `Unknown` if this instance does not receive the reports of the whole fleet. */
+  request(requester: PeerIdentity, call: SlotCall): SlotReply {
+    const { fleet, overload } = this.options;
+    if (!fleet.isCollector || overload.mode === OverloadMode.Off || this.isClosed) return unknownReply;
+    return this.getQueue(call.service).request(requester, call);
+  }
+
+  /** Resolves when the turn of a queued request comes, or it is known that it does not. */
+  wait(requester: PeerIdentity, wait: SlotWait): Promise<SlotReply> {
+    return this.queues.get(wait.service)?.wait(requester, wait) ?? Promise.resolve(unknownReply);
+  }
+
+  end(requester: PeerIdentity, end: SlotEndReport): void {
+    this.queues.get(end.service)?.end(requester, end);
+  }
+
+  /** Ends all waits and timers. */
+  close(): void {
+    this.isClosed = true;
+    this.idleTimer?.cancel();
+    for (const queue of this.queues.values()) queue.close();
+    this.queues.clear();
+  }
+
+  private handleCall(message: PeerMessage, peer: PeerIdentity): SlotReply {
+    const isValid = isSlotCall(message) && this.hasEndpoints(message.service);
+    const reply = isValid ? this.request(peer, message) : unknownReply;
+    this.options.logger.debug("slot.called", { from: peer.name, valid: isValid, word: SlotWord[reply.word] });
+    return reply;
+  }
+
+  private handleWait(message: PeerMessage, peer: PeerIdentity): Promise<SlotReply> {
+    return isSlotWait(message) ? this.wait(peer, message) : Promise.resolve(unknownReply);
+  }
+
+  /** Any message of this kind announces that the sender answers slot calls. */
+  private handleEnd(message: PeerMessage, peer: PeerIdentity): void {
+    this.announced.set(peer.name, peer.incarnation);
+    if (isSlotEnd(message)) this.end(peer, message);
+  }
+
+  private handleLinkUp({ name, incarnation }: PeerIdentity): void {
+    if (this.announced.get(name) !== incarnation) this.announced.delete(name);
+    this.cancelPeer(name, incarnation);
+    this.options.fleet.links.send(name, createSlotAnnouncement());
+  }
+
+  private cancelPeer(name: string, incarnation: number | undefined): void {
+    for (const queue of this.queues.values()) queue.cancelPeer(name, incarnation);
+  }
+
+  private hasEndpoints(service: string): boolean {
+    return this.options.directory.getOfService(service).length > 0;
+  }
+
+  private getQueue(service: string): SlotQueue {
+    let queue = this.queues.get(service);
+    if (!queue) {
+      const { clock, ownName, createScheduler } = this.options;
+      const getEndpoints = (): readonly SlotEndpoint[] => this.getEndpoints(service);
+      queue = SlotQueue.create({ clock, ownName, scheduler: createScheduler(), getEndpoints });
+      this.queues.set(service, queue);
+    }
+    this.idleTimer ??= this.options.clock.startTimer(idleTimeoutMs, () => this.dropIdleQueues());
+    return queue;
+  }
+
+  /** Usable endpoints without those that this instance cannot reach; all usable ones if it reaches none. */
+  private getEndpoints(service: string): readonly SlotEndpoint[] {
+    const { clock, directory } = this.options;
+    const time = clock.getTime();
+    const usable = directory.getOfService(service).filter((endpoint) => endpoint.isUsable());
+    const reachable = usable.filter((endpoint) => !endpoint.isUnreachable(time));
+    const chosen = reachable.length > 0 ? reachable : usable;
+    return chosen.map(({ incarnation, record }) => ({ incarnation, slots: record.slots }));
+  }
+
+  private dropIdleQueues(): void {
+    for (const [service, queue] of this.queues) {
+      if (queue.getIdleMs() < idleTimeoutMs) continue;
+      queue.close();
+      this.queues.delete(service);
+    }
+    this.idleTimer =
+      this.queues.size > 0
+        ? this.options.clock.startTimer(idleTimeoutMs, () => this.dropIdleQueues())
+        : undefined;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/slotAsk.ts
@@ -0,0 +1,193 @@
+/**
+ * Obtains a slot for one attempt of one request: asks the arbiter, waits for the turn, and falls back to sending the request
+ * directly if no arbiter answers.
+ * @module
+ */
+import type { Clock } from "@gladewall/kernel";
+import type { SlotRefusal } from "@gladewall/policy";
+import { HeldSlot } from "./heldSlot.js";
+import { type SlotCall, SlotWord } from "./slotMessages.js";
+import { createCancellation, type DecidedReply, type SlotTransport } from "./slotTransport.js";
+import type { Service } from "./types.js";
+
+/** A request that needs a slot. Times are those of this instance's clock. */
+export interface SlotWish {
+  readonly request: string;
+  readonly service: Service;
+  readonly workspace: string;
+  readonly route: string;
+  readonly rank: number;
+  readonly arrivedAt: number;
+  /** Latency objective of the route in milliseconds. */
+  readonly objectiveMs: number;
+  readonly deadlineAt: number;
+  /** Incarnations that the request was sent to before. */
+  readonly excluded: ReadonlySet<string>;
+}
+
+/** What the request does next. */
+export enum SlotAction {
+  /** It is placed and sent without a grant. */
+  SendDirectly = 1,
+  /** It is sent to the endpoint of the grant. */
+  UseGrant = 2,
+  /** It is refused. */
+  Refuse = 3,
+  /** Nobody waits for it any more. */
+  Abandon = 4,
+}
+
+/** Result of asking for a slot. */
+export interface SlotAnswer {
+  readonly action: SlotAction;
+  /** With `UseGrant`. */
+  readonly slot?: HeldSlot;
+  /** With `Refuse`; undefined if the request waited for its longest time. */
+  readonly refusal?: SlotRefusal;
+  readonly retryAfterMs?: number | undefined;
+  /** Arbiter that decided; undefined if none did. */
+  readonly arbiter?: string;
+}
+
+/** Options of one ask. */
+export interface SlotAskOptions {
+  readonly clock: Clock;
+  readonly transport: SlotTransport;
+  /** Identifies the calls of this instance since its start. */
+  readonly createId: () => string;
+  /** Usual time of an attempt in milliseconds. */
+  readonly expectedMs: number;
+  /** Called when the request is told that it waits. */
+  readonly onQueued: () => void;
+}
+
+/** Longest time for an arbiter's first reply; an eighth of the objective bounds it as well. */
+const maxReplyMs = 60;
+const replyShare = 1 / 8;
+/** Bounds of the time after which a wait is renewed: it detects an arbiter that has stopped, at the cost of two messages. */
+const minRenewalMs = 20;
+const renewalShare = 1 / 2;
+
+/** One request for a slot. */
+export class SlotAsk {
+  private isAbandoned = false;
+  private id = "";
+  /** Arbiter at which the request waits. */
+  private waitingAt: string | undefined;
+  private arbiter: string | undefined;
+
+  private constructor(
+    private readonly wish: SlotWish,
+    private readonly options: SlotAskOptions,
+  ) {}
+
+  static create(wish: SlotWish, options: SlotAskOptions): SlotAsk {
+    return new SlotAsk(wish, options);
+  }
+
+  /** Asks until there is a grant, a refusal, or no arbiter. */
+  async run(): Promise<SlotAnswer> {
+    let reply = await this.call();
+    if (reply?.word === SlotWord.Queued && !this.isAbandoned) {
+      this.options.onQueued();
+      reply = await this.waitForTurn(reply.arbiter, reply.waitMs);
+      const lostArbiter = this.arbiter;
+      if (reply === undefined && !this.isAbandoned && !this.canMeetObjective()) {
+        reply = await this.call(lostArbiter);
+        if (reply?.word === SlotWord.Queued) reply = await this.waitForTurn(reply.arbiter, reply.waitMs);
+      }
+    }
+    return this.conclude(reply);
+  }
+
+  /** Asks without waiting: a request that would wait is cancelled at once. */
+  async runWithoutWaiting(): Promise<DecidedReply | undefined> {
+    const reply = await this.call();
+    if (reply?.word === SlotWord.Queued) this.cancelAt(reply.arbiter);
+    return reply;
+  }
+
+  /** Returns the slot that a reply grants. */
+  createSlot(arbiter: string, endpoint: string): HeldSlot {
+    const { wish, id } = this;
+    return HeldSlot.create({
+      clock: this.options.clock,
+      endpoint,
+      id,
+      service: wish.service.name,
+      report: (end) => this.options.transport.end(arbiter, end),
+    });
+  }
+
+  /** Gives up: a request that waits is cancelled now, a grant that is still to come as soon as it comes. */
+  abandon(): void {
+    this.isAbandoned = true;
+    if (this.waitingAt !== undefined) this.cancelAt(this.waitingAt);
+  }
+
+  private async call(passedOver?: string): Promise<DecidedReply | undefined> {
+    const { wish } = this;
+    const { clock, transport, createId } = this.options;
+    const time = clock.getTime();
+    this.id = createId();
+    const call: SlotCall = {
+      service: wish.service.name,
+      id: this.id,
+      workspace: wish.workspace,
+      route: wish.route,
+      rank: wish.rank,
+      ageMs: time - wish.arrivedAt,
+      objectiveMs: wish.arrivedAt + wish.objectiveMs - time,
+      deadlineMs: wish.deadlineAt - time,
+      excluded: [...wish.excluded],
+    };
+    const limitMs = Math.min(maxReplyMs, wish.objectiveMs * replyShare);
+    const reply = await transport.request(call, limitMs, passedOver);
+    if (reply) this.arbiter = reply.arbiter;
+    return reply;
+  }
+
+  private async waitForTurn(arbiter: string, announcedMs: number): Promise<DecidedReply | undefined> {
+    const { wish, options } = this;
+    const maxRenewalMs = Math.max(minRenewalMs, wish.objectiveMs * renewalShare);
+    const waitMs = Math.min(maxRenewalMs, Math.max(minRenewalMs, announcedMs));
+    const wait = { service: wish.service.name, id: this.id, waitMs };
+    if (this.isAbandoned) this.cancelAt(arbiter);
+    else this.waitingAt = arbiter;
+    let reply: DecidedReply | undefined;
+    do {
+      if (this.isAbandoned) return undefined;
+      reply = await options.transport.wait(arbiter, wait);
+    } while (reply?.word === SlotWord.Queued);
+    this.waitingAt = undefined;
+    // An arbiter that is only slow must not keep a slot for a request that is sent without it.
+    if (reply === undefined) this.cancelAt(arbiter);
+    return reply;
+  }
+
+  private conclude(reply: DecidedReply | undefined): SlotAnswer {
+    if (this.isAbandoned) {
+      if (reply && reply.word !== SlotWord.Refused) this.cancelAt(reply.arbiter);
+      return { action: SlotAction.Abandon };
+    }
+    if (reply?.word === SlotWord.Granted) {
+      const { arbiter, endpoint } = reply;
+      return { action: SlotAction.UseGrant, slot: this.createSlot(arbiter, endpoint), arbiter };
+    }
+    if (reply?.word === SlotWord.Refused) {
+      const { arbiter, refusal, retryAfterMs } = reply;
+      return { action: SlotAction.Refuse, arbiter, refusal, retryAfterMs };
+    }
+    return { action: SlotAction.SendDirectly };
+  }
+
+  /** Whether the response can still be received within the objective if the request is sent now. */
+  private canMeetObjective(): boolean {
+    const { wish, options } = this;
+    return options.clock.getTime() + options.expectedMs <= wish.arrivedAt + wish.objectiveMs;
+  }
+
+  private cancelAt(arbiter: string): void {
+    this.options.transport.end(arbiter, createCancellation(this.wish.service.name, this.id));
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/slotClient.ts
@@ -0,0 +1,175 @@
+/**
+ * Decides whether a request needs a slot of its service, and obtains one from the service's arbiter. While the mode is `observe`, the
+ * decisions of arbiters are logged and have no effect.
+ * @module
+ */
+import type { Clock, Logger, Timer } from "@gladewall/kernel";
+import { SlotRefusal } from "@gladewall/policy";
+import type { EndpointDirectory } from "./endpointDirectory.js";
+import type { GatewayMetrics } from "./gatewayMetrics.js";
+import type { HeldSlot } from "./heldSlot.js";
+import { OverloadMode, type OverloadSwitch } from "./overloadSwitch.js";
+import { SlotAction, type SlotAnswer, SlotAsk, type SlotWish } from "./slotAsk.js";
+import type { SlotContention } from "./slotContention.js";
+import { SlotWord } from "./slotMessages.js";
+import type { DecidedReply, SlotTransport } from "./slotTransport.js";
+
+/** Options of the client. */
+export interface SlotClientOptions {
+  readonly ownName: string;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly metrics: Pick<GatewayMetrics, "countSlotDecision" | "recordSlotWait">;
+  readonly transport: SlotTransport;
+  readonly contention: SlotContention;
+  readonly directory: Pick<EndpointDirectory, "getOfService">;
+  readonly overload: Pick<OverloadSwitch, "mode">;
+  /** Longest wait, as a multiple of the route's objective. */
+  readonly maxWaitFactor: number;
+}
+
+/** A decision that is only logged; `end` is to be called when the request's attempt has ended. */
+export interface ObservedSlot {
+  readonly end: () => void;
+}
+
+/** Assumed time of an attempt at endpoints that have not responded yet. */
+const unknownLatencyMs = 50;
+
+/** Obtains slots for the requests of this instance. */
+export class SlotClient {
+  private nextId = 1;
+  private waitingCount = 0;
+
+  private constructor(private readonly options: SlotClientOptions) {}
+
+  static create(options: SlotClientOptions): SlotClient {
+    return new SlotClient(options);
+  }
+
+  /** Requests of this instance that wait for a slot. */
+  get waiting(): number {
+    return this.waitingCount;
+  }
+
+  /** Whether a request of the service needs a slot now. */
+  isNeeded(wish: Pick<SlotWish, "service">): boolean {
+    const { overload, contention } = this.options;
+    return overload.mode === OverloadMode.On && contention.isContended(wish.service);
+  }
+
+  /** Whether a decision on a request of the service is to be logged now. */
+  isObserved(wish: Pick<SlotWish, "service">): boolean {
+    const { overload, contention } = this.options;
+    return overload.mode === OverloadMode.Observe && contention.isContended(wish.service);
+  }
+
+  /** Obtains a slot. Resolves at once when the signal is aborted; what was granted is then returned. */
+  async acquire(wish: SlotWish, signal: AbortSignal): Promise<SlotAnswer> {
+    if (signal.aborted) return { action: SlotAction.Abandon };
+    const { clock, maxWaitFactor } = this.options;
+    const startedAt = clock.getTime();
+    let timer: Timer | undefined;
+    const answer = await new Promise<SlotAnswer>((resolve) => {
+      const stop = (action: SlotAction): void => {
+        ask.abandon();
+        resolve({ action });
+      };
+      const ask = this.createAsk(wish, () => {
+        this.waitingCount += 1;
+        timer = clock.startTimer(wish.objectiveMs * maxWaitFactor, () => stop(SlotAction.Refuse));
+      });
+      const handleAbort = (): void => stop(SlotAction.Abandon);
+      signal.addEventListener("abort", handleAbort, { once: true });
+      void ask.run().then((result) => {
+        signal.removeEventListener("abort", handleAbort);
+        resolve(result);
+      });
+    });
+    if (timer) this.waitingCount -= 1;
+    timer?.cancel();
+    this.record(wish, answer, clock.getTime() - startedAt, timer !== undefined);
+    return answer;
+  }
+
+  /** Asks for a slot and logs the decision; the request does not wait for it. */
+  observe(wish: SlotWish): ObservedSlot {
+    const ask = this.createAsk(wish, () => undefined);
+    let slot: HeldSlot | undefined;
+    let hasEnded = false;
+    void ask.runWithoutWaiting().then((reply) => {
+      if (reply?.word === SlotWord.Granted) slot = ask.createSlot(reply.arbiter, reply.endpoint);
+      if (hasEnded) slot?.end();
+      else slot?.recordSending();
+      this.recordObserved(wish, reply);
+    });
+    const end = (): void => {
+      hasEnded = true;
+      slot?.recordResponse(undefined);
+      slot?.end();
+    };
+    return { end };
+  }
+
+  private createAsk(wish: SlotWish, onQueued: () => void): SlotAsk {
+    const { clock, transport } = this.options;
+    return SlotAsk.create(wish, {
+      clock,
+      transport,
+      createId: () => String(this.nextId++),
+      expectedMs: this.getExpectedMs(wish.service.name),
+      onQueued,
+    });
+  }
+
+  private getExpectedMs(service: string): number {
+    let shortest = Infinity;
+    for (const endpoint of this.options.directory.getOfService(service)) {
+      if (endpoint.isUsable()) shortest = Math.min(shortest, endpoint.latencyMs ?? unknownLatencyMs);
+    }
+    return shortest === Infinity ? unknownLatencyMs : shortest;
+  }
+
+  private record(wish: SlotWish, answer: SlotAnswer, tookMs: number, hasWaited: boolean): void {
+    const { logger, metrics } = this.options;
+    const service = wish.service.name;
+    const { action, arbiter, slot, refusal, retryAfterMs } = answer;
+    metrics.countSlotDecision(service, SlotAction[action], this.getDecider(arbiter));
+    if (hasWaited) metrics.recordSlotWait(service, tookMs);
+    const fields = { request: wish.request, service, waitedMs: Math.round(tookMs), arbiter };
+    if (action === SlotAction.Refuse) {
+      const cause = refusal === undefined ? "MaxWait" : SlotRefusal[refusal];
+      logger.info("slot.refused", {
+        ...fields,
+        cause,
+        retryAfterMs: retryAfterMs && Math.round(retryAfterMs),
+      });
+    } else if (action === SlotAction.SendDirectly) {
+      logger.info("slot.direct", fields);
+    } else if (action === SlotAction.Abandon || !hasWaited) {
+      logger.debug("slot.asked", { ...fields, action: SlotAction[action], life: slot?.endpoint });
+    } else {
+      logger.info("slot.granted", { ...fields, life: slot?.endpoint });
+    }
+  }
+
+  private recordObserved(wish: SlotWish, reply: DecidedReply | undefined): void {
+    const { logger, metrics } = this.options;
+    const service = wish.service.name;
+    const outcome = reply ? SlotWord[reply.word] : SlotAction[SlotAction.SendDirectly];
+    metrics.countSlotDecision(service, `observed-${outcome}`, this.getDecider(reply?.arbiter));
+    logger.info("slot.observed", {
+      request: wish.request,
+      service,
+      word: outcome,
+      arbiter: reply?.arbiter,
+      waitMs: reply?.word === SlotWord.Queued ? Math.round(reply.waitMs) : undefined,
+      cause: reply?.word === SlotWord.Refused ? SlotRefusal[reply.refusal] : undefined,
+    });
+  }
+
+  private getDecider(arbiter: string | undefined): string {
+    if (arbiter === undefined) return "none";
+    return arbiter === this.options.ownName ? "own" : "remote";
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/slotMessages.ts
@@ -0,0 +1,144 @@
+/**
+ * Messages among instances about the slots of a service: requests for a slot, waits for a turn, and ends of grants. Times travel as
+ * remaining milliseconds, because the clocks of instances differ.
+ * @module
+ */
+import type { PeerMessage } from "@gladewall/coordination";
+import { type EndpointLoad, type SlotEnd, SlotRefusal } from "@gladewall/policy";
+
+/** Numbers of the messages; they follow that of retry calls. */
+export enum SlotMessageKind {
+  Call = 48,
+  Wait = 49,
+  End = 50,
+}
+
+/** Fields of a call that requests a slot. */
+export interface SlotCall {
+  readonly service: string;
+  /** Identifies the request among those of the sender's present incarnation. */
+  readonly id: string;
+  /** Empty for requests without a workspace. */
+  readonly workspace: string;
+  readonly route: string;
+  /** Urgency, 0 first. */
+  readonly rank: number;
+  /** Milliseconds since the request arrived. */
+  readonly ageMs: number;
+  /** Milliseconds until the response should be received; negative if that time has passed. */
+  readonly objectiveMs: number;
+  /** Milliseconds until nobody waits for the response. */
+  readonly deadlineMs: number;
+  /** Incarnations of endpoints that the request must not be sent to. */
+  readonly excluded: readonly string[];
+}
+
+/** Fields of a call that waits for the turn of a queued request. */
+export interface SlotWait {
+  readonly service: string;
+  readonly id: string;
+  /** Milliseconds after which the arbiter replies even if the request is still queued. */
+  readonly waitMs: number;
+}
+
+/** Fields of the message that ends a grant, or cancels a request that waits or has a grant. */
+export interface SlotEndReport extends SlotEnd {
+  readonly service: string;
+  /** Whether the request was not sent with the grant. */
+  readonly isCancelled: boolean;
+}
+
+/** An arbiter's decision. The numbers are sent to peers. */
+export enum SlotWord {
+  Granted = 1,
+  Queued = 2,
+  Refused = 3,
+  /** The receiver cannot decide, or does not know the request. */
+  Unknown = 4,
+}
+
+/** Reply to a call that requests a slot or waits for one. */
+export type SlotReply =
+  | { readonly word: SlotWord.Granted; readonly arbiter: string; readonly endpoint: string }
+  | { readonly word: SlotWord.Queued; readonly arbiter: string; readonly waitMs: number }
+  | {
+      readonly word: SlotWord.Refused;
+      readonly arbiter: string;
+      readonly refusal: SlotRefusal;
+      /** Milliseconds after which the caller should return; undefined if none is known. */
+      readonly retryAfterMs: number | undefined;
+    }
+  | { readonly word: SlotWord.Unknown };
+
+/** Endpoints that one call may exclude; a request is sent to at most a few. */
+const maxExcluded = 64;
+
+/** Creates the message of a call that requests a slot. */
+export function createSlotCall(call: SlotCall): PeerMessage {
+  return { kind: SlotMessageKind.Call, ...call };
+}
+
+export function createSlotWait(wait: SlotWait): PeerMessage {
+  return { kind: SlotMessageKind.Wait, ...wait };
+}
+
+export function createSlotEnd(end: SlotEndReport): PeerMessage {
+  return { kind: SlotMessageKind.End, ...end };
+}
+
+/** Creates the message which announces that this instance answers slot calls. */
+export function createSlotAnnouncement(): PeerMessage {
+  return { kind: SlotMessageKind.End };
+}
+
+/** Whether a message received from a peer is a complete request for a slot. */
+export function isSlotCall(value: object): value is SlotCall {
+  const { service, id, workspace, route, rank, ageMs, objectiveMs, deadlineMs, excluded } =
+    value as Partial<SlotCall>;
+  const areTexts = [service, id, workspace, route].every((text) => typeof text === "string");
+  const areNumbers = [rank, ageMs, objectiveMs, deadlineMs].every((number) => Number.isFinite(number));
+  return areTexts && areNumbers && areIncarnations(excluded);
+}
+
+/** Whether a message received from a peer is a complete wait. */
+export function isSlotWait(value: object): value is SlotWait {
+  const { service, id, waitMs } = value as Partial<SlotWait>;
+  return typeof service === "string" && typeof id === "string" && isCount(waitMs);
+}
+
+/** Whether a message received from a peer ends a grant; an announcement does not. */
+export function isSlotEnd(value: object): value is SlotEndReport {
+  const { service, id, isCancelled, isRejected, tookMs, load } = value as Partial<SlotEndReport>;
+  const areTexts = typeof service === "string" && typeof id === "string";
+  const areFlags = typeof isCancelled === "boolean" && typeof isRejected === "boolean";
+  const isTimeValid = tookMs === undefined || isCount(tookMs);
+  return areTexts && areFlags && isTimeValid && (load === undefined || isLoad(load));
+}
+
+/** Whether a value received from a peer is a reply to a slot call or wait. */
+export function isSlotReply(value: unknown): value is SlotReply {
+  if (typeof value !== "object" || value === null) return false;
+  const { word, arbiter, endpoint, waitMs, retryAfterMs, refusal } = value as Record<string, unknown>;
+  if (word === SlotWord.Unknown) return true;
+  if (typeof arbiter !== "string") return false;
+  if (word === SlotWord.Granted) return typeof endpoint === "string";
+  if (word === SlotWord.Queued) return isCount(waitMs);
+  const isTimeValid = retryAfterMs === undefined || isCount(retryAfterMs);
+  return word === SlotWord.Refused && isTimeValid && SlotRefusal[refusal as number] !== undefined;
+}
+
+function areIncarnations(value: unknown): boolean {
+  return Array.isArray(value) && value.length <= maxExcluded && value.every((one) => typeof one === "string");
+}
+
+function isLoad(value: unknown): value is EndpointLoad {
+  if (typeof value !== "object" || value === null) return false;
+  const { running, waiting, slots, pacePercent } = value as Partial<EndpointLoad>;
+  const isPaceValid = pacePercent === undefined || isCount(pacePercent);
+  return isCount(running) && isCount(waiting) && isCount(slots) && isPaceValid;
+}
+
+/** Whether a value is a finite number that is not negative: a duration or a number of requests. */
+function isCount(value: unknown): value is number {
+  return Number.isFinite(value) && (value as number) >= 0;
+}
--- /dev/null
+++ b/packages/gateway/src/slotQueue.ts
@@ -0,0 +1,259 @@
+/**
+ * The requests for slots of one service at its arbiter: who asked, who waits for a reply, and when to decide again. The order and
+ * the choice of endpoints are the scheduler's.
+ * @module
+ */
+import { getIncarnationKey, type PeerIdentity } from "@gladewall/coordination";
+import type { Clock, Timer } from "@gladewall/kernel";
+import {
+  type SlotDecision,
+  type SlotEndpoint,
+  SlotOutcome,
+  SlotRefusal,
+  type SlotScheduler,
+} from "@gladewall/policy";
+import {
+  type SlotCall,
+  type SlotEndReport,
+  type SlotReply,
+  type SlotWait,
+  SlotWord,
+} from "./slotMessages.js";
+
+/** Options of a queue. */
+export interface SlotQueueOptions {
+  readonly clock: Clock;
+  /** Name of this instance, which replies as the arbiter. */
+  readonly ownName: string;
+  readonly scheduler: SlotScheduler;
+  /** Returns the endpoints that requests may be sent to now. */
+  readonly getEndpoints: () => readonly SlotEndpoint[];
+}
+
+enum EntryState {
+  Waiting = 1,
+  /** Granted; the requester has not been told yet. */
+  Granted = 2,
+  /** The requester has been told, and reports the end. */
+  Used = 3,
+}
+
+/** A request that waits or has a grant. */
+interface Entry {
+  readonly requester: PeerIdentity;
+  /** Time after which the scheduler has dropped the request or its grant. */
+  readonly forgetAt: number;
+  state: EntryState;
+  endpoint: string | undefined;
+  /** Replies to the wait call that is open; undefined if there is none. */
+  reply: ((reply: SlotReply) => void) | undefined;
+}
+
+/** Longest time between two decisions while requests wait: endpoints come and go without a message to this queue. */
+const reviewIntervalMs = 100;
+/** Longest time that a grant lasts beyond the deadline of its request; the scheduler bounds grants to 2 s. */
+const grantLifetimeMs = 2_000;
+const unknownReply: SlotReply = { word: SlotWord.Unknown };
+
+/** The queue of one service. */
+export class SlotQueue {
+  private readonly entries = new Map<string, Entry>();
+  private endpoints: readonly SlotEndpoint[] = [];
+  private timer: Timer | undefined;
+  private forgottenAt = 0;
+  private usedAt: number;
+
+  private constructor(private readonly options: SlotQueueOptions) {
+    this.usedAt = options.clock.getTime();
+  }
+
+  static create(options: SlotQueueOptions): SlotQueue {
+    return new SlotQueue(options);
+  }
+
+  /** Milliseconds since the last request, while none waits and no grant is open; otherwise 0. */
+  getIdleMs(): number {
+    const { waiting, open } = this.options.scheduler.getState();
+    return waiting + open > 0 ? 0 : this.options.clock.getTime() - this.usedAt;
+  }
+
+  /** Number of requests that wait. */
+  get waiting(): number {
+    return this.options.scheduler.getState().waiting;
+  }
+
+  /** Decides on a new request. */
+  request(requester: PeerIdentity, call: SlotCall): SlotReply {
+    const { clock, scheduler, ownName: arbiter } = this.options;
+    const time = clock.getTime();
+    this.usedAt = time;
+    this.refreshEndpoints();
+    const key = getKey(requester, call.id);
+    const decision = scheduler.request({
+      id: key,
+      requester: requester.name,
+      workspace: call.workspace,
+      route: call.route,
+      rank: call.rank,
+      arrivedAt: time - call.ageMs,
+      objectiveAt: time + call.objectiveMs,
+      deadlineAt: time + call.deadlineMs,
+      excluded: new Set(call.excluded),
+    });
+    if (decision.outcome === SlotOutcome.Refused) {
+      const { refusal, retryAfterMs } = decision;
+      return { word: SlotWord.Refused, arbiter, refusal, retryAfterMs };
+    }
+    const forgetAt = time + Math.max(0, call.deadlineMs) + grantLifetimeMs;
+    const entry = createEntry(requester, decision, forgetAt);
+    this.entries.set(key, entry);
+    this.update();
+    if (decision.outcome === SlotOutcome.Granted || entry.state !== EntryState.Waiting)
+      return this.replyGranted(entry);
+    if (!this.entries.has(key)) return this.createExpiry();
+    return { word: SlotWord.Queued, arbiter, waitMs: Math.max(0, decision.waitMs) };
+  }
+
+  /** Resolves when the request's turn comes, when it expires or is cancelled, or after `waitMs` if it is still queued. */
+  wait(requester: PeerIdentity, { id, waitMs }: SlotWait): Promise<SlotReply> {
+    const { clock, ownName: arbiter } = this.options;
+    const entry = this.entries.get(getKey(requester, id));
+    if (!entry) return Promise.resolve(unknownReply);
+    if (entry.state !== EntryState.Waiting) return Promise.resolve(this.replyGranted(entry));
+    entry.reply?.(unknownReply);
+    return new Promise((resolve) => {
+      const timer = clock.startTimer(waitMs, () => reply({ word: SlotWord.Queued, arbiter, waitMs }));
+      const reply = (value: SlotReply): void => {
+        timer.cancel();
+        if (entry.reply === reply) entry.reply = undefined;
+        resolve(value);
+      };
+      entry.reply = reply;
+    });
+  }
+
+  /** Ends a grant, or cancels a request that waits or whose grant was not used. */
+  end(requester: PeerIdentity, { id, isCancelled, isRejected, tookMs, load }: SlotEndReport): void {
+    const key = getKey(requester, id);
+    if (!this.entries.has(key)) return;
+    if (isCancelled) {
+      this.cancel(key);
+    } else {
+      this.entries.delete(key);
+      this.options.scheduler.end({ id: key, isRejected, tookMs, load });
+    }
+    this.update();
+  }
+
+  /**
+   * Cancels what a peer waits for, and grants that it has not been told of; `incarnation` is left alone. Grants that it was told of
+   * stay until they end or expire, because its requests may still run.
+   */
+  cancelPeer(name: string, incarnation: number | undefined): void {
+    for (const [key, { requester, state }] of [...this.entries]) {
+      const isAffected = requester.name === name && requester.incarnation !== incarnation;
+      if (isAffected && state !== EntryState.Used) this.cancel(key);
+    }
+    this.update();
+  }
+
+  /** Ends all waits and timers. */
+  close(): void {
+    this.timer?.cancel();
+    for (const { reply } of [...this.entries.values()]) reply?.(unknownReply);
+    this.entries.clear();
+  }
+
+  private cancel(key: string): void {
+    const entry = this.entries.get(key);
+    this.entries.delete(key);
+    this.options.scheduler.cancel(key);
+    entry?.reply?.(unknownReply);
+  }
+
+  private replyGranted(entry: Entry): SlotReply {
+    entry.state = EntryState.Used;
+    return { word: SlotWord.Granted, arbiter: this.options.ownName, endpoint: entry.endpoint ?? "" };
+  }
+
+  /** Applies what has changed: endpoints, free slots and the passing of time. */
+  private update(): void {
+    const { scheduler } = this.options;
+    this.refreshEndpoints();
+    const { granted, expired } = scheduler.dispatch();
+    for (const { id, endpoint } of granted) this.grant(id, endpoint);
+    for (const id of expired) this.expire(id);
+    this.forgetOld();
+    this.scheduleReview();
+  }
+
+  private grant(key: string, endpoint: string): void {
+    const entry = this.entries.get(key);
+    if (!entry) return this.options.scheduler.cancel(key);
+    entry.state = EntryState.Granted;
+    entry.endpoint = endpoint;
+    if (entry.reply) entry.reply(this.replyGranted(entry));
+  }
+
+  private expire(key: string): void {
+    const entry = this.entries.get(key);
+    if (entry?.state !== EntryState.Waiting) return;
+    this.entries.delete(key);
+    entry.reply?.(this.createExpiry());
+  }
+
+  /** Creates the reply to a request that was not granted a slot before its deadline. */
+  private createExpiry(): SlotReply {
+    const refusal = SlotRefusal.DeadlineUnreachable;
+    return { word: SlotWord.Refused, arbiter: this.options.ownName, refusal, retryAfterMs: undefined };
+  }
+
+  /** Removes entries whose ends were lost; the scheduler has dropped them before. */
+  private forgetOld(): void {
+    const time = this.options.clock.getTime();
+    if (time - this.forgottenAt < grantLifetimeMs) return;
+    this.forgottenAt = time;
+    for (const [key, { forgetAt }] of this.entries) if (forgetAt < time) this.cancel(key);
+  }
+
+  private scheduleReview(): void {
+    const { clock, scheduler } = this.options;
+    this.timer?.cancel();
+    this.timer = undefined;
+    const nextAt = scheduler.getNextAt() ?? Infinity;
+    const reviewMs = this.waiting > 0 ? reviewIntervalMs : Infinity;
+    const delayMs = Math.min(reviewMs, nextAt - clock.getTime());
+    if (delayMs === Infinity) return;
+    this.timer = clock.startTimer(Math.max(1, delayMs), () => this.update());
+  }
+
+  private refreshEndpoints(): void {
+    const endpoints = this.options.getEndpoints();
+    if (areSame(endpoints, this.endpoints)) return;
+    this.endpoints = endpoints;
+    this.options.scheduler.setEndpoints(endpoints);
+  }
+}
+
+function createEntry(requester: PeerIdentity, decision: SlotDecision, forgetAt: number): Entry {
+  const isGranted = decision.outcome === SlotOutcome.Granted;
+  return {
+    requester,
+    forgetAt,
+    state: isGranted ? EntryState.Used : EntryState.Waiting,
+    endpoint: isGranted ? decision.endpoint : undefined,
+    reply: undefined,
+  };
+}
+
+function getKey(requester: PeerIdentity, id: string): string {
+  return `${getIncarnationKey(requester)}/${id}`;
+}
+
+function areSame(left: readonly SlotEndpoint[], right: readonly SlotEndpoint[]): boolean {
+  if (left.length !== right.length) return false;
+  return left.every(
+    ({ incarnation, slots }, index) =>
+      right[index]?.incarnation === incarnation && right[index].slots === slots,
+  );
+}
--- a/packages/gateway/src/suspectGate.ts
+++ b/packages/gateway/src/suspectGate.ts
@@ -73,6 +73,11 @@
     return this.options.records.hasSuspects(workspace);
   }
 
+  /** Whether a request may have to run isolated, or must not run. */
+  isSuspect(subject: CrashSubject): boolean {
+    return this.options.records.getQuarantineState(subject) !== QuarantineState.Clear;
+  }
+
   /** Records that a request was interrupted at an endpoint; resolves with whether the endpoint has crashed. */
   recordInterruption(endpoint: Endpoint, request: InFlightRequest): Promise<boolean> {
     return this.options.detector.recordInterruption(endpoint, request);
--- /dev/null
+++ b/packages/gateway/test/fifoSlotScheduler.ts
@@ -0,0 +1,106 @@
+/**
+ * Scheduler of slots that grants them in the order of arrival, for tests of what carries its decisions between instances.
+ * @module
+ */
+import type { Clock } from "@gladewall/kernel";
+import {
+  type SlotDecision,
+  type SlotEnd,
+  type SlotEndpoint,
+  type SlotGrant,
+  SlotOutcome,
+  SlotRefusal,
+  type SlotRequest,
+  type SlotScheduler,
+} from "@gladewall/policy";
+
+/** Longest time of a grant without an end. */
+const grantLifetimeMs = 2_000;
+const announcedWaitMs = 20;
+const retryAfterMs = 1_700;
+
+interface Grant extends SlotGrant {
+  readonly expiresAt: number;
+}
+
+/** Grants slots first come, first served. */
+export class FifoSlotScheduler implements SlotScheduler {
+  /** Ends of grants, in order. */
+  readonly ends: SlotEnd[] = [];
+  private endpoints: readonly SlotEndpoint[] = [];
+  private waiting: SlotRequest[] = [];
+  private readonly open = new Map<string, Grant>();
+
+  private constructor(
+    private readonly clock: Clock,
+    private readonly maxWaiting: number,
+  ) {}
+
+  static create(clock: Clock, maxWaiting = 1_000): FifoSlotScheduler {
+    return new FifoSlotScheduler(clock, maxWaiting);
+  }
+
+  setEndpoints(endpoints: readonly SlotEndpoint[]): void {
+    this.endpoints = endpoints;
+  }
+
+  request(request: SlotRequest): SlotDecision {
+    if (this.endpoints.every(({ incarnation }) => request.excluded.has(incarnation)))
+      return { outcome: SlotOutcome.Refused, refusal: SlotRefusal.NoEndpoint, retryAfterMs };
+    const endpoint = this.waiting.length === 0 ? this.tryGrant(request) : undefined;
+    if (endpoint !== undefined) return { outcome: SlotOutcome.Granted, endpoint };
+    if (this.waiting.length >= this.maxWaiting)
+      return { outcome: SlotOutcome.Refused, refusal: SlotRefusal.QueueFull, retryAfterMs };
+    this.waiting.push(request);
+    return { outcome: SlotOutcome.Queued, waitMs: announcedWaitMs };
+  }
+
+  cancel(id: string): void {
+    this.waiting = this.waiting.filter((request) => request.id !== id);
+    this.open.delete(id);
+  }
+
+  end(end: SlotEnd): void {
+    this.ends.push(end);
+    this.open.delete(end.id);
+  }
+
+  dispatch(): { readonly granted: readonly SlotGrant[]; readonly expired: readonly string[] } {
+    const time = this.clock.getTime();
+    for (const { id, expiresAt } of this.open.values()) if (expiresAt <= time) this.open.delete(id);
+    const expired = this.waiting.filter(({ deadlineAt }) => deadlineAt <= time).map(({ id }) => id);
+    this.waiting = this.waiting.filter(({ id }) => !expired.includes(id));
+    const granted: SlotGrant[] = [];
+    for (const request of this.waiting) {
+      const endpoint = this.tryGrant(request);
+      if (endpoint !== undefined) granted.push({ id: request.id, endpoint });
+    }
+    this.waiting = this.waiting.filter(({ id }) => !this.open.has(id));
+    return { granted, expired };
+  }
+
+  getNextAt(): number | undefined {
+    const times = [
+      ...this.waiting.map(({ deadlineAt }) => deadlineAt),
+      ...[...this.open.values()].map(({ expiresAt }) => expiresAt),
+    ];
+    return times.length === 0 ? undefined : Math.min(...times);
+  }
+
+  getState(): { readonly waiting: number; readonly open: number } {
+    return { waiting: this.waiting.length, open: this.open.size };
+  }
+
+  private tryGrant({ id, excluded, deadlineAt }: SlotRequest): string | undefined {
+    const counts = this.endpoints.map(({ incarnation, slots }) => {
+      const open = [...this.open.values()].filter((grant) => grant.endpoint === incarnation).length;
+      return { incarnation, room: slots + 1 - open };
+    });
+    counts.sort((one, other) => other.room - one.room);
+    const best = counts.find(({ incarnation, room }) => room > 0 && !excluded.has(incarnation));
+    if (!best) return undefined;
+    const expiresAt = Math.min(deadlineAt, this.clock.getTime() + grantLifetimeMs);
+    this.open.set(id, { id, endpoint: best.incarnation, expiresAt });
+    return best.incarnation;
+  }
+}
--- /dev/null
+++ b/packages/gateway/test/slotFleet.ts
@@ -0,0 +1,315 @@
+/**
+ * Simulates instances that share the slots of one service, on a virtual clock and without sockets. Messages have a delay; instances
+ * are killed, frozen and cut off.
+ * @module
+ */
+import {
+  Arbiters,
+  type Endpoint,
+  OverloadMode,
+  SlotAction,
+  type SlotAnswer,
+  SlotArbiter,
+  SlotClient,
+  SlotContention,
+  SlotMessageKind,
+  SlotTransport,
+  type SlotWish,
+} from "@gladewall/gateway";
+import type { PeerIdentity, PeerLinks, PeerMessage } from "@gladewall/coordination";
+import { Failure, FailureCode, flushPromises, Logger, LogLevel } from "@gladewall/kernel";
+import { createService } from "@gladewall/standins";
+import { Err, Ok, type Result } from "ts-results-es";
+import { FifoSlotScheduler } from "./fifoSlotScheduler.js";
+import { createKnownEndpoint } from "./knownEndpoints.js";
+import { StepClock } from "./stepClock.js";
+
+type Handler = (message: PeerMessage, peer: PeerIdentity) => unknown;
+type LinkListener = (peer: PeerIdentity) => void;
+
+const delayMs = 2;
+const readerCount = 3;
+export const workMs = 50;
+export const objectiveMs = 300;
+const timeoutMs = 1_500;
+const service = createService({});
+
+/** Parameters of a fleet. */
+export interface SlotFleetOptions {
+  readonly instances: number;
+  readonly endpoints: number;
+  /** Slots of each endpoint. */
+  readonly slots: number;
+  /** Instances, by index, whose builds do not know the messages. */
+  readonly oldBuilds?: readonly number[];
+  readonly mode?: OverloadMode;
+  readonly maxWaitFactor?: number;
+}
+
+/** One instance. */
+export class SlotMember {
+  readonly handlers = new Map<number, Handler>();
+  readonly upListeners: LinkListener[] = [];
+  readonly downListeners: LinkListener[] = [];
+  readonly endpoints: readonly Endpoint[];
+  readonly identity: PeerIdentity;
+  readonly contention: SlotContention;
+  readonly arbiter: SlotArbiter;
+  readonly client: SlotClient;
+  readonly lines: string[] = [];
+  readonly overload: { mode: OverloadMode };
+  readonly schedulers: FifoSlotScheduler[] = [];
+  isCollector = true;
+  isFrozen = false;
+  /** Numbers of the slot messages that reached it; announcements are left out. */
+  readonly received: number[] = [];
+
+  constructor(
+    readonly name: string,
+    private readonly fleet: SlotFleet,
+    isOld: boolean,
+  ) {
+    const { clock, options } = fleet;
+    const logger = Logger.create(LogLevel.Debug, {}, (line) => this.lines.push(line));
+    this.identity = { name, incarnation: 1 };
+    this.overload = { mode: options.mode ?? OverloadMode.On };
+    this.endpoints = Array.from({ length: options.endpoints }, (_, index) =>
+      createKnownEndpoint({ id: `e${index}`, slots: options.slots }),
+    );
+    const directory = { getOfService: () => this.endpoints };
+    const base = { ownName: name, clock, logger, directory, overload: this.overload };
+    const getFleetSize = (): number => options.instances;
+    this.contention = SlotContention.create({ clock, logger, directory, getFleetSize });
+    const topology = this.createTopology();
+    this.arbiter = SlotArbiter.create({
+      ...base,
+      fleet: topology,
+      createScheduler: () => {
+        const scheduler = FifoSlotScheduler.create(clock);
+        this.schedulers.push(scheduler);
+        return scheduler;
+      },
+    });
+    if (isOld) {
+      this.handlers.clear();
+      this.upListeners.length = 0;
+    }
+    const arbiters = Arbiters.create({
+      clock,
+      logger,
+      ownName: name,
+      getReaders: () => fleet.readers,
+      isLinked: (peer) => fleet.isLinked(name, peer),
+      call: (peer, message, limitMs) => this.call(peer, message, limitMs),
+    });
+    const own = this.identity;
+    this.client = SlotClient.create({
+      ...base,
+      metrics: { countSlotDecision: () => undefined, recordSlotWait: () => undefined },
+      transport: SlotTransport.create({ own, arbiters, arbiter: this.arbiter, fleet: topology }),
+      contention: this.contention,
+      maxWaitFactor: options.maxWaitFactor ?? 3,
+    });
+  }
+
+  /** Number of logged lines of an event. */
+  countLines(event: string): number {
+    return this.lines.filter((line) => line.includes(event)).length;
+  }
+
+  private createTopology() {
+    const { fleet, name } = this;
+    const links = {
+      setHandler: (kind: number, handler: Handler) => void this.handlers.set(kind, handler),
+      onLinkUp: (listener: LinkListener) => void this.upListeners.push(listener),
+      onLinkDown: (listener: LinkListener) => void this.downListeners.push(listener),
+      send: (peer: string, message: PeerMessage) => this.send(peer, message),
+      call: (peer: string, message: PeerMessage, limitMs: number) => this.call(peer, message, limitMs),
+    };
+    const isCollector = (): boolean => this.isCollector;
+    return {
+      links: links as Partial<PeerLinks> as PeerLinks,
+      get isCollector(): boolean {
+        return isCollector();
+      },
+      getLinkedReaders: () => fleet.readers.filter((peer) => fleet.isLinked(name, peer)),
+    };
+  }
+
+  private send(peer: string, message: PeerMessage): boolean {
+    const copy = structuredClone(message);
+    this.fleet.deliver(this.name, peer, (member) => {
+      if ("id" in copy) member.received.push(copy.kind);
+      member.handlers.get(copy.kind)?.(copy, this.identity);
+    });
+    return true;
+  }
+
+  private call(peer: string, message: PeerMessage, limitMs: number): Promise<Result<unknown, Failure>> {
+    const { fleet, name } = this;
+    const copy = structuredClone(message);
+    return new Promise((resolve) => {
+      const fail = (): void => {
+        timer.cancel();
+        resolve(Err(Failure.create(FailureCode.PeerUnreachable, { peer })));
+      };
+      const timer = fleet.clock.startTimer(limitMs, fail);
+      if (!fleet.isLinked(name, peer)) return fail();
+      fleet.onLost(name, peer, fail);
+      fleet.deliver(name, peer, async (member) => {
+        member.received.push(copy.kind);
+        const handler = member.handlers.get(copy.kind);
+        if (!handler) return;
+        const reply = await handler(copy, this.identity);
+        fleet.deliver(member.name, name, () => {
+          timer.cancel();
+          resolve(Ok(structuredClone(reply)));
+        });
+      });
+    });
+  }
+}
+
+/** An attempt at a simulated endpoint. */
+export interface SimulatedAttempt {
+  readonly request: string;
+  readonly endpoint: string;
+  readonly hasGrant: boolean;
+}
+
+/** All instances, and the clock that they share. */
+export class SlotFleet {
+  readonly clock = new StepClock();
+  readonly members: SlotMember[];
+  readonly attempts: SimulatedAttempt[] = [];
+  readonly answers = new Map<string, SlotAnswer>();
+  /** Most requests with a grant that were at an endpoint at the same time. */
+  maxGranted = 0;
+  /** Whether messages that end grants are lost. */
+  losesEnds = false;
+  private readonly granted = new Map<string, number>();
+  private readonly dead = new Set<string>();
+  private readonly lossListeners: { readonly pair: readonly string[]; readonly fail: () => void }[] = [];
+  private held: (() => void)[] = [];
+
+  private constructor(readonly options: SlotFleetOptions) {
+    this.members = Array.from(
+      { length: options.instances },
+      (_, index) => new SlotMember(`i${index}`, this, options.oldBuilds?.includes(index) ?? false),
+    );
+    for (const one of this.members) {
+      for (const other of this.members) {
+        if (one !== other) for (const listener of one.upListeners) listener(other.identity);
+      }
+    }
+  }
+
+  /** Creates a fleet whose instances all see a contended service and have heard each other's announcements. */
+  static async create(options: SlotFleetOptions): Promise<SlotFleet> {
+    const fleet = new SlotFleet(options);
+    await fleet.clock.advance(2 * delayMs);
+    for (const member of fleet.members) fleet.reportFull(member);
+    return fleet;
+  }
+
+  /** Lets promises settle, and then advances the time. */
+  async advance(durationMs: number): Promise<void> {
+    await flushPromises();
+    await this.clock.advance(durationMs);
+    await flushPromises();
+  }
+
+  get readers(): readonly string[] {
+    return this.members.slice(0, readerCount).map(({ name }) => name);
+  }
+
+  /** The instance that decides for the others. */
+  get arbiter(): SlotMember {
+    return this.members.find(({ schedulers }) => schedulers.length > 0)!;
+  }
+
+  /** An instance that is no reader. */
+  get client(): SlotMember {
+    return this.members.at(-1)!;
+  }
+
+  isLinked(name: string, peer: string): boolean {
+    return !this.dead.has(name) && !this.dead.has(peer);
+  }
+
+  onLost(name: string, peer: string, fail: () => void): void {
+    this.lossListeners.push({ pair: [name, peer], fail });
+  }
+
+  /** Makes an instance see that all endpoints are full. */
+  reportFull(member: SlotMember): void {
+    const { slots } = this.options;
+    for (const endpoint of member.endpoints) {
+      const load = { running: slots, waiting: 1, slots, pacePercent: undefined };
+      endpoint.recordLoad(load, this.clock.getTime());
+    }
+  }
+
+  deliver(from: string, name: string, take: (member: SlotMember) => unknown): void {
+    this.clock.startTimer(delayMs, () => {
+      const member = this.members.find((one) => one.name === name)!;
+      if (!this.isLinked(from, name)) return;
+      if (member.isFrozen) this.held.push(() => void take(member));
+      else void take(member);
+    });
+  }
+
+  /** Lets a frozen instance handle what it has received meanwhile. */
+  resume(member: SlotMember): void {
+    member.isFrozen = false;
+    for (const handle of this.held.splice(0)) handle();
+  }
+
+  /** Ends an instance; the others notice that their links to it are closed. */
+  kill(member: SlotMember): void {
+    this.dead.add(member.name);
+    member.arbiter.close();
+    for (const { pair, fail } of this.lossListeners) if (pair.includes(member.name)) fail();
+    for (const other of this.members) {
+      if (other !== member) for (const listener of other.downListeners) listener(member.identity);
+    }
+  }
+
+  /** Asks for a slot and, unless refused, sends a request to an endpoint, where it takes `workMs`. */
+  async serve(member: SlotMember, request: string, caller = new AbortController()): Promise<void> {
+    const answer = await member.client.acquire(this.createWish(request), caller.signal);
+    this.answers.set(request, answer);
+    if (answer.action === SlotAction.Refuse || answer.action === SlotAction.Abandon) return;
+    const { slot } = answer;
+    const endpoint = slot?.endpoint ?? "e0";
+    this.attempts.push({ request, endpoint, hasGrant: slot !== undefined });
+    const count = (change: number): void => {
+      if (slot) this.granted.set(endpoint, (this.granted.get(endpoint) ?? 0) + change);
+      this.maxGranted = Math.max(this.maxGranted, this.granted.get(endpoint) ?? 0);
+    };
+    count(1);
+    slot?.recordSending();
+    await new Promise<void>((resolve) => this.clock.startTimer(workMs, resolve));
+    count(-1);
+    const load = { running: this.options.slots, waiting: 0, slots: this.options.slots, pacePercent: 100 };
+    slot?.recordResponse(load);
+    if (!this.losesEnds) slot?.end();
+  }
+
+  createWish(request: string): SlotWish {
+    const time = this.clock.getTime();
+    return {
+      request,
+      service,
+      workspace: "w",
+      route: "r",
+      rank: 0,
+      arrivedAt: time,
+      objectiveMs,
+      deadlineAt: time + timeoutMs,
+      excluded: new Set(),
+    };
+  }
+}
+
+export { SlotMessageKind };
--- a/packages/standins/src/fakePlatform.ts
+++ b/packages/standins/src/fakePlatform.ts
@@ -7,6 +7,7 @@
   type ResponseHead,
   ExecutionStatus,
   type EndpointNotice,
+  type EndpointLoad,
   type EndpointRecord,
   type CallerRequestHead,
   type CapacityOrder,
@@ -272,7 +273,14 @@
   const isFromEndpoint =
     executionStatus === ExecutionStatus.Ran || executionStatus === ExecutionStatus.NotRun;
   if (!isFromEndpoint) return { executionStatus, load: undefined, notice: undefined };
-  return { executionStatus, load: undefined, notice: readNotice(headers), limit: readLimit(headers) };
+  return { executionStatus, load: readLoad(headers), notice: readNotice(headers), limit: readLimit(headers) };
+}
+
+/** Reads `x-load: running,waiting,slots[,pace]`. */
+function readLoad({ "x-load": text }: IncomingHttpHeaders): EndpointLoad | undefined {
+  if (typeof text !== "string") return undefined;
+  const [running = 0, waiting = 0, slots = 0, pacePercent] = text.split(",").map(Number);
+  return { running, waiting, slots, pacePercent };
 }
 
 function readExecutionStatus(
--- a/packages/standins/src/gatewayTestBench.ts
+++ b/packages/standins/src/gatewayTestBench.ts
@@ -4,7 +4,13 @@
  * @module
  */
 import { type IncomingHttpHeaders, request } from "node:http";
-import { Gateway, gatewaySchema, type GatewaySettings, renamedGatewaySettings } from "@gladewall/gateway";
+import {
+  Gateway,
+  gatewaySchema,
+  type GatewaySettings,
+  renamedGatewaySettings,
+  type SlotSchedulerFactory,
+} from "@gladewall/gateway";
 import { assertThat, type Closeable, Logger, parseSettings } from "@gladewall/kernel";
 import { findFreeAddresses } from "./freePorts.js";
 import { FakePlatform, fakePlatformName } from "./fakePlatform.js";
@@ -44,6 +50,8 @@
 /** The instances of one test and their platform. */
 export class GatewayTestBench implements Closeable {
   readonly instances: BenchInstance[] = [];
+  /** Scheduler of slots of the instances that are started from now on; undefined for the gateway's own. */
+  createSlotScheduler: SlotSchedulerFactory | undefined;
 
   private constructor(
     readonly platform: FakePlatform,
@@ -80,7 +88,7 @@
     const source = { file: "bench.ini", environment: {}, overrides, renamed: renamedGatewaySettings };
     const settings = parseSettings(gatewaySchema, text, source);
     assertThat(settings.isOk(), "the settings of the test bench are valid");
-    const gateway = Gateway.create(settings.value, this.logger);
+    const gateway = Gateway.create(settings.value, this.logger, undefined, this.createSlotScheduler);
     assertThat(gateway.isOk(), "the platform of the test bench is registered");
     const instance = { gateway: gateway.value, settings: settings.value };
     this.instances.push(instance);
