Detect requests that keep waiting after their caller left or their instance stopped

Cause: the tests passed without the cancellation, because the simulated grants expired and let the queue drain.

Change: grants of the test scheduler last as long as the test, the waiting request is at another instance than the arbiter where it stops, and a refusal by an endpoint is tested as a sign of contention.

--- a/packages/gateway/test/fifoSlotScheduler.ts
+++ b/packages/gateway/test/fifoSlotScheduler.ts
@@ -14,8 +14,14 @@
   type SlotScheduler,
 } from "@gladewall/policy";
 
-/** Longest time of a grant without an end. */
-const grantLifetimeMs = 2_000;
+/** Options of the scheduler. */
+export interface FifoSlotOptions {
+  readonly maxWaiting?: number | undefined;
+  /** Longest time of a grant without an end. */
+  readonly grantLifetimeMs?: number;
+}
+
+const defaultGrantLifetimeMs = 2_000;
 const announcedWaitMs = 20;
 const retryAfterMs = 1_700;
 
@@ -33,11 +39,11 @@
 
   private constructor(
     private readonly clock: Clock,
-    private readonly maxWaiting: number,
+    private readonly options: FifoSlotOptions,
   ) {}
 
-  static create(clock: Clock, maxWaiting = 1_000): FifoSlotScheduler {
-    return new FifoSlotScheduler(clock, maxWaiting);
+  static create(clock: Clock, options: FifoSlotOptions = {}): FifoSlotScheduler {
+    return new FifoSlotScheduler(clock, options);
   }
 
   setEndpoints(endpoints: readonly SlotEndpoint[]): void {
@@ -49,7 +55,7 @@
       return { outcome: SlotOutcome.Refused, refusal: SlotRefusal.NoEndpoint, retryAfterMs };
     const endpoint = this.waiting.length === 0 ? this.tryGrant(request) : undefined;
     if (endpoint !== undefined) return { outcome: SlotOutcome.Granted, endpoint };
-    if (this.waiting.length >= this.maxWaiting)
+    if (this.waiting.length >= (this.options.maxWaiting ?? Infinity))
       return { outcome: SlotOutcome.Refused, refusal: SlotRefusal.QueueFull, retryAfterMs };
     this.waiting.push(request);
     return { outcome: SlotOutcome.Queued, waitMs: announcedWaitMs };
@@ -99,6 +105,7 @@
     counts.sort((one, other) => other.room - one.room);
     const best = counts.find(({ incarnation, room }) => room > 0 && !excluded.has(incarnation));
     if (!best) return undefined;
+    const { grantLifetimeMs = defaultGrantLifetimeMs } = this.options;
     const expiresAt = Math.min(deadlineAt, this.clock.getTime() + grantLifetimeMs);
     this.open.set(id, { id, endpoint: best.incarnation, expiresAt });
     return best.incarnation;
--- a/packages/gateway/test/queuedRequests.test.ts
+++ b/packages/gateway/test/queuedRequests.test.ts
@@ -13,7 +13,6 @@
 import { Logger, LogLevel, sortByRendezvous } from "@gladewall/kernel";
 import {
   type BenchInstance,
-  type CallResult,
   createRoute,
   type EndpointRequest,
   FakePlatform,
@@ -34,31 +33,42 @@
   readonly overrides?: readonly string[];
   /** Requests that may wait at the arbiter. */
   readonly maxWaiting?: number;
+  /** Load that the endpoints report before they hold requests. */
+  readonly load?: string;
 }
 
-function respondFull(call: EndpointRequest): void {
-  call.response.setHeader("x-load", "1,1,1,100");
+/** No wait ends by itself within the time limit of a test. */
+const timeoutMs = 300_000;
+const longWaits = "overload.max_wait=100";
+
+function respondWithLoad(call: EndpointRequest, load: string): void {
+  call.response.setHeader("x-load", load);
   respondSuccess(call);
 }
 
+function respondFull(call: EndpointRequest): void {
+  respondWithLoad(call, "1,1,1,100");
+}
+
 /** Starts three instances that see both endpoints of a service, with one slot each, full. From then on the endpoints hold requests. */
 async function startContended(t: Pick<Test, "teardown">, options: ContentionOptions = {}) {
   const lines: string[] = [];
   const logger = Logger.create(LogLevel.Info, {}, (line) => lines.push(line));
   const bench = GatewayTestBench.create(FakePlatform.create(), logger);
+  const { maxWaiting } = options;
   const schedulers: FifoSlotScheduler[] = [];
   const createScheduler: SlotSchedulerFactory = (_, clock) => {
-    const scheduler = FifoSlotScheduler.create(clock, options.maxWaiting);
+    const scheduler = FifoSlotScheduler.create(clock, { maxWaiting, grantLifetimeMs: timeoutMs });
     schedulers.push(scheduler);
     return scheduler;
   };
   bench.createSlotScheduler = createScheduler;
-  const route = createRoute({ kind: options.kind ?? RouteKind.Safe, latencyObjectiveMs: 4_000 });
+  const route = createRoute({ kind: options.kind ?? RouteKind.Safe, latencyObjectiveMs: 4_000, timeoutMs });
   bench.platform.configure({ routes: [route] });
   const endpoints = [await ScriptedEndpoint.create("a"), await ScriptedEndpoint.create("b")];
   for (const { id, address } of endpoints) bench.platform.putEndpoint({ id, address, slots: 1 });
   for (let index = 0; index < instanceCount; index++) {
-    await bench.startReady(2, "web", options.overrides ?? []);
+    await bench.startReady(2, "web", [longWaits, ...(options.overrides ?? [])]);
   }
   await waitUntil(() =>
     bench.instances.every(
@@ -67,7 +77,8 @@
   );
   t.teardown(() => Promise.all([bench.close(), ...endpoints.map((endpoint) => endpoint.close())]));
   const held: EndpointRequest[] = [];
-  for (const endpoint of endpoints) endpoint.script = respondFull;
+  const { load = "1,1,1,100" } = options;
+  for (const endpoint of endpoints) endpoint.script = (call) => respondWithLoad(call, load);
   for (const instance of bench.instances) await bench.call(instance);
   for (const endpoint of endpoints) endpoint.script = (call) => void held.push(call);
   const getArrivals = (id: string): number =>
@@ -95,7 +106,17 @@
     await waitUntil(() => held.length === room);
     return filling;
   };
-  const control = { fill, release, getArrivals, hasMetric, waitForMetric };
+  /** Has an instance that is not the arbiter receive a request that waits. */
+  const queueAtRemote = async () => {
+    // On a machine that is very busy, a reply of the arbiter may come too late, and the request is sent without waiting.
+    for (let number = 1; ; number++) {
+      const id = `remote-${number}`;
+      const response = bench.call(remote, { id });
+      while (getArrivals(id) === 0 && !(await hasMetric(remote, oneWaits)));
+      if (getArrivals(id) === 0) return { id, response };
+    }
+  };
+  const control = { fill, release, getArrivals, queueAtRemote, waitForMetric };
   return { bench, endpoints, held, lines, arbiter, remote, schedulers, ...control };
 }
 
@@ -160,14 +181,18 @@
 
 t.test("an instance that stops refuses the requests that wait, and never sends them", async (t) => {
   const overrides = ["leaving.unnoticed=0", "leaving.grace=1000"];
-  const { bench, arbiter, fill, getArrivals, waitForMetric } = await startContended(t, { overrides });
+  const { arbiter, remote, fill, release, getArrivals, queueAtRemote, waitForMetric } = await startContended(
+    t,
+    { overrides },
+  );
   const filling = await fill();
-  const waiting = bench.call(arbiter, { id: "waiting" });
-  await waitForMetric(arbiter, oneWaits);
-  await arbiter.gateway.leave();
-  t.equal((await waiting).status, 503);
+  const { id, response } = await queueAtRemote();
+  await remote.gateway.leave();
+  t.equal((await response).status, 503);
+  await waitForMetric(arbiter, noneQueued);
+  release();
   await Promise.all(filling);
-  t.equal(getArrivals("waiting"), 0);
+  t.equal(getArrivals(id), 0);
 });
 
 t.test("a refusal passes the arbiter's time to return on, and the request is never sent", async (t) => {
@@ -209,19 +234,11 @@
 });
 
 t.test("an unsafe request is sent once although its arbiter ends while it waits", async (t) => {
-  const { bench, arbiter, remote, fill, release, getArrivals, hasMetric } = await startContended(t, {
+  const { arbiter, fill, release, getArrivals, queueAtRemote } = await startContended(t, {
     kind: RouteKind.Unsafe,
   });
   const filling = await fill();
-  // On a machine that is very busy, a reply of the arbiter may come too late, and the request is sent without waiting.
-  let number = 0;
-  let id: string;
-  let booking: Promise<CallResult>;
-  do {
-    id = `booking-${++number}`;
-    booking = bench.call(remote, { id });
-    while (getArrivals(id) === 0 && !(await hasMetric(remote, oneWaits)));
-  } while (getArrivals(id) > 0);
+  const { id, response: booking } = await queueAtRemote();
   await arbiter.gateway.close();
   await Promise.all(filling);
   release();
@@ -244,6 +261,28 @@
   for (const { requests } of endpoints) t.equal(requests.filter(({ id }) => id === "booking").length, 1);
 });
 
+t.test(
+  "a request that an endpoint did not run is a sign of contention, whatever load is reported",
+  async (t) => {
+    const { bench, arbiter, endpoints } = await startContended(t, { load: "0,0,1,100" });
+    const idle = (call: EndpointRequest): void => respondWithLoad(call, "0,0,1,100");
+    for (const endpoint of endpoints) endpoint.script = idle;
+    await bench.call(arbiter);
+    t.notMatch(await bench.readMetrics(arbiter), /gladewall_slot_decisions_total\{/);
+    for (const endpoint of endpoints) {
+      endpoint.script = (call) => {
+        for (const one of endpoints) one.script = idle;
+        respondNotRun(call);
+      };
+    }
+    t.equal((await bench.call(arbiter)).status, 200);
+    t.match(
+      await bench.readMetrics(arbiter),
+      /gladewall_slot_decisions_total\{.*outcome="granted",by="own"\} 1/,
+    );
+  },
+);
+
 t.test("slots of an endpoint that holds off an instance are not granted to it", async (t) => {
   const { bench, arbiter, endpoints, schedulers } = await startContended(t);
   const [first, second] = endpoints;
