Split the fixtures of the slot tests from their cases

Change: the simulated instance and the contended fleet stand in their own files; a queue is reviewed every 2 ms at most.

--- a/packages/gateway/src/slotQueue.ts
+++ b/packages/gateway/src/slotQueue.ts
@@ -51,6 +51,8 @@
 
 /** Longest time between two decisions while requests wait: endpoints come and go without a message to this queue. */
 const reviewIntervalMs = 100;
+/** Shortest such time, in case the scheduler names a time at which nothing can be decided yet. */
+const minReviewMs = 2;
 /** Longest time that a grant lasts beyond the deadline of its request; the scheduler bounds grants to 2 s. */
 const grantLifetimeMs = 2_000;
 const unknownReply: SlotReply = { word: SlotWord.Unknown };
@@ -224,7 +226,7 @@
     const reviewMs = this.waiting > 0 ? reviewIntervalMs : Infinity;
     const delayMs = Math.min(reviewMs, nextAt - clock.getTime());
     if (delayMs === Infinity) return;
-    this.timer = clock.startTimer(Math.max(1, delayMs), () => this.update());
+    this.timer = clock.startTimer(Math.max(minReviewMs, delayMs), () => this.update());
   }
 
   private refreshEndpoints(): void {
--- /dev/null
+++ b/packages/gateway/test/slotMember.ts
@@ -0,0 +1,146 @@
+/**
+ * One instance of a simulated fleet that shares the slots of a service; its messages pass through the fleet.
+ * @module
+ */
+import {
+  Arbiters,
+  type Endpoint,
+  OverloadMode,
+  SlotArbiter,
+  SlotClient,
+  SlotContention,
+  SlotTransport,
+} from "@gladewall/gateway";
+import type { PeerIdentity, PeerLinks, PeerMessage } from "@gladewall/coordination";
+import { Failure, FailureCode, Logger, LogLevel } from "@gladewall/kernel";
+import { Err, Ok, type Result } from "ts-results-es";
+import { FifoSlotScheduler } from "./fifoSlotScheduler.js";
+import { createKnownEndpoint } from "./knownEndpoints.js";
+import type { SlotFleet } from "./slotFleet.js";
+
+type Handler = (message: PeerMessage, peer: PeerIdentity) => unknown;
+type LinkListener = (peer: PeerIdentity) => void;
+
+/** One instance. */
+export class SlotMember {
+  readonly handlers = new Map<number, Handler>();
+  readonly upListeners: LinkListener[] = [];
+  readonly downListeners: LinkListener[] = [];
+  readonly endpoints: readonly Endpoint[];
+  readonly identity: PeerIdentity;
+  readonly contention: SlotContention;
+  readonly arbiter: SlotArbiter;
+  readonly client: SlotClient;
+  readonly lines: string[] = [];
+  readonly overload: { mode: OverloadMode };
+  readonly schedulers: FifoSlotScheduler[] = [];
+  isCollector = true;
+  isFrozen = false;
+  /** Numbers of the slot messages that reached it; announcements are left out. */
+  readonly received: number[] = [];
+
+  constructor(
+    readonly name: string,
+    private readonly fleet: SlotFleet,
+    isOld: boolean,
+  ) {
+    const { clock, options } = fleet;
+    const logger = Logger.create(LogLevel.Debug, {}, (line) => this.lines.push(line));
+    this.identity = { name, incarnation: 1 };
+    this.overload = { mode: options.mode ?? OverloadMode.On };
+    this.endpoints = Array.from({ length: options.endpoints }, (_, index) =>
+      createKnownEndpoint({ id: `e${index}`, slots: options.slots }),
+    );
+    const directory = { getOfService: () => this.endpoints };
+    const base = { ownName: name, clock, logger, directory, overload: this.overload };
+    const getFleetSize = (): number => options.instances;
+    this.contention = SlotContention.create({ clock, logger, directory, getFleetSize });
+    const topology = this.createTopology();
+    this.arbiter = SlotArbiter.create({
+      ...base,
+      fleet: topology,
+      createScheduler: () => {
+        const scheduler = FifoSlotScheduler.create(clock);
+        this.schedulers.push(scheduler);
+        return scheduler;
+      },
+    });
+    if (isOld) {
+      this.handlers.clear();
+      this.upListeners.length = 0;
+    }
+    const arbiters = Arbiters.create({
+      clock,
+      logger,
+      ownName: name,
+      getReaders: () => fleet.readers,
+      isLinked: (peer) => fleet.isLinked(name, peer),
+      call: (peer, message, limitMs) => this.call(peer, message, limitMs),
+    });
+    const own = this.identity;
+    this.client = SlotClient.create({
+      ...base,
+      metrics: { countSlotDecision: () => undefined, recordSlotWait: () => undefined },
+      transport: SlotTransport.create({ own, arbiters, arbiter: this.arbiter, fleet: topology }),
+      contention: this.contention,
+      maxWaitFactor: options.maxWaitFactor ?? 3,
+    });
+  }
+
+  /** Number of logged lines of an event. */
+  countLines(event: string): number {
+    return this.lines.filter((line) => line.includes(event)).length;
+  }
+
+  private createTopology() {
+    const { fleet, name } = this;
+    const links = {
+      setHandler: (kind: number, handler: Handler) => void this.handlers.set(kind, handler),
+      onLinkUp: (listener: LinkListener) => void this.upListeners.push(listener),
+      onLinkDown: (listener: LinkListener) => void this.downListeners.push(listener),
+      send: (peer: string, message: PeerMessage) => this.send(peer, message),
+      call: (peer: string, message: PeerMessage, limitMs: number) => this.call(peer, message, limitMs),
+    };
+    const isCollector = (): boolean => this.isCollector;
+    return {
+      links: links as Partial<PeerLinks> as PeerLinks,
+      get isCollector(): boolean {
+        return isCollector();
+      },
+      getLinkedReaders: () => fleet.readers.filter((peer) => fleet.isLinked(name, peer)),
+    };
+  }
+
+  private send(peer: string, message: PeerMessage): boolean {
+    const copy = structuredClone(message);
+    this.fleet.deliver(this.name, peer, (member) => {
+      if ("id" in copy) member.received.push(copy.kind);
+      member.handlers.get(copy.kind)?.(copy, this.identity);
+    });
+    return true;
+  }
+
+  private call(peer: string, message: PeerMessage, limitMs: number): Promise<Result<unknown, Failure>> {
+    const { fleet, name } = this;
+    const copy = structuredClone(message);
+    return new Promise((resolve) => {
+      const fail = (): void => {
+        timer.cancel();
+        resolve(Err(Failure.create(FailureCode.PeerUnreachable, { peer })));
+      };
+      const timer = fleet.clock.startTimer(limitMs, fail);
+      if (!fleet.isLinked(name, peer)) return fail();
+      fleet.onLost(name, peer, fail);
+      fleet.deliver(name, peer, async (member) => {
+        member.received.push(copy.kind);
+        const handler = member.handlers.get(copy.kind);
+        if (!handler) return;
+        const reply = await handler(copy, this.identity);
+        fleet.deliver(member.name, name, () => {
+          timer.cancel();
+          resolve(Ok(structuredClone(reply)));
+        });
+      });
+    });
+  }
+}
