Reject replies of arbiters whose reason of refusal is not a number

Cause: the check looked the value up in the enumeration, which also holds its names.

Change: only known numbers are accepted; a test covers it.

--- a/packages/gateway/src/slotMessages.ts
+++ b/packages/gateway/src/slotMessages.ts
@@ -124,7 +124,7 @@
   if (word === SlotWord.Granted) return typeof endpoint === "string";
   if (word === SlotWord.Queued) return isCount(waitMs);
   const isTimeValid = retryAfterMs === undefined || isCount(retryAfterMs);
-  return word === SlotWord.Refused && isTimeValid && SlotRefusal[refusal as number] !== undefined;
+  return word === SlotWord.Refused && isTimeValid && typeof refusal === "number" && refusal in SlotRefusal;
 }
 
 function areIncarnations(value: unknown): boolean {
--- a/packages/gateway/test/slots.test.ts
+++ b/packages/gateway/test/slots.test.ts
@@ -290,5 +290,6 @@
   t.ok(isSlotReply({ word: SlotWord.Refused, arbiter: "a", refusal: 3, retryAfterMs: 5 }));
   for (const wrong of [undefined, 1, {}, { word: 1, arbiter: "a" }, { word: 2, arbiter: "a", waitMs: NaN }])
     t.notOk(isSlotReply(wrong), JSON.stringify(wrong));
-  t.notOk(isSlotReply({ word: SlotWord.Refused, arbiter: "a", refusal: 99 }));
+  for (const refusal of [99, "QueueFull", undefined])
+    t.notOk(isSlotReply({ word: SlotWord.Refused, arbiter: "a", refusal }), String(refusal));
 });
