--- a/packages/policy/src/endpointCapacity.ts
+++ b/packages/policy/src/endpointCapacity.ts
@@ -83,6 +83,11 @@
     this.netSent = 0;
   }
 
+  /** Returns the last valid report, however old; undefined if there was none. */
+  getReport(): { readonly load: EndpointLoad; readonly at: number } | undefined {
+    return this.report && { load: this.report, at: this.reportedAt };
+  }
+
   recordSent(): void {
     this.open += 1;
     this.netSent += 1;
