Schedule the slots of a service that has fewer slots than instances

Cause: requests are sent at once and wait in the queue of an endpoint, where they can be neither moved nor reordered. Under overload most of them are answered after their objective. Change: ServiceSlotScheduler grants slots in one place: requests that can still be in time first, then by rank and fairly between workspaces. It refuses what cannot be served and spreads the times to return.

--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -17,3 +17,6 @@
 export * from "./prefillRate.js";
 export * from "./retry.js";
 export * from "./reasons.js";
+export * from "./retryAdvice.js";
+export * from "./slotOrder.js";
+export * from "./slotScheduler.js";
--- /dev/null
+++ b/packages/policy/src/slotEndpointState.ts
@@ -0,0 +1,137 @@
+/**
+ * State of one endpoint whose slots are granted: its open grants, the requests that were sent to it without a grant, and
+ * its present pace. Reports correct it; absent, old or absurd reports leave the grants alone to count.
+ * @module
+ */
+import type { EndpointLoad, SlotEndpoint } from "./capacityTypes.js";
+
+/** Reports older than this are ignored. */
+const maxReportAgeMs = 2_000;
+/** The pace of an endpoint changes every 100 to 400 ms, so a report tells little after that time. */
+const paceDecayMs = 250;
+const minPacePercent = 10;
+const maxPacePercent = 10_000;
+/** A report of more requests than this multiple of the slots counts as that many, so that a false one does little harm. */
+const maxRequestsPerSlot = 8;
+/** Requests beyond the slots that may wait at an endpoint, so that a slot is not idle for the transmission time. */
+const maxWaitingAtEndpoint = 1;
+
+/** Load of one endpoint as the scheduler knows it. Times are milliseconds of the scheduler's clock. */
+export class SlotEndpointState {
+  private slots = 0;
+  private open = 0;
+  /** Requests without a grant at the time of the last report. */
+  private ungranted = 0;
+  private reportedAt = -Infinity;
+  private pace = 1;
+  private fullUntil = -Infinity;
+
+  private constructor(readonly incarnation: string) {}
+
+  static create(endpoint: SlotEndpoint): SlotEndpointState {
+    const state = new SlotEndpointState(endpoint.incarnation);
+    state.setSlots(endpoint.slots);
+    return state;
+  }
+
+  setSlots(slots: number): void {
+    this.slots = Number.isFinite(slots) ? Math.max(0, Math.floor(slots)) : 0;
+  }
+
+  getSlots(): number {
+    return this.slots;
+  }
+
+  getOpenGrants(): number {
+    return this.open;
+  }
+
+  addGrant(): void {
+    this.open += 1;
+  }
+
+  removeGrant(): void {
+    this.open -= 1;
+  }
+
+  /** Marks the endpoint as full until a time, because it refused a request. */
+  setFullUntil(time: number): void {
+    this.fullUntil = time;
+  }
+
+  /** Applies a report that a response carried while its grant is still counted as open. */
+  applyReport(load: EndpointLoad, time: number, meanRunMs: number): void {
+    if (!isValid(load)) return;
+    const requests = Math.min(load.running + load.waiting, this.slots * maxRequestsPerSlot);
+    this.ungranted = Math.max(0, requests - this.open);
+    // Smooths the pace over about the time that one request takes.
+    const reported = (load.pacePercent ?? 100) / 100;
+    const weight = 1 - Math.exp(-(time - this.reportedAt) / Math.max(1, meanRunMs));
+    this.pace = this.getPace(time) + (reported - this.getPace(time)) * weight;
+    this.reportedAt = time;
+  }
+
+  /** Returns the factor by which work takes longer than usual at present. */
+  getPace(time: number): number {
+    const age = time - this.reportedAt;
+    if (age > maxReportAgeMs) return 1;
+    return 1 + (this.pace - 1) * Math.exp(-age / paceDecayMs);
+  }
+
+  /** Returns whether a request may be granted: fewer than slots + 1 are there. */
+  hasRoom(time: number, meanRunMs: number): boolean {
+    const most = this.slots + maxWaitingAtEndpoint;
+    if (this.slots === 0 || this.open >= most || time < this.fullUntil) return false;
+    return this.getRequests(time, meanRunMs) < most;
+  }
+
+  /** Returns when a request may be granted although no grant ends; undefined if it may now, or if only an end makes room. */
+  getRoomAt(time: number, meanRunMs: number): number | undefined {
+    const room = this.slots + maxWaitingAtEndpoint - this.open;
+    if (this.slots === 0 || room <= 0 || this.hasRoom(time, meanRunMs)) return undefined;
+    const excess = Math.max(0, this.countUngranted(time, meanRunMs) - room);
+    const leftAt = time + excess * this.getCompletionIntervalMs(time, meanRunMs);
+    return Math.max(time + 1, this.fullUntil, Math.min(leftAt, this.reportedAt + maxReportAgeMs));
+  }
+
+  /** Estimates the milliseconds until a request that is sent now would be completed. */
+  estimateCompletionMs(time: number, meanRunMs: number): number {
+    return meanRunMs * this.getPace(time) * this.getWaitFactor(time, meanRunMs);
+  }
+
+  /** Returns a new request's time from sending to response, as a multiple of its run time. */
+  getWaitFactor(time: number, meanRunMs: number): number {
+    const ahead = this.getRequests(time, meanRunMs);
+    return 1 + Math.max(0, ahead + 1 - this.slots) / Math.max(1, this.slots);
+  }
+
+  /** Returns the part of the slots that is taken, which decides between equal completion times. */
+  getOccupancy(time: number, meanRunMs: number): number {
+    return this.getRequests(time, meanRunMs) / Math.max(1, this.slots);
+  }
+
+  private getRequests(time: number, meanRunMs: number): number {
+    return this.open + this.countUngranted(time, meanRunMs);
+  }
+
+  /** Requests without a grant leave at the rate at which the endpoint completes work, until the next report. */
+  private countUngranted(time: number, meanRunMs: number): number {
+    const age = time - this.reportedAt;
+    if (this.ungranted === 0 || age > maxReportAgeMs) return 0;
+    return Math.max(0, this.ungranted - age / this.getCompletionIntervalMs(time, meanRunMs));
+  }
+
+  private getCompletionIntervalMs(time: number, meanRunMs: number): number {
+    return (meanRunMs * this.getPace(time)) / Math.max(1, this.slots);
+  }
+}
+
+function isValid({ running, waiting, slots, pacePercent }: EndpointLoad): boolean {
+  if (!isCount(running) || !isCount(waiting) || !isCount(slots)) return false;
+  if (pacePercent === undefined) return true;
+  return pacePercent >= minPacePercent && pacePercent <= maxPacePercent;
+}
+
+function isCount(value: number): boolean {
+  return Number.isFinite(value) && value >= 0;
+}
--- /dev/null
+++ b/packages/policy/src/slotEndpoints.ts
@@ -0,0 +1,93 @@
+/**
+ * Endpoints of one service whose slots are granted: chooses the endpoint of a grant and estimates what all of them
+ * complete.
+ * @module
+ */
+import type { SlotEndpoint } from "./capacityTypes.js";
+import { SlotEndpointState } from "./slotEndpointState.js";
+
+/** Endpoints of one service. Times are milliseconds of the scheduler's clock. */
+export class SlotEndpoints {
+  private readonly states = new Map<string, SlotEndpointState>();
+
+  private constructor() {}
+
+  static create(): SlotEndpoints {
+    return new SlotEndpoints();
+  }
+
+  /** Replaces the endpoints, keeps the state of those that stay, and returns the incarnations that are gone. */
+  set(endpoints: readonly SlotEndpoint[]): Set<string> {
+    const gone = new Set(this.states.keys());
+    for (const endpoint of endpoints) {
+      gone.delete(endpoint.incarnation);
+      const state = this.states.get(endpoint.incarnation);
+      if (state) state.setSlots(endpoint.slots);
+      else this.states.set(endpoint.incarnation, SlotEndpointState.create(endpoint));
+    }
+    for (const incarnation of gone) this.states.delete(incarnation);
+    return gone;
+  }
+
+  /** Returns whether a request may be sent to one of the endpoints at all, whether or not it has room. */
+  hasEligible(excluded: ReadonlySet<string>): boolean {
+    for (const state of this.states.values()) {
+      if (state.getSlots() > 0 && !excluded.has(state.incarnation)) return true;
+    }
+    return false;
+  }
+
+  /** Selects the endpoint with room where a request is completed first; undefined if none has room. */
+  select(
+    time: number,
+    meanRunMs: number,
+    excluded: ReadonlySet<string> | undefined,
+  ): SlotEndpointState | undefined {
+    let best: SlotEndpointState | undefined;
+    let bestCompletionMs = Infinity;
+    for (const state of this.states.values()) {
+      if (!state.hasRoom(time, meanRunMs) || excluded?.has(state.incarnation)) continue;
+      const completionMs = state.estimateCompletionMs(time, meanRunMs);
+      if (completionMs > bestCompletionMs) continue;
+      if (best && completionMs === bestCompletionMs && !isLessOccupied(state, best, time, meanRunMs))
+        continue;
+      best = state;
+      bestCompletionMs = completionMs;
+    }
+    return best;
+  }
+
+  /** Returns the requests that all endpoints complete per millisecond while they are busy. */
+  getRatePerMs(time: number, meanRunMs: number): number {
+    let rate = 0;
+    for (const state of this.states.values()) rate += state.getSlots() / (meanRunMs * state.getPace(time));
+    return rate;
+  }
+
+  /** Returns the expected milliseconds from a grant to the response, averaged over the slots. */
+  getRunMs(time: number, meanRunMs: number): number {
+    let slots = 0;
+    for (const state of this.states.values()) slots += state.getSlots();
+    const rate = this.getRatePerMs(time, meanRunMs);
+    return rate > 0 ? slots / rate : meanRunMs;
+  }
+
+  /** Returns the time at which an endpoint has room again although no grant ends. */
+  getRoomAt(time: number, meanRunMs: number): number | undefined {
+    let first: number | undefined;
+    for (const state of this.states.values()) {
+      const at = state.getRoomAt(time, meanRunMs);
+      if (at !== undefined && (first === undefined || at < first)) first = at;
+    }
+    return first;
+  }
+}
+
+function isLessOccupied(
+  left: SlotEndpointState,
+  right: SlotEndpointState,
+  time: number,
+  meanRunMs: number,
+): boolean {
+  return left.getOccupancy(time, meanRunMs) < right.getOccupancy(time, meanRunMs);
+}
--- /dev/null
+++ b/packages/policy/src/slotScheduler.ts
@@ -0,0 +1,189 @@
+/**
+ * Decides who gets the slots of a service that has fewer slots than the fleet has instances, while its callers compete
+ * for them. All requests for its slots are decided in one place, because a share of an instance would be below one slot.
+ * @module
+ */
+import type { Clock } from "@gladewall/kernel";
+import {
+  type SlotDecision,
+  type SlotEnd,
+  type SlotEndpoint,
+  type SlotGrant,
+  SlotOutcome,
+  SlotRefusal,
+  type SlotRequest,
+  type SlotScheduler,
+} from "./capacityTypes.js";
+import { RetryAdvice } from "./retryAdvice.js";
+import { SlotEndpoints } from "./slotEndpoints.js";
+import type { SlotEndpointState } from "./slotEndpointState.js";
+import { SlotGrants } from "./slotGrants.js";
+import { type NextRequest, SlotOrder } from "./slotOrder.js";
+import { SlotRunTime } from "./slotRunTime.js";
+
+/** Part of the objective after which a refusal would cost a caller more than a late response. */
+const maxRefusalPartOfObjective = 1 / 8;
+/** Requests that are passed over in one dispatch because they may not be sent to the endpoints with room. */
+const maxPassedOver = 64;
+
+/** What a scheduler needs from its owner. */
+export interface SlotSchedulerOptions {
+  readonly clock: Clock;
+  /** Maximum number of waiting requests. */
+  readonly maxWaiting: number;
+  /** Returns a random number from 0 to 1; spreads the times at which refused callers return. */
+  readonly getRandom: () => number;
+}
+
+/** Scheduler of the slots of one service. Times are milliseconds of the clock. */
+export class ServiceSlotScheduler implements SlotScheduler {
+  private readonly endpoints = SlotEndpoints.create();
+  private readonly runTime = SlotRunTime.create();
+  private readonly order: SlotOrder;
+  private readonly grants: SlotGrants;
+  private readonly retryAdvice: RetryAdvice;
+
+  private constructor(private readonly options: SlotSchedulerOptions) {
+    this.order = SlotOrder.create(options.clock);
+    this.grants = SlotGrants.create(options.clock);
+    this.retryAdvice = RetryAdvice.create(options.clock, options.getRandom);
+  }
+
+  static create(options: SlotSchedulerOptions): ServiceSlotScheduler {
+    return new ServiceSlotScheduler(options);
+  }
+
+  setEndpoints(endpoints: readonly SlotEndpoint[]): void {
+    this.grants.removeOf(this.endpoints.set(endpoints));
+  }
+
+  /** A repeated call for a request that waits or has a grant returns the same decision again. */
+  request(request: SlotRequest): SlotDecision {
+    this.grants.removeExpired();
+    const known = this.findDecision(request.id);
+    if (known) return known;
+    this.updateRunMs();
+    const isReturn = this.retryAdvice.tryTakeReturn(request);
+    if (request.deadlineAt <= this.getTime()) return this.refuse(request, SlotRefusal.DeadlineUnreachable);
+    if (!this.endpoints.hasEligible(request.excluded)) return this.refuse(request, SlotRefusal.NoEndpoint);
+    if (this.order.size === 0) {
+      const endpoint = this.selectEndpoint(request.excluded);
+      if (endpoint) return this.grant({ request, isPreferred: false }, endpoint);
+    }
+    const refusal = this.findRefusal(request, isReturn);
+    if (refusal !== undefined) return this.refuse(request, refusal);
+    const waitMs = this.estimateWaitMs(request);
+    this.order.add(request);
+    return { outcome: SlotOutcome.Queued, waitMs };
+  }
+
+  cancel(id: string): void {
+    if (!this.order.remove(id)) this.grants.remove(id);
+  }
+
+  /** The end of an expired or unknown grant is ignored. */
+  end(end: SlotEnd): void {
+    const grant = this.grants.get(end.id);
+    if (!grant) return;
+    const time = this.getTime();
+    const meanRunMs = this.runTime.getMeanMs();
+    if (end.load) grant.endpoint.applyReport(end.load, time, meanRunMs);
+    this.grants.remove(end.id);
+    if (end.isRejected) return grant.endpoint.setFullUntil(time + meanRunMs);
+    // The pace changes while a request runs, so it counts with its mean of the start and the end.
+    const pace = (grant.pace + grant.endpoint.getPace(time)) / 2;
+    this.runTime.record(end.tookMs, pace * grant.waitFactor);
+  }
+
+  dispatch(): { readonly granted: readonly SlotGrant[]; readonly expired: readonly string[] } {
+    this.grants.removeExpired();
+    const expired = this.order.takeExpired().map(({ id }) => id);
+    const granted: SlotGrant[] = [];
+    const passedOver: SlotRequest[] = [];
+    this.updateRunMs();
+    while (passedOver.length < maxPassedOver && this.order.size > 0 && this.selectEndpoint(undefined)) {
+      const next = this.order.take();
+      if (!next) break;
+      const endpoint = this.selectEndpoint(next.request.excluded);
+      if (!endpoint) {
+        passedOver.push(next.request);
+        continue;
+      }
+      this.grant(next, endpoint);
+      granted.push({ id: next.request.id, endpoint: endpoint.incarnation });
+    }
+    for (const request of passedOver) this.order.add(request);
+    return { granted, expired };
+  }
+
+  /** Also the time at which an endpoint has room again for a waiting request although no grant ends. */
+  getNextAt(): number | undefined {
+    const times = [this.order.getNextDeadline(), this.grants.getNextExpiry()];
+    if (this.order.size > 0) times.push(this.endpoints.getRoomAt(this.getTime(), this.runTime.getMeanMs()));
+    const known = times.filter((time) => time !== undefined);
+    return known.length > 0 ? Math.min(...known) : undefined;
+  }
+
+  getState(): { readonly waiting: number; readonly open: number } {
+    return { waiting: this.order.size, open: this.grants.size };
+  }
+
+  private findDecision(id: string): SlotDecision | undefined {
+    const grant = this.grants.get(id);
+    if (grant) return { outcome: SlotOutcome.Granted, endpoint: grant.endpoint.incarnation };
+    const waiting = this.order.get(id);
+    return waiting && { outcome: SlotOutcome.Queued, waitMs: this.estimateWaitMs(waiting) };
+  }
+
+  private findRefusal(request: SlotRequest, isReturn: boolean): SlotRefusal | undefined {
+    if (this.order.size >= this.options.maxWaiting) return SlotRefusal.QueueFull;
+    const time = this.getTime();
+    const startAt = time + this.estimateWaitMs(request);
+    if (startAt > request.deadlineAt) return SlotRefusal.DeadlineUnreachable;
+    const objectiveMs = request.objectiveAt - request.arrivedAt;
+    if (isReturn || time - request.arrivedAt > objectiveMs * maxRefusalPartOfObjective) return undefined;
+    if (startAt + this.getRunMs() <= request.objectiveAt) return undefined;
+    const completable = this.getRatePerMs() * objectiveMs;
+    return this.order.inTimeCount > completable ? SlotRefusal.ObjectiveUnreachable : undefined;
+  }
+
+  private refuse(request: SlotRequest, refusal: SlotRefusal): SlotDecision {
+    const ahead = this.order.countAhead(request);
+    const retryAfterMs = this.retryAdvice.decideRetryAfterMs(request, ahead, this.getRatePerMs());
+    return { outcome: SlotOutcome.Refused, refusal, retryAfterMs };
+  }
+
+  private grant(next: NextRequest, endpoint: SlotEndpointState): SlotDecision {
+    this.grants.add(next.request, endpoint, this.runTime.getMeanMs());
+    this.order.recordGrant(next);
+    return { outcome: SlotOutcome.Granted, endpoint: endpoint.incarnation };
+  }
+
+  /** Estimates the wait behind the requests ahead and the returns that are booked before the request's turn. */
+  private estimateWaitMs(request: SlotRequest): number {
+    const ratePerMs = this.getRatePerMs();
+    if (ratePerMs <= 0) return Math.max(0, request.deadlineAt - this.getTime());
+    const waitMs = (this.order.countAhead(request) + 1) / ratePerMs;
+    return waitMs + this.retryAdvice.countReturns(request.rank, this.getTime() + waitMs) / ratePerMs;
+  }
+
+  private selectEndpoint(excluded: ReadonlySet<string> | undefined): SlotEndpointState | undefined {
+    return this.endpoints.select(this.getTime(), this.runTime.getMeanMs(), excluded);
+  }
+
+  private updateRunMs(): void {
+    this.order.setRunMs(this.getRunMs());
+  }
+
+  private getRunMs(): number {
+    return this.endpoints.getRunMs(this.getTime(), this.runTime.getMeanMs());
+  }
+
+  private getRatePerMs(): number {
+    return this.endpoints.getRatePerMs(this.getTime(), this.runTime.getMeanMs());
+  }
+
+  private getTime(): number {
+    return this.options.clock.getTime();
+  }
+}
