Share out the slots of contended services with the slot scheduler

Cause: the queue at the arbiter and the scheduler were built apart; nothing connected them, and placement read the mode of the settings file only. Change: the scheduler is plugged in; one switch holds [overload] mode for placement and queue and follows a reload.

--- a/packages/gateway/src/gatewayParts.ts
+++ b/packages/gateway/src/gatewayParts.ts
@@ -4,7 +4,7 @@
  */
 import { getIncarnationKey } from "@gladewall/coordination";
 import type { Clock, Logger } from "@gladewall/kernel";
-import type { SlotScheduler } from "@gladewall/policy";
+import { ServiceSlotScheduler, type SlotScheduler } from "@gladewall/policy";
 import { Admission } from "./admission.js";
 import type { Endpoint, PeerWork } from "./endpoint.js";
 import { EndpointConnections } from "./endpointConnections.js";
@@ -58,8 +58,13 @@
 /** Creates the scheduler of a service's slots. */
 export type SlotSchedulerFactory = (settings: GatewaySettings, clock: Clock) => SlotScheduler;
 
-/** Scheduler of slots; while it is undefined, no slots are requested. */
-const defaultSlotScheduler: SlotSchedulerFactory | undefined = undefined;
+const createServiceSlotScheduler: SlotSchedulerFactory = (settings, clock) =>
+  ServiceSlotScheduler.create({
+    clock,
+    maxWaiting: settings.overload.max_waiting,
+    getRandom: Math.random,
+  });
+
 /** Longer than a reader takes to begin to feed an instance that has just been listed. */
 const firstWatchPauseMs = 800;
 
@@ -92,6 +97,7 @@
   readonly rates: PrefillRates;
   readonly memory: PrefixIndex;
   readonly demand: DemandEstimator;
+  readonly overload: OverloadSwitch;
 }
 
 /** All parts of an instance. */
@@ -142,7 +148,7 @@
   platform: PlatformAdapter,
   clock: Clock,
   logger: Logger,
-  createSlotScheduler = defaultSlotScheduler,
+  createSlotScheduler = createServiceSlotScheduler,
 ): GatewayParts {
   const base = { settings, platform, clock, logger };
   const { store } = platform;
@@ -194,6 +200,7 @@
     suspects: crashes.suspects,
     limits,
     permits,
+    overload: state.overload,
     ...createSlots(state, members, metrics, createSlotScheduler),
     admission,
     charges: createCharges(state, admission, members, metrics),
@@ -274,6 +281,7 @@
     counters,
     rates,
     memory: PrefixIndex.create(),
+    overload: OverloadSwitch.create(settings.overload.mode),
     demand: DemandEstimator.create({
       clock,
       counters,
@@ -347,7 +355,7 @@
   return members;
 }
 
-function createPlacer({ settings, clock, memory, rates, directory }: GatewayState, members: Members): Placer {
+function createPlacer({ overload, clock, memory, rates, directory }: GatewayState, members: Members): Placer {
   return Placer.create({
     clock,
     memory,
@@ -355,7 +363,7 @@
     getEndpoints: (service) => directory.getOfService(service),
     getPeerWork: (endpoint) => members.getPeerWork(endpoint),
     getFleetSize: () => members.getFleetSize(),
-    usesReportedLoad: () => settings.overload.mode !== "off",
+    usesReportedLoad: () => overload.mode !== OverloadMode.Off,
     getRandom: Math.random,
   });
 }
@@ -425,26 +433,19 @@
 }
 
 function createSlots(
-  { settings, incarnation, clock, logger, directory }: GatewayState,
+  { settings, incarnation, clock, logger, directory, overload }: GatewayState,
   members: Members,
   metrics: GatewayMetrics,
-  createScheduler: SlotSchedulerFactory | undefined,
-): Pick<GatewayParts, "overload" | "contention" | "slotArbiter" | "slots"> {
+  createScheduler: SlotSchedulerFactory,
+): Pick<GatewayParts, "contention" | "slotArbiter" | "slots"> {
   const ownName = settings.instance.name;
-  const overload = OverloadSwitch.create(settings.overload.mode);
-  const base = {
-    ownName,
-    clock,
-    logger,
-    directory,
-    overload: createScheduler ? overload : { mode: OverloadMode.Off },
-  };
+  const base = { ownName, clock, logger, directory, overload };
   const getFleetSize = (): number => members.getFleetSize();
   const contention = SlotContention.create({ clock, logger, directory, getFleetSize });
   const slotArbiter = SlotArbiter.create({
     ...base,
     fleet: members,
-    createScheduler: () => createScheduler!(settings, clock),
+    createScheduler: () => createScheduler(settings, clock),
   });
   const own = { name: ownName, incarnation };
   const { slotArbiters: arbiters } = members;
@@ -455,7 +456,7 @@
     contention,
     maxWaitFactor: settings.overload.max_wait,
   });
-  return { overload, contention, slotArbiter, slots };
+  return { contention, slotArbiter, slots };
 }
 
 function createAdmission(state: GatewayState, getMembers: () => Members): Admission {
