--- a/packages/policy/test/slotFailures.test.ts
+++ b/packages/policy/test/slotFailures.test.ts
@@ -78,6 +78,15 @@
   t.ok(urgent.inTime / urgent.requests > 0.97, `${urgent.inTime} of ${urgent.requests} in time`);
 });
 
+t.test("instances that send without a grant do not undo the gain of the others", async (t) => {
+  const direct = playService(300, 3, seed, true).total.getCredit();
+  const mixed = playService(300, 3, seed, false, { directPart: 0.5 }).total.getCredit();
+  const alterEnd = (end: SlotEnd): SlotEnd => ({ ...end, load: undefined });
+  const unseen = playService(300, 3, seed, false, { directPart: 0.5, alterEnd }).total.getCredit();
+  const figures = `directly ${direct.toFixed(3)}, half ${mixed.toFixed(3)}, unseen ${unseen.toFixed(3)}`;
+  t.ok(mixed > unseen && unseen > direct, figures);
+});
+
 t.test("requests sent without a grant are seen through the reported load", async (t) => {
   const { scheduler } = playService(1, 1, seed, false, { durationMs: 0 });
   const ask = (id: string) =>
--- a/packages/policy/test/slotLoad.ts
+++ b/packages/policy/test/slotLoad.ts
@@ -113,6 +113,8 @@
 export interface Alterations {
   readonly isStorm?: boolean;
   readonly durationMs?: number;
+  /** Part of the requests that are sent directly, as by instances of an earlier build. */
+  readonly directPart?: number;
   readonly alterEnd?: (end: SlotEnd) => SlotEnd | undefined;
   /** Called before the load starts, for example to set a time at which an endpoint fails. */
   readonly prepare?: (loop: EventLoop, scheduler: SlotScheduler, endpoints: readonly FakeEndpoint[]) => void;
@@ -124,7 +126,7 @@
   endpointCount: number,
   seed: number,
   isDirect: boolean,
-  { isStorm, durationMs = 60_000, alterEnd, prepare }: Alterations = {},
+  { isStorm, durationMs = 60_000, directPart = isDirect ? 1 : 0, alterEnd, prepare }: Alterations = {},
 ): Scores & { readonly scheduler: SlotScheduler } {
   const loop = new EventLoop();
   const endpoints = Array.from(
@@ -135,9 +137,11 @@
   const scheduler = ServiceSlotScheduler.create({ clock: loop.clock, maxWaiting: 256, getRandom });
   scheduler.setEndpoints(endpoints.map(({ incarnation }) => ({ incarnation, slots })));
   prepare?.(loop, scheduler, endpoints);
-  const send = isDirect
-    ? createDirectSend(loop, endpoints, getRandom)
-    : createScheduledSend(loop, scheduler, endpoints, alterEnd);
+  const sendDirectly = createDirectSend(loop, endpoints, getRandom);
+  const sendScheduled = createScheduledSend(loop, scheduler, endpoints, alterEnd);
+  const drawWay = createRandom(seed + 90);
+  const send: Send = (request, finish) =>
+    (drawWay() < directPart ? sendDirectly : sendScheduled)(request, finish);
   const load = { requestsPerSecond, durationMs, isStorm, random: createRandom(seed) };
   return { ...playLoad(loop, load, send), scheduler };
 }
