--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -48,6 +48,7 @@
 export { formatLeaseHandle, parseLeaseHandle } from "./leaseHandle.js";
 export { PermitIssuer } from "./permitIssuer.js";
 export { LimitGossip } from "./limitGossip.js";
+export { LargestRequests } from "./largestRequests.js";
 export { LimitOrders } from "./limitOrders.js";
 export { OverloadMode, type OverloadModeValue } from "./overloadMode.js";
 export { LimitMessageKind, type PermitReply, type PermitCall, PermitDecision } from "./limitMessages.js";
--- a/packages/gateway/src/limitOrders.ts
+++ b/packages/gateway/src/limitOrders.ts
@@ -84,7 +84,8 @@
       rank,
       units,
       mode,
-      level: Math.round(level),
+      // `level` is the field of the log level.
+      taken: Math.round(level),
       room: Math.round(capacity),
       limit: Math.round(ratePerSecond),
       demands: format("demand"),
--- /dev/null
+++ b/packages/gateway/test/limitOrders.test.ts
@@ -0,0 +1,104 @@
+/*
+ * Guards against refusals by the order inside a limit that operators cannot see or switch off, and against units that are reserved
+ * for large requests of a less urgent rank.
+ */
+import t from "tap";
+import { LargestRequests } from "@gladewall/gateway";
+import {
+  type BenchInstance,
+  createRoute,
+  createWorkspace,
+  GatewayTestBench,
+  respondSuccess,
+  ScriptedEndpoint,
+} from "@gladewall/standins";
+import { Logger, LogLevel, VirtualClock } from "@gladewall/kernel";
+
+const requests = 300;
+/** Requests a second, and the burst. */
+const limit = 60;
+/** Every so manyth request is urgent: few enough that the share of their rank holds all of them. */
+const urgentInterval = 30;
+
+/** Sends a burst of requests, of which most are of the least urgent rank; returns the failures by rank. */
+async function sendBurst(bench: GatewayTestBench, instance: BenchInstance): Promise<number[][]> {
+  const statuses: number[][] = [[], []];
+  const calls = Array.from({ length: requests }, async (_, index) => {
+    const rank = index % urgentInterval === 0 ? 0 : 1;
+    const { status, headers } = await bench.call(instance, {
+      key: "key",
+      path: rank === 0 ? "/urgent/" : "/",
+    });
+    statuses[rank]!.push(status);
+    if (status === 429 && Number(headers["retry-after"]) <= 0) throw new Error("no time to return");
+  });
+  await Promise.all(calls);
+  return statuses;
+}
+
+t.test(
+  "a refusal by the order is logged with its inputs and counted, until the mode is set to off",
+  async (t) => {
+    const lines: string[] = [];
+    const logger = Logger.create(LogLevel.Debug, {}, (line) => lines.push(line));
+    const bench = GatewayTestBench.create(undefined, logger);
+    bench.platform.configure({
+      routes: [
+        createRoute({ name: "urgent", prefix: "/urgent/" }),
+        createRoute({ name: "other", priority: 2 }),
+      ],
+      workspaces: [createWorkspace({ ratePerSecond: limit, burst: limit })],
+    });
+    const endpoint = await ScriptedEndpoint.create("b", respondSuccess);
+    bench.platform.putEndpoint({ id: "b", address: endpoint.address });
+    const instance = await bench.startReady(1);
+    t.teardown(() => Promise.all([bench.close(), endpoint.close()]));
+    const startedAt = performance.now();
+    const [urgent, other] = await sendBurst(bench, instance);
+    const elapsedMs = performance.now() - startedAt;
+    const countServed = (statuses: readonly number[] = []): number =>
+      statuses.filter((code) => code === 200).length;
+    t.ok(
+      countServed(urgent) >= (0.8 * requests) / urgentInterval,
+      `urgent requests served: ${countServed(urgent)}`,
+    );
+    const served = countServed(urgent) + countServed(other);
+    t.ok(served <= limit + (limit * elapsedMs) / 1_000, `${served} served within ${elapsedMs} ms`);
+    const refusal = lines.find((line) => line.includes("failure=QuotaShareSpent"));
+    t.match(refusal, /event=request.refused .*status=429 .*the share of rank 2 is used up, \d+ of 60 taken/);
+    const retryAfterMs = Number(/retryAfterMs=(\d+)/.exec(refusal ?? "")?.[1]);
+    t.ok(retryAfterMs >= 300 && retryAfterMs <= 2_000, String(retryAfterMs));
+    const decision = lines.find((line) => line.includes("event=quota.order-refused"));
+    t.match(
+      decision,
+      / level=debug .*workspace=workspace rank=2 units=1 mode=on taken=\d+ room=60 limit=60 .*0:\d+ 2:\d+/,
+    );
+    const series = /gladewall_quota_order_refusals_total\{workspace="workspace",rank="2",mode="on"\} (\d+)/;
+    const counted = series.exec(await bench.readMetrics(instance))?.[1];
+    t.ok(Number(counted) > 0, `counted: ${counted}`);
+
+    instance.gateway.setOverloadMode("off");
+    lines.length = 0;
+    await sendBurst(bench, instance);
+    t.ok(lines.some((line) => line.includes("failure=QuotaSpent")));
+    t.notOk(lines.some((line) => line.includes("QuotaShareSpent") || line.includes("quota.order-refused")));
+    t.equal(series.exec(await bench.readMetrics(instance))?.[1], counted);
+  },
+);
+
+t.test("units are reserved for the largest request of the same or a more urgent rank only", async (t) => {
+  const clock = VirtualClock.create();
+  const largest = LargestRequests.create(clock);
+  const getRequired = (rank: number | undefined, cost: number): number =>
+    largest.getRequired({ workspace: "w", rank, cost, bound: 100_000 });
+  t.equal(getRequired(2, 9_000), 9_000);
+  t.equal(getRequired(0, 2_400), 2_400, "a large request of a less urgent rank");
+  t.equal(getRequired(2, 1_000), 9_000, "a large request of the same rank");
+  t.equal(getRequired(0, 5_000), 5_000);
+  t.equal(getRequired(1, 1_000), 5_000, "a large request of a more urgent rank");
+  t.equal(getRequired(undefined, 1_000), 9_000, "without a rank, that of all ranks");
+  t.equal(getRequired(2, 90_000), 90_000);
+  t.equal(getRequired(2, 1_000), 25_000, "at most a quarter of the capacity");
+  await clock.advance(10_001);
+  t.equal(getRequired(2, 1_000), 1_000, "requests that are too old");
+});
--- a/packages/policy/src/limitOrder.ts
+++ b/packages/policy/src/limitOrder.ts
@@ -58,8 +58,8 @@
 /** Smallest part of the rate that is divided while the level is above the target. */
 const minAvailableShare = 0.5;
 /**
- * The demand of the last slices, 0.5 s, counts instead of that of the whole window if it is this many times the rate: a surge
- * fills the capacity within 0.5 s, before the whole window shows it.
+ * The demand of the last slices, 0.5 s, counts where it is higher than that of the whole window, if it is this many times the rate:
+ * a surge fills the capacity within 0.5 s, before the whole window shows it.
  */
 const surgeFactor = 1.5;
 const recentSlices = 5;
@@ -168,20 +168,25 @@
     }));
   }
 
-  /** Returns the demand of the window, or that of the last slices if that is a surge, sorted by rank. */
+  /** Returns the demand of the window and, if the last slices show a surge, at least theirs; sorted by rank. */
   private getDemands(time: number, ratePerSecond: number): readonly RankDemand[] {
-    const known = [...this.ranks].sort(([left], [right]) => left - right);
     const observedMs = this.getObservedMs(time);
     const sliceMs = demandWindowMs / sliceCount;
     const recentMs = (recentSlices - 1) * sliceMs + (time % sliceMs);
-    const create = (getSum: (demand: UnitWindow) => number, milliseconds: number): readonly RankDemand[] =>
-      known
-        .map(([rank, { demand }]) => ({ rank, unitsPerSecond: toRate(getSum(demand), milliseconds) }))
-        .filter(({ unitsPerSecond }) => unitsPerSecond > 0);
-    const whole = create((demand) => demand.getSum(time), observedMs);
-    const recent = create((demand) => demand.getRecentSum(time, recentSlices), recentMs);
-    const recentTotal = sumRates(recent);
-    return recentTotal >= ratePerSecond * surgeFactor && recentTotal > sumRates(whole) ? recent : whole;
+    const demands = [...this.ranks]
+      .map(([rank, { demand }]) => ({
+        rank,
+        unitsPerSecond: toRate(demand.getSum(time), observedMs),
+        recent: toRate(demand.getRecentSum(time, recentSlices), recentMs),
+      }))
+      .filter(({ unitsPerSecond }) => unitsPerSecond > 0)
+      .sort((left, right) => left.rank - right.rank);
+    const isSurge = demands.reduce((sum, { recent }) => sum + recent, 0) >= ratePerSecond * surgeFactor;
+    if (!isSurge) return demands;
+    return demands.map(({ rank, unitsPerSecond, recent }) => ({
+      rank,
+      unitsPerSecond: Math.max(unitsPerSecond, recent),
+    }));
   }
 
   private getObservedMs(time: number): number {
@@ -201,15 +206,18 @@
     return waitMs;
   }
 
-  /** Records a request's units; returns whether it is one that was refused before, whose units then move to the current time. */
+  /**
+   * Records a request's units; returns whether it may be one that was refused before. Such a request counts once, at the time of
+   * its refusal. One that may as well be new counts again: if demand were estimated too low, the order would end within the surge.
+   */
   private recordDemand(rank: number, units: number): boolean {
     this.observe();
     const time = this.clock.getTime();
     const { demand, refused } = this.getState(rank);
-    const refusedAt = refused.takeReturn(time, units);
-    if (refusedAt !== undefined) demand.remove(time, units, refusedAt);
-    demand.add(time, units);
-    return refusedAt !== undefined;
+    const found = refused.takeReturn(time, units);
+    const isInWindow = found && time - found.refusedAt < demandWindowMs && demand.getSum(time) > 0;
+    if (!isInWindow || found.isAmbiguous) demand.add(time, units);
+    return found !== undefined;
   }
 
   private observe(): void {
@@ -247,10 +255,6 @@
   return level >= capacity * shortageLevel;
 }
 
-function sumRates(demands: readonly RankDemand[]): number {
-  return demands.reduce((sum, { unitsPerSecond }) => sum + unitsPerSecond, 0);
-}
-
 function toRate(units: number, milliseconds: number): number {
   return (units / milliseconds) * millisecondsPerSecond;
 }
--- a/packages/policy/src/refusedRequests.ts
+++ b/packages/policy/src/refusedRequests.ts
@@ -1,7 +1,6 @@
 /**
  * Refused requests whose callers were told to return. A returned request has a new id, so it is recognized by its units and by
- * the time at which it comes. Where all requests have the same size, a new request may be taken for a returned one; demand is
- * then estimated too low by the refused requests that do not return.
+ * the time at which it comes. Where many requests have the same size, a new one cannot be told from a returned one.
  * @module
  */
 
@@ -19,6 +18,14 @@
   readonly dueUntil: number;
 }
 
+/** A refused request that may have returned. */
+export interface ReturnedRequest {
+  /** Time of the refusal. */
+  readonly refusedAt: number;
+  /** Whether other requests of this size came too, so that this one may also be new. */
+  readonly isAmbiguous: boolean;
+}
+
 /** The refused requests of one rank. */
 export class RefusedRequests {
   private readonly requests: RefusedRequest[] = [];
@@ -40,14 +47,14 @@
     if (this.requests.length > maxRefused) this.removeAt(0);
   }
 
-  /** Removes the oldest refused request that this one may be; returns the time of its refusal, or undefined if there is none. */
-  takeReturn(time: number, units: number): number | undefined {
+  /** Removes the oldest refused request that this one may be; returns undefined if there is none. */
+  takeReturn(time: number, units: number): ReturnedRequest | undefined {
     this.expire(time);
     const index = this.requests.findIndex((request) => request.units === units && request.dueFrom <= time);
     if (index < 0) return undefined;
-    const { at } = this.requests[index]!;
+    const { at: refusedAt } = this.requests[index]!;
     this.removeAt(index);
-    return at;
+    return { refusedAt, isAmbiguous: this.requests.some((request) => request.units === units) };
   }
 
   /** Returns the units of the requests that may still return. */
--- a/packages/policy/src/unitWindow.ts
+++ b/packages/policy/src/unitWindow.ts
@@ -1,5 +1,5 @@
 /**
- * Sum of units over a sliding window of time, kept in slices, from which units can be taken back.
+ * Sum of units over a sliding window of time, kept in slices.
  * @module
  */
 
@@ -27,17 +27,6 @@
     this.total += units;
   }
 
-  /** Takes back units that were added at a time; those that have left the window count no more anyway. */
-  remove(time: number, units: number, addedAt: number): void {
-    this.advance(time);
-    const slice = Math.floor(addedAt / this.sliceMs);
-    if (this.current - slice > sliceCount) return;
-    const index = slice % this.slices.length;
-    const removed = Math.min(this.slices[index]!, units);
-    this.slices[index]! -= removed;
-    this.total -= removed;
-  }
-
   getSum(time: number): number {
     this.advance(time);
     return Math.max(0, this.total);
