Test calls with and without a rank at one arbiter, and refuse with the limit's own wait

Cause: nothing tested that an arbiter decides calls of earlier builds by the limit alone beside ordered ones, nor that units which wait for another reply are not counted twice; a refusal by an instance's own view told a wait without the reserved units. Change: three tests; the wait of such a refusal includes what the limit requires to be free.

--- a/packages/gateway/src/admission.ts
+++ b/packages/gateway/src/admission.ts
@@ -150,10 +150,11 @@
    */
   findRefusal(workspace: Workspace, demand: QuotaDemand): Failure | undefined {
     const check = this.createCheck(workspace, demand);
-    const isOrdered =
-      this.options.orders?.appliesTo(demand.rank) && this.largest.hasSeveralRanks(workspace.name);
-    const taking = isOrdered ? { ...check, needed: 0 } : check;
-    return getExcess(taking) > 0 ? this.createLimitFailure(taking) : undefined;
+    if (getExcess(check) <= 0) return undefined;
+    const { orders } = this.options;
+    const isOrdered = orders?.appliesTo(demand.rank) && this.largest.hasSeveralRanks(workspace.name);
+    if (isOrdered && getExcess({ ...check, needed: 0 }) <= 0) return undefined;
+    return this.createLimitFailure(check);
   }
 
   /** Returns the refusal for units that the limit's arbiter did not grant. */
--- a/packages/gateway/test/limitOrders.test.ts
+++ b/packages/gateway/test/limitOrders.test.ts
@@ -3,7 +3,20 @@
  * for large requests of a less urgent rank.
  */
 import t from "tap";
-import { LargestRequests } from "@gladewall/gateway";
+import {
+  Admission,
+  type ConfigurationFollower,
+  CounterKind,
+  GrantDecision,
+  LargestRequests,
+  LimitOrders,
+  MemberMessageKind,
+  type OverloadModeValue,
+  type QuotaReply,
+  QuotaUse,
+  RouteTable,
+  SharedCounters,
+} from "@gladewall/gateway";
 import {
   type BenchInstance,
   createRoute,
@@ -102,3 +115,104 @@
   await clock.advance(10_001);
   t.equal(getRequired(2, 1_000), 1_000, "requests that are too old");
 });
+
+const rate = 10_000;
+const windows = {
+  [CounterKind.Quota]: 8_000,
+  [CounterKind.Requests]: 10_000,
+  [CounterKind.Retries]: 10_000,
+  [CounterKind.PromptTokens]: 4_000,
+};
+
+/** Creates the arbiter of a limit of which 0.55 are taken, its clock, and a function that sends it a peer's calls. */
+function createArbiter(lines: string[], getMode: () => OverloadModeValue) {
+  const clock = VirtualClock.create();
+  const workspace = createWorkspace({ ratePerSecond: rate, burst: rate });
+  const limits = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
+  const table = RouteTable.create({
+    version: 1,
+    routes: [],
+    services: new Map(),
+    limits,
+    workspaces: [workspace],
+  });
+  const logger = Logger.create(LogLevel.Debug, {}, (line) => lines.push(line));
+  const admission = Admission.create({
+    clock,
+    // The only method of a follower that limits use.
+    follower: { getTable: () => table } as Partial<ConfigurationFollower> as ConfigurationFollower,
+    counters: SharedCounters.create({ clock, windows }),
+    quotaWindowMs: windows[CounterKind.Quota],
+    quotaSlack: 0,
+    isFirstStart: true,
+    getKnownShare: () => 1,
+    getRandom: () => 0,
+    orders: LimitOrders.create({ clock, logger, getMode, countRefusal: () => undefined }),
+  });
+  admission.updateDrainRates();
+  admission.addQuota(workspace, 0.55 * rate);
+  let total = 0;
+  const call = (units: number, rank?: number, unanswered = 0): QuotaReply => {
+    const message = {
+      kind: MemberMessageKind.QuotaCall as const,
+      workspace: workspace.name,
+      total: total + units + unanswered,
+      uptime: 1,
+      use: QuotaUse.First,
+      ...(rank !== undefined && { rank, units }),
+    };
+    const reply = admission.decideForPeer({ name: "peer", incarnation: 1 }, message);
+    if (reply.word === GrantDecision.Granted) total += units + unanswered;
+    return reply;
+  };
+  return { clock, call };
+}
+
+/** Sends requests of two ranks until the order refuses the less urgent one. */
+async function useUpShare({ clock, call }: ReturnType<typeof createArbiter>): Promise<QuotaReply> {
+  for (let index = 0; index < 200; index++) {
+    await clock.advance(5);
+    call(1, 0);
+    const reply = call(100, 2);
+    if (reply.word === GrantDecision.Refused) return reply;
+  }
+  throw new Error("nothing was refused");
+}
+
+t.test(
+  "a call of an earlier build, without a rank, is decided by the limit alone beside others",
+  async (t) => {
+    const arbiter = createArbiter([], () => "on");
+    const { call } = arbiter;
+    const refused = await useUpShare(arbiter);
+    t.type(refused.waitMs, "number");
+    const { word, waitMs } = call(100);
+    t.equal(word, GrantDecision.Granted);
+    t.equal(waitMs, undefined);
+    t.equal(call(100, 2).word, GrantDecision.Refused);
+    t.equal(call(rate).word, GrantDecision.Refused, "the limit has no room");
+  },
+);
+
+t.test("requests that wait for another reply do not count twice in the demand", async (t) => {
+  const lines: string[] = [];
+  const arbiter = createArbiter(lines, () => "on");
+  const { call } = arbiter;
+  await useUpShare(arbiter);
+  lines.length = 0;
+  t.equal(call(101, 2, 500).word, GrantDecision.Refused);
+  t.match(lines.join(), / units=101 /);
+});
+
+t.test("a changed mode takes effect with the next decision", async (t) => {
+  let mode: OverloadModeValue = "on";
+  const arbiter = createArbiter([], () => mode);
+  const { call } = arbiter;
+  await useUpShare(arbiter);
+  mode = "observe";
+  t.equal(call(100, 2).word, GrantDecision.Granted);
+  mode = "on";
+  t.equal(call(100, 2).word, GrantDecision.Refused);
+  mode = "off";
+  t.equal(call(100, 2).word, GrantDecision.Granted);
+});
