--- a/packages/gateway/src/gatewayMetrics.ts
+++ b/packages/gateway/src/gatewayMetrics.ts
@@ -6,6 +6,7 @@
 import type { ConnectionTraffic } from "@gladewall/coordination";
 import { type Closeable, listen, Metrics } from "@gladewall/kernel";
 import { LeavingSource } from "./endpointAvailability.js";
+import { OverloadMode } from "./overloadSwitch.js";
 
 /** Values that are read when the metrics are requested. */
 export interface MetricSources {
@@ -112,6 +113,14 @@
     this.registry.getCounter("gladewall_quota_asks_total", "Questions to arbiters of limits.", labels).add();
   }
 
+  /** Counts a refusal by the order inside a workspace's limit; in mode `observe` the request was not refused. */
+  countOrderRefusal(workspace: string, rank: number, mode: OverloadMode): void {
+    const help =
+      "Requests over the share of their rank while a workspace's limit is short, by the limit's arbiter.";
+    const labels = { workspace, rank: String(rank), mode: OverloadMode[mode].toLowerCase() };
+    this.registry.getCounter("gladewall_quota_order_refusals_total", help, labels).add();
+  }
+
   /** Counts a call for a permit, by its decision. */
   countPermit(word: string): void {
     const help = "Questions for permits to send to endpoints that name a limit.";
--- a/packages/gateway/src/gatewayParts.ts
+++ b/packages/gateway/src/gatewayParts.ts
@@ -26,6 +26,7 @@
 import { OverloadMode, OverloadSwitch } from "./overloadSwitch.js";
 import { PermitIssuer } from "./permitIssuer.js";
 import { LimitGossip } from "./limitGossip.js";
+import { LimitOrders } from "./limitOrders.js";
 import { PermitClient } from "./permitClient.js";
 import { gatewayPrefix } from "./memberRecords.js";
 import { Members, type MembersOptions } from "./members.js";
@@ -168,7 +169,8 @@
   );
   const { time, follower, directory, usage, counters, rates } = state;
   const reporter: UsageReporter = createReporter(state, items, (key) => members.items.get(key));
-  const admission: Admission = createAdmission(state, () => members);
+  const metrics = GatewayMetrics.create(settings.listen.metrics);
+  const admission: Admission = createAdmission(state, createOrders(state, metrics), () => members);
   const members: Members = createMembers(state, reporter, {
     decideQuotaCall: (peer, call) => admission.decideForPeer(peer, call),
     onItem: (key, item, removal) => {
@@ -181,7 +183,6 @@
       items.writeDueItems();
     },
   });
-  const metrics = GatewayMetrics.create(settings.listen.metrics);
   reportEras(store.eras, logger, metrics);
   const crashes: CrashProtection = createCrashes(state, members, metrics);
   const { limits, permits, links } = createLimits(state, members, metrics);
@@ -459,7 +460,16 @@
   return { contention, slotArbiter, slots };
 }
 
-function createAdmission(state: GatewayState, getMembers: () => Members): Admission {
+function createOrders({ clock, logger, overload }: GatewayState, metrics: GatewayMetrics): LimitOrders {
+  return LimitOrders.create({
+    clock,
+    logger,
+    overload,
+    countRefusal: (workspace, rank, mode) => metrics.countOrderRefusal(workspace, rank, mode),
+  });
+}
+
+function createAdmission(state: GatewayState, orders: LimitOrders, getMembers: () => Members): Admission {
   const { settings, clock, follower, counters } = state;
   return Admission.create({
     clock,
@@ -472,6 +482,7 @@
     isFirstStart: settings.instance.first_start,
     getKnownShare: () => getMembers().getKnownShare(),
     getRandom: Math.random,
+    orders,
   });
 }
 
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -16,6 +16,8 @@
 export * from "./prefixes.js";
 export * from "./placement.js";
 export * from "./prefillRate.js";
+export * from "./limitOrder.js";
+export * from "./limitShares.js";
 export * from "./retry.js";
 export * from "./reasons.js";
 export * from "./retryAdvice.js";
