Bound the record of grants of a contended service without a queue

Cause: grants older than 2 s were removed only when a waiting request was taken from the queue. A service that stayed contended while every request was granted at once kept a record of each grant, and ranks that had not been served for long lowered the least share that wait estimates use.

Change: recording a grant removes the old ones first.

The new test of slotOrder failed before.

--- a/packages/policy/src/serviceShares.ts
+++ b/packages/policy/src/serviceShares.ts
@@ -58,8 +58,9 @@
     this.removeUnused(tally);
   }
 
-  /** Records a grant. */
+  /** Records a grant, and forgets those before the period: `findStarved` is not called while nothing waits. */
   recordGrant(key: Key, isPreferred: boolean): void {
+    this.removeOld();
     const tally = this.getTally(key);
     tally.grants += 1;
     tally.lastGrantAt = this.clock.getTime();
--- a/packages/policy/test/slotOrder.test.ts
+++ b/packages/policy/test/slotOrder.test.ts
@@ -128,3 +128,16 @@
   );
   t.pass();
 });
+
+/* Guards against a record of grants that grows for as long as a service is contended and nothing waits. */
+t.test("grants that no request waited for stop counting after 2 s", async (t) => {
+  const clock = VirtualClock.create();
+  const order = SlotOrder.create(clock);
+  const request = createRequest("first", {});
+  const ranks = Array.from({ length: 10 }, (_, rank) => rank);
+  for (const rank of ranks) order.recordGrant({ request: { ...request, rank }, isPreferred: false });
+  t.equal(order.countMostServed(request), 40, "a quarter of the average of ten ranks");
+  await clock.advance(2_100);
+  order.recordGrant({ request, isPreferred: false });
+  t.equal(order.countMostServed(request), 4, "one rank is left");
+});
