Don't count refusals of leaving endpoints as contention

Cause: any response that promised that the request had not run made its service contended for 3 s, also that of an endpoint that drains. Requests of a service with free slots then asked an arbiter during each roll-out.

Change: such a response counts only if its endpoint is not leaving.

--- a/packages/gateway/src/attemptStage.ts
+++ b/packages/gateway/src/attemptStage.ts
@@ -82,7 +82,7 @@
     endpoint.availability.endAttempt(round, result.outcome === AttemptOutcome.Answered);
     context.isAttemptPending = false;
     metrics.countAttempt(context.request.service.name, AttemptOutcome[result.outcome]);
-    this.recordSlotUse(result.outcome);
+    this.recordSlotUse(endpoint, result.outcome);
     if (result.outcome !== AttemptOutcome.NotSent) context.history.recordArrival();
     if (context.isOver) return NextStep.Done;
     if (result.outcome !== AttemptOutcome.Answered || !result.response)
@@ -97,9 +97,11 @@
   }
 
   /** Frees the slot of an attempt without a response now; that of others is freed when the response has been read. */
-  private recordSlotUse(outcome: AttemptOutcome): void {
+  private recordSlotUse(endpoint: Endpoint, outcome: AttemptOutcome): void {
     const { slot, parts, request, isOver } = this.context;
-    if (outcome === AttemptOutcome.NotRun) parts.contention.recordRejection(request.service.name);
+    // A leaving endpoint refuses requests however much room the service has.
+    if (outcome === AttemptOutcome.NotRun && endpoint.isUsable())
+      parts.contention.recordRejection(request.service.name);
     if (outcome === AttemptOutcome.Answered) return;
     // The arbiter grants no slots for a while at an endpoint that takes no requests, whatever the reason.
     const isAborted = isOver && outcome === AttemptOutcome.NotSent;
--- a/packages/gateway/test/queuedRequests.test.ts
+++ b/packages/gateway/test/queuedRequests.test.ts
@@ -174,6 +174,22 @@
   },
 );
 
+t.test("a request that a leaving endpoint did not run is no sign of contention", async (t) => {
+  const { bench, arbiter, endpoints } = await startContended(t, { load: "0,0,1,100" });
+  const left: string[] = [];
+  for (const endpoint of endpoints) {
+    endpoint.script = (call) => {
+      if (left.length > 0) return respondWithLoad(call, "0,0,1,100");
+      left.push(call.id);
+      call.response.setHeader("x-leaving", "1");
+      respondNotRun(call);
+    };
+  }
+  for (let index = 0; index < 5; index++) t.equal((await bench.call(arbiter)).status, 200);
+  t.equal(left.length, 1);
+  t.notMatch(await bench.readMetrics(arbiter), /gladewall_slot_decisions_total\{/);
+});
+
 t.test("slots of an endpoint that holds off an instance are not granted to it", async (t) => {
   const { bench, arbiter, endpoints, schedulers } = await startContended(t);
   const [first, second] = endpoints;
