Keep the grants at endpoints that the arbiter cannot reach for a while

Cause: after one failed connection of the arbiter's own, the endpoint was left out of the list, which removed its open grants. When the pause was over, all its slots were granted again while the requests of the former grants still ran there.

Change: such an endpoint stays in the list with no slots, so its grants stay counted and no new ones are made. The test scheduler knows endpoints without slots as well.

--- a/packages/gateway/src/slotArbiter.ts
+++ b/packages/gateway/src/slotArbiter.ts
@@ -138,14 +138,19 @@
     return queue;
   }
 
-  /** Usable endpoints without those that this instance cannot reach; all usable ones if it reaches none. */
+  /**
+   * Usable endpoints. Those that this instance cannot reach have no slots, unless it reaches none: they stay in the list, because
+   * requests with open grants may still run there.
+   */
   private getEndpoints(service: string): readonly SlotEndpoint[] {
     const { clock, directory } = this.options;
     const time = clock.getTime();
     const usable = directory.getOfService(service).filter((endpoint) => endpoint.isUsable());
-    const reachable = usable.filter((endpoint) => !endpoint.isUnreachable(time));
-    const chosen = reachable.length > 0 ? reachable : usable;
-    return chosen.map(({ incarnation, record }) => ({ incarnation, slots: record.slots }));
+    const isAnyReachable = usable.some((endpoint) => !endpoint.isUnreachable(time));
+    return usable.map((endpoint) => {
+      const hasSlots = !isAnyReachable || !endpoint.isUnreachable(time);
+      return { incarnation: endpoint.incarnation, slots: hasSlots ? endpoint.record.slots : 0 };
+    });
   }
 
   private dropIdleQueues(): void {
--- a/packages/gateway/test/fifoSlotScheduler.ts
+++ b/packages/gateway/test/fifoSlotScheduler.ts
@@ -51,7 +51,7 @@
   }
 
   request(request: SlotRequest): SlotDecision {
-    if (this.endpoints.every(({ incarnation }) => request.excluded.has(incarnation)))
+    if (this.endpoints.every(({ incarnation, slots }) => slots === 0 || request.excluded.has(incarnation)))
       return { outcome: SlotOutcome.Refused, refusal: SlotRefusal.NoEndpoint, retryAfterMs };
     const endpoint = this.waiting.length === 0 ? this.tryGrant(request) : undefined;
     if (endpoint !== undefined) return { outcome: SlotOutcome.Granted, endpoint };
@@ -100,7 +100,7 @@
   private tryGrant({ id, excluded, deadlineAt }: SlotRequest): string | undefined {
     const counts = this.endpoints.map(({ incarnation, slots }) => {
       const open = [...this.open.values()].filter((grant) => grant.endpoint === incarnation).length;
-      return { incarnation, room: slots + 1 - open };
+      return { incarnation, room: slots > 0 ? slots + 1 - open : 0 };
     });
     counts.sort((one, other) => other.room - one.room);
     const best = counts.find(({ incarnation, room }) => room > 0 && !excluded.has(incarnation));
--- /dev/null
+++ b/packages/gateway/test/slotArbiter.test.ts
@@ -0,0 +1,62 @@
+/* Guards against an arbiter that grants slots twice because it forgets grants. */
+import t from "tap";
+import type { PeerLinks } from "@gladewall/coordination";
+import { type Endpoint, OverloadMode, SlotArbiter, type SlotReply, SlotWord } from "@gladewall/gateway";
+import { Logger, LogLevel, VirtualClock } from "@gladewall/kernel";
+import { ServiceSlotScheduler } from "@gladewall/policy";
+import { createKnownEndpoint } from "./knownEndpoints.js";
+
+const requester = { name: "i", incarnation: 1 };
+const objectiveMs = 300;
+
+/** An arbiter of a service with endpoints that have one slot each. */
+class Bench {
+  readonly clock = VirtualClock.create();
+  readonly endpoints: readonly Endpoint[];
+  readonly arbiter: SlotArbiter;
+  private count = 0;
+
+  constructor(endpointCount: number, maxWaiting: number) {
+    this.endpoints = Array.from({ length: endpointCount }, (_, index) =>
+      createKnownEndpoint({ id: `e${index}`, slots: 1 }),
+    );
+    const links: Partial<PeerLinks> = {
+      setHandler: () => undefined,
+      onLinkUp: () => undefined,
+      onLinkDown: () => undefined,
+    };
+    const { clock } = this;
+    this.arbiter = SlotArbiter.create({
+      clock,
+      logger: Logger.create(LogLevel.Error, {}, () => undefined),
+      ownName: "arbiter",
+      fleet: { links: links as PeerLinks, isCollector: true },
+      directory: { getOfService: () => this.endpoints },
+      overload: { mode: OverloadMode.On },
+      createScheduler: () => ServiceSlotScheduler.create({ clock, maxWaiting, getRandom: () => 0 }),
+    });
+  }
+
+  request(ageMs = 0): { readonly id: string; readonly reply: SlotReply } {
+    const id = String(this.count++);
+    const call = { service: "web", id, workspace: "", route: "r", rank: 0, ageMs, excluded: [] };
+    const times = { objectiveMs: objectiveMs - ageMs, deadlineMs: 1_500 };
+    return { id, reply: this.arbiter.request(requester, { ...call, ...times }) };
+  }
+}
+
+function getEndpoint(reply: SlotReply): string | undefined {
+  return reply.word === SlotWord.Granted ? reply.endpoint : undefined;
+}
+
+t.test("grants of an endpoint that the arbiter cannot reach for a while stay counted", async (t) => {
+  const bench = new Bench(2, 10);
+  const granted = Array.from({ length: 4 }, () => getEndpoint(bench.request().reply));
+  t.same(granted.sort(), ["e0", "e0", "e1", "e1"]);
+  bench.endpoints[0]!.recordUnreachable(bench.clock.getTime());
+  t.equal(bench.request().reply.word, SlotWord.Queued);
+  await bench.clock.advance(1_000);
+  t.notOk(bench.endpoints[0]!.isUnreachable(bench.clock.getTime()));
+  t.equal(bench.arbiter.countWaiting(), 1, "the requests there have not ended");
+  bench.arbiter.close();
+});
--- a/packages/policy/src/capacityTypes.ts
+++ b/packages/policy/src/capacityTypes.ts
@@ -100,6 +100,7 @@
 /** An endpoint whose slots are granted. */
 export interface SlotEndpoint {
   readonly incarnation: string;
+  /** 0 if nothing is to be sent there now; open grants stay counted. */
   readonly slots: number;
 }
 
