Send a request directly if the arbiter knows no endpoint for it

Cause: an instance requests a slot only if it knows an endpoint for the request. The arbiter may not know that endpoint yet, or may not reach it. It then refused the request, although the service without a queue would have served it.

Change: the refusal for lack of an endpoint is treated as no decision.

Result: the new test of slots failed before and passes.

--- a/packages/gateway/src/slotAsk.ts
+++ b/packages/gateway/src/slotAsk.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { Clock } from "@gladewall/kernel";
-import type { SlotRefusal } from "@gladewall/policy";
+import { SlotRefusal } from "@gladewall/policy";
 import { HeldSlot } from "./heldSlot.js";
 import { maxExcluded, type SlotCall, SlotWord } from "./slotMessages.js";
 import { createCancellation, type DecidedReply, type SlotTransport } from "./slotTransport.js";
@@ -176,6 +176,8 @@
     }
     if (reply?.word === SlotWord.Refused) {
       const { arbiter, refusal, retryAfterMs } = reply;
+      // This instance knows an endpoint that the arbiter does not know yet, so the arbiter cannot decide on its slots.
+      if (refusal === SlotRefusal.NoEndpoint) return { result: SlotResult.Direct, arbiter };
       return { result: SlotResult.Refused, arbiter, refusal, retryAfterMs };
     }
     return { result: SlotResult.Direct };
--- a/packages/gateway/test/slots.test.ts
+++ b/packages/gateway/test/slots.test.ts
@@ -293,3 +293,14 @@
   for (const refusal of [99, "QueueFull", undefined])
     t.notOk(isSlotReply({ word: SlotWord.Refused, arbiter: "a", refusal }), String(refusal));
 });
+
+t.test("a request that may be sent to no endpoint that the arbiter knows is sent directly", async (t) => {
+  const fleet = await SlotFleet.create(small);
+  const excluded = ["e0", "e1"];
+  const answer = fleet.client.client.acquire(
+    { ...fleet.createWish("r"), excluded },
+    new AbortController().signal,
+  );
+  await fleet.advance(10);
+  t.equal((await answer).result, SlotResult.Direct, "its instance knows another endpoint");
+});
