Refuse a request that gave way to another between two wait calls

Cause: when a full queue dropped a late request for one in time, and its requester had no wait call open at that moment, the arbiter forgot it. The next wait call then looked like that of an arbiter which has lost its state, and the request was sent to another arbiter or directly.

Change: the arbiter keeps the request as expired until the next wait call, and refuses it then.

Result: the new test of slotArbiter failed before and passes.

--- a/packages/gateway/src/slotQueue.ts
+++ b/packages/gateway/src/slotQueue.ts
@@ -36,6 +36,8 @@
   Granted = 2,
   /** The requester has been told, and reports the end. */
   Used = 3,
+  /** Removed by the scheduler; the requester has not been told yet. */
+  Expired = 4,
 }
 
 /** A request that waits or has a grant. */
@@ -110,17 +112,19 @@
     const entry = createEntry(requester, decision, forgetAt);
     this.entries.set(key, entry);
     this.update();
+    if (entry.state === EntryState.Expired) return this.replyExpired(key);
     if (decision.outcome === SlotOutcome.Granted || entry.state !== EntryState.Waiting)
       return this.replyGranted(entry);
-    if (!this.entries.has(key)) return this.createExpiry();
     return { word: SlotWord.Queued, arbiter, waitMs: Math.max(0, decision.waitMs) };
   }
 
   /** Resolves when the request's turn comes, when it expires or is cancelled, or after `waitMs` if it is still queued. */
   wait(requester: PeerIdentity, { id, waitMs }: SlotWait): Promise<SlotReply> {
     const { clock, ownName: arbiter } = this.options;
-    const entry = this.entries.get(getKey(requester, id));
+    const key = getKey(requester, id);
+    const entry = this.entries.get(key);
     if (!entry) return Promise.resolve(unknownReply);
+    if (entry.state === EntryState.Expired) return Promise.resolve(this.replyExpired(key));
     if (entry.state !== EntryState.Waiting) return Promise.resolve(this.replyGranted(entry));
     entry.reply?.(unknownReply);
     return new Promise((resolve) => {
@@ -200,12 +204,14 @@
   private expire(key: string): void {
     const entry = this.entries.get(key);
     if (entry?.state !== EntryState.Waiting) return;
-    this.entries.delete(key);
-    entry.reply?.(this.createExpiry());
+    // Between two wait calls of the requester, the entry stays for the next one.
+    entry.state = EntryState.Expired;
+    entry.reply?.(this.replyExpired(key));
   }
 
-  /** Creates the reply to a request that was not granted a slot before its deadline. */
-  private createExpiry(): SlotReply {
+  /** Removes a request that was not granted a slot before its deadline, and returns the reply to it. */
+  private replyExpired(key: string): SlotReply {
+    this.entries.delete(key);
     const refusal = SlotRefusal.DeadlineUnreachable;
     return { word: SlotWord.Refused, arbiter: this.options.ownName, refusal, retryAfterMs: undefined };
   }
--- a/packages/gateway/test/slotArbiter.test.ts
+++ b/packages/gateway/test/slotArbiter.test.ts
@@ -1,9 +1,12 @@
-/* Guards against an arbiter that grants slots twice because it forgets grants. */
+/*
+ * Guards against an arbiter that grants slots twice because it forgets grants, and against requests that are sent although the
+ * arbiter refused them.
+ */
 import t from "tap";
 import type { PeerLinks } from "@gladewall/coordination";
 import { type Endpoint, OverloadMode, SlotArbiter, type SlotReply, SlotWord } from "@gladewall/gateway";
 import { Logger, LogLevel, VirtualClock } from "@gladewall/kernel";
-import { ServiceSlotScheduler } from "@gladewall/policy";
+import { ServiceSlotScheduler, SlotRefusal } from "@gladewall/policy";
 import { createKnownEndpoint } from "./knownEndpoints.js";
 
 const requester = { name: "i", incarnation: 1 };
@@ -60,3 +63,14 @@
   t.equal(bench.arbiter.countWaiting(), 1, "the requests there have not ended");
   bench.arbiter.close();
 });
+
+t.test("a request that gives way between two waits is refused by the next one", async (t) => {
+  const bench = new Bench(1, 1);
+  for (let index = 0; index < 2; index++) t.ok(getEndpoint(bench.request().reply));
+  const late = bench.request(1_000);
+  t.equal(late.reply.word, SlotWord.Queued);
+  t.equal(bench.request().reply.word, SlotWord.Queued, "the late request gives way");
+  const reply = await bench.arbiter.wait(requester, { service: "web", id: late.id, waitMs: 20 });
+  t.match(reply, { word: SlotWord.Refused, refusal: SlotRefusal.DeadlineUnreachable });
+  bench.arbiter.close();
+});
