Return a grant that was taken just before its caller left

Cause: if a caller left, or the instance stopped, between the moment at which the reply was taken and the moment at which the wait for it ended, the grant was neither used nor returned and held its slot for up to 2 s.

Change: the wait returns a grant that it gets after it was stopped.

Result: the new test of slots, which lets the caller leave after 0 to 19 turns of the promise queue, failed after 2 turns before and passes.

--- a/packages/gateway/src/slotClient.ts
+++ b/packages/gateway/src/slotClient.ts
@@ -70,8 +70,10 @@
     const { clock, maxWaitFactor } = this.options;
     const startedAt = clock.getTime();
     let timer: Timer | undefined;
+    let isStopped = false;
     const answer = await new Promise<SlotAnswer>((resolve) => {
       const stop = (result: SlotResult): void => {
+        isStopped = true;
         ask.abandon();
         resolve({ result });
       };
@@ -83,6 +85,8 @@
       signal.addEventListener("abort", handleAbort, { once: true });
       void ask.run().then((found) => {
         signal.removeEventListener("abort", handleAbort);
+        // The grant may have been taken just before the stop.
+        if (isStopped) found.slot?.end();
         resolve(found);
       });
     });
--- a/packages/gateway/test/slots.test.ts
+++ b/packages/gateway/test/slots.test.ts
@@ -304,3 +304,19 @@
   await fleet.advance(10);
   t.equal((await answer).result, SlotResult.Direct, "its instance knows another endpoint");
 });
+
+t.test("a grant is returned at whatever moment the caller leaves", async (t) => {
+  for (let turns = 0; turns < 20; turns++) {
+    const fleet = await SlotFleet.create(small);
+    const first = fleet.serve(fleet.client, "first");
+    await fleet.advance(workMs * 2);
+    await first;
+    const caller = new AbortController();
+    const answer = fleet.arbiter.client.acquire(fleet.createWish("left"), caller.signal);
+    for (let turn = 0; turn < turns; turn++) await Promise.resolve();
+    caller.abort();
+    (await answer).slot?.end();
+    await fleet.advance(10);
+    t.equal(fleet.arbiter.schedulers[0]?.getState().open, 0, `after ${turns} turns`);
+  }
+});
