Name requests for slots by the usual terms

SlotAsk becomes SlotAcquisition, SlotWish becomes SlotRequestInput, and SlotWord becomes SlotReplyKind. Wire fields, metrics and log events keep their names. isNeeded and isObserved take the service itself. No change of behaviour; the tests of slots, slotArbiter and queuedRequests pass.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -86,7 +86,7 @@
 export { SlotArbiter } from "./slotArbiter.js";
 export { SlotClient } from "./slotClient.js";
 export { SlotContention } from "./slotContention.js";
-export { SlotResult, type SlotAnswer, type SlotWish } from "./slotAsk.js";
+export { SlotResult, type SlotAnswer, type SlotRequestInput } from "./slotAcquisition.js";
 export { SlotTransport } from "./slotTransport.js";
 export type { SlotSchedulerFactory } from "./gatewayParts.js";
 export { OverloadMode, OverloadSwitch } from "./overloadSwitch.js";
@@ -98,7 +98,7 @@
   type SlotCall,
   SlotMessageKind,
   type SlotReply,
-  SlotWord,
+  SlotReplyKind,
 } from "./slotMessages.js";
 export { SlidingWindow } from "./slidingWindow.js";
 export {
--- a/packages/gateway/src/overloadSwitch.ts
+++ b/packages/gateway/src/overloadSwitch.ts
@@ -18,10 +18,10 @@
 
 /** Holds the present mode. */
 export class OverloadSwitch {
-  private present: OverloadMode;
+  private current: OverloadMode;
 
   private constructor(text: string) {
-    this.present = parseMode(text);
+    this.current = parseMode(text);
   }
 
   /** Creates a switch with the mode that a settings file names. */
@@ -30,12 +30,12 @@
   }
 
   get mode(): OverloadMode {
-    return this.present;
+    return this.current;
   }
 
   /** Applies the mode of settings that were read again. */
   setMode(text: string): void {
-    this.present = parseMode(text);
+    this.current = parseMode(text);
   }
 }
 
--- a/packages/gateway/src/queueStage.ts
+++ b/packages/gateway/src/queueStage.ts
@@ -6,7 +6,7 @@
 import { FailureCode } from "@gladewall/kernel";
 import { NextStep, type RequestContext } from "./requestContext.js";
 import { createRefusal } from "./requestRefusal.js";
-import { SlotResult, type SlotAnswer, type SlotWish } from "./slotAsk.js";
+import { SlotResult, type SlotAnswer, type SlotRequestInput } from "./slotAcquisition.js";
 
 /** Obtains the slot of each attempt of one request. */
 export class QueueStage {
@@ -27,17 +27,17 @@
     const { slots } = context.parts;
     const { service } = context.request;
     if (service.engine || this.isSuspect()) return NextStep.Retry;
-    const isObserved = slots.isObserved({ service });
-    if (!isObserved && !slots.isNeeded({ service })) return NextStep.Retry;
-    const wish = this.createWish();
-    if (!wish) return NextStep.Retry;
+    const isObserved = slots.isObserved(service);
+    if (!isObserved && !slots.isNeeded(service)) return NextStep.Retry;
+    const input = this.createInput();
+    if (!input) return NextStep.Retry;
     if (isObserved) {
-      this.observedEnd = slots.observe(wish).end;
+      this.observedEnd = slots.observe(input).end;
       return NextStep.Retry;
     }
     const queueing = new AbortController();
     context.queueing = queueing;
-    const answer = await slots.acquire(wish, queueing.signal);
+    const answer = await slots.acquire(input, queueing.signal);
     context.queueing = undefined;
     return this.apply(answer);
   }
@@ -77,7 +77,7 @@
   }
 
   /** Returns undefined if no endpoint accepts the request: no slot is needed to find that out. */
-  private createWish(): SlotWish | undefined {
+  private createInput(): SlotRequestInput | undefined {
     const { context } = this;
     const { head, service, admitted, arrivedAt } = context.request;
     const excluded = this.findExcluded();
--- a/packages/gateway/src/slotAsk.ts
+++ b/packages/gateway/src/slotAcquisition.ts
@@ -1,17 +1,17 @@
 /**
- * Obtains a slot for one attempt of one request: asks the arbiter, waits for the turn, and falls back to sending the request
+ * Obtains a slot for one attempt of one request: calls the arbiter, waits for the turn, and falls back to sending the request
  * directly if no arbiter answers.
  * @module
  */
 import type { Clock } from "@gladewall/kernel";
 import { SlotRefusal } from "@gladewall/policy";
 import { HeldSlot } from "./heldSlot.js";
-import { maxExcluded, type SlotCall, SlotWord } from "./slotMessages.js";
+import { maxExcluded, type SlotCall, SlotReplyKind } from "./slotMessages.js";
 import { createCancellation, type DecidedReply, type SlotTransport } from "./slotTransport.js";
 import type { Service } from "./types.js";
 
 /** A request that needs a slot. Times are those of this instance's clock. */
-export interface SlotWish {
+export interface SlotRequestInput {
   readonly request: string;
   readonly service: Service;
   readonly workspace: string;
@@ -49,8 +49,8 @@
   readonly arbiter?: string;
 }
 
-/** Options of one ask. */
-export interface SlotAskOptions {
+/** Options of one acquisition. */
+export interface SlotAcquisitionOptions {
   readonly clock: Clock;
   readonly transport: SlotTransport;
   /** Identifies the calls of this instance since its start. */
@@ -68,8 +68,8 @@
 const minRenewalMs = 20;
 const renewalShare = 1 / 2;
 
-/** One request for a slot. */
-export class SlotAsk {
+/** Acquires the slot of one attempt. */
+export class SlotAcquisition {
   private isAbandoned = false;
   private id = "";
   /** Arbiter at which the request waits. */
@@ -77,44 +77,44 @@
   private arbiter: string | undefined;
 
   private constructor(
-    private readonly wish: SlotWish,
-    private readonly options: SlotAskOptions,
+    private readonly input: SlotRequestInput,
+    private readonly options: SlotAcquisitionOptions,
   ) {}
 
-  static create(wish: SlotWish, options: SlotAskOptions): SlotAsk {
-    return new SlotAsk(wish, options);
+  static create(input: SlotRequestInput, options: SlotAcquisitionOptions): SlotAcquisition {
+    return new SlotAcquisition(input, options);
   }
 
-  /** Asks until there is a grant, a refusal, or no arbiter. */
+  /** Calls arbiters until there is a grant, a refusal, or no arbiter left. */
   async run(): Promise<SlotAnswer> {
     let reply = await this.call();
-    if (reply?.word === SlotWord.Queued && !this.isAbandoned) {
+    if (reply?.word === SlotReplyKind.Queued && !this.isAbandoned) {
       this.options.onQueued();
       reply = await this.waitForTurn(reply.arbiter, reply.waitMs);
       const lostArbiter = this.arbiter;
       if (reply === undefined && !this.isAbandoned && !this.canMeetObjective()) {
         reply = await this.call(lostArbiter);
-        if (reply?.word === SlotWord.Queued) reply = await this.waitForTurn(reply.arbiter, reply.waitMs);
+        if (reply?.word === SlotReplyKind.Queued) reply = await this.waitForTurn(reply.arbiter, reply.waitMs);
       }
     }
     return this.conclude(reply);
   }
 
-  /** Asks without waiting: a request that would wait is cancelled at once. */
+  /** Calls the arbiter without waiting: a request that would wait is cancelled at once. */
   async runWithoutWaiting(): Promise<DecidedReply | undefined> {
     const reply = await this.call();
-    if (reply?.word === SlotWord.Queued) this.cancelAt(reply.arbiter);
+    if (reply?.word === SlotReplyKind.Queued) this.cancelAt(reply.arbiter);
     return reply;
   }
 
   /** Returns the slot that a reply grants. */
   createSlot(arbiter: string, endpoint: string): HeldSlot {
-    const { wish, id } = this;
+    const { input, id } = this;
     return HeldSlot.create({
       clock: this.options.clock,
       endpoint,
       id,
-      service: wish.service.name,
+      service: input.service.name,
       report: (end) => this.options.transport.end(arbiter, end),
     });
   }
@@ -126,39 +126,39 @@
   }
 
   private async call(passedOver?: string): Promise<DecidedReply | undefined> {
-    const { wish } = this;
+    const { input } = this;
     const { clock, transport, createId } = this.options;
     const time = clock.getTime();
     this.id = createId();
     const call: SlotCall = {
-      service: wish.service.name,
+      service: input.service.name,
       id: this.id,
-      workspace: wish.workspace,
-      route: wish.route,
-      rank: wish.rank,
-      ageMs: time - wish.arrivedAt,
-      objectiveMs: wish.arrivedAt + wish.objectiveMs - time,
-      deadlineMs: wish.deadlineAt - time,
-      excluded: wish.excluded.slice(0, maxExcluded),
+      workspace: input.workspace,
+      route: input.route,
+      rank: input.rank,
+      ageMs: time - input.arrivedAt,
+      objectiveMs: input.arrivedAt + input.objectiveMs - time,
+      deadlineMs: input.deadlineAt - time,
+      excluded: input.excluded.slice(0, maxExcluded),
     };
-    const limitMs = Math.min(maxReplyMs, wish.objectiveMs * replyShare);
+    const limitMs = Math.min(maxReplyMs, input.objectiveMs * replyShare);
     const reply = await transport.request(call, limitMs, passedOver);
     if (reply) this.arbiter = reply.arbiter;
     return reply;
   }
 
   private async waitForTurn(arbiter: string, announcedMs: number): Promise<DecidedReply | undefined> {
-    const { wish, options } = this;
-    const maxRenewalMs = Math.max(minRenewalMs, wish.objectiveMs * renewalShare);
+    const { input, options } = this;
+    const maxRenewalMs = Math.max(minRenewalMs, input.objectiveMs * renewalShare);
     const waitMs = Math.min(maxRenewalMs, Math.max(minRenewalMs, announcedMs));
-    const wait = { service: wish.service.name, id: this.id, waitMs };
+    const wait = { service: input.service.name, id: this.id, waitMs };
     if (this.isAbandoned) this.cancelAt(arbiter);
     else this.waitingAt = arbiter;
     let reply: DecidedReply | undefined;
     do {
       if (this.isAbandoned) return undefined;
       reply = await options.transport.wait(arbiter, wait);
-    } while (reply?.word === SlotWord.Queued);
+    } while (reply?.word === SlotReplyKind.Queued);
     this.waitingAt = undefined;
     // An arbiter that is only slow must not keep a slot for a request that is sent without it.
     if (reply === undefined) this.cancelAt(arbiter);
@@ -167,14 +167,14 @@
 
   private conclude(reply: DecidedReply | undefined): SlotAnswer {
     if (this.isAbandoned) {
-      if (reply && reply.word !== SlotWord.Refused) this.cancelAt(reply.arbiter);
+      if (reply && reply.word !== SlotReplyKind.Refused) this.cancelAt(reply.arbiter);
       return { result: SlotResult.Abandoned };
     }
-    if (reply?.word === SlotWord.Granted) {
+    if (reply?.word === SlotReplyKind.Granted) {
       const { arbiter, endpoint } = reply;
       return { result: SlotResult.Granted, slot: this.createSlot(arbiter, endpoint), arbiter };
     }
-    if (reply?.word === SlotWord.Refused) {
+    if (reply?.word === SlotReplyKind.Refused) {
       const { arbiter, refusal, retryAfterMs } = reply;
       // This instance knows an endpoint that the arbiter does not know yet, so the arbiter cannot decide on its slots.
       if (refusal === SlotRefusal.NoEndpoint) return { result: SlotResult.Direct, arbiter };
@@ -185,11 +185,11 @@
 
   /** Whether the response can still be received within the objective if the request is sent now. */
   private canMeetObjective(): boolean {
-    const { wish, options } = this;
-    return options.clock.getTime() + options.expectedMs <= wish.arrivedAt + wish.objectiveMs;
+    const { input, options } = this;
+    return options.clock.getTime() + options.expectedMs <= input.arrivedAt + input.objectiveMs;
   }
 
   private cancelAt(arbiter: string): void {
-    this.options.transport.end(arbiter, createCancellation(this.wish.service.name, this.id));
+    this.options.transport.end(arbiter, createCancellation(this.input.service.name, this.id));
   }
 }
--- a/packages/gateway/src/slotArbiter.ts
+++ b/packages/gateway/src/slotArbiter.ts
@@ -19,7 +19,7 @@
   SlotMessageKind,
   type SlotReply,
   type SlotWait,
-  SlotWord,
+  SlotReplyKind,
 } from "./slotMessages.js";
 import { SlotQueue } from "./slotQueue.js";
 
@@ -36,7 +36,7 @@
 
 /** Time without requests after which a service's queue is dropped. */
 const idleTimeoutMs = 60_000;
-const unknownReply: SlotReply = { word: SlotWord.Unknown };
+const unknownReply: SlotReply = { word: SlotReplyKind.Unknown };
 
 /** Decides on slots. */
 export class SlotArbiter {
@@ -98,7 +98,11 @@
   private handleCall(message: PeerMessage, peer: PeerIdentity): SlotReply {
     const isValid = isSlotCall(message) && this.hasEndpoints(message.service);
     const reply = isValid ? this.request(peer, message) : unknownReply;
-    this.options.logger.debug("slot.called", { from: peer.name, valid: isValid, word: SlotWord[reply.word] });
+    this.options.logger.debug("slot.called", {
+      from: peer.name,
+      valid: isValid,
+      word: SlotReplyKind[reply.word],
+    });
     return reply;
   }
 
--- a/packages/gateway/src/slotClient.ts
+++ b/packages/gateway/src/slotClient.ts
@@ -9,10 +9,11 @@
 import type { GatewayMetrics } from "./gatewayMetrics.js";
 import type { HeldSlot } from "./heldSlot.js";
 import { OverloadMode, type OverloadSwitch } from "./overloadSwitch.js";
-import { SlotResult, type SlotAnswer, SlotAsk, type SlotWish } from "./slotAsk.js";
+import { SlotResult, type SlotAnswer, SlotAcquisition, type SlotRequestInput } from "./slotAcquisition.js";
 import type { SlotContention } from "./slotContention.js";
-import { SlotWord } from "./slotMessages.js";
+import { SlotReplyKind } from "./slotMessages.js";
 import type { DecidedReply, SlotTransport } from "./slotTransport.js";
+import type { Service } from "./types.js";
 
 /** Options of the client. */
 export interface SlotClientOptions {
@@ -53,19 +54,19 @@
   }
 
   /** Whether a request of the service needs a slot now. */
-  isNeeded(wish: Pick<SlotWish, "service">): boolean {
+  isNeeded(service: Service): boolean {
     const { overload, contention } = this.options;
-    return overload.mode === OverloadMode.On && contention.isContended(wish.service);
+    return overload.mode === OverloadMode.On && contention.isContended(service);
   }
 
   /** Whether a decision on a request of the service is to be logged now. */
-  isObserved(wish: Pick<SlotWish, "service">): boolean {
+  isObserved(service: Service): boolean {
     const { overload, contention } = this.options;
-    return overload.mode === OverloadMode.Observe && contention.isContended(wish.service);
+    return overload.mode === OverloadMode.Observe && contention.isContended(service);
   }
 
   /** Obtains a slot. Resolves at once when the signal is aborted; what was granted is then returned. */
-  async acquire(wish: SlotWish, signal: AbortSignal): Promise<SlotAnswer> {
+  async acquire(input: SlotRequestInput, signal: AbortSignal): Promise<SlotAnswer> {
     if (signal.aborted) return { result: SlotResult.Abandoned };
     const { clock, maxWaitFactor } = this.options;
     const startedAt = clock.getTime();
@@ -74,16 +75,16 @@
     const answer = await new Promise<SlotAnswer>((resolve) => {
       const stop = (result: SlotResult): void => {
         isStopped = true;
-        ask.abandon();
+        acquisition.abandon();
         resolve({ result });
       };
-      const ask = this.createAsk(wish, () => {
+      const acquisition = this.createAcquisition(input, () => {
         this.waitingCount += 1;
-        timer = clock.startTimer(wish.objectiveMs * maxWaitFactor, () => stop(SlotResult.Refused));
+        timer = clock.startTimer(input.objectiveMs * maxWaitFactor, () => stop(SlotResult.Refused));
       });
       const handleAbort = (): void => stop(SlotResult.Abandoned);
       signal.addEventListener("abort", handleAbort, { once: true });
-      void ask.run().then((found) => {
+      void acquisition.run().then((found) => {
         signal.removeEventListener("abort", handleAbort);
         // The grant may have been taken just before the stop.
         if (isStopped) found.slot?.end();
@@ -92,20 +93,20 @@
     });
     if (timer) this.waitingCount -= 1;
     timer?.cancel();
-    this.record(wish, answer, clock.getTime() - startedAt, timer !== undefined);
+    this.record(input, answer, clock.getTime() - startedAt, timer !== undefined);
     return answer;
   }
 
-  /** Asks for a slot and logs the decision; the request does not wait for it. */
-  observe(wish: SlotWish): ObservedSlot {
-    const ask = this.createAsk(wish, () => undefined);
+  /** Requests a slot and logs the decision; the request does not wait for it. */
+  observe(input: SlotRequestInput): ObservedSlot {
+    const acquisition = this.createAcquisition(input, () => undefined);
     let slot: HeldSlot | undefined;
     let hasEnded = false;
-    void ask.runWithoutWaiting().then((reply) => {
-      if (reply?.word === SlotWord.Granted) slot = ask.createSlot(reply.arbiter, reply.endpoint);
+    void acquisition.runWithoutWaiting().then((reply) => {
+      if (reply?.word === SlotReplyKind.Granted) slot = acquisition.createSlot(reply.arbiter, reply.endpoint);
       if (hasEnded) slot?.end();
       else slot?.recordSending();
-      this.recordObserved(wish, reply);
+      this.recordObserved(input, reply);
     });
     const end = (): void => {
       hasEnded = true;
@@ -115,13 +116,13 @@
     return { end };
   }
 
-  private createAsk(wish: SlotWish, onQueued: () => void): SlotAsk {
+  private createAcquisition(input: SlotRequestInput, onQueued: () => void): SlotAcquisition {
     const { clock, transport } = this.options;
-    return SlotAsk.create(wish, {
+    return SlotAcquisition.create(input, {
       clock,
       transport,
       createId: () => String(this.nextId++),
-      expectedMs: this.getExpectedMs(wish.service.name),
+      expectedMs: this.getExpectedMs(input.service.name),
       onQueued,
     });
   }
@@ -134,13 +135,13 @@
     return shortest === Infinity ? unknownLatencyMs : shortest;
   }
 
-  private record(wish: SlotWish, answer: SlotAnswer, tookMs: number, hasWaited: boolean): void {
+  private record(input: SlotRequestInput, answer: SlotAnswer, tookMs: number, hasWaited: boolean): void {
     const { logger, metrics } = this.options;
-    const service = wish.service.name;
+    const service = input.service.name;
     const { result, arbiter, slot, refusal, retryAfterMs } = answer;
     metrics.countSlotDecision(service, SlotResult[result], this.getDecider(arbiter));
     if (hasWaited) metrics.recordSlotWait(service, tookMs);
-    const fields = { request: wish.request, service, waitedMs: Math.round(tookMs), arbiter };
+    const fields = { request: input.request, service, waitedMs: Math.round(tookMs), arbiter };
     if (result === SlotResult.Refused) {
       const cause = refusal === undefined ? "MaxWait" : SlotRefusal[refusal];
       logger.info("slot.refused", {
@@ -157,18 +158,18 @@
     }
   }
 
-  private recordObserved(wish: SlotWish, reply: DecidedReply | undefined): void {
+  private recordObserved(input: SlotRequestInput, reply: DecidedReply | undefined): void {
     const { logger, metrics } = this.options;
-    const service = wish.service.name;
-    const outcome = reply ? SlotWord[reply.word] : SlotResult[SlotResult.Direct];
+    const service = input.service.name;
+    const outcome = reply ? SlotReplyKind[reply.word] : SlotResult[SlotResult.Direct];
     metrics.countSlotDecision(service, `observed-${outcome}`, this.getDecider(reply?.arbiter));
     logger.info("slot.observed", {
-      request: wish.request,
+      request: input.request,
       service,
       word: outcome,
       arbiter: reply?.arbiter,
-      waitMs: reply?.word === SlotWord.Queued ? Math.round(reply.waitMs) : undefined,
-      cause: reply?.word === SlotWord.Refused ? SlotRefusal[reply.refusal] : undefined,
+      waitMs: reply?.word === SlotReplyKind.Queued ? Math.round(reply.waitMs) : undefined,
+      cause: reply?.word === SlotReplyKind.Refused ? SlotRefusal[reply.refusal] : undefined,
     });
   }
 
--- a/packages/gateway/src/slotMessages.ts
+++ b/packages/gateway/src/slotMessages.ts
@@ -48,8 +48,8 @@
   readonly isCancelled: boolean;
 }
 
-/** An arbiter's decision. The numbers are sent to peers. */
-export enum SlotWord {
+/** An arbiter's decision, in the field `word` of a reply. The numbers are sent to peers, the names are written to logs and metrics. */
+export enum SlotReplyKind {
   Granted = 1,
   Queued = 2,
   Refused = 3,
@@ -59,16 +59,16 @@
 
 /** Reply to a call that requests a slot or waits for one. */
 export type SlotReply =
-  | { readonly word: SlotWord.Granted; readonly arbiter: string; readonly endpoint: string }
-  | { readonly word: SlotWord.Queued; readonly arbiter: string; readonly waitMs: number }
+  | { readonly word: SlotReplyKind.Granted; readonly arbiter: string; readonly endpoint: string }
+  | { readonly word: SlotReplyKind.Queued; readonly arbiter: string; readonly waitMs: number }
   | {
-      readonly word: SlotWord.Refused;
+      readonly word: SlotReplyKind.Refused;
       readonly arbiter: string;
       readonly refusal: SlotRefusal;
       /** Milliseconds after which the caller should return; undefined if none is known. */
       readonly retryAfterMs: number | undefined;
     }
-  | { readonly word: SlotWord.Unknown };
+  | { readonly word: SlotReplyKind.Unknown };
 
 /** Endpoints that one call may exclude; a request is sent to at most a few. */
 export const maxExcluded = 64;
@@ -119,12 +119,14 @@
 export function isSlotReply(value: unknown): value is SlotReply {
   if (typeof value !== "object" || value === null) return false;
   const { word, arbiter, endpoint, waitMs, retryAfterMs, refusal } = value as Record<string, unknown>;
-  if (word === SlotWord.Unknown) return true;
+  if (word === SlotReplyKind.Unknown) return true;
   if (typeof arbiter !== "string") return false;
-  if (word === SlotWord.Granted) return typeof endpoint === "string";
-  if (word === SlotWord.Queued) return isCount(waitMs);
+  if (word === SlotReplyKind.Granted) return typeof endpoint === "string";
+  if (word === SlotReplyKind.Queued) return isCount(waitMs);
   const isTimeValid = retryAfterMs === undefined || isCount(retryAfterMs);
-  return word === SlotWord.Refused && isTimeValid && typeof refusal === "number" && refusal in SlotRefusal;
+  return (
+    word === SlotReplyKind.Refused && isTimeValid && typeof refusal === "number" && refusal in SlotRefusal
+  );
 }
 
 function areIncarnations(value: unknown): boolean {
--- a/packages/gateway/src/slotQueue.ts
+++ b/packages/gateway/src/slotQueue.ts
@@ -1,5 +1,5 @@
 /**
- * The requests for slots of one service at its arbiter: who asked, who waits for a reply, and when to decide again. The order and
+ * The requests for slots of one service at its arbiter: who requested one, who waits for a reply, and when to decide again. The order and
  * the choice of endpoints are the scheduler's.
  * @module
  */
@@ -17,7 +17,7 @@
   type SlotEndReport,
   type SlotReply,
   type SlotWait,
-  SlotWord,
+  SlotReplyKind,
 } from "./slotMessages.js";
 
 /** Options of a queue. */
@@ -57,7 +57,7 @@
 const minReviewMs = 2;
 /** Longest time that a grant lasts beyond the deadline of its request; the scheduler bounds grants to 2 s. */
 const grantLifetimeMs = 2_000;
-const unknownReply: SlotReply = { word: SlotWord.Unknown };
+const unknownReply: SlotReply = { word: SlotReplyKind.Unknown };
 
 /** The queue of one service. */
 export class SlotQueue {
@@ -106,7 +106,7 @@
     });
     if (decision.outcome === SlotOutcome.Refused) {
       const { refusal, retryAfterMs } = decision;
-      return { word: SlotWord.Refused, arbiter, refusal, retryAfterMs };
+      return { word: SlotReplyKind.Refused, arbiter, refusal, retryAfterMs };
     }
     const forgetAt = time + Math.max(0, call.deadlineMs) + grantLifetimeMs;
     const entry = createEntry(requester, decision, forgetAt);
@@ -115,7 +115,7 @@
     if (entry.state === EntryState.Expired) return this.replyExpired(key);
     if (decision.outcome === SlotOutcome.Granted || entry.state !== EntryState.Waiting)
       return this.replyGranted(entry);
-    return { word: SlotWord.Queued, arbiter, waitMs: Math.max(0, decision.waitMs) };
+    return { word: SlotReplyKind.Queued, arbiter, waitMs: Math.max(0, decision.waitMs) };
   }
 
   /** Resolves when the request's turn comes, when it expires or is cancelled, or after `waitMs` if it is still queued. */
@@ -128,7 +128,7 @@
     if (entry.state !== EntryState.Waiting) return Promise.resolve(this.replyGranted(entry));
     entry.reply?.(unknownReply);
     return new Promise((resolve) => {
-      const timer = clock.startTimer(waitMs, () => reply({ word: SlotWord.Queued, arbiter, waitMs }));
+      const timer = clock.startTimer(waitMs, () => reply({ word: SlotReplyKind.Queued, arbiter, waitMs }));
       const reply = (value: SlotReply): void => {
         timer.cancel();
         if (entry.reply === reply) entry.reply = undefined;
@@ -179,7 +179,7 @@
 
   private replyGranted(entry: Entry): SlotReply {
     entry.state = EntryState.Used;
-    return { word: SlotWord.Granted, arbiter: this.options.ownName, endpoint: entry.endpoint ?? "" };
+    return { word: SlotReplyKind.Granted, arbiter: this.options.ownName, endpoint: entry.endpoint ?? "" };
   }
 
   /** Applies what has changed: endpoints, free slots and the passing of time. */
@@ -213,7 +213,7 @@
   private replyExpired(key: string): SlotReply {
     this.entries.delete(key);
     const refusal = SlotRefusal.DeadlineUnreachable;
-    return { word: SlotWord.Refused, arbiter: this.options.ownName, refusal, retryAfterMs: undefined };
+    return { word: SlotReplyKind.Refused, arbiter: this.options.ownName, refusal, retryAfterMs: undefined };
   }
 
   /** Removes entries whose ends were lost; the scheduler has dropped them before. */
--- a/packages/gateway/src/slotTransport.ts
+++ b/packages/gateway/src/slotTransport.ts
@@ -15,7 +15,7 @@
   type SlotEndReport,
   type SlotReply,
   type SlotWait,
-  SlotWord,
+  SlotReplyKind,
 } from "./slotMessages.js";
 
 /** Options of the transport. */
@@ -27,7 +27,7 @@
 }
 
 /** A decision of an arbiter that knew enough to decide. */
-export type DecidedReply = Exclude<SlotReply, { readonly word: SlotWord.Unknown }>;
+export type DecidedReply = Exclude<SlotReply, { readonly word: SlotReplyKind.Unknown }>;
 
 /** Time that a reply takes at most after the time that an arbiter was told to reply by. */
 const replyMarginMs = 50;
@@ -49,7 +49,8 @@
     if (arbiter === undefined) return undefined;
     if (arbiter === own.name) return dropUnknown(ownArbiter.request(own, call));
     const message = createSlotCall(call);
-    const isUndecided = (reply: unknown): boolean => !isSlotReply(reply) || reply.word === SlotWord.Unknown;
+    const isUndecided = (reply: unknown): boolean =>
+      !isSlotReply(reply) || reply.word === SlotReplyKind.Unknown;
     const reply = await arbiters.call<SlotReply>({ subject, message, isUndecided, supportsCall }, limitMs);
     if (reply.isOk()) return dropUnknown(reply.value);
     this.cancelEverywhere(call);
@@ -92,5 +93,5 @@
 }
 
 function dropUnknown(reply: SlotReply): DecidedReply | undefined {
-  return reply.word === SlotWord.Unknown ? undefined : reply;
+  return reply.word === SlotReplyKind.Unknown ? undefined : reply;
 }
--- a/packages/gateway/test/slotArbiter.test.ts
+++ b/packages/gateway/test/slotArbiter.test.ts
@@ -4,7 +4,7 @@
  */
 import t from "tap";
 import type { PeerLinks } from "@gladewall/coordination";
-import { type Endpoint, OverloadMode, SlotArbiter, type SlotReply, SlotWord } from "@gladewall/gateway";
+import { type Endpoint, OverloadMode, SlotArbiter, type SlotReply, SlotReplyKind } from "@gladewall/gateway";
 import { Logger, LogLevel, VirtualClock } from "@gladewall/kernel";
 import { ServiceSlotScheduler, SlotRefusal } from "@gladewall/policy";
 import { createKnownEndpoint } from "./knownEndpoints.js";
@@ -49,7 +49,7 @@
 }
 
 function getEndpoint(reply: SlotReply): string | undefined {
-  return reply.word === SlotWord.Granted ? reply.endpoint : undefined;
+  return reply.word === SlotReplyKind.Granted ? reply.endpoint : undefined;
 }
 
 t.test("grants of an endpoint that the arbiter cannot reach for a while stay counted", async (t) => {
@@ -57,7 +57,7 @@
   const granted = Array.from({ length: 4 }, () => getEndpoint(bench.request().reply));
   t.same(granted.sort(), ["e0", "e0", "e1", "e1"]);
   bench.endpoints[0]!.recordUnreachable(bench.clock.getTime());
-  t.equal(bench.request().reply.word, SlotWord.Queued);
+  t.equal(bench.request().reply.word, SlotReplyKind.Queued);
   await bench.clock.advance(1_000);
   t.notOk(bench.endpoints[0]!.isUnreachable(bench.clock.getTime()));
   t.equal(bench.arbiter.countWaiting(), 1, "the requests there have not ended");
@@ -68,9 +68,9 @@
   const bench = new Bench(1, 1);
   for (let index = 0; index < 2; index++) t.ok(getEndpoint(bench.request().reply));
   const late = bench.request(1_000);
-  t.equal(late.reply.word, SlotWord.Queued);
-  t.equal(bench.request().reply.word, SlotWord.Queued, "the late request gives way");
+  t.equal(late.reply.word, SlotReplyKind.Queued);
+  t.equal(bench.request().reply.word, SlotReplyKind.Queued, "the late request gives way");
   const reply = await bench.arbiter.wait(requester, { service: "web", id: late.id, waitMs: 20 });
-  t.match(reply, { word: SlotWord.Refused, refusal: SlotRefusal.DeadlineUnreachable });
+  t.match(reply, { word: SlotReplyKind.Refused, refusal: SlotRefusal.DeadlineUnreachable });
   bench.arbiter.close();
 });
--- a/packages/gateway/test/slotFleet.ts
+++ b/packages/gateway/test/slotFleet.ts
@@ -8,7 +8,7 @@
   SlotResult,
   type SlotAnswer,
   SlotMessageKind,
-  type SlotWish,
+  type SlotRequestInput,
 } from "@gladewall/gateway";
 import { flushPromises } from "@gladewall/kernel";
 import { createService } from "@gladewall/standins";
@@ -141,7 +141,7 @@
 
   /** Asks for a slot and, unless refused, sends a request to an endpoint, where it takes `workMs`. */
   async serve(member: SlotMember, request: string, caller = new AbortController()): Promise<void> {
-    const answer = await member.client.acquire(this.createWish(request), caller.signal);
+    const answer = await member.client.acquire(this.createInput(request), caller.signal);
     this.answers.set(request, answer);
     if (answer.result === SlotResult.Refused || answer.result === SlotResult.Abandoned) return;
     const { slot } = answer;
@@ -160,7 +160,7 @@
     if (!this.losesEnds) slot?.end();
   }
 
-  createWish(request: string): SlotWish {
+  createInput(request: string): SlotRequestInput {
     const time = this.clock.getTime();
     return {
       request,
--- a/packages/gateway/test/slots.test.ts
+++ b/packages/gateway/test/slots.test.ts
@@ -10,7 +10,7 @@
   isSlotWait,
   OverloadMode,
   SlotResult,
-  SlotWord,
+  SlotReplyKind,
 } from "@gladewall/gateway";
 import { createSpreadRandom } from "./stepClock.js";
 import { objectiveMs, SlotFleet, SlotMessageKind, workMs } from "./slotFleet.js";
@@ -97,7 +97,7 @@
   t.equal(new Set(fleet.attempts.map(({ request }) => request)).size, fleet.attempts.length, "each once");
 });
 
-t.test("late requests of an arbiter that has ended ask the next one", async (t) => {
+t.test("late requests of an arbiter that has ended call the next one", async (t) => {
   const fleet = await SlotFleet.create(small);
   fleet.losesEnds = true;
   const served = await fill(fleet, 2);
@@ -210,15 +210,15 @@
   async (t) => {
     const fleet = await SlotFleet.create(small);
     const { client, contention, overload, endpoints } = fleet.client;
-    const { service } = fleet.createWish("r");
-    t.ok(client.isNeeded({ service }));
+    const { service } = fleet.createInput("r");
+    t.ok(client.isNeeded(service));
     overload.mode = OverloadMode.Off;
-    t.notOk(client.isNeeded({ service }) || client.isObserved({ service }));
+    t.notOk(client.isNeeded(service) || client.isObserved(service));
     overload.mode = OverloadMode.Observe;
-    t.notOk(client.isNeeded({ service }));
-    t.ok(client.isObserved({ service }));
+    t.notOk(client.isNeeded(service));
+    t.ok(client.isObserved(service));
     overload.mode = OverloadMode.On;
-    t.notOk(client.isNeeded({ service: { ...service, engine: { slots: 1, tokenCapacity: 1 } } }));
+    t.notOk(client.isNeeded({ ...service, engine: { slots: 1, tokenCapacity: 1 } }));
     for (const endpoint of endpoints) {
       const load = { running: 0, waiting: 0, slots: 2, pacePercent: undefined };
       endpoint.recordLoad(load, fleet.clock.getTime());
@@ -239,7 +239,7 @@
 t.test("observed decisions delay nothing and leave nothing at the arbiter", async (t) => {
   const fleet = await SlotFleet.create({ ...small, mode: OverloadMode.Observe });
   const observed = Array.from({ length: room + 2 }, (_, index) =>
-    fleet.client.client.observe(fleet.createWish(`r${index}`)),
+    fleet.client.client.observe(fleet.createInput(`r${index}`)),
   );
   await fleet.advance(10);
   t.same(fleet.arbiter.schedulers[0]?.getState(), { waiting: 0, open: room });
@@ -286,19 +286,19 @@
   t.ok(isSlotEnd(end));
   t.notOk(isSlotEnd({ kind: SlotMessageKind.End }), "an announcement");
   t.notOk(isSlotEnd({ ...end, load: { running: -1, waiting: 0, slots: 1 } }));
-  t.ok(isSlotReply({ word: SlotWord.Unknown }));
-  t.ok(isSlotReply({ word: SlotWord.Refused, arbiter: "a", refusal: 3, retryAfterMs: 5 }));
+  t.ok(isSlotReply({ word: SlotReplyKind.Unknown }));
+  t.ok(isSlotReply({ word: SlotReplyKind.Refused, arbiter: "a", refusal: 3, retryAfterMs: 5 }));
   for (const wrong of [undefined, 1, {}, { word: 1, arbiter: "a" }, { word: 2, arbiter: "a", waitMs: NaN }])
     t.notOk(isSlotReply(wrong), JSON.stringify(wrong));
   for (const refusal of [99, "QueueFull", undefined])
-    t.notOk(isSlotReply({ word: SlotWord.Refused, arbiter: "a", refusal }), String(refusal));
+    t.notOk(isSlotReply({ word: SlotReplyKind.Refused, arbiter: "a", refusal }), String(refusal));
 });
 
 t.test("a request that may be sent to no endpoint that the arbiter knows is sent directly", async (t) => {
   const fleet = await SlotFleet.create(small);
   const excluded = ["e0", "e1"];
   const answer = fleet.client.client.acquire(
-    { ...fleet.createWish("r"), excluded },
+    { ...fleet.createInput("r"), excluded },
     new AbortController().signal,
   );
   await fleet.advance(10);
@@ -312,7 +312,7 @@
     await fleet.advance(workMs * 2);
     await first;
     const caller = new AbortController();
-    const answer = fleet.arbiter.client.acquire(fleet.createWish("left"), caller.signal);
+    const answer = fleet.arbiter.client.acquire(fleet.createInput("left"), caller.signal);
     for (let turn = 0; turn < turns; turn++) await Promise.resolve();
     caller.abort();
     (await answer).slot?.end();
--- a/packages/policy/src/capacityTypes.ts
+++ b/packages/policy/src/capacityTypes.ts
@@ -27,7 +27,7 @@
 /** A request for a slot of a service. Times are milliseconds of the clock of the instance that decides. */
 export interface SlotRequest {
   readonly id: string;
-  /** Instance that asks. */
+  /** Instance that sends the request. */
   readonly requester: string;
   /** Empty for requests without a workspace. */
   readonly workspace: string;
