Say why the constants of slots are as they are, and state shared ones once

Comments no longer tell how values were found. The age limit of reports and the bounds of a pace are taken from endpointCapacity, where they already stood. Unused state of SlotAcquisition and SlotEndpointState is removed. No change of behaviour; the tests of policy/slot*, retryAdvice, endpointCapacity, slots, slotArbiter and queuedRequests pass.

--- a/packages/gateway/src/relayStage.ts
+++ b/packages/gateway/src/relayStage.ts
@@ -12,7 +12,7 @@
 import { RelayOutcome, StreamRelay } from "./streamRelay.js";
 
 const minServerErrorStatus = 500;
-/** A trial ends once the request has streamed for this long: observed crashes came 40 to 120 ms after the run's start. */
+/** A trial ends once the request has streamed for this long: a request that crashes endpoints does so sooner. */
 const trialSurvivalMs = 200;
 
 /** Forwards the responses of one request. */
--- a/packages/gateway/src/slotAcquisition.ts
+++ b/packages/gateway/src/slotAcquisition.ts
@@ -74,7 +74,6 @@
   private id = "";
   /** Arbiter at which the request waits. */
   private waitingAt: string | undefined;
-  private arbiter: string | undefined;
 
   private constructor(
     private readonly input: SlotRequestInput,
@@ -90,10 +89,10 @@
     let reply = await this.call();
     if (reply?.word === SlotReplyKind.Queued && !this.isAbandoned) {
       this.options.onQueued();
-      reply = await this.waitForTurn(reply.arbiter, reply.waitMs);
-      const lostArbiter = this.arbiter;
+      const { arbiter } = reply;
+      reply = await this.waitForTurn(arbiter, reply.waitMs);
       if (reply === undefined && !this.isAbandoned && !this.canMeetObjective()) {
-        reply = await this.call(lostArbiter);
+        reply = await this.call(arbiter);
         if (reply?.word === SlotReplyKind.Queued) reply = await this.waitForTurn(reply.arbiter, reply.waitMs);
       }
     }
@@ -142,9 +141,7 @@
       excluded: input.excluded.slice(0, maxExcluded),
     };
     const limitMs = Math.min(maxReplyMs, input.objectiveMs * replyShare);
-    const reply = await transport.request(call, limitMs, passedOver);
-    if (reply) this.arbiter = reply.arbiter;
-    return reply;
+    return transport.request(call, limitMs, passedOver);
   }
 
   private async waitForTurn(arbiter: string, announcedMs: number): Promise<DecidedReply | undefined> {
--- a/packages/gateway/src/slotArbiter.ts
+++ b/packages/gateway/src/slotArbiter.ts
@@ -34,7 +34,7 @@
   readonly createScheduler: () => SlotScheduler;
 }
 
-/** Time without requests after which a service's queue is dropped. */
+/** Milliseconds without requests after which a service's queue is dropped. */
 const idleTimeoutMs = 60_000;
 const unknownReply: SlotReply = { word: SlotReplyKind.Unknown };
 
--- a/packages/gateway/src/slotContention.ts
+++ b/packages/gateway/src/slotContention.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { Clock, Logger, Timer } from "@gladewall/kernel";
+import { maxReportAgeMs } from "@gladewall/policy";
 import type { EndpointDirectory } from "./endpointDirectory.js";
 import type { Service } from "./types.js";
 
@@ -15,8 +16,6 @@
   readonly getFleetSize: () => number;
 }
 
-/** Age above which a report of load no longer counts. */
-const maxReportAgeMs = 2_000;
 /** Share of the slots that running and waiting requests take in a contended service. */
 const contendedShare = 0.7;
 /** Time for which a service stays contended after the last sign; bursts pause for shorter times. */
--- a/packages/policy/src/endpointCapacity.ts
+++ b/packages/policy/src/endpointCapacity.ts
@@ -146,6 +146,11 @@
 
 function isValidReport({ running, waiting, slots, pacePercent }: EndpointLoad): boolean {
   if (!isCount(running) || !isCount(waiting) || !isCount(slots) || slots < 1) return false;
+  return isPlausiblePace(pacePercent);
+}
+
+/** Returns whether an endpoint may report this pace; it need not report any. */
+export function isPlausiblePace(pacePercent: number | undefined): boolean {
   return pacePercent === undefined || (pacePercent >= minPacePercent && pacePercent <= maxPacePercent);
 }
 
--- a/packages/policy/src/slotEndpointState.ts
+++ b/packages/policy/src/slotEndpointState.ts
@@ -4,16 +4,13 @@
  * @module
  */
 import type { EndpointLoad, SlotEndpoint } from "./capacityTypes.js";
+import { isPlausiblePace, maxReportAgeMs } from "./endpointCapacity.js";
 
-/** Reports older than this are ignored. */
-const maxReportAgeMs = 2_000;
 /** The pace of an endpoint changes every 100 to 400 ms, so a report tells little after that time. */
 const paceDecayMs = 250;
-const minPacePercent = 10;
-const maxPacePercent = 10_000;
 /**
- * A report of more requests than this multiple of the slots counts as that many. A report then holds grants back for about
- * one run time; with 8, endpoints that always reported to be full answered a fifth of a load that they could serve.
+ * A report of more requests than this multiple of the slots counts as that many, so that it holds grants back for about one run
+ * time only. An endpoint that always reports to be full would otherwise hardly be used.
  */
 const maxRequestsPerSlot = 2;
 /** Requests beyond the slots that may wait at an endpoint, so that a slot is not idle for the transmission time. */
@@ -45,10 +42,6 @@
     return this.slots;
   }
 
-  getOpenGrants(): number {
-    return this.open;
-  }
-
   addGrant(): void {
     this.open += 1;
   }
@@ -130,9 +123,7 @@
 }
 
 function isValid({ running, waiting, slots, pacePercent }: EndpointLoad): boolean {
-  if (!isCount(running) || !isCount(waiting) || !isCount(slots)) return false;
-  if (pacePercent === undefined) return true;
-  return pacePercent >= minPacePercent && pacePercent <= maxPacePercent;
+  return isCount(running) && isCount(waiting) && isCount(slots) && isPlausiblePace(pacePercent);
 }
 
 function isCount(value: number): boolean {
--- a/packages/policy/src/slotScheduler.ts
+++ b/packages/policy/src/slotScheduler.ts
@@ -26,11 +26,11 @@
 /** Requests that are passed over in one dispatch because they may not be sent to the endpoints with room. */
 const maxPassedOver = 64;
 /**
- * A request counts as able to meet its objective while this multiple of the mean run time is left. Run times vary: with
- * the mean itself, requests were served at overload that then were late, and the credit fell from 0.82 to 0.79.
+ * A request counts as able to meet its objective while this multiple of the mean run time is left. Run times vary, so with
+ * the mean itself, capacity would be spent at overload on requests that are then late.
  */
 const runTimeReserve = 2;
-/** Estimates over all endpoints are computed again after this time; paces change every 100 to 400 ms. */
+/** Age in milliseconds after which estimates over all endpoints are computed again; paces change every 100 to 400 ms. */
 const estimateMaxAgeMs = 5;
 
 /** What a scheduler needs from its owner. */
