--- a/packages/gateway/src/slotArbiter.ts
+++ b/packages/gateway/src/slotArbiter.ts
@@ -19,7 +19,7 @@
   SlotMessageKind,
   type SlotReply,
   type SlotWait,
-  SlotWord,
+  SlotReplyKind,
 } from "./slotMessages.js";
 import { SlotQueue } from "./slotQueue.js";
 
@@ -34,9 +34,9 @@
   readonly createScheduler: () => SlotScheduler;
 }
 
-/** Time without requests after which a service's queue is dropped. */
+/** Milliseconds without requests after which a service's queue is dropped. */
 const idleTimeoutMs = 60_000;
-const unknownReply: SlotReply = { word: SlotWord.Unknown };
+const unknownReply: SlotReply = { word: SlotReplyKind.Unknown };
 
 /** Decides on slots. */
 export class SlotArbiter {
@@ -98,7 +98,11 @@
   private handleCall(message: PeerMessage, peer: PeerIdentity): SlotReply {
     const isValid = isSlotCall(message) && this.hasEndpoints(message.service);
     const reply = isValid ? this.request(peer, message) : unknownReply;
-    this.options.logger.debug("slot.called", { from: peer.name, valid: isValid, word: SlotWord[reply.word] });
+    this.options.logger.debug("slot.called", {
+      from: peer.name,
+      valid: isValid,
+      word: SlotReplyKind[reply.word],
+    });
     return reply;
   }
 
@@ -138,14 +142,19 @@
     return queue;
   }
 
-  /** Usable endpoints without those that this instance cannot reach; all usable ones if it reaches none. */
+  /**
+   * Usable endpoints. Those that this instance cannot reach have no slots, unless it reaches none: they stay in the list, because
+   * requests with open grants may still run there.
+   */
   private getEndpoints(service: string): readonly SlotEndpoint[] {
     const { clock, directory } = this.options;
     const time = clock.getTime();
     const usable = directory.getOfService(service).filter((endpoint) => endpoint.isUsable());
-    const reachable = usable.filter((endpoint) => !endpoint.isUnreachable(time));
-    const chosen = reachable.length > 0 ? reachable : usable;
-    return chosen.map(({ incarnation, record }) => ({ incarnation, slots: record.slots }));
+    const isAnyReachable = usable.some((endpoint) => !endpoint.isUnreachable(time));
+    return usable.map((endpoint) => {
+      const hasSlots = !isAnyReachable || !endpoint.isUnreachable(time);
+      return { incarnation: endpoint.incarnation, slots: hasSlots ? endpoint.record.slots : 0 };
+    });
   }
 
   private dropIdleQueues(): void {
--- a/packages/gateway/src/slotQueue.ts
+++ b/packages/gateway/src/slotQueue.ts
@@ -1,5 +1,5 @@
 /**
- * The requests for slots of one service at its arbiter: who asked, who waits for a reply, and when to decide again. The order and
+ * The requests for slots of one service at its arbiter: who requested one, who waits for a reply, and when to decide again. The order and
  * the choice of endpoints are the scheduler's.
  * @module
  */
@@ -17,7 +17,7 @@
   type SlotEndReport,
   type SlotReply,
   type SlotWait,
-  SlotWord,
+  SlotReplyKind,
 } from "./slotMessages.js";
 
 /** Options of a queue. */
@@ -36,6 +36,8 @@
   Granted = 2,
   /** The requester has been told, and reports the end. */
   Used = 3,
+  /** Removed by the scheduler; the requester has not been told yet. */
+  Expired = 4,
 }
 
 /** A request that waits or has a grant. */
@@ -55,7 +57,7 @@
 const minReviewMs = 2;
 /** Longest time that a grant lasts beyond the deadline of its request; the scheduler bounds grants to 2 s. */
 const grantLifetimeMs = 2_000;
-const unknownReply: SlotReply = { word: SlotWord.Unknown };
+const unknownReply: SlotReply = { word: SlotReplyKind.Unknown };
 
 /** The queue of one service. */
 export class SlotQueue {
@@ -104,27 +106,29 @@
     });
     if (decision.outcome === SlotOutcome.Refused) {
       const { refusal, retryAfterMs } = decision;
-      return { word: SlotWord.Refused, arbiter, refusal, retryAfterMs };
+      return { word: SlotReplyKind.Refused, arbiter, refusal, retryAfterMs };
     }
     const forgetAt = time + Math.max(0, call.deadlineMs) + grantLifetimeMs;
     const entry = createEntry(requester, decision, forgetAt);
     this.entries.set(key, entry);
     this.update();
+    if (entry.state === EntryState.Expired) return this.replyExpired(key);
     if (decision.outcome === SlotOutcome.Granted || entry.state !== EntryState.Waiting)
       return this.replyGranted(entry);
-    if (!this.entries.has(key)) return this.createExpiry();
-    return { word: SlotWord.Queued, arbiter, waitMs: Math.max(0, decision.waitMs) };
+    return { word: SlotReplyKind.Queued, arbiter, waitMs: Math.max(0, decision.waitMs) };
   }
 
   /** Resolves when the request's turn comes, when it expires or is cancelled, or after `waitMs` if it is still queued. */
   wait(requester: PeerIdentity, { id, waitMs }: SlotWait): Promise<SlotReply> {
     const { clock, ownName: arbiter } = this.options;
-    const entry = this.entries.get(getKey(requester, id));
+    const key = getKey(requester, id);
+    const entry = this.entries.get(key);
     if (!entry) return Promise.resolve(unknownReply);
+    if (entry.state === EntryState.Expired) return Promise.resolve(this.replyExpired(key));
     if (entry.state !== EntryState.Waiting) return Promise.resolve(this.replyGranted(entry));
     entry.reply?.(unknownReply);
     return new Promise((resolve) => {
-      const timer = clock.startTimer(waitMs, () => reply({ word: SlotWord.Queued, arbiter, waitMs }));
+      const timer = clock.startTimer(waitMs, () => reply({ word: SlotReplyKind.Queued, arbiter, waitMs }));
       const reply = (value: SlotReply): void => {
         timer.cancel();
         if (entry.reply === reply) entry.reply = undefined;
@@ -175,7 +179,7 @@
 
   private replyGranted(entry: Entry): SlotReply {
     entry.state = EntryState.Used;
-    return { word: SlotWord.Granted, arbiter: this.options.ownName, endpoint: entry.endpoint ?? "" };
+    return { word: SlotReplyKind.Granted, arbiter: this.options.ownName, endpoint: entry.endpoint ?? "" };
   }
 
   /** Applies what has changed: endpoints, free slots and the passing of time. */
@@ -200,14 +204,16 @@
   private expire(key: string): void {
     const entry = this.entries.get(key);
     if (entry?.state !== EntryState.Waiting) return;
-    this.entries.delete(key);
-    entry.reply?.(this.createExpiry());
+    // Between two wait calls of the requester, the entry stays for the next one.
+    entry.state = EntryState.Expired;
+    entry.reply?.(this.replyExpired(key));
   }
 
-  /** Creates the reply to a request that was not granted a slot before its deadline. */
-  private createExpiry(): SlotReply {
+  /** Removes a request that was not granted a slot before its deadline, and returns the reply to it. */
+  private replyExpired(key: string): SlotReply {
+    this.entries.delete(key);
     const refusal = SlotRefusal.DeadlineUnreachable;
-    return { word: SlotWord.Refused, arbiter: this.options.ownName, refusal, retryAfterMs: undefined };
+    return { word: SlotReplyKind.Refused, arbiter: this.options.ownName, refusal, retryAfterMs: undefined };
   }
 
   /** Removes entries whose ends were lost; the scheduler has dropped them before. */
--- a/packages/policy/src/capacityTypes.ts
+++ b/packages/policy/src/capacityTypes.ts
@@ -27,7 +27,7 @@
 /** A request for a slot of a service. Times are milliseconds of the clock of the instance that decides. */
 export interface SlotRequest {
   readonly id: string;
-  /** Instance that asks. */
+  /** Instance that sends the request. */
   readonly requester: string;
   /** Empty for requests without a workspace. */
   readonly workspace: string;
@@ -100,6 +100,7 @@
 /** An endpoint whose slots are granted. */
 export interface SlotEndpoint {
   readonly incarnation: string;
+  /** 0 if nothing is to be sent there now; open grants stay counted. */
   readonly slots: number;
 }
 
