Charge a ranked request with its own units, not with those of refused ones

Cause: a call to the arbiter states the sender's total, which includes requests whose replies have not arrived. Two faults followed in a surge. If one of these was refused, its units stayed in the arbiter's count until the sender's next report: the level passed the capacity, urgent requests were refused by the limit, and later requests of the sender were granted from these units without the order being asked, whatever their rank. And the sum was recorded as the largest request of the urgent rank, for which up to a quarter of the capacity was then reserved for 10 s.

Change: a ranked call states the units of its own, so the total before it is known; the arbiter lowers its count to that. Only a request's own units are recorded as the largest. Calls without a rank, and all calls in the modes `off` and `observe`, are decided as before.

The level no longer contains units that nobody holds, so the level at which the shares add up to the rate is 0.8 of the capacity instead of 0.7.

The new tests of this fault failed before.

--- a/packages/gateway/src/admission.ts
+++ b/packages/gateway/src/admission.ts
@@ -42,6 +42,8 @@
 /** Units that a request wants of a limit. */
 export interface QuotaDemand {
   readonly cost: number;
+  /** Units of the request alone, if the cost includes units that its instance has not reported yet; the cost if left out. */
+  readonly units?: number;
   readonly use: QuotaUse;
   /** Priority of the request's route; undefined for retries of admitted requests, which the limit alone decides. */
   readonly rank: number | undefined;
@@ -232,17 +234,21 @@
 
   /** Decides as the arbiter of a limit whether a peer's total of taken units may rise to the one in its call. */
   decideForPeer(peer: PeerIdentity, call: QuotaCall): QuotaReply {
-    const { counters, follower } = this.options;
+    const { counters, follower, orders } = this.options;
     const { workspace: name, total, uptime, use, rank, units } = call;
     const workspace = follower.getTable()?.findWorkspaceByName(name);
     if (!workspace) return { word: GrantDecision.Unknown, level: 0 };
     const margin = this.arbiterTerms.getTakeoverMargin(workspace);
     const peerTotal = { peer: peer.name, life: getIncarnationKey(peer), uptime, name, total };
     let waitMs: number | undefined;
+    if (orders?.appliesTo(rank) && units !== undefined && units > 0 && units <= total) {
+      counters.lowerTotal({ ...peerTotal, total: total - units });
+    }
     const decision = counters.applyTotal(CounterKind.Quota, peerTotal, (cost) => {
       if (workspace.ratePerSecond <= 0) return true;
-      const taking = this.createTaking(workspace, { cost, use, rank }, 1, margin);
-      waitMs = this.findOrderWait(taking, rank, Math.min(cost, units ?? cost));
+      const ownUnits = Math.min(cost, units ?? cost);
+      const taking = this.createTaking(workspace, { cost, units: ownUnits, use, rank }, 1, margin);
+      waitMs = this.findOrderWait(taking, rank, ownUnits);
       return waitMs === undefined && getExcess(taking) <= 0;
     });
     const level = Math.round(counters.getKnownSum(CounterKind.Quota, name));
@@ -250,9 +256,13 @@
   }
 
   /** Returns the units that must be free to admit a request. */
-  private getRequired({ name: workspace }: Workspace, { cost, rank }: QuotaDemand, bound: number): number {
-    const known = this.options.orders?.appliesTo(rank) ? rank : undefined;
-    return this.largest.getRequired({ workspace, rank: known, cost, bound });
+  private getRequired(
+    { name: workspace }: Workspace,
+    { cost, units = cost, rank }: QuotaDemand,
+    bound: number,
+  ): number {
+    const request = this.options.orders?.appliesTo(rank) ? { rank, units } : { rank: undefined, units: cost };
+    return this.largest.getRequired({ workspace, ...request, cost, bound });
   }
 
   private takeIfAvailable(taking: QuotaCheck): Result<void, Failure> {
--- a/packages/gateway/src/largestRequests.ts
+++ b/packages/gateway/src/largestRequests.ts
@@ -10,6 +10,9 @@
   readonly workspace: string;
   /** Undefined if the order inside the limit does not apply: units are then reserved for the largest request of all ranks. */
   readonly rank: number | undefined;
+  /** Units of the request alone. */
+  readonly units: number;
+  /** Units to be taken: those of the request, and those that its instance has taken but not reported yet. */
   readonly cost: number;
   /** Level up to which units may be taken. */
   readonly bound: number;
@@ -52,18 +55,19 @@
    * more urgent one needs. If only the request's own units had to be free, hardly any long request would be admitted beside short
    * ones while the limit is exhausted. Less urgent ranks do not count: a large request of theirs would refuse small urgent ones.
    */
-  getRequired({ workspace, rank, cost, bound }: ReservedRequest): number {
+  getRequired({ workspace, rank, units, cost, bound }: ReservedRequest): number {
     const time = this.clock.getTime();
     let ranks = this.workspaces.get(workspace);
     if (!ranks) this.workspaces.set(workspace, (ranks = new Map<number, LargestRequest>()));
     const own = rank === undefined ? unranked : clampRank(rank);
     const known = ranks.get(own);
-    if (!known || cost >= known.units || time - known.at > largestRequestTtlMs) {
-      ranks.set(own, { units: cost, at: time });
+    if (!known || units >= known.units || time - known.at > largestRequestTtlMs) {
+      ranks.set(own, { units, at: time });
     }
-    let largest = cost;
-    for (const [other, { units, at }] of ranks) {
-      if (other <= own && time - at <= largestRequestTtlMs) largest = Math.max(largest, units);
+    let largest = units;
+    for (const [other, request] of ranks) {
+      if (other <= own && time - request.at <= largestRequestTtlMs)
+        largest = Math.max(largest, request.units);
     }
     return Math.max(cost, Math.min(largest, bound * maxLargestShare));
   }
--- a/packages/gateway/src/sharedCounters.ts
+++ b/packages/gateway/src/sharedCounters.ts
@@ -157,6 +157,20 @@
     this.getBucket(key).set(this.options.clock.getTime(), level + since);
   }
 
+  /**
+   * Lowers the counted total of a peer for a limit if it is higher than `total`. The messages of a peer arrive in the order in which
+   * it sends them, so a lower total is newer: the peer has taken back units that were granted together with those of other requests.
+   */
+  lowerTotal({ peer, life, name, total }: Omit<EarlyTotal, "uptime">): void {
+    const known = this.peers.get(peer);
+    if (known?.life !== life) return;
+    const key = createKey(CounterKind.Quota, name);
+    const excess = (known.totals[key] ?? 0) - total;
+    if (!(excess > 0)) return;
+    this.addToTotal(CounterKind.Quota, key, this.options.clock.getTime(), -excess);
+    this.peers.set(peer, { ...known, totals: { ...known.totals, [key]: total } });
+  }
+
   /** Counts a peer's new total if `mayTake` allows the increase. */
   applyTotal(
     kind: CounterKind.Quota | CounterKind.Retries,
--- a/packages/gateway/test/limitOrders.test.ts
+++ b/packages/gateway/test/limitOrders.test.ts
@@ -104,7 +104,7 @@
   const clock = VirtualClock.create();
   const largest = LargestRequests.create(clock);
   const getRequired = (rank: number | undefined, cost: number): number =>
-    largest.getRequired({ workspace: "w", rank, cost, bound: 100_000 });
+    largest.getRequired({ workspace: "w", rank, units: cost, cost, bound: 100_000 });
   t.equal(getRequired(2, 9_000), 9_000);
   t.equal(getRequired(0, 2_400), 2_400, "a large request of a less urgent rank");
   t.equal(getRequired(2, 1_000), 9_000, "a large request of the same rank");
@@ -166,7 +166,8 @@
     if (reply.word === GrantDecision.Granted) total += units + unanswered;
     return reply;
   };
-  return { clock, call };
+  const takeBack = (units: number): void => void (total -= units);
+  return { clock, call, takeBack, admission, workspace };
 }
 
 /** Sends requests of two ranks until the order refuses the less urgent one. */
@@ -205,6 +206,36 @@
   t.match(lines.join(), / units=101 /);
 });
 
+t.test(
+  "units granted together with a request that another reply refuses are free at the next call",
+  async (t) => {
+    const { call, takeBack, admission, workspace } = createArbiter([]);
+    const { level } = admission.getQuotaState(workspace);
+    t.equal(call(100, 0, 500).word, GrantDecision.Granted);
+    takeBack(500);
+    t.equal(call(1, 0).word, GrantDecision.Granted);
+    t.equal(admission.getQuotaState(workspace).level, level + 101);
+  },
+);
+
+t.test("units that were taken back do not admit a request past the share of its rank", async (t) => {
+  const arbiter = createArbiter([]);
+  const { call, takeBack } = arbiter;
+  await useUpShare(arbiter);
+  t.equal(call(1, 0, 500).word, GrantDecision.Granted);
+  takeBack(500);
+  const { word, waitMs } = call(100, 2);
+  t.equal(word, GrantDecision.Refused);
+  t.type(waitMs, "number");
+});
+
+t.test("units that wait for another reply are not reserved for later requests", async (t) => {
+  const { call, admission, workspace } = createArbiter([]);
+  t.equal(call(10, 0, 2_000).word, GrantDecision.Granted);
+  admission.addQuota(workspace, 0.9 * rate - admission.getQuotaState(workspace).level);
+  t.equal(call(10, 0).word, GrantDecision.Granted);
+});
+
 t.test("a changed mode takes effect with the next decision", async (t) => {
   const overload = OverloadSwitch.create("on");
   const arbiter = createArbiter([], overload);
--- a/packages/policy/src/limitOrder.ts
+++ b/packages/policy/src/limitOrder.ts
@@ -48,11 +48,10 @@
 const shortageLevel = 0.5;
 /**
  * Share of the capacity at which the shares add up to the rate. Below it they also divide what is free of the capacity, because a
- * surge would otherwise be admitted less of the burst than without an order. Above it they add up to less, until the limit has
- * room for urgent requests again: at the capacity the limit refuses all ranks alike. The limit reserves up to a quarter of the
- * capacity for the largest request.
+ * surge would otherwise be admitted less of the burst than without an order. Above it they add up to less, so that the limit keeps
+ * room for urgent requests: at the capacity it refuses all ranks alike.
  */
-const targetLevel = 0.7;
+export const targetLevel = 0.8;
 /** Time in which the level is moved to the target. */
 const levelCorrectionMs = 1_000;
 /** Smallest part of the rate that is divided while the level is above the target. */
--- a/packages/policy/test/limitOrder.test.ts
+++ b/packages/policy/test/limitOrder.test.ts
@@ -5,7 +5,13 @@
 import * as fc from "fast-check";
 import t from "tap";
 import type { Clock } from "@gladewall/kernel";
-import { computeLimitShares, guaranteedShare, LimitOrder, type LimitOrderDecision } from "@gladewall/policy";
+import {
+  computeLimitShares,
+  guaranteedShare,
+  LimitOrder,
+  type LimitOrderDecision,
+  targetLevel,
+} from "@gladewall/policy";
 
 const ratePerSecond = 100_000;
 const capacity = 100_000;
@@ -229,7 +235,7 @@
 
 t.test("what calls without a rank are granted is not divided among the ranks", async (t) => {
   const { order, clock } = createOrder();
-  const limit = { level: 0.7 * capacity, capacity, ratePerSecond };
+  const limit = { level: targetLevel * capacity, capacity, ratePerSecond };
   for (let step = 0; step < 200; step++) {
     clock.time += 10;
     order.recordUnranked(600);
