--- a/packages/gateway/src/activeRequest.ts
+++ b/packages/gateway/src/activeRequest.ts
@@ -75,17 +75,15 @@
     return placement.isOk() ? this.sendWithPermit(placement.value) : this.failUnplaced(placement.error);
   }
 
-  /**
-   * Counts the prompt tokens that have to be read. Without an endpoint the whole prompt counts: endpoints that fail together do
-   * not lower the load.
-   */
+  /** Without an endpoint no token counts as cached: endpoints that fail together do not lower the load. */
   private countDemandOnce(placement: Placement | undefined): void {
     if (this.isDemandCounted) return;
     this.isDemandCounted = true;
     const { parts, request } = this.context;
     const { service, head } = request;
-    const tokens = service.engine && placement ? placement.uncachedTokens : (head.promptTokens ?? 0);
-    parts.demand.countPromptTokens(service.name, tokens);
+    const prompt = head.promptTokens ?? 0;
+    const cached = placement ? Math.max(0, prompt - placement.uncachedTokens) : 0;
+    parts.demand.countPromptTokens(service, { prompt, cached });
   }
 
   private failUnplaced(failure: Failure): NextStep {
--- a/packages/gateway/src/demandEstimator.ts
+++ b/packages/gateway/src/demandEstimator.ts
@@ -1,6 +1,6 @@
 /**
  * Estimates how many endpoints the load of a service needs. Two figures are compared: the prompt tokens of the last seconds
- * that were not cached, divided by what one endpoint prefills at the utilization that still keeps first events on time; and the
+ * that endpoints have to prefill, divided by what one endpoint prefills at the utilization that still keeps first events on time; and the
  * requests in progress, divided by the planned share of an endpoint's slots.
  * @module
  */
@@ -26,6 +26,13 @@
   readonly getActive: (service: string) => number;
 }
 
+/** Prompt tokens of a request. */
+export interface PromptTokens {
+  readonly prompt: number;
+  /** Those of them that the chosen endpoint has cached. */
+  readonly cached: number;
+}
+
 /** Share of an engine's slots to plan with: requests arrive in bursts, and none should wait for a slot. */
 const maxSlotShare = 0.4;
 
@@ -50,9 +57,13 @@
     return new DemandEstimator(options);
   }
 
-  /** Counts the prompt tokens of a request that an endpoint has to prefill. */
-  countPromptTokens(service: string, tokens: number): void {
-    this.options.counters.add(CounterKind.PromptTokens, service, tokens);
+  /**
+   * Counts the prompt tokens of a request. Cached ones count by the share that has to be prefilled again after the loss of a data
+   * hall, because the endpoints that are left must carry that load too until others have booted.
+   */
+  countPromptTokens({ name, scaling }: Service, { prompt, cached }: PromptTokens): void {
+    const halls = Math.max(1, scaling?.hallPrices.size ?? 1);
+    this.options.counters.add(CounterKind.PromptTokens, name, Math.round(prompt - cached + cached / halls));
   }
 
   /** Whether a service has had any load. */
--- a/packages/gateway/test/demandEstimator.test.ts
+++ b/packages/gateway/test/demandEstimator.test.ts
@@ -33,7 +33,7 @@
   let active = 0;
   const { clock, demand } = createEstimator(() => active);
   for (let second = 0; second < 10; second++) {
-    demand.countPromptTokens("pool", 100_000);
+    demand.countPromptTokens(service, { prompt: 100_000, cached: 0 });
     demand.getNeededEndpoints(service, 4, 4);
     await clock.advance(1_000);
   }
@@ -46,7 +46,7 @@
 t.test("a peak of the need is held for a while after it has passed", async (t) => {
   let active = 96;
   const { clock, demand } = createEstimator(() => active);
-  demand.countPromptTokens("pool", 1_000);
+  demand.countPromptTokens(service, { prompt: 1_000, cached: 0 });
   demand.getNeededEndpoints(service, 4, 0);
   await clock.advance(9_000);
   t.equal(demand.getNeededEndpoints(service, 4, 0), 15);
@@ -56,3 +56,18 @@
   await clock.advance(10_000);
   t.equal(demand.getNeededEndpoints(service, 4, 0), 4);
 });
+
+// Guards against a need that ignores cached prompts: with a data hall its caches are lost, and their prompts are prefilled again.
+t.test("cached prompt tokens count by the share that is lost with a data hall", async (t) => {
+  const hallPrices = new Map(["a", "b", "c", "d"].map((hall) => [hall, 1]));
+  const scaling = { min: 0, max: 100, bootMs: 4_000, reclaimablePrice: 0.2, hallPrices };
+  const spread = createService({ ...service, scaling });
+  const { clock, demand } = createEstimator(() => 0);
+  for (let second = 0; second < 10; second++) {
+    demand.countPromptTokens(spread, { prompt: 200_000, cached: 160_000 });
+    demand.getNeededEndpoints(spread, 4, 4);
+    await clock.advance(1_000);
+  }
+  // 40,000 uncached tokens and a quarter of 160,000 cached ones: five prompts give 100 tokens per millisecond, at 20 per endpoint.
+  t.equal(demand.getNeededEndpoints(spread, 4, 4), 5);
+});
--- a/packages/gateway/test/prefillRates.test.ts
+++ b/packages/gateway/test/prefillRates.test.ts
@@ -80,12 +80,12 @@
     getRandom: () => 0,
   });
   const request = { service, promptTokens: 12_000, parts: [], excluded: new Set<string>() };
-  demand.countPromptTokens("model", 1_600_000);
+  demand.countPromptTokens(service, { prompt: 1_600_000, cached: 0 });
   t.equal(demand.getNeededEndpoints(service, 4, 9), 9, "an assumed rate orders no endpoints");
   t.equal(placer.choose(request)?.expectedMs, 240);
   recordObservations(rates, 157);
   await clock.advance(20_000);
-  demand.countPromptTokens("model", 1_600_000);
+  demand.countPromptTokens(service, { prompt: 1_600_000, cached: 0 });
   t.equal(demand.getNeededEndpoints(service, 4, 0), 7);
   t.ok((placer.choose(request)?.expectedMs ?? 0) < 90);
 });
