Refuse calls to arbiters whose total is not a number

Cause: such a total was recorded as the largest recent request of its rank, so that all calls of this and less urgent ranks were refused for 10 s.

Change: the arbiter refuses the call and records nothing; units of the request alone count only if they are greater than 0 and within the total.

Result: the new test failed at its third, fourth and sixth check before.

--- a/packages/gateway/src/admission.ts
+++ b/packages/gateway/src/admission.ts
@@ -238,21 +238,30 @@
     const { workspace: name, total, uptime, use, rank, units } = call;
     const workspace = follower.getTable()?.findWorkspaceByName(name);
     if (!workspace) return { word: GrantDecision.Unknown, level: 0 };
+    if (!Number.isFinite(total)) return { word: GrantDecision.Refused, level: this.getKnownLevel(name) };
     const margin = this.arbiterTerms.getTakeoverMargin(workspace);
     const peerTotal = { peer: peer.name, life: getIncarnationKey(peer), uptime, name, total };
     let waitMs: number | undefined;
-    if (orders?.appliesTo(rank) && units !== undefined && units > 0 && units <= total) {
+    const hasUnits = units !== undefined && units > 0 && units <= total;
+    if (hasUnits && orders?.appliesTo(rank)) {
       counters.lowerTotal({ ...peerTotal, total: total - units });
     }
     const decision = counters.applyTotal(CounterKind.Quota, peerTotal, (cost) => {
       if (workspace.ratePerSecond <= 0) return true;
-      const ownUnits = Math.min(cost, units ?? cost);
+      const ownUnits = hasUnits ? Math.min(cost, units) : cost;
       const taking = this.createTaking(workspace, { cost, units: ownUnits, use, rank }, 1, margin);
       waitMs = this.findOrderWait(taking, rank, ownUnits);
       return waitMs === undefined && getExcess(taking) <= 0;
     });
-    const level = Math.round(counters.getKnownSum(CounterKind.Quota, name));
-    return { word: decision, level, ...(waitMs !== undefined && { waitMs: Math.round(waitMs) }) };
+    return {
+      word: decision,
+      level: this.getKnownLevel(name),
+      ...(waitMs !== undefined && { waitMs: Math.round(waitMs) }),
+    };
+  }
+
+  private getKnownLevel(name: string): number {
+    return Math.round(this.options.counters.getKnownSum(CounterKind.Quota, name));
   }
 
   /** Returns the units that must be free to admit a request. */
--- a/packages/gateway/test/limitOrders.test.ts
+++ b/packages/gateway/test/limitOrders.test.ts
@@ -236,6 +236,16 @@
   t.equal(call(10, 0).word, GrantDecision.Granted);
 });
 
+t.test("a call whose units are no number has no effect on later calls", async (t) => {
+  const { call } = createArbiter([]);
+  t.equal(call(1, 0).word, GrantDecision.Granted);
+  t.equal(call(NaN, 1).word, GrantDecision.Refused);
+  t.equal(call(1, 1).word, GrantDecision.Granted);
+  t.equal(call(1, 2).word, GrantDecision.Granted);
+  t.equal(call(NaN).word, GrantDecision.Refused);
+  t.equal(call(1).word, GrantDecision.Granted);
+});
+
 t.test("a changed mode takes effect with the next decision", async (t) => {
   const overload = OverloadSwitch.create("on");
   const arbiter = createArbiter([], overload);
