Refuse requests larger than the capacity without a call to the arbiter

Cause: while several ranks compete, an instance asks the arbiter although its own view shows no room. It adds the units of the request to its count before the call and subtracts them after a refusal. With absurd units in a caller's header (1e300), the count of all other requests is lost in the rounding, and the limit can be exceeded.

Change: a request that cannot fit into the capacity is refused by the instance itself, as without the order.

--- a/packages/gateway/src/admission.ts
+++ b/packages/gateway/src/admission.ts
@@ -147,15 +147,17 @@
 
   /**
    * Returns the refusal if the limit is exhausted as far as is known here; undefined if there may be free capacity. Where the order
-   * inside the limit applies to several ranks, only a level beyond the capacity refuses here, and the arbiter decides otherwise: it
-   * has to know the demand of every rank, and its level is newer.
+   * inside the limit applies to several ranks, only a level or a request beyond the capacity is refused here, and the arbiter decides
+   * otherwise: it has to know the demand of every rank, and its level is newer. A call counts the request's units until the reply
+   * arrives; units of any size would make the counts inexact.
    */
   findRefusal(workspace: Workspace, demand: QuotaDemand): Failure | undefined {
     const check = this.createCheck(workspace, demand);
     if (getExcess(check) <= 0) return undefined;
     const { orders } = this.options;
     const isOrdered = orders?.appliesTo(demand.rank) && this.largest.hasSeveralRanks(workspace.name);
-    if (isOrdered && getExcess({ ...check, needed: 0 }) <= 0) return undefined;
+    const canFit = check.cost <= check.bound;
+    if (isOrdered && canFit && getExcess({ ...check, needed: 0 }) <= 0) return undefined;
     return this.createLimitFailure(check);
   }
 
--- a/packages/gateway/test/limitOrders.test.ts
+++ b/packages/gateway/test/limitOrders.test.ts
@@ -246,6 +246,16 @@
   t.equal(call(1).word, GrantDecision.Granted);
 });
 
+t.test("a request larger than the capacity is refused without a call while several ranks compete", (t) => {
+  const { call, admission, workspace } = createArbiter([]);
+  call(1, 0);
+  call(1, 2);
+  const use = QuotaUse.First;
+  t.equal(admission.findRefusal(workspace, { cost: 0.5 * rate, use, rank: 0 }), undefined);
+  t.ok(admission.findRefusal(workspace, { cost: 1e300, use, rank: 0 }));
+  t.end();
+});
+
 t.test("a changed mode takes effect with the next decision", async (t) => {
   const overload = OverloadSwitch.create("on");
   const arbiter = createArbiter([], overload);
