Pause after a refused order for on-demand endpoints

Cause: a refused order for on-demand endpoints was sent again with every step, 15 times within 4 s, and each call has a price. It also counted as a refusal of reclaimable endpoints: as long as the orders were repeated, none of these were ordered in the data hall.

Change: refusals are kept for each price class. After one, no more endpoints of that class are ordered in the data hall for 2 s; releases are not held back. On-demand refusals still count as a sign of scarcity.

--- a/packages/gateway/src/capacityOrders.ts
+++ b/packages/gateway/src/capacityOrders.ts
@@ -32,7 +32,7 @@
   readonly at: number;
 }
 
-/** Time for which no reclaimable endpoints are ordered in a data hall after a refusal. */
+/** Time for which no endpoints of a price class are ordered in a data hall after a refusal. */
 const refusalCooldownMs = 2_000;
 /** Time for which nothing is ordered after a failed call. */
 const failureCooldownMs = 800;
@@ -52,8 +52,10 @@
 /** Orders endpoints until their numbers match the plan. */
 export class CapacityOrders {
   private readonly lastOrders = new Map<string, LastOrder>();
-  /** Monotonic time at which each data hall last refused an order; deleted once it accepts one for reclaimable endpoints. */
+  /** Monotonic time at which each data hall last refused an order for reclaimable endpoints; deleted once it accepts one. */
   private readonly refusedAt = new Map<string, number>();
+  /** The same for on-demand endpoints. */
+  private readonly onDemandRefusedAt = new Map<string, number>();
   private scarceUntil = -Infinity;
   /** Monotonic time at which a data hall was last reclaimed. */
   private reclaimedAt = -Infinity;
@@ -74,6 +76,7 @@
   reset(): void {
     this.lastOrders.clear();
     this.refusedAt.clear();
+    this.onDemandRefusedAt.clear();
   }
 
   /** Sends the orders of one service that are due. */
@@ -166,6 +169,8 @@
   private isDue(order: CapacityOrder, halls: readonly HallCount[]): boolean {
     const count = halls.find(({ hall }) => hall === order.hall);
     if (!count || (order.isReclaimable && count.isReclaimableRefused)) return false;
+    const adds = order.desired > count.onDemand;
+    if (!order.isReclaimable && adds && this.isOnDemandRefused(order.hall)) return false;
     const present = order.isReclaimable ? count.reclaimable : count.onDemand;
     const last = this.lastOrders.get(getKey(order));
     if (!last) return order.desired !== present;
@@ -173,12 +178,18 @@
     return present !== order.desired && this.options.clock.getTime() - last.at > resendIntervalMs;
   }
 
+  private isOnDemandRefused(hall: string): boolean {
+    const refusedAt = this.onDemandRefusedAt.get(hall) ?? -Infinity;
+    return this.options.clock.getTime() - refusedAt < refusalCooldownMs;
+  }
+
   private async send(order: CapacityOrder, sender: OrderSender): Promise<boolean> {
     const { orders, clock, logger } = this.options;
     const at = clock.getTime();
     const taken = await orders.orderCapacity(order, sender);
     const outcome = taken.isErr() ? taken.error.name : OrderOutcome[taken.value];
     const { service, hall, desired, isReclaimable } = order;
+    const refusedAt = isReclaimable ? this.refusedAt : this.onDemandRefusedAt;
     logger.info("capacity.ordered", { service, hall, desired, isReclaimable, fence: sender.fence, outcome });
     if (taken.isErr()) {
       this.failedAt = clock.getTime();
@@ -186,10 +197,10 @@
     }
     if (taken.value === OrderOutcome.Taken) {
       this.lastOrders.set(getKey(order), { desired, at });
-      if (isReclaimable) this.refusedAt.delete(hall);
+      refusedAt.delete(hall);
       return true;
     }
-    this.refusedAt.set(hall, at);
+    refusedAt.set(hall, at);
     this.scarceUntil = at + scarcityMs;
     return true;
   }
--- a/packages/gateway/test/capacityOrders.test.ts
+++ b/packages/gateway/test/capacityOrders.test.ts
@@ -196,3 +196,34 @@
   t.equal(countClass(platform, true), needed);
   t.equal(countClass(platform, false), 0);
 });
+
+t.test("a refused order for on-demand endpoints is not repeated with every step", async (t) => {
+  const clock = VirtualClock.create();
+  const orders = FakeOrderService.create();
+  const sent: CapacityOrder[] = [];
+  orders.getCapacityOutcome = (order) => {
+    sent.push(order);
+    return OrderOutcome.NoneAvailable;
+  };
+  const capacity = CapacityOrders.create({
+    clock,
+    orders,
+    logger: Logger.createSilent(),
+    getEndpoints: () => [],
+    getNeeded: () => 2,
+    isLoadAwaited: () => false,
+  });
+  const scaling = { min: 0, max: maxPerHall, bootMs, reclaimablePrice: 0.2, hallPrices: new Map([["a", 1]]) };
+  const service = createService({ scaling });
+  for (let step = 0; step < 16; step++) {
+    await capacity.step(service, () => ({ holder: "one", fence: 1 }));
+    await clock.advance(stepMs);
+  }
+  const onDemand = sent.filter((order) => !order.isReclaimable);
+  t.ok(onDemand.length >= 1 && onDemand.length <= 3, `${onDemand.length} orders within 4 s`);
+  t.equal(
+    sent.length - onDemand.length,
+    2,
+    "reclaimable ones are ordered again after their own refusal only",
+  );
+});
