State once how the order evaluates a request, and when a pace is known

The two decisions of the order repeated the same steps; placement and the capacity of endpoints repeated their own methods. Behaviour is unchanged.

--- a/packages/gateway/src/placement.ts
+++ b/packages/gateway/src/placement.ts
@@ -86,7 +86,6 @@
     if (this.comparesCompletion(request, candidates, time))
       return this.chooseByCompletion(request, candidates, time);
     const home = findAffinityEndpoint(request.parts, candidates);
-    const usesPace = this.usesReportedLoad();
     let best: Endpoint | undefined;
     let bestScore = Infinity;
     let uncachedTokens = 0;
@@ -94,7 +93,7 @@
     for (const endpoint of candidates) {
       const peers = this.options.getPeerWork(endpoint.incarnation);
       const tokens = this.getUncachedTokens(request, endpoint, endpoint === home);
-      const pace = usesPace ? endpoint.capacity.getPace(time) : 1;
+      const pace = this.getPace(endpoint, time);
       const milliseconds = this.getExpectedMs(request.service, endpoint, peers, tokens, pace);
       const score = milliseconds + getPenalty(endpoint, time) + this.options.getRandom() * tieBreakMs;
       if (score >= bestScore) continue;
--- a/packages/policy/src/endpointCapacity.ts
+++ b/packages/policy/src/endpointCapacity.ts
@@ -1,5 +1,5 @@
 /**
- * Estimates the room at one endpoint from the load that it last reported, and from the requests that this instance has sent to it
+ * Estimates the free slots and the pace of one endpoint from the load that it last reported, and from the requests that this instance has sent to it
  * and seen end since. Handles endpoints that share their machine with other workloads, so that the time their work takes changes
  * several times a second. All times are passed in and are milliseconds of one monotonic clock.
  * @module
@@ -44,7 +44,7 @@
   }
 }
 
-/** Returns the room at one incarnation of an endpoint. */
+/** Requests, free slots and pace of one incarnation of an endpoint. */
 export class EndpointCapacity {
   private report: EndpointLoad | undefined;
   private reportedAt = -Infinity;
@@ -111,7 +111,7 @@
 
   /** Returns the factor by which work takes longer than usual; 1 if it is unknown. */
   getPace(time: number): number {
-    return time <= this.paceUntil ? decayPace(this.smoothedPace, time - this.reportedAt) : 1;
+    return this.hasPace(time) ? decayPace(this.smoothedPace, time - this.reportedAt) : 1;
   }
 
   estimate(time: number): CapacityEstimate {
@@ -128,7 +128,7 @@
     const counted = known > open ? known : open;
     reading.isFull = time < this.fullUntil;
     reading.isReported = recent !== undefined;
-    reading.hasPace = time <= this.paceUntil;
+    reading.hasPace = this.hasPace(time);
     reading.ageMs = ageMs;
     reading.slots = slots;
     reading.requests = reading.isFull && counted < slots ? slots : counted;
--- a/packages/policy/src/limitOrder.ts
+++ b/packages/policy/src/limitOrder.ts
@@ -88,6 +88,17 @@
   level: number;
 }
 
+/** State and share of a request's rank at the time of a decision. */
+interface RankEvaluation {
+  readonly state: RankState;
+  readonly share: number;
+  readonly ranks: readonly RankShare[];
+  /** Whether the request may be one that was refused before. */
+  readonly isReturn: boolean;
+  /** Whether units are short, several ranks compete, and the rank requests more than its share. */
+  readonly isOverShare: boolean;
+}
+
 /** Order inside the limit of one workspace. */
 export class LimitOrder {
   private readonly ranks = new Map<number, RankState>();
@@ -110,14 +121,9 @@
 
   /** Decides on a request that the limit itself would admit, and counts the units if it is admitted. */
   decide(request: LimitRequest): LimitOrderDecision {
-    const rank = clampRank(request.rank);
-    const isReturn = this.recordDemand(rank, request.units);
-    const ranks = this.getShares(request);
-    this.drain(ranks);
-    const { share, demand } = ranks.find((entry) => entry.rank === rank)!;
+    const { state, share, ranks, isReturn, isOverShare } = this.evaluate(request);
     const admitted = { isAdmitted: true, isShareSpent: false, waitMs: 0, ranks };
-    if (!isShort(request) || ranks.length < 2 || share >= demand) return admitted;
-    const state = this.getState(rank);
+    if (!isOverShare) return admitted;
     if (state.level < getUnits(share, isReturn ? returnDepthMs : depthMs)) {
       state.level += request.units;
       return admitted;
@@ -131,19 +137,24 @@
    * wait is the rank's own if that is longer.
    */
   refuse(request: LimitRequest, waitMs: number): LimitOrderDecision {
+    const { state, share, ranks, isOverShare } = this.evaluate(request);
+    if (!isOverShare) {
+      state.refused.add(this.clock.getTime(), request.units, waitMs);
+      return { isAdmitted: false, isShareSpent: false, waitMs, ranks };
+    }
+    const ownWaitMs = this.bookReturn(state, request.units, share, waitMs);
+    return { isAdmitted: false, isShareSpent: true, waitMs: ownWaitMs, ranks };
+  }
+
+  /** Records the request's demand and returns the state of its rank, with all levels up to date. */
+  private evaluate(request: LimitRequest): RankEvaluation {
     const rank = clampRank(request.rank);
-    this.recordDemand(rank, request.units);
+    const isReturn = this.recordDemand(rank, request.units);
     const ranks = this.getShares(request);
     this.drain(ranks);
     const { share, demand } = ranks.find((entry) => entry.rank === rank)!;
-    const state = this.getState(rank);
-    const isShareSpent = isShort(request) && ranks.length >= 2 && share < demand;
-    if (!isShareSpent) {
-      state.refused.add(this.clock.getTime(), request.units, waitMs);
-      return { isAdmitted: false, isShareSpent, waitMs, ranks };
-    }
-    const ownWaitMs = this.bookReturn(state, request.units, share, waitMs);
-    return { isAdmitted: false, isShareSpent, waitMs: ownWaitMs, ranks };
+    const isOverShare = isShort(request) && ranks.length >= 2 && share < demand;
+    return { state: this.getState(rank), share, ranks, isReturn, isOverShare };
   }
 
   /** Records units that the limit grants to a call without a rank; they are not part of what the ranks divide. */
