--- a/packages/gateway/src/admission.ts
+++ b/packages/gateway/src/admission.ts
@@ -82,6 +82,7 @@
 const fallbackShare = 0.25;
 /** Share of the capacity up to which units are taken without calling the arbiter. */
 const localGrantShare = 0.5;
+
 /** Admits requests and keeps the levels of limits. */
 export class Admission {
   /** Largest known share of the fleet for which prior usage of a limit was assumed, by workspace. */
@@ -133,7 +134,7 @@
   takeQuota(workspace: Workspace, cost: number, use = QuotaUse.First, rank?: number): Result<void, Failure> {
     if (workspace.ratePerSecond <= 0) return Ok(undefined);
     const taking = this.createTaking(workspace, { cost, use, rank }, 1);
-    const wait = this.findOrderWait(taking, rank, cost);
+    const wait = this.decideOrderWait(taking, rank, cost);
     if (wait !== undefined) return Err(this.createShareRefusal(workspace, rank, wait));
     return this.takeIfAvailable(taking);
   }
@@ -199,7 +200,7 @@
    * Asks the order inside the limit about a request that the limit itself admits, and tells it of one that the limit refuses.
    * Returns the wait if the order refuses; `units` are those of the request alone.
    */
-  private findOrderWait(taking: QuotaCheck, rank: number | undefined, units: number): number | undefined {
+  private decideOrderWait(taking: QuotaCheck, rank: number | undefined, units: number): number | undefined {
     const { workspace, level, bound, share } = taking;
     const { orders, counters } = this.options;
     const excess = getExcess(taking);
@@ -207,7 +208,7 @@
     const ratePerSecond = workspace.ratePerSecond * share;
     const limitWaitMs = excess > 0 ? counters.getTimeUntilFreed(CounterKind.Quota, name, excess) : undefined;
     const request = { workspace: name, rank, units, level, capacity: bound, ratePerSecond };
-    return orders?.findWait(request, limitWaitMs);
+    return orders?.decideWait(request, limitWaitMs);
   }
 
   /**
@@ -252,7 +253,7 @@
       if (workspace.ratePerSecond <= 0) return true;
       const ownUnits = hasUnits ? Math.min(cost, units) : cost;
       const taking = this.createTaking(workspace, { cost, units: ownUnits, use, rank }, 1, margin);
-      waitMs = this.findOrderWait(taking, rank, ownUnits);
+      waitMs = this.decideOrderWait(taking, rank, ownUnits);
       return waitMs === undefined && getExcess(taking) <= 0;
     });
     return {
--- a/packages/gateway/src/limitOrders.ts
+++ b/packages/gateway/src/limitOrders.ts
@@ -41,7 +41,7 @@
    * Decides on a request that the limit itself admits or, with `limitWaitMs`, refuses until that time has passed. Returns the
    * milliseconds until the rank's share has room if the share is used up, and undefined if the limit alone decides.
    */
-  findWait({ workspace, rank, ...request }: OrderedRequest, limitWaitMs?: number): number | undefined {
+  decideWait({ workspace, rank, ...request }: OrderedRequest, limitWaitMs?: number): number | undefined {
     const { mode } = this.options.overload;
     if (mode === OverloadMode.Off) return undefined;
     // A request of no units takes nothing of a share; a peer's message may hold any number.
