--- a/packages/gateway/src/admission.ts
+++ b/packages/gateway/src/admission.ts
@@ -82,6 +82,7 @@
 const fallbackShare = 0.25;
 /** Share of the capacity up to which units are taken without calling the arbiter. */
 const localGrantShare = 0.5;
+
 /** Admits requests and keeps the levels of limits. */
 export class Admission {
   /** Largest known share of the fleet for which prior usage of a limit was assumed, by workspace. */
@@ -133,7 +134,7 @@
   takeQuota(workspace: Workspace, cost: number, use = QuotaUse.First, rank?: number): Result<void, Failure> {
     if (workspace.ratePerSecond <= 0) return Ok(undefined);
     const taking = this.createTaking(workspace, { cost, use, rank }, 1);
-    const wait = this.findOrderWait(taking, rank, cost);
+    const wait = this.decideOrderWait(taking, rank, cost);
     if (wait !== undefined) return Err(this.createShareRefusal(workspace, rank, wait));
     return this.takeIfAvailable(taking);
   }
@@ -147,15 +148,17 @@
 
   /**
    * Returns the refusal if the limit is exhausted as far as is known here; undefined if there may be free capacity. Where the order
-   * inside the limit applies to several ranks, only a level beyond the capacity refuses here, and the arbiter decides otherwise: it
-   * has to know the demand of every rank, and its level is newer.
+   * inside the limit applies to several ranks, only a level or a request beyond the capacity is refused here, and the arbiter decides
+   * otherwise: it has to know the demand of every rank, and its level is newer. A call counts the request's units until the reply
+   * arrives; units of any size would make the counts inexact.
    */
   findRefusal(workspace: Workspace, demand: QuotaDemand): Failure | undefined {
     const check = this.createCheck(workspace, demand);
     if (getExcess(check) <= 0) return undefined;
     const { orders } = this.options;
     const isOrdered = orders?.appliesTo(demand.rank) && this.largest.hasSeveralRanks(workspace.name);
-    if (isOrdered && getExcess({ ...check, needed: 0 }) <= 0) return undefined;
+    const canFit = check.cost <= check.bound;
+    if (isOrdered && canFit && getExcess({ ...check, needed: 0 }) <= 0) return undefined;
     return this.createLimitFailure(check);
   }
 
@@ -197,7 +200,7 @@
    * Asks the order inside the limit about a request that the limit itself admits, and tells it of one that the limit refuses.
    * Returns the wait if the order refuses; `units` are those of the request alone.
    */
-  private findOrderWait(taking: QuotaCheck, rank: number | undefined, units: number): number | undefined {
+  private decideOrderWait(taking: QuotaCheck, rank: number | undefined, units: number): number | undefined {
     const { workspace, level, bound, share } = taking;
     const { orders, counters } = this.options;
     const excess = getExcess(taking);
@@ -205,7 +208,7 @@
     const ratePerSecond = workspace.ratePerSecond * share;
     const limitWaitMs = excess > 0 ? counters.getTimeUntilFreed(CounterKind.Quota, name, excess) : undefined;
     const request = { workspace: name, rank, units, level, capacity: bound, ratePerSecond };
-    return orders?.findWait(request, limitWaitMs);
+    return orders?.decideWait(request, limitWaitMs);
   }
 
   /**
@@ -238,21 +241,30 @@
     const { workspace: name, total, uptime, use, rank, units } = call;
     const workspace = follower.getTable()?.findWorkspaceByName(name);
     if (!workspace) return { word: GrantDecision.Unknown, level: 0 };
+    if (!Number.isFinite(total)) return { word: GrantDecision.Refused, level: this.getKnownLevel(name) };
     const margin = this.arbiterTerms.getTakeoverMargin(workspace);
     const peerTotal = { peer: peer.name, life: getIncarnationKey(peer), uptime, name, total };
     let waitMs: number | undefined;
-    if (orders?.appliesTo(rank) && units !== undefined && units > 0 && units <= total) {
+    const hasUnits = units !== undefined && units > 0 && units <= total;
+    if (hasUnits && orders?.appliesTo(rank)) {
       counters.lowerTotal({ ...peerTotal, total: total - units });
     }
     const decision = counters.applyTotal(CounterKind.Quota, peerTotal, (cost) => {
       if (workspace.ratePerSecond <= 0) return true;
-      const ownUnits = Math.min(cost, units ?? cost);
+      const ownUnits = hasUnits ? Math.min(cost, units) : cost;
       const taking = this.createTaking(workspace, { cost, units: ownUnits, use, rank }, 1, margin);
-      waitMs = this.findOrderWait(taking, rank, ownUnits);
+      waitMs = this.decideOrderWait(taking, rank, ownUnits);
       return waitMs === undefined && getExcess(taking) <= 0;
     });
-    const level = Math.round(counters.getKnownSum(CounterKind.Quota, name));
-    return { word: decision, level, ...(waitMs !== undefined && { waitMs: Math.round(waitMs) }) };
+    return {
+      word: decision,
+      level: this.getKnownLevel(name),
+      ...(waitMs !== undefined && { waitMs: Math.round(waitMs) }),
+    };
+  }
+
+  private getKnownLevel(name: string): number {
+    return Math.round(this.options.counters.getKnownSum(CounterKind.Quota, name));
   }
 
   /** Returns the units that must be free to admit a request. */
