--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -14,13 +14,9 @@
 import type { Result } from "ts-results-es";
 import type { ConnectionTraffic } from "@gladewall/coordination";
 import { CallerServer } from "./callerServer.js";
-import {
-  canServe,
-  createGatewayParts,
-  type GatewayParts,
-  type SlotSchedulerFactory,
-} from "./gatewayParts.js";
+import { canServe, createGatewayParts, type GatewayParts } from "./gatewayParts.js";
 import type { GatewaySettings } from "./gatewaySettings.js";
+import type { SlotSchedulerFactory } from "./limitParts.js";
 import { RequestServer } from "./requestServer.js";
 import { CounterKind } from "./sharedCounters.js";
 import { isRestore } from "./storeEras.js";
--- a/packages/gateway/src/gatewayParts.ts
+++ b/packages/gateway/src/gatewayParts.ts
@@ -4,8 +4,7 @@
  */
 import { getIncarnationKey } from "@gladewall/coordination";
 import type { Clock, Logger } from "@gladewall/kernel";
-import { ServiceSlotScheduler, type SlotScheduler } from "@gladewall/policy";
-import { Admission } from "./admission.js";
+import type { Admission } from "./admission.js";
 import type { Endpoint, PeerWork } from "./endpoint.js";
 import { EndpointConnections } from "./endpointConnections.js";
 import { EndpointDirectory } from "./endpointDirectory.js";
@@ -13,21 +12,27 @@
 import { CrashProtection } from "./crashProtection.js";
 import { ConfigurationFollower, type ConfigurationFollowerOptions } from "./configurationFollower.js";
 import { DemandEstimator } from "./demandEstimator.js";
+import {
+  createAdmission,
+  createBudget,
+  createCharges,
+  createLimits,
+  createOrders,
+  createServiceSlotScheduler,
+  createSlots,
+} from "./limitParts.js";
 import { LeaderTasks } from "./leaderTasks.js";
 import type { FencedLeases } from "./fencedLeases.js";
 import type { EraSettling } from "./eraSettling.js";
 import { reportEras } from "./eraReporting.js";
 import { createFeedTimings, type FeedTimings } from "./feedTimings.js";
 import { LeavingGossip } from "./leavingGossip.js";
-import { EndpointLimits } from "./endpointLimits.js";
+import type { EndpointLimits } from "./endpointLimits.js";
 import { FencedOrders } from "./fencedOrders.js";
 import { GatewayMetrics } from "./gatewayMetrics.js";
 import type { GatewaySettings } from "./gatewaySettings.js";
 import { OverloadMode, OverloadSwitch } from "./overloadSwitch.js";
-import { PermitIssuer } from "./permitIssuer.js";
-import { LimitGossip } from "./limitGossip.js";
-import { LimitOrders } from "./limitOrders.js";
-import { PermitClient } from "./permitClient.js";
+import type { PermitClient } from "./permitClient.js";
 import { gatewayPrefix } from "./memberRecords.js";
 import { Members, type MembersOptions } from "./members.js";
 import { GatewayItems, usagePrefix } from "./gatewayItems.js";
@@ -35,14 +40,12 @@
 import { PrefixIndex } from "./prefixIndex.js";
 import { PrefillRates } from "./prefillRates.js";
 import type { SuspectGate } from "./suspectGate.js";
-import { QuotaCharges } from "./quotaCharges.js";
-import { RetryBudget } from "./retryBudget.js";
-import { RetryLinks } from "./retryLinks.js";
+import type { QuotaCharges } from "./quotaCharges.js";
+import type { RetryBudget } from "./retryBudget.js";
 import { CounterKind, SharedCounters } from "./sharedCounters.js";
-import { SlotArbiter } from "./slotArbiter.js";
-import { SlotClient } from "./slotClient.js";
-import { SlotContention } from "./slotContention.js";
-import { SlotTransport } from "./slotTransport.js";
+import type { SlotArbiter } from "./slotArbiter.js";
+import type { SlotClient } from "./slotClient.js";
+import type { SlotContention } from "./slotContention.js";
 import { DisciplinedClock } from "./disciplinedClock.js";
 import type { PlatformAdapter } from "./types.js";
 import { UsageCounts } from "./usageCounts.js";
@@ -56,16 +59,6 @@
 const usageCheckpointKey = "gladewall-usage-draft";
 const demandWindowMs = 4_000;
 
-/** Creates the scheduler of a service's slots. */
-export type SlotSchedulerFactory = (settings: GatewaySettings, clock: Clock) => SlotScheduler;
-
-const createServiceSlotScheduler: SlotSchedulerFactory = (settings, clock) =>
-  ServiceSlotScheduler.create({
-    clock,
-    maxWaiting: settings.overload.max_waiting,
-    getRandom: Math.random,
-  });
-
 /** Longer than a reader takes to begin to feed an instance that has just been listed. */
 const firstWatchPauseMs = 800;
 
@@ -84,7 +77,7 @@
 }
 
 /** The parts that hold the state of the platform and the counts that are shared with other instances. */
-interface GatewayState extends GatewayBase {
+export interface GatewayState extends GatewayBase {
   readonly settling: EraSettling;
   /** Grows with each start of the instance. */
   readonly incarnation: number;
@@ -386,123 +379,6 @@
   });
 }
 
-function createBudget(
-  { settings, counters }: GatewayState,
-  members: Members,
-  links: LimitGossip,
-): RetryBudget {
-  const { instance, retries } = settings;
-  const budget = RetryBudget.create({
-    counters,
-    ratio: retries.ratio,
-    slack: retries.slack,
-    getKnownShare: () => members.getKnownShare(),
-    ownName: instance.name,
-    arbiters: members.arbiters,
-    // Builds that exchange the limits of endpoints also reply to retry calls.
-    supportsRetryCalls: (name) => links.canIssuePermits(name),
-    getFleetSize: () => members.getFleetSize(),
-  });
-  RetryLinks.create(members, (peer, call) => budget.decideForPeer(peer, call));
-  return budget;
-}
-
-function createLimits(
-  { settings, clock, logger, directory }: GatewayState,
-  members: Members,
-  metrics: GatewayMetrics,
-): Pick<GatewayParts, "limits" | "permits"> & { readonly links: LimitGossip } {
-  const limits = EndpointLimits.create({ clock, logger, directory });
-  const permits: PermitClient = PermitClient.create({
-    ownName: settings.instance.name,
-    clock,
-    logger,
-    metrics,
-    limits,
-    issuer: PermitIssuer.create({ clock, logger, getRandom: Math.random }),
-    arbiters: members.arbiters,
-    canIssuePermits: (name) => links.canIssuePermits(name),
-    getFleetSize: () => members.getFleetSize(),
-  });
-  const links: LimitGossip = LimitGossip.create({
-    fleet: members,
-    directory,
-    limits,
-    decide: (call, requester) => permits.decide(call, requester),
-  });
-  return { limits, permits, links };
-}
-
-function createSlots(
-  { settings, incarnation, clock, logger, directory, overload }: GatewayState,
-  members: Members,
-  metrics: GatewayMetrics,
-  createScheduler: SlotSchedulerFactory,
-): Pick<GatewayParts, "contention" | "slotArbiter" | "slots"> {
-  const ownName = settings.instance.name;
-  const base = { ownName, clock, logger, directory, overload };
-  const getFleetSize = (): number => members.getFleetSize();
-  const contention = SlotContention.create({ clock, logger, directory, getFleetSize });
-  const slotArbiter = SlotArbiter.create({
-    ...base,
-    fleet: members,
-    createScheduler: () => createScheduler(settings, clock),
-  });
-  const own = { name: ownName, incarnation };
-  const { slotArbiters: arbiters } = members;
-  const slots = SlotClient.create({
-    ...base,
-    metrics,
-    transport: SlotTransport.create({ own, arbiters, arbiter: slotArbiter, fleet: members }),
-    contention,
-    maxWaitFactor: settings.overload.max_wait,
-  });
-  return { contention, slotArbiter, slots };
-}
-
-function createOrders({ clock, logger, overload }: GatewayState, metrics: GatewayMetrics): LimitOrders {
-  return LimitOrders.create({
-    clock,
-    logger,
-    overload,
-    countRefusal: (workspace, rank, mode) => metrics.countOrderRefusal(workspace, rank, mode),
-  });
-}
-
-function createAdmission(state: GatewayState, orders: LimitOrders, getMembers: () => Members): Admission {
-  const { settings, clock, follower, counters } = state;
-  return Admission.create({
-    clock,
-    follower,
-    counters,
-    quotaWindowMs: settings.quotas.window,
-    quotaSlack: settings.quotas.slack,
-    quotaOvershoot: settings.quotas.overshoot,
-    getFleetSize: () => getMembers().getFleetSize(),
-    isFirstStart: settings.instance.first_start,
-    getKnownShare: () => getMembers().getKnownShare(),
-    getRandom: Math.random,
-    orders,
-  });
-}
-
-function createCharges(
-  { clock, logger, counters }: GatewayState,
-  admission: Admission,
-  members: Members,
-  metrics: GatewayMetrics,
-): QuotaCharges {
-  return QuotaCharges.create({
-    clock,
-    admission,
-    counters,
-    arbiters: members.arbiters,
-    logger,
-    metrics,
-    getViewAge: () => members.viewAge,
-  });
-}
-
 function createLeaderTasks(
   state: GatewayState,
   members: Members,
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -88,7 +88,7 @@
 export { SlotContention } from "./slotContention.js";
 export { SlotResult, type SlotAnswer, type SlotRequestInput } from "./slotAcquisition.js";
 export { SlotTransport } from "./slotTransport.js";
-export type { SlotSchedulerFactory } from "./gatewayParts.js";
+export type { SlotSchedulerFactory } from "./limitParts.js";
 export { OverloadMode, OverloadSwitch } from "./overloadSwitch.js";
 export {
   isSlotCall,
--- /dev/null
+++ b/packages/gateway/src/limitParts.ts
@@ -0,0 +1,164 @@
+/**
+ * Creates the parts that limit and order requests: admission, quotas, the retry budget, permits, and slots.
+ * @module
+ */
+import type { Clock } from "@gladewall/kernel";
+import { ServiceSlotScheduler, type SlotScheduler } from "@gladewall/policy";
+import { Admission } from "./admission.js";
+import { EndpointLimits } from "./endpointLimits.js";
+import type { GatewayMetrics } from "./gatewayMetrics.js";
+import type { GatewayParts, GatewayState } from "./gatewayParts.js";
+import type { GatewaySettings } from "./gatewaySettings.js";
+import { LimitGossip } from "./limitGossip.js";
+import { LimitOrders } from "./limitOrders.js";
+import type { Members } from "./members.js";
+import { PermitClient } from "./permitClient.js";
+import { PermitIssuer } from "./permitIssuer.js";
+import { QuotaCharges } from "./quotaCharges.js";
+import { RetryBudget } from "./retryBudget.js";
+import { RetryLinks } from "./retryLinks.js";
+import { SlotArbiter } from "./slotArbiter.js";
+import { SlotClient } from "./slotClient.js";
+import { SlotContention } from "./slotContention.js";
+import { SlotTransport } from "./slotTransport.js";
+
+/** Creates the scheduler of a service's slots. */
+export type SlotSchedulerFactory = (settings: GatewaySettings, clock: Clock) => SlotScheduler;
+
+/** Creates a scheduler with the limits of the settings. */
+export const createServiceSlotScheduler: SlotSchedulerFactory = (settings, clock) =>
+  ServiceSlotScheduler.create({
+    clock,
+    maxWaiting: settings.overload.max_waiting,
+    getRandom: Math.random,
+  });
+
+/** Creates the retry budget that all instances share. */
+export function createBudget(
+  { settings, counters }: GatewayState,
+  members: Members,
+  links: LimitGossip,
+): RetryBudget {
+  const { instance, retries } = settings;
+  const budget = RetryBudget.create({
+    counters,
+    ratio: retries.ratio,
+    slack: retries.slack,
+    getKnownShare: () => members.getKnownShare(),
+    ownName: instance.name,
+    arbiters: members.arbiters,
+    // Builds that exchange the limits of endpoints also reply to retry calls.
+    supportsRetryCalls: (name) => links.canIssuePermits(name),
+    getFleetSize: () => members.getFleetSize(),
+  });
+  RetryLinks.create(members, (peer, call) => budget.decideForPeer(peer, call));
+  return budget;
+}
+
+/** Creates what keeps the rate limits that endpoints advertise. */
+export function createLimits(
+  { settings, clock, logger, directory }: GatewayState,
+  members: Members,
+  metrics: GatewayMetrics,
+): Pick<GatewayParts, "limits" | "permits"> & { readonly links: LimitGossip } {
+  const limits = EndpointLimits.create({ clock, logger, directory });
+  const permits: PermitClient = PermitClient.create({
+    ownName: settings.instance.name,
+    clock,
+    logger,
+    metrics,
+    limits,
+    issuer: PermitIssuer.create({ clock, logger, getRandom: Math.random }),
+    arbiters: members.arbiters,
+    canIssuePermits: (name) => links.canIssuePermits(name),
+    getFleetSize: () => members.getFleetSize(),
+  });
+  const links: LimitGossip = LimitGossip.create({
+    fleet: members,
+    directory,
+    limits,
+    decide: (call, requester) => permits.decide(call, requester),
+  });
+  return { limits, permits, links };
+}
+
+/** Creates what shares out the slots of contended services. */
+export function createSlots(
+  { settings, incarnation, clock, logger, directory, overload }: GatewayState,
+  members: Members,
+  metrics: GatewayMetrics,
+  createScheduler: SlotSchedulerFactory,
+): Pick<GatewayParts, "contention" | "slotArbiter" | "slots"> {
+  const ownName = settings.instance.name;
+  const base = { ownName, clock, logger, directory, overload };
+  const getFleetSize = (): number => members.getFleetSize();
+  const contention = SlotContention.create({ clock, logger, directory, getFleetSize });
+  const slotArbiter = SlotArbiter.create({
+    ...base,
+    fleet: members,
+    createScheduler: () => createScheduler(settings, clock),
+  });
+  const own = { name: ownName, incarnation };
+  const { slotArbiters: arbiters } = members;
+  const slots = SlotClient.create({
+    ...base,
+    metrics,
+    transport: SlotTransport.create({ own, arbiters, arbiter: slotArbiter, fleet: members }),
+    contention,
+    maxWaitFactor: settings.overload.max_wait,
+  });
+  return { contention, slotArbiter, slots };
+}
+
+/** Creates the orders of requests inside limits. */
+export function createOrders(
+  { clock, logger, overload }: GatewayState,
+  metrics: GatewayMetrics,
+): LimitOrders {
+  return LimitOrders.create({
+    clock,
+    logger,
+    overload,
+    countRefusal: (workspace, rank, mode) => metrics.countOrderRefusal(workspace, rank, mode),
+  });
+}
+
+/** Creates admission; `getMembers` is called once all parts exist. */
+export function createAdmission(
+  state: GatewayState,
+  orders: LimitOrders,
+  getMembers: () => Members,
+): Admission {
+  const { settings, clock, follower, counters } = state;
+  return Admission.create({
+    clock,
+    follower,
+    counters,
+    quotaWindowMs: settings.quotas.window,
+    quotaSlack: settings.quotas.slack,
+    quotaOvershoot: settings.quotas.overshoot,
+    getFleetSize: () => getMembers().getFleetSize(),
+    isFirstStart: settings.instance.first_start,
+    getKnownShare: () => getMembers().getKnownShare(),
+    getRandom: Math.random,
+    orders,
+  });
+}
+
+/** Creates the charges to limits. */
+export function createCharges(
+  { clock, logger, counters }: GatewayState,
+  admission: Admission,
+  members: Members,
+  metrics: GatewayMetrics,
+): QuotaCharges {
+  return QuotaCharges.create({
+    clock,
+    admission,
+    counters,
+    arbiters: members.arbiters,
+    logger,
+    metrics,
+    getViewAge: () => members.viewAge,
+  });
+}
