--- a/packages/gateway/test/slotFleet.ts
+++ b/packages/gateway/test/slotFleet.ts
@@ -32,6 +32,8 @@
   readonly oldBuilds?: readonly number[];
   readonly mode?: OverloadMode;
   readonly maxWaitFactor?: number;
+  /** Whether slots are decided by the scheduler that the gateway uses; if not, they are granted in order of arrival. */
+  readonly usesServiceScheduler?: boolean;
 }
 
 /** An attempt at a simulated endpoint. */
@@ -140,8 +142,14 @@
   }
 
   /** Asks for a slot and, unless refused, sends a request to an endpoint, where it takes `workMs`. */
-  async serve(member: SlotMember, request: string, caller = new AbortController()): Promise<void> {
+  async serve(
+    member: SlotMember,
+    request: string,
+    caller = new AbortController(),
+    onAnswer = (): unknown => undefined,
+  ): Promise<void> {
     const answer = await member.client.acquire(this.createInput(request), caller.signal);
+    onAnswer();
     this.answers.set(request, answer);
     if (answer.result === SlotResult.Refused || answer.result === SlotResult.Abandoned) return;
     const { slot } = answer;
--- a/packages/gateway/test/slotMember.ts
+++ b/packages/gateway/test/slotMember.ts
@@ -13,10 +13,12 @@
 } from "@gladewall/gateway";
 import type { PeerIdentity, PeerLinks, PeerMessage } from "@gladewall/coordination";
 import { Failure, FailureCode, Logger, LogLevel } from "@gladewall/kernel";
+import { ServiceSlotScheduler } from "@gladewall/policy";
 import { Err, Ok, type Result } from "ts-results-es";
 import { FifoSlotScheduler } from "./fifoSlotScheduler.js";
 import { createKnownEndpoint } from "./knownEndpoints.js";
 import type { SlotFleet } from "./slotFleet.js";
+import { createSpreadRandom } from "./stepClock.js";
 
 type Handler = (message: PeerMessage, peer: PeerIdentity) => unknown;
 type LinkListener = (peer: PeerIdentity) => void;
@@ -60,6 +62,9 @@
       ...base,
       fleet: topology,
       createScheduler: () => {
+        if (options.usesServiceScheduler) {
+          return ServiceSlotScheduler.create({ clock, maxWaiting: 64, getRandom: createSpreadRandom(1) });
+        }
         const scheduler = FifoSlotScheduler.create(clock);
         this.schedulers.push(scheduler);
         return scheduler;
