--- a/packages/operator/src/bench/main.ts
+++ b/packages/operator/src/bench/main.ts
@@ -7,6 +7,7 @@
 import { fileURLToPath } from "node:url";
 import { runCapacityBench } from "./capacityBench.js";
 import { runClaimsBench } from "./claimsBench.js";
+import { runDecisionsBench } from "./decisionsBench.js";
 import { runFleetBench } from "./fleetBench.js";
 import { runStalenessBench } from "./stalenessBench.js";
 
@@ -21,6 +22,7 @@
 const benches: Readonly<Record<string, Bench>> = {
   claims: (print) => runClaimsBench(claimsWindowMs, print),
   capacity: (print) => runCapacityBench(capacityWindowMs, print),
+  decisions: runDecisionsBench,
   fleet: (print) => runFleetBench(fleetWindowMs, print),
   staleness: runStalenessBench,
 };
