--- a/packages/standins/src/fakePlatform.ts
+++ b/packages/standins/src/fakePlatform.ts
@@ -98,6 +98,8 @@
   /** The instances' clients of the store, in the order of the instances' creation. */
   readonly stores: FakeMetadataStore[] = [];
   private version = 0;
+  /** Returns the address of an endpoint as one instance connects to it; instances are numbered in the order of their creation. */
+  getAddressFor: (instance: number, address: string) => string = (_, address) => address;
 
   private constructor(
     readonly address: string,
@@ -152,7 +154,7 @@
   /** Creates the adapter of one instance, with its own client of the store. */
   createAdapter(): PlatformAdapter {
     const store = FakeMetadataStore.create(this.shared, this.clock);
-    this.stores.push(store);
+    const instance = this.stores.push(store) - 1;
     return {
       store,
       orders: this.orders,
@@ -168,7 +170,10 @@
         ]);
         return Ok({ ...stored, services: new Map(services) });
       },
-      decodeEndpoint: (_, value) => Ok(JSON.parse(Buffer.from(value).toString("utf8")) as EndpointRecord),
+      decodeEndpoint: (_, value) => {
+        const record = JSON.parse(Buffer.from(value).toString("utf8")) as EndpointRecord;
+        return Ok({ ...record, address: this.getAddressFor(instance, record.address) });
+      },
     };
   }
 }
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -21,3 +21,4 @@
 export * from "./freePorts.js";
 export { readText } from "./fakeHttpServer.js";
 export * from "./endpointArrivals.js";
+export * from "./pathFaults.js";
