--- a/packages/gateway/src/crashProtection.ts
+++ b/packages/gateway/src/crashes/crashProtection.ts
@@ -8,14 +8,14 @@
 import { CrashRecords, type CrashUpdate } from "./crashRecords.js";
 import { CrashStore } from "./crashStore.js";
 import { CrashDetector } from "./crashDetector.js";
-import type { EndpointDirectory } from "./endpointDirectory.js";
+import type { EndpointDirectory } from "../endpointDirectory.js";
 import { probeEndpoint } from "./endpointProbe.js";
-import type { GatewayMetrics } from "./gatewayMetrics.js";
-import type { Members } from "./members.js";
-import type { Removal } from "./prefixFollower.js";
+import type { GatewayMetrics } from "../gatewayMetrics.js";
+import type { Members } from "../members.js";
+import type { Removal } from "../prefixFollower.js";
 import { SuspectGate } from "./suspectGate.js";
 import { TrialScheduler } from "./trialScheduler.js";
-import type { MetadataStore, StoreItem } from "./types.js";
+import type { MetadataStore, StoreItem } from "../types.js";
 
 /** Options of the crash protection. */
 export interface CrashProtectionOptions {
--- a/packages/gateway/src/gatewayParts.ts
+++ b/packages/gateway/src/gatewayParts.ts
@@ -9,7 +9,7 @@
 import { EndpointConnections } from "./endpointConnections.js";
 import { EndpointDirectory } from "./endpointDirectory.js";
 import { CapacityOrders } from "./capacityOrders.js";
-import { CrashProtection } from "./crashProtection.js";
+import { CrashProtection } from "./crashes/crashProtection.js";
 import { ConfigurationFollower, type ConfigurationFollowerOptions } from "./configurationFollower.js";
 import { DemandEstimator } from "./demandEstimator.js";
 import {
@@ -39,7 +39,7 @@
 import { Placer } from "./placement.js";
 import { PrefixIndex } from "./prefixIndex.js";
 import { PrefillRates } from "./prefillRates.js";
-import type { SuspectGate } from "./suspectGate.js";
+import type { SuspectGate } from "./crashes/suspectGate.js";
 import type { QuotaCharges } from "./quotaCharges.js";
 import type { RetryBudget } from "./retryBudget.js";
 import { CounterKind, SharedCounters } from "./sharedCounters.js";
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -30,14 +30,14 @@
   type CrashSubject,
   type CrashUpdate,
   QuarantineState,
-} from "./crashRecords.js";
-export { CrashStore } from "./crashStore.js";
-export { CrashDetector } from "./crashDetector.js";
+} from "./crashes/crashRecords.js";
+export { CrashStore } from "./crashes/crashStore.js";
+export { CrashDetector } from "./crashes/crashDetector.js";
 export { DemandEstimator } from "./demandEstimator.js";
 export { LeaderTasks } from "./leaderTasks.js";
 export { FencedLeases } from "./fencedLeases.js";
 export { EraSettling } from "./eraSettling.js";
-export { probeEndpoint, ProbeResult } from "./endpointProbe.js";
+export { probeEndpoint, ProbeResult } from "./crashes/endpointProbe.js";
 export { EventSplitter } from "./eventSplitter.js";
 export { createFeedTimings } from "./feedTimings.js";
 export { FeedReplication } from "./feedReplication.js";
@@ -71,7 +71,7 @@
 export { getAllowances, restartsPerWindow } from "./quotaAllowances.js";
 export { QuotaCharges } from "./quotaCharges.js";
 export { RecentPlacements } from "./recentPlacements.js";
-export { createFingerprint } from "./requestFingerprint.js";
+export { createFingerprint } from "./crashes/requestFingerprint.js";
 export { GatewayItems } from "./gatewayItems.js";
 export { parseAdvertisedLimit } from "./advertisedLimit.js";
 export { maxRetryAfterMs, parseRetryAfter } from "./retryAfter.js";
@@ -114,8 +114,8 @@
   initialEra,
 } from "./storeEras.js";
 export { StoreFeed } from "./storeFeed.js";
-export { SuspectGate } from "./suspectGate.js";
-export { TrialScheduler, TrialDecision } from "./trialScheduler.js";
+export { SuspectGate } from "./crashes/suspectGate.js";
+export { TrialScheduler, TrialDecision } from "./crashes/trialScheduler.js";
 export { DisciplinedClock } from "./disciplinedClock.js";
 export { UsageCounts } from "./usageCounts.js";
 export { UsageReporter } from "./usageReporter.js";
--- a/packages/gateway/src/requestContext.ts
+++ b/packages/gateway/src/requestContext.ts
@@ -5,13 +5,13 @@
 import type { Attempt } from "./attempt.js";
 import type { ActiveRequestInput, ActiveRequestParts, RequestOutcome } from "./activeRequestTypes.js";
 import { AttemptHistory } from "./attemptHistory.js";
-import type { InFlightRequest } from "./crashDetector.js";
-import type { CrashSubject } from "./crashRecords.js";
+import type { InFlightRequest } from "./crashes/crashDetector.js";
+import type { CrashSubject } from "./crashes/crashRecords.js";
 import type { HeldSlot } from "./heldSlot.js";
 import type { Placement } from "./placement.js";
-import { createFingerprint } from "./requestFingerprint.js";
+import { createFingerprint } from "./crashes/requestFingerprint.js";
 import type { StreamRelay } from "./streamRelay.js";
-import type { Trial } from "./suspectGate.js";
+import type { Trial } from "./crashes/suspectGate.js";
 import { type CallerRequestHead, type Route, RouteKind } from "./types.js";
 
 /** What to do with the request after a stage. */
