Let no instance report a crash on its own that others do not see

An instance whose paths to endpoints were lost met refused connections everywhere, took them for crashes, and told all peers: they left sound endpoints out and refused the requests that had been in flight. A path belongs to a pair of instance and endpoint. A crash is now reported only by an instance that reaches another endpoint, and only if none of up to three peers reaches this one; a response to a later request refutes a report at once.

--- a/packages/gateway/src/attemptStage.ts
+++ b/packages/gateway/src/attemptStage.ts
@@ -137,7 +137,9 @@
     { executionStatus, load, notice, limit }: ResponseHead,
     source: LimitSource,
   ): void {
-    const { clock, directory, limits } = this.context.parts;
+    const { clock, directory, limits, suspects } = this.context.parts;
+    const isOwn = executionStatus === ExecutionStatus.Ran || executionStatus === ExecutionStatus.NotRun;
+    if (isOwn) suspects.recordResponse(endpoint, source.sentAt);
     if (load) endpoint.recordLoad(load, clock.getTime());
     this.context.slot?.recordResponse(load);
     if (executionStatus === ExecutionStatus.Ran && !notice?.isLeaving) endpoint.recordServed(clock.getTime());
--- a/packages/gateway/src/crashes/crashDetector.ts
+++ b/packages/gateway/src/crashes/crashDetector.ts
@@ -1,8 +1,8 @@
 /**
  * Detects endpoints that crashed with requests in flight. An interrupted connection alone is not enough: responses are broken
- * off, connections are reset and callers disconnect while an endpoint is healthy. A crash needs two independent signs: a request
- * was interrupted, and the endpoint's address refuses connections. If the endpoint's record is still there some time later, the
- * detection is refuted.
+ * off, connections are reset and callers disconnect while an endpoint is healthy. A crash needs three signs: a request was
+ * interrupted, the endpoint's address refuses connections, and no peer contradicts. If the endpoint responds again, or its record
+ * is still there some time later, the detection is refuted.
  * @module
  */
 import type { Clock, Logger } from "@gladewall/kernel";
@@ -24,6 +24,8 @@
   readonly records: CrashRecords;
   /** Checks whether an address accepts connections. */
   readonly probe: (address: string) => Promise<ProbeResult>;
+  /** Decides whether an endpoint that refused a connection has crashed; a refusal suffices if omitted. */
+  readonly confirm?: (endpoint: Endpoint) => Promise<boolean>;
   /** Returns an endpoint by its incarnation; undefined once it is removed from the directory. */
   readonly findEndpoint: (incarnation: string) => Endpoint | undefined;
   /** Time for which an endpoint serves on after it announced that it is leaving; milliseconds. */
@@ -84,17 +86,28 @@
 
   /** Refutes crashes of endpoints that still have a record; called several times a second. */
   refuteCrashes(): void {
-    const { records, findEndpoint, getTimeSinceTrouble, logger, broadcast } = this.options;
+    const { records, findEndpoint, getTimeSinceTrouble } = this.options;
     if (getTimeSinceTrouble() < refuteAfterMs) return;
     for (const incarnation of records.getCrashedBefore(refuteAfterMs)) {
-      if (findEndpoint(incarnation)?.state !== EndpointState.Ready) continue;
-      logger.info("endpoint.end-refuted", { life: incarnation });
-      const update = { refuted: [incarnation] };
-      records.apply(update);
-      broadcast(update);
+      if (findEndpoint(incarnation)?.state === EndpointState.Ready) this.refute(incarnation);
     }
   }
 
+  private refute(incarnation: string): void {
+    const { records, logger, broadcast } = this.options;
+    logger.info("endpoint.end-refuted", { life: incarnation });
+    const update = { refuted: [incarnation] };
+    records.apply(update);
+    broadcast(update);
+  }
+
+  /** Records a response to a request that was sent at the given time: it refutes a crash that was reported before. */
+  recordResponse({ incarnation }: Endpoint, sentAt: number): void {
+    const { records } = this.options;
+    if (records.hasCrashed(incarnation) && records.getCrashedAt(incarnation) < sentAt)
+      this.refute(incarnation);
+  }
+
   /**
    * Whether the endpoint may be stopping as announced, so that no request is responsible. A leaving endpoint stops as planned,
    * and one whose record is gone may. An endpoint that announced it only in responses does not stop before its drain time has
@@ -118,10 +131,13 @@
   }
 
   private async check(endpoint: Endpoint, interrupted: readonly InFlightRequest[]): Promise<boolean> {
-    const result = await this.options.probe(endpoint.record.address);
+    const { probe, confirm, clock } = this.options;
+    const result = await probe(endpoint.record.address);
+    if (result === ProbeResult.Listening) this.aliveAt.set(endpoint, clock.getTime());
+    const isConfirmed =
+      result === ProbeResult.Refused && (confirm === undefined || (await confirm(endpoint)));
     this.checks.delete(endpoint);
-    if (result === ProbeResult.Listening) this.aliveAt.set(endpoint, this.options.clock.getTime());
-    const hasCrashed = result === ProbeResult.Refused && !this.mayBePlannedStop(endpoint);
+    const hasCrashed = isConfirmed && !this.mayBePlannedStop(endpoint);
     if (hasCrashed) this.report(endpoint, [...new Set([...interrupted, ...endpoint.inFlight])]);
     return hasCrashed;
   }
--- a/packages/gateway/src/crashes/crashProtection.ts
+++ b/packages/gateway/src/crashes/crashProtection.ts
@@ -9,7 +9,8 @@
 import { CrashStore } from "./crashStore.js";
 import { CrashDetector } from "./crashDetector.js";
 import type { EndpointDirectory } from "../endpointDirectory.js";
-import { probeEndpoint } from "./endpointProbe.js";
+import { CrashWitnesses } from "./crashWitnesses.js";
+import { probeEndpoint, type ProbeResult } from "./endpointProbe.js";
 import type { GatewayMetrics } from "../gatewayMetrics.js";
 import type { Members } from "../members.js";
 import type { Removal } from "../prefixFollower.js";
@@ -70,11 +71,22 @@
       gossip.broadcast(update);
       this.crashStore.reconcileItems();
     };
+    const probe = (address: string): Promise<ProbeResult> => probeEndpoint(address, options.connectTimeoutMs);
+    const witnesses = CrashWitnesses.create({
+      fleet: members,
+      logger,
+      records,
+      probe,
+      findEndpoint,
+      getAllEndpoints: () => directory.getAll(),
+      getRandom: Math.random,
+    });
     this.detector = CrashDetector.create({
       clock,
       logger,
       records,
-      probe: (address) => probeEndpoint(address, options.connectTimeoutMs),
+      probe,
+      confirm: (endpoint) => witnesses.confirm(endpoint),
       findEndpoint,
       drainMs: options.drainMs,
       getTimeSinceTrouble: options.getTimeSinceTrouble,
--- a/packages/gateway/src/crashes/crashRecords.ts
+++ b/packages/gateway/src/crashes/crashRecords.ts
@@ -138,6 +138,11 @@
     return crash !== undefined && !crash.isRefuted;
   }
 
+  /** Monotonic time at which this instance learned of a crash; infinite if it knows of none. */
+  getCrashedAt(incarnation: string): number {
+    return this.crashes.get(incarnation)?.recordedAt ?? Infinity;
+  }
+
   /** Returns whether and how a request may run. */
   getQuarantineState({ fingerprint }: CrashSubject): QuarantineState {
     const score = this.getScore(fingerprint);
--- a/packages/gateway/src/crashes/suspectGate.ts
+++ b/packages/gateway/src/crashes/suspectGate.ts
@@ -83,6 +83,11 @@
     return this.options.detector.recordInterruption(endpoint, request);
   }
 
+  /** Records a response of an endpoint to a request that was sent at the given time. */
+  recordResponse(endpoint: Endpoint, sentAt: number): void {
+    this.options.detector.recordResponse(endpoint, sentAt);
+  }
+
   /**
    * Finds an endpoint for a request that must run isolated; returns `undefined` if it may run like others. Fails with
    * `CrashSuspect` if no endpoint is free for it, and with `CrashesEndpoints` if it is blocked for good or for the cooldown.
--- a/packages/gateway/test/cutOffFleet.ts
+++ b/packages/gateway/test/cutOffFleet.ts
@@ -5,6 +5,7 @@
 import { RouteKind } from "@gladewall/gateway";
 import {
   createInstanceAddress,
+  createPathName,
   createRoute,
   findInstancePath,
   GatewayTestBench,
@@ -49,7 +50,10 @@
     await bench.close();
     await Promise.all(endpoints.map((endpoint) => endpoint.close()));
   });
-  const cut = (instance: number, fault: PathFault): void => faults.set(String(instance), fault);
+  /** Lets the paths from an instance to endpoints fail, to all of them if none is named. */
+  const cut = (instance: number, fault: PathFault, lost: readonly ScriptedEndpoint[] = endpoints): void => {
+    for (const { address } of lost) faults.set(createPathName(instance, address), fault);
+  };
   const call = (instance: number, path = "/", id?: string) =>
     bench.call(bench.instances[instance]!, { method: "POST", path, ...(id !== undefined && { id }) });
   return { bench, endpoints, cut, call };
--- a/packages/standins/src/pathFaults.ts
+++ b/packages/standins/src/pathFaults.ts
@@ -121,10 +121,10 @@
   }
 }
 
-/** Creates the finder for tests with several instances in one process: `127.0.1.N` is the endpoint as instance N connects to it. */
-export function findInstancePath(host: string): NetworkPath | undefined {
+/** Finds paths in tests with several instances in one process: `127.0.1.N:PORT` is an endpoint as instance N connects to it. */
+export function findInstancePath(host: string, port: number): NetworkPath | undefined {
   const instance = instanceAddress.exec(host)?.[1];
-  return instance === undefined ? undefined : { name: instance, host: "127.0.0.1" };
+  return instance === undefined ? undefined : { name: `${instance}:${port}`, host: "127.0.0.1" };
 }
 
 /** Returns the address of an endpoint as one instance of a test process connects to it. */
@@ -132,6 +132,11 @@
   return `127.0.1.${instance}:${address.slice(address.lastIndexOf(":") + 1)}`;
 }
 
+/** Returns the name of the path from an instance to an endpoint. */
+export function createPathName(instance: number, address: string): string {
+  return `${instance}:${address.slice(address.lastIndexOf(":") + 1)}`;
+}
+
 /** Holds back what a connection receives, and if `holdsWrites` what it sends; returns the function that delivers it. */
 function hold(socket: Socket, holdsWrites: boolean): () => void {
   const internals = socket as unknown as SocketInternals;
