Pass requests on through a peer while an instance reaches no endpoint of a service

Callers of such an instance had 503 at once, or nothing before their deadline: it used its own connections or none, spent four attempts on paths that were all lost, and kept its callers' connections. It now probes two other endpoints when one can't be reached or stays silent, and if none answers counts the service as cut off: attempts go through a peer that reaches the endpoints, over HTTP between instances, signed with the peers' secret. Admission, limits, permits, retries and counts stay where the request arrived. Only the peer's own statement counts as not sent; what it receives it never passes on again. Probes find out when the paths are back.

--- a/packages/gateway/src/activeRequest.ts
+++ b/packages/gateway/src/activeRequest.ts
@@ -143,6 +143,9 @@
       return;
     }
     const headers = context.parts.platform.callers.createGatewayHeaders(head.id);
-    writeProblemResponse(response, failure, headers, context.parts.isLeaving());
+    const { isLeaving, paths } = context.parts;
+    // A caller that keeps its connection would come back to the same instance.
+    const closes = isLeaving() || paths.isCutOff(context.request.service.name);
+    writeProblemResponse(response, failure, headers, closes);
   }
 }
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -6,6 +6,7 @@
  */
 import { type ClientRequest, type IncomingMessage, request } from "node:http";
 import type { EndpointPool } from "./endpointConnections.js";
+import { ForwardResult, readResult } from "./forwarding/forwardingProtocol.js";
 import { type ResponseHead, ExecutionStatus, type EndpointProtocol } from "./types.js";
 
 /** How an attempt ended. */
@@ -27,12 +28,16 @@
   readonly outcome: AttemptOutcome;
   readonly detail: string;
   readonly response: IncomingMessage | undefined;
+  /** What the peer states that the attempt was passed on through; undefined if there is none, or if it did not reply. */
+  readonly forwarded?: ForwardResult | undefined;
 }
 
 /** The request to send and where to send it. */
 export interface AttemptOptions {
   readonly pool: EndpointPool;
-  readonly protocol: EndpointProtocol;
+  readonly protocol: Pick<EndpointProtocol, "readResponseHead">;
+  /** Whether the attempt is passed on through a peer. */
+  readonly isForwarded?: boolean;
   readonly requestId: string;
   readonly method: string;
   readonly target: string;
@@ -40,6 +45,8 @@
   readonly headers: readonly string[];
   readonly body: Buffer;
   readonly connectTimeoutMs: number;
+  /** Called when a new connection is established. */
+  readonly onConnect?: () => void;
   /** Called as soon as the response head is received, even if the result is no longer awaited. */
   readonly onHead: (head: ResponseHead, status: number) => void;
 }
@@ -96,7 +103,10 @@
         return;
       }
       const timer = setTimeout(() => this.abort("connect timeout"), this.options.connectTimeoutMs);
-      socket.once("connect", () => (this.isConnected = true));
+      socket.once("connect", () => {
+        this.isConnected = true;
+        this.options.onConnect?.();
+      });
       socket.once("connect", () => clearTimeout(timer));
       socket.once("close", () => clearTimeout(timer));
     });
@@ -113,20 +123,33 @@
   }
 
   private handleResponse(response: IncomingMessage): void {
-    const { protocol, requestId, onHead } = this.options;
+    const { protocol, requestId, onHead, isForwarded = false } = this.options;
     const status = response.statusCode ?? 0;
+    const forwarded = isForwarded ? readResult(response.headers) : undefined;
+    if (isForwarded && forwarded !== ForwardResult.Answered)
+      return this.handleNotForwarded(response, forwarded);
     const head = protocol.readResponseHead(requestId, status, response.headers);
     const outcome = outcomesByStatus[head.executionStatus];
     onHead(head, status);
     // The reader of the body handles its errors, but an `error` event without a listener would end the process.
     response.on("error", () => undefined);
     if (outcome === AttemptOutcome.Answered) {
-      this.resolveResult({ outcome, detail: `status ${status}`, response });
+      this.resolveResult({ outcome, detail: `status ${status}`, response, forwarded });
       return;
     }
     if (outcome === AttemptOutcome.Lost) this.abort("mismatched response");
     else response.resume();
-    this.resolveResult({ outcome, detail: `status ${status}`, response: undefined });
+    this.resolveResult({ outcome, detail: `status ${status}`, response: undefined, forwarded });
+  }
+
+  /** Only a peer's own statement shows that a request which was passed on did not reach the endpoint. */
+  private handleNotForwarded(response: IncomingMessage, forwarded: ForwardResult | undefined): void {
+    response.on("error", () => undefined);
+    response.resume();
+    const isLost = forwarded === undefined || forwarded === ForwardResult.Lost;
+    const outcome = isLost ? AttemptOutcome.Lost : AttemptOutcome.NotSent;
+    const detail = forwarded === undefined ? "unknown peer response" : ForwardResult[forwarded];
+    this.resolveResult({ outcome, detail, response: undefined, forwarded });
   }
 }
 
--- a/packages/gateway/src/attemptStage.ts
+++ b/packages/gateway/src/attemptStage.ts
@@ -3,8 +3,15 @@
  * @module
  */
 import { Failure, FailureCode } from "@gladewall/kernel";
-import { Attempt, AttemptOutcome, type AttemptResult } from "./attempt.js";
+import { AttemptOutcome, type AttemptResult } from "./attempt.js";
 import type { Endpoint } from "./endpoint.js";
+import {
+  type AttemptContent,
+  type AttemptRoute,
+  chooseRoute,
+  isEndpointAtFault,
+  isPeerAtFault,
+} from "./forwarding/attemptRoute.js";
 import type { LimitSource } from "./endpointLimits.js";
 import type { Placement } from "./placement.js";
 import { RelayStage } from "./relayStage.js";
@@ -22,6 +29,8 @@
  */
 const minAnnouncedPrefillMs = 25;
 const maxUrgency = 9;
+/** Attempts of one request that peers did not pass on, after which it is refused. */
+const maxNotForwarded = 6;
 
 /** Sends the attempts of one request. */
 export class AttemptStage {
@@ -42,6 +51,8 @@
     if (context.isOver) return NextStep.Done;
     if (context.getTimeLeft() < minAttemptMs) return NextStep.Fail;
     const { endpoint } = placement;
+    const route = chooseRoute(context, endpoint);
+    if (!route) return this.failCutOff();
     context.excluded.add(endpoint.incarnation);
     context.placement = placement;
     endpoint.recordSent();
@@ -54,26 +65,34 @@
       if (isPending) endpoint.pendingTokens -= pending;
       isPending = false;
     };
-    const next = await this.send(placement, clearPending);
+    const next = await this.send(placement, route, clearPending);
+    route.close();
     clearPending();
     endpoint.recordEnded();
     endpoint.inFlight.delete(context);
     return next;
   }
 
+  /** Fails a request to an endpoint that neither this instance nor a peer reaches. */
+  private failCutOff(): NextStep {
+    const { context } = this;
+    context.history.recordNoEndpoint(createRefusal(FailureCode.NoEndpoint, context.request.service));
+    return NextStep.Fail;
+  }
+
   private announceIfLong({ endpoint }: Placement, tokens: number): void {
     const { rates, announcePlacement } = this.context.parts;
     if (tokens / rates.get(this.context.request.service.name) < minAnnouncedPrefillMs) return;
     announcePlacement(endpoint.incarnation, tokens);
   }
 
-  private async send(placement: Placement, clearPending: () => void): Promise<NextStep> {
+  private async send(placement: Placement, route: AttemptRoute, clearPending: () => void): Promise<NextStep> {
     const { context } = this;
     const { endpoint } = placement;
     const { clock, getTimeOfDay, metrics } = context.parts;
     const startedAt = clock.getTime();
     const beganAt = getTimeOfDay();
-    const attempt = this.createAttempt(endpoint);
+    const attempt = route.send(this.createContent(endpoint));
     context.attempt = attempt;
     context.isAttemptPending = true;
     const round = endpoint.availability.beginAttempt();
@@ -84,13 +103,16 @@
     metrics.countAttempt(context.request.service.name, AttemptOutcome[result.outcome]);
     this.recordSlotUse(endpoint, result.outcome);
     if (result.outcome !== AttemptOutcome.NotSent) context.history.recordArrival();
+    const recorded = route.recordResult(result);
     if (context.isOver) return NextStep.Done;
-    if (result.outcome !== AttemptOutcome.Answered || !result.response)
-      return this.handleNoResponse(endpoint, result, beganAt);
+    if (result.outcome !== AttemptOutcome.Answered || !result.response) {
+      await recorded;
+      return this.handleNoResponse(endpoint, route, result, beganAt);
+    }
     context.history.recordRun();
-    const { route } = context.request.admitted;
+    const { kind } = context.request.admitted.route;
     const isSuccess = (result.response.statusCode ?? 0) < firstRedirectStatus;
-    if (route.kind === RouteKind.Stream && isSuccess)
+    if (kind === RouteKind.Stream && isSuccess)
       return this.relayStage.relayStream(placement, result.response, startedAt, clearPending);
     context.countUsageOnce(beganAt);
     return this.relayStage.forwardResponse(endpoint, result.response, startedAt);
@@ -104,14 +126,15 @@
       parts.contention.recordRejection(request.service.name);
     if (outcome === AttemptOutcome.Answered) return;
     // The arbiter grants no slots for a while at an endpoint that takes no requests, whatever the reason.
-    const isAborted = isOver && outcome === AttemptOutcome.NotSent;
+    const isCutOff = outcome === AttemptOutcome.NotSent && parts.paths.isCutOff(request.service.name);
+    const isAborted = (isOver && outcome === AttemptOutcome.NotSent) || isCutOff;
     if (outcome !== AttemptOutcome.Lost && !isAborted) slot?.recordRejection();
     slot?.end();
   }
 
-  private createAttempt(endpoint: Endpoint): Attempt {
+  private createContent(endpoint: Endpoint): AttemptContent {
     const { context } = this;
-    const { platform, connections, connectTimeoutMs } = context.parts;
+    const { platform, connectTimeoutMs } = context.parts;
     const { admitted, message, head, body, service } = context.request;
     const { workspace } = admitted;
     const headers = platform.endpoints.createHeaders(message.rawHeaders, {
@@ -121,14 +144,13 @@
       urgency: service.engine ? Math.min(maxUrgency, context.rank) : undefined,
       lastEventId: context.relay?.lastEventId,
     });
-    const pool = connections.get(endpoint);
     const method = message.method ?? "GET";
     const target = message.url ?? "/";
-    const base = { pool, protocol: platform.endpoints, requestId: head.id, connectTimeoutMs };
+    const base = { protocol: platform.endpoints, requestId: head.id, connectTimeoutMs };
     const sentAt = context.parts.clock.getTime();
     const onHead = (responseHead: ResponseHead, status: number): void =>
       this.handleResponseHead(endpoint, responseHead, { requestId: head.id, status, sentAt });
-    return Attempt.create({ ...base, method, target, headers, body, onHead });
+    return { ...base, method, target, headers, body, onHead };
   }
 
   /** Records what an endpoint reports about itself, whatever becomes of the request. */
@@ -151,6 +173,7 @@
 
   private async handleNoResponse(
     endpoint: Endpoint,
+    route: AttemptRoute,
     result: AttemptResult,
     beganAt: number,
   ): Promise<NextStep> {
@@ -164,15 +187,18 @@
       endpoint: endpoint.id,
       end: AttemptOutcome[result.outcome],
       detail: result.detail,
+      peer: route.peer?.name,
       fingerprint,
     });
     if (isLost) {
       context.history.recordRun();
       context.countUsageOnce(beganAt);
+      if (!isEndpointAtFault(route, result)) return this.failOnTheWay(endpoint);
       endpoint.recordOutcome(false, time);
       return this.handleInterruption(endpoint);
     }
-    if (result.outcome === AttemptOutcome.NotSent) endpoint.recordUnreachable(time);
+    if (isPeerAtFault(route, result)) return this.passOnAgain(endpoint);
+    if (result.outcome === AttemptOutcome.NotSent) this.recordNotSent(endpoint, route);
     if (result.outcome === AttemptOutcome.WrongEndpoint) directory.handleReplaced(endpoint);
     if (result.outcome === AttemptOutcome.NotRun) {
       endpoint.recordOutcome(false, time);
@@ -183,6 +209,31 @@
     return context.history.isExhausted ? NextStep.Fail : NextStep.Retry;
   }
 
+  private recordNotSent(endpoint: Endpoint, route: AttemptRoute): void {
+    const { context } = this;
+    const { clock, paths } = context.parts;
+    const isCutOff = route.peer === undefined && !paths.isDirect(endpoint);
+    // Its paths from this instance are lost; it may be reached through a peer.
+    if (isCutOff) context.excluded.delete(endpoint.incarnation);
+    else endpoint.recordUnreachable(clock.getTime());
+  }
+
+  /** Retries after a peer did not pass an attempt on, at the same endpoint or another one. */
+  private passOnAgain(endpoint: Endpoint): NextStep {
+    const { context } = this;
+    context.excluded.delete(endpoint.incarnation);
+    context.notForwarded += 1;
+    if (context.notForwarded < maxNotForwarded) return NextStep.Retry;
+    return this.failCutOff();
+  }
+
+  /** Continues after the connection to a peer was interrupted: the endpoint may have run the request, and has not failed. */
+  private failOnTheWay(endpoint: Endpoint): NextStep {
+    const { context } = this;
+    context.history.recordRunFailure(Failure.create(FailureCode.EndpointCut, { endpoint: endpoint.id }));
+    return context.isRetryAllowed() ? NextStep.Retry : NextStep.Fail;
+  }
+
   /**
    * Continues after a run whose connection was interrupted. A retry waits until it is known whether the endpoint has
    * crashed; otherwise all requests that ran there would move to the next endpoint together, along with the request that
@@ -191,7 +242,9 @@
   private async handleInterruption(endpoint: Endpoint): Promise<NextStep> {
     const { context } = this;
     context.history.recordRunFailure(Failure.create(FailureCode.EndpointCut, { endpoint: endpoint.id }));
-    const checked = context.parts.suspects.recordInterruption(endpoint, context);
+    // An instance that is cut off learns nothing about the endpoint from an interrupted connection.
+    const { suspects, paths } = context.parts;
+    const checked = paths.isDirect(endpoint) && suspects.recordInterruption(endpoint, context);
     if (!context.isRetryAllowed()) return NextStep.Fail;
     await checked;
     return context.isOver ? NextStep.Done : NextStep.Retry;
--- a/packages/gateway/src/endpoint.ts
+++ b/packages/gateway/src/endpoint.ts
@@ -113,6 +113,12 @@
     this.recordOutcome(false, time);
   }
 
+  /** Ends the backoff without a success: another path to the endpoint is to be tried. */
+  clearUnreachable(): void {
+    this.unreachableCount = 0;
+    this.unreachableUntil = -Infinity;
+  }
+
   /**
    * Share, 0 to 1, of recent attempts that failed. It decays with time, because otherwise an endpoint that failed would never be
    * tried again.
@@ -129,9 +135,7 @@
     this.failureShare = share + ((isSuccess ? 0 : 1) - share) * failureWeight;
     this.failureShareAt = time;
     if (this.failureShare < healthyFailureShare) this.failureShare = 0;
-    if (!isSuccess) return;
-    this.unreachableCount = 0;
-    this.unreachableUntil = -Infinity;
+    if (isSuccess) this.clearUnreachable();
   }
 
   /**
--- a/packages/gateway/src/endpointConnections.ts
+++ b/packages/gateway/src/endpointConnections.ts
@@ -14,7 +14,8 @@
 /** Idle connections are closed after this time, unless the endpoint names a shorter one. */
 const idleMs = 8_000;
 
-class PoolAgent extends Agent {
+/** Agent that keeps idle connections for a while and closes those on which bytes arrive. */
+export class PoolAgent extends Agent {
   private readonly idle = new WeakSet<Duplex>();
 
   constructor() {
--- /dev/null
+++ b/packages/gateway/src/forwarding/forwardingServer.ts
@@ -0,0 +1,215 @@
+/**
+ * Passes attempts of peers on to endpoints that they cannot reach themselves. Only an endpoint that this instance knows is contacted,
+ * over a connection of this instance, so that nothing is passed on twice. Admission, limits, permits, retries and counts are the
+ * sender's; this instance only sends what it received and returns what comes back.
+ * @module
+ */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { type Clock, type Closeable, getListenAddress, listen, type Logger } from "@gladewall/kernel";
+import { Attempt, AttemptOutcome } from "../attempt.js";
+import type { Endpoint } from "../endpoint.js";
+import type { EndpointConnections } from "../endpointConnections.js";
+import type { EndpointDirectory } from "../endpointDirectory.js";
+import { readRequestBody } from "../requestBody.js";
+import { isCompleteResponse } from "../responseBody.js";
+import { copyResponseHeaders } from "../responseHeaders.js";
+import { ExecutionStatus, type ResponseHead } from "../types.js";
+import {
+  copyForwardedHeaders,
+  createResultHeader,
+  type ForwardedRequest,
+  ForwardResult,
+  isAuthentic,
+  readForwardHeaders,
+} from "./forwardingProtocol.js";
+import type { ServicePaths } from "./servicePaths.js";
+
+/** Options of the server. */
+export interface ForwardingServerOptions {
+  readonly ownName: string;
+  readonly secret: string;
+  readonly listen: string;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly directory: EndpointDirectory;
+  readonly connections: EndpointConnections;
+  readonly paths: ServicePaths;
+  readonly connectTimeoutMs: number;
+  /** Attempts that are passed on at once. */
+  readonly maxOpen: number;
+  /** Whether this instance has what it needs to serve. */
+  readonly canServe: () => boolean;
+  /** Returns the largest body of a request, in bytes. */
+  readonly getMaxBodyBytes: () => number;
+}
+
+/** A request that was accepted, and the endpoint that it is for. */
+interface AcceptedRequest {
+  readonly request: ForwardedRequest;
+  readonly endpoint: Endpoint;
+}
+
+/** Callers' headers may have half of this; the rest is for those of the exchange. */
+const maxHeaderBytes = 65_536;
+const statusBadGateway = 502;
+
+const resultsByOutcome: Readonly<Record<AttemptOutcome, ForwardResult>> = {
+  [AttemptOutcome.NotSent]: ForwardResult.Unreachable,
+  [AttemptOutcome.NotRun]: ForwardResult.Answered,
+  [AttemptOutcome.WrongEndpoint]: ForwardResult.Answered,
+  [AttemptOutcome.Lost]: ForwardResult.Lost,
+  [AttemptOutcome.Answered]: ForwardResult.Answered,
+};
+
+/** Whatever the response is, the sender evaluates its head. */
+const uninterpretedHead: ResponseHead = {
+  executionStatus: ExecutionStatus.Ran,
+  load: undefined,
+  notice: undefined,
+};
+
+/** Accepts attempts of peers. */
+export class ForwardingServer implements Closeable {
+  private readonly server: Server;
+  private openCount = 0;
+  private isStopped = false;
+
+  private constructor(private readonly options: ForwardingServerOptions) {
+    const bounds = { maxHeaderSize: maxHeaderBytes, noDelay: true };
+    this.server = createServer(bounds, (message, response) => void this.handle(message, response));
+  }
+
+  static create(options: ForwardingServerOptions): ForwardingServer {
+    return new ForwardingServer(options);
+  }
+
+  /** Attempts that are being passed on. */
+  get open(): number {
+    return this.openCount;
+  }
+
+  /** Starts listening. */
+  async start(): Promise<void> {
+    await listen(this.server, this.options.listen);
+  }
+
+  /** `host:port` on which the server listens; undefined while it does not. */
+  get address(): string | undefined {
+    return this.server.listening ? getListenAddress(this.server) : undefined;
+  }
+
+  /** Accepts nothing from now on; what has been accepted continues. */
+  stop(): void {
+    this.isStopped = true;
+  }
+
+  async close(): Promise<void> {
+    this.isStopped = true;
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  private async handle(message: IncomingMessage, response: ServerResponse): Promise<void> {
+    message.on("error", () => undefined);
+    response.on("error", () => undefined);
+    this.openCount += 1;
+    const startedAt = this.options.clock.getTime();
+    const result = await this.serve(message, response);
+    this.openCount -= 1;
+    const { endpoint, sender } = readForwardHeaders(message.headers);
+    this.options.logger.info("forwarding.received", {
+      from: sender,
+      life: endpoint,
+      result: ForwardResult[result],
+      tookMs: Math.round(this.options.clock.getTime() - startedAt),
+    });
+  }
+
+  private async serve(message: IncomingMessage, response: ServerResponse): Promise<ForwardResult> {
+    const accepted = await this.accept(message);
+    const result = typeof accepted === "object" ? await this.passOn(accepted, message, response) : accepted;
+    if (result === ForwardResult.Answered || response.headersSent || response.destroyed) return result;
+    response.writeHead(statusBadGateway, [...createResultHeader(result), "Content-Length", "0"]);
+    response.end();
+    message.resume();
+    return result;
+  }
+
+  /** Reads a request and checks whether it may be passed on; returns the reason if it may not. */
+  private async accept(message: IncomingMessage): Promise<AcceptedRequest | ForwardResult> {
+    const { ownName, secret, directory, paths, maxOpen, canServe, getMaxBodyBytes } = this.options;
+    const body = await readRequestBody(message, getMaxBodyBytes());
+    if (body.isErr()) return ForwardResult.Refused;
+    const { method = "", url: target = "", headers } = message;
+    const request = { method, target, ...readForwardHeaders(headers), receiver: ownName, body: body.value };
+    if (!isAuthentic(secret, headers, request)) return ForwardResult.Refused;
+    if (this.isStopped || !canServe()) return ForwardResult.NotReady;
+    if (this.openCount > maxOpen) return ForwardResult.Busy;
+    const endpoint = directory.find(request.endpoint);
+    if (!endpoint?.isUsable()) return ForwardResult.UnknownEndpoint;
+    return paths.isDirect(endpoint) ? { request, endpoint } : ForwardResult.CutOff;
+  }
+
+  private async passOn(
+    { request, endpoint }: AcceptedRequest,
+    message: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<ForwardResult> {
+    const { connections, connectTimeoutMs, paths } = this.options;
+    const attempt = Attempt.create({
+      pool: connections.get(endpoint),
+      protocol: { readResponseHead: () => uninterpretedHead },
+      requestId: "",
+      method: request.method,
+      target: request.target,
+      headers: copyResponseHeaders(message.rawHeaders),
+      body: request.body,
+      connectTimeoutMs,
+      onHead: () => paths.recordHeard(endpoint),
+    });
+    response.on("close", () => {
+      if (!response.writableFinished) attempt.abort("sender gone");
+    });
+    const { outcome, response: received } = await attempt.result;
+    if (!received) return this.handleNoResponse(endpoint, outcome);
+    await this.relay(received, response);
+    return ForwardResult.Answered;
+  }
+
+  private async handleNoResponse(endpoint: Endpoint, outcome: AttemptOutcome): Promise<ForwardResult> {
+    const { paths } = this.options;
+    if (outcome === AttemptOutcome.NotSent) await paths.check(endpoint);
+    return paths.isDirect(endpoint) || outcome === AttemptOutcome.Lost
+      ? resultsByOutcome[outcome]
+      : ForwardResult.CutOff;
+  }
+
+  /** Returns a response as it comes; one that is interrupted is aborted, so that it does not look complete. */
+  private relay(received: IncomingMessage, response: ServerResponse): Promise<void> {
+    const headers = [
+      ...copyForwardedHeaders(received.rawHeaders),
+      ...createResultHeader(ForwardResult.Answered),
+    ];
+    if (response.destroyed) return Promise.resolve();
+    response.writeHead(received.statusCode ?? statusBadGateway, received.statusMessage, headers);
+    response.flushHeaders();
+    return new Promise((resolve) => {
+      received.on("data", (part: Buffer) => {
+        if (response.write(part)) return;
+        received.pause();
+        response.once("drain", () => received.resume());
+      });
+      received.on("end", () => {
+        if (isCompleteResponse(received)) response.end();
+        else response.destroy();
+      });
+      received.on("close", () => {
+        if (!received.complete) response.destroy();
+      });
+      response.on("close", () => {
+        received.destroy();
+        resolve();
+      });
+    });
+  }
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -84,6 +84,8 @@
         return { endpoints: advertised.length, perSecond: advertised.reduce((sum, one) => sum + one, 0) };
       },
       countWaitingForSlots: () => ({ own: parts.slots.waiting, here: parts.slotArbiter.countWaiting() }),
+      countCutOff: () => parts.paths.getCutOff().length,
+      countForwarding: () => ({ sent: parts.forwarding.open, received: parts.forwardingServer.open }),
       isLeader: () => parts.leaderTasks.isActing(),
       getEra: () => platform.store.eras.current,
       isEraSettled: () => parts.settling.isSettled,
@@ -126,6 +128,7 @@
     this.parts.directory.start();
     await this.front.open();
     await this.parts.metrics.open();
+    await this.parts.forwardingServer.start();
     await this.parts.members.open();
     this.parts.leaderTasks.start();
     this.parts.logger.info("instance.started", {
@@ -163,6 +166,11 @@
     return this.parts.members.links.getLinked().length;
   }
 
+  /** `host:port` at which this instance passes attempts of peers on; undefined while it does not. */
+  get forwardingAddress(): string | undefined {
+    return this.parts.forwardingServer.address;
+  }
+
   /** Number of instances that have reported their counts to this one. */
   get reportingPeers(): number {
     return this.parts.counters.reportingPeers;
@@ -225,6 +233,7 @@
     this.leavingSince = clock.getTime();
     const endsAt = this.leavingSince + this.settings.leaving.grace - exitMarginMs;
     const { requests } = this;
+    this.parts.forwardingServer.stop();
     logger.info("instance.leaving", { open: requests.open });
     const leaderTasksClosed = this.parts.leaderTasks.close();
     await waitFor(clock, this.settings.leaving.unnoticed);
@@ -242,7 +251,8 @@
   /** Resolves once no request has been open for a moment, as one may arrive while the last responses are sent. */
   private async finishRequests(endsAt: number): Promise<void> {
     const { clock } = this.parts;
-    const isBusy = (): boolean => this.requests.open > 0 && clock.getTime() < endsAt;
+    const { forwardingServer } = this.parts;
+    const isBusy = (): boolean => this.requests.open + forwardingServer.open > 0 && clock.getTime() < endsAt;
     do {
       while (isBusy()) await waitFor(clock, idleCheckMs);
       await waitFor(clock, responseFlushMs);
@@ -253,11 +263,14 @@
   async close(): Promise<void> {
     await Promise.all([
       this.front.close(),
+      this.parts.forwardingServer.close(),
       this.parts.metrics.close(),
       this.parts.leaderTasks.close(),
       this.parts.follower.close(),
       this.parts.directory.close(),
     ]);
+    this.parts.paths.close();
+    this.parts.forwarding.close();
     this.parts.crashProtection.close();
     this.parts.slotArbiter.close();
     this.parts.contention.close();
--- a/packages/gateway/src/gatewayMetrics.ts
+++ b/packages/gateway/src/gatewayMetrics.ts
@@ -30,6 +30,10 @@
   /** Era of the store, and whether its reads prove the configuration. */
   readonly getEra: () => number;
   readonly isEraSettled: () => boolean;
+  /** Services of which this instance reaches no endpoint. */
+  readonly countCutOff: () => number;
+  /** Attempts under way that are passed on through peers, and attempts of peers that are passed on here. */
+  readonly countForwarding: () => { readonly sent: number; readonly received: number };
   /** Requests under which an endpoint crashed, and those of them that are no longer run. */
   readonly countSuspects: () => { readonly watched: number; readonly convicted: number };
 }
@@ -99,6 +103,12 @@
     this.registry.getCounter("gladewall_attempts_total", help, { service, end }).add();
   }
 
+  /** Counts an attempt that was passed on through a peer, by what the peer stated. */
+  countForwarded(service: string, result: string): void {
+    const help = "Attempts that were passed on through peers, by what became of them there.";
+    this.registry.getCounter("gladewall_forwarded_total", help, { service, result }).add();
+  }
+
   /** Counts units of a workspace's limit. */
   countQuota(workspace: string, event: QuotaEvent, units: number): void {
     const labels = { workspace, event: QuotaEvent[event].toLowerCase() };
@@ -239,6 +249,7 @@
       () => sources.countLimited().perSecond,
     );
     this.setSlotSources(sources);
+    this.setForwardingSources(sources);
     set("gladewall_store_era", "Era of the store; 0 where it tells none.", sources.getEra);
     set("gladewall_store_settled", "1 while the store's reads prove the configuration.", () =>
       Number(sources.isEraSettled()),
@@ -246,6 +257,24 @@
     set("gladewall_duty_holder", "1 while this instance gives orders.", () => Number(sources.isLeader()));
   }
 
+  private setForwardingSources({ countCutOff, countForwarding }: MetricSources): void {
+    this.registry.registerGauge(
+      "gladewall_cut_off_services",
+      "Services of which no endpoint is reached from here.",
+      countCutOff,
+    );
+    this.registry.registerGauge(
+      "gladewall_forwarding_sent",
+      "Attempts under way that are passed on through peers.",
+      () => countForwarding().sent,
+    );
+    this.registry.registerGauge(
+      "gladewall_forwarding_received",
+      "Attempts of peers that are passed on here.",
+      () => countForwarding().received,
+    );
+  }
+
   private setSlotSources({ countWaitingForSlots }: MetricSources): void {
     this.registry.registerGauge(
       "gladewall_slot_waiting_requests",
--- a/packages/gateway/src/gatewayParts.ts
+++ b/packages/gateway/src/gatewayParts.ts
@@ -3,13 +3,14 @@
  * @module
  */
 import { getIncarnationKey } from "@gladewall/coordination";
-import type { Clock, Logger } from "@gladewall/kernel";
+import { type Clock, type Logger, parseAddress } from "@gladewall/kernel";
 import type { Admission } from "./admission.js";
 import type { Endpoint, PeerWork } from "./endpoint.js";
 import { EndpointConnections } from "./endpointConnections.js";
 import { EndpointDirectory } from "./endpointDirectory.js";
 import { CapacityOrders } from "./capacityOrders.js";
 import { CrashProtection } from "./crashes/crashProtection.js";
+import { probeEndpoint } from "./crashes/endpointProbe.js";
 import { ConfigurationFollower, type ConfigurationFollowerOptions } from "./configurationFollower.js";
 import { DemandEstimator } from "./demandEstimator.js";
 import {
@@ -29,6 +30,9 @@
 import { LeavingGossip } from "./leavingGossip.js";
 import type { EndpointLimits } from "./endpointLimits.js";
 import { FencedOrders } from "./fencedOrders.js";
+import { ForwardingPeers } from "./forwarding/forwardingPeers.js";
+import { ForwardingServer } from "./forwarding/forwardingServer.js";
+import { ServicePaths } from "./forwarding/servicePaths.js";
 import { GatewayMetrics } from "./gatewayMetrics.js";
 import type { GatewaySettings } from "./gatewaySettings.js";
 import { OverloadMode, OverloadSwitch } from "./overloadSwitch.js";
@@ -99,6 +103,12 @@
   readonly follower: ConfigurationFollower;
   readonly directory: EndpointDirectory;
   readonly connections: EndpointConnections;
+  /** Whether this instance reaches the endpoints itself. */
+  readonly paths: ServicePaths;
+  /** Peers through which attempts are passed on. */
+  readonly forwarding: ForwardingPeers;
+  /** Passes attempts of peers on. */
+  readonly forwardingServer: ForwardingServer;
   readonly members: Members;
   /** Detects endpoints that crashed and keeps the requests that they had. */
   readonly crashProtection: CrashProtection;
@@ -170,6 +180,7 @@
       items.handleItem(key, item, removal);
       crashes.handleItem(key, item, removal);
     },
+    getForwardingAddress: () => findForwardingAddress(settings, forwardingParts.forwardingServer),
     onBeforeReport: () => {
       admission.updateDrainRates();
       crashes.reconcile();
@@ -180,6 +191,8 @@
   const crashes: CrashProtection = createCrashes(state, members, metrics);
   const { limits, permits, links } = createLimits(state, members, metrics);
   const budget = createBudget(state, members, links);
+  const connections = EndpointConnections.create();
+  const forwardingParts: ForwardingParts = createForwarding(state, connections, () => members);
   const proofRequests: ProofRequests = ProofRequests.create(members.links, follower, Math.random);
   return {
     settings,
@@ -188,7 +201,8 @@
     logger,
     follower,
     directory,
-    connections: EndpointConnections.create(),
+    connections,
+    ...forwardingParts,
     members,
     crashProtection: crashes,
     suspects: crashes.suspects,
@@ -315,7 +329,7 @@
 function createMembers(
   state: GatewayState,
   reporter: UsageReporter,
-  handlers: Pick<MembersOptions, "decideQuotaCall" | "onItem" | "onBeforeReport">,
+  handlers: Pick<MembersOptions, "decideQuotaCall" | "onItem" | "onBeforeReport" | "getForwardingAddress">,
 ): Members {
   const { settings, platform, clock, logger, counters, usage, time, directory, follower, rates } = state;
   const { instance, listen, peers } = settings;
@@ -349,6 +363,54 @@
   return members;
 }
 
+type ForwardingParts = Pick<GatewayParts, "paths" | "forwarding" | "forwardingServer">;
+
+/** Returns the address at which peers reach the forwarding server; undefined if it listens on another interface than for peers. */
+function findForwardingAddress(
+  { listen }: GatewaySettings,
+  { address }: ForwardingServer,
+): string | undefined {
+  const { host } = parseAddress(listen.forwarding);
+  return host === parseAddress(listen.peers).host ? address : undefined;
+}
+
+function createForwarding(
+  { settings, clock, logger, directory, follower }: GatewayState,
+  connections: EndpointConnections,
+  getMembers: () => Members,
+): ForwardingParts {
+  const { instance, listen, peers, endpoints } = settings;
+  const { connect_timeout: connectTimeoutMs } = endpoints;
+  const paths = ServicePaths.create({
+    clock,
+    logger,
+    probe: (address) => probeEndpoint(address, connectTimeoutMs),
+    getEndpoints: (service) => directory.getOfService(service),
+    getRandom: Math.random,
+  });
+  const forwarding = ForwardingPeers.create({
+    clock,
+    logger,
+    getPeers: () => getMembers().getForwardingPeers(),
+    getRandom: Math.random,
+  });
+  const forwardingServer = ForwardingServer.create({
+    ownName: instance.name,
+    secret: peers.secret,
+    listen: listen.forwarding,
+    clock,
+    logger,
+    directory,
+    connections,
+    paths,
+    connectTimeoutMs,
+    maxOpen: peers.max_forwarded,
+    canServe: () => canServe({ follower, directory, members: getMembers() }),
+    getMaxBodyBytes: () => follower.getTable()?.configuration.limits.maxBodyBytes ?? 0,
+  });
+  return { paths, forwarding, forwardingServer };
+}
+
 function createPlacer({ overload, clock, memory, rates, directory }: GatewayState, members: Members): Placer {
   return Placer.create({
     clock,
--- a/packages/gateway/src/gatewaySettings.ts
+++ b/packages/gateway/src/gatewaySettings.ts
@@ -29,6 +29,10 @@
     callers: createAddress("where callers connect"),
     readiness: createAddress("where the platform asks whether the instance is ready"),
     peers: createAddress("where other instances connect"),
+    forwarding: createAddress(
+      "where other instances pass requests on that they cannot send themselves; port 0 takes a free one",
+      "127.0.0.1:0",
+    ),
     metrics: createAddress("where metrics are read", "127.0.0.1:0"),
     // An instance is ready 0.1 to 0.3 s after its first port is open (logs of restarts); a refused caller retries
     // much later.
@@ -58,6 +62,12 @@
       [20, 10_000],
       "time between two reports while there are more instances than that",
     ),
+    max_forwarded: createInteger(
+      "requests",
+      256,
+      [0, 100_000],
+      "requests of other instances that are passed on at once",
+    ),
     capacity: createDecimal(
       "",
       0,
--- a/packages/gateway/src/memberRecords.ts
+++ b/packages/gateway/src/memberRecords.ts
@@ -5,6 +5,7 @@
  */
 import type { PeerAddress } from "@gladewall/coordination";
 import { type Clock, type Closeable, FailureCode, type Logger, type Timer, waitFor } from "@gladewall/kernel";
+import type { ForwardingPeer } from "./forwarding/forwardingPeers.js";
 import { decodeItem } from "./itemCodec.js";
 import { PrefixFollower, type Removal } from "./prefixFollower.js";
 import * as v from "valibot";
@@ -24,6 +25,8 @@
   readonly incarnation: number;
   /** `host:port` at which peers reach this instance. */
   readonly address: string;
+  /** Returns the `host:port` at which this instance passes attempts of peers on; omitted or undefined if it does not. */
+  readonly getForwardingAddress?: () => string | undefined;
   /** How much of the work for the whole fleet the instance can do, in any unit that all instances share. */
   readonly capacity: number;
   /** Called after changes; once for changes that arrive together. */
@@ -42,6 +45,8 @@
   address: v.pipe(v.string(), v.includes(":")),
   incarnation: v.number(),
   capacity: v.optional(v.number()),
+  /** `host:port` at which the instance passes attempts on; earlier builds do not. */
+  forwarding: v.optional(v.pipe(v.string(), v.includes(":"))),
 });
 
 type MemberRecord = v.InferOutput<typeof memberSchema>;
@@ -118,6 +123,15 @@
     return [...this.records].map(([name, { address, incarnation }]) => ({ name, address, incarnation }));
   }
 
+  /** Other instances that pass attempts on. */
+  getForwardingPeers(): readonly ForwardingPeer[] {
+    const peers: ForwardingPeer[] = [];
+    for (const [name, { forwarding: address }] of this.records) {
+      if (address !== undefined && name !== this.options.name) peers.push({ name, address });
+    }
+    return peers;
+  }
+
   /** How much of the work for the whole fleet an instance can do; 0 if it is not known. */
   getCapacity(name: string): number {
     return this.records.get(name)?.capacity ?? 0;
@@ -178,12 +192,13 @@
   }
 
   private async writeRecord(): Promise<void> {
-    const { store, logger, name, address, incarnation, capacity } = this.options;
+    const { store, logger, name, address, incarnation, capacity, getForwardingAddress } = this.options;
     this.lease = undefined;
     const granted = await store.grantLease(leaseMs);
     if (granted.isErr()) return;
     const lease = granted.value;
-    const value = Buffer.from(JSON.stringify({ address, incarnation, capacity } satisfies MemberRecord));
+    const record: MemberRecord = { address, incarnation, capacity, forwarding: getForwardingAddress?.() };
+    const value = Buffer.from(JSON.stringify(record));
     const put = [{ key: `${memberPrefix}${name}`, value, lease }];
     const written = await store.transact({ expected: [], put, remove: [] });
     if (written.isErr()) return;
--- a/packages/gateway/src/members.ts
+++ b/packages/gateway/src/members.ts
@@ -12,6 +12,7 @@
 import { Arbiters, type ArbitersOptions } from "./arbiters.js";
 import type { PeerWork } from "./endpoint.js";
 import type { ConfigurationFollower } from "./configurationFollower.js";
+import type { ForwardingPeer } from "./forwarding/forwardingPeers.js";
 import type { FeedTimings } from "./feedTimings.js";
 import { FleetWork } from "./fleetWork.js";
 import type { FeedMessage, FeedState } from "./feedReplication.js";
@@ -266,6 +267,11 @@
     this.work.recordPlacement([endpoint, message.tokens]);
   }
 
+  /** Other instances that pass attempts on. */
+  getForwardingPeers(): readonly ForwardingPeer[] {
+    return this.records.getForwardingPeers();
+  }
+
   /** Other instances' work at an endpoint, as last received. */
   getPeerWork(endpoint: string): PeerWork {
     return this.work.get(endpoint);
--- a/packages/gateway/src/requestContext.ts
+++ b/packages/gateway/src/requestContext.ts
@@ -48,6 +48,8 @@
   queueing: AbortController | undefined;
   firstEventMs: number | undefined;
   permitRefusals = 0;
+  /** Attempts that peers did not pass on. */
+  notForwarded = 0;
   private isUsageCounted = false;
   private cachedSubject: CrashSubject | undefined;
 
@@ -107,9 +109,17 @@
 
   /** Whether the request may run on one more endpoint. */
   isRetryAllowed(): boolean {
-    const { kind, isResumable, attempts } = this.request.admitted.route;
-    const isRetryable = kind === RouteKind.Safe || (kind === RouteKind.Stream && isResumable);
-    return isRetryable && this.history.runs < attempts && !this.isOver;
+    return this.isRepeatable() && this.history.runs < this.request.admitted.route.attempts && !this.isOver;
+  }
+
+  private isRepeatable(): boolean {
+    const { kind, isResumable } = this.request.admitted.route;
+    return kind === RouteKind.Safe || (kind === RouteKind.Stream && isResumable);
+  }
+
+  /** Whether the request may run on another endpoint after the current attempt. */
+  mayRunAgain(): boolean {
+    return this.isRepeatable() && this.history.runs + 1 < this.request.admitted.route.attempts;
   }
 
   /** Counts the run for the usage report, once for all attempts. `at` is the time of day at which it began. */
--- a/packages/gateway/test/cutOffFleet.ts
+++ b/packages/gateway/test/cutOffFleet.ts
@@ -4,6 +4,7 @@
  */
 import { RouteKind } from "@gladewall/gateway";
 import {
+  type BenchInstance,
   createInstanceAddress,
   createPathName,
   createRoute,
@@ -20,6 +21,9 @@
 /** Path of the route whose requests run at most once; the others may be repeated. */
 export const oncePath = "/once/";
 
+/** Path of a route that responds with streams, which can't be resumed. */
+export const streamPath = "/stream/";
+
 /** Starts instances that are linked with each other, and endpoints of one service. */
 export async function startCutOffFleet(
   t: Pick<Test, "teardown">,
@@ -33,6 +37,7 @@
   const routes = [
     createRoute({ attempts: 3 }),
     createRoute({ name: "once", prefix: oncePath, kind: RouteKind.Unsafe, timeoutMs: 2_000 }),
+    createRoute({ name: "stream", prefix: streamPath, kind: RouteKind.Stream, timeoutMs: 10_000 }),
   ];
   bench.platform.configure({ routes });
   const endpoints: ScriptedEndpoint[] = [];
@@ -44,7 +49,9 @@
   for (let index = 0; index < instanceCount; index++) {
     await bench.startReady(endpointCount, "web", overrides);
   }
-  await waitUntil(() => bench.instances.every(({ gateway }) => gateway.linkedPeers === instanceCount - 1));
+  const isJoined = ({ gateway }: BenchInstance): boolean =>
+    gateway.linkedPeers === instanceCount - 1 && gateway.fleetSize === instanceCount;
+  await waitUntil(() => bench.instances.every(isJoined));
   t.teardown(async () => {
     faults.uninstall();
     await bench.close();
--- a/packages/standins/src/scriptedEndpoint.ts
+++ b/packages/standins/src/scriptedEndpoint.ts
@@ -27,6 +27,8 @@
   readonly requests: EndpointRequest[] = [];
   connections = 0;
   private waiters: (() => void)[] = [];
+  /** Address from the first start on, also while it does not listen. */
+  address = "";
 
   private constructor(
     readonly id: string,
@@ -58,21 +60,29 @@
       });
     });
     await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+    endpoint.address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
     return endpoint;
   }
 
   /** Script that replaces the one given at creation. */
   script: EndpointScript | undefined;
 
-  get address(): string {
-    return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
-  }
-
   /** Resolves when at least `count` requests have arrived in all. */
   async waitForRequests(count: number): Promise<void> {
     while (this.requests.length < count) await new Promise<void>((resolve) => this.waiters.push(resolve));
   }
 
+  /** Closes all connections and refuses new ones, as an endpoint does whose process has ended. */
+  async stopListening(): Promise<void> {
+    await this.close();
+  }
+
+  /** Listens at the same address again. */
+  async listenAgain(): Promise<void> {
+    const port = Number(this.address.slice(this.address.lastIndexOf(":") + 1));
+    await new Promise<void>((resolve) => this.server.listen(port, "127.0.0.1", resolve));
+  }
+
   async close(): Promise<void> {
     const done = new Promise<void>((resolve) => this.server.close(() => resolve()));
     this.server.closeAllConnections();
