Reproduce the loss of a service whose endpoints announce that they are brittle

A stand-in runs and queues a few requests and crashes if it has to refuse more than it announced within a second.

--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -22,3 +22,4 @@
 export { readText } from "./fakeHttpServer.js";
 export * from "./endpointArrivals.js";
 export * from "./pathFaults.js";
+export * from "./brittleEndpoint.js";
