Share out the slots of services whose endpoints announce that they are brittle

An endpoint that says how many refusals a second it bears crashes when it has to refuse more. Nobody read that: what one could not take fell on the others, and the service was lost whole. The announcement is read from every response and told to peers. Engines get requests up to three quarters of their slots, and a refusal is told to all. Interrupted requests accuse nobody.

--- a/packages/gateway/src/activeRequestTypes.ts
+++ b/packages/gateway/src/activeRequestTypes.ts
@@ -30,6 +30,7 @@
   | "permits"
   | "slots"
   | "contention"
+  | "brittle"
   | "metrics"
   | "connectTimeoutMs"
   | "countRun"
--- a/packages/gateway/src/attemptStage.ts
+++ b/packages/gateway/src/attemptStage.ts
@@ -156,12 +156,13 @@
   /** Records what an endpoint reports about itself, whatever becomes of the request. */
   private handleResponseHead(
     endpoint: Endpoint,
-    { executionStatus, load, notice, limit }: ResponseHead,
+    { executionStatus, load, notice, limit, refusalLimit }: ResponseHead,
     source: LimitSource,
   ): void {
-    const { clock, directory, limits, suspects } = this.context.parts;
+    const { clock, directory, limits, suspects, brittle } = this.context.parts;
     const isOwn = executionStatus === ExecutionStatus.Ran || executionStatus === ExecutionStatus.NotRun;
     if (isOwn) suspects.recordResponse(endpoint, source.sentAt);
+    if (isOwn) brittle.recordResponse(endpoint, refusalLimit, source.sentAt);
     if (load) endpoint.recordLoad(load, clock.getTime());
     this.context.slot?.recordResponse(load);
     if (executionStatus === ExecutionStatus.Ran && !notice?.isLeaving) endpoint.recordServed(clock.getTime());
@@ -203,12 +204,19 @@
     if (result.outcome === AttemptOutcome.NotRun) {
       endpoint.recordOutcome(false, time);
       // A leaving endpoint also refuses requests; it is not chosen again in any case.
-      if (endpoint.isUsable()) endpoint.recordRejected(time);
+      if (endpoint.isUsable()) this.recordRefused(endpoint, time);
     }
     context.history.recordNotRun(createRefusal(FailureCode.Overloaded, service));
     return context.history.isExhausted ? NextStep.Fail : NextStep.Retry;
   }
 
+  /** Engines are placed by what is known of their load, so a refusal has to be known everywhere; other slots have an arbiter. */
+  private recordRefused(endpoint: Endpoint, time: number): void {
+    const { parts, request } = this.context;
+    endpoint.recordRejected(time);
+    if (request.service.engine) parts.brittle.recordRefusal(endpoint);
+  }
+
   private recordNotSent(endpoint: Endpoint, route: AttemptRoute): void {
     const { context } = this;
     const { clock, paths } = context.parts;
@@ -242,9 +250,11 @@
   private async handleInterruption(endpoint: Endpoint): Promise<NextStep> {
     const { context } = this;
     context.history.recordRunFailure(Failure.create(FailureCode.EndpointCut, { endpoint: endpoint.id }));
-    // An instance that is cut off learns nothing about the endpoint from an interrupted connection.
-    const { suspects, paths } = context.parts;
-    const checked = paths.isDirect(endpoint) && suspects.recordInterruption(endpoint, context);
+    // An instance that is cut off learns nothing about the endpoint from an interrupted connection, and a brittle endpoint crashes
+    // because of what it refused.
+    const { suspects, paths, brittle } = context.parts;
+    const isTelling = paths.isDirect(endpoint) && brittle.getLimit(endpoint.record.service) === undefined;
+    const checked = isTelling && suspects.recordInterruption(endpoint, context);
     if (!context.isRetryAllowed()) return NextStep.Fail;
     await checked;
     return context.isOver ? NextStep.Done : NextStep.Retry;
--- /dev/null
+++ b/packages/gateway/src/brittle/brittleServices.ts
@@ -0,0 +1,170 @@
+/**
+ * Services whose endpoints announce that they are brittle: an endpoint that has to refuse more than a number of requests within a
+ * second, for want of room, crashes. Instances tell each other, because an idle one would learn it only by its own requests.
+ * @module
+ */
+import type { PeerIdentity, PeerMessage } from "@gladewall/coordination";
+import type { Clock, Logger } from "@gladewall/kernel";
+import { getRefusalRecoveryMs } from "@gladewall/policy";
+import type { Endpoint } from "../endpoint.js";
+import { FleetBroadcast, type FleetTopology } from "../fleetBroadcast.js";
+
+/** Number of the message; follows that of crash witnesses. */
+const brittleKind = 52;
+
+/** What an instance knows of a service; sent to peers. */
+interface BrittleReport {
+  readonly service: string;
+  /** Refusals a second that an endpoint bears; left out once its responses no longer announce that it is brittle. */
+  readonly limit?: number;
+  /** Milliseconds since the response that this is known from. */
+  readonly ageMs: number;
+}
+
+interface BrittleMessage extends PeerMessage {
+  readonly kind: typeof brittleKind;
+  readonly services?: readonly BrittleReport[];
+  /** Incarnation of a brittle endpoint that refused a request for want of room. */
+  readonly refusedAt?: string;
+}
+
+/** Options of the services. */
+export interface BrittleServicesOptions {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly fleet: FleetTopology;
+  /** Closes an endpoint for this instance for some milliseconds. */
+  readonly holdOff: (incarnation: string, milliseconds: number) => void;
+  readonly findEndpoint: (incarnation: string) => Endpoint | undefined;
+}
+
+interface ServiceState {
+  limit: number;
+  /** Monotonic time of the last response that announced it. */
+  announcedAt: number;
+}
+
+/** Without an announcement for this long, a service no longer counts as brittle. */
+const lifetimeMs = 10_000;
+/** Responses without the announcement end it only this long after the last one with it: they may have been made before it. */
+const endGraceMs = 500;
+/** Services in one message; of more, the rest is learned from their responses. */
+const maxReported = 64;
+
+/** What is known of brittle services. */
+export class BrittleServices {
+  private readonly states = new Map<string, ServiceState>();
+  private readonly broadcaster: FleetBroadcast;
+
+  private constructor(private readonly options: BrittleServicesOptions) {
+    const { fleet } = options;
+    this.broadcaster = FleetBroadcast.create(fleet);
+    fleet.links.setHandler(brittleKind, (message, peer) =>
+      this.handleMessage(message as BrittleMessage, peer),
+    );
+    fleet.links.onLinkUp(({ name }) => this.sendToNewPeer(name));
+  }
+
+  static create(options: BrittleServicesOptions): BrittleServices {
+    return new BrittleServices(options);
+  }
+
+  /** Refusals a second that an endpoint of a service bears; undefined if its endpoints are not brittle. */
+  getLimit(service: string): number | undefined {
+    const state = this.states.get(service);
+    if (!state) return undefined;
+    if (this.options.clock.getTime() - state.announcedAt <= lifetimeMs) return state.limit;
+    this.end(service, "unheard");
+    return undefined;
+  }
+
+  /** Applies a response to a request that was sent at the given time; `limit` is undefined if it announces nothing. */
+  recordResponse({ record }: Endpoint, limit: number | undefined, sentAt: number): void {
+    const { service } = record;
+    const time = this.options.clock.getTime();
+    if (limit !== undefined) {
+      if (this.announce(service, limit, time)) this.broadcast({ service, limit, ageMs: 0 });
+      return;
+    }
+    const state = this.states.get(service);
+    if (!state || sentAt < state.announcedAt || time - state.announcedAt < endGraceMs) return;
+    this.end(service, "response");
+    this.broadcast({ service, ageMs: 0 });
+  }
+
+  /** Records that a brittle endpoint refused a request for want of room: no instance sends it requests for a moment. */
+  recordRefusal({ incarnation, record }: Endpoint): void {
+    const limit = this.getLimit(record.service);
+    if (limit === undefined) return;
+    this.options.holdOff(incarnation, getRefusalRecoveryMs(limit));
+    this.broadcaster.broadcast(createMessage({ refusedAt: incarnation }));
+  }
+
+  private announce(service: string, limit: number, at: number): boolean {
+    const state = this.states.get(service);
+    if (state && state.announcedAt > at) return false;
+    this.states.set(service, { limit, announcedAt: at });
+    if (state?.limit === limit) return false;
+    this.options.logger.info("service.brittle", { service, refusalsPerSecond: limit });
+    return true;
+  }
+
+  private end(service: string, cause: string): void {
+    this.states.delete(service);
+    this.options.logger.info("service.brittle-ended", { service, cause });
+  }
+
+  private broadcast(report: BrittleReport): void {
+    this.broadcaster.broadcast(createMessage({ services: [report] }));
+  }
+
+  private handleMessage({ services, refusedAt }: BrittleMessage, { name }: PeerIdentity): void {
+    if (typeof refusedAt === "string") this.applyRefusal(refusedAt, name);
+    if (!Array.isArray(services)) return;
+    const reports = (services as unknown[]).slice(0, maxReported).filter(isReport);
+    const news = reports.filter((report) => this.applyReport(report));
+    if (news.length > 0) this.broadcaster.relay(createMessage({ services: news }), name);
+  }
+
+  private applyReport({ service, limit, ageMs }: BrittleReport): boolean {
+    const at = this.options.clock.getTime() - ageMs;
+    if (limit !== undefined) return this.announce(service, limit, at);
+    const state = this.states.get(service);
+    if (!state || at - state.announcedAt < endGraceMs) return false;
+    this.end(service, "peer");
+    return true;
+  }
+
+  private applyRefusal(incarnation: string, sender: string): void {
+    const { findEndpoint, holdOff, clock } = this.options;
+    const endpoint = findEndpoint(incarnation);
+    const limit = endpoint && this.getLimit(endpoint.record.service);
+    if (!endpoint || limit === undefined || endpoint.availability.getHoldOffMs(clock.getTime()) > 0) return;
+    holdOff(incarnation, getRefusalRecoveryMs(limit));
+    this.broadcaster.relay(createMessage({ refusedAt: incarnation }), sender);
+  }
+
+  private sendToNewPeer(name: string): void {
+    const time = this.options.clock.getTime();
+    const services: BrittleReport[] = [];
+    for (const [service, { limit, announcedAt }] of this.states) {
+      if (time - announcedAt <= lifetimeMs) services.push({ service, limit, ageMs: time - announcedAt });
+    }
+    if (services.length > 0) this.options.fleet.links.send(name, createMessage({ services }));
+  }
+}
+
+function createMessage(fields: Omit<BrittleMessage, "kind">): BrittleMessage {
+  return { kind: brittleKind, ...fields };
+}
+
+function isReport(value: unknown): value is BrittleReport {
+  if (typeof value !== "object" || value === null) return false;
+  const { service, limit, ageMs } = value as Partial<BrittleReport>;
+  const isLimitValid = limit === undefined || isCount(limit);
+  return typeof service === "string" && isLimitValid && isCount(ageMs);
+}
+
+function isCount(value: unknown): value is number {
+  return Number.isFinite(value) && (value as number) >= 0;
+}
--- a/packages/gateway/src/endpointDirectory.ts
+++ b/packages/gateway/src/endpointDirectory.ts
@@ -177,6 +177,11 @@
     for (const listener of this.leavingListeners) listener(incarnation);
   }
 
+  /** Lets an endpoint accept no request of this instance for some milliseconds, and few right after it. */
+  holdOff(incarnation: string, milliseconds: number): void {
+    this.startHoldOff(incarnation, milliseconds, {});
+  }
+
   /** A hold-off applies to this instance alone: sent to peers, it would keep them from an endpoint that still serves them. */
   private startHoldOff(incarnation: string, holdOffMs: number, response: LogFields): void {
     const { clock, logger } = this.options;
--- /dev/null
+++ b/packages/gateway/src/forwarding/forwardingParts.ts
@@ -0,0 +1,63 @@
+/**
+ * Creates what sends attempts to endpoints: connections, the paths of this instance, and the parts that pass attempts on.
+ * @module
+ */
+import { parseAddress } from "@gladewall/kernel";
+import { probeEndpoint } from "../crashes/endpointProbe.js";
+import { EndpointConnections } from "../endpointConnections.js";
+import { canServe, type GatewayParts, type GatewayState } from "../gatewayParts.js";
+import type { GatewaySettings } from "../gatewaySettings.js";
+import type { Members } from "../members.js";
+import { ForwardingPeers } from "./forwardingPeers.js";
+import { ForwardingServer } from "./forwardingServer.js";
+import { ServicePaths } from "./servicePaths.js";
+
+/** Parts that attempts pass through on their way. */
+export type ForwardingParts = Pick<GatewayParts, "connections" | "paths" | "forwarding" | "forwardingServer">;
+
+/** Returns the address at which peers reach the forwarding server; undefined if it listens on another interface than for peers. */
+export function findForwardingAddress(
+  { listen }: GatewaySettings,
+  { address }: ForwardingServer,
+): string | undefined {
+  const { host } = parseAddress(listen.forwarding);
+  return host === parseAddress(listen.peers).host ? address : undefined;
+}
+
+/** Creates the parts; `getMembers` is called once all parts exist. */
+export function createForwarding(
+  { settings, clock, logger, directory, follower }: GatewayState,
+  getMembers: () => Members,
+): ForwardingParts {
+  const { instance, listen, peers, endpoints } = settings;
+  const { connect_timeout: connectTimeoutMs } = endpoints;
+  const connections = EndpointConnections.create();
+  const paths = ServicePaths.create({
+    clock,
+    logger,
+    probe: (address) => probeEndpoint(address, connectTimeoutMs),
+    getEndpoints: (service) => directory.getOfService(service),
+    getRandom: Math.random,
+  });
+  const forwarding = ForwardingPeers.create({
+    clock,
+    logger,
+    getPeers: () => getMembers().getForwardingPeers(),
+    getRandom: Math.random,
+  });
+  const forwardingServer = ForwardingServer.create({
+    ownName: instance.name,
+    secret: peers.secret,
+    listen: listen.forwarding,
+    clock,
+    logger,
+    directory,
+    connections,
+    paths,
+    connectTimeoutMs,
+    maxOpen: peers.max_forwarded,
+    canServe: () => canServe({ follower, directory, members: getMembers() }),
+    getMaxBodyBytes: () => follower.getTable()?.configuration.limits.maxBodyBytes ?? 0,
+  });
+  return { connections, paths, forwarding, forwardingServer };
+}
--- a/packages/gateway/src/gatewayParts.ts
+++ b/packages/gateway/src/gatewayParts.ts
@@ -3,18 +3,19 @@
  * @module
  */
 import { getIncarnationKey } from "@gladewall/coordination";
-import { type Clock, type Logger, parseAddress } from "@gladewall/kernel";
+import type { Clock, Logger } from "@gladewall/kernel";
 import type { Admission } from "./admission.js";
 import type { Endpoint, PeerWork } from "./endpoint.js";
-import { EndpointConnections } from "./endpointConnections.js";
+import type { EndpointConnections } from "./endpointConnections.js";
 import { EndpointDirectory } from "./endpointDirectory.js";
+import type { BrittleServices } from "./brittle/brittleServices.js";
 import { CapacityOrders } from "./capacityOrders.js";
 import { CrashProtection } from "./crashes/crashProtection.js";
-import { probeEndpoint } from "./crashes/endpointProbe.js";
 import { ConfigurationFollower, type ConfigurationFollowerOptions } from "./configurationFollower.js";
 import { DemandEstimator } from "./demandEstimator.js";
 import {
   createAdmission,
+  createBrittleServices,
   createBudget,
   createCharges,
   createLimits,
@@ -30,9 +31,14 @@
 import { LeavingGossip } from "./leavingGossip.js";
 import type { EndpointLimits } from "./endpointLimits.js";
 import { FencedOrders } from "./fencedOrders.js";
-import { ForwardingPeers } from "./forwarding/forwardingPeers.js";
-import { ForwardingServer } from "./forwarding/forwardingServer.js";
-import { ServicePaths } from "./forwarding/servicePaths.js";
+import {
+  createForwarding,
+  findForwardingAddress,
+  type ForwardingParts,
+} from "./forwarding/forwardingParts.js";
+import type { ForwardingPeers } from "./forwarding/forwardingPeers.js";
+import type { ForwardingServer } from "./forwarding/forwardingServer.js";
+import type { ServicePaths } from "./forwarding/servicePaths.js";
 import { GatewayMetrics } from "./gatewayMetrics.js";
 import type { GatewaySettings } from "./gatewaySettings.js";
 import { OverloadMode, OverloadSwitch } from "./overloadSwitch.js";
@@ -120,6 +126,8 @@
   readonly permits: PermitClient;
   /** Mode of the decisions on short capacity. */
   readonly overload: OverloadSwitch;
+  /** Services whose endpoints crash if they refuse too much. */
+  readonly brittle: BrittleServices;
   /** Which services are contended. */
   readonly contention: SlotContention;
   /** Decides on slots for this instance and its peers. */
@@ -190,9 +198,9 @@
   reportEras(store.eras, logger, metrics);
   const crashes: CrashProtection = createCrashes(state, members, metrics);
   const { limits, permits, links } = createLimits(state, members, metrics);
+  const brittle = createBrittleServices(state, members);
   const budget = createBudget(state, members, links);
-  const connections = EndpointConnections.create();
-  const forwardingParts: ForwardingParts = createForwarding(state, connections, () => members);
+  const forwardingParts: ForwardingParts = createForwarding(state, () => members);
   const proofRequests: ProofRequests = ProofRequests.create(members.links, follower, Math.random);
   return {
     settings,
@@ -201,7 +209,6 @@
     logger,
     follower,
     directory,
-    connections,
     ...forwardingParts,
     members,
     crashProtection: crashes,
@@ -209,11 +216,12 @@
     limits,
     permits,
     overload: state.overload,
-    ...createSlots(state, members, metrics, createSlotScheduler),
+    brittle,
+    ...createSlots(state, members, metrics, brittle, createSlotScheduler),
     admission,
     charges: createCharges(state, admission, members, metrics),
     rates,
-    placer: createPlacer(state, members),
+    placer: createPlacer(state, members, brittle),
     budget,
     demand: state.demand,
     counters,
@@ -363,55 +371,11 @@
   return members;
 }
 
-type ForwardingParts = Pick<GatewayParts, "paths" | "forwarding" | "forwardingServer">;
-
-/** Returns the address at which peers reach the forwarding server; undefined if it listens on another interface than for peers. */
-function findForwardingAddress(
-  { listen }: GatewaySettings,
-  { address }: ForwardingServer,
-): string | undefined {
-  const { host } = parseAddress(listen.forwarding);
-  return host === parseAddress(listen.peers).host ? address : undefined;
-}
-
-function createForwarding(
-  { settings, clock, logger, directory, follower }: GatewayState,
-  connections: EndpointConnections,
-  getMembers: () => Members,
-): ForwardingParts {
-  const { instance, listen, peers, endpoints } = settings;
-  const { connect_timeout: connectTimeoutMs } = endpoints;
-  const paths = ServicePaths.create({
-    clock,
-    logger,
-    probe: (address) => probeEndpoint(address, connectTimeoutMs),
-    getEndpoints: (service) => directory.getOfService(service),
-    getRandom: Math.random,
-  });
-  const forwarding = ForwardingPeers.create({
-    clock,
-    logger,
-    getPeers: () => getMembers().getForwardingPeers(),
-    getRandom: Math.random,
-  });
-  const forwardingServer = ForwardingServer.create({
-    ownName: instance.name,
-    secret: peers.secret,
-    listen: listen.forwarding,
-    clock,
-    logger,
-    directory,
-    connections,
-    paths,
-    connectTimeoutMs,
-    maxOpen: peers.max_forwarded,
-    canServe: () => canServe({ follower, directory, members: getMembers() }),
-    getMaxBodyBytes: () => follower.getTable()?.configuration.limits.maxBodyBytes ?? 0,
-  });
-  return { paths, forwarding, forwardingServer };
-}
-
-function createPlacer({ overload, clock, memory, rates, directory }: GatewayState, members: Members): Placer {
+function createPlacer(
+  { overload, clock, memory, rates, directory }: GatewayState,
+  members: Members,
+  brittle: BrittleServices,
+): Placer {
   return Placer.create({
     clock,
     memory,
@@ -419,6 +383,7 @@
     getEndpoints: (service) => directory.getOfService(service),
     getPeerWork: (endpoint) => members.getPeerWork(endpoint),
     getFleetSize: () => members.getFleetSize(),
+    getRefusalLimit: (service) => brittle.getLimit(service),
     usesReportedLoad: () => overload.mode !== OverloadMode.Off,
     getRandom: Math.random,
   });
--- a/packages/gateway/src/limitParts.ts
+++ b/packages/gateway/src/limitParts.ts
@@ -5,6 +5,7 @@
 import type { Clock } from "@gladewall/kernel";
 import { ServiceSlotScheduler, type SlotScheduler } from "@gladewall/policy";
 import { Admission } from "./admission.js";
+import { BrittleServices } from "./brittle/brittleServices.js";
 import { EndpointLimits } from "./endpointLimits.js";
 import type { GatewayMetrics } from "./gatewayMetrics.js";
 import type { GatewayParts, GatewayState } from "./gatewayParts.js";
@@ -20,7 +21,7 @@
 import { SlotArbiter } from "./slotArbiter.js";
 import { SlotClient } from "./slotClient.js";
 import { SlotContention } from "./slotContention.js";
-import { SlotTransport } from "./slotTransport.js";
+import { getSlotSubject, SlotTransport } from "./slotTransport.js";
 
 /** Creates the scheduler of a service's slots. */
 export type SlotSchedulerFactory = (settings: GatewaySettings, clock: Clock) => SlotScheduler;
@@ -82,24 +83,42 @@
   return { limits, permits, links };
 }
 
+/** Creates what knows of services whose endpoints crash if they refuse too much. */
+export function createBrittleServices(
+  { clock, logger, directory }: GatewayState,
+  members: Members,
+): BrittleServices {
+  return BrittleServices.create({
+    clock,
+    logger,
+    fleet: members,
+    holdOff: (incarnation, milliseconds) => directory.holdOff(incarnation, milliseconds),
+    findEndpoint: (incarnation) => directory.find(incarnation),
+  });
+}
+
 /** Creates what shares out the slots of contended services. */
 export function createSlots(
   { settings, incarnation, clock, logger, directory, overload }: GatewayState,
   members: Members,
   metrics: GatewayMetrics,
+  brittle: BrittleServices,
   createScheduler: SlotSchedulerFactory,
 ): Pick<GatewayParts, "contention" | "slotArbiter" | "slots"> {
   const ownName = settings.instance.name;
-  const base = { ownName, clock, logger, directory, overload };
+  const getRefusalLimit = (service: string): number | undefined => brittle.getLimit(service);
+  const base = { ownName, clock, logger, directory, overload, getRefusalLimit };
   const getFleetSize = (): number => members.getFleetSize();
-  const contention = SlotContention.create({ clock, logger, directory, getFleetSize });
-  const slotArbiter = SlotArbiter.create({
+  const contention = SlotContention.create({ clock, logger, directory, getFleetSize, getRefusalLimit });
+  const { slotArbiters: arbiters } = members;
+  const slotArbiter: SlotArbiter = SlotArbiter.create({
     ...base,
     fleet: members,
     createScheduler: () => createScheduler(settings, clock),
+    countPrecedingReaders: (service) =>
+      arbiters.countPrecedingReaders(getSlotSubject(service), (name) => slotArbiter.supportsSlots(name)),
   });
   const own = { name: ownName, incarnation };
-  const { slotArbiters: arbiters } = members;
   const slots = SlotClient.create({
     ...base,
     metrics,
--- a/packages/gateway/src/placement.ts
+++ b/packages/gateway/src/placement.ts
@@ -49,6 +49,8 @@
   readonly getPeerWork: (endpoint: string) => PeerWork;
   /** Returns the number of instances that read the same reports; 1 if omitted. */
   readonly getFleetSize?: () => number;
+  /** Returns the refusals a second that an endpoint of a service bears; omitted or undefined if any number. */
+  readonly getRefusalLimit?: (service: string) => number | undefined;
   /** Whether the load that endpoints report is used; it is if omitted. */
   readonly usesReportedLoad?: () => boolean;
   /** Returns a number from 0 to 1, to break ties between endpoints. */
@@ -65,6 +67,8 @@
 const tieBreakMs = 4;
 /** Milliseconds that each request beyond an engine's slots adds. */
 const queuedCostMs = 50;
+/** Share of an engine's slots up to which it gets requests while it crashes if it refuses too much. */
+const brittleShare = 0.75;
 
 /** Chooses endpoints. */
 export class Placer {
@@ -177,10 +181,13 @@
     time: number,
   ): readonly Endpoint[] {
     const eligible: Endpoint[] = [];
+    const isBrittle =
+      service.engine !== undefined && this.options.getRefusalLimit?.(service.name) !== undefined;
     let reachable = 0;
     for (const endpoint of this.options.getEndpoints(service.name)) {
       if (!endpoint.acceptsRequest(time, rank) || excluded.has(endpoint.incarnation)) continue;
       if (avoidsLimited && endpoint.availability.limit.perSecond !== undefined) continue;
+      if (isBrittle && this.isNearlyFull(endpoint, time)) continue;
       eligible.push(endpoint);
       if (!endpoint.isUnreachable(time)) reachable += 1;
     }
@@ -188,6 +195,13 @@
     return eligible.filter((endpoint) => !endpoint.isUnreachable(time));
   }
 
+  /** Whether an engine could have to refuse a request: what peers have sent is known some hundred milliseconds late. */
+  private isNearlyFull(endpoint: Endpoint, time: number): boolean {
+    const known = endpoint.active + this.options.getPeerWork(endpoint.incarnation).active;
+    const reported = endpoint.capacity.estimate(time).requests;
+    return Math.max(known, reported) >= endpoint.record.slots * brittleShare;
+  }
+
   private getUncachedTokens(
     { promptTokens, parts }: PlacementRequest,
     endpoint: Endpoint,
--- a/packages/gateway/src/placementStage.ts
+++ b/packages/gateway/src/placementStage.ts
@@ -22,7 +22,7 @@
   /** Fails with `NoEndpoint`, or with the reason why a suspect must not run now. */
   async choose(): Promise<Result<Placement, Failure>> {
     const { context } = this;
-    const { suspects, placer } = context.parts;
+    const { suspects, placer, brittle } = context.parts;
     const { service } = context.request;
     const placementRequest = this.createPlacementRequest();
     if (suspects.hasSuspects(context.workspace)) {
@@ -36,8 +36,11 @@
       if (trial.isErr()) return trial;
       context.trial = trial.value;
     }
+    const hadSlot = context.slot !== undefined;
     const granted = this.takeGranted(placementRequest);
     if (granted) return Ok(granted);
+    if (hadSlot && brittle.getLimit(service.name) !== undefined)
+      return Err(createRefusal(FailureCode.Overloaded, service));
     if (context.trial) return Ok(placer.describe(placementRequest, context.trial.endpoint));
     const placement = placer.choose(placementRequest);
     return placement ? Ok(placement) : Err(createRefusal(FailureCode.NoEndpoint, service));
--- a/packages/gateway/src/queueStage.ts
+++ b/packages/gateway/src/queueStage.ts
@@ -3,14 +3,20 @@
  * fleet has instances.
  * @module
  */
-import { FailureCode } from "@gladewall/kernel";
+import { FailureCode, waitFor } from "@gladewall/kernel";
 import { NextStep, type RequestContext } from "./requestContext.js";
 import { createRefusal } from "./requestRefusal.js";
 import { SlotResult, type SlotAnswer, type SlotRequestInput } from "./slotAcquisition.js";
 
+/** Requests for a slot of a brittle service without a decision, after which the request is refused, and the time between them. */
+const maxUndecided = 5;
+const arbiterPollMs = 40;
+
 /** Obtains the slot of each attempt of one request. */
 export class QueueStage {
   private observedEnd: (() => void) | undefined;
+  /** Requests for a slot on which no arbiter decided. */
+  private undecided = 0;
 
   private constructor(private readonly context: RequestContext) {}
 
@@ -24,7 +30,7 @@
    */
   async acquireSlot(): Promise<NextStep> {
     const { context } = this;
-    const { slots } = context.parts;
+    const { slots, brittle } = context.parts;
     const { service } = context.request;
     if (service.engine || this.isSuspect()) return NextStep.Retry;
     const isObserved = slots.isObserved(service);
@@ -39,9 +45,20 @@
     context.queueing = queueing;
     const answer = await slots.acquire(input, queueing.signal);
     context.queueing = undefined;
+    const isUndecided = answer.result === SlotResult.Direct && !context.isOver;
+    if (isUndecided && brittle.getLimit(service.name) !== undefined) return this.waitForArbiter();
     return this.apply(answer);
   }
 
+  /** Requests a slot again after a while, because brittle endpoints must not be sent requests that nobody has counted. */
+  private async waitForArbiter(): Promise<NextStep> {
+    const { context } = this;
+    this.undecided += 1;
+    if (this.undecided > maxUndecided) return this.apply({ result: SlotResult.Refused });
+    await waitFor(context.parts.clock, arbiterPollMs);
+    return context.isOver ? NextStep.Done : this.acquireSlot();
+  }
+
   /** Ends the grant of the attempt; it is cancelled if the attempt was not made with it. */
   release(): void {
     const { context } = this;
@@ -80,6 +97,7 @@
   private createInput(): SlotRequestInput | undefined {
     const { context } = this;
     const { head, service, admitted, arrivedAt } = context.request;
+    const { brittle } = context.parts;
     const excluded = this.findExcluded();
     if (!excluded) return undefined;
     return {
@@ -92,6 +110,7 @@
       objectiveMs: admitted.route.latencyObjectiveMs,
       deadlineAt: context.deadlineAt,
       excluded,
+      isBrittle: brittle.getLimit(service.name) !== undefined,
     };
   }
 
--- a/packages/gateway/src/slotAcquisition.ts
+++ b/packages/gateway/src/slotAcquisition.ts
@@ -23,6 +23,8 @@
   readonly deadlineAt: number;
   /** Incarnations that the request can't be sent to. */
   readonly excluded: readonly string[];
+  /** Whether the endpoints crash if they refuse too much, so that no other arbiter must grant the same slots. */
+  readonly isBrittle: boolean;
 }
 
 /** What becomes of a request for a slot. The names are written to metrics and logs. */
@@ -64,6 +66,9 @@
 /** Longest time for an arbiter's first reply; an eighth of the objective bounds it as well. */
 const maxReplyMs = 60;
 const replyShare = 1 / 8;
+/** The same for services whose endpoints crash if two arbiters grant the same slots. */
+const maxBrittleReplyMs = 250;
+const brittleReplyShare = 1 / 2;
 /** Bounds of the time after which a wait is renewed: it detects an arbiter that has stopped, at the cost of two messages. */
 const minRenewalMs = 20;
 const renewalShare = 1 / 2;
@@ -140,8 +145,14 @@
       deadlineMs: input.deadlineAt - time,
       excluded: input.excluded.slice(0, maxExcluded),
     };
-    const limitMs = Math.min(maxReplyMs, input.objectiveMs * replyShare);
-    return transport.request(call, limitMs, passedOver);
+    return transport.request(call, this.getReplyLimitMs(), passedOver);
+  }
+
+  private getReplyLimitMs(): number {
+    const { isBrittle, objectiveMs } = this.input;
+    return isBrittle
+      ? Math.min(maxBrittleReplyMs, objectiveMs * brittleReplyShare)
+      : Math.min(maxReplyMs, objectiveMs * replyShare);
   }
 
   private async waitForTurn(arbiter: string, announcedMs: number): Promise<DecidedReply | undefined> {
--- a/packages/gateway/src/slotArbiter.ts
+++ b/packages/gateway/src/slotArbiter.ts
@@ -32,10 +32,19 @@
   readonly directory: Pick<EndpointDirectory, "getOfService">;
   readonly overload: Pick<OverloadSwitch, "mode">;
   readonly createScheduler: () => SlotScheduler;
+  /** Returns the refusals a second that an endpoint of a service bears; omitted or undefined if any number. */
+  readonly getRefusalLimit?: ((service: string) => number | undefined) | undefined;
+  /** Returns the number of readers that may also be deciding on a service, and that callers prefer; none if omitted. */
+  readonly countPrecedingReaders?: (service: string) => number;
 }
 
 /** Milliseconds without requests after which a service's queue is dropped. */
 const idleTimeoutMs = 60_000;
+/**
+ * Part of the slots that another arbiter than the preferred one grants at endpoints that crash if they refuse too much: the preferred
+ * one may still be granting all of them.
+ */
+const substituteShare = 1 / 5;
 const unknownReply: SlotReply = { word: SlotReplyKind.Unknown };
 
 /** Decides on slots. */
@@ -147,13 +156,17 @@
    * requests with open grants may still run there.
    */
   private getEndpoints(service: string): readonly SlotEndpoint[] {
-    const { clock, directory } = this.options;
+    const { clock, directory, getRefusalLimit, countPrecedingReaders } = this.options;
     const time = clock.getTime();
+    const refusalLimit = getRefusalLimit?.(service);
+    const isSubstitute = refusalLimit !== undefined && (countPrecedingReaders?.(service) ?? 0) > 0;
+    const share = isSubstitute ? substituteShare : 1;
     const usable = directory.getOfService(service).filter((endpoint) => endpoint.isUsable());
     const isAnyReachable = usable.some((endpoint) => !endpoint.isUnreachable(time));
     return usable.map((endpoint) => {
       const hasSlots = !isAnyReachable || !endpoint.isUnreachable(time);
-      return { incarnation: endpoint.incarnation, slots: hasSlots ? endpoint.record.slots : 0 };
+      const slots = hasSlots ? Math.max(1, Math.floor(endpoint.record.slots * share)) : 0;
+      return { incarnation: endpoint.incarnation, slots, refusalLimit };
     });
   }
 
--- a/packages/gateway/src/slotContention.ts
+++ b/packages/gateway/src/slotContention.ts
@@ -1,6 +1,6 @@
 /**
- * Decides whether the slots of a service are shared out by its arbiter: the service has fewer slots than the fleet has instances,
- * and its endpoints are nearly full or refuse requests.
+ * Decides whether the slots of a service are shared out by its arbiter: its endpoints crash if they refuse too much, or the service
+ * has fewer slots than the fleet has instances, and its endpoints are nearly full or refuse requests.
  * @module
  */
 import type { Clock, Logger, Timer } from "@gladewall/kernel";
@@ -14,6 +14,8 @@
   readonly logger: Logger;
   readonly directory: Pick<EndpointDirectory, "getOfService">;
   readonly getFleetSize: () => number;
+  /** Returns the refusals a second that an endpoint of a service bears; omitted or undefined if any number. */
+  readonly getRefusalLimit?: ((service: string) => number | undefined) | undefined;
 }
 
 /** Share of the slots that running and waiting requests take in a contended service. */
@@ -40,9 +42,15 @@
 
   /** Whether requests for the service need a slot of its arbiter now. */
   isContended(service: Service): boolean {
-    const { clock, directory, getFleetSize } = this.options;
+    const { clock, directory, getFleetSize, getRefusalLimit } = this.options;
     if (service.engine) return false;
     const time = clock.getTime();
+    if (getRefusalLimit?.(service.name) !== undefined) {
+      const state = this.getState(service.name);
+      state.signAt = time;
+      this.begin(service.name, state, 0);
+      return true;
+    }
     let slots = 0;
     let reportedSlots = 0;
     let requests = 0;
--- a/packages/gateway/src/slotQueue.ts
+++ b/packages/gateway/src/slotQueue.ts
@@ -261,7 +261,9 @@
 function areSame(left: readonly SlotEndpoint[], right: readonly SlotEndpoint[]): boolean {
   if (left.length !== right.length) return false;
   return left.every(
-    ({ incarnation, slots }, index) =>
-      right[index]?.incarnation === incarnation && right[index].slots === slots,
+    ({ incarnation, slots, refusalLimit }, index) =>
+      right[index]?.incarnation === incarnation &&
+      right[index].slots === slots &&
+      right[index].refusalLimit === refusalLimit,
   );
 }
--- a/packages/gateway/src/slotTransport.ts
+++ b/packages/gateway/src/slotTransport.ts
@@ -43,7 +43,7 @@
   /** Requests a slot from the service's arbiter other than `passedOver`; undefined if none decides within the time limit. */
   async request(call: SlotCall, limitMs: number, passedOver?: string): Promise<DecidedReply | undefined> {
     const { own, arbiters, arbiter: ownArbiter } = this.options;
-    const subject = getSubject(call.service);
+    const subject = getSlotSubject(call.service);
     const supportsCall = (name: string): boolean => ownArbiter.supportsSlots(name) && name !== passedOver;
     const arbiter = arbiters.find(subject, supportsCall);
     if (arbiter === undefined) return undefined;
@@ -88,7 +88,8 @@
   return { service, id, isCancelled: true, isRejected: false, tookMs: undefined, load: undefined };
 }
 
-function getSubject(service: string): string {
+/** Returns the subject of a service's slots, by which their arbiter is chosen. */
+export function getSlotSubject(service: string): string {
   return `slots/${service}`;
 }
 
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -275,6 +275,8 @@
   readonly notice: EndpointNotice | undefined;
   /** Undefined if the endpoint advertises no limit, or if the response is not this endpoint's. */
   readonly limit?: AdvertisedLimit | undefined;
+  /** Refusals a second that the endpoint bears, as it announces; undefined if it announces none. */
+  readonly refusalLimit?: number | undefined;
 }
 
 /** Protocol between callers and the gateway. */
--- a/packages/gateway/test/slotFleet.ts
+++ b/packages/gateway/test/slotFleet.ts
@@ -180,6 +180,7 @@
       objectiveMs,
       deadlineAt: time + timeoutMs,
       excluded: [],
+      isBrittle: false,
     };
   }
 }
--- a/packages/policy/src/capacityTypes.ts
+++ b/packages/policy/src/capacityTypes.ts
@@ -102,6 +102,8 @@
   readonly incarnation: string;
   /** 0 if nothing is to be sent there now; open grants stay counted. */
   readonly slots: number;
+  /** Refusals a second that it bears; more of them make it crash. Undefined if it bears any number. */
+  readonly refusalLimit?: number | undefined;
 }
 
 /** Decides who gets the slots of one service. It holds all state in memory and does no input or output. */
--- a/packages/policy/src/index.ts
+++ b/packages/policy/src/index.ts
@@ -23,3 +23,4 @@
 export * from "./retryAdvice.js";
 export * from "./slotOrder.js";
 export * from "./slotScheduler.js";
+export { getRefusalRecoveryMs } from "./refusalRecovery.js";
--- a/packages/policy/src/slotEndpointState.ts
+++ b/packages/policy/src/slotEndpointState.ts
@@ -5,6 +5,7 @@
  */
 import type { EndpointLoad, SlotEndpoint } from "./capacityTypes.js";
 import { isPlausiblePace, maxReportAgeMs } from "./endpointCapacity.js";
+import { getRefusalRecoveryMs } from "./refusalRecovery.js";
 
 /** The pace of an endpoint changes every 100 to 400 ms, so a report tells little after that time. */
 const paceDecayMs = 250;
@@ -15,10 +16,10 @@
 const maxRequestsPerSlot = 2;
 /** Requests beyond the slots that may wait at an endpoint, so that a slot is not idle for the transmission time. */
 const maxWaitingAtEndpoint = 1;
-
 /** Load of one endpoint as the scheduler knows it. Times are milliseconds of the scheduler's clock. */
 export class SlotEndpointState {
   private slots = 0;
+  private refusalLimit: number | undefined;
   private open = 0;
   /** Requests without a grant at the time of the last report. */
   private ungranted = 0;
@@ -30,12 +31,13 @@
 
   static create(endpoint: SlotEndpoint): SlotEndpointState {
     const state = new SlotEndpointState(endpoint.incarnation);
-    state.setSlots(endpoint.slots);
+    state.update(endpoint);
     return state;
   }
 
-  setSlots(slots: number): void {
+  update({ slots, refusalLimit }: SlotEndpoint): void {
     this.slots = Number.isFinite(slots) ? Math.max(0, Math.floor(slots)) : 0;
+    this.refusalLimit = refusalLimit;
   }
 
   getSlots(): number {
@@ -50,9 +52,11 @@
     this.open -= 1;
   }
 
-  /** Marks the endpoint as full until a time, because it refused a request. */
-  setFullUntil(time: number): void {
-    this.fullUntil = time;
+  /** Records that the endpoint refused a request: it counts as full for a while, long enough for its limit of refusals. */
+  recordRejection(time: number, meanRunMs: number): void {
+    const { refusalLimit } = this;
+    const recoveryMs = refusalLimit === undefined ? 0 : getRefusalRecoveryMs(refusalLimit);
+    this.fullUntil = Math.max(this.fullUntil, time + Math.max(meanRunMs, recoveryMs));
   }
 
   /** Applies a report that a response carried while its grant is still counted as open. */
@@ -74,16 +78,16 @@
     return 1 + (this.pace - 1) * Math.exp(-age / paceDecayMs);
   }
 
-  /** Returns whether a request may be granted: fewer than slots + 1 are there. */
+  /** Returns whether a request may be granted: fewer than slots + 1 are there, or than slots if the endpoint bears few refusals. */
   hasRoom(time: number, meanRunMs: number): boolean {
-    const most = this.slots + maxWaitingAtEndpoint;
+    const most = this.getMaxRequests();
     if (this.slots === 0 || this.open >= most || time < this.fullUntil) return false;
     return this.getRequests(time, meanRunMs) < most;
   }
 
   /** Returns when a request may be granted although no grant ends; undefined if it may now, or if only an end makes room. */
   getRoomAt(time: number, meanRunMs: number): number | undefined {
-    const room = this.slots + maxWaitingAtEndpoint - this.open;
+    const room = this.getMaxRequests() - this.open;
     if (this.slots === 0 || room <= 0 || this.hasRoom(time, meanRunMs)) return undefined;
     const excess = Math.max(0, this.countUngranted(time, meanRunMs) - room);
     const leftAt = time + excess * this.getCompletionIntervalMs(time, meanRunMs);
@@ -106,6 +110,10 @@
     return this.getRequests(time, meanRunMs) / Math.max(1, this.slots);
   }
 
+  private getMaxRequests(): number {
+    return this.slots + (this.refusalLimit === undefined ? maxWaitingAtEndpoint : 0);
+  }
+
   private getRequests(time: number, meanRunMs: number): number {
     return this.open + this.countUngranted(time, meanRunMs);
   }
--- a/packages/policy/src/slotEndpoints.ts
+++ b/packages/policy/src/slotEndpoints.ts
@@ -22,7 +22,7 @@
     for (const endpoint of endpoints) {
       gone.delete(endpoint.incarnation);
       const state = this.states.get(endpoint.incarnation);
-      if (state) state.setSlots(endpoint.slots);
+      if (state) state.update(endpoint);
       else this.states.set(endpoint.incarnation, SlotEndpointState.create(endpoint));
     }
     for (const incarnation of gone) this.states.delete(incarnation);
--- a/packages/policy/src/slotScheduler.ts
+++ b/packages/policy/src/slotScheduler.ts
@@ -103,7 +103,7 @@
     const meanRunMs = this.runTime.getMeanMs();
     if (end.load) grant.endpoint.applyReport(end.load, time, meanRunMs);
     this.grants.remove(end.id);
-    if (end.isRejected) return grant.endpoint.setFullUntil(time + meanRunMs);
+    if (end.isRejected) return grant.endpoint.recordRejection(time, meanRunMs);
     // The pace changes while a request runs, so it counts with its mean of the start and the end.
     const pace = (grant.pace + grant.endpoint.getPace(time)) / 2;
     this.runTime.record(end.tookMs, pace * grant.waitFactor);
--- a/packages/standins/src/fakePlatform.ts
+++ b/packages/standins/src/fakePlatform.ts
@@ -278,7 +278,13 @@
   const isFromEndpoint =
     executionStatus === ExecutionStatus.Ran || executionStatus === ExecutionStatus.NotRun;
   if (!isFromEndpoint) return { executionStatus, load: undefined, notice: undefined };
-  return { executionStatus, load: readLoad(headers), notice: readNotice(headers), limit: readLimit(headers) };
+  return {
+    executionStatus,
+    load: readLoad(headers),
+    notice: readNotice(headers),
+    limit: readLimit(headers),
+    refusalLimit: readRefusalLimit(headers),
+  };
 }
 
 /** Reads `x-load: running,waiting,slots[,pace]`. */
@@ -304,6 +310,10 @@
   return limit === undefined ? undefined : { perSecond: Number(limit) };
 }
 
+function readRefusalLimit({ "x-brittle": limit }: IncomingHttpHeaders): number | undefined {
+  return limit === undefined ? undefined : Number(limit);
+}
+
 function readNotice(headers: IncomingHttpHeaders): EndpointNotice | undefined {
   const isLeaving = headers["x-leaving"] === "1";
   const holdOff = headers["x-hold-off"];
