Soak of lost paths on real processes, and mutants that it must find

Instances lose their paths to all endpoints, refused, reset, silent or without answers, in series and overlapping, while others are stopped, killed and reloaded. The list of mutants named files that code has moved out of; it builds again.

--- a/scripts/mutants.mjs
+++ b/scripts/mutants.mjs
@@ -11,13 +11,14 @@
 const gateway = "packages/gateway/src/";
 const { runResponseSoak } = await importTest("responseSoak");
 const { runStoreSoak } = await importTest("storeSoak");
+const { runPathSoak } = await importTest("pathSoak");
 
 /** The guards: for each the soak, the source file, and pairs of a text in that file and its replacement without the guard. */
 const guards = [
   {
     name: "once-only-requests",
     runSoak: runResponseSoak,
-    file: `${gateway}activeRequest.ts`,
+    file: `${gateway}requestContext.ts`,
     edits: [
       ["return kind === RouteKind.Safe || (kind === RouteKind.Stream && isResumable);", "return true;"],
     ],
@@ -31,26 +32,26 @@
   {
     name: "true-refusals",
     runSoak: runResponseSoak,
-    file: `${gateway}activeRequest.ts`,
+    file: `${gateway}requestContext.ts`,
     edits: [["return this.history.runs + (isRunning ? 1 : 0);", "return 0;"]],
   },
   {
     name: "place-in-stream",
     runSoak: runResponseSoak,
-    file: `${gateway}activeRequest.ts`,
-    edits: [["lastEventId: this.relay?.lastEventId,", "lastEventId: undefined,"]],
+    file: `${gateway}attemptStage.ts`,
+    edits: [["lastEventId: context.relay?.lastEventId,", "lastEventId: undefined,"]],
   },
   {
     name: "cancel",
     runSoak: runResponseSoak,
     file: `${gateway}activeRequest.ts`,
-    edits: [['this.attempt?.abort("caller gone");', ""]],
+    edits: [['context.attempt?.abort("caller gone");', ""]],
   },
   {
     name: "repeat-budget",
     runSoak: runResponseSoak,
-    file: `${gateway}activeRequest.ts`,
-    edits: [["await this.parts.budget.take(this.request.service.name, this.getTimeLeft());", "true;"]],
+    file: `${gateway}permitStage.ts`,
+    edits: [["await context.parts.budget.take(service.name, context.getTimeLeft());", "true;"]],
   },
   {
     name: "planned-stop",
@@ -79,6 +80,31 @@
       ["} else if (decoded.value.version > inForce) {", "} else {"],
     ],
   },
+  {
+    name: "passing-on",
+    runSoak: runPathSoak,
+    file: `${gateway}forwarding/attemptRoute.ts`,
+    edits: [
+      ["forwarding.choose(endpoint.record.service)", "undefined as ReturnType<typeof forwarding.choose>"],
+    ],
+  },
+  {
+    name: "lost-on-the-way",
+    runSoak: runPathSoak,
+    file: `${gateway}attempt.ts`,
+    edits: [
+      [
+        "const outcome = this.isConnected ?",
+        "const outcome = this.isConnected && !this.options.isForwarded ?",
+      ],
+    ],
+  },
+  {
+    name: "own-view",
+    runSoak: runPathSoak,
+    file: `${gateway}crashes/crashDetector.ts`,
+    edits: [["(confirm === undefined || (await confirm(endpoint)))", "true"]],
+  },
 ];
 
 /** Returns a bundler plug-in that removes a guard; the build fails if the file does not contain each text exactly once. */
