Abort nothing on the word of a single endpoint

A service with one usable endpoint has nothing to compare it with, so its failed connection does not show that the network is silent; attempts in open connections were aborted then.

--- a/packages/gateway/src/forwarding/servicePaths.ts
+++ b/packages/gateway/src/forwarding/servicePaths.ts
@@ -121,7 +121,8 @@
     }
     if (this.isClosed) return;
     // Connections to a network that refuses may be alive; those to one that is silent are not, unless one was heard meanwhile.
-    const isSilent = !results.includes(ProbeResult.Refused) && state.heardAt < startedAt;
+    const hasTimedOut = results.length > 0 && !results.includes(ProbeResult.Refused);
+    const isSilent = hasTimedOut && state.heardAt < startedAt;
     this.begin(suspect.record.service, state, isSilent);
   }
 
