--- a/packages/gateway/src/crashes/crashWitnesses.ts
+++ b/packages/gateway/src/crashes/crashWitnesses.ts
@@ -72,7 +72,7 @@
   async confirm(endpoint: Endpoint): Promise<boolean> {
     const { logger } = this.options;
     const [isSound, testimonies] = await Promise.all([
-      this.reachesAnother(endpoint),
+      this.canReachAnother(endpoint),
       this.callPeers(endpoint),
     ]);
     const hasCrashed = isSound && !testimonies.includes(Testimony.Listens);
@@ -111,11 +111,11 @@
     const result = await probe(endpoint.record.address);
     if (result === ProbeResult.Listening) return { word: Testimony.Listens };
     if (result === ProbeResult.Unknown) return { word: Testimony.Unknown };
-    return { word: (await this.reachesAnother(endpoint)) ? Testimony.Refuses : Testimony.Unknown };
+    return { word: (await this.canReachAnother(endpoint)) ? Testimony.Refuses : Testimony.Unknown };
   }
 
   /** Whether another endpoint accepts a connection; true if there is none to compare with. */
-  private async reachesAnother({ incarnation }: Endpoint): Promise<boolean> {
+  private async canReachAnother({ incarnation }: Endpoint): Promise<boolean> {
     const { getAllEndpoints, records, probe } = this.options;
     const others = [...getAllEndpoints()].filter(
       (other) =>
--- a/packages/gateway/src/forwarding/forwardingProtocol.ts
+++ b/packages/gateway/src/forwarding/forwardingProtocol.ts
@@ -90,15 +90,15 @@
 
 /** Returns the headers without those of the exchange; both lists are name, value, name, value, … */
 export function removeForwardHeaders(rawHeaders: readonly string[]): string[] {
-  return filterHeaders(rawHeaders, (name) => !name.startsWith(headerPrefix));
+  return selectHeaders(rawHeaders, (name) => !name.startsWith(headerPrefix));
 }
 
 /** Returns the headers to pass on: without those of the exchange and without hop-by-hop headers. */
 export function copyForwardedHeaders(rawHeaders: readonly string[]): string[] {
-  return filterHeaders(rawHeaders, (name) => !name.startsWith(headerPrefix) && !hopByHopHeaders.has(name));
+  return selectHeaders(rawHeaders, (name) => !name.startsWith(headerPrefix) && !hopByHopHeaders.has(name));
 }
 
-function filterHeaders(rawHeaders: readonly string[], isKept: (lowerCaseName: string) => boolean): string[] {
+function selectHeaders(rawHeaders: readonly string[], isKept: (lowerCaseName: string) => boolean): string[] {
   const headers: string[] = [];
   for (let index = 0; index < rawHeaders.length; index += 2) {
     const name = rawHeaders[index] ?? "";
--- a/packages/gateway/src/forwarding/forwardingServer.ts
+++ b/packages/gateway/src/forwarding/forwardingServer.ts
@@ -178,10 +178,9 @@
 
   private async handleNoResponse(endpoint: Endpoint, outcome: AttemptOutcome): Promise<ForwardResult> {
     const { paths } = this.options;
-    if (outcome === AttemptOutcome.NotSent) await paths.check(endpoint);
-    return paths.isDirect(endpoint) || outcome === AttemptOutcome.Lost
-      ? resultsByOutcome[outcome]
-      : ForwardResult.CutOff;
+    if (outcome !== AttemptOutcome.NotSent) return resultsByOutcome[outcome];
+    await paths.check(endpoint);
+    return paths.isDirect(endpoint) ? ForwardResult.Unreachable : ForwardResult.CutOff;
   }
 
   /** Returns a response as it comes; one that is interrupted is aborted, so that it does not look complete. */
