--- a/packages/gateway/src/forwarding/forwardingProtocol.ts
+++ b/packages/gateway/src/forwarding/forwardingProtocol.ts
@@ -95,10 +95,19 @@
 
 /** Returns the headers to pass on: without those of the exchange and without hop-by-hop headers. */
 export function copyForwardedHeaders(rawHeaders: readonly string[]): string[] {
-  return selectHeaders(rawHeaders, (name) => !name.startsWith(headerPrefix) && !hopByHopHeaders.has(name));
+  return selectHeaders(rawHeaders, isPassedOn);
 }
 
-function selectHeaders(rawHeaders: readonly string[], isKept: (lowerCaseName: string) => boolean): string[] {
+/** Whether a header, named in lower case, is passed on. */
+export function isPassedOn(name: string): boolean {
+  return !name.startsWith(headerPrefix) && !hopByHopHeaders.has(name);
+}
+
+/** Returns the selected headers; both lists are name, value, name, value, … */
+export function selectHeaders(
+  rawHeaders: readonly string[],
+  isKept: (lowerCaseName: string) => boolean,
+): string[] {
   const headers: string[] = [];
   for (let index = 0; index < rawHeaders.length; index += 2) {
     const name = rawHeaders[index] ?? "";
--- a/packages/gateway/src/forwarding/forwardingServer.ts
+++ b/packages/gateway/src/forwarding/forwardingServer.ts
@@ -53,14 +53,6 @@
 const maxHeaderBytes = 65_536;
 const statusBadGateway = 502;
 
-const resultsByOutcome: Readonly<Record<AttemptOutcome, ForwardResult>> = {
-  [AttemptOutcome.NotSent]: ForwardResult.Unreachable,
-  [AttemptOutcome.NotRun]: ForwardResult.Answered,
-  [AttemptOutcome.WrongEndpoint]: ForwardResult.Answered,
-  [AttemptOutcome.Lost]: ForwardResult.Lost,
-  [AttemptOutcome.Answered]: ForwardResult.Answered,
-};
-
 /** Whatever the response is, the sender evaluates its head. */
 const uninterpretedHead: ResponseHead = {
   executionStatus: ExecutionStatus.Ran,
@@ -178,7 +170,7 @@
 
   private async handleNoResponse(endpoint: Endpoint, outcome: AttemptOutcome): Promise<ForwardResult> {
     const { paths } = this.options;
-    if (outcome !== AttemptOutcome.NotSent) return resultsByOutcome[outcome];
+    if (outcome !== AttemptOutcome.NotSent) return ForwardResult.Lost;
     await paths.check(endpoint);
     return paths.isDirect(endpoint) ? ForwardResult.Unreachable : ForwardResult.CutOff;
   }
--- a/packages/gateway/src/slotArbiter.ts
+++ b/packages/gateway/src/slotArbiter.ts
@@ -160,12 +160,13 @@
     const time = clock.getTime();
     const refusalLimit = getRefusalLimit?.(service);
     const isSubstitute = refusalLimit !== undefined && (countPrecedingReaders?.(service) ?? 0) > 0;
-    const share = isSubstitute ? substituteShare : 1;
+    const getShare = (slots: number): number =>
+      isSubstitute ? Math.min(slots, Math.max(1, Math.floor(slots * substituteShare))) : slots;
     const usable = directory.getOfService(service).filter((endpoint) => endpoint.isUsable());
     const isAnyReachable = usable.some((endpoint) => !endpoint.isUnreachable(time));
     return usable.map((endpoint) => {
       const hasSlots = !isAnyReachable || !endpoint.isUnreachable(time);
-      const slots = hasSlots ? Math.max(1, Math.floor(endpoint.record.slots * share)) : 0;
+      const slots = hasSlots ? getShare(endpoint.record.slots) : 0;
       return { incarnation: endpoint.incarnation, slots, refusalLimit };
     });
   }
--- a/packages/gateway/test/slotArbiter.test.ts
+++ b/packages/gateway/test/slotArbiter.test.ts
@@ -74,3 +74,12 @@
   t.match(reply, { word: SlotReplyKind.Refused, refusal: SlotRefusal.DeadlineUnreachable });
   bench.arbiter.close();
 });
+
+t.test("an endpoint whose record states no slots gets no grants", async (t) => {
+  const bench = new Bench(2, 10);
+  const [none] = bench.endpoints;
+  none!.record = { ...none!.record, slots: 0 };
+  const granted = Array.from({ length: 3 }, () => getEndpoint(bench.request().reply));
+  t.same(granted, ["e1", "e1", undefined]);
+  bench.arbiter.close();
+});
