Tests of responses that are broken off and reach their callers as complete

The three tests show the ways that reading the code suggests: an end inside an event, in every framing; a response without frame that leaves with one, directly and through a peer; an endpoint that is killed between two events, whose kernel closes its connections in order. Endpoints of tests learn to respond in each framing and to break off at any byte; callers of tests see how a response ended.

--- /dev/null
+++ b/packages/gateway/test/brokenOffResponses.test.ts
@@ -0,0 +1,99 @@
+/*
+ * Guards against responses that were broken off at their endpoint and reach their callers as complete.
+ */
+import {
+  CallerEnd,
+  PathFault,
+  RawEnd,
+  RawFraming,
+  type RawResponse,
+  respondRaw,
+  respondSuccess,
+  ScriptedEndpoint,
+} from "@gladewall/standins";
+import t from "tap";
+import { oncePath, readMetric, resumablePath, startCutOffFleet, streamPath } from "./cutOffFleet.js";
+
+type Fleet = Awaited<ReturnType<typeof startCutOffFleet>>;
+
+const events = ["id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n", "id: 3\ndata: c\n\n"];
+const stream = events.join("");
+const framings = [RawFraming.Length, RawFraming.Chunked, RawFraming.Unframed];
+
+/** Lets the first endpoint that is called respond in one way, and the others continue after the last event that was received. */
+function breakFirst({ endpoints }: Fleet, first: RawResponse, framing = RawFraming.Chunked): void {
+  let isFirst = true;
+  for (const endpoint of endpoints) {
+    endpoint.script = (call) => {
+      if (isFirst) respondRaw(call, first);
+      else {
+        const after = Number(call.headers["last-event-id"] ?? 0);
+        respondRaw(call, { framing, body: events.slice(after).join("") });
+      }
+      isFirst = false;
+    };
+  }
+}
+
+/** Ends an endpoint as a killed process ends: its kernel closes all connections in order, and refuses new ones. */
+async function kill(endpoint: ScriptedEndpoint | undefined): Promise<void> {
+  await endpoint?.stopListening();
+}
+
+t.test("a stream that was broken off inside an event does not reach its caller as complete", async (t) => {
+  const fleet = await startCutOffFleet(t, 1, 2);
+  const sentBytes = events[0]!.length + 4;
+  for (const framing of framings) {
+    for (const end of [RawEnd.FrameClosed, RawEnd.Closed]) {
+      const name = `${RawFraming[framing]}, ${RawEnd[end]}`;
+      breakFirst(fleet, { framing, body: stream, sentBytes, end });
+      const once = await fleet.call(0, streamPath);
+      t.match(once, { status: 200, body: events[0], end: CallerEnd.Broken }, name);
+      breakFirst(fleet, { framing, body: stream, sentBytes, end });
+      t.equal((await fleet.call(0, resumablePath)).body, stream, `${name}: continued`);
+      breakFirst(fleet, { framing, body: stream, sentBytes: 4, end });
+      t.equal((await fleet.call(0, streamPath)).status, 502, `${name}: nothing has been forwarded yet`);
+    }
+  }
+});
+
+t.test("a caller is not told that a response without frame is complete", async (t) => {
+  const fleet = await startCutOffFleet(t, 2, 1);
+  const [endpoint] = fleet.endpoints;
+  const sentBytes = events[0]!.length;
+  for (const isCutOff of [false, true]) {
+    if (isCutOff) fleet.cut(0, PathFault.Reset);
+    endpoint!.script = respondSuccess;
+    while ((await fleet.call(0)).status !== 200);
+    t.equal(await readMetric(fleet.bench, 0, "gladewall_cut_off_services"), isCutOff ? 1 : 0);
+    for (const path of ["/", oncePath, streamPath, resumablePath]) {
+      endpoint!.script = (call) =>
+        respondRaw(call, { framing: RawFraming.Unframed, body: stream, sentBytes });
+      const result = await fleet.call(0, path);
+      t.match(result, { status: 200, body: events[0], end: CallerEnd.Closed }, `${path}, ${isCutOff}`);
+      t.match(result.headers, { connection: "close" });
+    }
+  }
+});
+
+t.test("an endpoint that is killed between two events does not complete its responses", async (t) => {
+  for (const path of [streamPath, resumablePath, oncePath, "/"]) {
+    const fleet = await startCutOffFleet(t, 2, 3);
+    let killed: ScriptedEndpoint | undefined;
+    for (const endpoint of fleet.endpoints) {
+      endpoint.script = (call) => {
+        const after = Number(call.headers["last-event-id"] ?? 0);
+        if (killed)
+          return respondRaw(call, { framing: RawFraming.Chunked, body: events.slice(after).join("") });
+        killed = endpoint;
+        const head = `HTTP/1.1 200 OK\r\nx-id: ${call.id}\r\nx-stamp: s\r\nConnection: close\r\n\r\n`;
+        call.socket.write(head + events[0], () => void kill(endpoint));
+      };
+    }
+    const result = await fleet.call(0, path);
+    const mayRunAgain = path === "/" || path === resumablePath;
+    if (mayRunAgain) t.match(result, { status: 200, body: stream }, path);
+    else if (path === oncePath) t.equal(result.status, 502, path);
+    else t.match(result, { status: 200, body: events[0], end: CallerEnd.Broken }, path);
+  }
+});
--- a/packages/gateway/test/cutOffFleet.ts
+++ b/packages/gateway/test/cutOffFleet.ts
@@ -25,6 +25,9 @@
 /** Path of a route that responds with streams, which can't be resumed. */
 export const streamPath = "/stream/";
 
+/** Path of a route that responds with streams, which may be continued at another endpoint. */
+export const resumablePath = "/resumable/";
+
 /** Starts instances that are linked with each other, and endpoints of one service. */
 export async function startCutOffFleet(
   t: Pick<Test, "teardown">,
@@ -39,6 +42,14 @@
     createRoute({ attempts: 3 }),
     createRoute({ name: "once", prefix: oncePath, kind: RouteKind.Unsafe, timeoutMs: 2_000 }),
     createRoute({ name: "stream", prefix: streamPath, kind: RouteKind.Stream, timeoutMs: 10_000 }),
+    createRoute({
+      name: "resumable",
+      prefix: resumablePath,
+      kind: RouteKind.Stream,
+      isResumable: true,
+      attempts: 3,
+      timeoutMs: 10_000,
+    }),
   ];
   bench.platform.configure({ routes });
   const endpoints: ScriptedEndpoint[] = [];
--- a/packages/standins/src/gatewayTestBench.ts
+++ b/packages/standins/src/gatewayTestBench.ts
@@ -3,7 +3,7 @@
  * complete responses.
  * @module
  */
-import { type IncomingHttpHeaders, request } from "node:http";
+import { type IncomingHttpHeaders, type IncomingMessage, request } from "node:http";
 import {
   Gateway,
   gatewaySchema,
@@ -13,6 +13,7 @@
 } from "@gladewall/gateway";
 import { assertThat, type Closeable, Logger, parseSettings } from "@gladewall/kernel";
 import { findFreeAddresses } from "./freePorts.js";
+import { connectAndTrackEnd, readCallerEnd, CallerEnd } from "./callerEnd.js";
 import { FakePlatform, fakePlatformName } from "./fakePlatform.js";
 
 /** Result of a request as its caller saw it. */
@@ -21,8 +22,10 @@
   readonly status: number;
   readonly headers: IncomingHttpHeaders;
   readonly body: string;
-  /** Whether the response ended as complete by its framing. */
+  /** Whether the response ended as complete by its framing, or without one by its connection. */
   readonly isComplete: boolean;
+  /** What the caller can know of the response's end. */
+  readonly end: CallerEnd;
 }
 
 /** A request that a caller sends, with defaults for missing fields. */
@@ -120,8 +123,9 @@
     const headers: Record<string, string> = { host, "x-id": id, ...options.headers };
     if (key !== undefined) headers.authorization = key;
     return new Promise((resolve) => {
-      const sent = request({ host: "127.0.0.1", port, method, path, headers, agent: false });
-      const none = { status: 0, headers: {}, body: "", isComplete: false };
+      const createConnection = connectAndTrackEnd;
+      const sent = request({ host: "127.0.0.1", port, method, path, headers, createConnection });
+      const none = { status: 0, headers: {}, body: "", isComplete: false, end: CallerEnd.None };
       options.signal?.addEventListener("abort", () => sent.destroy());
       sent.on("error", () => resolve(none));
       sent.on("response", (response) => {
@@ -132,14 +136,7 @@
           options.onData?.(part);
         });
         response.on("error", () => undefined);
-        response.on("close", () =>
-          resolve({
-            status: response.statusCode ?? 0,
-            headers: response.headers,
-            body: text,
-            isComplete: response.complete,
-          }),
-        );
+        response.on("close", () => resolve(createResult(response, text)));
       });
       sent.end(body);
     });
@@ -155,6 +152,11 @@
   }
 }
 
+function createResult(response: IncomingMessage, body: string): CallResult {
+  const { statusCode: status = 0, headers, complete: isComplete } = response;
+  return { status, headers, body, isComplete, end: readCallerEnd(response) };
+}
+
 /** Resolves when a condition holds. Checks it in each iteration of the event loop, so that no duration is assumed. */
 export async function waitUntil(condition: () => boolean): Promise<void> {
   while (!condition()) await new Promise((resolve) => setImmediate(resolve));
--- a/packages/standins/src/index.ts
+++ b/packages/standins/src/index.ts
@@ -14,6 +14,8 @@
 export * from "./memoryKeyValue.js";
 export * from "./fakeMetadataStore.js";
 export * from "./fakePlatform.js";
+export * from "./callerEnd.js";
+export * from "./rawResponse.js";
 export * from "./scriptedEndpoint.js";
 export * from "./gatewayTestBench.js";
 export * from "./retryWindows.js";
