--- a/packages/gateway/src/activeRequest.ts
+++ b/packages/gateway/src/activeRequest.ts
@@ -14,7 +14,7 @@
 import { QueueStage } from "./queueStage.js";
 import { NextStep, RequestContext } from "./requestContext.js";
 import { createRefusal } from "./requestRefusal.js";
-import { writeProblemResponse } from "./responseWriter.js";
+import { writeProblemResponse } from "./responses/responseWriter.js";
 
 /** A request that has been admitted and has no final response yet. */
 export class ActiveRequest {
--- a/packages/gateway/src/attemptStage.ts
+++ b/packages/gateway/src/attemptStage.ts
@@ -14,7 +14,7 @@
 } from "./forwarding/attemptRoute.js";
 import type { LimitSource } from "./limits/endpointLimits.js";
 import type { Placement } from "./placement.js";
-import { RelayStage } from "./relayStage.js";
+import { RelayStage } from "./responses/relayStage.js";
 import { NextStep, type RequestContext } from "./requestContext.js";
 import { createRefusal } from "./requestRefusal.js";
 import { ExecutionStatus, type ResponseHead, RouteKind } from "./types.js";
--- a/packages/gateway/src/forwarding/forwardingServer.ts
+++ b/packages/gateway/src/forwarding/forwardingServer.ts
@@ -14,8 +14,8 @@
 import type { EndpointConnections } from "../endpointConnections.js";
 import type { EndpointDirectory } from "../endpointDirectory.js";
 import { readRequestBody } from "../requestBody.js";
-import { isCompleteResponse } from "../responseBody.js";
-import { copyResponseHeaders } from "../responseHeaders.js";
+import { isCompleteResponse } from "../responses/responseBody.js";
+import { copyResponseHeaders } from "../responses/responseHeaders.js";
 import { ExecutionStatus, type ResponseHead } from "../types.js";
 import {
   copyForwardedHeaders,
--- a/packages/gateway/src/requestContext.ts
+++ b/packages/gateway/src/requestContext.ts
@@ -10,7 +10,7 @@
 import type { HeldSlot } from "./slots/heldSlot.js";
 import type { Placement } from "./placement.js";
 import { createSubject } from "./crashes/requestFingerprint.js";
-import type { StreamRelay } from "./streamRelay.js";
+import type { StreamRelay } from "./responses/streamRelay.js";
 import type { Trial } from "./crashes/suspectGate.js";
 import { type CallerRequestHead, type Route, RouteKind } from "./types.js";
 
--- a/packages/gateway/src/requestServer.ts
+++ b/packages/gateway/src/requestServer.ts
@@ -7,7 +7,7 @@
 import { Failure, FailureCode, waitFor } from "@gladewall/kernel";
 import { Err, Ok, type Result } from "ts-results-es";
 import type { AdmittedRequest } from "./limits/admission.js";
-import { writeProblemResponse } from "./responseWriter.js";
+import { writeProblemResponse } from "./responses/responseWriter.js";
 import { ActiveRequest } from "./activeRequest.js";
 import type { RequestOutcome, ActiveRequestParts } from "./activeRequestTypes.js";
 import { canServe, type GatewayParts } from "./gatewayParts.js";
--- a/packages/gateway/src/relayStage.ts
+++ b/packages/gateway/src/responses/relayStage.ts
@@ -4,9 +4,9 @@
  */
 import type { IncomingMessage } from "node:http";
 import { Failure, FailureCode } from "@gladewall/kernel";
-import type { Endpoint } from "./endpoint.js";
-import type { Placement } from "./placement.js";
-import { NextStep, type RequestContext } from "./requestContext.js";
+import type { Endpoint } from "../endpoint.js";
+import type { Placement } from "../placement.js";
+import { NextStep, type RequestContext } from "../requestContext.js";
 import { type ReceivedBody, readResponseBody } from "./responseBody.js";
 import { writeEndpointResponse } from "./responseWriter.js";
 import { RelayOutcome, StreamRelay } from "./streamRelay.js";
--- a/packages/gateway/src/responseHeaders.ts
+++ b/packages/gateway/src/responses/responseHeaders.ts
@@ -2,7 +2,7 @@
  * Selects the headers of endpoints' responses that are forwarded to callers.
  * @module
  */
-import { isPassedOn, selectHeaders } from "./forwarding/forwardingProtocol.js";
+import { isPassedOn, selectHeaders } from "../forwarding/forwardingProtocol.js";
 
 /** Not copied, because it is set from the length of the forwarded body. */
 const lengthHeader = "content-length";
