Treat a stream that ends inside an event as broken off, whatever its framing

What callers saw: streams that an endpoint had broken off inside an event came with the piece of that event, framed as complete.

Cause: the relay took the frame's end, or an orderly close of a connection without frame, for the stream's; what was left of an event was written to the caller before the response ended. An event's end was looked for as LF LF or CRLF CRLF only, and an id counted where its event was still open in another chunk's rest.

Change: the splitter reads lines as the HTML standard has them (LF, CR, CRLF, mixed, cut between CR and LF, a byte order mark, comments) and knows whether an event has begun; an id counts with its whole event. A stream that ends inside an event is interrupted: a resumable one continues after its last complete event, another ends visibly broken, and one of which nothing was forwarded gets a 502. A stream whose last event had no id is not continued, because what followed it would be a guess. A response on a stream route that states another type is forwarded as a body.

--- a/packages/gateway/src/attemptStage.ts
+++ b/packages/gateway/src/attemptStage.ts
@@ -15,12 +15,12 @@
 import type { LimitSource } from "./limits/endpointLimits.js";
 import type { Placement } from "./placement.js";
 import { RelayStage } from "./responses/relayStage.js";
+import { isEventStream } from "./responses/streamRelay.js";
 import { NextStep, type RequestContext } from "./requestContext.js";
 import { createRefusal } from "./requestRefusal.js";
 import { ExecutionStatus, type ResponseHead, RouteKind } from "./types.js";
 
 const minServerErrorStatus = 500;
-const firstRedirectStatus = 300;
 /** An attempt is not started if less time than this is left. */
 const minAttemptMs = 5;
 /**
@@ -112,8 +112,7 @@
     }
     context.history.recordRun();
     const { kind } = context.request.admitted.route;
-    const isSuccess = (result.response.statusCode ?? 0) < firstRedirectStatus;
-    if (kind === RouteKind.Stream && isSuccess)
+    if (kind === RouteKind.Stream && isEventStream(result.response))
       return this.relayStage.relayStream(placement, result.response, startedAt, clearPending);
     context.countUsageOnce(beganAt);
     return this.relayStage.forwardResponse(endpoint, result.response, startedAt);
--- a/packages/gateway/src/responses/eventSplitter.ts
+++ b/packages/gateway/src/responses/eventSplitter.ts
@@ -1,17 +1,37 @@
 /**
- * Splits a stream of server-sent events into complete events without changing a byte, and finds the id of the last one.
+ * Splits a stream of server-sent events into complete events without changing a byte, and finds the id of the last one. Lines end
+ * with LF, CR or both, as the HTML standard has it (section 9.2.6, "Interpreting an event stream").
  * @module
  */
 
 const lineFeed = 0x0a;
 const carriageReturn = 0x0d;
-const idPattern = /(?:^|\n)id:[ ]?([^\r\n]*)/g;
+const colon = 0x3a;
+const space = 0x20;
+const byteOrderMark = Buffer.from([0xef, 0xbb, 0xbf]);
+const idField = "id";
 
 /** Buffers the bytes of an event until it is complete. */
 export class EventSplitter {
-  /** Id of the last complete event; undefined before the first event with an id. */
+  /** Id of the last complete event that has one; undefined before it. */
   lastEventId: string | undefined;
+  /** Whether the last complete event has no id, so that the stream can't be continued exactly after it. */
+  endsWithoutId = false;
   private rest: Buffer = Buffer.alloc(0);
+  /** Index in `rest` at which the current line begins. */
+  private lineStart = 0;
+  private lastByte: number | undefined;
+  private isFirstLine = true;
+  /** Whether the last line that ended is blank. */
+  private isBlankLine = false;
+  /** Whether the last line before the current one ended with CR and LF. */
+  private usesBoth = false;
+  /** Whether the current event has a line other than a comment. */
+  private hasField = false;
+  /** Id of the current event; undefined if it has none so far. */
+  private id: string | undefined;
+  /** Index in `rest` after a blank line that ended with CR, while it isn't known whether LF follows; undefined otherwise. */
+  private openEnd: number | undefined;
 
   private constructor(private readonly readsIds: boolean) {}
 
@@ -22,12 +42,26 @@
 
   /** Adds bytes; returns the complete events, which may be empty. */
   add(bytes: Buffer): Buffer {
-    const all = this.rest.length === 0 ? bytes : Buffer.concat([this.rest, bytes]);
-    const end = findLastEventEnd(all);
+    const from = this.rest.length;
+    const all = from === 0 ? bytes : Buffer.concat([this.rest, bytes]);
+    let end = 0;
+    for (let index = from; index < all.length; index++) {
+      const byte = all[index]!;
+      const isLine = byte === lineFeed || byte === carriageReturn;
+      if (isLine || this.lastByte === carriageReturn) end = this.handleByte(all, index, end);
+      this.lastByte = byte;
+    }
+    if (this.openEnd !== undefined && !this.usesBoth) end = this.completeEvent(this.openEnd);
     this.rest = all.subarray(end);
-    const whole = all.subarray(0, end);
-    if (this.readsIds && end > 0) this.readLastId(whole);
-    return whole;
+    this.lineStart -= end;
+    if (this.openEnd !== undefined) this.openEnd -= end;
+    return all.subarray(0, end);
+  }
+
+  /** Bytes of an event that has begun and is not complete; 0 between two events. */
+  get unfinishedBytes(): number {
+    const isInside = this.hasField || this.rest.length > this.lineStart;
+    return isInside ? this.rest.length : 0;
   }
 
   /** Returns the buffered rest after the stream's end; it contains no complete event. */
@@ -37,18 +71,57 @@
     return rest;
   }
 
-  private readLastId(whole: Buffer): void {
-    for (const found of whole.toString("utf8").matchAll(idPattern)) this.lastEventId = found[1];
+  /** Handles the end of a line, and the byte after a CR. Returns the index after the last complete event. */
+  private handleByte(all: Buffer, index: number, end: number): number {
+    const byte = all[index];
+    if (this.lastByte === carriageReturn && byte === lineFeed) {
+      this.usesBoth = true;
+      this.lineStart = index + 1;
+      return this.isBlankLine ? this.completeEvent(index + 1) : end;
+    }
+    if (this.lastByte === carriageReturn) this.usesBoth = false;
+    let newEnd = this.openEnd === undefined ? end : this.completeEvent(this.openEnd);
+    if (byte !== lineFeed && byte !== carriageReturn) return newEnd;
+    this.handleLine(all.subarray(this.lineStart, index));
+    this.lineStart = index + 1;
+    if (byte === lineFeed) this.usesBoth = false;
+    if (this.isBlankLine && byte === lineFeed) newEnd = this.completeEvent(index + 1);
+    if (this.isBlankLine && byte === carriageReturn) this.openEnd = index + 1;
+    return newEnd;
+  }
+
+  private handleLine(bytes: Buffer): void {
+    const line = this.isFirstLine ? removeByteOrderMark(bytes) : bytes;
+    this.isFirstLine = false;
+    this.isBlankLine = line.length === 0;
+    if (this.isBlankLine || line[0] === colon) return;
+    this.hasField = true;
+    if (this.readsIds) this.id = readId(line) ?? this.id;
   }
-}
 
-/** Returns the index after the last blank line, which ends an event; 0 if there is none. */
-function findLastEventEnd(bytes: Buffer): number {
-  for (let index = bytes.length - 1; index > 0; index--) {
-    if (bytes[index] !== lineFeed) continue;
-    const before = bytes[index - 1];
-    if (before === lineFeed) return index + 1;
-    if (before === carriageReturn && bytes[index - 2] === lineFeed) return index + 1;
+  private completeEvent(end: number): number {
+    this.openEnd = undefined;
+    if (!this.hasField) return end;
+    this.lastEventId = this.id ?? this.lastEventId;
+    this.endsWithoutId = this.id === undefined;
+    this.hasField = false;
+    this.id = undefined;
+    return end;
   }
-  return 0;
+}
+
+/** Returns the bytes without a byte order mark at their start, which is allowed at the start of a stream only. */
+export function removeByteOrderMark(bytes: Buffer): Buffer {
+  const begin = bytes.subarray(0, byteOrderMark.length);
+  return begin.equals(byteOrderMark) ? bytes.subarray(byteOrderMark.length) : bytes;
+}
+
+/** Returns the id that a line states; undefined if it is of another field, or if the id contains NUL, which makes it void. */
+function readId(line: Buffer): string | undefined {
+  if (line.toString("latin1", 0, idField.length) !== idField) return undefined;
+  if (line.length === idField.length) return "";
+  if (line[idField.length] !== colon) return undefined;
+  const start = line[idField.length + 1] === space ? idField.length + 2 : idField.length + 1;
+  const id = line.toString("utf8", start);
+  return id.includes("\0") ? undefined : id;
 }
--- a/packages/gateway/src/responses/relayStage.ts
+++ b/packages/gateway/src/responses/relayStage.ts
@@ -86,7 +86,8 @@
     }
     const { fingerprint } = context.subject;
     context.log("stream.cut", { endpoint: endpoint.id, lastEvent: relay.lastEventId, fingerprint });
-    return this.handleInterruption(endpoint);
+    const next = await this.handleInterruption(endpoint);
+    return next === NextStep.Retry && !relay.canContinue() ? NextStep.Fail : next;
   }
 
   /** Clears the request of suspicion: an endpoint that completed its response was not crashed by it. */
--- a/packages/gateway/src/responses/streamRelay.ts
+++ b/packages/gateway/src/responses/streamRelay.ts
@@ -6,7 +6,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { isCompleteResponse } from "./responseBody.js";
 import { copyResponseHeaders } from "./responseHeaders.js";
-import { EventSplitter } from "./eventSplitter.js";
+import { EventSplitter, removeByteOrderMark } from "./eventSplitter.js";
 
 /** How an endpoint's stream ended. */
 export enum RelayOutcome {
@@ -14,10 +14,20 @@
   Interrupted = 2,
 }
 
+const firstRedirectStatus = 300;
+const eventStreamPattern = /^\s*text\/event-stream\s*(?:;|$)/i;
+
+/** Whether a response is a stream of events: it is a success, and states no other type. */
+export function isEventStream({ statusCode = 0, headers }: IncomingMessage): boolean {
+  const isSuccess = statusCode < firstRedirectStatus;
+  return isSuccess && eventStreamPattern.test(headers["content-type"] ?? "text/event-stream");
+}
+
 /** The streamed response of one request, over all attempts. */
 export class StreamRelay {
   private splitter: EventSplitter;
   private lastId: string | undefined;
+  private endsWithoutId = false;
 
   private constructor(
     private readonly response: ServerResponse,
@@ -36,6 +46,11 @@
     return this.splitter.lastEventId ?? this.lastId;
   }
 
+  /** Whether another endpoint can continue after the last event that was forwarded, without a gap and without repeating one. */
+  canContinue(): boolean {
+    return this.isResumable && !this.endsWithoutId;
+  }
+
   /** Forwards one endpoint's stream until it ends. Calls `onFirst` before the first event is forwarded. Never rejects. */
   relay(endpointResponse: IncomingMessage, onFirst: () => void): Promise<RelayOutcome> {
     this.lastId = this.lastEventId;
@@ -45,12 +60,16 @@
       endpointResponse.on("data", (bytes: Buffer) => {
         const whole = this.splitter.add(bytes);
         if (whole.length === 0) return;
+        const isContinued = isFirst && this.response.headersSent;
         if (isFirst) onFirst();
         isFirst = false;
-        this.write(endpointResponse, whole);
+        this.endsWithoutId = this.splitter.endsWithoutId;
+        this.write(endpointResponse, isContinued ? removeByteOrderMark(whole) : whole);
       });
       endpointResponse.on("end", () => {
-        if (!isCompleteResponse(endpointResponse)) return resolve(RelayOutcome.Interrupted);
+        // A stream that ends inside an event was broken off, whatever its frame says.
+        const isInsideEvent = this.splitter.unfinishedBytes > 0;
+        if (isInsideEvent || !isCompleteResponse(endpointResponse)) return resolve(RelayOutcome.Interrupted);
         this.finish(endpointResponse);
         resolve(RelayOutcome.Complete);
       });
--- /dev/null
+++ b/packages/gateway/test/eventSplitter.test.ts
@@ -0,0 +1,115 @@
+/*
+ * Compares the event splitter with a naive reading of the same bytes, for streams in all forms that lines can end in, cut at every
+ * byte and received in pieces of every size.
+ */
+import { EventSplitter } from "@gladewall/gateway";
+import fc from "fast-check";
+import t from "tap";
+
+/** What a stream consists of up to a cut. */
+interface Reading {
+  /** Bytes of all complete events. */
+  readonly completeBytes: number;
+  readonly isInsideEvent: boolean;
+  readonly lastEventId: string | undefined;
+}
+
+const linePattern = /([^\r\n]*)(\r\n|\r|\n)/g;
+
+/** Reads a stream from its beginning, line by line. */
+function readNaively(text: string): Reading {
+  let reading: Reading = { completeBytes: 0, isInsideEvent: false, lastEventId: undefined };
+  let hasField = false;
+  let id: string | undefined;
+  let lineEnd = "";
+  let end = 0;
+  for (const { 0: whole, 1: content = "", 2: terminator = "", index } of text.matchAll(linePattern)) {
+    end = index + whole.length;
+    const line = index === 0 ? content.replace(/^\uFEFF/, "") : content;
+    const isHalf = terminator === "\r" && lineEnd === "\r\n" && end === text.length;
+    lineEnd = terminator;
+    if (line === "" && !isHalf) {
+      const lastEventId = hasField ? (id ?? reading.lastEventId) : reading.lastEventId;
+      reading = { completeBytes: Buffer.byteLength(text.slice(0, end)), isInsideEvent: false, lastEventId };
+      hasField = false;
+      id = undefined;
+    }
+    if (line !== "" && !line.startsWith(":")) hasField = true;
+    const field = /^id(?:: ?(.*))?$/.exec(line);
+    if (field) id = field[1] ?? "";
+  }
+  return { ...reading, isInsideEvent: hasField || end < text.length };
+}
+
+/** Gives a splitter the bytes in pieces, and returns what it knows in the end. */
+function split(bytes: Buffer, pieceBytes: number): Reading & { readonly whole: Buffer } {
+  const splitter = EventSplitter.create(true);
+  const parts: Buffer[] = [];
+  for (let start = 0; start < bytes.length; start += pieceBytes)
+    parts.push(splitter.add(bytes.subarray(start, start + pieceBytes)));
+  const whole = Buffer.concat(parts);
+  const { lastEventId, unfinishedBytes } = splitter;
+  return { completeBytes: whole.length, isInsideEvent: unfinishedBytes > 0, lastEventId, whole };
+}
+
+const line = fc.constantFrom(
+  "id: 1",
+  "id:2",
+  "id",
+  "data: a",
+  "data: é",
+  "data",
+  ": note",
+  "event: x",
+  "",
+  "",
+);
+const terminator = fc.constantFrom("\n", "\r\n", "\r");
+const uniformStream = fc
+  .tuple(fc.array(line, { maxLength: 9 }), terminator)
+  .map(([lines, end]) => lines.map((text) => text + end).join(""));
+const mixedStream = fc
+  .array(fc.tuple(line, terminator), { maxLength: 9 })
+  .map((lines) => lines.map(([text, end]) => text + end).join(""));
+const stream = fc
+  .tuple(fc.constantFrom("", "\uFEFF"), fc.oneof(uniformStream, mixedStream))
+  .map(([mark, text]) => mark + text);
+
+t.test("a stream in any form, cut at any byte, is split as a naive reader splits it", async (t) => {
+  const property = fc.property(stream, fc.integer({ min: 1, max: 9 }), (text, pieceBytes) => {
+    for (let cut = 0; cut <= text.length; cut++) {
+      const read = text.slice(0, cut);
+      const bytes = Buffer.from(read);
+      const { whole, ...reading } = split(bytes, pieceBytes);
+      const shown = JSON.stringify({ read, pieceBytes });
+      if (!bytes.subarray(0, whole.length).equals(whole)) throw new Error(`bytes changed: ${shown}`);
+      const expected = readNaively(read);
+      if (JSON.stringify(reading) !== JSON.stringify(expected))
+        throw new Error(`${shown}: ${JSON.stringify(reading)}, expected ${JSON.stringify(expected)}`);
+    }
+  });
+  t.doesNotThrow(() => fc.assert(property, { seed: 67, numRuns: 2_000 }));
+});
+
+t.test(
+  "an id counts with its whole event only, and an event without one can't be continued after",
+  async (t) => {
+    const splitter = EventSplitter.create(true);
+    splitter.add(Buffer.from("id: 1\ndata: a\n\nid: 2\ndata: b\n"));
+    t.equal(splitter.lastEventId, "1");
+    t.notOk(splitter.endsWithoutId);
+    splitter.add(Buffer.from("\n: a comment\n\n"));
+    t.equal(splitter.lastEventId, "2");
+    t.notOk(splitter.endsWithoutId, "a comment is no event");
+    splitter.add(Buffer.from("data: c\n\n"));
+    t.equal(splitter.lastEventId, "2");
+    t.ok(splitter.endsWithoutId);
+  },
+);
+
+t.test("an event that ends with CR alone is not held back for a byte that may never come", async (t) => {
+  const splitter = EventSplitter.create(false);
+  t.equal(String(splitter.add(Buffer.from("data: a\r\r"))), "data: a\r\r");
+  t.equal(String(splitter.add(Buffer.from("\n"))), "\n");
+  t.equal(splitter.unfinishedBytes, 0);
+});
--- a/packages/standins/src/gatewayTestBench.ts
+++ b/packages/standins/src/gatewayTestBench.ts
@@ -22,7 +22,7 @@
   readonly status: number;
   readonly headers: IncomingHttpHeaders;
   readonly body: string;
-  /** Whether the response ended as complete by its framing, or without one by its connection. */
+  /** Whether the response ended as its frame announced, or without one by an orderly close of its connection. */
   readonly isComplete: boolean;
   /** What the caller can know of the response's end. */
   readonly end: CallerEnd;
@@ -127,8 +127,13 @@
       const sent = request({ host: "127.0.0.1", port, method, path, headers, createConnection });
       const none = { status: 0, headers: {}, body: "", isComplete: false, end: CallerEnd.None };
       options.signal?.addEventListener("abort", () => sent.destroy());
-      sent.on("error", () => resolve(none));
+      let hasResponse = false;
+      // Node.js reports a reset here too if it arrives in the middle of a response, which is resolved by its own end.
+      sent.on("error", () => {
+        if (!hasResponse) resolve(none);
+      });
       sent.on("response", (response) => {
+        hasResponse = true;
         let text = "";
         response.setEncoding("utf8");
         response.on("data", (part: string) => {
@@ -153,8 +158,9 @@
 }
 
 function createResult(response: IncomingMessage, body: string): CallResult {
-  const { statusCode: status = 0, headers, complete: isComplete } = response;
-  return { status, headers, body, isComplete, end: readCallerEnd(response) };
+  const { statusCode: status = 0, headers } = response;
+  const end = readCallerEnd(response);
+  return { status, headers, body, isComplete: end !== CallerEnd.Broken, end };
 }
 
 /** Resolves when a condition holds. Checks it in each iteration of the event loop, so that no duration is assumed. */
