Tell no caller that a response is complete whose end nobody knows

What callers saw: a response with neither length nor chunks whose endpoint crashed came complete, in chunks with their end or with a length that the gateway had counted.

Cause: an orderly close was taken as the end of such a response. It proves nothing, because the kernel of a process that is killed closes its connections in order. The relay then framed anew, and a peer that passes requests on did the same between instances.

Change: one type for how a response ended (complete, unverified, interrupted) and one table of what follows, in place of a boolean that was read in three places. The caller gets the framing that the endpoint gave: a body that ended with the endpoint's connection ends with the caller's, and a stream that is broken off then ends with a reset. Before an unverified end is shown, evidence is looked for: other connections to the endpoint, else one new one, and for one that is refused the peers' view; an endpoint that has ended broke its response off, so that a retry, a continuation or a 502 follows. Events are forwarded at once, only the end waits: 3 ms at most where another connection is open, else a connect, 150 ms at most. A peer states the framing at the endpoint; one of an earlier build does not, and its chunks are taken as unverified. A stream whose head has promised a frame is confirmed by another endpoint or broken off. 204, 304 and responses to HEAD have no body to frame; a coding other than chunked is no frame.

Stand-ins state a type where their bodies are no events.

--- a/packages/gateway/src/activeRequest.ts
+++ b/packages/gateway/src/activeRequest.ts
@@ -14,7 +14,7 @@
 import { QueueStage } from "./queueStage.js";
 import { NextStep, RequestContext } from "./requestContext.js";
 import { createRefusal } from "./requestRefusal.js";
-import { writeProblemResponse } from "./responses/responseWriter.js";
+import { breakOffStream, writeProblemResponse } from "./responses/responseWriter.js";
 
 /** A request that has been admitted and has no final response yet. */
 export class ActiveRequest {
@@ -143,7 +143,7 @@
     const { response, head } = context.request;
     this.outcome = context.createOutcome(failure.status, failure);
     if (response.headersSent) {
-      response.destroy();
+      breakOffStream(response);
       return;
     }
     const headers = context.parts.platform.callers.createGatewayHeaders(head.id);
--- a/packages/gateway/src/activeRequestTypes.ts
+++ b/packages/gateway/src/activeRequestTypes.ts
@@ -8,6 +8,7 @@
 import type { GatewayParts } from "./gatewayParts.js";
 import type { RequestCharge } from "./limits/quotaCharges.js";
 import type { Placement } from "./placement.js";
+import type { EndedResponse } from "./responses/responseEnd.js";
 import type { CallerRequestHead, Service } from "./types.js";
 
 /** Names of the instance's components that an active request uses. */
@@ -19,6 +20,7 @@
   | "connections"
   | "paths"
   | "forwarding"
+  | "endChecker"
   | "settings"
   | "placer"
   | "rates"
@@ -70,4 +72,6 @@
   readonly runs: number;
   /** Milliseconds from the request's arrival to its first event; undefined if none was received. */
   readonly firstEventMs: number | undefined;
+  /** How the last response ended that was received; undefined if there was none. */
+  readonly ended: EndedResponse | undefined;
 }
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/attempt.ts
@@ -7,7 +7,8 @@
 import { type ClientRequest, type IncomingMessage, request } from "node:http";
 import { onConnected } from "@gladewall/kernel";
 import type { EndpointPool } from "./endpointConnections.js";
-import { ForwardResult, readResult } from "./forwarding/forwardingProtocol.js";
+import { ForwardResult, readFraming, readResult } from "./forwarding/forwardingProtocol.js";
+import { type BodyFraming, type EndpointResponse, getBodyFraming } from "./responses/responseEnd.js";
 import { type ResponseHead, ExecutionStatus, type EndpointProtocol } from "./types.js";
 
 /** How an attempt ended. */
@@ -28,7 +29,7 @@
 export interface AttemptResult {
   readonly outcome: AttemptOutcome;
   readonly detail: string;
-  readonly response: IncomingMessage | undefined;
+  readonly response: EndpointResponse | undefined;
   /** What the peer states that the attempt was passed on through; undefined if there is none, or if it did not reply. */
   readonly forwarded?: ForwardResult | undefined;
 }
@@ -130,7 +131,8 @@
     // The reader of the body handles its errors, but an `error` event without a listener would end the process.
     response.on("error", () => undefined);
     if (outcome === AttemptOutcome.Answered) {
-      this.resolveResult({ outcome, detail: `status ${status}`, response, forwarded });
+      const received = { message: response, framing: this.getFraming(response) };
+      this.resolveResult({ outcome, detail: `status ${status}`, response: received, forwarded });
       return;
     }
     if (outcome === AttemptOutcome.Lost) this.abort("mismatched response");
@@ -138,6 +140,13 @@
     this.resolveResult({ outcome, detail: `status ${status}`, response: undefined, forwarded });
   }
 
+  /** Returns the framing at the endpoint. */
+  private getFraming(response: IncomingMessage): BodyFraming {
+    const { method, isForwarded = false } = this.options;
+    const framing = getBodyFraming(response, method);
+    return isForwarded ? readFraming(response.headers, framing) : framing;
+  }
+
   /** Only a peer's own statement shows that a request which was passed on did not reach the endpoint. */
   private handleNotForwarded(response: IncomingMessage, forwarded: ForwardResult | undefined): void {
     response.on("error", () => undefined);
--- a/packages/gateway/src/attemptStage.ts
+++ b/packages/gateway/src/attemptStage.ts
@@ -113,7 +113,12 @@
     context.history.recordRun();
     const { kind } = context.request.admitted.route;
     if (kind === RouteKind.Stream && isEventStream(result.response))
-      return this.relayStage.relayStream(placement, result.response, startedAt, clearPending);
+      return this.relayStage.relayStream(placement, {
+        response: result.response,
+        startedAt,
+        beganAt,
+        clearPending,
+      });
     context.countUsageOnce(beganAt);
     return this.relayStage.forwardResponse(endpoint, result.response, startedAt);
   }
--- a/packages/gateway/src/crashes/crashProtection.ts
+++ b/packages/gateway/src/crashes/crashProtection.ts
@@ -8,6 +8,7 @@
 import { CrashRecords, type CrashUpdate } from "./crashRecords.js";
 import { CrashStore } from "./crashStore.js";
 import { CrashDetector } from "./crashDetector.js";
+import type { Endpoint } from "../endpoint.js";
 import type { EndpointDirectory } from "../endpointDirectory.js";
 import { CrashWitnesses } from "./crashWitnesses.js";
 import { probeEndpoint, type ProbeResult } from "./endpointProbe.js";
@@ -41,6 +42,7 @@
   /** The gate that requests pass before they are sent. */
   readonly suspects: SuspectGate;
   private readonly detector: CrashDetector;
+  private readonly witnesses: CrashWitnesses;
   private readonly scheduler: TrialScheduler;
   private readonly crashStore: CrashStore;
 
@@ -73,7 +75,7 @@
       this.crashStore.reconcileItems();
     };
     const probe = (address: string): Promise<ProbeResult> => probeEndpoint(address, options.connectTimeoutMs);
-    const witnesses = CrashWitnesses.create({
+    this.witnesses = CrashWitnesses.create({
       fleet: members,
       logger,
       records,
@@ -87,7 +89,7 @@
       logger,
       records,
       probe,
-      confirm: (endpoint) => witnesses.confirm(endpoint),
+      confirm: (endpoint) => this.confirmCrash(endpoint),
       findEndpoint,
       drainMs: options.drainMs,
       getTimeSinceTrouble: options.getTimeSinceTrouble,
@@ -119,6 +121,11 @@
     return new CrashProtection(options);
   }
 
+  /** Resolves with whether an endpoint that refused a connection of this instance has crashed. */
+  confirmCrash(endpoint: Endpoint): Promise<boolean> {
+    return this.witnesses.confirm(endpoint);
+  }
+
   /** Handles an item of the store that was written or removed. */
   handleItem(key: string, item: StoreItem | undefined, removal?: Removal): void {
     this.crashStore.handleItem(key, item, removal);
--- a/packages/gateway/src/forwarding/attemptRoute.ts
+++ b/packages/gateway/src/forwarding/attemptRoute.ts
@@ -93,7 +93,7 @@
     if (outcome === AttemptOutcome.NotSent && !context.isOver) return paths.check(endpoint);
     if (outcome === AttemptOutcome.NotSent || outcome === AttemptOutcome.Lost) return;
     paths.recordHeard(endpoint);
-    response?.on("data", () => paths.recordHeard(endpoint));
+    response?.message.on("data", () => paths.recordHeard(endpoint));
   }
 
   close(): void {
--- a/packages/gateway/src/forwarding/forwardingParts.ts
+++ b/packages/gateway/src/forwarding/forwardingParts.ts
@@ -10,12 +10,16 @@
 import { canServe, type GatewayParts, type GatewayState } from "../gatewayParts.js";
 import type { GatewaySettings } from "../gatewaySettings.js";
 import type { Members } from "../members.js";
+import { EndChecker } from "../responses/endChecker.js";
 import { ForwardingPeers } from "./forwardingPeers.js";
 import { ForwardingServer, type ForwardingServerOptions } from "./forwardingServer.js";
 import { ServicePaths } from "./servicePaths.js";
 
 /** Parts that attempts pass through on their way. */
-export type ForwardingParts = Pick<GatewayParts, "connections" | "paths" | "forwarding" | "forwardingServer">;
+export type ForwardingParts = Pick<
+  GatewayParts,
+  "connections" | "paths" | "forwarding" | "forwardingServer" | "endChecker"
+>;
 
 /** Returns the address at which peers reach the forwarding server; undefined if it listens on another interface than for peers. */
 export function findForwardingAddress(
@@ -36,6 +40,13 @@
   const { instance, listen, peers, endpoints } = settings;
   const { connect_timeout: connectTimeoutMs } = endpoints;
   const connections = EndpointConnections.create();
+  const endChecker = EndChecker.create({
+    clock,
+    hasCrashed: ({ incarnation }) => crashes.records.hasCrashed(incarnation),
+    hasOpenConnection: (endpoint) => connections.hasOpen(endpoint),
+    probe: probeEndpoint,
+    confirm: (endpoint) => crashes.confirmCrash(endpoint),
+  });
   const paths = ServicePaths.create({
     clock,
     logger,
@@ -63,8 +74,9 @@
     canServe: () => canServe({ follower, directory, members: getMembers() }),
     getMaxBodyBytes: () => follower.getTable()?.configuration.limits.maxBodyBytes ?? 0,
     recordInterruption: createInterruptionRecorder(crashes, brittle),
+    endChecker,
   });
-  return { connections, paths, forwarding, forwardingServer };
+  return { connections, paths, forwarding, forwardingServer, endChecker };
 }
 
 /** Returns what records that a request was interrupted which this instance passed on for a peer. */
--- a/packages/gateway/src/forwarding/forwardingProtocol.ts
+++ b/packages/gateway/src/forwarding/forwardingProtocol.ts
@@ -7,6 +7,7 @@
 import { createHash, createHmac, randomBytes, timingSafeEqual } from "node:crypto";
 import type { IncomingHttpHeaders } from "node:http";
 import { hopByHopHeaders } from "@gladewall/kernel";
+import { BodyFraming } from "../responses/responseEnd.js";
 
 /** What became of an attempt at the peer. The names are sent to the sender and written to logs. */
 export enum ForwardResult {
@@ -49,6 +50,7 @@
 const nonceHeader = `${headerPrefix}nonce`;
 const signatureHeader = `${headerPrefix}signature`;
 const resultHeader = `${headerPrefix}result`;
+const framingHeader = `${headerPrefix}framing`;
 const nonceBytes = 12;
 
 /**
@@ -104,6 +106,21 @@
   return ForwardResult[getText(headers, resultHeader) as keyof typeof ForwardResult];
 }
 
+/** Creates the header that states the framing of the endpoint's response: name, value. */
+export function createFramingHeader(framing: BodyFraming): string[] {
+  return [framingHeader, BodyFraming[framing]];
+}
+
+/**
+ * Returns the framing of the endpoint's response. An earlier build does not state it; it passes a length on, and sends all other bodies
+ * in chunks of its own, from which nothing is known of the endpoint's.
+ */
+export function readFraming(headers: IncomingHttpHeaders, framingOfPeer: BodyFraming): BodyFraming {
+  const framing = BodyFraming[getText(headers, framingHeader) as keyof typeof BodyFraming];
+  if (framing !== undefined) return framing;
+  return framingOfPeer === BodyFraming.Chunked ? BodyFraming.Connection : framingOfPeer;
+}
+
 /** Returns the headers without those of the exchange; both lists are name, value, name, value, … */
 export function removeForwardHeaders(rawHeaders: readonly string[]): string[] {
   return selectHeaders(rawHeaders, (name) => !name.startsWith(headerPrefix));
--- a/packages/gateway/src/forwarding/forwardingServer.ts
+++ b/packages/gateway/src/forwarding/forwardingServer.ts
@@ -14,11 +14,11 @@
 import type { EndpointConnections } from "../endpointConnections.js";
 import type { EndpointDirectory } from "../endpointDirectory.js";
 import { readRequestBody } from "../requestBody.js";
-import { isCompleteResponse } from "../responses/responseBody.js";
+import type { EndChecker } from "../responses/endChecker.js";
+import { endConsequences, formatEnd, ResponseEnd } from "../responses/responseEnd.js";
 import { copyResponseHeaders } from "../responses/responseHeaders.js";
 import { ExecutionStatus, type ResponseHead } from "../types.js";
 import {
-  copyForwardedHeaders,
   createResultHeader,
   type ForwardedRequest,
   ForwardResult,
@@ -26,6 +26,7 @@
   readForwardHeaders,
   readWorkspace,
 } from "./forwardingProtocol.js";
+import { returnResponse } from "./responseReturn.js";
 import type { ServicePaths } from "./servicePaths.js";
 
 /** Options of the server. */
@@ -47,6 +48,7 @@
   readonly getMaxBodyBytes: () => number;
   /** Records that a request was interrupted at an endpoint; resolves once it is known whether the endpoint has crashed. */
   readonly recordInterruption: (endpoint: Endpoint, request: InFlightRequest) => Promise<unknown>;
+  readonly endChecker: EndChecker;
 }
 
 /** A request that was accepted, and the endpoint that it is for. */
@@ -153,7 +155,7 @@
     message: IncomingMessage,
     response: ServerResponse,
   ): Promise<ForwardResult> {
-    const { connections, connectTimeoutMs, paths, recordInterruption } = this.options;
+    const { connections, connectTimeoutMs, paths, recordInterruption, endChecker } = this.options;
     const inFlight = createInFlight(request, message);
     if (inFlight) endpoint.inFlight.add(inFlight);
     const attempt = Attempt.create({
@@ -171,8 +173,12 @@
       if (!response.writableFinished) attempt.abort("sender gone");
     });
     const { outcome, response: received } = await attempt.result;
+    const ended =
+      received && (await returnResponse(received, response, (end) => endChecker.check(endpoint, end)));
+    if (ended && ended.end !== ResponseEnd.Complete)
+      this.options.logger.info("forwarding.ended", { life: endpoint.incarnation, ...formatEnd(ended) });
     const isInterrupted = received
-      ? !(await this.relay(received, response))
+      ? ended !== undefined && endConsequences[ended.end].isFailure
       : outcome === AttemptOutcome.Lost && !response.destroyed;
     if (inFlight) endpoint.inFlight.delete(inFlight);
     // The sender retries after the reply, so that the next endpoint is chosen once the crash is known.
@@ -186,40 +192,6 @@
     await paths.check(endpoint);
     return paths.isDirect(endpoint) ? ForwardResult.Unreachable : ForwardResult.CutOff;
   }
-
-  /**
-   * Returns a response as it comes; one that is interrupted is aborted, so that it does not look complete. Resolves with whether it
-   * ended, at the endpoint or because the sender is gone.
-   */
-  private relay(received: IncomingMessage, response: ServerResponse): Promise<boolean> {
-    const headers = [
-      ...copyForwardedHeaders(received.rawHeaders),
-      ...createResultHeader(ForwardResult.Answered),
-    ];
-    if (response.destroyed) return Promise.resolve(true);
-    response.writeHead(received.statusCode ?? statusBadGateway, received.statusMessage, headers);
-    response.flushHeaders();
-    return new Promise((resolve) => {
-      received.on("data", (part: Buffer) => {
-        if (response.write(part)) return;
-        received.pause();
-        response.once("drain", () => received.resume());
-      });
-      received.on("end", () => {
-        if (isCompleteResponse(received)) response.end();
-        else response.destroy();
-      });
-      received.on("close", () => {
-        if (received.complete) return;
-        resolve(response.destroyed);
-        response.destroy();
-      });
-      response.on("close", () => {
-        received.destroy();
-        resolve(true);
-      });
-    });
-  }
 }
 
 /** Returns what identifies a request; undefined if its sender does not state the workspace. */
--- /dev/null
+++ b/packages/gateway/src/forwarding/responseReturn.ts
@@ -0,0 +1,68 @@
+/**
+ * Returns an endpoint's response to the instance that had its request passed on, as it comes, with what this instance knows of its
+ * framing and its end.
+ * @module
+ */
+import type { ServerResponse } from "node:http";
+import {
+  type EndedResponse,
+  endConsequences,
+  type EndpointResponse,
+  readEnd,
+} from "../responses/responseEnd.js";
+import {
+  copyForwardedHeaders,
+  createFramingHeader,
+  createResultHeader,
+  ForwardResult,
+} from "./forwardingProtocol.js";
+
+const statusBadGateway = 502;
+
+/**
+ * Returns a response; one that was broken off is aborted, so that it does not look complete. Resolves with how it ended at the endpoint;
+ * undefined if the sender is gone. `check` looks for evidence on its end. Never rejects.
+ */
+export function returnResponse(
+  received: EndpointResponse,
+  response: ServerResponse,
+  check: (ended: EndedResponse) => Promise<EndedResponse>,
+): Promise<EndedResponse | undefined> {
+  const { message } = received;
+  if (response.destroyed) return Promise.resolve(undefined);
+  writeHead(received, response);
+  return new Promise((resolve) => {
+    message.on("data", (part: Buffer) => {
+      if (response.write(part)) return;
+      message.pause();
+      response.once("drain", () => message.resume());
+    });
+    let hasEnded = false;
+    const finish = async (): Promise<void> => {
+      if (hasEnded) return;
+      hasEnded = true;
+      const ended = await check(readEnd(received));
+      if (response.destroyed) return;
+      resolve(ended);
+      if (endConsequences[ended.end].isFailure) response.destroy();
+      else response.end();
+    };
+    message.on("end", () => void finish());
+    message.on("close", () => void finish());
+    response.on("close", () => {
+      message.destroy();
+      // After the end this has no effect, because a promise settles only once.
+      resolve(undefined);
+    });
+  });
+}
+
+function writeHead({ message, framing }: EndpointResponse, response: ServerResponse): void {
+  const headers = [
+    ...copyForwardedHeaders(message.rawHeaders),
+    ...createResultHeader(ForwardResult.Answered),
+    ...createFramingHeader(framing),
+  ];
+  response.writeHead(message.statusCode ?? statusBadGateway, message.statusMessage, headers);
+  response.flushHeaders();
+}
--- a/packages/gateway/src/gatewayMetrics.ts
+++ b/packages/gateway/src/gatewayMetrics.ts
@@ -7,6 +7,7 @@
 import { type Closeable, listen, Metrics } from "@gladewall/kernel";
 import { LeavingSource } from "./endpointAvailability.js";
 import { OverloadMode } from "./overloadSwitch.js";
+import { BodyFraming, type EndedResponse, EndEvidence, ResponseEnd } from "./responses/responseEnd.js";
 
 /** Values that are read when the metrics are requested. */
 export interface MetricSources {
@@ -103,6 +104,18 @@
     this.registry.getCounter("gladewall_attempts_total", help, { service, end }).add();
   }
 
+  /** Counts a response of an endpoint by its end. */
+  countResponseEnd(service: string, { end, framing, evidence }: EndedResponse): void {
+    const help = "Responses of endpoints, by how they ended and how their ends were marked.";
+    const labels = {
+      service,
+      end: ResponseEnd[end],
+      framing: BodyFraming[framing],
+      evidence: evidence === undefined ? "not needed" : EndEvidence[evidence],
+    };
+    this.registry.getCounter("gladewall_response_ends_total", help, labels).add();
+  }
+
   /** Counts an attempt that was passed on through a peer, by what the peer stated. */
   countForwarded(service: string, result: string): void {
     const help = "Attempts that were passed on through peers, by what became of them there.";
--- a/packages/gateway/src/gatewayParts.ts
+++ b/packages/gateway/src/gatewayParts.ts
@@ -62,6 +62,7 @@
 import { UsageCounts } from "./usageCounts.js";
 import { UsageReporter } from "./usageReporter.js";
 import { ProofRequests } from "./proofRequests.js";
+import type { EndChecker } from "./responses/endChecker.js";
 
 const leaderLeaseKey = `${gatewayPrefix}duty`;
 const leaderMarkerKey = `${gatewayPrefix}duties-begun`;
@@ -116,6 +117,8 @@
   readonly forwarding: ForwardingPeers;
   /** Passes attempts of peers on. */
   readonly forwardingServer: ForwardingServer;
+  /** Looks for evidence on the ends of responses. */
+  readonly endChecker: EndChecker;
   readonly members: Members;
   /** Detects endpoints that crashed and keeps the requests that they had. */
   readonly crashProtection: CrashProtection;
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -8,7 +8,15 @@
 export { runGatewayDaemon } from "./daemon.js";
 export { Admission } from "./limits/admission.js";
 export { MemberRecords } from "./memberRecords.js";
-export { isCompleteResponse, readResponseBody } from "./responses/responseBody.js";
+export { readResponseBody } from "./responses/responseBody.js";
+export { EndChecker, type EndCheckerOptions } from "./responses/endChecker.js";
+export {
+  BodyFraming,
+  ConnectionEnd,
+  EndEvidence,
+  getBodyFraming,
+  ResponseEnd,
+} from "./responses/responseEnd.js";
 export { type ArbiterCall, Arbiters } from "./limits/arbiters.js";
 export { ReaderSelection } from "./readerSelection.js";
 export { Attempt, AttemptOutcome } from "./attempt.js";
--- a/packages/gateway/src/requestContext.ts
+++ b/packages/gateway/src/requestContext.ts
@@ -10,6 +10,7 @@
 import type { HeldSlot } from "./slots/heldSlot.js";
 import type { Placement } from "./placement.js";
 import { createSubject } from "./crashes/requestFingerprint.js";
+import type { EndedResponse } from "./responses/responseEnd.js";
 import type { StreamRelay } from "./responses/streamRelay.js";
 import type { Trial } from "./crashes/suspectGate.js";
 import { type CallerRequestHead, type Route, RouteKind } from "./types.js";
@@ -40,6 +41,8 @@
   /** Whether the current attempt has neither received a response head nor failed. */
   isAttemptPending = false;
   relay: StreamRelay | undefined;
+  /** How the last response ended that was received; undefined before. */
+  ended: EndedResponse | undefined;
   /** Reserved endpoint at which an isolated request runs; undefined if the request runs like others. */
   trial: Trial | undefined;
   /** Slot that the arbiter of the service has granted to the current attempt; undefined if it needs none. */
@@ -127,8 +130,8 @@
   }
 
   createOutcome(status: number, failure: RequestOutcome["failure"]): RequestOutcome {
-    const { placement, history, firstEventMs, runs } = this;
-    return { status, failure, placement, arrivals: history.arrivals, runs, firstEventMs };
+    const { placement, history, firstEventMs, runs, ended } = this;
+    return { status, failure, placement, arrivals: history.arrivals, runs, firstEventMs, ended };
   }
 
   log(event: string, fields: Readonly<Record<string, string | number | boolean | undefined>>): void {
--- a/packages/gateway/src/requestServer.ts
+++ b/packages/gateway/src/requestServer.ts
@@ -7,6 +7,7 @@
 import { Failure, FailureCode, waitFor } from "@gladewall/kernel";
 import { Err, Ok, type Result } from "ts-results-es";
 import type { AdmittedRequest } from "./limits/admission.js";
+import { BodyFraming, ResponseEnd } from "./responses/responseEnd.js";
 import { writeProblemResponse } from "./responses/responseWriter.js";
 import { ActiveRequest } from "./activeRequest.js";
 import type { RequestOutcome, ActiveRequestParts } from "./activeRequestTypes.js";
@@ -154,7 +155,7 @@
     { workspace, route }: AdmittedRequest,
     head: CallerRequestHead,
     service: Service,
-    { status, failure, placement, arrivals, runs, firstEventMs }: RequestOutcome,
+    { status, failure, placement, arrivals, runs, firstEventMs, ended }: RequestOutcome,
     arrivedAt: number,
   ): void {
     const fields = {
@@ -174,6 +175,8 @@
       firstMs: firstEventMs && Math.round(firstEventMs),
       arrivals,
       runs,
+      ended: ended && ResponseEnd[ended.end],
+      framing: ended && BodyFraming[ended.framing],
       tookMs: Math.round(this.options.parts.clock.getTime() - arrivedAt),
     };
     this.options.parts.metrics.countRequest(service.name, status, failure?.name ?? "none", fields.tookMs);
--- /dev/null
+++ b/packages/gateway/src/responses/endChecker.ts
@@ -0,0 +1,69 @@
+/**
+ * Checks, when a response without frame has ended with its connection, whether its endpoint goes on. A process that is killed loses
+ * all its connections at that moment and refuses new ones.
+ * @module
+ */
+import { type Clock, waitFor } from "@gladewall/kernel";
+import { ProbeResult } from "../crashes/endpointProbe.js";
+import { type Endpoint, EndpointState } from "../endpoint.js";
+import { type EndedResponse, EndEvidence, ResponseEnd } from "./responseEnd.js";
+
+/** Options of the checker. */
+export interface EndCheckerOptions {
+  readonly clock: Clock;
+  /** Whether an endpoint is known to have crashed. */
+  readonly hasCrashed: (endpoint: Endpoint) => boolean;
+  /** Whether a connection of this instance to an endpoint is open. */
+  readonly hasOpenConnection: (endpoint: Endpoint) => boolean;
+  /** Tries to open a connection, for as long as is given in milliseconds. */
+  readonly probe: (address: string, timeoutMs: number) => Promise<ProbeResult>;
+  /** Decides whether an endpoint that refuses connections has crashed: an instance that lost its paths meets refusals everywhere. */
+  readonly confirm: (endpoint: Endpoint) => Promise<boolean>;
+}
+
+/** Time within which the connections of a process that is killed are closed, one after the other. */
+const closingMs = 3;
+/** Longest time for which the end of a response waits for evidence. */
+const maxProbeMs = 50;
+/** Longest time for which it then waits for the peers' view of an endpoint that refuses connections. */
+const maxConfirmMs = 100;
+
+/** Looks for evidence on the ends of responses. */
+export class EndChecker {
+  private constructor(private readonly options: EndCheckerOptions) {}
+
+  static create(options: EndCheckerOptions): EndChecker {
+    return new EndChecker(options);
+  }
+
+  /** Returns how a response ended once it is known whether its endpoint goes on; other ends than unverified ones are returned at once. */
+  async check(endpoint: Endpoint, ended: EndedResponse): Promise<EndedResponse> {
+    if (ended.end !== ResponseEnd.Unverified) return ended;
+    const { clock } = this.options;
+    const startedAt = clock.getTime();
+    const evidence = await this.findEvidence(endpoint);
+    const end = evidence === EndEvidence.Ended ? ResponseEnd.Interrupted : ended.end;
+    return { ...ended, end, evidence, evidenceMs: clock.getTime() - startedAt };
+  }
+
+  private async findEvidence(endpoint: Endpoint): Promise<EndEvidence> {
+    const { clock, hasCrashed, hasOpenConnection, probe } = this.options;
+    if (hasCrashed(endpoint)) return EndEvidence.Ended;
+    if (hasOpenConnection(endpoint)) {
+      await waitFor(clock, closingMs);
+      if (hasOpenConnection(endpoint)) return EndEvidence.Running;
+    }
+    const result = await probe(endpoint.record.address, maxProbeMs);
+    if (result === ProbeResult.Listening) return EndEvidence.Running;
+    const hasEnded = result === ProbeResult.Refused && (await this.confirmEnd(endpoint));
+    return hasEnded ? EndEvidence.Ended : EndEvidence.None;
+  }
+
+  private async confirmEnd(endpoint: Endpoint): Promise<boolean> {
+    // An endpoint that stops as planned refuses connections before it has completed its responses.
+    if (endpoint.state !== EndpointState.Ready) return false;
+    const { clock, confirm } = this.options;
+    const isLate = waitFor(clock, maxConfirmMs).then(() => false);
+    return Promise.race([confirm(endpoint), isLate]);
+  }
+}
--- a/packages/gateway/src/responses/relayStage.ts
+++ b/packages/gateway/src/responses/relayStage.ts
@@ -2,14 +2,32 @@
  * Forwards an endpoint's response to the caller: a complete response at once, a stream event by event.
  * @module
  */
-import type { IncomingMessage } from "node:http";
 import { Failure, FailureCode } from "@gladewall/kernel";
 import type { Endpoint } from "../endpoint.js";
 import type { Placement } from "../placement.js";
 import { NextStep, type RequestContext } from "../requestContext.js";
 import { type ReceivedBody, readResponseBody } from "./responseBody.js";
+import {
+  type EndedResponse,
+  endConsequences,
+  type EndpointResponse,
+  EndEvidence,
+  formatEnd,
+  ResponseEnd,
+} from "./responseEnd.js";
 import { writeEndpointResponse } from "./responseWriter.js";
-import { RelayOutcome, StreamRelay } from "./streamRelay.js";
+import { StreamRelay } from "./streamRelay.js";
+
+/** A stream that an endpoint has begun. */
+export interface BegunStream {
+  readonly response: EndpointResponse;
+  /** Monotonic time at which the attempt was sent. */
+  readonly startedAt: number;
+  /** The same as time of day. */
+  readonly beganAt: number;
+  /** Called once the prompt has been processed. */
+  readonly clearPending: () => void;
+}
 
 const minServerErrorStatus = 500;
 /** A trial ends once the request has streamed for this long: a request that crashes endpoints does so sooner. */
@@ -31,37 +49,43 @@
   }
 
   /** Reads the complete response, then forwards it; after an endpoint's own failure the request may be retried first. */
-  async forwardResponse(endpoint: Endpoint, response: IncomingMessage, startedAt: number): Promise<NextStep> {
+  async forwardResponse(
+    endpoint: Endpoint,
+    response: EndpointResponse,
+    startedAt: number,
+  ): Promise<NextStep> {
     const { context } = this;
     const { clock, isLeaving, placer } = context.parts;
     const body: ReceivedBody = await readResponseBody(response);
+    const receivedAt = clock.getTime();
+    if (context.isOver) return NextStep.Done;
+    const ended = await this.checkEnd(endpoint, body.ended);
     if (context.isOver) return NextStep.Done;
-    const status = response.statusCode ?? 0;
-    const isFailed = !body.isComplete || status >= minServerErrorStatus;
-    const time = clock.getTime();
-    endpoint.recordOutcome(!isFailed, time);
-    if (!isFailed) endpoint.recordLatency(time - startedAt, placer.getPace(endpoint, time));
+    const status = response.message.statusCode ?? 0;
+    const isBrokenOff = endConsequences[ended.end].isFailure;
+    const isFailed = isBrokenOff || status >= minServerErrorStatus;
+    endpoint.recordOutcome(!isFailed, receivedAt);
+    if (!isFailed) endpoint.recordLatency(receivedAt - startedAt, placer.getPace(endpoint, receivedAt));
     if (isFailed && context.isRetryAllowed()) {
-      const { isComplete } = body;
-      context.log("attempt.failed", { endpoint: endpoint.id, end: "Answered", status, complete: isComplete });
-      if (!isComplete) return this.handleInterruption(endpoint);
+      context.log("attempt.failed", {
+        endpoint: endpoint.id,
+        end: "Answered",
+        status,
+        complete: !isBrokenOff,
+      });
+      if (isBrokenOff) return this.handleInterruption(endpoint);
       const failure = Failure.create(FailureCode.EndpointFailed, { endpoint: endpoint.id, status });
       context.history.recordRunFailure(failure);
       return NextStep.Retry;
     }
-    if (!body.isComplete) return this.handleInterruption(endpoint);
-    this.clearSuspicion();
-    const { request } = context;
-    writeEndpointResponse(request.response, request.message.method, response, body.bytes, isLeaving());
+    if (isBrokenOff) return this.handleInterruption(endpoint);
+    this.clearSuspicion(ended);
+    writeEndpointResponse(context.request.response, response, body.bytes, isLeaving());
     return NextStep.Done;
   }
 
-  async relayStream(
-    placement: Placement,
-    endpointResponse: IncomingMessage,
-    startedAt: number,
-    clearPending: () => void,
-  ): Promise<NextStep> {
+  /** Forwards a stream until it ends; if it was broken off, another endpoint may continue it. */
+  async relayStream(placement: Placement, stream: BegunStream): Promise<NextStep> {
     const { context } = this;
     const { clock, getTimeOfDay, isLeaving, placer } = context.parts;
     const { response, admitted, head, arrivedAt } = context.request;
@@ -69,31 +93,65 @@
     context.relay ??= StreamRelay.create(response, admitted.route.isResumable, isLeaving);
     const { relay } = context;
     const onFirst = (): void => {
-      clearPending();
+      stream.clearPending();
       const time = clock.getTime();
       context.firstEventMs ??= time - arrivedAt;
-      this.recordPrefillRate(placement, time - startedAt);
+      this.recordPrefillRate(placement, time - stream.startedAt);
       this.scheduleTrialEnd();
       context.countUsageOnce(getTimeOfDay());
       placer.memory.recordProcessed(head.parts, endpoint.incarnation);
     };
-    const relayOutcome = await relay.relay(endpointResponse, onFirst);
+    const received = await relay.relay(stream.response, onFirst);
     if (context.isOver) return NextStep.Done;
-    endpoint.recordOutcome(relayOutcome === RelayOutcome.Complete, clock.getTime());
-    if (relayOutcome === RelayOutcome.Complete) {
-      this.clearSuspicion();
-      return NextStep.Done;
-    }
+    const ended = await this.checkEnd(endpoint, received);
+    // It has run, even if it was broken off before its first event.
+    context.countUsageOnce(stream.beganAt);
+    if (context.isOver) return NextStep.Done;
+    const { isFailure } = endConsequences[ended.end];
+    endpoint.recordOutcome(!isFailure, clock.getTime());
+    if (isFailure) return this.handleBrokenStream(endpoint, relay);
+    this.clearSuspicion(ended);
+    if (!relay.canFinish(ended)) return this.confirmEnd(endpoint, relay);
+    relay.finish(stream.response);
+    return NextStep.Done;
+  }
+
+  /** Looks for evidence on an end that is unverified, and logs each end that is not complete. */
+  private async checkEnd(endpoint: Endpoint, received: EndedResponse): Promise<EndedResponse> {
+    const { context } = this;
+    const { endChecker, paths, metrics } = context.parts;
+    // A peer through which the request was passed on has looked for it.
+    const ended = paths.isDirect(endpoint) ? await endChecker.check(endpoint, received) : received;
+    metrics.countResponseEnd(context.request.service.name, ended);
+    context.ended = ended;
+    if (ended.end === ResponseEnd.Complete) return ended;
+    context.log("response.ended", { endpoint: endpoint.id, ...formatEnd(ended) });
+    return ended;
+  }
+
+  private async handleBrokenStream(endpoint: Endpoint, relay: StreamRelay): Promise<NextStep> {
+    const { context } = this;
     const { fingerprint } = context.subject;
     context.log("stream.cut", { endpoint: endpoint.id, lastEvent: relay.lastEventId, fingerprint });
     const next = await this.handleInterruption(endpoint);
     return next === NextStep.Retry && !relay.canContinue() ? NextStep.Fail : next;
   }
 
-  /** Clears the request of suspicion: an endpoint that completed its response was not crashed by it. */
-  private clearSuspicion(): void {
+  /**
+   * Has another endpoint continue a stream that may be complete, because the caller was promised a frame and would take its end for
+   * the stream's: what follows the last event is nothing, or what was missing.
+   */
+  private confirmEnd(endpoint: Endpoint, relay: StreamRelay): NextStep {
+    const { context } = this;
+    context.history.recordRunFailure(Failure.create(FailureCode.EndpointCut, { endpoint: endpoint.id }));
+    return context.isRetryAllowed() && relay.canContinue() ? NextStep.Retry : NextStep.Fail;
+  }
+
+  /** Clears the request of suspicion: an endpoint that went on after its response was not crashed by it. */
+  private clearSuspicion({ end, evidence }: EndedResponse): void {
     const { context } = this;
     const { suspects } = context.parts;
+    if (end !== ResponseEnd.Complete && evidence !== EndEvidence.Running) return;
     if (suspects.hasSuspects(context.workspace)) suspects.clear(context.subject);
   }
 
--- a/packages/gateway/src/responses/responseBody.ts
+++ b/packages/gateway/src/responses/responseBody.ts
@@ -2,33 +2,23 @@
  * Reads the complete body of an endpoint's response.
  * @module
  */
-import type { IncomingMessage } from "node:http";
-import { hasClosedOrderly } from "./connectionEnds.js";
+import { type EndedResponse, type EndpointResponse, readEnd } from "./responseEnd.js";
 
-/** A received body and whether it is complete. */
+/** A received body and how it ended. */
 export interface ReceivedBody {
   readonly bytes: Buffer;
-  readonly isComplete: boolean;
-}
-
-/**
- * Whether a response that has ended is complete. A response without length ends with its connection, and Node.js reports a
- * reset as such an end too; only an orderly close by the other side counts.
- */
-export function isCompleteResponse({ complete, headers, socket }: IncomingMessage): boolean {
-  const isFramed = headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
-  return complete && (isFramed || hasClosedOrderly(socket));
+  readonly ended: EndedResponse;
 }
 
 /** Resolves when the body has ended, complete or not. Never rejects. */
-export function readResponseBody(message: IncomingMessage): Promise<ReceivedBody> {
+export function readResponseBody(response: EndpointResponse): Promise<ReceivedBody> {
+  const { message } = response;
   return new Promise((resolve) => {
     const parts: Buffer[] = [];
+    const finish = (): void => resolve({ bytes: Buffer.concat(parts), ended: readEnd(response) });
     message.on("data", (part: Buffer) => parts.push(part));
-    message.on("end", () =>
-      resolve({ bytes: Buffer.concat(parts), isComplete: isCompleteResponse(message) }),
-    );
+    message.on("end", finish);
     // After "end" this has no effect, because a promise settles only once.
-    message.on("close", () => resolve({ bytes: Buffer.concat(parts), isComplete: false }));
+    message.on("close", finish);
   });
 }
--- a/packages/gateway/src/responses/streamRelay.ts
+++ b/packages/gateway/src/responses/streamRelay.ts
@@ -3,22 +3,18 @@
  * the stream of another endpoint continues in the same response.
  * @module
  */
-import type { IncomingMessage, ServerResponse } from "node:http";
-import { isCompleteResponse } from "./responseBody.js";
-import { copyResponseHeaders } from "./responseHeaders.js";
+import type { ServerResponse } from "node:http";
 import { EventSplitter, removeByteOrderMark } from "./eventSplitter.js";
-
-/** How an endpoint's stream ended. */
-export enum RelayOutcome {
-  Complete = 1,
-  Interrupted = 2,
-}
+import { type EndedResponse, endConsequences, type EndpointResponse, readEnd } from "./responseEnd.js";
+import { copyResponseHeaders } from "./responseHeaders.js";
+import { isFramed, writeResponseHead } from "./responseWriter.js";
 
 const firstRedirectStatus = 300;
 const eventStreamPattern = /^\s*text\/event-stream\s*(?:;|$)/i;
 
 /** Whether a response is a stream of events: it is a success, and states no other type. */
-export function isEventStream({ statusCode = 0, headers }: IncomingMessage): boolean {
+export function isEventStream({ message }: EndpointResponse): boolean {
+  const { statusCode = 0, headers } = message;
   const isSuccess = statusCode < firstRedirectStatus;
   return isSuccess && eventStreamPattern.test(headers["content-type"] ?? "text/event-stream");
 }
@@ -51,50 +47,53 @@
     return this.isResumable && !this.endsWithoutId;
   }
 
+  /** Whether the response may end now, given how the last endpoint's stream ended. */
+  canFinish({ end }: EndedResponse): boolean {
+    const { isComplete, mayClose } = endConsequences[end];
+    const isUnframed = this.response.headersSent && !isFramed(this.response);
+    return isComplete || (mayClose && (isUnframed || !this.response.headersSent));
+  }
+
   /** Forwards one endpoint's stream until it ends. Calls `onFirst` before the first event is forwarded. Never rejects. */
-  relay(endpointResponse: IncomingMessage, onFirst: () => void): Promise<RelayOutcome> {
+  relay(received: EndpointResponse, onFirst: () => void): Promise<EndedResponse> {
+    const { message } = received;
     this.lastId = this.lastEventId;
     this.splitter = EventSplitter.create(this.isResumable);
     let isFirst = true;
     return new Promise((resolve) => {
-      endpointResponse.on("data", (bytes: Buffer) => {
+      message.on("data", (bytes: Buffer) => {
         const whole = this.splitter.add(bytes);
         if (whole.length === 0) return;
         const isContinued = isFirst && this.response.headersSent;
         if (isFirst) onFirst();
         isFirst = false;
         this.endsWithoutId = this.splitter.endsWithoutId;
-        this.write(endpointResponse, isContinued ? removeByteOrderMark(whole) : whole);
-      });
-      endpointResponse.on("end", () => {
-        // A stream that ends inside an event was broken off, whatever its frame says.
-        const isInsideEvent = this.splitter.unfinishedBytes > 0;
-        if (isInsideEvent || !isCompleteResponse(endpointResponse)) return resolve(RelayOutcome.Interrupted);
-        this.finish(endpointResponse);
-        resolve(RelayOutcome.Complete);
+        this.write(received, isContinued ? removeByteOrderMark(whole) : whole);
       });
+      const finish = (): void => resolve(readEnd(received, this.splitter.unfinishedBytes));
+      message.on("end", finish);
       // After "end" this has no effect, because a promise settles only once.
-      endpointResponse.on("close", () => resolve(RelayOutcome.Interrupted));
+      message.on("close", finish);
     });
   }
 
-  private write(endpointResponse: IncomingMessage, bytes: Buffer): void {
-    this.writeHead(endpointResponse);
-    if (this.response.write(bytes)) return;
-    endpointResponse.pause();
-    this.response.once("drain", () => endpointResponse.resume());
+  /** Ends the response; what is left of the stream are comments at most. */
+  finish(received: EndpointResponse): void {
+    this.writeHead(received);
+    this.response.end(this.splitter.takeRest());
   }
 
-  private finish(endpointResponse: IncomingMessage): void {
-    this.writeHead(endpointResponse);
-    this.response.end(this.splitter.takeRest());
+  private write(received: EndpointResponse, bytes: Buffer): void {
+    this.writeHead(received);
+    if (this.response.write(bytes)) return;
+    received.message.pause();
+    this.response.once("drain", () => received.message.resume());
   }
 
   /** Writes the head with the first event, so that a stream interrupted before it can still get another response. */
-  private writeHead(endpointResponse: IncomingMessage): void {
+  private writeHead({ message, framing }: EndpointResponse): void {
     if (this.response.headersSent) return;
-    const headers = copyResponseHeaders(endpointResponse.rawHeaders);
-    if (this.isLeaving()) headers.push("Connection", "close");
-    this.response.writeHead(endpointResponse.statusCode ?? 0, endpointResponse.statusMessage, headers);
+    const headers = copyResponseHeaders(message.rawHeaders);
+    writeResponseHead(this.response, message, { headers, framing, closes: this.isLeaving() });
   }
 }
--- a/packages/standins/src/scriptedEndpoint.ts
+++ b/packages/standins/src/scriptedEndpoint.ts
@@ -93,7 +93,8 @@
 /** Responds 200 with a server stamp and a body that contains the request's id. */
 export function respondSuccess({ id, response }: EndpointRequest): void {
   const body = `answer to ${id}`;
-  response.writeHead(200, { "x-id": id, "x-stamp": "signed", "content-length": body.length });
+  const headers = { "content-type": "text/plain", "content-length": body.length };
+  response.writeHead(200, { "x-id": id, "x-stamp": "signed", ...headers });
   response.end(body);
 }
 
