--- a/packages/standins/src/callerEnd.ts
+++ b/packages/standins/src/callerEnd.ts
@@ -2,7 +2,7 @@
  * What a caller can know of the end of a response: from its frame, or, if it has none, from the end of its connection.
  * @module
  */
-import type { ClientRequestArgs, IncomingMessage } from "node:http";
+import { Agent, type ClientRequestArgs, type IncomingMessage } from "node:http";
 import { connect, type Socket } from "node:net";
 
 /** How a response ended, as its caller sees it. */
@@ -19,7 +19,14 @@
 
 const resetSockets = new WeakSet<Socket>();
 
-/** Connects to a server; what `readCallerEnd` needs to know of the connection's end is recorded. */
+/** Connections of callers that are kept for further requests, and whose ends are recorded. */
+export class CallerAgent extends Agent {
+  override createConnection(options: ClientRequestArgs): Socket {
+    return connectAndTrackEnd(options);
+  }
+}
+
+/** Connects to a server; what `readCallerEnd` needs to know of the connection's end is recorded, before Node.js closes it. */
 export function connectAndTrackEnd({ host, port }: ClientRequestArgs): Socket {
   const socket = connect({ host: host ?? "", port: Number(port) });
   socket.on("error", () => resetSockets.add(socket));
