--- a/packages/gateway/test/crashingRequest.test.ts
+++ b/packages/gateway/test/crashingRequest.test.ts
@@ -34,6 +34,23 @@
   },
 );
 
+t.test(
+  "a request that crashes endpoints in the middle of a response without frame is not cleared by what arrived",
+  async (t) => {
+    const { bench, endpoints } = await startCrashingFleet(t, 3, 4);
+    endpoints.onCrash = ({ id, socket }) => {
+      socket.write(`HTTP/1.1 200 OK\r\nx-id: ${id}\r\nx-stamp: s\r\nConnection: close\r\n\r\nhalf of`);
+    };
+    for (let index = 0; index < 12; index++) {
+      const { status } = await sendCrashRequest(bench, endpoints, bench.instances[index % 3]!);
+      t.not(status, 200);
+    }
+    t.ok(endpoints.crashCount <= maxCrashes, `${endpoints.crashCount} crashed`);
+    const response = await bench.call(bench.instances[0]!, { method: "POST", key: "key", body: "harmless" });
+    t.equal(response.status, 200);
+  },
+);
+
 t.test("its quarantine outlasts all instances", async (t) => {
   const { bench, endpoints } = await startCrashingFleet(t, 2, 4);
   for (let index = 0; index < 6; index++) {
