--- a/packages/gateway/test/brokenOffResponses.test.ts
+++ b/packages/gateway/test/brokenOffResponses.test.ts
@@ -1,8 +1,12 @@
 /*
  * Guards against responses that were broken off at their endpoint and reach their callers as complete.
  */
+import { RouteKind } from "@gladewall/gateway";
 import {
   CallerEnd,
+  createRoute,
+  createWorkspace,
+  GatewayTestBench,
   PathFault,
   RawEnd,
   RawFraming,
@@ -10,6 +14,7 @@
   respondRaw,
   respondSuccess,
   ScriptedEndpoint,
+  waitUntil,
 } from "@gladewall/standins";
 import t from "tap";
 import { oncePath, readMetric, resumablePath, startCutOffFleet, streamPath } from "./cutOffFleet.js";
@@ -97,3 +102,28 @@
     else t.match(result, { status: 200, body: events[0], end: CallerEnd.Broken }, path);
   }
 });
+
+t.test(
+  "a request whose response was broken off counts once in the usage, and its endpoint's failure",
+  async (t) => {
+    const bench = GatewayTestBench.create();
+    const route = createRoute({ kind: RouteKind.Stream, attempts: 1 });
+    bench.platform.configure({ routes: [route], workspaces: [createWorkspace({})] });
+    const endpoint = await ScriptedEndpoint.create("e");
+    bench.platform.putEndpoint({ id: endpoint.id, address: endpoint.address });
+    t.teardown(() => Promise.all([bench.close(), endpoint.close()]));
+    const instance = await bench.startReady(1, "web", ["orders.usage_window=1s"]);
+    const cuts = [4, events[0]!.length, events[0]!.length + 4];
+    for (const sentBytes of cuts) {
+      endpoint.script = (call) =>
+        respondRaw(call, { framing: RawFraming.Chunked, body: stream, sentBytes, end: RawEnd.Closed });
+      await bench.call(instance, { method: "POST", key: "key" });
+    }
+    const metrics = await bench.readMetrics(instance);
+    t.match(metrics, new RegExp(`gladewall_response_ends_total{[^}]*end="Interrupted"[^}]*} ${cuts.length}`));
+    const countReported = (): number =>
+      bench.platform.orders.taken.reduce((sum, { usage }) => sum + (usage?.counts["workspace"] ?? 0), 0);
+    await waitUntil(() => countReported() >= cuts.length);
+    t.equal(countReported(), cuts.length);
+  },
+);
