Let endpoints of the response soak respond without length or chunks, and check how responses ended

Change: three in ten deliveries have neither; callers record how a response ended at their sockets. A response that ended in order without a frame must be whole unless its endpoint cut it or a fault was near: the kernel of an instance that is killed closes its callers' connections in order too, so that nobody can know there.

--- a/packages/standins/src/callerEnd.ts
+++ b/packages/standins/src/callerEnd.ts
@@ -41,5 +41,7 @@
 export function readCallerEnd({ complete, headers, socket }: IncomingMessage): CallerEnd {
   if (!complete || resetSockets.has(socket)) return CallerEnd.Broken;
   const isFramed = headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
-  return isFramed ? CallerEnd.Framed : CallerEnd.Closed;
+  if (isFramed) return CallerEnd.Framed;
+  // A caller that has closed the connection itself has not seen the end.
+  return socket.readableEnded ? CallerEnd.Closed : CallerEnd.Broken;
 }
