End a daemon whose listen address is not available with one line and an exit code of its own

What operators saw: an unhandled error with its stack, 11 lines on standard error, if another process held an address of the settings.

Change: what listens reports the address and the cause as a typed failure; both daemons print it as one line and exit with 3. The exit codes stand in one module; the gateway's daemon had a copy of one.

--- a/packages/entry/src/main.ts
+++ b/packages/entry/src/main.ts
@@ -6,14 +6,16 @@
  */
 import {
   DaemonLogs,
+  ExitCode,
   type Failure,
   parseLogLevel,
   formatSettings,
   printFailures,
   readSettings,
+  startDaemon,
   SystemClock,
 } from "@gladewall/kernel";
-import { type DaemonArguments, ExitCode, parseArguments } from "@gladewall/kernel/commandLine";
+import { type DaemonArguments, parseArguments } from "@gladewall/kernel/commandLine";
 import type { Result } from "ts-results-es";
 import { entrySchema, type EntrySettings, formatSettingsPage } from "./entrySettings.js";
 import { Entry } from "./index.js";
@@ -75,7 +77,7 @@
   if (options.print) process.stdout.write(formatSettings(entrySchema, settings.value));
   if (options.check || options.print) process.exit(ExitCode.Success);
   handleSignals(entry.value, logs, options);
-  await entry.value.start();
+  await startDaemon(() => entry.value.start());
 }
 
 await main();
--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -6,6 +6,7 @@
 import { statSync } from "node:fs";
 import {
   DaemonLogs,
+  ExitCode,
   type Failure,
   parseLogLevel,
   formatSettingsReference,
@@ -13,6 +14,7 @@
   listChangedSettings,
   printFailures,
   readSettings,
+  startDaemon,
   SystemClock,
 } from "@gladewall/kernel";
 import type { DaemonArguments } from "@gladewall/kernel/commandLine";
@@ -22,7 +24,6 @@
 
 /** Environment variable that names the settings file. */
 const fileVariable = "GLADEWALL_CONFIG";
-const invalidSettingsExitCode = 2;
 const filePollMs = 2_000;
 
 /** Runs one instance until a signal stops it; `argv` are the command-line arguments. */
@@ -46,7 +47,7 @@
     ...listChangedSettings(gatewaySchema, settings.value),
   });
   handleSignals(gateway.value, logs, options);
-  await gateway.value.start();
+  await startDaemon(() => gateway.value.start());
 }
 
 async function readArguments(argv: readonly string[]): Promise<DaemonArguments> {
@@ -69,7 +70,7 @@
 
 function exitWith(failures: readonly Failure[]): void {
   printFailures(failures);
-  process.exitCode = invalidSettingsExitCode;
+  process.exitCode = ExitCode.InvalidSettings;
 }
 
 function handleSignals(gateway: Gateway, logs: DaemonLogs, options: DaemonArguments): void {
--- a/packages/kernel/src/commandLine.ts
+++ b/packages/kernel/src/commandLine.ts
@@ -1,17 +1,10 @@
 /**
- * Command line and exit codes of the daemons. A separate module, so that a daemon without arguments does not
+ * Command line of the daemons. A separate module, so that a daemon without arguments does not
  * load yargs.
  * @module
  */
 import yargs from "yargs";
-
-/** Exit codes. */
-export enum ExitCode {
-  Success = 0,
-  Failed = 1,
-  /** The settings or the command line are invalid; no port was opened. */
-  InvalidSettings = 2,
-}
+import { ExitCode } from "./exitCodes.js";
 
 /** Parsed command line. */
 export interface DaemonArguments {
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -9,6 +9,7 @@
 export * from "./hopByHopHeaders.js";
 export * from "./daemonLogs.js";
 export * from "./daemonSettings.js";
+export * from "./exitCodes.js";
 export * from "./hashing.js";
 export * from "./lineWriter.js";
 export * from "./listen.js";
