Mutants of how responses end

Change: three guards (an end inside an event, the framing at the endpoint, the framing through a peer) that the soak of killed endpoints has to find.

--- a/scripts/mutants.mjs
+++ b/scripts/mutants.mjs
@@ -13,6 +13,7 @@
 const { runStoreSoak } = await importTest("storeSoak");
 const { runPathSoak } = await importTest("pathSoak");
 const { runRetrySoak } = await importTest("retrySoak");
+const { runKillSoak } = await importTest("killSoak");
 
 /** Runs the soak of the retry budget, whose only violation is an exceeded budget. */
 async function runBudgetSoak(options) {
@@ -124,6 +125,35 @@
     file: `${gateway}crashes/crashDetector.ts`,
     edits: [["(confirm === undefined || (await confirm(endpoint)))", "true"]],
   },
+  {
+    name: "inside-event",
+    runSoak: runKillSoak,
+    file: `${gateway}responses/responseEnd.ts`,
+    edits: [
+      ["connection === ConnectionEnd.Broken || unfinishedBytes > 0", "connection === ConnectionEnd.Broken"],
+    ],
+  },
+  {
+    name: "framing-at-endpoint",
+    runSoak: runKillSoak,
+    file: `${gateway}responses/responseWriter.ts`,
+    edits: [
+      ["if (isUnframed) response.useChunkedEncodingByDefault = false;", ""],
+      [
+        "return framing === BodyFraming.Connection ? undefined : String(bytes.length);",
+        "return String(bytes.length);",
+      ],
+    ],
+  },
+  {
+    name: "framing-through-peer",
+    runSoak: runKillSoak,
+    file: `${gateway}forwarding/forwardingProtocol.ts`,
+    edits: [
+      ["if (framing !== undefined) return framing;", ""],
+      ["framingOfPeer === BodyFraming.Chunked ? BodyFraming.Connection : framingOfPeer", "framingOfPeer"],
+    ],
+  },
 ];
 
 /** Returns a bundler plug-in that removes a guard; the build fails if the file does not contain each text exactly once. */
