--- a/packages/gateway/test/completeResponses.test.ts
+++ b/packages/gateway/test/completeResponses.test.ts
@@ -77,6 +77,20 @@
   },
 );
 
+t.test("a response that has no body is complete without a length", async (t) => {
+  const respondBodiless: EndpointScript = ({ id, method, response }) => {
+    response.writeHead(method === "HEAD" ? 200 : 204, { "x-id": id, "x-stamp": "s" });
+    response.end();
+  };
+  const { bench, instance } = await createTestBench(t, { kind: RouteKind.Unsafe, attempts: 1 }, [
+    respondBodiless,
+  ]);
+  const deleted = await bench.call(instance, { method: "DELETE" });
+  t.match(deleted, { status: 204, body: "" });
+  t.equal(deleted.headers["content-length"], undefined);
+  t.match(await bench.call(instance, { method: "HEAD" }), { status: 200, body: "" });
+});
+
 t.test(
   "a response without length is unverified if its connection is closed in order, and interrupted if it is reset",
   async (t) => {
--- a/packages/gateway/test/cutStreams.ts
+++ b/packages/gateway/test/cutStreams.ts
@@ -30,10 +30,8 @@
 /** Creates the events of a stream whose lines end in one way. */
 export function createEvents(count: number, lineEnd: string): readonly string[] {
   return Array.from({ length: count }, (_, index) =>
-    [`id: ${index + 1}`, `data: event ${index + 1}`, "", ""]
-      .join(lineEnd)
-      .slice(0, -lineEnd.length || undefined),
-  ).map((event) => event + lineEnd);
+    [`id: ${index + 1}`, `data: event ${index + 1}`, "", ""].join(lineEnd),
+  );
 }
 
 /** What an endpoint says of the end of its response. */
