Test that a caller which takes no chunks sees that its stream was broken off

Change: requests of HTTP/1.0, in each framing at the endpoint: whole streams end in order, broken ones with a reset, resumable ones continue.

--- a/packages/gateway/test/brokenOffResponses.test.ts
+++ b/packages/gateway/test/brokenOffResponses.test.ts
@@ -4,9 +4,11 @@
 import { RouteKind } from "@gladewall/gateway";
 import {
   CallerEnd,
+  connectAndTrackEnd,
   createRoute,
   createWorkspace,
   GatewayTestBench,
+  isReset,
   PathFault,
   RawEnd,
   RawFraming,
@@ -103,6 +105,40 @@
   }
 });
 
+/** Sends a request of HTTP/1.0, whose response can't come in chunks; returns the body and whether the connection was reset. */
+function callHttp10(
+  { bench }: Fleet,
+  path: string,
+): Promise<{ readonly body: string; readonly isReset: boolean }> {
+  const [host, port] = bench.instances[0]!.settings.listen.callers.split(":");
+  const socket = connectAndTrackEnd({ host, port });
+  socket.write(`POST ${path} HTTP/1.0\r\nHost: app.test\r\nx-id: old\r\nContent-Length: 0\r\n\r\n`);
+  let text = "";
+  socket.on("data", (bytes) => (text += String(bytes)));
+  return new Promise((resolve) =>
+    socket.on("close", () =>
+      resolve({ body: text.slice(text.indexOf("\r\n\r\n") + 4), isReset: isReset(socket) }),
+    ),
+  );
+}
+
+t.test("a caller that takes no chunks is shown by a reset that a stream was broken off", async (t) => {
+  const fleet = await startCutOffFleet(t, 1, 2);
+  const [first] = events;
+  for (const framing of framings) {
+    breakFirst(fleet, { framing, body: stream });
+    t.same(await callHttp10(fleet, streamPath), { body: stream, isReset: false }, RawFraming[framing]);
+    breakFirst(fleet, { framing, body: stream, sentBytes: first!.length + 4, end: RawEnd.Closed });
+    const cut = await callHttp10(fleet, streamPath);
+    t.ok(cut.isReset, `${RawFraming[framing]}, cut`);
+    // A reset may overtake what the caller has not read yet.
+    t.ok(["", first].includes(cut.body));
+    breakFirst(fleet, { framing, body: stream, sentBytes: first!.length + 4, end: RawEnd.Closed });
+    const continued = await callHttp10(fleet, resumablePath);
+    t.same(continued, { body: stream, isReset: false }, `${RawFraming[framing]}, continued`);
+  }
+});
+
 t.test(
   "a request whose response was broken off counts once in the usage, and its endpoint's failure",
   async (t) => {
--- a/packages/standins/src/callerEnd.ts
+++ b/packages/standins/src/callerEnd.ts
@@ -37,9 +37,14 @@
   return socket;
 }
 
+/** Whether a tracked connection was reset. */
+export function isReset(socket: Socket): boolean {
+  return resetSockets.has(socket);
+}
+
 /** Returns how a response ended that has been read over a tracked connection. */
 export function readCallerEnd({ complete, headers, socket }: IncomingMessage): CallerEnd {
-  if (!complete || resetSockets.has(socket)) return CallerEnd.Broken;
+  if (!complete || isReset(socket)) return CallerEnd.Broken;
   const isFramed = headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
   if (isFramed) return CallerEnd.Framed;
   // A caller that has closed the connection itself has not seen the end.
