Let the fake engine stream without length or chunks, and test that its cut streams are not complete

Change: the promises about engines that truncate, repeat, mix or skip events are kept in both framings; a stream of the entry ends with its end marker, so that its connection's end was never taken for it. What lets a response end with its connection stands in one place of the stand-ins.

--- a/packages/operator/test/promises.test.ts
+++ b/packages/operator/test/promises.test.ts
@@ -272,16 +272,18 @@
   "gives no wrong response as complete when an engine truncates, repeats, mixes or skips events",
   async (t) => {
     const { fleet, caller } = await createTestFleet(t);
-    for (const fault of [
+    const faults = [
       EngineFault.CutStream,
       EngineFault.NoEndMark,
       EngineFault.Duplicate,
       EngineFault.Foreign,
       EngineFault.SkipToken,
       EngineFault.Refuse,
-    ]) {
+    ];
+    for (const [index, fault] of [...faults, ...faults].entries()) {
       const [engine] = fleet.engines.values();
       engine!.fault = fault;
+      engine!.isUnframed = index >= faults.length;
       engine!.faultAfter = 3;
       const requests = [CallerRequestKind.Stream, CallerRequestKind.Whole, CallerRequestKind.Draft].map(
         (kind) => createRequest(kind, 8),
--- a/packages/standins/src/fakeEngine.ts
+++ b/packages/standins/src/fakeEngine.ts
@@ -5,6 +5,7 @@
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { type Clock, type Closeable, SystemClock, waitFor } from "@gladewall/kernel";
+import { removeFrame } from "./rawResponse.js";
 import { getBlockKeys, PrefixCache, type RunRecord, RunState } from "./engineRecord.js";
 import { FakeHttpServer, readText, sendJson } from "./fakeHttpServer.js";
 import {
@@ -81,6 +82,8 @@
   readonly records: RunRecord[] = [];
   fault = EngineFault.None;
   faultAfter = 0;
+  /** Whether streams have neither length nor chunks, and end with their connection. */
+  isUnframed = false;
   private readonly runs = new Map<string, Run>();
   private readonly queue: Run[] = [];
   private readonly cache: PrefixCache;
@@ -268,6 +271,7 @@
   ): Promise<void> {
     const { record } = run;
     const load = `${this.running}/${this.queue.length}/${this.options.width}`;
+    if (this.isUnframed) removeFrame(response);
     response.writeHead(200, {
       "content-type": "text/event-stream",
       "x-run-id": record.runId,
--- a/packages/standins/src/rawResponse.ts
+++ b/packages/standins/src/rawResponse.ts
@@ -2,6 +2,7 @@
  * Responses of endpoints as raw bytes: in every framing that HTTP/1.1 has, whole or broken off at any byte.
  * @module
  */
+import type { ServerResponse } from "node:http";
 import type { EndpointRequest } from "./scriptedEndpoint.js";
 
 /** How the end of a response's body is marked. */
@@ -40,6 +41,12 @@
   [RawFraming.Unframed]: () => "",
 };
 
+/** Lets a response of Node.js end with its connection, without length or chunks; to be called before its head is written. */
+export function removeFrame(response: ServerResponse): void {
+  response.useChunkedEncodingByDefault = false;
+  response.setHeader("connection", "close");
+}
+
 /** Sends a response in two writes, and ends it as it states. */
 export function respondRaw({ id, socket }: EndpointRequest, response: RawResponse): void {
   const { framing, body, sentBytes, end = RawEnd.FrameClosed, contentType = "text/event-stream" } = response;
