--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -130,6 +130,8 @@
   readonly slots: number;
   readonly isLeaving: boolean;
   readonly isReclaimable: boolean;
+  /** Version of the endpoint's software, not of a model; undefined if the record does not state it. */
+  readonly softwareVersion?: string | undefined;
 }
 
 /** An item of the platform's store. */
