Move what is known of endpoints into a folder of its own

Endpoints, their availability and directory, their connections and what instances tell of leaving ones lay flat in the gateway. The files are moved whole; only imports change.

--- a/packages/gateway/src/attemptStage.ts
+++ b/packages/gateway/src/attemptStage.ts
@@ -4,7 +4,7 @@
  */
 import { Failure, FailureCode } from "@gladewall/kernel";
 import { AttemptOutcome, type AttemptResult } from "./attempt.js";
-import type { Endpoint } from "./endpoint.js";
+import type { Endpoint } from "./endpoints/endpoint.js";
 import {
   type AttemptContent,
   type AttemptRoute,
--- a/packages/gateway/src/capacityOrders.ts
+++ b/packages/gateway/src/capacityOrders.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { Clock, Logger } from "@gladewall/kernel";
-import type { Endpoint } from "./endpoint.js";
+import type { Endpoint } from "./endpoints/endpoint.js";
 import { planCapacity, type HallCount } from "./capacityPlan.js";
 import {
   type CapacityOrder,
--- a/packages/gateway/src/crashes/crashDetector.ts
+++ b/packages/gateway/src/crashes/crashDetector.ts
@@ -7,8 +7,8 @@
  */
 import type { Clock, Logger } from "@gladewall/kernel";
 import type { CrashRecords, CrashReport, CrashSubject, CrashUpdate } from "./crashRecords.js";
-import { type Endpoint, EndpointState } from "../endpoint.js";
-import { LeavingSource } from "../endpointAvailability.js";
+import { type Endpoint, EndpointState } from "../endpoints/endpoint.js";
+import { LeavingSource } from "../endpoints/endpointAvailability.js";
 import { ProbeResult } from "./endpointProbe.js";
 
 /** A request in flight at an endpoint. */
--- a/packages/gateway/src/crashes/suspectGate.ts
+++ b/packages/gateway/src/crashes/suspectGate.ts
@@ -13,7 +13,7 @@
   QuarantineState,
 } from "./crashRecords.js";
 import type { InFlightRequest, CrashDetector } from "./crashDetector.js";
-import type { Endpoint } from "../endpoint.js";
+import type { Endpoint } from "../endpoints/endpoint.js";
 import type { GatewayMetrics } from "../gatewayMetrics.js";
 import { isDown, type TrialReply, type TrialCallArguments, TrialDecision } from "./trialScheduler.js";
 
--- a/packages/gateway/src/crashes/trialScheduler.ts
+++ b/packages/gateway/src/crashes/trialScheduler.ts
@@ -5,7 +5,7 @@
  */
 import type { Clock, Timer } from "@gladewall/kernel";
 import { type CrashRecords, type CrashSubject, QuarantineState } from "./crashRecords.js";
-import type { Endpoint, PeerWork } from "../endpoint.js";
+import type { Endpoint, PeerWork } from "../endpoints/endpoint.js";
 
 /** Arguments of a call for a trial: an isolated request that is waiting to run. */
 export interface TrialCallArguments {
--- a/packages/gateway/src/endpoint.ts
+++ b/packages/gateway/src/endpoints/endpoint.ts
@@ -4,10 +4,10 @@
  */
 import { hashText } from "@gladewall/kernel";
 import { EndpointCapacity } from "@gladewall/policy";
-import type { InFlightRequest } from "./crashes/crashDetector.js";
-import { leastUrgentRank } from "./limits/endpointLimit.js";
+import type { InFlightRequest } from "../crashes/crashDetector.js";
+import { leastUrgentRank } from "../limits/endpointLimit.js";
 import { EndpointAvailability } from "./endpointAvailability.js";
-import type { EndpointLoad, EndpointRecord } from "./types.js";
+import type { EndpointLoad, EndpointRecord } from "../types.js";
 
 /** Whether an endpoint accepts new requests, from its record and its notices. */
 export enum EndpointState {
--- a/packages/gateway/src/endpointAvailability.ts
+++ b/packages/gateway/src/endpoints/endpointAvailability.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import type { Clock } from "@gladewall/kernel";
-import { type ResponseTimes, EndpointLimit, leastUrgentRank, LimitChange } from "./limits/endpointLimit.js";
+import { type ResponseTimes, EndpointLimit, leastUrgentRank, LimitChange } from "../limits/endpointLimit.js";
 
 /** Source from which it is known that an endpoint is leaving. */
 export enum LeavingSource {
--- a/packages/gateway/src/endpointConnections.ts
+++ b/packages/gateway/src/endpoints/endpointConnections.ts
@@ -8,7 +8,7 @@
 import type { Duplex } from "node:stream";
 import { destroyIdleSockets, parseAddress } from "@gladewall/kernel";
 import type { Endpoint } from "./endpoint.js";
-import { trackConnectionEnd } from "./responses/connectionEnds.js";
+import { trackConnectionEnd } from "../responses/connectionEnds.js";
 
 const maxIdle = 32;
 /** Idle connections are closed after this time, unless the endpoint names a shorter one. */
--- a/packages/gateway/src/endpointDirectory.ts
+++ b/packages/gateway/src/endpoints/endpointDirectory.ts
@@ -11,8 +11,8 @@
 import { Endpoint, EndpointState, getIncarnation, getEndpointId } from "./endpoint.js";
 import { EndpointAvailability, AvailabilityCache, LeavingSource } from "./endpointAvailability.js";
 import { RemovedIncarnations } from "./removedIncarnations.js";
-import { PrefixFollower, type Removal, RemovalCause } from "./prefixFollower.js";
-import type { EndpointNotice, EndpointRecord, PlatformAdapter, StoreItem } from "./types.js";
+import { PrefixFollower, type Removal, RemovalCause } from "../prefixFollower.js";
+import type { EndpointNotice, EndpointRecord, PlatformAdapter, StoreItem } from "../types.js";
 
 /** Options of a directory. */
 export interface EndpointDirectoryOptions {
--- a/packages/gateway/src/fleetWork.ts
+++ b/packages/gateway/src/fleetWork.ts
@@ -5,8 +5,8 @@
  */
 import { getIncarnationKey, type PeerIdentity } from "@gladewall/coordination";
 import type { Clock } from "@gladewall/kernel";
-import type { PeerWork } from "./endpoint.js";
-import { type EndpointWork, subtractWork, sumWork } from "./endpointWork.js";
+import type { PeerWork } from "./endpoints/endpoint.js";
+import { type EndpointWork, subtractWork, sumWork } from "./endpoints/endpointWork.js";
 import type { PlacementEntry, PlacementRelayMessage, ReportMessage } from "./memberMessages.js";
 import { PeerWorkViews } from "./peerWorkViews.js";
 import { PlacementRelay } from "./placementRelay.js";
--- a/packages/gateway/src/forwarding/attemptRoute.ts
+++ b/packages/gateway/src/forwarding/attemptRoute.ts
@@ -5,7 +5,7 @@
  */
 import { destroyIdleSockets, type Timer } from "@gladewall/kernel";
 import { Attempt, AttemptOutcome, type AttemptOptions, type AttemptResult } from "../attempt.js";
-import type { Endpoint } from "../endpoint.js";
+import type { Endpoint } from "../endpoints/endpoint.js";
 import type { RequestContext } from "../requestContext.js";
 import { createForwardHeaders, ForwardResult, removeForwardHeaders } from "./forwardingProtocol.js";
 import type { ForwardingPeer } from "./forwardingPeers.js";
--- a/packages/gateway/src/forwarding/forwardingParts.ts
+++ b/packages/gateway/src/forwarding/forwardingParts.ts
@@ -6,7 +6,7 @@
 import type { BrittleServices } from "../brittle/brittleServices.js";
 import type { CrashProtection } from "../crashes/crashProtection.js";
 import { probeEndpoint } from "../crashes/endpointProbe.js";
-import { EndpointConnections } from "../endpointConnections.js";
+import { EndpointConnections } from "../endpoints/endpointConnections.js";
 import { canServe, type GatewayParts, type GatewayState } from "../gatewayParts.js";
 import type { GatewaySettings } from "../gatewaySettings.js";
 import type { Members } from "../members.js";
--- a/packages/gateway/src/forwarding/forwardingPeers.ts
+++ b/packages/gateway/src/forwarding/forwardingPeers.ts
@@ -5,7 +5,7 @@
 import type { Agent } from "node:http";
 import type { Clock, Logger } from "@gladewall/kernel";
 import { parseAddress } from "@gladewall/kernel";
-import { type EndpointPool, PoolAgent } from "../endpointConnections.js";
+import { type EndpointPool, PoolAgent } from "../endpoints/endpointConnections.js";
 import { ForwardResult } from "./forwardingProtocol.js";
 
 /** A peer that accepts attempts to pass on. */
--- a/packages/gateway/src/forwarding/forwardingServer.ts
+++ b/packages/gateway/src/forwarding/forwardingServer.ts
@@ -10,9 +10,9 @@
 import { Attempt, AttemptOutcome } from "../attempt.js";
 import type { InFlightRequest } from "../crashes/crashDetector.js";
 import { createSubject } from "../crashes/requestFingerprint.js";
-import type { Endpoint } from "../endpoint.js";
-import type { EndpointConnections } from "../endpointConnections.js";
-import type { EndpointDirectory } from "../endpointDirectory.js";
+import type { Endpoint } from "../endpoints/endpoint.js";
+import type { EndpointConnections } from "../endpoints/endpointConnections.js";
+import type { EndpointDirectory } from "../endpoints/endpointDirectory.js";
 import { readRequestBody } from "../requestBody.js";
 import type { EndChecker } from "../responses/endChecker.js";
 import { endConsequences, formatEnd, ResponseEnd } from "../responses/responseEnd.js";
--- a/packages/gateway/src/forwarding/servicePaths.ts
+++ b/packages/gateway/src/forwarding/servicePaths.ts
@@ -8,7 +8,7 @@
  */
 import { type Clock, type Logger, type Timer } from "@gladewall/kernel";
 import { ProbeResult } from "../crashes/endpointProbe.js";
-import type { Endpoint } from "../endpoint.js";
+import type { Endpoint } from "../endpoints/endpoint.js";
 
 /** An attempt over a connection of this instance that has no response yet, or whose response has not ended. */
 export interface WatchedAttempt {
--- a/packages/gateway/src/gatewayMetrics.ts
+++ b/packages/gateway/src/gatewayMetrics.ts
@@ -5,7 +5,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { ConnectionTraffic } from "@gladewall/coordination";
 import { type Closeable, listen, Metrics } from "@gladewall/kernel";
-import { LeavingSource } from "./endpointAvailability.js";
+import { LeavingSource } from "./endpoints/endpointAvailability.js";
 import { OverloadMode } from "./overloadSwitch.js";
 import { BodyFraming, type EndedResponse, EndEvidence, ResponseEnd } from "./responses/responseEnd.js";
 
--- a/packages/gateway/src/gatewayParts.ts
+++ b/packages/gateway/src/gatewayParts.ts
@@ -5,9 +5,9 @@
 import { getIncarnationKey } from "@gladewall/coordination";
 import type { Clock, Logger } from "@gladewall/kernel";
 import type { Admission } from "./limits/admission.js";
-import type { Endpoint, PeerWork } from "./endpoint.js";
-import type { EndpointConnections } from "./endpointConnections.js";
-import { EndpointDirectory } from "./endpointDirectory.js";
+import type { Endpoint, PeerWork } from "./endpoints/endpoint.js";
+import type { EndpointConnections } from "./endpoints/endpointConnections.js";
+import { EndpointDirectory } from "./endpoints/endpointDirectory.js";
 import type { BrittleServices } from "./brittle/brittleServices.js";
 import { CapacityOrders } from "./capacityOrders.js";
 import { CrashProtection } from "./crashes/crashProtection.js";
@@ -28,7 +28,7 @@
 import type { EraSettling } from "./eraSettling.js";
 import { reportEras } from "./eraReporting.js";
 import { createFeedTimings, type FeedTimings } from "./feedTimings.js";
-import { LeavingGossip } from "./leavingGossip.js";
+import { LeavingGossip } from "./endpoints/leavingGossip.js";
 import type { EndpointLimits } from "./limits/endpointLimits.js";
 import { FencedOrders } from "./fencedOrders.js";
 import {
--- a/packages/gateway/src/limits/endpointLimits.ts
+++ b/packages/gateway/src/limits/endpointLimits.ts
@@ -4,8 +4,8 @@
  * @module
  */
 import type { Clock, Logger } from "@gladewall/kernel";
-import type { Endpoint } from "../endpoint.js";
-import type { EndpointDirectory, LogFields, ResponseReference } from "../endpointDirectory.js";
+import type { Endpoint } from "../endpoints/endpoint.js";
+import type { EndpointDirectory, LogFields, ResponseReference } from "../endpoints/endpointDirectory.js";
 import { type ResponseTimes, LimitChange } from "./endpointLimit.js";
 import type { PeerLimit } from "./limitMessages.js";
 import type { AdvertisedLimit } from "../types.js";
--- a/packages/gateway/src/limits/limitGossip.ts
+++ b/packages/gateway/src/limits/limitGossip.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { PeerIdentity, PeerMessage } from "@gladewall/coordination";
-import type { EndpointDirectory } from "../endpointDirectory.js";
+import type { EndpointDirectory } from "../endpoints/endpointDirectory.js";
 import type { EndpointLimits } from "./endpointLimits.js";
 import { FleetBroadcast, type FleetTopology } from "../fleetBroadcast.js";
 import {
--- a/packages/gateway/src/limits/permitClient.ts
+++ b/packages/gateway/src/limits/permitClient.ts
@@ -5,7 +5,7 @@
  */
 import type { Clock, Logger } from "@gladewall/kernel";
 import type { Arbiters } from "./arbiters.js";
-import type { Endpoint } from "../endpoint.js";
+import type { Endpoint } from "../endpoints/endpoint.js";
 import type { PermitGrant } from "./endpointLimit.js";
 import type { EndpointLimits } from "./endpointLimits.js";
 import type { GatewayMetrics } from "../gatewayMetrics.js";
--- a/packages/gateway/src/members.ts
+++ b/packages/gateway/src/members.ts
@@ -10,7 +10,7 @@
 import { getIncarnationKey, LinkMessageKind, type PeerIdentity, PeerLinks } from "@gladewall/coordination";
 import { type Closeable, waitFor } from "@gladewall/kernel";
 import { Arbiters, type ArbitersOptions } from "./limits/arbiters.js";
-import type { PeerWork } from "./endpoint.js";
+import type { PeerWork } from "./endpoints/endpoint.js";
 import type { ConfigurationFollower } from "./configurationFollower.js";
 import type { ForwardingPeer } from "./forwarding/forwardingPeers.js";
 import type { FeedTimings } from "./feedTimings.js";
--- a/packages/gateway/src/placement.ts
+++ b/packages/gateway/src/placement.ts
@@ -5,8 +5,8 @@
  * @module
  */
 import { type Clock, hashText, mixHashes } from "@gladewall/kernel";
-import type { Endpoint, PeerWork } from "./endpoint.js";
-import { EndpointState, unknownLatencyMs } from "./endpoint.js";
+import type { Endpoint, PeerWork } from "./endpoints/endpoint.js";
+import { EndpointState, unknownLatencyMs } from "./endpoints/endpoint.js";
 import { CompletionDraw } from "./completionDraw.js";
 import type { PrefixIndex } from "./prefixIndex.js";
 import type { PromptPart, Service } from "./types.js";
--- a/packages/gateway/src/readerViews.ts
+++ b/packages/gateway/src/readerViews.ts
@@ -5,7 +5,7 @@
  */
 import type { PeerIdentity } from "@gladewall/coordination";
 import type { Clock, Logger } from "@gladewall/kernel";
-import type { EndpointWork } from "./endpointWork.js";
+import type { EndpointWork } from "./endpoints/endpointWork.js";
 import type { ViewMessage } from "./memberMessages.js";
 import type { CounterTotals, CounterView, SharedCounters } from "./sharedCounters.js";
 
--- a/packages/gateway/src/responses/endChecker.ts
+++ b/packages/gateway/src/responses/endChecker.ts
@@ -5,7 +5,7 @@
  */
 import { type Clock, waitFor } from "@gladewall/kernel";
 import { ProbeResult } from "../crashes/endpointProbe.js";
-import { type Endpoint, EndpointState } from "../endpoint.js";
+import { type Endpoint, EndpointState } from "../endpoints/endpoint.js";
 import { type EndedResponse, EndEvidence, ResponseEnd } from "./responseEnd.js";
 
 /** Options of the checker. */
--- a/packages/gateway/src/responses/relayStage.ts
+++ b/packages/gateway/src/responses/relayStage.ts
@@ -3,7 +3,7 @@
  * @module
  */
 import { Failure, FailureCode } from "@gladewall/kernel";
-import type { Endpoint } from "../endpoint.js";
+import type { Endpoint } from "../endpoints/endpoint.js";
 import type { Placement } from "../placement.js";
 import { NextStep, type RequestContext } from "../requestContext.js";
 import { type ReceivedBody, readResponseBody } from "./responseBody.js";
--- a/packages/gateway/src/slots/slotArbiter.ts
+++ b/packages/gateway/src/slots/slotArbiter.ts
@@ -6,8 +6,8 @@
 import type { PeerIdentity, PeerMessage } from "@gladewall/coordination";
 import type { Clock, Logger, Timer } from "@gladewall/kernel";
 import type { SlotEndpoint, SlotScheduler } from "@gladewall/policy";
-import type { Endpoint, PeerWork } from "../endpoint.js";
-import type { EndpointDirectory } from "../endpointDirectory.js";
+import type { Endpoint, PeerWork } from "../endpoints/endpoint.js";
+import type { EndpointDirectory } from "../endpoints/endpointDirectory.js";
 import type { FleetTopology } from "../fleetBroadcast.js";
 import { FormerGrants, getSubstituteSlots } from "./formerGrants.js";
 import { ArbiterTerms } from "../limits/arbiterTerms.js";
--- a/packages/gateway/src/slots/slotClient.ts
+++ b/packages/gateway/src/slots/slotClient.ts
@@ -5,7 +5,7 @@
  */
 import type { Clock, Logger, Timer } from "@gladewall/kernel";
 import { SlotRefusal } from "@gladewall/policy";
-import type { EndpointDirectory } from "../endpointDirectory.js";
+import type { EndpointDirectory } from "../endpoints/endpointDirectory.js";
 import type { GatewayMetrics } from "../gatewayMetrics.js";
 import type { HeldSlot } from "./heldSlot.js";
 import { OverloadMode, type OverloadSwitch } from "../overloadSwitch.js";
--- a/packages/gateway/src/slots/slotContention.ts
+++ b/packages/gateway/src/slots/slotContention.ts
@@ -5,7 +5,7 @@
  */
 import type { Clock, Logger, Timer } from "@gladewall/kernel";
 import { maxReportAgeMs } from "@gladewall/policy";
-import type { EndpointDirectory } from "../endpointDirectory.js";
+import type { EndpointDirectory } from "../endpoints/endpointDirectory.js";
 import type { Service } from "../types.js";
 
 /** Options of the decision. */
