Let a stream go on only at the software version that began it

Where no endpoint of the version serves, the request fails at once. A record whose version changes under one id is that of another process.

The log names the version in endpoint.added, stream.cut, attempt.failed, request.served and request.failed.

--- a/packages/gateway/src/activeRequest.ts
+++ b/packages/gateway/src/activeRequest.ts
@@ -56,6 +56,8 @@
 
   private async attemptOnce(): Promise<NextStep> {
     const { context } = this;
+    if (!context.isServable())
+      return this.failUnplaced(createRefusal(FailureCode.NoEndpoint, context.request.service));
     if (!(await this.permitStage.chargeRun())) return NextStep.Fail;
     if (context.isOver) return NextStep.Done;
     if (!this.permitStage.isAttemptWorthwhile()) return NextStep.Fail;
--- a/packages/gateway/src/attemptStage.ts
+++ b/packages/gateway/src/attemptStage.ts
@@ -199,6 +199,7 @@
     const fingerprint = isLost ? context.subject.fingerprint : undefined;
     context.log("attempt.failed", {
       endpoint: endpoint.id,
+      softwareVersion: endpoint.record.softwareVersion,
       end: AttemptOutcome[result.outcome],
       detail: result.detail,
       peer: route.peer?.name,
--- a/packages/gateway/src/crashes/suspectGate.ts
+++ b/packages/gateway/src/crashes/suspectGate.ts
@@ -15,6 +15,7 @@
 import type { InFlightRequest, CrashDetector } from "./crashDetector.js";
 import type { Endpoint } from "../endpoints/endpoint.js";
 import type { GatewayMetrics } from "../gatewayMetrics.js";
+import { mayServe, type StreamOrigin } from "../origins/streamOrigin.js";
 import { isDown, type TrialReply, type TrialCallArguments, TrialDecision } from "./trialScheduler.js";
 
 /** Options of the gate. */
@@ -38,6 +39,8 @@
   readonly service: string;
   /** Incarnations of endpoints that it was sent to before. */
   readonly excluded: ReadonlySet<string>;
+  /** Where the stream began that it goes on with; undefined if any endpoint of the service may serve it. */
+  readonly origin?: StreamOrigin | undefined;
   /** Milliseconds until it must have its final response. */
   readonly leftMs: number;
 }
@@ -113,14 +116,16 @@
   }
 
   /**
-   * Endpoints that this request must not be sent to. Includes endpoints on hold-off at this instance,
-   * because the arbiter has no record of its hold-offs.
+   * Endpoints that this request must not be sent to. Includes endpoints on hold-off at this instance and those at which its
+   * stream can't go on, because the arbiter has no record of either.
    */
-  private getExcluded({ service, excluded }: SuspectRequest): readonly string[] {
+  private getExcluded({ service, excluded, origin }: SuspectRequest): readonly string[] {
     const { clock, getEndpoints } = this.options;
     const time = clock.getTime();
-    const heldOff = getEndpoints(service).filter(({ availability }) => !availability.acceptsRequest(time));
-    return [...excluded, ...heldOff.map(({ incarnation }) => incarnation)];
+    const unsuitable = getEndpoints(service).filter(
+      (endpoint) => !endpoint.availability.acceptsRequest(time) || !mayServe(origin, endpoint),
+    );
+    return [...excluded, ...unsuitable.map(({ incarnation }) => incarnation)];
   }
 
   /** Waits until peers' reports of crashes at the same moment have had time to arrive. */
@@ -151,7 +156,7 @@
   }
 
   private beginTrial(
-    { subject, service }: SuspectRequest,
+    { subject, service, origin }: SuspectRequest,
     incarnation: string,
     state: QuarantineState,
   ): Result<Trial | undefined, Failure> {
@@ -163,7 +168,8 @@
       hasEnded = true;
     };
     // The endpoint may have announced meanwhile that it is leaving, or requested a hold-off.
-    if (endpoint?.acceptsRequest(clock.getTime()) && isRunnable(state)) return Ok({ endpoint, end });
+    const isSuitable = endpoint?.acceptsRequest(clock.getTime()) === true && mayServe(origin, endpoint);
+    if (isSuitable && isRunnable(state)) return Ok({ endpoint, end });
     end();
     return Err(createBusyRefusal(service));
   }
--- a/packages/gateway/src/endpoints/endpointDirectory.ts
+++ b/packages/gateway/src/endpoints/endpointDirectory.ts
@@ -239,7 +239,7 @@
       logger.info("endpoint.refused", { key, text: "the record belongs to an earlier incarnation" });
       return;
     }
-    if (known && getIncarnation(record) !== known.incarnation) {
+    if (known && isAnotherProcess(record, known)) {
       this.setState(known, EndpointState.Leaving, "restarted");
       this.forget(known);
     }
@@ -283,8 +283,9 @@
     const group = this.byService.get(record.service) ?? [];
     this.byService.set(record.service, group);
     group.push(endpoint);
-    const { id, born, service, hall, address, isReclaimable } = record;
-    this.options.logger.info("endpoint.added", { endpoint: id, born, service, hall, address, isReclaimable });
+    const { id, born, service, softwareVersion, hall, address, isReclaimable } = record;
+    const fields = { endpoint: id, born, service, softwareVersion, hall, address, isReclaimable };
+    this.options.logger.info("endpoint.added", fields);
     return endpoint;
   }
 
@@ -369,6 +370,11 @@
   }
 }
 
+/** Whether a record is not that of the process which a known one is of; software does not change while a process runs. */
+function isAnotherProcess(record: EndpointRecord, { incarnation, record: known }: Endpoint): boolean {
+  return getIncarnation(record) !== incarnation || record.softwareVersion !== known.softwareVersion;
+}
+
 /** Whether a record belongs to an earlier incarnation than a known one; a record without a start time can't be later. */
 function isEarlierIncarnation({ born }: EndpointRecord, known: EndpointRecord): boolean {
   return known.born !== undefined && (born === undefined || born < known.born);
--- a/packages/gateway/src/forwarding/attemptRoute.ts
+++ b/packages/gateway/src/forwarding/attemptRoute.ts
@@ -139,7 +139,11 @@
       sender: settings.instance.name,
       receiver: peer.name,
     };
-    const own = createForwardHeaders(settings.peers.secret, request, context.workspace);
+    const { softwareVersion } = endpoint.record;
+    const own = createForwardHeaders(settings.peers.secret, request, {
+      workspace: context.workspace,
+      softwareVersion,
+    });
     const headers = [...removeForwardHeaders(content.headers), ...own];
     return Attempt.create({ ...content, headers, pool: forwarding.getPool(peer), isForwarded: true });
   }
--- a/packages/gateway/src/forwarding/forwardingProtocol.ts
+++ b/packages/gateway/src/forwarding/forwardingProtocol.ts
@@ -47,22 +47,33 @@
 const endpointHeader = `${headerPrefix}endpoint`;
 const senderHeader = `${headerPrefix}sender`;
 const workspaceHeader = `${headerPrefix}workspace`;
+const versionHeader = `${headerPrefix}software-version`;
 const nonceHeader = `${headerPrefix}nonce`;
 const signatureHeader = `${headerPrefix}signature`;
 const resultHeader = `${headerPrefix}result`;
 const framingHeader = `${headerPrefix}framing`;
 const nonceBytes = 12;
 
-/**
- * Creates the headers that are added to a request: name, value, name, value, … The workspace is not signed, as earlier builds do not
- * send it.
- */
-export function createForwardHeaders(secret: string, request: ForwardedRequest, workspace: string): string[] {
+/** What is sent with a request and not signed, as earlier builds do not send it. */
+export interface ForwardContext {
+  /** Empty on public routes. */
+  readonly workspace: string;
+  /** Software version of the endpoint, as the sender knows it; undefined if its record states none. */
+  readonly softwareVersion: string | undefined;
+}
+
+/** Creates the headers that are added to a request: name, value, name, value, … */
+export function createForwardHeaders(
+  secret: string,
+  request: ForwardedRequest,
+  { workspace, softwareVersion }: ForwardContext,
+): string[] {
   const nonce = randomBytes(nonceBytes).toString("hex");
   const signature = sign(secret, nonce, request).toString("hex");
   return [
     ...[endpointHeader, request.endpoint, senderHeader, request.sender],
     ...[workspaceHeader, encodeURIComponent(workspace)],
+    ...(softwareVersion === undefined ? [] : [versionHeader, encodeURIComponent(softwareVersion)]),
     ...[nonceHeader, nonce, signatureHeader, signature],
   ];
 }
@@ -76,7 +87,16 @@
 
 /** Returns the workspace of a received request, empty on public routes; undefined if an earlier build sent it. */
 export function readWorkspace(headers: IncomingHttpHeaders): string | undefined {
-  const text = headers[workspaceHeader];
+  return readEncoded(headers, workspaceHeader);
+}
+
+/** Returns the software version that the sender of a received request expects; undefined if it states none. */
+export function readExpectedVersion(headers: IncomingHttpHeaders): string | undefined {
+  return readEncoded(headers, versionHeader);
+}
+
+function readEncoded(headers: IncomingHttpHeaders, name: string): string | undefined {
+  const text = headers[name];
   if (typeof text !== "string") return undefined;
   try {
     return decodeURIComponent(text);
--- a/packages/gateway/src/forwarding/forwardingServer.ts
+++ b/packages/gateway/src/forwarding/forwardingServer.ts
@@ -23,6 +23,7 @@
   type ForwardedRequest,
   ForwardResult,
   isAuthentic,
+  readExpectedVersion,
   readForwardHeaders,
   readWorkspace,
 } from "./forwardingProtocol.js";
@@ -147,6 +148,9 @@
     if (this.openCount > maxOpen) return ForwardResult.Busy;
     const endpoint = directory.find(request.endpoint);
     if (!endpoint?.isUsable()) return ForwardResult.UnknownEndpoint;
+    // The sender chose it by its software version, and another may have started under its id.
+    const expectedVersion = readExpectedVersion(headers) ?? endpoint.record.softwareVersion;
+    if (endpoint.record.softwareVersion !== expectedVersion) return ForwardResult.UnknownEndpoint;
     return paths.isDirect(endpoint) ? { request, endpoint } : ForwardResult.CutOff;
   }
 
--- a/packages/gateway/src/placement.ts
+++ b/packages/gateway/src/placement.ts
@@ -8,6 +8,7 @@
 import type { Endpoint, PeerWork } from "./endpoints/endpoint.js";
 import { EndpointState, unknownLatencyMs } from "./endpoints/endpoint.js";
 import { CompletionDraw } from "./completionDraw.js";
+import { mayServe, type StreamOrigin } from "./origins/streamOrigin.js";
 import type { PrefixIndex } from "./prefixIndex.js";
 import type { PromptPart, Service } from "./types.js";
 
@@ -18,6 +19,8 @@
   readonly parts: readonly PromptPart[];
   /** Incarnations of endpoints that the request was sent to before. */
   readonly excluded: ReadonlySet<string>;
+  /** Where the stream began that the request goes on with; undefined if any endpoint of the service may serve it. */
+  readonly origin?: StreamOrigin | undefined;
   /** Urgency, 0 being the most urgent; the least urgent if omitted. */
   readonly rank?: number;
   /** Whether only endpoints that need no permit are considered. */
@@ -177,7 +180,7 @@
   }
 
   private getCandidates(
-    { service, excluded, rank, avoidsLimited = false }: PlacementRequest,
+    { service, excluded, origin, rank, avoidsLimited = false }: PlacementRequest,
     time: number,
   ): readonly Endpoint[] {
     const eligible: Endpoint[] = [];
@@ -186,6 +189,7 @@
     let reachable = 0;
     for (const endpoint of this.options.getEndpoints(service.name)) {
       if (!endpoint.acceptsRequest(time, rank) || excluded.has(endpoint.incarnation)) continue;
+      if (!mayServe(origin, endpoint)) continue;
       if (avoidsLimited && endpoint.availability.limit.perSecond !== undefined) continue;
       if (isBrittle && this.isNearlyFull(endpoint, time)) continue;
       eligible.push(endpoint);
--- a/packages/gateway/src/placementStage.ts
+++ b/packages/gateway/src/placementStage.ts
@@ -4,6 +4,7 @@
  */
 import { type Failure, FailureCode } from "@gladewall/kernel";
 import { Err, Ok, type Result } from "ts-results-es";
+import { mayServe } from "./origins/streamOrigin.js";
 import type { Placement, PlacementRequest } from "./placement.js";
 import type { RequestContext } from "./requestContext.js";
 import { createRefusal } from "./requestRefusal.js";
@@ -31,6 +32,7 @@
         subject: context.subject,
         service: service.name,
         excluded: context.excluded,
+        origin: context.origin,
         leftMs: context.getTimeLeft(),
       });
       if (trial.isErr()) return trial;
@@ -58,7 +60,8 @@
       endpoint?.record.service === request.service.name &&
       endpoint.acceptsRequest(time, request.rank) &&
       !endpoint.isUnreachable(time) &&
-      !request.excluded.has(endpoint.incarnation);
+      !request.excluded.has(endpoint.incarnation) &&
+      mayServe(request.origin, endpoint);
     const mustAvoid = request.avoidsLimited === true && endpoint?.availability.limit.perSecond !== undefined;
     if (isAccepted && !mustAvoid && !trial) return placer.describe(request, endpoint);
     slot.end();
@@ -70,8 +73,8 @@
     const { context } = this;
     const { service, head } = context.request;
     const { promptTokens = 0, parts } = head;
-    const { excluded, permitRank: rank } = context;
+    const { excluded, origin, permitRank: rank } = context;
     const avoidsLimited = context.permitRefusals >= maxPermitRefusals;
-    return { service, promptTokens, parts, excluded, rank, avoidsLimited };
+    return { service, promptTokens, parts, excluded, origin, rank, avoidsLimited };
   }
 }
--- a/packages/gateway/src/queueStage.ts
+++ b/packages/gateway/src/queueStage.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import { FailureCode, waitFor } from "@gladewall/kernel";
+import { mayServe } from "./origins/streamOrigin.js";
 import { NextStep, type RequestContext } from "./requestContext.js";
 import { createRefusal } from "./requestRefusal.js";
 import { SlotResult, type SlotAnswer, type SlotRequestInput } from "./slots/slotAcquisition.js";
@@ -115,8 +116,8 @@
   }
 
   /**
-   * Incarnations that the request can't be sent to. They include endpoints that this instance holds off or cannot reach, because
-   * the arbiter has no record of that and would grant their slots again and again.
+   * Incarnations that the request can't be sent to. They include endpoints that this instance holds off or cannot reach, or at which its
+   * stream can't go on, because the arbiter has no record of that and would grant their slots again and again.
    */
   private findExcluded(): readonly string[] | undefined {
     const { context } = this;
@@ -124,7 +125,10 @@
     const time = clock.getTime();
     const usable = directory.getOfService(context.request.service.name).filter((one) => one.isUsable());
     const eligible = usable.filter(
-      (one) => one.acceptsRequest(time, context.permitRank) && !context.excluded.has(one.incarnation),
+      (one) =>
+        one.acceptsRequest(time, context.permitRank) &&
+        !context.excluded.has(one.incarnation) &&
+        mayServe(context.origin, one),
     );
     if (eligible.length === 0) return undefined;
     const reachable = eligible.filter((one) => !one.isUnreachable(time));
--- a/packages/gateway/src/requestContext.ts
+++ b/packages/gateway/src/requestContext.ts
@@ -7,6 +7,7 @@
 import { AttemptHistory } from "./attemptHistory.js";
 import type { InFlightRequest } from "./crashes/crashDetector.js";
 import type { CrashSubject } from "./crashes/crashRecords.js";
+import { mayServe, type StreamOrigin } from "./origins/streamOrigin.js";
 import type { HeldSlot } from "./slots/heldSlot.js";
 import type { Placement } from "./placement.js";
 import { createSubject } from "./crashes/requestFingerprint.js";
@@ -41,6 +42,8 @@
   /** Whether the current attempt has neither received a response head nor failed. */
   isAttemptPending = false;
   relay: StreamRelay | undefined;
+  /** Where the stream began that is forwarded, which goes on at no other; undefined until its first event has been forwarded. */
+  origin: StreamOrigin | undefined;
   /** How the last response ended that was received; undefined before. */
   ended: EndedResponse | undefined;
   /** Reserved endpoint at which an isolated request runs; undefined if the request runs like others. */
@@ -106,6 +109,14 @@
     return this.history.runs + (isRunning ? 1 : 0);
   }
 
+  /** Whether an endpoint that accepts requests may serve this one; always true for a stream that has not begun. */
+  isServable(): boolean {
+    const { origin, parts, request } = this;
+    if (origin === undefined) return true;
+    const endpoints = parts.directory.getOfService(request.service.name);
+    return endpoints.some((endpoint) => endpoint.isUsable() && mayServe(origin, endpoint));
+  }
+
   /** Whether the request may run on one more endpoint. */
   isRetryAllowed(): boolean {
     return this.isRepeatable() && this.history.runs < this.request.admitted.route.attempts && !this.isOver;
--- a/packages/gateway/src/requestServer.ts
+++ b/packages/gateway/src/requestServer.ts
@@ -167,6 +167,7 @@
       failure: failure?.name,
       mayHaveRun: runs > 0,
       endpoint: placement?.endpoint.id,
+      softwareVersion: placement?.endpoint.record.softwareVersion,
       candidates: placement?.candidates,
       expectedMs: placement && Math.round(placement.expectedMs),
       pace: placement?.pace && Math.round(placement.pace * 100) / 100,
--- a/packages/gateway/src/responses/relayStage.ts
+++ b/packages/gateway/src/responses/relayStage.ts
@@ -4,6 +4,7 @@
  */
 import { Failure, FailureCode } from "@gladewall/kernel";
 import type { Endpoint } from "../endpoints/endpoint.js";
+import { getOrigin } from "../origins/streamOrigin.js";
 import type { Placement } from "../placement.js";
 import { NextStep, type RequestContext } from "../requestContext.js";
 import { type ReceivedBody, readResponseBody } from "./responseBody.js";
@@ -69,6 +70,7 @@
     if (isFailed && context.isRetryAllowed()) {
       context.log("attempt.failed", {
         endpoint: endpoint.id,
+        softwareVersion: endpoint.record.softwareVersion,
         end: "Answered",
         status,
         complete: !isBrokenOff,
@@ -90,12 +92,14 @@
     const { clock, getTimeOfDay, isLeaving, placer } = context.parts;
     const { response, admitted, head, arrivedAt } = context.request;
     const { endpoint } = placement;
+    const origin = getOrigin(endpoint.record);
     context.relay ??= StreamRelay.create(response, admitted.route.isResumable, isLeaving);
     const { relay } = context;
     const onFirst = (): void => {
       stream.clearPending();
       const time = clock.getTime();
       context.firstEventMs ??= time - arrivedAt;
+      context.origin ??= origin;
       this.recordPrefillRate(placement, time - stream.startedAt);
       this.scheduleTrialEnd();
       context.countUsageOnce(getTimeOfDay());
@@ -132,7 +136,9 @@
   private async handleBrokenStream(endpoint: Endpoint, relay: StreamRelay): Promise<NextStep> {
     const { context } = this;
     const { fingerprint } = context.subject;
-    context.log("stream.cut", { endpoint: endpoint.id, lastEvent: relay.lastEventId, fingerprint });
+    const { softwareVersion } = endpoint.record;
+    const { lastEventId: lastEvent } = relay;
+    context.log("stream.cut", { endpoint: endpoint.id, softwareVersion, lastEvent, fingerprint });
     const next = await this.handleInterruption(endpoint);
     return next === NextStep.Retry && !relay.canContinue() ? NextStep.Fail : next;
   }
--- a/packages/gateway/test/versionedEndpoints.ts
+++ b/packages/gateway/test/versionedEndpoints.ts
@@ -8,7 +8,12 @@
   type CallResult,
   createRoute,
   type EndpointRequest,
+  createInstanceAddress,
+  createPathName,
+  findInstancePath,
   GatewayTestBench,
+  type PathFault,
+  PathFaults,
   ScriptedEndpoint,
   waitUntil,
 } from "@gladewall/standins";
@@ -49,7 +54,10 @@
   breakOff: BreakOff = () => undefined;
   readonly endpoints = new Map<string, ScriptedEndpoint>();
 
-  private constructor(readonly bench: GatewayTestBench) {}
+  private constructor(
+    readonly bench: GatewayTestBench,
+    private readonly pathFaults: PathFaults,
+  ) {}
 
   static async create(
     t: Pick<Test, "teardown">,
@@ -58,12 +66,15 @@
     routes: readonly Route[] = [createRoute({}), createStreamRoute()],
     settings: readonly string[] = [],
   ): Promise<VersionedFleet> {
+    const pathFaults = PathFaults.install(findInstancePath);
     const bench = GatewayTestBench.create();
-    const fleet = new VersionedFleet(bench);
+    bench.platform.getAddressFor = createInstanceAddress;
+    const fleet = new VersionedFleet(bench, pathFaults);
     bench.platform.configure({ routes });
     for (const endpoint of endpoints) await fleet.addEndpoint(endpoint);
     for (let index = 0; index < instances; index++) await fleet.addInstance(settings);
     t.teardown(async () => {
+      pathFaults.uninstall();
       await bench.close();
       await Promise.all([...fleet.endpoints.values()].map((endpoint) => endpoint.close()));
     });
@@ -82,6 +93,12 @@
     );
   }
 
+  /** Lets the paths from an instance to all endpoints fail. */
+  cut(instance: number, fault: PathFault): void {
+    for (const { address } of this.endpoints.values())
+      this.pathFaults.set(createPathName(instance, address), fault);
+  }
+
   /** Starts an endpoint and writes its record. */
   async addEndpoint({ id, version, service = "web" }: VersionedEndpoint): Promise<void> {
     const endpoint = await ScriptedEndpoint.create(id, (call) => this.respond(call, id, version));
