Know at every instance at which software version a stream began

Callers that took a stream up at another instance got the rest from either version: nothing was kept of where it began. Each instance now records the origin of its resumable streams when their requests are sent. An instance that doesn't know calls its keepers. A take-up goes on at its origin, also at the service of a split route; where nobody knows, or no endpoint of that version serves, it is refused at once with a 503. The versions of a service that has several are kept as an item of the store, so that an instance that starts after one is gone knows of it. With one version nothing is told, called or written.

--- a/packages/gateway/src/activeRequestTypes.ts
+++ b/packages/gateway/src/activeRequestTypes.ts
@@ -7,6 +7,7 @@
 import type { AdmittedRequest } from "./limits/admission.js";
 import type { GatewayParts } from "./gatewayParts.js";
 import type { RequestCharge } from "./limits/quotaCharges.js";
+import type { StreamOrigin } from "./origins/streamOrigin.js";
 import type { Placement } from "./placement.js";
 import type { EndedResponse } from "./responses/responseEnd.js";
 import type { CallerRequestHead, Service } from "./types.js";
@@ -21,6 +22,7 @@
   | "paths"
   | "forwarding"
   | "endChecker"
+  | "origins"
   | "settings"
   | "placer"
   | "rates"
@@ -54,6 +56,8 @@
   readonly message: IncomingMessage;
   readonly response: ServerResponse;
   readonly body: Buffer;
+  /** Where the stream began that the request goes on with; undefined if any endpoint of the service may serve it. */
+  readonly origin: StreamOrigin | undefined;
   /** Monotonic time at which the request arrived. */
   readonly arrivedAt: number;
   /** Units charged to the workspace's limit; undefined if the request counts towards no limit. */
--- a/packages/gateway/src/endpoints/endpointDirectory.ts
+++ b/packages/gateway/src/endpoints/endpointDirectory.ts
@@ -11,6 +11,7 @@
 import { Endpoint, EndpointState, getIncarnation, getEndpointId } from "./endpoint.js";
 import { EndpointAvailability, AvailabilityCache, LeavingSource } from "./endpointAvailability.js";
 import { RemovedIncarnations } from "./removedIncarnations.js";
+import { isSameOrigin } from "../origins/streamOrigin.js";
 import { PrefixFollower, type Removal, RemovalCause } from "../prefixFollower.js";
 import type { EndpointNotice, EndpointRecord, PlatformAdapter, StoreItem } from "../types.js";
 
@@ -69,6 +70,7 @@
   readonly availabilities: AvailabilityCache;
   /** Incarnations whose records were removed. */
   private readonly removed: RemovedIncarnations;
+  private readonly additionListeners: ((endpoint: Endpoint) => void)[] = [];
   private readonly removalListeners: ((endpoint: Endpoint) => void)[] = [];
   private readonly leavingListeners: ((incarnation: string) => void)[] = [];
 
@@ -137,6 +139,11 @@
     return this.endpoints.values();
   }
 
+  /** Calls back when an endpoint is added to the directory. */
+  onAdded(listener: (endpoint: Endpoint) => void): void {
+    this.additionListeners.push(listener);
+  }
+
   /** Calls back when an endpoint is removed from the directory. */
   onRemoved(listener: (endpoint: Endpoint) => void): void {
     this.removalListeners.push(listener);
@@ -286,6 +293,7 @@
     const { id, born, service, softwareVersion, hall, address, isReclaimable } = record;
     const fields = { endpoint: id, born, service, softwareVersion, hall, address, isReclaimable };
     this.options.logger.info("endpoint.added", fields);
+    for (const listener of this.additionListeners) listener(endpoint);
     return endpoint;
   }
 
@@ -370,9 +378,9 @@
   }
 }
 
-/** Whether a record is not that of the process which a known one is of; software does not change while a process runs. */
+/** Whether a record is not that of the process which a known one is of; what software it runs does not change meanwhile. */
 function isAnotherProcess(record: EndpointRecord, { incarnation, record: known }: Endpoint): boolean {
-  return getIncarnation(record) !== incarnation || record.softwareVersion !== known.softwareVersion;
+  return getIncarnation(record) !== incarnation || !isSameOrigin(record, known);
 }
 
 /** Whether a record belongs to an earlier incarnation than a known one; a record without a start time can't be later. */
--- a/packages/gateway/src/fleetRoles.ts
+++ b/packages/gateway/src/fleetRoles.ts
@@ -4,6 +4,9 @@
  * a hash of their names where the capacity is equal. An unreachable one is skipped for the next, so that no
  * list of readers is stored and no agreement is needed.
  *
+ * Keepers remember what an instance that is killed would take along. In a large fleet these are the readers and the next instances in
+ * the same order, because all readers may end at once; they are linked only while there is something to remember.
+ *
  * It also decides which instances are collectors, which receive the reports of all instances: every instance
  * while the fleet is small (a full mesh), only the readers in a large fleet.
  * @module
@@ -18,6 +21,10 @@
   readonly largestMesh: number;
   /** Number of readers. */
   readonly count: number;
+  /** Number of keepers, at least as many; as many as readers if omitted. */
+  readonly keeperCount?: number;
+  /** Whether there is something for keepers to remember; there is not if omitted. */
+  readonly needsKeepers?: () => boolean;
   readonly getNames: () => Iterable<string>;
   readonly getCapacity: (name: string) => number;
   readonly isLinked: (name: string) => boolean;
@@ -29,6 +36,7 @@
 /** Chooses the readers, and determines whether this instance is a reader or a collector. */
 export class FleetRoles {
   private readers: readonly string[] = [];
+  private keepers: readonly string[] = [];
   private ranking: readonly string[] = [];
   /** Time since which each chosen instance has had no link. */
   private readonly unlinkedSince = new Map<string, number>();
@@ -56,7 +64,12 @@
 
   /** Instances to link with, including those that are unreachable now. */
   getLinkTargets(): readonly string[] {
-    return this.isMesh ? this.ranking : this.readers;
+    return this.isMesh ? this.ranking : this.keepers;
+  }
+
+  /** The keepers, including this instance if it is one, and those that are unreachable now. */
+  getKeepers(): readonly string[] {
+    return this.isMesh ? this.ranking : this.keepers;
   }
 
   /** The readers, including this instance if it is one, and those that are unreachable now. */
@@ -79,22 +92,30 @@
     this.chooseReaders();
   }
 
-  /** Chooses the readers again, by the links that are up; returns whether the choice has changed. */
+  /** Chooses the readers and keepers again, by the links that are up; returns whether the choice has changed. */
   chooseReaders(): boolean {
-    const { ownName, count } = this.options;
+    const { count, keeperCount = count, needsKeepers } = this.options;
+    const readers = this.choose(count);
+    const keepers = needsKeepers?.() === true ? this.choose(keeperCount) : readers;
+    for (const name of this.unlinkedSince.keys()) {
+      if (!keepers.includes(name)) this.unlinkedSince.delete(name);
+    }
+    const isChanged = readers.join() !== this.readers.join() || keepers.join() !== this.keepers.join();
+    this.readers = readers;
+    this.keepers = keepers;
+    return isChanged;
+  }
+
+  /** Returns the first instances in order, as many that a number of them can be reached. */
+  private choose(count: number): readonly string[] {
     const chosen: string[] = [];
     let reachable = 0;
     for (const name of this.ranking) {
       if (reachable >= count) break;
       chosen.push(name);
-      if (name === ownName || !this.isUnreachable(name)) reachable += 1;
+      if (name === this.options.ownName || !this.isUnreachable(name)) reachable += 1;
     }
-    for (const name of this.unlinkedSince.keys()) {
-      if (!chosen.includes(name)) this.unlinkedSince.delete(name);
-    }
-    const isChanged = chosen.join() !== this.readers.join();
-    this.readers = chosen;
-    return isChanged;
+    return chosen;
   }
 
   private isUnreachable(name: string): boolean {
--- a/packages/gateway/src/gatewayMetrics.ts
+++ b/packages/gateway/src/gatewayMetrics.ts
@@ -122,6 +122,13 @@
     this.registry.getCounter("gladewall_forwarded_total", help, { service, result }).add();
   }
 
+  /** Counts a stream that its caller takes up, by what becomes of it and how its origin is known. */
+  countTakeUp(service: string, outcome: string, source: string): void {
+    const help =
+      "Streams that callers took up, by what became of them and how it was known where they began.";
+    this.registry.getCounter("gladewall_take_ups_total", help, { service, outcome, source }).add();
+  }
+
   /** Counts units of a workspace's limit. */
   countQuota(workspace: string, event: QuotaEvent, units: number): void {
     const labels = { workspace, event: QuotaEvent[event].toLowerCase() };
--- a/packages/gateway/src/gatewayParts.ts
+++ b/packages/gateway/src/gatewayParts.ts
@@ -63,6 +63,7 @@
 import { UsageReporter } from "./usageReporter.js";
 import { ProofRequests } from "./proofRequests.js";
 import type { EndChecker } from "./responses/endChecker.js";
+import { createOrigins, createVersionHistory, type OriginParts } from "./origins/originParts.js";
 
 const leaderLeaseKey = `${gatewayPrefix}duty`;
 const leaderMarkerKey = `${gatewayPrefix}duties-begun`;
@@ -107,7 +108,7 @@
 }
 
 /** All parts of an instance. */
-export interface GatewayParts extends GatewayBase {
+export interface GatewayParts extends GatewayBase, Pick<OriginParts, "origins" | "takeUps"> {
   readonly follower: ConfigurationFollower;
   readonly directory: EndpointDirectory;
   readonly connections: EndpointConnections;
@@ -160,6 +161,9 @@
   readonly getTimeOfDay: () => number;
 }
 
+/** The parts by which the instances keep limits together. */
+type AgreedParts = Pick<GatewayParts, "limits" | "permits" | "budget" | "acceptance">;
+
 /** Creates the parts; nothing is opened or started. */
 export function createGatewayParts(
   settings: GatewaySettings,
@@ -169,14 +173,11 @@
   createSlotScheduler = createServiceSlotScheduler,
 ): GatewayParts {
   const base = { settings, platform, clock, logger };
-  const { store } = platform;
-  const items: GatewayItems = GatewayItems.create({
-    ...base,
-    store,
-    isFirstStart: settings.instance.first_start,
-    isWriter: () => members.isReader && members.isListed,
-    getTimeOfDay: () => time.get(),
-  });
+  const items: GatewayItems = createItems(
+    base,
+    () => members,
+    () => time.get(),
+  );
   const state = createState(
     { ...base, settling: items.settling },
     {
@@ -187,26 +188,30 @@
   const { time, follower, directory, usage, counters, rates } = state;
   const reporter: UsageReporter = createReporter(state, items, (key) => members.items.get(key));
   const metrics = GatewayMetrics.create(settings.listen.metrics);
+  const history = createVersionHistory(state);
   const admission: Admission = createAdmission(state, createOrders(state, metrics), () => members);
   const members: Members = createMembers(state, reporter, {
     decideQuotaCall: (peer, call) => admission.decideForPeer(peer, call),
     onItem: (key, item, removal) => {
       items.handleItem(key, item, removal);
       crashes.handleItem(key, item, removal);
+      originParts.versionItems.handleItem(key, item);
     },
+    needsKeepers: () => history.getMixedServices().length > 0,
     getForwardingAddress: () => findForwardingAddress(settings, forwardingParts.forwardingServer),
     onBeforeReport: () => {
       admission.updateDrainRates();
-      retries.budget.refresh();
+      agreed.budget.refresh();
       crashes.reconcile();
+      originParts.versionItems.reconcile();
       items.writeDueItems();
     },
   });
-  reportEras(store.eras, logger, metrics);
+  reportEras(platform.store.eras, logger, metrics);
+  const originParts: OriginParts = createOrigins(state, history, members, metrics);
   const crashes: CrashProtection = createCrashes(state, members, metrics);
-  const { limits, permits } = createLimits(state, members, metrics);
   const brittle = createBrittleServices(state, members);
-  const retries: Pick<GatewayParts, "budget" | "acceptance"> = createRetries(state, members);
+  const agreed: AgreedParts = { ...createLimits(state, members, metrics), ...createRetries(state, members) };
   const forwardingParts: ForwardingParts = createForwarding(state, () => members, crashes, brittle);
   const proofRequests: ProofRequests = ProofRequests.create(members.links, follower, Math.random);
   return {
@@ -220,16 +225,15 @@
     members,
     crashProtection: crashes,
     suspects: crashes.suspects,
-    limits,
-    permits,
+    ...agreed,
     overload: state.overload,
     brittle,
     ...createSlots(state, members, metrics, brittle, createSlotScheduler),
+    ...originParts,
     admission,
     charges: createCharges(state, admission, members, metrics),
     rates,
     placer: createPlacer(state, members, brittle),
-    ...retries,
     demand: state.demand,
     counters,
     metrics,
@@ -254,6 +258,16 @@
   return follower.hasFreshProof() && directory.isListed && members.isListed;
 }
 
+function createItems(base: GatewayBase, getMembers: () => Members, getTimeOfDay: () => number): GatewayItems {
+  return GatewayItems.create({
+    ...base,
+    store: base.platform.store,
+    isFirstStart: base.settings.instance.first_start,
+    isWriter: () => getMembers().isReader && getMembers().isListed,
+    getTimeOfDay,
+  });
+}
+
 function createState(
   base: Pick<GatewayState, keyof GatewayBase | "settling">,
   { requestProofs, getPeerWork }: FleetQueries,
@@ -344,7 +358,10 @@
 function createMembers(
   state: GatewayState,
   reporter: UsageReporter,
-  handlers: Pick<MembersOptions, "decideQuotaCall" | "onItem" | "onBeforeReport" | "getForwardingAddress">,
+  handlers: Pick<
+    MembersOptions,
+    "decideQuotaCall" | "onItem" | "onBeforeReport" | "getForwardingAddress" | "needsKeepers"
+  >,
 ): Members {
   const { settings, platform, clock, logger, counters, usage, time, directory, follower, rates } = state;
   const { instance, listen, peers } = settings;
--- a/packages/gateway/src/members.ts
+++ b/packages/gateway/src/members.ts
@@ -71,12 +71,16 @@
   readonly getWork: () => ReadonlyMap<string, PeerWork>;
   /** Called before each report. */
   readonly onBeforeReport: () => void;
+  /** Whether there is something for keepers to remember; there is not if omitted. */
+  readonly needsKeepers?: () => boolean;
   /** Decides on a call as the arbiter of a limit. */
   readonly decideQuotaCall: (peer: PeerIdentity, call: QuotaCall) => QuotaReply;
 }
 
 /** Number of readers: one may end and another may lose its connection to the store at the same time. */
 const readerCount = 3;
+/** Number of keepers in a large fleet: after half of all instances have ended at once, one in 32 times none of them is left. */
+const keeperCount = 5;
 const reportedWindows = 4;
 /** In a large fleet, one of this many reports contains the usage. */
 const reportsPerUsage = 2;
@@ -134,6 +138,8 @@
       ownName: name,
       largestMesh,
       count: readerCount,
+      keeperCount,
+      ...(options.needsKeepers && { needsKeepers: options.needsKeepers }),
       getNames: () => this.records.getNames(),
       getCapacity: (peer) => this.records.getCapacity(peer),
       isLinked,
@@ -210,6 +216,16 @@
     return this.roles.getLinkedReaders();
   }
 
+  /** Names of the keepers that are linked. */
+  getKeepers(): readonly string[] {
+    return this.roles.getKeepers().filter((name) => this.links.isLinked(name));
+  }
+
+  /** Whether all keepers are linked, except this instance itself. */
+  get hasAllKeepers(): boolean {
+    return this.roles.getKeepers().every((name) => name === this.options.name || this.links.isLinked(name));
+  }
+
   /** Name of the reader that is the arbiter for a subject; undefined if none is available. */
   findArbiter(subject: string): string | undefined {
     return this.arbiters.find(subject);
--- /dev/null
+++ b/packages/gateway/src/origins/versionHistory.ts
@@ -0,0 +1,117 @@
+/**
+ * Remembers which software versions of each service serve or served a short while ago, so that it is known whether a stream can have
+ * begun at more than one.
+ * @module
+ */
+import type { Clock } from "@gladewall/kernel";
+import type { EndpointRecord } from "../types.js";
+import { encodeOrigin, getOrigin, type StreamOrigin } from "./streamOrigin.js";
+
+/** Options of the history. */
+export interface VersionHistoryOptions {
+  readonly clock: Clock;
+  /** Returns the milliseconds for which a stream may be taken up after it began; 0 if none may. */
+  readonly getRetentionMs: () => number;
+}
+
+/** One version of a service. */
+interface ServedVersion {
+  readonly origin: StreamOrigin;
+  /** Endpoints that have a record now. */
+  endpoints: number;
+  /** Monotonic time at which the last one was gone; undefined while there are any. */
+  goneAt: number | undefined;
+}
+
+/** A version that served, and for how long it hasn't; undefined while it serves. */
+export interface VersionAge {
+  readonly origin: StreamOrigin;
+  readonly goneMs: number | undefined;
+}
+
+/** The versions of all services. */
+export class VersionHistory {
+  /** By service, then by the code of the origin. */
+  private readonly services = new Map<string, Map<number, ServedVersion>>();
+  private readonly listeners: ((service: string) => void)[] = [];
+
+  private constructor(private readonly options: VersionHistoryOptions) {}
+
+  static create(options: VersionHistoryOptions): VersionHistory {
+    return new VersionHistory(options);
+  }
+
+  /** Calls back when a further version of a service that has one already becomes known. */
+  onFurtherVersion(listener: (service: string) => void): void {
+    this.listeners.push(listener);
+  }
+
+  /** Counts an endpoint whose record was added. */
+  addEndpoint(record: EndpointRecord): void {
+    const version = this.ensure(getOrigin(record));
+    version.endpoints += 1;
+    version.goneAt = undefined;
+  }
+
+  /** Counts an endpoint whose record is gone. */
+  removeEndpoint(record: EndpointRecord): void {
+    const version = this.services.get(record.service)?.get(encodeOrigin(getOrigin(record)));
+    if (!version) return;
+    version.endpoints -= 1;
+    if (version.endpoints === 0) version.goneAt = this.options.clock.getTime();
+  }
+
+  /** Applies that a version served until some milliseconds ago, as another instance wrote. */
+  applyServed(origin: StreamOrigin, goneMs: number): void {
+    if (goneMs > this.options.getRetentionMs()) return;
+    const version = this.ensure(origin);
+    if (version.endpoints > 0) return;
+    const goneAt = this.options.clock.getTime() - Math.max(0, goneMs);
+    version.goneAt = Math.max(version.goneAt ?? -Infinity, goneAt);
+  }
+
+  /** Returns the versions of a service at which a stream that may still be taken up can have begun. */
+  list(service: string): readonly VersionAge[] {
+    const versions = this.services.get(service);
+    if (!versions) return [];
+    const time = this.options.clock.getTime();
+    const oldestAt = time - this.options.getRetentionMs();
+    const listed: VersionAge[] = [];
+    for (const [code, { origin, goneAt }] of versions) {
+      if (goneAt !== undefined && goneAt < oldestAt) versions.delete(code);
+      else listed.push({ origin, goneMs: goneAt === undefined ? undefined : time - goneAt });
+    }
+    return listed;
+  }
+
+  /** Whether a stream of a service can have begun at more than one version. */
+  hasSeveral(service: string): boolean {
+    return (this.services.get(service)?.size ?? 0) > 1 && this.list(service).length > 1;
+  }
+
+  /** Names of the services of which more than one version is known. */
+  getMixedServices(): readonly string[] {
+    return [...this.services.keys()].filter((service) => this.hasSeveral(service));
+  }
+
+  /** Returns the origin that a code stands for; undefined if no listed version has it. */
+  findByCode(code: number): StreamOrigin | undefined {
+    for (const versions of this.services.values()) {
+      const version = versions.get(code);
+      if (version) return version.origin;
+    }
+    return undefined;
+  }
+
+  private ensure(origin: StreamOrigin): ServedVersion {
+    const versions = this.services.get(origin.service) ?? new Map<number, ServedVersion>();
+    this.services.set(origin.service, versions);
+    const code = encodeOrigin(origin);
+    const known = versions.get(code);
+    if (known) return known;
+    const version: ServedVersion = { origin, endpoints: 0, goneAt: undefined };
+    versions.set(code, version);
+    if (versions.size > 1) for (const listener of this.listeners) listener(origin.service);
+    return version;
+  }
+}
--- a/packages/gateway/src/prefixFollower.ts
+++ b/packages/gateway/src/prefixFollower.ts
@@ -91,6 +91,12 @@
    */
   silenceMs = Infinity;
   private receivedAt = -Infinity;
+
+  /** Milliseconds since the last message from the store or a reader; infinite before the first. */
+  get ageMs(): number {
+    return this.options.clock.getTime() - this.receivedAt;
+  }
+
   /** Era of all revisions in this follower. */
   private era = initialEra;
   /** Revision up to which all changes are known. */
--- a/packages/gateway/src/requestContext.ts
+++ b/packages/gateway/src/requestContext.ts
@@ -42,7 +42,7 @@
   /** Whether the current attempt has neither received a response head nor failed. */
   isAttemptPending = false;
   relay: StreamRelay | undefined;
-  /** Where the stream began that is forwarded, which goes on at no other; undefined until its first event has been forwarded. */
+  /** Where the stream began, which goes on at no other; undefined until its first event is forwarded, unless it is taken up. */
   origin: StreamOrigin | undefined;
   /** How the last response ended that was received; undefined before. */
   ended: EndedResponse | undefined;
@@ -63,7 +63,8 @@
     readonly parts: ActiveRequestParts,
     readonly request: ActiveRequestInput,
   ) {
-    const { admitted, head, arrivedAt } = request;
+    const { admitted, head, arrivedAt, origin } = request;
+    this.origin = origin;
     this.deadlineAt = arrivedAt + getTimeLimit(admitted.route, head);
   }
 
--- a/packages/gateway/src/requestServer.ts
+++ b/packages/gateway/src/requestServer.ts
@@ -15,7 +15,6 @@
 import type { RequestCharge } from "./limits/quotaCharges.js";
 import { readRequestBody } from "./requestBody.js";
 import { getTimeLimit } from "./requestContext.js";
-import { pickWeightedTarget } from "./routeTable.js";
 import { type CallerRequestHead, RouteKind, type Service } from "./types.js";
 
 /** Options of the request server. */
@@ -97,7 +96,13 @@
     if (body.isErr()) return body.error;
     // The instance may have stopped while the body was received.
     if (this.isStopped) return createLeavingRefusal();
-    const service = table.findService(pickWeightedTarget(route.targets, Math.random()));
+    const { workspace } = admitted.value;
+    const chosen = await this.options.parts.takeUps.choose({ route, head, workspace: workspace?.name ?? "" });
+    if (chosen.isErr()) return chosen.error;
+    // Either may have come about while peers were called for the stream's origin.
+    if (this.isStopped) return createLeavingRefusal();
+    if (response.destroyed) return Failure.create(FailureCode.CallerGone);
+    const service = table.findService(chosen.value.service);
     if (!service) return Failure.create(FailureCode.NoEndpoint, { service: route.name }, leavingRetryAfterMs);
     const charge = await this.charge(admitted.value, head, response, arrivedAt);
     if (charge.isErr()) return charge.error;
@@ -108,6 +113,7 @@
       message,
       response,
       body: body.value,
+      origin: chosen.value.origin,
       arrivedAt,
       charge: charge.value,
     };
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -225,6 +225,8 @@
   readonly parts: readonly PromptPart[];
   /** Id of the last event that the caller has received; undefined if the stream starts from the beginning. */
   readonly lastEventId: string | undefined;
+  /** Id of the request that brought the first event of the stream; undefined if the caller names none. */
+  readonly resumes?: string | undefined;
 }
 
 /** Values that the gateway sends to an endpoint in addition to the caller's headers. */
--- a/packages/kernel/src/failures.ts
+++ b/packages/kernel/src/failures.ts
@@ -54,6 +54,8 @@
   CrashSuspect = 3017,
   CrashesEndpoints = 3018,
   QuotaShareSpent = 3019,
+  StreamOriginUnknown = 3020,
+  StreamVersionGone = 3021,
   EndpointRefused = 4001,
   EndpointUnreachable = 4002,
   EndpointCut = 4003,
@@ -212,6 +214,16 @@
     notRun,
     "{count} endpoints of service {service} ended while they had a request like this one; it is not run for now",
   ),
+  [FailureCode.StreamOriginUnknown]: define(
+    503,
+    notRun,
+    "service {service} runs several software versions, and it is not known which of them began the stream",
+  ),
+  [FailureCode.StreamVersionGone]: define(
+    503,
+    notRun,
+    "no endpoint of service {service} runs the software version that began the stream: {version}",
+  ),
   [FailureCode.RouteTimeout]: define(504, unknown, "no whole answer within {limit} ms"),
   [FailureCode.EndpointRefused]: define(
     503,
--- a/packages/standins/src/fakePlatform.ts
+++ b/packages/standins/src/fakePlatform.ts
@@ -246,7 +246,8 @@
     promptTokens: tokens === undefined ? undefined : Number(tokens),
     outputTokens: 0,
     parts: [],
-    lastEventId: undefined,
+    lastEventId: headers["last-event-id"] as string | undefined,
+    resumes: headers.resumes as string | undefined,
   });
 }
 
