--- a/packages/gateway/test/streamDoors.test.ts
+++ b/packages/gateway/test/streamDoors.test.ts
@@ -25,7 +25,7 @@
 import { createService, FakePlatform, PathFault } from "@gladewall/standins";
 import t from "tap";
 import { createKnownEndpoint } from "./knownEndpoints.js";
-import { countEvents, eventCount, listVersions, VersionedFleet } from "./versionedEndpoints.js";
+import { countEvents, eventCount, listVersions, mixed, VersionedFleet } from "./versionedEndpoints.js";
 
 const origin = { service: "web", softwareVersion: "v1" };
 const [same, other, unstated] = [
@@ -175,12 +175,7 @@
 });
 
 t.test("a stream that is passed on through a peer goes on at the version that began it", async (t) => {
-  const fleet = await VersionedFleet.create(t, 2, [
-    { id: "a", version: "v1" },
-    { id: "b", version: "v1" },
-    { id: "c", version: "v1.1" },
-    { id: "d", version: "v1.1" },
-  ]);
+  const fleet = await VersionedFleet.create(t, 2, mixed);
   fleet.cut(0, PathFault.Reset);
   const arrivals = new Map<string, number>();
   fleet.breakOff = ({ id }) => {
--- a/packages/gateway/test/streamVersions.test.ts
+++ b/packages/gateway/test/streamVersions.test.ts
@@ -2,18 +2,12 @@
  * Guards against streams that go on at another software version of an endpoint than the one that began them.
  */
 import t from "tap";
-import { eventCount, listVersions, countEvents, VersionedFleet } from "./versionedEndpoints.js";
+import { countEvents, eventCount, listVersions, mixed, VersionedFleet } from "./versionedEndpoints.js";
 
-const twoVersions = [
-  { id: "a", version: "v1" },
-  { id: "b", version: "v1" },
-  { id: "c", version: "v1.1" },
-  { id: "d", version: "v1.1" },
-];
 const streamCount = 24;
 
 t.test("a stream that its endpoint breaks off goes on at the version that began it", async (t) => {
-  const fleet = await VersionedFleet.create(t, 1, twoVersions);
+  const fleet = await VersionedFleet.create(t, 1, mixed);
   const broken = new Set<string>();
   fleet.breakOff = ({ id }) => {
     if (broken.has(id)) return undefined;
@@ -28,7 +22,7 @@
 });
 
 t.test("a stream that its caller takes up elsewhere goes on at the version that began it", async (t) => {
-  const fleet = await VersionedFleet.create(t, 3, twoVersions);
+  const fleet = await VersionedFleet.create(t, 3, mixed);
   for (let index = 0; index < streamCount; index++) {
     const id = `s${index}`;
     const { body: first } = await fleet.begin(index % 3, id, 2);
--- a/packages/gateway/test/versionedEndpoints.ts
+++ b/packages/gateway/test/versionedEndpoints.ts
@@ -216,3 +216,37 @@
 export function countEvents(text: string): number {
   return text.split("\n\n").length - 1;
 }
+
+/** Endpoints of two versions. */
+export const mixed = [
+  { id: "a", version: "v1" },
+  { id: "b", version: "v1" },
+  { id: "c", version: "v1.1" },
+  { id: "d", version: "v1.1" },
+];
+/** Endpoints of one version. */
+export const single = mixed.slice(0, 2);
+/** Streams of a test, enough that chance does not hide a wrong choice. */
+export const rounds = 8;
+
+/** Begins a stream at an instance whose caller leaves after two events. */
+export async function begin(
+  fleet: VersionedFleet,
+  instance: number,
+  id: string,
+  key?: string,
+): Promise<string> {
+  const { body } = await fleet.begin(instance, id, 2, key);
+  return body;
+}
+
+/** Ends an instance without a word to anybody, as a killed process ends. */
+export async function kill(fleet: VersionedFleet, index: number): Promise<void> {
+  const [{ gateway }] = fleet.bench.instances.splice(index, 1) as [(typeof fleet.bench.instances)[0]];
+  await gateway.close();
+}
+
+/** The same for all instances. */
+export async function killAll(fleet: VersionedFleet): Promise<void> {
+  await Promise.all(fleet.bench.instances.splice(0).map(({ gateway }) => gateway.close()));
+}
--- a/packages/standins/src/fakePlatform.ts
+++ b/packages/standins/src/fakePlatform.ts
@@ -263,7 +263,9 @@
   const headers: string[] = [];
   for (let index = 0; index < callerHeaders.length; index += 2) {
     const name = callerHeaders[index] ?? "";
-    if (!replacedHeaders.has(name.toLowerCase())) headers.push(name, callerHeaders[index + 1] ?? "");
+    const lowerCase = name.toLowerCase();
+    const isReplaced = lowerCase === "last-event-id" && dispatch.lastEventId !== undefined;
+    if (!isReplaced && !replacedHeaders.has(lowerCase)) headers.push(name, callerHeaders[index + 1] ?? "");
   }
   headers.push("x-expect", dispatch.endpointId, "x-deadline", String(Math.floor(dispatch.deadlineMs)));
   if (dispatch.workspace !== undefined) headers.push("x-workspace", dispatch.workspace);
