Keep where streams began in the store, and tell of it when their first event is forwarded

A stream is now told of when its first event is forwarded; what is told never changes. Keepers that don't know are called once more after 25 ms.

--- a/packages/gateway/src/attemptStage.ts
+++ b/packages/gateway/src/attemptStage.ts
@@ -13,7 +13,6 @@
   isPeerAtFault,
 } from "./forwarding/attemptRoute.js";
 import type { LimitSource } from "./limits/endpointLimits.js";
-import { getOrigin } from "./origins/streamOrigin.js";
 import type { Placement } from "./placement.js";
 import { RelayStage } from "./responses/relayStage.js";
 import { isEventStream } from "./responses/streamRelay.js";
@@ -93,9 +92,6 @@
     const { clock, getTimeOfDay, metrics } = context.parts;
     const startedAt = clock.getTime();
     const beganAt = getTimeOfDay();
-    const { head, admitted } = context.request;
-    const { workspace } = context;
-    context.parts.origins.record({ route: admitted.route, head, workspace }, getOrigin(endpoint.record));
     const attempt = route.send(this.createContent(endpoint));
     context.attempt = attempt;
     context.isAttemptPending = true;
--- a/packages/gateway/src/gatewayParts.ts
+++ b/packages/gateway/src/gatewayParts.ts
@@ -195,15 +195,15 @@
     onItem: (key, item, removal) => {
       items.handleItem(key, item, removal);
       crashes.handleItem(key, item, removal);
-      originParts.versionItems.handleItem(key, item);
+      originParts.handleItem(key, item);
     },
-    needsKeepers: () => history.getMixedServices().length > 0,
+    needsKeepers: () => history.hasMixedServices,
     getForwardingAddress: () => findForwardingAddress(settings, forwardingParts.forwardingServer),
     onBeforeReport: () => {
       admission.updateDrainRates();
       agreed.budget.refresh();
       crashes.reconcile();
-      originParts.versionItems.reconcile();
+      originParts.reconcile();
       items.writeDueItems();
     },
   });
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -5,6 +5,12 @@
 export * from "./types.js";
 export * from "./gatewaySettings.js";
 export { Gateway } from "./gateway.js";
+export { OriginArchive } from "./origins/originArchive.js";
+export { OriginGossip } from "./origins/originGossip.js";
+export { OriginTable } from "./origins/originTable.js";
+export { OriginRecorder, TakeUps } from "./origins/takeUps.js";
+export { VersionHistory } from "./origins/versionHistory.js";
+export { VersionItems } from "./origins/versionItems.js";
 export { createStreamKey, encodeOrigin, mayServe, type StreamOrigin } from "./origins/streamOrigin.js";
 export { runGatewayDaemon } from "./daemon.js";
 export { Admission } from "./limits/admission.js";
--- a/packages/gateway/src/origins/originGossip.ts
+++ b/packages/gateway/src/origins/originGossip.ts
@@ -1,7 +1,7 @@
 /**
  * Tells keepers where streams began, and calls them to learn it. In a small fleet every instance is a keeper; in a large one a few are,
- * so that what each instance sends does not grow with the fleet. A stream is told of when its request is sent, so that the message is
- * under way before the endpoint has written an event, and no event waits for it.
+ * so that what each instance sends does not grow with the fleet. A stream is told of when its first event is forwarded: before that
+ * another version may still begin it, and a keeper that missed the correction would know the wrong one.
  * @module
  */
 import type { PeerIdentity, PeerLinks } from "@gladewall/coordination";
@@ -12,11 +12,14 @@
   encodeEntries,
   maxEntriesPerMessage,
   type OriginCall,
+  type OriginEntriesMessage,
   type OriginEntry,
   OriginMessageKind,
   type OriginReply,
 } from "./originMessages.js";
 import { OriginSource, type OriginTable } from "./originTable.js";
+import { encodeOrigin } from "./streamOrigin.js";
+import type { VersionHistory } from "./versionHistory.js";
 
 /** The fleet as the exchange needs it. */
 export interface OriginFleet {
@@ -32,8 +35,7 @@
   readonly clock: Clock;
   readonly fleet: OriginFleet;
   readonly table: OriginTable;
-  /** Whether this instance knows services of several versions, so that keepers are told of streams. */
-  readonly hasSeveral: () => boolean;
+  readonly history: VersionHistory;
 }
 
 /** What a call to the keepers brought. */
@@ -49,6 +51,8 @@
 
 /** Longest wait for keepers' replies, which come within some milliseconds without load. */
 const replyTimeoutMs = 150;
+/** Time within which a keeper has been told of a stream whose first event has reached its caller. */
+const lateMs = 25;
 /** Time after its start within which an instance waits for its links before it calls, and the longest such wait. */
 const linkingMs = 2_000;
 const maxLinkWaitMs = 250;
@@ -60,13 +64,15 @@
   private readonly startedAt: number;
 
   private constructor(private readonly options: OriginGossipOptions) {
-    const { clock, fleet, table } = options;
+    const { clock, fleet, table, history } = options;
     this.startedAt = clock.getTime();
     fleet.links.setHandler(OriginMessageKind.Entries, (message) => {
-      for (const [key, code] of decodeEntries(message)) table.record(key, code, OriginSource.Told);
+      const { entries } = message as Partial<OriginEntriesMessage>;
+      for (const [key, code] of decodeEntries(entries)) table.record(key, code, OriginSource.Told);
     });
     fleet.links.setHandler(OriginMessageKind.Call, (message) => this.replyToCall(message as OriginCall));
     fleet.links.onLinkUp((peer) => this.sendToNewKeeper(peer));
+    history.onFurtherVersion((service) => this.tellOfService(service));
   }
 
   static create(options: OriginGossipOptions): OriginGossip {
@@ -79,15 +85,28 @@
     if (this.queue.length === 1) setImmediate(() => this.flush());
   }
 
-  /** Tells the keepers of all streams that this instance has sent to one of the given origins. */
-  tellAll(codes: ReadonlySet<number>): void {
-    const entries = [...this.options.table.getOwn()].filter(([, code]) => codes.has(code));
-    for (const keeper of this.options.fleet.getKeepers()) this.send(keeper, entries);
+  /** Tells the keepers of the streams that began while a service had one version, now that they could go on at another. */
+  private tellOfService(service: string): void {
+    const { fleet, table, history } = this.options;
+    const codes = new Set(history.list(service).map(({ origin }) => encodeOrigin(origin)));
+    const entries = [...table.getOwn()].filter(([, code]) => codes.has(code));
+    for (const [key, code] of entries) table.record(key, code, OriginSource.Own);
+    for (const keeper of fleet.getKeepers()) this.send(keeper, entries);
   }
 
-  /** Calls all linked keepers; resolves with the first that knows, or once all have replied or their time is over. */
+  /**
+   * Calls all linked keepers; resolves with the first that knows, or once all have replied or their time is over. They are called once
+   * more if none knows, because the stream may only just have been told of.
+   */
   async ask(key: number): Promise<OriginAnswer> {
     await this.waitForLinks();
+    const answer = await this.askOnce(key);
+    if (answer.code !== undefined || answer.called === answer.silent) return answer;
+    await waitFor(this.options.clock, lateMs);
+    return this.askOnce(key);
+  }
+
+  private async askOnce(key: number): Promise<OriginAnswer> {
     const { fleet } = this.options;
     const keepers = fleet.getKeepers();
     const message: OriginCall = { kind: OriginMessageKind.Call, key };
@@ -113,9 +132,9 @@
   }
 
   private replyToCall({ key }: OriginCall): OriginReply {
-    const { table, hasSeveral } = this.options;
+    const { table, history } = this.options;
     const known = table.find(key);
-    return { ...(known && { code: known.code }), ...(hasSeveral() && { several: true }) };
+    return { ...(known && { code: known.code }), ...(history.hasMixedServices && { several: true }) };
   }
 
   private flush(): void {
@@ -126,16 +145,20 @@
 
   /** A keeper that has just started knows nothing of the streams that go on. */
   private sendToNewKeeper({ name }: PeerIdentity): void {
-    const { fleet, table, hasSeveral } = this.options;
-    if (hasSeveral() && fleet.getKeepers().includes(name)) this.send(name, [...table.getOwn()]);
+    const { fleet, table, history } = this.options;
+    if (history.hasMixedServices && fleet.getKeepers().includes(name)) this.send(name, [...table.getOwn()]);
   }
 
   private send(keeper: string, entries: readonly OriginEntry[]): void {
     const latest = entries.slice(-maxEntriesPerMessage);
-    if (latest.length > 0) this.options.fleet.links.send(keeper, encodeEntries(latest));
+    if (latest.length > 0) this.options.fleet.links.send(keeper, createMessage(latest));
   }
 }
 
+function createMessage(entries: readonly OriginEntry[]): OriginEntriesMessage {
+  return { kind: OriginMessageKind.Entries, entries: encodeEntries(entries) };
+}
+
 /** Resolves with the first value that is not undefined, or with undefined once all have resolved. */
 function findFirst<Value>(promises: readonly Promise<Value | undefined>[]): Promise<Value | undefined> {
   return new Promise((resolve) => {
--- a/packages/gateway/src/origins/originMessages.ts
+++ b/packages/gateway/src/origins/originMessages.ts
@@ -10,7 +10,7 @@
   Call = 55,
 }
 
-/** Where some streams began, as told by the instance that sent their requests. */
+/** Where some streams began, as told by the instance that forwards them. */
 export interface OriginEntriesMessage extends PeerMessage {
   readonly kind: OriginMessageKind.Entries;
   readonly entries: Uint8Array;
@@ -39,25 +39,25 @@
 /** Entries in one message: at most a seventh of a link's outbox. */
 export const maxEntriesPerMessage = 4_000;
 
-/** Encodes entries as one message. */
-export function encodeEntries(entries: readonly OriginEntry[]): OriginEntriesMessage {
+/** Encodes entries, one after the other. */
+export function encodeEntries(entries: readonly OriginEntry[]): Buffer {
   const bytes = Buffer.alloc(entries.length * entryBytes);
   for (const [index, [key, code]] of entries.entries()) {
     const start = index * entryBytes;
     bytes.writeUIntBE(key, start, keyBytes);
     bytes.writeUInt32BE(code, start + keyBytes);
   }
-  return { kind: OriginMessageKind.Entries, entries: bytes };
+  return bytes;
 }
 
-/** Decodes the entries of a message; none if it is malformed. */
-export function decodeEntries({ entries }: Partial<OriginEntriesMessage>): readonly OriginEntry[] {
-  if (!(entries instanceof Uint8Array) || entries.length % entryBytes !== 0) return [];
-  const bytes = Buffer.from(entries.buffer, entries.byteOffset, entries.length);
+/** Decodes entries; none if they are malformed. */
+export function decodeEntries(encoded: unknown): readonly OriginEntry[] {
+  if (!(encoded instanceof Uint8Array) || encoded.length % entryBytes !== 0) return [];
+  const bytes = Buffer.from(encoded.buffer, encoded.byteOffset, encoded.length);
   const decoded: OriginEntry[] = [];
   for (let start = 0; start < bytes.length; start += entryBytes)
     decoded.push([bytes.readUIntBE(start, keyBytes), bytes.readUInt32BE(start + keyBytes)]);
-  return decoded.slice(0, maxEntriesPerMessage);
+  return decoded;
 }
 
 /** Decodes a reply; a malformed one is empty. */
--- a/packages/gateway/src/origins/originParts.ts
+++ b/packages/gateway/src/origins/originParts.ts
@@ -6,9 +6,9 @@
 import type { GatewayState } from "../gatewayParts.js";
 import type { Members } from "../members.js";
 import type { Route } from "../types.js";
+import { OriginArchive } from "./originArchive.js";
 import { OriginGossip } from "./originGossip.js";
 import { OriginTable } from "./originTable.js";
-import { encodeOrigin } from "./streamOrigin.js";
 import { OriginRecorder, TakeUps } from "./takeUps.js";
 import { VersionHistory } from "./versionHistory.js";
 import { VersionItems } from "./versionItems.js";
@@ -19,8 +19,10 @@
   readonly origins: OriginRecorder;
   /** Decides where streams go on that callers take up. */
   readonly takeUps: TakeUps;
-  /** The versions of services, as the store keeps them. */
-  readonly versionItems: VersionItems;
+  /** Handles an item of the store that was written or removed. */
+  readonly handleItem: VersionItems["handleItem"];
+  /** Writes what has changed to the store; called several times a second. */
+  readonly reconcile: () => void;
 }
 
 /** Time after the longest time limit of a stream within which its caller may still come back. */
@@ -28,6 +30,9 @@
 /** Time without a message on endpoints after which further versions may serve; more than two watches take. */
 const maxViewAgeMs = 1_500;
 
+/** Name by which the instance that writes the archive is chosen. */
+const archiveSubject = "stream-origins";
+
 /** Creates the history of the versions that this instance sees. */
 export function createVersionHistory(state: GatewayState): VersionHistory {
   const { clock, directory } = state;
@@ -46,13 +51,20 @@
 ): OriginParts {
   const { settings, platform, clock, logger, directory, time } = state;
   const ownName = settings.instance.name;
-  const table = OriginTable.create({ clock, getRetentionMs: createRetention(state) });
-  const hasSeveral = (): boolean => history.getMixedServices().length > 0;
-  const gossip = OriginGossip.create({ clock, fleet: members, table, hasSeveral });
-  // Streams that began while one version served are told of once they could go on at another.
-  history.onFurtherVersion((service) =>
-    gossip.tellAll(new Set(history.list(service).map(({ origin }) => encodeOrigin(origin)))),
-  );
+  const getRetentionMs = createRetention(state);
+  const table = OriginTable.create({ clock, getRetentionMs });
+  const isWriter = (subject: string): boolean =>
+    members.isReader && members.isListed && directory.isListed && members.findArbiter(subject) === ownName;
+  const kept = { store: platform.store, clock, logger, getTimeOfDay: () => time.get() };
+  const items = VersionItems.create({ ...kept, history, isWriter });
+  const archive = OriginArchive.create({
+    ...kept,
+    table,
+    getRetentionMs,
+    isNeeded: () => history.hasMixedServices,
+    isWriter: () => isWriter(archiveSubject),
+  });
+  const gossip = OriginGossip.create({ clock, fleet: members, table, history });
   return {
     origins: OriginRecorder.create({ table, history, gossip }),
     takeUps: TakeUps.create({
@@ -63,21 +75,15 @@
       table,
       history,
       gossip,
+      archive,
       isViewOld: () => directory.follower.ageMs > maxViewAgeMs,
       getRandom: Math.random,
     }),
-    versionItems: VersionItems.create({
-      store: platform.store,
-      clock,
-      logger,
-      history,
-      getTimeOfDay: () => time.get(),
-      isWriter: (service) =>
-        members.isReader &&
-        members.isListed &&
-        directory.isListed &&
-        members.findArbiter(service) === ownName,
-    }),
+    handleItem: (key, item) => items.handleItem(key, item),
+    reconcile: () => {
+      items.reconcile();
+      archive.reconcile();
+    },
   };
 }
 
--- a/packages/gateway/src/origins/originTable.ts
+++ b/packages/gateway/src/origins/originTable.ts
@@ -7,12 +7,14 @@
 
 /** How this instance knows where a stream began. Members are written to logs and metrics. */
 export enum OriginSource {
-  /** It sent the stream's request to the endpoint itself. */
+  /** It forwarded events of the stream itself. */
   Own = 1,
   /** The instance that did told it. */
   Told = 2,
   /** A peer replied to its call. */
   Asked = 3,
+  /** It was kept in the store. */
+  Stored = 4,
 }
 
 /** What is known of a stream. */
@@ -39,6 +41,7 @@
   private recent = new Map<number, KnownOrigin>();
   private older = new Map<number, KnownOrigin>();
   private turnedAt: number;
+  private readonly listeners: ((key: number, known: KnownOrigin) => void)[] = [];
 
   private constructor(private readonly options: OriginTableOptions) {
     this.turnedAt = options.clock.getTime();
@@ -53,11 +56,18 @@
     return this.recent.size + this.older.size;
   }
 
+  /** Calls back with everything that is recorded. */
+  onRecorded(listener: (key: number, known: KnownOrigin) => void): void {
+    this.listeners.push(listener);
+  }
+
   /** Records where a stream began, in place of what was known of it. */
   record(key: number, code: number, source: OriginSource): void {
     this.dropOld();
     if (this.recent.size >= maxEntries) this.turn();
-    this.recent.set(key, { code, at: this.options.clock.getTime(), source });
+    const known = { code, at: this.options.clock.getTime(), source };
+    this.recent.set(key, known);
+    for (const listener of this.listeners) listener(key, known);
   }
 
   find(key: number): KnownOrigin | undefined {
--- a/packages/gateway/src/origins/takeUps.ts
+++ b/packages/gateway/src/origins/takeUps.ts
@@ -8,6 +8,7 @@
 import type { GatewayMetrics } from "../gatewayMetrics.js";
 import { pickWeightedTarget } from "../routeTable.js";
 import type { CallerRequestHead, Route } from "../types.js";
+import type { OriginArchive } from "./originArchive.js";
 import type { OriginAnswer, OriginGossip } from "./originGossip.js";
 import { type KnownOrigin, OriginSource, type OriginTable } from "./originTable.js";
 import { createStreamKey, encodeOrigin, mayServe, type StreamOrigin } from "./streamOrigin.js";
@@ -50,6 +51,7 @@
   readonly table: OriginTable;
   readonly history: VersionHistory;
   readonly gossip: Pick<OriginGossip, "ask">;
+  readonly archive: Pick<OriginArchive, "load">;
   /** Whether this instance may not know of the latest versions, because it has heard nothing of endpoints for a while. */
   readonly isViewOld: () => boolean;
   /** Returns a number from 0 to 1, to choose among the services of a route. */
@@ -104,16 +106,19 @@
     return { service: pickWeightedTarget(route.targets, this.options.getRandom()), origin: undefined };
   }
 
-  /** Keepers are called only if it makes a difference. */
+  /** Keepers are called, and then the store is read, only if it makes a difference. */
   private async findOrigin({ route, head, workspace }: RoutedRequest): Promise<FoundOrigin> {
-    const { table, gossip, clock } = this.options;
+    const { table, gossip, archive, clock } = this.options;
     if (head.resumes === undefined) return { known: undefined };
     const key = createStreamKey(workspace, head.resumes);
     const known = table.find(key);
     if (known || !(this.mayDiffer(route) || this.options.isViewOld())) return { known };
     const answer = await gossip.ask(key);
     const { code } = answer;
-    if (code === undefined) return { known: table.find(key), answer };
+    if (code === undefined) {
+      if (this.mayDiffer(route)) await archive.load();
+      return { known: table.find(key), answer };
+    }
     table.record(key, code, OriginSource.Asked);
     return { known: { code, at: clock.getTime(), source: OriginSource.Asked }, answer };
   }
@@ -199,7 +204,7 @@
     return new OriginRecorder(options);
   }
 
-  /** Records that a request is sent now to an endpoint which may begin its stream. */
+  /** Records where the stream of a request began; called when its first event is forwarded by this instance. */
   record({ route, head, workspace }: RoutedRequest, origin: StreamOrigin): void {
     if (!route.isResumable) return;
     const { table, history, gossip } = this.options;
--- a/packages/gateway/src/origins/versionHistory.ts
+++ b/packages/gateway/src/origins/versionHistory.ts
@@ -89,6 +89,11 @@
     return (this.services.get(service)?.size ?? 0) > 1 && this.list(service).length > 1;
   }
 
+  /** Whether any service has more than one version. */
+  get hasMixedServices(): boolean {
+    return this.getMixedServices().length > 0;
+  }
+
   /** Names of the services of which more than one version is known. */
   getMixedServices(): readonly string[] {
     return [...this.services.keys()].filter((service) => this.hasSeveral(service));
--- a/packages/gateway/src/requestContext.ts
+++ b/packages/gateway/src/requestContext.ts
@@ -44,6 +44,8 @@
   relay: StreamRelay | undefined;
   /** Where the stream began, which goes on at no other; undefined until its first event is forwarded, unless it is taken up. */
   origin: StreamOrigin | undefined;
+  /** Whether it has been recorded where the stream began. */
+  isOriginRecorded = false;
   /** How the last response ended that was received; undefined before. */
   ended: EndedResponse | undefined;
   /** Reserved endpoint at which an isolated request runs; undefined if the request runs like others. */
--- a/packages/gateway/src/responses/relayStage.ts
+++ b/packages/gateway/src/responses/relayStage.ts
@@ -4,7 +4,7 @@
  */
 import { Failure, FailureCode } from "@gladewall/kernel";
 import type { Endpoint } from "../endpoints/endpoint.js";
-import { getOrigin } from "../origins/streamOrigin.js";
+import { getOrigin, type StreamOrigin } from "../origins/streamOrigin.js";
 import type { Placement } from "../placement.js";
 import { NextStep, type RequestContext } from "../requestContext.js";
 import { type ReceivedBody, readResponseBody } from "./responseBody.js";
@@ -99,7 +99,7 @@
       stream.clearPending();
       const time = clock.getTime();
       context.firstEventMs ??= time - arrivedAt;
-      context.origin ??= origin;
+      this.recordOrigin(origin);
       this.recordPrefillRate(placement, time - stream.startedAt);
       this.scheduleTrialEnd();
       context.countUsageOnce(getTimeOfDay());
@@ -120,6 +120,17 @@
     return NextStep.Done;
   }
 
+  /** Records where the stream began before its first event is forwarded; only then is it certain. */
+  private recordOrigin(origin: StreamOrigin): void {
+    const { context } = this;
+    const { admitted, head } = context.request;
+    if (context.isOriginRecorded) return;
+    context.isOriginRecorded = true;
+    context.origin ??= origin;
+    const { workspace, parts } = context;
+    parts.origins.record({ route: admitted.route, head, workspace }, context.origin);
+  }
+
   /** Looks for evidence on an end that is unverified, and logs each end that is not complete. */
   private async checkEnd(endpoint: Endpoint, received: EndedResponse): Promise<EndedResponse> {
     const { context } = this;
--- a/scripts/playSeeds.mjs
+++ b/scripts/playSeeds.mjs
@@ -13,11 +13,12 @@
 
 /**
  * Runs the seeds of the command line. `runSoak` receives seed, instances, lengthMs, logFolder and earlierDaemon, and returns
- * `isViolated` and `text`, the line to print.
+ * `isViolated` and `text`, the line to print. `extraOptions` are those of the soak itself, in the form of `parseArgs`.
  */
-export async function runSeeds(instances, runSoak) {
+export async function runSeeds(instances, runSoak, extraOptions = {}) {
   const { values } = parseArgs({
     options: {
+      ...extraOptions,
       seeds: { type: "string", default: "10" },
       from: { type: "string", default: "1" },
       instances: { type: "string", default: String(instances) },
@@ -29,7 +30,9 @@
   const built = spawnSync(process.execPath, [`${root}scripts/bundle.mjs`], { stdio: "inherit" });
   if (built.status !== 0) process.exit(1);
   const from = Number(values.from);
+  const extra = Object.fromEntries(Object.keys(extraOptions).map((name) => [name, values[name]]));
   const options = {
+    ...extra,
     instances: Number(values.instances),
     lengthMs: Number(values.seconds) * 1_000,
     logFolder: values.logs,
--- /dev/null
+++ b/scripts/versionSoak.mjs
@@ -0,0 +1,23 @@
+// Runs the soak of streams whose endpoints run several software versions. `node scripts/versionSoak.mjs --seeds 50 [--share 0.5]
+// [--one-version]`. A seed is broken if a stream held events of two versions, lacked or repeated one, or ended as complete too soon.
+// Prints how often streams that were taken up went on, beside how often new ones began.
+import { importTest, runSeeds } from "./playSeeds.mjs";
+
+const { runVersionSoak } = await importTest("versionSoak");
+
+const extra = { share: { type: "string" }, "one-version": { type: "boolean" } };
+
+await runSeeds(
+  6,
+  async ({ share, "one-version": hasOneVersion, ...options }) => {
+    const killedShare = share === undefined ? undefined : Number(share);
+    const versions = hasOneVersion ? { versions: ["v1"] } : {};
+    const result = await runVersionSoak({ ...options, ...versions, killedShare });
+    const { violations, statuses, events, ...counts } = result;
+    const text = [counts, Object.fromEntries(statuses), Object.fromEntries(events)].map((part) =>
+      JSON.stringify(part),
+    );
+    return { isViolated: violations.length > 0, text: [text.join(" "), ...violations].join("; ") };
+  },
+  extra,
+);
