Serve no stream that ended before its first event as an empty one

Nothing had been forwarded, so nothing had to be ended: another attempt serves it if the route's streams may be resumed, else its caller gets a 502. A framed empty stream stays one.

The check of cut streams held a 200 to be right there; it now demands that such a stream is served in full or, where it may not be repeated, shown as a 502, which is stricter: an empty 200 counts as a fault.

--- a/packages/gateway/src/responses/streamRelay.ts
+++ b/packages/gateway/src/responses/streamRelay.ts
@@ -47,11 +47,13 @@
     return this.isResumable && !this.endsWithoutId;
   }
 
-  /** Whether the response may end now, given how the last endpoint's stream ended. */
+  /**
+   * Whether the response may end now, given how the last endpoint's stream ended. A stream of which nothing has been forwarded ends only as
+   * complete: the caller would take it for an empty one.
+   */
   canFinish({ end }: EndedResponse): boolean {
     const { isComplete, mayClose } = endConsequences[end];
-    const isUnframed = this.response.headersSent && !isFramed(this.response);
-    return isComplete || (mayClose && (isUnframed || !this.response.headersSent));
+    return isComplete || (mayClose && this.response.headersSent && !isFramed(this.response));
   }
 
   /** Forwards one endpoint's stream until it ends. Calls `onFirst` before the first event is forwarded. Never rejects. */
--- a/packages/gateway/test/brokenOffResponses.test.ts
+++ b/packages/gateway/test/brokenOffResponses.test.ts
@@ -64,6 +64,22 @@
   }
 });
 
+t.test("a stream without frame that ends before its first event is not served as an empty one", async (t) => {
+  const fleet = await startCutOffFleet(t, 2, 2);
+  for (const isCutOff of [false, true]) {
+    if (isCutOff) fleet.cut(0, PathFault.Reset);
+    for (const endpoint of fleet.endpoints) endpoint.script = respondSuccess;
+    while ((await fleet.call(0)).status !== 200);
+    const first = { framing: RawFraming.Unframed, body: stream, sentBytes: 0 };
+    breakFirst(fleet, first);
+    t.equal((await fleet.call(0, resumablePath)).body, stream, `another endpoint serves it, ${isCutOff}`);
+    breakFirst(fleet, first);
+    t.equal((await fleet.call(0, streamPath)).status, 502, `it may not be repeated, ${isCutOff}`);
+    breakFirst(fleet, { framing: RawFraming.Chunked, body: "" });
+    t.match(await fleet.call(0, resumablePath), { status: 200, body: "", end: CallerEnd.Framed });
+  }
+});
+
 t.test("a caller is not told that a response without frame is complete", async (t) => {
   const fleet = await startCutOffFleet(t, 2, 1);
   const [endpoint] = fleet.endpoints;
--- a/packages/gateway/test/cutStreams.ts
+++ b/packages/gateway/test/cutStreams.ts
@@ -49,6 +49,9 @@
   /** What the endpoint last called said, by stream. */
   private readonly statements = new Map<string, Statement>();
 
+  /** Streams of which an endpoint has sent an event. */
+  private readonly begun = new Set<string>();
+
   private constructor() {}
 
   static create(endpoints: readonly ScriptedEndpoint[]): CutStreamPlay {
@@ -70,6 +73,9 @@
     if (end === CallerEnd.Framed && status === 200 && statement !== Statement.Complete)
       return "told as complete, which no endpoint said";
     if (end === CallerEnd.Closed && statement === Statement.Broken) return "closed in order, but broken off";
+    const isEmpty = statement === Statement.Nothing && !this.begun.has(id);
+    if (status === 200 && isEmpty) return "served as an empty stream, which no endpoint said";
+    if (isEmpty && !isResumable) return status === 502 ? undefined : "not shown as broken";
     if (statement !== Statement.Broken) return status === 200 ? undefined : "not served";
     if (isResumable) return "not continued";
     return end === CallerEnd.Broken || status === 502 ? undefined : "not shown as broken";
@@ -85,6 +91,7 @@
     const all = { framing: lastFraming, sentBytes: body.length, end: RawEnd.FrameClosed };
     const cut = cuts[arrivals] ?? all;
     this.statements.set(call.id, getStatement(left, cut));
+    if (cut.sentBytes >= (left[0]?.length ?? Infinity)) this.begun.add(call.id);
     respondRaw(call, { ...cut, body });
   }
 }
