--- a/scripts/mutants.mjs
+++ b/scripts/mutants.mjs
@@ -14,6 +14,7 @@
 const { runPathSoak } = await importTest("pathSoak");
 const { runRetrySoak } = await importTest("retrySoak");
 const { runKillSoak } = await importTest("killSoak");
+const { runVersionSoak } = await importTest("versionSoak");
 
 /** Runs the soak of the retry budget, whose only violation is an exceeded budget. */
 async function runBudgetSoak(options) {
@@ -21,6 +22,17 @@
   return { violations: isExceeded ? [`${retries} retries, ${allowed.toFixed(0)} allowed`] : [] };
 }
 
+/** Share of the take-ups that go on, of the share of new streams that begin, after half of the instances were killed. */
+const leastTakeUpShare = 0.95;
+
+/** Runs the soak of versions with half of the instances killed at a time; too few streams that go on count as a violation. */
+async function runHalvedVersionSoak(options) {
+  const { violations, begun, takenUp } = await runVersionSoak({ ...options, killedShare: 0.5 });
+  const share = takenUp.served / takenUp.all / (begun.served / begun.all);
+  const tooFew = share < leastTakeUpShare ? [`${takenUp.served} of ${takenUp.all} streams went on`] : [];
+  return { violations: [...violations, ...tooFew] };
+}
+
 /** The guards: for each the soak, the source file, and pairs of a text in that file and its replacement without the guard. */
 const guards = [
   {
@@ -154,6 +166,52 @@
       ["framingOfPeer === BodyFraming.Chunked ? BodyFraming.Connection : framingOfPeer", "framingOfPeer"],
     ],
   },
+  {
+    name: "origin-of-take-up",
+    runSoak: runHalvedVersionSoak,
+    file: `${gateway}requestContext.ts`,
+    edits: [["this.origin = origin;", "this.origin = undefined; void origin;"]],
+  },
+  {
+    name: "version-inside-answer",
+    runSoak: runHalvedVersionSoak,
+    file: `${gateway}responses/relayStage.ts`,
+    edits: [
+      ["context.origin ??= origin;", ""],
+      ["head, workspace }, context.origin);", "head, workspace }, origin);"],
+    ],
+  },
+  {
+    name: "version-at-placement",
+    runSoak: runHalvedVersionSoak,
+    file: `${gateway}placement.ts`,
+    edits: [["if (!mayServe(origin, endpoint)) continue;", ""]],
+  },
+  {
+    name: "origin-told",
+    runSoak: runHalvedVersionSoak,
+    file: `${gateway}origins/takeUps.ts`,
+    edits: [["if (history.hasSeveral(origin.service)) gossip.tell(key, code);", ""]],
+  },
+  {
+    name: "unknown-origin-refused",
+    runSoak: runVersionSoak,
+    file: `${gateway}origins/takeUps.ts`,
+    edits: [
+      ["mayDiffer ? TakeUpOutcome.OriginUnknown : TakeUpOutcome.OneVersion", "TakeUpOutcome.OneVersion"],
+    ],
+  },
+  {
+    name: "versions-of-the-past",
+    runSoak: runVersionSoak,
+    file: `${gateway}origins/versionHistory.ts`,
+    edits: [
+      [
+        "if (goneAt !== undefined && goneAt < oldestAt) versions.delete(code);",
+        "if (goneAt !== undefined) versions.delete(code);",
+      ],
+    ],
+  },
 ];
 
 /** Returns a bundler plug-in that removes a guard; the build fails if the file does not contain each text exactly once. */
