Refuse take-ups at an instance that can ask nobody whether a further version serves

An instance that has heard nothing of endpoints for a while calls its keepers; if none was linked it trusted its own view all the same, and a stream of a version that came since could have gone on at the one that it knew. It is refused now, unless there is no other instance. A test of all cases; the case without a link failed before.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -6,7 +6,7 @@
 export * from "./gatewaySettings.js";
 export { Gateway } from "./gateway.js";
 export { OriginArchive } from "./origins/originArchive.js";
-export { OriginGossip } from "./origins/originGossip.js";
+export { type OriginAnswer, OriginGossip } from "./origins/originGossip.js";
 export { OriginTable } from "./origins/originTable.js";
 export { OriginRecorder, TakeUps } from "./origins/takeUps.js";
 export { VersionHistory } from "./origins/versionHistory.js";
--- a/packages/gateway/src/origins/originGossip.ts
+++ b/packages/gateway/src/origins/originGossip.ts
@@ -47,6 +47,8 @@
   /** Keepers that were called, and those of them that did not reply. */
   readonly called: number;
   readonly silent: number;
+  /** Whether all keepers that are listed were called. */
+  readonly hasCalledAll: boolean;
 }
 
 /** Longest wait for keepers' replies, which come within some milliseconds without load. */
@@ -109,6 +111,7 @@
   private async askOnce(key: number): Promise<OriginAnswer> {
     const { fleet } = this.options;
     const keepers = fleet.getKeepers();
+    const hasCalledAll = fleet.hasAllKeepers;
     const message: OriginCall = { kind: OriginMessageKind.Call, key };
     let silent = 0;
     let hasSeveral = false;
@@ -120,7 +123,7 @@
       return code;
     });
     const code = await findFirst(replies);
-    return { code, hasSeveral, called: keepers.length, silent };
+    return { code, hasSeveral, called: keepers.length, silent, hasCalledAll };
   }
 
   /** An instance that has just started is linked with its keepers one after the other. */
--- a/packages/gateway/src/origins/takeUps.ts
+++ b/packages/gateway/src/origins/takeUps.ts
@@ -176,9 +176,10 @@
   }
 }
 
-/** Whether keepers know of a further version, or none replied that could tell. */
-function mayHideVersion({ called, silent, hasSeveral }: OriginAnswer): boolean {
-  return hasSeveral || (called > 0 && silent === called);
+/** Whether keepers know of a further version, or there are some and none replied that could tell. */
+function mayHideVersion({ called, silent, hasCalledAll, hasSeveral }: OriginAnswer): boolean {
+  const isAlone = called === 0 && hasCalledAll;
+  return hasSeveral || (silent === called && !isAlone);
 }
 
 function createFailure(
--- a/packages/gateway/test/takenUpVersions.test.ts
+++ b/packages/gateway/test/takenUpVersions.test.ts
@@ -2,8 +2,18 @@
  * Guards against streams that go on at another software version when their callers take them up: whatever the versions and the routes are,
  * whatever the caller names, and in a large fleet.
  */
+import {
+  type CallerRequestHead,
+  GatewayMetrics,
+  type OriginAnswer,
+  OriginTable,
+  TakeUps,
+  VersionHistory,
+} from "@gladewall/gateway";
+import { Logger, VirtualClock } from "@gladewall/kernel";
 import { createRoute, createService, createWorkspace, waitUntil } from "@gladewall/standins";
 import t from "tap";
+import { createKnownEndpoint } from "./knownEndpoints.js";
 import {
   begin,
   createStreamRoute,
@@ -90,6 +100,37 @@
   }
 });
 
+t.test("an instance that has heard nothing for a while trusts keepers, and not its own view", async (t) => {
+  const clock = VirtualClock.create();
+  const history = VersionHistory.create({ clock, getRetentionMs: () => 10_000 });
+  const endpoint = createKnownEndpoint({ id: "a", softwareVersion: "v1" });
+  history.addEndpoint(endpoint.record);
+  const none = { code: undefined, hasSeveral: false, called: 2, silent: 0, hasCalledAll: true };
+  const choose = async (isViewOld: boolean, answer: Partial<OriginAnswer>): Promise<boolean> => {
+    const takeUps = TakeUps.create({
+      clock,
+      logger: Logger.createSilent(),
+      metrics: GatewayMetrics.create("127.0.0.1:0"),
+      directory: { getOfService: () => [endpoint] },
+      table: OriginTable.create({ clock, getRetentionMs: () => 10_000 }),
+      history,
+      gossip: { ask: async () => ({ ...none, ...answer }) },
+      archive: { load: async () => undefined },
+      isViewOld: () => isViewOld,
+      getRandom: () => 0,
+    });
+    const head = { id: "r2", parts: [], lastEventId: "2", resumes: "r" };
+    const request = { route: createStreamRoute(), workspace: "", head: head as unknown as CallerRequestHead };
+    return (await takeUps.choose(request)).isOk();
+  };
+  t.ok(await choose(true, {}), "its keepers know of one version too");
+  t.notOk(await choose(true, { hasSeveral: true }), "a keeper knows of another");
+  t.notOk(await choose(true, { silent: 2 }), "no keeper replies");
+  t.notOk(await choose(true, { called: 0, hasCalledAll: false }), "no keeper is linked");
+  t.ok(await choose(true, { called: 0 }), "there is no other instance");
+  t.ok(await choose(false, { hasSeveral: true }), "its view is not old, so that nobody is called");
+});
+
 t.test("in a large fleet keepers know after the instance and other keepers were killed", async (t) => {
   const settings = ["peers.largest_mesh=2", "peers.large_fleet_interval=100ms"];
   const fleet = await VersionedFleet.create(t, 0, mixed);
