Move what follows and interprets the store into a folder of its own

The eras of the store, its feed between instances, the follower of a prefix, the gateway's own items and their codec lay flat in the gateway, which holds 56 files there now, 67 before. The files are moved whole; only imports change.

--- a/packages/gateway/src/configurationFollower.ts
+++ b/packages/gateway/src/configurationFollower.ts
@@ -13,10 +13,16 @@
  * @module
  */
 import { type Clock, type Closeable, type Logger, waitFor } from "@gladewall/kernel";
-import type { EraSettling } from "./eraSettling.js";
-import { PrefixFollower } from "./prefixFollower.js";
+import type { EraSettling } from "./store/eraSettling.js";
+import { PrefixFollower } from "./store/prefixFollower.js";
 import { RouteTable } from "./routeTable.js";
-import { type EraChange, isRestore, isSamePosition, type StorePosition, initialEra } from "./storeEras.js";
+import {
+  type EraChange,
+  isRestore,
+  isSamePosition,
+  type StorePosition,
+  initialEra,
+} from "./store/storeEras.js";
 import type { PlatformAdapter, ServingConfiguration, StoreItem } from "./types.js";
 
 /** A peer's freshness proof, with the position and the version of the configuration that it holds for. */
--- a/packages/gateway/src/crashes/crashProtection.ts
+++ b/packages/gateway/src/crashes/crashProtection.ts
@@ -14,7 +14,7 @@
 import { probeEndpoint, type ProbeResult } from "./endpointProbe.js";
 import type { GatewayMetrics } from "../gatewayMetrics.js";
 import type { Members } from "../members.js";
-import type { Removal } from "../prefixFollower.js";
+import type { Removal } from "../store/prefixFollower.js";
 import { SuspectGate } from "./suspectGate.js";
 import { TrialScheduler } from "./trialScheduler.js";
 import type { MetadataStore, StoreItem } from "../types.js";
--- a/packages/gateway/src/crashes/crashStore.ts
+++ b/packages/gateway/src/crashes/crashStore.ts
@@ -7,9 +7,9 @@
 import type { Clock, Logger } from "@gladewall/kernel";
 import * as v from "valibot";
 import type { CrashRecords, CrashReport, CrashSubject, CrashUpdate } from "./crashRecords.js";
-import { decodeItem } from "../itemCodec.js";
+import { decodeItem } from "../store/itemCodec.js";
 import { gatewayPrefix } from "../memberRecords.js";
-import { type Removal, RemovalCause } from "../prefixFollower.js";
+import { type Removal, RemovalCause } from "../store/prefixFollower.js";
 import type { MetadataStore, StoreItem } from "../types.js";
 
 /** Options of the store. */
--- a/packages/gateway/src/endpoints/endpointDirectory.ts
+++ b/packages/gateway/src/endpoints/endpointDirectory.ts
@@ -12,7 +12,7 @@
 import { EndpointAvailability, AvailabilityCache, LeavingSource } from "./endpointAvailability.js";
 import { RemovedIncarnations } from "./removedIncarnations.js";
 import { isSameOrigin } from "../origins/streamOrigin.js";
-import { PrefixFollower, type Removal, RemovalCause } from "../prefixFollower.js";
+import { PrefixFollower, type Removal, RemovalCause } from "../store/prefixFollower.js";
 import type { EndpointNotice, EndpointRecord, PlatformAdapter, StoreItem } from "../types.js";
 
 /** Options of a directory. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -19,7 +19,7 @@
 import type { SlotSchedulerFactory } from "./limits/limitParts.js";
 import { RequestServer } from "./requestServer.js";
 import { CounterKind } from "./sharedCounters.js";
-import { isRestore } from "./storeEras.js";
+import { isRestore } from "./store/storeEras.js";
 import type { PlatformAdapter, PlatformOptions } from "./types.js";
 
 /** Part of the grace period that is reserved for the end of the process. */
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -54,16 +54,16 @@
 export { DemandEstimator } from "./demandEstimator.js";
 export { LeaderTasks } from "./leaderTasks.js";
 export { FencedLeases } from "./fencedLeases.js";
-export { EraSettling } from "./eraSettling.js";
+export { EraSettling } from "./store/eraSettling.js";
 export { probeEndpoint, ProbeResult } from "./crashes/endpointProbe.js";
 export { EventSplitter } from "./responses/eventSplitter.js";
-export { createFeedTimings } from "./feedTimings.js";
-export { FeedReplication } from "./feedReplication.js";
+export { createFeedTimings } from "./store/feedTimings.js";
+export { FeedReplication } from "./store/feedReplication.js";
 export { FleetWork } from "./fleetWork.js";
 export { FencedOrders } from "./fencedOrders.js";
-export { CommittedWindows } from "./committedWindows.js";
+export { CommittedWindows } from "./store/committedWindows.js";
 export { GatewayMetrics } from "./gatewayMetrics.js";
-export { formatLeaseHandle, parseLeaseHandle } from "./leaseHandle.js";
+export { formatLeaseHandle, parseLeaseHandle } from "./store/leaseHandle.js";
 export { PermitIssuer } from "./limits/permitIssuer.js";
 export { LimitGossip } from "./limits/limitGossip.js";
 export { LargestRequests } from "./largestRequests.js";
@@ -88,14 +88,14 @@
 export { PeerClocks } from "./peerClocks.js";
 export { PlacementRelay } from "./placementRelay.js";
 export { Placer } from "./placement.js";
-export { PrefixFollower, RemovalCause } from "./prefixFollower.js";
+export { PrefixFollower, RemovalCause } from "./store/prefixFollower.js";
 export { PrefillRates, type RateReport } from "./prefillRates.js";
 export { PrefixIndex, type PrefixReport } from "./prefixIndex.js";
 export { getAllowances, restartsPerWindow } from "./limits/quotaAllowances.js";
 export { QuotaCharges } from "./limits/quotaCharges.js";
 export { RecentPlacements } from "./recentPlacements.js";
 export { createFingerprint } from "./crashes/requestFingerprint.js";
-export { GatewayItems } from "./gatewayItems.js";
+export { GatewayItems } from "./store/gatewayItems.js";
 export { parseAdvertisedLimit } from "./limits/advertisedLimit.js";
 export { maxRetryAfterMs, parseRetryAfter } from "./retryAfter.js";
 export { AcceptanceRates } from "./limits/retries/acceptanceRates.js";
@@ -148,8 +148,8 @@
   StoreEras,
   type StorePosition,
   initialEra,
-} from "./storeEras.js";
-export { StoreFeed } from "./storeFeed.js";
+} from "./store/storeEras.js";
+export { StoreFeed } from "./store/storeFeed.js";
 export { SuspectGate } from "./crashes/suspectGate.js";
 export { TrialScheduler, TrialDecision } from "./crashes/trialScheduler.js";
 export { DisciplinedClock } from "./disciplinedClock.js";
--- a/packages/gateway/src/memberMessages.ts
+++ b/packages/gateway/src/memberMessages.ts
@@ -5,7 +5,7 @@
 import type { PeerMessage } from "@gladewall/coordination";
 import type { ArbiterCall } from "./limits/arbiters.js";
 import type { EndpointWork } from "./endpoints/endpointWork.js";
-import type { FeedMessage, FeedState } from "./feedReplication.js";
+import type { FeedMessage, FeedState } from "./store/feedReplication.js";
 import type { PrefixReport } from "./prefixIndex.js";
 import type { RateReport } from "./prefillRates.js";
 import type { CounterReport, CounterView } from "./sharedCounters.js";
--- a/packages/gateway/src/memberRecords.ts
+++ b/packages/gateway/src/memberRecords.ts
@@ -6,8 +6,8 @@
 import type { PeerAddress } from "@gladewall/coordination";
 import { type Clock, type Closeable, FailureCode, type Logger, type Timer, waitFor } from "@gladewall/kernel";
 import type { ForwardingPeer } from "./forwarding/forwardingPeers.js";
-import { decodeItem } from "./itemCodec.js";
-import { PrefixFollower, type Removal } from "./prefixFollower.js";
+import { decodeItem } from "./store/itemCodec.js";
+import { PrefixFollower, type Removal } from "./store/prefixFollower.js";
 import * as v from "valibot";
 import type { MetadataStore, StoreItem } from "./types.js";
 
--- a/packages/gateway/src/origins/originArchive.ts
+++ b/packages/gateway/src/origins/originArchive.ts
@@ -6,7 +6,7 @@
  */
 import { type Clock, type Logger, waitFor } from "@gladewall/kernel";
 import * as v from "valibot";
-import { decodeItem } from "../itemCodec.js";
+import { decodeItem } from "../store/itemCodec.js";
 import type { MetadataStore } from "../types.js";
 import { decodeEntries, encodeEntries, type OriginEntry } from "./originMessages.js";
 import { OriginSource, type OriginTable } from "./originTable.js";
--- a/packages/gateway/src/origins/versionItems.ts
+++ b/packages/gateway/src/origins/versionItems.ts
@@ -5,7 +5,7 @@
  */
 import type { Clock, Logger } from "@gladewall/kernel";
 import * as v from "valibot";
-import { decodeItem } from "../itemCodec.js";
+import { decodeItem } from "../store/itemCodec.js";
 import { gatewayPrefix } from "../memberRecords.js";
 import type { MetadataStore, StoreItem } from "../types.js";
 import { isSameOrigin } from "./streamOrigin.js";
--- a/packages/gateway/src/committedWindows.ts
+++ b/packages/gateway/src/store/committedWindows.ts
@@ -7,8 +7,8 @@
 import * as v from "valibot";
 import { decodeItem } from "./itemCodec.js";
 import { type Removal, RemovalCause } from "./prefixFollower.js";
-import type { MetadataStore, StoreItem } from "./types.js";
-import type { WorkspaceCounts } from "./usageCounts.js";
+import type { MetadataStore, StoreItem } from "../types.js";
+import type { WorkspaceCounts } from "../usageCounts.js";
 
 /** Options of committed windows. */
 export interface CommittedWindowsOptions {
--- a/packages/gateway/src/eraReporting.ts
+++ b/packages/gateway/src/store/eraReporting.ts
@@ -3,7 +3,7 @@
  * @module
  */
 import type { Logger } from "@gladewall/kernel";
-import type { GatewayMetrics } from "./gatewayMetrics.js";
+import type { GatewayMetrics } from "../gatewayMetrics.js";
 import { EraSource, DiscardCause, type StoreEras } from "./storeEras.js";
 
 /** Discarded responses that are logged per era; the rest are only counted. */
--- a/packages/gateway/src/gatewayItems.ts
+++ b/packages/gateway/src/store/gatewayItems.ts
@@ -4,12 +4,12 @@
  * @module
  */
 import type { Clock, Logger } from "@gladewall/kernel";
-import { FencedLeases } from "./fencedLeases.js";
+import { FencedLeases } from "../fencedLeases.js";
 import { EraSettling } from "./eraSettling.js";
 import { CommittedWindows } from "./committedWindows.js";
-import { gatewayPrefix } from "./memberRecords.js";
+import { gatewayPrefix } from "../memberRecords.js";
 import type { Removal } from "./prefixFollower.js";
-import type { MetadataStore, StoreItem } from "./types.js";
+import type { MetadataStore, StoreItem } from "../types.js";
 
 /** Prefix of the keys that hold committed usage windows. */
 export const usagePrefix = `${gatewayPrefix}usage/`;
--- a/packages/gateway/src/prefixFollower.ts
+++ b/packages/gateway/src/store/prefixFollower.ts
@@ -9,7 +9,7 @@
  */
 import { type Clock, type Closeable, Failure, FailureCode, type Logger, waitFor } from "@gladewall/kernel";
 import { type StorePosition, initialEra } from "./storeEras.js";
-import type { MetadataStore, StoreEvent, StoreItem } from "./types.js";
+import type { MetadataStore, StoreEvent, StoreItem } from "../types.js";
 
 /** Why an item is no longer listed. */
 export enum RemovalCause {
--- a/packages/gateway/src/storeFeed.ts
+++ b/packages/gateway/src/store/storeFeed.ts
@@ -4,8 +4,8 @@
  * @module
  */
 import type { Clock, Logger } from "@gladewall/kernel";
-import { ReaderSelection } from "./readerSelection.js";
-import { type ConfigurationFollower, StoreRole } from "./configurationFollower.js";
+import { ReaderSelection } from "../readerSelection.js";
+import { type ConfigurationFollower, StoreRole } from "../configurationFollower.js";
 import type { FeedTimings } from "./feedTimings.js";
 import { type FeedMessage, type FeedState, FeedReplication } from "./feedReplication.js";
 import type { PrefixFollower } from "./prefixFollower.js";
--- a/packages/gateway/src/types.ts
+++ b/packages/gateway/src/types.ts
@@ -6,7 +6,7 @@
 import type { Failure } from "@gladewall/kernel";
 import type { EndpointLoad } from "@gladewall/policy";
 import type { Result } from "ts-results-es";
-import type { StoreEras, StorePosition } from "./storeEras.js";
+import type { StoreEras, StorePosition } from "./store/storeEras.js";
 
 export type { EndpointLoad } from "@gladewall/policy";
 
