--- a/packages/gateway/src/origins/originArchive.ts
+++ b/packages/gateway/src/origins/originArchive.ts
@@ -90,16 +90,16 @@
   }
 
   /** Reads all items into the table; resolves after a while even if the store doesn't reply. */
-  async load(): Promise<void> {
+  async readAll(): Promise<void> {
     const { clock } = this.options;
     if (clock.getTime() - this.readAt >= freshMs) {
       this.readAt = clock.getTime();
-      this.reading = this.read();
+      this.reading = this.readItems();
     }
     await Promise.race([this.reading, waitFor(clock, maxReadMs)]);
   }
 
-  private async read(): Promise<void> {
+  private async readItems(): Promise<void> {
     const { store, table, logger } = this.options;
     const listed = await store.list(archivePrefix);
     if (listed.isErr()) return;
--- a/packages/gateway/src/origins/originGossip.ts
+++ b/packages/gateway/src/origins/originGossip.ts
@@ -74,7 +74,7 @@
     });
     fleet.links.setHandler(OriginMessageKind.Call, (message) => this.replyToCall(message as OriginCall));
     fleet.links.onLinkUp((peer) => this.sendToNewKeeper(peer));
-    history.onFurtherVersion((service) => this.tellOfService(service));
+    history.onFurtherVersion((service) => this.announceService(service));
   }
 
   static create(options: OriginGossipOptions): OriginGossip {
@@ -82,13 +82,13 @@
   }
 
   /** Tells the keepers where a stream of this instance began, in one message with others of the same moment. */
-  tell(key: number, code: number): void {
+  announce(key: number, code: number): void {
     this.queue.push([key, code]);
     if (this.queue.length === 1) setImmediate(() => this.flush());
   }
 
   /** Tells the keepers of the streams that began while a service had one version, now that they could go on at another. */
-  private tellOfService(service: string): void {
+  private announceService(service: string): void {
     const { fleet, table, history } = this.options;
     const codes = new Set(history.list(service).map(({ origin }) => encodeOrigin(origin)));
     const entries = [...table.getOwn()].filter(([, code]) => codes.has(code));
@@ -100,15 +100,15 @@
    * Calls all linked keepers; resolves with the first that knows, or once all have replied or their time is over. They are called once
    * more if none knows, because the stream may only just have been told of.
    */
-  async ask(key: number): Promise<OriginAnswer> {
+  async callKeepers(key: number): Promise<OriginAnswer> {
     await this.waitForLinks();
-    const answer = await this.askOnce(key);
+    const answer = await this.callKeepersOnce(key);
     if (answer.code !== undefined || answer.called === answer.silent) return answer;
     await waitFor(this.options.clock, lateMs);
-    return this.askOnce(key);
+    return this.callKeepersOnce(key);
   }
 
-  private async askOnce(key: number): Promise<OriginAnswer> {
+  private async callKeepersOnce(key: number): Promise<OriginAnswer> {
     const { fleet } = this.options;
     const keepers = fleet.getKeepers();
     const hasCalledAll = fleet.hasAllKeepers;
--- a/packages/gateway/src/origins/takeUps.ts
+++ b/packages/gateway/src/origins/takeUps.ts
@@ -50,8 +50,8 @@
   readonly directory: Pick<EndpointDirectory, "getOfService">;
   readonly table: OriginTable;
   readonly history: VersionHistory;
-  readonly gossip: Pick<OriginGossip, "ask">;
-  readonly archive: Pick<OriginArchive, "load">;
+  readonly gossip: Pick<OriginGossip, "callKeepers">;
+  readonly archive: Pick<OriginArchive, "readAll">;
   /** Whether this instance may not know of the latest versions, because it has heard nothing of endpoints for a while. */
   readonly isViewOld: () => boolean;
   /** Returns a number from 0 to 1, to choose among the services of a route. */
@@ -113,10 +113,10 @@
     const key = createStreamKey(workspace, head.resumes);
     const known = table.find(key);
     if (known || !(this.mayDiffer(route) || this.options.isViewOld())) return { known };
-    const answer = await gossip.ask(key);
+    const answer = await gossip.callKeepers(key);
     const { code } = answer;
     if (code === undefined) {
-      if (this.mayDiffer(route)) await archive.load();
+      if (this.mayDiffer(route)) await archive.readAll();
       return { known: table.find(key), answer };
     }
     table.record(key, code, OriginSource.Asked);
@@ -197,7 +197,7 @@
 export class OriginRecorder {
   private constructor(
     private readonly options: Pick<TakeUpsOptions, "table" | "history"> & {
-      readonly gossip: Pick<OriginGossip, "tell">;
+      readonly gossip: Pick<OriginGossip, "announce">;
     },
   ) {}
 
@@ -213,6 +213,6 @@
     const key = createStreamKey(workspace, isTakenUp ? head.resumes : head.id);
     const code = encodeOrigin(origin);
     table.record(key, code, OriginSource.Own);
-    if (history.hasSeveral(origin.service)) gossip.tell(key, code);
+    if (history.hasSeveral(origin.service)) gossip.announce(key, code);
   }
 }
--- a/packages/gateway/test/originFleet.ts
+++ b/packages/gateway/test/originFleet.ts
@@ -256,7 +256,7 @@
   }: Parameters<MetadataStore["transact"]>[0]): Promise<Result<{ era: number; revision: number }, Failure>> {
     for (const { key, value } of put) this.store.set(key, value);
     for (const key of remove) this.store.delete(key);
-    for (const member of this.members) this.tellItems(member, [...put.map(({ key }) => key), ...remove]);
+    for (const member of this.members) this.showItems(member, [...put.map(({ key }) => key), ...remove]);
     return Ok({ era: 0, revision: 1 });
   }
 
@@ -268,7 +268,7 @@
     };
   }
 
-  private tellItems(member: Member, keys: readonly string[]): void {
+  private showItems(member: Member, keys: readonly string[]): void {
     for (const key of keys) {
       const value = this.store.get(key);
       member.items.handleItem(key, value && { key, value, revision: 1 });
@@ -308,7 +308,7 @@
     this.clock.startTimer(restartMs, () => {
       const next = new Member(this, index);
       this.members[index] = next;
-      this.tellItems(next, [...this.store.keys()]);
+      this.showItems(next, [...this.store.keys()]);
       for (const endpoint of this.endpoints) next.addEndpoint(endpoint);
       this.clock.startTimer(this.random() * linkMs, () => {
         next.isLinked = true;
--- a/packages/gateway/test/takenUpVersions.test.ts
+++ b/packages/gateway/test/takenUpVersions.test.ts
@@ -114,8 +114,8 @@
       directory: { getOfService: () => [endpoint] },
       table: OriginTable.create({ clock, getRetentionMs: () => 10_000 }),
       history,
-      gossip: { ask: async () => ({ ...none, ...answer }) },
-      archive: { load: async () => undefined },
+      gossip: { callKeepers: async () => ({ ...none, ...answer }) },
+      archive: { readAll: async () => undefined },
       isViewOld: () => isViewOld,
       getRandom: () => 0,
     });
--- a/scripts/mutants.mjs
+++ b/scripts/mutants.mjs
@@ -191,7 +191,7 @@
     name: "origin-told",
     runSoak: runHalvedVersionSoak,
     file: `${gateway}origins/takeUps.ts`,
-    edits: [["if (history.hasSeveral(origin.service)) gossip.tell(key, code);", ""]],
+    edits: [["if (history.hasSeveral(origin.service)) gossip.announce(key, code);", ""]],
   },
   {
     name: "unknown-origin-refused",
