--- a/packages/gateway/src/activeRequestTypes.ts
+++ b/packages/gateway/src/activeRequestTypes.ts
@@ -36,6 +36,7 @@
   | "slots"
   | "contention"
   | "brittle"
+  | "members"
   | "metrics"
   | "connectTimeoutMs"
   | "countRun"
--- a/packages/gateway/src/attemptStage.ts
+++ b/packages/gateway/src/attemptStage.ts
@@ -204,6 +204,7 @@
       detail: result.detail,
       peer: route.peer?.name,
       fingerprint,
+      ...(result.outcome === AttemptOutcome.NotRun && this.describeRoom(endpoint)),
     });
     if (isLost) {
       context.history.recordRun();
@@ -224,6 +225,27 @@
     return context.history.isExhausted ? NextStep.Fail : NextStep.Retry;
   }
 
+  /** Tells why an endpoint that refused the request was thought to have room. */
+  private describeRoom(endpoint: Endpoint): Readonly<Record<string, string | number | boolean | undefined>> {
+    const { parts, request, slot, trial } = this.context;
+    const { clock, brittle, members } = parts;
+    const time = clock.getTime();
+    const report = endpoint.capacity.getReport();
+    return {
+      life: endpoint.incarnation,
+      countedBy: slot?.arbiter,
+      trial: trial !== undefined,
+      ownActive: endpoint.active,
+      peerActive: members.getPeerWork(endpoint.incarnation).active,
+      slots: endpoint.record.slots,
+      running: report?.load.running,
+      waiting: report?.load.waiting,
+      reportAgeMs: report && Math.round(time - report.at),
+      brittleLimit: brittle.getLimit(request.service.name),
+      brittleKnownMs: brittle.getKnownMs(request.service.name),
+    };
+  }
+
   /** Engines are placed by what is known of their load, so a refusal has to be known everywhere; other slots have an arbiter. */
   private recordRefused(endpoint: Endpoint, time: number): void {
     const { parts, request } = this.context;
--- a/packages/gateway/src/brittle/brittleServices.ts
+++ b/packages/gateway/src/brittle/brittleServices.ts
@@ -40,6 +40,8 @@
 
 interface ServiceState {
   limit: number;
+  /** Monotonic time at which this instance learned that the service is brittle. */
+  readonly knownSince: number;
   /** Monotonic time of the last response that announced it. */
   announcedAt: number;
 }
@@ -78,6 +80,12 @@
     return undefined;
   }
 
+  /** Milliseconds for which this instance has known that a service is brittle; undefined if it is not. */
+  getKnownMs(service: string): number | undefined {
+    if (this.getLimit(service) === undefined) return undefined;
+    return this.options.clock.getTime() - (this.states.get(service)?.knownSince ?? 0);
+  }
+
   /** Applies a response to a request that was sent at the given time; `limit` is undefined if it announces nothing. */
   recordResponse({ record }: Endpoint, limit: number | undefined, sentAt: number): void {
     const { service } = record;
@@ -103,7 +111,8 @@
   private announce(service: string, limit: number, at: number): boolean {
     const state = this.states.get(service);
     if (state && state.announcedAt > at) return false;
-    this.states.set(service, { limit, announcedAt: at });
+    const knownSince = state?.knownSince ?? this.options.clock.getTime();
+    this.states.set(service, { limit, announcedAt: at, knownSince });
     if (state?.limit === limit) return false;
     this.options.logger.info("service.brittle", { service, refusalsPerSecond: limit });
     return true;
--- a/packages/gateway/src/slots/heldSlot.ts
+++ b/packages/gateway/src/slots/heldSlot.ts
@@ -15,6 +15,8 @@
   readonly id: string;
   /** Incarnation of the endpoint. */
   readonly endpoint: string;
+  /** Instance that granted it. */
+  readonly arbiter: string;
   /** Sends the end to the arbiter. */
   readonly report: (end: SlotEndReport) => void;
 }
@@ -37,6 +39,10 @@
     return this.options.endpoint;
   }
 
+  get arbiter(): string {
+    return this.options.arbiter;
+  }
+
   /** Records that the request is sent now. */
   recordSending(): void {
     this.sentAt = this.options.clock.getTime();
--- a/packages/gateway/src/slots/slotAcquisition.ts
+++ b/packages/gateway/src/slots/slotAcquisition.ts
@@ -117,6 +117,7 @@
     return HeldSlot.create({
       clock: this.options.clock,
       endpoint,
+      arbiter,
       id,
       service: input.service.name,
       report: (end) => this.options.transport.end(arbiter, end),
--- a/packages/standins/src/brittleEndpoint.ts
+++ b/packages/standins/src/brittleEndpoint.ts
@@ -13,6 +13,8 @@
   readonly workMs: number;
   /** Milliseconds after a crash until it is back. */
   readonly downMs: number;
+  /** Tokens of its memory, of which a request holds those that its header `x-tokens` names; undefined if it needs none. */
+  readonly tokenCapacity?: number | undefined;
 }
 
 /** An endpoint of one test. It is robust until `beginBrittle`. */
@@ -26,8 +28,13 @@
     private readonly endpoint: ScriptedEndpoint,
     private readonly options: BrittleEndpointOptions,
   ) {
-    const { slots, workMs } = options;
-    this.work = BrittleWork.create({ slots, workMs, onCrash: () => void this.crash() });
+    const { slots, workMs, tokenCapacity } = options;
+    this.work = BrittleWork.create({
+      slots,
+      workMs,
+      ...(tokenCapacity !== undefined && { tokenCapacity }),
+      onCrash: () => void this.crash(),
+    });
     endpoint.script = (call) => this.handle(call);
   }
 
@@ -66,9 +73,13 @@
       response.setHeader("x-load", load);
       act(call);
     };
-    this.work.take({
-      succeed: (load) => respond(load, respondSuccess),
-      refuse: (load) => respond(load, respondNotRun),
+    const responses = {
+      succeed: (load: string) => respond(load, respondSuccess),
+      refuse: (load: string) => respond(load, respondNotRun),
+    };
+    const drop = this.work.take(responses, { tokens: Number(call.headers["x-tokens"] ?? 0) });
+    response.on("close", () => {
+      if (!response.writableFinished) drop();
     });
   }
 
