--- a/packages/gateway/src/crashes/crashStore.ts
+++ b/packages/gateway/src/crashes/crashStore.ts
@@ -8,6 +8,7 @@
 import * as v from "valibot";
 import type { CrashRecords, CrashReport, CrashSubject, CrashUpdate } from "./crashRecords.js";
 import { decodeItem } from "../store/itemCodec.js";
+import { ItemWriter } from "../store/itemWriter.js";
 import { gatewayPrefix } from "../memberRecords.js";
 import { type Removal, RemovalCause } from "../store/prefixFollower.js";
 import type { MetadataStore, StoreItem } from "../types.js";
@@ -27,8 +28,6 @@
 const maxItems = 256;
 /** Most items of one workspace, so that a workspace that crashes endpoints on purpose takes no space from others. */
 const maxItemsOfWorkspace = 64;
-/** Time between a failed write and the next attempt. */
-const retryMs = 1_000;
 
 const crashSchema = v.object({
   workspace: v.string(),
@@ -43,10 +42,11 @@
 export class CrashStore {
   /** Items as last read, by fingerprint. */
   private readonly items = new Map<string, CrashItem>();
-  private isWriting = false;
-  private failedAt = -Infinity;
+  private readonly writer: ItemWriter;
 
-  private constructor(private readonly options: CrashStoreOptions) {}
+  private constructor(private readonly options: CrashStoreOptions) {
+    this.writer = ItemWriter.create(options.store, options.clock);
+  }
 
   static create(options: CrashStoreOptions): CrashStore {
     return new CrashStore(options);
@@ -69,8 +69,7 @@
 
   /** Writes missing items and removes those of cleared requests; called several times a second. */
   reconcileItems(): void {
-    const { clock } = this.options;
-    if (this.isWriting || clock.getTime() - this.failedAt < retryMs) return;
+    if (!this.writer.isReady) return;
     const durable = this.options.records.getDurable();
     const missing = durable.find((subject) => this.needsWrite(subject));
     if (missing) {
@@ -108,30 +107,17 @@
   private async write({ workspace, fingerprint }: CrashSubject): Promise<void> {
     const { first, repeated } = this.options.records.getEvidence(fingerprint);
     const item: CrashItem = { workspace, first: [...first], repeated: [...repeated] };
-    const put = [{ key: crashPrefix + fingerprint, value: Buffer.from(JSON.stringify(item)) }];
-    if (await this.transact({ put, remove: [] }, "crash.kept", fingerprint))
-      this.items.set(fingerprint, item);
+    if (await this.put(fingerprint, item, "crash.kept")) this.items.set(fingerprint, item);
   }
 
   private async remove(fingerprint: string): Promise<void> {
-    const change = { put: [], remove: [crashPrefix + fingerprint] };
-    if (await this.transact(change, "crash.cleared", fingerprint)) this.items.delete(fingerprint);
+    if (await this.put(fingerprint, undefined, "crash.cleared")) this.items.delete(fingerprint);
   }
 
-  private async transact(
-    change: Pick<Parameters<MetadataStore["transact"]>[0], "put" | "remove">,
-    event: string,
-    fingerprint: string,
-  ): Promise<boolean> {
-    this.isWriting = true;
-    const written = await this.options.store.transact({ expected: [], ...change });
-    this.isWriting = false;
-    if (written.isErr()) this.failedAt = this.options.clock.getTime();
-    this.options.logger.info(event, {
-      fingerprint,
-      outcome: written.isOk() ? "written" : written.error.name,
-    });
-    return written.isOk();
+  private async put(fingerprint: string, item: CrashItem | undefined, event: string): Promise<boolean> {
+    const { isWritten, outcome } = await this.writer.write(crashPrefix + fingerprint, item);
+    this.options.logger.info(event, { fingerprint, outcome });
+    return isWritten;
   }
 
   /** The quarantine remains; the writer of the request finds its item missing and writes it again. */
--- a/packages/gateway/src/origins/versionItems.ts
+++ b/packages/gateway/src/origins/versionItems.ts
@@ -6,6 +6,7 @@
 import type { Clock, Logger } from "@gladewall/kernel";
 import * as v from "valibot";
 import { decodeItem } from "../store/itemCodec.js";
+import { ItemWriter } from "../store/itemWriter.js";
 import { gatewayPrefix } from "../memberRecords.js";
 import type { MetadataStore, StoreItem } from "../types.js";
 import { isSameOrigin } from "./streamOrigin.js";
@@ -24,8 +25,6 @@
 }
 
 const versionsPrefix = `${gatewayPrefix}versions/`;
-/** Time between a failed write and the next attempt. */
-const retryMs = 1_000;
 
 const versionsSchema = v.object({
   service: v.string(),
@@ -45,10 +44,11 @@
 export class VersionItems {
   /** Items as last read or written, by service. */
   private readonly items = new Map<string, VersionsItem>();
-  private isWriting = false;
-  private failedAt = -Infinity;
+  private readonly writer: ItemWriter;
 
-  private constructor(private readonly options: VersionItemsOptions) {}
+  private constructor(private readonly options: VersionItemsOptions) {
+    this.writer = ItemWriter.create(options.store, options.clock);
+  }
 
   static create(options: VersionItemsOptions): VersionItems {
     return new VersionItems(options);
@@ -66,8 +66,8 @@
 
   /** Writes what has changed; called several times a second. */
   reconcile(): void {
-    const { clock, history, isWriter } = this.options;
-    if (this.isWriting || clock.getTime() - this.failedAt < retryMs) return;
+    const { history, isWriter } = this.options;
+    if (!this.writer.isReady) return;
     const services = new Set([...history.getMixedServices(), ...this.items.keys()]);
     for (const service of services) {
       if (this.isCurrent(service) || !isWriter(service)) continue;
@@ -101,20 +101,16 @@
   }
 
   private async write(service: string): Promise<void> {
-    const { store, logger, clock, history } = this.options;
+    const { logger, history } = this.options;
     const key = versionsPrefix + encodeURIComponent(service);
     const item = history.hasSeveral(service) ? this.createItem(service) : undefined;
-    const put = item ? [{ key, value: Buffer.from(JSON.stringify(item)) }] : [];
-    this.isWriting = true;
-    const written = await store.transact({ expected: [], put, remove: item ? [] : [key] });
-    this.isWriting = false;
-    if (written.isErr()) this.failedAt = clock.getTime();
-    else if (item) this.items.set(service, item);
-    else this.items.delete(service);
+    const { isWritten, outcome } = await this.writer.write(key, item);
+    if (isWritten && item) this.items.set(service, item);
+    else if (isWritten) this.items.delete(service);
     logger.info("versions.kept", {
       service,
       versions: item?.versions.map(({ version = "" }) => version).join(),
-      outcome: written.isOk() ? "written" : written.error.name,
+      outcome,
     });
   }
 
