Count memory, long requests and those of lost instances in the slots of brittle endpoints

Cause: a grant ended after 2 s whatever its request did, so that the places of longer streams were granted again; prompts counted as one slot whatever memory they take; a place whose instance had died was free by a guess.

Change: at an endpoint that bears few refusals a grant lasts until its request has ended or its deadline has passed; a prompt is granted where its tokens fit, a larger one than any memory is refused at once, and one that waits for memory is not overtaken for ever; places granted by another scheduler are adopted; that of an instance that is gone is free once the endpoint's report shows it. In a new term an endpoint gets one request until it has reported its load. Requests that were passed over keep their place in the order. Endpoints that bear any number of refusals are granted as before.

--- a/packages/gateway/test/fifoSlotScheduler.ts
+++ b/packages/gateway/test/fifoSlotScheduler.ts
@@ -4,6 +4,7 @@
  */
 import type { Clock } from "@gladewall/kernel";
 import {
+  type AdoptedSlot,
   type SlotDecision,
   type SlotDispatch,
   type SlotEnd,
@@ -72,6 +73,19 @@
     this.open.delete(end.id);
   }
 
+  /** Counts a place as any other. */
+  adopt({ id, endpoint, deadlineAt }: AdoptedSlot): void {
+    if (!this.open.has(id)) this.open.set(id, { id, endpoint, expiresAt: deadlineAt });
+  }
+
+  /** Places of instances that are gone stay until they expire. */
+  orphan(): void {}
+
+  /** Reports are not used. */
+  recordLoad(): void {}
+
+  describe(): undefined {}
+
   dispatch(): SlotDispatch {
     const time = this.clock.getTime();
     for (const { id, expiresAt } of this.open.values()) if (expiresAt <= time) this.open.delete(id);
--- a/packages/policy/src/capacityTypes.ts
+++ b/packages/policy/src/capacityTypes.ts
@@ -41,6 +41,10 @@
   readonly deadlineAt: number;
   /** Incarnations of endpoints that the request must not be sent to. */
   readonly excluded: ReadonlySet<string>;
+  /** Incarnations of the endpoints that it is best sent to, the best one first; any if omitted. */
+  readonly preferred?: readonly string[] | undefined;
+  /** Tokens of an engine's memory that it may take; none if omitted. */
+  readonly tokens?: number | undefined;
 }
 
 /** What becomes of a request for a slot. */
@@ -62,6 +66,8 @@
   QueueFull = 3,
   /** No endpoint that the request may be sent to is known. */
   NoEndpoint = 4,
+  /** It needs more memory than any endpoint has. */
+  MemoryExceeded = 5,
 }
 
 /** Decision on a request for a slot. */
@@ -113,6 +119,38 @@
   readonly slots: number;
   /** Refusals a second that it bears; more of them make it crash. Undefined if it bears any number. */
   readonly refusalLimit?: number | undefined;
+  /** Most requests that may have a grant of this scheduler there; as many as there are slots if omitted. */
+  readonly mostGranted?: number | undefined;
+  /** Tokens that its memory holds; any number if omitted. */
+  readonly tokenCapacity?: number | undefined;
+  /**
+   * Grows when the scheduler may not know of all work there, because another one granted its slots before. Until the endpoint has
+   * reported its load, it gets a request only if none is known to be there.
+   */
+  readonly term?: number | undefined;
+}
+
+/** A request that has a place at an endpoint and was not granted it by this scheduler. */
+export interface AdoptedSlot {
+  readonly id: string;
+  /** Incarnation of the endpoint. */
+  readonly endpoint: string;
+  /** Time by which the request has ended. */
+  readonly deadlineAt: number;
+  readonly tokens: number;
+}
+
+/** What a scheduler knows of one endpoint, for logs. */
+export interface SlotEndpointLoad {
+  /** Requests with a grant, and those of them whose instance is gone. */
+  readonly open: number;
+  readonly orphaned: number;
+  /** Requests that the last report showed beside them. */
+  readonly ungranted: number;
+  readonly slots: number;
+  readonly usedTokens: number;
+  /** Milliseconds since the last report; Infinity if there was none. */
+  readonly reportAgeMs: number;
 }
 
 /** Decides who gets the slots of one service. It holds all state in memory and does no input or output. */
@@ -125,6 +163,14 @@
   cancel(id: string): void;
   /** Frees the slot of a grant. */
   end(end: SlotEnd): void;
+  /** Counts a request that another scheduler granted a slot, or that was sent without one. A known one is left as it is. */
+  adopt(slot: AdoptedSlot): void;
+  /** Records that the instance of a request with a grant is gone: the slot is free once a report shows that the request is gone too. */
+  orphan(id: string): void;
+  /** Records the load that an endpoint reported while the request of a grant runs there. */
+  recordLoad(id: string, load: EndpointLoad): void;
+  /** Returns what is known of the endpoint of a grant; undefined if the grant is not open. */
+  describe(id: string): SlotEndpointLoad | undefined;
   /** Grants free slots to waiting requests and drops those that wait in vain; to be called after every change and by `nextAt`. */
   dispatch(): SlotDispatch;
   /** Time at which a waiting request or a grant expires next; undefined if there is none. */
--- a/packages/policy/src/slotEndpointState.ts
+++ b/packages/policy/src/slotEndpointState.ts
@@ -3,7 +3,7 @@
  * its present pace. Reports correct it; absent, old or absurd reports leave the grants alone to count.
  * @module
  */
-import type { EndpointLoad, SlotEndpoint } from "./capacityTypes.js";
+import type { EndpointLoad, SlotEndpoint, SlotEndpointLoad } from "./capacityTypes.js";
 import { isPlausiblePace, maxReportAgeMs } from "./endpointCapacity.js";
 import { getRefusalRecoveryMs } from "./refusalRecovery.js";
 
@@ -16,11 +16,24 @@
 const maxRequestsPerSlot = 2;
 /** Requests beyond the slots that may wait at an endpoint, so that a slot is not idle for the transmission time. */
 const maxWaitingAtEndpoint = 1;
+/** Time after which work that no report has shown is taken to have ended at an endpoint that reports no load. */
+const unreportedWorkMs = 2_000;
+
 /** Load of one endpoint as the scheduler knows it. Times are milliseconds of the scheduler's clock. */
 export class SlotEndpointState {
   private slots = 0;
   private refusalLimit: number | undefined;
+  private mostGranted = Infinity;
+  private tokenCapacity = Infinity;
+  private term: number | undefined;
+  /** Until when work may be there that is neither granted nor reported. */
+  private unverifiedUntil = -Infinity;
   private open = 0;
+  /** Open grants of other schedulers. */
+  private adopted = 0;
+  private usedTokens = 0;
+  /** Open grants whose instance is gone. */
+  orphaned = 0;
   /** Requests without a grant at the time of the last report. */
   private ungranted = 0;
   private reportedAt = -Infinity;
@@ -29,27 +42,55 @@
 
   private constructor(readonly incarnation: string) {}
 
-  static create(endpoint: SlotEndpoint): SlotEndpointState {
+  static create(endpoint: SlotEndpoint, time: number): SlotEndpointState {
     const state = new SlotEndpointState(endpoint.incarnation);
-    state.update(endpoint);
+    state.update(endpoint, time);
     return state;
   }
 
-  update({ slots, refusalLimit }: SlotEndpoint): void {
+  update({ slots, refusalLimit, mostGranted, tokenCapacity, term }: SlotEndpoint, time: number): void {
     this.slots = Number.isFinite(slots) ? Math.max(0, Math.floor(slots)) : 0;
     this.refusalLimit = refusalLimit;
+    this.mostGranted = mostGranted ?? Infinity;
+    this.tokenCapacity = tokenCapacity ?? Infinity;
+    if (term !== undefined && term !== this.term) this.unverifiedUntil = time + unreportedWorkMs;
+    this.term = term;
   }
 
   getSlots(): number {
     return this.slots;
   }
 
-  addGrant(): void {
+  /** Whether its slots are granted so that it never has to refuse a request. */
+  get isBrittle(): boolean {
+    return this.refusalLimit !== undefined;
+  }
+
+  addGrant(tokens: number, isAdopted: boolean): void {
     this.open += 1;
+    this.usedTokens += tokens;
+    if (isAdopted) this.adopted += 1;
   }
 
-  removeGrant(): void {
+  removeGrant(tokens: number, isAdopted: boolean): void {
     this.open -= 1;
+    this.usedTokens -= tokens;
+    if (isAdopted) this.adopted -= 1;
+  }
+
+  /** Whether a request could run here if nothing else did. */
+  hasMemoryFor(tokens: number): boolean {
+    return tokens <= this.tokenCapacity;
+  }
+
+  /** Tokens of its memory that no granted request takes. */
+  get freeTokens(): number {
+    return this.tokenCapacity - this.usedTokens;
+  }
+
+  describe(time: number): SlotEndpointLoad {
+    const { open, orphaned, ungranted, slots, usedTokens, reportedAt } = this;
+    return { open, orphaned, ungranted, slots, usedTokens, reportAgeMs: time - reportedAt };
   }
 
   /** Records that the endpoint refused a request: it counts as full for a while, long enough for its limit of refusals. */
@@ -62,6 +103,7 @@
   /** Applies a report that a response carried while its grant is still counted as open. */
   applyReport(load: EndpointLoad, time: number, meanRunMs: number): void {
     if (!isValid(load)) return;
+    this.unverifiedUntil = -Infinity;
     const requests = Math.min(load.running + load.waiting, this.slots * maxRequestsPerSlot);
     this.ungranted = Math.max(0, requests - this.open);
     // Smooths the pace over about the time that one request takes.
@@ -78,10 +120,16 @@
     return 1 + (this.pace - 1) * Math.exp(-age / paceDecayMs);
   }
 
-  /** Returns whether a request may be granted: fewer than slots + 1 are there, or than slots if the endpoint bears few refusals. */
-  hasRoom(time: number, meanRunMs: number): boolean {
+  /**
+   * Returns whether a request that needs some tokens may be granted: fewer than slots + 1 are there, or than slots if the endpoint
+   * bears few refusals.
+   */
+  hasRoom(time: number, meanRunMs: number, tokens = 0): boolean {
     const most = this.getMaxRequests();
     if (this.slots === 0 || this.open >= most || time < this.fullUntil) return false;
+    if (this.open - this.adopted >= this.mostGranted) return false;
+    if (time < this.unverifiedUntil && this.open > 0) return false;
+    if (tokens > this.freeTokens) return false;
     return this.getRequests(time, meanRunMs) < most;
   }
 
--- a/packages/policy/src/slotGrants.ts
+++ b/packages/policy/src/slotGrants.ts
@@ -3,12 +3,14 @@
  * @module
  */
 import type { Clock } from "@gladewall/kernel";
-import type { SlotRequest } from "./capacityTypes.js";
+import type { AdoptedSlot, EndpointLoad, SlotRequest } from "./capacityTypes.js";
 import { IndexedHeap } from "./indexedHeap.js";
 import type { SlotEndpointState } from "./slotEndpointState.js";
 
-/** Longest validity of a grant. */
+/** Longest validity of a grant, unless its endpoint bears few refusals: there it is valid until the request has ended. */
 export const maxGrantMs = 2_000;
+/** Time within which a request with a grant has arrived at its endpoint and shows in what that reports. */
+const arrivalMs = 100;
 
 /** A slot that a request has got. */
 export interface OpenGrant {
@@ -19,6 +21,12 @@
   readonly pace: number;
   /** Expected time from sending to response, as a multiple of the run time. */
   readonly waitFactor: number;
+  readonly tokens: number;
+  /** Whether another scheduler granted it. */
+  readonly isAdopted: boolean;
+  readonly grantedAt: number;
+  /** Whether its instance is gone. */
+  isOrphaned: boolean;
 }
 
 /** Open grants by request. */
@@ -46,14 +54,58 @@
   /** Opens a grant of a slot of an endpoint. */
   add(request: SlotRequest, endpoint: SlotEndpointState, meanRunMs: number): void {
     const time = this.clock.getTime();
-    const grant: OpenGrant = {
+    const latestAt = endpoint.isBrittle ? Infinity : time + maxGrantMs;
+    this.open({
       id: request.id,
       endpoint,
-      expiresAt: Math.min(time + maxGrantMs, request.deadlineAt),
+      expiresAt: Math.min(latestAt, request.deadlineAt),
       pace: endpoint.getPace(time),
       waitFactor: endpoint.getWaitFactor(time, meanRunMs),
-    };
-    endpoint.addGrant();
+      tokens: request.tokens ?? 0,
+      isAdopted: false,
+      grantedAt: time,
+      isOrphaned: false,
+    });
+  }
+
+  /** Opens a grant that another scheduler has given, in place of one with its id that differs. */
+  adopt({ id, deadlineAt, tokens }: AdoptedSlot, endpoint: SlotEndpointState): void {
+    const time = this.clock.getTime();
+    const known = this.byId.get(id);
+    const isCounted = known?.endpoint === endpoint && known.expiresAt >= deadlineAt - arrivalMs;
+    if (isCounted && !known.isOrphaned) return;
+    this.remove(id);
+    const pace = endpoint.getPace(time);
+    const state = { isAdopted: true, grantedAt: time, isOrphaned: false };
+    this.open({ id, endpoint, expiresAt: deadlineAt, pace, waitFactor: 1, tokens, ...state });
+  }
+
+  /** Records that the instance of a grant is gone. */
+  orphan(id: string): void {
+    const grant = this.byId.get(id);
+    if (!grant || grant.isOrphaned) return;
+    grant.isOrphaned = true;
+    grant.endpoint.orphaned += 1;
+  }
+
+  /**
+   * Closes orphaned grants of an endpoint that its report does not show any more. Of other grants it shows those that had time to
+   * arrive, but for the one with whose response it came.
+   */
+  releaseOrphans(endpoint: SlotEndpointState, { running, waiting }: EndpointLoad, except: string): void {
+    if (endpoint.orphaned === 0) return;
+    const arrivedBy = this.clock.getTime() - arrivalMs;
+    const arrived = [...this.byId.values()].filter(
+      (grant) => grant.endpoint === endpoint && grant.grantedAt <= arrivedBy && grant.id !== except,
+    );
+    const orphans = arrived.filter(({ isOrphaned }) => isOrphaned);
+    const others = arrived.length - orphans.length;
+    const shown = Math.max(0, running + waiting - others);
+    for (const { id } of orphans.slice(0, Math.max(0, orphans.length - shown))) this.remove(id);
+  }
+
+  private open(grant: OpenGrant): void {
+    grant.endpoint.addGrant(grant.tokens, grant.isAdopted);
     this.byId.set(grant.id, grant);
     this.byExpiry.add(grant);
   }
@@ -64,7 +116,8 @@
     if (!grant) return false;
     this.byId.delete(id);
     this.byExpiry.remove(grant);
-    grant.endpoint.removeGrant();
+    grant.endpoint.removeGrant(grant.tokens, grant.isAdopted);
+    if (grant.isOrphaned) grant.endpoint.orphaned -= 1;
     return true;
   }
 
--- a/packages/policy/src/slotOrder.ts
+++ b/packages/policy/src/slotOrder.ts
@@ -28,6 +28,8 @@
 export interface NextRequest {
   readonly request: SlotRequest;
   readonly isPreferred: boolean;
+  /** Its place among the requests that arrived before and after it. */
+  readonly sequence: number;
 }
 
 /** Waiting requests of one service in the order of service. Times are milliseconds of the clock. */
@@ -83,9 +85,18 @@
   /** Adds a request whose id does not wait yet. */
   add(request: SlotRequest): void {
     this.sequence += 1;
+    this.put(request, this.sequence);
+  }
+
+  /** Puts a request back that was taken and is not served, in its former place. */
+  putBack({ request, sequence }: NextRequest): void {
+    this.put(request, sequence);
+  }
+
+  private put(request: SlotRequest, sequence: number): void {
     const latestStartAt = this.getLatestStart(request);
     const canBeInTime = this.clock.getTime() <= latestStartAt;
-    const ordered: OrderedRequest = { request, sequence: this.sequence, latestStartAt, canBeInTime };
+    const ordered: OrderedRequest = { request, sequence, latestStartAt, canBeInTime };
     this.byId.set(request.id, ordered);
     this.byDeadline.add(ordered);
     if (canBeInTime) this.byLatestStart.add(ordered);
@@ -114,11 +125,12 @@
     const next = preferred ?? this.getFirstOf(this.inTime) ?? this.getFirstOf(this.late);
     if (!next) return undefined;
     this.remove(next.request.id);
-    return { request: next.request, isPreferred: preferred !== undefined };
+    const { request, sequence } = next;
+    return { request, sequence, isPreferred: preferred !== undefined };
   }
 
   /** Records that a request was served, whether it waited before or not. */
-  recordGrant({ request, isPreferred }: NextRequest): void {
+  recordGrant({ request, isPreferred }: Omit<NextRequest, "sequence">): void {
     this.rankShares.recordGrant(request.rank, isPreferred);
     this.workspaceShares.recordGrant(request.workspace, isPreferred);
     const groups = [this.inTime, this.late];
--- a/packages/policy/src/slotScheduler.ts
+++ b/packages/policy/src/slotScheduler.ts
@@ -5,10 +5,13 @@
  */
 import type { Clock } from "@gladewall/kernel";
 import {
+  type AdoptedSlot,
+  type EndpointLoad,
   type SlotDecision,
   type SlotDispatch,
   type SlotEnd,
   type SlotEndpoint,
+  type SlotEndpointLoad,
   type SlotGrant,
   SlotOutcome,
   SlotRefusal,
@@ -18,7 +21,7 @@
 import { RetryAdvice } from "./retryAdvice.js";
 import { SlotEndpoints } from "./slotEndpoints.js";
 import type { SlotEndpointState } from "./slotEndpointState.js";
-import { SlotGrants } from "./slotGrants.js";
+import { type OpenGrant, SlotGrants } from "./slotGrants.js";
 import { type NextRequest, SlotOrder } from "./slotOrder.js";
 import { SlotRunTime } from "./slotRunTime.js";
 
@@ -69,7 +72,7 @@
   }
 
   setEndpoints(endpoints: readonly SlotEndpoint[]): void {
-    this.grants.removeOf(this.endpoints.set(endpoints));
+    this.grants.removeOf(this.endpoints.set(endpoints, this.getTime()));
     this.estimatedAt = -Infinity;
     this.removeStranded();
   }
@@ -83,8 +86,10 @@
     const isReturn = this.retryAdvice.tryTakeReturn(request);
     if (request.deadlineAt <= this.getTime()) return this.refuse(request, SlotRefusal.DeadlineUnreachable);
     if (!this.endpoints.hasEligible(request.excluded)) return this.refuse(request, SlotRefusal.NoEndpoint);
+    if (!this.endpoints.hasMemoryFor(request.excluded, request.tokens ?? 0))
+      return this.refuse(request, SlotRefusal.MemoryExceeded);
     if (this.order.size === 0) {
-      const endpoint = this.selectEndpoint(request.excluded);
+      const endpoint = this.selectEndpoint(request);
       if (endpoint) return this.grant({ request, isPreferred: false }, endpoint);
     }
     const refusal = this.findRefusal(request, isReturn);
@@ -105,7 +110,7 @@
     if (!grant) return;
     const time = this.getTime();
     const meanRunMs = this.runTime.getMeanMs();
-    if (end.load) grant.endpoint.applyReport(end.load, time, meanRunMs);
+    if (end.load) this.applyReport(grant, end.load);
     this.grants.remove(end.id);
     if (end.isRejected) return grant.endpoint.recordRejection(time, meanRunMs);
     // The pace changes while a request runs, so it counts with its mean of the start and the end.
@@ -113,6 +118,32 @@
     this.runTime.record(end.tookMs, pace * grant.waitFactor);
   }
 
+  adopt(slot: AdoptedSlot): void {
+    const endpoint = this.endpoints.get(slot.endpoint);
+    if (!endpoint || slot.deadlineAt <= this.getTime()) return;
+    // Another scheduler has granted what waited here.
+    this.order.remove(slot.id);
+    this.grants.adopt(slot, endpoint);
+  }
+
+  orphan(id: string): void {
+    this.grants.orphan(id);
+  }
+
+  recordLoad(id: string, load: EndpointLoad): void {
+    const grant = this.grants.get(id);
+    if (grant) this.applyReport(grant, load);
+  }
+
+  describe(id: string): SlotEndpointLoad | undefined {
+    return this.grants.get(id)?.endpoint.describe(this.getTime());
+  }
+
+  private applyReport({ id, endpoint }: OpenGrant, load: EndpointLoad): void {
+    endpoint.applyReport(load, this.getTime(), this.runTime.getMeanMs());
+    this.grants.releaseOrphans(endpoint, load, id);
+  }
+
   /** Also names as expired the requests that gave way to others in a full queue. */
   dispatch(): SlotDispatch {
     this.removeExpired();
@@ -120,20 +151,22 @@
     this.expired = [];
     this.stranded = [];
     const granted: SlotGrant[] = [];
-    const passedOver: SlotRequest[] = [];
+    const passedOver: NextRequest[] = [];
+    const reserved = new Set<string>();
     this.updateEstimates();
-    while (passedOver.length < maxPassedOver && this.order.size > 0 && this.selectEndpoint(undefined)) {
+    while (passedOver.length < maxPassedOver && this.order.size > 0 && this.hasRoom(reserved)) {
       const next = this.order.take();
       if (!next) break;
-      const endpoint = this.selectEndpoint(next.request.excluded);
+      const endpoint = this.selectEndpoint(next.request, reserved);
       if (!endpoint) {
-        passedOver.push(next.request);
+        passedOver.push(next);
+        this.reserveMemory(next.request, reserved);
         continue;
       }
       this.grant(next, endpoint);
       granted.push({ id: next.request.id, endpoint: endpoint.incarnation });
     }
-    for (const request of passedOver) this.order.add(request);
+    for (const next of passedOver) this.order.putBack(next);
     return { granted, expired, stranded };
   }
 
@@ -184,7 +217,7 @@
     return { outcome: SlotOutcome.Refused, refusal, retryAfterMs };
   }
 
-  private grant(next: NextRequest, endpoint: SlotEndpointState): SlotDecision {
+  private grant(next: Omit<NextRequest, "sequence">, endpoint: SlotEndpointState): SlotDecision {
     this.grants.add(next.request, endpoint, this.runTime.getMeanMs());
     this.order.recordGrant(next);
     return { outcome: SlotOutcome.Granted, endpoint: endpoint.incarnation };
@@ -212,8 +245,27 @@
     }
   }
 
-  private selectEndpoint(excluded: ReadonlySet<string> | undefined): SlotEndpointState | undefined {
-    return this.endpoints.select(this.getTime(), this.runTime.getMeanMs(), excluded);
+  private hasRoom(reserved: ReadonlySet<string>): boolean {
+    return this.endpoints.hasRoom(this.getTime(), this.runTime.getMeanMs(), reserved);
+  }
+
+  private selectEndpoint(
+    request: SlotRequest,
+    reserved?: ReadonlySet<string>,
+  ): SlotEndpointState | undefined {
+    return this.endpoints.selectFor(request, this.getTime(), this.runTime.getMeanMs(), reserved);
+  }
+
+  /** Leaves an endpoint to a request that lacks only memory there, or else smaller ones would always take what is freed. */
+  private reserveMemory(request: SlotRequest, reserved: Set<string>): void {
+    if (request.tokens === undefined) return;
+    const endpoint = this.endpoints.selectForMemory(
+      request,
+      this.getTime(),
+      this.runTime.getMeanMs(),
+      reserved,
+    );
+    if (endpoint) reserved.add(endpoint.incarnation);
   }
 
   private updateEstimates(): void {
