Keep in the store which services are brittle, and do not forget it while nothing is sent

Callers saw: after all instances had been killed, endpoints that bear no rejection crashed again, as the new instances sent before a response told them that the service is brittle; the log shows rejected requests sent 2 and 10 ms after their sender had heard of it.

Cause: the word lived in the instances only, and in each for 10 s after the last response that it received itself.

Change: an item in the store for each brittle service, which an instance reads before it is ready; the word of an instance that sends nothing stays; it ends when no endpoint announces it any more, where one endpoint without it was enough, so that a roll-out of endpoints made it flap; a peer that ends it too early is told better.

--- a/packages/gateway/src/brittle/brittleServices.ts
+++ b/packages/gateway/src/brittle/brittleServices.ts
@@ -42,14 +42,21 @@
   limit: number;
   /** Monotonic time at which this instance learned that the service is brittle. */
   readonly knownSince: number;
-  /** Monotonic time of the last response that announced it. */
+  /** Monotonic time of the last response that announced it, here or as a peer told. */
   announcedAt: number;
+  /** Monotonic time of the last response of each endpoint that announced it to this instance, by incarnation. */
+  readonly announcers: Map<string, number>;
 }
 
-/** Without an announcement for this long, a service no longer counts as brittle. */
-const lifetimeMs = 10_000;
+/**
+ * Without an announcement for this long, a service no longer counts as brittle. An instance that sends it nothing hears nothing, and
+ * would send its next request uncounted; one that is told too long is told better by its next response.
+ */
+const lifetimeMs = 600_000;
 /** Responses without the announcement end it only this long after the last one with it: they may have been made before it. */
 const endGraceMs = 500;
+/** Time for which the announcement of one endpoint counts while another one's response lacks it. */
+const announcerMs = 3_000;
 /** Services in one message; of more, the rest is learned from their responses. */
 const maxReported = 64;
 
@@ -80,6 +87,11 @@
     return undefined;
   }
 
+  /** Names of the services that are brittle, or have been a short while ago. */
+  getNames(): Iterable<string> {
+    return this.states.keys();
+  }
+
   /** Milliseconds for which this instance has known that a service is brittle; undefined if it is not. */
   getKnownMs(service: string): number | undefined {
     if (this.getLimit(service) === undefined) return undefined;
@@ -87,19 +99,28 @@
   }
 
   /** Applies a response to a request that was sent at the given time; `limit` is undefined if it announces nothing. */
-  recordResponse({ record }: Endpoint, limit: number | undefined, sentAt: number): void {
+  recordResponse({ record, incarnation }: Endpoint, limit: number | undefined, sentAt: number): void {
     const { service } = record;
     const time = this.options.clock.getTime();
     if (limit !== undefined) {
-      if (this.announce(service, limit, time)) this.broadcast({ service, limit, ageMs: 0 });
+      const isNews = this.announce(service, limit, time);
+      this.states.get(service)?.announcers.set(incarnation, time);
+      if (isNews) this.broadcast({ service, limit, ageMs: 0 });
       return;
     }
     const state = this.states.get(service);
     if (!state || sentAt < state.announcedAt || time - state.announcedAt < endGraceMs) return;
+    state.announcers.delete(incarnation);
+    if (this.hasAnnouncers(state)) return;
     this.end(service, "response");
     this.broadcast({ service, ageMs: 0 });
   }
 
+  /** Applies that a peer or the store knows the service to be brittle. */
+  applyWord(service: string, limit: number): void {
+    if (this.getLimit(service) === undefined) this.announce(service, limit, this.options.clock.getTime());
+  }
+
   /** Records that a brittle endpoint refused a request for want of room: no instance sends it requests for a moment. */
   recordRefusal({ incarnation, record }: Endpoint): void {
     const limit = this.getLimit(record.service);
@@ -112,12 +133,24 @@
     const state = this.states.get(service);
     if (state && state.announcedAt > at) return false;
     const knownSince = state?.knownSince ?? this.options.clock.getTime();
-    this.states.set(service, { limit, announcedAt: at, knownSince });
+    const announcers = state?.announcers ?? new Map<string, number>();
+    this.states.set(service, { limit, announcedAt: at, knownSince, announcers });
     if (state?.limit === limit) return false;
     this.options.logger.info("service.brittle", { service, refusalsPerSecond: limit });
     return true;
   }
 
+  /** Whether an endpoint that announced it a moment ago still serves; others may not announce it, as during a roll-out. */
+  private hasAnnouncers({ announcers }: ServiceState): boolean {
+    const { clock, findEndpoint } = this.options;
+    const oldestAt = clock.getTime() - announcerMs;
+    for (const [incarnation, at] of announcers) {
+      if (at >= oldestAt && findEndpoint(incarnation)?.isUsable()) return true;
+      announcers.delete(incarnation);
+    }
+    return false;
+  }
+
   private end(service: string, cause: string): void {
     this.states.delete(service);
     this.options.logger.info("service.brittle-ended", { service, cause });
@@ -132,6 +165,8 @@
     if (!Array.isArray(services)) return;
     const reports = (services as unknown[]).slice(0, maxReported).filter(isReport);
     const news = reports.filter((report) => this.applyReport(report));
+    const refuted = reports.flatMap((report) => this.refute(report));
+    if (refuted.length > 0) this.options.fleet.links.send(name, createMessage({ services: refuted }));
     if (news.length > 0) this.broadcaster.relay(createMessage({ services: news }), name);
   }
 
@@ -139,11 +174,18 @@
     const at = this.options.clock.getTime() - ageMs;
     if (limit !== undefined) return this.announce(service, limit, at);
     const state = this.states.get(service);
-    if (!state || at - state.announcedAt < endGraceMs) return false;
+    if (!state || at - state.announcedAt < endGraceMs || this.hasAnnouncers(state)) return false;
     this.end(service, "peer");
     return true;
   }
 
+  /** Returns what a peer has to know that takes a service for brittle no more, while endpoints announce to this instance that it is. */
+  private refute({ service, limit }: BrittleReport): readonly BrittleReport[] {
+    const state = this.states.get(service);
+    if (limit !== undefined || !state || !this.hasAnnouncers(state)) return [];
+    return [{ service, limit: state.limit, ageMs: 0 }];
+  }
+
   private applyRefusal(incarnation: string, sender: string): void {
     const { findEndpoint, holdOff, clock } = this.options;
     const endpoint = findEndpoint(incarnation);
--- a/packages/gateway/src/gatewayParts.ts
+++ b/packages/gateway/src/gatewayParts.ts
@@ -193,9 +193,7 @@
   const members: Members = createMembers(state, reporter, {
     decideQuotaCall: (peer, call) => admission.decideForPeer(peer, call),
     onItem: (key, item, removal) => {
-      items.handleItem(key, item, removal);
-      crashes.handleItem(key, item, removal);
-      originParts.handleItem(key, item);
+      for (const kept of [items, crashes, originParts, brittleItems]) kept.handleItem(key, item, removal);
     },
     needsKeepers: () => history.hasMixedServices,
     getForwardingAddress: () => findForwardingAddress(settings, forwardingParts.forwardingServer),
@@ -204,13 +202,14 @@
       agreed.budget.refresh();
       crashes.reconcile();
       originParts.reconcile();
+      brittleItems.reconcile();
       items.writeDueItems();
     },
   });
   reportEras(platform.store.eras, logger, metrics);
   const originParts: OriginParts = createOrigins(state, history, members, metrics);
   const crashes: CrashProtection = createCrashes(state, members, metrics);
-  const brittle = createBrittleServices(state, members);
+  const { brittle, brittleItems } = createBrittleServices(state, members);
   const agreed: AgreedParts = { ...createLimits(state, members, metrics), ...createRetries(state, members) };
   const forwardingParts: ForwardingParts = createForwarding(state, () => members, crashes, brittle);
   const proofRequests: ProofRequests = ProofRequests.create(members.links, follower, Math.random);
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -25,6 +25,8 @@
   ResponseEnd,
 } from "./responses/responseEnd.js";
 export { type ArbiterCall, Arbiters } from "./limits/arbiters.js";
+export { BrittleItems } from "./brittle/brittleItems.js";
+export { BrittleServices } from "./brittle/brittleServices.js";
 export { ReaderSelection } from "./readerSelection.js";
 export { Attempt, AttemptOutcome } from "./attempt.js";
 export { ServicePaths } from "./forwarding/servicePaths.js";
--- a/packages/gateway/src/limits/limitParts.ts
+++ b/packages/gateway/src/limits/limitParts.ts
@@ -5,6 +5,7 @@
 import type { Clock } from "@gladewall/kernel";
 import { ServiceSlotScheduler, type SlotScheduler } from "@gladewall/policy";
 import { Admission } from "./admission.js";
+import { BrittleItems } from "../brittle/brittleItems.js";
 import { BrittleServices } from "../brittle/brittleServices.js";
 import { EndpointLimits } from "./endpointLimits.js";
 import type { GatewayMetrics } from "../gatewayMetrics.js";
@@ -90,18 +91,35 @@
   return { limits, permits };
 }
 
+/** What knows of services whose endpoints crash if they refuse too much, and what keeps it in the store. */
+interface BrittleParts {
+  readonly brittle: BrittleServices;
+  readonly brittleItems: BrittleItems;
+}
+
 /** Creates what knows of services whose endpoints crash if they refuse too much. */
 export function createBrittleServices(
-  { clock, logger, directory }: GatewayState,
+  { settings, platform, clock, logger, directory }: GatewayState,
   members: Members,
-): BrittleServices {
-  return BrittleServices.create({
+): BrittleParts {
+  const brittle = BrittleServices.create({
     clock,
     logger,
     fleet: members,
     holdOff: (incarnation, milliseconds) => directory.holdOff(incarnation, milliseconds),
     findEndpoint: (incarnation) => directory.find(incarnation),
   });
+  const brittleItems = BrittleItems.create({
+    store: platform.store,
+    clock,
+    logger,
+    services: brittle,
+    isWriter: (service) =>
+      members.isReader &&
+      members.isListed &&
+      members.findArbiter(getSlotSubject(service)) === settings.instance.name,
+  });
+  return { brittle, brittleItems };
 }
 
 /** Creates what shares out the slots of contended services. */
