Count the places at brittle endpoints in one place, at engines as well, and hand the count over

Web services crashed after all instances had been killed.

Cause: a bound on what all instances send together was kept by each from what it had heard of the others. Nobody counted places at an engine; two counted at once where an arbiter was killed or came back, since a new one knew of former grants only by a guess.

Change: the arbiter of a service's slots counts places at engines too while they are brittle, by the endpoints that an instance names as the best for its prompt and by memory. It begins a term by asking all linked instances for the places that their requests have, granted or not, and grants nothing until they have replied. Who decided a moment ago is part of the reply, so that a less preferred arbiter grants one request at each endpoint while another still decides. Attempts of suspects need a place as well. The log says when a term begins and what was known of an endpoint that rejected a request with a grant (slot.term, slot.rejected).

--- a/packages/gateway/src/activeRequest.ts
+++ b/packages/gateway/src/activeRequest.ts
@@ -73,7 +73,11 @@
   private async placeAndSend(): Promise<NextStep> {
     const placement = await this.placementStage.choose();
     this.countDemandOnce(placement.isOk() ? placement.value : undefined);
-    return placement.isOk() ? this.sendWithPermit(placement.value) : this.failUnplaced(placement.error);
+    if (placement.isErr()) return this.failUnplaced(placement.error);
+    const { trial, request } = this.context;
+    if (trial && !(await this.queueStage.acquireAt(placement.value.endpoint)))
+      return this.failUnplaced(createRefusal(FailureCode.CrashSuspect, request.service));
+    return this.sendWithPermit(placement.value);
   }
 
   /** Without an endpoint no token counts as cached: endpoints that fail together do not lower the load. */
--- a/packages/gateway/src/attemptStage.ts
+++ b/packages/gateway/src/attemptStage.ts
@@ -55,6 +55,11 @@
     if (!route) return this.failCutOff();
     context.excluded.add(endpoint.incarnation);
     context.placement = placement;
+    context.slot ??= context.parts.slots.hold(service, {
+      endpoint: endpoint.incarnation,
+      deadlineAt: context.deadlineAt,
+      tokens: context.memoryTokens,
+    });
     endpoint.recordSent();
     endpoint.inFlight.add(context);
     const pending = service.engine ? placement.uncachedTokens : 0;
@@ -112,13 +117,15 @@
     }
     context.history.recordRun();
     const { kind } = context.request.admitted.route;
-    if (kind === RouteKind.Stream && isEventStream(result.response))
+    if (kind === RouteKind.Stream && isEventStream(result.response)) {
+      context.slot?.recordStream();
       return this.relayStage.relayStream(placement, {
         response: result.response,
         startedAt,
         beganAt,
         clearPending,
       });
+    }
     context.countUsageOnce(beganAt);
     return this.relayStage.forwardResponse(endpoint, result.response, startedAt);
   }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -121,11 +121,14 @@
 export { PlacementStage } from "./placementStage.js";
 export { QueueStage } from "./queueStage.js";
 export { NextStep, type RequestContext } from "./requestContext.js";
-export { SlotArbiter } from "./slots/slotArbiter.js";
+export { OpenSlots } from "./slots/openSlots.js";
+export { RecentArbiters } from "./slots/recentArbiters.js";
+export { SlotArbiter, type SlotArbiterOptions } from "./slots/slotArbiter.js";
+export { claimSlots, SlotClaims } from "./slots/slotClaims.js";
 export { SlotClient } from "./slots/slotClient.js";
 export { SlotContention } from "./slots/slotContention.js";
 export { SlotResult, type SlotAnswer, type SlotRequestInput } from "./slots/slotAcquisition.js";
-export { createCancellation, SlotTransport } from "./slots/slotTransport.js";
+export { createCancellation, getSlotSubject, SlotTransport } from "./slots/slotTransport.js";
 export type { SlotSchedulerFactory } from "./limits/limitParts.js";
 export { OverloadMode, OverloadSwitch } from "./overloadSwitch.js";
 export {
--- a/packages/gateway/src/limits/arbiters.ts
+++ b/packages/gateway/src/limits/arbiters.ts
@@ -149,6 +149,19 @@
     return position < 0 ? ranked.length : position;
   }
 
+  /** Whether callers prefer one reader to another for a subject; one that is no reader now is never preferred. */
+  precedes(subject: string, one: string, other: string): boolean {
+    const ranked = sortReaders(subject, this.options.getReaders());
+    const place = ranked.indexOf(one);
+    const otherPlace = ranked.indexOf(other);
+    return place >= 0 && (otherPlace < 0 || place < otherPlace);
+  }
+
+  /** Calls an arbiter again that was skipped, because it has shown that it decides. */
+  endSkip(name: string): void {
+    this.getState(name).skippedUntil = -Infinity;
+  }
+
   private async callOne<Reply>(
     arbiter: string,
     { message }: ArbiterCall<Reply>,
--- a/packages/gateway/src/limits/limitParts.ts
+++ b/packages/gateway/src/limits/limitParts.ts
@@ -20,7 +20,10 @@
 import { AcceptanceRates } from "./retries/acceptanceRates.js";
 import { RetryBudget } from "./retries/retryBudget.js";
 import { RetryLinks } from "./retries/retryLinks.js";
+import { OpenSlots } from "../slots/openSlots.js";
+import { RecentArbiters } from "../slots/recentArbiters.js";
 import { SlotArbiter } from "../slots/slotArbiter.js";
+import { claimSlots, SlotClaims } from "../slots/slotClaims.js";
 import { SlotClient } from "../slots/slotClient.js";
 import { SlotContention } from "../slots/slotContention.js";
 import { getSlotSubject, SlotTransport } from "../slots/slotTransport.js";
@@ -124,35 +127,44 @@
 
 /** Creates what shares out the slots of contended services. */
 export function createSlots(
-  { settings, incarnation, clock, logger, directory, overload }: GatewayState,
+  { settings, incarnation, clock, logger, directory, overload, follower }: GatewayState,
   members: Members,
   metrics: GatewayMetrics,
   brittle: BrittleServices,
   createScheduler: SlotSchedulerFactory,
 ): Pick<GatewayParts, "contention" | "slotArbiter" | "slots"> {
   const ownName = settings.instance.name;
+  const own = { name: ownName, incarnation };
   const getRefusalLimit = (service: string): number | undefined => brittle.getLimit(service);
-  const base = { ownName, clock, logger, directory, overload, getRefusalLimit };
   const getFleetSize = (): number => members.getFleetSize();
-  const contention = SlotContention.create({ clock, logger, directory, getFleetSize, getRefusalLimit });
+  const base = { clock, logger, directory, overload, getRefusalLimit, getFleetSize };
+  const contention = SlotContention.create(base);
   const { slotArbiters: arbiters } = members;
-  const slotArbiter: SlotArbiter = SlotArbiter.create({
+  const open = OpenSlots.create();
+  const recent = RecentArbiters.create(clock, (name) => name === ownName || members.links.isLinked(name));
+  const arbiter = SlotArbiter.create({
     ...base,
+    own,
     fleet: members,
     createScheduler: () => createScheduler(settings, clock),
-    countPrecedingReaders: (service) =>
-      arbiters.countPrecedingReaders(getSlotSubject(service), (name) => slotArbiter.supportsSlots(name)),
-    getPeerWork: (incarnation) => members.getPeerWork(incarnation),
+    precedes: (service, one, other) => arbiters.precedes(getSlotSubject(service), one, other),
+    getPrecedingReaders: (service) =>
+      members.getLinkedReaders().filter((name) => arbiters.precedes(getSlotSubject(service), name, ownName)),
+    claimOwn: (service) => claimSlots(open, service, ownName),
+    getTokenCapacity: (service) =>
+      follower.getTable()?.configuration.services.get(service)?.engine?.tokenCapacity,
   });
-  const own = { name: ownName, incarnation };
+  SlotClaims.create({ own, links: members.links, open, recent, arbiters, arbiter, brittle });
   const slots = SlotClient.create({
     ...base,
+    ownName,
     metrics,
-    transport: SlotTransport.create({ own, arbiters, arbiter: slotArbiter, fleet: members }),
+    transport: SlotTransport.create({ own, arbiters, arbiter, recent, fleet: members }),
+    open,
     contention,
     maxWaitFactor: settings.overload.max_wait,
   });
-  return { contention, slotArbiter, slots };
+  return { contention, slotArbiter: arbiter, slots };
 }
 
 /** Creates the orders of requests inside limits. */
--- a/packages/gateway/src/placement.ts
+++ b/packages/gateway/src/placement.ts
@@ -25,6 +25,8 @@
   readonly rank?: number;
   /** Whether only endpoints that need no permit are considered. */
   readonly avoidsLimited?: boolean;
+  /** Whether endpoints that may be full are considered too, because an arbiter knows which are. */
+  readonly includesFull?: boolean;
 }
 
 /** A chosen endpoint and the estimates that the choice is based on. */
@@ -115,6 +117,23 @@
     return { endpoint: best, uncachedTokens, expectedMs, tokensAhead, pace, candidates: candidates.length };
   }
 
+  /** Returns the incarnations of the engines with the lowest expected times, the lowest first. */
+  rank(request: PlacementRequest, count: number): readonly string[] {
+    const time = this.options.clock.getTime();
+    const candidates = this.getCandidates({ ...request, includesFull: true }, time);
+    const home = findAffinityEndpoint(request.parts, candidates);
+    const scored = candidates.map((endpoint) => {
+      const peers = this.options.getPeerWork(endpoint.incarnation);
+      const tokens = this.getUncachedTokens(request, endpoint, endpoint === home);
+      const pace = this.getPace(endpoint, time);
+      const milliseconds = this.getExpectedMs(request.service, endpoint, peers, tokens, pace);
+      const score = milliseconds + getPenalty(endpoint, time) + this.options.getRandom() * tieBreakMs;
+      return { incarnation: endpoint.incarnation, score };
+    });
+    scored.sort((one, other) => one.score - other.score);
+    return scored.slice(0, count).map(({ incarnation }) => incarnation);
+  }
+
   /** Returns the estimates for an endpoint that was chosen by other means. */
   describe(request: PlacementRequest, endpoint: Endpoint): Placement {
     const time = this.options.clock.getTime();
@@ -180,12 +199,14 @@
   }
 
   private getCandidates(
-    { service, excluded, origin, rank, avoidsLimited = false }: PlacementRequest,
+    { service, excluded, origin, rank, avoidsLimited = false, includesFull = false }: PlacementRequest,
     time: number,
   ): readonly Endpoint[] {
     const eligible: Endpoint[] = [];
     const isBrittle =
-      service.engine !== undefined && this.options.getRefusalLimit?.(service.name) !== undefined;
+      !includesFull &&
+      service.engine !== undefined &&
+      this.options.getRefusalLimit?.(service.name) !== undefined;
     let reachable = 0;
     for (const endpoint of this.options.getEndpoints(service.name)) {
       if (!endpoint.acceptsRequest(time, rank) || excluded.has(endpoint.incarnation)) continue;
--- a/packages/gateway/src/placementStage.ts
+++ b/packages/gateway/src/placementStage.ts
@@ -9,9 +9,6 @@
 import type { RequestContext } from "./requestContext.js";
 import { createRefusal } from "./requestRefusal.js";
 
-/** Refused permits after which a request is only sent to endpoints that need none. */
-const maxPermitRefusals = 3;
-
 /** Places one request. */
 export class PlacementStage {
   private constructor(private readonly context: RequestContext) {}
@@ -23,9 +20,9 @@
   /** Fails with `NoEndpoint`, or with the reason why a suspect must not run now. */
   async choose(): Promise<Result<Placement, Failure>> {
     const { context } = this;
-    const { suspects, placer, brittle } = context.parts;
+    const { suspects, placer, brittle, slots } = context.parts;
     const { service } = context.request;
-    const placementRequest = this.createPlacementRequest();
+    const placementRequest = context.placementRequest;
     if (suspects.hasSuspects(context.workspace)) {
       const trial = await suspects.findTrial({
         id: context.request.head.id,
@@ -38,14 +35,14 @@
       if (trial.isErr()) return trial;
       context.trial = trial.value;
     }
-    const hadSlot = context.slot !== undefined;
     const granted = this.takeGranted(placementRequest);
     if (granted) return Ok(granted);
-    if (hadSlot && brittle.getLimit(service.name) !== undefined)
-      return Err(createRefusal(FailureCode.Overloaded, service));
     if (context.trial) return Ok(placer.describe(placementRequest, context.trial.endpoint));
     const placement = placer.choose(placementRequest);
-    return placement ? Ok(placement) : Err(createRefusal(FailureCode.NoEndpoint, service));
+    if (!placement) return Err(createRefusal(FailureCode.NoEndpoint, service));
+    // Nobody has counted a place for it.
+    const needsSlot = brittle.getLimit(service.name) !== undefined && slots.isNeeded(service);
+    return needsSlot ? Err(createRefusal(FailureCode.Overloaded, service)) : Ok(placement);
   }
 
   /** Returns the endpoint of the request's slot; the slot is returned if the request can't be sent there. */
@@ -68,13 +65,4 @@
     context.slot = undefined;
     return undefined;
   }
-
-  private createPlacementRequest(): PlacementRequest {
-    const { context } = this;
-    const { service, head } = context.request;
-    const { promptTokens = 0, parts } = head;
-    const { excluded, origin, permitRank: rank } = context;
-    const avoidsLimited = context.permitRefusals >= maxPermitRefusals;
-    return { service, promptTokens, parts, excluded, origin, rank, avoidsLimited };
-  }
 }
--- a/packages/gateway/src/queueStage.ts
+++ b/packages/gateway/src/queueStage.ts
@@ -3,21 +3,21 @@
  * fleet has instances.
  * @module
  */
+import type { Endpoint } from "./endpoints/endpoint.js";
 import { FailureCode, waitFor } from "@gladewall/kernel";
 import { mayServe } from "./origins/streamOrigin.js";
 import { NextStep, type RequestContext } from "./requestContext.js";
 import { createRefusal } from "./requestRefusal.js";
 import { SlotResult, type SlotAnswer, type SlotRequestInput } from "./slots/slotAcquisition.js";
 
-/** Requests for a slot of a brittle service without a decision, after which the request is refused, and the time between them. */
-const maxUndecided = 5;
+/** Time between two requests for a slot of a brittle service while no arbiter decides, as after several of them have ended. */
 const arbiterPollMs = 40;
+/** Engines that are named as the best ones for a prompt; if none of them has room, any other may get it. */
+const preferredEndpoints = 3;
 
 /** Obtains the slot of each attempt of one request. */
 export class QueueStage {
   private observedEnd: (() => void) | undefined;
-  /** Requests for a slot on which no arbiter decided. */
-  private undecided = 0;
 
   private constructor(private readonly context: RequestContext) {}
 
@@ -33,7 +33,7 @@
     const { context } = this;
     const { slots, brittle } = context.parts;
     const { service } = context.request;
-    if (service.engine || this.isSuspect()) return NextStep.Retry;
+    if (this.isSuspect()) return NextStep.Retry;
     const isObserved = slots.isObserved(service);
     if (!isObserved && !slots.isNeeded(service)) return NextStep.Retry;
     const input = this.createInput();
@@ -51,11 +51,30 @@
     return this.apply(answer);
   }
 
+  /** Obtains a slot of one endpoint, at which the request is to run isolated from others; false if it gets none there. */
+  async acquireAt({ incarnation }: Endpoint): Promise<boolean> {
+    const { context } = this;
+    const { slots, brittle, directory } = context.parts;
+    const { service } = context.request;
+    const isBrittle = brittle.getLimit(service.name) !== undefined;
+    const input = isBrittle && slots.isNeeded(service) ? this.createInput() : undefined;
+    if (!input) return true;
+    const others = directory.getOfService(service.name).filter((one) => one.incarnation !== incarnation);
+    const excluded = [...input.excluded, ...others.map((one) => one.incarnation)];
+    const queueing = new AbortController();
+    context.queueing = queueing;
+    const { slot } = await slots.acquire({ ...input, excluded }, queueing.signal);
+    context.queueing = undefined;
+    context.slot = slot;
+    return slot !== undefined;
+  }
+
   /** Requests a slot again after a while, because brittle endpoints must not be sent requests that nobody has counted. */
   private async waitForArbiter(): Promise<NextStep> {
     const { context } = this;
-    this.undecided += 1;
-    if (this.undecided > maxUndecided) return this.apply({ result: SlotResult.Refused });
+    const { arrivedAt, admitted } = context.request;
+    const isLate = context.parts.clock.getTime() > arrivedAt + admitted.route.latencyObjectiveMs;
+    if (isLate) return this.apply({ result: SlotResult.Refused });
     await waitFor(context.parts.clock, arbiterPollMs);
     return context.isOver ? NextStep.Done : this.acquireSlot();
   }
@@ -98,7 +117,7 @@
   private createInput(): SlotRequestInput | undefined {
     const { context } = this;
     const { head, service, admitted, arrivedAt } = context.request;
-    const { brittle } = context.parts;
+    const { brittle, placer } = context.parts;
     const excluded = this.findExcluded();
     if (!excluded) return undefined;
     return {
@@ -112,6 +131,10 @@
       deadlineAt: context.deadlineAt,
       excluded,
       isBrittle: brittle.getLimit(service.name) !== undefined,
+      ...(service.engine && {
+        preferred: placer.rank(context.placementRequest, preferredEndpoints),
+        tokens: context.memoryTokens,
+      }),
     };
   }
 
--- a/packages/gateway/src/requestContext.ts
+++ b/packages/gateway/src/requestContext.ts
@@ -9,7 +9,7 @@
 import type { CrashSubject } from "./crashes/crashRecords.js";
 import { mayServe, type StreamOrigin } from "./origins/streamOrigin.js";
 import type { HeldSlot } from "./slots/heldSlot.js";
-import type { Placement } from "./placement.js";
+import type { Placement, PlacementRequest } from "./placement.js";
 import { createSubject } from "./crashes/requestFingerprint.js";
 import type { EndedResponse } from "./responses/responseEnd.js";
 import type { StreamRelay } from "./responses/streamRelay.js";
@@ -26,6 +26,8 @@
 /** Added to the rank of a retry, so that first attempts get permits before retries. */
 const retryRankOffset = 1_000;
 const urgencyPerWorkspaceRank = 3;
+/** Refused permits after which a request is only sent to endpoints that need none. */
+const maxPermitRefusals = 3;
 
 /** A request that has been admitted and has no final response yet. */
 export class RequestContext implements InFlightRequest {
@@ -106,6 +108,21 @@
     return this.rank + (this.history.arrivals > 0 ? retryRankOffset : 0);
   }
 
+  /** What placement uses of the request. */
+  get placementRequest(): PlacementRequest {
+    const { service, head } = this.request;
+    const { promptTokens = 0, parts } = head;
+    const { excluded, origin, permitRank: rank } = this;
+    const avoidsLimited = this.permitRefusals >= maxPermitRefusals;
+    return { service, promptTokens, parts, excluded, origin, rank, avoidsLimited };
+  }
+
+  /** Tokens of an engine's memory that the request may take. */
+  get memoryTokens(): number {
+    const { promptTokens = 0, outputTokens = 0 } = this.request.head;
+    return promptTokens + outputTokens;
+  }
+
   /** Attempts that may have run, finished ones and the current one. */
   get runs(): number {
     const isRunning = this.isAttemptPending && this.attempt?.mayHaveRun === true;
--- a/packages/gateway/src/slots/slotAcquisition.ts
+++ b/packages/gateway/src/slots/slotAcquisition.ts
@@ -6,7 +6,8 @@
 import type { Clock } from "@gladewall/kernel";
 import { SlotRefusal } from "@gladewall/policy";
 import { HeldSlot } from "./heldSlot.js";
-import { maxExcluded, type SlotCall, SlotReplyKind } from "./slotMessages.js";
+import type { OpenSlots } from "./openSlots.js";
+import { maxExcluded, maxPreferred, type SlotCall, SlotReplyKind } from "./slotMessages.js";
 import { createCancellation, type DecidedReply, type SlotTransport } from "./slotTransport.js";
 import type { Service } from "../types.js";
 
@@ -23,6 +24,10 @@
   readonly deadlineAt: number;
   /** Incarnations that the request can't be sent to. */
   readonly excluded: readonly string[];
+  /** Incarnations of the endpoints that it is best sent to, the best one first; any if omitted. */
+  readonly preferred?: readonly string[] | undefined;
+  /** Tokens of an engine's memory that it may take; none if omitted. */
+  readonly tokens?: number | undefined;
   /** Whether the endpoints crash if they refuse too much, so that no other arbiter must grant the same slots. */
   readonly isBrittle: boolean;
 }
@@ -55,6 +60,7 @@
 export interface SlotAcquisitionOptions {
   readonly clock: Clock;
   readonly transport: SlotTransport;
+  readonly open: OpenSlots;
   /** Identifies the calls of this instance since its start. */
   readonly createId: () => string;
   /** Usual time of an attempt in milliseconds. */
@@ -114,14 +120,11 @@
   /** Returns the slot that a reply grants. */
   createSlot(arbiter: string, endpoint: string): HeldSlot {
     const { input, id } = this;
-    return HeldSlot.create({
-      clock: this.options.clock,
-      endpoint,
-      arbiter,
-      id,
-      service: input.service.name,
-      report: (end) => this.options.transport.end(arbiter, end),
-    });
+    const { clock, transport: reporter, open } = this.options;
+    const { service, deadlineAt, tokens = 0 } = input;
+    const isHeldToEnd = service.engine !== undefined;
+    const place = { service: service.name, id, endpoint, arbiter, deadlineAt, tokens, isHeldToEnd };
+    return HeldSlot.create({ clock, open, reporter, ...place });
   }
 
   /** Gives up: a request that waits is cancelled now, a grant that is still to come as soon as it comes. */
@@ -145,8 +148,11 @@
       objectiveMs: input.arrivedAt + input.objectiveMs - time,
       deadlineMs: input.deadlineAt - time,
       excluded: input.excluded.slice(0, maxExcluded),
+      ...(input.preferred && { preferred: input.preferred.slice(0, maxPreferred) }),
+      ...(input.tokens !== undefined && { tokens: input.tokens }),
     };
-    return transport.request(call, this.getReplyLimitMs(), passedOver);
+    const isEngine = input.service.engine !== undefined;
+    return transport.request(call, this.getReplyLimitMs(), { passedOver, isEngine });
   }
 
   private getReplyLimitMs(): number {
--- a/packages/gateway/src/slots/slotClient.ts
+++ b/packages/gateway/src/slots/slotClient.ts
@@ -7,7 +7,8 @@
 import { SlotRefusal } from "@gladewall/policy";
 import type { EndpointDirectory } from "../endpoints/endpointDirectory.js";
 import type { GatewayMetrics } from "../gatewayMetrics.js";
-import type { HeldSlot } from "./heldSlot.js";
+import { HeldSlot } from "./heldSlot.js";
+import type { OpenSlots } from "./openSlots.js";
 import { OverloadMode, type OverloadSwitch } from "../overloadSwitch.js";
 import { SlotResult, type SlotAnswer, SlotAcquisition, type SlotRequestInput } from "./slotAcquisition.js";
 import type { SlotContention } from "./slotContention.js";
@@ -22,6 +23,7 @@
   readonly logger: Logger;
   readonly metrics: Pick<GatewayMetrics, "countSlotDecision" | "recordSlotWait">;
   readonly transport: SlotTransport;
+  readonly open: OpenSlots;
   readonly contention: SlotContention;
   readonly directory: Pick<EndpointDirectory, "getOfService">;
   readonly overload: Pick<OverloadSwitch, "mode">;
@@ -34,6 +36,15 @@
   readonly end: () => void;
 }
 
+/** The place of an attempt that is sent without a grant. */
+export interface UngrantedSlot {
+  /** Incarnation of the endpoint. */
+  readonly endpoint: string;
+  readonly deadlineAt: number;
+  /** Tokens of an engine's memory that the request may take. */
+  readonly tokens: number;
+}
+
 /** Assumed time of an attempt at endpoints that have not responded yet. */
 const unknownLatencyMs = 50;
 
@@ -88,7 +99,10 @@
       };
       const acquisition = this.createAcquisition(input, () => {
         this.waitingCount += 1;
-        timer = clock.startTimer(input.objectiveMs * maxWaitFactor, () => stop(SlotResult.Refused));
+        // Where requests wait again after their arbiter has ended, all their waits count.
+        const waitedMs = input.isBrittle ? startedAt - input.arrivedAt : 0;
+        const leftMs = Math.max(0, input.objectiveMs * maxWaitFactor - waitedMs);
+        timer = clock.startTimer(leftMs, () => stop(SlotResult.Refused));
       });
       const handleAbort = (): void => stop(SlotResult.Abandoned);
       const release = (): void => stop(SlotResult.Direct);
@@ -108,6 +122,15 @@
     return answer;
   }
 
+  /** Records the place of an attempt that is sent without a grant, for arbiters that ask what is sent to a service. */
+  hold(service: Service, { endpoint, deadlineAt, tokens }: UngrantedSlot): HeldSlot {
+    const { clock, open, transport: reporter } = this.options;
+    const id = String(this.nextId++);
+    const isHeldToEnd = service.engine !== undefined;
+    const place = { service: service.name, id, endpoint, deadlineAt, tokens, isHeldToEnd };
+    return HeldSlot.create({ clock, open, reporter, ...place });
+  }
+
   /** Requests a slot and logs the decision; the request does not wait for it. */
   observe(input: SlotRequestInput): ObservedSlot {
     const acquisition = this.createAcquisition(input, () => undefined);
@@ -128,10 +151,11 @@
   }
 
   private createAcquisition(input: SlotRequestInput, onQueued: () => void): SlotAcquisition {
-    const { clock, transport } = this.options;
+    const { clock, transport, open } = this.options;
     return SlotAcquisition.create(input, {
       clock,
       transport,
+      open,
       createId: () => String(this.nextId++),
       expectedMs: this.getExpectedMs(input.service.name),
       onQueued,
--- a/packages/gateway/src/slots/slotContention.ts
+++ b/packages/gateway/src/slots/slotContention.ts
@@ -43,7 +43,6 @@
   /** Whether requests for the service need a slot of its arbiter now. */
   isContended(service: Service): boolean {
     const { clock, directory, getFleetSize, getRefusalLimit } = this.options;
-    if (service.engine) return false;
     const time = clock.getTime();
     if (getRefusalLimit?.(service.name) !== undefined) {
       const state = this.getState(service.name);
@@ -51,6 +50,8 @@
       this.begin(service.name, state, 0);
       return true;
     }
+    // Engines are placed by what their prompts find in memory, and wait there.
+    if (service.engine) return false;
     let slots = 0;
     let reportedSlots = 0;
     let requests = 0;
--- a/packages/gateway/src/slots/slotQueue.ts
+++ b/packages/gateway/src/slots/slotQueue.ts
@@ -6,14 +6,17 @@
 import { getIncarnationKey, type PeerIdentity } from "@gladewall/coordination";
 import type { Clock, Timer } from "@gladewall/kernel";
 import {
+  type EndpointLoad,
   maxGrantMs,
   type SlotDecision,
   type SlotEndpoint,
+  type SlotEndpointLoad,
   SlotOutcome,
   SlotRefusal,
   type SlotScheduler,
 } from "@gladewall/policy";
 import {
+  type ClaimedSlot,
   type SlotCall,
   type SlotEndReport,
   type SlotReply,
@@ -29,6 +32,8 @@
   readonly scheduler: SlotScheduler;
   /** Returns the endpoints that requests may be sent to now. */
   readonly getEndpoints: () => readonly SlotEndpoint[];
+  /** Called with what was known of an endpoint that had no room for a request with a grant. */
+  readonly onRejected: (id: string, endpoint: SlotEndpointLoad) => void;
 }
 
 enum EntryState {
@@ -46,6 +51,8 @@
   readonly requester: PeerIdentity;
   /** Time after which the scheduler has dropped the request or its grant. */
   readonly forgetAt: number;
+  /** Time at which it was requested, and then at which its requester was told of the grant. */
+  since: number;
   state: EntryState;
   endpoint: string | undefined;
   /** Why it was removed. */
@@ -58,6 +65,8 @@
 const reviewIntervalMs = 100;
 /** Shortest such time, in case the scheduler names a time at which nothing can be decided yet. */
 const minReviewMs = 2;
+/** Time within which an instance that was told of a grant lists it as one of its places. */
+const listedMs = 300;
 const unknownReply: SlotReply = { word: SlotReplyKind.Unknown };
 
 /** The queue of one service. */
@@ -104,13 +113,15 @@
       objectiveAt: time + call.objectiveMs,
       deadlineAt: time + call.deadlineMs,
       excluded: new Set(call.excluded),
+      preferred: call.preferred,
+      tokens: call.tokens,
     });
     if (decision.outcome === SlotOutcome.Refused) {
       const { refusal, retryAfterMs } = decision;
       return { word: SlotReplyKind.Refused, arbiter, refusal, retryAfterMs };
     }
     const forgetAt = time + Math.max(0, call.deadlineMs) + maxGrantMs;
-    const entry = createEntry(requester, decision, forgetAt);
+    const entry = createEntry(requester, decision, time, forgetAt);
     this.entries.set(key, entry);
     this.update();
     if (entry.state === EntryState.Removed) return this.replyRemoved(key, entry);
@@ -147,19 +158,64 @@
       this.cancel(key);
     } else {
       this.entries.delete(key);
+      if (isRejected) this.reportRejection(id, key);
       this.options.scheduler.end({ id: key, isRejected, tookMs, load });
     }
     this.update();
   }
 
+  /** Records the load that an endpoint reported while a request with a place runs there. */
+  recordLoad(requester: PeerIdentity, id: string, load: EndpointLoad): void {
+    this.options.scheduler.recordLoad(getKey(requester, id), load);
+    this.update();
+  }
+
+  /**
+   * Counts the places that an instance listed when it was asked at a time. What it had been granted before and does not list has
+   * ended.
+   */
+  adopt(requester: PeerIdentity, slots: readonly ClaimedSlot[], askedAt: number): void {
+    const { clock, scheduler } = this.options;
+    const time = clock.getTime();
+    this.refreshEndpoints();
+    const listed = new Set<string>();
+    for (const { id, endpoint, deadlineMs, tokens } of slots) {
+      const key = getKey(requester, id);
+      listed.add(key);
+      scheduler.adopt({ id: key, endpoint, deadlineAt: time + deadlineMs, tokens });
+      const known = this.entries.get(key);
+      if (known?.state === EntryState.Used && known.endpoint === endpoint) continue;
+      known?.reply?.(unknownReply);
+      const forgetAt = time + deadlineMs + maxGrantMs;
+      const state = { state: EntryState.Used, endpoint, refusal: undefined, reply: undefined };
+      this.entries.set(key, { requester, since: time, forgetAt, ...state });
+    }
+    for (const [key, entry] of [...this.entries]) {
+      const isSame = getIncarnationKey(entry.requester) === getIncarnationKey(requester);
+      const isOlder = entry.state === EntryState.Used && entry.since < askedAt - listedMs;
+      if (isSame && isOlder && !listed.has(key)) this.cancel(key);
+    }
+  }
+
+  /** Decides again, after what may be granted has changed. */
+  review(): void {
+    this.update();
+  }
+
+  private reportRejection(id: string, key: string): void {
+    const known = this.options.scheduler.describe(key);
+    if (known) this.options.onRejected(id, known);
+  }
+
   /**
    * Cancels what a peer waits for, and grants that it has not been told of; `incarnation` is left alone. Grants that it was told of
-   * stay until they end or expire, because its requests may still run.
+   * stay until they end or expire, or their endpoint shows that they are gone, because its requests may still run.
    */
   cancelPeer(name: string, incarnation: number | undefined): void {
     for (const [key, { requester, state }] of [...this.entries]) {
       const isAffected = requester.name === name && requester.incarnation !== incarnation;
-      if (isAffected && state !== EntryState.Used) this.cancel(key);
+      if (isAffected && state === EntryState.Used) this.options.scheduler.orphan(key);
+      else if (isAffected) this.cancel(key);
     }
     this.update();
   }
@@ -188,6 +244,7 @@
 
   private replyGranted(entry: Entry): SlotReply {
     entry.state = EntryState.Used;
+    entry.since = this.options.clock.getTime();
     return { word: SlotReplyKind.Granted, arbiter: this.options.ownName, endpoint: entry.endpoint ?? "" };
   }
 
@@ -253,10 +310,16 @@
   }
 }
 
-function createEntry(requester: PeerIdentity, decision: SlotDecision, forgetAt: number): Entry {
+function createEntry(
+  requester: PeerIdentity,
+  decision: SlotDecision,
+  since: number,
+  forgetAt: number,
+): Entry {
   const isGranted = decision.outcome === SlotOutcome.Granted;
   return {
     requester,
+    since,
     forgetAt,
     state: isGranted ? EntryState.Used : EntryState.Waiting,
     endpoint: isGranted ? decision.endpoint : undefined,
@@ -271,10 +334,15 @@
 
 function areSame(left: readonly SlotEndpoint[], right: readonly SlotEndpoint[]): boolean {
   if (left.length !== right.length) return false;
-  return left.every(
-    ({ incarnation, slots, refusalLimit }, index) =>
-      right[index]?.incarnation === incarnation &&
-      right[index].slots === slots &&
-      right[index].refusalLimit === refusalLimit,
-  );
+  return left.every((one, index) => {
+    const other = right[index];
+    return (
+      one.incarnation === other?.incarnation &&
+      one.slots === other.slots &&
+      one.refusalLimit === other.refusalLimit &&
+      one.mostGranted === other.mostGranted &&
+      one.tokenCapacity === other.tokenCapacity &&
+      one.term === other.term
+    );
+  });
 }
--- a/packages/gateway/test/knownEndpoints.ts
+++ b/packages/gateway/test/knownEndpoints.ts
@@ -16,3 +16,13 @@
     ...record,
   });
 }
+
+/** Options of an arbiter named `arbiter` that no other instance can be preferred to. */
+export const soleArbiter = {
+  own: { name: "arbiter", incarnation: 1 },
+  getFleetSize: () => 1,
+  precedes: () => false,
+  getPrecedingReaders: () => [],
+  claimOwn: () => [],
+  getTokenCapacity: () => undefined,
+};
--- a/packages/gateway/test/slotArbiter.test.ts
+++ b/packages/gateway/test/slotArbiter.test.ts
@@ -14,7 +14,7 @@
 } from "@gladewall/gateway";
 import { Logger, LogLevel, VirtualClock } from "@gladewall/kernel";
 import { ServiceSlotScheduler, SlotRefusal } from "@gladewall/policy";
-import { createKnownEndpoint } from "./knownEndpoints.js";
+import { createKnownEndpoint, soleArbiter } from "./knownEndpoints.js";
 
 const requester = { name: "i", incarnation: 1 };
 const objectiveMs = 300;
@@ -39,7 +39,7 @@
     this.arbiter = SlotArbiter.create({
       clock,
       logger: Logger.create(LogLevel.Error, {}, () => undefined),
-      ownName: "arbiter",
+      ...soleArbiter,
       fleet: { links: links as PeerLinks, isCollector: true },
       directory: { getOfService: () => this.endpoints },
       overload: { mode: OverloadMode.On },
--- a/packages/gateway/test/slotFleet.ts
+++ b/packages/gateway/test/slotFleet.ts
@@ -10,7 +10,7 @@
   SlotMessageKind,
   type SlotRequestInput,
 } from "@gladewall/gateway";
-import { flushPromises } from "@gladewall/kernel";
+import { type Clock, flushPromises } from "@gladewall/kernel";
 import { createService } from "@gladewall/standins";
 import { SlotMember } from "./slotMember.js";
 import { StepClock } from "./stepClock.js";
@@ -32,6 +32,12 @@
   readonly oldBuilds?: readonly number[];
   readonly mode?: OverloadMode;
   readonly maxWaitFactor?: number;
+  /** Refusals a second that an endpoint bears; undefined if any number. */
+  readonly refusalLimit?: number;
+  /** Tokens that the memory of an endpoint holds; undefined if requests need none. */
+  readonly tokenCapacity?: number;
+  /** Whether only readers receive the reports of all instances, as in a large fleet. */
+  readonly isLarge?: boolean;
   /** Whether slots are decided by the scheduler that the gateway uses; if not, they are granted in order of arrival. */
   readonly usesServiceScheduler?: boolean;
 }
@@ -54,11 +60,11 @@
   /** Whether messages that end grants are lost. */
   losesEnds = false;
   private readonly granted = new Map<string, number>();
-  private readonly dead = new Set<string>();
+  protected readonly dead = new Set<string>();
   private readonly lossListeners: { readonly pair: readonly string[]; readonly fail: () => void }[] = [];
-  private held: (() => void)[] = [];
+  protected held: (() => void)[] = [];
 
-  private constructor(readonly options: SlotFleetOptions) {
+  protected constructor(readonly options: SlotFleetOptions) {
     this.members = Array.from(
       { length: options.instances },
       (_, index) => new SlotMember(`i${index}`, this, options.oldBuilds?.includes(index) ?? false),
@@ -89,6 +95,19 @@
     return this.members.slice(0, readerCount).map(({ name }) => name);
   }
 
+  /** Returns the clock of an instance. */
+  createClock(_: SlotMember): Clock {
+    return this.clock;
+  }
+
+  isCollector(name: string): boolean {
+    return this.options.isLarge !== true || this.readers.includes(name);
+  }
+
+  getLinked(name: string): readonly string[] {
+    return this.members.map((one) => one.name).filter((peer) => peer !== name && this.isLinked(name, peer));
+  }
+
   /** The instance that decides for the others. */
   get arbiter(): SlotMember {
     return this.members.find(({ schedulers }) => schedulers.length > 0)!;
@@ -134,6 +153,7 @@
   /** Ends an instance; the others notice that their links to it are closed. */
   kill(member: SlotMember): void {
     this.dead.add(member.name);
+    member.isDead = true;
     member.arbiter.close();
     for (const { pair, fail } of this.lossListeners) if (pair.includes(member.name)) fail();
     for (const other of this.members) {
--- a/packages/gateway/test/slotMember.ts
+++ b/packages/gateway/test/slotMember.ts
@@ -4,9 +4,14 @@
  */
 import {
   Arbiters,
+  claimSlots,
   type Endpoint,
+  getSlotSubject,
+  OpenSlots,
   OverloadMode,
+  RecentArbiters,
   SlotArbiter,
+  SlotClaims,
   SlotClient,
   SlotContention,
   SlotTransport,
@@ -36,8 +41,12 @@
   readonly lines: string[] = [];
   readonly overload: { mode: OverloadMode };
   readonly schedulers: FifoSlotScheduler[] = [];
-  isCollector = true;
   isFrozen = false;
+  /** Places that its requests have. */
+  readonly open = OpenSlots.create();
+  /** Timers that end its requests; they do nothing once it is killed. */
+  isDead = false;
+  private isCollectorOverride: boolean | undefined;
   /** Numbers of the slot messages that reached it; announcements are left out. */
   readonly received: number[] = [];
 
@@ -45,21 +54,36 @@
     readonly name: string,
     private readonly fleet: SlotFleet,
     isOld: boolean,
+    incarnation = 1,
   ) {
-    const { clock, options } = fleet;
+    const { options } = fleet;
+    const clock = fleet.createClock(this);
     const logger = Logger.create(LogLevel.Debug, {}, (line) => this.lines.push(line));
-    this.identity = { name, incarnation: 1 };
+    this.identity = { name, incarnation };
     this.overload = { mode: options.mode ?? OverloadMode.On };
     this.endpoints = Array.from({ length: options.endpoints }, (_, index) =>
       createKnownEndpoint({ id: `e${index}`, slots: options.slots }),
     );
     const directory = { getOfService: () => this.endpoints };
-    const base = { ownName: name, clock, logger, directory, overload: this.overload };
+    const own = this.identity;
     const getFleetSize = (): number => options.instances;
-    this.contention = SlotContention.create({ clock, logger, directory, getFleetSize });
+    const getRefusalLimit = (): number | undefined => options.refusalLimit;
+    const base = { clock, logger, directory, overload: this.overload, getRefusalLimit, getFleetSize };
+    this.contention = SlotContention.create(base);
     const topology = this.createTopology();
+    const arbiters = Arbiters.create({
+      clock,
+      logger,
+      ownName: name,
+      getReaders: () => fleet.readers,
+      isLinked: (peer) => fleet.isLinked(name, peer),
+      call: (peer, message, limitMs) => this.call(peer, message, limitMs),
+    });
+    const { open } = this;
+    const recent = RecentArbiters.create(clock, (peer) => peer === name || fleet.isLinked(name, peer));
     this.arbiter = SlotArbiter.create({
       ...base,
+      own,
       fleet: topology,
       createScheduler: () => {
         if (options.usesServiceScheduler) {
@@ -69,29 +93,37 @@
         this.schedulers.push(scheduler);
         return scheduler;
       },
+      precedes: (service, one, other) => arbiters.precedes(getSlotSubject(service), one, other),
+      getPrecedingReaders: (service) =>
+        topology.getLinkedReaders().filter((peer) => arbiters.precedes(getSlotSubject(service), peer, name)),
+      claimOwn: (service) => claimSlots(open, service, name),
+      getTokenCapacity: () => options.tokenCapacity,
     });
+    const brittle = { applyWord: () => undefined };
+    SlotClaims.create({ own, links: topology.links, open, recent, arbiters, arbiter: this.arbiter, brittle });
     if (isOld) {
       this.handlers.clear();
       this.upListeners.length = 0;
     }
-    const arbiters = Arbiters.create({
-      clock,
-      logger,
-      ownName: name,
-      getReaders: () => fleet.readers,
-      isLinked: (peer) => fleet.isLinked(name, peer),
-      call: (peer, message, limitMs) => this.call(peer, message, limitMs),
-    });
-    const own = this.identity;
     this.client = SlotClient.create({
       ...base,
+      ownName: name,
       metrics: { countSlotDecision: () => undefined, recordSlotWait: () => undefined },
-      transport: SlotTransport.create({ own, arbiters, arbiter: this.arbiter, fleet: topology }),
+      transport: SlotTransport.create({ own, arbiters, arbiter: this.arbiter, recent, fleet: topology }),
+      open,
       contention: this.contention,
       maxWaitFactor: options.maxWaitFactor ?? 3,
     });
   }
 
+  get isCollector(): boolean {
+    return this.isCollectorOverride ?? this.fleet.isCollector(this.name);
+  }
+
+  set isCollector(value: boolean) {
+    this.isCollectorOverride = value;
+  }
+
   /** Number of logged lines of an event. */
   countLines(event: string): number {
     return this.lines.filter((line) => line.includes(event)).length;
@@ -105,6 +137,7 @@
       onLinkDown: (listener: LinkListener) => void this.downListeners.push(listener),
       send: (peer: string, message: PeerMessage) => this.send(peer, message),
       call: (peer: string, message: PeerMessage, limitMs: number) => this.call(peer, message, limitMs),
+      getLinked: () => fleet.getLinked(name),
     };
     const isCollector = (): boolean => this.isCollector;
     return {
--- a/packages/gateway/test/streamDoors.test.ts
+++ b/packages/gateway/test/streamDoors.test.ts
@@ -61,6 +61,7 @@
     excluded: new Set<string>(),
     permitRank: 0,
     permitRefusals: 0,
+    placementRequest: { service, promptTokens: 0, parts: [], excluded: new Set<string>(), origin },
     request: {
       service,
       head: { id: "r", parts: [] },
