--- a/packages/gateway/src/activeRequestTypes.ts
+++ b/packages/gateway/src/activeRequestTypes.ts
@@ -8,7 +8,7 @@
 import type { GatewayParts } from "./gatewayParts.js";
 import type { RequestCharge } from "./limits/quotaCharges.js";
 import type { StreamOrigin } from "./origins/streamOrigin.js";
-import type { Placement } from "./placement.js";
+import type { Placement } from "./placement/placer.js";
 import type { EndedResponse } from "./responses/responseEnd.js";
 import type { CallerRequestHead, Service } from "./types.js";
 
--- a/packages/gateway/src/attemptStage.ts
+++ b/packages/gateway/src/attemptStage.ts
@@ -13,7 +13,7 @@
   isPeerAtFault,
 } from "./forwarding/attemptRoute.js";
 import type { LimitSource } from "./limits/endpointLimits.js";
-import type { Placement } from "./placement.js";
+import type { Placement } from "./placement/placer.js";
 import { RelayStage } from "./responses/relayStage.js";
 import { isEventStream } from "./responses/streamRelay.js";
 import { NextStep, type RequestContext } from "./requestContext.js";
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -88,14 +88,14 @@
   type PlacementRelayMessage,
 } from "./memberMessages.js";
 export { PeerClocks } from "./peerClocks.js";
-export { PlacementRelay } from "./placementRelay.js";
-export { Placer } from "./placement.js";
+export { PlacementRelay } from "./placement/placementRelay.js";
+export { Placer } from "./placement/placer.js";
 export { PrefixFollower, RemovalCause } from "./store/prefixFollower.js";
 export { PrefillRates, type RateReport } from "./prefillRates.js";
-export { PrefixIndex, type PrefixReport } from "./prefixIndex.js";
+export { PrefixIndex, type PrefixReport } from "./placement/prefixIndex.js";
 export { getAllowances, restartsPerWindow } from "./limits/quotaAllowances.js";
 export { QuotaCharges } from "./limits/quotaCharges.js";
-export { RecentPlacements } from "./recentPlacements.js";
+export { RecentPlacements } from "./placement/recentPlacements.js";
 export { createFingerprint } from "./crashes/requestFingerprint.js";
 export { GatewayItems } from "./store/gatewayItems.js";
 export { parseAdvertisedLimit } from "./limits/advertisedLimit.js";
@@ -118,7 +118,7 @@
 export { pickWeightedTarget, RouteTable } from "./routeTable.js";
 export { CounterKind, type CounterTotals, SharedCounters } from "./sharedCounters.js";
 export { SilentPeers } from "./silentPeers.js";
-export { PlacementStage } from "./placementStage.js";
+export { PlacementStage } from "./placement/placementStage.js";
 export { QueueStage } from "./queueStage.js";
 export { NextStep, type RequestContext } from "./requestContext.js";
 export { OpenSlots } from "./slots/openSlots.js";
--- a/packages/gateway/src/memberMessages.ts
+++ b/packages/gateway/src/memberMessages.ts
@@ -6,7 +6,7 @@
 import type { ArbiterCall } from "./limits/arbiters.js";
 import type { EndpointWork } from "./endpoints/endpointWork.js";
 import type { FeedMessage, FeedState } from "./store/feedReplication.js";
-import type { PrefixReport } from "./prefixIndex.js";
+import type { PrefixReport } from "./placement/prefixIndex.js";
 import type { RateReport } from "./prefillRates.js";
 import type { CounterReport, CounterView } from "./sharedCounters.js";
 import type { WindowCounts } from "./usageCounts.js";
--- a/packages/gateway/src/members.ts
+++ b/packages/gateway/src/members.ts
@@ -35,7 +35,7 @@
   type ViewMessage,
 } from "./memberMessages.js";
 import { MemberRecords, type MemberRecordsOptions, gatewayPrefix } from "./memberRecords.js";
-import type { PrefixIndex } from "./prefixIndex.js";
+import type { PrefixIndex } from "./placement/prefixIndex.js";
 import type { PrefillRates } from "./prefillRates.js";
 import { ReaderViews } from "./readerViews.js";
 import type { SharedCounters } from "./sharedCounters.js";
--- a/packages/gateway/src/permitStage.ts
+++ b/packages/gateway/src/permitStage.ts
@@ -5,7 +5,7 @@
  */
 import { RetryCause } from "./limits/retries/creditPool.js";
 import { isRetryTaken, RetryDecision } from "./limits/retries/retryBudget.js";
-import type { Placement } from "./placement.js";
+import type { Placement } from "./placement/placer.js";
 import type { RequestContext } from "./requestContext.js";
 
 /** Obtains permissions for the attempts of one request. */
--- a/packages/gateway/src/completionDraw.ts
+++ b/packages/gateway/src/placement/completionDraw.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import { CapacityReading } from "@gladewall/policy";
-import type { Endpoint } from "./endpoints/endpoint.js";
+import type { Endpoint } from "../endpoints/endpoint.js";
 
 /** Margin within which endpoints are drawn, in run times, if the reports are fresh or there is one instance. */
 const minMargin = 0.1;
--- a/packages/gateway/src/placement.ts
+++ b/packages/gateway/src/placement/placer.ts
@@ -5,12 +5,12 @@
  * @module
  */
 import { type Clock, hashText, mixHashes } from "@gladewall/kernel";
-import type { Endpoint, PeerWork } from "./endpoints/endpoint.js";
-import { EndpointState, unknownLatencyMs } from "./endpoints/endpoint.js";
+import type { Endpoint, PeerWork } from "../endpoints/endpoint.js";
+import { EndpointState, unknownLatencyMs } from "../endpoints/endpoint.js";
 import { CompletionDraw } from "./completionDraw.js";
-import { mayServe, type StreamOrigin } from "./origins/streamOrigin.js";
+import { mayServe, type StreamOrigin } from "../origins/streamOrigin.js";
 import type { PrefixIndex } from "./prefixIndex.js";
-import type { PromptPart, Service } from "./types.js";
+import type { PromptPart, Service } from "../types.js";
 
 /** The properties of a request that placement uses. */
 export interface PlacementRequest {
--- a/packages/gateway/src/prefixIndex.ts
+++ b/packages/gateway/src/placement/prefixIndex.ts
@@ -3,7 +3,7 @@
  * caches. It is bounded by evicting the least recently used parts.
  * @module
  */
-import type { PromptPart } from "./types.js";
+import type { PromptPart } from "../types.js";
 
 const maxParts = 4_000;
 /** Smaller parts are not reported, because they save too little prefill time: 256 tokens take 2 to 8 ms. */
--- a/packages/gateway/src/recentPlacements.ts
+++ b/packages/gateway/src/placement/recentPlacements.ts
@@ -2,8 +2,8 @@
  * Placements of long prompts by other instances since the last view, as a reader relays them.
  * @module
  */
-import type { EndpointWork } from "./endpoints/endpointWork.js";
-import type { PlacementEntry } from "./memberMessages.js";
+import type { EndpointWork } from "../endpoints/endpointWork.js";
+import type { PlacementEntry } from "../memberMessages.js";
 
 interface NumberedPlacement {
   readonly number: number;
--- a/packages/gateway/src/requestContext.ts
+++ b/packages/gateway/src/requestContext.ts
@@ -9,7 +9,7 @@
 import type { CrashSubject } from "./crashes/crashRecords.js";
 import { mayServe, type StreamOrigin } from "./origins/streamOrigin.js";
 import type { HeldSlot } from "./slots/heldSlot.js";
-import type { Placement, PlacementRequest } from "./placement.js";
+import type { Placement, PlacementRequest } from "./placement/placer.js";
 import { createSubject } from "./crashes/requestFingerprint.js";
 import type { EndedResponse } from "./responses/responseEnd.js";
 import type { StreamRelay } from "./responses/streamRelay.js";
--- a/packages/gateway/src/responses/relayStage.ts
+++ b/packages/gateway/src/responses/relayStage.ts
@@ -5,7 +5,7 @@
 import { Failure, FailureCode } from "@gladewall/kernel";
 import type { Endpoint } from "../endpoints/endpoint.js";
 import { getOrigin, type StreamOrigin } from "../origins/streamOrigin.js";
-import type { Placement } from "../placement.js";
+import type { Placement } from "../placement/placer.js";
 import { NextStep, type RequestContext } from "../requestContext.js";
 import { type ReceivedBody, readResponseBody } from "./responseBody.js";
 import {
