--- a/packages/gateway/src/queueStage.ts
+++ b/packages/gateway/src/queueStage.ts
@@ -33,7 +33,8 @@
     const { context } = this;
     const { slots, brittle } = context.parts;
     const { service } = context.request;
-    if (this.isSuspect()) return NextStep.Retry;
+    // A suspect may be sent like other requests, so that it needs a counted place unless it gets a trial.
+    if (this.isSuspect() && brittle.getLimit(service.name) === undefined) return NextStep.Retry;
     const isObserved = slots.isObserved(service);
     if (!isObserved && !slots.isNeeded(service)) return NextStep.Retry;
     const input = this.createInput();
--- a/packages/gateway/test/countedPlaces.test.ts
+++ b/packages/gateway/test/countedPlaces.test.ts
@@ -60,6 +60,13 @@
   t.notOk(await QueueStage.create(refused.context).acquireAt(tried!));
 });
 
+t.test("a suspect that may run like other requests needs a place like them", async (t) => {
+  const { context, inputs } = createContext(true);
+  Object.assign(context.parts.suspects, { hasSuspects: () => true, isSuspect: () => true });
+  await QueueStage.create(context).acquireSlot();
+  t.equal(inputs.length, 1);
+});
+
 t.test("a request without a place is not sent to a brittle endpoint", async (t) => {
   const placement = await PlacementStage.create(createContext(true).context).choose();
   t.ok(placement.isErr());
