--- a/packages/gateway/test/queuedRequests.test.ts
+++ b/packages/gateway/test/queuedRequests.test.ts
@@ -250,6 +250,7 @@
     parts: {
       slots: { isNeeded: () => true, isObserved: () => true, acquire: refuse, observe: refuse },
       suspects: { hasSuspects: () => true, isSuspect: () => true },
+      brittle: { getLimit: () => undefined },
     },
     request: { service: { engine: undefined } },
   };
