Decide on brittle places only once linked, and ask again after another arbiter has left

Cause: an arbiter that had just started and was linked with a third of the fleet granted all places, while another that it was not linked with decided for the rest. And what an arbiter grants in the moment in which it leaves the service to another is on its way to instances that have answered the claim already.

Change: for 1 s after its start an instance decides on brittle places only if it is linked with all members; callers turn to the next arbiter. Where a reply to the first claim names another arbiter, the fleet is asked a second time after 40 ms before anything is granted.

Services that are not brittle are untouched.

--- a/packages/gateway/src/slots/slotArbiter.ts
+++ b/packages/gateway/src/slots/slotArbiter.ts
@@ -122,6 +122,7 @@
     if (!fleet.isCollector || overload.mode === OverloadMode.Off || this.isClosed) return unknownReply;
     if (this.terms.hasYielded(call.service)) return unknownReply;
     const refusalLimit = this.options.getRefusalLimit?.(call.service);
+    if (refusalLimit !== undefined && this.terms.isLinking) return unknownReply;
     if (refusalLimit !== undefined) this.terms.recordUse(call.service, refusalLimit);
     return this.getQueue(call.service).request(requester, call);
   }
--- a/packages/gateway/src/slots/slotTerms.ts
+++ b/packages/gateway/src/slots/slotTerms.ts
@@ -48,6 +48,8 @@
   readonly number: number;
   limit: number;
   isClaiming: boolean;
+  /** Whether the fleet was asked a second time because another arbiter decided until then. */
+  isAskedAgain: boolean;
   claimedAt: number;
   /** Last time at which this instance was known to run. */
   seenAt: number;
@@ -81,6 +83,10 @@
 const idleMs = 10_000;
 /** Time for which calls go to another arbiter that claimed the service and that callers prefer. */
 const yieldMs = 300;
+/** Time from its start in which an instance is linked with all others that run; before, it may not see an arbiter that decides. */
+const linkingMs = 1_000;
+/** Time after which grants that another arbiter gave before it left the service to this one have reached those that it gave them to. */
+const handoverMs = 40;
 /** Requests granted at each endpoint while another arbiter may be granting the same places. */
 const sharedGrants = 1;
 /** Requests that may be granted at each endpoint by the phase; any number if undefined. */
@@ -96,9 +102,12 @@
 export class SlotTerms {
   private readonly terms = new Map<string, Term>();
   private lastNumber = 0;
+  private readonly startedAt: number;
   private timer: Timer | undefined;
 
-  private constructor(private readonly options: SlotTermsOptions) {}
+  private constructor(private readonly options: SlotTermsOptions) {
+    this.startedAt = options.clock.getTime();
+  }
 
   static create(options: SlotTermsOptions): SlotTerms {
     return new SlotTerms(options);
@@ -117,6 +126,13 @@
     this.ensure(service, limit);
   }
 
+  /** Whether this instance has just started and is not linked with all others yet. */
+  get isLinking(): boolean {
+    const { clock, links, getFleetSize } = this.options;
+    const isNew = clock.getTime() - this.startedAt < linkingMs;
+    return isNew && links.getLinked().length + 1 < getFleetSize();
+  }
+
   /** Whether callers have to turn to another arbiter, which has taken over. */
   hasYielded(service: string): boolean {
     return (this.terms.get(service)?.yieldedUntil ?? -Infinity) > this.options.clock.getTime();
@@ -182,7 +198,14 @@
     const time = this.options.clock.getTime();
     const number = (this.lastNumber += 1);
     const times = { claimedAt: time, seenAt: time, usedAt: time, yieldedUntil: -Infinity };
-    const term: Term = { phase: TermPhase.Claiming, number, limit, isClaiming: false, ...times };
+    const term: Term = {
+      phase: TermPhase.Claiming,
+      number,
+      limit,
+      isClaiming: false,
+      isAskedAgain: false,
+      ...times,
+    };
     this.terms.set(service, term);
     this.claim(service, term);
     this.watch();
@@ -222,8 +245,14 @@
   }
 
   private apply(service: string, term: Term, replies: readonly (SlotClaimReply | undefined)[]): void {
-    const { own, logger, precedes, hasSilentRival, onChanged } = this.options;
+    const { own, clock, logger, precedes, hasSilentRival, onChanged } = this.options;
     const { hasFleet } = this;
+    const isHandover = replies.some((reply) => reply?.arbiter !== undefined && reply.arbiter !== own.name);
+    if (isHandover && term.phase === TermPhase.Claiming && !term.isAskedAgain) {
+      term.isAskedAgain = true;
+      clock.startTimer(handoverMs, () => this.claim(service, term));
+      return;
+    }
     const rival = replies
       .map((reply) => reply?.arbiter)
       .find((name) => name !== undefined && name !== own.name && !precedes(service, own.name, name));
--- a/packages/gateway/test/brittleSlotFleet.ts
+++ b/packages/gateway/test/brittleSlotFleet.ts
@@ -7,6 +7,7 @@
 import { type Clock, sortByRendezvous } from "@gladewall/kernel";
 import { objectiveMs, SlotFleet, type SlotFleetOptions } from "./slotFleet.js";
 import { SlotMember } from "./slotMember.js";
+import { createSpreadRandom } from "./stepClock.js";
 
 /** Parameters of a fleet. */
 export interface BrittleFleetOptions extends SlotFleetOptions {
@@ -44,10 +45,15 @@
 const windowMs = 1_000;
 const rolesMs = 800;
 const readerCount = 3;
+/** Longest time from the start of an instance until it is linked with another. */
+const maxLinkMs = 400;
 
 /** A fleet and its endpoints. */
 export class BrittleSlotFleet extends SlotFleet {
   readonly counts: BrittleCounts = { asked: 0, served: 0, crashes: 0, refusals: 0, late: 0 };
+  /** Pairs of instances that are not linked yet. */
+  private readonly unlinked = new Set<string>();
+  private readonly random = createSpreadRandom(1);
   private readonly simulated = new Map<string, SimulatedEndpoint>();
   /** Last time at which an instance that paused could not handle what it received. */
   private readonly pausedAt = new Map<SlotMember, number>();
@@ -127,12 +133,25 @@
     this.dead.delete(member.name);
     this.deadSince.delete(member.name);
     for (const other of this.members) {
-      if (other === member || this.dead.has(other.name)) continue;
-      for (const listener of other.upListeners) listener(member.identity);
-      for (const listener of member.upListeners) listener(other.identity);
+      if (other === member) continue;
+      const pair = getPair(member.name, other.name);
+      this.unlinked.add(pair);
+      this.clock.startTimer(this.random() * maxLinkMs, () => this.link(pair, member, other.name));
     }
   }
 
+  /** A pair is linked some time after one of them has started. */
+  override isLinked(name: string, peer: string): boolean {
+    return super.isLinked(name, peer) && !this.unlinked.has(getPair(name, peer));
+  }
+
+  private link(pair: string, member: SlotMember, peer: string): void {
+    const other = this.members.find(({ name }) => name === peer);
+    if (!other || member.isDead || other.isDead || !this.unlinked.delete(pair)) return;
+    for (const listener of other.upListeners) listener(member.identity);
+    for (const listener of member.upListeners) listener(other.identity);
+  }
+
   /** Kills an instance now and starts it again after a time. */
   restart(member: SlotMember, afterMs: number): void {
     if (this.dead.has(member.name)) return;
@@ -233,3 +252,7 @@
     for (const { finish } of lost) finish(false);
   }
 }
+
+function getPair(one: string, other: string): string {
+  return [one, other].sort().join();
+}
