--- a/packages/gateway/src/crashes/crashDetector.ts
+++ b/packages/gateway/src/crashes/crashDetector.ts
@@ -15,6 +15,8 @@
 export interface InFlightRequest {
   /** Reading it computes a digest if none was needed before. */
   readonly subject: CrashSubject;
+  /** Ids of the parts of its prompt that other requests may share: all but the last one. */
+  readonly sharedParts?: readonly string[];
 }
 
 /** Options of the detector. */
@@ -50,6 +52,8 @@
 const refuteAfterMs = 6_000;
 /** Fingerprints of suspects in a log line. */
 const maxLoggedFingerprints = 4;
+/** Parts of prompts in a log line. */
+const maxLoggedParts = 12;
 
 /** Endpoints that seemed to stop as planned, whose interrupted requests are kept; a peer that disagrees reports within a second. */
 const maxUnreported = 16;
@@ -171,7 +175,7 @@
 
   /** Keeps subjects only, because requests hold their bodies. */
   private addUnreported(endpoint: Endpoint, interrupted: readonly InFlightRequest[]): void {
-    const requests = interrupted.slice(0, maxReported).map(({ subject }) => ({ subject }));
+    const requests = interrupted.slice(0, maxReported).map(({ subject, sharedParts = [] }) => ({ subject, sharedParts }));
     this.unreported.set(endpoint.incarnation, { endpoint, requests });
     if (this.unreported.size > maxUnreported) this.unreported.delete(this.unreported.keys().next().value!);
   }
@@ -195,9 +199,22 @@
         .slice(0, maxLoggedFingerprints)
         .map(({ fingerprint }) => fingerprint)
         .join(),
+      parts: formatPartCounts(requests),
     });
     if (!isFirst) return;
     endpoint.recordUnreachable(clock.getTime());
     countCrash(record.service);
   }
 }
+
+/** Formats which parts the prompts of requests had and how many requests had each, the most frequent first: `id*count,…`. */
+function formatPartCounts(requests: readonly InFlightRequest[]): string {
+  const counts = new Map<string, number>();
+  for (const id of requests.flatMap(({ sharedParts = [] }) => sharedParts))
+    counts.set(id, (counts.get(id) ?? 0) + 1);
+  const ordered = [...counts].sort(([, one], [, other]) => other - one);
+  return ordered
+    .slice(0, maxLoggedParts)
+    .map(([id, count]) => `${id}*${count}`)
+    .join();
+}
--- a/packages/gateway/src/crashes/suspectGate.ts
+++ b/packages/gateway/src/crashes/suspectGate.ts
@@ -37,6 +37,8 @@
   readonly id: string;
   readonly subject: CrashSubject;
   readonly service: string;
+  /** Ids of the parts of its prompt that other requests may share. */
+  readonly sharedParts?: readonly string[];
   /** Incarnations of endpoints that it was sent to before. */
   readonly excluded: ReadonlySet<string>;
   /** Where the stream began that it goes on with; undefined if any endpoint of the service may serve it. */
@@ -137,11 +139,17 @@
 
   /** Whether so many endpoints of a service are down that no suspect may crash another one. */
   private hasFewEndpoints(service: string): boolean {
-    const { clock, records, getEndpoints } = this.options;
+    return this.countDown(service) > this.getUsable(service).length * maxDownShare;
+  }
+
+  private getUsable(service: string): readonly Endpoint[] {
+    return this.options.getEndpoints(service).filter((endpoint) => endpoint.isUsable());
+  }
+
+  private countDown(service: string): number {
+    const { clock, records } = this.options;
     const time = clock.getTime();
-    const usable = getEndpoints(service).filter((endpoint) => endpoint.isUsable());
-    const down = usable.filter((endpoint) => isDown(endpoint, records, time));
-    return down.length > usable.length * maxDownShare;
+    return this.getUsable(service).filter((endpoint) => isDown(endpoint, records, time)).length;
   }
 
   /** Clears a request whose complete response was received. */
@@ -178,7 +186,13 @@
     const { records, metrics } = this.options;
     const { subject, service } = request;
     const incarnations = records.getUncleared(subject.fingerprint);
-    this.log(request, "suspect.refused", { verdict: QuarantineState[state], lives: incarnations.join() });
+    this.log(request, "suspect.refused", {
+      verdict: QuarantineState[state],
+      lives: incarnations.join(),
+      down: this.countDown(service),
+      usable: this.getUsable(service).length,
+      parts: request.sharedParts?.join(),
+    });
     metrics.countSuspectRefusal(service, QuarantineState[state]);
     if (isRunnable(state)) return createBusyRefusal(service);
     return Failure.create(FailureCode.CrashesEndpoints, { service, count: incarnations.length }, cooldownMs);
@@ -187,7 +201,7 @@
   private log(
     { id, subject, service }: SuspectRequest,
     event: string,
-    fields: Record<string, string | undefined>,
+    fields: Record<string, string | number | undefined>,
   ): void {
     const { workspace, fingerprint } = subject;
     const ageMs = Math.round(this.options.records.getTimeSinceCrash(fingerprint));
--- a/packages/gateway/src/placement/placementStage.ts
+++ b/packages/gateway/src/placement/placementStage.ts
@@ -28,6 +28,7 @@
         id: context.request.head.id,
         subject: context.subject,
         service: service.name,
+        sharedParts: context.sharedParts,
         excluded: context.excluded,
         origin: context.origin,
         leftMs: context.getTimeLeft(),
--- a/packages/gateway/src/requestContext.ts
+++ b/packages/gateway/src/requestContext.ts
@@ -97,6 +97,11 @@
     return createSubject({ workspace: this.workspace, method, host: headers.host ?? "", target, body });
   }
 
+  /** Ids of the parts of the prompt that other requests may share; the last part is the request's own or its session's. */
+  get sharedParts(): readonly string[] {
+    return this.request.head.parts.slice(0, -1).map(({ id }) => id);
+  }
+
   /** Urgency of the request, 0 being the most urgent. */
   get rank(): number {
     const { workspace, route } = this.request.admitted;
--- a/packages/gateway/test/crashingEndpoints.ts
+++ b/packages/gateway/test/crashingEndpoints.ts
@@ -30,6 +30,8 @@
   private crashed: ScriptedEndpoint[] = [];
   /** Responds to requests that crash no endpoint. */
   script: (call: EndpointRequest) => void = respondSuccess;
+  /** Whether a request crashes each endpoint that runs it. */
+  isDeadly: (call: EndpointRequest) => boolean = ({ body }) => body.startsWith(crashBody);
   /** Called with each request that crashes its endpoint. */
   onCrash: (call: EndpointRequest) => void = () => undefined;
 
@@ -46,7 +48,7 @@
     this.started += 1;
     const endpoint = await ScriptedEndpoint.create(`e${this.started}`);
     endpoint.script = (call) => {
-      if (!call.body.startsWith(crashBody)) return this.script(call);
+      if (!this.isDeadly(call)) return this.script(call);
       if (this.running.has(endpoint)) this.onCrash(call);
       this.crash(endpoint);
     };
@@ -100,9 +102,10 @@
   instanceCount: number,
   endpointCount: number,
   isLarge = false,
+  kind = RouteKind.Safe,
 ) {
   const bench = GatewayTestBench.create();
-  const route = createRoute({ kind: RouteKind.Safe, attempts: 2 });
+  const route = createRoute({ kind, attempts: 2 });
   const workspaces = [createWorkspace({}), createWorkspace({ name: "other", keys: ["other-key"] })];
   bench.platform.configure({ routes: [route], workspaces });
   const endpoints = await CrashingEndpoints.create(bench, endpointCount);
--- a/packages/standins/src/fakePlatform.ts
+++ b/packages/standins/src/fakePlatform.ts
@@ -18,6 +18,7 @@
   OrderOutcome,
   type PlatformAdapter,
   type PlatformOptions,
+  type PromptPart,
   QuotaUnit,
   type Route,
   RouteKind,
@@ -35,6 +36,8 @@
 
 const configurationKey = "operator/configuration";
 const endpointPrefix = "endpoints/";
+/** Tokens of each part of a prompt. */
+const partTokens = 100;
 
 /** An order that was accepted, and its sender. */
 export interface ReceivedOrder {
@@ -245,12 +248,18 @@
     key: headers.authorization,
     promptTokens: tokens === undefined ? undefined : Number(tokens),
     outputTokens: 0,
-    parts: [],
+    parts: readParts(headers["x-parts"]),
     lastEventId: headers["last-event-id"] as string | undefined,
     resumes: headers.resumes as string | undefined,
   });
 }
 
+/** Reads the ids of prompt parts, separated by commas. */
+function readParts(header: string | string[] | undefined): readonly PromptPart[] {
+  const ids = String(header ?? "").split(",");
+  return ids.filter((id) => id !== "").map((id) => ({ id, tokens: partTokens }));
+}
+
 const replacedHeaders = new Set([
   "connection",
   "transfer-encoding",
