--- a/packages/gateway/src/attemptStage.ts
+++ b/packages/gateway/src/attemptStage.ts
@@ -60,6 +60,10 @@
       deadlineAt: context.deadlineAt,
       tokens: context.memoryTokens,
     });
+    context.suspectedParts = this.findSuspectedParts();
+    context.triedParts = context.trial?.parts ?? [];
+    context.sentAt = context.parts.clock.getTime();
+    context.firstEventAt = undefined;
     endpoint.recordSent();
     endpoint.inFlight.add(context);
     const pending = service.engine ? placement.uncachedTokens : 0;
@@ -78,6 +82,13 @@
     return next;
   }
 
+  private findSuspectedParts(): readonly string[] {
+    const { context } = this;
+    const { suspects } = context.parts;
+    const { name } = context.request.service;
+    return suspects.hasSuspectParts(name) ? suspects.getSuspectedParts(name, context.sharedParts) : [];
+  }
+
   /** Fails a request to an endpoint that neither this instance nor a peer reaches. */
   private failCutOff(): NextStep {
     const { context } = this;
@@ -298,8 +309,18 @@
     const { suspects, paths, brittle } = context.parts;
     const isTelling = paths.isDirect(endpoint) && brittle.getLimit(endpoint.record.service) === undefined;
     const checked = isTelling && suspects.recordInterruption(endpoint, context);
+    this.endTrialAfter(checked);
     if (!context.isRetryAllowed()) return NextStep.Fail;
     await checked;
     return context.isOver ? NextStep.Done : NextStep.Retry;
   }
+
+  /** Ends the trial once it is known whether the endpoint has crashed: until then nothing else like it may be tried. */
+  private endTrialAfter(checked: Promise<boolean> | false): void {
+    const { context } = this;
+    const { trial } = context;
+    if (!trial || !checked) return;
+    context.trial = undefined;
+    void checked.then(() => trial.end());
+  }
 }
--- a/packages/gateway/src/crashes/crashDetector.ts
+++ b/packages/gateway/src/crashes/crashDetector.ts
@@ -10,13 +10,20 @@
 import { type Endpoint, EndpointState } from "../endpoints/endpoint.js";
 import { LeavingSource } from "../endpoints/endpointAvailability.js";
 import { ProbeResult } from "./endpointProbe.js";
+import type { PartUpdate } from "./parts/partUpdates.js";
 
 /** A request in flight at an endpoint. */
 export interface InFlightRequest {
   /** Reading it computes a digest if none was needed before. */
   readonly subject: CrashSubject;
   /** Ids of the parts of its prompt that other requests may share: all but the last one. */
-  readonly sharedParts?: readonly string[];
+  readonly sharedParts?: readonly string[] | undefined;
+  /** Those of them that were suspected when it was sent to the endpoint. */
+  readonly suspectedParts?: readonly string[] | undefined;
+  /** Those because of which it was sent there isolated from others. */
+  readonly triedParts?: readonly string[] | undefined;
+  /** Monotonic time of the first event of its stream from the endpoint; undefined before, and for other responses. */
+  readonly firstEventAt?: number | undefined;
 }
 
 /** Options of the detector. */
@@ -50,6 +57,11 @@
  * endpoint.
  */
 const refuteAfterMs = 6_000;
+/** Prompts of one instance in the report of one crash, and parts of each: a prompt with four parts takes 120 bytes. */
+const maxReportedPrompts = 64;
+const maxReportedParts = 16;
+/** Time after its first event from which on a stream is not the cause: an endpoint crashes when it begins to respond. */
+const settledMs = 1_000;
 /** Fingerprints of suspects in a log line. */
 const maxLoggedFingerprints = 4;
 /** Parts of prompts in a log line. */
@@ -175,18 +187,37 @@
 
   /** Keeps subjects only, because requests hold their bodies. */
   private addUnreported(endpoint: Endpoint, interrupted: readonly InFlightRequest[]): void {
-    const requests = interrupted.slice(0, maxReported).map(({ subject, sharedParts = [] }) => ({ subject, sharedParts }));
+    const requests = interrupted.slice(0, maxReported).map(copyWithoutBody);
     this.unreported.set(endpoint.incarnation, { endpoint, requests });
     if (this.unreported.size > maxUnreported) this.unreported.delete(this.unreported.keys().next().value!);
   }
 
+  /** Returns the prompts that may have crashed an endpoint; undefined if there are none. */
+  private createPartCrash(
+    { incarnation: life, record }: Endpoint,
+    requests: readonly InFlightRequest[],
+  ): PartUpdate | undefined {
+    const time = this.options.clock.getTime();
+    const beginning = requests.filter(
+      ({ sharedParts = [], firstEventAt = time }) =>
+        sharedParts.length > 0 && time - firstEventAt < settledMs,
+    );
+    if (beginning.length === 0) return undefined;
+    const aboard = beginning.slice(0, maxReportedPrompts).map((request) => {
+      const { subject, sharedParts = [], suspectedParts: suspected = [], triedParts: tried = [] } = request;
+      return { ...subject, parts: sharedParts.slice(0, maxReportedParts), suspected, tried };
+    });
+    return { crashes: [{ life, service: record.service, aboard }] };
+  }
+
   private report(endpoint: Endpoint, requests: readonly InFlightRequest[]): void {
     const { clock, logger, records, broadcast, countCrash } = this.options;
     const { incarnation, record } = endpoint;
     const isFirst = !records.hasCrashed(incarnation);
     const inFlight = requests.slice(0, maxReported).map(({ subject }) => subject);
     const report: CrashReport = records.createReport(incarnation, inFlight);
-    const update = { reports: [report] };
+    const parts = this.createPartCrash(endpoint, requests.slice(0, maxReported));
+    const update: CrashUpdate = { reports: [report], ...(parts && { parts }) };
     if (!records.apply(update)) return;
     broadcast(update);
     logger.info("endpoint.ended", {
@@ -218,3 +249,9 @@
     .map(([id, count]) => `${id}*${count}`)
     .join();
 }
+
+/** Copies what a report needs, because the request itself holds its body. */
+function copyWithoutBody(request: InFlightRequest): InFlightRequest {
+  const { subject, sharedParts, suspectedParts, triedParts, firstEventAt } = request;
+  return { subject, sharedParts, suspectedParts, triedParts, firstEventAt };
+}
--- a/packages/gateway/src/crashes/crashGossip.ts
+++ b/packages/gateway/src/crashes/crashGossip.ts
@@ -103,11 +103,12 @@
 
   private handleUpdate(message: UpdateMessage, { name }: PeerIdentity): void {
     const { records, onUpdate } = this.options;
-    const { reports, acquittals, refuted } = message;
+    const { reports, acquittals, refuted, parts } = message;
     const update: CrashUpdate = {
       ...(reports && { reports }),
       ...(acquittals && { acquittals }),
       ...(refuted && { refuted }),
+      ...(parts && { parts }),
     };
     if (!records.apply(update)) return;
     onUpdate(update);
@@ -118,17 +119,26 @@
   private handleTrialCall({
     service,
     subject,
+    parts,
+    heldParts,
     excluded,
     waitMs,
   }: TrialCall): Promise<TrialReply> | TrialReply {
     const { fleet, scheduler } = this.options;
     if (!fleet.isCollector) return { word: TrialDecision.Unknown };
-    return scheduler.decideOrWait({ service, subject, excluded, waitMs });
+    return scheduler.decideOrWait({
+      service,
+      subject,
+      ...(parts && { parts }),
+      ...(heldParts && { heldParts }),
+      excluded,
+      waitMs,
+    });
   }
 
   private sendToNewPeer({ name }: PeerIdentity): void {
     const update = this.options.records.createSnapshot();
-    if (update.reports?.length === 0) return;
+    if (update.reports?.length === 0 && !update.parts) return;
     this.options.fleet.links.send(name, createMessage(update));
   }
 }
--- a/packages/gateway/src/crashes/crashProtection.ts
+++ b/packages/gateway/src/crashes/crashProtection.ts
@@ -6,7 +6,7 @@
 import type { Clock, Logger } from "@gladewall/kernel";
 import { CrashGossip } from "./crashGossip.js";
 import { CrashRecords, type CrashUpdate } from "./crashRecords.js";
-import { CrashStore } from "./crashStore.js";
+import { createCrashItems } from "./crashStore.js";
 import { CrashDetector } from "./crashDetector.js";
 import type { Endpoint } from "../endpoints/endpoint.js";
 import type { EndpointDirectory } from "../endpoints/endpointDirectory.js";
@@ -16,7 +16,10 @@
 import type { Members } from "../members.js";
 import type { Removal } from "../store/prefixFollower.js";
 import { SuspectGate } from "./suspectGate.js";
-import { TrialScheduler } from "./trialScheduler.js";
+import type { QuarantineItems } from "./quarantineItems.js";
+import { createPartItems } from "./parts/partStore.js";
+import { PartObserver } from "./parts/partObserver.js";
+import { type TrialCallArguments, TrialScheduler } from "./trialScheduler.js";
 import type { MetadataStore, StoreItem } from "../types.js";
 
 /** Options of the crash protection. */
@@ -34,6 +37,8 @@
   /** Time for which an endpoint serves on after it announced that it is leaving; milliseconds. */
   readonly drainMs: number;
   readonly getTimeSinceTrouble: () => number;
+  /** Returns Unix milliseconds. */
+  readonly getTimeOfDay: () => number;
 }
 
 /** Crash protection of one instance. */
@@ -44,7 +49,8 @@
   private readonly detector: CrashDetector;
   private readonly witnesses: CrashWitnesses;
   private readonly scheduler: TrialScheduler;
-  private readonly crashStore: CrashStore;
+  private readonly items: readonly Pick<QuarantineItems<object>, "handleItem" | "reconcile">[];
+  private readonly observer: PartObserver;
 
   private constructor(private readonly options: CrashProtectionOptions) {
     const { ownName, clock, logger, store, directory, members, metrics } = options;
@@ -57,11 +63,12 @@
       records,
       getEndpoints,
       getPeerWork: (incarnation) => members.getPeerWork(incarnation),
+      onExpired: (incarnation, request) => this.checkExpiredTrial(incarnation, request),
     });
     const onUpdate = (update: CrashUpdate): void => {
       this.markUnreachable(update);
       this.detector.applyPeerReports(update);
-      this.crashStore.reconcileItems();
+      this.handleUpdate(update);
     };
     const gossip = CrashGossip.create({
       ownName,
@@ -72,8 +79,18 @@
     });
     const broadcast = (update: CrashUpdate): void => {
       gossip.broadcast(update);
-      this.crashStore.reconcileItems();
+      this.handleUpdate(update);
     };
+    this.observer = PartObserver.create({
+      clock,
+      logger,
+      records,
+      getEndpoints,
+      getTimeOfDay: options.getTimeOfDay,
+      publish: (parts) => {
+        if (records.apply({ parts })) broadcast({ parts });
+      },
+    });
     const probe = (address: string): Promise<ProbeResult> => probeEndpoint(address, options.connectTimeoutMs);
     this.witnesses = CrashWitnesses.create({
       fleet: members,
@@ -96,13 +113,9 @@
       broadcast,
       countCrash: (service) => metrics.countEndpointCrash(service),
     });
-    this.crashStore = CrashStore.create({
-      store,
-      clock,
-      logger,
-      records,
-      isWriter: (fingerprint) => members.isCollector && members.findArbiter(fingerprint) === ownName,
-    });
+    const isWriter = (id: string): boolean => members.isCollector && members.findArbiter(id) === ownName;
+    const kept = { store, clock, logger, records, isWriter };
+    this.items = [createCrashItems(kept), createPartItems(kept)];
     this.suspects = SuspectGate.create({
       clock,
       logger,
@@ -114,6 +127,7 @@
       endTrial: (service, incarnation, fingerprint) => gossip.endTrial(service, incarnation, fingerprint),
       getEndpoints,
       findEndpoint,
+      recordWhole: (service, parts, beganAt) => this.observer.recordWhole(service, parts, beganAt),
     });
   }
 
@@ -128,19 +142,41 @@
 
   /** Handles an item of the store that was written or removed. */
   handleItem(key: string, item: StoreItem | undefined, removal?: Removal): void {
-    this.crashStore.handleItem(key, item, removal);
+    for (const items of this.items) items.handleItem(key, item, removal);
+    this.scheduler.review();
   }
 
   /** Refutes crashes that records disprove, and brings the store up to date; called several times a second. */
   reconcile(): void {
     this.detector.refuteCrashes();
-    this.crashStore.reconcileItems();
+    this.observer.review();
+    this.reconcileItems();
   }
 
   close(): void {
     this.scheduler.close();
   }
 
+  /** Handles what has become known of crashes, here or at a peer. */
+  private handleUpdate({ parts }: CrashUpdate): void {
+    this.reconcileItems();
+    if (!parts) return;
+    if (parts.crashes) this.observer.handleCrash();
+    this.scheduler.review();
+  }
+
+  private reconcileItems(): void {
+    for (const items of this.items) items.reconcile();
+  }
+
+  /** Checks whether the endpoint of a trial has crashed whose instance did not tell, as when it was killed meanwhile. */
+  private checkExpiredTrial(incarnation: string, { subject, parts, heldParts }: TrialCallArguments): void {
+    const endpoint = this.options.directory.find(incarnation);
+    if (!endpoint || !heldParts) return;
+    const request = { subject, sharedParts: parts ?? [], suspectedParts: heldParts, triedParts: heldParts };
+    void this.detector.recordInterruption(endpoint, request);
+  }
+
   /**
    * Marks endpoints that a peer reported as crashed as unreachable, so that this instance sends no requests to find it out
    * itself.
--- a/packages/gateway/src/crashes/crashRecords.ts
+++ b/packages/gateway/src/crashes/crashRecords.ts
@@ -9,6 +9,9 @@
  * @module
  */
 import type { Clock } from "@gladewall/kernel";
+import { PartRecords } from "./parts/partRecords.js";
+import type { PartUpdate } from "./parts/partUpdates.js";
+import { QuarantineState } from "./quarantineState.js";
 
 /** Identifies a request by its content, so that it is recognized when it is sent again. */
 export interface CrashSubject {
@@ -47,20 +50,8 @@
   readonly acquittals?: readonly Clearance[];
   /** Incarnations that turned out not to have crashed. */
   readonly refuted?: readonly string[];
-}
-
-/** Whether and how a request may run. Members are written to logs and metrics. */
-export enum QuarantineState {
-  /** No restriction. */
-  Clear = 1,
-  /** It was in flight at one crash; it runs while enough endpoints of the service are left. */
-  Suspect = 2,
-  /** It was in flight at two crashes; it runs only at an endpoint without another isolated request. */
-  Isolated = 3,
-  /** It is the only suspect of two crashes; it does not run during a cooldown, and runs isolated once more after it. */
-  Resting = 4,
-  /** It is blocked for good. */
-  Convicted = 5,
+  /** News about parts of prompts; earlier builds ignore it. */
+  readonly parts?: PartUpdate;
 }
 
 /** Suspicion score for one crash: the whole of it for a single suspect; several suspects share it. */
@@ -121,7 +112,12 @@
   /** Fingerprints of suspects by workspace, the latest last. */
   private readonly suspectsByWorkspace = new Map<string, Set<string>>();
 
-  private constructor(private readonly clock: Clock) {}
+  /** Evidence about parts of prompts, beside that about whole requests. */
+  readonly parts: PartRecords;
+
+  private constructor(private readonly clock: Clock) {
+    this.parts = PartRecords.create(clock);
+  }
 
   static create(clock: Clock): CrashRecords {
     return new CrashRecords(clock);
@@ -235,15 +231,20 @@
       if (count > maxSnapshotRequests) break;
       if (!crash.isRefuted && report.suspects.length + report.others.length > 0) reports.push(report);
     }
-    return { reports: reports.reverse() };
+    const parts = this.parts.createSnapshot();
+    return { reports: reports.reverse(), ...(parts.findings && { parts }) };
   }
 
   /** Applies an update; returns whether it contained anything new. */
-  apply({ reports = [], acquittals = [], refuted = [] }: CrashUpdate): boolean {
+  apply({ reports = [], acquittals = [], refuted = [], parts = {} }: CrashUpdate): boolean {
     let isNew = false;
     for (const report of reports) isNew = this.applyReport(report) || isNew;
     for (const clearance of acquittals) isNew = this.applyClearance(clearance) || isNew;
     for (const incarnation of refuted) isNew = this.refute(incarnation) || isNew;
+    isNew = this.parts.apply(parts) || isNew;
+    for (const { isConvicted, crashes } of parts.findings ?? []) {
+      if (isConvicted) for (const { life } of crashes) this.clearExplained(life);
+    }
     return isNew;
   }
 
@@ -325,10 +326,19 @@
     const crash = this.crashes.get(incarnation);
     if (!crash || crash.isRefuted) return false;
     crash.isRefuted = true;
+    this.parts.refute(incarnation);
     this.updateSuspects(crash);
     return true;
   }
 
+  /** Clears the requests that were in flight at a crash which a part of a prompt has caused. */
+  private clearExplained(incarnation: string): void {
+    const crash = this.crashes.get(incarnation);
+    if (!crash) return;
+    for (const state of crash.inFlight.values()) state.isCleared = true;
+    this.updateSuspects(crash);
+  }
+
   /** Updates the suspects among the requests of a crash. */
   private updateSuspects(crash: EndpointCrash): void {
     for (const [fingerprint, { workspace }] of crash.inFlight) {
--- a/packages/gateway/src/crashes/crashStore.ts
+++ b/packages/gateway/src/crashes/crashStore.ts
@@ -1,33 +1,24 @@
 /**
- * Keeps the quarantine of requests as items of the platform's store, so that it outlasts all instances. An item is written when a
- * request enters the cooldown and when it is blocked, and removed when the request is cleared. An operator who removes an item
- * clears the request; an item that the store lost because it was restored from a snapshot is written again.
+ * Keeps the quarantine of requests in the platform's store: from the cooldown on, until the request is cleared.
  * @module
  */
-import type { Clock, Logger } from "@gladewall/kernel";
 import * as v from "valibot";
-import type { CrashRecords, CrashReport, CrashSubject, CrashUpdate } from "./crashRecords.js";
-import { decodeItem } from "../store/itemCodec.js";
-import { ItemWriter } from "../store/itemWriter.js";
+import type { CrashRecords, CrashReport } from "./crashRecords.js";
 import { gatewayPrefix } from "../memberRecords.js";
-import { type Removal, RemovalCause } from "../store/prefixFollower.js";
-import type { MetadataStore, StoreItem } from "../types.js";
+import {
+  type DurableSubject,
+  type QuarantineKind,
+  QuarantineItems,
+  type QuarantineItemsOptions,
+} from "./quarantineItems.js";
 
 /** Options of the store. */
-export interface CrashStoreOptions {
-  readonly store: MetadataStore;
-  readonly clock: Clock;
-  readonly logger: Logger;
+export interface CrashStoreOptions extends Omit<QuarantineItemsOptions<CrashItem>, "kind"> {
   readonly records: CrashRecords;
-  /** Whether this instance writes the item of a request on behalf of the fleet. */
-  readonly isWriter: (fingerprint: string) => boolean;
 }
 
-const crashPrefix = `${gatewayPrefix}crashes/`;
-/** Most items in all, 200 bytes each, because every instance reads them when it starts. */
-const maxItems = 256;
-/** Most items of one workspace, so that a workspace that crashes endpoints on purpose takes no space from others. */
-const maxItemsOfWorkspace = 64;
+/** Prefix of the keys of quarantined requests; a fingerprint follows. */
+export const crashPrefix = `${gatewayPrefix}crashes/`;
 
 const crashSchema = v.object({
   workspace: v.string(),
@@ -38,102 +29,28 @@
 
 type CrashItem = v.InferOutput<typeof crashSchema>;
 
-/** Writes and reads the items. */
-export class CrashStore {
-  /** Items as last read, by fingerprint. */
-  private readonly items = new Map<string, CrashItem>();
-  private readonly writer: ItemWriter;
-
-  private constructor(private readonly options: CrashStoreOptions) {
-    this.writer = ItemWriter.create(options.store, options.clock);
-  }
-
-  static create(options: CrashStoreOptions): CrashStore {
-    return new CrashStore(options);
-  }
-
-  /** Handles an item that was written or removed; ignores keys outside its prefix. */
-  handleItem(key: string, item: StoreItem | undefined, removal?: Removal): void {
-    if (!key.startsWith(crashPrefix)) return;
-    const fingerprint = key.slice(crashPrefix.length);
-    if (!item && removal?.cause === RemovalCause.Lost) return this.handleLost(fingerprint);
-    if (!item) return this.handleRemoved(fingerprint);
-    const decoded = decodeItem(crashSchema, item.value);
-    if (!decoded) {
-      this.options.logger.warn("crash.item-refused", { key, bytes: item.value.length });
-      return;
-    }
-    this.items.set(fingerprint, decoded);
-    this.options.records.apply({ reports: createReports(fingerprint, decoded) });
-  }
-
-  /** Writes missing items and removes those of cleared requests; called several times a second. */
-  reconcileItems(): void {
-    if (!this.writer.isReady) return;
-    const durable = this.options.records.getDurable();
-    const missing = durable.find((subject) => this.needsWrite(subject));
-    if (missing) {
-      void this.write(missing);
-      return;
-    }
-    const cleared = [...this.items.keys()].find((fingerprint) => this.isCleared(fingerprint));
-    if (cleared !== undefined) void this.remove(cleared);
-  }
-
-  private needsWrite({ workspace, fingerprint }: CrashSubject): boolean {
-    const { records, isWriter } = this.options;
-    if (!isWriter(fingerprint)) return false;
-    const item = this.items.get(fingerprint);
-    if (!item) return this.hasSpace(workspace);
-    const known = getIncarnations(item);
-    return records.getUncleared(fingerprint).some((incarnation) => !known.includes(incarnation));
-  }
-
-  private hasSpace(workspace: string): boolean {
-    const items = [...this.items.values()];
-    const ofWorkspace = items.filter((item) => item.workspace === workspace);
-    return items.length < maxItems && ofWorkspace.length < maxItemsOfWorkspace;
-  }
-
-  /**
-   * Whether an item may be removed. A removal clears the request on all instances, so the item of a request whose score has only
-   * fallen must stay.
-   */
-  private isCleared(fingerprint: string): boolean {
-    const { records, isWriter } = this.options;
-    return records.getUncleared(fingerprint).length === 0 && isWriter(fingerprint);
-  }
-
-  private async write({ workspace, fingerprint }: CrashSubject): Promise<void> {
-    const { first, repeated } = this.options.records.getEvidence(fingerprint);
-    const item: CrashItem = { workspace, first: [...first], repeated: [...repeated] };
-    if (await this.put(fingerprint, item, "crash.kept")) this.items.set(fingerprint, item);
-  }
-
-  private async remove(fingerprint: string): Promise<void> {
-    if (await this.put(fingerprint, undefined, "crash.cleared")) this.items.delete(fingerprint);
-  }
-
-  private async put(fingerprint: string, item: CrashItem | undefined, event: string): Promise<boolean> {
-    const { isWritten, outcome } = await this.writer.write(crashPrefix + fingerprint, item);
-    this.options.logger.info(event, { fingerprint, outcome });
-    return isWritten;
-  }
-
-  /** The quarantine remains; the writer of the request finds its item missing and writes it again. */
-  private handleLost(fingerprint: string): void {
-    if (!this.items.delete(fingerprint)) return;
-    this.options.logger.info("crash.item-lost", { fingerprint });
-  }
+/** Creates the items of requests. */
+export function createCrashItems(options: CrashStoreOptions): QuarantineItems<CrashItem> {
+  return QuarantineItems.create({ ...options, kind: createKind(options.records) });
+}
 
-  private handleRemoved(fingerprint: string): void {
-    const item = this.items.get(fingerprint);
-    if (!this.items.delete(fingerprint) || !item) return;
-    const incarnations = getIncarnations(item);
-    const update: CrashUpdate = { acquittals: [{ fingerprint, lives: incarnations }] };
-    this.options.records.apply(update);
-    this.options.logger.info("crash.item-removed", { fingerprint, lives: incarnations.length });
-  }
+function createKind(records: CrashRecords): QuarantineKind<CrashItem> {
+  return {
+    prefix: crashPrefix,
+    schema: crashSchema,
+    event: "crash",
+    getDurable: () => records.getDurable().map(({ workspace, fingerprint: id }) => ({ workspace, id })),
+    createItem: ({ id, workspace }: DurableSubject) => {
+      const { first, repeated } = records.getEvidence(id);
+      return { workspace, first: [...first], repeated: [...repeated] };
+    },
+    getWorkspace: ({ workspace }) => workspace,
+    isCurrent: (id, item) => records.getUncleared(id).every((life) => getIncarnations(item).includes(life)),
+    // A removal clears the request on all instances, so the item of a request whose score has only fallen must stay.
+    isCleared: (id) => records.getUncleared(id).length === 0,
+    apply: (id, item) => records.apply({ reports: createReports(id, item) }),
+    clear: (id, item) => records.apply({ acquittals: [{ fingerprint: id, lives: getIncarnations(item) }] }),
+  };
 }
 
 function getIncarnations({ first, repeated }: CrashItem): readonly string[] {
--- /dev/null
+++ b/packages/gateway/src/crashes/parts/partObserver.ts
@@ -0,0 +1,121 @@
+/**
+ * Looks for what this instance knows for parts of prompts that are suspected: requests with them that came back whole, and streams
+ * that go on. Announces it to all instances, and reaches the verdict on parts that nobody speaks for.
+ * @module
+ */
+import type { Clock, Logger } from "@gladewall/kernel";
+import type { Endpoint } from "../../endpoints/endpoint.js";
+import type { InFlightRequest } from "../crashDetector.js";
+import type { CrashRecords } from "../crashRecords.js";
+import { type PartDefence, PartEvidence, type PartUpdate } from "./partUpdates.js";
+import { verdictDelayMs } from "./partRecords.js";
+import type { SuspectPart } from "./suspectPart.js";
+
+/** Options of the observer. */
+export interface PartObserverOptions {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly records: CrashRecords;
+  readonly getEndpoints: (service: string) => readonly Endpoint[];
+  /** Applies an update here and sends it to all instances. */
+  readonly publish: (update: PartUpdate) => void;
+  /** Returns Unix milliseconds. */
+  readonly getTimeOfDay: () => number;
+}
+
+/** Time from the first event after which a stream has outlasted a crash, which comes 40 to 120 ms after a run begins. */
+const outlastedMs = 200;
+/** The same for streams that began after a crash: longer, as it makes the crash count for less. */
+const survivedMs = 500;
+const verdictMarginMs = 10;
+
+/** Evidence of one instance about suspected parts. */
+export class PartObserver {
+  private constructor(private readonly options: PartObserverOptions) {}
+
+  static create(options: PartObserverOptions): PartObserver {
+    return new PartObserver(options);
+  }
+
+  /** Handles news about crashes: looks for evidence at once, and for a verdict when all instances have had time to do so. */
+  handleCrash(): void {
+    this.observe();
+    this.options.clock.startTimer(verdictDelayMs + verdictMarginMs, () => this.reachVerdicts());
+  }
+
+  /** Looks for evidence among the requests in flight, and for verdicts that are due; called several times a second. */
+  review(): void {
+    this.options.records.parts.expire();
+    this.observe();
+    this.reachVerdicts();
+  }
+
+  /** Records that the complete response to a request was received, whose answer began at the given time at the earliest. */
+  recordWhole(service: string, ids: readonly string[], beganAt: number): void {
+    const { records } = this.options;
+    if (!records.parts.hasSuspects(service)) return;
+    const defences: PartDefence[] = [];
+    for (const id of new Set(ids)) {
+      const part = records.parts.find({ service, part: id });
+      if (!part) continue;
+      const lives = part.getUncleared().filter((life) => part.crashes.get(life)!.at < beganAt);
+      if (lives.length > 0) defences.push({ service, parts: [id], evidence: PartEvidence.Whole, lives });
+      else if (!part.hasPrior) defences.push(createPrior(part));
+    }
+    this.publish(defences);
+  }
+
+  private observe(): void {
+    const defences = [...this.options.records.parts.getActive()].flatMap((part) => this.findDefences(part));
+    this.publish(defences);
+  }
+
+  private publish(defences: readonly PartDefence[]): void {
+    if (defences.length > 0) this.options.publish({ defences });
+  }
+
+  private findDefences(part: SuspectPart): readonly PartDefence[] {
+    const { clock } = this.options;
+    const time = clock.getTime();
+    const began = this.getRunning(part)
+      .map(({ firstEventAt = Infinity }) => firstEventAt)
+      .filter((at) => time - at >= outlastedMs);
+    if (began.length === 0) return [];
+    const survivedFrom = Math.max(-Infinity, ...began.filter((at) => time - at >= survivedMs));
+    const lives = part.getOpen().filter((life) => part.crashes.get(life)!.at < survivedFrom);
+    const { service, part: id } = part.name;
+    if (lives.length > 0) return [{ service, parts: [id], evidence: PartEvidence.Survived, lives }];
+    return part.hasPrior ? [] : [createPrior(part)];
+  }
+
+  /** Requests of this instance with a part that run at endpoints which have not crashed. */
+  private getRunning({ name }: SuspectPart): readonly InFlightRequest[] {
+    const { records, getEndpoints } = this.options;
+    const endpoints = getEndpoints(name.service).filter(
+      ({ incarnation }) => !records.hasCrashed(incarnation),
+    );
+    return endpoints
+      .flatMap(({ inFlight }) => [...inFlight])
+      .filter(({ sharedParts }) => sharedParts?.includes(name.part) === true);
+  }
+
+  private reachVerdicts(): void {
+    const { records, logger, publish, getTimeOfDay } = this.options;
+    const findings = records.parts.findDue(getTimeOfDay());
+    if (findings.length === 0) return;
+    publish({ findings });
+    for (const { service, part, companions, workspaces, crashes } of findings) {
+      logger.info("part.convicted", {
+        service,
+        part,
+        companions: companions.join(),
+        workspaces: workspaces.join(),
+        lives: crashes.map(({ life }) => life).join(),
+      });
+    }
+  }
+}
+
+function createPrior({ name }: SuspectPart): PartDefence {
+  return { service: name.service, parts: [name.part], evidence: PartEvidence.Prior, lives: [] };
+}
--- /dev/null
+++ b/packages/gateway/src/crashes/parts/partRecords.ts
@@ -0,0 +1,363 @@
+/**
+ * Records which parts of prompts were aboard at endpoints that crashed, and judges them. A part is held responsible if it was aboard
+ * at several crashes in a row, the later ones after it was suspected, and no request with it came back whole meanwhile.
+ *
+ * What is aboard at each crash beside the responsible part is explained by it: parts that more requests had, or that are known to have
+ * run without a crash. Parts that always come together are judged together, so that requests with some of them only may show which.
+ * @module
+ */
+import type { Clock } from "@gladewall/kernel";
+import { QuarantineState } from "../quarantineState.js";
+import {
+  type PartCrash,
+  type PartDefence,
+  PartEvidence,
+  type PartFinding,
+  type PartName,
+  type PartUpdate,
+} from "./partUpdates.js";
+import { countRequests, PartCrashState, SuspectPart } from "./suspectPart.js";
+
+/** What is to be done with a request because of the parts of its prompt. */
+export interface PartJudgment {
+  /** `Isolated` if the fleet tries one request with the parts at a time; `Suspect` does not occur. */
+  readonly state: QuarantineState;
+  /** Ids of the parts that are the reason. */
+  readonly parts: readonly string[];
+  /** Crashes that speak against the first of them. */
+  readonly lives: readonly string[];
+}
+
+/** Score above which a part is held responsible. The platform tolerates five crashes, and three more runs after them. */
+const maxScore = 2;
+/** Score from which on a suspicion must outlast all instances. */
+const durableScore = 2;
+/** Time from a crash to the verdict: what peers know for a part arrives within two hops between regions, 120 ms. */
+export const verdictDelayMs = 200;
+/** Parts of one workspace that are watched, so that a workspace which invents parts displaces only its own. */
+const maxPartsPerWorkspace = 128;
+/** Time after which parts that nothing speaks against any more are forgotten; reports may be late until then. */
+const forgetAfterMs = 60_000;
+/** Time after which a crash without a verdict no longer speaks against a part. */
+const suspectLifetimeMs = 600_000;
+/** Workspaces from which on a verdict holds for all: one alone may name parts of others. */
+const minWorkspaces = 2;
+/** Parts that together explain the crashes at which another one was aboard; more are less likely than that one. */
+const maxExplanations = 4;
+/** Longest id of a part that is watched; requests state ids of any length. */
+const maxIdLength = 64;
+/** Suspected parts in one snapshot for a peer. */
+const maxSnapshotParts = 256;
+
+const crashStates: Readonly<Record<Exclude<PartEvidence, PartEvidence.Prior>, PartCrashState>> = {
+  [PartEvidence.Survived]: PartCrashState.Survived,
+  [PartEvidence.Whole]: PartCrashState.Cleared,
+};
+
+const clear: PartJudgment = { state: QuarantineState.Clear, parts: [], lives: [] };
+
+/** Suspected parts of all services. */
+export class PartRecords {
+  /** By key, in the order in which they were first suspected. */
+  private readonly parts = new Map<string, SuspectPart>();
+  /** Parts that a crash speaks against, by service and id. */
+  private readonly active = new Map<string, Map<string, SuspectPart>>();
+
+  private constructor(private readonly clock: Clock) {}
+
+  static create(clock: Clock): PartRecords {
+    return new PartRecords(clock);
+  }
+
+  /** Whether a service has suspected parts; only then the parts of its requests are looked up. */
+  hasSuspects(service: string): boolean {
+    return this.active.has(service);
+  }
+
+  /** Returns those of the given parts that are suspected. */
+  getSuspected(service: string, ids: readonly string[]): readonly string[] {
+    const active = this.active.get(service);
+    if (!active) return [];
+    return ids.filter((id) => (active.get(id)?.getOpen().length ?? 0) > 0);
+  }
+
+  /** Milliseconds since this instance learned of the last crash that speaks against one of the given parts. */
+  getTimeSinceCrash(service: string, ids: readonly string[]): number {
+    const active = this.active.get(service);
+    const latest = ids.map((id) => active?.get(id)?.getLatestAt() ?? -Infinity);
+    return this.clock.getTime() - Math.max(-Infinity, ...latest);
+  }
+
+  /** Decides what is done with a request of a workspace whose prompt has the given parts. */
+  judge(service: string, workspace: string, ids: readonly string[]): PartJudgment {
+    const active = this.active.get(service);
+    if (!active) return clear;
+    const held: SuspectPart[] = [];
+    for (const id of new Set(ids)) {
+      const part = active.get(id);
+      if (!part) continue;
+      const isGuilty = part.isConvicted || this.isGuilty(part);
+      if (isGuilty && this.appliesTo(part, workspace, ids)) {
+        const state = part.isConvicted ? QuarantineState.Convicted : QuarantineState.Resting;
+        return { state, parts: [id], lives: part.getOpen() };
+      }
+      if (isGuilty || this.mustBeTried(part)) held.push(part);
+    }
+    if (held.length === 0) return clear;
+    return {
+      state: QuarantineState.Isolated,
+      parts: held.map(({ name }) => name.part),
+      lives: held[0]!.getOpen(),
+    };
+  }
+
+  /** Applies an update; returns whether it contained anything new. */
+  apply({ crashes = [], defences = [], findings = [] }: PartUpdate): boolean {
+    let isNew = false;
+    for (const crash of crashes) isNew = this.applyCrash(crash) || isNew;
+    for (const finding of findings) isNew = this.applyFinding(finding) || isNew;
+    for (const defence of defences) isNew = this.applyDefence(defence) || isNew;
+    return isNew;
+  }
+
+  /** Removes the crash of an endpoint that turned out to be running. */
+  refute(life: string): void {
+    for (const part of this.parts.values()) {
+      if (!part.crashes.delete(life)) continue;
+      part.answer([], PartCrashState.Cleared);
+      this.updateActive(part);
+    }
+  }
+
+  /** Verdicts that are due: no evidence for the part has arrived for a while after the last crash. */
+  findDue(since: number): readonly PartFinding[] {
+    const time = this.clock.getTime();
+    const due = [...this.getActive()].filter(
+      (part) => !part.isConvicted && this.isGuilty(part) && time - part.getLatestAt() >= verdictDelayMs,
+    );
+    return due.map((part) => ({
+      ...this.createFinding(part),
+      isConvicted: true,
+      companions: this.findCompanions(part),
+      since,
+    }));
+  }
+
+  /** Parts whose suspicion must outlast this instance. */
+  getDurable(): readonly SuspectPart[] {
+    return [...this.getActive()].filter((part) => part.isConvicted || part.getScore() >= durableScore);
+  }
+
+  find({ service, part }: PartName): SuspectPart | undefined {
+    return this.parts.get(createPartKey(service, part));
+  }
+
+  /** Suspected parts without a complete response since their first crash, for evidence that this instance may have. */
+  *getActive(): Iterable<SuspectPart> {
+    for (const parts of this.active.values()) yield* parts.values();
+  }
+
+  createFinding(part: SuspectPart): PartFinding {
+    const lives = part.isConvicted ? part.getUncleared() : part.getOpen();
+    return {
+      ...part.name,
+      isConvicted: part.isConvicted,
+      hasPrior: part.hasPrior,
+      companions: [...part.getCompanions()],
+      workspaces: [...part.workspaces],
+      crashes: lives.map((life) => {
+        const crash = part.crashes.get(life)!;
+        const { isRepeated, isTrial } = crash;
+        return { life, isRepeated, isTrial, requests: countRequests(crash) };
+      }),
+      since: part.since ?? 0,
+    };
+  }
+
+  /** Returns what a peer that has just connected must know. */
+  createSnapshot(): PartUpdate {
+    const findings = [...this.getActive()].slice(-maxSnapshotParts).map((part) => this.createFinding(part));
+    return findings.length === 0 ? {} : { findings };
+  }
+
+  /** Forgets old suspicions; called several times a second. */
+  expire(): void {
+    const time = this.clock.getTime();
+    for (const [key, part] of this.parts) {
+      const lives = [...part.crashes.keys()];
+      const lastAt = Math.max(-Infinity, ...[...part.crashes.values()].map(({ at }) => at));
+      if (!part.isConvicted && time - lastAt >= suspectLifetimeMs) part.answer(lives, PartCrashState.Cleared);
+      this.updateActive(part);
+      if (part.getUncleared().length === 0 && time - lastAt >= forgetAfterMs) this.parts.delete(key);
+    }
+  }
+
+  /** Counts suspected parts, and those of them that are convicted. */
+  count(): { readonly watched: number; readonly convicted: number } {
+    const parts = [...this.getActive()];
+    return { watched: parts.length, convicted: parts.filter(({ isConvicted }) => isConvicted).length };
+  }
+
+  private applyCrash({ life, service, aboard }: PartCrash): boolean {
+    const time = this.clock.getTime();
+    let isNew = false;
+    for (const prompt of aboard) {
+      for (const id of new Set(prompt.parts)) {
+        const part = this.add({ service, part: id }, prompt.workspace);
+        if (!part?.addRequest(life, time, prompt)) continue;
+        isNew = true;
+        this.updateActive(part);
+      }
+    }
+    return isNew;
+  }
+
+  private applyDefence({ service, parts, evidence, lives }: PartDefence): boolean {
+    let isNew = false;
+    for (const id of parts) {
+      const part = this.find({ service, part: id });
+      if (!part) continue;
+      isNew = !part.hasPrior || isNew;
+      part.hasPrior = true;
+      if (evidence !== PartEvidence.Prior) isNew = part.answer(lives, crashStates[evidence]) || isNew;
+      this.updateActive(part);
+    }
+    return isNew;
+  }
+
+  private applyFinding(finding: PartFinding): boolean {
+    const { service, part: id, isConvicted, companions, workspaces, crashes, since } = finding;
+    const part = this.add({ service, part: id }, workspaces[0] ?? "");
+    if (!part) return false;
+    const time = this.clock.getTime();
+    let isNew = false;
+    part.hasPrior ||= finding.hasPrior;
+    for (const { life, isRepeated, isTrial, requests } of crashes) {
+      isNew = !part.crashes.has(life) || isNew;
+      const crash = part.addCrash(life, time);
+      crash.isRepeated ||= isRepeated;
+      crash.isTrial ||= isTrial;
+      crash.foundRequests = Math.max(crash.foundRequests, requests);
+    }
+    for (const workspace of workspaces) part.workspaces.add(workspace);
+    // A verdict that arrives after a complete response has cleared the part of all its crashes is out of date.
+    const uncleared = part.getUncleared();
+    const isCurrent = crashes.some(({ life }) => uncleared.includes(life));
+    if (isConvicted && isCurrent && !part.isConvicted) {
+      part.convict(companions, since);
+      this.clearExplained(part);
+      isNew = true;
+    }
+    this.updateActive(part);
+    return isNew;
+  }
+
+  /** Clears all other parts of the crashes that a convicted one explains. */
+  private clearExplained(convicted: SuspectPart): void {
+    const lives = convicted.getOpen();
+    const companions = convicted.getCompanions();
+    for (const part of [...(this.active.get(convicted.name.service)?.values() ?? [])]) {
+      if (part === convicted || part.isConvicted || companions.has(part.name.part)) continue;
+      part.answer(lives, PartCrashState.Cleared);
+      this.updateActive(part);
+    }
+  }
+
+  private add(name: PartName, owner: string): SuspectPart | undefined {
+    const known = this.find(name);
+    if (known || name.part.length > maxIdLength) return known;
+    const owned = [...this.parts.values()].filter((part) => part.owner === owner);
+    if (owned.length >= maxPartsPerWorkspace) {
+      const evicted = owned.find(({ isConvicted }) => !isConvicted);
+      if (!evicted) return undefined;
+      this.remove(evicted);
+    }
+    const part = SuspectPart.create(name, owner);
+    this.parts.set(createPartKey(name.service, name.part), part);
+    return part;
+  }
+
+  private remove(part: SuspectPart): void {
+    const { service, part: id } = part.name;
+    this.parts.delete(createPartKey(service, id));
+    this.setActive(part, false);
+  }
+
+  private updateActive(part: SuspectPart): void {
+    this.setActive(part, part.getUncleared().length > 0);
+  }
+
+  private setActive(part: SuspectPart, isActive: boolean): void {
+    const { service, part: id } = part.name;
+    const parts = this.active.get(service) ?? new Map<string, SuspectPart>();
+    if (isActive) parts.set(id, part);
+    else parts.delete(id);
+    if (parts.size > 0) this.active.set(service, parts);
+    else this.active.delete(service);
+  }
+
+  /** Whether one request with the part is tried at a time. */
+  private mustBeTried(part: SuspectPart): boolean {
+    if (part.getOpen().length === 0) return false;
+    return part.countRepeated() === 0 ? !part.hasPrior : !this.isExplained(part);
+  }
+
+  private isGuilty(part: SuspectPart): boolean {
+    return part.getScore() > maxScore && !this.isExplained(part);
+  }
+
+  /** Whether other parts were aboard at all the crashes that speak against this one, and are more likely to be their cause. */
+  private isExplained(part: SuspectPart): boolean {
+    const lives = part.getOpen();
+    const others = [...(this.active.get(part.name.service)?.values() ?? [])].filter(
+      (other) => other !== part && isMoreLikely(other, part, lives),
+    );
+    let unexplained = lives;
+    for (let count = 0; count < maxExplanations && unexplained.length > 0; count++) {
+      const explained = findMostExplained(others, unexplained);
+      if (explained.length === 0) return false;
+      unexplained = unexplained.filter((life) => !explained.includes(life));
+      // Only for a part that is known to have run without a crash, several others are the simpler explanation.
+      if (!part.hasPrior) break;
+    }
+    return unexplained.length === 0;
+  }
+
+  /** Parts that are as likely to be the cause as this one, and that all requests had with it. */
+  private findCompanions(part: SuspectPart): string[] {
+    if (part.isConvicted) return [...part.getCompanions()];
+    const lives = part.getOpen();
+    const active = this.active.get(part.name.service);
+    return [...part.getCompanions()].filter((id) => {
+      const other = active?.get(id);
+      return other !== undefined && lives.every((life) => other.isOpen(life)) && !this.isExplained(other);
+    });
+  }
+
+  /** Whether a verdict holds for a request. */
+  private appliesTo(part: SuspectPart, workspace: string, ids: readonly string[]): boolean {
+    const isNamed = part.workspaces.size >= minWorkspaces || part.workspaces.has(workspace);
+    return isNamed && this.findCompanions(part).every((id) => ids.includes(id));
+  }
+}
+
+/** Whether a part is more likely to be the cause of crashes at which both were aboard. */
+function isMoreLikely(part: SuspectPart, other: SuspectPart, lives: readonly string[]): boolean {
+  if (part.hasPrior !== other.hasPrior) return other.hasPrior;
+  const common = lives.filter((life) => part.isOpen(life));
+  return part.countRequests(common) < other.countRequests(common);
+}
+
+/** Returns the most crashes that one of the parts explains. */
+function findMostExplained(parts: readonly SuspectPart[], lives: readonly string[]): readonly string[] {
+  let most: readonly string[] = [];
+  for (const part of parts) {
+    const explained = lives.filter((life) => part.isOpen(life));
+    if (explained.length > most.length) most = explained;
+  }
+  return most;
+}
+
+function createPartKey(service: string, part: string): string {
+  return `${service}\n${part}`;
+}
--- a/packages/gateway/src/crashes/suspectGate.ts
+++ b/packages/gateway/src/crashes/suspectGate.ts
@@ -5,17 +5,13 @@
  */
 import { type Clock, Failure, FailureCode, type Logger, waitFor } from "@gladewall/kernel";
 import { Err, Ok, type Result } from "ts-results-es";
-import {
-  type CrashRecords,
-  type CrashSubject,
-  type CrashUpdate,
-  cooldownMs,
-  QuarantineState,
-} from "./crashRecords.js";
+import { type CrashRecords, type CrashSubject, type CrashUpdate, cooldownMs } from "./crashRecords.js";
 import type { InFlightRequest, CrashDetector } from "./crashDetector.js";
+import { getStricter, QuarantineState } from "./quarantineState.js";
 import type { Endpoint } from "../endpoints/endpoint.js";
 import type { GatewayMetrics } from "../gatewayMetrics.js";
 import { mayServe, type StreamOrigin } from "../origins/streamOrigin.js";
+import type { PartJudgment } from "./parts/partRecords.js";
 import { isDown, type TrialReply, type TrialCallArguments, TrialDecision } from "./trialScheduler.js";
 
 /** Options of the gate. */
@@ -30,15 +26,21 @@
   readonly endTrial: (service: string, incarnation: string, fingerprint: string) => void;
   readonly getEndpoints: (service: string) => readonly Endpoint[];
   readonly findEndpoint: (incarnation: string) => Endpoint | undefined;
+  /** Records that the complete response to a request was received. */
+  readonly recordWhole?: (service: string, parts: readonly string[], beganAt: number) => void;
 }
 
-/** A request that may be a suspect. */
-export interface SuspectRequest {
-  readonly id: string;
+/** What a request may be suspected for. */
+export interface SuspectSource {
   readonly subject: CrashSubject;
   readonly service: string;
   /** Ids of the parts of its prompt that other requests may share. */
   readonly sharedParts?: readonly string[];
+}
+
+/** A request that may be a suspect. */
+export interface SuspectRequest extends SuspectSource {
+  readonly id: string;
   /** Incarnations of endpoints that it was sent to before. */
   readonly excluded: ReadonlySet<string>;
   /** Where the stream began that it goes on with; undefined if any endpoint of the service may serve it. */
@@ -47,9 +49,18 @@
   readonly leftMs: number;
 }
 
+/** Whether and how a request may run, and why. */
+interface Suspicion {
+  readonly state: QuarantineState;
+  readonly ofRequest: QuarantineState;
+  readonly judgment: PartJudgment;
+}
+
 /** A run at an endpoint that no other isolated request uses meanwhile. */
 export interface Trial {
   readonly endpoint: Endpoint;
+  /** Parts of the prompt because of which the request runs there. */
+  readonly parts: readonly string[];
   /** Releases the endpoint for the next trial; further calls have no effect. */
   end(): void;
 }
@@ -73,14 +84,28 @@
     return new SuspectGate(options);
   }
 
-  /** Whether a workspace has suspects at all; if not, its requests need no fingerprint. */
-  hasSuspects(workspace: string): boolean {
-    return this.options.records.hasSuspects(workspace);
+  /** Whether requests of a workspace may be suspects; if not, they need no fingerprint. */
+  hasSuspects(workspace: string, service: string): boolean {
+    const { records } = this.options;
+    return records.hasSuspects(workspace) || this.hasSuspectParts(service);
   }
 
   /** Whether a request may have to run isolated, or must not run. */
-  isSuspect(subject: CrashSubject): boolean {
-    return this.options.records.getQuarantineState(subject) !== QuarantineState.Clear;
+  isSuspect({ subject, service, sharedParts = [] }: SuspectSource): boolean {
+    const { records } = this.options;
+    if (records.parts.judge(service, subject.workspace, sharedParts).state !== QuarantineState.Clear)
+      return true;
+    return records.getQuarantineState(subject) !== QuarantineState.Clear;
+  }
+
+  /** Whether a service has suspected parts; only then those of its requests are looked up. */
+  hasSuspectParts(service: string): boolean {
+    return this.options.records.parts.hasSuspects(service);
+  }
+
+  /** Returns those of a prompt's parts that are suspected. */
+  getSuspectedParts(service: string, parts: readonly string[]): readonly string[] {
+    return this.options.records.parts.getSuspected(service, parts);
   }
 
   /** Records that a request was interrupted at an endpoint; resolves with whether the endpoint has crashed. */
@@ -95,28 +120,50 @@
 
   /**
    * Finds an endpoint for a request that must run isolated; returns `undefined` if it may run like others. Fails with
-   * `CrashSuspect` if no endpoint is free for it, and with `CrashesEndpoints` if it is blocked for good or for the cooldown.
+   * `CrashSuspect` if no endpoint is free for it, and with `CrashesEndpoints` or `PartCrashesEndpoints` if it is blocked for good or for
+   * the cooldown.
    */
   async findTrial(request: SuspectRequest): Promise<Result<Trial | undefined, Failure>> {
-    const { records, callArbiter } = this.options;
-    const { subject, service, leftMs } = request;
-    await this.awaitPeerReports(subject);
-    const state = records.getQuarantineState(subject);
+    const { callArbiter } = this.options;
+    const { subject, service, leftMs, sharedParts = [] } = request;
+    await this.awaitPeerReports(request);
+    const suspicion = this.getSuspicion(request);
+    const { state } = suspicion;
     if (state === QuarantineState.Clear) return Ok(undefined);
     if (state === QuarantineState.Suspect && !this.hasFewEndpoints(service)) return Ok(undefined);
-    if (state !== QuarantineState.Isolated) return Err(this.refuse(request, state));
+    if (state !== QuarantineState.Isolated) return Err(this.refuse(request, suspicion));
     const waitMs = Math.min(maxTrialWaitMs, leftMs * trialWaitShare);
-    const reply = await callArbiter({ service, subject, excluded: this.getExcluded(request), waitMs });
-    this.log(request, "suspect.asked", { word: TrialDecision[reply.word], life: reply.life });
+    const heldParts = suspicion.judgment.parts;
+    const reply = await callArbiter({
+      service,
+      subject,
+      ...(heldParts.length > 0 && { parts: sharedParts, heldParts }),
+      excluded: this.getExcluded(request),
+      waitMs,
+    });
+    this.log(request, "suspect.asked", {
+      word: TrialDecision[reply.word],
+      life: reply.life,
+      parts: heldParts.join(),
+    });
     // It may have been cleared or blocked while it waited.
-    const current = records.getQuarantineState(subject);
+    const current = this.getSuspicion(request);
     if (reply.word === TrialDecision.Granted && reply.life !== undefined) {
-      return this.beginTrial(request, reply.life, current);
+      return this.beginTrial(request, reply.life, heldParts, current.state);
     }
-    if (current === QuarantineState.Clear) return Ok(undefined);
+    const mayRun = current.state === QuarantineState.Clear || reply.word === TrialDecision.Cleared;
+    if (mayRun && isRunnable(current.state)) return Ok(undefined);
     return Err(this.refuse(request, current));
   }
 
+  /** Returns the stricter one of what is known of the whole request and of the parts of its prompt. */
+  private getSuspicion({ subject, service, sharedParts = [] }: SuspectRequest): Suspicion {
+    const { records } = this.options;
+    const ofRequest = records.getQuarantineState(subject);
+    const judgment = records.parts.judge(service, subject.workspace, sharedParts);
+    return { state: getStricter(ofRequest, judgment.state), ofRequest, judgment };
+  }
+
   /**
    * Endpoints that this request must not be sent to. Includes endpoints on hold-off at this instance and those at which its
    * stream can't go on, because the arbiter has no record of either.
@@ -131,9 +178,11 @@
   }
 
   /** Waits until peers' reports of crashes at the same moment have had time to arrive. */
-  private async awaitPeerReports({ fingerprint }: CrashSubject): Promise<void> {
+  private async awaitPeerReports({ subject, service, sharedParts = [] }: SuspectRequest): Promise<void> {
     const { clock, records } = this.options;
-    const leftMs = peerReportDelayMs - records.getTimeSinceCrash(fingerprint);
+    const sinceRequest = records.getTimeSinceCrash(subject.fingerprint);
+    const sincePart = records.parts.getTimeSinceCrash(service, sharedParts);
+    const leftMs = peerReportDelayMs - Math.min(sinceRequest, sincePart);
     if (leftMs > 0) await waitFor(clock, leftMs);
   }
 
@@ -152,9 +201,11 @@
     return this.getUsable(service).filter((endpoint) => isDown(endpoint, records, time)).length;
   }
 
-  /** Clears a request whose complete response was received. */
-  clear({ workspace, fingerprint }: CrashSubject): void {
-    const { records, broadcast, logger } = this.options;
+  /** Clears a request whose complete response was received, and the parts of its prompt. */
+  clear({ subject, service, sharedParts = [] }: SuspectSource, beganAt: number): void {
+    const { records, broadcast, logger, recordWhole } = this.options;
+    recordWhole?.(service, sharedParts, beganAt);
+    const { workspace, fingerprint } = subject;
     const incarnations = records.getUncleared(fingerprint);
     if (incarnations.length === 0) return;
     const update = { acquittals: [{ fingerprint, lives: incarnations }] };
@@ -166,6 +217,7 @@
   private beginTrial(
     { subject, service, origin }: SuspectRequest,
     incarnation: string,
+    parts: readonly string[],
     state: QuarantineState,
   ): Result<Trial | undefined, Failure> {
     const { clock, endTrial, findEndpoint } = this.options;
@@ -177,25 +229,33 @@
     };
     // The endpoint may have announced meanwhile that it is leaving, or requested a hold-off.
     const isSuitable = endpoint?.acceptsRequest(clock.getTime()) === true && mayServe(origin, endpoint);
-    if (isSuitable && isRunnable(state)) return Ok({ endpoint, end });
+    if (isSuitable && isRunnable(state)) return Ok({ endpoint, parts, end });
     end();
     return Err(createBusyRefusal(service));
   }
 
-  private refuse(request: SuspectRequest, state: QuarantineState): Failure {
+  private refuse(request: SuspectRequest, { state, ofRequest, judgment }: Suspicion): Failure {
     const { records, metrics } = this.options;
     const { subject, service } = request;
-    const incarnations = records.getUncleared(subject.fingerprint);
+    const isOfPart = judgment.state > ofRequest;
+    const incarnations = isOfPart ? judgment.lives : records.getUncleared(subject.fingerprint);
     this.log(request, "suspect.refused", {
       verdict: QuarantineState[state],
       lives: incarnations.join(),
       down: this.countDown(service),
       usable: this.getUsable(service).length,
       parts: request.sharedParts?.join(),
+      because: judgment.parts.join(),
     });
     metrics.countSuspectRefusal(service, QuarantineState[state]);
-    if (isRunnable(state)) return createBusyRefusal(service);
-    return Failure.create(FailureCode.CrashesEndpoints, { service, count: incarnations.length }, cooldownMs);
+    // The verdict on a part is reached within a few hundred milliseconds.
+    if (isRunnable(state) || (isOfPart && state === QuarantineState.Resting))
+      return createBusyRefusal(service);
+    const count = incarnations.length;
+    const part = judgment.parts[0] ?? "";
+    return isOfPart
+      ? Failure.create(FailureCode.PartCrashesEndpoints, { service, count, part }, cooldownMs)
+      : Failure.create(FailureCode.CrashesEndpoints, { service, count }, cooldownMs);
   }
 
   private log(
--- a/packages/gateway/src/crashes/trialScheduler.ts
+++ b/packages/gateway/src/crashes/trialScheduler.ts
@@ -4,13 +4,17 @@
  * @module
  */
 import type { Clock, Timer } from "@gladewall/kernel";
-import { type CrashRecords, type CrashSubject, QuarantineState } from "./crashRecords.js";
+import type { CrashRecords, CrashSubject } from "./crashRecords.js";
+import { getStricter, QuarantineState } from "./quarantineState.js";
 import type { Endpoint, PeerWork } from "../endpoints/endpoint.js";
 
 /** Arguments of a call for a trial: an isolated request that is waiting to run. */
 export interface TrialCallArguments {
   readonly service: string;
   readonly subject: CrashSubject;
+  /** Ids of the parts of its prompt that other requests may share, and of those that are why it is isolated; none if omitted. */
+  readonly parts?: readonly string[];
+  readonly heldParts?: readonly string[];
   /** Incarnations of endpoints that it was sent to before. */
   readonly excluded: readonly string[];
   /** Milliseconds for which it can wait for an endpoint. */
@@ -27,6 +31,8 @@
   Refused = 3,
   /** The receiver lacks the state to decide. */
   Unknown = 4,
+  /** It may run like others, because its parts have come back whole; only the reply to a call that names held parts. */
+  Cleared = 5,
 }
 
 /** Reply to a call for a trial. */
@@ -42,11 +48,13 @@
   readonly records: CrashRecords;
   readonly getEndpoints: (service: string) => readonly Endpoint[];
   readonly getPeerWork: (incarnation: string) => PeerWork;
+  /** Called if the end of a trial was not reported in time, as when its instance was killed. */
+  readonly onExpired?: (incarnation: string, request: TrialCallArguments) => void;
 }
 
 /** A granted trial: the request, and the timer that ends it. */
 interface Grant {
-  readonly fingerprint: string;
+  readonly request: TrialCallArguments;
   readonly timer: Timer;
 }
 
@@ -95,7 +103,12 @@
 
   /** Ends a trial whose run has ended or whose time has expired, and frees the endpoint. */
   end(incarnation: string, fingerprint: string): void {
-    if (this.grants.get(incarnation)?.fingerprint === fingerprint) this.release(incarnation);
+    if (this.grants.get(incarnation)?.request.subject.fingerprint === fingerprint) this.release(incarnation);
+  }
+
+  /** Decides again on the requests that wait; called when something has become known about crashes. */
+  review(): void {
+    for (const waiter of [...this.waiters]) this.retry(waiter);
   }
 
   close(): void {
@@ -109,7 +122,13 @@
   private release(incarnation: string): void {
     this.grants.get(incarnation)?.timer.cancel();
     this.grants.delete(incarnation);
-    for (const waiter of [...this.waiters]) this.retry(waiter);
+    this.review();
+  }
+
+  private expire(incarnation: string): void {
+    const request = this.grants.get(incarnation)?.request;
+    this.release(incarnation);
+    if (request) this.options.onExpired?.(incarnation, request);
   }
 
   private retry(waiter: Waiter): void {
@@ -120,19 +139,32 @@
     waiter.resolve(reply);
   }
 
-  private decide({ service, subject, excluded }: TrialCallArguments): TrialReply {
+  private decide(request: TrialCallArguments): TrialReply {
     const { clock, records } = this.options;
-    const state = records.getQuarantineState(subject);
+    const { service, subject, parts, excluded } = request;
+    const judgment = parts && records.parts.judge(service, subject.workspace, parts);
+    const ofRequest = records.getQuarantineState(subject);
+    const state = getStricter(ofRequest, judgment?.state ?? QuarantineState.Clear);
     if (state === QuarantineState.Resting || state === QuarantineState.Convicted)
       return { word: TrialDecision.Refused };
+    if (judgment && state < QuarantineState.Isolated) return { word: TrialDecision.Cleared };
+    if (this.isTried(request)) return busy;
     const endpoint = this.choose(service, excluded);
     if (!endpoint) return busy;
     const { incarnation } = endpoint;
-    const timer = clock.startTimer(maxTrialMs, () => this.release(incarnation));
-    this.grants.set(incarnation, { fingerprint: subject.fingerprint, timer });
+    const timer = clock.startTimer(maxTrialMs, () => this.expire(incarnation));
+    this.grants.set(incarnation, { request, timer });
     return { word: TrialDecision.Granted, life: incarnation };
   }
 
+  /** Whether another request with one of the parts for which this one is isolated is tried now. */
+  private isTried({ service, heldParts = [] }: TrialCallArguments): boolean {
+    return [...this.grants.values()].some(
+      ({ request }) =>
+        request.service === service && request.heldParts?.some((id) => heldParts.includes(id)) === true,
+    );
+  }
+
   /** Chooses the endpoint with the fewest open requests, because these are lost if it crashes. */
   private choose(service: string, excluded: readonly string[]): Endpoint | undefined {
     const time = this.options.clock.getTime();
--- a/packages/gateway/src/forwarding/forwardingParts.ts
+++ b/packages/gateway/src/forwarding/forwardingParts.ts
@@ -7,6 +7,7 @@
 import type { CrashProtection } from "../crashes/crashProtection.js";
 import { probeEndpoint } from "../crashes/endpointProbe.js";
 import { EndpointConnections } from "../endpoints/endpointConnections.js";
+import { getSharedParts } from "../crashes/parts/sharedParts.js";
 import { canServe, type GatewayParts, type GatewayState } from "../gatewayParts.js";
 import type { GatewaySettings } from "../gatewaySettings.js";
 import type { Members } from "../members.js";
@@ -32,7 +33,7 @@
 
 /** Creates the parts; `getMembers` is called once all parts exist. */
 export function createForwarding(
-  { settings, clock, logger, directory, follower }: GatewayState,
+  { settings, platform, clock, logger, directory, follower }: GatewayState,
   getMembers: () => Members,
   crashes: CrashProtection,
   brittle: BrittleServices,
@@ -74,6 +75,10 @@
     canServe: () => canServe({ follower, directory, members: getMembers() }),
     getMaxBodyBytes: () => follower.getTable()?.configuration.limits.maxBodyBytes ?? 0,
     recordInterruption: createInterruptionRecorder(crashes, brittle),
+    readSharedParts: (headers) =>
+      getSharedParts(platform.callers.readHead(headers).unwrapOr({ parts: [] }).parts),
+    hasSuspectParts: (service) => crashes.suspects.hasSuspectParts(service),
+    getSuspectedParts: (service, parts) => crashes.suspects.getSuspectedParts(service, parts),
     endChecker,
   });
   return { connections, paths, forwarding, forwardingServer, endChecker };
--- a/packages/gateway/src/forwarding/forwardingServer.ts
+++ b/packages/gateway/src/forwarding/forwardingServer.ts
@@ -5,7 +5,13 @@
  * sender cannot tell.
  * @module
  */
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import {
+  createServer,
+  type IncomingHttpHeaders,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
 import { type Clock, type Closeable, getListenAddress, listen, type Logger } from "@gladewall/kernel";
 import { Attempt, AttemptOutcome } from "../attempt.js";
 import type { InFlightRequest } from "../crashes/crashDetector.js";
@@ -50,6 +56,12 @@
   /** Records that a request was interrupted at an endpoint; resolves once it is known whether the endpoint has crashed. */
   readonly recordInterruption: (endpoint: Endpoint, request: InFlightRequest) => Promise<unknown>;
   readonly endChecker: EndChecker;
+  /** Returns the ids of the parts of a prompt that other requests may share. */
+  readonly readSharedParts: (headers: IncomingHttpHeaders) => readonly string[];
+  /** Whether a service has suspected parts; only then those of a request are looked up. */
+  readonly hasSuspectParts: (service: string) => boolean;
+  /** Returns those of a prompt's parts that are suspected. */
+  readonly getSuspectedParts: (service: string, parts: readonly string[]) => readonly string[];
 }
 
 /** A request that was accepted, and the endpoint that it is for. */
@@ -160,7 +172,7 @@
     response: ServerResponse,
   ): Promise<ForwardResult> {
     const { connections, connectTimeoutMs, paths, recordInterruption, endChecker } = this.options;
-    const inFlight = createInFlight(request, message);
+    const inFlight = this.createInFlight(request, endpoint, message);
     if (inFlight) endpoint.inFlight.add(inFlight);
     const attempt = Attempt.create({
       pool: connections.get(endpoint),
@@ -190,6 +202,28 @@
     return received ? ForwardResult.Answered : this.handleNoResponse(endpoint, outcome);
   }
 
+  /** Returns what identifies a request; undefined if its sender does not state the workspace. */
+  private createInFlight(
+    { method, target, body }: ForwardedRequest,
+    { record }: Endpoint,
+    { headers }: IncomingMessage,
+  ): InFlightRequest | undefined {
+    const workspace = readWorkspace(headers);
+    if (workspace === undefined) return undefined;
+    const source = { workspace, method, host: headers.host ?? "", target, body };
+    const { hasSuspectParts, getSuspectedParts, readSharedParts } = this.options;
+    const isSuspecting = hasSuspectParts(record.service);
+    return {
+      get subject() {
+        return createSubject(source);
+      },
+      get sharedParts() {
+        return readSharedParts(headers);
+      },
+      suspectedParts: isSuspecting ? getSuspectedParts(record.service, readSharedParts(headers)) : [],
+    };
+  }
+
   private async handleNoResponse(endpoint: Endpoint, outcome: AttemptOutcome): Promise<ForwardResult> {
     const { paths } = this.options;
     if (outcome !== AttemptOutcome.NotSent) return ForwardResult.Lost;
@@ -197,18 +231,3 @@
     return paths.isDirect(endpoint) ? ForwardResult.Unreachable : ForwardResult.CutOff;
   }
 }
-
-/** Returns what identifies a request; undefined if its sender does not state the workspace. */
-function createInFlight(
-  { method, target, body }: ForwardedRequest,
-  { headers }: IncomingMessage,
-): InFlightRequest | undefined {
-  const workspace = readWorkspace(headers);
-  if (workspace === undefined) return undefined;
-  const source = { workspace, method, host: headers.host ?? "", target, body };
-  return {
-    get subject() {
-      return createSubject(source);
-    },
-  };
-}
--- a/packages/gateway/src/gatewayParts.ts
+++ b/packages/gateway/src/gatewayParts.ts
@@ -413,7 +413,7 @@
 }
 
 function createCrashes(state: GatewayState, members: Members, metrics: GatewayMetrics): CrashProtection {
-  const { settings, platform, clock, logger, directory, follower } = state;
+  const { settings, platform, clock, logger, directory, follower, time } = state;
   const { connect_timeout: connectTimeoutMs, drain: drainMs } = settings.endpoints;
   return CrashProtection.create({
     ownName: settings.instance.name,
@@ -426,6 +426,7 @@
     connectTimeoutMs,
     drainMs,
     getTimeSinceTrouble: () => follower.getTimeSinceTrouble(),
+    getTimeOfDay: () => time.get(),
   });
 }
 
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -49,9 +49,13 @@
   type CrashReport,
   type CrashSubject,
   type CrashUpdate,
-  QuarantineState,
 } from "./crashes/crashRecords.js";
-export { CrashStore } from "./crashes/crashStore.js";
+export { QuarantineState } from "./crashes/quarantineState.js";
+export { PartRecords, type PartJudgment, verdictDelayMs } from "./crashes/parts/partRecords.js";
+export * from "./crashes/parts/partUpdates.js";
+export { createCrashItems, crashPrefix } from "./crashes/crashStore.js";
+export { createPartId, createPartItems, partPrefix, partSchema } from "./crashes/parts/partStore.js";
+export { QuarantineItems } from "./crashes/quarantineItems.js";
 export { CrashDetector } from "./crashes/crashDetector.js";
 export { DemandEstimator } from "./demandEstimator.js";
 export { LeaderTasks } from "./leaderTasks.js";
--- a/packages/gateway/src/placement/placementStage.ts
+++ b/packages/gateway/src/placement/placementStage.ts
@@ -23,7 +23,7 @@
     const { suspects, placer, brittle, slots } = context.parts;
     const { service } = context.request;
     const placementRequest = context.placementRequest;
-    if (suspects.hasSuspects(context.workspace)) {
+    if (suspects.hasSuspects(context.workspace, service.name)) {
       const trial = await suspects.findTrial({
         id: context.request.head.id,
         subject: context.subject,
--- a/packages/gateway/src/queueStage.ts
+++ b/packages/gateway/src/queueStage.ts
@@ -111,7 +111,8 @@
   private isSuspect(): boolean {
     const { context } = this;
     const { suspects } = context.parts;
-    return suspects.hasSuspects(context.workspace) && suspects.isSuspect(context.subject);
+    const { service } = context.request;
+    return suspects.hasSuspects(context.workspace, service.name) && suspects.isSuspect(context.suspectSource);
   }
 
   /** Returns undefined if no endpoint accepts the request: no slot is needed to find that out. */
--- a/packages/gateway/src/requestContext.ts
+++ b/packages/gateway/src/requestContext.ts
@@ -10,10 +10,11 @@
 import { mayServe, type StreamOrigin } from "./origins/streamOrigin.js";
 import type { HeldSlot } from "./slots/heldSlot.js";
 import type { Placement, PlacementRequest } from "./placement/placer.js";
+import { getSharedParts } from "./crashes/parts/sharedParts.js";
 import { createSubject } from "./crashes/requestFingerprint.js";
 import type { EndedResponse } from "./responses/responseEnd.js";
 import type { StreamRelay } from "./responses/streamRelay.js";
-import type { Trial } from "./crashes/suspectGate.js";
+import type { SuspectSource, Trial } from "./crashes/suspectGate.js";
 import { type CallerRequestHead, type Route, RouteKind } from "./types.js";
 
 /** What to do with the request after a stage. */
@@ -50,6 +51,13 @@
   isOriginRecorded = false;
   /** How the last response ended that was received; undefined before. */
   ended: EndedResponse | undefined;
+  /** Parts of the prompt that were suspected when the current attempt was sent. */
+  suspectedParts: readonly string[] = [];
+  /** Those of them because of which it was isolated. */
+  triedParts: readonly string[] = [];
+  /** Monotonic time at which the current attempt was sent, and of its first event. */
+  sentAt = -Infinity;
+  firstEventAt: number | undefined;
   /** Reserved endpoint at which an isolated request runs; undefined if the request runs like others. */
   trial: Trial | undefined;
   /** Slot that the arbiter of the service has granted to the current attempt; undefined if it needs none. */
@@ -62,6 +70,7 @@
   notForwarded = 0;
   private isUsageCounted = false;
   private cachedSubject: CrashSubject | undefined;
+  private cachedSharedParts: readonly string[] | undefined;
 
   private constructor(
     readonly parts: ActiveRequestParts,
@@ -97,9 +106,15 @@
     return createSubject({ workspace: this.workspace, method, host: headers.host ?? "", target, body });
   }
 
-  /** Ids of the parts of the prompt that other requests may share; the last part is the request's own or its session's. */
+  /** What the request may be suspected for. */
+  get suspectSource(): SuspectSource {
+    const { subject, sharedParts } = this;
+    return { subject, service: this.request.service.name, sharedParts };
+  }
+
   get sharedParts(): readonly string[] {
-    return this.request.head.parts.slice(0, -1).map(({ id }) => id);
+    this.cachedSharedParts ??= getSharedParts(this.request.head.parts);
+    return this.cachedSharedParts;
   }
 
   /** Urgency of the request, 0 being the most urgent. */
--- a/packages/gateway/src/responses/relayStage.ts
+++ b/packages/gateway/src/responses/relayStage.ts
@@ -98,6 +98,7 @@
     const onFirst = (): void => {
       stream.clearPending();
       const time = clock.getTime();
+      context.firstEventAt ??= time;
       context.firstEventMs ??= time - arrivedAt;
       this.recordOrigin(origin);
       this.recordPrefillRate(placement, time - stream.startedAt);
@@ -169,7 +170,8 @@
     const { context } = this;
     const { suspects } = context.parts;
     if (end !== ResponseEnd.Complete && evidence !== EndEvidence.Running) return;
-    if (suspects.hasSuspects(context.workspace)) suspects.clear(context.subject);
+    if (!suspects.hasSuspects(context.workspace, context.request.service.name)) return;
+    suspects.clear(context.suspectSource, context.firstEventAt ?? context.sentAt);
   }
 
   /** Ends the trial once events have been streaming for a while: a request that crashes endpoints does so at its start. */
--- a/packages/gateway/test/crashDetector.test.ts
+++ b/packages/gateway/test/crashDetector.test.ts
@@ -2,7 +2,7 @@
 import {
   CrashRecords,
   type CrashUpdate,
-  CrashStore,
+  createCrashItems,
   CrashDetector,
   EndpointState,
   ProbeResult,
@@ -257,7 +257,7 @@
   const clock = VirtualClock.create();
   const shared = SharedStore.create(clock);
   const records = CrashRecords.create(clock);
-  const store = CrashStore.create({
+  const store = createCrashItems({
     store: FakeMetadataStore.create(shared, clock),
     clock,
     logger,
@@ -279,13 +279,13 @@
     reports: [{ life: "e0", suspects: [], others: [{ workspace: "w", fingerprint: "other" }] }],
   });
   crashTwice();
-  store.reconcileItems();
+  store.reconcile();
   await clock.advance(100);
-  store.reconcileItems();
+  store.reconcile();
   await clock.advance(100);
   t.same([...shared.entries.keys()], [key], "a suspect of a single crash is not stored");
   records.apply({ acquittals: [{ fingerprint: "f", lives: ["e1", "e2"] }] });
-  store.reconcileItems();
+  store.reconcile();
   await clock.advance(100);
   t.same([...shared.entries.keys()], []);
 });
@@ -293,14 +293,14 @@
 t.test("an item that the store lost is written again; one that an operator removed is not", async (t) => {
   const { clock, shared, records, store, crashTwice } = createStore();
   crashTwice();
-  store.reconcileItems();
+  store.reconcile();
   await clock.advance(100);
   const item = shared.entries.get(key)!;
   store.handleItem(key, item);
   shared.remove(key);
   store.handleItem(key, undefined, { cause: RemovalCause.Lost, troubleAgeMs: undefined });
   t.equal(records.getQuarantineState(subject), QuarantineState.Resting);
-  store.reconcileItems();
+  store.reconcile();
   await clock.advance(100);
   t.ok(shared.entries.has(key));
   shared.remove(key);
@@ -313,7 +313,7 @@
     QuarantineState.Clear,
     "nor by a snapshot that still has the item",
   );
-  store.reconcileItems();
+  store.reconcile();
   await clock.advance(100);
   t.notOk(shared.entries.has(key));
 });
@@ -352,7 +352,7 @@
       records.apply({ reports: [{ life: incarnation, suspects: [], others: [subject] }] });
     records.apply({ reports: [{ life: "e3", suspects: [subject, other], others: [] }] });
     t.equal(records.getQuarantineState(subject), QuarantineState.Resting);
-    store.reconcileItems();
+    store.reconcile();
     await clock.advance(100);
     const item = shared.entries.get(key);
     const later = createStore();
@@ -371,7 +371,7 @@
     }
   }
   for (let step = 0; step < 100; step++) {
-    store.reconcileItems();
+    store.reconcile();
     await clock.advance(1);
   }
   t.equal(shared.entries.size, 64);
@@ -388,12 +388,12 @@
   const beside = { workspace: "w", fingerprint: "beside" };
   records.apply({ reports: [{ life: "e1", suspects: [], others: [subject, beside] }] });
   records.apply({ reports: [{ life: "e2", suspects: [subject], others: [] }] });
-  store.reconcileItems();
+  store.reconcile();
   await clock.advance(10);
   records.apply({ reports: [{ life: "e2", suspects: [beside], others: [] }] });
-  store.reconcileItems();
+  store.reconcile();
   await clock.advance(10);
-  store.reconcileItems();
+  store.reconcile();
   const item = shared.entries.get(key);
   t.ok(item, "the item stays");
   if (item) store.handleItem(key, { key, revision: 2, value: item.value });
--- a/packages/gateway/test/crashingPart.test.ts
+++ b/packages/gateway/test/crashingPart.test.ts
@@ -9,7 +9,12 @@
  */
 import t, { type Test } from "tap";
 import { RouteKind } from "@gladewall/gateway";
-import { type EndpointRequest, respondSuccess, startEventStream } from "@gladewall/standins";
+import {
+  type EndpointRequest,
+  type GatewayTestBench,
+  respondSuccess,
+  startEventStream,
+} from "@gladewall/standins";
 import { startCrashingFleet } from "./crashingEndpoints.js";
 
 /** Endpoints that may crash under one part. */
@@ -35,11 +40,25 @@
     const headers = { "x-parts": [...parts, `own${next}`].join() };
     return bench.call(instance, { method: "POST", key, body: `body ${next}`, headers });
   };
-  return { ...fleet, send };
+  /** Replaces crashed endpoints once their crashes are reported; their records outlast them by more than that takes. */
+  const replaceReported = async () => {
+    while ((await countReported(bench)) < endpoints.crashCount) await bench.call(bench.instances[0]!);
+    await endpoints.replace();
+  };
+  return { ...fleet, send, replaceReported };
+}
+
+/** Counts the crashes that instances have reported. */
+async function countReported(bench: GatewayTestBench): Promise<number> {
+  const pages = await Promise.all(bench.instances.map((instance) => bench.readMetrics(instance)));
+  const counts = pages.map(
+    (page) => /^gladewall_endpoint_ends_total\{[^}]*\} (\d+)$/m.exec(page)?.[1] ?? "0",
+  );
+  return counts.reduce((sum, count) => sum + Number(count), 0);
 }
 
 async function checkPlace(t: Test, place: number): Promise<void> {
-  const { endpoints, send } = await startPartFleet(t);
+  const { endpoints, send, replaceReported } = await startPartFleet(t);
   const usual = ["first", "second", "third"];
   const deadly = usual.map((part, index) => (index === place ? deadlyPart : part));
   const sound = usual.map((part, index) => (index === place ? "other" : part));
@@ -47,7 +66,7 @@
   for (let round = 0; round < rounds; round++) {
     const [bad, good] = await Promise.all([send(deadly), send(sound)]);
     t.not(bad.status, 200);
-    await endpoints.replace();
+    await replaceReported();
     const again = await send(sound);
     served += [good, again].filter(({ status }) => status === 200).length;
   }
@@ -66,14 +85,14 @@
 );
 
 t.test("a head and events before the crash do not clear a part", async (t) => {
-  const { endpoints, send } = await startPartFleet(t, RouteKind.Stream);
+  const { endpoints, send, replaceReported } = await startPartFleet(t, RouteKind.Stream);
   endpoints.onCrash = (call) => {
     startEventStream(call);
     call.response.write("id: 1\ndata: one\n\nid: 2\nda");
   };
   for (let round = 0; round < rounds; round++) {
     await Promise.all([send(["first", deadlyPart]), send(["first", "other"])]);
-    await endpoints.replace();
+    await replaceReported();
   }
   t.ok(endpoints.crashCount <= maxCrashes, `${endpoints.crashCount} crashed`);
   endpoints.script = respondSuccess;
--- a/packages/kernel/src/failures.ts
+++ b/packages/kernel/src/failures.ts
@@ -56,6 +56,7 @@
   QuotaShareSpent = 3019,
   StreamOriginUnknown = 3020,
   StreamVersionGone = 3021,
+  PartCrashesEndpoints = 3022,
   EndpointRefused = 4001,
   EndpointUnreachable = 4002,
   EndpointCut = 4003,
@@ -214,6 +215,11 @@
     notRun,
     "{count} endpoints of service {service} ended while they had a request like this one; it is not run for now",
   ),
+  [FailureCode.PartCrashesEndpoints]: define(
+    503,
+    notRun,
+    "{count} endpoints of service {service} ended when they began answers to prompts with part {part}; such requests are not run",
+  ),
   [FailureCode.StreamOriginUnknown]: define(
     503,
     notRun,
