--- a/packages/gateway/src/crashes/crashProtection.ts
+++ b/packages/gateway/src/crashes/crashProtection.ts
@@ -4,16 +4,15 @@
  * @module
  */
 import type { Clock, Logger } from "@gladewall/kernel";
-import { CrashGossip } from "./crashGossip.js";
+import { type CrashFleet, CrashGossip } from "./crashGossip.js";
 import { CrashRecords, type CrashUpdate } from "./crashRecords.js";
 import { createCrashItems } from "./crashStore.js";
 import { CrashDetector } from "./crashDetector.js";
-import type { Endpoint } from "../endpoints/endpoint.js";
+import type { Endpoint, PeerWork } from "../endpoints/endpoint.js";
 import type { EndpointDirectory } from "../endpoints/endpointDirectory.js";
 import { CrashWitnesses } from "./crashWitnesses.js";
-import { probeEndpoint, type ProbeResult } from "./endpointProbe.js";
+import type { ProbeResult } from "./endpointProbe.js";
 import type { GatewayMetrics } from "../gatewayMetrics.js";
-import type { Members } from "../members.js";
 import type { Removal } from "../store/prefixFollower.js";
 import { SuspectGate } from "./suspectGate.js";
 import type { QuarantineItems } from "./quarantineItems.js";
@@ -22,6 +21,12 @@
 import { type TrialCallArguments, TrialScheduler } from "./trialScheduler.js";
 import type { MetadataStore, StoreItem } from "../types.js";
 
+/** The fleet as the crash protection needs it. */
+export interface CrashMembers extends CrashFleet {
+  /** Returns the load that other instances have put on an endpoint. */
+  getPeerWork(incarnation: string): PeerWork;
+}
+
 /** Options of the crash protection. */
 export interface CrashProtectionOptions {
   /** Name of this instance. */
@@ -29,11 +34,11 @@
   readonly clock: Clock;
   readonly logger: Logger;
   readonly store: MetadataStore;
-  readonly directory: EndpointDirectory;
-  readonly members: Members;
+  readonly directory: Pick<EndpointDirectory, "find" | "getOfService" | "getAll">;
+  readonly members: CrashMembers;
   readonly metrics: GatewayMetrics;
-  /** Longest time to open a connection to an endpoint; milliseconds. */
-  readonly connectTimeoutMs: number;
+  /** Checks whether an address accepts connections. */
+  readonly probe: (address: string) => Promise<ProbeResult>;
   /** Time for which an endpoint serves on after it announced that it is leaving; milliseconds. */
   readonly drainMs: number;
   readonly getTimeSinceTrouble: () => number;
@@ -53,7 +58,7 @@
   private readonly observer: PartObserver;
 
   private constructor(private readonly options: CrashProtectionOptions) {
-    const { ownName, clock, logger, store, directory, members, metrics } = options;
+    const { ownName, clock, logger, store, directory, members, metrics, probe } = options;
     const records = CrashRecords.create(clock);
     this.records = records;
     const findEndpoint = directory.find.bind(directory);
@@ -91,7 +96,6 @@
         if (records.apply({ parts })) broadcast({ parts });
       },
     });
-    const probe = (address: string): Promise<ProbeResult> => probeEndpoint(address, options.connectTimeoutMs);
     this.witnesses = CrashWitnesses.create({
       fleet: members,
       logger,
--- a/packages/gateway/src/crashes/crashWitnesses.ts
+++ b/packages/gateway/src/crashes/crashWitnesses.ts
@@ -1,7 +1,7 @@
 /**
  * Checks with peers whether an endpoint that refuses connections has crashed. A path to an endpoint belongs to a pair: an instance
- * that has lost its paths meets refusals everywhere, while the endpoints serve its peers. A refusal therefore counts only from an
- * instance that reaches another endpoint, and only if no peer reaches this one.
+ * that has lost its paths meets refusals everywhere, while the endpoints serve its peers. A refusal therefore counts only if an instance
+ * that reaches another endpoint meets it, this one or a peer, and only if no peer reaches this endpoint.
  * @module
  */
 import type { PeerIdentity, PeerMessage } from "@gladewall/coordination";
@@ -75,7 +75,9 @@
       this.canReachAnother(endpoint),
       this.callPeers(endpoint),
     ]);
-    const hasCrashed = isSound && !testimonies.includes(Testimony.Listens);
+    // A peer that says `Refuses` reaches another endpoint itself.
+    const isRefused = isSound || testimonies.includes(Testimony.Refuses);
+    const hasCrashed = isRefused && !testimonies.includes(Testimony.Listens);
     if (!hasCrashed) {
       const peers = testimonies.map((testimony) => Testimony[testimony]).join();
       logger.info("endpoint.end-unconfirmed", { life: endpoint.incarnation, reachesOthers: isSound, peers });
--- a/packages/gateway/src/crashes/parts/partRecords.ts
+++ b/packages/gateway/src/crashes/parts/partRecords.ts
@@ -16,7 +16,7 @@
   type PartName,
   type PartUpdate,
 } from "./partUpdates.js";
-import { countRequests, PartCrashState, SuspectPart } from "./suspectPart.js";
+import { countRequests, getScore, PartCrashState, SuspectPart } from "./suspectPart.js";
 
 /** What is to be done with a request because of the parts of its prompt. */
 export interface PartJudgment {
@@ -30,8 +30,14 @@
 
 /** Score above which a part is held responsible. The platform tolerates five crashes, and three more runs after them. */
 const maxScore = 2;
-/** Score from which on a suspicion must outlast all instances. */
+/** The same for a part that has run without a crash: one trial may coincide with a crash that has another cause. */
+const maxScoreOfUsual = 2.5;
+/** Suspicions that are kept in the store at a time, beside verdicts. */
+const maxKeptSuspicions = 8;
+/** Score from which on a suspicion must outlast all instances; one of a part that is not known to have run must from the first crash on. */
 const durableScore = 2;
+/** Time from a crash until all instances have reported who was aboard. */
+const reportDelayMs = 150;
 /** Time from a crash to the verdict: what peers know for a part arrives within two hops between regions, 120 ms. */
 export const verdictDelayMs = 200;
 /** Parts of one workspace that are watched, so that a workspace which invents parts displaces only its own. */
@@ -40,10 +46,22 @@
 const forgetAfterMs = 60_000;
 /** Time after which a crash without a verdict no longer speaks against a part. */
 const suspectLifetimeMs = 600_000;
+/**
+ * Time after a verdict from which on a part that has run without a crash is tried again, and trials that crashed from which on it is not:
+ * with the first two crashes, it has then crashed five endpoints.
+ */
+const retrialAfterMs = 10_000;
+const maxTrials = 3;
 /** Workspaces from which on a verdict holds for all: one alone may name parts of others. */
 const minWorkspaces = 2;
-/** Parts that together explain the crashes at which another one was aboard; more are less likely than that one. */
-const maxExplanations = 4;
+/** Score for the crash of a trial beside which another request had a part that is more likely to be the cause. */
+const uncleanTrialScore = 0.5;
+/** How many times as many requests with one part there must be as with another for that to be the more likely cause. */
+const clearlyFewer = 2;
+/** Crashes that one part must share with another to explain them; a rarer part that was aboard at one by chance explains nothing. */
+const minExplained = 2;
+/** Unexplained crashes from which on a part that has run without a crash is tried. */
+const minUnexplained = 2;
 /** Longest id of a part that is watched; requests state ids of any length. */
 const maxIdLength = 64;
 /** Suspected parts in one snapshot for a peer. */
@@ -93,16 +111,18 @@
     const active = this.active.get(service);
     if (!active) return clear;
     const held: SuspectPart[] = [];
+    let refusal: PartJudgment | undefined;
     for (const id of new Set(ids)) {
       const part = active.get(id);
       if (!part) continue;
       const isGuilty = part.isConvicted || this.isGuilty(part);
       if (isGuilty && this.appliesTo(part, workspace, ids)) {
         const state = part.isConvicted ? QuarantineState.Convicted : QuarantineState.Resting;
-        return { state, parts: [id], lives: part.getOpen() };
+        if (!refusal || state > refusal.state) refusal = { state, parts: [id], lives: part.getUncleared() };
       }
       if (isGuilty || this.mustBeTried(part)) held.push(part);
     }
+    if (refusal) return refusal;
     if (held.length === 0) return clear;
     return {
       state: QuarantineState.Isolated,
@@ -111,6 +131,11 @@
     };
   }
 
+  /** Whether all of the given parts are known to have run without a crash. */
+  havePrior(service: string, ids: readonly string[]): boolean {
+    return ids.every((id) => this.active.get(service)?.get(id)?.hasPrior === true);
+  }
+
   /** Applies an update; returns whether it contained anything new. */
   apply({ crashes = [], defences = [], findings = [] }: PartUpdate): boolean {
     let isNew = false;
@@ -145,7 +170,15 @@
 
   /** Parts whose suspicion must outlast this instance. */
   getDurable(): readonly SuspectPart[] {
-    return [...this.getActive()].filter((part) => part.isConvicted || part.getScore() >= durableScore);
+    const time = this.clock.getTime();
+    const isSuspicious = (part: SuspectPart): boolean =>
+      time - part.getLatestAt() >= reportDelayMs &&
+      (!part.hasPrior || part.getScore() >= durableScore) &&
+      this.getUnexplained(part).length > 0;
+    const active = [...this.getActive()];
+    const suspicious = active.filter((part) => !part.isConvicted && isSuspicious(part));
+    suspicious.sort((one, other) => other.getScore() - one.getScore());
+    return [...active.filter(({ isConvicted }) => isConvicted), ...suspicious.slice(0, maxKeptSuspicions)];
   }
 
   find({ service, part }: PartName): SuspectPart | undefined {
@@ -177,7 +210,10 @@
   /** Returns what a peer that has just connected must know. */
   createSnapshot(): PartUpdate {
     const findings = [...this.getActive()].slice(-maxSnapshotParts).map((part) => this.createFinding(part));
-    return findings.length === 0 ? {} : { findings };
+    // The store may still hold suspicions that are out of date.
+    const parts = [...this.parts.values()].slice(-maxSnapshotParts);
+    const defences = parts.flatMap((part) => createDefences(part));
+    return { ...(findings.length > 0 && { findings }), ...(defences.length > 0 && { defences }) };
   }
 
   /** Forgets old suspicions; called several times a second. */
@@ -299,28 +335,48 @@
   /** Whether one request with the part is tried at a time. */
   private mustBeTried(part: SuspectPart): boolean {
     if (part.getOpen().length === 0) return false;
-    return part.countRepeated() === 0 ? !part.hasPrior : !this.isExplained(part);
+    if (part.countRepeated() === 0) return !part.hasPrior;
+    return this.getUnexplained(part).length >= (part.hasPrior ? minUnexplained : 1);
   }
 
   private isGuilty(part: SuspectPart): boolean {
-    return part.getScore() > maxScore && !this.isExplained(part);
+    const bound = part.hasPrior ? maxScoreOfUsual : maxScore;
+    if (part.getScore() <= bound) return false;
+    const lives = this.getUnexplained(part);
+    const trials = lives.filter((life) => part.crashes.get(life)!.isTrial);
+    const clean = trials.filter((life) => this.isCleanTrial(part, life)).length;
+    const trialScore = clean + (trials.length - clean) * uncleanTrialScore;
+    return getScore(trialScore, lives.length - trials.length) > bound;
   }
 
-  /** Whether other parts were aboard at all the crashes that speak against this one, and are more likely to be their cause. */
-  private isExplained(part: SuspectPart): boolean {
-    const lives = part.getOpen();
-    const others = [...(this.active.get(part.name.service)?.values() ?? [])].filter(
-      (other) => other !== part && isMoreLikely(other, part, lives),
+  /** Whether beside the request of a trial that crashed no other request with a more likely part was aboard. */
+  private isCleanTrial(part: SuspectPart, life: string): boolean {
+    const { together } = part.crashes.get(life)!;
+    const others = [...(this.active.get(part.name.service)?.values() ?? [])];
+    return !others.some(
+      (other) =>
+        other !== part &&
+        other.isOpen(life) &&
+        together?.has(other.name.part) !== true &&
+        isMoreLikely(other, part, [life]),
     );
-    let unexplained = lives;
-    for (let count = 0; count < maxExplanations && unexplained.length > 0; count++) {
-      const explained = findMostExplained(others, unexplained);
-      if (explained.length === 0) return false;
-      unexplained = unexplained.filter((life) => !explained.includes(life));
-      // Only for a part that is known to have run without a crash, several others are the simpler explanation.
-      if (!part.hasPrior) break;
+  }
+
+  /**
+   * Returns the crashes that speak against a part and that no other part explains: one that is more likely to be their cause, and that
+   * was aboard at several of them, or at the only one.
+   */
+  private getUnexplained(part: SuspectPart): readonly string[] {
+    const lives = part.getOpen();
+    let explained: readonly string[] = [];
+    for (const other of this.active.get(part.name.service)?.values() ?? []) {
+      if (other === part) continue;
+      const common = lives.filter((life) => other.isOpen(life));
+      const isRecurrent = common.length >= Math.min(minExplained, lives.length);
+      if (!isRecurrent || common.length <= explained.length) continue;
+      if (isMoreLikely(other, part, common)) explained = common;
     }
-    return unexplained.length === 0;
+    return lives.filter((life) => !explained.includes(life));
   }
 
   /** Parts that are as likely to be the cause as this one, and that all requests had with it. */
@@ -330,12 +386,18 @@
     const active = this.active.get(part.name.service);
     return [...part.getCompanions()].filter((id) => {
       const other = active?.get(id);
-      return other !== undefined && lives.every((life) => other.isOpen(life)) && !this.isExplained(other);
+      return (
+        other !== undefined &&
+        lives.every((life) => other.isOpen(life)) &&
+        this.getUnexplained(other).length > 0
+      );
     });
   }
 
-  /** Whether a verdict holds for a request. */
+  /** Whether a verdict holds for a request; one on a part that has run without a crash is put to the test a few times. */
   private appliesTo(part: SuspectPart, workspace: string, ids: readonly string[]): boolean {
+    const isRested = this.clock.getTime() - part.getLatestAt() >= retrialAfterMs;
+    if (part.isConvicted && part.hasPrior && isRested && part.countTrials() < maxTrials) return false;
     const isNamed = part.workspaces.size >= minWorkspaces || part.workspaces.has(workspace);
     return isNamed && this.findCompanions(part).every((id) => ids.includes(id));
   }
@@ -344,18 +406,18 @@
 /** Whether a part is more likely to be the cause of crashes at which both were aboard. */
 function isMoreLikely(part: SuspectPart, other: SuspectPart, lives: readonly string[]): boolean {
   if (part.hasPrior !== other.hasPrior) return other.hasPrior;
-  const common = lives.filter((life) => part.isOpen(life));
-  return part.countRequests(common) < other.countRequests(common);
+  return part.countRequests(lives) * clearlyFewer <= other.countRequests(lives);
 }
 
-/** Returns the most crashes that one of the parts explains. */
-function findMostExplained(parts: readonly SuspectPart[], lives: readonly string[]): readonly string[] {
-  let most: readonly string[] = [];
-  for (const part of parts) {
-    const explained = lives.filter((life) => part.isOpen(life));
-    if (explained.length > most.length) most = explained;
-  }
-  return most;
+/** Returns what is known for a part, for a peer that knows only what was kept. */
+function createDefences({ name, crashes }: SuspectPart): readonly PartDefence[] {
+  const { service, part } = name;
+  return ([PartEvidence.Survived, PartEvidence.Whole] as const).flatMap((evidence) => {
+    const lives = [...crashes].flatMap(([life, { state }]) =>
+      state === crashStates[evidence] ? [life] : [],
+    );
+    return lives.length > 0 ? [{ service, parts: [part], evidence, lives }] : [];
+  });
 }
 
 function createPartKey(service: string, part: string): string {
--- a/packages/gateway/src/crashes/parts/partStore.ts
+++ b/packages/gateway/src/crashes/parts/partStore.ts
@@ -52,20 +52,25 @@
 
 function createKind(records: CrashRecords): QuarantineKind<PartItem> {
   const { parts } = records;
-  const findById = (id: string) => parts.getDurable().find(({ name }) => createPartId(name) === id);
+  const findById = (id: string) => [...parts.getActive()].find(({ name }) => createPartId(name) === id);
   return {
     prefix: partPrefix,
     schema: partSchema,
     event: "part",
-    getDurable: () =>
-      parts.getDurable().map(({ name, owner }) => ({ id: createPartId(name), workspace: owner })),
+    // An item whose suspicion has become less is written again, as instances that start would rely on it.
+    getDurable: (isKept) => {
+      const kept = [...parts.getActive()].filter(({ name }) => isKept(createPartId(name)));
+      const durable = new Set([...parts.getDurable(), ...kept]);
+      return [...durable].map(({ name, owner }) => ({ id: createPartId(name), workspace: owner }));
+    },
     createItem: ({ id }: DurableSubject) => copyFinding(parts.createFinding(findById(id)!)),
     getWorkspace: ({ workspaces }) => workspaces[0] ?? "",
     isCurrent: (id, item) => {
       const part = findById(id);
       if (!part) return true;
-      const known = item.crashes.map(({ life }) => life);
-      return part.isConvicted === item.isConvicted && part.getOpen().every((life) => known.includes(life));
+      const { isConvicted, workspaces, crashes } = parts.createFinding(part);
+      const isSame = isConvicted === item.isConvicted && workspaces.length === item.workspaces.length;
+      return isSame && getLives(crashes) === getLives(item.crashes);
     },
     isCleared: (_, item) => (parts.find(item)?.getUncleared().length ?? 0) === 0,
     apply: (_, item) => records.apply({ parts: { findings: [item] } }),
@@ -77,6 +82,13 @@
   };
 }
 
+function getLives(crashes: readonly { readonly life: string }[]): string {
+  return crashes
+    .map(({ life }) => life)
+    .sort()
+    .join();
+}
+
 function copyFinding(finding: PartFinding): PartItem {
   const { companions, workspaces, crashes } = finding;
   return { ...finding, companions: [...companions], workspaces: [...workspaces], crashes: [...crashes] };
--- a/packages/gateway/src/crashes/parts/suspectPart.ts
+++ b/packages/gateway/src/crashes/parts/suspectPart.ts
@@ -84,12 +84,15 @@
     return this.getOpen().filter((life) => this.crashes.get(life)!.isRepeated).length;
   }
 
-  /** Sum over the crashes that speak against it; each counts in full at which it was tried. */
+  /** Crashes at which it was tried. */
+  countTrials(): number {
+    return this.getOpen().filter((life) => this.crashes.get(life)!.isTrial).length;
+  }
+
+  /** Sum over the crashes that speak against it. */
   getScore(): number {
-    const open = this.getOpen();
-    const trials = open.filter((life) => this.crashes.get(life)!.isTrial).length;
-    const others = open.length - trials;
-    return (others > 1 ? severalFirstScore : others * firstScore) + trials;
+    const trials = this.countTrials();
+    return getScore(trials, this.getOpen().length - trials);
   }
 
   /** Requests with the part at the given crashes. */
@@ -170,6 +173,11 @@
   }
 }
 
+/** Returns the score for trials that crashed, each of which counts for itself, and for other crashes, which count little more than one. */
+export function getScore(trialScore: number, others: number): number {
+  return (others > 1 ? severalFirstScore : others * firstScore) + trialScore;
+}
+
 /** Requests with the part at one crash. */
 export function countRequests({ requests, foundRequests }: CrashWithPart): number {
   return Math.max(requests.size, foundRequests);
--- a/packages/gateway/src/crashes/quarantineItems.ts
+++ b/packages/gateway/src/crashes/quarantineItems.ts
@@ -25,7 +25,8 @@
   readonly schema: v.GenericSchema<unknown, Item>;
   /** Start of the names of events in the log. */
   readonly event: string;
-  getDurable(): readonly DurableSubject[];
+  /** Returns the subjects that must be kept; `isKept` tells whether a subject has an item. */
+  getDurable(isKept: (id: string) => boolean): readonly DurableSubject[];
   createItem(subject: DurableSubject): Item;
   /** Workspace that an item counts towards. */
   getWorkspace(item: Item): string;
@@ -88,7 +89,7 @@
   reconcile(): void {
     const { kind, isWriter } = this.options;
     if (!this.writer.isReady) return;
-    const missing = kind.getDurable().find((subject) => this.needsWrite(subject));
+    const missing = kind.getDurable((id) => this.items.has(id)).find((subject) => this.needsWrite(subject));
     if (missing) {
       void this.write(missing);
       return;
--- a/packages/gateway/src/gatewayParts.ts
+++ b/packages/gateway/src/gatewayParts.ts
@@ -11,6 +11,7 @@
 import type { BrittleServices } from "./brittle/brittleServices.js";
 import { CapacityOrders } from "./capacityOrders.js";
 import { CrashProtection } from "./crashes/crashProtection.js";
+import { probeEndpoint } from "./crashes/endpointProbe.js";
 import { ConfigurationFollower, type ConfigurationFollowerOptions } from "./configurationFollower.js";
 import { DemandEstimator } from "./demandEstimator.js";
 import {
@@ -423,7 +424,7 @@
     directory,
     members,
     metrics,
-    connectTimeoutMs,
+    probe: (address) => probeEndpoint(address, connectTimeoutMs),
     drainMs,
     getTimeSinceTrouble: () => follower.getTimeSinceTrouble(),
     getTimeOfDay: () => time.get(),
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -53,10 +53,11 @@
 export { QuarantineState } from "./crashes/quarantineState.js";
 export { PartRecords, type PartJudgment, verdictDelayMs } from "./crashes/parts/partRecords.js";
 export * from "./crashes/parts/partUpdates.js";
+export { CrashProtection, type CrashMembers } from "./crashes/crashProtection.js";
 export { createCrashItems, crashPrefix } from "./crashes/crashStore.js";
 export { createPartId, createPartItems, partPrefix, partSchema } from "./crashes/parts/partStore.js";
 export { QuarantineItems } from "./crashes/quarantineItems.js";
-export { CrashDetector } from "./crashes/crashDetector.js";
+export { CrashDetector, type InFlightRequest } from "./crashes/crashDetector.js";
 export { DemandEstimator } from "./demandEstimator.js";
 export { LeaderTasks } from "./leaderTasks.js";
 export { FencedLeases } from "./fencedLeases.js";
@@ -159,7 +160,7 @@
   initialEra,
 } from "./store/storeEras.js";
 export { StoreFeed } from "./store/storeFeed.js";
-export { SuspectGate } from "./crashes/suspectGate.js";
+export { SuspectGate, type Trial } from "./crashes/suspectGate.js";
 export { TrialScheduler, TrialDecision } from "./crashes/trialScheduler.js";
 export { DisciplinedClock } from "./disciplinedClock.js";
 export { UsageCounts } from "./usageCounts.js";
