Take as many connections as can be served while an instance is handed most of them; command for verdicts

RECOVER: a balancer may hand most new connections of a region to one instance. What it has read must be served, so it must not read more than it can: while its connections are three times as many as usual and its event loop is late, it closes a share of the new ones unread, and asks callers that keep their connections to open new ones. Tested with a clock that runs late; not measured on a processor that is throttled.

`gladewalld verdicts list` and `clear ID --by NAME` show and end what the store holds on requests and parts; who cleared is kept. Only instances that receive the reports of the whole fleet reach verdicts, so that 83 do not announce each one.

--- a/packages/gateway/src/callerServer.ts
+++ b/packages/gateway/src/callerServer.ts
@@ -4,6 +4,7 @@
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { type Closeable, listen } from "@gladewall/kernel";
+import type { ConnectionIntake } from "./intake/connectionIntake.js";
 import type { ClientLimits } from "./types.js";
 
 /** Options of the servers. */
@@ -13,6 +14,8 @@
   readonly readinessPath: string;
   readonly isReady: () => boolean;
   readonly handle: (message: IncomingMessage, response: ServerResponse) => Promise<void>;
+  /** Decides which new connections of callers are taken. */
+  readonly intake: ConnectionIntake;
 }
 
 const maxHeaderBytes = 32_768;
@@ -32,7 +35,15 @@
       connectionsCheckingInterval: timeoutCheckIntervalMs,
       noDelay: true,
     };
-    this.callers = createServer(bounds, (message, response) => void options.handle(message, response));
+    const { intake } = options;
+    this.callers = createServer(bounds, (message, response) => {
+      // A caller that keeps its connection would come back while others have more room.
+      if (intake.shedShare > 0) response.shouldKeepAlive = false;
+      void options.handle(message, response);
+    });
+    this.callers.on("connection", (socket) => {
+      if (!intake.accept()) socket.destroy();
+    });
     this.readiness = createServer((message, response) => this.sendReadiness(message, response));
   }
 
@@ -60,6 +71,7 @@
   }
 
   async close(): Promise<void> {
+    await this.options.intake.close();
     this.callers.close();
     this.readiness.close();
     this.callers.closeAllConnections();
--- a/packages/gateway/src/crashes/crashProtection.ts
+++ b/packages/gateway/src/crashes/crashProtection.ts
@@ -91,6 +91,7 @@
       logger,
       records,
       getEndpoints,
+      isCollector: () => members.isCollector,
       getTimeOfDay: options.getTimeOfDay,
       publish: (parts) => {
         if (records.apply({ parts })) broadcast({ parts });
--- a/packages/gateway/src/crashes/crashStore.ts
+++ b/packages/gateway/src/crashes/crashStore.ts
@@ -20,7 +20,8 @@
 /** Prefix of the keys of quarantined requests; a fingerprint follows. */
 export const crashPrefix = `${gatewayPrefix}crashes/`;
 
-const crashSchema = v.object({
+/** An item of a request. */
+export const crashSchema = v.object({
   workspace: v.string(),
   /** Incarnations that crashed with the request in flight, before it was a suspect and after. */
   first: v.array(v.string()),
--- a/packages/gateway/src/crashes/parts/partObserver.ts
+++ b/packages/gateway/src/crashes/parts/partObserver.ts
@@ -19,6 +19,8 @@
   readonly getEndpoints: (service: string) => readonly Endpoint[];
   /** Applies an update here and sends it to all instances. */
   readonly publish: (update: PartUpdate) => void;
+  /** Whether this instance receives the reports of the whole fleet; only then it reaches verdicts. */
+  readonly isCollector: () => boolean;
   /** Returns Unix milliseconds. */
   readonly getTimeOfDay: () => number;
 }
@@ -100,7 +102,8 @@
   }
 
   private reachVerdicts(): void {
-    const { records, logger, publish, getTimeOfDay } = this.options;
+    const { records, logger, publish, isCollector, getTimeOfDay } = this.options;
+    if (!isCollector()) return;
     const findings = records.parts.findDue(getTimeOfDay());
     if (findings.length === 0) return;
     publish({ findings });
--- a/packages/gateway/src/crashes/parts/partStore.ts
+++ b/packages/gateway/src/crashes/parts/partStore.ts
@@ -75,7 +75,8 @@
     isCleared: (_, item) => (parts.find(item)?.getUncleared().length ?? 0) === 0,
     apply: (_, item) => records.apply({ parts: { findings: [item] } }),
     clear: (_, { service, part, crashes }) => {
-      const lives = crashes.map(({ life }) => life);
+      const uncleared = parts.find({ service, part })?.getUncleared() ?? [];
+      const lives = [...new Set([...uncleared, ...crashes.map(({ life }) => life)])];
       const defence = { service, parts: [part], evidence: PartEvidence.Whole, lives };
       records.apply({ parts: { defences: [defence] } });
     },
--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -25,9 +25,12 @@
 /** Environment variable that names the settings file. */
 const fileVariable = "GLADEWALL_CONFIG";
 const filePollMs = 2_000;
+/** First argument of the command that shows and clears verdicts instead of running an instance. */
+const verdictsArgument = "verdicts";
 
 /** Runs one instance until a signal stops it; `argv` are the command-line arguments. */
 export async function runGatewayDaemon(argv: readonly string[]): Promise<void> {
+  if (argv[0] === verdictsArgument) return runVerdicts(argv.slice(1));
   const options = await readArguments(argv);
   if (options.reference) {
     process.stdout.write(formatSettingsReference(gatewaySchema));
@@ -50,6 +53,19 @@
   await startDaemon(() => gateway.value.start());
 }
 
+/** Runs `gladewalld verdicts`, whose arguments follow. */
+async function runVerdicts(argv: readonly string[]): Promise<void> {
+  const { runVerdictCommand } = await import("./verdictCommand.js");
+  const { defaultSettingsFile } = await import("@gladewall/kernel/commandLine");
+  process.exitCode = await runVerdictCommand({
+    argv,
+    settingsFile: process.env[fileVariable] ?? defaultSettingsFile,
+    readSettings: (settings, set) => readDaemonSettings({ settings, set }),
+    print: (line) => process.stdout.write(`${line}\n`),
+    getTimeOfDay: Date.now,
+  });
+}
+
 async function readArguments(argv: readonly string[]): Promise<DaemonArguments> {
   const defaultFile = process.env[fileVariable];
   if (argv.length === 0 && defaultFile !== undefined) {
@@ -59,7 +75,9 @@
   return parseArguments(argv, defaultFile);
 }
 
-function readDaemonSettings(options: DaemonArguments): Result<GatewaySettings, Failure[]> {
+function readDaemonSettings(
+  options: Pick<DaemonArguments, "settings" | "set">,
+): Result<GatewaySettings, Failure[]> {
   return readSettings(gatewaySchema, {
     renamed: renamedGatewaySettings,
     file: options.settings,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -17,6 +17,7 @@
 import { canServe, createGatewayParts, type GatewayParts } from "./gatewayParts.js";
 import type { GatewaySettings } from "./gatewaySettings.js";
 import type { SlotSchedulerFactory } from "./limits/limitParts.js";
+import { ConnectionIntake } from "./intake/connectionIntake.js";
 import { RequestServer } from "./requestServer.js";
 import { CounterKind } from "./sharedCounters.js";
 import { isRestore } from "./store/storeEras.js";
@@ -54,6 +55,12 @@
       readinessPath: platform.callers.readinessPath,
       isReady: () => this.isReady(),
       handle: (message, response) => this.requests.handle(message, response),
+      intake: ConnectionIntake.create({
+        clock: parts.clock,
+        logger: parts.logger,
+        getRandom: Math.random,
+        countShed: () => parts.metrics.countShedConnection(),
+      }),
     });
     directory.onRemoved((endpoint) => {
       connections.remove(endpoint);
@@ -89,6 +96,7 @@
       isLeader: () => parts.leaderTasks.isActing(),
       getEra: () => platform.store.eras.current,
       isEraSettled: () => parts.settling.isSettled,
+      countSuspectParts: () => parts.crashProtection.records.parts.count(),
       countSuspects: () => parts.crashProtection.records.count(),
     });
     follower.onChange((table) => this.front.setLimits(table.configuration.limits));
--- a/packages/gateway/src/gatewayMetrics.ts
+++ b/packages/gateway/src/gatewayMetrics.ts
@@ -36,6 +36,7 @@
   /** Attempts under way that are passed on through peers, and attempts of peers that are passed on here. */
   readonly countForwarding: () => { readonly sent: number; readonly received: number };
   /** Requests under which an endpoint crashed, and those of them that are no longer run. */
+  readonly countSuspectParts: () => { readonly watched: number; readonly convicted: number };
   readonly countSuspects: () => { readonly watched: number; readonly convicted: number };
 }
 
@@ -186,6 +187,13 @@
     this.registry.getCounter("gladewall_endpoint_ends_total", help, { service }).add();
   }
 
+  /** Counts a connection that was closed unread, because this instance is handed more than it can serve. */
+  countShedConnection(): void {
+    this.registry
+      .getCounter("gladewall_connections_shed_total", "Connections that were closed unread.", {})
+      .add();
+  }
+
   /** Counts a refusal of a request under which endpoints crashed. */
   countSuspectRefusal(service: string, verdict: string): void {
     const help = "Refusals of requests under which endpoints ended.";
@@ -200,6 +208,17 @@
     this.registry.registerGauge("gladewall_quota_room", "Units that may be taken.", getCapacity, labels);
   }
 
+  private setSuspectSources({ countSuspects, countSuspectParts }: MetricSources): void {
+    const set = (name: string, help: string, read: () => number): void =>
+      this.registry.registerGauge(name, help, read);
+    set("gladewall_suspects", "Requests watched because an endpoint ended.", () => countSuspects().watched);
+    set("gladewall_convicted", "Of these, such as are not run any more.", () => countSuspects().convicted);
+    const help = "Parts of prompts watched because endpoints ended.";
+    set("gladewall_suspect_parts", help, () => countSuspectParts().watched);
+    const refused = "Of these, such as requests are refused for.";
+    set("gladewall_convicted_parts", refused, () => countSuspectParts().convicted);
+  }
+
   setSources(sources: MetricSources): void {
     const set = (name: string, help: string, read: () => number): void =>
       this.registry.registerGauge(name, help, read);
@@ -228,16 +247,7 @@
       sources.getViewAge,
     );
     set("gladewall_usable_endpoints", "Endpoints that take work.", sources.getUsableEndpoints);
-    set(
-      "gladewall_suspects",
-      "Requests watched because an endpoint ended.",
-      () => sources.countSuspects().watched,
-    );
-    set(
-      "gladewall_convicted",
-      "Of these, such as are not run any more.",
-      () => sources.countSuspects().convicted,
-    );
+    this.setSuspectSources(sources);
     for (const source of [
       LeavingSource.Record,
       LeavingSource.Answer,
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -53,6 +53,9 @@
 export { QuarantineState } from "./crashes/quarantineState.js";
 export { PartRecords, type PartJudgment, verdictDelayMs } from "./crashes/parts/partRecords.js";
 export * from "./crashes/parts/partUpdates.js";
+export { ConnectionIntake } from "./intake/connectionIntake.js";
+export * from "./crashes/verdicts.js";
+export { runVerdictCommand } from "./verdictCommand.js";
 export { CrashProtection, type CrashMembers } from "./crashes/crashProtection.js";
 export { createCrashItems, crashPrefix } from "./crashes/crashStore.js";
 export { createPartId, createPartItems, partPrefix, partSchema } from "./crashes/parts/partStore.js";
