--- a/packages/gateway/src/forwarding/attemptRoute.ts
+++ b/packages/gateway/src/forwarding/attemptRoute.ts
@@ -4,9 +4,9 @@
  * @module
  */
 import { destroyIdleSockets, type Timer } from "@gladewall/kernel";
-import { Attempt, AttemptOutcome, type AttemptOptions, type AttemptResult } from "../attempt.js";
+import { Attempt, AttemptOutcome, type AttemptOptions, type AttemptResult } from "../requests/attempt.js";
 import type { Endpoint } from "../endpoints/endpoint.js";
-import type { RequestContext } from "../requestContext.js";
+import type { RequestContext } from "../requests/requestContext.js";
 import { createForwardHeaders, ForwardResult, removeForwardHeaders } from "./forwardingProtocol.js";
 import type { ForwardingPeer } from "./forwardingPeers.js";
 
--- a/packages/gateway/src/forwarding/forwardingServer.ts
+++ b/packages/gateway/src/forwarding/forwardingServer.ts
@@ -13,13 +13,13 @@
   type ServerResponse,
 } from "node:http";
 import { type Clock, type Closeable, getListenAddress, listen, type Logger } from "@gladewall/kernel";
-import { Attempt, AttemptOutcome } from "../attempt.js";
+import { Attempt, AttemptOutcome } from "../requests/attempt.js";
 import type { InFlightRequest } from "../crashes/crashDetector.js";
 import { createSubject } from "../crashes/requestFingerprint.js";
 import type { Endpoint } from "../endpoints/endpoint.js";
 import type { EndpointConnections } from "../endpoints/endpointConnections.js";
 import type { EndpointDirectory } from "../endpoints/endpointDirectory.js";
-import { readRequestBody } from "../requestBody.js";
+import { readRequestBody } from "../requests/requestBody.js";
 import type { EndChecker } from "../responses/endChecker.js";
 import { endConsequences, formatEnd, ResponseEnd } from "../responses/responseEnd.js";
 import { copyResponseHeaders } from "../responses/responseHeaders.js";
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -18,7 +18,7 @@
 import type { GatewaySettings } from "./gatewaySettings.js";
 import type { SlotSchedulerFactory } from "./limits/limitParts.js";
 import { ConnectionIntake } from "./intake/connectionIntake.js";
-import { RequestServer } from "./requestServer.js";
+import { RequestServer } from "./requests/requestServer.js";
 import { CounterKind } from "./sharedCounters.js";
 import { isRestore } from "./store/storeEras.js";
 import type { PlatformAdapter, PlatformOptions } from "./types.js";
--- a/packages/gateway/src/placement/placementStage.ts
+++ b/packages/gateway/src/placement/placementStage.ts
@@ -6,8 +6,8 @@
 import { Err, Ok, type Result } from "ts-results-es";
 import { mayServe } from "../origins/streamOrigin.js";
 import type { Placement, PlacementRequest } from "./placer.js";
-import type { RequestContext } from "../requestContext.js";
-import { createRefusal } from "../requestRefusal.js";
+import type { RequestContext } from "../requests/requestContext.js";
+import { createRefusal } from "../requests/requestRefusal.js";
 
 /** Places one request. */
 export class PlacementStage {
--- a/packages/gateway/src/activeRequest.ts
+++ b/packages/gateway/src/requests/activeRequest.ts
@@ -9,12 +9,12 @@
 import type { RequestOutcome, ActiveRequestParts, ActiveRequestInput } from "./activeRequestTypes.js";
 import { AttemptStage } from "./attemptStage.js";
 import { PermitStage } from "./permitStage.js";
-import type { Placement } from "./placement/placer.js";
-import { PlacementStage } from "./placement/placementStage.js";
+import type { Placement } from "../placement/placer.js";
+import { PlacementStage } from "../placement/placementStage.js";
 import { QueueStage } from "./queueStage.js";
 import { NextStep, RequestContext } from "./requestContext.js";
 import { createRefusal } from "./requestRefusal.js";
-import { breakOffStream, writeProblemResponse } from "./responses/responseWriter.js";
+import { breakOffStream, writeProblemResponse } from "../responses/responseWriter.js";
 
 /** A request that has been admitted and has no final response yet. */
 export class ActiveRequest {
--- a/packages/gateway/src/activeRequestTypes.ts
+++ b/packages/gateway/src/requests/activeRequestTypes.ts
@@ -4,13 +4,13 @@
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Failure } from "@gladewall/kernel";
-import type { AdmittedRequest } from "./limits/admission.js";
-import type { GatewayParts } from "./gatewayParts.js";
-import type { RequestCharge } from "./limits/quotaCharges.js";
-import type { StreamOrigin } from "./origins/streamOrigin.js";
-import type { Placement } from "./placement/placer.js";
-import type { EndedResponse } from "./responses/responseEnd.js";
-import type { CallerRequestHead, Service } from "./types.js";
+import type { AdmittedRequest } from "../limits/admission.js";
+import type { GatewayParts } from "../gatewayParts.js";
+import type { RequestCharge } from "../limits/quotaCharges.js";
+import type { StreamOrigin } from "../origins/streamOrigin.js";
+import type { Placement } from "../placement/placer.js";
+import type { EndedResponse } from "../responses/responseEnd.js";
+import type { CallerRequestHead, Service } from "../types.js";
 
 /** Names of the instance's components that an active request uses. */
 type UsedParts =
--- a/packages/gateway/src/attempt.ts
+++ b/packages/gateway/src/requests/attempt.ts
@@ -6,10 +6,10 @@
  */
 import { type ClientRequest, type IncomingMessage, request } from "node:http";
 import { onConnected } from "@gladewall/kernel";
-import type { EndpointPool } from "./endpoints/endpointConnections.js";
-import { ForwardResult, readFraming, readResult } from "./forwarding/forwardingProtocol.js";
-import { type BodyFraming, type EndpointResponse, getBodyFraming } from "./responses/responseEnd.js";
-import { type ResponseHead, ExecutionStatus, type EndpointProtocol } from "./types.js";
+import type { EndpointPool } from "../endpoints/endpointConnections.js";
+import { ForwardResult, readFraming, readResult } from "../forwarding/forwardingProtocol.js";
+import { type BodyFraming, type EndpointResponse, getBodyFraming } from "../responses/responseEnd.js";
+import { type ResponseHead, ExecutionStatus, type EndpointProtocol } from "../types.js";
 
 /** How an attempt ended. */
 export enum AttemptOutcome {
--- a/packages/gateway/src/attemptHistory.ts
+++ b/packages/gateway/src/requests/attemptHistory.ts
@@ -3,7 +3,7 @@
  * @module
  */
 import type { Failure } from "@gladewall/kernel";
-import { RetryCause } from "./limits/retries/creditPool.js";
+import { RetryCause } from "../limits/retries/creditPool.js";
 
 /** Number of attempts that did not run the request, after which the request is refused. */
 const maxNotRunAttempts = 4;
--- a/packages/gateway/src/attemptStage.ts
+++ b/packages/gateway/src/requests/attemptStage.ts
@@ -4,21 +4,21 @@
  */
 import { Failure, FailureCode } from "@gladewall/kernel";
 import { AttemptOutcome, type AttemptResult } from "./attempt.js";
-import type { Endpoint } from "./endpoints/endpoint.js";
+import type { Endpoint } from "../endpoints/endpoint.js";
 import {
   type AttemptContent,
   type AttemptRoute,
   chooseRoute,
   isEndpointAtFault,
   isPeerAtFault,
-} from "./forwarding/attemptRoute.js";
-import type { LimitSource } from "./limits/endpointLimits.js";
-import type { Placement } from "./placement/placer.js";
-import { RelayStage } from "./responses/relayStage.js";
-import { isEventStream } from "./responses/streamRelay.js";
+} from "../forwarding/attemptRoute.js";
+import type { LimitSource } from "../limits/endpointLimits.js";
+import type { Placement } from "../placement/placer.js";
+import { RelayStage } from "../responses/relayStage.js";
+import { isEventStream } from "../responses/streamRelay.js";
 import { NextStep, type RequestContext } from "./requestContext.js";
 import { createRefusal } from "./requestRefusal.js";
-import { ExecutionStatus, type ResponseHead, RouteKind } from "./types.js";
+import { ExecutionStatus, type ResponseHead, RouteKind } from "../types.js";
 
 const minServerErrorStatus = 500;
 /** An attempt is not started if less time than this is left. */
--- a/packages/gateway/src/permitStage.ts
+++ b/packages/gateway/src/requests/permitStage.ts
@@ -3,9 +3,9 @@
  * permit where the endpoint advertises a rate limit.
  * @module
  */
-import { RetryCause } from "./limits/retries/creditPool.js";
-import { isRetryTaken, RetryDecision } from "./limits/retries/retryBudget.js";
-import type { Placement } from "./placement/placer.js";
+import { RetryCause } from "../limits/retries/creditPool.js";
+import { isRetryTaken, RetryDecision } from "../limits/retries/retryBudget.js";
+import type { Placement } from "../placement/placer.js";
 import type { RequestContext } from "./requestContext.js";
 
 /** Obtains permissions for the attempts of one request. */
--- a/packages/gateway/src/queueStage.ts
+++ b/packages/gateway/src/requests/queueStage.ts
@@ -3,12 +3,12 @@
  * fleet has instances.
  * @module
  */
-import type { Endpoint } from "./endpoints/endpoint.js";
+import type { Endpoint } from "../endpoints/endpoint.js";
 import { FailureCode, waitFor } from "@gladewall/kernel";
-import { mayServe } from "./origins/streamOrigin.js";
+import { mayServe } from "../origins/streamOrigin.js";
 import { NextStep, type RequestContext } from "./requestContext.js";
 import { createRefusal } from "./requestRefusal.js";
-import { SlotResult, type SlotAnswer, type SlotRequestInput } from "./slots/slotAcquisition.js";
+import { SlotResult, type SlotAnswer, type SlotRequestInput } from "../slots/slotAcquisition.js";
 
 /** Time between two requests for a slot of a brittle service while no arbiter decides, as after several of them have ended. */
 const arbiterPollMs = 40;
--- a/packages/gateway/src/requestContext.ts
+++ b/packages/gateway/src/requests/requestContext.ts
@@ -5,17 +5,17 @@
 import type { Attempt } from "./attempt.js";
 import type { ActiveRequestInput, ActiveRequestParts, RequestOutcome } from "./activeRequestTypes.js";
 import { AttemptHistory } from "./attemptHistory.js";
-import type { InFlightRequest } from "./crashes/crashDetector.js";
-import type { CrashSubject } from "./crashes/crashRecords.js";
-import { mayServe, type StreamOrigin } from "./origins/streamOrigin.js";
-import type { HeldSlot } from "./slots/heldSlot.js";
-import type { Placement, PlacementRequest } from "./placement/placer.js";
-import { getSharedParts } from "./crashes/parts/sharedParts.js";
-import { createSubject } from "./crashes/requestFingerprint.js";
-import type { EndedResponse } from "./responses/responseEnd.js";
-import type { StreamRelay } from "./responses/streamRelay.js";
-import type { SuspectSource, Trial } from "./crashes/suspectGate.js";
-import { type CallerRequestHead, type Route, RouteKind } from "./types.js";
+import type { InFlightRequest } from "../crashes/crashDetector.js";
+import type { CrashSubject } from "../crashes/crashRecords.js";
+import { mayServe, type StreamOrigin } from "../origins/streamOrigin.js";
+import type { HeldSlot } from "../slots/heldSlot.js";
+import type { Placement, PlacementRequest } from "../placement/placer.js";
+import { getSharedParts } from "../crashes/parts/sharedParts.js";
+import { createSubject } from "../crashes/requestFingerprint.js";
+import type { EndedResponse } from "../responses/responseEnd.js";
+import type { StreamRelay } from "../responses/streamRelay.js";
+import type { SuspectSource, Trial } from "../crashes/suspectGate.js";
+import { type CallerRequestHead, type Route, RouteKind } from "../types.js";
 
 /** What to do with the request after a stage. */
 export enum NextStep {
--- a/packages/gateway/src/requestRefusal.ts
+++ b/packages/gateway/src/requests/requestRefusal.ts
@@ -3,7 +3,7 @@
  * @module
  */
 import { Failure, type FailureCode } from "@gladewall/kernel";
-import type { Service } from "./types.js";
+import type { Service } from "../types.js";
 
 const retryAfterMs = 300;
 
--- a/packages/gateway/src/requestServer.ts
+++ b/packages/gateway/src/requests/requestServer.ts
@@ -6,16 +6,16 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { Failure, FailureCode, waitFor } from "@gladewall/kernel";
 import { Err, Ok, type Result } from "ts-results-es";
-import type { AdmittedRequest } from "./limits/admission.js";
-import { BodyFraming, ResponseEnd } from "./responses/responseEnd.js";
-import { writeProblemResponse } from "./responses/responseWriter.js";
+import type { AdmittedRequest } from "../limits/admission.js";
+import { BodyFraming, ResponseEnd } from "../responses/responseEnd.js";
+import { writeProblemResponse } from "../responses/responseWriter.js";
 import { ActiveRequest } from "./activeRequest.js";
 import type { RequestOutcome, ActiveRequestParts } from "./activeRequestTypes.js";
-import { canServe, type GatewayParts } from "./gatewayParts.js";
-import type { RequestCharge } from "./limits/quotaCharges.js";
+import { canServe, type GatewayParts } from "../gatewayParts.js";
+import type { RequestCharge } from "../limits/quotaCharges.js";
 import { readRequestBody } from "./requestBody.js";
 import { getTimeLimit } from "./requestContext.js";
-import { type CallerRequestHead, RouteKind, type Service } from "./types.js";
+import { type CallerRequestHead, RouteKind, type Service } from "../types.js";
 
 /** Options of the request server. */
 export interface RequestServerOptions {
--- a/packages/gateway/src/responses/relayStage.ts
+++ b/packages/gateway/src/responses/relayStage.ts
@@ -6,7 +6,7 @@
 import type { Endpoint } from "../endpoints/endpoint.js";
 import { getOrigin, type StreamOrigin } from "../origins/streamOrigin.js";
 import type { Placement } from "../placement/placer.js";
-import { NextStep, type RequestContext } from "../requestContext.js";
+import { NextStep, type RequestContext } from "../requests/requestContext.js";
 import { type ReceivedBody, readResponseBody } from "./responseBody.js";
 import {
   type EndedResponse,
--- a/scripts/mutants.mjs
+++ b/scripts/mutants.mjs
@@ -38,7 +38,7 @@
   {
     name: "once-only-requests",
     runSoak: runResponseSoak,
-    file: `${gateway}requestContext.ts`,
+    file: `${gateway}requests/requestContext.ts`,
     edits: [
       ["return kind === RouteKind.Safe || (kind === RouteKind.Stream && isResumable);", "return true;"],
     ],
@@ -52,25 +52,25 @@
   {
     name: "true-refusals",
     runSoak: runResponseSoak,
-    file: `${gateway}requestContext.ts`,
+    file: `${gateway}requests/requestContext.ts`,
     edits: [["return this.history.runs + (isRunning ? 1 : 0);", "return 0;"]],
   },
   {
     name: "place-in-stream",
     runSoak: runResponseSoak,
-    file: `${gateway}attemptStage.ts`,
+    file: `${gateway}requests/attemptStage.ts`,
     edits: [["lastEventId: context.relay?.lastEventId,", "lastEventId: undefined,"]],
   },
   {
     name: "cancel",
     runSoak: runResponseSoak,
-    file: `${gateway}activeRequest.ts`,
+    file: `${gateway}requests/activeRequest.ts`,
     edits: [['context.attempt?.abort("caller gone");', ""]],
   },
   {
     name: "repeat-budget",
     runSoak: runResponseSoak,
-    file: `${gateway}permitStage.ts`,
+    file: `${gateway}requests/permitStage.ts`,
     edits: [["const isTaken = isRetryTaken(decision);", "const isTaken = true;"]],
   },
   {
@@ -123,7 +123,7 @@
   {
     name: "lost-on-the-way",
     runSoak: runPathSoak,
-    file: `${gateway}attempt.ts`,
+    file: `${gateway}requests/attempt.ts`,
     edits: [
       [
         "const outcome = this.isConnected ?",
@@ -169,7 +169,7 @@
   {
     name: "origin-of-take-up",
     runSoak: runHalvedVersionSoak,
-    file: `${gateway}requestContext.ts`,
+    file: `${gateway}requests/requestContext.ts`,
     edits: [["this.origin = origin;", "this.origin = undefined; void origin;"]],
   },
   {
