--- a/packages/gateway/src/crashes/crashDetector.ts
+++ b/packages/gateway/src/crashes/crashDetector.ts
@@ -6,26 +6,13 @@
  * @module
  */
 import type { Clock, Logger } from "@gladewall/kernel";
-import type { CrashRecords, CrashReport, CrashSubject, CrashUpdate } from "./crashRecords.js";
+import type { CrashRecords, CrashReport, CrashUpdate } from "./crashRecords.js";
+import type { InFlightRequest } from "./inFlightRequest.js";
 import { type Endpoint, EndpointState } from "../endpoints/endpoint.js";
 import { LeavingSource } from "../endpoints/endpointAvailability.js";
 import { ProbeResult } from "./endpointProbe.js";
 import type { PartUpdate } from "./parts/partUpdates.js";
 
-/** A request in flight at an endpoint. */
-export interface InFlightRequest {
-  /** Reading it computes a digest if none was needed before. */
-  readonly subject: CrashSubject;
-  /** Ids of the parts of its prompt that other requests may share: all but the last one. */
-  readonly sharedParts?: readonly string[] | undefined;
-  /** Those of them that were suspected when it was sent to the endpoint. */
-  readonly suspectedParts?: readonly string[] | undefined;
-  /** Those because of which it was sent there isolated from others. */
-  readonly triedParts?: readonly string[] | undefined;
-  /** Monotonic time of the first event of its stream from the endpoint; undefined before, and for other responses. */
-  readonly firstEventAt?: number | undefined;
-}
-
 /** Options of the detector. */
 export interface CrashDetectorOptions {
   readonly clock: Clock;
--- a/packages/gateway/src/crashes/parts/partObserver.ts
+++ b/packages/gateway/src/crashes/parts/partObserver.ts
@@ -5,7 +5,7 @@
  */
 import type { Clock, Logger } from "@gladewall/kernel";
 import type { Endpoint } from "../../endpoints/endpoint.js";
-import type { InFlightRequest } from "../crashDetector.js";
+import type { InFlightRequest } from "../inFlightRequest.js";
 import type { CrashRecords } from "../crashRecords.js";
 import { type PartDefence, PartEvidence, type PartUpdate } from "./partUpdates.js";
 import { verdictDelayMs } from "./partRecords.js";
--- a/packages/gateway/src/crashes/parts/partRecords.ts
+++ b/packages/gateway/src/crashes/parts/partRecords.ts
@@ -116,11 +116,11 @@
       const part = active.get(id);
       if (!part) continue;
       const isGuilty = part.isConvicted || this.isGuilty(part);
-      if (isGuilty && this.appliesTo(part, workspace, ids)) {
+      if (isGuilty && this.isBinding(part, workspace, ids)) {
         const state = part.isConvicted ? QuarantineState.Convicted : QuarantineState.Resting;
         if (!refusal || state > refusal.state) refusal = { state, parts: [id], lives: part.getUncleared() };
       }
-      if (isGuilty || this.mustBeTried(part)) held.push(part);
+      if (isGuilty || this.needsTrial(part)) held.push(part);
     }
     if (refusal) return refusal;
     if (held.length === 0) return clear;
@@ -132,7 +132,7 @@
   }
 
   /** Whether all of the given parts are known to have run without a crash. */
-  havePrior(service: string, ids: readonly string[]): boolean {
+  hasPriors(service: string, ids: readonly string[]): boolean {
     return ids.every((id) => this.active.get(service)?.get(id)?.hasPrior === true);
   }
 
@@ -149,7 +149,7 @@
   refute(life: string): void {
     for (const part of this.parts.values()) {
       if (!part.crashes.delete(life)) continue;
-      part.answer([], PartCrashState.Cleared);
+      part.setStates([], PartCrashState.Cleared);
       this.updateActive(part);
     }
   }
@@ -222,7 +222,8 @@
     for (const [key, part] of this.parts) {
       const lives = [...part.crashes.keys()];
       const lastAt = Math.max(-Infinity, ...[...part.crashes.values()].map(({ at }) => at));
-      if (!part.isConvicted && time - lastAt >= suspectLifetimeMs) part.answer(lives, PartCrashState.Cleared);
+      if (!part.isConvicted && time - lastAt >= suspectLifetimeMs)
+        part.setStates(lives, PartCrashState.Cleared);
       this.updateActive(part);
       if (part.getUncleared().length === 0 && time - lastAt >= forgetAfterMs) this.parts.delete(key);
     }
@@ -255,7 +256,7 @@
       if (!part) continue;
       isNew = !part.hasPrior || isNew;
       part.hasPrior = true;
-      if (evidence !== PartEvidence.Prior) isNew = part.answer(lives, crashStates[evidence]) || isNew;
+      if (evidence !== PartEvidence.Prior) isNew = part.setStates(lives, crashStates[evidence]) || isNew;
       this.updateActive(part);
     }
     return isNew;
@@ -294,7 +295,7 @@
     const companions = convicted.getCompanions();
     for (const part of [...(this.active.get(convicted.name.service)?.values() ?? [])]) {
       if (part === convicted || part.isConvicted || companions.has(part.name.part)) continue;
-      part.answer(lives, PartCrashState.Cleared);
+      part.setStates(lives, PartCrashState.Cleared);
       this.updateActive(part);
     }
   }
@@ -333,7 +334,7 @@
   }
 
   /** Whether one request with the part is tried at a time. */
-  private mustBeTried(part: SuspectPart): boolean {
+  private needsTrial(part: SuspectPart): boolean {
     if (part.getOpen().length === 0) return false;
     if (part.countRepeated() === 0) return !part.hasPrior;
     return this.getUnexplained(part).length >= (part.hasPrior ? minUnexplained : 1);
@@ -395,7 +396,7 @@
   }
 
   /** Whether a verdict holds for a request; one on a part that has run without a crash is put to the test a few times. */
-  private appliesTo(part: SuspectPart, workspace: string, ids: readonly string[]): boolean {
+  private isBinding(part: SuspectPart, workspace: string, ids: readonly string[]): boolean {
     const isRested = this.clock.getTime() - part.getLatestAt() >= retrialAfterMs;
     if (part.isConvicted && part.hasPrior && isRested && part.countTrials() < maxTrials) return false;
     const isNamed = part.workspaces.size >= minWorkspaces || part.workspaces.has(workspace);
--- a/packages/gateway/src/crashes/parts/suspectPart.ts
+++ b/packages/gateway/src/crashes/parts/suspectPart.ts
@@ -136,7 +136,7 @@
   }
 
   /** Strengthens the state of crashes; returns whether any of them changed. */
-  answer(lives: readonly string[], state: PartCrashState): boolean {
+  setStates(lives: readonly string[], state: PartCrashState): boolean {
     let hasChanged = false;
     for (const life of lives) {
       const crash = this.crashes.get(life);
--- a/packages/gateway/src/crashes/trialScheduler.ts
+++ b/packages/gateway/src/crashes/trialScheduler.ts
@@ -170,7 +170,7 @@
   /** Chooses the endpoint with the fewest open requests, because these are lost if it crashes. */
   private choose({ service, excluded, heldParts = [] }: TrialCallArguments): Endpoint | undefined {
     const { records } = this.options;
-    const isUsual = heldParts.length > 0 && records.parts.havePrior(service, heldParts);
+    const isUsual = heldParts.length > 0 && records.parts.hasPriors(service, heldParts);
     const maxShare = isUsual ? maxUnavailableShareOfUsual : maxUnavailableShare;
     const time = this.options.clock.getTime();
     const usable = this.options.getEndpoints(service).filter((endpoint) => endpoint.isUsable());
--- a/packages/gateway/src/endpoints/endpoint.ts
+++ b/packages/gateway/src/endpoints/endpoint.ts
@@ -4,7 +4,7 @@
  */
 import { hashText } from "@gladewall/kernel";
 import { EndpointCapacity } from "@gladewall/policy";
-import type { InFlightRequest } from "../crashes/crashDetector.js";
+import type { InFlightRequest } from "../crashes/inFlightRequest.js";
 import { leastUrgentRank } from "../limits/endpointLimit.js";
 import { EndpointAvailability } from "./endpointAvailability.js";
 import type { EndpointLoad, EndpointRecord } from "../types.js";
--- a/packages/gateway/src/forwarding/forwardingServer.ts
+++ b/packages/gateway/src/forwarding/forwardingServer.ts
@@ -14,7 +14,7 @@
 } from "node:http";
 import { type Clock, type Closeable, getListenAddress, listen, type Logger } from "@gladewall/kernel";
 import { Attempt, AttemptOutcome } from "../requests/attempt.js";
-import type { InFlightRequest } from "../crashes/crashDetector.js";
+import type { InFlightRequest } from "../crashes/inFlightRequest.js";
 import { createSubject } from "../crashes/requestFingerprint.js";
 import type { Endpoint } from "../endpoints/endpoint.js";
 import type { EndpointConnections } from "../endpoints/endpointConnections.js";
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -60,7 +60,8 @@
 export { createCrashItems, crashPrefix } from "./crashes/crashStore.js";
 export { createPartId, createPartItems, partPrefix, partSchema } from "./crashes/parts/partStore.js";
 export { QuarantineItems } from "./crashes/quarantineItems.js";
-export { CrashDetector, type InFlightRequest } from "./crashes/crashDetector.js";
+export { CrashDetector } from "./crashes/crashDetector.js";
+export type { InFlightRequest } from "./crashes/inFlightRequest.js";
 export { DemandEstimator } from "./demandEstimator.js";
 export { LeaderTasks } from "./leaderTasks.js";
 export { FencedLeases } from "./fencedLeases.js";
--- a/packages/gateway/src/requests/requestContext.ts
+++ b/packages/gateway/src/requests/requestContext.ts
@@ -5,7 +5,7 @@
 import type { Attempt } from "./attempt.js";
 import type { ActiveRequestInput, ActiveRequestParts, RequestOutcome } from "./activeRequestTypes.js";
 import { AttemptHistory } from "./attemptHistory.js";
-import type { InFlightRequest } from "../crashes/crashDetector.js";
+import type { InFlightRequest } from "../crashes/inFlightRequest.js";
 import type { CrashSubject } from "../crashes/crashRecords.js";
 import { mayServe, type StreamOrigin } from "../origins/streamOrigin.js";
 import type { HeldSlot } from "../slots/heldSlot.js";
