--- a/scripts/mutants.mjs
+++ b/scripts/mutants.mjs
@@ -15,6 +15,7 @@
 const { runRetrySoak } = await importTest("retrySoak");
 const { runKillSoak } = await importTest("killSoak");
 const { runVersionSoak } = await importTest("versionSoak");
+const { runPartSoak } = await importTest("partSoak");
 
 /** Runs the soak of the retry budget, whose only violation is an exceeded budget. */
 async function runBudgetSoak(options) {
@@ -22,6 +23,32 @@
   return { violations: isExceeded ? [`${retries} retries, ${allowed.toFixed(0)} allowed`] : [] };
 }
 
+/** Crashes under one part of a prompt that are tolerated, and the least share of sound requests that are served meanwhile. */
+const toleratedPartCrashes = 5;
+const leastSoundShare = 0.8;
+
+/** Runs the soak of parts of prompts that crash engines, without troubles of instances. */
+async function runSoundPartSoak(options) {
+  const play = {
+    deadlyParts: 1,
+    place: 1,
+    requests: "safe",
+    trouble: "none",
+    deadlyFromMs: 0,
+    ownCrashesPerSecond: 0,
+  };
+  const { crashes, sent, served } = await runPartSoak({
+    ...options,
+    ...play,
+    hasWaves: false,
+    isConcentrated: false,
+  });
+  const [count = 0] = Object.values(crashes);
+  const tooMany = count > toleratedPartCrashes ? [`${count} crashes`] : [];
+  const tooFew = served < sent * leastSoundShare ? [`${served} of ${sent} sound requests were served`] : [];
+  return { violations: [...tooMany, ...tooFew] };
+}
+
 /** Share of the take-ups that go on, of the share of new streams that begin, after half of the instances were killed. */
 const leastTakeUpShare = 0.95;
 
@@ -131,6 +158,32 @@
       ],
     ],
   },
+  {
+    name: "part-reports",
+    runSoak: runSoundPartSoak,
+    file: `${gateway}crashes/crashDetector.ts`,
+    edits: [
+      ["if (beginning.length === 0) return undefined;", "if (beginning.length >= 0) return undefined;"],
+    ],
+  },
+  {
+    name: "part-trials",
+    runSoak: runSoundPartSoak,
+    file: `${gateway}crashes/parts/partRecords.ts`,
+    edits: [["if (isGuilty || this.needsTrial(part)) held.push(part);", ""]],
+  },
+  {
+    name: "part-explained",
+    runSoak: runSoundPartSoak,
+    file: `${gateway}crashes/parts/partRecords.ts`,
+    edits: [["return lives.filter((life) => !explained.includes(life));", "return lives;"]],
+  },
+  {
+    name: "part-evidence",
+    runSoak: runSoundPartSoak,
+    file: `${gateway}crashes/parts/partObserver.ts`,
+    edits: [["if (defences.length > 0) this.options.publish({ defences });", ""]],
+  },
   {
     name: "own-view",
     runSoak: runPathSoak,
