--- a/packages/gateway/src/crashes/crashRecords.ts
+++ b/packages/gateway/src/crashes/crashRecords.ts
@@ -232,7 +232,7 @@
       if (!crash.isRefuted && report.suspects.length + report.others.length > 0) reports.push(report);
     }
     const parts = this.parts.createSnapshot();
-    return { reports: reports.reverse(), ...((parts.findings ?? parts.defences) && { parts }) };
+    return { reports: reports.reverse(), ...((parts.findings ?? parts.clearances) && { parts }) };
   }
 
   /** Applies an update; returns whether it contained anything new. */
--- a/packages/gateway/src/crashes/parts/partObserver.ts
+++ b/packages/gateway/src/crashes/parts/partObserver.ts
@@ -7,7 +7,7 @@
 import type { Endpoint } from "../../endpoints/endpoint.js";
 import type { InFlightRequest } from "../inFlightRequest.js";
 import type { CrashRecords } from "../crashRecords.js";
-import { type PartDefence, PartEvidence, type PartUpdate } from "./partUpdates.js";
+import { type PartClearance, PartEvidence, type PartUpdate } from "./partUpdates.js";
 import { verdictDelayMs } from "./partRecords.js";
 import type { SuspectPart } from "./suspectPart.js";
 
@@ -56,27 +56,29 @@
   recordWhole(service: string, ids: readonly string[], beganAt: number): void {
     const { records } = this.options;
     if (!records.parts.hasSuspects(service)) return;
-    const defences: PartDefence[] = [];
+    const clearances: PartClearance[] = [];
     for (const id of new Set(ids)) {
       const part = records.parts.find({ service, part: id });
       if (!part) continue;
       const lives = part.getUncleared().filter((life) => part.crashes.get(life)!.at < beganAt);
-      if (lives.length > 0) defences.push({ service, parts: [id], evidence: PartEvidence.Whole, lives });
-      else if (!part.hasPrior) defences.push(createPrior(part));
+      if (lives.length > 0) clearances.push({ service, parts: [id], evidence: PartEvidence.Whole, lives });
+      else if (!part.hasRun) clearances.push(createRanBefore(part));
     }
-    this.publish(defences);
+    this.publish(clearances);
   }
 
   private observe(): void {
-    const defences = [...this.options.records.parts.getActive()].flatMap((part) => this.findDefences(part));
-    this.publish(defences);
+    const clearances = [...this.options.records.parts.getActive()].flatMap((part) =>
+      this.findClearances(part),
+    );
+    this.publish(clearances);
   }
 
-  private publish(defences: readonly PartDefence[]): void {
-    if (defences.length > 0) this.options.publish({ defences });
+  private publish(clearances: readonly PartClearance[]): void {
+    if (clearances.length > 0) this.options.publish({ clearances });
   }
 
-  private findDefences(part: SuspectPart): readonly PartDefence[] {
+  private findClearances(part: SuspectPart): readonly PartClearance[] {
     const { clock } = this.options;
     const time = clock.getTime();
     const began = this.getRunning(part)
@@ -87,7 +89,7 @@
     const lives = part.getOpen().filter((life) => part.crashes.get(life)!.at < survivedFrom);
     const { service, part: id } = part.name;
     if (lives.length > 0) return [{ service, parts: [id], evidence: PartEvidence.Survived, lives }];
-    return part.hasPrior ? [] : [createPrior(part)];
+    return part.hasRun ? [] : [createRanBefore(part)];
   }
 
   /** Requests of this instance with a part that run at endpoints which have not crashed. */
@@ -119,6 +121,6 @@
   }
 }
 
-function createPrior({ name }: SuspectPart): PartDefence {
-  return { service: name.service, parts: [name.part], evidence: PartEvidence.Prior, lives: [] };
+function createRanBefore({ name }: SuspectPart): PartClearance {
+  return { service: name.service, parts: [name.part], evidence: PartEvidence.RanBefore, lives: [] };
 }
--- a/packages/gateway/src/crashes/parts/partRecords.ts
+++ b/packages/gateway/src/crashes/parts/partRecords.ts
@@ -10,7 +10,7 @@
 import { QuarantineState } from "../quarantineState.js";
 import {
   type PartCrash,
-  type PartDefence,
+  type PartClearance,
   PartEvidence,
   type PartFinding,
   type PartName,
@@ -31,7 +31,7 @@
 /** Score above which a part is held responsible. The platform tolerates five crashes, and three more runs after them. */
 const maxScore = 2;
 /** The same for a part that has run without a crash: one trial may coincide with a crash that has another cause. */
-const maxScoreOfUsual = 2.5;
+const maxScoreOfKnown = 2.5;
 /** Suspicions that are kept in the store at a time, beside verdicts. */
 const maxKeptSuspicions = 8;
 /** Score from which on a suspicion must outlast all instances; one of a part that is not known to have run must from the first crash on. */
@@ -67,7 +67,7 @@
 /** Suspected parts in one snapshot for a peer. */
 const maxSnapshotParts = 256;
 
-const crashStates: Readonly<Record<Exclude<PartEvidence, PartEvidence.Prior>, PartCrashState>> = {
+const crashStates: Readonly<Record<Exclude<PartEvidence, PartEvidence.RanBefore>, PartCrashState>> = {
   [PartEvidence.Survived]: PartCrashState.Survived,
   [PartEvidence.Whole]: PartCrashState.Cleared,
 };
@@ -115,12 +115,12 @@
     for (const id of new Set(ids)) {
       const part = active.get(id);
       if (!part) continue;
-      const isGuilty = part.isConvicted || this.isGuilty(part);
-      if (isGuilty && this.isBinding(part, workspace, ids)) {
+      const isResponsible = part.isConvicted || this.isResponsible(part);
+      if (isResponsible && this.isBinding(part, workspace, ids)) {
         const state = part.isConvicted ? QuarantineState.Convicted : QuarantineState.Resting;
         if (!refusal || state > refusal.state) refusal = { state, parts: [id], lives: part.getUncleared() };
       }
-      if (isGuilty || this.needsTrial(part)) held.push(part);
+      if (isResponsible || this.needsTrial(part)) held.push(part);
     }
     if (refusal) return refusal;
     if (held.length === 0) return clear;
@@ -132,16 +132,16 @@
   }
 
   /** Whether all of the given parts are known to have run without a crash. */
-  hasPriors(service: string, ids: readonly string[]): boolean {
-    return ids.every((id) => this.active.get(service)?.get(id)?.hasPrior === true);
+  hasRunAll(service: string, ids: readonly string[]): boolean {
+    return ids.every((id) => this.active.get(service)?.get(id)?.hasRun === true);
   }
 
   /** Applies an update; returns whether it contained anything new. */
-  apply({ crashes = [], defences = [], findings = [] }: PartUpdate): boolean {
+  apply({ crashes = [], clearances = [], findings = [] }: PartUpdate): boolean {
     let isNew = false;
     for (const crash of crashes) isNew = this.applyCrash(crash) || isNew;
     for (const finding of findings) isNew = this.applyFinding(finding) || isNew;
-    for (const defence of defences) isNew = this.applyDefence(defence) || isNew;
+    for (const clearance of clearances) isNew = this.applyClearance(clearance) || isNew;
     return isNew;
   }
 
@@ -158,7 +158,7 @@
   findDue(since: number): readonly PartFinding[] {
     const time = this.clock.getTime();
     const due = [...this.getActive()].filter(
-      (part) => !part.isConvicted && this.isGuilty(part) && time - part.getLatestAt() >= verdictDelayMs,
+      (part) => !part.isConvicted && this.isResponsible(part) && time - part.getLatestAt() >= verdictDelayMs,
     );
     return due.map((part) => ({
       ...this.createFinding(part),
@@ -173,7 +173,7 @@
     const time = this.clock.getTime();
     const isSuspicious = (part: SuspectPart): boolean =>
       time - part.getLatestAt() >= reportDelayMs &&
-      (!part.hasPrior || part.getScore() >= durableScore) &&
+      (!part.hasRun || part.getScore() >= durableScore) &&
       this.getUnexplained(part).length > 0;
     const active = [...this.getActive()];
     const suspicious = active.filter((part) => !part.isConvicted && isSuspicious(part));
@@ -195,7 +195,7 @@
     return {
       ...part.name,
       isConvicted: part.isConvicted,
-      hasPrior: part.hasPrior,
+      hasRun: part.hasRun,
       companions: [...part.getCompanions()],
       workspaces: [...part.workspaces],
       crashes: lives.map((life) => {
@@ -212,8 +212,8 @@
     const findings = [...this.getActive()].slice(-maxSnapshotParts).map((part) => this.createFinding(part));
     // The store may still hold suspicions that are out of date.
     const parts = [...this.parts.values()].slice(-maxSnapshotParts);
-    const defences = parts.flatMap((part) => createDefences(part));
-    return { ...(findings.length > 0 && { findings }), ...(defences.length > 0 && { defences }) };
+    const clearances = parts.flatMap((part) => createClearances(part));
+    return { ...(findings.length > 0 && { findings }), ...(clearances.length > 0 && { clearances }) };
   }
 
   /** Forgets old suspicions; called several times a second. */
@@ -249,14 +249,14 @@
     return isNew;
   }
 
-  private applyDefence({ service, parts, evidence, lives }: PartDefence): boolean {
+  private applyClearance({ service, parts, evidence, lives }: PartClearance): boolean {
     let isNew = false;
     for (const id of parts) {
       const part = this.find({ service, part: id });
       if (!part) continue;
-      isNew = !part.hasPrior || isNew;
-      part.hasPrior = true;
-      if (evidence !== PartEvidence.Prior) isNew = part.setStates(lives, crashStates[evidence]) || isNew;
+      isNew = !part.hasRun || isNew;
+      part.hasRun = true;
+      if (evidence !== PartEvidence.RanBefore) isNew = part.setStates(lives, crashStates[evidence]) || isNew;
       this.updateActive(part);
     }
     return isNew;
@@ -268,7 +268,7 @@
     if (!part) return false;
     const time = this.clock.getTime();
     let isNew = false;
-    part.hasPrior ||= finding.hasPrior;
+    part.hasRun ||= finding.hasRun;
     for (const { life, isRepeated, isTrial, requests } of crashes) {
       isNew = !part.crashes.has(life) || isNew;
       const crash = part.addCrash(life, time);
@@ -336,12 +336,12 @@
   /** Whether one request with the part is tried at a time. */
   private needsTrial(part: SuspectPart): boolean {
     if (part.getOpen().length === 0) return false;
-    if (part.countRepeated() === 0) return !part.hasPrior;
-    return this.getUnexplained(part).length >= (part.hasPrior ? minUnexplained : 1);
+    if (part.countRepeated() === 0) return !part.hasRun;
+    return this.getUnexplained(part).length >= (part.hasRun ? minUnexplained : 1);
   }
 
-  private isGuilty(part: SuspectPart): boolean {
-    const bound = part.hasPrior ? maxScoreOfUsual : maxScore;
+  private isResponsible(part: SuspectPart): boolean {
+    const bound = part.hasRun ? maxScoreOfKnown : maxScore;
     if (part.getScore() <= bound) return false;
     const lives = this.getUnexplained(part);
     const trials = lives.filter((life) => part.crashes.get(life)!.isTrial);
@@ -398,7 +398,7 @@
   /** Whether a verdict holds for a request; one on a part that has run without a crash is put to the test a few times. */
   private isBinding(part: SuspectPart, workspace: string, ids: readonly string[]): boolean {
     const isRested = this.clock.getTime() - part.getLatestAt() >= retrialAfterMs;
-    if (part.isConvicted && part.hasPrior && isRested && part.countTrials() < maxTrials) return false;
+    if (part.isConvicted && part.hasRun && isRested && part.countTrials() < maxTrials) return false;
     const isNamed = part.workspaces.size >= minWorkspaces || part.workspaces.has(workspace);
     return isNamed && this.findCompanions(part).every((id) => ids.includes(id));
   }
@@ -406,12 +406,12 @@
 
 /** Whether a part is more likely to be the cause of crashes at which both were aboard. */
 function isMoreLikely(part: SuspectPart, other: SuspectPart, lives: readonly string[]): boolean {
-  if (part.hasPrior !== other.hasPrior) return other.hasPrior;
+  if (part.hasRun !== other.hasRun) return other.hasRun;
   return part.countRequests(lives) * clearlyFewer <= other.countRequests(lives);
 }
 
 /** Returns what is known for a part, for a peer that knows only what was kept. */
-function createDefences({ name, crashes }: SuspectPart): readonly PartDefence[] {
+function createClearances({ name, crashes }: SuspectPart): readonly PartClearance[] {
   const { service, part } = name;
   return ([PartEvidence.Survived, PartEvidence.Whole] as const).flatMap((evidence) => {
     const lives = [...crashes].flatMap(([life, { state }]) =>
--- a/packages/gateway/src/crashes/parts/partStore.ts
+++ b/packages/gateway/src/crashes/parts/partStore.ts
@@ -28,7 +28,7 @@
   service: v.string(),
   part: v.string(),
   isConvicted: v.boolean(),
-  hasPrior: v.boolean(),
+  hasRun: v.boolean(),
   companions: v.array(v.string()),
   workspaces: v.array(v.string()),
   crashes: v.array(
@@ -77,8 +77,8 @@
     clear: (_, { service, part, crashes }) => {
       const uncleared = parts.find({ service, part })?.getUncleared() ?? [];
       const lives = [...new Set([...uncleared, ...crashes.map(({ life }) => life)])];
-      const defence = { service, parts: [part], evidence: PartEvidence.Whole, lives };
-      records.apply({ parts: { defences: [defence] } });
+      const clearance = { service, parts: [part], evidence: PartEvidence.Whole, lives };
+      records.apply({ parts: { clearances: [clearance] } });
     },
   };
 }
--- a/packages/gateway/src/crashes/parts/partUpdates.ts
+++ b/packages/gateway/src/crashes/parts/partUpdates.ts
@@ -33,7 +33,7 @@
 /** How strongly a run speaks for the parts of its prompt. The numbers are sent to peers. */
 export enum PartEvidence {
   /** It began before the crash, and its endpoint serves on: the part has come back whole before. */
-  Prior = 1,
+  RanBefore = 1,
   /** It began after the crash, and its stream has gone on for longer than a crash takes. */
   Survived = 2,
   /** It began after the crash, and its complete response was received. */
@@ -41,11 +41,11 @@
 }
 
 /** Evidence for parts that are suspected. */
-export interface PartDefence {
+export interface PartClearance {
   readonly service: string;
   readonly parts: readonly string[];
   readonly evidence: PartEvidence;
-  /** Incarnations whose crashes it speaks about; empty for `Prior`, which speaks about none. */
+  /** Incarnations whose crashes it speaks about; empty for `RanBefore`, which speaks about none. */
   readonly lives: readonly string[];
 }
 
@@ -69,7 +69,7 @@
   /** Workspaces whose requests had the part at the crashes. */
   readonly workspaces: readonly string[];
   /** Whether a request with the part is known to have run without a crash. */
-  readonly hasPrior: boolean;
+  readonly hasRun: boolean;
   readonly crashes: readonly FoundCrash[];
   /** Unix milliseconds of the verdict, or of the first write. */
   readonly since: number;
@@ -78,6 +78,6 @@
 /** News about parts, which may arrive late, twice and in any order. */
 export interface PartUpdate {
   readonly crashes?: readonly PartCrash[];
-  readonly defences?: readonly PartDefence[];
+  readonly clearances?: readonly PartClearance[];
   readonly findings?: readonly PartFinding[];
 }
--- a/packages/gateway/src/crashes/parts/suspectPart.ts
+++ b/packages/gateway/src/crashes/parts/suspectPart.ts
@@ -44,7 +44,7 @@
   readonly crashes = new Map<string, CrashWithPart>();
   readonly workspaces = new Set<string>();
   /** Whether a request with the part is known to have run without a crash. */
-  hasPrior = false;
+  hasRun = false;
   isConvicted = false;
   /** Unix milliseconds of the verdict, or of the first suspicion that was kept. */
   since: number | undefined;
--- a/packages/gateway/src/crashes/trialScheduler.ts
+++ b/packages/gateway/src/crashes/trialScheduler.ts
@@ -70,7 +70,7 @@
 /** Share of a service's endpoints that may be down or used by trials at the same time. */
 const maxUnavailableShare = 0.5;
 /** The same where only parts are tried that have run without a crash: while they are, most requests of a route may wait for them. */
-const maxUnavailableShareOfUsual = 0.75;
+const maxUnavailableShareOfKnown = 0.75;
 /** Requests that may wait for an endpoint; further ones get the reply `Busy` at once. */
 const maxWaiting = 256;
 
@@ -170,8 +170,8 @@
   /** Chooses the endpoint with the fewest open requests, because these are lost if it crashes. */
   private choose({ service, excluded, heldParts = [] }: TrialCallArguments): Endpoint | undefined {
     const { records } = this.options;
-    const isUsual = heldParts.length > 0 && records.parts.hasPriors(service, heldParts);
-    const maxShare = isUsual ? maxUnavailableShareOfUsual : maxUnavailableShare;
+    const isUsual = heldParts.length > 0 && records.parts.hasRunAll(service, heldParts);
+    const maxShare = isUsual ? maxUnavailableShareOfKnown : maxUnavailableShare;
     const time = this.options.clock.getTime();
     const usable = this.options.getEndpoints(service).filter((endpoint) => endpoint.isUsable());
     const isUnavailable = (endpoint: Endpoint): boolean =>
