Add a review case: a planned stop cuts answers that are still being written

A leaving instance counts a request as over when its response has been handed to the HTTP server, and ends before slow callers have received it, although the grace period has not passed.

--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -6,10 +6,12 @@
 import { startStore } from "./store.mjs";
 
 export const halls = ["zogno", "piazza", "lenna", "bergamo"];
+/** Port at which callers reach each instance. */
+export const callerPort = 8_221;
 export const key = "i9n73hh2b9wu3fexd9dn";
 const slots = 6;
 
-const limits = {
+export const limits = {
   max_header_bytes: 16_384,
   max_body_bytes: 4_194_304,
   header_timeout_ms: 3_000,
