--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -39,17 +39,24 @@
   return 60 + Math.random() * 50;
 }
 
-/** Starts the deployment; `respond` may replace the answers of runners. */
-export async function startDeployment({ respond }) {
-  const store = await startStore();
+/** Starts a runner in each data hall and records it in the store; `respond` may replace the answers of runners. */
+export async function startEndpoints(store, respond) {
   const runs = [];
   const endpoints = [];
   for (const [index, zone] of halls.entries()) {
     const options = { id: `i-${index + 1}`, service: "booking-app", zone, slots, runs, getWorkMs, respond };
-    endpoints.push(await startEndpoint(options));
+    const endpoint = await startEndpoint(options);
+    endpoints.push(endpoint);
+    store.put(endpoint.key, endpoint.record);
   }
+  return { runs, endpoints };
+}
+
+/** Starts the deployment; `respond` may replace the answers of runners. */
+export async function startDeployment({ respond }) {
+  const store = await startStore();
+  const { runs, endpoints } = await startEndpoints(store, respond);
   store.put("op/config", createConfiguration(7));
-  for (const { key: recordKey, record } of endpoints) store.put(recordKey, record);
   const fleet = await startFleet({ halls, store: store.address });
   return {
     store,
--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -75,7 +75,7 @@
   }
 
   createInstance(hall, index) {
-    const { store, cloud = store } = this.options;
+    const { store, cloud = store } = this.options.links?.[index] ?? this.options;
     const ip = `${this.network}.${index + 1}`;
     const name = `edge-${hall}-${index + 1}`;
     const fields = {
@@ -148,7 +148,10 @@
   }
 }
 
-/** Starts the instances; `halls` names the data hall of each. Resolves once all of them are ready. */
+/**
+ * Starts the instances; `halls` names the data hall of each, `store` and `cloud` the addresses of the platform; with `links`, each instance
+ * has addresses of its own. Resolves once all of them are ready.
+ */
 export async function startFleet(options) {
   const fleet = new Fleet(options);
   for (const instance of fleet.instances) fleet.start(instance);
--- a/review/lib/store.mjs
+++ b/review/lib/store.mjs
@@ -7,6 +7,8 @@
 
 const expiryIntervalMs = 20;
 const pageSize = 500;
+/** Time after which an idle connection is closed. */
+const idleTimeoutMs = 60_000;
 
 function encode(text) {
   return Buffer.from(text).toString("base64");
@@ -27,7 +29,9 @@
   orders = [];
   revision = 0;
   lastLease = 77_000;
-  server = createServer((message, response) => this.receive(message, response));
+  server = createServer({ keepAliveTimeout: idleTimeoutMs }, (message, response) =>
+    this.receive(message, response),
+  );
   expiry = setInterval(() => this.endLapsedLeases(), expiryIntervalMs);
 
   get address() {
