--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -1,17 +1,18 @@
-// One of four runners gives part of its answers a status line whose code is 000, for 6.5 s. Counts the requests of kept connections that
-// were passed on to the three sound runners and whose connections were closed without an answer (rule LOST).
+// Two of six runners give part of their answers a status line whose code is 000, for 6.5 s. Counts the requests of kept connections that
+// were passed on to the four sound runners and whose connections were closed without an answer (rule LOST).
 import { performance } from "node:perf_hooks";
 import { sendUntil, startDeployment } from "../lib/deployment.mjs";
 import { wait } from "../lib/fleet.mjs";
 import { createRecord, hasTrouble, playCase } from "../lib/record.mjs";
 
-const faultyRunner = "i-3";
-/** One of so many answers of the faulty runner is spoilt: a share of 0.0286. */
+const runners = 6;
+const faultyRunners = ["i-2", "i-5"];
+/** One of so many answers of the faulty runners is spoilt: a share of 0.0286. */
 const answersPerSpoilt = 35;
 const beginsAfterMs = 4_000;
 const lastsMs = 6_500;
 const endsAfterMs = 14_000;
-const clientsPerInstance = 8;
+const clientsPerInstance = 12;
 const pauseMs = 100;
 /** The rule allows three. */
 const allowedLosses = 3;
@@ -29,8 +30,9 @@
 await playCase(record, async () => {
   let startedAt = Infinity;
   const deployment = await startDeployment({
+    runners,
     respond({ run, socket }) {
-      if (run.endpoint !== faultyRunner || !isSpoilt(performance.now() - startedAt)) return false;
+      if (!faultyRunners.includes(run.endpoint) || !isSpoilt(performance.now() - startedAt)) return false;
       run.isSpoilt = true;
       socket.end(`HTTP/1.1 000 \r\nX-Gladewall-Request-Id: ${run.id}\r\nContent-Length: 0\r\n\r\n`);
       return true;
@@ -62,7 +64,7 @@
   }
   const lost = results.filter(({ id, status, isKept }) => {
     const run = runsById.get(id);
-    return status === 0 && isKept && run !== undefined && run.endpoint !== faultyRunner;
+    return status === 0 && isKept && run !== undefined && !faultyRunners.includes(run.endpoint);
   });
   const served = results.filter(({ status }) => status === 200).length;
   const spoilt = runs.filter((run) => run.isSpoilt).length;
--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -39,11 +39,12 @@
   return 60 + Math.random() * 50;
 }
 
-/** Starts a runner in each data hall and records it in the store; `respond` may replace the answers of runners. */
-export async function startEndpoints(store, respond) {
+/** Starts runners, spread over the data halls, and records them in the store; `respond` may replace the answers of runners. */
+export async function startEndpoints(store, respond, count = halls.length) {
   const runs = [];
   const endpoints = [];
-  for (const [index, zone] of halls.entries()) {
+  for (let index = 0; index < count; index++) {
+    const zone = halls[index % halls.length];
     const options = { id: `i-${index + 1}`, service: "booking-app", zone, slots, runs, getWorkMs, respond };
     const endpoint = await startEndpoint(options);
     endpoints.push(endpoint);
@@ -53,9 +54,9 @@
 }
 
 /** Starts the deployment; `respond` may replace the answers of runners. */
-export async function startDeployment({ respond }) {
+export async function startDeployment({ respond, runners }) {
   const store = await startStore();
-  const { runs, endpoints } = await startEndpoints(store, respond);
+  const { runs, endpoints } = await startEndpoints(store, respond, runners);
   store.put("op/config", createConfiguration(7));
   const fleet = await startFleet({ halls, store: store.address });
   return {
--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -17,6 +17,7 @@
 const readyPollMs = 50;
 const readyTimeoutMs = 15_000;
 const restartDelayMs = 300;
+const failedExitCode = 2;
 const ports = { front: 8_221, readiness: 8_224, first: 7_600, last: 7_615 };
 
 /** Bounds of the deployment `asavb-gladewall`, as its sheet gives them. */
@@ -71,7 +72,8 @@
   constructor(options) {
     this.options = options;
     this.instances = options.halls.map((hall, index) => this.createInstance(hall, index));
-    process.once("exit", () => this.killAll());
+    process.once("exit", () => this.handleExit());
+    for (const signal of ["SIGINT", "SIGTERM"]) process.once(signal, () => process.exit(failedExitCode));
   }
 
   createInstance(hall, index) {
@@ -138,6 +140,12 @@
     for (const { process: child } of this.instances) child?.kill("SIGKILL");
   }
 
+  /** Ends what is left when the play itself ends, also after a failure. */
+  handleExit() {
+    this.killAll();
+    rmSync(this.folder, { recursive: true, force: true });
+  }
+
   async close() {
     this.killAll();
     const running = this.instances
