Log the error that ends a process

The hypotheses on it need the error itself:

1. a head with a status below 100 is handed to writeHead, which throws (the claim's guess); 2. so does every other byte that the parser takes and writeHead refuses: a class, not a number; 3. a throw on a request's way has no catcher, so that what throws there is not limited to responses: request heads made of an endpoint's bytes, frames of peers.

All three hold: a trial in one process saw ERR_HTTP_INVALID_STATUS_CODE and ERR_INVALID_CHAR from writeHead, ERR_INVALID_CHAR from the Last-Event-Id of a resumed stream, and a TypeError from a peer's hello without a nonce.

--- a/packages/gateway/src/daemon.ts
+++ b/packages/gateway/src/daemon.ts
@@ -8,6 +8,8 @@
   DaemonLogs,
   ExitCode,
   type Failure,
+  Logger,
+  LogLevel,
   parseLogLevel,
   formatSettingsReference,
   formatSettings,
@@ -42,6 +44,7 @@
   const { instance, logs: logSettings } = settings.value;
   const clock = SystemClock.create();
   const logs = DaemonLogs.create(clock, parseLogLevel(logSettings.level), { instance: instance.name });
+  logFatalErrors(instance.name);
   const gateway = Gateway.create(settings.value, logs.logger, clock);
   if (gateway.isErr()) exitWith([gateway.error]);
   if (gateway.isErr() || options.check || options.print) return logs.close();
@@ -91,6 +94,14 @@
   process.exitCode = ExitCode.InvalidSettings;
 }
 
+/** Logs the error that ends the process, to standard error: the lines of standard output may not be written any more. */
+function logFatalErrors(instance: string): void {
+  const logger = Logger.create(LogLevel.Error, { instance });
+  process.on("uncaughtExceptionMonitor", (error: Error, origin) =>
+    logger.error("instance.failed", { origin, cause: error.stack }),
+  );
+}
+
 function handleSignals(gateway: Gateway, logs: DaemonLogs, options: DaemonArguments): void {
   const { logger } = logs;
   const leave = async (): Promise<void> => {
