Decide in one place whether a head is a response, before it is believed

Cause: Attempt took whatever Node.js parses for the endpoint's response. The parser takes statuses of three digits, control bytes in the reason phrase, other versions and transfer codings; ServerResponse.writeHead throws on the first two, nobody catches it, and an unhandled rejection ends the process. A peer that passed the response on wrote the same head.

Now findHeadFault decides on version, status (200 to 599), reason, headers and framing, directly and through a peer, before load, notice or 'not run' are read. A head that is none counts as a response that was broken off: the request may have run, 502 with its own code, retries as the route allows, the endpoint's failure.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -15,6 +15,7 @@
 export { runGatewayDaemon } from "./daemon.js";
 export { Admission } from "./limits/admission.js";
 export { MemberRecords } from "./memberRecords.js";
+export { findHeadFault, HeadFault } from "./responses/responseHead.js";
 export { readResponseBody } from "./responses/responseBody.js";
 export { EndChecker, type EndCheckerOptions } from "./responses/endChecker.js";
 export {
--- a/packages/gateway/src/requests/attempt.ts
+++ b/packages/gateway/src/requests/attempt.ts
@@ -9,6 +9,7 @@
 import type { EndpointPool } from "../endpoints/endpointConnections.js";
 import { ForwardResult, readFraming, readResult } from "../forwarding/forwardingProtocol.js";
 import { type BodyFraming, type EndpointResponse, getBodyFraming } from "../responses/responseEnd.js";
+import { findHeadFault, formatHeadFault, type HeadFault } from "../responses/responseHead.js";
 import { type ResponseHead, ExecutionStatus, type EndpointProtocol } from "../types.js";
 
 /** How an attempt ended. */
@@ -32,6 +33,8 @@
   readonly response: EndpointResponse | undefined;
   /** What the peer states that the attempt was passed on through; undefined if there is none, or if it did not reply. */
   readonly forwarded?: ForwardResult | undefined;
+  /** Why the bytes that came back are no response; undefined if they are one, or if none came back. */
+  readonly fault?: HeadFault | undefined;
 }
 
 /** The request to send and where to send it. */
@@ -121,6 +124,8 @@
 
   private handleResponse(response: IncomingMessage): void {
     const { protocol, requestId, onHead, isForwarded = false } = this.options;
+    const fault = findHeadFault(response);
+    if (fault !== undefined) return this.refuseHead(response, fault);
     const status = response.statusCode ?? 0;
     const forwarded = isForwarded ? readResult(response.headers) : undefined;
     if (isForwarded && forwarded !== ForwardResult.Answered)
@@ -140,6 +145,14 @@
     this.resolveResult({ outcome, detail: `status ${status}`, response: undefined, forwarded });
   }
 
+  /** Ends the attempt because what came back is no response: nothing in it is believed, and its connection is not used again. */
+  private refuseHead(response: IncomingMessage, fault: HeadFault): void {
+    response.on("error", () => undefined);
+    const detail = formatHeadFault(fault, response);
+    this.resolveResult({ outcome: AttemptOutcome.Lost, detail, response: undefined, fault });
+    this.abort(detail);
+  }
+
   /** Returns the framing at the endpoint. */
   private getFraming(response: IncomingMessage): BodyFraming {
     const { method, isForwarded = false } = this.options;
--- a/packages/gateway/src/requests/attemptStage.ts
+++ b/packages/gateway/src/requests/attemptStage.ts
@@ -222,7 +222,11 @@
       context.countUsageOnce(beganAt);
       if (!isEndpointAtFault(route, result)) return this.failOnTheWay(endpoint);
       endpoint.recordOutcome(false, time);
-      return this.handleInterruption(endpoint);
+      const isMalformed = result.fault !== undefined;
+      return this.handleInterruption(
+        endpoint,
+        isMalformed ? FailureCode.EndpointBadAnswer : FailureCode.EndpointCut,
+      );
     }
     if (isPeerAtFault(route, result)) return this.passOnAgain(endpoint);
     if (result.outcome === AttemptOutcome.NotSent) this.recordNotSent(endpoint, route);
@@ -294,9 +298,12 @@
    * crashed; otherwise all requests that ran there would move to the next endpoint together, along with the request that
    * crashes both.
    */
-  private async handleInterruption(endpoint: Endpoint): Promise<NextStep> {
+  private async handleInterruption(
+    endpoint: Endpoint,
+    code: FailureCode = FailureCode.EndpointCut,
+  ): Promise<NextStep> {
     const { context } = this;
-    context.history.recordRunFailure(Failure.create(FailureCode.EndpointCut, { endpoint: endpoint.id }));
+    context.history.recordRunFailure(Failure.create(code, { endpoint: endpoint.id }));
     // An instance that is cut off learns nothing about the endpoint from an interrupted connection, and a brittle endpoint crashes
     // because of what it refused.
     const { suspects, paths, brittle } = context.parts;
