Continue a stream only after an id that a header can carry

What callers saw: closed connections of all requests that an instance had open, when an endpoint broke off a resumable stream after an event whose id holds a control byte, DEL, or a character beyond Latin-1.

Cause: the id was decoded as UTF-8 and handed to http.request as Last-Event-Id, which throws ERR_INVALID_CHAR where the attempt is created; nobody catches it. Ids with other characters beyond ASCII arrived in another encoding than the endpoint's, and spaces around an id were lost.

Ids are now kept byte by byte, so that the header holds the endpoint's own bytes, and a stream whose last id can't arrive unchanged is broken off, as one without id is.

Both tests fail before (ERR_INVALID_CHAR ends the test process) and pass now.

--- a/packages/gateway/src/responses/eventSplitter.ts
+++ b/packages/gateway/src/responses/eventSplitter.ts
@@ -13,7 +13,7 @@
 
 /** Buffers the bytes of an event until it is complete. */
 export class EventSplitter {
-  /** Id of the last complete event that has one; undefined before it. */
+  /** Id of the last complete event that has one, a character for each of its bytes; undefined before it. */
   lastEventId: string | undefined;
   /** Whether the last complete event has no id, so that the stream can't be continued exactly after it. */
   endsWithoutId = false;
@@ -122,6 +122,6 @@
   if (line.length === idField.length) return "";
   if (line[idField.length] !== colon) return undefined;
   const start = line[idField.length + 1] === space ? idField.length + 2 : idField.length + 1;
-  const id = line.toString("utf8", start);
+  const id = line.toString("latin1", start);
   return id.includes("\0") ? undefined : id;
 }
--- a/packages/gateway/src/responses/responseHead.ts
+++ b/packages/gateway/src/responses/responseHead.ts
@@ -32,6 +32,8 @@
 const tokenPattern = /^[!#$%&'*+\-.^_`|~0-9A-Za-z]+$/;
 /** A byte that neither a header's value nor a reason phrase may contain (RFC 9110, section 5.5). */
 const forbiddenPattern = /[^\t\x20-\x7e\x80-\xff]/;
+/** Space that a receiver removes from a header's value. */
+const outerSpacePattern = /^[\t ]|[\t ]$/;
 
 /** Returns why a head can't be that of a final response to a request; undefined if it can. */
 export function findHeadFault(head: ReceivedHead): HeadFault | undefined {
@@ -42,8 +44,12 @@
   return findHeaderFault(head.rawHeaders) ?? (isFramingConsistent(head) ? undefined : HeadFault.Framing);
 }
 
-/** Whether a text may be sent as the value of a header or as a reason phrase. */
-export function isSendable(text: string): boolean {
+/** Whether a text arrives unchanged when it is sent as the value of a header. */
+export function isHeaderValue(text: string): boolean {
+  return isSendable(text) && !outerSpacePattern.test(text);
+}
+
+function isSendable(text: string): boolean {
   return !forbiddenPattern.test(text);
 }
 
--- a/packages/gateway/src/responses/streamRelay.ts
+++ b/packages/gateway/src/responses/streamRelay.ts
@@ -6,6 +6,7 @@
 import type { ServerResponse } from "node:http";
 import { EventSplitter, removeByteOrderMark } from "./eventSplitter.js";
 import { type EndedResponse, endConsequences, type EndpointResponse, readEnd } from "./responseEnd.js";
+import { isHeaderValue } from "./responseHead.js";
 import { copyResponseHeaders } from "./responseHeaders.js";
 import { isFramed, writeResponseHead } from "./responseWriter.js";
 
@@ -37,14 +38,14 @@
     return new StreamRelay(response, isResumable, isLeaving);
   }
 
-  /** Id of the last event that was forwarded; undefined before the first. */
+  /** Id of the last event that was forwarded, as it is sent in a header; undefined before the first. */
   get lastEventId(): string | undefined {
     return this.splitter.lastEventId ?? this.lastId;
   }
 
   /** Whether another endpoint can continue after the last event that was forwarded, without a gap and without repeating one. */
   canContinue(): boolean {
-    return this.isResumable && !this.endsWithoutId;
+    return this.isResumable && !this.endsWithoutId && isHeaderValue(this.lastEventId ?? "");
   }
 
   /**
