Refuse a peer's hello that lacks a field

Who could reach an instance's port for peers could end it: a hello frame without name or nonce made the handshake throw (TypeError), before the sender had proved anything, and nothing catches it.

A hello is now checked for all its fields before one is used; else the connection is refused as any stranger's. The test fails before (TypeError ends the test process) and passes now, with four fields left out or of another type.

--- a/packages/coordination/src/peerConnection.ts
+++ b/packages/coordination/src/peerConnection.ts
@@ -10,6 +10,7 @@
 import { encodeFrame, FrameDecoder, maxFrameBytes } from "./frames.js";
 import {
   type HelloMessage,
+  isHelloMessage,
   LinkMessageKind,
   type PeerMessage,
   peerProtocolVersion,
@@ -192,10 +193,10 @@
     nonce: randomBytes(nonceBytes),
   };
   sendMessage(socket, own, traffic);
-  const hello = (await messages.next()).value as HelloMessage | undefined;
-  if (hello?.kind !== LinkMessageKind.Hello) return refusePeer("(unknown)");
+  const hello = (await messages.next()).value as PeerMessage | undefined;
+  if (!isHelloMessage(hello)) return refusePeer("(unknown)");
   if (hello.version !== peerProtocolVersion) {
-    const values = { peer: String(hello.name), version: Number(hello.version), own: peerProtocolVersion };
+    const values = { peer: hello.name, version: hello.version, own: peerProtocolVersion };
     return Err(Failure.create(FailureCode.PeerVersion, values));
   }
   const proof: ProofMessage = {
--- a/packages/coordination/src/peerMessages.ts
+++ b/packages/coordination/src/peerMessages.ts
@@ -34,6 +34,14 @@
   readonly nonce: Uint8Array;
 }
 
+/** Whether a message of a peer that has proved nothing yet is a complete hello. */
+export function isHelloMessage(message: PeerMessage | undefined): message is HelloMessage {
+  if (message?.kind !== Number(LinkMessageKind.Hello)) return false;
+  const { version, name, incarnation, nonce } = message as Partial<HelloMessage>;
+  const isIdentified = typeof name === "string" && typeof incarnation === "number";
+  return isIdentified && typeof version === "number" && nonce instanceof Uint8Array;
+}
+
 /** Second handshake message: an HMAC over both hello messages that proves knowledge of the shared secret. */
 export interface ProofMessage extends PeerMessage {
   readonly kind: LinkMessageKind.Proof;
--- a/packages/coordination/test/peerLinks.test.ts
+++ b/packages/coordination/test/peerLinks.test.ts
@@ -176,3 +176,30 @@
   t.pass();
   await Promise.all([left.links.close(), right.links.close()]);
 });
+
+t.test("a hello without all its fields is refused, and the side that received it goes on", async (t) => {
+  const { links, peer } = await createLinks("a");
+  t.teardown(() => links.close());
+  const hello = {
+    kind: LinkMessageKind.Hello,
+    version: 1,
+    name: "b",
+    incarnation: 1,
+    nonce: Buffer.alloc(32),
+  };
+  for (const missing of ["version", "name", "incarnation", "nonce"]) {
+    for (const value of [undefined, null, { length: 3 }]) {
+      const [host, port] = peer.address.split(":");
+      const socket = connect(Number(port), host);
+      socket.on("error", () => undefined);
+      socket.resume();
+      socket.write(encodeFrame({ ...hello, [missing]: value }).unwrap());
+      await once(socket, "close");
+    }
+  }
+  const other = await createLinks("b");
+  t.teardown(() => other.links.close());
+  other.links.setPeers([peer]);
+  await other.links.waitForLinks(1);
+  t.ok(links.isLinked("b"));
+});
