End a request, not the process, when the gateway fails on its way

What callers saw: a throw anywhere between the arrival of a request and the end of its response closed the connections of all requests that the instance had open.

Cause: CallerServer and ForwardingServer started the handling of a request and let its rejection go (void handle(...)), and what a listener throws has no catcher at all: either ends the process. So did an attempt that was aborted between the end of its response and the return of its connection, as the connection's error had no listener.

The owner of a request now contains what its stages throw, in promises, listeners and timers: the caller is told 502 (9002) or the response is broken off, the attempt is aborted, and what was counted or held is given back by finally blocks. The same holds for attempts of peers, and for messages of peers, which are dropped.

--- a/packages/coordination/src/peerLinks.ts
+++ b/packages/coordination/src/peerLinks.ts
@@ -46,6 +46,8 @@
   readonly getRandom: () => number;
   /** Returns the fields that each ping carries. */
   readonly getPingFields: () => Readonly<Record<string, unknown>>;
+  /** Called if the handling of a peer's message fails, which drops that message only. */
+  readonly onFailure: (error: unknown, peer: string) => void;
 }
 
 /**
@@ -341,11 +343,16 @@
   private handle(message: PeerMessage, connection: PeerConnection): void {
     const handler = this.handlers.get(message.kind);
     if (!handler) return;
-    const answer = handler(message, connection.peer);
-    const { call } = message;
-    if (call === undefined) return;
-    if (answer instanceof Promise) void answer.then((body: unknown) => connection.reply(call, body));
-    else connection.reply(call, answer);
+    const fail = (error: unknown): void => this.options.onFailure(error, connection.peer.name);
+    try {
+      const answer = handler(message, connection.peer);
+      const { call } = message;
+      if (call === undefined) return;
+      if (answer instanceof Promise) answer.then((body: unknown) => connection.reply(call, body)).catch(fail);
+      else connection.reply(call, answer);
+    } catch (error) {
+      fail(error);
+    }
   }
 
   private createPing(): PeerMessage {
--- a/packages/coordination/test/peerLinks.test.ts
+++ b/packages/coordination/test/peerLinks.test.ts
@@ -30,6 +30,9 @@
     maxPersistentLinks: 16,
     getRandom: () => 0.5,
     getPingFields: () => ({}),
+    onFailure: (error) => {
+      throw error;
+    },
   });
   const address = await links.open();
   return { links, peer: { name, incarnation: 1, address } };
--- a/packages/entry/src/membership.ts
+++ b/packages/entry/src/membership.ts
@@ -177,6 +177,7 @@
       maxPersistentLinks: peers.links,
       getRandom: Math.random,
       getPingFields: () => ({ ...createPingFields(this.follower) }),
+      onFailure: (error, peer) => logger.error("peer.message-failed", { peer, cause: String(error) }),
     });
   }
 
--- a/packages/gateway/src/endpoints/endpointConnections.ts
+++ b/packages/gateway/src/endpoints/endpointConnections.ts
@@ -30,6 +30,8 @@
       noDelay: true,
     });
     trackConnectionEnd(socket);
+    // An attempt may be aborted between the end of its response and the return of its connection, when nobody else listens.
+    socket.on("error", () => undefined);
     socket.once("connect", () => this.open.add(socket));
     for (const event of ["end", "close"]) socket.once(event, () => this.open.delete(socket));
     socket.on("data", () => {
--- a/packages/gateway/src/forwarding/attemptRoute.ts
+++ b/packages/gateway/src/forwarding/attemptRoute.ts
@@ -5,6 +5,7 @@
  */
 import { destroyIdleSockets, type Timer } from "@gladewall/kernel";
 import { Attempt, AttemptOutcome, type AttemptOptions, type AttemptResult } from "../requests/attempt.js";
+import { containThrows } from "../failures/containedFailures.js";
 import type { Endpoint } from "../endpoints/endpoint.js";
 import type { RequestContext } from "../requests/requestContext.js";
 import { createForwardHeaders, ForwardResult, removeForwardHeaders } from "./forwardingProtocol.js";
@@ -93,7 +94,8 @@
     if (outcome === AttemptOutcome.NotSent && !context.isOver) return paths.check(endpoint);
     if (outcome === AttemptOutcome.NotSent || outcome === AttemptOutcome.Lost) return;
     paths.recordHeard(endpoint);
-    response?.message.on("data", () => paths.recordHeard(endpoint));
+    const recordHeard = containThrows(() => paths.recordHeard(endpoint), context.fail);
+    response?.message.on("data", recordHeard);
   }
 
   close(): void {
@@ -104,11 +106,12 @@
   private checkSilenceAfter(sentAt: number): void {
     const { context, endpoint } = this;
     const { paths, clock } = context.parts;
-    this.timer = clock.startTimer(silenceCheckMs, () => {
+    const checkSilence = (): void => {
       const silentMs = paths.getSilenceMs(endpoint.record.service);
-      if (silentMs >= clock.getTime() - sentAt) void paths.check(endpoint);
+      if (silentMs >= clock.getTime() - sentAt) paths.check(endpoint).catch(context.fail);
       this.checkSilenceAfter(sentAt);
-    });
+    };
+    this.timer = clock.startTimer(silenceCheckMs, containThrows(checkSilence, context.fail));
   }
 }
 
--- a/packages/gateway/src/forwarding/forwardingParts.ts
+++ b/packages/gateway/src/forwarding/forwardingParts.ts
@@ -33,7 +33,7 @@
 
 /** Creates the parts; `getMembers` is called once all parts exist. */
 export function createForwarding(
-  { settings, platform, clock, logger, directory, follower }: GatewayState,
+  { settings, platform, clock, logger, directory, follower, failures }: GatewayState,
   getMembers: () => Members,
   crashes: CrashProtection,
   brittle: BrittleServices,
@@ -79,6 +79,7 @@
       getSharedParts(platform.callers.readHead(headers).unwrapOr({ parts: [] }).parts),
     getSuspectedParts: (service, prompt) => crashes.suspects.getSuspectedParts(service, prompt),
     endChecker,
+    failures,
   });
   return { connections, paths, forwarding, forwardingServer, endChecker };
 }
--- a/packages/gateway/src/forwarding/forwardingServer.ts
+++ b/packages/gateway/src/forwarding/forwardingServer.ts
@@ -13,6 +13,7 @@
   type ServerResponse,
 } from "node:http";
 import { type Clock, type Closeable, getListenAddress, listen, type Logger } from "@gladewall/kernel";
+import { type ContainedFailures, FailurePlace } from "../failures/containedFailures.js";
 import { Attempt, AttemptOutcome } from "../requests/attempt.js";
 import type { InFlightRequest } from "../crashes/inFlightRequest.js";
 import { createSubject } from "../crashes/requestFingerprint.js";
@@ -21,7 +22,7 @@
 import type { EndpointDirectory } from "../endpoints/endpointDirectory.js";
 import { readRequestBody } from "../requests/requestBody.js";
 import type { EndChecker } from "../responses/endChecker.js";
-import { endConsequences, formatEnd, ResponseEnd } from "../responses/responseEnd.js";
+import { type EndedResponse, endConsequences, formatEnd, ResponseEnd } from "../responses/responseEnd.js";
 import { copyResponseHeaders } from "../responses/responseHeaders.js";
 import { ExecutionStatus, type ResponseHead } from "../types.js";
 import {
@@ -56,6 +57,7 @@
   /** Records that a request was interrupted at an endpoint; resolves once it is known whether the endpoint has crashed. */
   readonly recordInterruption: (endpoint: Endpoint, request: InFlightRequest) => Promise<unknown>;
   readonly endChecker: EndChecker;
+  readonly failures: ContainedFailures;
   /** Returns the ids of the parts of a prompt that other requests may share. */
   readonly readSharedParts: (headers: IncomingHttpHeaders) => readonly string[];
   /** Returns those of a prompt's parts that are suspected. */
@@ -123,13 +125,30 @@
     this.server.closeAllConnections();
   }
 
+  /** Never rejects: what fails on an attempt's way ends that attempt. */
   private async handle(message: IncomingMessage, response: ServerResponse): Promise<void> {
     message.on("error", () => undefined);
     response.on("error", () => undefined);
     this.openCount += 1;
+    try {
+      await this.serveAndLog(message, response);
+    } catch (error) {
+      this.fail(message, response, error);
+    } finally {
+      this.openCount -= 1;
+    }
+  }
+
+  /** Ends an attempt after a failure of this instance itself; the sender can't know whether it ran. */
+  private fail({ headers }: IncomingMessage, response: ServerResponse, error: unknown): void {
+    const { sender, endpoint } = readForwardHeaders(headers);
+    this.options.failures.record(FailurePlace.ForwardedAttempt, error, { from: sender, life: endpoint });
+    response.destroy();
+  }
+
+  private async serveAndLog(message: IncomingMessage, response: ServerResponse): Promise<void> {
     const startedAt = this.options.clock.getTime();
     const result = await this.serve(message, response);
-    this.openCount -= 1;
     const { endpoint, sender } = readForwardHeaders(message.headers);
     this.options.logger.info("forwarding.received", {
       from: sender,
@@ -172,35 +191,52 @@
     message: IncomingMessage,
     response: ServerResponse,
   ): Promise<ForwardResult> {
-    const { connections, connectTimeoutMs, paths, recordInterruption, endChecker } = this.options;
+    const { endChecker } = this.options;
     const inFlight = this.createInFlight(request, endpoint, message);
+    const fail = (error: unknown): void => this.fail(message, response, error);
     if (inFlight) endpoint.inFlight.add(inFlight);
-    const attempt = Attempt.create({
+    try {
+      const attempt = this.startAttempt({ request, endpoint }, message, fail);
+      abortWithResponse(attempt, response);
+      const { outcome, response: received } = await attempt.result;
+      const check = (end: EndedResponse): Promise<EndedResponse> => endChecker.check(endpoint, end);
+      const ended = received && (await returnResponse(received, response, { check, fail }));
+      this.logEnd(endpoint, ended);
+      const isInterrupted = received
+        ? ended !== undefined && endConsequences[ended.end].isFailure
+        : outcome === AttemptOutcome.Lost && !response.destroyed;
+      if (inFlight) endpoint.inFlight.delete(inFlight);
+      // The sender retries after the reply, so that the next endpoint is chosen once the crash is known.
+      if (inFlight && isInterrupted) await this.options.recordInterruption(endpoint, inFlight);
+      return received ? ForwardResult.Answered : await this.handleNoResponse(endpoint, outcome);
+    } finally {
+      if (inFlight) endpoint.inFlight.delete(inFlight);
+    }
+  }
+
+  private startAttempt(
+    { request, endpoint }: AcceptedRequest,
+    { rawHeaders }: IncomingMessage,
+    onFailure: (error: unknown) => void,
+  ): Attempt {
+    const { connections, connectTimeoutMs, paths } = this.options;
+    return Attempt.create({
       pool: connections.get(endpoint),
       protocol: { readResponseHead: () => uninterpretedHead },
       requestId: "",
       method: request.method,
       target: request.target,
-      headers: copyResponseHeaders(message.rawHeaders),
+      headers: copyResponseHeaders(rawHeaders),
       body: request.body,
       connectTimeoutMs,
       onHead: () => paths.recordHeard(endpoint),
+      onFailure,
     });
-    response.on("close", () => {
-      if (!response.writableFinished) attempt.abort("sender gone");
-    });
-    const { outcome, response: received } = await attempt.result;
-    const ended =
-      received && (await returnResponse(received, response, (end) => endChecker.check(endpoint, end)));
-    if (ended && ended.end !== ResponseEnd.Complete)
-      this.options.logger.info("forwarding.ended", { life: endpoint.incarnation, ...formatEnd(ended) });
-    const isInterrupted = received
-      ? ended !== undefined && endConsequences[ended.end].isFailure
-      : outcome === AttemptOutcome.Lost && !response.destroyed;
-    if (inFlight) endpoint.inFlight.delete(inFlight);
-    // The sender retries after the reply, so that the next endpoint is chosen once the crash is known.
-    if (inFlight && isInterrupted) await recordInterruption(endpoint, inFlight);
-    return received ? ForwardResult.Answered : this.handleNoResponse(endpoint, outcome);
+  }
+
+  private logEnd({ incarnation }: Endpoint, ended: EndedResponse | undefined): void {
+    if (!ended || ended.end === ResponseEnd.Complete) return;
+    this.options.logger.info("forwarding.ended", { life: incarnation, ...formatEnd(ended) });
   }
 
   /** Returns what identifies a request; undefined if its sender does not state the workspace. */
@@ -229,3 +265,12 @@
     return paths.isDirect(endpoint) ? ForwardResult.Unreachable : ForwardResult.CutOff;
   }
 }
+
+/** Aborts an attempt as soon as nobody waits for its response any more. */
+function abortWithResponse(attempt: Attempt, response: ServerResponse): void {
+  const abort = (): void => {
+    if (!response.writableFinished) attempt.abort("sender gone");
+  };
+  if (response.destroyed) abort();
+  else response.on("close", abort);
+}
--- a/packages/gateway/src/forwarding/responseReturn.ts
+++ b/packages/gateway/src/forwarding/responseReturn.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { ServerResponse } from "node:http";
+import { containThrows } from "../failures/containedFailures.js";
 import {
   type EndedResponse,
   endConsequences,
@@ -19,24 +20,33 @@
 
 const statusBadGateway = 502;
 
+/** What a response is returned with. */
+export interface ReturnOptions {
+  /** Looks for evidence on the response's end. */
+  readonly check: (ended: EndedResponse) => Promise<EndedResponse>;
+  /** Ends the attempt after a failure of this instance itself. */
+  readonly fail: (error: unknown) => void;
+}
+
 /**
  * Returns a response; one that was broken off is aborted, so that it does not look complete. Resolves with how it ended at the endpoint;
- * undefined if the sender is gone. `check` looks for evidence on its end. Never rejects.
+ * undefined if the sender is gone. Rejects only if this instance itself fails.
  */
 export function returnResponse(
   received: EndpointResponse,
   response: ServerResponse,
-  check: (ended: EndedResponse) => Promise<EndedResponse>,
+  { check, fail }: ReturnOptions,
 ): Promise<EndedResponse | undefined> {
   const { message } = received;
   if (response.destroyed) return Promise.resolve(undefined);
   writeHead(received, response);
   return new Promise((resolve) => {
-    message.on("data", (part: Buffer) => {
+    const write = (part: Buffer): void => {
       if (response.write(part)) return;
       message.pause();
       response.once("drain", () => message.resume());
-    });
+    };
+    message.on("data", containThrows(write, fail));
     let hasEnded = false;
     const finish = async (): Promise<void> => {
       if (hasEnded) return;
@@ -47,8 +57,8 @@
       if (endConsequences[ended.end].isFailure) response.destroy();
       else response.end();
     };
-    message.on("end", () => void finish());
-    message.on("close", () => void finish());
+    message.on("end", () => void finish().catch(fail));
+    message.on("close", () => void finish().catch(fail));
     response.on("close", () => {
       message.destroy();
       // After the end this has no effect, because a promise settles only once.
--- a/packages/gateway/src/gatewayMetrics.ts
+++ b/packages/gateway/src/gatewayMetrics.ts
@@ -187,6 +187,12 @@
     this.registry.getCounter("gladewall_endpoint_ends_total", help, { service }).add();
   }
 
+  /** Counts a failure of this instance itself that ended one request or message. */
+  countContainedFailure(place: string): void {
+    const help = "Failures of the gateway itself that ended one request or message.";
+    this.registry.getCounter("gladewall_contained_failures_total", help, { place }).add();
+  }
+
   /** Counts a connection that was closed unread, because this instance is handed more than it can serve. */
   countShedConnection(): void {
     this.registry
--- a/packages/gateway/src/gatewayParts.ts
+++ b/packages/gateway/src/gatewayParts.ts
@@ -6,6 +6,7 @@
 import type { Clock, Logger } from "@gladewall/kernel";
 import type { Admission } from "./limits/admission.js";
 import type { Endpoint, PeerWork } from "./endpoints/endpoint.js";
+import { ContainedFailures } from "./failures/containedFailures.js";
 import type { EndpointConnections } from "./endpoints/endpointConnections.js";
 import { EndpointDirectory } from "./endpoints/endpointDirectory.js";
 import type { BrittleServices } from "./brittle/brittleServices.js";
@@ -88,6 +89,8 @@
   readonly platform: PlatformAdapter;
   readonly clock: Clock;
   readonly logger: Logger;
+  /** Failures of this instance itself that ended one request or message. */
+  readonly failures: ContainedFailures;
 }
 
 /** The parts that hold the state of the platform and the counts that are shared with other instances. */
@@ -173,7 +176,9 @@
   logger: Logger,
   createSlotScheduler = createServiceSlotScheduler,
 ): GatewayParts {
-  const base = { settings, platform, clock, logger };
+  const metrics = GatewayMetrics.create(settings.listen.metrics);
+  const failures = ContainedFailures.create({ logger, metrics });
+  const base: GatewayBase = { settings, platform, clock, logger, failures };
   const items: GatewayItems = createItems(
     base,
     () => members,
@@ -188,7 +193,6 @@
   );
   const { time, follower, directory, usage, counters, rates } = state;
   const reporter: UsageReporter = createReporter(state, items, (key) => members.items.get(key));
-  const metrics = GatewayMetrics.create(settings.listen.metrics);
   const history = createVersionHistory(state);
   const admission: Admission = createAdmission(state, createOrders(state, metrics), () => members);
   const members: Members = createMembers(state, reporter, {
@@ -215,10 +219,7 @@
   const forwardingParts: ForwardingParts = createForwarding(state, () => members, crashes, brittle);
   const proofRequests: ProofRequests = ProofRequests.create(members.links, follower, Math.random);
   return {
-    settings,
-    platform,
-    clock,
-    logger,
+    ...base,
     follower,
     directory,
     ...forwardingParts,
@@ -384,6 +385,7 @@
     memory: state.memory,
     usage,
     time,
+    failures: state.failures,
     configuration: follower,
     endpoints: directory.follower,
     endpointPrefix: platform.endpointPrefix,
--- a/packages/gateway/src/members.ts
+++ b/packages/gateway/src/members.ts
@@ -10,6 +10,7 @@
 import { getIncarnationKey, LinkMessageKind, type PeerIdentity, PeerLinks } from "@gladewall/coordination";
 import { type Closeable, waitFor } from "@gladewall/kernel";
 import { Arbiters, type ArbitersOptions } from "./limits/arbiters.js";
+import { type ContainedFailures, FailurePlace } from "./failures/containedFailures.js";
 import type { PeerWork } from "./endpoints/endpoint.js";
 import type { ConfigurationFollower } from "./configurationFollower.js";
 import type { ForwardingPeer } from "./forwarding/forwardingPeers.js";
@@ -60,6 +61,7 @@
   readonly rates: PrefillRates;
   readonly memory: PrefixIndex;
   readonly usage: UsageCounts;
+  readonly failures: ContainedFailures;
   readonly time: DisciplinedClock;
   readonly configuration: ConfigurationFollower;
   /** Follower of the endpoints' records, and their prefix. */
@@ -128,6 +130,7 @@
       lossTimeoutMs: lostAfterMs,
       maxPersistentLinks: largestMesh,
       getRandom: Math.random,
+      onFailure: (error, peer) => options.failures.record(FailurePlace.PeerMessage, error, { peer }),
       getPingFields: () => ({ time: options.time.get(), uptime: Math.round(options.counters.getUptime()) }),
     });
     const isLinked = (peer: string): boolean => this.links.isLinked(peer);
--- a/packages/gateway/src/requests/activeRequest.ts
+++ b/packages/gateway/src/requests/activeRequest.ts
@@ -7,6 +7,7 @@
  */
 import { Failure, FailureCode } from "@gladewall/kernel";
 import type { RequestOutcome, ActiveRequestParts, ActiveRequestInput } from "./activeRequestTypes.js";
+import { containThrows, FailurePlace } from "../failures/containedFailures.js";
 import { AttemptStage } from "./attemptStage.js";
 import { PermitStage } from "./permitStage.js";
 import type { Placement } from "../placement/placer.js";
@@ -30,6 +31,7 @@
     this.placementStage = PlacementStage.create(context);
     this.permitStage = PermitStage.create(context);
     this.attemptStage = AttemptStage.create(context);
+    context.fail = (error) => this.fail(error);
   }
 
   static create(parts: ActiveRequestParts, request: ActiveRequestInput): ActiveRequest {
@@ -41,19 +43,29 @@
     const { context } = this;
     const { clock, budget } = context.parts;
     const { response, service } = context.request;
-    const handleClose = (): void => this.handleCallerGone();
+    const handleClose = containThrows(() => this.handleCallerGone(), context.fail);
     response.on("close", handleClose);
-    const timer = clock.startTimer(context.getTimeLeft(), () => this.abort());
-    budget.countRequest(service.name);
-    let next = NextStep.Retry;
-    while (next === NextStep.Retry && !context.isOver) next = await this.attemptOnce();
-    if (next === NextStep.Fail && !context.isOver) this.respondWithFailure(this.createFinalFailure());
+    const abort = containThrows(() => this.abort(), context.fail);
+    const timer = clock.startTimer(context.getTimeLeft(), abort);
+    try {
+      budget.countRequest(service.name);
+      await this.attemptUntilDone();
+    } catch (error) {
+      this.fail(error);
+    }
     context.isOver = true;
     timer.cancel();
     response.off("close", handleClose);
     return this.outcome ?? context.createOutcome(response.statusCode, undefined);
   }
 
+  private async attemptUntilDone(): Promise<void> {
+    const { context } = this;
+    let next = NextStep.Retry;
+    while (next === NextStep.Retry && !context.isOver) next = await this.attemptOnce();
+    if (next === NextStep.Fail && !context.isOver) this.respondWithFailure(this.createFinalFailure());
+  }
+
   private async attemptOnce(): Promise<NextStep> {
     const { context } = this;
     if (!context.isServable())
@@ -63,11 +75,13 @@
     if (!this.permitStage.isAttemptWorthwhile()) return NextStep.Fail;
     const queued = await this.queueStage.acquireSlot();
     if (queued !== NextStep.Retry) return queued;
-    const next = await this.placeAndSend();
-    this.queueStage.release();
-    context.trial?.end();
-    context.trial = undefined;
-    return next;
+    try {
+      return await this.placeAndSend();
+    } finally {
+      this.queueStage.release();
+      context.trial?.end();
+      context.trial = undefined;
+    }
   }
 
   private async placeAndSend(): Promise<NextStep> {
@@ -134,6 +148,23 @@
     this.respondWithFailure(failure);
   }
 
+  /** Ends the request after a failure of this instance itself, which tells nothing about what has run. */
+  private fail(error: unknown): void {
+    const { context } = this;
+    const { admitted, head, response } = context.request;
+    const fields = { request: head.id, route: admitted.route.name };
+    context.parts.failures.record(FailurePlace.Request, error, fields);
+    context.isOver = true;
+    context.queueing?.abort();
+    context.attempt?.abort("the gateway failed");
+    if (response.writableEnded || response.destroyed) return;
+    try {
+      this.respondWithFailure(Failure.create(FailureCode.GatewayFailed));
+    } catch {
+      response.destroy();
+    }
+  }
+
   private handleCallerGone(): void {
     const { context } = this;
     if (context.isOver || context.request.response.writableFinished) return;
--- a/packages/gateway/src/requests/activeRequestTypes.ts
+++ b/packages/gateway/src/requests/activeRequestTypes.ts
@@ -40,6 +40,7 @@
   | "metrics"
   | "connectTimeoutMs"
   | "countRun"
+  | "failures"
   | "announcePlacement"
   | "getTimeOfDay";
 
--- a/packages/gateway/src/requests/attempt.ts
+++ b/packages/gateway/src/requests/attempt.ts
@@ -6,6 +6,7 @@
  */
 import { type ClientRequest, type IncomingMessage, request } from "node:http";
 import { onConnected } from "@gladewall/kernel";
+import { containThrows } from "../failures/containedFailures.js";
 import type { EndpointPool } from "../endpoints/endpointConnections.js";
 import { ForwardResult, readFraming, readResult } from "../forwarding/forwardingProtocol.js";
 import { type BodyFraming, type EndpointResponse, getBodyFraming } from "../responses/responseEnd.js";
@@ -54,6 +55,8 @@
   readonly onConnect?: () => void;
   /** Called as soon as the response head is received, even if the result is no longer awaited. */
   readonly onHead: (head: ResponseHead, status: number) => void;
+  /** Called if this instance itself fails on what it received; the attempt is then to be aborted. */
+  readonly onFailure: (error: unknown) => void;
 }
 
 const outcomesByStatus: Readonly<Record<ExecutionStatus, AttemptOutcome>> = {
@@ -112,7 +115,10 @@
     });
     sent.on("error", (error) => this.fail(error.message));
     sent.on("close", () => this.fail("closed"));
-    sent.on("response", (response) => this.handleResponse(response));
+    sent.on(
+      "response",
+      containThrows((response) => this.handleResponse(response), this.options.onFailure),
+    );
     sent.end(body.length > 0 ? body : undefined);
     return sent;
   }
@@ -123,6 +129,8 @@
   }
 
   private handleResponse(response: IncomingMessage): void {
+    // The reader of the body handles its errors, but an `error` event without a listener would end the process.
+    response.on("error", () => undefined);
     const { protocol, requestId, onHead, isForwarded = false } = this.options;
     const fault = findHeadFault(response);
     if (fault !== undefined) return this.refuseHead(response, fault);
@@ -133,8 +141,6 @@
     const head = protocol.readResponseHead(requestId, status, response.headers);
     const outcome = outcomesByStatus[head.executionStatus];
     onHead(head, status);
-    // The reader of the body handles its errors, but an `error` event without a listener would end the process.
-    response.on("error", () => undefined);
     if (outcome === AttemptOutcome.Answered) {
       const received = { message: response, framing: this.getFraming(response) };
       this.resolveResult({ outcome, detail: `status ${status}`, response: received, forwarded });
@@ -147,7 +153,6 @@
 
   /** Ends the attempt because what came back is no response: nothing in it is believed, and its connection is not used again. */
   private refuseHead(response: IncomingMessage, fault: HeadFault): void {
-    response.on("error", () => undefined);
     const detail = formatHeadFault(fault, response);
     this.resolveResult({ outcome: AttemptOutcome.Lost, detail, response: undefined, fault });
     this.abort(detail);
@@ -162,7 +167,6 @@
 
   /** Only a peer's own statement shows that a request which was passed on did not reach the endpoint. */
   private handleNotForwarded(response: IncomingMessage, forwarded: ForwardResult | undefined): void {
-    response.on("error", () => undefined);
     response.resume();
     const isLost = forwarded === undefined || forwarded === ForwardResult.Lost;
     const outcome = isLost ? AttemptOutcome.Lost : AttemptOutcome.NotSent;
--- a/packages/gateway/src/requests/attemptStage.ts
+++ b/packages/gateway/src/requests/attemptStage.ts
@@ -74,12 +74,15 @@
       if (isPending) endpoint.pendingTokens -= pending;
       isPending = false;
     };
-    const next = await this.send(placement, route, clearPending);
-    route.close();
-    clearPending();
-    endpoint.recordEnded();
-    endpoint.inFlight.delete(context);
-    return next;
+    try {
+      return await this.send(placement, route, clearPending);
+    } finally {
+      context.isAttemptPending = false;
+      route.close();
+      clearPending();
+      endpoint.recordEnded();
+      endpoint.inFlight.delete(context);
+    }
   }
 
   /** Fails a request to an endpoint that neither this instance nor a peer reaches. */
@@ -119,6 +122,7 @@
       await recorded;
       return this.handleNoResponse(endpoint, route, result, beganAt);
     }
+    recorded.catch(context.fail);
     context.history.recordRun();
     const { kind } = context.request.admitted.route;
     if (kind === RouteKind.Stream && isEventStream(result.response)) {
@@ -174,7 +178,7 @@
     const sentAt = context.parts.clock.getTime();
     const onHead = (responseHead: ResponseHead, status: number): void =>
       this.handleResponseHead(endpoint, responseHead, { requestId: head.id, status, sentAt });
-    return { ...base, method, target, headers, body, onHead };
+    return { ...base, method, target, headers, body, onHead, onFailure: context.fail };
   }
 
   /** Records what an endpoint reports about itself, whatever becomes of the request. */
@@ -321,6 +325,6 @@
     const { trial } = context;
     if (!trial || !checked) return;
     context.trial = undefined;
-    void checked.then(() => trial.end());
+    void checked.then(() => trial.end()).catch(context.fail);
   }
 }
--- a/packages/gateway/src/requests/requestContext.ts
+++ b/packages/gateway/src/requests/requestContext.ts
@@ -65,6 +65,8 @@
   /** Ends the wait for a slot; undefined while the request does not wait for one. */
   queueing: AbortController | undefined;
   firstEventMs: number | undefined;
+  /** Ends the request after a failure of this instance itself. */
+  fail: (error: unknown) => void = () => undefined;
   permitRefusals = 0;
   /** Attempts that peers did not pass on. */
   notForwarded = 0;
--- a/packages/gateway/src/requests/requestServer.ts
+++ b/packages/gateway/src/requests/requestServer.ts
@@ -6,6 +6,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { Failure, FailureCode, waitFor } from "@gladewall/kernel";
 import { Err, Ok, type Result } from "ts-results-es";
+import { FailurePlace } from "../failures/containedFailures.js";
 import type { AdmittedRequest } from "../limits/admission.js";
 import { BodyFraming, ResponseEnd } from "../responses/responseEnd.js";
 import { writeProblemResponse } from "../responses/responseWriter.js";
@@ -65,20 +66,41 @@
     for (const activeRequest of this.activeRequests) activeRequest.abort();
   }
 
-  /** Serves one request until its final response. */
+  /** Serves one request until its final response. Never rejects: what fails on a request's way ends that request. */
   async handle(message: IncomingMessage, response: ServerResponse): Promise<void> {
-    const arrivedAt = this.options.parts.clock.getTime();
     this.openCount += 1;
     // Broken connections are handled where responses are written, but an `error` event without a listener would throw.
     message.on("error", () => undefined);
     response.on("error", () => undefined);
+    try {
+      await this.serveOrRefuse(message, response);
+    } catch (error) {
+      this.fail(message, response, error);
+    } finally {
+      this.openCount -= 1;
+    }
+  }
+
+  private async serveOrRefuse(message: IncomingMessage, response: ServerResponse): Promise<void> {
+    const arrivedAt = this.options.parts.clock.getTime();
     const head = this.options.parts.platform.callers.readHead(message.headers);
     const failure = head.isErr() ? head.error : await this.serve(message, response, head.value, arrivedAt);
-    this.openCount -= 1;
     if (!failure) return;
     this.refuse(message, response, head.isOk() ? head.value.id : undefined, failure);
   }
 
+  /** Ends a request after a failure of this instance itself, before or after it was active. */
+  private fail({ url, socket }: IncomingMessage, response: ServerResponse, error: unknown): void {
+    this.options.parts.failures.record(FailurePlace.Request, error, { target: url });
+    if (response.writableEnded) return;
+    if (response.headersSent) return void response.destroy();
+    try {
+      writeProblemResponse(response, Failure.create(FailureCode.GatewayFailed), [], true);
+    } catch {
+      socket.destroy();
+    }
+  }
+
   /** Serves a request; returns the failure if it was refused before it became active. */
   private async serve(
     message: IncomingMessage,
@@ -119,8 +141,7 @@
     };
     const activeRequest = ActiveRequest.create(this.activeRequestParts, request);
     this.activeRequests.add(activeRequest);
-    const end = await activeRequest.run();
-    this.activeRequests.delete(activeRequest);
+    const end = await activeRequest.run().finally(() => this.activeRequests.delete(activeRequest));
     if (charge.value) this.options.parts.charges.settle(charge.value, end.runs);
     this.recordOutcome(admitted.value, head, service, end, arrivedAt);
     return undefined;
--- a/packages/gateway/src/responses/relayStage.ts
+++ b/packages/gateway/src/responses/relayStage.ts
@@ -3,6 +3,7 @@
  * @module
  */
 import { Failure, FailureCode } from "@gladewall/kernel";
+import { containThrows } from "../failures/containedFailures.js";
 import type { Endpoint } from "../endpoints/endpoint.js";
 import { getOrigin, type StreamOrigin } from "../origins/streamOrigin.js";
 import type { Placement } from "../placement/placer.js";
@@ -106,7 +107,7 @@
       context.countUsageOnce(getTimeOfDay());
       placer.memory.recordProcessed(head.parts, endpoint.incarnation);
     };
-    const received = await relay.relay(stream.response, onFirst);
+    const received = await relay.relay(stream.response, onFirst, context.fail);
     if (context.isOver) return NextStep.Done;
     const ended = await this.checkEnd(endpoint, received);
     // It has run, even if it was broken off before its first event.
@@ -177,7 +178,9 @@
   /** Ends the trial once events have been streaming for a while: a request that crashes endpoints does so at its start. */
   private scheduleTrialEnd(): void {
     const { trial, parts } = this.context;
-    if (trial) parts.clock.startTimer(trialSurvivalMs, () => trial.end());
+    if (!trial) return;
+    const end = containThrows(() => trial.end(), this.context.fail);
+    parts.clock.startTimer(trialSurvivalMs, end);
   }
 
   /** Records the engine's prefill rate; only a prompt that is read from the start, with none queued before it, shows it. */
--- a/packages/gateway/src/responses/streamRelay.ts
+++ b/packages/gateway/src/responses/streamRelay.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { ServerResponse } from "node:http";
+import { containThrows } from "../failures/containedFailures.js";
 import { EventSplitter, removeByteOrderMark } from "./eventSplitter.js";
 import { type EndedResponse, endConsequences, type EndpointResponse, readEnd } from "./responseEnd.js";
 import { isHeaderValue } from "./responseHead.js";
@@ -57,14 +58,21 @@
     return isComplete || (mayClose && this.response.headersSent && !isFramed(this.response));
   }
 
-  /** Forwards one endpoint's stream until it ends. Calls `onFirst` before the first event is forwarded. Never rejects. */
-  relay(received: EndpointResponse, onFirst: () => void): Promise<EndedResponse> {
+  /**
+   * Forwards one endpoint's stream until it ends. Calls `onFirst` before the first event is forwarded, and `fail` if this instance itself
+   * fails. Never rejects.
+   */
+  relay(
+    received: EndpointResponse,
+    onFirst: () => void,
+    fail: (error: unknown) => void,
+  ): Promise<EndedResponse> {
     const { message } = received;
     this.lastId = this.lastEventId;
     this.splitter = EventSplitter.create(this.isResumable);
     let isFirst = true;
     return new Promise((resolve) => {
-      message.on("data", (bytes: Buffer) => {
+      const forward = (bytes: Buffer): void => {
         const whole = this.splitter.add(bytes);
         if (whole.length === 0) return;
         const isContinued = isFirst && this.response.headersSent;
@@ -72,7 +80,8 @@
         isFirst = false;
         this.endsWithoutId = this.splitter.endsWithoutId;
         this.write(received, isContinued ? removeByteOrderMark(whole) : whole);
-      });
+      };
+      message.on("data", containThrows(forward, fail));
       const finish = (): void => resolve(readEnd(received, this.splitter.unfinishedBytes));
       message.on("end", finish);
       // After "end" this has no effect, because a promise settles only once.
--- a/packages/gateway/test/attempt.test.ts
+++ b/packages/gateway/test/attempt.test.ts
@@ -32,6 +32,9 @@
     body: Buffer.from("body"),
     connectTimeoutMs: 1_000,
     onHead: () => undefined,
+    onFailure: (error) => {
+      throw error;
+    },
   });
 }
 
--- a/packages/gateway/test/framing.test.ts
+++ b/packages/gateway/test/framing.test.ts
@@ -59,6 +59,7 @@
         body: Buffer.alloc(0),
         connectTimeoutMs: 1_000,
         onHead: () => undefined,
+        onFailure: () => undefined,
       });
       const { response } = await attempt.result;
       response?.message.resume();
--- a/packages/kernel/src/failures.ts
+++ b/packages/kernel/src/failures.ts
@@ -85,6 +85,7 @@
   OperatorUnauthorized = 6003,
   ExplanationForgotten = 6004,
   Internal = 9001,
+  GatewayFailed = 9002,
 }
 
 /** Definition of one failure code. `text` may contain `{name}` placeholders. */
@@ -299,6 +300,7 @@
     "nothing is remembered about {subject}; it is unknown or was forgotten",
   ),
   [FailureCode.Internal]: define(500, unknown, "an internal fault: {detail}"),
+  [FailureCode.GatewayFailed]: define(502, unknown, "the gateway failed while it served the request"),
 };
 
 /** Values for the `{name}` placeholders of a failure's text. */
