Read the body of a refusal up to a bound, then close its connection

Cause: Attempt called resume() on what it did not want, and nothing ended that.

discardBody reads 16 KiB or 200 ms of it, so that the connection of a short refusal is used again, and closes the connection beyond.

The test hangs on its first case with resume() in place, and passes now: refusals without end, refusals that stop in the middle, and a short one whose connection is used again.

--- a/packages/gateway/src/requests/attempt.ts
+++ b/packages/gateway/src/requests/attempt.ts
@@ -6,6 +6,7 @@
  */
 import { type ClientRequest, type IncomingMessage, request } from "node:http";
 import { onConnected } from "@gladewall/kernel";
+import { discardBody, refusalBounds } from "../bodies/discardBody.js";
 import { containThrows } from "../failures/containedFailures.js";
 import type { EndpointPool } from "../endpoints/endpointConnections.js";
 import { ForwardResult, readFraming, readResult } from "../forwarding/forwardingProtocol.js";
@@ -147,7 +148,7 @@
       return;
     }
     if (outcome === AttemptOutcome.Lost) this.abort("mismatched response");
-    else response.resume();
+    else discardBody(response, refusalBounds);
     this.resolveResult({ outcome, detail: `status ${status}`, response: undefined, forwarded });
   }
 
@@ -167,7 +168,7 @@
 
   /** Only a peer's own statement shows that a request which was passed on did not reach the endpoint. */
   private handleNotForwarded(response: IncomingMessage, forwarded: ForwardResult | undefined): void {
-    response.resume();
+    discardBody(response, refusalBounds);
     const isLost = forwarded === undefined || forwarded === ForwardResult.Lost;
     const outcome = isLost ? AttemptOutcome.Lost : AttemptOutcome.NotSent;
     const detail = forwarded === undefined ? "unknown peer response" : ForwardResult[forwarded];
