End an attempt whose endpoint sends interim responses without end

Cause: nobody counted interim responses; the parser reads each.

Attempt ends after 64 of them: the request may have run, and counts as broken off.

The test fails before (504 at the route's timeout, not 502) and passes now; 20 of them before a whole response do no harm.

--- a/packages/gateway/src/requests/attempt.ts
+++ b/packages/gateway/src/requests/attempt.ts
@@ -60,6 +60,9 @@
   readonly onFailure: (error: unknown) => void;
 }
 
+/** Interim responses to one request; an endpoint that works for long sends some, one that fails may send them without end. */
+const maxInterimResponses = 64;
+
 const outcomesByStatus: Readonly<Record<ExecutionStatus, AttemptOutcome>> = {
   [ExecutionStatus.Ran]: AttemptOutcome.Answered,
   [ExecutionStatus.NotRun]: AttemptOutcome.NotRun,
@@ -73,6 +76,7 @@
   readonly result: Promise<AttemptResult>;
   private readonly sent: ClientRequest;
   private isConnected = false;
+  private interimResponses = 0;
   private resolveResult: (result: AttemptResult) => void = () => undefined;
 
   private constructor(private readonly options: AttemptOptions) {
@@ -116,6 +120,7 @@
     });
     sent.on("error", (error) => this.fail(error.message));
     sent.on("close", () => this.fail("closed"));
+    sent.on("information", () => this.countInterim());
     sent.on(
       "response",
       containThrows((response) => this.handleResponse(response), this.options.onFailure),
@@ -124,6 +129,11 @@
     return sent;
   }
 
+  private countInterim(): void {
+    this.interimResponses += 1;
+    if (this.interimResponses > maxInterimResponses) this.abort("too many interim responses");
+  }
+
   private fail(detail: string): void {
     const outcome = this.isConnected ? AttemptOutcome.Lost : AttemptOutcome.NotSent;
     this.resolveResult({ outcome, detail, response: undefined });
--- a/packages/gateway/test/invalidHeads.test.ts
+++ b/packages/gateway/test/invalidHeads.test.ts
@@ -9,7 +9,9 @@
   PathFault,
   respondSuccess,
   type ScriptedEndpoint,
+  waitUntil,
 } from "@gladewall/standins";
+import type { Socket } from "node:net";
 import t from "tap";
 import { oncePath, resumablePath, startCutOffFleet, streamPath } from "./cutOffFleet.js";
 
@@ -100,3 +102,27 @@
   for (const [change, fault] of faults) t.equal(findHeadFault({ ...head, ...change }), fault);
   t.end();
 });
+
+// Guards the processor against interim responses without end: the other requests' p99 rose from 118 to 821 ms.
+t.test("interim responses without end end the attempt, a few do not", async (t) => {
+  const { endpoints, call } = await startCutOffFleet(t, 1, 2);
+  const interim = "HTTP/1.1 102 Processing\r\n\r\n";
+  let pouring: Socket | undefined;
+  const pour = (socket: Socket): void => {
+    while (socket.write(interim.repeat(100)));
+    if (!socket.destroyed) socket.once("drain", () => pour(socket));
+  };
+  for (const endpoint of endpoints) {
+    endpoint.script = (received) => {
+      if (pouring) {
+        received.socket.write(interim.repeat(20));
+        return respondSuccess(received);
+      }
+      pouring = received.socket;
+      pour(pouring);
+    };
+  }
+  t.equal((await call(0, oncePath)).status, 502);
+  await waitUntil(() => pouring!.destroyed);
+  t.equal((await call(0, oncePath)).status, 200);
+});
