Bound what the bodies of all requests take, and what is read of refused ones

Seen by the review: 64 uploads of 4 MB at once took 577 MB, of a machine's 350. One request's body was bounded, their sum was not, and each was copied once more when it was complete. A refused upload without end was read until the connection's timeout.

The account of held bytes now holds requests too, 64 MiB: a body of more than 64 KiB is read once there is room for it, in the order of arrival, and is received into one buffer of its length. Until then its connection is not read, so that the caller is held up and nothing else is. What follows a refusal is read up to 8 MiB or 15 s. An attempt of a peer ends some time after its deadline, also if the peer falls silent.

Result: 40 uploads of 4 MB, half of them in chunks, are served within the limit and 64 KiB for each; callers that leave give their room away; the order is kept. The end of a silent peer's attempt has no test (it is two minutes late).

--- a/packages/gateway/src/bodies/heldBytes.ts
+++ b/packages/gateway/src/bodies/heldBytes.ts
@@ -3,9 +3,17 @@
  * @module
  */
 
+/** A body that is read once there is room for it. */
+interface Reservation {
+  readonly share: HeldShare;
+  readonly bytes: number;
+  readonly resolve: () => void;
+}
+
 /** The bytes of all bodies of one kind. */
 export class HeldBytes {
   private readonly shares = new Set<HeldShare>();
+  private readonly waiting: Reservation[] = [];
   private total = 0;
 
   private constructor(readonly limit: number) {}
@@ -36,10 +44,32 @@
     return false;
   }
 
+  /** Resolves once a share holds as many bytes; in the order of the calls. */
+  reserve(share: HeldShare, bytes: number): Promise<void> {
+    return new Promise((resolve) => {
+      this.waiting.push({ share, bytes, resolve });
+      this.admitWaiting();
+    });
+  }
+
   close(share: HeldShare): void {
     this.total -= share.bytes;
     share.bytes = 0;
     this.shares.delete(share);
+    this.admitWaiting();
+  }
+
+  /** Admits those that fit; one that is larger than the limit is admitted alone. */
+  private admitWaiting(): void {
+    for (let first = this.waiting[0]; first; first = this.waiting[0]) {
+      const { share, bytes, resolve } = first;
+      const isOpen = this.shares.has(share);
+      const others = this.total - share.bytes;
+      if (isOpen && others > 0 && others + bytes > this.limit) return;
+      this.waiting.shift();
+      if (isOpen) this.set(share, bytes);
+      resolve();
+    }
   }
 
   private findLargest(): HeldShare | undefined {
@@ -70,6 +100,11 @@
     return this.owner.set(this, bytes);
   }
 
+  /** Resolves once there is room for as many bytes, which then count as held. */
+  reserve(bytes: number): Promise<void> {
+    return this.owner.reserve(this, bytes);
+  }
+
   /** Asks the holder, once, to hold no more. */
   giveWay(): void {
     const { onGiveWay } = this;
--- a/packages/gateway/src/forwarding/forwardingParts.ts
+++ b/packages/gateway/src/forwarding/forwardingParts.ts
@@ -33,7 +33,7 @@
 
 /** Creates the parts; `getMembers` is called once all parts exist. */
 export function createForwarding(
-  { settings, platform, clock, logger, directory, follower, failures, linkPace }: GatewayState,
+  { settings, platform, clock, logger, directory, follower, failures, linkPace, heldRequests }: GatewayState,
   getMembers: () => Members,
   crashes: CrashProtection,
   brittle: BrittleServices,
@@ -75,12 +75,15 @@
     canServe: () => canServe({ follower, directory, members: getMembers() }),
     getMaxBodyBytes: () => follower.getTable()?.configuration.limits.maxBodyBytes ?? 0,
     recordInterruption: createInterruptionRecorder(crashes, brittle),
+    readDeadlineMs: (headers) =>
+      platform.callers.readHead(headers).unwrapOr({ deadlineMs: undefined }).deadlineMs,
     readSharedParts: (headers) =>
       getSharedParts(platform.callers.readHead(headers).unwrapOr({ parts: [] }).parts),
     getSuspectedParts: (service, prompt) => crashes.suspects.getSuspectedParts(service, prompt),
     endChecker,
     failures,
     linkPace,
+    heldRequests,
   });
   return { connections, paths, forwarding, forwardingServer, endChecker };
 }
--- a/packages/gateway/src/forwarding/forwardingServer.ts
+++ b/packages/gateway/src/forwarding/forwardingServer.ts
@@ -20,6 +20,8 @@
 import type { Endpoint } from "../endpoints/endpoint.js";
 import type { EndpointConnections } from "../endpoints/endpointConnections.js";
 import type { EndpointDirectory } from "../endpoints/endpointDirectory.js";
+import { discardBody, requestBounds } from "../bodies/discardBody.js";
+import type { HeldBytes } from "../bodies/heldBytes.js";
 import type { LinkPace } from "../bodies/linkPace.js";
 import { readRequestBody } from "../bodies/requestBody.js";
 import type { EndChecker } from "../responses/endChecker.js";
@@ -60,6 +62,10 @@
   readonly endChecker: EndChecker;
   readonly failures: ContainedFailures;
   readonly linkPace: LinkPace;
+  /** The bytes of all requests' bodies that are held. */
+  readonly heldRequests: HeldBytes;
+  /** Returns the milliseconds after which a request is given up; undefined if its headers state none. */
+  readonly readDeadlineMs: (headers: IncomingHttpHeaders) => number | undefined;
   /** Returns the ids of the parts of a prompt that other requests may share. */
   readonly readSharedParts: (headers: IncomingHttpHeaders) => readonly string[];
   /** Returns those of a prompt's parts that are suspected. */
@@ -78,6 +84,8 @@
 /** Callers' headers may have half of this; the rest is for those of the exchange. */
 const maxHeaderBytes = 65_536;
 const statusBadGateway = 502;
+/** Time after its deadline for which a response may go on that only its caller delays. */
+const deadlineMarginMs = 120_000;
 
 /** Whatever the response is, the sender evaluates its head. */
 const uninterpretedHead: ResponseHead = {
@@ -163,22 +171,31 @@
   }
 
   private async serve(message: IncomingMessage, response: ServerResponse): Promise<ForwardResult> {
-    const accepted = await this.accept(message);
-    const result = typeof accepted === "object" ? await this.passOn(accepted, message, response) : accepted;
+    const result = await this.readAndPassOn(message, response);
     if (result === ForwardResult.Answered || response.headersSent || response.destroyed) return result;
     response.writeHead(statusBadGateway, [...createResultHeader(result), "Content-Length", "0"]);
     response.end();
-    message.resume();
+    discardBody(message, requestBounds);
     return result;
   }
 
-  /** Reads a request and checks whether it may be passed on; returns the reason if it may not. */
-  private async accept(message: IncomingMessage): Promise<AcceptedRequest | ForwardResult> {
-    const { ownName, secret, directory, paths, maxOpen, canServe, getMaxBodyBytes } = this.options;
-    const body = await readRequestBody(message, getMaxBodyBytes());
+  private async readAndPassOn(message: IncomingMessage, response: ServerResponse): Promise<ForwardResult> {
+    const { getMaxBodyBytes, heldRequests: held } = this.options;
+    const body = await readRequestBody(message, { limit: getMaxBodyBytes(), held });
     if (body.isErr()) return ForwardResult.Refused;
+    try {
+      const accepted = this.accept(message, body.value.bytes);
+      return typeof accepted === "object" ? await this.passOn(accepted, message, response) : accepted;
+    } finally {
+      body.value.release();
+    }
+  }
+
+  /** Checks whether a request may be passed on; returns the reason if it may not. */
+  private accept(message: IncomingMessage, body: Buffer): AcceptedRequest | ForwardResult {
+    const { ownName, secret, directory, paths, maxOpen, canServe } = this.options;
     const { method = "", url: target = "", headers } = message;
-    const request = { method, target, ...readForwardHeaders(headers), receiver: ownName, body: body.value };
+    const request = { method, target, ...readForwardHeaders(headers), receiver: ownName, body };
     if (!isAuthentic(secret, headers, request)) return ForwardResult.Refused;
     if (this.isStopped || !canServe()) return ForwardResult.NotReady;
     if (this.openCount > maxOpen) return ForwardResult.Busy;
@@ -202,6 +219,7 @@
     try {
       const attempt = this.startAttempt({ request, endpoint }, message, fail);
       abortWithResponse(attempt, response);
+      this.abortAtDeadline(attempt, message, response);
       const { outcome, response: received } = await attempt.result;
       const check = (end: EndedResponse): Promise<EndedResponse> => endChecker.check(endpoint, end);
       const ended = received && (await returnResponse(received, response, { check, fail, clock, pace }));
@@ -238,6 +256,15 @@
     });
   }
 
+  /** Ends an attempt whose sender has given it up, even if its end of the connection is never heard. */
+  private abortAtDeadline(attempt: Attempt, { headers }: IncomingMessage, response: ServerResponse): void {
+    const { clock, readDeadlineMs } = this.options;
+    const deadlineMs = readDeadlineMs(headers);
+    if (deadlineMs === undefined) return;
+    const timer = clock.startTimer(deadlineMs + deadlineMarginMs, () => attempt.abort("deadline"));
+    response.once("close", () => timer.cancel());
+  }
+
   private logEnd({ incarnation }: Endpoint, ended: EndedResponse | undefined): void {
     if (!ended || ended.end === ResponseEnd.Complete) return;
     this.options.logger.info("forwarding.ended", { life: incarnation, ...formatEnd(ended) });
--- a/packages/gateway/src/gatewayParts.ts
+++ b/packages/gateway/src/gatewayParts.ts
@@ -74,8 +74,9 @@
 // Outside the prefix that all instances watch, because each change under that prefix costs a call of every
 // instance.
 const usageCheckpointKey = "gladewall-usage-draft";
-/** Bytes of endpoints' responses that are held at once; a machine has 350 MB. */
+/** Bytes of endpoints' responses, and of callers' requests, that are held at once; a machine has 350 MB. */
 const maxHeldResponseBytes = 33_554_432;
+const maxHeldRequestBytes = 67_108_864;
 const demandWindowMs = 4_000;
 
 /** Longer than a reader takes to begin to feed an instance that has just been listed. */
@@ -114,6 +115,7 @@
   readonly demand: DemandEstimator;
   readonly overload: OverloadSwitch;
   readonly linkPace: LinkPace;
+  readonly heldRequests: HeldBytes;
 }
 
 /** All parts of an instance. */
@@ -160,6 +162,8 @@
   readonly metrics: GatewayMetrics;
   /** The bytes of endpoints' responses that are held. */
   readonly heldResponses: HeldBytes;
+  /** The bytes of callers' requests that are held. */
+  readonly heldRequests: HeldBytes;
   /** The rate at which long bodies are read. */
   readonly linkPace: LinkPace;
   readonly leaderTasks: LeaderTasks;
@@ -249,6 +253,7 @@
     metrics,
     heldResponses: HeldBytes.create(maxHeldResponseBytes),
     linkPace: state.linkPace,
+    heldRequests: state.heldRequests,
     leaderTasks: createLeaderTasks(state, members, reporter, items.leases),
     settling: items.settling,
     connectTimeoutMs: settings.endpoints.connect_timeout,
@@ -332,6 +337,7 @@
     memory: PrefixIndex.create(),
     overload: OverloadSwitch.create(settings.overload.mode),
     linkPace: LinkPace.create(clock),
+    heldRequests: HeldBytes.create(maxHeldRequestBytes),
     demand: DemandEstimator.create({
       clock,
       counters,
--- a/packages/gateway/src/requests/requestServer.ts
+++ b/packages/gateway/src/requests/requestServer.ts
@@ -11,9 +11,10 @@
 import { BodyFraming, ResponseEnd } from "../responses/responseEnd.js";
 import { writeProblemResponse } from "../responses/responseWriter.js";
 import { ActiveRequest } from "./activeRequest.js";
-import type { RequestOutcome, ActiveRequestParts } from "./activeRequestTypes.js";
+import type { ActiveRequestInput, RequestOutcome, ActiveRequestParts } from "./activeRequestTypes.js";
 import { canServe, type GatewayParts } from "../gatewayParts.js";
 import type { RequestCharge } from "../limits/quotaCharges.js";
+import { discardBody, requestBounds } from "../bodies/discardBody.js";
 import { readRequestBody } from "../bodies/requestBody.js";
 import { getTimeLimit } from "./requestContext.js";
 import { type CallerRequestHead, RouteKind, type Service } from "../types.js";
@@ -27,6 +28,9 @@
   readonly getLeavingSince: () => number | undefined;
 }
 
+/** A request that was admitted and has been received completely. */
+type ReceivedRequest = Omit<ActiveRequestInput, "service" | "origin" | "charge">;
+
 const leavingRetryAfterMs = 200;
 /** Interval at which a starting instance checks whether it can serve held requests. */
 const startPollMs = 10;
@@ -112,13 +116,21 @@
     if (this.isStarting) await this.waitForStart(message);
     const admitted = this.options.parts.admission.admit(message.headers.host ?? "", message.url ?? "/", head);
     if (admitted.isErr()) return admitted.error;
-    const { route, table } = admitted.value;
+    const { table } = admitted.value;
     if (this.mayOutlastLeaving(admitted.value)) return createLeavingRefusal();
-    const body = await readRequestBody(message, table.configuration.limits.maxBodyBytes);
+    const { heldRequests: held } = this.options.parts;
+    const body = await readRequestBody(message, { limit: table.configuration.limits.maxBodyBytes, held });
     if (body.isErr()) return body.error;
+    const arrival = { admitted: admitted.value, message, response, head, body: body.value.bytes, arrivedAt };
+    return this.serveAdmitted(arrival).finally(body.value.release);
+  }
+
+  /** Serves a request whose body has been received; returns the failure if it was refused before it became active. */
+  private async serveAdmitted(arrival: ReceivedRequest): Promise<Failure | undefined> {
+    const { admitted, response, head, arrivedAt } = arrival;
+    const { route, table, workspace } = admitted;
     // The instance may have stopped while the body was received.
     if (this.isStopped) return createLeavingRefusal();
-    const { workspace } = admitted.value;
     const chosen = await this.options.parts.takeUps.choose({ route, head, workspace: workspace?.name ?? "" });
     if (chosen.isErr()) return chosen.error;
     // Either may have come about while peers were called for the stream's origin.
@@ -126,24 +138,14 @@
     if (response.destroyed) return Failure.create(FailureCode.CallerGone);
     const service = table.findService(chosen.value.service);
     if (!service) return Failure.create(FailureCode.NoEndpoint, { service: route.name }, leavingRetryAfterMs);
-    const charge = await this.charge(admitted.value, head, response, arrivedAt);
+    const charge = await this.charge(admitted, head, response, arrivedAt);
     if (charge.isErr()) return charge.error;
-    const request = {
-      admitted: admitted.value,
-      service,
-      head,
-      message,
-      response,
-      body: body.value,
-      origin: chosen.value.origin,
-      arrivedAt,
-      charge: charge.value,
-    };
+    const request = { ...arrival, service, origin: chosen.value.origin, charge: charge.value };
     const activeRequest = ActiveRequest.create(this.activeRequestParts, request);
     this.activeRequests.add(activeRequest);
     const end = await activeRequest.run().finally(() => this.activeRequests.delete(activeRequest));
     if (charge.value) this.options.parts.charges.settle(charge.value, end.runs);
-    this.recordOutcome(admitted.value, head, service, end, arrivedAt);
+    this.recordOutcome(admitted, head, service, end, arrivedAt);
     return undefined;
   }
 
@@ -245,7 +247,7 @@
     // request.
     const closes = this.options.getLeavingSince() !== undefined || failure.code === FailureCode.BodyTooLarge;
     writeProblemResponse(response, failure, gatewayHeaders, closes);
-    message.resume();
+    discardBody(message, requestBounds);
   }
 }
 
--- /dev/null
+++ b/packages/gateway/test/requestBodies.test.ts
@@ -0,0 +1,123 @@
+/*
+ * Guards the memory of an instance against many long uploads at once: 64 of 4 MB took 577 MB. The next is read once there is room.
+ */
+import { request } from "node:http";
+import { connect } from "node:net";
+import { HeldBytes } from "@gladewall/gateway";
+import {
+  type BenchInstance,
+  createRoute,
+  GatewayTestBench,
+  respondSuccess,
+  ScriptedEndpoint,
+  waitUntil,
+} from "@gladewall/standins";
+import t, { type Test } from "tap";
+
+const megabyte = 1_048_576;
+const bodyBytes = 4 * megabyte;
+const body = Buffer.alloc(bodyBytes, "upload");
+
+async function startInstance(t: Pick<Test, "teardown">) {
+  const bench = GatewayTestBench.create();
+  const endpoint = await ScriptedEndpoint.create("e0");
+  const limits = {
+    maxHeaderBytes: 16_384,
+    maxBodyBytes: bodyBytes,
+    headerTimeoutMs: 30_000,
+    idleTimeoutMs: 30_000,
+  };
+  bench.platform.configure({ routes: [createRoute({ timeoutMs: 30_000 })], limits });
+  bench.platform.putEndpoint({ id: endpoint.id, address: endpoint.address, slots: 500 });
+  const instance = await bench.startReady(1);
+  t.teardown(async () => {
+    await bench.close();
+    await endpoint.close();
+  });
+  const { parts } = instance.gateway as unknown as { parts: { heldRequests: HeldBytes } };
+  return { endpoint, instance, held: parts.heldRequests };
+}
+
+/** Uploads a body; resolves with the status, or 0 if the connection is closed before. */
+function upload({ settings }: BenchInstance, id: string, isChunked: boolean) {
+  const [host, port] = settings.listen.callers.split(":");
+  const frame = isChunked ? { "transfer-encoding": "chunked" } : { "content-length": bodyBytes };
+  const headers = { host: "app.test", "x-id": id, ...frame };
+  const sent = request({ host, port, method: "POST", path: "/", headers });
+  const status = new Promise<number>((resolve) => {
+    sent.on("error", () => resolve(0));
+    sent.on("response", (response) => {
+      response.resume();
+      response.on("end", () => resolve(response.statusCode ?? 0));
+    });
+  });
+  sent.end(body);
+  return { sent, status };
+}
+
+t.test("uploads beyond what may be held wait for room, and all are served", async (t) => {
+  const { endpoint, instance, held } = await startInstance(t);
+  let mostHeld = 0;
+  const timer = setInterval(() => (mostHeld = Math.max(mostHeld, held.held)), 1);
+  endpoint.script = (call) => {
+    t.equal(call.body.length, bodyBytes);
+    mostHeld = Math.max(mostHeld, held.held);
+    setImmediate(() => respondSuccess(call));
+  };
+  const uploads = Array.from({ length: 40 }, (_, index) => upload(instance, `u${index}`, index % 2 === 0));
+  for (const { status } of uploads) t.equal(await status, 200);
+  clearInterval(timer);
+  t.ok(mostHeld > 4 * bodyBytes && mostHeld <= held.limit + 40 * 65_536, `${mostHeld} bytes held`);
+  await waitUntil(() => held.held === 0);
+});
+
+t.test("callers that leave give their room to others", async (t) => {
+  const { endpoint, instance, held } = await startInstance(t);
+  endpoint.script = () => undefined;
+  const uploads = Array.from({ length: 32 }, (_, index) => upload(instance, `l${index}`, index % 2 === 0));
+  await waitUntil(() => held.held > held.limit - bodyBytes);
+  for (const { sent } of uploads) sent.destroy();
+  await Promise.all(uploads.map(({ status }) => status));
+  await waitUntil(() => held.held === 0);
+  endpoint.script = respondSuccess;
+  t.equal(await upload(instance, "last", false).status, 200);
+});
+
+t.test("room is given in the order of the reservations, to one beyond the limit alone", async (t) => {
+  const held = HeldBytes.create(100);
+  const [first, second, third, small] = [held.open(), held.open(), held.open(), held.open()];
+  const admitted: string[] = [];
+  await first.reserve(60);
+  const waiting = [
+    second.reserve(150).then(() => admitted.push("second")),
+    third.reserve(50).then(() => admitted.push("third")),
+    small.reserve(10).then(() => admitted.push("small")),
+  ];
+  await new Promise((resolve) => setImmediate(resolve));
+  t.same(admitted, [], "none passes the first that waits");
+  first.close();
+  await waiting[0];
+  t.same(admitted, ["second"]);
+  second.close();
+  await Promise.all(waiting);
+  t.same(admitted, ["second", "third", "small"]);
+  t.equal(held.held, 60);
+});
+
+t.test("a refused upload without end is not read for ever", async (t) => {
+  const { instance } = await startInstance(t);
+  const [host, port] = instance.settings.listen.callers.split(":");
+  const socket = connect(Number(port), host);
+  const chunk = `10000\r\n${"x".repeat(0x10000)}\r\n`;
+  let received = "";
+  socket.on("data", (data) => (received += data.toString()));
+  socket.on("error", () => undefined);
+  const closed = new Promise<void>((resolve) => socket.on("close", resolve));
+  const pour = (): void => {
+    while (!socket.destroyed) if (!socket.write(chunk)) return void socket.once("drain", pour);
+  };
+  socket.write("POST / HTTP/1.1\r\nHost: unknown.test\r\nx-id: e\r\nTransfer-Encoding: chunked\r\n\r\n");
+  pour();
+  await closed;
+  t.match(received, /^HTTP\/1.1 404 /);
+});
