--- a/scripts/mutants.mjs
+++ b/scripts/mutants.mjs
@@ -16,6 +16,7 @@
 const { runKillSoak } = await importTest("killSoak");
 const { runVersionSoak } = await importTest("versionSoak");
 const { runPartSoak } = await importTest("partSoak");
+const { runByteSoak } = await importTest("byteSoak");
 
 /** Runs the soak of the retry budget, whose only violation is an exceeded budget. */
 async function runBudgetSoak(options) {
@@ -60,8 +61,43 @@
   return { violations: [...violations, ...tooFew] };
 }
 
+/** Runs the soak of drawn bytes; a fault of the daemon itself is thrown by the fleet, and counts as a violation. */
+async function runSpoilingSoak(options) {
+  try {
+    return await runByteSoak({ ...options, instances: 4, spoiltEvery: 10, spoilingEndpoints: 6 });
+  } catch (error) {
+    return { violations: [String(error)] };
+  }
+}
+
 /** The guards: for each the soak, the source file, and pairs of a text in that file and its replacement without the guard. */
 const guards = [
+  {
+    name: "response-heads",
+    runSoak: runSpoilingSoak,
+    file: `${gateway}requests/attempt.ts`,
+    edits: [
+      ["const fault = findHeadFault(response);", "const fault = findHeadFault(response) && undefined;"],
+    ],
+  },
+  {
+    name: "discarded-bodies",
+    runSoak: runSpoilingSoak,
+    file: `${gateway}requests/attempt.ts`,
+    edits: [["else discardBody(response, refusalBounds);", "else response.resume();"]],
+  },
+  {
+    name: "held-bodies",
+    runSoak: runSpoilingSoak,
+    file: `${gateway}bodies/bodyReader.ts`,
+    edits: [["if (this.heldCost > maxHeldBodyBytes) this.share.giveWay();", "this.share.close();"]],
+  },
+  {
+    name: "held-events",
+    runSoak: runSpoilingSoak,
+    file: `${gateway}responses/eventSplitter.ts`,
+    edits: [["this.rest.length > maxHeldBytes && this.openEnd === undefined", "false"]],
+  },
   {
     name: "once-only-requests",
     runSoak: runResponseSoak,
