--- a/packages/gateway/src/bodies/heldBytes.ts
+++ b/packages/gateway/src/bodies/heldBytes.ts
@@ -30,7 +30,7 @@
 
   /** Opens the share of one body. `giveWay` is called if the body is the largest one while there are too many bytes. */
   open(giveWay?: () => void): HeldShare {
-    const share = new HeldShare(this, giveWay);
+    const share = HeldShare.create(this, giveWay);
     this.shares.add(share);
     return share;
   }
@@ -85,12 +85,16 @@
 export class HeldShare {
   bytes = 0;
 
-  /** Created by `HeldBytes.open`. */
-  constructor(
+  private constructor(
     private readonly owner: HeldBytes,
     private onGiveWay: (() => void) | undefined,
   ) {}
 
+  /** Use `HeldBytes.open`, which counts the share. */
+  static create(owner: HeldBytes, onGiveWay: (() => void) | undefined): HeldShare {
+    return new HeldShare(owner, onGiveWay);
+  }
+
   get canGiveWay(): boolean {
     return this.onGiveWay !== undefined;
   }
--- a/packages/gateway/src/bodies/linkPace.ts
+++ b/packages/gateway/src/bodies/linkPace.ts
@@ -35,10 +35,14 @@
   private bytes: number;
   private filledAt = -Infinity;
 
-  constructor(private readonly burstBytes: number) {
+  private constructor(private readonly burstBytes: number) {
     this.bytes = burstBytes;
   }
 
+  static create(burstBytes: number): Level {
+    return new Level(burstBytes);
+  }
+
   /** Takes bytes at a time; returns the milliseconds until there are some again. */
   take(bytes: number, time: number, bytesPerMs: number): number {
     const filled = Math.min(this.burstBytes, this.bytes + (time - this.filledAt) * bytesPerMs);
@@ -51,8 +55,8 @@
 /** The rate of long bodies. */
 export class LinkPace {
   private readonly levels: Readonly<Record<BodyExtent, Level>> = {
-    [BodyExtent.Stated]: new Level(allowances[BodyExtent.Stated].burstBytes),
-    [BodyExtent.Open]: new Level(allowances[BodyExtent.Open].burstBytes),
+    [BodyExtent.Stated]: Level.create(allowances[BodyExtent.Stated].burstBytes),
+    [BodyExtent.Open]: Level.create(allowances[BodyExtent.Open].burstBytes),
   };
   private requests = 0;
   private bodies = 0;
