End the request, not the process, when resuming the reading of a body fails

Cause: ReadGate resumes a body from an event of the caller's connection and after a pause. What throws there came out of an event without a catcher, or was a rejection that nobody handled; either ends the process with all requests that it has open. No such throw was seen: it is the last of the paths of one request that was not contained.

Change: both go through containThrows, as the other listeners of a request do.

--- a/packages/gateway/src/bodies/bodyReader.ts
+++ b/packages/gateway/src/bodies/bodyReader.ts
@@ -85,7 +85,7 @@
     const { message } = this.response;
     const { fail, clock, pace } = this.options;
     const mayWait = (bytes: number): boolean => this.share.set(bytes) && bytes <= maxBacklogBytes;
-    const gate = ReadGate.create(message, caller, { clock, pace, mayWait });
+    const gate = ReadGate.create(message, caller, { clock, pace, mayWait, fail });
     this.gate = gate;
     return new Promise((resolve) => {
       const forward = containThrows((part: Buffer) => {
--- a/packages/gateway/src/bodies/readGate.ts
+++ b/packages/gateway/src/bodies/readGate.ts
@@ -4,7 +4,8 @@
  * @module
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { type Clock, waitFor } from "@gladewall/kernel";
+import type { Clock } from "@gladewall/kernel";
+import { containThrows } from "../failures/containedFailures.js";
 import { BodyExtent, type LinkPace } from "./linkPace.js";
 
 /** Options of a gate. */
@@ -13,6 +14,8 @@
   readonly pace: LinkPace;
   /** Decides whether as many bytes as are given may wait for the receiver; those that the connection buffers if omitted. */
   readonly mayWait?: (backlogBytes: number) => boolean;
+  /** Ends the request after a failure of this instance itself. */
+  readonly fail: (error: unknown) => void;
 }
 
 /** Bytes of each body that are read without regard to the pace. */
@@ -79,11 +82,12 @@
     if (mayWait || backlog <= minBacklogBytes || this.isBehind) return;
     this.isBehind = true;
     this.pause();
-    receiver.once("drain", () => {
+    const handleDrain = (): void => {
       this.isBehind = false;
       options.mayWait?.(0);
       this.resume();
-    });
+    };
+    receiver.once("drain", containThrows(handleDrain, options.fail));
   }
 
   private beginLong(): void {
@@ -93,15 +97,16 @@
   }
 
   private limitPace(bytes: number): void {
-    const { pace, clock } = this.options;
+    const { pace, clock, fail } = this.options;
     const pauseMs = pace.take(this.extent, bytes);
     if (pauseMs < minPauseMs || this.isPaced) return;
     this.isPaced = true;
     this.pause();
-    void waitFor(clock, pauseMs).then(() => {
+    const handlePause = (): void => {
       this.isPaced = false;
       this.resume();
-    });
+    };
+    clock.startTimer(pauseMs, containThrows(handlePause, fail));
   }
 
   private pause(): void {
--- a/packages/gateway/src/forwarding/responseReturn.ts
+++ b/packages/gateway/src/forwarding/responseReturn.ts
@@ -22,11 +22,9 @@
 const statusBadGateway = 502;
 
 /** What a response is returned with. */
-export interface ReturnOptions extends Pick<ReadGateOptions, "clock" | "pace"> {
+export interface ReturnOptions extends Pick<ReadGateOptions, "clock" | "pace" | "fail"> {
   /** Looks for evidence on the response's end. */
   readonly check: (ended: EndedResponse) => Promise<EndedResponse>;
-  /** Ends the attempt after a failure of this instance itself. */
-  readonly fail: (error: unknown) => void;
 }
 
 /**
@@ -41,7 +39,7 @@
   const { message } = received;
   if (response.destroyed) return Promise.resolve(undefined);
   writeHead(received, response);
-  const gate = ReadGate.create(message, response, { clock, pace });
+  const gate = ReadGate.create(message, response, { clock, pace, fail });
   return new Promise((resolve) => {
     const write = (part: Buffer): void => {
       response.write(part);
--- a/packages/gateway/src/responses/streamRelay.ts
+++ b/packages/gateway/src/responses/streamRelay.ts
@@ -78,7 +78,7 @@
     const { message } = received;
     this.lastId = this.lastEventId;
     this.splitter = EventSplitter.create(this.options.isResumable);
-    const gate = ReadGate.create(message, this.response, this.options);
+    const gate = ReadGate.create(message, this.response, { ...this.options, fail });
     let isFirst = true;
     return new Promise((resolve) => {
       const receive = (bytes: Buffer): void => {
