Pause the connection, not only its parser, while a body is not read

Each body that was paused cost some 16,000 buffers, and what a caller had not taken counted by its bytes, though a part of one byte takes a kilobyte in the connection's buffer.

Cause: IncomingMessage.pause() stops the delivery, and the parser goes on until it has buffered 16 KiB of payload, which in parts of one byte is a hundred times as much memory.

Change: the connection is paused as well, while the message is incomplete; what waits for a caller counts by the cost of its parts until the caller has taken all.

--- a/packages/gateway/src/bodies/bodyReader.ts
+++ b/packages/gateway/src/bodies/bodyReader.ts
@@ -10,7 +10,7 @@
 import { BodyBuffer } from "./bodyBuffer.js";
 import type { HeldBytes, HeldShare } from "./heldBytes.js";
 import type { LinkPace } from "./linkPace.js";
-import { getPartCost, ReadGate } from "./readGate.js";
+import { getPartCost, pauseReading, ReadGate, resumeReading } from "./readGate.js";
 
 /** Options of a reader. */
 export interface BodyReaderOptions {
@@ -71,7 +71,7 @@
       const receive = containThrows((part: Buffer) => this.hold(part), fail);
       const finish = (): void => settle(readEnd(this.response));
       this.stopHolding = () => {
-        message.pause();
+        pauseReading(message);
         settle(undefined);
       };
       message.on("data", receive);
@@ -97,7 +97,7 @@
       message.on("data", ({ length }: Buffer) => (this.receivedBytes += length));
       message.on("end", finish);
       message.on("close", finish);
-      message.resume();
+      resumeReading(message);
       if (message.destroyed) finish();
       else forward(begin);
     });
--- a/packages/gateway/src/bodies/readGate.ts
+++ b/packages/gateway/src/bodies/readGate.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
 import type { Clock } from "@gladewall/kernel";
 import { containThrows } from "../failures/containedFailures.js";
 import { BodyExtent, type LinkPace } from "./linkPace.js";
@@ -35,10 +36,33 @@
   return Math.max(minPartBytes, partBytes);
 }
 
+/**
+ * Pauses the reading of a message until it is resumed, and of its connection: the message alone would let the parser go on until it has
+ * buffered its usual number of bytes, which in parts of one byte each take some hundred times as much memory.
+ */
+export function pauseReading(message: IncomingMessage): void {
+  message.pause();
+  getSocket(message)?.pause();
+}
+
+/** Resumes the reading of a message and of its connection. */
+export function resumeReading(message: IncomingMessage): void {
+  message.resume();
+  getSocket(message)?.resume();
+}
+
+/** Returns the connection of a message; undefined once all of the message has been received, and the connection may be another one's. */
+function getSocket({ complete, socket }: IncomingMessage): Socket | undefined {
+  const owner: Socket | null = socket;
+  return complete ? undefined : (owner ?? undefined);
+}
+
 /** Pauses and resumes the reading of one body. */
 export class ReadGate {
   private readonly extent: BodyExtent;
   private readBytes = 0;
+  /** What has been written since the receiver last had taken all. */
+  private waitingBytes = 0;
   private isLong = false;
   private isBehind = false;
   private isPaced = false;
@@ -62,7 +86,7 @@
   record({ length }: Buffer): void {
     const bytes = getPartCost(length);
     this.readBytes += bytes;
-    this.limitBacklog();
+    this.limitBacklog(bytes);
     if (this.readBytes <= freeBytes) return;
     this.beginLong();
     this.limitPace(bytes);
@@ -75,15 +99,18 @@
     return hasWaited;
   }
 
-  private limitBacklog(): void {
+  private limitBacklog(bytes: number): void {
     const { receiver, options } = this;
-    const backlog = receiver.writableLength;
+    this.waitingBytes = receiver.writableLength === 0 ? 0 : this.waitingBytes + bytes;
+    const backlog = Math.max(receiver.writableLength, this.waitingBytes);
     const mayWait = options.mayWait?.(backlog) ?? false;
-    if (mayWait || backlog <= minBacklogBytes || this.isBehind) return;
+    // Without the need there would be no `drain`.
+    if (mayWait || backlog <= minBacklogBytes || !receiver.writableNeedDrain || this.isBehind) return;
     this.isBehind = true;
     this.pause();
     const handleDrain = (): void => {
       this.isBehind = false;
+      this.waitingBytes = 0;
       options.mayWait?.(0);
       this.resume();
     };
@@ -111,10 +138,10 @@
 
   private pause(): void {
     this.hasWaited = true;
-    this.message.pause();
+    pauseReading(this.message);
   }
 
   private resume(): void {
-    if (!this.isBehind && !this.isPaced) this.message.resume();
+    if (!this.isBehind && !this.isPaced) resumeReading(this.message);
   }
 }
