End the attempt when a long response can't follow a stream that has begun

What happened: a resumable stream breaks off, and the endpoint that should continue it sends a body without end of another type. Its caller is cut, as it should be; the endpoint's connection stayed open, paused, with its slot, for as long as the process ran.

Cause: forwardLong returned without ending the attempt, whose body nobody read any more; the caller's close is no longer listened to by then.

Change: the attempt is aborted.

--- a/packages/gateway/src/responses/relayStage.ts
+++ b/packages/gateway/src/responses/relayStage.ts
@@ -137,7 +137,10 @@
       return this.retryAfterFailure(endpoint, status);
     }
     if (!isFailed) endpoint.recordLatency(time - startedAt, placer.getPace(endpoint, time));
-    if (!beginEndpointResponse(caller, response, isLeaving())) return NextStep.Done;
+    if (!beginEndpointResponse(caller, response, isLeaving())) {
+      context.attempt?.abort("the caller has begun to receive another response");
+      return NextStep.Done;
+    }
     const received = await body.forwardTo(caller, begin);
     if (context.isOver) return NextStep.Done;
     const ended = await this.checkEnd(endpoint, received);
--- a/packages/gateway/test/longBodies.test.ts
+++ b/packages/gateway/test/longBodies.test.ts
@@ -12,13 +12,15 @@
   connectAndTrackEnd,
   type EndpointRequest,
   PathFault,
+  RawEnd,
   RawFraming,
   readCallerEnd,
+  respondRaw,
   respondSuccess,
   waitUntil,
 } from "@gladewall/standins";
 import t from "tap";
-import { oncePath, startCutOffFleet } from "./cutOffFleet.js";
+import { oncePath, resumablePath, startCutOffFleet } from "./cutOffFleet.js";
 
 const framings = [RawFraming.Length, RawFraming.Chunked, RawFraming.Unframed];
 const partBytes = 65_536;
@@ -33,13 +35,14 @@
   readonly wait?: (bytes: number) => Promise<void>;
 }
 
-function createHead(id: string, framing: RawFraming, length: number): string {
+function createHead(id: string, framing: RawFraming, length: number, type?: string): string {
   const frames: Readonly<Record<RawFraming, string>> = {
     [RawFraming.Length]: `Content-Length: ${length}\r\n`,
     [RawFraming.Chunked]: "Transfer-Encoding: chunked\r\n",
     [RawFraming.Unframed]: "",
   };
-  return `HTTP/1.1 200 OK\r\nx-id: ${id}\r\nx-stamp: signed\r\n${frames[framing]}\r\n`;
+  const typeHeader = type === undefined ? "" : `Content-Type: ${type}\r\n`;
+  return `HTTP/1.1 200 OK\r\nx-id: ${id}\r\nx-stamp: signed\r\n${typeHeader}${frames[framing]}\r\n`;
 }
 
 /** Resolves when a connection takes more; false once it is closed. */
@@ -52,11 +55,11 @@
 }
 
 /** Sends a body of some length, without end if it is infinite, no faster than it is read. Returns the bytes that were taken. */
-async function sendBody({ id, socket }: EndpointRequest, framing: RawFraming, length: number) {
+async function sendBody({ id, socket }: EndpointRequest, framing: RawFraming, length: number, type?: string) {
   const sent = { bytes: 0, isClosed: false };
   socket.setMaxListeners(0);
   socket.once("close", () => (sent.isClosed = true));
-  socket.write(createHead(id, framing, length === Infinity ? 999_999_999_999 : length));
+  socket.write(createHead(id, framing, length === Infinity ? 999_999_999_999 : length, type));
   const isChunked = framing === RawFraming.Chunked;
   const frame = (bytes: Buffer): Buffer =>
     isChunked
@@ -220,6 +223,24 @@
   },
 );
 
+t.test("a long response that comes after a stream has begun is ended at its endpoint too", async (t) => {
+  const { bench, endpoints } = await startCutOffFleet(t, 1, 2);
+  const instance = bench.instances[0]!;
+  for (const framing of framings) {
+    let isFirst = true;
+    let sent: Awaited<ReturnType<typeof sendBody>> | undefined;
+    for (const endpoint of endpoints) {
+      endpoint.script = (call) => {
+        if (isFirst) respondRaw(call, { framing, body: "id: 1\ndata: a\n\nid: 2", end: RawEnd.FrameClosed });
+        else void sendBody(call, framing, Infinity, "text/plain").then((one) => (sent = one));
+        isFirst = false;
+      };
+    }
+    t.equal((await readResponse(instance, { path: resumablePath })).end, CallerEnd.Broken);
+    await waitUntil(() => sent?.isClosed === true);
+  }
+});
+
 t.test("the largest body gives way while more bytes are held than may be", (t) => {
   const held = HeldBytes.create(100);
   const given: string[] = [];
