Move the modules of the fleet into a folder of their own

Members, their records and messages, what is known of peers (clocks, uptimes, views of work, silence), broadcasts, roles and readers. Files are moved whole; only import paths change.

--- a/packages/gateway/src/brittle/brittleItems.ts
+++ b/packages/gateway/src/brittle/brittleItems.ts
@@ -7,7 +7,7 @@
 import * as v from "valibot";
 import { decodeItem } from "../store/itemCodec.js";
 import { ItemWriter } from "../store/itemWriter.js";
-import { gatewayPrefix } from "../memberRecords.js";
+import { gatewayPrefix } from "../fleet/memberRecords.js";
 import type { MetadataStore, StoreItem } from "../types.js";
 import type { BrittleServices } from "./brittleServices.js";
 
--- a/packages/gateway/src/brittle/brittleServices.ts
+++ b/packages/gateway/src/brittle/brittleServices.ts
@@ -7,7 +7,7 @@
 import type { Clock, Logger } from "@gladewall/kernel";
 import { getRefusalRecoveryMs } from "@gladewall/policy";
 import type { Endpoint } from "../endpoints/endpoint.js";
-import { FleetBroadcast, type FleetTopology } from "../fleetBroadcast.js";
+import { FleetBroadcast, type FleetTopology } from "../fleet/fleetBroadcast.js";
 
 /** Number of the message; follows that of crash witnesses. */
 const brittleKind = 52;
--- a/packages/gateway/src/crashes/crashGossip.ts
+++ b/packages/gateway/src/crashes/crashGossip.ts
@@ -5,7 +5,7 @@
  */
 import type { PeerIdentity, PeerMessage } from "@gladewall/coordination";
 import type { CrashRecords, CrashUpdate } from "./crashRecords.js";
-import { FleetBroadcast, type FleetTopology } from "../fleetBroadcast.js";
+import { FleetBroadcast, type FleetTopology } from "../fleet/fleetBroadcast.js";
 import {
   type TrialReply,
   type TrialScheduler,
--- a/packages/gateway/src/crashes/crashStore.ts
+++ b/packages/gateway/src/crashes/crashStore.ts
@@ -4,7 +4,7 @@
  */
 import * as v from "valibot";
 import type { CrashRecords, CrashReport } from "./crashRecords.js";
-import { gatewayPrefix } from "../memberRecords.js";
+import { gatewayPrefix } from "../fleet/memberRecords.js";
 import {
   type DurableSubject,
   type QuarantineKind,
--- a/packages/gateway/src/crashes/crashWitnesses.ts
+++ b/packages/gateway/src/crashes/crashWitnesses.ts
@@ -7,7 +7,7 @@
 import type { PeerIdentity, PeerMessage } from "@gladewall/coordination";
 import type { Logger } from "@gladewall/kernel";
 import type { Endpoint } from "../endpoints/endpoint.js";
-import type { FleetTopology } from "../fleetBroadcast.js";
+import type { FleetTopology } from "../fleet/fleetBroadcast.js";
 import type { CrashRecords } from "./crashRecords.js";
 import { ProbeResult } from "./endpointProbe.js";
 
--- a/packages/gateway/src/crashes/parts/partStore.ts
+++ b/packages/gateway/src/crashes/parts/partStore.ts
@@ -5,7 +5,7 @@
 import { createHash } from "node:crypto";
 import * as v from "valibot";
 import type { CrashRecords } from "../crashRecords.js";
-import { gatewayPrefix } from "../../memberRecords.js";
+import { gatewayPrefix } from "../../fleet/memberRecords.js";
 import {
   type DurableSubject,
   QuarantineItems,
--- a/packages/gateway/src/crashes/verdicts.ts
+++ b/packages/gateway/src/crashes/verdicts.ts
@@ -5,7 +5,7 @@
 import type { Failure } from "@gladewall/kernel";
 import { Err, Ok, type Result } from "ts-results-es";
 import * as v from "valibot";
-import { gatewayPrefix } from "../memberRecords.js";
+import { gatewayPrefix } from "../fleet/memberRecords.js";
 import { decodeItem } from "../store/itemCodec.js";
 import type { MetadataStore, StoreItem } from "../types.js";
 import { crashPrefix, crashSchema } from "./crashStore.js";
--- a/packages/gateway/src/endpoints/leavingGossip.ts
+++ b/packages/gateway/src/endpoints/leavingGossip.ts
@@ -5,7 +5,7 @@
  */
 import type { PeerIdentity, PeerMessage } from "@gladewall/coordination";
 import type { EndpointDirectory } from "./endpointDirectory.js";
-import { FleetBroadcast, type FleetTopology } from "../fleetBroadcast.js";
+import { FleetBroadcast, type FleetTopology } from "../fleet/fleetBroadcast.js";
 
 /** Number of the message; follows those of crashed endpoints. */
 const leavingKind = 44;
--- a/packages/gateway/src/fleetWork.ts
+++ b/packages/gateway/src/fleet/fleetWork.ts
@@ -5,13 +5,13 @@
  */
 import { getIncarnationKey, type PeerIdentity } from "@gladewall/coordination";
 import type { Clock } from "@gladewall/kernel";
-import type { PeerWork } from "./endpoints/endpoint.js";
-import { type EndpointWork, subtractWork, sumWork } from "./endpoints/endpointWork.js";
+import type { PeerWork } from "../endpoints/endpoint.js";
+import { type EndpointWork, subtractWork, sumWork } from "../endpoints/endpointWork.js";
 import type { PlacementEntry, PlacementRelayMessage, ReportMessage } from "./memberMessages.js";
 import { PeerWorkViews } from "./peerWorkViews.js";
-import { PlacementRelay } from "./placement/placementRelay.js";
-import type { PrefixReport } from "./placement/prefixIndex.js";
-import { RecentPlacements } from "./placement/recentPlacements.js";
+import { PlacementRelay } from "../placement/placementRelay.js";
+import type { PrefixReport } from "../placement/prefixIndex.js";
+import { RecentPlacements } from "../placement/recentPlacements.js";
 
 /** Options of the fleet's work. */
 export interface FleetWorkOptions {
--- a/packages/gateway/src/memberMessages.ts
+++ b/packages/gateway/src/fleet/memberMessages.ts
@@ -3,13 +3,13 @@
  * @module
  */
 import type { PeerMessage } from "@gladewall/coordination";
-import type { ArbiterCall } from "./limits/arbiters.js";
-import type { EndpointWork } from "./endpoints/endpointWork.js";
-import type { FeedMessage, FeedState } from "./store/feedReplication.js";
-import type { PrefixReport } from "./placement/prefixIndex.js";
-import type { RateReport } from "./prefillRates.js";
-import type { CounterReport, CounterView } from "./sharedCounters.js";
-import type { WindowCounts } from "./usageCounts.js";
+import type { ArbiterCall } from "../limits/arbiters.js";
+import type { EndpointWork } from "../endpoints/endpointWork.js";
+import type { FeedMessage, FeedState } from "../store/feedReplication.js";
+import type { PrefixReport } from "../placement/prefixIndex.js";
+import type { RateReport } from "../prefillRates.js";
+import type { CounterReport, CounterView } from "../sharedCounters.js";
+import type { WindowCounts } from "../usageCounts.js";
 
 /** Message numbers of the messages between members; the links themselves use lower ones. */
 export enum MemberMessageKind {
--- a/packages/gateway/src/memberRecords.ts
+++ b/packages/gateway/src/fleet/memberRecords.ts
@@ -5,11 +5,11 @@
  */
 import type { PeerAddress } from "@gladewall/coordination";
 import { type Clock, type Closeable, FailureCode, type Logger, type Timer, waitFor } from "@gladewall/kernel";
-import type { ForwardingPeer } from "./forwarding/forwardingPeers.js";
-import { decodeItem } from "./store/itemCodec.js";
-import { PrefixFollower, type Removal } from "./store/prefixFollower.js";
+import type { ForwardingPeer } from "../forwarding/forwardingPeers.js";
+import { decodeItem } from "../store/itemCodec.js";
+import { PrefixFollower, type Removal } from "../store/prefixFollower.js";
 import * as v from "valibot";
-import type { MetadataStore, StoreItem } from "./types.js";
+import type { MetadataStore, StoreItem } from "../types.js";
 
 /** Prefix of the keys of the gateway's own items in the store. */
 export const gatewayPrefix = "gladewall/";
--- a/packages/gateway/src/members.ts
+++ b/packages/gateway/src/fleet/members.ts
@@ -9,19 +9,19 @@
  */
 import { getIncarnationKey, LinkMessageKind, type PeerIdentity, PeerLinks } from "@gladewall/coordination";
 import { type Closeable, waitFor } from "@gladewall/kernel";
-import { Arbiters, type ArbitersOptions } from "./limits/arbiters.js";
-import { type ContainedFailures, FailurePlace } from "./failures/containedFailures.js";
-import type { PeerWork } from "./endpoints/endpoint.js";
-import type { ConfigurationFollower } from "./configurationFollower.js";
-import type { ForwardingPeer } from "./forwarding/forwardingPeers.js";
-import type { FeedTimings } from "./store/feedTimings.js";
+import { Arbiters, type ArbitersOptions } from "../limits/arbiters.js";
+import { type ContainedFailures, FailurePlace } from "../failures/containedFailures.js";
+import type { PeerWork } from "../endpoints/endpoint.js";
+import type { ConfigurationFollower } from "../configurationFollower.js";
+import type { ForwardingPeer } from "../forwarding/forwardingPeers.js";
+import type { FeedTimings } from "../store/feedTimings.js";
 import { FleetWork } from "./fleetWork.js";
-import type { FeedMessage, FeedState } from "./store/feedReplication.js";
+import type { FeedMessage, FeedState } from "../store/feedReplication.js";
 import { PeerClocks } from "./peerClocks.js";
 import { type PeerUptime, PeerUptimes } from "./peerUptimes.js";
-import type { PrefixFollower } from "./store/prefixFollower.js";
+import type { PrefixFollower } from "../store/prefixFollower.js";
 import { FleetRoles } from "./fleetRoles.js";
-import { CountHandover } from "./countHandover.js";
+import { CountHandover } from "../countHandover.js";
 import {
   type CountsMessage,
   type FeedReply,
@@ -36,15 +36,15 @@
   type ViewMessage,
 } from "./memberMessages.js";
 import { MemberRecords, type MemberRecordsOptions, gatewayPrefix } from "./memberRecords.js";
-import type { PrefixIndex } from "./placement/prefixIndex.js";
-import type { PrefillRates } from "./prefillRates.js";
+import type { PrefixIndex } from "../placement/prefixIndex.js";
+import type { PrefillRates } from "../prefillRates.js";
 import { ReaderViews } from "./readerViews.js";
-import type { SharedCounters } from "./sharedCounters.js";
+import type { SharedCounters } from "../sharedCounters.js";
 import { SilentPeers } from "./silentPeers.js";
-import { StoreFeed } from "./store/storeFeed.js";
-import type { DisciplinedClock } from "./disciplinedClock.js";
-import type { StoreItem } from "./types.js";
-import type { UsageCounts } from "./usageCounts.js";
+import { StoreFeed } from "../store/storeFeed.js";
+import type { DisciplinedClock } from "../disciplinedClock.js";
+import type { StoreItem } from "../types.js";
+import type { UsageCounts } from "../usageCounts.js";
 
 /** Options of the members, including those of the instance's own record. */
 export interface MembersOptions extends Omit<MemberRecordsOptions, "onChange" | "isLinked"> {
--- a/packages/gateway/src/peerWorkViews.ts
+++ b/packages/gateway/src/fleet/peerWorkViews.ts
@@ -3,7 +3,7 @@
  * @module
  */
 import type { Clock } from "@gladewall/kernel";
-import { type EndpointWork, sumWork } from "./endpoints/endpointWork.js";
+import { type EndpointWork, sumWork } from "../endpoints/endpointWork.js";
 import { reportLifetimeMs } from "./silentPeers.js";
 
 interface PeerView {
--- a/packages/gateway/src/forwarding/forwardingParts.ts
+++ b/packages/gateway/src/forwarding/forwardingParts.ts
@@ -10,7 +10,7 @@
 import { getSharedParts } from "../crashes/parts/sharedParts.js";
 import { canServe, type GatewayParts, type GatewayState } from "../gatewayParts.js";
 import type { GatewaySettings } from "../gatewaySettings.js";
-import type { Members } from "../members.js";
+import type { Members } from "../fleet/members.js";
 import { EndChecker } from "../responses/endChecker.js";
 import { ForwardingPeers } from "./forwardingPeers.js";
 import { ForwardingServer, type ForwardingServerOptions } from "./forwardingServer.js";
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -14,7 +14,7 @@
 export { createStreamKey, encodeOrigin, mayServe, type StreamOrigin } from "./origins/streamOrigin.js";
 export { runGatewayDaemon } from "./daemon.js";
 export { Admission } from "./limits/admission.js";
-export { MemberRecords } from "./memberRecords.js";
+export { MemberRecords } from "./fleet/memberRecords.js";
 export { findHeadFault, HeadFault } from "./responses/responseHead.js";
 export { BodyReader } from "./bodies/bodyReader.js";
 export { LinkPace } from "./bodies/linkPace.js";
@@ -31,7 +31,7 @@
 export { type ArbiterCall, Arbiters } from "./limits/arbiters.js";
 export { BrittleItems } from "./brittle/brittleItems.js";
 export { BrittleServices } from "./brittle/brittleServices.js";
-export { ReaderSelection } from "./readerSelection.js";
+export { ReaderSelection } from "./fleet/readerSelection.js";
 export { Attempt, AttemptOutcome } from "./requests/attempt.js";
 export { ServicePaths } from "./forwarding/servicePaths.js";
 export { ForwardingPeers } from "./forwarding/forwardingPeers.js";
@@ -45,7 +45,7 @@
 export { CapacityOrders } from "./capacityOrders.js";
 export { planCapacity, type CapacityInput, type HallCount } from "./capacityPlan.js";
 export { CountHandover } from "./countHandover.js";
-export { FleetRoles } from "./fleetRoles.js";
+export { FleetRoles } from "./fleet/fleetRoles.js";
 export { ConfigurationFollower, StoreRole } from "./configurationFollower.js";
 export {
   type Clearance,
@@ -74,7 +74,7 @@
 export { EventSplitter } from "./responses/eventSplitter.js";
 export { createFeedTimings } from "./store/feedTimings.js";
 export { FeedReplication } from "./store/feedReplication.js";
-export { FleetWork } from "./fleetWork.js";
+export { FleetWork } from "./fleet/fleetWork.js";
 export { FencedOrders } from "./fencedOrders.js";
 export { CommittedWindows } from "./store/committedWindows.js";
 export { GatewayMetrics } from "./gatewayMetrics.js";
@@ -99,8 +99,8 @@
   QuotaUse,
   GrantDecision,
   type PlacementRelayMessage,
-} from "./memberMessages.js";
-export { PeerClocks } from "./peerClocks.js";
+} from "./fleet/memberMessages.js";
+export { PeerClocks } from "./fleet/peerClocks.js";
 export { PlacementRelay } from "./placement/placementRelay.js";
 export { Placer } from "./placement/placer.js";
 export { PrefixFollower, RemovalCause } from "./store/prefixFollower.js";
@@ -126,11 +126,11 @@
   type RetryLinksOptions,
   RetryMessageKind,
 } from "./limits/retries/retryLinks.js";
-export { type PeerUptime, PeerUptimes } from "./peerUptimes.js";
-export type { FleetTopology } from "./fleetBroadcast.js";
+export { type PeerUptime, PeerUptimes } from "./fleet/peerUptimes.js";
+export type { FleetTopology } from "./fleet/fleetBroadcast.js";
 export { pickWeightedTarget, RouteTable } from "./routeTable.js";
 export { CounterKind, type CounterTotals, SharedCounters } from "./sharedCounters.js";
-export { SilentPeers } from "./silentPeers.js";
+export { SilentPeers } from "./fleet/silentPeers.js";
 export { PlacementStage } from "./placement/placementStage.js";
 export { QueueStage } from "./requests/queueStage.js";
 export { NextStep, type RequestContext } from "./requests/requestContext.js";
--- a/packages/gateway/src/limits/admission.ts
+++ b/packages/gateway/src/limits/admission.ts
@@ -11,7 +11,7 @@
 import { Err, Ok, type Result } from "ts-results-es";
 import type { ConfigurationFollower } from "../configurationFollower.js";
 import { arbiterTakeoverMs, ArbiterTerms } from "./arbiterTerms.js";
-import { type QuotaReply, type QuotaCall, QuotaUse, GrantDecision } from "../memberMessages.js";
+import { type QuotaReply, type QuotaCall, QuotaUse, GrantDecision } from "../fleet/memberMessages.js";
 import { LargestRequests } from "../largestRequests.js";
 import type { LimitOrders } from "./limitOrders.js";
 import { getAllowances, type QuotaAllowances } from "./quotaAllowances.js";
--- a/packages/gateway/src/limits/limitGossip.ts
+++ b/packages/gateway/src/limits/limitGossip.ts
@@ -6,7 +6,7 @@
 import type { PeerIdentity, PeerMessage } from "@gladewall/coordination";
 import type { EndpointDirectory } from "../endpoints/endpointDirectory.js";
 import type { EndpointLimits } from "./endpointLimits.js";
-import { FleetBroadcast, type FleetTopology } from "../fleetBroadcast.js";
+import { FleetBroadcast, type FleetTopology } from "../fleet/fleetBroadcast.js";
 import {
   isPermitCall,
   isPeerLimit,
--- a/packages/gateway/src/limits/limitParts.ts
+++ b/packages/gateway/src/limits/limitParts.ts
@@ -13,7 +13,7 @@
 import type { GatewaySettings } from "../gatewaySettings.js";
 import { LimitGossip } from "./limitGossip.js";
 import { LimitOrders } from "./limitOrders.js";
-import type { Members } from "../members.js";
+import type { Members } from "../fleet/members.js";
 import { PermitClient } from "./permitClient.js";
 import { PermitIssuer } from "./permitIssuer.js";
 import { QuotaCharges } from "./quotaCharges.js";
--- a/packages/gateway/src/limits/quotaCharges.ts
+++ b/packages/gateway/src/limits/quotaCharges.ts
@@ -8,7 +8,7 @@
 import type { Admission, QuotaDemand, QuotaState } from "./admission.js";
 import type { Arbiters } from "./arbiters.js";
 import { type GatewayMetrics, QuotaEvent } from "../gatewayMetrics.js";
-import { createQuotaCall, QuotaUse, GrantDecision } from "../memberMessages.js";
+import { createQuotaCall, QuotaUse, GrantDecision } from "../fleet/memberMessages.js";
 import { CounterKind, type SharedCounters } from "../sharedCounters.js";
 import type { Workspace } from "../types.js";
 
--- a/packages/gateway/src/limits/retries/retryBudget.ts
+++ b/packages/gateway/src/limits/retries/retryBudget.ts
@@ -7,7 +7,7 @@
  * @module
  */
 import type { Clock } from "@gladewall/kernel";
-import { GrantDecision } from "../../memberMessages.js";
+import { GrantDecision } from "../../fleet/memberMessages.js";
 import { CounterKind, type SharedCounters } from "../../sharedCounters.js";
 import type { Arbiters } from "../arbiters.js";
 import { CreditPool, RetryCause } from "./creditPool.js";
--- a/packages/gateway/src/limits/retries/retryLinks.ts
+++ b/packages/gateway/src/limits/retries/retryLinks.ts
@@ -4,9 +4,9 @@
  * @module
  */
 import type { PeerIdentity, PeerMessage } from "@gladewall/coordination";
-import type { FleetTopology } from "../../fleetBroadcast.js";
-import { GrantDecision } from "../../memberMessages.js";
-import type { PeerUptime } from "../../peerUptimes.js";
+import type { FleetTopology } from "../../fleet/fleetBroadcast.js";
+import { GrantDecision } from "../../fleet/memberMessages.js";
+import type { PeerUptime } from "../../fleet/peerUptimes.js";
 import type { ArbiterCall } from "../arbiters.js";
 import { RetryCause } from "./creditPool.js";
 import type { CreditBatch } from "./retryCredits.js";
--- a/packages/gateway/src/origins/originParts.ts
+++ b/packages/gateway/src/origins/originParts.ts
@@ -4,7 +4,7 @@
  */
 import type { GatewayMetrics } from "../gatewayMetrics.js";
 import type { GatewayState } from "../gatewayParts.js";
-import type { Members } from "../members.js";
+import type { Members } from "../fleet/members.js";
 import type { Route } from "../types.js";
 import { OriginArchive } from "./originArchive.js";
 import { OriginGossip } from "./originGossip.js";
--- a/packages/gateway/src/placement/placementRelay.ts
+++ b/packages/gateway/src/placement/placementRelay.ts
@@ -8,7 +8,11 @@
  * @module
  */
 import { type Clock, type Timer } from "@gladewall/kernel";
-import { MemberMessageKind, type PlacementEntry, type PlacementRelayMessage } from "../memberMessages.js";
+import {
+  MemberMessageKind,
+  type PlacementEntry,
+  type PlacementRelayMessage,
+} from "../fleet/memberMessages.js";
 import type { PrefixReport } from "./prefixIndex.js";
 
 /** Options of the relay. */
--- a/packages/gateway/src/placement/recentPlacements.ts
+++ b/packages/gateway/src/placement/recentPlacements.ts
@@ -3,7 +3,7 @@
  * @module
  */
 import type { EndpointWork } from "../endpoints/endpointWork.js";
-import type { PlacementEntry } from "../memberMessages.js";
+import type { PlacementEntry } from "../fleet/memberMessages.js";
 
 interface NumberedPlacement {
   readonly number: number;
--- a/packages/gateway/src/sharedCounters.ts
+++ b/packages/gateway/src/sharedCounters.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import type { Clock } from "@gladewall/kernel";
-import { GrantDecision } from "./memberMessages.js";
+import { GrantDecision } from "./fleet/memberMessages.js";
 import { LeakyBucket } from "./limits/leakyBucket.js";
 import { SlidingWindow } from "./slidingWindow.js";
 
--- a/packages/gateway/src/slots/slotArbiter.ts
+++ b/packages/gateway/src/slots/slotArbiter.ts
@@ -8,7 +8,7 @@
 import type { SlotEndpoint, SlotScheduler } from "@gladewall/policy";
 import type { Endpoint } from "../endpoints/endpoint.js";
 import type { EndpointDirectory } from "../endpoints/endpointDirectory.js";
-import type { FleetTopology } from "../fleetBroadcast.js";
+import type { FleetTopology } from "../fleet/fleetBroadcast.js";
 import { OverloadMode, type OverloadSwitch } from "../overloadSwitch.js";
 import {
   announcesClaims,
--- a/packages/gateway/src/store/eraSettling.ts
+++ b/packages/gateway/src/store/eraSettling.ts
@@ -8,7 +8,7 @@
 import type { Clock, Logger } from "@gladewall/kernel";
 import * as v from "valibot";
 import { decodeItem } from "./itemCodec.js";
-import { gatewayPrefix } from "../memberRecords.js";
+import { gatewayPrefix } from "../fleet/memberRecords.js";
 import { type EraChange, type StoreEras, initialEra } from "./storeEras.js";
 import type { MetadataStore, StoreItem } from "../types.js";
 
--- a/packages/gateway/src/store/gatewayItems.ts
+++ b/packages/gateway/src/store/gatewayItems.ts
@@ -7,7 +7,7 @@
 import { FencedLeases } from "../fencedLeases.js";
 import { EraSettling } from "./eraSettling.js";
 import { CommittedWindows } from "./committedWindows.js";
-import { gatewayPrefix } from "../memberRecords.js";
+import { gatewayPrefix } from "../fleet/memberRecords.js";
 import type { Removal } from "./prefixFollower.js";
 import type { MetadataStore, StoreItem } from "../types.js";
 
--- a/packages/gateway/src/store/storeFeed.ts
+++ b/packages/gateway/src/store/storeFeed.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { Clock, Logger } from "@gladewall/kernel";
-import { ReaderSelection } from "../readerSelection.js";
+import { ReaderSelection } from "../fleet/readerSelection.js";
 import { type ConfigurationFollower, StoreRole } from "../configurationFollower.js";
 import type { FeedTimings } from "./feedTimings.js";
 import { type FeedMessage, type FeedState, FeedReplication } from "./feedReplication.js";
