Take the shapes of shared counters out of their modules, which imported each other

Cause: memberMessages took the counters' reports from sharedCounters, which took the arbiters' decisions from memberMessages.

No behaviour changes.

--- a/packages/gateway/src/demandEstimator.ts
+++ b/packages/gateway/src/demandEstimator.ts
@@ -5,7 +5,8 @@
  * @module
  */
 import type { Clock } from "@gladewall/kernel";
-import { CounterKind, type SharedCounters } from "./sharedCounters.js";
+import { type SharedCounters } from "./sharedCounters.js";
+import { CounterKind } from "./limits/counterTypes.js";
 import type { Service } from "./types.js";
 
 /** Options of the estimate. */
--- a/packages/gateway/src/fleet/memberMessages.ts
+++ b/packages/gateway/src/fleet/memberMessages.ts
@@ -8,7 +8,8 @@
 import type { FeedMessage, FeedState } from "../store/feedReplication.js";
 import type { PrefixReport } from "../placement/prefixIndex.js";
 import type { RateReport } from "../prefillRates.js";
-import type { CounterReport, CounterView } from "../sharedCounters.js";
+import type { CounterReport, CounterView } from "../limits/counterTypes.js";
+import { GrantDecision } from "../limits/grantDecision.js";
 import type { WindowCounts } from "../usageCounts.js";
 
 /** Message numbers of the messages between members; the links themselves use lower ones. */
@@ -150,16 +151,6 @@
 /** The fields of a call; the message without its kind. */
 export type QuotaCallArguments = Omit<QuotaCall, "kind" | "call">;
 
-/** An arbiter's decision. */
-export enum GrantDecision {
-  /** The total is granted and counted. */
-  Granted = 1,
-  /** The total is not counted, because the limit is exhausted. */
-  Refused = 2,
-  /** The receiver does not know enough of the sender or of the workspace to decide. */
-  Unknown = 3,
-}
-
 /** Reply to a quota call. */
 export interface QuotaReply {
   readonly word: GrantDecision;
--- a/packages/gateway/src/fleet/members.ts
+++ b/packages/gateway/src/fleet/members.ts
@@ -30,11 +30,11 @@
   type PlacementMessage,
   type QuotaReply,
   type QuotaCall,
-  GrantDecision,
   type PlacementRelayMessage,
   type ReportMessage,
   type ViewMessage,
 } from "./memberMessages.js";
+import { GrantDecision } from "../limits/grantDecision.js";
 import { MemberRecords, type MemberRecordsOptions, gatewayPrefix } from "./memberRecords.js";
 import type { PrefixIndex } from "../placement/prefixIndex.js";
 import type { PrefillRates } from "../prefillRates.js";
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -19,7 +19,7 @@
 import type { SlotSchedulerFactory } from "./limits/limitParts.js";
 import { ConnectionIntake } from "./intake/connectionIntake.js";
 import { RequestServer } from "./requests/requestServer.js";
-import { CounterKind } from "./sharedCounters.js";
+import { CounterKind } from "./limits/counterTypes.js";
 import { isRestore } from "./store/storeEras.js";
 import type { PlatformAdapter, PlatformOptions } from "./types.js";
 
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -97,9 +97,9 @@
   type QuotaReply,
   type QuotaCall,
   QuotaUse,
-  GrantDecision,
   type PlacementRelayMessage,
 } from "./fleet/memberMessages.js";
+export { GrantDecision } from "./limits/grantDecision.js";
 export { PeerClocks } from "./fleet/peerClocks.js";
 export { PlacementRelay } from "./placement/placementRelay.js";
 export { Placer } from "./placement/placer.js";
@@ -129,7 +129,8 @@
 export { type PeerUptime, PeerUptimes } from "./fleet/peerUptimes.js";
 export type { FleetTopology } from "./fleet/fleetBroadcast.js";
 export { pickWeightedTarget, RouteTable } from "./routeTable.js";
-export { CounterKind, type CounterTotals, SharedCounters } from "./sharedCounters.js";
+export { SharedCounters } from "./sharedCounters.js";
+export { CounterKind, type CounterTotals } from "./limits/counterTypes.js";
 export { SilentPeers } from "./fleet/silentPeers.js";
 export { PlacementStage } from "./placement/placementStage.js";
 export { QueueStage } from "./requests/queueStage.js";
--- a/packages/gateway/src/limits/admission.ts
+++ b/packages/gateway/src/limits/admission.ts
@@ -11,12 +11,14 @@
 import { Err, Ok, type Result } from "ts-results-es";
 import type { ConfigurationFollower } from "../configurationFollower.js";
 import { arbiterTakeoverMs, ArbiterTerms } from "./arbiterTerms.js";
-import { type QuotaReply, type QuotaCall, QuotaUse, GrantDecision } from "../fleet/memberMessages.js";
+import { type QuotaReply, type QuotaCall, QuotaUse } from "../fleet/memberMessages.js";
+import { GrantDecision } from "./grantDecision.js";
 import { LargestRequests } from "../largestRequests.js";
 import type { LimitOrders } from "./limitOrders.js";
 import { getAllowances, type QuotaAllowances } from "./quotaAllowances.js";
 import { createLimitFailure, createShareFailure, getExcess, type QuotaCheck } from "./quotaRefusals.js";
-import { CounterKind, type SharedCounters } from "../sharedCounters.js";
+import { type SharedCounters } from "../sharedCounters.js";
+import { CounterKind } from "./counterTypes.js";
 import { type CallerRequestHead, QuotaUnit, type Route, type Workspace } from "../types.js";
 import type { RouteTable } from "../routeTable.js";
 
--- a/packages/gateway/src/limits/quotaCharges.ts
+++ b/packages/gateway/src/limits/quotaCharges.ts
@@ -8,8 +8,10 @@
 import type { Admission, QuotaDemand, QuotaState } from "./admission.js";
 import type { Arbiters } from "./arbiters.js";
 import { type GatewayMetrics, QuotaEvent } from "../gatewayMetrics.js";
-import { createQuotaCall, QuotaUse, GrantDecision } from "../fleet/memberMessages.js";
-import { CounterKind, type SharedCounters } from "../sharedCounters.js";
+import { createQuotaCall, QuotaUse } from "../fleet/memberMessages.js";
+import { GrantDecision } from "./grantDecision.js";
+import { type SharedCounters } from "../sharedCounters.js";
+import { CounterKind } from "./counterTypes.js";
 import type { Workspace } from "../types.js";
 
 /** Options of quota charging. */
--- a/packages/gateway/src/limits/quotaRefusals.ts
+++ b/packages/gateway/src/limits/quotaRefusals.ts
@@ -3,7 +3,8 @@
  * @module
  */
 import { Failure, FailureCode } from "@gladewall/kernel";
-import { CounterKind, type SharedCounters } from "../sharedCounters.js";
+import { type SharedCounters } from "../sharedCounters.js";
+import { CounterKind } from "./counterTypes.js";
 import type { Workspace } from "../types.js";
 
 /** Units that are to be taken from a limit, compared with its state. */
--- a/packages/gateway/src/limits/retries/retryBudget.ts
+++ b/packages/gateway/src/limits/retries/retryBudget.ts
@@ -7,8 +7,9 @@
  * @module
  */
 import type { Clock } from "@gladewall/kernel";
-import { GrantDecision } from "../../fleet/memberMessages.js";
-import { CounterKind, type SharedCounters } from "../../sharedCounters.js";
+import { GrantDecision } from "../grantDecision.js";
+import { type SharedCounters } from "../../sharedCounters.js";
+import { CounterKind } from "../counterTypes.js";
 import type { Arbiters } from "../arbiters.js";
 import { CreditPool, RetryCause } from "./creditPool.js";
 import { FleetSizePeak } from "./fleetSizePeak.js";
--- a/packages/gateway/src/limits/retries/retryLinks.ts
+++ b/packages/gateway/src/limits/retries/retryLinks.ts
@@ -5,7 +5,7 @@
  */
 import type { PeerIdentity, PeerMessage } from "@gladewall/coordination";
 import type { FleetTopology } from "../../fleet/fleetBroadcast.js";
-import { GrantDecision } from "../../fleet/memberMessages.js";
+import { GrantDecision } from "../grantDecision.js";
 import type { PeerUptime } from "../../fleet/peerUptimes.js";
 import type { ArbiterCall } from "../arbiters.js";
 import { RetryCause } from "./creditPool.js";
