Test that an attempt of a peer that falls silent ends

The test replaces the timers of the peer's attempts, so that it waits for none, and fails without abortAtDeadline.

--- a/packages/gateway/test/forwarding.test.ts
+++ b/packages/gateway/test/forwarding.test.ts
@@ -3,12 +3,33 @@
  * answer that looks complete and is not, no work for callers that have left, and quick refusals where nobody reaches the endpoints.
  */
 import { request as sendHttpRequest } from "node:http";
+import type { Gateway } from "@gladewall/gateway";
+import type { Clock, Timer } from "@gladewall/kernel";
 import { PathFault, respondSuccess, startEventStream, waitUntil } from "@gladewall/standins";
 import t from "tap";
 import { oncePath, readMetric, startCutOffFleet, streamPath } from "./cutOffFleet.js";
 
 const faults = [PathFault.Reset, PathFault.Silent];
 
+interface CapturedTimer {
+  readonly delayMs: number;
+  readonly callback: () => void;
+}
+
+/** Collects the timers that an instance starts for attempts of its peers, in place of their start. */
+function captureTimers(gateway: Gateway): readonly CapturedTimer[] {
+  const { forwardingServer } = (gateway as unknown as { parts: { forwardingServer: unknown } }).parts;
+  const { options } = forwardingServer as { options: { clock: Clock } };
+  const { clock } = options;
+  const timers: CapturedTimer[] = [];
+  const startTimer = (delayMs: number, callback: () => void): Timer => {
+    timers.push({ delayMs, callback });
+    return { cancel: () => undefined };
+  };
+  options.clock = { getTime: () => clock.getTime(), startTimer } as Clock;
+  return timers;
+}
+
 t.test("a request that is passed on is never passed on again", async (t) => {
   const { bench, endpoints, cut, call } = await startCutOffFleet(t, 3, 2);
   for (const instance of [0, 1, 2]) cut(instance, PathFault.Reset);
@@ -88,6 +109,27 @@
   await waitUntil(() => endpoint!.requests.at(-1)!.socket.destroyed);
 });
 
+t.test("work ends at the endpoint some time after its deadline when its sender falls silent", async (t) => {
+  const { bench, endpoints, cut, call } = await startCutOffFleet(t, 2, 1);
+  cut(0, PathFault.Reset);
+  t.equal((await call(0)).status, 200);
+  const timers = captureTimers(bench.instances[1]!.gateway);
+  const [endpoint] = endpoints;
+  endpoint!.script = () => undefined;
+  const deadlineMs = 1_500;
+  const headers = { "x-deadline": String(deadlineMs) };
+  const held = bench.call(bench.instances[0]!, { path: streamPath, headers });
+  await endpoint!.waitForRequests(2);
+  t.equal(timers.length, 1);
+  const { delayMs, callback } = timers[0]!;
+  t.ok(delayMs > deadlineMs, "what only a caller delays may go on for a while");
+  t.notOk(endpoint!.requests.at(-1)!.socket.destroyed);
+  callback();
+  await waitUntil(() => endpoint!.requests.at(-1)!.socket.destroyed);
+  t.equal((await held).status, 502);
+  t.equal(await readMetric(bench, 1, "gladewall_forwarded_received"), 0);
+});
+
 t.test("events arrive one by one, and a stream that is interrupted does not look complete", async (t) => {
   const { bench, endpoints, cut, call } = await startCutOffFleet(t, 2, 1);
   cut(0, PathFault.Reset);
