Let an entry refuse statuses that HTTP does not have

What callers saw: a web service's answer with the status 600 or 999 reached them as such through an entry (local mode); below 200 the HTTP client refuses by itself.

Cause: the same as in the gateway: what the parser lets through was taken for an answer, and a refusal, a load or a retry was read from it.

Change: a status outside 200 to 599 ends the attempt as cut (502) before anything in the head is used. The reason phrase is none of the client's results, and the entry writes its own.

--- a/packages/entry/src/plugins/webService.ts
+++ b/packages/entry/src/plugins/webService.ts
@@ -20,6 +20,8 @@
 import { readLoadHeader } from "./loadHeader.js";
 
 const startedHeader = "x-run-started";
+const firstFinalStatus = 200;
+const lastStatus = 599;
 /** Statuses with which a gateway reports a fault. A response with any other status is the service's own. */
 const gatewayStatuses: ReadonlySet<number> = new Set([502, 503, 504]);
 const bodilessMethods: ReadonlySet<string> = new Set(["GET", "HEAD"]);
@@ -42,6 +44,11 @@
     let position = 0;
     try {
       const response = await this.pool.request(createRequest(dispatch, signal));
+      if (!isFinalStatus(response.statusCode)) {
+        // Without a listener the error of what is left unread would end the process.
+        response.body.on("error", () => undefined).destroy();
+        return Err(Failure.create(FailureCode.EndpointCut, { endpoint }));
+      }
       const isRefusal = response.headers[startedHeader] === "no";
       if (isRefusal) {
         await response.body.dump();
@@ -94,6 +101,11 @@
   }
 }
 
+/** Whether a status is one of a final response (RFC 9110, section 15); a parser lets any three digits through. */
+function isFinalStatus(status: number): boolean {
+  return status >= firstFinalStatus && status <= lastStatus;
+}
+
 function mayRetryStatus(dispatch: Dispatch, status: number): boolean {
   const isRepeatable = dispatch.envelope.repeat === RepeatRule.Allowed && dispatch.rest === undefined;
   return isRepeatable && gatewayStatuses.has(status);
--- a/packages/standins/src/fakeWebService.ts
+++ b/packages/standins/src/fakeWebService.ts
@@ -19,6 +19,8 @@
   Silent = 3,
   /** Sends half of the body, then closes the connection. */
   HalfBody = 4,
+  /** Does the work, then sends `rawResponse` in place of a response and closes the connection. */
+  Raw = 5,
 }
 
 /** One call that the service executed. */
@@ -39,6 +41,7 @@
   /** All executed calls, in order. */
   readonly records: WebRecord[] = [];
   fault = WebFault.None;
+  rawResponse = "";
   /** Milliseconds of work per call. */
   workTimeMs = 1;
   private active = 0;
@@ -77,6 +80,7 @@
     const record = this.createRecord(request, url, body);
     this.records.push(record);
     if (this.fault === WebFault.CutAfterWork) return void response.destroy();
+    if (this.fault === WebFault.Raw) return void response.socket?.end(this.rawResponse, "latin1");
     this.respond(response, record);
   }
 
