Bound what an entry reads of the platform's answers and of engines' refusals

Change: one reader of bodies as text with a bound: 32 MiB for answers of the platform's services, as in the gateway, 16 KiB for an engine's refusal. Beyond it the call fails and its connection is closed.

--- a/packages/entry/src/plugins/httpCall.ts
+++ b/packages/entry/src/plugins/httpCall.ts
@@ -5,7 +5,7 @@
  */
 import { Failure, FailureCode } from "@gladewall/kernel";
 import { Err, Ok, type Result } from "ts-results-es";
-import { errors, Pool } from "undici";
+import { type Dispatcher, errors, Pool } from "undici";
 
 /** Whether a call changes something at the server, which decides the failure if its response is lost. */
 export enum CallEffect {
@@ -37,6 +37,11 @@
 const connectionsPerPool = 16;
 const endpointKeepAliveMs = 60_000;
 
+type ResponseBody = Dispatcher.ResponseData["body"];
+
+/** An answer of the platform's store may hold the records of a whole fleet. */
+const maxAnswerBytes = 33_554_432;
+
 /** Creates a connection pool for a service of the platform at `host:port`. */
 export function createPool(address: string, connectTimeout: number): Pool {
   return new Pool(`http://${address}`, {
@@ -72,6 +77,22 @@
   return error.message === "" ? (code ?? error.name) : error.message;
 }
 
+/**
+ * Reads a body as text. Throws if it has more than `maxBytes`, and reads it no further: a body may come without end.
+ */
+export async function readBodyText(body: ResponseBody, maxBytes: number): Promise<string> {
+  // The loop reports the errors; an `error` event without a listener would end the process.
+  body.on("error", () => undefined);
+  const parts: Uint8Array[] = [];
+  let size = 0;
+  for await (const part of body as AsyncIterable<Uint8Array>) {
+    size += part.length;
+    if (size > maxBytes) throw new Error(`the body has more than ${maxBytes} bytes`);
+    parts.push(part);
+  }
+  return Buffer.concat(parts).toString("utf8");
+}
+
 /** Makes a call. Fails with `ServiceAnswerLost` if a change may have taken effect, otherwise `ServiceUnavailable`. */
 export async function callService(pool: Pool, call: ServiceCall): Promise<Result<CallResponse, Failure>> {
   const timeout = AbortSignal.timeout(call.timeout);
@@ -82,7 +103,7 @@
     const tag = response.headers["etag"];
     return Ok({
       status: response.statusCode,
-      body: await response.body.text(),
+      body: await readBodyText(response.body, maxAnswerBytes),
       tag: typeof tag === "string" ? tag : undefined,
     });
   } catch (error) {
--- a/packages/entry/src/plugins/openaiEngine.ts
+++ b/packages/entry/src/plugins/openaiEngine.ts
@@ -21,7 +21,14 @@
   type RunSink,
   type Usage,
 } from "../types.js";
-import { CallEffect, callService, createEndpointPool, isNeverSent, parseJson } from "./httpCall.js";
+import {
+  CallEffect,
+  callService,
+  createEndpointPool,
+  isNeverSent,
+  parseJson,
+  readBodyText,
+} from "./httpCall.js";
 import { readLoadHeader } from "./loadHeader.js";
 
 interface EngineChoice {
@@ -43,6 +50,8 @@
 const statusNotFound = 404;
 const endOfStream = "[DONE]";
 const cancelTimeoutMs = 1_000;
+/** The body of a refusal holds a message. */
+const maxRefusalBytes = 16_384;
 const startedHeader = "x-run-started";
 
 /** Client of one model engine. */
@@ -116,7 +125,7 @@
       const response = await this.pool.request(request);
       if (response.statusCode !== statusOk) {
         const isStarted = response.headers[startedHeader] !== "no";
-        const body = await response.body.text();
+        const body = await readBodyText(response.body, maxRefusalBytes);
         return Err(
           createStatusFailure(response.statusCode, isStarted, endpoint, request.method === "GET", body),
         );
