End the request, not the process, when the end of a body can't be read

The check keeps such heads out, but the second layer must hold whatever comes through the first: the ends of held and long bodies, of streams, and the parts of callers' bodies were not contained.

Cause: they are listeners of their own, and only those for parts had been wrapped. Wrapped alone, the request would have hung: the body's promise was never settled.

Change: readEndOrFail records the failure and counts the response as broken off; parts of callers' bodies and the return of what a body held are contained too.

--- a/packages/gateway/src/bodies/bodyReader.ts
+++ b/packages/gateway/src/bodies/bodyReader.ts
@@ -6,7 +6,7 @@
 import type { ServerResponse } from "node:http";
 import type { Clock } from "@gladewall/kernel";
 import { containThrows } from "../failures/containedFailures.js";
-import { type EndedResponse, type EndpointResponse, readEnd } from "../responses/responseEnd.js";
+import { type EndedResponse, type EndpointResponse, readEndOrFail } from "../responses/responseEnd.js";
 import { BodyBuffer } from "./bodyBuffer.js";
 import type { HeldBytes, HeldShare } from "./heldBytes.js";
 import type { LinkPace } from "./linkPace.js";
@@ -69,7 +69,7 @@
         resolve({ bytes: this.body.take(), ended });
       };
       const receive = containThrows((part: Buffer) => this.hold(part), fail);
-      const finish = (): void => settle(readEnd(this.response));
+      const finish = (): void => settle(readEndOrFail(this.response, fail));
       this.stopHolding = () => {
         pauseReading(message);
         settle(undefined);
@@ -92,7 +92,7 @@
         caller.write(part);
         gate.record(part);
       }, fail);
-      const finish = (): void => resolve(readEnd(this.response));
+      const finish = (): void => resolve(readEndOrFail(this.response, fail));
       message.on("data", forward);
       message.on("data", ({ length }: Buffer) => (this.receivedBytes += length));
       message.on("end", finish);
@@ -110,8 +110,9 @@
 
   /** Ends the count of what is held: now, or once a caller has taken it or is gone. */
   close(caller?: ServerResponse): void {
-    if (caller && !caller.closed) caller.once("close", () => this.share.close());
-    else this.share.close();
+    const closeShare = containThrows(() => this.share.close(), this.options.fail);
+    if (caller && !caller.closed) caller.once("close", closeShare);
+    else closeShare();
   }
 
   private hold(part: Buffer): void {
--- a/packages/gateway/src/bodies/requestBody.ts
+++ b/packages/gateway/src/bodies/requestBody.ts
@@ -7,6 +7,7 @@
 import { Failure, FailureCode } from "@gladewall/kernel";
 import { Err, Ok, type Result } from "ts-results-es";
 import { BodyBuffer } from "./bodyBuffer.js";
+import { containThrows } from "../failures/containedFailures.js";
 import type { HeldBytes, HeldShare } from "./heldBytes.js";
 
 /** Bounds of a body. */
@@ -61,19 +62,20 @@
   share: HeldShare,
   { limit, gone, isAnnounced }: ReceiveOptions,
 ): Promise<Result<void, Failure>> {
-  return new Promise((resolve) => {
+  return new Promise((resolve, reject) => {
     const fail = (): void => resolve(Err(Failure.create(FailureCode.CallerGone)));
     if (message.destroyed) return fail();
     let isReserved = isAnnounced;
-    message.on("data", (part: Buffer) => {
+    const add = (part: Buffer): void => {
       if (body.length + part.length > limit) resolve(Err(createTooLarge(limit)));
       else body.add(part);
       if (isReserved || body.length <= smallBodyBytes) return;
       // Nothing tells how long it will be.
       isReserved = true;
       message.pause();
-      void reserve(share, limit, gone).then(() => message.resume());
-    });
+      void reserve(share, limit, gone).then(() => message.resume(), reject);
+    };
+    message.on("data", containThrows(add, reject));
     message.on("end", () => resolve(Ok(undefined)));
     message.on("error", fail);
     message.on("close", fail);
--- a/packages/gateway/src/responses/responseEnd.ts
+++ b/packages/gateway/src/responses/responseEnd.ts
@@ -109,6 +109,21 @@
   return { end: decideEnd(framing, connection, unfinishedBytes), framing, connection, unfinishedBytes };
 }
 
+/** As `readEnd`; if this instance itself fails on it, which `fail` is told, the response counts as broken off. */
+export function readEndOrFail(
+  response: EndpointResponse,
+  fail: (error: unknown) => void,
+  unfinishedBytes = 0,
+): EndedResponse {
+  try {
+    return readEnd(response, unfinishedBytes);
+  } catch (error) {
+    fail(error);
+    const { framing } = response;
+    return { end: ResponseEnd.Interrupted, framing, connection: ConnectionEnd.Broken, unfinishedBytes };
+  }
+}
+
 /** The connection is that to the endpoint, or that to a peer; a peer closes its frame only after an orderly end at the endpoint. */
 function getConnectionEnd(message: IncomingMessage, framing: BodyFraming): ConnectionEnd {
   if (!message.complete || !message.readableEnded) return ConnectionEnd.Broken;
--- a/packages/gateway/src/responses/streamRelay.ts
+++ b/packages/gateway/src/responses/streamRelay.ts
@@ -7,7 +7,7 @@
 import { containThrows } from "../failures/containedFailures.js";
 import { ReadGate, type ReadGateOptions } from "../bodies/readGate.js";
 import { EventSplitter, removeByteOrderMark } from "./eventSplitter.js";
-import { type EndedResponse, endConsequences, type EndpointResponse, readEnd } from "./responseEnd.js";
+import { type EndedResponse, endConsequences, type EndpointResponse, readEndOrFail } from "./responseEnd.js";
 import { isHeaderValue } from "./responseHead.js";
 import { copyResponseHeaders } from "./responseHeaders.js";
 import { isFramed, writeResponseHead } from "./responseWriter.js";
@@ -95,7 +95,7 @@
         this.write(received, isContinued ? removeByteOrderMark(whole) : whole);
       };
       message.on("data", containThrows(receive, fail));
-      const finish = (): void => resolve(readEnd(received, this.splitter.unfinishedBytes));
+      const finish = (): void => resolve(readEndOrFail(received, fail, this.splitter.unfinishedBytes));
       message.on("end", finish);
       // After "end" this has no effect, because a promise settles only once.
       message.on("close", finish);
--- a/packages/gateway/test/containedFailures.test.ts
+++ b/packages/gateway/test/containedFailures.test.ts
@@ -2,6 +2,8 @@
  * Guards an instance against its own failures on one request's way: whatever threw there ended the process with all requests that it
  * had open. Each failure is logged and counted, and nothing that the request held is kept.
  */
+import { IncomingMessage } from "node:http";
+import { Readable } from "node:stream";
 import { type Gateway, RouteKind } from "@gladewall/gateway";
 import { Logger, LogLevel } from "@gladewall/kernel";
 import {
@@ -62,6 +64,20 @@
   };
 }
 
+/** Header of responses whose end can't be read. */
+const brokenEndHeader = "x-broken-end";
+
+/** Lets the reading of how such a response ended throw until the returned function is called. */
+function breakEnds(): () => void {
+  const prototype = IncomingMessage.prototype;
+  const get = function (this: IncomingMessage): boolean {
+    if (this.headers[brokenEndHeader] !== undefined) throw new Error("the end can't be read");
+    return Reflect.get<Readable, "readableEnded">(Readable.prototype, "readableEnded", this);
+  };
+  Object.defineProperty(prototype, "readableEnded", { configurable: true, get });
+  return () => void Reflect.deleteProperty(prototype, "readableEnded");
+}
+
 async function startInstance(t: Pick<Test, "teardown">) {
   const lines: string[] = [];
   const logger = Logger.create(LogLevel.Info, {}, (line) => lines.push(line));
@@ -122,6 +138,30 @@
   t.equal((await call(oncePath)).status, 200, "the instance serves on");
 });
 
+t.test("a failure on the end of a response's body ends that request", async (t) => {
+  const { bench, endpoint, instance, call } = await startInstance(t);
+  const { requests } = instance.gateway as unknown as { requests: { open: number } };
+  const mend = breakEnds();
+  t.teardown(mend);
+  const megabytes = "x".repeat(3_000_000);
+  const responses: readonly (readonly [path: string, type: string, body: string])[] = [
+    [oncePath, "text/plain", "short"],
+    [oncePath, "text/plain", megabytes],
+    [streamPath, "text/event-stream", "id: 1\ndata: a\n\n"],
+  ];
+  for (const [index, [path, type, body]] of responses.entries()) {
+    endpoint.script = ({ id, response }) => {
+      response.writeHead(200, { "x-id": id, "x-stamp": "s", "content-type": type, [brokenEndHeader]: "1" });
+      response.end(body);
+    };
+    const { status, end } = await call(path);
+    const isCut = status === 502 || end === CallerEnd.Broken || end === CallerEnd.None;
+    t.ok(isCut, `${path}, ${body.length} bytes: status ${status}, ${CallerEnd[end]}`);
+    await waitUntil(() => requests.open === 0);
+    t.ok((await readMetric(bench, 0, "gladewall_contained_failures_total")) > index);
+  }
+});
+
 t.test("a failure of a peer on an attempt's way ends that attempt", async (t) => {
   const { bench, call, cut } = await startCutOffFleet(t, 2, 2);
   cut(0, PathFault.Reset);
