--- a/scripts/mutants.mjs
+++ b/scripts/mutants.mjs
@@ -103,12 +103,6 @@
     file: `${gateway}bodies/readGate.ts`,
     edits: [["getSocket(message)?.pause();", ""]],
   },
-  {
-    name: "held-events",
-    runSoak: runSpoilingSoak,
-    file: `${gateway}responses/eventSplitter.ts`,
-    edits: [["this.rest.length > maxHeldBytes && this.openEnd === undefined", "false"]],
-  },
   {
     name: "once-only-requests",
     runSoak: runResponseSoak,
