--- a/scripts/byteSoak.mjs
+++ b/scripts/byteSoak.mjs
@@ -1,5 +1,6 @@
 // Runs the soak of drawn bytes: endpoints spoil a part of their responses by drawn heads, framings and ends, and by bytes without end.
-// `node scripts/byteSoak.mjs --seeds 50 [--every 35]`. A seed is broken if anything but the spoilt requests fails.
+// `node scripts/byteSoak.mjs --seeds 50 [--every 35] [--kind endlessSmallChunks] [--trouble one]`; without a kind, each is drawn.
+// Troubles: none, one, half, all. A seed is broken if anything but the spoilt requests fails.
 import { importTest, runSeeds } from "./playSeeds.mjs";
 
 const { runByteSoak } = await importTest("byteSoak");
@@ -21,5 +22,5 @@
     const text = `every ${spoiltEvery}: ${requests} requests, ${spoilt} spoilt, ${served} of ${sound} sound ones served, ${Math.round(peakMegabytes)} MB`;
     return { isViolated: violations.length > 0, text: [text, ...violations].join("; ") };
   },
-  { every: { type: "string" } },
+  { every: { type: "string" }, kind: { type: "string" }, trouble: { type: "string" } },
 );
