Log since when the versions of a service are known, and which items of versions are read

stream.taken-up named the versions and not for how long this instance has seen them, so that an empty memory looked like a known past; an item of versions that was too old by another machine's clock was dropped without a line. No decision is changed.

--- a/packages/gateway/src/origins/takeUps.ts
+++ b/packages/gateway/src/origins/takeUps.ts
@@ -169,6 +169,7 @@
         .list(service)
         .map(({ origin: { softwareVersion = "" } }) => softwareVersion)
         .join(),
+      versionsKnownMs: Math.round(history.getKnownMs()),
       endpoints: endpoints.length,
       suitable: endpoints.filter((endpoint) => mayServe(origin, endpoint)).length,
       outcome: TakeUpOutcome[outcome],
--- a/packages/gateway/src/origins/versionHistory.ts
+++ b/packages/gateway/src/origins/versionHistory.ts
@@ -35,7 +35,11 @@
   private readonly services = new Map<string, Map<number, ServedVersion>>();
   private readonly listeners: ((service: string) => void)[] = [];
 
-  private constructor(private readonly options: VersionHistoryOptions) {}
+  private readonly startedAt: number;
+
+  private constructor(private readonly options: VersionHistoryOptions) {
+    this.startedAt = options.clock.getTime();
+  }
 
   static create(options: VersionHistoryOptions): VersionHistory {
     return new VersionHistory(options);
@@ -46,6 +50,11 @@
     this.listeners.push(listener);
   }
 
+  /** Returns the milliseconds for which this instance has seen which versions serve. */
+  getKnownMs(): number {
+    return this.options.clock.getTime() - this.startedAt;
+  }
+
   /** Counts an endpoint whose record was added. */
   addEndpoint(record: EndpointRecord): void {
     const version = this.ensure(getOrigin(record));
@@ -61,13 +70,14 @@
     if (version.endpoints === 0) version.goneAt = this.options.clock.getTime();
   }
 
-  /** Applies that a version served until some milliseconds ago, as another instance wrote. */
-  applyServed(origin: StreamOrigin, goneMs: number): void {
-    if (goneMs > this.options.getRetentionMs()) return;
+  /** Applies that a version served until some milliseconds ago, as another instance wrote; false if that is too long ago. */
+  applyServed(origin: StreamOrigin, goneMs: number): boolean {
+    if (goneMs > this.options.getRetentionMs()) return false;
     const version = this.ensure(origin);
-    if (version.endpoints > 0) return;
+    if (version.endpoints > 0) return true;
     const goneAt = this.options.clock.getTime() - Math.max(0, goneMs);
     version.goneAt = Math.max(version.goneAt ?? -Infinity, goneAt);
+    return true;
   }
 
   /** Returns the versions of a service at which a stream that may still be taken up can have begun. */
--- a/packages/gateway/src/origins/versionItems.ts
+++ b/packages/gateway/src/origins/versionItems.ts
@@ -77,12 +77,14 @@
   }
 
   private apply(item: VersionsItem): void {
-    const { history, getTimeOfDay } = this.options;
-    this.items.set(item.service, item);
+    const { history, getTimeOfDay, logger } = this.options;
+    const { service } = item;
+    this.items.set(service, item);
     for (const { version: softwareVersion, goneAt } of item.versions) {
       // Where the item doesn't say since when a version is gone, it served until the writer could tell.
       const goneMs = goneAt === undefined ? 0 : getTimeOfDay() - goneAt;
-      history.applyServed({ service: item.service, softwareVersion }, goneMs);
+      const isApplied = history.applyServed({ service, softwareVersion }, goneMs);
+      logger.info("versions.read", { service, softwareVersion, goneMs: Math.round(goneMs), isApplied });
     }
   }
 
