--- a/packages/gateway/src/capacityOrders.ts
+++ b/packages/gateway/src/capacity/capacityOrders.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { Clock, Logger } from "@gladewall/kernel";
-import type { Endpoint } from "./endpoints/endpoint.js";
+import type { Endpoint } from "../endpoints/endpoint.js";
 import { planCapacity, type HallCount } from "./capacityPlan.js";
 import {
   type CapacityOrder,
@@ -13,7 +13,7 @@
   OrderOutcome,
   type ScalingLimits,
   type Service,
-} from "./types.js";
+} from "../types.js";
 
 /** Options of capacity orders. */
 export interface CapacityOrdersOptions {
--- a/packages/gateway/src/capacityPlan.ts
+++ b/packages/gateway/src/capacity/capacityPlan.ts
@@ -3,7 +3,7 @@
  * take away, are spread over the data halls for the expected load; on-demand endpoints only fill what is missing.
  * @module
  */
-import type { CapacityOrder, ScalingLimits } from "./types.js";
+import type { CapacityOrder, ScalingLimits } from "../types.js";
 
 /** Endpoints of one service in one data hall. */
 export interface HallCount {
--- a/packages/gateway/src/demandEstimator.ts
+++ b/packages/gateway/src/capacity/demandEstimator.ts
@@ -5,9 +5,9 @@
  * @module
  */
 import type { Clock } from "@gladewall/kernel";
-import { type SharedCounters } from "./sharedCounters.js";
-import { CounterKind } from "./limits/counterTypes.js";
-import type { Service } from "./types.js";
+import { type SharedCounters } from "../sharedCounters.js";
+import { CounterKind } from "../limits/counterTypes.js";
+import type { Service } from "../types.js";
 
 /** Options of the estimate. */
 export interface DemandEstimatorOptions {
--- a/packages/gateway/src/gatewayParts.ts
+++ b/packages/gateway/src/gatewayParts.ts
@@ -12,11 +12,11 @@
 import type { EndpointConnections } from "./endpoints/endpointConnections.js";
 import { EndpointDirectory } from "./endpoints/endpointDirectory.js";
 import type { BrittleServices } from "./brittle/brittleServices.js";
-import { CapacityOrders } from "./capacityOrders.js";
+import { CapacityOrders } from "./capacity/capacityOrders.js";
 import { CrashProtection } from "./crashes/crashProtection.js";
 import { probeEndpoint } from "./crashes/endpointProbe.js";
 import { ConfigurationFollower, type ConfigurationFollowerOptions } from "./configurationFollower.js";
-import { DemandEstimator } from "./demandEstimator.js";
+import { DemandEstimator } from "./capacity/demandEstimator.js";
 import {
   createAdmission,
   createBrittleServices,
--- a/packages/gateway/src/leaderTasks.ts
+++ b/packages/gateway/src/leaderTasks.ts
@@ -8,7 +8,7 @@
  */
 import { LeaseHolder, type LeaseService } from "@gladewall/coordination";
 import { type Clock, type Closeable, type Logger, waitFor } from "@gladewall/kernel";
-import type { CapacityOrders } from "./capacityOrders.js";
+import type { CapacityOrders } from "./capacity/capacityOrders.js";
 import { isRestore } from "./store/storeEras.js";
 import type { MetadataStore, OrderSender, Service } from "./types.js";
 import type { UsageReporter } from "./usageReporter.js";
