Take the state of an instance and its readiness out of gatewayParts

gatewayParts.ts imported the modules that create limits, forwarding and origins, and these imported their shapes, and canServe, from it: a circle, in a file of 497 lines. The state that an instance follows is now created in gatewayState.ts, the shape of all parts stands in gatewayPartTypes.ts, and canServe in readiness.ts. Build, linter and formatter are clean; the tests of capacity orders, leaving, followers, leader tasks, forwarding and restarts pass.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -14,7 +14,9 @@
 import type { Result } from "ts-results-es";
 import type { ConnectionTraffic } from "@gladewall/coordination";
 import { CallerServer } from "./callerServer.js";
-import { canServe, createGatewayParts, type GatewayParts } from "./gatewayParts.js";
+import type { GatewayParts } from "./gatewayPartTypes.js";
+import { createGatewayParts } from "./gatewayParts.js";
+import { canServe } from "./readiness.js";
 import type { GatewaySettings } from "./gatewaySettings.js";
 import type { SlotSchedulerFactory } from "./limits/limitParts.js";
 import { ConnectionIntake } from "./intake/connectionIntake.js";
--- a/packages/gateway/src/gatewayParts.ts
+++ b/packages/gateway/src/gatewayParts.ts
@@ -5,18 +5,14 @@
 import { getIncarnationKey } from "@gladewall/coordination";
 import type { Clock, Logger } from "@gladewall/kernel";
 import type { Admission } from "./limits/admission.js";
-import type { Endpoint, PeerWork } from "./endpoints/endpoint.js";
+import type { PeerWork } from "./endpoints/endpoint.js";
 import { HeldBytes } from "./bodies/heldBytes.js";
-import { LinkPace } from "./bodies/linkPace.js";
 import { ContainedFailures } from "./failures/containedFailures.js";
-import type { EndpointConnections } from "./endpoints/endpointConnections.js";
 import { EndpointDirectory } from "./endpoints/endpointDirectory.js";
 import type { BrittleServices } from "./brittle/brittleServices.js";
 import { CapacityOrders } from "./capacity/capacityOrders.js";
 import { CrashProtection } from "./crashes/crashProtection.js";
 import { probeEndpoint } from "./crashes/endpointProbe.js";
-import { ConfigurationFollower, type ConfigurationFollowerOptions } from "./configurationFollower.js";
-import { DemandEstimator } from "./capacity/demandEstimator.js";
 import {
   createAdmission,
   createBrittleServices,
@@ -29,155 +25,34 @@
 } from "./limits/limitParts.js";
 import { LeaderTasks } from "./leaderTasks.js";
 import type { FencedLeases } from "./fencedLeases.js";
-import type { EraSettling } from "./store/eraSettling.js";
 import { reportEras } from "./store/eraReporting.js";
-import { createFeedTimings, type FeedTimings } from "./store/feedTimings.js";
 import { LeavingGossip } from "./endpoints/leavingGossip.js";
-import type { EndpointLimits } from "./limits/endpointLimits.js";
-import { FencedOrders } from "./fencedOrders.js";
 import {
   createForwarding,
   findForwardingAddress,
   type ForwardingParts,
 } from "./forwarding/forwardingParts.js";
-import type { ForwardingPeers } from "./forwarding/forwardingPeers.js";
-import type { ForwardingServer } from "./forwarding/forwardingServer.js";
-import type { ServicePaths } from "./forwarding/servicePaths.js";
 import { GatewayMetrics } from "./gatewayMetrics.js";
 import type { GatewaySettings } from "./gatewaySettings.js";
-import { OverloadMode, OverloadSwitch } from "./overloadSwitch.js";
-import type { PermitClient } from "./limits/permitClient.js";
+import { OverloadMode } from "./overloadSwitch.js";
 import { gatewayPrefix } from "./fleet/memberRecords.js";
 import { Members, type MembersOptions } from "./fleet/members.js";
 import { GatewayItems, usagePrefix } from "./store/gatewayItems.js";
 import { Placer } from "./placement/placer.js";
-import { PrefixIndex } from "./placement/prefixIndex.js";
-import { PrefillRates } from "./prefillRates.js";
-import type { SuspectGate } from "./crashes/suspectGate.js";
-import type { QuotaCharges } from "./limits/quotaCharges.js";
-import type { AcceptanceRates } from "./limits/retries/acceptanceRates.js";
-import type { RetryBudget } from "./limits/retries/retryBudget.js";
-import { SharedCounters } from "./sharedCounters.js";
-import { CounterKind } from "./limits/counterTypes.js";
-import type { SlotArbiter } from "./slots/slotArbiter.js";
-import type { SlotClient } from "./slots/slotClient.js";
-import type { SlotContention } from "./slots/slotContention.js";
-import { DisciplinedClock } from "./disciplinedClock.js";
 import type { PlatformAdapter } from "./types.js";
-import { UsageCounts } from "./usageCounts.js";
 import { UsageReporter } from "./usageReporter.js";
 import { ProofRequests } from "./proofRequests.js";
-import type { EndChecker } from "./responses/endChecker.js";
 import { createOrigins, createVersionHistory, type OriginParts } from "./origins/originParts.js";
+import type { GatewayParts } from "./gatewayPartTypes.js";
+import { createState, type GatewayBase, type GatewayState } from "./gatewayState.js";
 
 const leaderLeaseKey = `${gatewayPrefix}duty`;
 const leaderMarkerKey = `${gatewayPrefix}duties-begun`;
 // Outside the prefix that all instances watch, because each change under that prefix costs a call of every
 // instance.
 const usageCheckpointKey = "gladewall-usage-draft";
-/** Bytes of endpoints' responses, and of callers' requests, that are held at once; a machine has 350 MB. */
+/** Bytes of endpoints' responses that are held at once; a machine has 350 MB. */
 const maxHeldResponseBytes = 33_554_432;
-const maxHeldRequestBytes = 67_108_864;
-const demandWindowMs = 4_000;
-
-/** Longer than a reader takes to begin to feed an instance that has just been listed. */
-const firstWatchPauseMs = 800;
-
-/** Queries to the fleet, implemented by parts that are created later. */
-interface FleetQueries {
-  readonly requestProofs: ConfigurationFollowerOptions["requestProofs"];
-  readonly getPeerWork: (endpoint: string) => PeerWork;
-}
-
-/** What all parts depend on. */
-interface GatewayBase {
-  readonly settings: GatewaySettings;
-  readonly platform: PlatformAdapter;
-  readonly clock: Clock;
-  readonly logger: Logger;
-  /** Failures of this instance itself that ended one request or message. */
-  readonly failures: ContainedFailures;
-}
-
-/** The parts that hold the state of the platform and the counts that are shared with other instances. */
-export interface GatewayState extends GatewayBase {
-  readonly settling: EraSettling;
-  /** Grows with each start of the instance. */
-  readonly incarnation: number;
-  readonly time: DisciplinedClock;
-  readonly feedTimings: FeedTimings;
-  readonly follower: ConfigurationFollower;
-  readonly directory: EndpointDirectory;
-  readonly usage: UsageCounts;
-  readonly orders: FencedOrders;
-  readonly counters: SharedCounters;
-  readonly rates: PrefillRates;
-  readonly memory: PrefixIndex;
-  readonly demand: DemandEstimator;
-  readonly overload: OverloadSwitch;
-  readonly linkPace: LinkPace;
-  readonly heldRequests: HeldBytes;
-}
-
-/** All parts of an instance. */
-export interface GatewayParts extends GatewayBase, Pick<OriginParts, "origins" | "takeUps"> {
-  readonly follower: ConfigurationFollower;
-  readonly directory: EndpointDirectory;
-  readonly connections: EndpointConnections;
-  /** Whether this instance reaches the endpoints itself. */
-  readonly paths: ServicePaths;
-  /** Peers through which attempts are passed on. */
-  readonly forwarding: ForwardingPeers;
-  /** Passes attempts of peers on. */
-  readonly forwardingServer: ForwardingServer;
-  /** Looks for evidence on the ends of responses. */
-  readonly endChecker: EndChecker;
-  readonly members: Members;
-  /** Detects endpoints that crashed and keeps the requests that they had. */
-  readonly crashProtection: CrashProtection;
-  /** Decides whether such requests may run. */
-  readonly suspects: SuspectGate;
-  /** The limits that endpoints advertise for all instances together. */
-  readonly limits: EndpointLimits;
-  /** Requests permits to send to endpoints with an advertised limit. */
-  readonly permits: PermitClient;
-  /** Mode of the decisions on short capacity. */
-  readonly overload: OverloadSwitch;
-  /** Services whose endpoints crash if they refuse too much. */
-  readonly brittle: BrittleServices;
-  /** Which services are contended. */
-  readonly contention: SlotContention;
-  /** Decides on slots for this instance and its peers. */
-  readonly slotArbiter: SlotArbiter;
-  /** Requests slots of contended services. */
-  readonly slots: SlotClient;
-  readonly admission: Admission;
-  readonly charges: QuotaCharges;
-  readonly placer: Placer;
-  readonly rates: PrefillRates;
-  readonly budget: RetryBudget;
-  /** How often endpoints accept requests now. */
-  readonly acceptance: AcceptanceRates;
-  readonly demand: DemandEstimator;
-  readonly counters: SharedCounters;
-  readonly metrics: GatewayMetrics;
-  /** The bytes of endpoints' responses that are held. */
-  readonly heldResponses: HeldBytes;
-  /** The bytes of callers' requests that are held. */
-  readonly heldRequests: HeldBytes;
-  /** The rate at which long bodies are read. */
-  readonly linkPace: LinkPace;
-  readonly leaderTasks: LeaderTasks;
-  /** Determines whether reads of the store show everything that was acknowledged. */
-  readonly settling: EraSettling;
-  readonly connectTimeoutMs: number;
-  /** Sends the other instances immediately that prompt tokens were sent to an endpoint. */
-  readonly announcePlacement: (endpoint: string, tokens: number) => void;
-  /** Called once a request has begun to run, with the time of day at which it did. */
-  readonly countRun: (workspace: string, at: number) => void;
-  /** Returns the time of day. */
-  readonly getTimeOfDay: () => number;
-}
 
 /** The parts by which the instances keep limits together. */
 type AgreedParts = Pick<GatewayParts, "limits" | "permits" | "budget" | "acceptance">;
@@ -264,18 +139,6 @@
   };
 }
 
-/**
- * Whether an instance has what it needs to serve: a configuration with a fresh proof, the endpoints, and the
- * gateway's own items, which say what requests must not run.
- */
-export function canServe({
-  follower,
-  directory,
-  members,
-}: Pick<GatewayParts, "follower" | "directory" | "members">): boolean {
-  return follower.hasFreshProof() && directory.isListed && members.isListed;
-}
-
 function createItems(base: GatewayBase, getMembers: () => Members, getTimeOfDay: () => number): GatewayItems {
   return GatewayItems.create({
     ...base,
@@ -286,72 +149,6 @@
   });
 }
 
-function createState(
-  base: Pick<GatewayState, keyof GatewayBase | "settling">,
-  { requestProofs, getPeerWork }: FleetQueries,
-): GatewayState {
-  const { settings, platform, clock, logger, settling } = base;
-  const { configuration, retries, quotas, endpoints } = settings;
-  const feedTimings = createFeedTimings(Math.min(endpoints.drain, configuration.apply_within));
-  const follower = ConfigurationFollower.create({
-    platform,
-    clock,
-    logger,
-    proofIntervalMs: configuration.proof_interval,
-    readerIntervalMs: Math.min(configuration.proof_interval, feedTimings.proofIntervalMs),
-    proofLifetimeMs: configuration.revoke_within - configuration.revoke_margin,
-    firstWatchPauseMs,
-    requestProofs,
-    settling,
-  });
-  const getTimeSinceTrouble = (): number => follower.getTimeSinceTrouble();
-  const windows = {
-    [CounterKind.Quota]: quotas.window,
-    [CounterKind.Requests]: retries.window,
-    [CounterKind.Retries]: retries.window,
-    [CounterKind.PromptTokens]: demandWindowMs,
-  };
-  const counters = SharedCounters.create({ clock, ownName: settings.instance.name, windows });
-  const directory = EndpointDirectory.create({
-    platform,
-    clock,
-    logger,
-    getTimeSinceTrouble,
-    watchWaitMs: feedTimings.watchWaitMs,
-    firstWatchPauseMs,
-    unlistedMs: feedTimings.unlistedMs,
-  });
-  const rates = PrefillRates.create({ clock, logger, initialRate: endpoints.prefill_rate });
-  const countActive = (sum: number, { incarnation, active }: Endpoint): number =>
-    sum + active + getPeerWork(incarnation).active;
-  return {
-    ...base,
-    incarnation: clock.getWallTime(),
-    time: DisciplinedClock.create(clock),
-    feedTimings,
-    follower,
-    directory,
-    usage: UsageCounts.create(),
-    orders: FencedOrders.create(platform.orders, logger),
-    counters,
-    rates,
-    memory: PrefixIndex.create(),
-    overload: OverloadSwitch.create(settings.overload.mode),
-    linkPace: LinkPace.create(clock),
-    heldRequests: HeldBytes.create(maxHeldRequestBytes),
-    demand: DemandEstimator.create({
-      clock,
-      counters,
-      getPrefillRate: (service) => rates.get(service),
-      isRateLearned: (service) => rates.isLearned(service),
-      utilization: settings.orders.utilization,
-      minEndpointsPerHall: settings.orders.least_per_hall,
-      windowMs: demandWindowMs,
-      getActive: (service) => directory.getOfService(service).reduce(countActive, 0),
-    }),
-  };
-}
-
 function createReporter(
   state: GatewayState,
   { committedWindows: windows, settling }: GatewayItems,
--- a/packages/gateway/src/origins/originParts.ts
+++ b/packages/gateway/src/origins/originParts.ts
@@ -3,7 +3,7 @@
  * @module
  */
 import type { GatewayMetrics } from "../gatewayMetrics.js";
-import type { GatewayState } from "../gatewayParts.js";
+import type { GatewayState } from "../gatewayState.js";
 import type { Members } from "../fleet/members.js";
 import type { Route } from "../types.js";
 import { OriginArchive } from "./originArchive.js";
