--- /dev/null
+++ b/scripts/rejoinSoak.mjs
@@ -0,0 +1,40 @@
+// Runs the soak of streams that are taken up after all instances were killed. `node scripts/rejoinSoak.mjs --seeds 5 --row NAME|all
+// [--seconds 20]`. A seed is broken if a stream held events of two versions, lacked or repeated one, or ended as complete too soon.
+// Prints for each row how often streams that were taken up went on, beside how often new ones began.
+import { importTest, runSeeds } from "./playSeeds.mjs";
+
+const { runRejoinSoak } = await importTest("rejoinSoak");
+const { RejoinRow } = await importTest("rejoinSoakTypes");
+
+const names = Object.values(RejoinRow);
+const extra = { row: { type: "string", default: "all" } };
+
+function formatShare({ served, all }) {
+  return `${served}/${all}${all === 0 ? "" : ` (${(served / all).toFixed(3)})`}`;
+}
+
+function formatResult(row, { violated, streams, whole, begun, takenUp, statuses, kills, slowestRefusalMs }) {
+  const counts = Object.entries({ streams, whole, violated, kills }).map(
+    ([name, count]) => `${name} ${count}`,
+  );
+  const shares = `went on ${formatShare(takenUp)}, began ${formatShare(begun)}`;
+  const taken = `take-ups by status ${JSON.stringify(Object.fromEntries(statuses))}`;
+  return `${row}: ${counts.join(", ")}, ${shares}, ${taken}, slowest refusal ${slowestRefusalMs.toFixed(0)} ms`;
+}
+
+await runSeeds(
+  6,
+  async ({ row, ...options }) => {
+    const rows = row === "all" ? names : [row];
+    if (!rows.every((name) => names.includes(name))) throw new Error(`--row is none of ${names.join()}, all`);
+    const parts = [];
+    let isViolated = false;
+    for (const played of rows) {
+      const result = await runRejoinSoak({ ...options, row: played });
+      isViolated ||= result.violated > 0;
+      parts.push([formatResult(played, result), ...result.violations].join("; "));
+    }
+    return { isViolated, text: parts.join("\n  ") };
+  },
+  extra,
+);
