--- a/packages/gateway/test/originFleet.test.ts
+++ b/packages/gateway/test/originFleet.test.ts
@@ -3,8 +3,8 @@
  * that are refused although their version serves.
  */
 import t from "tap";
-import { playTroubles } from "./originFleet.js";
 import { checkTakeUps, checkVersions, describe, leastShare } from "./originPlays.js";
+import { playTroubles } from "./originTroubles.js";
 
 for (const instances of [6, 10, 24]) {
   t.test(`streams of ${instances} instances are of one version, for drawn troubles`, (t) =>
--- a/packages/gateway/test/originFleet.ts
+++ b/packages/gateway/test/originFleet.ts
@@ -4,31 +4,15 @@
  * streams up at any instance, and check which version wrote each event.
  * @module
  */
-import {
-  type Endpoint,
-  GatewayMetrics,
-  mayServe,
-  OriginArchive,
-  OriginGossip,
-  OriginRecorder,
-  OriginTable,
-  TakeUps,
-  VersionHistory,
-  VersionItems,
-  type MetadataStore,
-  RouteKind,
-  type StoreListing,
-  type StreamOrigin,
-} from "@gladewall/gateway";
-import type { PeerIdentity, PeerMessage } from "@gladewall/coordination";
-import { Failure, FailureCode, Logger } from "@gladewall/kernel";
+import { mayServe, type OriginRecorder, RouteKind, type StreamOrigin } from "@gladewall/gateway";
+import type { PeerMessage } from "@gladewall/coordination";
+import { Failure, FailureCode } from "@gladewall/kernel";
 import { createRoute } from "@gladewall/standins";
 import { Err, Ok, type Result } from "ts-results-es";
-import { createKnownEndpoint } from "./knownEndpoints.js";
+import { type MemberFleet, OriginMember, service, type SimulatedEndpoint } from "./originMember.js";
+import { SimulatedStore } from "./originStore.js";
 import { createSpreadRandom, StepClock } from "./stepClock.js";
 
-const service = "s";
-const retentionMs = 15_000;
 const largestMesh = 10;
 const keeperCount = 5;
 const reconcileMs = 200;
@@ -45,8 +29,6 @@
   targets: [{ service, weight: 1 }],
 });
 
-type Handler = (message: PeerMessage, peer: PeerIdentity) => unknown;
-
 /** Parameters of a fleet. */
 export interface OriginFleetOptions {
   readonly instances: number;
@@ -59,107 +41,6 @@
   readonly recordDelayMs?: number;
 }
 
-/** An endpoint of the simulation. */
-interface SimulatedEndpoint {
-  readonly id: string;
-  readonly version: string | undefined;
-  isAlive: boolean;
-}
-
-/** One life of an instance. */
-class Member {
-  isAlive = true;
-  isLinked = false;
-  pausedUntil = 0;
-  readonly known: Endpoint[] = [];
-  readonly handlers = new Map<number, Handler>();
-  readonly linkListeners: ((peer: PeerIdentity) => void)[] = [];
-  readonly history: VersionHistory;
-  readonly items: VersionItems;
-  readonly archive: OriginArchive;
-  readonly takeUps: TakeUps;
-  readonly recorder: OriginRecorder;
-  readonly table: OriginTable;
-
-  constructor(
-    readonly fleet: OriginFleet,
-    readonly index: number,
-  ) {
-    const { clock, random } = fleet;
-    const getRetentionMs = (): number => retentionMs;
-    const { history, table } = {
-      history: VersionHistory.create({ clock, getRetentionMs }),
-      table: OriginTable.create({ clock, getRetentionMs }),
-    };
-    this.history = history;
-    this.table = table;
-    const gossip = OriginGossip.create({
-      clock,
-      table,
-      history,
-      fleet: {
-        links: {
-          setHandler: (kind, handler) => void this.handlers.set(kind, handler),
-          onLinkUp: (listener) => void this.linkListeners.push(listener),
-          send: (name, message) => fleet.send(this, name, message),
-          call: (name, message, timeoutMs) => fleet.call(this, name, message, timeoutMs),
-        },
-        getKeepers: () => fleet.getKeepers(this),
-        get hasAllKeepers() {
-          return fleet.members.every((other) => other.isLinked || !other.isAlive);
-        },
-      },
-    });
-    const kept = {
-      store: {
-        transact: (transaction) => fleet.transact(transaction),
-        list: async (prefix) => Ok(fleet.list(prefix)),
-      } as Pick<MetadataStore, "transact" | "list"> as MetadataStore,
-      clock,
-      logger: Logger.createSilent(),
-      getTimeOfDay: () => clock.getTime(),
-      isWriter: () => fleet.findLiving()[0] === this,
-    };
-    this.archive = OriginArchive.create({
-      ...kept,
-      table,
-      getRetentionMs,
-      isNeeded: () => history.hasMixedServices,
-    });
-    this.recorder = OriginRecorder.create({ table, history, gossip });
-    this.takeUps = TakeUps.create({
-      clock,
-      logger: Logger.createSilent(),
-      metrics: GatewayMetrics.create("127.0.0.1:0"),
-      directory: { getOfService: () => this.known },
-      table,
-      history,
-      gossip,
-      archive: this.archive,
-      isViewOld: () => false,
-      getRandom: random,
-    });
-    this.items = VersionItems.create({ ...kept, history });
-  }
-
-  get name(): string {
-    return `m${this.index}`;
-  }
-
-  addEndpoint({ id, version }: SimulatedEndpoint): void {
-    const endpoint = createKnownEndpoint({ id, service, softwareVersion: version });
-    this.known.push(endpoint);
-    this.history.addEndpoint(endpoint.record);
-  }
-
-  removeEndpoint(id: string): void {
-    const index = this.known.findIndex((endpoint) => endpoint.id === id);
-    if (index < 0) return;
-    const [endpoint] = this.known.splice(index, 1);
-    this.history.removeEndpoint(endpoint!.record);
-  }
-}
-
 /** One stream of a caller. */
 interface SimulatedStream {
   readonly id: string;
@@ -171,10 +52,13 @@
 }
 
 /** The instances, their endpoints and their callers. */
-export class OriginFleet {
+export class OriginFleet implements MemberFleet {
   readonly clock = new StepClock();
   readonly random: () => number;
-  readonly members: Member[];
+  readonly members: OriginMember[];
+  readonly store = SimulatedStore.create((keys) => {
+    for (const member of this.members) this.showItems(member, keys);
+  });
   readonly violations: string[] = [];
   begun = 0;
   served = 0;
@@ -186,7 +70,6 @@
   /** Whether streams of the simulation are begun. */
   isOpen = true;
   private readonly endpoints: SimulatedEndpoint[] = [];
-  private readonly store = new Map<string, Uint8Array>();
   private readonly cut = new Set<string>();
   /** Time at which the last message over each link arrives: none overtakes another. */
   private readonly lastArrivals = new Map<string, number>();
@@ -194,25 +77,25 @@
 
   constructor(readonly options: OriginFleetOptions) {
     this.random = createSpreadRandom(options.seed);
-    this.members = Array.from({ length: options.instances }, (_, index) => new Member(this, index));
+    this.members = Array.from({ length: options.instances }, (_, index) => new OriginMember(this, index));
     for (const member of this.members) member.isLinked = true;
     for (let index = 0; index < options.endpoints; index++) this.startEndpoint();
     this.reconcile();
   }
 
-  findLiving(): readonly Member[] {
+  findLiving(): readonly OriginMember[] {
     return this.members.filter(({ isAlive }) => isAlive);
   }
 
   /** Names of the keepers that are linked with a member. */
-  getKeepers(member: Member): readonly string[] {
+  getKeepers(member: OriginMember): readonly string[] {
     const { length } = this.members;
     const reachable = this.members.filter((other) => other !== member && this.isReachable(member, other));
     const keepers = length <= largestMesh ? reachable : reachable.slice(0, keeperCount);
     return keepers.map(({ name }) => name);
   }
 
-  send(from: Member, name: string, message: PeerMessage): boolean {
+  send(from: OriginMember, name: string, message: PeerMessage): boolean {
     const to = this.members.find((member) => member.name === name);
     if (!to || !this.isReachable(from, to)) return false;
     this.messages += 1;
@@ -230,7 +113,7 @@
   }
 
   call(
-    from: Member,
+    from: OriginMember,
     name: string,
     message: PeerMessage,
     timeoutMs: number,
@@ -250,29 +133,8 @@
     });
   }
 
-  async transact({
-    put,
-    remove,
-  }: Parameters<MetadataStore["transact"]>[0]): Promise<Result<{ era: number; revision: number }, Failure>> {
-    for (const { key, value } of put) this.store.set(key, value);
-    for (const key of remove) this.store.delete(key);
-    for (const member of this.members) this.showItems(member, [...put.map(({ key }) => key), ...remove]);
-    return Ok({ era: 0, revision: 1 });
-  }
-
-  list(prefix: string): StoreListing {
-    const items = [...this.store].filter(([key]) => key.startsWith(prefix));
-    return {
-      items: items.map(([key, value]) => ({ key, value, revision: 1 })),
-      position: { era: 0, revision: 1 },
-    };
-  }
-
-  private showItems(member: Member, keys: readonly string[]): void {
-    for (const key of keys) {
-      const value = this.store.get(key);
-      member.items.handleItem(key, value && { key, value, revision: 1 });
-    }
+  private showItems(member: OriginMember, keys: readonly string[]): void {
+    for (const key of keys) member.items.handleItem(key, this.store.getItem(key));
   }
 
   /** Starts an endpoint in a version that is drawn; its record reaches the instances one after the other. */
@@ -306,9 +168,9 @@
     if (!member.isAlive) return;
     member.isAlive = false;
     this.clock.startTimer(restartMs, () => {
-      const next = new Member(this, index);
+      const next = new OriginMember(this, index);
       this.members[index] = next;
-      this.showItems(next, [...this.store.keys()]);
+      this.showItems(next, this.store.keys);
       for (const endpoint of this.endpoints) next.addEndpoint(endpoint);
       this.clock.startTimer(this.random() * linkMs, () => {
         next.isLinked = true;
@@ -379,7 +241,7 @@
   /** Forwards one response; another endpoint continues it if the first is killed, and it ends if the instance is. */
   private async forward(
     stream: SimulatedStream,
-    member: Member,
+    member: OriginMember,
     request: Parameters<OriginRecorder["record"]>[0],
     resumed: StreamOrigin | undefined,
   ): Promise<void> {
@@ -422,7 +284,7 @@
     return this.endpoints.filter((one) => one.isAlive && String(one.version) === version).length;
   }
 
-  private isReachable(from: Member, to: Member): boolean {
+  private isReachable(from: OriginMember, to: OriginMember): boolean {
     const isUp = from.isAlive && to.isAlive && from.isLinked && to.isLinked;
     return isUp && !this.cut.has(from.name) && !this.cut.has(to.name);
   }
@@ -443,50 +305,3 @@
     this.clock.startTimer(reconcileMs, () => this.reconcile());
   }
 }
-
-const streamIntervalMs = 12;
-
-/** What befalls a fleet, drawn at each interval. */
-export interface Troubles {
-  /** Share of the instances that are killed at once. */
-  readonly killedShares: readonly number[];
-  readonly hasPauses?: boolean;
-  readonly hasCuts?: boolean;
-}
-
-/** Plays drawn troubles; streams begin for `lengthMs`, and all are over at the end. */
-export async function playTroubles(
-  options: OriginFleetOptions,
-  lengthMs: number,
-  troubles: Troubles,
-): Promise<OriginFleet> {
-  const fleet = new OriginFleet(options);
-  const random = createSpreadRandom(options.seed + 1_000);
-  const { clock } = fleet;
-  await clock.advance(500);
-  const begin = (): void => {
-    fleet.begin();
-    clock.startTimer(random() * 2 * streamIntervalMs, begin);
-  };
-  const drawIndex = (): number => Math.floor(random() * options.instances);
-  const trouble = (): void => {
-    const { killedShares, hasPauses, hasCuts } = troubles;
-    const share = killedShares[Math.floor(random() * killedShares.length)]!;
-    const order = Array.from({ length: options.instances }, (_, index) => ({ index, at: random() }));
-    order.sort((one, other) => one.at - other.at);
-    for (const { index } of order.slice(0, Math.ceil(options.instances * share))) fleet.kill(index);
-    if (hasPauses && random() < 0.5) fleet.pause(drawIndex(), 300 + random() * 1_500);
-    if (hasCuts && random() < 0.5) fleet.cutOff(drawIndex(), 300 + random() * 2_000);
-    if (random() < 0.7) {
-      fleet.killEndpoint();
-      fleet.startEndpoint();
-    }
-    clock.startTimer(400 + random() * 1_600, trouble);
-  };
-  begin();
-  trouble();
-  await clock.advance(lengthMs);
-  fleet.isOpen = false;
-  await clock.advance(8_000);
-  return fleet;
-}
--- a/packages/gateway/test/originPlays.ts
+++ b/packages/gateway/test/originPlays.ts
@@ -3,7 +3,8 @@
  * @module
  */
 import type { Test } from "tap";
-import { type OriginFleet, playTroubles } from "./originFleet.js";
+import type { OriginFleet } from "./originFleet.js";
+import { playTroubles } from "./originTroubles.js";
 
 /** Share of the take-ups that go on, of the share of new streams that begin. */
 export const leastShare = 0.95;
