--- a/packages/gateway/test/originFleet.test.ts
+++ b/packages/gateway/test/originFleet.test.ts
@@ -21,6 +21,9 @@
     killedShares: [0.5, 1],
   });
   t.equal(fleet.messages, 0);
-  t.ok(fleet.takenUp > 0);
-  t.ok(fleet.wentOn / fleet.takenUp >= (leastShare * fleet.served) / fleet.begun, describe(fleet));
+  t.ok(fleet.callers.takenUp > 0);
+  t.ok(
+    fleet.callers.wentOn / fleet.callers.takenUp >= (leastShare * fleet.callers.served) / fleet.callers.begun,
+    describe(fleet),
+  );
 });
--- a/packages/gateway/test/originFleet.ts
+++ b/packages/gateway/test/originFleet.ts
@@ -1,33 +1,37 @@
 /**
  * Simulates a fleet that forwards streams of endpoints in several software versions, on a step clock and without sockets: instances are
- * killed, paused and cut off, endpoints are killed and start in other versions, and records and messages arrive late. Callers take
- * streams up at any instance, and check which version wrote each event.
+ * killed, paused and cut off, endpoints are killed and start in other versions, and records and messages arrive late.
  * @module
  */
-import { mayServe, type OriginRecorder, RouteKind, type StreamOrigin } from "@gladewall/gateway";
 import type { PeerMessage } from "@gladewall/coordination";
 import { Failure, FailureCode } from "@gladewall/kernel";
-import { createRoute } from "@gladewall/standins";
 import { Err, Ok, type Result } from "ts-results-es";
-import { type MemberFleet, OriginMember, service, type SimulatedEndpoint } from "./originMember.js";
+import { OriginCallers, type Patience } from "./originCallers.js";
+import { SimulatedEndpoints } from "./originEndpoints.js";
+import { type MemberFleet, OriginMember } from "./originMember.js";
 import { SimulatedStore } from "./originStore.js";
 import { createSpreadRandom, StepClock } from "./stepClock.js";
 
 const largestMesh = 10;
 const keeperCount = 5;
 const reconcileMs = 200;
-const eventMs = 60;
-const restartMs = 400;
+const defaultRestartMs = 400;
+const defaultRetentionMs = 15_000;
 /** Time within which an instance that starts has its links. */
 const linkMs = 120;
-const maxTakeUps = 3;
-const returnMs = 40;
-const recordLifetimeMs = 900;
-const route = createRoute({
-  kind: RouteKind.Stream,
-  isResumable: true,
-  targets: [{ service, weight: 1 }],
-});
+/** Time between two attempts of an instance that starts to list the store, and the largest time until a peer sends the items. */
+const listRetryMs = 50;
+const feedMs = 300;
+const startOfDayMs = 1_700_000_000_000;
+
+const shortPatience: Patience = {
+  maxReturns: 3,
+  maxRefusals: Infinity,
+  returnMs: 40,
+  lifetimeMs: Infinity,
+  lateShare: 0,
+  lateMs: 0,
+};
 
 /** Parameters of a fleet. */
 export interface OriginFleetOptions {
@@ -39,52 +43,76 @@
   /** Largest time that a message takes, and that a record takes to reach an instance. */
   readonly delayMs?: number;
   readonly recordDelayMs?: number;
-}
-
-/** One stream of a caller. */
-interface SimulatedStream {
-  readonly id: string;
-  readonly events: number;
-  readonly written: string[];
-  origin: string | undefined;
-  attempts: number;
-  takeUps: number;
+  /** Largest time that an item of the store takes to reach an instance; none by default. */
+  readonly itemDelayMs?: number;
+  /** Whether an instance that is cut off takes itself for the writer; by default all agree on who writes. */
+  readonly hasSplitWriters?: boolean;
+  /** Time for which a stream may be taken up after it began. */
+  readonly retentionMs?: number;
+  /** How long callers come back; three times and soon by default. */
+  readonly patience?: Patience;
 }
 
 /** The instances, their endpoints and their callers. */
 export class OriginFleet implements MemberFleet {
   readonly clock = new StepClock();
   readonly random: () => number;
-  readonly members: OriginMember[];
-  readonly store = SimulatedStore.create((keys) => {
-    for (const member of this.members) this.showItems(member, keys);
-  });
-  readonly violations: string[] = [];
-  begun = 0;
-  served = 0;
-  /** Take-ups while two endpoints of the stream's version serve, and those that went on. */
-  takenUp = 0;
-  wentOn = 0;
+  readonly members: OriginMember[] = [];
+  readonly store: SimulatedStore;
+  readonly endpoints: SimulatedEndpoints;
+  readonly callers: OriginCallers;
   /** Messages and bytes of entries that instances sent. */
   messages = 0;
-  /** Whether streams of the simulation are begun. */
-  isOpen = true;
-  private readonly endpoints: SimulatedEndpoint[] = [];
   private readonly cut = new Set<string>();
   /** Time at which the last message over each link arrives: none overtakes another. */
   private readonly lastArrivals = new Map<string, number>();
-  private nextEndpoint = 0;
+  /** What each machine adds to the time of day. */
+  private readonly timeOffsets = new Map<number, number>();
 
   constructor(readonly options: OriginFleetOptions) {
-    this.random = createSpreadRandom(options.seed);
-    this.members = Array.from({ length: options.instances }, (_, index) => new OriginMember(this, index));
-    for (const member of this.members) member.isLinked = true;
-    for (let index = 0; index < options.endpoints; index++) this.startEndpoint();
+    const { seed, instances, versions, recordDelayMs = 1, patience = shortPatience } = options;
+    const { clock } = this;
+    const random = createSpreadRandom(seed);
+    this.random = random;
+    this.store = SimulatedStore.create({ clock, random, onChanged: () => this.spreadItems() });
+    const getReaders = (): readonly OriginMember[] => this.members;
+    const { store } = this;
+    this.endpoints = SimulatedEndpoints.create({ clock, random, store, versions, recordDelayMs, getReaders });
+    const findServing = (): readonly OriginMember[] => this.findReady().filter(({ isPaused }) => !isPaused);
+    this.callers = OriginCallers.create({ clock, random, endpoints: this.endpoints, patience, findServing });
+    for (let index = 0; index < instances; index++) this.members.push(new OriginMember(this, index));
+    for (const member of this.members) {
+      member.isLinked = true;
+      member.isReady = true;
+    }
+    for (let index = 0; index < options.endpoints; index++) this.endpoints.start();
     this.reconcile();
   }
 
-  findLiving(): readonly OriginMember[] {
-    return this.members.filter(({ isAlive }) => isAlive);
+  get retentionMs(): number {
+    return this.options.retentionMs ?? defaultRetentionMs;
+  }
+
+  get violations(): readonly string[] {
+    return this.callers.violations;
+  }
+
+  isWriter(member: OriginMember): boolean {
+    const ready = this.findReady();
+    const { hasSplitWriters = false } = this.options;
+    const candidates = hasSplitWriters
+      ? ready.filter((other) => other === member || this.isReachable(member, other))
+      : ready;
+    return candidates[0] === member;
+  }
+
+  getTimeOfDay({ index }: OriginMember): number {
+    return startOfDayMs + this.clock.getTime() + (this.timeOffsets.get(index) ?? 0);
+  }
+
+  /** Steps the time of day of a machine; its monotonic clock goes on. */
+  stepTimeOfDay(index: number, byMs: number): void {
+    this.timeOffsets.set(index, (this.timeOffsets.get(index) ?? 0) + byMs);
   }
 
   /** Names of the keepers that are linked with a member. */
@@ -124,7 +152,7 @@
       this.clock.startTimer(timeoutMs, fail);
       if (!to || !this.isReachable(from, to)) return fail();
       this.clock.startTimer(this.drawDelay(), () => {
-        if (!to.isAlive || to.pausedUntil > this.clock.getTime()) return;
+        if (!to.isAlive || to.isPaused) return;
         const reply = to.handlers.get(message.kind)?.(message, { name: from.name, incarnation: 1 });
         this.clock.startTimer(this.drawDelay(), () => {
           if (this.isReachable(from, to)) resolve(Ok(reply));
@@ -133,53 +161,16 @@
     });
   }
 
-  private showItems(member: OriginMember, keys: readonly string[]): void {
-    for (const key of keys) member.items.handleItem(key, this.store.getItem(key));
-  }
-
-  /** Starts an endpoint in a version that is drawn; its record reaches the instances one after the other. */
-  startEndpoint(): void {
-    const { versions, recordDelayMs = 1 } = this.options;
-    const version = versions[Math.floor(this.random() * versions.length)];
-    const endpoint: SimulatedEndpoint = { id: `e${this.nextEndpoint++}`, version, isAlive: true };
-    this.endpoints.push(endpoint);
-    for (const member of this.members)
-      this.clock.startTimer(
-        this.random() * recordDelayMs,
-        () => member.isAlive && member.addEndpoint(endpoint),
-      );
-  }
-
-  /** Kills an endpoint; its record expires later. */
-  killEndpoint(): void {
-    const living = this.endpoints.filter(({ isAlive }) => isAlive);
-    const endpoint = living[Math.floor(this.random() * living.length)];
-    if (!endpoint) return;
-    endpoint.isAlive = false;
-    this.clock.startTimer(recordLifetimeMs, () => {
-      this.endpoints.splice(this.endpoints.indexOf(endpoint), 1);
-      for (const member of this.members) member.removeEndpoint(endpoint.id);
-    });
-  }
-
   /** Kills an instance and starts it again; it lists the records and the store's items, and is linked a little later. */
-  kill(index: number): void {
+  kill(index: number, restartMs = defaultRestartMs): void {
     const member = this.members[index]!;
     if (!member.isAlive) return;
     member.isAlive = false;
     this.clock.startTimer(restartMs, () => {
       const next = new OriginMember(this, index);
       this.members[index] = next;
-      this.showItems(next, this.store.keys);
-      for (const endpoint of this.endpoints) next.addEndpoint(endpoint);
-      this.clock.startTimer(this.random() * linkMs, () => {
-        next.isLinked = true;
-        for (const other of this.members) {
-          if (other === next || !this.isReachable(next, other)) continue;
-          for (const listener of other.linkListeners) listener({ name: next.name, incarnation: 2 });
-          for (const listener of next.linkListeners) listener({ name: other.name, incarnation: 1 });
-        }
-      });
+      this.listItems(next);
+      this.clock.startTimer(this.random() * linkMs, () => this.link(next));
     });
   }
 
@@ -194,94 +185,69 @@
     this.clock.startTimer(forMs, () => this.cut.delete(name));
   }
 
-  /** Begins a stream at a random instance. */
-  begin(): void {
-    if (!this.isOpen) return;
-    const events = 4 + Math.floor(this.random() * 28);
-    const stream = {
-      id: `r${this.begun++}`,
-      events,
-      written: [],
-      origin: undefined,
-      attempts: 0,
-      takeUps: 0,
-    };
-    void this.attempt(stream);
+  /** Restores the store from a copy that is at least that old. */
+  restoreStore(ageMs: number): void {
+    const copiedAt = this.store.restore(ageMs);
+    if (copiedAt !== undefined) this.endpoints.restore(copiedAt);
   }
 
-  private async attempt(stream: SimulatedStream): Promise<void> {
-    const living = this.findLiving().filter(({ pausedUntil }) => pausedUntil <= this.clock.getTime());
-    const member = living[Math.floor(this.random() * living.length)];
-    if (!member) return this.comeBack(stream);
-    stream.attempts += 1;
-    const { origin: resumes, written } = stream;
-    const isTakeUp = resumes !== undefined;
-    const isCounted = isTakeUp && this.countAlive(written[0]) >= 2;
-    if (isCounted) this.takenUp += 1;
-    const head = {
-      id: `${stream.id}-${stream.attempts}`,
-      deadlineMs: undefined,
-      key: undefined,
-      promptTokens: undefined,
-      outputTokens: undefined,
-      parts: [],
-      lastEventId: isTakeUp ? String(written.length) : undefined,
-      resumes,
-    };
-    const request = { route, head, workspace: "" };
-    const chosen = await member.takeUps.choose(request);
-    if (chosen.isErr() || !member.isAlive) return this.comeBack(stream);
-    const before = written.length;
-    await this.forward(stream, member, request, chosen.value.origin);
-    if (written.length > before && isCounted) this.wentOn += 1;
-    if (written.length > before && !isTakeUp) this.served += 1;
-    if (written.length < stream.events) this.comeBack(stream);
+  private findReady(): readonly OriginMember[] {
+    return this.members.filter(({ isAlive, isReady }) => isAlive && isReady);
   }
 
-  /** Forwards one response; another endpoint continues it if the first is killed, and it ends if the instance is. */
-  private async forward(
-    stream: SimulatedStream,
-    member: OriginMember,
-    request: Parameters<OriginRecorder["record"]>[0],
-    resumed: StreamOrigin | undefined,
-  ): Promise<void> {
-    let origin = resumed;
-    const tried = new Set<string>();
-    let isRecorded = false;
-    for (let attempt = 0; attempt < 4; attempt++) {
-      const suitable = member.known.filter((one) => !tried.has(one.id) && mayServe(origin, one));
-      const endpoint = suitable[Math.floor(this.random() * suitable.length)];
-      if (!endpoint || !member.isAlive) return;
-      tried.add(endpoint.id);
-      const { softwareVersion } = endpoint.record;
-      const process = this.endpoints.find(({ id }) => id === endpoint.id);
-      while (stream.written.length < stream.events) {
-        await this.wait(eventMs * (0.2 + this.random()));
-        if (!process?.isAlive || !member.isAlive) break;
-        origin ??= { service, softwareVersion };
-        if (!isRecorded) member.recorder.record(request, origin);
-        isRecorded = true;
-        stream.origin ??= request.head.id;
-        this.write(stream, softwareVersion);
-      }
-      if (stream.written.length === stream.events) return;
+  private link(member: OriginMember): void {
+    member.isLinked = true;
+    for (const other of this.members) {
+      if (other === member || !this.isReachable(member, other)) continue;
+      for (const listener of other.linkListeners) listener({ name: member.name, incarnation: 2 });
+      for (const listener of member.linkListeners) listener({ name: other.name, incarnation: 1 });
     }
   }
 
-  private write({ id, written }: SimulatedStream, version: string | undefined): void {
-    const text = String(version);
-    if (written.length > 0 && written[0] !== text) this.violations.push(`${id}: ${written[0]} and ${text}`);
-    written.push(text);
+  /** An instance that starts takes requests once it has listed the store, or a peer has sent what it knows. */
+  private listItems(member: OriginMember): void {
+    if (!member.isAlive || member.isReady) return;
+    const { store, clock } = this;
+    if (store.isReachable && store.delayMs === 0) return this.makeReady(member);
+    const reader = this.findReady().find((other) => this.isReachable(member, other) && !other.isPaused);
+    if (reader) clock.startTimer(this.random() * feedMs, () => this.feed(member, reader));
+    const waitMs = listRetryMs + this.random() * store.delayMs;
+    clock.startTimer(waitMs, () => {
+      if (store.isReachable) this.makeReady(member);
+      else this.listItems(member);
+    });
   }
 
-  private comeBack(stream: SimulatedStream): void {
-    stream.takeUps += 1;
-    if (stream.takeUps > maxTakeUps) return;
-    this.clock.startTimer(this.random() * returnMs, () => void this.attempt(stream));
+  private makeReady(member: OriginMember): void {
+    if (!member.isAlive || member.isReady) return;
+    member.followed.apply(this.store.getItems());
+    for (const endpoint of this.endpoints.list()) member.addEndpoint(endpoint);
+    member.noteHeard();
+    member.isReady = true;
   }
 
-  private countAlive(version: string | undefined): number {
-    return this.endpoints.filter((one) => one.isAlive && String(one.version) === version).length;
+  private feed(member: OriginMember, reader: OriginMember): void {
+    if (!member.isAlive || member.isReady || !this.isReachable(member, reader)) return;
+    member.followed.copyFrom(reader.followed);
+    for (const { id, record } of reader.known) member.addEndpoint({ id, version: record.softwareVersion });
+    member.noteHeard();
+    member.isReady = true;
+  }
+
+  /** Shows the store's content to all instances that have listed it. */
+  private spreadItems(): void {
+    const { itemDelayMs = 0 } = this.options;
+    for (const member of this.members) {
+      if (itemDelayMs === 0) member.followed.apply(this.store.getItems());
+      else this.clock.startTimer(this.random() * itemDelayMs, () => this.showItems(member));
+    }
+  }
+
+  private showItems(member: OriginMember): void {
+    if (!member.isAlive || !member.isReady) return;
+    const isHeld = member.isPaused || !this.store.isReachable;
+    if (isHeld) this.clock.startTimer(listRetryMs, () => this.showItems(member));
+    else member.followed.apply(this.store.getItems());
   }
 
   private isReachable(from: OriginMember, to: OriginMember): boolean {
@@ -293,14 +259,11 @@
     return 1 + this.random() * (this.options.delayMs ?? 4);
   }
 
-  private wait(milliseconds: number): Promise<void> {
-    return new Promise((resolve) => this.clock.startTimer(milliseconds, resolve));
-  }
-
   private reconcile(): void {
-    for (const { items, archive } of this.findLiving()) {
-      items.reconcile();
-      archive.reconcile();
+    for (const member of this.findReady()) {
+      if (this.options.hasSplitWriters && member.isPaused) continue;
+      if (this.store.isReachable) member.noteHeard();
+      member.reconcile();
     }
     this.clock.startTimer(reconcileMs, () => this.reconcile());
   }
--- a/packages/gateway/test/originMember.ts
+++ b/packages/gateway/test/originMember.ts
@@ -5,6 +5,7 @@
 import {
   type Endpoint,
   GatewayMetrics,
+  mayServe,
   OriginArchive,
   OriginGossip,
   OriginRecorder,
@@ -13,32 +14,32 @@
   VersionHistory,
   VersionItems,
   type MetadataStore,
+  type StreamOrigin,
 } from "@gladewall/gateway";
 import type { PeerIdentity, PeerMessage } from "@gladewall/coordination";
 import { type Clock, type Failure, Logger } from "@gladewall/kernel";
-import { Ok, type Result } from "ts-results-es";
+import type { Result } from "ts-results-es";
 import { createKnownEndpoint } from "./knownEndpoints.js";
-import type { SimulatedStore } from "./originStore.js";
+import type { SimulatedEndpoint } from "./originEndpoints.js";
+import { FollowedItems, type SimulatedStore } from "./originStore.js";
 
 export const service = "s";
-const retentionMs = 15_000;
 
+type GossipFleet = Parameters<typeof OriginGossip.create>[0]["fleet"];
 type Handler = (message: PeerMessage, peer: PeerIdentity) => unknown;
 
-/** An endpoint of the simulation. */
-export interface SimulatedEndpoint {
-  readonly id: string;
-  readonly version: string | undefined;
-  isAlive: boolean;
-}
-
 /** The fleet as its instances need it. */
 export interface MemberFleet {
   readonly clock: Clock;
   readonly random: () => number;
   readonly store: SimulatedStore;
   readonly members: readonly OriginMember[];
-  findLiving(): readonly OriginMember[];
+  /** Time for which a stream may be taken up after it began. */
+  readonly retentionMs: number;
+  /** Whether a member writes to the store on behalf of the fleet, as far as it knows. */
+  isWriter(member: OriginMember): boolean;
+  /** Returns the time of day of the machine that a member runs on. */
+  getTimeOfDay(member: OriginMember): number;
   getKeepers(member: OriginMember): readonly string[];
   send(from: OriginMember, name: string, message: PeerMessage): boolean;
   call(
@@ -49,68 +50,113 @@
   ): Promise<Result<unknown, Failure>>;
 }
 
+/** Time without a message on endpoints after which further versions may serve, as in the runtime. */
+const maxViewAgeMs = 1_500;
+
+/** What an instance consists of, apart from its links and its store. */
+interface MemberParts {
+  readonly history: VersionHistory;
+  readonly items: VersionItems;
+  readonly archive: OriginArchive;
+  readonly takeUps: TakeUps;
+  readonly recorder: OriginRecorder;
+}
+
+type Request = Parameters<TakeUps["choose"]>[0];
+type ChosenService = Awaited<ReturnType<TakeUps["choose"]>>;
+
 /** One life of an instance. */
 export class OriginMember {
   isAlive = true;
   isLinked = false;
+  /** Whether it has listed the store's items and the endpoints' records, and takes requests. */
+  isReady = false;
   pausedUntil = 0;
   readonly known: Endpoint[] = [];
   readonly handlers = new Map<number, Handler>();
   readonly linkListeners: ((peer: PeerIdentity) => void)[] = [];
-  readonly history: VersionHistory;
-  readonly items: VersionItems;
-  readonly archive: OriginArchive;
-  readonly takeUps: TakeUps;
-  readonly recorder: OriginRecorder;
-  readonly table: OriginTable;
+  readonly followed: FollowedItems;
+  private heardAt: number;
+  private readonly parts: MemberParts;
 
   constructor(
-    readonly fleet: MemberFleet,
+    private readonly fleet: MemberFleet,
     readonly index: number,
   ) {
+    this.heardAt = fleet.clock.getTime();
+    this.parts = this.createParts();
+    this.followed = FollowedItems.create((key, item) => this.parts.items.handleItem(key, item));
+  }
+
+  get name(): string {
+    return `m${this.index}`;
+  }
+
+  get isPaused(): boolean {
+    return this.pausedUntil > this.fleet.clock.getTime();
+  }
+
+  addEndpoint({ id, version }: Pick<SimulatedEndpoint, "id" | "version">): void {
+    if (this.known.some((endpoint) => endpoint.id === id)) return;
+    const endpoint = createKnownEndpoint({ id, service, softwareVersion: version });
+    this.known.push(endpoint);
+    this.parts.history.addEndpoint(endpoint.record);
+  }
+
+  removeEndpoint(id: string): void {
+    const index = this.known.findIndex((endpoint) => endpoint.id === id);
+    if (index < 0) return;
+    const [endpoint] = this.known.splice(index, 1);
+    this.parts.history.removeEndpoint(endpoint!.record);
+  }
+
+  /** Chooses the service of a request, and the version at which a stream goes on. */
+  choose(request: Request): Promise<ChosenService> {
+    return this.parts.takeUps.choose(request);
+  }
+
+  /** Returns the endpoints at which a request may begin or go on now. */
+  findSuitable(origin: StreamOrigin | undefined): readonly Endpoint[] {
+    return this.known.filter((endpoint) => mayServe(origin, endpoint));
+  }
+
+  /** Records where a stream began; its first event is forwarded once this has resolved. */
+  async recordOrigin(request: Request, origin: StreamOrigin): Promise<void> {
+    this.parts.recorder.record(request, origin);
+  }
+
+  /** Notes that the store or a reader sent something. */
+  noteHeard(): void {
+    this.heardAt = this.fleet.clock.getTime();
+  }
+
+  /** Writes what is due to the store; called several times a second. */
+  reconcile(): void {
+    this.parts.items.reconcile();
+    this.parts.archive.reconcile();
+  }
+
+  private createParts(): MemberParts {
+    const { fleet } = this;
     const { clock, random } = fleet;
-    const getRetentionMs = (): number => retentionMs;
-    const { history, table } = {
-      history: VersionHistory.create({ clock, getRetentionMs }),
-      table: OriginTable.create({ clock, getRetentionMs }),
-    };
-    this.history = history;
-    this.table = table;
-    const gossip = OriginGossip.create({
-      clock,
-      table,
-      history,
-      fleet: {
-        links: {
-          setHandler: (kind, handler) => void this.handlers.set(kind, handler),
-          onLinkUp: (listener) => void this.linkListeners.push(listener),
-          send: (name, message) => fleet.send(this, name, message),
-          call: (name, message, timeoutMs) => fleet.call(this, name, message, timeoutMs),
-        },
-        getKeepers: () => fleet.getKeepers(this),
-        get hasAllKeepers() {
-          return fleet.members.every((other) => other.isLinked || !other.isAlive);
-        },
-      },
-    });
+    const getRetentionMs = (): number => fleet.retentionMs;
+    const history = VersionHistory.create({ clock, getRetentionMs });
+    const table = OriginTable.create({ clock, getRetentionMs });
+    const gossip = OriginGossip.create({ clock, table, history, fleet: this.createLinks() });
     const kept = {
-      store: {
-        transact: (transaction) => fleet.store.transact(transaction),
-        list: async (prefix) => Ok(fleet.store.list(prefix)),
-      } as Pick<MetadataStore, "transact" | "list"> as MetadataStore,
+      store: fleet.store as Pick<MetadataStore, "transact" | "list"> as MetadataStore,
       clock,
       logger: Logger.createSilent(),
-      getTimeOfDay: () => clock.getTime(),
-      isWriter: () => fleet.findLiving()[0] === this,
+      getTimeOfDay: () => fleet.getTimeOfDay(this),
+      isWriter: () => this.isReady && fleet.isWriter(this),
     };
-    this.archive = OriginArchive.create({
+    const archive = OriginArchive.create({
       ...kept,
       table,
       getRetentionMs,
       isNeeded: () => history.hasMixedServices,
     });
-    this.recorder = OriginRecorder.create({ table, history, gossip });
-    this.takeUps = TakeUps.create({
+    const takeUps = TakeUps.create({
       clock,
       logger: Logger.createSilent(),
       metrics: GatewayMetrics.create("127.0.0.1:0"),
@@ -118,27 +164,28 @@
       table,
       history,
       gossip,
-      archive: this.archive,
-      isViewOld: () => false,
+      archive,
+      isViewOld: () => clock.getTime() - this.heardAt > maxViewAgeMs,
       getRandom: random,
     });
-    this.items = VersionItems.create({ ...kept, history });
-  }
-
-  get name(): string {
-    return `m${this.index}`;
-  }
-
-  addEndpoint({ id, version }: SimulatedEndpoint): void {
-    const endpoint = createKnownEndpoint({ id, service, softwareVersion: version });
-    this.known.push(endpoint);
-    this.history.addEndpoint(endpoint.record);
+    const recorder = OriginRecorder.create({ table, history, gossip });
+    return { history, items: VersionItems.create({ ...kept, history }), archive, takeUps, recorder };
   }
 
-  removeEndpoint(id: string): void {
-    const index = this.known.findIndex((endpoint) => endpoint.id === id);
-    if (index < 0) return;
-    const [endpoint] = this.known.splice(index, 1);
-    this.history.removeEndpoint(endpoint!.record);
+  private createLinks(): GossipFleet {
+    const { fleet } = this;
+    const isLinked = (other: OriginMember): boolean => other.isLinked || !other.isAlive;
+    return {
+      links: {
+        setHandler: (kind, handler) => void this.handlers.set(kind, handler),
+        onLinkUp: (listener) => void this.linkListeners.push(listener),
+        send: (name, message) => fleet.send(this, name, message),
+        call: (name, message, timeoutMs) => fleet.call(this, name, message, timeoutMs),
+      },
+      getKeepers: () => fleet.getKeepers(this),
+      get hasAllKeepers() {
+        return fleet.members.every(isLinked);
+      },
+    };
   }
 }
--- a/packages/gateway/test/originPlays.ts
+++ b/packages/gateway/test/originPlays.ts
@@ -9,7 +9,7 @@
 /** Share of the take-ups that go on, of the share of new streams that begin. */
 export const leastShare = 0.95;
 
-export function describe({ begun, served, takenUp, wentOn }: OriginFleet): string {
+export function describe({ callers: { begun, served, takenUp, wentOn } }: OriginFleet): string {
   return `${begun} streams, ${served} served, ${wentOn} of ${takenUp} taken up went on`;
 }
 
@@ -29,7 +29,7 @@
       { killedShares: [0.1, 0.3, 0.5, 1], hasPauses: true, hasCuts: true },
     );
     t.same(fleet.violations, [], `seed ${seed}: ${describe(fleet)}`);
-    t.ok(fleet.takenUp > 0);
+    t.ok(fleet.callers.takenUp > 0);
   }
 }
 
@@ -44,10 +44,10 @@
       killedShares: [0.5],
     });
     t.same(fleet.violations, []);
-    takenUp += fleet.takenUp;
-    wentOn += fleet.wentOn;
-    begun += fleet.begun;
-    served += fleet.served;
+    takenUp += fleet.callers.takenUp;
+    wentOn += fleet.callers.wentOn;
+    begun += fleet.callers.begun;
+    served += fleet.callers.served;
   }
   const share = wentOn / takenUp / (served / begun);
   t.ok(share >= leastShare, `${share.toFixed(3)}: ${wentOn} of ${takenUp}, new ones ${served} of ${begun}`);
--- a/packages/gateway/test/originTroubles.ts
+++ b/packages/gateway/test/originTroubles.ts
@@ -26,7 +26,7 @@
   const { clock } = fleet;
   await clock.advance(500);
   const begin = (): void => {
-    fleet.begin();
+    fleet.callers.begin();
     clock.startTimer(random() * 2 * streamIntervalMs, begin);
   };
   const drawIndex = (): number => Math.floor(random() * options.instances);
@@ -39,15 +39,15 @@
     if (hasPauses && random() < 0.5) fleet.pause(drawIndex(), 300 + random() * 1_500);
     if (hasCuts && random() < 0.5) fleet.cutOff(drawIndex(), 300 + random() * 2_000);
     if (random() < 0.7) {
-      fleet.killEndpoint();
-      fleet.startEndpoint();
+      fleet.endpoints.killAny();
+      fleet.endpoints.start();
     }
     clock.startTimer(400 + random() * 1_600, trouble);
   };
   begin();
   trouble();
   await clock.advance(lengthMs);
-  fleet.isOpen = false;
+  fleet.callers.isOpen = false;
   await clock.advance(8_000);
   return fleet;
 }
