--- a/packages/gateway/src/crashes/suspectGate.ts
+++ b/packages/gateway/src/crashes/suspectGate.ts
@@ -11,7 +11,7 @@
 import { getStricter, QuarantineState } from "./quarantineState.js";
 import type { Endpoint } from "../endpoints/endpoint.js";
 import type { GatewayMetrics } from "../gatewayMetrics.js";
-import { mayServe, type StreamOrigin } from "../origins/streamOrigin.js";
+import { mayServe, type RequiredOrigin } from "../origins/streamOrigin.js";
 import type { PartJudgment } from "./parts/partRecords.js";
 import { isDown, type TrialReply, type TrialCallArguments, TrialDecision } from "./trialScheduler.js";
 
@@ -45,7 +45,7 @@
   /** Incarnations of endpoints that it was sent to before. */
   readonly excluded: ReadonlySet<string>;
   /** Where the stream began that it goes on with; undefined if any endpoint of the service may serve it. */
-  readonly origin?: StreamOrigin | undefined;
+  readonly origin?: RequiredOrigin | undefined;
   /** Milliseconds until it must have its final response. */
   readonly leftMs: number;
 }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -8,10 +8,21 @@
 export { OriginArchive } from "./origins/originArchive.js";
 export { type OriginAnswer, OriginGossip } from "./origins/originGossip.js";
 export { OriginTable } from "./origins/originTable.js";
-export { OriginRecorder, TakeUps } from "./origins/takeUps.js";
+export { OriginKeeper } from "./origins/originKeeper.js";
+export { OriginRecorder } from "./origins/originRecorder.js";
+export { TakeUps } from "./origins/takeUps.js";
 export { VersionHistory } from "./origins/versionHistory.js";
 export { VersionItems } from "./origins/versionItems.js";
-export { createStreamKey, encodeOrigin, mayServe, type StreamOrigin } from "./origins/streamOrigin.js";
+export { VersionRecorder } from "./origins/versionRecorder.js";
+export { VersionRecords } from "./origins/versionRecords.js";
+export {
+  createStreamKey,
+  encodeOrigin,
+  isBegun,
+  mayServe,
+  type RequiredOrigin,
+  type StreamOrigin,
+} from "./origins/streamOrigin.js";
 export { runGatewayDaemon } from "./daemon.js";
 export { Admission } from "./limits/admission.js";
 export { MemberRecords } from "./fleet/memberRecords.js";
--- a/packages/gateway/src/origins/originArchive.ts
+++ b/packages/gateway/src/origins/originArchive.ts
@@ -1,13 +1,14 @@
 /**
  * Keeps where streams of services with several versions began in the platform's store, so that it outlasts all instances. One instance
- * writes what became known since its last write as one item of a ring; nobody watches the items, and they are read only when no peer
- * knows a stream that is taken up. Streams that began within one interval before all instances end are lost.
+ * writes on behalf of the fleet; streams that begin while a write is on its way share the next one. Nobody watches the items, and they are
+ * read only when no peer knows a stream that is taken up.
  * @module
  */
 import { type Clock, type Logger, waitFor } from "@gladewall/kernel";
 import * as v from "valibot";
 import { decodeItem } from "../store/itemCodec.js";
 import type { MetadataStore } from "../types.js";
+import { archivePrefix, ArchiveSegments } from "./archiveSegments.js";
 import { decodeEntries, encodeEntries, type OriginEntry } from "./originMessages.js";
 import { OriginSource, type OriginTable } from "./originTable.js";
 
@@ -23,22 +24,16 @@
   readonly isNeeded: () => boolean;
   /** Whether this instance writes on behalf of the fleet. */
   readonly isWriter: () => boolean;
-  /** Returns the time of day. */
-  readonly getTimeOfDay: () => number;
 }
 
-// Outside the prefix that all instances watch, because each change under that prefix costs a call of every instance.
-const archivePrefix = "gladewall-streams/";
-/** Items of the ring; as many keys as one transaction may remove. */
-const slotCount = 32;
-/** Shortest time between two writes. */
-const minIntervalMs = 500;
+/** Shortest time between two writes: new streams wait for half of it in the mean while their service has several versions. */
+const minIntervalMs = 40;
 /** Time for which an instance that does not write keeps what it would write if the writer ended. */
 const handoverMs = 3_000;
-/** Streams of one item, 10 bytes each; of more, only the latest are written. */
-const maxEntriesPerItem = 50_000;
+/** Time between two removals of old segments while nothing is written. */
+const removalIntervalMs = 5_000;
 /** Time for which what was read counts as current, and the longest wait for a read. */
-const freshMs = 250;
+const freshMs = 100;
 const maxReadMs = 300;
 
 const archiveSchema = v.object({
@@ -48,25 +43,29 @@
 
 type ArchiveItem = v.InferOutput<typeof archiveSchema>;
 
-interface PendingEntry {
-  readonly entry: OriginEntry;
+interface PendingStream {
+  readonly code: number;
   readonly at: number;
 }
 
 /** Writes and reads the items. */
 export class OriginArchive {
-  private pending: PendingEntry[] = [];
-  private isWriting = false;
+  private readonly segments = ArchiveSegments.create();
+  /** Streams that are not in a segment yet, by key, oldest first. */
+  private readonly pending = new Map<number, PendingStream>();
+  private writing: Promise<boolean> = Promise.resolve(true);
+  /** The write after the current one; undefined while nobody waits for one. */
+  private queued: Promise<boolean> | undefined;
+  private hasFailed = false;
+  private hasListed = false;
   private writtenAt = -Infinity;
-  /** Whether items of this instance may be left in the store. */
-  private hasItems = false;
   private readAt = -Infinity;
-  private reading: Promise<void> = Promise.resolve();
+  private reading: Promise<boolean> = Promise.resolve(false);
 
   private constructor(private readonly options: OriginArchiveOptions) {
     options.table.onRecorded((key, { code, source, at }) => {
       const isKnownToStore = source === OriginSource.Stored;
-      if (!isKnownToStore && options.isNeeded()) this.pending.push({ entry: [key, code], at });
+      if (!isKnownToStore && options.isNeeded()) this.pending.set(key, { code, at });
     });
   }
 
@@ -74,79 +73,106 @@
     return new OriginArchive(options);
   }
 
-  /** Writes what became known since the last write; called several times a second. */
+  /** Writes what became known since the last write, and removes old segments; called several times a second. */
   reconcile(): void {
-    const { clock, isNeeded, isWriter, getRetentionMs } = this.options;
-    const time = clock.getTime();
-    if (!isWriter()) {
-      const kept = this.pending.findIndex(({ at }) => time - at <= handoverMs);
-      this.pending.splice(0, kept < 0 ? this.pending.length : kept);
-      return;
-    }
-    const intervalMs = Math.max(minIntervalMs, getRetentionMs() / slotCount);
-    if (this.isWriting || time - this.writtenAt < intervalMs) return;
-    if (this.pending.length > 0) void this.write(intervalMs);
-    else if (this.hasItems && !isNeeded()) void this.removeAll();
+    const { isNeeded, isWriter } = this.options;
+    if (!isWriter()) return this.dropOldPending();
+    if (isNeeded() && !this.hasListed) void this.readAll();
+    if (this.pending.size > 0 || this.hasFailed) void this.flush();
+    else if (this.isRemovalDue()) void this.flush();
   }
 
-  /** Reads all items into the table; resolves after a while even if the store doesn't reply. */
-  async readAll(): Promise<void> {
+  /**
+   * Writes all that is known now; resolves with whether it is in the store. Calls that come while a write is on its way share the next one.
+   */
+  flush(): Promise<boolean> {
+    this.queued ??= this.writeNext();
+    return this.queued;
+  }
+
+  /** Reads all items into the table; resolves with whether they could be read, after a while even if the store doesn't reply. */
+  async readAll(): Promise<boolean> {
     const { clock } = this.options;
     if (clock.getTime() - this.readAt >= freshMs) {
       this.readAt = clock.getTime();
       this.reading = this.readItems();
     }
-    await Promise.race([this.reading, waitFor(clock, maxReadMs)]);
+    return Promise.race([this.reading, waitFor(clock, maxReadMs).then(() => false)]);
   }
 
-  private async readItems(): Promise<void> {
-    const { store, table, logger } = this.options;
+  private async readItems(): Promise<boolean> {
+    const { store, table, logger, clock } = this.options;
     const listed = await store.list(archivePrefix);
-    if (listed.isErr()) return;
+    if (listed.isErr()) return false;
+    const { items } = listed.value;
     let streams = 0;
-    for (const { value } of listed.value.items) {
+    for (const { value } of items) {
       const item = decodeItem(archiveSchema, value);
       const entries = decodeEntries(Buffer.from(item?.entries ?? "", "base64"));
       streams += entries.length;
       for (const [key, code] of entries) if (!table.find(key)) table.record(key, code, OriginSource.Stored);
     }
-    logger.info("streams.read", { items: listed.value.items.length, streams });
+    this.hasListed = true;
+    this.segments.noteStored(
+      items.map(({ key }) => key),
+      clock.getTime(),
+    );
+    logger.info("streams.read", { items: items.length, streams });
+    return true;
   }
 
-  private async write(intervalMs: number): Promise<void> {
-    const { clock, getTimeOfDay } = this.options;
-    const written = this.pending.slice(-maxEntriesPerItem);
-    this.pending = [];
-    this.writtenAt = clock.getTime();
-    const slot = Math.floor(getTimeOfDay() / intervalMs) % slotCount;
-    const item: ArchiveItem = {
-      entries: encodeEntries(written.map(({ entry }) => entry)).toString("base64"),
-    };
-    const value = Buffer.from(JSON.stringify(item));
-    const isWritten = await this.transact([{ key: createKey(slot), value }], []);
-    if (isWritten) this.hasItems = true;
-    else this.pending = [...written, ...this.pending];
-  }
-
-  private async removeAll(): Promise<void> {
-    this.writtenAt = this.options.clock.getTime();
-    const keys = Array.from({ length: slotCount }, (_, slot) => createKey(slot));
-    if (await this.transact([], keys)) this.hasItems = false;
+  private async writeNext(): Promise<boolean> {
+    const { clock } = this.options;
+    await this.writing;
+    const waitMs = this.writtenAt + minIntervalMs - clock.getTime();
+    if (waitMs > 0) await waitFor(clock, waitMs);
+    this.queued = undefined;
+    this.writing = this.write();
+    return this.writing;
   }
 
-  private async transact(
-    put: readonly { readonly key: string; readonly value: Uint8Array }[],
-    remove: readonly string[],
-  ): Promise<boolean> {
-    const { store, logger } = this.options;
-    this.isWriting = true;
-    const written = await store.transact({ expected: [], put, remove });
-    this.isWriting = false;
+  private async write(): Promise<boolean> {
+    const { clock, store, logger } = this.options;
+    const time = clock.getTime();
+    this.writtenAt = time;
+    const added: OriginEntry[] = [...this.pending].map(([key, { code }]) => [key, code]);
+    this.pending.clear();
+    const removed = this.listRemovable();
+    const isEmpty = added.length === 0 && !this.hasFailed;
+    if (isEmpty && removed.length === 0) return true;
+    const put = isEmpty ? [] : [this.createItem(added, time)];
+    const written = await store.transact({ expected: [], put, remove: removed });
+    this.hasFailed = written.isErr();
     if (written.isErr()) logger.info("streams.kept", { outcome: written.error.name });
+    else this.segments.forget(removed);
+    if (written.isOk() && !isEmpty) this.segments.noteWritten(clock.getTime());
     return written.isOk();
   }
-}
 
-function createKey(slot: number): string {
-  return `${archivePrefix}${slot}`;
+  private createItem(
+    added: readonly OriginEntry[],
+    time: number,
+  ): { readonly key: string; readonly value: Uint8Array } {
+    const { key, entries } = this.segments.add(added, time);
+    const item: ArchiveItem = { entries: encodeEntries(entries).toString("base64") };
+    return { key, value: Buffer.from(JSON.stringify(item)) };
+  }
+
+  private listRemovable(): readonly string[] {
+    const { clock, getRetentionMs } = this.options;
+    return this.segments.listOlder(clock.getTime() - getRetentionMs());
+  }
+
+  private isRemovalDue(): boolean {
+    const isPaused = this.options.clock.getTime() - this.writtenAt < removalIntervalMs;
+    return !isPaused && this.listRemovable().length > 0;
+  }
+
+  private dropOldPending(): void {
+    const time = this.options.clock.getTime();
+    for (const [key, { at }] of this.pending) {
+      if (time - at <= handoverMs) return;
+      this.pending.delete(key);
+    }
+  }
 }
--- a/packages/gateway/src/origins/originGossip.ts
+++ b/packages/gateway/src/origins/originGossip.ts
@@ -4,12 +4,16 @@
  * another version may still begin it, and a keeper that missed the correction would know the wrong one.
  * @module
  */
-import type { PeerIdentity, PeerLinks } from "@gladewall/coordination";
+import type { PeerIdentity, PeerLinks, PeerMessage } from "@gladewall/coordination";
 import { type Clock, waitFor } from "@gladewall/kernel";
 import {
   decodeEntries,
   decodeReply,
+  decodeServices,
   encodeEntries,
+  hasFlag,
+  type JoiningCall,
+  type JoiningReply,
   maxEntriesPerMessage,
   type OriginCall,
   type OriginEntriesMessage,
@@ -20,6 +24,7 @@
 import { OriginSource, type OriginTable } from "./originTable.js";
 import { encodeOrigin } from "./streamOrigin.js";
 import type { VersionHistory } from "./versionHistory.js";
+import type { VersionRecords } from "./versionRecords.js";
 
 /** The fleet as the exchange needs it. */
 export interface OriginFleet {
@@ -28,6 +33,10 @@
   getKeepers(): readonly string[];
   /** Whether all keepers are linked that are listed. */
   readonly hasAllKeepers: boolean;
+  /** Whether every instance is a keeper. */
+  readonly isMesh: boolean;
+  /** Returns what a linked peer last told of its uptime; undefined if that is long ago. */
+  findPeerUptime(name: string): { readonly uptime: number } | undefined;
 }
 
 /** Options of the exchange. */
@@ -36,14 +45,21 @@
   readonly fleet: OriginFleet;
   readonly table: OriginTable;
   readonly history: VersionHistory;
+  readonly records: VersionRecords;
+  /** Returns the milliseconds for which a stream may be taken up after it began; 0 if none may. */
+  readonly getRetentionMs: () => number;
 }
 
 /** What a call to the keepers brought. */
 export interface OriginAnswer {
   /** Code of the origin; undefined if no keeper knew it. */
   readonly code: number | undefined;
-  /** Whether a keeper knows services of several versions. */
+  /** Codes of the versions at which the stream can have begun, as far as keepers know. */
+  readonly begun: ReadonlySet<number>;
+  /** Whether a keeper of an earlier build, which names none, knows services of several versions. */
   readonly hasSeveral: boolean;
+  /** Whether a keeper knows these versions without a gap. */
+  readonly isVouched: boolean;
   /** Keepers that were called, and those of them that did not reply. */
   readonly called: number;
   readonly silent: number;
@@ -73,6 +89,9 @@
       for (const [key, code] of decodeEntries(entries)) table.record(key, code, OriginSource.Told);
     });
     fleet.links.setHandler(OriginMessageKind.Call, (message) => this.replyToCall(message as OriginCall));
+    fleet.links.setHandler(OriginMessageKind.Joining, (message) =>
+      this.replyToJoining(message),
+    );
     fleet.links.onLinkUp((peer) => this.sendToNewKeeper(peer));
     history.onFurtherVersion((service) => this.announceService(service));
   }
@@ -100,30 +119,51 @@
    * Calls all linked keepers; resolves with the first that knows, or once all have replied or their time is over. They are called once
    * more if none knows, because the stream may only just have been told of.
    */
-  async callKeepers(key: number): Promise<OriginAnswer> {
+  async callKeepers(key: number, services: readonly string[]): Promise<OriginAnswer> {
     await this.waitForLinks();
-    const answer = await this.callKeepersOnce(key);
+    const answer = await this.callKeepersOnce(key, services);
     if (answer.code !== undefined || answer.called === answer.silent) return answer;
     await waitFor(this.options.clock, lateMs);
-    return this.callKeepersOnce(key);
+    return this.callKeepersOnce(key, services);
   }
 
-  private async callKeepersOnce(key: number): Promise<OriginAnswer> {
+  private async callKeepersOnce(key: number, services: readonly string[]): Promise<OriginAnswer> {
     const { fleet } = this.options;
     const keepers = fleet.getKeepers();
     const hasCalledAll = fleet.hasAllKeepers;
-    const message: OriginCall = { kind: OriginMessageKind.Call, key };
+    const message: OriginCall = { kind: OriginMessageKind.Call, key, services };
+    const begun = new Set<number>();
     let silent = 0;
     let hasSeveral = false;
+    let isVouched = false;
     const replies = keepers.map(async (keeper) => {
       const reply = await fleet.links.call(keeper, message, replyTimeoutMs);
       if (reply.isErr()) silent += 1;
-      const { code, several } = decodeReply(reply.unwrapOr(undefined));
-      hasSeveral ||= several === true;
-      return code;
+      const decoded = decodeReply(reply.unwrapOr(undefined));
+      for (const code of decoded.begun ?? []) begun.add(code);
+      hasSeveral ||= decoded.several === true && decoded.begun === undefined;
+      isVouched ||= reply.isOk() && this.isVouching(keeper, decoded);
+      return decoded.code;
     });
     const code = await findFirst(replies);
-    return { code, hasSeveral, called: keepers.length, silent, hasCalledAll };
+    return { code, begun, hasSeveral, isVouched, called: keepers.length, silent, hasCalledAll };
+  }
+
+  /** Whether a keeper would know of further versions: it says so, or has run for longer than streams may be taken up. */
+  private isVouching(keeper: string, { proven, begun }: OriginReply): boolean {
+    if (begun !== undefined) return proven === true;
+    const { fleet, getRetentionMs } = this.options;
+    return (fleet.findPeerUptime(keeper)?.uptime ?? 0) > getRetentionMs();
+  }
+
+  /** Resolves with whether all instances list versions of a service, and have told where their streams began; false in a large fleet. */
+  async confirmJoining(service: string, codes: readonly number[]): Promise<boolean> {
+    const { fleet } = this.options;
+    if (!fleet.isMesh || !fleet.hasAllKeepers) return false;
+    const message: JoiningCall = { kind: OriginMessageKind.Joining, service, codes };
+    const calls = fleet.getKeepers().map((keeper) => fleet.links.call(keeper, message, replyTimeoutMs));
+    const replies = await Promise.all(calls);
+    return replies.every((reply) => reply.isOk() && hasFlag<JoiningReply>(reply.value, "joining"));
   }
 
   /** An instance that has just started is linked with its keepers one after the other. */
@@ -134,10 +174,24 @@
       await waitFor(clock, linkPollMs);
   }
 
-  private replyToCall({ key }: OriginCall): OriginReply {
-    const { table, history } = this.options;
+  private replyToCall({ key, services: named }: OriginCall): OriginReply {
+    const { table, history, records } = this.options;
     const known = table.find(key);
-    return { ...(known && { code: known.code }), ...(history.hasMixedServices && { several: true }) };
+    const services = decodeServices(named);
+    return {
+      ...(known && { code: known.code }),
+      ...(history.hasMixedServices && { several: true }),
+      begun: services.flatMap((service) => records.listBegun(service).map(encodeOrigin)),
+      proven: services.every((service) => records.isProven(service)),
+    };
+  }
+
+  /** The streams of this instance are told of when it reads of a further version, so that they go before this reply. */
+  private replyToJoining(message: PeerMessage): JoiningReply {
+    const { service, codes } = message as Partial<Record<keyof JoiningCall, unknown>>;
+    const record = typeof service === "string" ? this.options.records.find(service) : undefined;
+    const known = new Set<unknown>((record?.versions ?? []).map(({ origin }) => encodeOrigin(origin)));
+    return { joining: Array.isArray(codes) && codes.every((code: unknown) => known.has(code)) };
   }
 
   private flush(): void {
--- a/packages/gateway/src/origins/originMessages.ts
+++ b/packages/gateway/src/origins/originMessages.ts
@@ -8,6 +8,9 @@
 export enum OriginMessageKind {
   Entries = 54,
   Call = 55,
+  /** These two follow the load of slots. */
+  Keep = 58,
+  Joining = 59,
 }
 
 /** Where some streams began, as told by the instance that forwards them. */
@@ -20,6 +23,8 @@
 export interface OriginCall extends PeerMessage {
   readonly kind: OriginMessageKind.Call;
   readonly key: number;
+  /** Services that the stream can have begun at; earlier builds name none. */
+  readonly services?: readonly string[];
 }
 
 /** Reply to a call. */
@@ -28,6 +33,35 @@
   readonly code?: number;
   /** Set if the sender knows services of several versions. */
   readonly several?: boolean;
+  /** Codes of the versions at which streams of the named services can have begun; earlier builds leave it out. */
+  readonly begun?: readonly number[];
+  /** Set if the sender knows these versions without a gap. */
+  readonly proven?: boolean;
+}
+
+/** A call to keep where streams began in the store. */
+export interface KeepCall extends PeerMessage {
+  readonly kind: OriginMessageKind.Keep;
+  readonly entries: Uint8Array;
+}
+
+/** Reply to a call to keep entries. */
+export interface KeepReply {
+  /** Whether they are in the store. */
+  readonly kept: boolean;
+}
+
+/** A call for whether an instance has read that versions of a service join. */
+export interface JoiningCall extends PeerMessage {
+  readonly kind: OriginMessageKind.Joining;
+  readonly service: string;
+  readonly codes: readonly number[];
+}
+
+/** Reply to a call for a confirmation. */
+export interface JoiningReply {
+  /** Whether the sender lists all the versions, and has told where its streams began. */
+  readonly joining: boolean;
 }
 
 /** Key of a stream and code of its origin. */
@@ -63,7 +97,26 @@
 /** Decodes a reply; a malformed one is empty. */
 export function decodeReply(reply: unknown): OriginReply {
   if (typeof reply !== "object" || reply === null) return {};
-  const { code, several } = reply as Partial<Record<keyof OriginReply, unknown>>;
-  const isCode = typeof code === "number" && Number.isInteger(code);
-  return { ...(isCode && { code }), several: several === true };
+  const { code, several, begun, proven } = reply as Partial<Record<keyof OriginReply, unknown>>;
+  const areCodes = Array.isArray(begun) && begun.every(isCode);
+  return {
+    ...(isCode(code) && { code }),
+    ...(areCodes && { begun }),
+    several: several === true,
+    proven: proven === true,
+  };
+}
+
+/** Whether a reply sets a flag. */
+export function hasFlag<Reply extends object>(reply: unknown, name: keyof Reply): boolean {
+  return typeof reply === "object" && reply !== null && (reply as Partial<Reply>)[name] === true;
+}
+
+/** Returns the services that a call names; none if they are malformed. */
+export function decodeServices(services: unknown): readonly string[] {
+  return Array.isArray(services) ? services.filter((service) => typeof service === "string") : [];
+}
+
+function isCode(code: unknown): code is number {
+  return typeof code === "number" && Number.isInteger(code);
 }
--- a/packages/gateway/src/origins/originParts.ts
+++ b/packages/gateway/src/origins/originParts.ts
@@ -5,13 +5,18 @@
 import type { GatewayMetrics } from "../gatewayMetrics.js";
 import type { GatewayState } from "../gatewayState.js";
 import type { Members } from "../fleet/members.js";
-import type { Route } from "../types.js";
+import type { StoreItem } from "../types.js";
 import { OriginArchive } from "./originArchive.js";
 import { OriginGossip } from "./originGossip.js";
 import { OriginTable } from "./originTable.js";
-import { OriginRecorder, TakeUps } from "./takeUps.js";
+import { OriginKeeper } from "./originKeeper.js";
+import { OriginRecorder } from "./originRecorder.js";
+import { ResumableRoutes } from "./resumableRoutes.js";
+import { TakeUps } from "./takeUps.js";
 import { VersionHistory } from "./versionHistory.js";
 import { VersionItems } from "./versionItems.js";
+import { VersionRecorder } from "./versionRecorder.js";
+import { VersionRecords } from "./versionRecords.js";
 
 /** What knows where streams began. */
 export interface OriginParts {
@@ -20,23 +25,22 @@
   /** Decides where streams go on that callers take up. */
   readonly takeUps: TakeUps;
   /** Handles an item of the store that was written or removed. */
-  readonly handleItem: VersionItems["handleItem"];
+  readonly handleItem: (key: string, item: StoreItem | undefined) => void;
   /** Writes what has changed to the store; called several times a second. */
   readonly reconcile: () => void;
 }
 
-/** Time after the longest time limit of a stream within which its caller may still come back. */
-const returnMarginMs = 10_000;
 /** Time without a message on endpoints after which further versions may serve; more than two watches take. */
 const maxViewAgeMs = 1_500;
 
-/** Name by which the instance that writes the archive is chosen. */
+/** Name by which the instance is chosen that writes the archive and the records of versions. */
 const archiveSubject = "stream-origins";
 
 /** Creates the history of the versions that this instance sees. */
 export function createVersionHistory(state: GatewayState): VersionHistory {
-  const { clock, directory } = state;
-  const history = VersionHistory.create({ clock, getRetentionMs: createRetention(state) });
+  const { clock, directory, follower } = state;
+  const routes = ResumableRoutes.create(follower);
+  const history = VersionHistory.create({ clock, getRetentionMs: () => routes.getRetentionMs() });
   directory.onAdded(({ record }) => history.addEndpoint(record));
   directory.onRemoved(({ record }) => history.removeEndpoint(record));
   return history;
@@ -49,24 +53,49 @@
   members: Members,
   metrics: GatewayMetrics,
 ): OriginParts {
-  const { settings, platform, clock, logger, directory, time } = state;
-  const ownName = settings.instance.name;
-  const getRetentionMs = createRetention(state);
-  const table = OriginTable.create({ clock, getRetentionMs });
+  const { settings, platform, clock, logger, directory, time, follower } = state;
+  const { store } = platform;
+  const { name: ownName, first_start: isFirstStart } = settings.instance;
+  const routes = ResumableRoutes.create(follower);
+  const getRetentionMs = (): number => routes.getRetentionMs();
+  const getServices = (): readonly string[] => routes.getServices();
+  const isListed = (): boolean => members.isListed && directory.isListed;
   const isWriter = (subject: string): boolean =>
-    members.isReader && members.isListed && directory.isListed && members.findArbiter(subject) === ownName;
-  const kept = { store: platform.store, clock, logger, getTimeOfDay: () => time.get() };
-  const items = VersionItems.create({ ...kept, history, isWriter });
+    members.isReader && isListed() && members.findArbiter(subject) === ownName;
+  const isArchiveWriter = (): boolean => isWriter(archiveSubject);
+  const base = { store, clock, logger, history, getRetentionMs };
+  const table = OriginTable.create({ clock, getRetentionMs });
+  const items = VersionItems.create({ ...base, getTimeOfDay: () => time.get(), isWriter });
+  const records = VersionRecords.create({ ...base, eras: store.eras, isFirstStart, isListed });
   const archive = OriginArchive.create({
-    ...kept,
+    ...base,
     table,
-    getRetentionMs,
-    isNeeded: () => history.hasMixedServices,
-    isWriter: () => isWriter(archiveSubject),
+    isNeeded: () => history.hasMixedServices || !getServices().every((service) => records.isProven(service)),
+    isWriter: isArchiveWriter,
+  });
+  const gossip = OriginGossip.create({ clock, fleet: members, table, history, records, getRetentionMs });
+  const keeper = OriginKeeper.create({
+    clock,
+    logger,
+    links: members.links,
+    table,
+    archive,
+    ownName,
+    findWriter: () => members.findArbiter(archiveSubject),
+  });
+  const recorder = VersionRecorder.create({
+    ...base,
+    records,
+    getServices,
+    isReady: isListed,
+    isWriter: isArchiveWriter,
+    // A version opens once the streams that began before it joined are in the store.
+    confirmJoining: async (service, codes) =>
+      (await gossip.confirmJoining(service, codes)) && (await archive.flush()),
+    getRandom: Math.random,
   });
-  const gossip = OriginGossip.create({ clock, fleet: members, table, history });
   return {
-    origins: OriginRecorder.create({ table, history, gossip }),
+    origins: OriginRecorder.create({ table, history, records, gossip, keeper }),
     takeUps: TakeUps.create({
       clock,
       logger,
@@ -74,30 +103,20 @@
       directory,
       table,
       history,
+      records,
       gossip,
       archive,
       isViewOld: () => directory.follower.ageMs > maxViewAgeMs,
       getRandom: Math.random,
     }),
-    handleItem: (key, item) => items.handleItem(key, item),
+    handleItem: (key, item) => {
+      items.handleItem(key, item);
+      records.handleItem(key, item);
+    },
     reconcile: () => {
       items.reconcile();
+      recorder.reconcile();
       archive.reconcile();
     },
   };
 }
-
-/** Returns a function that returns the milliseconds for which a stream may be taken up after it began; 0 if none may. */
-function createRetention({ follower }: GatewayState): () => number {
-  let routes: readonly Route[] = [];
-  let retentionMs = 0;
-  return () => {
-    const configured = follower.getTable()?.configuration.routes ?? routes;
-    if (configured !== routes) {
-      routes = configured;
-      const limits = routes.filter(({ isResumable }) => isResumable).map(({ timeoutMs }) => timeoutMs);
-      retentionMs = limits.length === 0 ? 0 : Math.max(...limits) + returnMarginMs;
-    }
-    return retentionMs;
-  };
-}
--- a/packages/gateway/src/origins/streamOrigin.ts
+++ b/packages/gateway/src/origins/streamOrigin.ts
@@ -10,6 +10,14 @@
 /** Service and software version of the endpoint that wrote a stream's first event. */
 export type StreamOrigin = Pick<EndpointRecord, "service" | "softwareVersion">;
 
+/** Knows the versions at which streams may begin. */
+export interface OpenVersions {
+  mayBegin(origin: StreamOrigin): boolean;
+}
+
+/** What an endpoint must be to serve a stream: of the version that began it, or, before its first event, of one at which streams may begin. */
+export type RequiredOrigin = StreamOrigin | OpenVersions;
+
 /** Bytes of a key, which are exact as a number. */
 const keyBytes = 6;
 
@@ -23,9 +31,18 @@
   return one.service === other.service && one.softwareVersion === other.softwareVersion;
 }
 
-/** Whether an endpoint may serve a request; `origin` is that of the stream which the request goes on with, undefined for all others. */
-export function mayServe(origin: StreamOrigin | undefined, { record }: { record: EndpointRecord }): boolean {
-  return origin === undefined || isSameOrigin(origin, record);
+/** Whether a stream has begun, so that it goes on at one version only. */
+export function isBegun(required: RequiredOrigin | undefined): required is StreamOrigin {
+  return required !== undefined && !("mayBegin" in required);
+}
+
+/** Whether an endpoint may serve a request; `required` is undefined for requests whose responses no other endpoint goes on with. */
+export function mayServe(
+  required: RequiredOrigin | undefined,
+  { record }: { readonly record: EndpointRecord },
+): boolean {
+  if (required === undefined) return true;
+  return isBegun(required) ? isSameOrigin(required, record) : required.mayBegin(record);
 }
 
 /** Returns the 32-bit code that stands for an origin in messages, the same on all instances. */
--- a/packages/gateway/src/origins/takeUps.ts
+++ b/packages/gateway/src/origins/takeUps.ts
@@ -11,14 +11,22 @@
 import type { OriginArchive } from "./originArchive.js";
 import type { OriginAnswer, OriginGossip } from "./originGossip.js";
 import { type KnownOrigin, OriginSource, type OriginTable } from "./originTable.js";
-import { createStreamKey, encodeOrigin, mayServe, type StreamOrigin } from "./streamOrigin.js";
+import {
+  createStreamKey,
+  encodeOrigin,
+  isBegun,
+  mayServe,
+  type RequiredOrigin,
+  type StreamOrigin,
+} from "./streamOrigin.js";
 import type { VersionHistory } from "./versionHistory.js";
+import { type VersionRecords, VersionVoucher } from "./versionRecords.js";
 
 /** What becomes of a stream that is taken up. Members are written to logs and metrics. */
 export enum TakeUpOutcome {
   /** It goes on at the version that began it. */
   GoesOn = 1,
-  /** It goes on anywhere, because it can have begun at one version only. */
+  /** It goes on at the only version at which it can have begun. */
   OneVersion = 2,
   /** It is refused, because nobody knows which of several versions began it. */
   OriginUnknown = 3,
@@ -28,10 +36,10 @@
   RouteMoved = 5,
 }
 
-/** Service for a request, and where the stream began that the request goes on with; undefined if any version may serve it. */
+/** Service for a request, and what its endpoint must be; undefined if any version may serve it. */
 export interface ChosenService {
   readonly service: string;
-  readonly origin: StreamOrigin | undefined;
+  readonly origin: RequiredOrigin | undefined;
 }
 
 /** An admitted request whose service is to be chosen. */
@@ -50,6 +58,7 @@
   readonly directory: Pick<EndpointDirectory, "getOfService">;
   readonly table: OriginTable;
   readonly history: VersionHistory;
+  readonly records: VersionRecords;
   readonly gossip: Pick<OriginGossip, "callKeepers">;
   readonly archive: Pick<OriginArchive, "readAll">;
   /** Whether this instance may not know of the latest versions, because it has heard nothing of endpoints for a while. */
@@ -62,13 +71,15 @@
 interface FoundOrigin {
   readonly known: KnownOrigin | undefined;
   readonly answer?: OriginAnswer;
+  /** Whether the archive was read, and knows nothing of the stream. */
+  readonly isArchiveRead?: boolean;
 }
 
 /** What was decided, with the inputs that the log states. */
 interface TakeUpDecision {
   readonly outcome: TakeUpOutcome;
   readonly service: string;
-  readonly origin?: StreamOrigin | undefined;
+  readonly origin?: RequiredOrigin | undefined;
 }
 
 /** Time after which a refused stream may be taken up again: soon if a keeper may still reply, later if an endpoint must start. */
@@ -94,7 +105,8 @@
   /** Fails with `StreamOriginUnknown` or `StreamVersionGone` if the request goes on with a stream that can't go on now. */
   async choose(request: RoutedRequest): Promise<Result<ChosenService, Failure>> {
     const { route, head } = request;
-    if (!route.isResumable || head.lastEventId === undefined) return Ok(this.chooseAny(route));
+    if (!route.isResumable) return Ok({ service: this.chooseService(route), origin: undefined });
+    if (head.lastEventId === undefined) return Ok(await this.chooseForNew(route));
     const found = await this.findOrigin(request);
     const decision = this.decide(route, found);
     this.record(request, found, decision);
@@ -102,8 +114,16 @@
     return failure ? Err(failure) : Ok({ service: decision.service, origin: decision.origin });
   }
 
-  private chooseAny(route: Route): ChosenService {
-    return { service: pickWeightedTarget(route.targets, this.options.getRandom()), origin: undefined };
+  /** A stream begins at a recorded version only, so that those that start later know where it can have begun. */
+  private async chooseForNew(route: Route): Promise<ChosenService> {
+    const { records } = this.options;
+    const service = this.chooseService(route);
+    await records.waitUntilOpen(service);
+    return { service, origin: records };
+  }
+
+  private chooseService(route: Route): string {
+    return pickWeightedTarget(route.targets, this.options.getRandom());
   }
 
   /** Keepers are called, and then the store is read, only if it makes a difference. */
@@ -113,11 +133,14 @@
     const key = createStreamKey(workspace, head.resumes);
     const known = table.find(key);
     if (known || !(this.mayDiffer(route) || this.options.isViewOld())) return { known };
-    const answer = await gossip.callKeepers(key);
+    const answer = await gossip.callKeepers(
+      key,
+      route.targets.map(({ service }) => service),
+    );
     const { code } = answer;
     if (code === undefined) {
-      if (this.mayDiffer(route)) await archive.readAll();
-      return { known: table.find(key), answer };
+      const isArchiveRead = this.mayDiffer(route) && (await archive.readAll());
+      return { known: table.find(key), answer, isArchiveRead };
     }
     table.record(key, code, OriginSource.Asked);
     return { known: { code, at: clock.getTime(), source: OriginSource.Asked }, answer };
@@ -125,32 +148,68 @@
 
   /** Whether a stream of a route can have begun at another version than one that serves it now. */
   private mayDiffer(route: Route): boolean {
-    return route.targets.some(({ service }) => this.options.history.hasSeveral(service));
+    const { history, records } = this.options;
+    return route.targets.some(({ service }) => history.hasSeveral(service) || !records.isProven(service));
   }
 
-  private decide(route: Route, { known, answer }: FoundOrigin): TakeUpDecision {
-    const { history, directory } = this.options;
-    const { service } = this.chooseAny(route);
-    const mayDiffer = this.mayDiffer(route) || (answer !== undefined && mayHideVersion(answer));
-    const unknown = mayDiffer ? TakeUpOutcome.OriginUnknown : TakeUpOutcome.OneVersion;
-    if (!known) return { outcome: unknown, service };
+  private decide(route: Route, found: FoundOrigin): TakeUpDecision {
+    const { history, records } = this.options;
+    const { known } = found;
+    const service = this.chooseService(route);
+    if (!known) {
+      const origin = this.findOnlyOrigin(route, service, found);
+      if (!origin) return { outcome: TakeUpOutcome.OriginUnknown, service };
+      return {
+        outcome: this.isServed(origin) ? TakeUpOutcome.OneVersion : TakeUpOutcome.VersionGone,
+        service,
+        origin,
+      };
+    }
     const origin = history.findByCode(known.code);
     if (!origin) return { outcome: TakeUpOutcome.VersionGone, service };
-    if (!route.targets.some((target) => target.service === origin.service))
-      return { outcome: mayDiffer ? TakeUpOutcome.RouteMoved : TakeUpOutcome.OneVersion, service };
-    const isServed = directory
+    if (!route.targets.some((target) => target.service === origin.service)) {
+      if (this.mayDiffer(route)) return { outcome: TakeUpOutcome.RouteMoved, service };
+      return { outcome: TakeUpOutcome.OneVersion, service, origin: records };
+    }
+    const outcome = this.isServed(origin) ? TakeUpOutcome.GoesOn : TakeUpOutcome.VersionGone;
+    return { outcome, service: origin.service, origin };
+  }
+
+  /** Returns the only version of a service at which a stream can have begun that nobody knows; undefined if that is not certain. */
+  private findOnlyOrigin(
+    route: Route,
+    service: string,
+    { answer, isArchiveRead }: FoundOrigin,
+  ): StreamOrigin | undefined {
+    const { records, history } = this.options;
+    const [origin, ...others] = records.listBegun(service);
+    if (!origin || others.length > 0) return undefined;
+    if (!answer) return this.mayDiffer(route) ? undefined : origin;
+    const { begun, hasSeveral, isVouched } = answer;
+    const code = encodeOrigin(origin);
+    // A version that this instance has not heard of may be one of the service.
+    const isElsewhere = [...begun].some(
+      (other) => other !== code && (history.findByCode(other)?.service ?? service) === service,
+    );
+    const isProven = records.isProven(service) || isVouched;
+    // Streams that began at a version which has opened since are in the archive.
+    const isComplete = !history.hasSeveral(service) || isArchiveRead === true;
+    const isCertain = !hasSeveral && !mayHideVersion(answer) && isProven && isComplete && !isElsewhere;
+    return isCertain ? origin : undefined;
+  }
+
+  private isServed(origin: StreamOrigin): boolean {
+    return this.options.directory
       .getOfService(origin.service)
       .some((endpoint) => endpoint.isUsable() && mayServe(origin, endpoint));
-    const outcome = isServed ? TakeUpOutcome.GoesOn : TakeUpOutcome.VersionGone;
-    return { outcome, service: origin.service, origin };
   }
 
   private record(
     { route, head }: RoutedRequest,
-    { known, answer }: FoundOrigin,
+    { known, answer, isArchiveRead }: FoundOrigin,
     { outcome, service, origin }: TakeUpDecision,
   ): void {
-    const { clock, logger, metrics, directory, history } = this.options;
+    const { clock, logger, metrics, directory, history, records } = this.options;
     const source = known && OriginSource[known.source];
     const endpoints = directory.getOfService(service).filter((endpoint) => endpoint.isUsable());
     metrics.countTakeUp(service, TakeUpOutcome[outcome], source ?? "none");
@@ -160,16 +219,17 @@
       after: head.lastEventId?.slice(0, maxLoggedId),
       route: route.name,
       service,
-      softwareVersion: origin?.softwareVersion,
+      softwareVersion: getVersion(origin),
       source,
       ageMs: known && Math.round(clock.getTime() - known.at),
       called: answer?.called,
       silent: answer?.silent,
-      versions: history
-        .list(service)
-        .map(({ origin: { softwareVersion = "" } }) => softwareVersion)
-        .join(),
+      isArchiveRead,
+      versions: formatOrigins(history.list(service).map((version) => version.origin)),
+      begun: formatOrigins(records.listBegun(service)),
       versionsKnownMs: Math.round(history.getKnownMs()),
+      voucher: VersionVoucher[records.findVoucher(service)],
+      isVouched: answer?.isVouched,
       endpoints: endpoints.length,
       suitable: endpoints.filter((endpoint) => mayServe(origin, endpoint)).length,
       outcome: TakeUpOutcome[outcome],
@@ -177,6 +237,14 @@
   }
 }
 
+function formatOrigins(origins: readonly StreamOrigin[]): string {
+  return origins.map(({ softwareVersion = "" }) => softwareVersion).join();
+}
+
+function getVersion(origin: RequiredOrigin | undefined): string | undefined {
+  return isBegun(origin) ? origin.softwareVersion : undefined;
+}
+
 /** Whether keepers know of a further version, or there are some and none replied that could tell. */
 function mayHideVersion({ called, silent, hasCalledAll, hasSeveral }: OriginAnswer): boolean {
   const isAlone = called === 0 && hasCalledAll;
@@ -190,30 +258,6 @@
   const code = failureCodes[outcome];
   if (code === undefined) return undefined;
   const mayStillReply = code === FailureCode.StreamOriginUnknown && (answer?.silent ?? 0) > 0;
-  const version = origin?.softwareVersion ?? "";
+  const version = getVersion(origin) ?? "";
   return Failure.create(code, { service, version }, mayStillReply ? silentRetryMs : goneRetryMs);
 }
-
-/** Records where the streams of an instance begin. */
-export class OriginRecorder {
-  private constructor(
-    private readonly options: Pick<TakeUpsOptions, "table" | "history"> & {
-      readonly gossip: Pick<OriginGossip, "announce">;
-    },
-  ) {}
-
-  static create(options: OriginRecorder["options"]): OriginRecorder {
-    return new OriginRecorder(options);
-  }
-
-  /** Records where the stream of a request began; called when its first event is forwarded by this instance. */
-  record({ route, head, workspace }: RoutedRequest, origin: StreamOrigin): void {
-    if (!route.isResumable) return;
-    const { table, history, gossip } = this.options;
-    const isTakenUp = head.lastEventId !== undefined && head.resumes !== undefined;
-    const key = createStreamKey(workspace, isTakenUp ? head.resumes : head.id);
-    const code = encodeOrigin(origin);
-    table.record(key, code, OriginSource.Own);
-    if (history.hasSeveral(origin.service)) gossip.announce(key, code);
-  }
-}
--- a/packages/gateway/src/origins/versionHistory.ts
+++ b/packages/gateway/src/origins/versionHistory.ts
@@ -6,6 +6,7 @@
 import type { Clock } from "@gladewall/kernel";
 import type { EndpointRecord } from "../types.js";
 import { encodeOrigin, getOrigin, type StreamOrigin } from "./streamOrigin.js";
+import { type RecordedVersion, VersionPhase } from "./versionRecord.js";
 
 /** Options of the history. */
 export interface VersionHistoryOptions {
@@ -21,12 +22,19 @@
   endpoints: number;
   /** Monotonic time at which the last one was gone; undefined while there are any. */
   goneAt: number | undefined;
+  /** Whether a record has listed it as one at which streams may begin. */
+  mayHaveBegun: boolean;
+  /** Whether the record lists it that was read last. */
+  isRecorded: boolean;
 }
 
-/** A version that served, and for how long it hasn't; undefined while it serves. */
+/** A version of a service. */
 export interface VersionAge {
   readonly origin: StreamOrigin;
+  /** Milliseconds for which it has not served; undefined while it serves. */
   readonly goneMs: number | undefined;
+  /** Whether streams may have begun at it, by the record of the service. */
+  readonly mayHaveBegun: boolean;
 }
 
 /** The versions of all services. */
@@ -34,6 +42,7 @@
   /** By service, then by the code of the origin. */
   private readonly services = new Map<string, Map<number, ServedVersion>>();
   private readonly listeners: ((service: string) => void)[] = [];
+  private readonly servingListeners: (() => void)[] = [];
 
   private readonly startedAt: number;
 
@@ -50,6 +59,11 @@
     this.listeners.push(listener);
   }
 
+  /** Calls back when a version has begun to serve. */
+  onServing(listener: () => void): void {
+    this.servingListeners.push(listener);
+  }
+
   /** Returns the milliseconds for which this instance has seen which versions serve. */
   getKnownMs(): number {
     return this.options.clock.getTime() - this.startedAt;
@@ -60,6 +74,7 @@
     const version = this.ensure(getOrigin(record));
     version.endpoints += 1;
     version.goneAt = undefined;
+    if (version.endpoints === 1) for (const listener of this.servingListeners) listener();
   }
 
   /** Counts an endpoint whose record is gone. */
@@ -80,16 +95,30 @@
     return true;
   }
 
-  /** Returns the versions of a service at which a stream that may still be taken up can have begun. */
+  /**
+   * Applies the record of a service. A version that this instance has not seen serving counts as gone since now: what the record's writer
+   * knew of the time is not used, because clocks differ.
+   */
+  applyRecord(service: string, versions: readonly RecordedVersion[]): void {
+    for (const version of this.services.get(service)?.values() ?? []) version.isRecorded = false;
+    for (const { origin, phase } of versions) {
+      const version = this.ensure(origin);
+      version.isRecorded = true;
+      version.mayHaveBegun ||= phase !== VersionPhase.Joining;
+      if (version.endpoints === 0) version.goneAt ??= this.options.clock.getTime();
+    }
+  }
+
+  /** Returns the versions of a service that serve, may have served while streams began that may still be taken up, or are recorded. */
   list(service: string): readonly VersionAge[] {
     const versions = this.services.get(service);
     if (!versions) return [];
     const time = this.options.clock.getTime();
     const oldestAt = time - this.options.getRetentionMs();
     const listed: VersionAge[] = [];
-    for (const [code, { origin, goneAt }] of versions) {
-      if (goneAt !== undefined && goneAt < oldestAt) versions.delete(code);
-      else listed.push({ origin, goneMs: goneAt === undefined ? undefined : time - goneAt });
+    for (const [code, { origin, goneAt, mayHaveBegun, isRecorded }] of versions) {
+      if (goneAt !== undefined && goneAt < oldestAt && !isRecorded) versions.delete(code);
+      else listed.push({ origin, goneMs: goneAt === undefined ? undefined : time - goneAt, mayHaveBegun });
     }
     return listed;
   }
@@ -124,7 +153,13 @@
     const code = encodeOrigin(origin);
     const known = versions.get(code);
     if (known) return known;
-    const version: ServedVersion = { origin, endpoints: 0, goneAt: undefined };
+    const version: ServedVersion = {
+      origin,
+      endpoints: 0,
+      goneAt: undefined,
+      mayHaveBegun: false,
+      isRecorded: false,
+    };
     versions.set(code, version);
     if (versions.size > 1) for (const listener of this.listeners) listener(origin.service);
     return version;
--- /dev/null
+++ b/packages/gateway/src/origins/versionRecord.ts
@@ -0,0 +1,105 @@
+/**
+ * The record of the versions of one service: an item of the platform's store that lists each version at which a stream that may still be
+ * taken up can have begun. A version is listed before the first stream begins at it, also if it is the only one.
+ * @module
+ */
+import * as v from "valibot";
+import { gatewayPrefix } from "../fleet/memberRecords.js";
+import { decodeItem } from "../store/itemCodec.js";
+import { isSameOrigin, type StreamOrigin } from "./streamOrigin.js";
+
+/** What may happen at a version. The values are written to the store. */
+export enum VersionPhase {
+  /** Announced: no stream may have begun at it, and none may begin. */
+  Joining = "joining",
+  /** Streams may begin at it. */
+  Open = "open",
+  /** It has not served for as long as streams may be taken up; none may begin until all instances know that it is to be removed. */
+  Closing = "closing",
+}
+
+/** A version of a record. */
+export interface RecordedVersion {
+  readonly origin: StreamOrigin;
+  readonly phase: VersionPhase;
+}
+
+/** The versions of one service. */
+export interface VersionRecord {
+  readonly service: string;
+  /** Era of the store in which it was written; a store that is restored may have lost a later one. */
+  readonly era: number;
+  /** Whether its writer knew that the list has no gap: no stream that may still be taken up began at a version that it lacks. */
+  readonly isProven: boolean;
+  readonly versions: readonly RecordedVersion[];
+}
+
+/** Prefix of the records' keys. Earlier builds ignore it. */
+export const versionRecordPrefix = `${gatewayPrefix}stream-versions/`;
+
+const recordSchema = v.object({
+  service: v.string(),
+  era: v.number(),
+  proven: v.boolean(),
+  versions: v.array(
+    v.object({
+      /** Left out for endpoints that state no version. */
+      version: v.optional(v.string()),
+      phase: v.enum(VersionPhase),
+    }),
+  ),
+});
+
+type RecordItem = v.InferOutput<typeof recordSchema>;
+
+/** Returns the key of a service's record. */
+export function createRecordKey(service: string): string {
+  return versionRecordPrefix + encodeURIComponent(service);
+}
+
+export function encodeVersionRecord({ service, era, isProven, versions }: VersionRecord): Buffer {
+  const item: RecordItem = {
+    service,
+    era,
+    proven: isProven,
+    versions: versions.map(({ origin: { softwareVersion }, phase }) => ({
+      ...(softwareVersion !== undefined && { version: softwareVersion }),
+      phase,
+    })),
+  };
+  return Buffer.from(JSON.stringify(item));
+}
+
+/** Decodes a record; undefined if it is malformed. */
+export function decodeVersionRecord(value: Uint8Array): VersionRecord | undefined {
+  const item = decodeItem(recordSchema, value);
+  if (!item) return undefined;
+  const { service, era, proven: isProven } = item;
+  const versions = item.versions.map(({ version: softwareVersion, phase }) => ({
+    origin: { service, softwareVersion },
+    phase,
+  }));
+  return { service, era, isProven, versions };
+}
+
+/** Returns the phase of a version; undefined if the record doesn't list it. */
+export function findPhase(record: VersionRecord | undefined, origin: StreamOrigin): VersionPhase | undefined {
+  return record?.versions.find((version) => isSameOrigin(version.origin, origin))?.phase;
+}
+
+/** Whether two records say the same. */
+export function isSameRecord(one: VersionRecord, other: VersionRecord): boolean {
+  const isAlike = one.era === other.era && one.isProven === other.isProven;
+  return (
+    isAlike &&
+    one.versions.length === other.versions.length &&
+    one.versions.every(({ origin, phase }) => findPhase(other, origin) === phase)
+  );
+}
+
+/** Formats the versions of a record for logs. */
+export function formatVersions(record: VersionRecord | undefined): string {
+  return (record?.versions ?? [])
+    .map(({ origin: { softwareVersion = "" }, phase }) => `${softwareVersion}:${phase}`)
+    .join();
+}
--- /dev/null
+++ b/packages/gateway/src/origins/versionRecorder.ts
@@ -0,0 +1,236 @@
+/**
+ * Writes the records of versions on behalf of the fleet. A further version of a service joins first: every instance then tells and archives
+ * where its streams began. It opens once all instances have confirmed this, or after a time in which they have all read of it.
+ * @module
+ */
+import { type Clock, type Logger } from "@gladewall/kernel";
+import type { MetadataStore } from "../types.js";
+import { encodeOrigin, isSameOrigin } from "./streamOrigin.js";
+import type { VersionAge, VersionHistory } from "./versionHistory.js";
+import {
+  createRecordKey,
+  encodeVersionRecord,
+  findPhase,
+  formatVersions,
+  isSameRecord,
+  type RecordedVersion,
+  VersionPhase,
+  type VersionRecord,
+} from "./versionRecord.js";
+import type { VersionRecords } from "./versionRecords.js";
+
+/** Options of the recorder. */
+export interface VersionRecorderOptions {
+  readonly store: Pick<MetadataStore, "transact" | "eras">;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly history: VersionHistory;
+  readonly records: VersionRecords;
+  /** Services of the routes whose streams may be resumed. */
+  readonly getServices: () => readonly string[];
+  /** Whether this instance has listed what it needs to write. */
+  readonly isReady: () => boolean;
+  /** Whether this instance is the one that writes while all goes well. */
+  readonly isWriter: () => boolean;
+  /** Resolves with whether all instances have read that versions of a service join, and have told where their streams began. */
+  readonly confirmJoining: (service: string, codes: readonly number[]) => Promise<boolean>;
+  /** Returns the milliseconds for which a stream may be taken up after it began; 0 if none may. */
+  readonly getRetentionMs: () => number;
+  /** Returns a number from 0 to 1. */
+  readonly getRandom: () => number;
+}
+
+/** Time after which all instances have read a change, or know that they have heard nothing for too long; see `maxViewAgeMs`. */
+export const settlingMs = 1_500;
+/** Time after which another instance writes what the writer has not, and the spread of these times. */
+const substituteMs = 600;
+const substituteSpreadMs = 600;
+/** Time between two writes of one service, if the first has not been read back or has failed. */
+const rewriteMs = 400;
+/** Time between two calls for confirmation. */
+const confirmMs = 100;
+
+/** What this instance has seen and done of one service. */
+interface ServiceState {
+  /** Monotonic time since which the record should be another one. */
+  neededSince: number | undefined;
+  /** Monotonic time before which nothing is written, as long as the record has the revision that the last write replaced. */
+  pausedUntil: number;
+  replacedRevision: number;
+  isWriting: boolean;
+  /** Monotonic time before which no confirmation is called for. */
+  confirmAt: number;
+  /** By the code of the version: its phase, and since when this instance has read it. */
+  readonly phases: Map<number, { readonly phase: VersionPhase; readonly since: number }>;
+  /** Codes of joining versions that all instances have confirmed. */
+  readonly confirmed: Set<number>;
+}
+
+/** Writes the records. */
+export class VersionRecorder {
+  private readonly states = new Map<string, ServiceState>();
+  private readonly substituteAfterMs: number;
+
+  private constructor(private readonly options: VersionRecorderOptions) {
+    this.substituteAfterMs = substituteMs + options.getRandom() * substituteSpreadMs;
+    options.records.onRead(() => this.reconcile());
+    options.history.onServing(() => this.reconcile());
+  }
+
+  static create(options: VersionRecorderOptions): VersionRecorder {
+    return new VersionRecorder(options);
+  }
+
+  /** Writes what has changed; called several times a second, and when something has. */
+  reconcile(): void {
+    const { records, isReady, getServices } = this.options;
+    records.noteListed();
+    if (!isReady()) return;
+    for (const service of getServices()) this.reconcileService(service);
+  }
+
+  private reconcileService(service: string): void {
+    const { clock, records, isWriter } = this.options;
+    const state = this.ensureState(service);
+    const current = records.find(service);
+    this.updatePhases(state, current);
+    this.confirm(service, state, current);
+    const next = this.createNext(service, state, current);
+    if (!next) {
+      state.neededSince = undefined;
+      return;
+    }
+    const time = clock.getTime();
+    state.neededSince ??= time;
+    const isSubstitute = time - state.neededSince >= this.substituteAfterMs;
+    const isPaused = time < state.pausedUntil && records.getRevision(service) === state.replacedRevision;
+    if (state.isWriting || isPaused || !(isWriter() || isSubstitute)) return;
+    void this.write(service, state, next);
+  }
+
+  /** Returns the record as it should be; undefined if it is so already, or if there is nothing to record. */
+  private createNext(
+    service: string,
+    state: ServiceState,
+    current: VersionRecord | undefined,
+  ): VersionRecord | undefined {
+    const { store, history, records } = this.options;
+    const listed = history.list(service);
+    const kept = (current?.versions ?? []).flatMap((version) => this.advance(state, listed, version));
+    // A store that was restored may have lost versions; in one era they are removed on purpose only.
+    const mayHaveLost = current?.era !== store.eras.current;
+    const isAdded = ({ origin, goneMs, mayHaveBegun }: VersionAge): boolean =>
+      !findPhase(current, origin) && (goneMs === undefined || (mayHaveLost && mayHaveBegun));
+    // Where no stream can have begun, there is none that could go on at another version.
+    const isFirst =
+      !kept.some(({ phase }) => phase !== VersionPhase.Joining) && !listed.some((one) => one.mayHaveBegun);
+    const added = listed.filter(isAdded).map(({ origin, mayHaveBegun }) => ({
+      origin,
+      phase: isFirst || mayHaveBegun ? VersionPhase.Open : VersionPhase.Joining,
+    }));
+    const versions = [...kept, ...added];
+    if (versions.length === 0 && !current) return undefined;
+    const next = { service, era: store.eras.current, isProven: records.isProven(service), versions };
+    return current && isSameRecord(current, next) ? undefined : next;
+  }
+
+  /** Returns a version in its next phase; none if it is to be removed. */
+  private advance(
+    state: ServiceState,
+    listed: readonly VersionAge[],
+    { origin, phase }: RecordedVersion,
+  ): readonly RecordedVersion[] {
+    const { clock, getRetentionMs } = this.options;
+    const code = encodeOrigin(origin);
+    const goneMs = listed.find((version) => isSameOrigin(version.origin, origin))?.goneMs;
+    const isSettled = clock.getTime() - (state.phases.get(code)?.since ?? Infinity) >= settlingMs;
+    switch (phase) {
+      case VersionPhase.Joining:
+        if (goneMs !== undefined && goneMs >= settlingMs) return [];
+        if (goneMs === undefined && (isSettled || state.confirmed.has(code)))
+          return [{ origin, phase: VersionPhase.Open }];
+        return [{ origin, phase }];
+      case VersionPhase.Open: {
+        const isOver = goneMs !== undefined && goneMs > getRetentionMs();
+        return [{ origin, phase: isOver ? VersionPhase.Closing : phase }];
+      }
+      case VersionPhase.Closing:
+        if (goneMs === undefined) return [{ origin, phase: VersionPhase.Open }];
+        return isSettled ? [] : [{ origin, phase }];
+    }
+  }
+
+  private updatePhases(state: ServiceState, current: VersionRecord | undefined): void {
+    const codes = new Set<number>();
+    for (const { origin, phase } of current?.versions ?? []) {
+      const code = encodeOrigin(origin);
+      codes.add(code);
+      if (state.phases.get(code)?.phase === phase) continue;
+      state.phases.set(code, { phase, since: this.options.clock.getTime() });
+      state.confirmed.delete(code);
+    }
+    for (const code of state.phases.keys()) if (!codes.has(code)) state.phases.delete(code);
+  }
+
+  /** Calls for the confirmation of joining versions that serve. */
+  private confirm(service: string, state: ServiceState, current: VersionRecord | undefined): void {
+    const { clock, isWriter } = this.options;
+    const joining = (current?.versions ?? []).filter(({ phase }) => phase === VersionPhase.Joining);
+    const codes = joining.map(({ origin }) => encodeOrigin(origin));
+    const isConfirmed = codes.every((code) => state.confirmed.has(code));
+    if (isConfirmed || clock.getTime() < state.confirmAt || !isWriter()) return;
+    state.confirmAt = Infinity;
+    void this.callForConfirmation(service, state, codes);
+  }
+
+  private async callForConfirmation(
+    service: string,
+    state: ServiceState,
+    codes: readonly number[],
+  ): Promise<void> {
+    const { clock, confirmJoining } = this.options;
+    const isConfirmed = await confirmJoining(service, codes);
+    state.confirmAt = clock.getTime() + confirmMs;
+    if (!isConfirmed) return;
+    // A version that has left and joined again meanwhile has another phase in between.
+    for (const code of codes)
+      if (state.phases.get(code)?.phase === VersionPhase.Joining) state.confirmed.add(code);
+    this.reconcile();
+  }
+
+  private async write(service: string, state: ServiceState, next: VersionRecord): Promise<void> {
+    const { store, clock, logger, records } = this.options;
+    const key = createRecordKey(service);
+    const revision = records.getRevision(service);
+    state.replacedRevision = revision;
+    state.isWriting = true;
+    const written = await store.transact({
+      expected: [{ key, revision }],
+      put: [{ key, value: encodeVersionRecord(next) }],
+      remove: [],
+    });
+    state.isWriting = false;
+    // What was written counts once it has been read, as it does for all other instances.
+    state.pausedUntil = clock.getTime() + rewriteMs;
+    const outcome = written.isOk() ? "written" : written.error.name;
+    const { isProven } = next;
+    logger.info("versions.recorded", { service, isProven, versions: formatVersions(next), outcome });
+    if (records.getRevision(service) !== revision) this.reconcile();
+  }
+
+  private ensureState(service: string): ServiceState {
+    const known = this.states.get(service);
+    if (known) return known;
+    const state: ServiceState = {
+      neededSince: undefined,
+      pausedUntil: -Infinity,
+      replacedRevision: 0,
+      isWriting: false,
+      confirmAt: -Infinity,
+      phases: new Map(),
+      confirmed: new Set(),
+    };
+    this.states.set(service, state);
+    return state;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/origins/versionRecords.ts
@@ -0,0 +1,164 @@
+/**
+ * Follows the records of the versions of all services, and tells at which versions streams may begin, at which ones those can have begun
+ * that are taken up, and whether that is known without a gap.
+ * @module
+ */
+import { type Clock, type Logger, waitFor } from "@gladewall/kernel";
+import type { MetadataStore, StoreItem } from "../types.js";
+import type { OpenVersions, StreamOrigin } from "./streamOrigin.js";
+import type { VersionHistory } from "./versionHistory.js";
+import {
+  createRecordKey,
+  decodeVersionRecord,
+  findPhase,
+  formatVersions,
+  versionRecordPrefix,
+  VersionPhase,
+  type VersionRecord,
+} from "./versionRecord.js";
+
+/** Options of the records. */
+export interface VersionRecordsOptions {
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly history: VersionHistory;
+  readonly eras: Pick<MetadataStore["eras"], "current">;
+  /** Whether the whole system starts for the first time, so that no stream began before. */
+  readonly isFirstStart: boolean;
+  /** Whether this instance has listed the endpoints and the gateway's own items. */
+  readonly isListed: () => boolean;
+  /** Returns the milliseconds for which a stream may be taken up after it began; 0 if none may. */
+  readonly getRetentionMs: () => number;
+}
+
+/** Who vouches for a list of versions having no gap. Members are written to logs. */
+export enum VersionVoucher {
+  Nobody = 1,
+  /** No instance served before. */
+  FirstStart = 2,
+  /** The record in the store. */
+  Record = 3,
+  /** This instance has followed the records for longer than streams may be taken up. */
+  Uptime = 4,
+}
+
+/** A record as it was read. */
+interface ReadRecord {
+  /** Undefined if it can't be decoded. */
+  readonly record: VersionRecord | undefined;
+  readonly revision: number;
+}
+
+/** Longest time for which a new stream waits until one may begin at a version that serves, and the pause between two looks. */
+const maxOpenWaitMs = 1_000;
+const openPollMs = 10;
+
+/** The records by service. */
+export class VersionRecords implements OpenVersions {
+  /** By key. */
+  private readonly records = new Map<string, ReadRecord>();
+  /** Services of which a record that is without a gap has been read. */
+  private readonly proven = new Set<string>();
+  /** Monotonic time since which this instance has followed the records; undefined before. */
+  private listedAt: number | undefined;
+  private readonly listeners: (() => void)[] = [];
+
+  private constructor(private readonly options: VersionRecordsOptions) {}
+
+  static create(options: VersionRecordsOptions): VersionRecords {
+    return new VersionRecords(options);
+  }
+
+  /** Calls back when a record has been read. */
+  onRead(listener: () => void): void {
+    this.listeners.push(listener);
+  }
+
+  /** Notes since when this instance follows the records; called several times a second. */
+  noteListed(): void {
+    if (this.options.isListed()) this.listedAt ??= this.options.clock.getTime();
+  }
+
+  /** Handles an item that was written or removed; ignores keys outside the prefix of the records. */
+  handleItem(key: string, item: StoreItem | undefined): void {
+    if (!key.startsWith(versionRecordPrefix)) return;
+    if (item) this.read(key, item);
+    else this.remove(key);
+    for (const listener of this.listeners) listener();
+  }
+
+  /** Returns the record of a service as last read; undefined if there is none or it can't be decoded. */
+  find(service: string): VersionRecord | undefined {
+    return this.records.get(createRecordKey(service))?.record;
+  }
+
+  /** Returns the revision of a service's record; 0 if there is none. */
+  getRevision(service: string): number {
+    return this.records.get(createRecordKey(service))?.revision ?? 0;
+  }
+
+  mayBegin(origin: StreamOrigin): boolean {
+    return findPhase(this.find(origin.service), origin) === VersionPhase.Open;
+  }
+
+  /** Returns the versions of a service at which a stream that is taken up can have begun, as far as this instance knows. */
+  listBegun(service: string): readonly StreamOrigin[] {
+    const hasRecord = this.find(service) !== undefined;
+    const listed = this.options.history.list(service);
+    // Earlier builds begin streams without a record.
+    return listed.filter(({ mayHaveBegun }) => mayHaveBegun || !hasRecord).map(({ origin }) => origin);
+  }
+
+  /** Returns who vouches for the versions of a service being known without a gap. */
+  findVoucher(service: string): VersionVoucher {
+    const { clock, isFirstStart, getRetentionMs } = this.options;
+    if (this.proven.has(service)) return VersionVoucher.Record;
+    if (isFirstStart) return VersionVoucher.FirstStart;
+    const followedMs = this.listedAt === undefined ? 0 : clock.getTime() - this.listedAt;
+    const retentionMs = getRetentionMs();
+    return retentionMs > 0 && followedMs > retentionMs ? VersionVoucher.Uptime : VersionVoucher.Nobody;
+  }
+
+  /** Whether the versions of a service are known without a gap. */
+  isProven(service: string): boolean {
+    return this.findVoucher(service) !== VersionVoucher.Nobody;
+  }
+
+  /** Waits, for a while at most, until a stream may begin at a version of a service, if one serves at which none may yet. */
+  async waitUntilOpen(service: string): Promise<void> {
+    const { clock } = this.options;
+    const endsAt = clock.getTime() + maxOpenWaitMs;
+    while (this.isOpening(service) && clock.getTime() < endsAt) await waitFor(clock, openPollMs);
+  }
+
+  /** Whether versions of a service serve, and streams may begin at none of them. */
+  private isOpening(service: string): boolean {
+    const serving = this.options.history.list(service).filter(({ goneMs }) => goneMs === undefined);
+    return serving.length > 0 && !serving.some(({ origin }) => this.mayBegin(origin));
+  }
+
+  private remove(key: string): void {
+    const service = this.records.get(key)?.record?.service;
+    this.records.delete(key);
+    if (service !== undefined) this.options.history.applyRecord(service, []);
+  }
+
+  private read(key: string, { value, revision }: StoreItem): void {
+    const { logger, history, eras } = this.options;
+    const decoded = decodeVersionRecord(value);
+    const record = decoded && createRecordKey(decoded.service) === key ? decoded : undefined;
+    this.records.set(key, { record, revision });
+    if (!record) return logger.warn("versions.record-refused", { key, bytes: value.length });
+    const { service, era, isProven } = record;
+    if (isProven && era === eras.current) this.proven.add(service);
+    history.applyRecord(service, record.versions);
+    const voucher = VersionVoucher[this.findVoucher(service)];
+    logger.info("versions.record-read", {
+      service,
+      era,
+      isProven,
+      voucher,
+      versions: formatVersions(record),
+    });
+  }
+}
--- a/packages/gateway/src/placement/placer.ts
+++ b/packages/gateway/src/placement/placer.ts
@@ -8,7 +8,7 @@
 import type { Endpoint, PeerWork } from "../endpoints/endpoint.js";
 import { EndpointState, unknownLatencyMs } from "../endpoints/endpoint.js";
 import { CompletionDraw } from "./completionDraw.js";
-import { mayServe, type StreamOrigin } from "../origins/streamOrigin.js";
+import { mayServe, type RequiredOrigin } from "../origins/streamOrigin.js";
 import type { PrefixIndex } from "./prefixIndex.js";
 import type { PromptPart, Service } from "../types.js";
 
@@ -20,7 +20,7 @@
   /** Incarnations of endpoints that the request was sent to before. */
   readonly excluded: ReadonlySet<string>;
   /** Where the stream began that the request goes on with; undefined if any endpoint of the service may serve it. */
-  readonly origin?: StreamOrigin | undefined;
+  readonly origin?: RequiredOrigin | undefined;
   /** Urgency, 0 being the most urgent; the least urgent if omitted. */
   readonly rank?: number;
   /** Whether only endpoints that need no permit are considered. */
--- a/packages/gateway/src/requests/activeRequestTypes.ts
+++ b/packages/gateway/src/requests/activeRequestTypes.ts
@@ -7,7 +7,7 @@
 import type { AdmittedRequest } from "../limits/admission.js";
 import type { GatewayParts } from "../gatewayPartTypes.js";
 import type { RequestCharge } from "../limits/quotaCharges.js";
-import type { StreamOrigin } from "../origins/streamOrigin.js";
+import type { RequiredOrigin } from "../origins/streamOrigin.js";
 import type { Placement } from "../placement/placer.js";
 import type { EndedResponse } from "../responses/responseEnd.js";
 import type { CallerRequestHead, Service } from "../types.js";
@@ -61,7 +61,7 @@
   readonly response: ServerResponse;
   readonly body: Buffer;
   /** Where the stream began that the request goes on with; undefined if any endpoint of the service may serve it. */
-  readonly origin: StreamOrigin | undefined;
+  readonly origin: RequiredOrigin | undefined;
   /** Monotonic time at which the request arrived. */
   readonly arrivedAt: number;
   /** Units charged to the workspace's limit; undefined if the request counts towards no limit. */
--- a/packages/gateway/src/requests/requestContext.ts
+++ b/packages/gateway/src/requests/requestContext.ts
@@ -8,7 +8,7 @@
 import type { BodyReader } from "../bodies/bodyReader.js";
 import type { InFlightRequest } from "../crashes/inFlightRequest.js";
 import type { CrashSubject } from "../crashes/crashRecords.js";
-import { mayServe, type StreamOrigin } from "../origins/streamOrigin.js";
+import { isBegun, mayServe, type RequiredOrigin } from "../origins/streamOrigin.js";
 import type { HeldSlot } from "../slots/heldSlot.js";
 import type { Placement, PlacementRequest } from "../placement/placer.js";
 import { getSharedParts } from "../crashes/parts/sharedParts.js";
@@ -51,8 +51,8 @@
   relay: StreamRelay | undefined;
   /** Body of the last response that is no stream; undefined before. */
   body: BodyReader | undefined;
-  /** Where the stream began, which goes on at no other; undefined until its first event is forwarded, unless it is taken up. */
-  origin: StreamOrigin | undefined;
+  /** What an endpoint must be: of the version at which the stream has begun, or one at which it may begin; undefined for other requests. */
+  origin: RequiredOrigin | undefined;
   /** Whether it has been recorded where the stream began. */
   isOriginRecorded = false;
   /** How the last response ended that was received; undefined before. */
@@ -172,7 +172,7 @@
   /** Whether an endpoint that accepts requests may serve this one; always true for a stream that has not begun. */
   isServable(): boolean {
     const { origin, parts, request } = this;
-    if (origin === undefined) return true;
+    if (!isBegun(origin)) return true;
     const endpoints = parts.directory.getOfService(request.service.name);
     return endpoints.some((endpoint) => endpoint.isUsable() && mayServe(origin, endpoint));
   }
--- a/packages/gateway/src/responses/relayStage.ts
+++ b/packages/gateway/src/responses/relayStage.ts
@@ -6,7 +6,7 @@
 import { BodyReader } from "../bodies/bodyReader.js";
 import { containThrows } from "../failures/containedFailures.js";
 import type { Endpoint } from "../endpoints/endpoint.js";
-import { getOrigin, type StreamOrigin } from "../origins/streamOrigin.js";
+import { getOrigin, isBegun, type StreamOrigin } from "../origins/streamOrigin.js";
 import type { Placement } from "../placement/placer.js";
 import { AttemptOutcome } from "../requests/attempt.js";
 import { NextStep, type RequestContext } from "../requests/requestContext.js";
@@ -183,16 +183,17 @@
       pace: linkPace,
     });
     const { relay } = context;
-    const onFirst = (): void => {
+    const onFirst = (): Promise<void> | undefined => {
       stream.clearPending();
       const time = clock.getTime();
       context.firstEventAt ??= time;
       context.firstEventMs ??= time - arrivedAt;
-      this.recordOrigin(origin);
+      const kept = this.recordOrigin(origin);
       this.recordPrefillRate(placement, time - stream.startedAt);
       this.scheduleTrialEnd();
       context.countUsageOnce(getTimeOfDay());
       placer.memory.recordProcessed(head.parts, endpoint.incarnation);
+      return kept;
     };
     const received = await relay.relay(stream.response, onFirst, context.fail);
     if (context.isOver) return NextStep.Done;
@@ -209,15 +210,16 @@
     return NextStep.Done;
   }
 
-  /** Records where the stream began before its first event is forwarded; only then is it certain. */
-  private recordOrigin(origin: StreamOrigin): void {
+  /** Records where the stream began before its first event is forwarded; only then is it certain. Returns what that event waits for. */
+  private recordOrigin(origin: StreamOrigin): Promise<void> | undefined {
     const { context } = this;
     const { admitted, head } = context.request;
-    if (context.isOriginRecorded) return;
+    if (context.isOriginRecorded) return undefined;
     context.isOriginRecorded = true;
-    context.origin ??= origin;
+    const begunAt = isBegun(context.origin) ? context.origin : origin;
+    context.origin = begunAt;
     const { workspace, parts } = context;
-    parts.origins.record({ route: admitted.route, head, workspace }, context.origin);
+    return parts.origins.record({ route: admitted.route, head, workspace }, begunAt);
   }
 
   /** Looks for evidence on an end that is unverified, and logs each end that is not complete. */
--- a/packages/gateway/src/responses/streamRelay.ts
+++ b/packages/gateway/src/responses/streamRelay.ts
@@ -6,6 +6,7 @@
 import type { ServerResponse } from "node:http";
 import { containThrows } from "../failures/containedFailures.js";
 import { ReadGate, type ReadGateOptions } from "../bodies/readGate.js";
+import { EventHold } from "./eventHold.js";
 import { EventSplitter, removeByteOrderMark } from "./eventSplitter.js";
 import { type EndedResponse, endConsequences, type EndpointResponse, readEndOrFail } from "./responseEnd.js";
 import { isHeaderValue } from "./responseHead.js";
@@ -67,18 +68,19 @@
   }
 
   /**
-   * Forwards one endpoint's stream until it ends. Calls `onFirst` before the first event is forwarded, and `fail` if this instance itself
-   * fails. Never rejects.
+   * Forwards one endpoint's stream until it ends. Calls `onFirst` before the first event is forwarded, which waits for what it returns, and
+   * `fail` if this instance itself fails. Never rejects.
    */
   relay(
     received: EndpointResponse,
-    onFirst: () => void,
+    onFirst: () => Promise<void> | undefined,
     fail: (error: unknown) => void,
   ): Promise<EndedResponse> {
     const { message } = received;
     this.lastId = this.lastEventId;
     this.splitter = EventSplitter.create(this.options.isResumable);
     const gate = ReadGate.create(message, this.response, { ...this.options, fail });
+    const hold = EventHold.create(message, (bytes) => this.write(received, bytes));
     let isFirst = true;
     return new Promise((resolve) => {
       const receive = (bytes: Buffer): void => {
@@ -89,13 +91,16 @@
         const whole = this.splitter.add(bytes);
         if (whole.length === 0) return;
         const isContinued = isFirst && this.response.headersSent;
-        if (isFirst) onFirst();
+        if (isFirst) hold.start(onFirst(), fail);
         isFirst = false;
         this.endsWithoutId = this.splitter.endsWithoutId;
-        this.write(received, isContinued ? removeByteOrderMark(whole) : whole);
+        hold.forward(isContinued ? removeByteOrderMark(whole) : whole);
       };
       message.on("data", containThrows(receive, fail));
-      const finish = (): void => resolve(readEndOrFail(received, fail, this.splitter.unfinishedBytes));
+      const finish = (): void => {
+        const ended = readEndOrFail(received, fail, this.splitter.unfinishedBytes);
+        void hold.released.then(() => resolve(ended));
+      };
       message.on("end", finish);
       // After "end" this has no effect, because a promise settles only once.
       message.on("close", finish);
@@ -109,6 +114,8 @@
   }
 
   private write(received: EndpointResponse, bytes: Buffer): void {
+    // The request may have ended while its first event was held.
+    if (this.response.writableEnded || this.response.destroyed) return;
     this.writeHead(received);
     this.response.write(bytes);
   }
--- a/packages/gateway/test/originCallers.ts
+++ b/packages/gateway/test/originCallers.ts
@@ -2,7 +2,7 @@
  * Callers of the simulated fleet: they begin streams, take them up at any instance, and check which version wrote each event.
  * @module
  */
-import { RouteKind, type StreamOrigin } from "@gladewall/gateway";
+import { isBegun, RouteKind, type RequiredOrigin } from "@gladewall/gateway";
 import { type Clock, FailureCode, waitFor } from "@gladewall/kernel";
 import { createRoute } from "@gladewall/standins";
 import type { SimulatedEndpoints } from "./originEndpoints.js";
@@ -146,14 +146,14 @@
     stream: SimulatedStream,
     member: OriginMember,
     request: Parameters<OriginMember["choose"]>[0],
-    resumed: StreamOrigin | undefined,
+    required: RequiredOrigin | undefined,
   ): Promise<void> {
     const { endpoints, random } = this.options;
-    let origin = resumed;
+    let origin = isBegun(required) ? required : undefined;
     const tried = new Set<string>();
     let isRecorded = false;
     for (let attempt = 0; attempt < maxEndpoints; attempt++) {
-      const suitable = member.findSuitable(origin).filter((one) => !tried.has(one.id));
+      const suitable = member.findSuitable(origin ?? required).filter((one) => !tried.has(one.id));
       const endpoint = suitable[Math.floor(random() * suitable.length)];
       if (!endpoint || !member.isAlive) return;
       tried.add(endpoint.id);
--- a/packages/gateway/test/originFleet.ts
+++ b/packages/gateway/test/originFleet.ts
@@ -61,6 +61,7 @@
   readonly store: SimulatedStore;
   readonly endpoints: SimulatedEndpoints;
   readonly callers: OriginCallers;
+  isFirstStart = true;
   /** Messages and bytes of entries that instances sent. */
   messages = 0;
   private readonly cut = new Set<string>();
@@ -97,13 +98,21 @@
     return this.callers.violations;
   }
 
+  get isMesh(): boolean {
+    return this.options.instances <= largestMesh;
+  }
+
   isWriter(member: OriginMember): boolean {
+    return this.findWriter(member) === member.name;
+  }
+
+  findWriter(member: OriginMember): string | undefined {
     const ready = this.findReady();
     const { hasSplitWriters = false } = this.options;
     const candidates = hasSplitWriters
       ? ready.filter((other) => other === member || this.isReachable(member, other))
       : ready;
-    return candidates[0] === member;
+    return candidates[0]?.name;
   }
 
   getTimeOfDay({ index }: OriginMember): number {
@@ -153,10 +162,12 @@
       if (!to || !this.isReachable(from, to)) return fail();
       this.clock.startTimer(this.drawDelay(), () => {
         if (!to.isAlive || to.isPaused) return;
-        const reply = to.handlers.get(message.kind)?.(message, { name: from.name, incarnation: 1 });
-        this.clock.startTimer(this.drawDelay(), () => {
-          if (this.isReachable(from, to)) resolve(Ok(reply));
-        });
+        const handled = to.handlers.get(message.kind)?.(message, { name: from.name, incarnation: 1 });
+        void Promise.resolve(handled).then((reply) =>
+          this.clock.startTimer(this.drawDelay(), () => {
+            if (this.isReachable(from, to)) resolve(Ok(reply));
+          }),
+        );
       });
     });
   }
@@ -167,6 +178,7 @@
     if (!member.isAlive) return;
     member.isAlive = false;
     this.clock.startTimer(restartMs, () => {
+      this.isFirstStart = false;
       const next = new OriginMember(this, index);
       this.members[index] = next;
       this.listItems(next);
--- a/packages/gateway/test/originMember.ts
+++ b/packages/gateway/test/originMember.ts
@@ -8,12 +8,16 @@
   mayServe,
   OriginArchive,
   OriginGossip,
+  OriginKeeper,
   OriginRecorder,
   OriginTable,
   TakeUps,
   VersionHistory,
   VersionItems,
+  VersionRecorder,
+  VersionRecords,
   type MetadataStore,
+  type RequiredOrigin,
   type StreamOrigin,
 } from "@gladewall/gateway";
 import type { PeerIdentity, PeerMessage } from "@gladewall/coordination";
@@ -36,6 +40,12 @@
   readonly members: readonly OriginMember[];
   /** Time for which a stream may be taken up after it began. */
   readonly retentionMs: number;
+  /** Whether no instance of the fleet has been started again. */
+  readonly isFirstStart: boolean;
+  /** Whether every instance is linked with every other. */
+  readonly isMesh: boolean;
+  /** Returns the name of the instance that writes to the store on behalf of the fleet, as far as a member knows. */
+  findWriter(member: OriginMember): string | undefined;
   /** Whether a member writes to the store on behalf of the fleet, as far as it knows. */
   isWriter(member: OriginMember): boolean;
   /** Returns the time of day of the machine that a member runs on. */
@@ -57,6 +67,8 @@
 interface MemberParts {
   readonly history: VersionHistory;
   readonly items: VersionItems;
+  readonly records: VersionRecords;
+  readonly versionRecorder: VersionRecorder;
   readonly archive: OriginArchive;
   readonly takeUps: TakeUps;
   readonly recorder: OriginRecorder;
@@ -85,7 +97,10 @@
   ) {
     this.heardAt = fleet.clock.getTime();
     this.parts = this.createParts();
-    this.followed = FollowedItems.create((key, item) => this.parts.items.handleItem(key, item));
+    this.followed = FollowedItems.create((key, item) => {
+      this.parts.items.handleItem(key, item);
+      this.parts.records.handleItem(key, item);
+    });
   }
 
   get name(): string {
@@ -116,13 +131,13 @@
   }
 
   /** Returns the endpoints at which a request may begin or go on now. */
-  findSuitable(origin: StreamOrigin | undefined): readonly Endpoint[] {
+  findSuitable(origin: RequiredOrigin | undefined): readonly Endpoint[] {
     return this.known.filter((endpoint) => mayServe(origin, endpoint));
   }
 
   /** Records where a stream began; its first event is forwarded once this has resolved. */
   async recordOrigin(request: Request, origin: StreamOrigin): Promise<void> {
-    this.parts.recorder.record(request, origin);
+    await this.parts.recorder.record(request, origin);
   }
 
   /** Notes that the store or a reader sent something. */
@@ -133,6 +148,7 @@
   /** Writes what is due to the store; called several times a second. */
   reconcile(): void {
     this.parts.items.reconcile();
+    this.parts.versionRecorder.reconcile();
     this.parts.archive.reconcile();
   }
 
@@ -142,19 +158,43 @@
     const getRetentionMs = (): number => fleet.retentionMs;
     const history = VersionHistory.create({ clock, getRetentionMs });
     const table = OriginTable.create({ clock, getRetentionMs });
-    const gossip = OriginGossip.create({ clock, table, history, fleet: this.createLinks() });
+    const store = fleet.store as unknown as MetadataStore;
+    const isListed = (): boolean => this.isReady;
     const kept = {
-      store: fleet.store as Pick<MetadataStore, "transact" | "list"> as MetadataStore,
+      store,
       clock,
       logger: Logger.createSilent(),
+      history,
+      getRetentionMs,
       getTimeOfDay: () => fleet.getTimeOfDay(this),
       isWriter: () => this.isReady && fleet.isWriter(this),
     };
+    const { isFirstStart } = fleet;
+    const records = VersionRecords.create({ ...kept, eras: store.eras, isFirstStart, isListed });
+    const links = this.createLinks();
+    const gossip = OriginGossip.create({ clock, table, history, records, getRetentionMs, fleet: links });
     const archive = OriginArchive.create({
       ...kept,
       table,
-      getRetentionMs,
-      isNeeded: () => history.hasMixedServices,
+      isNeeded: () => history.hasMixedServices || !records.isProven(service),
+    });
+    const keeper = OriginKeeper.create({
+      clock,
+      logger: Logger.createSilent(),
+      links: links.links,
+      table,
+      archive,
+      ownName: this.name,
+      findWriter: () => fleet.findWriter(this),
+    });
+    const versionRecorder = VersionRecorder.create({
+      ...kept,
+      records,
+      getServices: () => [service],
+      isReady: isListed,
+      confirmJoining: async (name, codes) =>
+        (await gossip.confirmJoining(name, codes)) && (await archive.flush()),
+      getRandom: random,
     });
     const takeUps = TakeUps.create({
       clock,
@@ -163,13 +203,15 @@
       directory: { getOfService: () => this.known },
       table,
       history,
+      records,
       gossip,
       archive,
       isViewOld: () => clock.getTime() - this.heardAt > maxViewAgeMs,
       getRandom: random,
     });
-    const recorder = OriginRecorder.create({ table, history, gossip });
-    return { history, items: VersionItems.create({ ...kept, history }), archive, takeUps, recorder };
+    const recorder = OriginRecorder.create({ table, history, records, gossip, keeper });
+    const items = VersionItems.create(kept);
+    return { history, items, records, versionRecorder, archive, takeUps, recorder };
   }
 
   private createLinks(): GossipFleet {
@@ -186,6 +228,8 @@
       get hasAllKeepers() {
         return fleet.members.every(isLinked);
       },
+      isMesh: fleet.isMesh,
+      findPeerUptime: () => undefined,
     };
   }
 }
--- a/packages/gateway/test/originStore.ts
+++ b/packages/gateway/test/originStore.ts
@@ -37,12 +37,21 @@
   /** Values of transactions, in bytes. */
   writtenBytes = 0;
   era = initialEra;
+  /** What the store's responses have told of its era. */
+  readonly eras: Pick<MetadataStore["eras"], "current">;
   private unreachableSince: number | undefined;
   private revision = 0;
   private items = new Map<string, StoreItem>();
   private readonly copies: StoreCopy[] = [];
 
-  private constructor(private readonly options: SimulatedStoreOptions) {}
+  private constructor(private readonly options: SimulatedStoreOptions) {
+    const getEra = (): number => this.era;
+    this.eras = {
+      get current() {
+        return getEra();
+      },
+    };
+  }
 
   static create(options: SimulatedStoreOptions): SimulatedStore {
     return new SimulatedStore(options);
--- a/packages/gateway/test/takenUpStreams.test.ts
+++ b/packages/gateway/test/takenUpStreams.test.ts
@@ -72,22 +72,23 @@
   return [...entries.keys()].filter((key) => key.startsWith("gladewall-streams/"));
 }
 
-t.test("after all instances were killed, a stream that the store keeps goes on at its version", async (t) => {
-  const fleet = await VersionedFleet.create(t, 2, mixed);
-  const begun = new Map<string, string>();
-  for (let index = 0; index < rounds; index++) {
-    const kept = getArchiveKeys(fleet).length;
-    begun.set(`s${index}`, await begin(fleet, index % 2, `s${index}`));
-    await waitUntil(() => getArchiveKeys(fleet).length > kept);
-  }
-  await killAll(fleet);
-  await fleet.addInstance();
-  for (const [id, text] of begun) {
-    const { body, status } = await fleet.takeUp(0, `${id}-2`, id, text);
-    t.equal(status, 200);
-    t.equal(listVersions(text + body).length, 1, listVersions(text + body).join());
-  }
-});
+t.test(
+  "after all instances were killed, every stream whose first event was received goes on at its version",
+  async (t) => {
+    const fleet = await VersionedFleet.create(t, 2, mixed);
+    const begun = new Map<string, string>();
+    for (let index = 0; index < rounds; index++) {
+      begun.set(`s${index}`, await begin(fleet, index % 2, `s${index}`));
+    }
+    await killAll(fleet);
+    await fleet.addInstance();
+    for (const [id, text] of begun) {
+      const { body, status } = await fleet.takeUp(0, `${id}-2`, id, text);
+      t.equal(status, 200);
+      t.equal(listVersions(text + body).length, 1, listVersions(text + body).join());
+    }
+  },
+);
 
 t.test("after all instances were killed, a stream that nobody knows is refused at once", async (t) => {
   const fleet = await VersionedFleet.create(t, 2, mixed);
@@ -123,15 +124,16 @@
   t.equal((await fleet.begin(0, "new")).status, 200);
 });
 
-t.test("a service with one version leaves nothing in the store", async (t) => {
+t.test("a service with one version leaves nothing in the store but its record, written once", async (t) => {
   const fleet = await VersionedFleet.create(t, 2, single);
   await begin(fleet, 0, "s");
-  const keys = [...fleet.bench.platform.shared.entries.keys()];
+  const { entries } = fleet.bench.platform.shared;
   t.same(getArchiveKeys(fleet), []);
-  t.notOk(
-    keys.some((key) => key.startsWith("gladewall/versions/")),
-    keys.join(),
-  );
+  t.notOk([...entries.keys()].some((key) => key.startsWith("gladewall/versions/")));
+  const record = entries.get("gladewall/stream-versions/web");
+  t.ok(record);
+  await begin(fleet, 1, "s2");
+  t.equal(entries.get("gladewall/stream-versions/web")?.revision, record?.revision);
 });
 
 t.test("a stream is refused at once when the last endpoint of its version has left", async (t) => {
--- a/packages/gateway/test/takenUpVersions.test.ts
+++ b/packages/gateway/test/takenUpVersions.test.ts
@@ -9,6 +9,7 @@
   OriginTable,
   TakeUps,
   VersionHistory,
+  VersionRecords,
 } from "@gladewall/gateway";
 import { Logger, VirtualClock } from "@gladewall/kernel";
 import { createRoute, createService, createWorkspace, waitUntil } from "@gladewall/standins";
@@ -105,7 +106,24 @@
   const history = VersionHistory.create({ clock, getRetentionMs: () => 10_000 });
   const endpoint = createKnownEndpoint({ id: "a", softwareVersion: "v1" });
   history.addEndpoint(endpoint.record);
-  const none = { code: undefined, hasSeveral: false, called: 2, silent: 0, hasCalledAll: true };
+  const records = VersionRecords.create({
+    clock,
+    logger: Logger.createSilent(),
+    history,
+    eras: { current: 0 },
+    isFirstStart: true,
+    isListed: () => true,
+    getRetentionMs: () => 10_000,
+  });
+  const none: OriginAnswer = {
+    code: undefined,
+    begun: new Set(),
+    hasSeveral: false,
+    isVouched: false,
+    called: 2,
+    silent: 0,
+    hasCalledAll: true,
+  };
   const choose = async (isViewOld: boolean, answer: Partial<OriginAnswer>): Promise<boolean> => {
     const takeUps = TakeUps.create({
       clock,
@@ -114,8 +132,9 @@
       directory: { getOfService: () => [endpoint] },
       table: OriginTable.create({ clock, getRetentionMs: () => 10_000 }),
       history,
+      records,
       gossip: { callKeepers: async () => ({ ...none, ...answer }) },
-      archive: { readAll: async () => undefined },
+      archive: { readAll: async () => true },
       isViewOld: () => isViewOld,
       getRandom: () => 0,
     });
