--- a/packages/gateway/src/origins/originGossip.ts
+++ b/packages/gateway/src/origins/originGossip.ts
@@ -89,9 +89,7 @@
       for (const [key, code] of decodeEntries(entries)) table.record(key, code, OriginSource.Told);
     });
     fleet.links.setHandler(OriginMessageKind.Call, (message) => this.replyToCall(message as OriginCall));
-    fleet.links.setHandler(OriginMessageKind.Joining, (message) =>
-      this.replyToJoining(message),
-    );
+    fleet.links.setHandler(OriginMessageKind.Joining, (message) => this.replyToJoining(message));
     fleet.links.onLinkUp((peer) => this.sendToNewKeeper(peer));
     history.onFurtherVersion((service) => this.announceService(service));
   }
