--- a/packages/gateway/src/origins/originKeeper.ts
+++ b/packages/gateway/src/origins/originKeeper.ts
@@ -30,8 +30,10 @@
 }
 
 /** Longest time for which a first event is held. Without load a write takes some 30 ms. */
-const maxHoldMs = 200;
-/** Time after a failure in which no first event is held. */
+const maxHoldMs = 250;
+/** Longest wait for the writer's reply. */
+const replyTimeoutMs = 120;
+/** Time after a failure in which no first event is held, and in which a writer that did not reply is not called. */
 const backoffMs = 1_000;
 
 /** Has entries kept. */
@@ -39,6 +41,7 @@
   private entries: OriginEntry[] = [];
   private batch: Promise<void> | undefined;
   private failedAt = -Infinity;
+  private silentAt = -Infinity;
 
   private constructor(private readonly options: OriginKeeperOptions) {
     options.links.setHandler(OriginMessageKind.Keep, (message) => this.handleCall(message));
@@ -58,24 +61,28 @@
   }
 
   private async send(): Promise<void> {
-    const { clock, logger, findWriter } = this.options;
+    const { clock, logger, archive } = this.options;
     const { entries } = this;
     this.entries = [];
     this.batch = undefined;
-    const writer = findWriter();
-    const isKept = writer !== undefined && (await this.sendTo(writer, entries));
-    if (isKept) return;
+    if (await this.callWriter(entries)) return;
+    // This instance writes itself: while a fleet starts, nobody may be known as the writer.
+    if (await archive.flush()) return;
     this.failedAt = clock.getTime();
-    logger.info("streams.not-kept", { writer, streams: entries.length });
+    logger.info("streams.not-kept", { streams: entries.length });
   }
 
-  private async sendTo(writer: string, entries: readonly OriginEntry[]): Promise<boolean> {
-    const { links, archive, ownName } = this.options;
-    // The table has told the archive of this instance's streams.
-    if (writer === ownName) return archive.flush();
+  /** Resolves with whether the writer keeps entries; false if this instance is the writer, whose table has told the archive. */
+  private async callWriter(entries: readonly OriginEntry[]): Promise<boolean> {
+    const { clock, links, ownName, findWriter } = this.options;
+    const writer = findWriter();
+    const isSkipped = clock.getTime() - this.silentAt < backoffMs;
+    if (writer === undefined || writer === ownName || isSkipped) return false;
     const message: KeepCall = { kind: OriginMessageKind.Keep, entries: encodeEntries(entries) };
-    const reply = await links.call(writer, message, maxHoldMs);
-    return reply.isOk() && hasFlag<KeepReply>(reply.value, "kept");
+    const reply = await links.call(writer, message, replyTimeoutMs);
+    const isKept = reply.isOk() && hasFlag<KeepReply>(reply.value, "kept");
+    if (!isKept) this.silentAt = clock.getTime();
+    return isKept;
   }
 
   private async handleCall(message: PeerMessage): Promise<KeepReply> {
