End a request of an entry whose handler fails after the head was sent

Callers saw a response that never ended, and a planned stop of the entry waited for it: what a handler throws, or returns as a failure, is sent as a problem, and nothing can be sent once the head is. Such a response is destroyed now, so that its caller sees that it is not whole; one that had ended is left alone.

--- a/packages/entry/src/callerServer.ts
+++ b/packages/entry/src/callerServer.ts
@@ -168,7 +168,7 @@
 
 /**
  * Sends a failure. Closes the connection if the request's body was not read to its end, so that the remaining bytes are
- * not parsed as the next request.
+ * not parsed as the next request, or if the response had begun, as its caller would wait for the rest.
  */
 function endWithProblem(
   request: IncomingMessage,
@@ -176,6 +176,8 @@
   failure: Failure,
   id: string,
 ): void {
-  if (!request.complete && !response.headersSent) response.setHeader("connection", "close");
+  if (response.writableEnded) return;
+  if (response.headersSent) return void response.destroy();
+  if (!request.complete) response.setHeader("connection", "close");
   sendProblem(response, failure, id);
 }
