--- a/packages/entry/src/plugins/webService.ts
+++ b/packages/entry/src/plugins/webService.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import { Readable } from "node:stream";
-import { Failure, FailureCode, PluginKind, registerPlugin } from "@gladewall/kernel";
+import { Failure, FailureCode, isFinalStatus, PluginKind, registerPlugin } from "@gladewall/kernel";
 import { type LoadReport, RepeatRule } from "@gladewall/policy";
 import { Err, Ok, type Result } from "ts-results-es";
 import type { Dispatcher, Pool } from "undici";
@@ -20,8 +20,6 @@
 import { readLoadHeader } from "./loadHeader.js";
 
 const startedHeader = "x-run-started";
-const firstFinalStatus = 200;
-const lastStatus = 599;
 /** Statuses with which a gateway reports a fault. A response with any other status is the service's own. */
 const gatewayStatuses: ReadonlySet<number> = new Set([502, 503, 504]);
 const bodilessMethods: ReadonlySet<string> = new Set(["GET", "HEAD"]);
@@ -101,11 +99,6 @@
   }
 }
 
-/** Whether a status is one of a final response (RFC 9110, section 15); a parser lets any three digits through. */
-function isFinalStatus(status: number): boolean {
-  return status >= firstFinalStatus && status <= lastStatus;
-}
-
 function mayRetryStatus(dispatch: Dispatch, status: number): boolean {
   const isRepeatable = dispatch.envelope.repeat === RepeatRule.Allowed && dispatch.rest === undefined;
   return isRepeatable && gatewayStatuses.has(status);
--- a/packages/gateway/src/responses/responseHead.ts
+++ b/packages/gateway/src/responses/responseHead.ts
@@ -4,6 +4,7 @@
  * @module
  */
 import type { IncomingMessage } from "node:http";
+import { isFinalStatus } from "@gladewall/kernel";
 
 /** Why a head is no head of a response. The names are written to logs. */
 export enum HeadFault {
@@ -26,8 +27,6 @@
 >;
 
 const majorVersion = 1;
-const firstFinalStatus = 200;
-const lastStatus = 599;
 const statusNoContent = 204;
 const tokenPattern = /^[!#$%&'*+\-.^_`|~0-9A-Za-z]+$/;
 /** A byte that neither a header's value nor a reason phrase may contain (RFC 9110, section 5.5). */
@@ -39,7 +38,7 @@
 export function findHeadFault(head: ReceivedHead): HeadFault | undefined {
   const { httpVersionMajor, statusCode = 0, statusMessage = "" } = head;
   if (httpVersionMajor !== majorVersion) return HeadFault.Version;
-  if (statusCode < firstFinalStatus || statusCode > lastStatus) return HeadFault.Status;
+  if (!isFinalStatus(statusCode)) return HeadFault.Status;
   if (!isSendable(statusMessage)) return HeadFault.Reason;
   return findHeaderFault(head.rawHeaders) ?? (isFramingConsistent(head) ? undefined : HeadFault.Framing);
 }
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -6,6 +6,7 @@
 export * from "./failures.js";
 export * from "./clientConnections.js";
 export * from "./clock.js";
+export * from "./finalStatus.js";
 export * from "./hopByHopHeaders.js";
 export * from "./daemonLogs.js";
 export * from "./daemonSettings.js";
