Send what slow callers are reading before a stopped instance ends

Callers that read a long response slowly lost its end when their instance was stopped as planned, long before the end of the grace period: a request counted as done once its response had been ended, not once it was sent. First the instance stopped accepting, for which Node.js closes connections whose response has been ended; then, with no request open, it ended.

UnsentResponses counts the responses that have been ended and are not sent. An instance that leaves closes its idle connections only when none is left, and waits for them as for open requests. Those that are left when requests are ended get the rest of the grace period but 0.3 s. Responses to peers whose attempts are passed on are counted too.

--- a/packages/gateway/src/callerServer.ts
+++ b/packages/gateway/src/callerServer.ts
@@ -3,7 +3,7 @@
  * @module
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import { type Closeable, listen } from "@gladewall/kernel";
+import { type Closeable, listen, UnsentResponses } from "@gladewall/kernel";
 import type { ConnectionIntake } from "./intake/connectionIntake.js";
 import type { ClientLimits } from "./types.js";
 
@@ -28,6 +28,7 @@
 export class CallerServer implements Closeable {
   private readonly callers: Server;
   private readonly readiness: Server;
+  private readonly unsentResponses = UnsentResponses.create();
 
   private constructor(private readonly options: CallerServerOptions) {
     const bounds = {
@@ -39,6 +40,7 @@
     this.callers = createServer(bounds, (message, response) => {
       // A caller that keeps its connection would come back while others have more room.
       if (intake.shedShare > 0) response.shouldKeepAlive = false;
+      this.unsentResponses.add(response);
       void options.handle(message, response);
     });
     this.callers.on("connection", (socket) => {
@@ -64,10 +66,14 @@
     this.callers.keepAliveTimeout = idleTimeoutMs;
   }
 
-  /** Stops accepting connections and closes idle ones. */
+  /** Number of responses that have been ended, and that slow callers have not taken yet. */
+  get unsent(): number {
+    return this.unsentResponses.count;
+  }
+
+  /** Stops accepting connections, and closes idle ones once slow callers have taken their responses. */
   stopAccepting(): void {
-    this.callers.close();
-    this.callers.closeIdleConnections();
+    this.unsentResponses.stopAccepting(this.callers);
   }
 
   async close(): Promise<void> {
--- a/packages/gateway/src/forwarding/forwardingServer.ts
+++ b/packages/gateway/src/forwarding/forwardingServer.ts
@@ -12,7 +12,14 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import { type Clock, type Closeable, getListenAddress, listen, type Logger } from "@gladewall/kernel";
+import {
+  type Clock,
+  type Closeable,
+  getListenAddress,
+  listen,
+  type Logger,
+  UnsentResponses,
+} from "@gladewall/kernel";
 import { type ContainedFailures, FailurePlace } from "../failures/containedFailures.js";
 import { Attempt, AttemptOutcome } from "../requests/attempt.js";
 import type { InFlightRequest } from "../crashes/inFlightRequest.js";
@@ -97,6 +104,7 @@
 /** Accepts attempts of peers. */
 export class ForwardingServer implements Closeable {
   private readonly server: Server;
+  private readonly unsentResponses = UnsentResponses.create();
   private openCount = 0;
   private isStopped = false;
 
@@ -114,6 +122,11 @@
     return this.openCount;
   }
 
+  /** Number of responses that have been ended, and that peers have not taken yet. */
+  get unsent(): number {
+    return this.unsentResponses.count;
+  }
+
   /** Starts listening. */
   async start(): Promise<void> {
     await listen(this.server, this.options.listen);
@@ -140,6 +153,7 @@
     message.on("error", () => undefined);
     response.on("error", () => undefined);
     this.openCount += 1;
+    this.unsentResponses.add(response);
     const endRequest = this.options.linkPace.beginRequest();
     try {
       await this.serveAndLog(message, response);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -27,6 +27,8 @@
 
 /** Part of the grace period that is reserved for the end of the process. */
 const exitMarginMs = 800;
+/** Part of the grace period in which slow callers of responses that are complete are no longer waited for. */
+const slowCallerMarginMs = 300;
 /** Time for the last responses to be sent. */
 const responseFlushMs = 100;
 const idleCheckMs = 50;
@@ -262,14 +264,26 @@
     requests.abortAll();
     await Promise.race([leaderTasksClosed, waitFor(clock, responseFlushMs)]);
     await waitFor(clock, responseFlushMs);
-    logger.info("instance.stopped", { open: requests.open });
+    await this.sendResponses(this.leavingSince + this.settings.leaving.grace - slowCallerMarginMs);
+    logger.info("instance.stopped", { open: requests.open, unsent: this.unsent });
+  }
+
+  /** Number of responses that have been ended, and that slow callers, or peers, have not taken yet. */
+  private get unsent(): number {
+    return this.front.unsent + this.parts.forwardingServer.unsent;
+  }
+
+  /** Resolves once all responses that have been ended are sent. */
+  private async sendResponses(endsAt: number): Promise<void> {
+    const { clock } = this.parts;
+    while (this.unsent > 0 && clock.getTime() < endsAt) await waitFor(clock, idleCheckMs);
   }
 
   /** Resolves once no request has been open for a moment, as one may arrive while the last responses are sent. */
   private async finishRequests(endsAt: number): Promise<void> {
-    const { clock } = this.parts;
-    const { forwardingServer } = this.parts;
-    const isBusy = (): boolean => this.requests.open + forwardingServer.open > 0 && clock.getTime() < endsAt;
+    const { clock, forwardingServer } = this.parts;
+    const countOpen = (): number => this.requests.open + forwardingServer.open + this.unsent;
+    const isBusy = (): boolean => countOpen() > 0 && clock.getTime() < endsAt;
     do {
       while (isBusy()) await waitFor(clock, idleCheckMs);
       await waitFor(clock, responseFlushMs);
--- a/packages/kernel/src/index.ts
+++ b/packages/kernel/src/index.ts
@@ -20,5 +20,6 @@
 export * from "./registry.js";
 export * from "./idleSockets.js";
 export * from "./tokenBucket.js";
+export * from "./unsentResponses.js";
 export * from "./settings.js";
 export * from "./settingsSchema.js";
