Report no usage before the checkpoint could be read

A new leader reads the checkpoint of its predecessor once. If that read failed, as while the store is dark for a moment, the leader went on as if there were no checkpoint, and committed and reported the last windows with its own counts alone: a failed read was taken for an empty past.

The leader now repeats the read with each step and begins its duties once the store has answered, with a checkpoint or with the fact that there is none.

--- a/packages/gateway/src/leaderTasks.ts
+++ b/packages/gateway/src/leaderTasks.ts
@@ -142,9 +142,9 @@
       const sender = this.getSender();
       if (!sender) continue;
       if (sender.fence !== this.actingFence) {
+        if (!(await usage.tryRestoreCheckpoint())) continue;
         this.actingFence = sender.fence;
         capacity.reset();
-        await usage.restoreCheckpoint();
         logger.info("duties.begun", { fence: sender.fence });
       }
       for (const service of getServices()) await capacity.step(service, getSender);
--- a/packages/gateway/src/usageReporter.ts
+++ b/packages/gateway/src/usageReporter.ts
@@ -72,12 +72,23 @@
     return Math.floor(timeOfDay / this.options.windowMs);
   }
 
-  /** Restores the checkpoint of the previous leader; called once by a new leader, before it reports. */
-  async restoreCheckpoint(): Promise<void> {
-    const { store, checkpointKey, usage, life: ownIncarnation, logger } = this.options;
+  /**
+   * Restores the checkpoint of the previous leader; a new leader reports nothing before this has returned true. Returns false if the
+   * store did not answer: there may be a checkpoint then, and windows that were reported without its counts would be wrong for good.
+   */
+  async tryRestoreCheckpoint(): Promise<boolean> {
+    const { store, checkpointKey, logger } = this.options;
     const reading = await store.read(checkpointKey);
-    const item = reading.isOk() ? reading.value.item : undefined;
-    if (!item) return;
+    if (reading.isErr()) {
+      logger.warn("usage.draft-unread", { failure: reading.error.name });
+      return false;
+    }
+    if (reading.value.item) this.applyCheckpoint(reading.value.item);
+    return true;
+  }
+
+  private applyCheckpoint(item: StoreItem): void {
+    const { usage, life: ownIncarnation, logger } = this.options;
     const incarnations = decodeItem(checkpointSchema, item.value);
     if (!incarnations) {
       logger.warn("usage.draft-refused", { revision: item.revision });
--- a/packages/gateway/test/leaderTasks.test.ts
+++ b/packages/gateway/test/leaderTasks.test.ts
@@ -11,7 +11,7 @@
   UsageCounts,
   UsageReporter,
 } from "@gladewall/gateway";
-import { Logger, VirtualClock } from "@gladewall/kernel";
+import { Failure, FailureCode, Logger, VirtualClock } from "@gladewall/kernel";
 import {
   createService,
   FakeMetadataStore,
@@ -20,6 +20,7 @@
   StoreFault,
   type ReceivedOrder,
 } from "@gladewall/standins";
+import { Err } from "ts-results-es";
 
 const alternationWindowMs = 3_000;
 const windowMs = 5_000;
@@ -154,6 +155,31 @@
   },
 );
 
+// Guards against taking a checkpoint that could not be read for one that does not exist: the window was then reported with the
+// counts of the new leader alone.
+t.test("a new leader that cannot read the checkpoint reports nothing until it can", async (t) => {
+  const bench = new LeaderTestBench();
+  const first = Math.floor(bench.clock.getWallTime() / windowMs);
+  const one = bench.start("one", createCounts(bench, 3));
+  await bench.clock.advance(4_000);
+  one.store.fault = StoreFault.Down;
+  const two = bench.start("two", UsageCounts.create(), () => true, false);
+  const read = two.store.read.bind(two.store);
+  let failures = 0;
+  two.store.read = (key) => {
+    const isRefused = key === "draft" && failures < 6;
+    if (isRefused) failures += 1;
+    return isRefused
+      ? Promise.resolve(Err(Failure.create(FailureCode.ServiceUnavailable, { detail: "refused" })))
+      : read(key);
+  };
+  await bench.clock.advance(20_000);
+  t.equal(failures, 6);
+  const reported = bench.orders.taken.find(({ usage }) => usage?.window === first);
+  t.same(reported?.usage?.counts, { a: 3 });
+  t.equal(reported?.sender.holder, "two");
+});
+
 t.test("a window is reported with the same counts by every leader, also after a lost response", async (t) => {
   const bench = new LeaderTestBench();
   const one = bench.start("one", createCounts(bench, 1));
