Derive an unknown fence offset from the era

If the store lost the fence offset and all instances that remembered it had been killed, the next leader took the missing offset for one that had never grown, and its tokens began among revisions that had been used before.

The offset of a reported era is now derived from the era's number when no earlier offset is known; it is the same as the one that a chain of leaders would have reached from the first era on.

--- a/packages/gateway/src/fencedLeases.ts
+++ b/packages/gateway/src/fencedLeases.ts
@@ -32,6 +32,9 @@
 /** Added to tokens with each era: more revisions than a snapshot can lack, and integral for unreported eras too. */
 const offsetPerEra = 2 ** 24;
 
+/** Era that a store reports before its first restore. */
+const firstReportedEra = 1;
+
 const offsetSchema = v.object({ era: v.number(), offset: v.number() });
 
 /** Acquires, renews and releases leases. */
@@ -96,9 +99,20 @@
 
 /** Returns the offset of an era, computed from that of an earlier era. */
 function createOffset(earlier: FenceOffset | undefined, era: number): FenceOffset {
-  const { era: earlierEra, offset } = earlier ?? { era: initialEra, offset: 0 };
+  if (!earlier) return { era, offset: getUnknownOffset(era) };
+  const { era: earlierEra, offset } = earlier;
   // The first era that a store reports does not mean that the store was restored.
   const isFirstReported = earlierEra === initialEra && isReportedEra(era);
   const grownBy = isFirstReported ? 0 : Math.max(0, era - earlierEra);
   return { era, offset: offset + grownBy * offsetPerEra };
 }
+
+/**
+ * Returns the offset of an era when neither this instance nor the store knows an earlier one. That does not mean that there was none:
+ * the instances that knew it may have ended, and the store may have lost it. Reported eras count the restores, so that the result is
+ * at least what the offset has grown to.
+ */
+function getUnknownOffset(era: number): number {
+  const restores = isReportedEra(era) ? era - firstReportedEra : era;
+  return restores * offsetPerEra;
+}
--- a/packages/gateway/test/leaderTasks.test.ts
+++ b/packages/gateway/test/leaderTasks.test.ts
@@ -334,6 +334,24 @@
   checkSentOrders(t, bench);
 });
 
+// Guards against an offset that only memory knows: with the stored one lost and all instances killed, the next leader began from
+// revisions that had been assigned before.
+t.test("fencing tokens increase if all instances are killed and the store lost the offset", async (t) => {
+  const bench = new LeaderTestBench();
+  const copy = bench.shared.takeSnapshot();
+  for (let count = 0; count < 200; count++) bench.shared.put("other", "x");
+  const one = bench.start("one", createCounts(bench, 1));
+  await bench.clock.advance(12_000);
+  const before = bench.orders.taken.length;
+  t.ok(before > 0);
+  one.store.fault = StoreFault.Down;
+  bench.shared.restore(copy);
+  bench.start("two", createCounts(bench, 1), () => true, false);
+  await bench.clock.advance(20_000);
+  t.ok(bench.orders.taken.length > before, "the next leader acts");
+  checkSentOrders(t, bench);
+});
+
 t.test("a marker that was lost by a restore makes no instance the first leader ever", async (t) => {
   const bench = new LeaderTestBench();
   const copy = bench.shared.takeSnapshot();
