Count the start of a usage reporter on the steady clock

The reporter took the time of day at its start, which no peer has corrected yet, for the beginning of what it knows. An instance whose clock was an hour back took windows from before its start for its own; after the store had gone back it reported one of them again with other counts.

The start is now kept on the monotonic clock, and its time of day is computed from the present, corrected one.

--- a/packages/gateway/src/usageReporter.ts
+++ b/packages/gateway/src/usageReporter.ts
@@ -53,14 +53,14 @@
 /** Reports windows that have ended; used by the leader. */
 export class UsageReporter {
   private readonly reportedWindows = new Set<number>();
-  private firstWindow: number;
-  /** Time of day at which this process started. */
+  /** First window of the restored checkpoint. */
+  private firstRestored = Infinity;
+  /** Monotonic time at which this process started. */
   private readonly startedAt: number;
   private checkpointAt = -Infinity;
 
   private constructor(private readonly options: UsageReporterOptions) {
-    this.startedAt = options.getTimeOfDay();
-    this.firstWindow = this.getWindow(this.startedAt);
+    this.startedAt = options.clock.getTime();
   }
 
   static create(options: UsageReporterOptions): UsageReporter {
@@ -97,7 +97,7 @@
     for (const [incarnation, windows] of Object.entries(incarnations)) {
       if (incarnation !== ownIncarnation) usage.mergePeerCounts(incarnation, windows);
       for (const window of Object.keys(windows)) {
-        this.firstWindow = Math.min(this.firstWindow, Number(window));
+        this.firstRestored = Math.min(this.firstRestored, Number(window));
       }
     }
     logger.info("usage.draft-taken", { lives: Object.keys(incarnations).length, revision: item.revision });
@@ -135,13 +135,20 @@
     const { getItem, committed } = this.options;
     const isCommitted =
       committed.find(window) !== undefined || getItem(this.getWindowKey(window)) !== undefined;
-    return isCommitted || (window >= this.firstWindow - 1 && !this.mayBeLost(window));
+    const firstKnown = Math.min(this.firstRestored, this.getWindow(this.getStartTimeOfDay()));
+    return isCommitted || (window >= firstKnown - 1 && !this.mayBeLost(window));
+  }
+
+  /** Returns the time of day of the start by what it is now known to be: at the start no peer has corrected it yet. */
+  private getStartTimeOfDay(): number {
+    const { clock, getTimeOfDay } = this.options;
+    return getTimeOfDay() - (clock.getTime() - this.startedAt);
   }
 
   /** Whether a window may have been committed, reported and lost before this process could learn of it. */
   private mayBeLost(window: number): boolean {
     const endsAt = (window + 1) * this.options.windowMs;
-    return endsAt <= this.startedAt && endsAt <= this.options.getDurableSince();
+    return endsAt <= this.getStartTimeOfDay() && endsAt <= this.options.getDurableSince();
   }
 
   private getWindowKey(window: number): string {
--- a/packages/gateway/test/leaderTasks.test.ts
+++ b/packages/gateway/test/leaderTasks.test.ts
@@ -44,18 +44,19 @@
     };
   }
 
-  /** Starts an instance with the given usage counts. */
+  /** Starts an instance with the given usage counts; its time of day is wrong by `clockError`. */
   start(
     name: string,
     counts: UsageCounts = UsageCounts.create(),
     isEligible = (): boolean => true,
     isFirstStart = true,
+    clockError = { ms: 0 },
   ) {
     const { clock, shared } = this;
     const orders = FencedOrders.create(this.orders, Logger.createSilent());
     const store = FakeMetadataStore.create(shared, clock);
     const logger = Logger.createSilent();
-    const getTimeOfDay = (): number => clock.getWallTime();
+    const getTimeOfDay = (): number => clock.getWallTime() + clockError.ms;
     const items = GatewayItems.create({
       store,
       clock,
@@ -321,6 +322,35 @@
   },
 );
 
+// Guards against the time of day at the start, which no peer has corrected yet, as the beginning of what an instance knows: an
+// instance whose clock was an hour back reported windows from before its start.
+t.test(
+  "a clock that is wrong at the start makes no window known, and hides none once it is corrected",
+  async (t) => {
+    const hourMs = 3_600_000;
+    for (const ms of [-hourMs, hourMs]) {
+      const bench = new LeaderTestBench();
+      const counts = createCounts(bench, 1);
+      const one = bench.start("one", counts);
+      await bench.clock.advance(12_000);
+      const copy = bench.shared.takeSnapshot();
+      counts.add(Math.floor(bench.clock.getWallTime() / windowMs), "a");
+      await bench.clock.advance(6_000);
+      one.store.fault = StoreFault.Down;
+      bench.shared.restore(copy);
+      await bench.clock.advance(1_000);
+      const clockError = { ms };
+      bench.start("two", UsageCounts.create(), () => true, false, clockError);
+      await bench.clock.advance(200);
+      clockError.ms = 0;
+      await bench.clock.advance(30_000);
+      checkSentOrders(t, bench);
+      const later = bench.orders.taken.filter(({ sender }) => sender.holder === "two");
+      t.ok(later.length > 2, `later windows are reported, ${ms} ms`);
+    }
+  },
+);
+
 // Guards against treating the first offset of a store that reports no era as one from before it reported any.
 t.test("fencing tokens increase after a store that reports no era was restored", async (t) => {
   const bench = new LeaderTestBench();
