Take a peer's last handshake for its newest start

An incarnation is the time of day at the start. After a restart with the clock set back it is lower than before, and the peers kept the link of the process that had ended: until its loss was noticed they sent nothing to the new one, and raised no link-up event, so that it did not receive what a new peer is sent (leaving endpoints, suspicions, limits).

A connection of another incarnation now replaces the present one: its handshake has just shown that this incarnation runs.

--- a/packages/coordination/src/peerConnection.ts
+++ b/packages/coordination/src/peerConnection.ts
@@ -18,7 +18,7 @@
   type ReplyMessage,
 } from "./peerMessages.js";
 
-/** Identity of a peer: its name, and an incarnation that grows with each restart. */
+/** Identity of a peer: its name, and an incarnation that differs with each restart; it is lower after one if the clock was set back. */
 export interface PeerIdentity {
   readonly name: string;
   readonly incarnation: number;
--- a/packages/coordination/src/peerLinks.ts
+++ b/packages/coordination/src/peerLinks.ts
@@ -300,7 +300,7 @@
     if (present) this.retire(present);
     // A restarted peer has no state. It is therefore announced even if the link of its previous incarnation
     // still counts as established.
-    const isNewPeer = !present || present.peer.incarnation < peer.incarnation;
+    const isNewPeer = !present || present.peer.incarnation !== peer.incarnation;
     if (isNewPeer) this.notifyListeners(this.upListeners, peer);
     connection.send(this.createPing());
     await connection.serve((message) => this.handle(message, connection));
@@ -325,12 +325,11 @@
 
   /**
    * Returns whether a new connection replaces the present one of the same peer. Both sides keep the same
-   * connection: the one of the newer incarnation, or else the one dialed by the side with the lower name.
+   * connection: the one of the incarnation that completed a handshake last, or else the one dialed by the side with the lower name.
+   * The numbers of incarnations don't tell which one is newer: they come from the time of day, which may have been set back.
    */
   private isBetter(connection: PeerConnection, present: PeerConnection): boolean {
-    if (connection.peer.incarnation !== present.peer.incarnation) {
-      return connection.peer.incarnation > present.peer.incarnation;
-    }
+    if (connection.peer.incarnation !== present.peer.incarnation) return true;
     const isOwnLower = this.options.own.name < connection.peer.name;
     if (connection.isDialed === present.isDialed) return true;
     return connection.isDialed === isOwnLower;
--- a/packages/coordination/test/peerLinks.test.ts
+++ b/packages/coordination/test/peerLinks.test.ts
@@ -38,6 +38,27 @@
   return { links, peer: { name, incarnation: 1, address } };
 }
 
+/** Links two incarnations of one peer, the second while the link of the first is established. */
+async function linkAgain(numbers: readonly [number, number]) {
+  const left = await createLinks("left");
+  const [first, second] = [
+    await createLinks("right", { incarnation: numbers[0] }),
+    await createLinks("right", { incarnation: numbers[1] }),
+  ];
+  const up: number[] = [];
+  left.links.onLinkUp(({ incarnation }) => up.push(incarnation));
+  for (const { links } of [first, second]) {
+    links.setHandler(firstApplicationKind, () => numbers[links === first.links ? 0 : 1]);
+    links.setPeers([left.peer]);
+    await links.waitForLinks(1);
+    while (up.length === 0) await new Promise((resolve) => setImmediate(resolve));
+  }
+  const answer = await second.links.call("left", { kind: firstApplicationKind }, 50);
+  const reply = await left.links.call("right", { kind: firstApplicationKind }, 1_000);
+  await Promise.all([left, first, second].map(({ links }) => links.close()));
+  return { up, isAnswered: answer.isOk(), linked: reply.unwrapOr(undefined) };
+}
+
 t.test("frames are decoded however the stream is split into chunks", async (t) => {
   const message = fc.record({
     kind: fc.nat(100),
@@ -148,19 +169,22 @@
 t.test(
   "a new incarnation raises a link-up event even while the previous one's link is established",
   async (t) => {
-    const left = await createLinks("left");
-    const incarnations = [await createLinks("right"), await createLinks("right", { incarnation: 2 })];
-    const up: number[] = [];
-    left.links.onLinkUp(({ incarnation }) => up.push(incarnation));
-    for (const { links } of incarnations) {
-      links.setPeers([left.peer]);
-      await links.waitForLinks(1);
-      while (up.length === 0) await new Promise((resolve) => setImmediate(resolve));
-    }
-    const answered = await incarnations[1]!.links.call("left", { kind: firstApplicationKind }, 50);
-    t.ok(answered.isErr(), "no handler replies; by then the link is in use");
+    const { up, isAnswered } = await linkAgain([1, 2]);
+    t.notOk(isAnswered, "no handler replies; by then the link is in use");
     t.same(up, [1, 2]);
-    await Promise.all([left, ...incarnations].map(({ links }) => links.close()));
+  },
+);
+
+/*
+ * Guards against ordering starts by the time of day: an incarnation is the time of day at the start, so that it is lower after a
+ * restart whose clock was set back. The link of the process that had ended was then kept, and the new one got no state.
+ */
+t.test(
+  "an incarnation that began while the clock was set back replaces the link of the former",
+  async (t) => {
+    const { up, linked } = await linkAgain([2, 1]);
+    t.same(up, [2, 1]);
+    t.equal(linked, 1, "messages go to the new incarnation");
   },
 );
 
