Leave unheard peers their part of a limit after a start

An instance that has just started took every listed peer that had not reported to it for one that serves nothing. Started without links to the others, it was its own arbiter with a share of 1 and granted the whole limit beside theirs: nothing heard was taken for nothing there.

A listed peer that has no link and has not reported since the start of this instance now counts as serving for as long as one that is cut off may serve. Once it is linked, or that time has passed, nothing changes.

--- a/packages/gateway/src/fleet/members.ts
+++ b/packages/gateway/src/fleet/members.ts
@@ -117,7 +117,7 @@
     const { clock, logger, name, incarnation, secret, address, largestMesh } = options;
     this.peerClocks = PeerClocks.create(clock);
     this.peerUptimes = PeerUptimes.create(clock);
-    this.silentPeers = SilentPeers.create(options.revokeWithinMs);
+    this.silentPeers = SilentPeers.create(options.revokeWithinMs, clock.getTime());
     this.links = PeerLinks.create({
       own: { name, incarnation },
       secret,
--- a/packages/gateway/src/fleet/silentPeers.ts
+++ b/packages/gateway/src/fleet/silentPeers.ts
@@ -19,14 +19,17 @@
   private readonly reportedAt = new Map<string, number>();
   private readonly servingUntil = new Map<string, number>();
 
-  private constructor(private readonly servingMs: number) {}
+  private constructor(
+    private readonly servingMs: number,
+    private readonly startedAt: number,
+  ) {}
 
   /**
    * `revokeWithinMs`: time after which removed keys must not run; an instance that is cut off serves no longer
-   * than that.
+   * than that. `startedAt`: monotonic time at which this instance started; what peers reported before it is not known.
    */
-  static create(revokeWithinMs: number): SilentPeers {
-    return new SilentPeers(revokeWithinMs + servingMarginMs);
+  static create(revokeWithinMs: number, startedAt: number): SilentPeers {
+    return new SilentPeers(revokeWithinMs + servingMarginMs, startedAt);
   }
 
   recordReport(name: string, time: number): void {
@@ -42,12 +45,14 @@
   }
 
   /**
-   * Whether a peer may be serving without its reports arriving. A peer that never reported has served nothing
-   * that could be missing from the counts.
+   * Whether a listed peer may be serving without its reports arriving. A peer that never reported and is linked will do so. One that
+   * is not linked may have reported to the previous start of this instance, and be cut off from this one: an instance that takes it
+   * for ended grants a whole limit beside those that serve.
    */
   mayBeServing(name: string, time: number, isLinked: boolean): boolean {
     if ((this.servingUntil.get(name) ?? -Infinity) > time) return true;
     const reportedAt = this.reportedAt.get(name);
-    return reportedAt !== undefined && isLinked && time - reportedAt > reportLifetimeMs;
+    if (reportedAt === undefined) return !isLinked && time - this.startedAt < this.servingMs;
+    return isLinked && time - reportedAt > reportLifetimeMs;
   }
 }
--- a/packages/gateway/test/limitedFleet.ts
+++ b/packages/gateway/test/limitedFleet.ts
@@ -19,6 +19,7 @@
   QuotaCharges,
   RouteTable,
   SharedCounters,
+  SilentPeers,
   type Workspace,
 } from "@gladewall/gateway";
 import { Failure, FailureCode, Logger } from "@gladewall/kernel";
@@ -52,6 +53,8 @@
   readonly ranks?: readonly number[];
   /** Mode of the order inside the limit; `on` if left out. */
   readonly mode?: "off" | "observe" | "on";
+  /** Time for which an instance that was killed has no link to any other after it has started again; 0 if left out. */
+  readonly unlinkedMs?: number;
   /** Share of the instances that cannot call an arbiter during the surge; 0 if left out. */
   readonly cutShare?: number;
 }
@@ -84,7 +87,7 @@
 export const endsAt = 20_000;
 export const stepMs = 5;
 const readerCount = 3;
-const silentMs = 1_000;
+const revokeWithinMs = 5_000;
 const viewLifetimeMs = 1_500;
 const restartMs = 700;
 /** Time until the deadline of each request. */
@@ -102,9 +105,10 @@
   readonly handover = CountHandover.create();
   readonly life: string;
   readonly startedAt: number;
+  readonly linkedFrom: number;
+  readonly silentPeers: SilentPeers;
   pausedUntil = 0;
   private readonly sentTotals = new Map<number, CounterTotals>();
-  private readonly receivedAt = new Map<string, number>();
   private sequence = 0;
   private view = { share: 1, at: -Infinity };
 
@@ -116,6 +120,8 @@
     const { clock, follower, scenario } = fleet;
     const logger = Logger.createSilent();
     this.startedAt = clock.getTime();
+    this.linkedFrom = isFirstStart ? this.startedAt : this.startedAt + (scenario.unlinkedMs ?? 0);
+    this.silentPeers = SilentPeers.create(revokeWithinMs, this.startedAt);
     this.life = `${name}/${this.startedAt}`;
     this.counters = SharedCounters.create({ clock, ownName: name, windows });
     this.admission = Admission.create({
@@ -147,7 +153,7 @@
         logger,
         ownName: name,
         getReaders: () => (scenario.hasArbiters ? fleet.readers : []),
-        isLinked: (peer) => fleet.isAlive(peer) && !fleet.isCut(name),
+        isLinked: (peer) => fleet.isLinked(name, peer) && !fleet.isCut(name),
         call: (peer, call, timeoutMs) => this.call(peer, call as QuotaCall, timeoutMs),
       }),
       getViewAge: () => undefined,
@@ -163,8 +169,9 @@
     const time = clock.getTime();
     if (!this.isReader)
       return time - this.view.at <= viewLifetimeMs ? this.view.share : 1 / scenario.instances;
-    const silent = [...this.receivedAt].filter(
-      ([peer, at]) => time - at > silentMs && this.fleet.isAlive(peer),
+    const silent = this.fleet.names.filter(
+      (peer) =>
+        peer !== this.name && this.silentPeers.mayBeServing(peer, time, this.fleet.isLinked(this.name, peer)),
     ).length;
     return Math.max(1, scenario.instances - silent) / scenario.instances;
   }
@@ -180,12 +187,14 @@
     const report = structuredClone(this.counters.createReport(this.isReader));
     const sequence = ++this.sequence;
     this.sentTotals.set(sequence, report.totals);
-    const readers = fleet.readers.filter((reader) => reader !== this.name && fleet.isAlive(reader));
+    const readers = fleet.readers.filter(
+      (reader) => reader !== this.name && fleet.isLinked(this.name, reader),
+    );
     const selected = readers[sequence % readers.length];
     for (const reader of readers) {
       fleet.send(reader, (member) => {
         member.counters.applyReport(this.name, this.life, report);
-        member.receivedAt.set(this.name, fleet.clock.getTime());
+        member.silentPeers.recordReport(this.name, fleet.clock.getTime());
         if (reader === selected) member.sendView(this, sequence);
       });
     }
@@ -212,16 +221,17 @@
     return new Promise((resolve) => {
       const fail = (): void => resolve(Err(Failure.create(FailureCode.PeerUnreachable, { peer })));
       const timer = fleet.clock.startTimer(timeoutMs, fail);
-      fleet.send(peer, (member) => {
-        const reply: QuotaReply = member.admission.decideForPeer(
-          { name: this.name, incarnation: this.startedAt },
-          call,
-        );
-        fleet.send(this.name, () => {
-          timer.cancel();
-          resolve(Ok(reply));
+      if (fleet.isLinked(this.name, peer))
+        fleet.send(peer, (member) => {
+          const reply: QuotaReply = member.admission.decideForPeer(
+            { name: this.name, incarnation: this.startedAt },
+            call,
+          );
+          fleet.send(this.name, () => {
+            timer.cancel();
+            resolve(Ok(reply));
+          });
         });
-      });
     });
   }
 }
@@ -233,6 +243,8 @@
   readonly clock = new StepClock();
   readonly follower: ConfigurationFollower;
   readonly workspace: Workspace;
+  /** Names of all instances, including those that are down. */
+  readonly names: readonly string[];
   readers: readonly string[] = [];
   refusedBeforeSurge = 0;
   /** Requests over the share of their rank, as counted by arbiters. */
@@ -251,7 +263,8 @@
     const table = RouteTable.create({ ...configuration, workspaces: [this.workspace] });
     // The only method of a follower that limits use.
     this.follower = { getTable: () => table } as Partial<ConfigurationFollower> as ConfigurationFollower;
-    for (let index = 0; index < instances; index++) this.start(`i${index}`, true);
+    this.names = Array.from({ length: instances }, (_, index) => `i${index}`);
+    for (const name of this.names) this.start(name, true);
     this.chooseReaders();
   }
 
@@ -259,6 +272,12 @@
     return this.members.has(name);
   }
 
+  /** Whether two instances have a link. */
+  isLinked(one: string, other: string): boolean {
+    const time = this.clock.getTime();
+    return [one, other].every((name) => (this.members.get(name)?.linkedFrom ?? Infinity) <= time);
+  }
+
   /** Whether an instance cannot call the others. */
   isCut(name: string): boolean {
     const { cutShare = 0, instances } = this.scenario;
@@ -317,6 +336,8 @@
 
   private kill(name: string): void {
     this.members.delete(name);
+    for (const { silentPeers } of this.members.values())
+      silentPeers.recordDisconnect(name, this.clock.getTime());
     this.clock.startTimer(restartMs, () => this.start(name, false));
     this.clock.startTimer(replaceAfterMs, () => this.chooseReaders());
   }
