Take no empty member list for a fleet of one

The part of an instance in the slack of the retry budget follows from the number of listed instances, once the list has not grown for a while. If the leases of all records had run out and the store took no new ones, each instance that had just started listed nobody, counted one instance, and would have earned the whole slack.

The size now counts as unknown until the instance's own record is listed; until then only requests earn retries.

memberRecords.test.js: fails without the condition on the own record, passes with it. Passed also: restarts, acceptanceRates, completeResponses, retryBudget, crashingRequest.

--- a/packages/gateway/src/fleet/memberRecords.ts
+++ b/packages/gateway/src/fleet/memberRecords.ts
@@ -119,6 +119,15 @@
     return this.follower.isListed;
   }
 
+  /**
+   * Number of listed instances, if it is known. It is not while the list has grown within `stableMs`, nor until this instance's own
+   * record is listed: a store that takes no records lists no other instance that has just started either.
+   */
+  findSize(stableMs: number): number | undefined {
+    const isKnown = this.isListed && this.records.has(this.options.name);
+    return isKnown && this.getTimeSinceGrowth() > stableMs ? this.records.size : undefined;
+  }
+
   getAddresses(): readonly PeerAddress[] {
     return [...this.records].map(([name, { address, incarnation }]) => ({ name, address, incarnation }));
   }
--- a/packages/gateway/src/fleet/members.ts
+++ b/packages/gateway/src/fleet/members.ts
@@ -249,6 +249,11 @@
     return this.peerUptimes.find(name);
   }
 
+  /** Number of instances; undefined while it is not known. */
+  findFleetSize(): number | undefined {
+    return this.records.findSize(fleetStableMs);
+  }
+
   /** Number of listed instances, including this one. */
   getFleetSize(): number {
     return this.records.size;
--- a/packages/gateway/src/limits/limitParts.ts
+++ b/packages/gateway/src/limits/limitParts.ts
@@ -59,7 +59,7 @@
     windowMs: retries.window,
     ratio: retries.ratio,
     slack: retries.slack,
-    findFleetSize: () => (members.isListed && members.isFleetStable ? members.getFleetSize() : undefined),
+    findFleetSize: () => members.findFleetSize(),
     ownName: instance.name,
     arbiters: members.arbiters,
     lender,
