Test advertised limits with whole fleets killed

Advertised limits are kept in memory only. A fleet that has just started sends without permits until its first responses arrive. A bound for each instance would not help, as most of them send one request before the first response; the limit would have to outlast the instances.

--- a/packages/gateway/test/permitFleet.ts
+++ b/packages/gateway/test/permitFleet.ts
@@ -40,6 +40,8 @@
   readonly endsAt: number;
   /** Times at which the issuer is killed; it starts again after `restartMs`. */
   readonly issuerKills?: readonly number[];
+  /** Times at which all instances are killed at once; they start again after `restartMs`. */
+  readonly fleetKills?: readonly number[];
   /** When the issuer is paused. */
   readonly issuerPauses?: readonly FaultPeriod[];
   /** When half of the other instances can't reach the issuer. */
@@ -342,8 +344,14 @@
 
   private planFaults(): void {
     const { issuerKills = [], issuerPauses = [], issuerPartitions = [], issuerSlow = [] } = this.scenario;
+    const { fleetKills = [] } = this.scenario;
     const plan = (at: number, act: () => void): void => void this.clock.startTimer(at, act);
     for (const at of issuerKills) plan(at, () => this.kill(this.findIssuer().name));
+    for (const at of fleetKills) {
+      plan(at, () => {
+        for (const name of [...this.members.keys()]) this.kill(name);
+      });
+    }
     for (const { at, forMs } of issuerPauses) plan(at, () => this.pause(this.findIssuer(), forMs));
     for (const { at, forMs } of issuerPartitions)
       plan(at, () => this.partition(this.findIssuer().name, forMs));
