--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -78,6 +78,7 @@
 export { CrashDetector } from "./crashes/crashDetector.js";
 export type { InFlightRequest } from "./crashes/inFlightRequest.js";
 export { DemandEstimator } from "./capacity/demandEstimator.js";
+export { LeavingGossip } from "./endpoints/leavingGossip.js";
 export { LeaderTasks } from "./leaderTasks.js";
 export { FencedLeases } from "./fencedLeases.js";
 export { EraSettling } from "./store/eraSettling.js";
