Join nothing to a stream that is not after its last event

What callers saw: an endpoint that was to continue a resumable stream and began at or before the last event had all of its events forwarded, so that the caller got some twice; so did a caller that took its stream up with Last-Event-Id.

Cause: the relay trusted that an endpoint continues where it was asked to. Nothing compared the ids of what it brought with the last one.

Change: EventSplitter knows the id after which its stream continues. An event at or before it, compared as numbers where both are, ends the stream there: neither it nor a later one is returned, as both would join two runs. The attempt is aborted and counts as broken off, so that another endpoint continues, or the caller's response is broken off (502 before its first event). Of ids that are no numbers only the same one is known to repeat.

--- a/packages/gateway/src/responses/eventSplitter.ts
+++ b/packages/gateway/src/responses/eventSplitter.ts
@@ -10,6 +10,8 @@
 const space = 0x20;
 const byteOrderMark = Buffer.from([0xef, 0xbb, 0xbf]);
 const idField = "id";
+/** A number that JavaScript holds exactly. */
+const numberPattern = /^\d{1,15}$/;
 /** Bytes of an event that are held back while it is incomplete; the rest of a longer one is returned as it comes. */
 const maxHeldBytes = 262_144;
 
@@ -19,6 +21,8 @@
   lastEventId: string | undefined;
   /** Whether the last complete event has no id, so that the stream can't be continued exactly after it. */
   endsWithoutId = false;
+  /** Whether an event has come that is not after the one at which the stream was to continue. Neither it nor a later one is returned. */
+  hasGoneBack = false;
   private rest: Buffer = Buffer.alloc(0);
   /** Buffer that begins with `rest` and has room after it; undefined while `rest` is a part of received bytes. */
   private store: Buffer | undefined;
@@ -41,11 +45,17 @@
   /** Index in `rest` after a blank line that ended with CR, while it isn't known whether LF follows; undefined otherwise. */
   private openEnd: number | undefined;
 
-  private constructor(private readonly readsIds: boolean) {}
-
-  /** Creates a splitter; `readsIds` states whether ids are needed, otherwise they are not parsed. */
-  static create(readsIds: boolean): EventSplitter {
-    return new EventSplitter(readsIds);
+  private constructor(
+    private readonly readsIds: boolean,
+    private readonly after: string | undefined,
+  ) {}
+
+  /**
+   * Creates a splitter; `readsIds` states whether ids are needed, otherwise they are not parsed. `after` is the id after which the stream
+   * is to continue; undefined for one that begins.
+   */
+  static create(readsIds: boolean, after?: string): EventSplitter {
+    return new EventSplitter(readsIds, after);
   }
 
   /** Adds bytes; returns the complete events, which may be empty, and what is too long to be held back. */
@@ -53,7 +63,8 @@
     const whole = this.split(bytes);
     // While it isn't known whether the last event has ended, the next byte tells.
     const isTooLong = this.rest.length > maxHeldBytes && this.openEnd === undefined;
-    return isTooLong ? Buffer.concat([whole, this.releaseRest()]) : whole;
+    if (isTooLong) this.checkId();
+    return isTooLong && !this.hasGoneBack ? Buffer.concat([whole, this.releaseRest()]) : whole;
   }
 
   private split(bytes: Buffer): Buffer {
@@ -66,7 +77,7 @@
       if (isLine || this.lastByte === carriageReturn) end = this.handleByte(all, index, end);
       this.lastByte = byte;
     }
-    if (this.openEnd !== undefined && !this.usesBoth) end = this.completeEvent(this.openEnd);
+    if (this.openEnd !== undefined && !this.usesBoth) end = this.completeEvent(this.openEnd, end);
     this.rest = all.subarray(end);
     if (end > 0) this.store = undefined;
     this.lineStart -= end;
@@ -80,6 +91,12 @@
     return isInside ? this.returnedBytes + this.rest.length : 0;
   }
 
+  private checkId(): void {
+    const { id, after } = this;
+    if (id !== undefined && after !== undefined && after !== "" && !isAfter(id, after))
+      this.hasGoneBack = true;
+  }
+
   /** Returns the begin of an event that is too long to be held back. A line that has begun counts as a whole one. */
   private releaseRest(): Buffer {
     const { rest } = this;
@@ -130,17 +147,17 @@
     if (this.lastByte === carriageReturn && byte === lineFeed) {
       this.usesBoth = true;
       this.lineStart = index + 1;
-      return this.isBlankLine ? this.completeEvent(index + 1) : end;
+      return this.isBlankLine ? this.completeEvent(index + 1, end) : end;
     }
     if (this.lastByte === carriageReturn) this.usesBoth = false;
-    let newEnd = this.openEnd === undefined ? end : this.completeEvent(this.openEnd);
+    let newEnd = this.openEnd === undefined ? end : this.completeEvent(this.openEnd, end);
     if (byte !== lineFeed && byte !== carriageReturn) return newEnd;
     if (this.isLineBegun) this.isBlankLine = false;
     else this.handleLine(all.subarray(this.lineStart, index));
     this.isLineBegun = false;
     this.lineStart = index + 1;
     if (byte === lineFeed) this.usesBoth = false;
-    if (this.isBlankLine && byte === lineFeed) newEnd = this.completeEvent(index + 1);
+    if (this.isBlankLine && byte === lineFeed) newEnd = this.completeEvent(index + 1, newEnd);
     if (this.isBlankLine && byte === carriageReturn) this.openEnd = index + 1;
     return newEnd;
   }
@@ -154,8 +171,11 @@
     if (this.readsIds) this.id = readId(line) ?? this.id;
   }
 
-  private completeEvent(end: number): number {
+  /** Completes the event that ends at `end`; returns up to where events may be returned, `before` being that of the earlier ones. */
+  private completeEvent(end: number, before: number): number {
     this.openEnd = undefined;
+    this.checkId();
+    if (this.hasGoneBack) return before;
     if (!this.hasField) return end;
     this.lastEventId = this.id ?? this.lastEventId;
     this.endsWithoutId = this.id === undefined;
@@ -166,6 +186,12 @@
   }
 }
 
+/** Whether one id comes after another; of ids that are no numbers only the same one is known not to. */
+function isAfter(id: string, other: string): boolean {
+  const areNumbers = numberPattern.test(id) && numberPattern.test(other);
+  return areNumbers ? Number(id) > Number(other) : id !== other;
+}
+
 /** Returns the bytes without a byte order mark at their start, which is allowed at the start of a stream only. */
 export function removeByteOrderMark(bytes: Buffer): Buffer {
   const begin = bytes.subarray(0, byteOrderMark.length);
--- a/packages/gateway/src/responses/relayStage.ts
+++ b/packages/gateway/src/responses/relayStage.ts
@@ -178,6 +178,7 @@
     const origin = getOrigin(endpoint.record);
     context.relay ??= StreamRelay.create(response, {
       isResumable: admitted.route.isResumable,
+      resumesAfter: head.lastEventId,
       isLeaving,
       clock,
       pace: linkPace,
@@ -202,6 +203,7 @@
     if (context.isOver) return NextStep.Done;
     const { isFailure } = endConsequences[ended.end];
     endpoint.recordOutcome(!isFailure, clock.getTime());
+    if (relay.hasGoneBack) context.attempt?.abort("the stream does not continue where it ended");
     if (isFailure) return this.handleBrokenStream(endpoint, relay);
     this.clearSuspicion(ended);
     if (!relay.canFinish(ended)) return this.confirmEnd(endpoint, relay);
@@ -238,7 +240,8 @@
     const { fingerprint } = context.subject;
     const { softwareVersion } = endpoint.record;
     const { lastEventId: lastEvent } = relay;
-    context.log("stream.cut", { endpoint: endpoint.id, softwareVersion, lastEvent, fingerprint });
+    const { hasGoneBack: wentBack } = relay;
+    context.log("stream.cut", { endpoint: endpoint.id, softwareVersion, lastEvent, wentBack, fingerprint });
     const next = await this.handleInterruption(endpoint);
     return next === NextStep.Retry && !relay.canContinue() ? NextStep.Fail : next;
   }
--- a/packages/gateway/src/responses/streamRelay.ts
+++ b/packages/gateway/src/responses/streamRelay.ts
@@ -7,7 +7,14 @@
 import { containThrows } from "../failures/containedFailures.js";
 import { ReadGate, type ReadGateOptions } from "../bodies/readGate.js";
 import { EventSplitter, removeByteOrderMark } from "./eventSplitter.js";
-import { type EndedResponse, endConsequences, type EndpointResponse, readEndOrFail } from "./responseEnd.js";
+import {
+  ConnectionEnd,
+  type EndedResponse,
+  endConsequences,
+  type EndpointResponse,
+  readEndOrFail,
+  ResponseEnd,
+} from "./responseEnd.js";
 import { isHeaderValue } from "./responseHead.js";
 import { copyResponseHeaders } from "./responseHeaders.js";
 import { isFramed, writeResponseHead } from "./responseWriter.js";
@@ -22,9 +29,16 @@
   return isSuccess && eventStreamPattern.test(headers["content-type"] ?? "text/event-stream");
 }
 
+/** Returns the end of a stream that doesn't continue where it was to: for its caller it is as good as broken off. */
+function createBackwardEnd({ framing }: EndpointResponse): EndedResponse {
+  return { end: ResponseEnd.Interrupted, framing, connection: ConnectionEnd.Open, unfinishedBytes: 0 };
+}
+
 /** Options of a relay. */
 export interface StreamRelayOptions extends Pick<ReadGateOptions, "clock" | "pace"> {
   readonly isResumable: boolean;
+  /** Id of the event after which the caller takes the stream up; undefined if it begins. */
+  readonly resumesAfter: string | undefined;
   /** Whether the instance is leaving, so that the response should close its connection. */
   readonly isLeaving: () => boolean;
 }
@@ -51,6 +65,11 @@
     return this.splitter.lastEventId ?? this.lastId;
   }
 
+  /** Whether the last endpoint did not continue after the event that it was asked to continue after. */
+  get hasGoneBack(): boolean {
+    return this.splitter.hasGoneBack;
+  }
+
   /** Whether another endpoint can continue after the last event that was forwarded, without a gap and without repeating one. */
   canContinue(): boolean {
     const isAfterEvent = !this.endsWithoutId && !this.splitter.hasReturnedPart;
@@ -77,13 +96,15 @@
   ): Promise<EndedResponse> {
     const { message } = received;
     this.lastId = this.lastEventId;
-    this.splitter = EventSplitter.create(this.options.isResumable);
+    this.splitter = EventSplitter.create(this.options.isResumable, this.lastId ?? this.options.resumesAfter);
     const gate = ReadGate.create(message, this.response, { ...this.options, fail });
     let isFirst = true;
     return new Promise((resolve) => {
       const receive = (bytes: Buffer): void => {
+        if (this.splitter.hasGoneBack) return;
         forward(bytes);
-        gate.record(bytes);
+        if (this.splitter.hasGoneBack) resolve(createBackwardEnd(received));
+        else gate.record(bytes);
       };
       const forward = (bytes: Buffer): void => {
         const whole = this.splitter.add(bytes);
--- a/packages/gateway/test/eventSplitter.test.ts
+++ b/packages/gateway/test/eventSplitter.test.ts
@@ -171,3 +171,39 @@
   t.ok(stores.size < 30, `copied ${stores.size} times`);
   t.end();
 });
+
+/** Adds a text in pieces to a splitter that is to continue after an id; returns what came out, and whether it went back. */
+function splitAfter(after: string, text: string, pieceBytes: number): readonly [string, boolean] {
+  const splitter = EventSplitter.create(true, after);
+  let whole = "";
+  for (let index = 0; index < text.length; index += pieceBytes)
+    whole += splitter.add(Buffer.from(text.slice(index, index + pieceBytes), "latin1")).toString("latin1");
+  return [whole, splitter.hasGoneBack];
+}
+
+t.test("an event that is not after the one to continue after is not returned, nor a later one", (t) => {
+  const cases = [
+    { after: "9", ids: ["10", "11"], kept: 2 },
+    { after: "10", ids: ["9", "10", "11"], kept: 0 },
+    { after: "10", ids: ["11", "10", "12"], kept: 1 },
+    { after: "10", ids: ["010"], kept: 0 },
+    { after: "a", ids: ["b", "a", "c"], kept: 1 },
+    { after: "b", ids: ["a"], kept: 1 },
+    { after: "", ids: ["", "1"], kept: 2 },
+    { after: "99999999999999999999", ids: ["5"], kept: 1 },
+  ];
+  for (const { after, ids, kept } of cases)
+    for (const end of ["\n", "\r\n", "\r"])
+      for (const pieceBytes of [1, 7, 1_000]) {
+        const events = ids.map((id) => `id: ${id}${end}data: x${end}${end}`);
+        const text = [`: comment${end}${end}`, ...events, "data: y"].join("");
+        const name = JSON.stringify({ after, ids, end, pieceBytes });
+        const [whole, hasGoneBack] = splitAfter(after, text, pieceBytes);
+        t.equal(hasGoneBack, kept < ids.length, name);
+        // With one byte more it is known whether a line feed follows the last carriage return.
+        t.equal(whole, [`: comment${end}${end}`, ...events.slice(0, kept)].join(""), name);
+      }
+  const [begin, wentBack] = splitAfter("3", `id: 3\ndata: ${"x".repeat(300_000)}`, 10_000);
+  t.same([begin, wentBack], ["", true], "nor the begin of one that is too long to be held back");
+  t.end();
+});
--- a/packages/standins/src/rawResponse.ts
+++ b/packages/standins/src/rawResponse.ts
@@ -33,6 +33,8 @@
   /** `FrameClosed` if omitted. */
   readonly end?: RawEnd;
   readonly contentType?: string;
+  /** Whether the head leaves out that the connection closes, which it does all the same. */
+  readonly hidesClose?: boolean;
 }
 
 const frameHeaders: Readonly<Record<RawFraming, (length: number) => string>> = {
@@ -54,7 +56,8 @@
   const sent = bytes.subarray(0, sentBytes);
   const length = end === RawEnd.FrameClosed ? sent.length : bytes.length;
   const head = `HTTP/1.1 200 OK\r\nx-id: ${id}\r\nx-stamp: signed\r\nContent-Type: ${contentType}\r\n`;
-  socket.write(`${head}${frameHeaders[framing](length)}Connection: close\r\n\r\n`);
+  const close = response.hidesClose ? "" : "Connection: close\r\n";
+  socket.write(`${head}${frameHeaders[framing](length)}${close}\r\n`);
   const isChunked = framing === RawFraming.Chunked;
   if (isChunked && sent.length > 0) socket.write(`${sent.length.toString(16)}\r\n`);
   const last = isChunked && end === RawEnd.FrameClosed ? "0\r\n\r\n" : "";
