Confirm at another endpoint where a resumable stream without frame ends

What callers saw: an endpoint that goes on ends a stream without length or chunks in order between two events, before its last one. The caller got these events and an orderly close, which RFC 9112 lets it take for the end of the stream, though the stream may be continued.

Cause: an unverified end was passed on as it came wherever the caller's response has no frame. Another endpoint was asked only where the caller had been promised one.

Change: a resumable stream whose end is unverified is continued at another endpoint after its last event, within the route's attempts and the retry budget. What comes is the rest, or nothing; a second end without frame after the same event confirms the first. The caller waits 500 ms for nothing. Where nobody may be asked, or the one asked fails, refuses or says something else, the response is closed as before, without a frame. If it is cut inside an event, the response is broken off, because the stream is known to go on.

A reset, and an endpoint that ended, were continued before.

--- a/packages/gateway/src/requests/activeRequest.ts
+++ b/packages/gateway/src/requests/activeRequest.ts
@@ -36,6 +36,7 @@
     this.permitStage = PermitStage.create(context);
     this.attemptStage = AttemptStage.create(context);
     context.fail = (error) => this.fail(error);
+    context.abort = () => this.abort();
   }
 
   static create(parts: ActiveRequestParts, request: ActiveRequestInput): ActiveRequest {
@@ -191,10 +192,14 @@
     this.outcome = context.createOutcome(0, Failure.create(FailureCode.CallerGone));
   }
 
-  /** Sends the final response; a response that has begun is aborted instead, so that it does not look complete. */
+  /**
+   * Sends the final response; a response that has begun is aborted instead, so that it does not look complete. A stream of which only the
+   * end is unconfirmed is closed.
+   */
   private respondWithFailure(failure: Failure): void {
     const { context } = this;
     const { response, head } = context.request;
+    if (context.relay?.tryClose()) return;
     this.outcome = context.createOutcome(failure.status, failure);
     if (response.headersSent) {
       breakOffStream(response);
--- a/packages/gateway/src/requests/requestContext.ts
+++ b/packages/gateway/src/requests/requestContext.ts
@@ -73,6 +73,8 @@
   firstEventMs: number | undefined;
   /** Ends the request after a failure of this instance itself. */
   fail: (error: unknown) => void = () => undefined;
+  /** Ends the request now. */
+  abort: () => void = () => undefined;
   permitRefusals = 0;
   /** Attempts that peers did not pass on. */
   notForwarded = 0;
--- a/packages/gateway/src/responses/eventSplitter.ts
+++ b/packages/gateway/src/responses/eventSplitter.ts
@@ -23,6 +23,7 @@
   endsWithoutId = false;
   /** Whether an event has come that is not after the one at which the stream was to continue. Neither it nor a later one is returned. */
   hasGoneBack = false;
+  private hasCompleted = false;
   private rest: Buffer = Buffer.alloc(0);
   /** Buffer that begins with `rest` and has room after it; undefined while `rest` is a part of received bytes. */
   private store: Buffer | undefined;
@@ -85,6 +86,11 @@
     return all.subarray(0, end);
   }
 
+  /** Whether an event has come, or a part of one; comments are none. */
+  get hasBegunEvent(): boolean {
+    return this.hasCompleted || this.unfinishedBytes > 0;
+  }
+
   /** Bytes of an event that has begun and is not complete; 0 between two events. */
   get unfinishedBytes(): number {
     const isInside = this.hasField || this.isLineBegun || this.rest.length > this.lineStart;
@@ -179,6 +185,7 @@
     if (!this.hasField) return end;
     this.lastEventId = this.id ?? this.lastEventId;
     this.endsWithoutId = this.id === undefined;
+    this.hasCompleted = true;
     this.hasField = false;
     this.id = undefined;
     this.returnedBytes = 0;
--- a/packages/gateway/src/responses/relayStage.ts
+++ b/packages/gateway/src/responses/relayStage.ts
@@ -2,7 +2,7 @@
  * Forwards an endpoint's response to the caller: a complete response at once, a stream event by event.
  * @module
  */
-import { Failure, FailureCode } from "@gladewall/kernel";
+import { Failure, FailureCode, type Timer } from "@gladewall/kernel";
 import { BodyReader } from "../bodies/bodyReader.js";
 import { containThrows } from "../failures/containedFailures.js";
 import type { Endpoint } from "../endpoints/endpoint.js";
@@ -55,8 +55,13 @@
 /** A trial ends once the request has streamed for this long: a request that crashes endpoints does so sooner. */
 const trialSurvivalMs = 200;
 
+/** Longest time for which the end of a stream waits until another endpoint has said whether it goes on. */
+const maxConfirmationMs = 500;
+
 /** Forwards the responses of one request. */
 export class RelayStage {
+  private confirmationTimer: Timer | undefined;
+
   private constructor(
     private readonly context: RequestContext,
     /** Decides what follows after a run whose connection was interrupted. */
@@ -115,6 +120,7 @@
     }
     if (isBrokenOff) return this.handleInterruption(endpoint);
     this.clearSuspicion(ended);
+    if (context.relay?.tryClose()) return NextStep.Done;
     writeEndpointResponse(context.request.response, response, bytes, isLeaving());
     return NextStep.Done;
   }
@@ -137,7 +143,7 @@
       return this.retryAfterFailure(endpoint, status);
     }
     if (!isFailed) endpoint.recordLatency(time - startedAt, placer.getPace(endpoint, time));
-    if (!beginEndpointResponse(caller, response, isLeaving())) {
+    if (context.relay?.tryClose() || !beginEndpointResponse(caller, response, isLeaving())) {
       context.attempt?.abort("the caller has begun to receive another response");
       return NextStep.Done;
     }
@@ -247,12 +253,19 @@
   }
 
   /**
-   * Has another endpoint continue a stream that may be complete, because the caller was promised a frame and would take its end for
-   * the stream's: what follows the last event is nothing, or what was missing.
+   * Has another endpoint continue a stream that may be complete: what follows the last event is nothing, or what was missing. The caller
+   * waits no longer than `maxConfirmationMs` for nothing, unless it was promised a frame.
    */
   private confirmEnd(endpoint: Endpoint, relay: StreamRelay): NextStep {
     const { context } = this;
     context.history.recordRunFailure(Failure.create(FailureCode.EndpointCut, { endpoint: endpoint.id }));
+    relay.beginConfirmation();
+    this.confirmationTimer?.cancel();
+    const end = (): void => (relay.isUnconfirmed ? context.abort() : undefined);
+    this.confirmationTimer = context.parts.clock.startTimer(
+      maxConfirmationMs,
+      containThrows(end, context.fail),
+    );
     return context.isRetryAllowed() && relay.canContinue() ? NextStep.Retry : NextStep.Fail;
   }
 
--- a/packages/gateway/src/responses/streamRelay.ts
+++ b/packages/gateway/src/responses/streamRelay.ts
@@ -48,6 +48,7 @@
   private splitter: EventSplitter;
   private lastId: string | undefined;
   private endsWithoutId = false;
+  private isConfirming = false;
 
   private constructor(
     private readonly response: ServerResponse,
@@ -77,12 +78,47 @@
   }
 
   /**
-   * Whether the response may end now, given how the last endpoint's stream ended. A stream of which nothing has been forwarded ends only as
-   * complete: the caller would take it for an empty one.
+   * Whether the response may end now, given how the last endpoint's stream ended. If that is not certain, another endpoint is asked where
+   * one can continue; two that end after the same event confirm each other.
    */
   canFinish({ end }: EndedResponse): boolean {
     const { isComplete, mayClose } = endConsequences[end];
-    return isComplete || (mayClose && this.response.headersSent && !isFramed(this.response));
+    return isComplete || (mayClose && this.canClose() && (this.isUnconfirmed || !this.canContinue()));
+  }
+
+  /**
+   * Whether the response may be closed without saying that it is complete. A stream of which nothing has been forwarded may not: the caller
+   * would take it for an empty one.
+   */
+  private canClose(): boolean {
+    return this.response.headersSent && !isFramed(this.response);
+  }
+
+  /** Notes that another endpoint is asked whether the stream goes on after the last event. */
+  beginConfirmation(): void {
+    // An unverified end is not inside an event, so that these are comments.
+    const rest = this.splitter.takeRest();
+    if (rest.length > 0 && this.response.headersSent) this.response.write(rest);
+    this.beginStream();
+    this.isConfirming = this.canClose();
+  }
+
+  private beginStream(): void {
+    this.isConfirming = this.isUnconfirmed;
+    this.lastId = this.lastEventId;
+    this.splitter = EventSplitter.create(this.options.isResumable, this.lastId ?? this.options.resumesAfter);
+  }
+
+  /** Whether another endpoint was asked whether the stream goes on, and has brought nothing yet. */
+  get isUnconfirmed(): boolean {
+    return this.isConfirming && !this.splitter.hasBegunEvent;
+  }
+
+  /** Closes the response if nobody has said that the stream goes on; returns whether it did. */
+  tryClose(): boolean {
+    const { isUnconfirmed } = this;
+    if (isUnconfirmed) this.response.end();
+    return isUnconfirmed;
   }
 
   /**
@@ -95,8 +131,7 @@
     fail: (error: unknown) => void,
   ): Promise<EndedResponse> {
     const { message } = received;
-    this.lastId = this.lastEventId;
-    this.splitter = EventSplitter.create(this.options.isResumable, this.lastId ?? this.options.resumesAfter);
+    this.beginStream();
     const gate = ReadGate.create(message, this.response, { ...this.options, fail });
     let isFirst = true;
     return new Promise((resolve) => {
