--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -29,6 +29,7 @@
 export { findHeadFault, HeadFault } from "./responses/responseHead.js";
 export { BodyReader } from "./bodies/bodyReader.js";
 export { LinkPace } from "./bodies/linkPace.js";
+export { EventHold } from "./responses/eventHold.js";
 export { ReadGate } from "./bodies/readGate.js";
 export { HeldBytes } from "./bodies/heldBytes.js";
 export { EndChecker, type EndCheckerOptions } from "./responses/endChecker.js";
--- a/packages/gateway/src/responses/streamRelay.ts
+++ b/packages/gateway/src/responses/streamRelay.ts
@@ -137,10 +137,12 @@
     const hold = EventHold.create(message, (bytes) => this.write(received, bytes));
     let isFirst = true;
     return new Promise((resolve) => {
+      // Only the first call has an effect, because a promise settles once.
+      const end = (ended: EndedResponse): void => void hold.released.then(() => resolve(ended));
       const receive = (bytes: Buffer): void => {
         if (this.splitter.hasGoneBack) return;
         forward(bytes);
-        if (this.splitter.hasGoneBack) resolve(createBackwardEnd(received));
+        if (this.splitter.hasGoneBack) end(createBackwardEnd(received));
         else gate.record(bytes);
       };
       const forward = (bytes: Buffer): void => {
@@ -153,12 +155,8 @@
         hold.forward(isContinued ? removeByteOrderMark(whole) : whole);
       };
       message.on("data", containThrows(receive, fail));
-      const finish = (): void => {
-        const ended = readEndOrFail(received, fail, this.splitter.unfinishedBytes);
-        void hold.released.then(() => resolve(ended));
-      };
+      const finish = (): void => end(readEndOrFail(received, fail, this.splitter.unfinishedBytes));
       message.on("end", finish);
-      // After "end" this has no effect, because a promise settles only once.
       message.on("close", finish);
     });
   }
