Test a limit while a killed fleet lists its members again

If the leases of all member records have run out, instances that start together list nobody for up to 0.45 s, and each is its own arbiter with a share of 1.

--- a/packages/gateway/test/limitedFleet.ts
+++ b/packages/gateway/test/limitedFleet.ts
@@ -55,6 +55,8 @@
   readonly mode?: "off" | "observe" | "on";
   /** Time for which an instance that was killed has no link to any other after it has started again; 0 if left out. */
   readonly unlinkedMs?: number;
+  /** Time for which an instance that was killed lists no other after it has started again; 0 if left out. */
+  readonly unlistedMs?: number;
   /** Share of the instances that cannot call an arbiter during the surge; 0 if left out. */
   readonly cutShare?: number;
 }
@@ -115,7 +117,7 @@
   constructor(
     readonly name: string,
     private readonly fleet: LimitedFleet,
-    isFirstStart: boolean,
+    private readonly isFirstStart: boolean,
   ) {
     const { clock, follower, scenario } = fleet;
     const logger = Logger.createSilent();
@@ -131,7 +133,7 @@
       quotaWindowMs: windowMs,
       quotaSlack: slack,
       quotaOvershoot: overshoot,
-      getFleetSize: () => scenario.instances,
+      getFleetSize: () => (this.isAlone ? 1 : scenario.instances),
       isFirstStart,
       getKnownShare: () => this.getKnownShare(),
       getRandom: fleet.getRandom,
@@ -152,7 +154,7 @@
         clock,
         logger,
         ownName: name,
-        getReaders: () => (scenario.hasArbiters ? fleet.readers : []),
+        getReaders: () => (!scenario.hasArbiters ? [] : this.isAlone ? [name] : fleet.readers),
         isLinked: (peer) => fleet.isLinked(name, peer) && !fleet.isCut(name),
         call: (peer, call, timeoutMs) => this.call(peer, call as QuotaCall, timeoutMs),
       }),
@@ -160,6 +162,12 @@
     });
   }
 
+  /** Whether this instance lists no other. */
+  private get isAlone(): boolean {
+    const { clock, scenario } = this.fleet;
+    return !this.isFirstStart && clock.getTime() - this.startedAt < (scenario.unlistedMs ?? 0);
+  }
+
   private get isReader(): boolean {
     return this.fleet.readers.includes(this.name);
   }
@@ -167,6 +175,7 @@
   private getKnownShare(): number {
     const { clock, scenario } = this.fleet;
     const time = clock.getTime();
+    if (this.isAlone) return 1;
     if (!this.isReader)
       return time - this.view.at <= viewLifetimeMs ? this.view.share : 1 / scenario.instances;
     const silent = this.fleet.names.filter(
--- a/packages/gateway/test/overrunLimitRestarts.test.ts
+++ b/packages/gateway/test/overrunLimitRestarts.test.ts
@@ -8,6 +8,8 @@
 
 const linkMs = 200;
 const cutMs = 4_000;
+/** An instance watches its first listing of the members for changes after 0.4 s. */
+const listMs = 450;
 
 t.test("instances that are cut off after their restart leave the others their part of a limit", async (t) => {
   for (const instances of [8, 24]) {
@@ -37,3 +39,16 @@
     }
   }
 });
+
+// If the leases of all member records have run out, instances that start together list nobody until the others have written theirs.
+t.test("a limit holds while a fleet that was killed lists its members again", async (t) => {
+  for (const { ratePerSecond, surgeLoadShare } of [
+    { ratePerSecond: 36_000, surgeLoadShare: 16 },
+    { ratePerSecond: 900_000, surgeLoadShare: 8 },
+  ]) {
+    const surge = { ...baselineSurge, instances: 8, ratePerSecond, surgeLoadShare, sizes: [2_000] };
+    const restart = { fleetKills: [9_000], unlinkedMs: listMs, unlistedMs: listMs };
+    const { maxShare } = await runLimitScenario({ ...surge, ...restart });
+    t.ok(maxShare <= 1, `${ratePerSecond}/s, surge ${surgeLoadShare}: ${maxShare.toFixed(3)}`);
+  }
+});
