Leave the reserved retries to interrupted requests

What could happen: in a service whose endpoints never frame their streams, each resumable stream asks another endpoint whether it goes on, and took a retry as an interrupted request does. The retries that are reserved for those could be used up by streams that are whole.

Cause: the confirmation was recorded as an interruption.

Change: where the caller's response may be closed without an answer, the confirmation takes a retry as a refused request does, which leaves the reserved quarter, and none while the service refuses most requests. A stream whose caller was promised a frame counts as interrupted, as before, because it is broken off otherwise.

Result: the new case of unframedStreams.test.ts: of 8 retries, unconfirmed ends take 6 and leave 2.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -117,6 +117,7 @@
 export { RetryCause } from "./limits/retries/creditPool.js";
 export { FleetSizePeak } from "./limits/retries/fleetSizePeak.js";
 export { RetryBudget, type RetryBudgetOptions, RetryDecision } from "./limits/retries/retryBudget.js";
+export { CreditPool } from "./limits/retries/creditPool.js";
 export { RetryCredits } from "./limits/retries/retryCredits.js";
 export {
   createRetryCall,
@@ -134,6 +135,7 @@
 export { SilentPeers } from "./fleet/silentPeers.js";
 export { PlacementStage } from "./placement/placementStage.js";
 export { QueueStage } from "./requests/queueStage.js";
+export { AttemptHistory } from "./requests/attemptHistory.js";
 export { NextStep, type RequestContext } from "./requests/requestContext.js";
 export { OpenSlots } from "./slots/openSlots.js";
 export { RecentArbiters } from "./slots/recentArbiters.js";
--- a/packages/gateway/src/limits/retries/creditPool.ts
+++ b/packages/gateway/src/limits/retries/creditPool.ts
@@ -10,7 +10,7 @@
 export enum RetryCause {
   /** It may have run, and its connection was lost. */
   Interrupted = 1,
-  /** Its endpoint did not take it; its caller can come back without a loss. */
+  /** Its endpoint did not take it, or only its end is in doubt; its caller can come back without a loss. */
   Refused = 2,
 }
 
--- a/packages/gateway/src/requests/attemptHistory.ts
+++ b/packages/gateway/src/requests/attemptHistory.ts
@@ -46,6 +46,15 @@
     this.retryCause = RetryCause.Interrupted;
   }
 
+  /**
+   * Records that a stream has ended without saying whether it is complete. What the retry budget reserves for interrupted requests is not
+   * for asking: a service whose endpoints never say would use it up.
+   */
+  recordUnconfirmed(failure: Failure): void {
+    this.recordRunFailure(failure);
+    this.retryCause = RetryCause.Refused;
+  }
+
   /** Records an attempt that did not run the request. */
   recordNotRun(failure: Failure): void {
     this.refusal = failure;
--- a/packages/gateway/src/responses/relayStage.ts
+++ b/packages/gateway/src/responses/relayStage.ts
@@ -258,8 +258,10 @@
    */
   private confirmEnd(endpoint: Endpoint, relay: StreamRelay): NextStep {
     const { context } = this;
-    context.history.recordRunFailure(Failure.create(FailureCode.EndpointCut, { endpoint: endpoint.id }));
+    const failure = Failure.create(FailureCode.EndpointCut, { endpoint: endpoint.id });
     relay.beginConfirmation();
+    if (relay.isUnconfirmed) context.history.recordUnconfirmed(failure);
+    else context.history.recordRunFailure(failure);
     this.confirmationTimer?.cancel();
     const end = (): void => (relay.isUnconfirmed ? context.abort() : undefined);
     this.confirmationTimer = context.parts.clock.startTimer(
--- a/packages/gateway/test/unframedStreams.test.ts
+++ b/packages/gateway/test/unframedStreams.test.ts
@@ -3,6 +3,8 @@
  * order between two events and went on, reached its caller as if it had ended there.
  */
 import { CallerEnd, RawEnd, RawFraming, respondRaw } from "@gladewall/standins";
+import { Failure, FailureCode } from "@gladewall/kernel";
+import { AttemptHistory, CreditPool } from "@gladewall/gateway";
 import t from "tap";
 import { resumablePath, startCutOffFleet } from "./cutOffFleet.js";
 import { callUntilEnded, events, framings, script, stream } from "./scriptedStreams.js";
@@ -137,3 +139,21 @@
   const { body, end } = await fleet.call(0, resumablePath);
   t.same({ body, end, calls }, { body: events[0], end: CallerEnd.Broken, calls: 2 });
 });
+
+t.test("streams whose ends are unconfirmed leave retries for those that are interrupted", (t) => {
+  const pool = CreditPool.create(10_000);
+  pool.add("web", { amount: 8, lapsesAt: 5_000 }, 0);
+  const failure = Failure.create(FailureCode.EndpointCut, { endpoint: "e" });
+  const unconfirmed = AttemptHistory.create();
+  unconfirmed.recordUnconfirmed(failure);
+  const interrupted = AttemptHistory.create();
+  interrupted.recordRunFailure(failure);
+  const countTaken = ({ retryCause }: AttemptHistory): number => {
+    let taken = 0;
+    while (pool.tryTake("web", retryCause, 1)) taken += 1;
+    return taken;
+  };
+  t.equal(countTaken(unconfirmed), 6);
+  t.equal(countTaken(interrupted), 2);
+  t.end();
+});
