Tell phases of a version apart by the record in which they began

The writer opened a version that it saw serving again, a second instance that had not seen it closed it, and a third removed it 7 ms later: it had read closing before, and never the record in between, so that it counted the time from then.

A version's phase carries the serial of the record in which it began. A version is closed only when the instance has read that it is open, and not seen it serve, for as long as streams may be taken up. What a peer asks to keep is archived also if the writer has not read yet that the service has several versions: the call for the same stream was answered as kept without being so. After a restore of the store all that is known is archived again. Two tests of versionRecords.test.ts play the sequence.

--- a/packages/gateway/src/origins/originArchive.ts
+++ b/packages/gateway/src/origins/originArchive.ts
@@ -58,6 +58,8 @@
   private queued: Promise<boolean> | undefined;
   private hasFailed = false;
   private hasListed = false;
+  /** Whether the store has been restored since it was written to. */
+  private mayHaveLost = false;
   private writtenAt = -Infinity;
   private readAt = -Infinity;
   private reading: Promise<boolean> = Promise.resolve(false);
@@ -73,15 +75,28 @@
     return new OriginArchive(options);
   }
 
+  /** Notes that the store was restored from a copy, and may have lost what it kept. */
+  noteRestored(): void {
+    this.mayHaveLost = true;
+  }
+
   /** Writes what became known since the last write, and removes old segments; called several times a second. */
   reconcile(): void {
     const { isNeeded, isWriter } = this.options;
     if (!isWriter()) return this.dropOldPending();
     if (isNeeded() && !this.hasListed) void this.readAll();
+    if (isNeeded() && this.mayHaveLost) this.addAll();
     if (this.pending.size > 0 || this.hasFailed) void this.flush();
     else if (this.isRemovalDue()) void this.flush();
   }
 
+  /** Writes entries, and all else that is known now; resolves with whether they are in the store. */
+  keep(entries: readonly OriginEntry[]): Promise<boolean> {
+    const at = this.options.clock.getTime();
+    for (const [key, code] of entries) this.pending.set(key, { code, at });
+    return this.flush();
+  }
+
   /**
    * Writes all that is known now; resolves with whether it is in the store. Calls that come while a write is on its way share the next one.
    */
@@ -100,6 +115,12 @@
     return Promise.race([this.reading, waitFor(clock, maxReadMs).then(() => false)]);
   }
 
+  private addAll(): void {
+    const at = this.options.clock.getTime();
+    for (const [key, code] of this.options.table.list()) this.pending.set(key, { code, at });
+    this.mayHaveLost = false;
+  }
+
   private async readItems(): Promise<boolean> {
     const { store, table, logger, clock } = this.options;
     const listed = await store.list(archivePrefix);
--- a/packages/gateway/src/origins/originKeeper.ts
+++ b/packages/gateway/src/origins/originKeeper.ts
@@ -23,7 +23,7 @@
   readonly logger: Logger;
   readonly links: Pick<PeerLinks, "setHandler" | "call">;
   readonly table: OriginTable;
-  readonly archive: Pick<OriginArchive, "flush">;
+  readonly archive: Pick<OriginArchive, "keep">;
   readonly ownName: string;
   /** Name of the instance that writes the archive; undefined if none is available. */
   readonly findWriter: () => string | undefined;
@@ -67,12 +67,12 @@
     this.batch = undefined;
     if (await this.callWriter(entries)) return;
     // This instance writes itself: while a fleet starts, nobody may be known as the writer.
-    if (await archive.flush()) return;
+    if (await archive.keep(entries)) return;
     this.failedAt = clock.getTime();
     logger.info("streams.not-kept", { streams: entries.length });
   }
 
-  /** Resolves with whether the writer keeps entries; false if this instance is the writer, whose table has told the archive. */
+  /** Resolves with whether the writer keeps entries; false if this instance is the writer. */
   private async callWriter(entries: readonly OriginEntry[]): Promise<boolean> {
     const { clock, links, ownName, findWriter } = this.options;
     const writer = findWriter();
@@ -88,7 +88,9 @@
   private async handleCall(message: PeerMessage): Promise<KeepReply> {
     const { entries } = message as Partial<KeepCall>;
     const { table, archive } = this.options;
-    for (const [key, code] of decodeEntries(entries)) table.record(key, code, OriginSource.Told);
-    return { kept: await archive.flush() };
+    const decoded = decodeEntries(entries);
+    for (const [key, code] of decoded) table.record(key, code, OriginSource.Told);
+    // They are kept whether or not this instance has read yet that the service has several versions.
+    return { kept: await archive.keep(decoded) };
   }
 }
--- a/packages/gateway/src/origins/originParts.ts
+++ b/packages/gateway/src/origins/originParts.ts
@@ -5,6 +5,7 @@
 import type { GatewayMetrics } from "../gatewayMetrics.js";
 import type { GatewayState } from "../gatewayState.js";
 import type { Members } from "../fleet/members.js";
+import { isRestore } from "../store/storeEras.js";
 import type { StoreItem } from "../types.js";
 import { OriginArchive } from "./originArchive.js";
 import { OriginGossip } from "./originGossip.js";
@@ -73,6 +74,9 @@
     isNeeded: () => history.hasMixedServices || !getServices().every((service) => records.isProven(service)),
     isWriter: isArchiveWriter,
   });
+  store.eras.onEraChange((change) => {
+    if (isRestore(change)) archive.noteRestored();
+  });
   const gossip = OriginGossip.create({ clock, fleet: members, table, history, records, getRetentionMs });
   const keeper = OriginKeeper.create({
     clock,
--- a/packages/gateway/src/origins/originTable.ts
+++ b/packages/gateway/src/origins/originTable.ts
@@ -82,6 +82,12 @@
       if (source === OriginSource.Own) yield [key, code];
   }
 
+  /** Returns all streams: key and code of the origin. */
+  *list(): Iterable<readonly [key: number, code: number]> {
+    this.dropOld();
+    for (const [key, { code }] of [...this.older, ...this.recent]) yield [key, code];
+  }
+
   private dropOld(): void {
     const elapsedMs = this.options.clock.getTime() - this.turnedAt;
     const retentionMs = this.options.getRetentionMs();
--- a/packages/gateway/src/origins/versionRecord.ts
+++ b/packages/gateway/src/origins/versionRecord.ts
@@ -22,11 +22,15 @@
 export interface RecordedVersion {
   readonly origin: StreamOrigin;
   readonly phase: VersionPhase;
+  /** Serial of the record in which it came into this phase: a phase that is left and entered again is told apart by it. */
+  readonly since: number;
 }
 
 /** The versions of one service. */
 export interface VersionRecord {
   readonly service: string;
+  /** Grows with each write. */
+  readonly serial: number;
   /** Era of the store in which it was written; a store that is restored may have lost a later one. */
   readonly era: number;
   /** Whether its writer knew that the list has no gap: no stream that may still be taken up began at a version that it lacks. */
@@ -39,6 +43,7 @@
 
 const recordSchema = v.object({
   service: v.string(),
+  serial: v.number(),
   era: v.number(),
   proven: v.boolean(),
   versions: v.array(
@@ -46,6 +51,7 @@
       /** Left out for endpoints that state no version. */
       version: v.optional(v.string()),
       phase: v.enum(VersionPhase),
+      since: v.number(),
     }),
   ),
 });
@@ -57,14 +63,16 @@
   return versionRecordPrefix + encodeURIComponent(service);
 }
 
-export function encodeVersionRecord({ service, era, isProven, versions }: VersionRecord): Buffer {
+export function encodeVersionRecord({ service, serial, era, isProven, versions }: VersionRecord): Buffer {
   const item: RecordItem = {
     service,
+    serial,
     era,
     proven: isProven,
-    versions: versions.map(({ origin: { softwareVersion }, phase }) => ({
+    versions: versions.map(({ origin: { softwareVersion }, phase, since }) => ({
       ...(softwareVersion !== undefined && { version: softwareVersion }),
       phase,
+      since,
     })),
   };
   return Buffer.from(JSON.stringify(item));
@@ -74,12 +82,13 @@
 export function decodeVersionRecord(value: Uint8Array): VersionRecord | undefined {
   const item = decodeItem(recordSchema, value);
   if (!item) return undefined;
-  const { service, era, proven: isProven } = item;
-  const versions = item.versions.map(({ version: softwareVersion, phase }) => ({
+  const { service, serial, era, proven: isProven } = item;
+  const versions = item.versions.map(({ version: softwareVersion, phase, since }) => ({
     origin: { service, softwareVersion },
     phase,
+    since,
   }));
-  return { service, era, isProven, versions };
+  return { service, serial, era, isProven, versions };
 }
 
 /** Returns the phase of a version; undefined if the record doesn't list it. */
@@ -87,7 +96,7 @@
   return record?.versions.find((version) => isSameOrigin(version.origin, origin))?.phase;
 }
 
-/** Whether two records say the same. */
+/** Whether two records say the same, apart from their serials. */
 export function isSameRecord(one: VersionRecord, other: VersionRecord): boolean {
   const isAlike = one.era === other.era && one.isProven === other.isProven;
   return (
--- a/packages/gateway/src/origins/versionRecorder.ts
+++ b/packages/gateway/src/origins/versionRecorder.ts
@@ -60,8 +60,8 @@
   isWriting: boolean;
   /** Monotonic time before which no confirmation is called for. */
   confirmAt: number;
-  /** By the code of the version: its phase, and since when this instance has read it. */
-  readonly phases: Map<number, { readonly phase: VersionPhase; readonly since: number }>;
+  /** By the code of the version: which phase it is in, and since when this instance has read so. */
+  readonly phases: Map<number, { readonly name: string; readonly readAt: number }>;
   /** Codes of joining versions that all instances have confirmed. */
   readonly confirmed: Set<number>;
 }
@@ -116,7 +116,12 @@
   ): VersionRecord | undefined {
     const { store, history, records } = this.options;
     const listed = history.list(service);
-    const kept = (current?.versions ?? []).flatMap((version) => this.advance(state, listed, version));
+    const serial = (current?.serial ?? 0) + 1;
+    const kept = (current?.versions ?? []).flatMap((version) => {
+      const phase = this.findNextPhase(state, listed, version);
+      if (phase === version.phase) return [version];
+      return phase ? [{ origin: version.origin, phase, since: serial }] : [];
+    });
     // A store that was restored may have lost versions; in one era they are removed on purpose only.
     const mayHaveLost = current?.era !== store.eras.current;
     const isAdded = ({ origin, goneMs, mayHaveBegun }: VersionAge): boolean =>
@@ -127,46 +132,47 @@
     const added = listed.filter(isAdded).map(({ origin, mayHaveBegun }) => ({
       origin,
       phase: isFirst || mayHaveBegun ? VersionPhase.Open : VersionPhase.Joining,
+      since: serial,
     }));
     const versions = [...kept, ...added];
     if (versions.length === 0 && !current) return undefined;
-    const next = { service, era: store.eras.current, isProven: records.isProven(service), versions };
+    const isProven = records.isProven(service);
+    const next = { service, serial, era: store.eras.current, isProven, versions };
     return current && isSameRecord(current, next) ? undefined : next;
   }
 
-  /** Returns a version in its next phase; none if it is to be removed. */
-  private advance(
+  /** Returns the phase that a version should be in; undefined if it is to be removed. */
+  private findNextPhase(
     state: ServiceState,
     listed: readonly VersionAge[],
     { origin, phase }: RecordedVersion,
-  ): readonly RecordedVersion[] {
-    const { clock, getRetentionMs } = this.options;
+  ): VersionPhase | undefined {
     const code = encodeOrigin(origin);
     const goneMs = listed.find((version) => isSameOrigin(version.origin, origin))?.goneMs;
-    const isSettled = clock.getTime() - (state.phases.get(code)?.since ?? Infinity) >= settlingMs;
+    const phaseMs = this.options.clock.getTime() - (state.phases.get(code)?.readAt ?? Infinity);
+    const isSettled = phaseMs >= settlingMs;
+    const retentionMs = this.options.getRetentionMs();
     switch (phase) {
       case VersionPhase.Joining:
-        if (goneMs !== undefined && goneMs >= settlingMs) return [];
-        if (goneMs === undefined && (isSettled || state.confirmed.has(code)))
-          return [{ origin, phase: VersionPhase.Open }];
-        return [{ origin, phase }];
-      case VersionPhase.Open: {
-        const isOver = goneMs !== undefined && goneMs > getRetentionMs();
-        return [{ origin, phase: isOver ? VersionPhase.Closing : phase }];
-      }
+        if (goneMs !== undefined) return goneMs >= settlingMs ? undefined : phase;
+        return isSettled || state.confirmed.has(code) ? VersionPhase.Open : phase;
+      case VersionPhase.Open:
+        // Another instance may have opened it because it has seen it serve.
+        return goneMs !== undefined && Math.min(goneMs, phaseMs) > retentionMs ? VersionPhase.Closing : phase;
       case VersionPhase.Closing:
-        if (goneMs === undefined) return [{ origin, phase: VersionPhase.Open }];
-        return isSettled ? [] : [{ origin, phase }];
+        if (goneMs === undefined) return VersionPhase.Open;
+        return isSettled ? undefined : phase;
     }
   }
 
   private updatePhases(state: ServiceState, current: VersionRecord | undefined): void {
     const codes = new Set<number>();
-    for (const { origin, phase } of current?.versions ?? []) {
+    for (const { origin, phase, since } of current?.versions ?? []) {
       const code = encodeOrigin(origin);
       codes.add(code);
-      if (state.phases.get(code)?.phase === phase) continue;
-      state.phases.set(code, { phase, since: this.options.clock.getTime() });
+      const name = [phase, since, current?.era].join();
+      if (state.phases.get(code)?.name === name) continue;
+      state.phases.set(code, { name, readAt: this.options.clock.getTime() });
       state.confirmed.delete(code);
     }
     for (const code of state.phases.keys()) if (!codes.has(code)) state.phases.delete(code);
@@ -189,12 +195,12 @@
     codes: readonly number[],
   ): Promise<void> {
     const { clock, confirmJoining } = this.options;
+    // A version that has left and joined again meanwhile is in another phase of the same kind.
+    const names = codes.map((code) => [code, state.phases.get(code)?.name] as const);
     const isConfirmed = await confirmJoining(service, codes);
     state.confirmAt = clock.getTime() + confirmMs;
     if (!isConfirmed) return;
-    // A version that has left and joined again meanwhile has another phase in between.
-    for (const code of codes)
-      if (state.phases.get(code)?.phase === VersionPhase.Joining) state.confirmed.add(code);
+    for (const [code, name] of names) if (state.phases.get(code)?.name === name) state.confirmed.add(code);
     this.reconcile();
   }
 
--- a/packages/gateway/src/origins/versionRecords.ts
+++ b/packages/gateway/src/origins/versionRecords.ts
@@ -50,7 +50,7 @@
 }
 
 /** Longest time for which a new stream waits until one may begin at a version that serves, and the pause between two looks. */
-const maxOpenWaitMs = 1_000;
+const maxOpenWaitMs = 2_000;
 const openPollMs = 10;
 
 /** The records by service. */
--- a/packages/gateway/test/versionRecords.test.ts
+++ b/packages/gateway/test/versionRecords.test.ts
@@ -142,3 +142,43 @@
   t.equal(bench.describe(), "v1:open");
   t.notOk(bench.records.isProven("web"));
 });
+
+t.test(
+  "a version that has opened again meanwhile is not removed as one that has long been closing",
+  async (t) => {
+    const bench = createRecordBench({ isFirstStart: true });
+    bench.addEndpoint("v1");
+    await bench.settle();
+    bench.addEndpoint("v2");
+    await bench.advance(2 * settlingMs);
+    bench.removeEndpoint("v2");
+    await bench.advance(retentionMs + 500);
+    t.equal(bench.describe(), "v1:open,v2:closing");
+    bench.isStoreDark = true;
+    await bench.advance(2 * settlingMs);
+    // Another instance, which has seen it serve, has opened it, and a third one closes it again.
+    bench.isStoreDark = false;
+    bench.put(bench.createLater({ v1: "open", v2: "closing" }, 2));
+    await bench.settle();
+    t.equal(bench.describe(), "v1:open,v2:closing");
+    await bench.advance(settlingMs);
+    t.equal(bench.describe(), "v1:open");
+  },
+);
+
+t.test(
+  "a version that another instance has opened is not closed by one that has not seen it serve",
+  async (t) => {
+    const bench = createRecordBench({ isFirstStart: true });
+    bench.addEndpoint("v1");
+    await bench.settle();
+    bench.addEndpoint("v2");
+    await bench.advance(2 * settlingMs);
+    bench.removeEndpoint("v2");
+    await bench.advance(retentionMs + 500);
+    t.equal(bench.describe(), "v1:open,v2:closing");
+    bench.put(bench.createLater({ v1: "open", v2: "open" }, 1));
+    await bench.settle();
+    t.equal(bench.describe(), "v1:open,v2:open");
+  },
+);
