Trust no old view, no empty memory and no single service in take-ups

- An instance with an old view believed one keeper whose view may be as old.
It needs one that has heard lately, or half of the keepers.
- After the end of all, a further version opened before the callers of the one that served had come back; it waits for 3 s if that one serves.
- Routes over several services counted one version each as one: streams went on at either service.
- first_start vouched for a store that had been restored.
- Segments of substitutes and of former writers were never removed; two origins of one key in the archive count as unknown; codes of peers that don't fit 32 bits are refused.

--- a/packages/gateway/src/fleet/members.ts
+++ b/packages/gateway/src/fleet/members.ts
@@ -224,6 +224,11 @@
     return this.roles.getKeepers().filter((name) => this.links.isLinked(name));
   }
 
+  /** Number of keepers that are listed, including this instance if it is one. */
+  get keeperCount(): number {
+    return this.roles.getKeepers().length;
+  }
+
   /** Whether all keepers are linked, except this instance itself. */
   get hasAllKeepers(): boolean {
     return this.roles.getKeepers().every((name) => name === this.options.name || this.links.isLinked(name));
--- a/packages/gateway/src/origins/originArchive.ts
+++ b/packages/gateway/src/origins/originArchive.ts
@@ -7,7 +7,7 @@
 import { type Clock, type Logger, waitFor } from "@gladewall/kernel";
 import * as v from "valibot";
 import { decodeItem } from "../store/itemCodec.js";
-import type { MetadataStore } from "../types.js";
+import type { MetadataStore, StoreItem } from "../types.js";
 import { archivePrefix, ArchiveSegments } from "./archiveSegments.js";
 import { decodeEntries, encodeEntries, type OriginEntry } from "./originMessages.js";
 import { OriginSource, type OriginTable } from "./originTable.js";
@@ -83,7 +83,7 @@
   /** Writes what became known since the last write, and removes old segments; called several times a second. */
   reconcile(): void {
     const { isNeeded, isWriter } = this.options;
-    if (!isWriter()) return this.dropOldPending();
+    if (!isWriter()) return this.reconcileOthers();
     if (isNeeded() && !this.hasListed) void this.readAll();
     if (isNeeded() && this.mayHaveLost) this.addAll();
     if (this.pending.size > 0 || this.hasFailed) void this.flush();
@@ -126,19 +126,15 @@
     const listed = await store.list(archivePrefix);
     if (listed.isErr()) return false;
     const { items } = listed.value;
-    let streams = 0;
-    for (const { value } of items) {
-      const item = decodeItem(archiveSchema, value);
-      const entries = decodeEntries(Buffer.from(item?.entries ?? "", "base64"));
-      streams += entries.length;
-      for (const [key, code] of entries) if (!table.find(key)) table.record(key, code, OriginSource.Stored);
-    }
+    const streams = readStreams(items);
+    for (const [key, code] of streams)
+      if (code !== undefined && !table.find(key)) table.record(key, code, OriginSource.Stored);
     this.hasListed = true;
     this.segments.noteStored(
       items.map(({ key }) => key),
       clock.getTime(),
     );
-    logger.info("streams.read", { items: items.length, streams });
+    logger.info("streams.read", { items: items.length, streams: streams.size });
     return true;
   }
 
@@ -189,6 +185,13 @@
     return !isPaused && this.listRemovable().length > 0;
   }
 
+  /** Removes old segments that this instance wrote while it knew no writer, and drops what the writer has written. */
+  private reconcileOthers(): void {
+    this.hasListed = false;
+    this.dropOldPending();
+    if (this.isRemovalDue()) void this.flush();
+  }
+
   private dropOldPending(): void {
     const time = this.options.clock.getTime();
     for (const [key, { at }] of this.pending) {
@@ -197,3 +200,14 @@
     }
   }
 }
+
+/** Returns the origins by key; undefined for a stream of which the items say two, as where a caller has used one id twice. */
+function readStreams(items: readonly StoreItem[]): ReadonlyMap<number, number | undefined> {
+  const streams = new Map<number, number | undefined>();
+  for (const { value } of items) {
+    const item = decodeItem(archiveSchema, value);
+    for (const [key, code] of decodeEntries(Buffer.from(item?.entries ?? "", "base64")))
+      streams.set(key, streams.has(key) && streams.get(key) !== code ? undefined : code);
+  }
+  return streams;
+}
--- a/packages/gateway/src/origins/originGossip.ts
+++ b/packages/gateway/src/origins/originGossip.ts
@@ -33,6 +33,8 @@
   getKeepers(): readonly string[];
   /** Whether all keepers are linked that are listed. */
   readonly hasAllKeepers: boolean;
+  /** Number of keepers that are listed, including this instance if it is one. */
+  readonly keeperCount: number;
   /** Whether every instance is a keeper. */
   readonly isMesh: boolean;
   /** Returns what a linked peer last told of its uptime; undefined if that is long ago. */
@@ -48,6 +50,8 @@
   readonly records: VersionRecords;
   /** Returns the milliseconds for which a stream may be taken up after it began; 0 if none may. */
   readonly getRetentionMs: () => number;
+  /** Whether this instance may not know of the latest versions, because it has heard nothing of endpoints for a while. */
+  readonly isViewOld: () => boolean;
 }
 
 /** What a call to the keepers brought. */
@@ -60,6 +64,10 @@
   readonly hasSeveral: boolean;
   /** Whether a keeper knows these versions without a gap. */
   readonly isVouched: boolean;
+  /** Whether a keeper that replied has heard of endpoints lately. */
+  readonly isFresh: boolean;
+  /** Whether half of the keepers have replied, this instance among them. */
+  readonly isHalf: boolean;
   /** Keepers that were called, and those of them that did not reply. */
   readonly called: number;
   readonly silent: number;
@@ -128,12 +136,13 @@
   private async callKeepersOnce(key: number, services: readonly string[]): Promise<OriginAnswer> {
     const { fleet } = this.options;
     const keepers = fleet.getKeepers();
-    const hasCalledAll = fleet.hasAllKeepers;
+    const { keeperCount, hasAllKeepers: hasCalledAll } = fleet;
     const message: OriginCall = { kind: OriginMessageKind.Call, key, services };
     const begun = new Set<number>();
     let silent = 0;
     let hasSeveral = false;
     let isVouched = false;
+    let isFresh = false;
     const replies = keepers.map(async (keeper) => {
       const reply = await fleet.links.call(keeper, message, replyTimeoutMs);
       if (reply.isErr()) silent += 1;
@@ -141,10 +150,13 @@
       for (const code of decoded.begun ?? []) begun.add(code);
       hasSeveral ||= decoded.several === true && decoded.begun === undefined;
       isVouched ||= reply.isOk() && this.isVouching(keeper, decoded);
+      isFresh ||= decoded.fresh === true;
       return decoded.code;
     });
     const code = await findFirst(replies);
-    return { code, begun, hasSeveral, isVouched, called: keepers.length, silent, hasCalledAll };
+    const isHalf = 2 * (keepers.length - silent + 1) >= keeperCount;
+    const called = keepers.length;
+    return { code, begun, hasSeveral, isVouched, isFresh, isHalf, called, silent, hasCalledAll };
   }
 
   /** Whether a keeper would know of further versions: it says so, or has run for longer than streams may be taken up. */
@@ -181,6 +193,7 @@
       ...(history.hasMixedServices && { several: true }),
       begun: services.flatMap((service) => records.listBegun(service).map(encodeOrigin)),
       proven: services.every((service) => records.isProven(service)),
+      fresh: !this.options.isViewOld(),
     };
   }
 
--- a/packages/gateway/src/origins/originMessages.ts
+++ b/packages/gateway/src/origins/originMessages.ts
@@ -37,6 +37,8 @@
   readonly begun?: readonly number[];
   /** Set if the sender knows these versions without a gap. */
   readonly proven?: boolean;
+  /** Set if the sender has heard of endpoints lately. */
+  readonly fresh?: boolean;
 }
 
 /** A call to keep where streams began in the store. */
@@ -70,6 +72,7 @@
 const keyBytes = 6;
 const codeBytes = 4;
 const entryBytes = keyBytes + codeBytes;
+const maxCode = 2 ** (8 * codeBytes) - 1;
 /** Entries in one message: at most a seventh of a link's outbox. */
 export const maxEntriesPerMessage = 4_000;
 
@@ -97,13 +100,14 @@
 /** Decodes a reply; a malformed one is empty. */
 export function decodeReply(reply: unknown): OriginReply {
   if (typeof reply !== "object" || reply === null) return {};
-  const { code, several, begun, proven } = reply as Partial<Record<keyof OriginReply, unknown>>;
+  const { code, several, begun, proven, fresh } = reply as Partial<Record<keyof OriginReply, unknown>>;
   const areCodes = Array.isArray(begun) && begun.every(isCode);
   return {
     ...(isCode(code) && { code }),
     ...(areCodes && { begun }),
     several: several === true,
     proven: proven === true,
+    fresh: fresh === true,
   };
 }
 
@@ -118,5 +122,5 @@
 }
 
 function isCode(code: unknown): code is number {
-  return typeof code === "number" && Number.isInteger(code);
+  return typeof code === "number" && Number.isInteger(code) && code >= 0 && code <= maxCode;
 }
--- a/packages/gateway/src/origins/originParts.ts
+++ b/packages/gateway/src/origins/originParts.ts
@@ -47,6 +47,23 @@
   return history;
 }
 
+/** What the parts are created from. */
+interface OriginBase {
+  readonly state: GatewayState;
+  readonly history: VersionHistory;
+  readonly members: Members;
+}
+
+/** Where streams began and at which versions they can have, as this instance knows it and the store keeps it. */
+interface OriginKnowledge {
+  readonly table: OriginTable;
+  readonly records: VersionRecords;
+  readonly archive: OriginArchive;
+  readonly gossip: OriginGossip;
+  readonly isWriter: (subject: string) => boolean;
+  readonly isViewOld: () => boolean;
+}
+
 /** Creates the parts. */
 export function createOrigins(
   state: GatewayState,
@@ -56,63 +73,36 @@
 ): OriginParts {
   const { settings, platform, clock, logger, directory, time, follower } = state;
   const { store } = platform;
-  const { name: ownName, first_start: isFirstStart } = settings.instance;
   const routes = ResumableRoutes.create(follower);
   const getRetentionMs = (): number => routes.getRetentionMs();
-  const getServices = (): readonly string[] => routes.getServices();
-  const isListed = (): boolean => members.isListed && directory.isListed;
-  const isWriter = (subject: string): boolean =>
-    members.isReader && isListed() && members.findArbiter(subject) === ownName;
-  const isArchiveWriter = (): boolean => isWriter(archiveSubject);
+  const known = createKnowledge({ state, history, members }, routes);
+  const { table, records, archive, gossip, isWriter, isViewOld } = known;
   const base = { store, clock, logger, history, getRetentionMs };
-  const table = OriginTable.create({ clock, getRetentionMs });
   const items = VersionItems.create({ ...base, getTimeOfDay: () => time.get(), isWriter });
-  const records = VersionRecords.create({ ...base, eras: store.eras, isFirstStart, isListed });
-  const archive = OriginArchive.create({
-    ...base,
-    table,
-    isNeeded: () => history.hasMixedServices || !getServices().every((service) => records.isProven(service)),
-    isWriter: isArchiveWriter,
-  });
-  store.eras.onEraChange((change) => {
-    if (isRestore(change)) archive.noteRestored();
-  });
-  const gossip = OriginGossip.create({ clock, fleet: members, table, history, records, getRetentionMs });
   const keeper = OriginKeeper.create({
     clock,
     logger,
     links: members.links,
     table,
     archive,
-    ownName,
+    ownName: settings.instance.name,
     findWriter: () => members.findArbiter(archiveSubject),
   });
   const recorder = VersionRecorder.create({
     ...base,
     records,
-    getServices,
-    isReady: isListed,
-    isWriter: isArchiveWriter,
+    getServices: () => routes.getServices(),
+    isReady: () => members.isListed && directory.isListed,
+    isWriter: () => isWriter(archiveSubject),
     // A version opens once the streams that began before it joined are in the store.
     confirmJoining: async (service, codes) =>
       (await gossip.confirmJoining(service, codes)) && (await archive.flush()),
     getRandom: Math.random,
   });
+  const decided = { clock, logger, metrics, directory, history, isViewOld, getRandom: Math.random };
   return {
-    origins: OriginRecorder.create({ table, history, records, gossip, keeper }),
-    takeUps: TakeUps.create({
-      clock,
-      logger,
-      metrics,
-      directory,
-      table,
-      history,
-      records,
-      gossip,
-      archive,
-      isViewOld: () => directory.follower.ageMs > maxViewAgeMs,
-      getRandom: Math.random,
-    }),
+    origins: OriginRecorder.create({ table, records, gossip, keeper }),
+    takeUps: TakeUps.create({ ...decided, table, records, gossip, archive }),
     handleItem: (key, item) => {
       items.handleItem(key, item);
       records.handleItem(key, item);
@@ -124,3 +114,29 @@
     },
   };
 }
+
+function createKnowledge({ state, history, members }: OriginBase, routes: ResumableRoutes): OriginKnowledge {
+  const { settings, platform, clock, logger, directory } = state;
+  const { store } = platform;
+  const { name: ownName, first_start: isFirstStart } = settings.instance;
+  const getRetentionMs = (): number => routes.getRetentionMs();
+  const isListed = (): boolean => members.isListed && directory.isListed;
+  const isWriter = (subject: string): boolean =>
+    members.isReader && isListed() && members.findArbiter(subject) === ownName;
+  const isViewOld = (): boolean => directory.follower.ageMs > maxViewAgeMs;
+  const base = { store, clock, logger, history, getRetentionMs };
+  const table = OriginTable.create({ clock, getRetentionMs });
+  const records = VersionRecords.create({ ...base, eras: store.eras, isFirstStart, isListed });
+  const areProven = (): boolean => routes.getServices().every((service) => records.isProven(service));
+  const archive = OriginArchive.create({
+    ...base,
+    table,
+    isNeeded: () => history.hasMixedServices || !areProven(),
+    isWriter: () => isWriter(archiveSubject),
+  });
+  store.eras.onEraChange((change) => {
+    if (isRestore(change)) archive.noteRestored();
+  });
+  const gossip = OriginGossip.create({ ...base, fleet: members, table, records, isViewOld });
+  return { table, records, archive, gossip, isWriter, isViewOld };
+}
--- a/packages/gateway/src/origins/originRecorder.ts
+++ b/packages/gateway/src/origins/originRecorder.ts
@@ -7,13 +7,11 @@
 import { OriginSource, type OriginTable } from "./originTable.js";
 import { createStreamKey, encodeOrigin, type StreamOrigin } from "./streamOrigin.js";
 import type { RoutedRequest } from "./takeUps.js";
-import type { VersionHistory } from "./versionHistory.js";
 import type { VersionRecords } from "./versionRecords.js";
 
 /** Options of the recorder. */
 export interface OriginRecorderOptions {
   readonly table: OriginTable;
-  readonly history: VersionHistory;
   readonly records: VersionRecords;
   readonly gossip: Pick<OriginGossip, "announce">;
   readonly keeper: Pick<OriginKeeper, "keep">;
@@ -33,12 +31,12 @@
    */
   record({ route, head, workspace }: RoutedRequest, origin: StreamOrigin): Promise<void> | undefined {
     if (!route.isResumable) return undefined;
-    const { table, history, records, gossip, keeper } = this.options;
+    const { table, records, gossip, keeper } = this.options;
     const isTakenUp = head.lastEventId !== undefined && head.resumes !== undefined;
     const key = createStreamKey(workspace, isTakenUp ? head.resumes : head.id);
     const code = encodeOrigin(origin);
     table.record(key, code, OriginSource.Own);
-    if (!history.hasSeveral(origin.service) && records.isProven(origin.service)) return undefined;
+    if (!records.mayDiffer(route.targets.map(({ service }) => service))) return undefined;
     gossip.announce(key, code);
     return keeper.keep(key, code);
   }
--- a/packages/gateway/src/origins/takeUps.ts
+++ b/packages/gateway/src/origins/takeUps.ts
@@ -107,6 +107,7 @@
     const { route, head } = request;
     if (!route.isResumable) return Ok({ service: this.chooseService(route), origin: undefined });
     if (head.lastEventId === undefined) return Ok(await this.chooseForNew(route));
+    await this.options.records.waitUntilListed();
     const found = await this.findOrigin(request);
     const decision = this.decide(route, found);
     this.record(request, found, decision);
@@ -129,9 +130,10 @@
   /** Keepers are called, and then the store is read, only if it makes a difference. */
   private async findOrigin({ route, head, workspace }: RoutedRequest): Promise<FoundOrigin> {
     const { table, gossip, archive, clock } = this.options;
-    if (head.resumes === undefined) return { known: undefined };
-    const key = createStreamKey(workspace, head.resumes);
-    const known = table.find(key);
+    if (head.resumes === undefined && (this.mayDiffer(route) || !this.options.isViewOld()))
+      return { known: undefined };
+    const key = createStreamKey(workspace, head.resumes ?? head.id);
+    const known = head.resumes === undefined ? undefined : table.find(key);
     if (known || !(this.mayDiffer(route) || this.options.isViewOld())) return { known };
     const answer = await gossip.callKeepers(
       key,
@@ -146,10 +148,10 @@
     return { known: { code, at: clock.getTime(), source: OriginSource.Asked }, answer };
   }
 
-  /** Whether a stream of a route can have begun at another version than one that serves it now. */
-  private mayDiffer(route: Route): boolean {
-    const { history, records } = this.options;
-    return route.targets.some(({ service }) => history.hasSeveral(service) || !records.isProven(service));
+  /** Whether a stream of a route can have begun at another version, or service, than one that serves it now. */
+  private mayDiffer({ targets }: Route): boolean {
+    const { records } = this.options;
+    return records.mayDiffer(targets.map(({ service }) => service));
   }
 
   private decide(route: Route, found: FoundOrigin): TakeUpDecision {
@@ -157,13 +159,10 @@
     const { known } = found;
     const service = this.chooseService(route);
     if (!known) {
-      const origin = this.findOnlyOrigin(route, service, found);
+      const origin = this.findOnlyOrigin(route, found);
       if (!origin) return { outcome: TakeUpOutcome.OriginUnknown, service };
-      return {
-        outcome: this.isServed(origin) ? TakeUpOutcome.OneVersion : TakeUpOutcome.VersionGone,
-        service,
-        origin,
-      };
+      const outcome = this.isServed(origin) ? TakeUpOutcome.OneVersion : TakeUpOutcome.VersionGone;
+      return { outcome, service: origin.service, origin };
     }
     const origin = history.findByCode(known.code);
     if (!origin) return { outcome: TakeUpOutcome.VersionGone, service };
@@ -175,27 +174,22 @@
     return { outcome, service: origin.service, origin };
   }
 
-  /** Returns the only version of a service at which a stream can have begun that nobody knows; undefined if that is not certain. */
-  private findOnlyOrigin(
-    route: Route,
-    service: string,
-    { answer, isArchiveRead }: FoundOrigin,
-  ): StreamOrigin | undefined {
-    const { records, history } = this.options;
-    const [origin, ...others] = records.listBegun(service);
+  /** Returns the only version at which a stream of a route can have begun that nobody knows; undefined if that is not certain. */
+  private findOnlyOrigin(route: Route, { answer, isArchiveRead }: FoundOrigin): StreamOrigin | undefined {
+    const { records, isViewOld } = this.options;
+    const services = route.targets.map(({ service }) => service);
+    const [origin, ...others] = services.flatMap((service) => records.listBegun(service));
     if (!origin || others.length > 0) return undefined;
     if (!answer) return this.mayDiffer(route) ? undefined : origin;
-    const { begun, hasSeveral, isVouched } = answer;
-    const code = encodeOrigin(origin);
-    // A version that this instance has not heard of may be one of the service.
-    const isElsewhere = [...begun].some(
-      (other) => other !== code && (history.findByCode(other)?.service ?? service) === service,
-    );
-    const isProven = records.isProven(service) || isVouched;
+    const { begun, hasSeveral, isVouched, isFresh, isHalf } = answer;
+    const isElsewhere = [...begun].some((other) => other !== encodeOrigin(origin));
+    const isProven = isVouched || services.every((service) => records.isProven(service));
+    // Where half of the keepers have heard nothing for a while, the store is dark, and no version can have opened.
+    const isLatest = !isViewOld() || isFresh || isHalf;
     // Streams that began at a version which has opened since are in the archive.
-    const isComplete = !history.hasSeveral(service) || isArchiveRead === true;
-    const isCertain = !hasSeveral && !mayHideVersion(answer) && isProven && isComplete && !isElsewhere;
-    return isCertain ? origin : undefined;
+    const isComplete = !this.mayDiffer(route) || isArchiveRead === true;
+    const isCertain = !hasSeveral && !mayHideVersion(answer) && isProven && isLatest && isComplete;
+    return isCertain && !isElsewhere ? origin : undefined;
   }
 
   private isServed(origin: StreamOrigin): boolean {
--- a/packages/gateway/src/origins/versionHistory.ts
+++ b/packages/gateway/src/origins/versionHistory.ts
@@ -95,6 +95,12 @@
     return true;
   }
 
+  /** Forgets that streams may have begun at a version; none of them may still be taken up. */
+  forget(origin: StreamOrigin): void {
+    const version = this.services.get(origin.service)?.get(encodeOrigin(origin));
+    if (version) version.mayHaveBegun = false;
+  }
+
   /**
    * Applies the record of a service. A version that this instance has not seen serving counts as gone since now: what the record's writer
    * knew of the time is not used, because clocks differ.
--- a/packages/gateway/src/origins/versionRecorder.ts
+++ b/packages/gateway/src/origins/versionRecorder.ts
@@ -45,6 +45,10 @@
 /** Time after which another instance writes what the writer has not, and the spread of these times. */
 const substituteMs = 600;
 const substituteSpreadMs = 600;
+/** Time after which a joining version that does not serve is removed: longer than another instance, which sees it serve, takes to open it. */
+const maxJoiningGoneMs = 5_000;
+/** Time after a start within which callers of streams that the end of all instances broke off come back. */
+const returnMs = 3_000;
 /** Time between two writes of one service, if the first has not been read back or has failed. */
 const rewriteMs = 400;
 /** Time between two calls for confirmation. */
@@ -70,8 +74,10 @@
 export class VersionRecorder {
   private readonly states = new Map<string, ServiceState>();
   private readonly substituteAfterMs: number;
+  private readonly startedAt: number;
 
   private constructor(private readonly options: VersionRecorderOptions) {
+    this.startedAt = options.clock.getTime();
     this.substituteAfterMs = substituteMs + options.getRandom() * substituteSpreadMs;
     options.records.onRead(() => this.reconcile());
     options.history.onServing(() => this.reconcile());
@@ -122,10 +128,9 @@
       if (phase === version.phase) return [version];
       return phase ? [{ origin: version.origin, phase, since: serial }] : [];
     });
-    // A store that was restored may have lost versions; in one era they are removed on purpose only.
-    const mayHaveLost = current?.era !== store.eras.current;
+    // A record that lacks a version at which streams may have begun was lost, or written by an instance that did not know of it.
     const isAdded = ({ origin, goneMs, mayHaveBegun }: VersionAge): boolean =>
-      !findPhase(current, origin) && (goneMs === undefined || (mayHaveLost && mayHaveBegun));
+      !findPhase(current, origin) && (goneMs === undefined || mayHaveBegun);
     // Where no stream can have begun, there is none that could go on at another version.
     const isFirst =
       !kept.some(({ phase }) => phase !== VersionPhase.Joining) && !listed.some((one) => one.mayHaveBegun);
@@ -148,13 +153,17 @@
     { origin, phase }: RecordedVersion,
   ): VersionPhase | undefined {
     const code = encodeOrigin(origin);
-    const goneMs = listed.find((version) => isSameOrigin(version.origin, origin))?.goneMs;
+    const version = listed.find((one) => isSameOrigin(one.origin, origin));
+    const goneMs = version?.goneMs;
     const phaseMs = this.options.clock.getTime() - (state.phases.get(code)?.readAt ?? Infinity);
     const isSettled = phaseMs >= settlingMs;
     const retentionMs = this.options.getRetentionMs();
     switch (phase) {
       case VersionPhase.Joining:
-        if (goneMs !== undefined) return goneMs >= settlingMs ? undefined : phase;
+        // A restored store may have lost that it had opened.
+        if (version?.mayHaveBegun === true) return VersionPhase.Open;
+        if (goneMs !== undefined) return goneMs >= maxJoiningGoneMs ? undefined : phase;
+        if (this.mayStreamsReturn(listed)) return phase;
         return isSettled || state.confirmed.has(code) ? VersionPhase.Open : phase;
       case VersionPhase.Open:
         // Another instance may have opened it because it has seen it serve.
@@ -165,6 +174,15 @@
     }
   }
 
+  /**
+   * Whether this instance has just started, and a version serves at which streams have begun: if all instances have ended, those that come
+   * back now began at it for certain, and once another opens nobody would know.
+   */
+  private mayStreamsReturn(listed: readonly VersionAge[]): boolean {
+    const hasOpen = listed.some(({ mayHaveBegun, goneMs }) => mayHaveBegun && goneMs === undefined);
+    return hasOpen && this.options.clock.getTime() - this.startedAt < returnMs;
+  }
+
   private updatePhases(state: ServiceState, current: VersionRecord | undefined): void {
     const codes = new Set<number>();
     for (const { origin, phase, since } of current?.versions ?? []) {
--- a/packages/gateway/src/origins/versionRecords.ts
+++ b/packages/gateway/src/origins/versionRecords.ts
@@ -49,7 +49,7 @@
   readonly revision: number;
 }
 
-/** Longest time for which a new stream waits until one may begin at a version that serves, and the pause between two looks. */
+/** Longest time for which a stream waits until one may begin at a version that serves, or is known to, and the pause between two looks. */
 const maxOpenWaitMs = 2_000;
 const openPollMs = 10;
 
@@ -103,6 +103,7 @@
 
   /** Returns the versions of a service at which a stream that is taken up can have begun, as far as this instance knows. */
   listBegun(service: string): readonly StreamOrigin[] {
+    if (!this.options.isListed()) return [];
     const hasRecord = this.find(service) !== undefined;
     const listed = this.options.history.list(service);
     // Earlier builds begin streams without a record.
@@ -111,9 +112,12 @@
 
   /** Returns who vouches for the versions of a service being known without a gap. */
   findVoucher(service: string): VersionVoucher {
-    const { clock, isFirstStart, getRetentionMs } = this.options;
+    const { clock, eras, isFirstStart, getRetentionMs } = this.options;
     if (this.proven.has(service)) return VersionVoucher.Record;
-    if (isFirstStart) return VersionVoucher.FirstStart;
+    const record = this.find(service);
+    // Settings that still say so after a restart vouch for nothing once the store has been restored.
+    if (isFirstStart && (record === undefined || record.era === eras.current))
+      return VersionVoucher.FirstStart;
     const followedMs = this.listedAt === undefined ? 0 : clock.getTime() - this.listedAt;
     const retentionMs = getRetentionMs();
     return retentionMs > 0 && followedMs > retentionMs ? VersionVoucher.Uptime : VersionVoucher.Nobody;
@@ -124,6 +128,19 @@
     return this.findVoucher(service) !== VersionVoucher.Nobody;
   }
 
+  /** Whether a stream that began at one of some services can have begun at more than one version, as far as this instance knows. */
+  mayDiffer(services: readonly string[]): boolean {
+    const versions = services.flatMap((service) => this.options.history.list(service));
+    return versions.length > 1 || !services.every((service) => this.isProven(service));
+  }
+
+  /** Waits, for a while at most, until this instance has listed what an instance that has just started doesn't know. */
+  async waitUntilListed(): Promise<void> {
+    const { clock, isListed } = this.options;
+    const endsAt = clock.getTime() + maxOpenWaitMs;
+    while (!isListed() && clock.getTime() < endsAt) await waitFor(clock, openPollMs);
+  }
+
   /** Waits, for a while at most, until a stream may begin at a version of a service, if one serves at which none may yet. */
   async waitUntilOpen(service: string): Promise<void> {
     const { clock } = this.options;
@@ -147,10 +164,15 @@
     const { logger, history, eras } = this.options;
     const decoded = decodeVersionRecord(value);
     const record = decoded && createRecordKey(decoded.service) === key ? decoded : undefined;
+    const previous = this.records.get(key)?.record;
     this.records.set(key, { record, revision });
     if (!record) return logger.warn("versions.record-refused", { key, bytes: value.length });
     const { service, era, isProven } = record;
     if (isProven && era === eras.current) this.proven.add(service);
+    // In one era a version that was closing is removed on purpose.
+    if (previous?.era === era)
+      for (const { origin, phase } of previous.versions)
+        if (phase === VersionPhase.Closing && !findPhase(record, origin)) history.forget(origin);
     history.applyRecord(service, record.versions);
     const voucher = VersionVoucher[this.findVoucher(service)];
     logger.info("versions.record-read", {
--- a/packages/gateway/test/originFleet.ts
+++ b/packages/gateway/test/originFleet.ts
@@ -102,6 +102,10 @@
     return this.options.instances <= largestMesh;
   }
 
+  get keeperCount(): number {
+    return this.isMesh ? this.options.instances : keeperCount;
+  }
+
   isWriter(member: OriginMember): boolean {
     return this.findWriter(member) === member.name;
   }
--- a/packages/gateway/test/originMember.ts
+++ b/packages/gateway/test/originMember.ts
@@ -44,6 +44,7 @@
   readonly isFirstStart: boolean;
   /** Whether every instance is linked with every other. */
   readonly isMesh: boolean;
+  readonly keeperCount: number;
   /** Returns the name of the instance that writes to the store on behalf of the fleet, as far as a member knows. */
   findWriter(member: OriginMember): string | undefined;
   /** Whether a member writes to the store on behalf of the fleet, as far as it knows. */
@@ -111,6 +112,10 @@
     return this.pausedUntil > this.fleet.clock.getTime();
   }
 
+  private get isViewOld(): boolean {
+    return this.fleet.clock.getTime() - this.heardAt > maxViewAgeMs;
+  }
+
   addEndpoint({ id, version }: Pick<SimulatedEndpoint, "id" | "version">): void {
     if (this.known.some((endpoint) => endpoint.id === id)) return;
     const endpoint = createKnownEndpoint({ id, service, softwareVersion: version });
@@ -172,7 +177,15 @@
     const { isFirstStart } = fleet;
     const records = VersionRecords.create({ ...kept, eras: store.eras, isFirstStart, isListed });
     const links = this.createLinks();
-    const gossip = OriginGossip.create({ clock, table, history, records, getRetentionMs, fleet: links });
+    const gossip = OriginGossip.create({
+      clock,
+      table,
+      history,
+      records,
+      getRetentionMs,
+      isViewOld: () => this.isViewOld,
+      fleet: links,
+    });
     const archive = OriginArchive.create({
       ...kept,
       table,
@@ -206,10 +219,10 @@
       records,
       gossip,
       archive,
-      isViewOld: () => clock.getTime() - this.heardAt > maxViewAgeMs,
+      isViewOld: () => this.isViewOld,
       getRandom: random,
     });
-    const recorder = OriginRecorder.create({ table, history, records, gossip, keeper });
+    const recorder = OriginRecorder.create({ table, records, gossip, keeper });
     const items = VersionItems.create(kept);
     return { history, items, records, versionRecorder, archive, takeUps, recorder };
   }
@@ -229,6 +242,7 @@
         return fleet.members.every(isLinked);
       },
       isMesh: fleet.isMesh,
+      keeperCount: fleet.keeperCount,
       findPeerUptime: () => undefined,
     };
   }
--- a/packages/gateway/test/takenUpStreams.test.ts
+++ b/packages/gateway/test/takenUpStreams.test.ts
@@ -118,7 +118,10 @@
   const isKept = (): boolean => fleet.bench.platform.shared.entries.has("gladewall/versions/web");
   await waitUntil(isKept);
   await killAll(fleet);
-  for (const id of ["a", "b"]) await fleet.removeEndpoint(id);
+  // Where it began is kept, so that it would go on if the other version had gone.
+  const [version] = listVersions(text);
+  for (const { id } of mixed.filter((endpoint) => endpoint.version === version))
+    await fleet.removeEndpoint(id);
   await fleet.addInstance();
   t.equal((await fleet.takeUp(0, "s-2", "s", text)).status, 503);
   t.equal((await fleet.begin(0, "new")).status, 200);
--- a/packages/gateway/test/takenUpVersions.test.ts
+++ b/packages/gateway/test/takenUpVersions.test.ts
@@ -120,6 +120,8 @@
     begun: new Set(),
     hasSeveral: false,
     isVouched: false,
+    isFresh: true,
+    isHalf: true,
     called: 2,
     silent: 0,
     hasCalledAll: true,
@@ -146,6 +148,12 @@
   t.notOk(await choose(true, { hasSeveral: true }), "a keeper knows of another");
   t.notOk(await choose(true, { silent: 2 }), "no keeper replies");
   t.notOk(await choose(true, { called: 0, hasCalledAll: false }), "no keeper is linked");
+  t.notOk(
+    await choose(true, { isFresh: false, isHalf: false }),
+    "most keepers are out of reach, and none knows more",
+  );
+  t.ok(await choose(true, { isFresh: false }), "the store is dark for all");
+  t.notOk(await choose(true, { begun: new Set([1]) }), "a keeper knows of another version");
   t.ok(await choose(true, { called: 0 }), "there is no other instance");
   t.ok(await choose(false, { hasSeveral: true }), "its view is not old, so that nobody is called");
 });
--- a/packages/gateway/test/versionRecords.test.ts
+++ b/packages/gateway/test/versionRecords.test.ts
@@ -12,6 +12,7 @@
 import t from "tap";
 
 const settlingMs = 1_500;
+const returnMs = 3_000;
 
 t.test("the first version of a service opens at once, with one write", async (t) => {
   const bench = createRecordBench({ isFirstStart: true });
@@ -27,6 +28,7 @@
   const bench = createRecordBench({ isFirstStart: true });
   bench.addEndpoint("v1");
   await bench.settle();
+  await bench.advance(returnMs);
   bench.addEndpoint("v2");
   await bench.settle();
   t.equal(bench.describe(), "v1:open,v2:joining");
@@ -42,6 +44,7 @@
   const bench = createRecordBench({ isFirstStart: true });
   bench.addEndpoint("v1");
   await bench.settle();
+  await bench.advance(returnMs);
   bench.addEndpoint("v2");
   await bench.advance(settlingMs - 200);
   t.equal(bench.describe(), "v1:open,v2:joining");
@@ -49,6 +52,27 @@
   t.equal(bench.describe(), "v1:open,v2:open");
 });
 
+t.test("after a start no further version opens while callers of the one that serves come back", async (t) => {
+  const bench = createRecordBench({ isFirstStart: false });
+  bench.isConfirmed = true;
+  bench.put(createKnownRecord({ proven: true, versions: ["v1"] }));
+  bench.addEndpoint("v1");
+  bench.addEndpoint("v2");
+  await bench.advance(returnMs - 200);
+  t.equal(bench.describe(), "v1:open,v2:joining");
+  await bench.advance(400);
+  t.equal(bench.describe(), "v1:open,v2:open");
+});
+
+t.test("after a start another version opens at once if the one that served has gone", async (t) => {
+  const bench = createRecordBench({ isFirstStart: false });
+  bench.isConfirmed = true;
+  bench.put(createKnownRecord({ proven: true, versions: ["v1"] }));
+  bench.addEndpoint("v2");
+  await bench.settle();
+  t.equal(bench.describe(), "v1:open,v2:open");
+});
+
 t.test("no stream begins at a version that the store could not record", async (t) => {
   const bench = createRecordBench({ isFirstStart: true });
   bench.addEndpoint("v1");
