Forget unsent responses with their connection

Responses that wait for others of their connection emit no close when the connection closes, so that UnsentResponses kept them: their memory was held, and a leaving instance waited for them until shortly before the end of its grace period. Each connection is listened to now, too.

--- a/packages/kernel/src/unsentResponses.ts
+++ b/packages/kernel/src/unsentResponses.ts
@@ -3,11 +3,11 @@
  * @module
  */
 import type { Server, ServerResponse } from "node:http";
-import { Server as TcpServer } from "node:net";
+import { Server as TcpServer, type Socket } from "node:net";
 
 /** The responses of a server whose connections have not taken all of them. */
 export class UnsentResponses {
-  private readonly open = new Set<ServerResponse>();
+  private readonly open = new Map<Socket, Set<ServerResponse>>();
   private handleSent: () => void = () => undefined;
 
   private constructor() {}
@@ -18,14 +18,21 @@
 
   /** Adds a response, from its begin on. */
   add(response: ServerResponse): void {
-    this.open.add(response);
-    response.once("close", () => this.remove(response));
+    const { socket } = response.req;
+    const open = this.open.get(socket) ?? this.addConnection(socket);
+    open.add(response);
+    response.once("close", () => {
+      open.delete(response);
+      this.handleSent();
+    });
   }
 
   /** Number of responses that have been ended and are not sent yet. */
   get count(): number {
     let count = 0;
-    for (const response of this.open) if (response.writableEnded) count += 1;
+    for (const responses of this.open.values()) {
+      for (const response of responses) if (response.writableEnded) count += 1;
+    }
     return count;
   }
 
@@ -42,8 +49,14 @@
     this.handleSent();
   }
 
-  private remove(response: ServerResponse): void {
-    this.open.delete(response);
-    this.handleSent();
+  /** A response that waits for others of its connection is not closed with the connection, so that both are listened to. */
+  private addConnection(socket: Socket): Set<ServerResponse> {
+    const responses = new Set<ServerResponse>();
+    this.open.set(socket, responses);
+    socket.once("close", () => {
+      this.open.delete(socket);
+      this.handleSent();
+    });
+    return responses;
   }
 }
--- a/packages/kernel/test/unsentResponses.test.ts
+++ b/packages/kernel/test/unsentResponses.test.ts
@@ -61,3 +61,28 @@
   await closed;
   t.notOk(server.listening);
 });
+
+t.test(
+  "responses that wait for others of their connection are no longer counted once it is closed",
+  async (t) => {
+    const { server, unsent, address } = await startServer(t);
+    const count = 4;
+    let received = 0;
+    const allReceived = new Promise<void>((resolve) => {
+      server.on("request", () => void (++received === count && resolve()));
+    });
+    const socket = connect(address);
+    socket.on("error", () => undefined);
+    const [[accepted]] = (await Promise.all([once(server, "connection"), once(socket, "connect")])) as [
+      [Socket],
+      unknown,
+    ];
+    socket.write("GET /long HTTP/1.1\r\nhost: a\r\n\r\n".repeat(count));
+    await allReceived;
+    t.equal(unsent.count, count);
+    const closed = new Promise<void>((resolve) => accepted.once("close", () => resolve()));
+    socket.destroy();
+    await closed;
+    t.equal(unsent.count, 0);
+  },
+);
