Close a whole stream although the endpoint that is asked for its rest goes back

Cause: the endpoint that was asked whether the stream goes on began at its last event. That event is not forwarded, but counted as one that had begun, so that the stream was known to go on.

Change: an event that is not after the last one is no sign that the stream goes on.

Result: the new case of unframedStreams.test.ts fails before, in three framings, and passes.

--- a/packages/gateway/src/responses/eventSplitter.ts
+++ b/packages/gateway/src/responses/eventSplitter.ts
@@ -64,7 +64,7 @@
     const whole = this.split(bytes);
     // While it isn't known whether the last event has ended, the next byte tells.
     const isTooLong = this.rest.length > maxHeldBytes && this.openEnd === undefined;
-    if (isTooLong) this.checkId();
+    if (isTooLong) this.hasGoneBack ||= this.goesBack();
     return isTooLong && !this.hasGoneBack ? Buffer.concat([whole, this.releaseRest()]) : whole;
   }
 
@@ -86,9 +86,9 @@
     return all.subarray(0, end);
   }
 
-  /** Whether an event has come, or a part of one; comments are none. */
+  /** Whether an event has come, or a part of one; comments are none, nor is one that goes back. */
   get hasBegunEvent(): boolean {
-    return this.hasCompleted || this.unfinishedBytes > 0;
+    return this.hasCompleted || (this.unfinishedBytes > 0 && !this.hasGoneBack && !this.goesBack());
   }
 
   /** Bytes of an event that has begun and is not complete; 0 between two events. */
@@ -97,10 +97,10 @@
     return isInside ? this.returnedBytes + this.rest.length : 0;
   }
 
-  private checkId(): void {
+  /** Whether the current event is not after the one to continue after, as far as its id is known. */
+  private goesBack(): boolean {
     const { id, after } = this;
-    if (id !== undefined && after !== undefined && after !== "" && !isAfter(id, after))
-      this.hasGoneBack = true;
+    return id !== undefined && after !== undefined && after !== "" && !isAfter(id, after);
   }
 
   /** Returns the begin of an event that is too long to be held back. A line that has begun counts as a whole one. */
@@ -180,7 +180,7 @@
   /** Completes the event that ends at `end`; returns up to where events may be returned, `before` being that of the earlier ones. */
   private completeEvent(end: number, before: number): number {
     this.openEnd = undefined;
-    this.checkId();
+    this.hasGoneBack ||= this.goesBack();
     if (this.hasGoneBack) return before;
     if (!this.hasField) return end;
     this.lastEventId = this.id ?? this.lastEventId;
--- a/packages/gateway/test/unframedStreams.test.ts
+++ b/packages/gateway/test/unframedStreams.test.ts
@@ -126,6 +126,20 @@
   },
 );
 
+t.test(
+  "a whole stream does not break because the endpoint that is asked whether it goes on goes back",
+  async (t) => {
+    const fleet = await startCutOffFleet(t, 1, 3);
+    for (const framing of framings) {
+      const back = { framing, after: events.length - 1 };
+      const received = script(fleet, { framing: RawFraming.Unframed }, back, back);
+      const { body, end } = await fleet.call(0, resumablePath);
+      t.same({ body, end }, { body: stream, end: CallerEnd.Closed }, RawFraming[framing]);
+      t.equal(received.length, 3, "a third one is asked");
+    }
+  },
+);
+
 t.test("a stream that another endpoint continues inside an event only is shown as broken", async (t) => {
   const fleet = await startCutOffFleet(t, 1, 2);
   let calls = 0;
