--- a/scripts/mutants.mjs
+++ b/scripts/mutants.mjs
@@ -61,6 +61,19 @@
   return { violations: [...violations, ...tooFew] };
 }
 
+/** Share of the resumable streams whose end is unverified that may reach their callers as cut. */
+const mostUnconfirmedShare = 0.5;
+
+/** Runs the soak of endpoints that are killed; too many unverified ends that nobody else was asked about count as a violation. */
+async function runConfirmedKillSoak(options) {
+  const { violations, unverified } = await runKillSoak(options);
+  const tooMany =
+    unverified.closed > unverified.all * mostUnconfirmedShare
+      ? [`${unverified.closed} of ${unverified.all} streams closed where their endpoint had cut them`]
+      : [];
+  return { violations: [...violations, ...tooMany] };
+}
+
 /** Runs the soak of drawn bytes; a fault of the daemon itself is thrown by the fleet, and counts as a violation. */
 async function runSpoilingSoak(options) {
   try {
@@ -254,6 +267,18 @@
       ["framingOfPeer === BodyFraming.Chunked ? BodyFraming.Connection : framingOfPeer", "framingOfPeer"],
     ],
   },
+  {
+    name: "confirmed-end",
+    runSoak: runConfirmedKillSoak,
+    file: `${gateway}responses/streamRelay.ts`,
+    edits: [["(this.isUnconfirmed || !this.canContinue())", "true"]],
+  },
+  {
+    name: "event-not-after-the-last",
+    runSoak: runKillSoak,
+    file: `${gateway}responses/eventSplitter.ts`,
+    edits: [["return areNumbers ? Number(id) > Number(other) : id !== other;", "return areNumbers || true;"]],
+  },
   {
     name: "origin-of-take-up",
     runSoak: runHalvedVersionSoak,
