--- a/packages/gateway/src/origins/archiveSegments.ts
+++ b/packages/gateway/src/origins/archiveSegments.ts
@@ -64,6 +64,9 @@
 
   /** Returns the keys of segments that are older than a time; not all of them if they are many. */
   listOlder(time: number): readonly string[] {
+    const { current } = this;
+    // Nothing has been added to it for long.
+    if (current && current.startedAt + segmentMs < time) this.noteWritten(current.startedAt + segmentMs);
     const keys: string[] = [];
     for (const [key, closedAt] of this.closed)
       if (closedAt < time && keys.length < maxRemovals) keys.push(key);
--- a/packages/gateway/test/reviewRecords.test.ts
+++ b/packages/gateway/test/lostRecords.test.ts
@@ -1,7 +1,7 @@
 /*
  * Guards against a record that vouches for the past and yet lists a version as one at which no stream has begun, although streams have.
  */
-import { createRecordBench, recordKey } from "./recordBench.js";
+import { createKnownRecord, createRecordBench, recordKey } from "./recordBench.js";
 import t from "tap";
 
 const settlingMs = 1_500;
@@ -42,10 +42,12 @@
     bench.removeEndpoint("v2");
     bench.era = 2;
     // An instance that has just started was the first to write in the new era.
-    const item = { service: "web", era: 2, proven: false, versions: [{ version: "v1", phase: "open" }] };
-    bench.put(Buffer.from(JSON.stringify(item)));
+    bench.put(createKnownRecord({ proven: false, versions: ["v1"], era: 2 }));
     await bench.advance(3_000);
-    const written = JSON.parse(bench.get().toString());
+    const written = JSON.parse(bench.get().toString()) as {
+      proven: boolean;
+      versions: readonly { version: string }[];
+    };
     t.notOk(written.proven && written.versions.length === 1, JSON.stringify(written));
   },
 );
--- a/packages/gateway/test/reviewOldView.test.ts
+++ b/packages/gateway/test/oldViews.test.ts
@@ -32,7 +32,8 @@
     isListed: () => true,
   });
   const { service } = endpoint.record;
-  const item = { service, era: 0, proven: true, versions: [{ version: "v1", phase: "open" }] };
+  const versions = [{ version: "v1", phase: "open", since: 1 }];
+  const item = { service, serial: 1, era: 0, proven: true, versions };
   const key = `gladewall/stream-versions/${service}`;
   records.handleItem(key, { key, value: Buffer.from(JSON.stringify(item)), revision: 1 });
   const none: OriginAnswer = {
@@ -40,6 +41,8 @@
     begun: new Set(),
     hasSeveral: false,
     isVouched: true,
+    isFresh: false,
+    isHalf: false,
     called: 1,
     silent: 0,
     hasCalledAll: false,
@@ -60,6 +63,14 @@
   return (await takeUps.choose(request)).isOk();
 }
 
+t.test(
+  "an instance whose view is old goes on with a stream if a keeper has heard lately of one version only",
+  async (t) => {
+    t.ok(await takesUp("r", { isFresh: true }));
+    t.notOk(await takesUp("r", { isFresh: true, begun: new Set([1]) }));
+  },
+);
+
 t.test("an instance whose view is old refuses a stream whose caller names no first request", async (t) => {
   t.notOk(await takesUp(undefined, {}));
 });
