Archive what peers told of before the writer knew that it is to be kept

When the archive begins to be needed it adds all that its instance knows. The new test of archiveSegments.test.ts failed before.

--- a/packages/gateway/src/origins/originArchive.ts
+++ b/packages/gateway/src/origins/originArchive.ts
@@ -60,6 +60,7 @@
   private hasListed = false;
   /** Whether the store has been restored since it was written to. */
   private mayHaveLost = false;
+  private wasNeeded = false;
   private writtenAt = -Infinity;
   private readAt = -Infinity;
   private reading: Promise<boolean> = Promise.resolve(false);
@@ -85,7 +86,7 @@
     const { isNeeded, isWriter } = this.options;
     if (!isWriter()) return this.reconcileOthers();
     if (isNeeded() && !this.hasListed) void this.readAll();
-    if (isNeeded() && this.mayHaveLost) this.addAll();
+    this.addUnwritten();
     if (this.pending.size > 0 || this.hasFailed) void this.flush();
     else if (this.isRemovalDue()) void this.flush();
   }
@@ -115,10 +116,15 @@
     return Promise.race([this.reading, waitFor(clock, maxReadMs).then(() => false)]);
   }
 
-  private addAll(): void {
-    const at = this.options.clock.getTime();
-    for (const [key, code] of this.options.table.list()) this.pending.set(key, { code, at });
+  /** Adds all that is known if the store may lack it: peers may have told of streams before this instance knew that they are to be kept. */
+  private addUnwritten(): void {
+    const { clock, isNeeded, table } = this.options;
+    const wasNeeded = this.wasNeeded;
+    this.wasNeeded = isNeeded();
+    if (!this.wasNeeded || (wasNeeded && !this.mayHaveLost)) return;
     this.mayHaveLost = false;
+    const at = clock.getTime();
+    for (const [key, code] of table.list()) this.pending.set(key, { code, at });
   }
 
   private async readItems(): Promise<boolean> {
@@ -152,6 +158,7 @@
     const { clock, store, logger } = this.options;
     const time = clock.getTime();
     this.writtenAt = time;
+    this.addUnwritten();
     const added: OriginEntry[] = [...this.pending].map(([key, { code }]) => [key, code]);
     this.pending.clear();
     const removed = this.listRemovable();
--- a/packages/gateway/test/archiveSegments.test.ts
+++ b/packages/gateway/test/archiveSegments.test.ts
@@ -77,6 +77,20 @@
   t.equal(fleet.items.size, 0, `segments that stay, of ${before}`);
 });
 
+t.test("streams that peers told of before the writer knew that they are to be kept are kept", async (t) => {
+  const fleet = new Fleet();
+  const writer = fleet.add(true);
+  fleet.isNeeded = false;
+  writer.table.record(1, 1, OriginSource.Told);
+  await fleet.advance(100);
+  t.equal(fleet.items.size, 0);
+  fleet.isNeeded = true;
+  t.ok(await Promise.all([writer.archive.flush(), fleet.advance(200)]));
+  const reader = fleet.add(false);
+  await Promise.all([reader.archive.readAll(), fleet.advance(100)]);
+  t.equal(reader.table.find(1)?.code, 1);
+});
+
 t.test("the later of two origins of one key is read", async (t) => {
   let wrong = 0;
   const runs = 20;
