Check in the rejoin soak that streams go on

A stream that is taken up while its version serves is to go on nearly as often as a new one begins, and always where one version has served all along. The rows bothStay and oneStays check it; the callers also count the refused take-ups by the failure that the response names.

--- a/scripts/rejoinSoak.mjs
+++ b/scripts/rejoinSoak.mjs
@@ -1,5 +1,6 @@
 // Runs the soak of streams that are taken up after all instances were killed. `node scripts/rejoinSoak.mjs --seeds 5 --row NAME|all
-// [--seconds 20]`. A seed is broken if a stream held events of two versions, lacked or repeated one, or ended as complete too soon.
+// [--seconds 20]`. A seed is broken if a stream held events of two versions, lacked or repeated one, or ended as complete too soon,
+// or if fewer streams went on than the row demands.
 // Prints for each row how often streams that were taken up went on, beside how often new ones began.
 import { importTest, runSeeds } from "./playSeeds.mjs";
 
@@ -13,13 +14,16 @@
   return `${served}/${all}${all === 0 ? "" : ` (${(served / all).toFixed(3)})`}`;
 }
 
-function formatResult(row, { violated, streams, whole, begun, takenUp, statuses, kills, slowestRefusalMs }) {
-  const counts = Object.entries({ streams, whole, violated, kills }).map(
-    ([name, count]) => `${name} ${count}`,
-  );
+function formatMap(counts) {
+  return JSON.stringify(Object.fromEntries(counts));
+}
+
+function formatResult(row, { streams, whole, violated, kills, ...rest }) {
+  const { begun, takenUp, statuses, refusals, slowestRefusalMs } = rest;
+  const counts = `streams ${streams}, whole ${whole}, violated ${violated}, kills ${kills}`;
   const shares = `went on ${formatShare(takenUp)}, began ${formatShare(begun)}`;
-  const taken = `take-ups by status ${JSON.stringify(Object.fromEntries(statuses))}`;
-  return `${row}: ${counts.join(", ")}, ${shares}, ${taken}, slowest refusal ${slowestRefusalMs.toFixed(0)} ms`;
+  const answers = `take-ups ${formatMap(statuses)}, refused ${formatMap(refusals)}`;
+  return `${row}: ${counts}, ${shares}, ${answers}, slowest refusal ${slowestRefusalMs.toFixed(0)} ms`;
 }
 
 await runSeeds(
@@ -31,7 +35,7 @@
     let isViolated = false;
     for (const played of rows) {
       const result = await runRejoinSoak({ ...options, row: played });
-      isViolated ||= result.violated > 0;
+      isViolated ||= result.violations.length > 0;
       parts.push([formatResult(played, result), ...result.violations].join("; "));
     }
     return { isViolated, text: parts.join("\n  ") };
