--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -8,10 +8,21 @@
 export { OriginArchive } from "./origins/originArchive.js";
 export { type OriginAnswer, OriginGossip } from "./origins/originGossip.js";
 export { OriginTable } from "./origins/originTable.js";
-export { OriginRecorder, TakeUps } from "./origins/takeUps.js";
+export { OriginKeeper } from "./origins/originKeeper.js";
+export { OriginRecorder } from "./origins/originRecorder.js";
+export { TakeUps } from "./origins/takeUps.js";
 export { VersionHistory } from "./origins/versionHistory.js";
 export { VersionItems } from "./origins/versionItems.js";
-export { createStreamKey, encodeOrigin, mayServe, type StreamOrigin } from "./origins/streamOrigin.js";
+export { VersionRecorder } from "./origins/versionRecorder.js";
+export { VersionRecords } from "./origins/versionRecords.js";
+export {
+  createStreamKey,
+  encodeOrigin,
+  isBegun,
+  mayServe,
+  type RequiredOrigin,
+  type StreamOrigin,
+} from "./origins/streamOrigin.js";
 export { runGatewayDaemon } from "./daemon.js";
 export { Admission } from "./limits/admission.js";
 export { MemberRecords } from "./fleet/memberRecords.js";
@@ -42,8 +53,8 @@
 export { EndpointLimits } from "./limits/endpointLimits.js";
 export { EndpointAvailability, AvailabilityCache, LeavingSource } from "./endpoints/endpointAvailability.js";
 export { EndpointDirectory } from "./endpoints/endpointDirectory.js";
-export { CapacityOrders } from "./capacityOrders.js";
-export { planCapacity, type CapacityInput, type HallCount } from "./capacityPlan.js";
+export { CapacityOrders } from "./capacity/capacityOrders.js";
+export { planCapacity, type CapacityInput, type HallCount } from "./capacity/capacityPlan.js";
 export { CountHandover } from "./countHandover.js";
 export { FleetRoles } from "./fleet/fleetRoles.js";
 export { ConfigurationFollower, StoreRole } from "./configurationFollower.js";
@@ -66,7 +77,7 @@
 export { QuarantineItems } from "./crashes/quarantineItems.js";
 export { CrashDetector } from "./crashes/crashDetector.js";
 export type { InFlightRequest } from "./crashes/inFlightRequest.js";
-export { DemandEstimator } from "./demandEstimator.js";
+export { DemandEstimator } from "./capacity/demandEstimator.js";
 export { LeaderTasks } from "./leaderTasks.js";
 export { FencedLeases } from "./fencedLeases.js";
 export { EraSettling } from "./store/eraSettling.js";
