--- a/scripts/rejoinSoak.mjs
+++ b/scripts/rejoinSoak.mjs
@@ -19,10 +19,10 @@
 }
 
 function formatResult(row, { streams, whole, violated, kills, ...rest }) {
-  const { begun, takenUp, statuses, refusals, slowestRefusalMs } = rest;
+  const { begun, takenUp, statuses, refusals, refusalsOfNew, slowestRefusalMs } = rest;
   const counts = `streams ${streams}, whole ${whole}, violated ${violated}, kills ${kills}`;
   const shares = `went on ${formatShare(takenUp)}, began ${formatShare(begun)}`;
-  const answers = `take-ups ${formatMap(statuses)}, refused ${formatMap(refusals)}`;
+  const answers = `take-ups ${formatMap(statuses)}, refused ${formatMap(refusals)}, new ones ${formatMap(refusalsOfNew)}`;
   return `${row}: ${counts}, ${shares}, ${answers}, slowest refusal ${slowestRefusalMs.toFixed(0)} ms`;
 }
 
--- a/scripts/versionSoak.mjs
+++ b/scripts/versionSoak.mjs
@@ -13,9 +13,9 @@
     const killedShare = share === undefined ? undefined : Number(share);
     const versions = hasOneVersion ? { versions: ["v1"] } : {};
     const result = await runVersionSoak({ ...options, ...versions, killedShare });
-    const { violations, statuses, refusals, events, ...counts } = result;
-    const text = [counts, ...[statuses, refusals, events].map(Object.fromEntries)].map((part) =>
-      JSON.stringify(part),
+    const { violations, statuses, refusals, refusalsOfNew, events, ...counts } = result;
+    const text = [counts, ...[statuses, refusals, refusalsOfNew, events].map(Object.fromEntries)].map(
+      (part) => JSON.stringify(part),
     );
     return { isViolated: violations.length > 0, text: [text.join(" "), ...violations].join("; ") };
   },
