--- a/packages/gateway/src/responses/streamRelay.ts
+++ b/packages/gateway/src/responses/streamRelay.ts
@@ -8,7 +8,14 @@
 import { ReadGate, type ReadGateOptions } from "../bodies/readGate.js";
 import { EventHold } from "./eventHold.js";
 import { EventSplitter, removeByteOrderMark } from "./eventSplitter.js";
-import { type EndedResponse, endConsequences, type EndpointResponse, readEndOrFail } from "./responseEnd.js";
+import {
+  ConnectionEnd,
+  type EndedResponse,
+  endConsequences,
+  type EndpointResponse,
+  readEndOrFail,
+  ResponseEnd,
+} from "./responseEnd.js";
 import { isHeaderValue } from "./responseHead.js";
 import { copyResponseHeaders } from "./responseHeaders.js";
 import { isFramed, writeResponseHead } from "./responseWriter.js";
@@ -23,9 +30,16 @@
   return isSuccess && eventStreamPattern.test(headers["content-type"] ?? "text/event-stream");
 }
 
+/** Returns the end of a stream that doesn't continue where it was to: for its caller it is as good as broken off. */
+function createBackwardEnd({ framing }: EndpointResponse): EndedResponse {
+  return { end: ResponseEnd.Interrupted, framing, connection: ConnectionEnd.Open, unfinishedBytes: 0 };
+}
+
 /** Options of a relay. */
 export interface StreamRelayOptions extends Pick<ReadGateOptions, "clock" | "pace"> {
   readonly isResumable: boolean;
+  /** Id of the event after which the caller takes the stream up; undefined if it begins. */
+  readonly resumesAfter: string | undefined;
   /** Whether the instance is leaving, so that the response should close its connection. */
   readonly isLeaving: () => boolean;
 }
@@ -35,6 +49,7 @@
   private splitter: EventSplitter;
   private lastId: string | undefined;
   private endsWithoutId = false;
+  private isConfirming = false;
 
   private constructor(
     private readonly response: ServerResponse,
@@ -52,6 +67,11 @@
     return this.splitter.lastEventId ?? this.lastId;
   }
 
+  /** Whether the last endpoint did not continue after the event that it was asked to continue after. */
+  get hasGoneBack(): boolean {
+    return this.splitter.hasGoneBack;
+  }
+
   /** Whether another endpoint can continue after the last event that was forwarded, without a gap and without repeating one. */
   canContinue(): boolean {
     const isAfterEvent = !this.endsWithoutId && !this.splitter.hasReturnedPart;
@@ -59,12 +79,47 @@
   }
 
   /**
-   * Whether the response may end now, given how the last endpoint's stream ended. A stream of which nothing has been forwarded ends only as
-   * complete: the caller would take it for an empty one.
+   * Whether the response may end now, given how the last endpoint's stream ended. If that is not certain, another endpoint is asked where
+   * one can continue; two that end after the same event confirm each other.
    */
   canFinish({ end }: EndedResponse): boolean {
     const { isComplete, mayClose } = endConsequences[end];
-    return isComplete || (mayClose && this.response.headersSent && !isFramed(this.response));
+    return isComplete || (mayClose && this.canClose() && (this.isUnconfirmed || !this.canContinue()));
+  }
+
+  /**
+   * Whether the response may be closed without saying that it is complete. A stream of which nothing has been forwarded may not: the caller
+   * would take it for an empty one.
+   */
+  private canClose(): boolean {
+    return this.response.headersSent && !isFramed(this.response);
+  }
+
+  /** Notes that another endpoint is asked whether the stream goes on after the last event. */
+  beginConfirmation(): void {
+    // An unverified end is not inside an event, so that these are comments.
+    const rest = this.splitter.takeRest();
+    if (rest.length > 0 && this.response.headersSent) this.response.write(rest);
+    this.beginStream();
+    this.isConfirming = this.canClose();
+  }
+
+  private beginStream(): void {
+    this.isConfirming = this.isUnconfirmed;
+    this.lastId = this.lastEventId;
+    this.splitter = EventSplitter.create(this.options.isResumable, this.lastId ?? this.options.resumesAfter);
+  }
+
+  /** Whether another endpoint was asked whether the stream goes on, and has brought nothing yet. */
+  get isUnconfirmed(): boolean {
+    return this.isConfirming && !this.splitter.hasBegunEvent;
+  }
+
+  /** Closes the response if nobody has said that the stream goes on; returns whether it did. */
+  tryClose(): boolean {
+    const { isUnconfirmed } = this;
+    if (isUnconfirmed) this.response.end();
+    return isUnconfirmed;
   }
 
   /**
@@ -77,15 +132,18 @@
     fail: (error: unknown) => void,
   ): Promise<EndedResponse> {
     const { message } = received;
-    this.lastId = this.lastEventId;
-    this.splitter = EventSplitter.create(this.options.isResumable);
+    this.beginStream();
     const gate = ReadGate.create(message, this.response, { ...this.options, fail });
     const hold = EventHold.create(message, (bytes) => this.write(received, bytes));
     let isFirst = true;
     return new Promise((resolve) => {
+      // Only the first call has an effect, because a promise settles once.
+      const end = (ended: EndedResponse): void => void hold.released.then(() => resolve(ended));
       const receive = (bytes: Buffer): void => {
+        if (this.splitter.hasGoneBack) return;
         forward(bytes);
-        gate.record(bytes);
+        if (this.splitter.hasGoneBack) end(createBackwardEnd(received));
+        else gate.record(bytes);
       };
       const forward = (bytes: Buffer): void => {
         const whole = this.splitter.add(bytes);
@@ -97,12 +155,8 @@
         hold.forward(isContinued ? removeByteOrderMark(whole) : whole);
       };
       message.on("data", containThrows(receive, fail));
-      const finish = (): void => {
-        const ended = readEndOrFail(received, fail, this.splitter.unfinishedBytes);
-        void hold.released.then(() => resolve(ended));
-      };
+      const finish = (): void => end(readEndOrFail(received, fail, this.splitter.unfinishedBytes));
       message.on("end", finish);
-      // After "end" this has no effect, because a promise settles only once.
       message.on("close", finish);
     });
   }
