Let each simulated instance know the store's era from responses

All instances knew a new era at once, an instance that was cut off still counted as linked with all keepers, and one that a peer had fed never got later changes. Each now has its own connection to the store, tells the archive of a restore as the runtime does, and lists the store once more after it was fed.

--- a/packages/gateway/test/originFleet.ts
+++ b/packages/gateway/test/originFleet.ts
@@ -85,6 +85,7 @@
     for (const member of this.members) {
       member.isLinked = true;
       member.isReady = true;
+      member.store.noteEra(this.store.era);
     }
     for (let index = 0; index < options.endpoints; index++) this.endpoints.start();
     this.reconcile();
@@ -132,6 +133,14 @@
     return keepers.map(({ name }) => name);
   }
 
+  hasAllKeepers(member: OriginMember): boolean {
+    const others = this.members.filter((other) => other !== member && other.isAlive);
+    // In a large fleet other keepers take the place of those that are cut off.
+    return this.isMesh
+      ? others.every((other) => this.isReachable(member, other))
+      : others.every((other) => other.isLinked);
+  }
+
   send(from: OriginMember, name: string, message: PeerMessage): boolean {
     const to = this.members.find((member) => member.name === name);
     if (!to || !this.isReachable(from, to)) return false;
@@ -232,25 +241,35 @@
 
   private makeReady(member: OriginMember): void {
     if (!member.isAlive || member.isReady) return;
-    member.followed.apply(this.store.getItems());
-    for (const endpoint of this.endpoints.list()) member.addEndpoint(endpoint);
+    this.applyItems(member);
+    member.listEndpoints(this.endpoints.list());
     member.noteHeard();
     member.isReady = true;
   }
 
   private feed(member: OriginMember, reader: OriginMember): void {
     if (!member.isAlive || member.isReady || !this.isReachable(member, reader)) return;
+    member.store.noteEra(reader.store.eras.current);
     member.followed.copyFrom(reader.followed);
     for (const { id, record } of reader.known) member.addEndpoint({ id, version: record.softwareVersion });
     member.noteHeard();
     member.isReady = true;
+    // The reader may not have known the latest changes, which it sends later.
+    this.clock.startTimer(this.random() * feedMs, () => this.relist(member));
+  }
+
+  private relist(member: OriginMember): void {
+    if (!member.isAlive) return;
+    if (!this.store.isReachable) return void this.clock.startTimer(listRetryMs, () => this.relist(member));
+    member.listEndpoints(this.endpoints.list());
+    this.showItems(member);
   }
 
   /** Shows the store's content to all instances that have listed it. */
   private spreadItems(): void {
     const { itemDelayMs = 0 } = this.options;
     for (const member of this.members) {
-      if (itemDelayMs === 0) member.followed.apply(this.store.getItems());
+      if (itemDelayMs === 0) this.applyItems(member);
       else this.clock.startTimer(this.random() * itemDelayMs, () => this.showItems(member));
     }
   }
@@ -259,7 +278,12 @@
     if (!member.isAlive || !member.isReady) return;
     const isHeld = member.isPaused || !this.store.isReachable;
     if (isHeld) this.clock.startTimer(listRetryMs, () => this.showItems(member));
-    else member.followed.apply(this.store.getItems());
+    else this.applyItems(member);
+  }
+
+  private applyItems(member: OriginMember): void {
+    member.store.noteEra(this.store.era);
+    member.followed.apply(this.store.getItems());
   }
 
   private isReachable(from: OriginMember, to: OriginMember): boolean {
--- a/packages/gateway/test/originMember.ts
+++ b/packages/gateway/test/originMember.ts
@@ -5,6 +5,7 @@
 import {
   type Endpoint,
   GatewayMetrics,
+  isRestore,
   mayServe,
   OriginArchive,
   OriginGossip,
@@ -25,7 +26,7 @@
 import type { Result } from "ts-results-es";
 import { createKnownEndpoint } from "./knownEndpoints.js";
 import type { SimulatedEndpoint } from "./originEndpoints.js";
-import { FollowedItems, type SimulatedStore } from "./originStore.js";
+import { FollowedItems, type SimulatedStore, StoreConnection } from "./originStore.js";
 
 export const service = "s";
 
@@ -51,6 +52,8 @@
   /** Returns the time of day of the machine that a member runs on. */
   getTimeOfDay(member: OriginMember): number;
   getKeepers(member: OriginMember): readonly string[];
+  /** Whether a member is linked with all keepers that run. */
+  hasAllKeepers(member: OriginMember): boolean;
   send(from: OriginMember, name: string, message: PeerMessage): boolean;
   call(
     from: OriginMember,
@@ -88,6 +91,7 @@
   readonly handlers = new Map<number, Handler>();
   readonly linkListeners: ((peer: PeerIdentity) => void)[] = [];
   readonly followed: FollowedItems;
+  readonly store: StoreConnection;
   private heardAt: number;
   private readonly parts: MemberParts;
 
@@ -96,6 +100,7 @@
     readonly index: number,
   ) {
     this.heardAt = fleet.clock.getTime();
+    this.store = StoreConnection.create(fleet.store);
     this.parts = this.createParts();
     this.followed = FollowedItems.create((key, item) => {
       this.parts.items.handleItem(key, item);
@@ -140,6 +145,13 @@
     await this.parts.recorder.record(request, origin);
   }
 
+  /** Applies the complete list of the endpoints' records. */
+  listEndpoints(endpoints: readonly SimulatedEndpoint[]): void {
+    const listed = new Set(endpoints.map(({ id }) => id));
+    for (const { id } of [...this.known]) if (!listed.has(id)) this.removeEndpoint(id);
+    for (const endpoint of endpoints) this.addEndpoint(endpoint);
+  }
+
   /** Notes that the store or a reader sent something. */
   noteHeard(): void {
     this.heardAt = this.fleet.clock.getTime();
@@ -158,7 +170,7 @@
     const getRetentionMs = (): number => fleet.retentionMs;
     const history = VersionHistory.create({ clock, getRetentionMs });
     const table = OriginTable.create({ clock, getRetentionMs });
-    const store = fleet.store as unknown as MetadataStore;
+    const store = this.store as unknown as MetadataStore;
     const isListed = (): boolean => this.isReady;
     const kept = {
       store,
@@ -178,6 +190,9 @@
       table,
       isNeeded: () => history.hasMixedServices || !records.isProven(service),
     });
+    store.eras.onEraChange((change) => {
+      if (isRestore(change)) archive.noteRestored();
+    });
     const keeper = OriginKeeper.create({
       clock,
       logger: Logger.createSilent(),
@@ -216,7 +231,7 @@
 
   private createLinks(): GossipFleet {
     const { fleet } = this;
-    const isLinked = (other: OriginMember): boolean => other.isLinked || !other.isAlive;
+    const hasAllKeepers = (): boolean => fleet.hasAllKeepers(this);
     return {
       links: {
         setHandler: (kind, handler) => void this.handlers.set(kind, handler),
@@ -226,7 +241,7 @@
       },
       getKeepers: () => fleet.getKeepers(this),
       get hasAllKeepers() {
-        return fleet.members.every(isLinked);
+        return hasAllKeepers();
       },
       isMesh: fleet.isMesh,
       findPeerUptime: () => undefined,
--- a/packages/gateway/test/originStore.ts
+++ b/packages/gateway/test/originStore.ts
@@ -3,7 +3,13 @@
  * higher era.
  * @module
  */
-import { initialEra, type MetadataStore, type StoreItem, type StoreListing } from "@gladewall/gateway";
+import {
+  EraSource,
+  initialEra,
+  type MetadataStore,
+  type StoreItem,
+  type StoreListing,
+} from "@gladewall/gateway";
 import { type Clock, Failure, FailureCode, waitFor } from "@gladewall/kernel";
 import { Err, Ok, type Result } from "ts-results-es";
 
@@ -20,6 +26,7 @@
 /** Time after which a call to an unreachable store fails. */
 const callTimeoutMs = 300;
 const maxCopies = 12;
+const firstEra = 1;
 
 /** Options of the store. */
 export interface SimulatedStoreOptions {
@@ -36,22 +43,13 @@
   writes = 0;
   /** Values of transactions, in bytes. */
   writtenBytes = 0;
-  era = initialEra;
-  /** What the store's responses have told of its era. */
-  readonly eras: Pick<MetadataStore["eras"], "current">;
+  era = firstEra;
   private unreachableSince: number | undefined;
   private revision = 0;
   private items = new Map<string, StoreItem>();
   private readonly copies: StoreCopy[] = [];
 
-  private constructor(private readonly options: SimulatedStoreOptions) {
-    const getEra = (): number => this.era;
-    this.eras = {
-      get current() {
-        return getEra();
-      },
-    };
-  }
+  private constructor(private readonly options: SimulatedStoreOptions) {}
 
   static create(options: SimulatedStoreOptions): SimulatedStore {
     return new SimulatedStore(options);
@@ -89,7 +87,7 @@
     if (!copy) return undefined;
     this.items = new Map(copy.items);
     this.revision = copy.revision;
-    this.era = Math.floor(this.era) + 1;
+    this.era += 1;
     this.copies.length = 0;
     this.options.onChanged();
     return copy.takenAt;
@@ -114,11 +112,6 @@
     return Ok({ items, position });
   }
 
-  async read(key: string): Promise<Result<{ item: StoreItem | undefined; era: number }, Failure>> {
-    if (!(await this.tryReach())) return Err(Failure.create(FailureCode.ServiceUnavailable, {}));
-    return Ok({ item: this.items.get(key), era: this.era });
-  }
-
   private meetsConditions({ expected }: Transaction): boolean {
     return expected.every(({ key, revision }) => (this.items.get(key)?.revision ?? 0) === revision);
   }
@@ -145,6 +138,54 @@
   }
 }
 
+type EraListener = Parameters<MetadataStore["eras"]["onEraChange"]>[0];
+
+/** The store as one instance reaches it: what it knows of the era comes from responses. */
+export class StoreConnection {
+  private era = initialEra;
+  private readonly listeners: EraListener[] = [];
+  readonly eras: Pick<MetadataStore["eras"], "current" | "onEraChange">;
+
+  private constructor(private readonly store: SimulatedStore) {
+    const getEra = (): number => this.era;
+    this.eras = {
+      get current() {
+        return getEra();
+      },
+      onEraChange: (listener) => void this.listeners.push(listener),
+    };
+  }
+
+  static create(store: SimulatedStore): StoreConnection {
+    return new StoreConnection(store);
+  }
+
+  /** Notes the era of a response, or the one that another instance told. */
+  noteEra(era: number): void {
+    if (era <= this.era) return;
+    const change = { from: this.era, to: era, source: EraSource.Answer, revisionBefore: 0 };
+    this.era = era;
+    for (const listener of this.listeners) listener(change);
+  }
+
+  /** A transaction that was sent in one era and applied in another counts as lost, although it was applied. */
+  async transact(transaction: Transaction): Promise<Result<StorePosition, Failure>> {
+    const { era } = this;
+    const written = await this.store.transact(transaction);
+    if (written.isErr()) return written;
+    this.noteEra(written.value.era);
+    return era === this.era ? written : Err(Failure.create(FailureCode.ServiceAnswerLost, {}));
+  }
+
+  async list(prefix: string): Promise<Result<StoreListing, Failure>> {
+    const listed = await this.store.list(prefix);
+    if (listed.isErr()) return listed;
+    const { era } = listed.value.position;
+    this.noteEra(era);
+    return era === this.era ? listed : Err(Failure.create(FailureCode.ServiceAnswerLost, {}));
+  }
+}
+
 /** Receives items that were put, or undefined for those that were removed. */
 export type ItemListener = (key: string, item: StoreItem | undefined) => void;
 
