--- a/scripts/mutants.mjs
+++ b/scripts/mutants.mjs
@@ -15,6 +15,8 @@
 const { runRetrySoak } = await importTest("retrySoak");
 const { runKillSoak } = await importTest("killSoak");
 const { runVersionSoak } = await importTest("versionSoak");
+const { runRejoinSoak } = await importTest("rejoinSoak");
+const { RejoinRow } = await importTest("rejoinSoakTypes");
 const { runPartSoak } = await importTest("partSoak");
 const { runByteSoak } = await importTest("byteSoak");
 
@@ -50,6 +52,16 @@
   return { violations: [...tooMany, ...tooFew] };
 }
 
+/** Runs the soak of versions that change while all instances are down. */
+function runChangedWhileDownSoak(options) {
+  return runRejoinSoak({ ...options, row: RejoinRow.ChangedWhileDown });
+}
+
+/** Runs the soak of versions that change while the store is dark and all instances are down. */
+function runUnrecordedSoak(options) {
+  return runRejoinSoak({ ...options, row: RejoinRow.ChangedAtOnceStoreDark });
+}
+
 /** Share of the take-ups that go on, of the share of new streams that begin, after half of the instances were killed. */
 const leastTakeUpShare = 0.95;
 
@@ -290,41 +302,56 @@
     runSoak: runHalvedVersionSoak,
     file: `${gateway}responses/relayStage.ts`,
     edits: [
-      ["context.origin ??= origin;", ""],
-      ["head, workspace }, context.origin);", "head, workspace }, origin);"],
+      ["const begunAt = isBegun(context.origin) ? context.origin : origin;", "const begunAt = origin;"],
+      ["context.origin = begunAt;", ""],
     ],
   },
   {
     name: "version-at-placement",
     runSoak: runHalvedVersionSoak,
-    file: `${gateway}placement.ts`,
+    file: `${gateway}placement/placer.ts`,
     edits: [["if (!mayServe(origin, endpoint)) continue;", ""]],
   },
   {
     name: "origin-told",
     runSoak: runHalvedVersionSoak,
-    file: `${gateway}origins/takeUps.ts`,
-    edits: [["if (history.hasSeveral(origin.service)) gossip.announce(key, code);", ""]],
+    file: `${gateway}origins/originRecorder.ts`,
+    edits: [
+      ["gossip.announce(key, code);", "void gossip;"],
+      ["return keeper.keep(key, code);", "void keeper; return undefined;"],
+    ],
   },
   {
     name: "unknown-origin-refused",
     runSoak: runVersionSoak,
     file: `${gateway}origins/takeUps.ts`,
     edits: [
-      ["mayDiffer ? TakeUpOutcome.OriginUnknown : TakeUpOutcome.OneVersion", "TakeUpOutcome.OneVersion"],
+      ["if (!origin || others.length > 0) return undefined;", "if (!origin) return undefined; void others;"],
+      [
+        "return isCertain && !isElsewhere ? origin : undefined;",
+        "void isCertain, isElsewhere; return origin;",
+      ],
     ],
   },
   {
     name: "versions-of-the-past",
-    runSoak: runVersionSoak,
+    runSoak: runChangedWhileDownSoak,
     file: `${gateway}origins/versionHistory.ts`,
     edits: [
       [
-        "if (goneAt !== undefined && goneAt < oldestAt) versions.delete(code);",
+        "if (goneAt !== undefined && goneAt < oldestAt && !isRecorded) versions.delete(code);",
         "if (goneAt !== undefined) versions.delete(code);",
       ],
     ],
   },
+  {
+    name: "begin-at-recorded-versions",
+    runSoak: runUnrecordedSoak,
+    file: `${gateway}origins/streamOrigin.ts`,
+    edits: [
+      ["isSameOrigin(required, record) : required.mayBegin(record)", "isSameOrigin(required, record) : true"],
+    ],
+  },
 ];
 
 /** Returns a bundler plug-in that removes a guard; the build fails if the file does not contain each text exactly once. */
