--- a/packages/gateway/test/streamDoors.test.ts
+++ b/packages/gateway/test/streamDoors.test.ts
@@ -83,6 +83,18 @@
   t.end();
 });
 
+t.test("a stream begins only at a version at which streams may begin", (t) => {
+  const openVersions = {
+    mayBegin: ({ softwareVersion }: { readonly softwareVersion?: string | undefined }) =>
+      softwareVersion === "v2",
+  };
+  t.same(
+    all.filter((endpoint) => mayServe(openVersions, endpoint)),
+    [other],
+  );
+  t.end();
+});
+
 t.test("placement chooses an endpoint of the stream's version, and none if there is none", (t) => {
   const request = { service, promptTokens: 1, parts: [], excluded: new Set<string>(), origin };
   t.equal(createPlacer(all).choose(request)?.endpoint, same);
