--- a/packages/kernel/test/unsentResponses.test.ts
+++ b/packages/kernel/test/unsentResponses.test.ts
@@ -21,7 +21,10 @@
     response.end(Buffer.alloc(length));
   });
   await listen(server, "127.0.0.1:0");
-  t.teardown(() => server.closeAllConnections());
+  t.teardown(() => {
+    server.close();
+    server.closeAllConnections();
+  });
   return { server, unsent, address: parseAddress(getListenAddress(server)) };
 }
 
