Simplify what keeps and records where streams began

The page of the versions' items says what they are for: a service with one version has a record (gladewall/stream-versions/SERVICE), and a fleet that was killed whole reads from it which version served before.

--- a/packages/gateway/src/origins/archiveSegments.ts
+++ b/packages/gateway/src/origins/archiveSegments.ts
@@ -48,9 +48,7 @@
   /** Notes that the current segment has been written. What was not written stays in it for the next write. */
   noteWritten(time: number): void {
     const { current } = this;
-    if (!current || time - current.startedAt < segmentMs) return;
-    this.closed.set(current.key, time);
-    this.current = undefined;
+    if (current && time - current.startedAt >= segmentMs) this.close(current, time);
   }
 
   /** Notes the keys of segments in the store; other instances may have written them. */
@@ -66,7 +64,7 @@
   listOlder(time: number): readonly string[] {
     const { current } = this;
     // Nothing has been added to it for long.
-    if (current && current.startedAt + segmentMs < time) this.noteWritten(current.startedAt + segmentMs);
+    if (current && current.startedAt + segmentMs < time) this.close(current, current.startedAt + segmentMs);
     const keys: string[] = [];
     for (const [key, closedAt] of this.closed)
       if (closedAt < time && keys.length < maxRemovals) keys.push(key);
@@ -78,6 +76,11 @@
     for (const key of keys) this.closed.delete(key);
   }
 
+  private close({ key }: Segment, time: number): void {
+    this.closed.set(key, time);
+    this.current = undefined;
+  }
+
   private start(time: number): Segment {
     this.count += 1;
     this.current = { key: `${archivePrefix}${this.name}.${this.count}`, startedAt: time, entries: [] };
--- a/packages/gateway/src/origins/originArchive.ts
+++ b/packages/gateway/src/origins/originArchive.ts
@@ -58,9 +58,8 @@
   private queued: Promise<boolean> | undefined;
   private hasFailed = false;
   private hasListed = false;
-  /** Whether the store has been restored since it was written to. */
-  private mayHaveLost = false;
-  private wasNeeded = false;
+  /** Whether all that this instance knows has been written, or is pending. */
+  private hasAll = false;
   private writtenAt = -Infinity;
   private readAt = -Infinity;
   private reading: Promise<boolean> = Promise.resolve(false);
@@ -78,7 +77,7 @@
 
   /** Notes that the store was restored from a copy, and may have lost what it kept. */
   noteRestored(): void {
-    this.mayHaveLost = true;
+    this.hasAll = false;
   }
 
   /** Writes what became known since the last write, and removes old segments; called several times a second. */
@@ -87,8 +86,7 @@
     if (!isWriter()) return this.reconcileOthers();
     if (isNeeded() && !this.hasListed) void this.readAll();
     this.addUnwritten();
-    if (this.pending.size > 0 || this.hasFailed) void this.flush();
-    else if (this.isRemovalDue()) void this.flush();
+    if (this.pending.size > 0 || this.hasFailed || this.isRemovalDue()) void this.flush();
   }
 
   /** Writes entries, and all else that is known now; resolves with whether they are in the store. */
@@ -119,10 +117,9 @@
   /** Adds all that is known if the store may lack it: peers may have told of streams before this instance knew that they are to be kept. */
   private addUnwritten(): void {
     const { clock, isNeeded, table } = this.options;
-    const wasNeeded = this.wasNeeded;
-    this.wasNeeded = isNeeded();
-    if (!this.wasNeeded || (wasNeeded && !this.mayHaveLost)) return;
-    this.mayHaveLost = false;
+    const hadAll = this.hasAll;
+    this.hasAll = isNeeded();
+    if (hadAll || !this.hasAll) return;
     const at = clock.getTime();
     for (const [key, code] of table.list()) this.pending.set(key, { code, at });
   }
--- a/packages/gateway/src/origins/originParts.ts
+++ b/packages/gateway/src/origins/originParts.ts
@@ -92,7 +92,6 @@
     ...base,
     records,
     getServices: () => routes.getServices(),
-    isReady: () => members.isListed && directory.isListed,
     isWriter: () => isWriter(archiveSubject),
     // A version opens once the streams that began before it joined are in the store.
     confirmJoining: async (service, codes) =>
--- a/packages/gateway/src/origins/originTable.ts
+++ b/packages/gateway/src/origins/originTable.ts
@@ -77,15 +77,17 @@
 
   /** Returns the streams of this instance: key and code of the origin. */
   *getOwn(): Iterable<readonly [key: number, code: number]> {
-    this.dropOld();
-    for (const [key, { code, source }] of [...this.older, ...this.recent])
-      if (source === OriginSource.Own) yield [key, code];
+    for (const [key, { code, source }] of this.getAll()) if (source === OriginSource.Own) yield [key, code];
   }
 
   /** Returns all streams: key and code of the origin. */
   *list(): Iterable<readonly [key: number, code: number]> {
+    for (const [key, { code }] of this.getAll()) yield [key, code];
+  }
+
+  private getAll(): Iterable<readonly [key: number, known: KnownOrigin]> {
     this.dropOld();
-    for (const [key, { code }] of [...this.older, ...this.recent]) yield [key, code];
+    return [...this.older, ...this.recent];
   }
 
   private dropOld(): void {
--- a/packages/gateway/src/origins/versionItems.ts
+++ b/packages/gateway/src/origins/versionItems.ts
@@ -1,6 +1,6 @@
 /**
- * Keeps the versions of services of which more than one serves as items of the platform's store, so that an instance which starts after
- * a version has gone knows of it, also if all instances were killed. A service with one version has no item.
+ * Keeps the versions of services of which more than one serves as items of the platform's store, and reads them: instances of earlier
+ * builds know no others. What streams begin and go on by, also in a service with one version, is the record of versions.
  * @module
  */
 import type { Clock, Logger } from "@gladewall/kernel";
--- a/packages/gateway/src/origins/versionRecorder.ts
+++ b/packages/gateway/src/origins/versionRecorder.ts
@@ -3,7 +3,7 @@
  * where its streams began. It opens once all instances have confirmed this, or after a time in which they have all read of it.
  * @module
  */
-import { type Clock, type Logger } from "@gladewall/kernel";
+import type { Clock, Logger } from "@gladewall/kernel";
 import type { MetadataStore } from "../types.js";
 import { encodeOrigin, isSameOrigin } from "./streamOrigin.js";
 import type { VersionAge, VersionHistory } from "./versionHistory.js";
@@ -28,8 +28,6 @@
   readonly records: VersionRecords;
   /** Services of the routes whose streams may be resumed. */
   readonly getServices: () => readonly string[];
-  /** Whether this instance has listed what it needs to write. */
-  readonly isReady: () => boolean;
   /** Whether this instance is the one that writes while all goes well. */
   readonly isWriter: () => boolean;
   /** Resolves with whether all instances have read that versions of a service join, and have told where their streams began. */
@@ -41,7 +39,7 @@
 }
 
 /** Time after which all instances have read a change, or know that they have heard nothing for too long; see `maxViewAgeMs`. */
-export const settlingMs = 1_500;
+const settlingMs = 1_500;
 /** Time after which another instance writes what the writer has not, and the spread of these times. */
 const substituteMs = 600;
 const substituteSpreadMs = 600;
@@ -89,9 +87,8 @@
 
   /** Writes what has changed; called several times a second, and when something has. */
   reconcile(): void {
-    const { records, isReady, getServices } = this.options;
-    records.noteListed();
-    if (!isReady()) return;
+    const { records, getServices } = this.options;
+    if (!records.noteListed()) return;
     for (const service of getServices()) this.reconcileService(service);
   }
 
--- a/packages/gateway/src/origins/versionRecords.ts
+++ b/packages/gateway/src/origins/versionRecords.ts
@@ -49,9 +49,9 @@
   readonly revision: number;
 }
 
-/** Longest time for which a stream waits until one may begin at a version that serves, or is known to, and the pause between two looks. */
-const maxOpenWaitMs = 2_000;
-const openPollMs = 10;
+/** Longest time for which a stream waits until this instance has listed the store, or a version that serves has opened; pause between two looks. */
+const maxWaitMs = 2_000;
+const pollMs = 10;
 
 /** The records by service. */
 export class VersionRecords implements OpenVersions {
@@ -74,9 +74,11 @@
     this.listeners.push(listener);
   }
 
-  /** Notes since when this instance follows the records; called several times a second. */
-  noteListed(): void {
-    if (this.options.isListed()) this.listedAt ??= this.options.clock.getTime();
+  /** Notes since when this instance follows the records, and returns whether it does; called several times a second. */
+  noteListed(): boolean {
+    const isListed = this.options.isListed();
+    if (isListed) this.listedAt ??= this.options.clock.getTime();
+    return isListed;
   }
 
   /** Handles an item that was written or removed; ignores keys outside the prefix of the records. */
@@ -135,17 +137,19 @@
   }
 
   /** Waits, for a while at most, until this instance has listed what an instance that has just started doesn't know. */
-  async waitUntilListed(): Promise<void> {
-    const { clock, isListed } = this.options;
-    const endsAt = clock.getTime() + maxOpenWaitMs;
-    while (!isListed() && clock.getTime() < endsAt) await waitFor(clock, openPollMs);
+  waitUntilListed(): Promise<void> {
+    return this.waitWhile(() => !this.options.isListed());
   }
 
   /** Waits, for a while at most, until a stream may begin at a version of a service, if one serves at which none may yet. */
-  async waitUntilOpen(service: string): Promise<void> {
+  waitUntilOpen(service: string): Promise<void> {
+    return this.waitWhile(() => this.isOpening(service));
+  }
+
+  private async waitWhile(isPending: () => boolean): Promise<void> {
     const { clock } = this.options;
-    const endsAt = clock.getTime() + maxOpenWaitMs;
-    while (this.isOpening(service) && clock.getTime() < endsAt) await waitFor(clock, openPollMs);
+    const endsAt = clock.getTime() + maxWaitMs;
+    while (isPending() && clock.getTime() < endsAt) await waitFor(clock, pollMs);
   }
 
   /** Whether versions of a service serve, and streams may begin at none of them. */
--- a/packages/gateway/test/originMember.ts
+++ b/packages/gateway/test/originMember.ts
@@ -219,7 +219,6 @@
       ...kept,
       records,
       getServices: () => [service],
-      isReady: isListed,
       confirmJoining: async (name, codes) =>
         (await gossip.confirmJoining(name, codes)) && (await archive.flush()),
       getRandom: random,
--- a/packages/gateway/test/recordBench.ts
+++ b/packages/gateway/test/recordBench.ts
@@ -82,7 +82,6 @@
       records: this.records,
       store: { eras, transact: async ({ put }: StoreTransaction) => this.transact(put[0]!.value) } as never,
       getServices: () => [service],
-      isReady: () => true,
       isWriter: () => isWriter,
       confirmJoining: async () => this.isConfirmed,
       getRandom: () => 0,
