Ask the twin tests of old views in one place

takenUpVersions.test.ts and oldViews.test.ts built the same decisions from the same parts. They are one bench with two answers of keepers now; every assertion is kept, with the record in the place of first_start as what vouches.

--- a/packages/gateway/test/oldViews.test.ts
+++ b/packages/gateway/test/oldViews.test.ts
@@ -14,11 +14,32 @@
 import { Logger, VirtualClock } from "@gladewall/kernel";
 import t from "tap";
 import { createKnownEndpoint } from "./knownEndpoints.js";
+import { createKnownRecord, recordKey } from "./recordBench.js";
 import { createStreamRoute } from "./versionedEndpoints.js";
 
 const retentionMs = 10_000;
 
-async function takesUp(resumes: string | undefined, answer: Partial<OriginAnswer>): Promise<boolean> {
+/** What two keepers reply that know of one version, and have heard of endpoints lately. */
+const reachable: OriginAnswer = {
+  code: undefined,
+  begun: new Set(),
+  hasSeveral: false,
+  isVouched: true,
+  isFresh: true,
+  isHalf: true,
+  called: 2,
+  silent: 0,
+  hasCalledAll: true,
+};
+/** What the only keeper replies that is linked, of several. */
+const cutOff: OriginAnswer = { ...reachable, isFresh: false, isHalf: false, called: 1, hasCalledAll: false };
+
+/** Whether an instance that knows of one version lets a stream go on. */
+async function takesUp(
+  resumes: string | undefined,
+  answer: OriginAnswer,
+  isViewOld = true,
+): Promise<boolean> {
   const clock = VirtualClock.create();
   const getRetentionMs = (): number => retentionMs;
   const history = VersionHistory.create({ clock, getRetentionMs });
@@ -31,31 +52,17 @@
     isFirstStart: false,
     isListed: () => true,
   });
-  const { service } = endpoint.record;
-  const versions = [{ version: "v1", phase: "open", since: 1 }];
-  const item = { service, serial: 1, era: 0, proven: true, versions };
-  const key = `gladewall/stream-versions/${service}`;
-  records.handleItem(key, { key, value: Buffer.from(JSON.stringify(item)), revision: 1 });
-  const none: OriginAnswer = {
-    code: undefined,
-    begun: new Set(),
-    hasSeveral: false,
-    isVouched: true,
-    isFresh: false,
-    isHalf: false,
-    called: 1,
-    silent: 0,
-    hasCalledAll: false,
-  };
+  const value = createKnownRecord({ proven: true, versions: ["v1"] });
+  records.handleItem(recordKey, { key: recordKey, value, revision: 1 });
   const takeUps = TakeUps.create({
     ...base,
     metrics: GatewayMetrics.create("127.0.0.1:0"),
     directory: { getOfService: () => [endpoint] },
     table: OriginTable.create({ clock, getRetentionMs }),
     records,
-    gossip: { callKeepers: async () => ({ ...none, ...answer }) },
+    gossip: { callKeepers: async () => answer },
     archive: { readAll: async () => false },
-    isViewOld: () => true,
+    isViewOld: () => isViewOld,
     getRandom: () => 0,
   });
   const head = { id: "r2", parts: [], lastEventId: "2", resumes };
@@ -63,21 +70,39 @@
   return (await takeUps.choose(request)).isOk();
 }
 
+t.test("an instance that has heard nothing for a while trusts keepers, and not its own view", async (t) => {
+  t.ok(await takesUp("r", reachable), "its keepers know of one version too");
+  t.notOk(await takesUp("r", { ...reachable, hasSeveral: true }), "a keeper knows of another");
+  t.notOk(await takesUp("r", { ...reachable, silent: 2 }), "no keeper replies");
+  t.notOk(await takesUp("r", { ...reachable, called: 0, hasCalledAll: false }), "no keeper is linked");
+  t.notOk(
+    await takesUp("r", { ...reachable, isFresh: false, isHalf: false }),
+    "most keepers are out of reach, and none knows more",
+  );
+  t.ok(await takesUp("r", { ...reachable, isFresh: false }), "the store is dark for all");
+  t.notOk(await takesUp("r", { ...reachable, begun: new Set([1]) }), "a keeper knows of another version");
+  t.ok(await takesUp("r", { ...reachable, called: 0 }), "there is no other instance");
+  t.ok(
+    await takesUp("r", { ...reachable, hasSeveral: true }, false),
+    "its view is not old, so that nobody is called",
+  );
+});
+
 t.test(
   "an instance whose view is old goes on with a stream if a keeper has heard lately of one version only",
   async (t) => {
-    t.ok(await takesUp("r", { isFresh: true }));
-    t.notOk(await takesUp("r", { isFresh: true, begun: new Set([1]) }));
+    t.ok(await takesUp("r", { ...cutOff, isFresh: true }));
+    t.notOk(await takesUp("r", { ...cutOff, isFresh: true, begun: new Set([1]) }));
   },
 );
 
 t.test("an instance whose view is old refuses a stream whose caller names no first request", async (t) => {
-  t.notOk(await takesUp(undefined, {}));
+  t.notOk(await takesUp(undefined, cutOff));
 });
 
 t.test(
   "an instance whose view is old doesn't rely on a part of the keepers, which may be cut off too",
   async (t) => {
-    t.notOk(await takesUp("r", {}), "one of several keepers is linked, and the archive can't be read");
+    t.notOk(await takesUp("r", cutOff), "one of several keepers is linked, and the archive can't be read");
   },
 );
--- a/packages/gateway/test/takenUpVersions.test.ts
+++ b/packages/gateway/test/takenUpVersions.test.ts
@@ -2,19 +2,8 @@
  * Guards against streams that go on at another software version when their callers take them up: whatever the versions and the routes are,
  * whatever the caller names, and in a large fleet.
  */
-import {
-  type CallerRequestHead,
-  GatewayMetrics,
-  type OriginAnswer,
-  OriginTable,
-  TakeUps,
-  VersionHistory,
-  VersionRecords,
-} from "@gladewall/gateway";
-import { Logger, VirtualClock } from "@gladewall/kernel";
 import { createRoute, createService, createWorkspace, waitUntil } from "@gladewall/standins";
 import t from "tap";
-import { createKnownEndpoint } from "./knownEndpoints.js";
 import {
   begin,
   createStreamRoute,
@@ -101,63 +90,6 @@
   }
 });
 
-t.test("an instance that has heard nothing for a while trusts keepers, and not its own view", async (t) => {
-  const clock = VirtualClock.create();
-  const history = VersionHistory.create({ clock, getRetentionMs: () => 10_000 });
-  const endpoint = createKnownEndpoint({ id: "a", softwareVersion: "v1" });
-  history.addEndpoint(endpoint.record);
-  const records = VersionRecords.create({
-    clock,
-    logger: Logger.createSilent(),
-    history,
-    eras: { current: 0 },
-    isFirstStart: true,
-    isListed: () => true,
-    getRetentionMs: () => 10_000,
-  });
-  const none: OriginAnswer = {
-    code: undefined,
-    begun: new Set(),
-    hasSeveral: false,
-    isVouched: false,
-    isFresh: true,
-    isHalf: true,
-    called: 2,
-    silent: 0,
-    hasCalledAll: true,
-  };
-  const choose = async (isViewOld: boolean, answer: Partial<OriginAnswer>): Promise<boolean> => {
-    const takeUps = TakeUps.create({
-      clock,
-      logger: Logger.createSilent(),
-      metrics: GatewayMetrics.create("127.0.0.1:0"),
-      directory: { getOfService: () => [endpoint] },
-      table: OriginTable.create({ clock, getRetentionMs: () => 10_000 }),
-      history,
-      records,
-      gossip: { callKeepers: async () => ({ ...none, ...answer }) },
-      archive: { readAll: async () => true },
-      isViewOld: () => isViewOld,
-      getRandom: () => 0,
-    });
-    const head = { id: "r2", parts: [], lastEventId: "2", resumes: "r" };
-    const request = { route: createStreamRoute(), workspace: "", head: head as unknown as CallerRequestHead };
-    return (await takeUps.choose(request)).isOk();
-  };
-  t.ok(await choose(true, {}), "its keepers know of one version too");
-  t.notOk(await choose(true, { hasSeveral: true }), "a keeper knows of another");
-  t.notOk(await choose(true, { silent: 2 }), "no keeper replies");
-  t.notOk(await choose(true, { called: 0, hasCalledAll: false }), "no keeper is linked");
-  t.notOk(
-    await choose(true, { isFresh: false, isHalf: false }),
-    "most keepers are out of reach, and none knows more",
-  );
-  t.ok(await choose(true, { isFresh: false }), "the store is dark for all");
-  t.notOk(await choose(true, { begun: new Set([1]) }), "a keeper knows of another version");
-  t.ok(await choose(true, { called: 0 }), "there is no other instance");
-  t.ok(await choose(false, { hasSeveral: true }), "its view is not old, so that nobody is called");
-});
-
 t.test("in a large fleet keepers know after the instance and other keepers were killed", async (t) => {
   const settings = ["peers.largest_mesh=2", "peers.large_fleet_interval=100ms"];
   const fleet = await VersionedFleet.create(t, 0, mixed);
--- a/packages/gateway/test/versionRecords.test.ts
+++ b/packages/gateway/test/versionRecords.test.ts
@@ -14,6 +14,16 @@
 const settlingMs = 1_500;
 const returnMs = 3_000;
 
+/** Creates a bench of which two versions are open. */
+async function createMixedBench(): Promise<RecordBench> {
+  const bench = createRecordBench({ isFirstStart: true });
+  bench.addEndpoint("v1");
+  await bench.settle();
+  bench.addEndpoint("v2");
+  await bench.advance(2 * settlingMs);
+  return bench;
+}
+
 t.test("the first version of a service opens at once, with one write", async (t) => {
   const bench = createRecordBench({ isFirstStart: true });
   bench.addEndpoint("v1");
@@ -88,11 +98,7 @@
 });
 
 t.test("a version that has gone is removed after the time in which streams may be taken up", async (t) => {
-  const bench = createRecordBench({ isFirstStart: true });
-  bench.addEndpoint("v1");
-  await bench.settle();
-  bench.addEndpoint("v2");
-  await bench.advance(2 * settlingMs);
+  const bench = await createMixedBench();
   bench.removeEndpoint("v1");
   await bench.advance(retentionMs - 500);
   t.equal(bench.describe(), "v1:open,v2:open");
@@ -170,11 +176,7 @@
 t.test(
   "a version that has opened again meanwhile is not removed as one that has long been closing",
   async (t) => {
-    const bench = createRecordBench({ isFirstStart: true });
-    bench.addEndpoint("v1");
-    await bench.settle();
-    bench.addEndpoint("v2");
-    await bench.advance(2 * settlingMs);
+    const bench = await createMixedBench();
     bench.removeEndpoint("v2");
     await bench.advance(retentionMs + 500);
     t.equal(bench.describe(), "v1:open,v2:closing");
@@ -193,11 +195,7 @@
 t.test(
   "a version that another instance has opened is not closed by one that has not seen it serve",
   async (t) => {
-    const bench = createRecordBench({ isFirstStart: true });
-    bench.addEndpoint("v1");
-    await bench.settle();
-    bench.addEndpoint("v2");
-    await bench.advance(2 * settlingMs);
+    const bench = await createMixedBench();
     bench.removeEndpoint("v2");
     await bench.advance(retentionMs + 500);
     t.equal(bench.describe(), "v1:open,v2:closing");
