Move what creates an instance's parts into a folder of its own

gatewayParts, gatewayPartTypes, gatewayState and readiness, whole; only imports change. Type check and linter are clean.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -14,9 +14,9 @@
 import type { Result } from "ts-results-es";
 import type { ConnectionTraffic } from "@gladewall/coordination";
 import { CallerServer } from "./callerServer.js";
-import type { GatewayParts } from "./gatewayPartTypes.js";
-import { createGatewayParts } from "./gatewayParts.js";
-import { canServe } from "./readiness.js";
+import type { GatewayParts } from "./parts/gatewayPartTypes.js";
+import { createGatewayParts } from "./parts/gatewayParts.js";
+import { canServe } from "./parts/readiness.js";
 import type { GatewaySettings } from "./gatewaySettings.js";
 import type { SlotSchedulerFactory } from "./limits/limitParts.js";
 import { ConnectionIntake } from "./intake/connectionIntake.js";
--- a/packages/gateway/src/origins/originParts.ts
+++ b/packages/gateway/src/origins/originParts.ts
@@ -3,7 +3,7 @@
  * @module
  */
 import type { GatewayMetrics } from "../gatewayMetrics.js";
-import type { GatewayState } from "../gatewayState.js";
+import type { GatewayState } from "../parts/gatewayState.js";
 import type { Members } from "../fleet/members.js";
 import { isRestore } from "../store/storeEras.js";
 import type { StoreItem } from "../types.js";
--- a/packages/gateway/src/gatewayPartTypes.ts
+++ b/packages/gateway/src/parts/gatewayPartTypes.ts
@@ -2,37 +2,37 @@
  * The shape of all parts of an instance.
  * @module
  */
-import type { Admission } from "./limits/admission.js";
-import { HeldBytes } from "./bodies/heldBytes.js";
-import { LinkPace } from "./bodies/linkPace.js";
-import type { EndpointConnections } from "./endpoints/endpointConnections.js";
-import { EndpointDirectory } from "./endpoints/endpointDirectory.js";
-import type { BrittleServices } from "./brittle/brittleServices.js";
-import { CrashProtection } from "./crashes/crashProtection.js";
-import { ConfigurationFollower } from "./configurationFollower.js";
-import { DemandEstimator } from "./capacity/demandEstimator.js";
-import { LeaderTasks } from "./leaderTasks.js";
-import type { EraSettling } from "./store/eraSettling.js";
-import type { EndpointLimits } from "./limits/endpointLimits.js";
-import type { ForwardingPeers } from "./forwarding/forwardingPeers.js";
-import type { ForwardingServer } from "./forwarding/forwardingServer.js";
-import type { ServicePaths } from "./forwarding/servicePaths.js";
-import { GatewayMetrics } from "./gatewayMetrics.js";
-import { OverloadSwitch } from "./overloadSwitch.js";
-import type { PermitClient } from "./limits/permitClient.js";
-import { Members } from "./fleet/members.js";
-import { Placer } from "./placement/placer.js";
-import { PrefillRates } from "./prefillRates.js";
-import type { SuspectGate } from "./crashes/suspectGate.js";
-import type { QuotaCharges } from "./limits/quotaCharges.js";
-import type { AcceptanceRates } from "./limits/retries/acceptanceRates.js";
-import type { RetryBudget } from "./limits/retries/retryBudget.js";
-import { SharedCounters } from "./sharedCounters.js";
-import type { SlotArbiter } from "./slots/slotArbiter.js";
-import type { SlotClient } from "./slots/slotClient.js";
-import type { SlotContention } from "./slots/slotContention.js";
-import type { EndChecker } from "./responses/endChecker.js";
-import { type OriginParts } from "./origins/originParts.js";
+import type { Admission } from "../limits/admission.js";
+import { HeldBytes } from "../bodies/heldBytes.js";
+import { LinkPace } from "../bodies/linkPace.js";
+import type { EndpointConnections } from "../endpoints/endpointConnections.js";
+import { EndpointDirectory } from "../endpoints/endpointDirectory.js";
+import type { BrittleServices } from "../brittle/brittleServices.js";
+import { CrashProtection } from "../crashes/crashProtection.js";
+import { ConfigurationFollower } from "../configurationFollower.js";
+import { DemandEstimator } from "../capacity/demandEstimator.js";
+import { LeaderTasks } from "../leaderTasks.js";
+import type { EraSettling } from "../store/eraSettling.js";
+import type { EndpointLimits } from "../limits/endpointLimits.js";
+import type { ForwardingPeers } from "../forwarding/forwardingPeers.js";
+import type { ForwardingServer } from "../forwarding/forwardingServer.js";
+import type { ServicePaths } from "../forwarding/servicePaths.js";
+import { GatewayMetrics } from "../gatewayMetrics.js";
+import { OverloadSwitch } from "../overloadSwitch.js";
+import type { PermitClient } from "../limits/permitClient.js";
+import { Members } from "../fleet/members.js";
+import { Placer } from "../placement/placer.js";
+import { PrefillRates } from "../prefillRates.js";
+import type { SuspectGate } from "../crashes/suspectGate.js";
+import type { QuotaCharges } from "../limits/quotaCharges.js";
+import type { AcceptanceRates } from "../limits/retries/acceptanceRates.js";
+import type { RetryBudget } from "../limits/retries/retryBudget.js";
+import { SharedCounters } from "../sharedCounters.js";
+import type { SlotArbiter } from "../slots/slotArbiter.js";
+import type { SlotClient } from "../slots/slotClient.js";
+import type { SlotContention } from "../slots/slotContention.js";
+import type { EndChecker } from "../responses/endChecker.js";
+import { type OriginParts } from "../origins/originParts.js";
 import type { GatewayBase } from "./gatewayState.js";
 
 /** All parts of an instance. */
--- a/packages/gateway/src/gatewayParts.ts
+++ b/packages/gateway/src/parts/gatewayParts.ts
@@ -4,15 +4,15 @@
  */
 import { getIncarnationKey } from "@gladewall/coordination";
 import type { Clock, Logger } from "@gladewall/kernel";
-import type { Admission } from "./limits/admission.js";
-import type { PeerWork } from "./endpoints/endpoint.js";
-import { HeldBytes } from "./bodies/heldBytes.js";
-import { ContainedFailures } from "./failures/containedFailures.js";
-import { EndpointDirectory } from "./endpoints/endpointDirectory.js";
-import type { BrittleServices } from "./brittle/brittleServices.js";
-import { CapacityOrders } from "./capacity/capacityOrders.js";
-import { CrashProtection } from "./crashes/crashProtection.js";
-import { probeEndpoint } from "./crashes/endpointProbe.js";
+import type { Admission } from "../limits/admission.js";
+import type { PeerWork } from "../endpoints/endpoint.js";
+import { HeldBytes } from "../bodies/heldBytes.js";
+import { ContainedFailures } from "../failures/containedFailures.js";
+import { EndpointDirectory } from "../endpoints/endpointDirectory.js";
+import type { BrittleServices } from "../brittle/brittleServices.js";
+import { CapacityOrders } from "../capacity/capacityOrders.js";
+import { CrashProtection } from "../crashes/crashProtection.js";
+import { probeEndpoint } from "../crashes/endpointProbe.js";
 import {
   createAdmission,
   createBrittleServices,
@@ -22,27 +22,27 @@
   createOrders,
   createServiceSlotScheduler,
   createSlots,
-} from "./limits/limitParts.js";
-import { LeaderTasks } from "./leaderTasks.js";
-import type { FencedLeases } from "./fencedLeases.js";
-import { reportEras } from "./store/eraReporting.js";
-import { LeavingGossip } from "./endpoints/leavingGossip.js";
+} from "../limits/limitParts.js";
+import { LeaderTasks } from "../leaderTasks.js";
+import type { FencedLeases } from "../fencedLeases.js";
+import { reportEras } from "../store/eraReporting.js";
+import { LeavingGossip } from "../endpoints/leavingGossip.js";
 import {
   createForwarding,
   findForwardingAddress,
   type ForwardingParts,
-} from "./forwarding/forwardingParts.js";
-import { GatewayMetrics } from "./gatewayMetrics.js";
-import type { GatewaySettings } from "./gatewaySettings.js";
-import { OverloadMode } from "./overloadSwitch.js";
-import { gatewayPrefix } from "./fleet/memberRecords.js";
-import { Members, type MembersOptions } from "./fleet/members.js";
-import { GatewayItems, usagePrefix } from "./store/gatewayItems.js";
-import { Placer } from "./placement/placer.js";
-import type { PlatformAdapter } from "./types.js";
-import { UsageReporter } from "./usageReporter.js";
-import { ProofRequests } from "./proofRequests.js";
-import { createOrigins, createVersionHistory, type OriginParts } from "./origins/originParts.js";
+} from "../forwarding/forwardingParts.js";
+import { GatewayMetrics } from "../gatewayMetrics.js";
+import type { GatewaySettings } from "../gatewaySettings.js";
+import { OverloadMode } from "../overloadSwitch.js";
+import { gatewayPrefix } from "../fleet/memberRecords.js";
+import { Members, type MembersOptions } from "../fleet/members.js";
+import { GatewayItems, usagePrefix } from "../store/gatewayItems.js";
+import { Placer } from "../placement/placer.js";
+import type { PlatformAdapter } from "../types.js";
+import { UsageReporter } from "../usageReporter.js";
+import { ProofRequests } from "../proofRequests.js";
+import { createOrigins, createVersionHistory, type OriginParts } from "../origins/originParts.js";
 import type { GatewayParts } from "./gatewayPartTypes.js";
 import { createState, type GatewayBase, type GatewayState } from "./gatewayState.js";
 
--- a/packages/gateway/src/gatewayState.ts
+++ b/packages/gateway/src/parts/gatewayState.ts
@@ -3,25 +3,25 @@
  * @module
  */
 import type { Clock, Logger } from "@gladewall/kernel";
-import type { Endpoint, PeerWork } from "./endpoints/endpoint.js";
-import { HeldBytes } from "./bodies/heldBytes.js";
-import { LinkPace } from "./bodies/linkPace.js";
-import { ContainedFailures } from "./failures/containedFailures.js";
-import { EndpointDirectory } from "./endpoints/endpointDirectory.js";
-import { ConfigurationFollower, type ConfigurationFollowerOptions } from "./configurationFollower.js";
-import { DemandEstimator } from "./capacity/demandEstimator.js";
-import type { EraSettling } from "./store/eraSettling.js";
-import { createFeedTimings, type FeedTimings } from "./store/feedTimings.js";
-import { FencedOrders } from "./fencedOrders.js";
-import type { GatewaySettings } from "./gatewaySettings.js";
-import { OverloadSwitch } from "./overloadSwitch.js";
-import { PrefixIndex } from "./placement/prefixIndex.js";
-import { PrefillRates } from "./prefillRates.js";
-import { SharedCounters } from "./sharedCounters.js";
-import { CounterKind } from "./limits/counterTypes.js";
-import { DisciplinedClock } from "./disciplinedClock.js";
-import type { PlatformAdapter } from "./types.js";
-import { UsageCounts } from "./usageCounts.js";
+import type { Endpoint, PeerWork } from "../endpoints/endpoint.js";
+import { HeldBytes } from "../bodies/heldBytes.js";
+import { LinkPace } from "../bodies/linkPace.js";
+import { ContainedFailures } from "../failures/containedFailures.js";
+import { EndpointDirectory } from "../endpoints/endpointDirectory.js";
+import { ConfigurationFollower, type ConfigurationFollowerOptions } from "../configurationFollower.js";
+import { DemandEstimator } from "../capacity/demandEstimator.js";
+import type { EraSettling } from "../store/eraSettling.js";
+import { createFeedTimings, type FeedTimings } from "../store/feedTimings.js";
+import { FencedOrders } from "../fencedOrders.js";
+import type { GatewaySettings } from "../gatewaySettings.js";
+import { OverloadSwitch } from "../overloadSwitch.js";
+import { PrefixIndex } from "../placement/prefixIndex.js";
+import { PrefillRates } from "../prefillRates.js";
+import { SharedCounters } from "../sharedCounters.js";
+import { CounterKind } from "../limits/counterTypes.js";
+import { DisciplinedClock } from "../disciplinedClock.js";
+import type { PlatformAdapter } from "../types.js";
+import { UsageCounts } from "../usageCounts.js";
 
 /** Bytes of callers' requests that are held at once; a machine has 350 MB. */
 const maxHeldRequestBytes = 67_108_864;
--- a/packages/gateway/src/requests/activeRequestTypes.ts
+++ b/packages/gateway/src/requests/activeRequestTypes.ts
@@ -5,7 +5,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Failure } from "@gladewall/kernel";
 import type { AdmittedRequest } from "../limits/admission.js";
-import type { GatewayParts } from "../gatewayPartTypes.js";
+import type { GatewayParts } from "../parts/gatewayPartTypes.js";
 import type { RequestCharge } from "../limits/quotaCharges.js";
 import type { RequiredOrigin } from "../origins/streamOrigin.js";
 import type { Placement } from "../placement/placer.js";
