--- a/packages/gateway/src/fleet/members.ts
+++ b/packages/gateway/src/fleet/members.ts
@@ -7,7 +7,7 @@
  * sends the store's content.
  * @module
  */
-import { getIncarnationKey, LinkMessageKind, type PeerIdentity, PeerLinks } from "@gladewall/coordination";
+import { LinkMessageKind, type PeerIdentity, PeerLinks } from "@gladewall/coordination";
 import { type Closeable, waitFor } from "@gladewall/kernel";
 import { Arbiters, type ArbitersOptions } from "../limits/arbiters.js";
 import { type ContainedFailures, FailurePlace } from "../failures/containedFailures.js";
@@ -16,29 +16,24 @@
 import type { ForwardingPeer } from "../forwarding/forwardingPeers.js";
 import type { FeedTimings } from "../store/feedTimings.js";
 import { FleetWork } from "./fleetWork.js";
-import type { FeedMessage, FeedState } from "../store/feedReplication.js";
 import { PeerClocks } from "./peerClocks.js";
 import { type PeerUptime, PeerUptimes } from "./peerUptimes.js";
 import type { PrefixFollower } from "../store/prefixFollower.js";
 import { FleetRoles } from "./fleetRoles.js";
-import { CountHandover } from "../countHandover.js";
 import {
-  type CountsMessage,
-  type FeedReply,
   MemberMessageKind,
   type PingMessage,
   type PlacementMessage,
   type QuotaReply,
   type QuotaCall,
   type PlacementRelayMessage,
-  type ReportMessage,
-  type ViewMessage,
 } from "./memberMessages.js";
 import { GrantDecision } from "../limits/grantDecision.js";
 import { MemberRecords, type MemberRecordsOptions, gatewayPrefix } from "./memberRecords.js";
 import type { PrefixIndex } from "../placement/prefixIndex.js";
 import type { PrefillRates } from "../prefillRates.js";
 import { ReaderViews } from "./readerViews.js";
+import { ReportExchange } from "./reportExchange.js";
 import type { SharedCounters } from "../sharedCounters.js";
 import { SilentPeers } from "./silentPeers.js";
 import { StoreFeed } from "../store/storeFeed.js";
@@ -83,9 +78,6 @@
 const readerCount = 3;
 /** Number of keepers in a large fleet: after half of all instances have ended at once, one in 32 times none of them is left. */
 const keeperCount = 5;
-const reportedWindows = 4;
-/** In a large fleet, one of this many reports contains the usage. */
-const reportsPerUsage = 2;
 const pingIntervalMs = 1_000;
 const lostAfterMs = 2_500;
 const handshakeTimeoutMs = 1_000;
@@ -109,30 +101,15 @@
   private readonly silentPeers: SilentPeers;
   private readonly stop = new AbortController();
   private task: Promise<void> = Promise.resolve();
-  private sequence = 0;
   private readonly views: ReaderViews;
-  private readonly handover = CountHandover.create();
+  private readonly reports: ReportExchange;
 
   private constructor(private readonly options: MembersOptions) {
-    const { clock, logger, name, incarnation, secret, address, largestMesh } = options;
+    const { clock, logger, name, largestMesh } = options;
     this.peerClocks = PeerClocks.create(clock);
     this.peerUptimes = PeerUptimes.create(clock);
     this.silentPeers = SilentPeers.create(options.revokeWithinMs, clock.getTime());
-    this.links = PeerLinks.create({
-      own: { name, incarnation },
-      secret,
-      clock,
-      logger,
-      listen: address,
-      handshakeTimeoutMs: handshakeTimeoutMs,
-      maxOutboxBytes: outboxBytes,
-      pingIntervalMs: pingIntervalMs,
-      lossTimeoutMs: lostAfterMs,
-      maxPersistentLinks: largestMesh,
-      getRandom: Math.random,
-      onFailure: (error, peer) => options.failures.record(FailurePlace.PeerMessage, error, { peer }),
-      getPingFields: () => ({ time: options.time.get(), uptime: Math.round(options.counters.getUptime()) }),
-    });
+    this.links = this.createLinks();
     const isLinked = (peer: string): boolean => this.links.isLinked(peer);
     const onChange = (): void => this.updateMembers();
     this.records = MemberRecords.create({ ...options, onChange, isLinked });
@@ -180,6 +157,19 @@
       findView: () => (this.roles.isCollector ? undefined : this.views.find()?.work),
       send: (peer, message) => void this.links.send(peer, message),
     });
+    const { links, roles, feed, work, views, peerClocks, silentPeers } = this;
+    const getKnownShare = (): number => this.getKnownShare();
+    this.reports = ReportExchange.create({
+      ...options,
+      links,
+      roles,
+      feed,
+      work,
+      views,
+      peerClocks,
+      silentPeers,
+      getKnownShare,
+    });
     this.listen();
   }
 
@@ -325,26 +315,33 @@
     await Promise.all([this.records.close(), this.links.close(), this.task]);
   }
 
+  private createLinks(): PeerLinks {
+    const { options } = this;
+    const { clock, logger, name, incarnation, secret, address, largestMesh } = options;
+    return PeerLinks.create({
+      own: { name, incarnation },
+      secret,
+      clock,
+      logger,
+      listen: address,
+      handshakeTimeoutMs: handshakeTimeoutMs,
+      maxOutboxBytes: outboxBytes,
+      pingIntervalMs: pingIntervalMs,
+      lossTimeoutMs: lostAfterMs,
+      maxPersistentLinks: largestMesh,
+      getRandom: Math.random,
+      onFailure: (error, peer) => options.failures.record(FailurePlace.PeerMessage, error, { peer }),
+      getPingFields: () => ({ time: options.time.get(), uptime: Math.round(options.counters.getUptime()) }),
+    });
+  }
+
   private listen(): void {
     const { logger } = this.options;
-    this.links.setHandler(MemberMessageKind.Report, (message, peer) =>
-      this.applyReport(message as ReportMessage, peer),
-    );
-    this.links.setHandler(MemberMessageKind.View, (message, peer) =>
-      this.applyView(message as ViewMessage, peer),
-    );
     this.links.setHandler(MemberMessageKind.PlacementRelay, (message, peer) => {
       const relayed = message as PlacementRelayMessage;
       this.work.applyRelay(relayed, peer);
       this.options.memory.mergePeer(relayed.read);
     });
-    this.links.setHandler(MemberMessageKind.Feed, (message) => {
-      const { sequence, feed } = message as FeedReply;
-      this.applyFeed(sequence, feed);
-    });
-    this.links.setHandler(MemberMessageKind.Counts, (message, peer) =>
-      this.applyCounts(message as CountsMessage, peer),
-    );
     this.links.setHandler(MemberMessageKind.QuotaCall, (message, peer) =>
       this.replyToQuotaCall(message as QuotaCall, peer),
     );
@@ -376,25 +373,9 @@
       time.adjust(this.peerClocks.getOffsets(time.get()));
       if (this.roles.chooseReaders()) this.updateMembers();
       this.work.refresh();
-      this.feed.setRole(this.roles.isReader);
-      this.handover.setRole(this.roles.isCollector, clock.getTime());
+      this.reports.setRole();
       onBeforeReport();
-      this.report();
-    }
-  }
-
-  private report(): void {
-    const report = this.createReport();
-    const { isMesh, isReader } = this.roles;
-    const linked = this.roles.getLinkedReaders();
-    const feedSource = this.feed.chooseReader(isReader, linked);
-    const countsSource = this.handover.isRequesting(this.options.clock.getTime())
-      ? linked[this.sequence % linked.length]
-      : undefined;
-    for (const name of isMesh ? this.links.getLinked() : linked) {
-      const feed = name === feedSource ? { feed: this.feed.getState() } : {};
-      const counts = name === countsSource ? { wantsCounts: true } : {};
-      this.links.send(name, { ...report, ...feed, ...counts });
+      this.reports.send();
     }
   }
 
@@ -403,59 +384,6 @@
     return !this.roles.isReader && this.feed.isActive;
   }
 
-  private createReport(): ReportMessage {
-    const { counters, rates, usage, time, getWindow } = this.options;
-    this.sequence += 1;
-    const { isMesh, isCollector } = this.roles;
-    const isHistoryRequested = this.views.takeHistoryRequest();
-    const report = counters.createReport(isCollector || isHistoryRequested);
-    this.views.recordReport(this.sequence, report.totals);
-    const read = this.options.memory.takeUnreported();
-    this.work.relayProcessedParts(read);
-    const hasUsage = isMesh || this.sequence % reportsPerUsage === 0;
-    return {
-      kind: MemberMessageKind.Report,
-      sequence: this.sequence,
-      time: time.get(),
-      counters: report,
-      work: this.work.reportedWork,
-      rates: rates.createReport(),
-      hearsAll: isCollector,
-      read,
-      ...(hasUsage ? { usage: usage.getOwnCounts(getWindow(), reportedWindows) } : {}),
-    };
-  }
-
-  private applyReport(message: ReportMessage, peer: PeerIdentity): void {
-    const { counters, rates, usage, clock } = this.options;
-    const incarnation = getIncarnationKey(peer);
-    counters.applyReport(peer.name, incarnation, message.counters);
-    if (message.usage) usage.mergePeerCounts(incarnation, message.usage);
-    if (message.rates) rates.mergePeer(peer.name, message.rates);
-    if (message.read) {
-      this.options.memory.mergePeer(message.read);
-      this.work.relayProcessedParts(message.read);
-    }
-    this.silentPeers.recordReport(peer.name, clock.getTime());
-    this.peerClocks.record(peer.name, message.time);
-    this.work.applyReport(peer.name, message.work);
-    if (message.wantsCounts) this.sendCounts(message, peer);
-    if (!message.feed) return;
-    if (!message.hearsAll) this.work.addSubscriber(peer.name);
-    this.links.send(peer.name, this.createReply(message, message.feed));
-  }
-
-  private sendCounts({ sequence }: ReportMessage, peer: PeerIdentity): void {
-    const { counters, clock } = this.options;
-    if (!this.roles.isCollector || this.handover.isRequesting(clock.getTime())) return;
-    const message: CountsMessage = {
-      kind: MemberMessageKind.Counts,
-      sequence,
-      counters: counters.createView(),
-    };
-    this.links.send(peer.name, message);
-  }
-
   /** Decides as the arbiter; an instance that is not a collector lacks the counts to do so. */
   private replyToQuotaCall(call: QuotaCall, peer: PeerIdentity): QuotaReply {
     return this.roles.isCollector
@@ -463,53 +391,7 @@
       : { word: GrantDecision.Unknown, level: 0 };
   }
 
-  private applyCounts({ sequence, counters: received }: CountsMessage, peer: PeerIdentity): void {
-    const { counters, clock, logger } = this.options;
-    const isMoreComplete = received.isInformed || received.uptime > counters.getUptime();
-    if (!this.handover.isRequesting(clock.getTime()) || !isMoreComplete) return;
-    if (!this.views.applyCounts(sequence, received)) return;
-    this.handover.complete();
-    const peers = Object.keys(received.included ?? {}).length;
-    logger.info("counts.taken", {
-      peer: peer.name,
-      uptimeMs: received.uptime,
-      informed: received.isInformed,
-      peers,
-    });
-  }
-
-  private createReply(report: ReportMessage, state: FeedState): FeedReply | ViewMessage {
-    if (!report.hearsAll) return this.createView(report, state);
-    const feed = this.feed.createMessage(state);
-    return { kind: MemberMessageKind.Feed, sequence: report.sequence, feed };
-  }
-
   private applyPlacement({ endpoint, tokens }: PlacementMessage, peer: PeerIdentity): void {
     if (endpoint !== undefined) this.work.applyPlacement(peer.name, [endpoint, tokens]);
   }
-
-  private createView(report: ReportMessage, state: FeedState): ViewMessage {
-    return {
-      kind: MemberMessageKind.View,
-      sequence: report.sequence,
-      counters: this.options.counters.createView(false),
-      ...this.work.createView(report),
-      knownShare: this.getKnownShare(),
-      rates: this.options.rates.createView(),
-      feed: this.feed.createMessage(state),
-    };
-  }
-
-  private applyView(view: ViewMessage, peer: PeerIdentity): void {
-    if (this.roles.isCollector || this.views.findSentAt(view.sequence) === undefined) return;
-    this.applyFeed(view.sequence, view.feed);
-    if (view.rates) this.options.rates.mergePeer(peer.name, view.rates);
-    if (this.views.applyView(view, peer)) this.work.recordView(peer, view.placedNumber ?? 0);
-  }
-
-  private applyFeed(sequence: number, feed: FeedMessage): void {
-    const reportSentAt = this.views.findSentAt(sequence);
-    if (reportSentAt === undefined || !this.feed.isRequestingContent(this.roles.isReader)) return;
-    this.feed.apply(feed, reportSentAt);
-  }
 }
