--- a/packages/gateway/src/fleet/memberMessages.ts
+++ b/packages/gateway/src/fleet/memberMessages.ts
@@ -10,7 +10,7 @@
 import type { RateReport } from "../prefillRates.js";
 import type { CounterReport, CounterView } from "../limits/counterTypes.js";
 import { GrantDecision } from "../limits/grantDecision.js";
-import type { WindowCounts } from "../usageCounts.js";
+import type { WindowCounts } from "../usage/usageCounts.js";
 
 /** Message numbers of the messages between members; the links themselves use lower ones. */
 export enum MemberMessageKind {
--- a/packages/gateway/src/fleet/members.ts
+++ b/packages/gateway/src/fleet/members.ts
@@ -39,7 +39,7 @@
 import { StoreFeed } from "../store/storeFeed.js";
 import type { DisciplinedClock } from "../disciplinedClock.js";
 import type { StoreItem } from "../types.js";
-import type { UsageCounts } from "../usageCounts.js";
+import type { UsageCounts } from "../usage/usageCounts.js";
 
 /** Options of the members, including those of the instance's own record. */
 export interface MembersOptions extends Omit<MemberRecordsOptions, "onChange" | "isLinked"> {
--- a/packages/gateway/src/fleet/reportExchange.ts
+++ b/packages/gateway/src/fleet/reportExchange.ts
@@ -12,7 +12,7 @@
 import type { SharedCounters } from "../sharedCounters.js";
 import type { FeedMessage, FeedState } from "../store/feedReplication.js";
 import type { StoreFeed } from "../store/storeFeed.js";
-import type { UsageCounts } from "../usageCounts.js";
+import type { UsageCounts } from "../usage/usageCounts.js";
 import type { FleetRoles } from "./fleetRoles.js";
 import type { FleetWork } from "./fleetWork.js";
 import {
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -187,5 +187,5 @@
 export { SuspectGate, type Trial } from "./crashes/suspectGate.js";
 export { TrialScheduler, TrialDecision } from "./crashes/trialScheduler.js";
 export { DisciplinedClock } from "./disciplinedClock.js";
-export { UsageCounts } from "./usageCounts.js";
-export { UsageReporter } from "./usageReporter.js";
+export { UsageCounts } from "./usage/usageCounts.js";
+export { UsageReporter } from "./usage/usageReporter.js";
--- a/packages/gateway/src/leaderTasks.ts
+++ b/packages/gateway/src/leaderTasks.ts
@@ -11,7 +11,7 @@
 import type { CapacityOrders } from "./capacity/capacityOrders.js";
 import { isRestore } from "./store/storeEras.js";
 import type { MetadataStore, OrderSender, Service } from "./types.js";
-import type { UsageReporter } from "./usageReporter.js";
+import type { UsageReporter } from "./usage/usageReporter.js";
 
 /** Options of the leader tasks. */
 export interface LeaderTasksOptions {
--- a/packages/gateway/src/parts/gatewayParts.ts
+++ b/packages/gateway/src/parts/gatewayParts.ts
@@ -40,7 +40,7 @@
 import { GatewayItems, usagePrefix } from "../store/gatewayItems.js";
 import { Placer } from "../placement/placer.js";
 import type { PlatformAdapter } from "../types.js";
-import { UsageReporter } from "../usageReporter.js";
+import { UsageReporter } from "../usage/usageReporter.js";
 import { ProofRequests } from "../proofRequests.js";
 import { createOrigins, createVersionHistory, type OriginParts } from "../origins/originParts.js";
 import type { GatewayParts } from "./gatewayPartTypes.js";
--- a/packages/gateway/src/parts/gatewayState.ts
+++ b/packages/gateway/src/parts/gatewayState.ts
@@ -21,7 +21,7 @@
 import { CounterKind } from "../limits/counterTypes.js";
 import { DisciplinedClock } from "../disciplinedClock.js";
 import type { PlatformAdapter } from "../types.js";
-import { UsageCounts } from "../usageCounts.js";
+import { UsageCounts } from "../usage/usageCounts.js";
 
 /** Bytes of callers' requests that are held at once; a machine has 350 MB. */
 const maxHeldRequestBytes = 67_108_864;
--- a/packages/gateway/src/store/committedWindows.ts
+++ b/packages/gateway/src/store/committedWindows.ts
@@ -8,7 +8,7 @@
 import { decodeItem } from "./itemCodec.js";
 import { type Removal, RemovalCause } from "./prefixFollower.js";
 import type { MetadataStore, StoreItem } from "../types.js";
-import type { WorkspaceCounts } from "../usageCounts.js";
+import type { WorkspaceCounts } from "../usage/usageCounts.js";
 
 /** Options of committed windows. */
 export interface CommittedWindowsOptions {
--- a/packages/gateway/src/usageReporter.ts
+++ b/packages/gateway/src/usage/usageReporter.ts
@@ -5,9 +5,9 @@
  */
 import { type Clock, FailureCode, type Logger } from "@gladewall/kernel";
 import * as v from "valibot";
-import type { CommittedWindows } from "./store/committedWindows.js";
-import { decodeItem } from "./store/itemCodec.js";
-import type { MetadataStore, OrderSender, OrderService, StoreItem } from "./types.js";
+import type { CommittedWindows } from "../store/committedWindows.js";
+import { decodeItem } from "../store/itemCodec.js";
+import type { MetadataStore, OrderSender, OrderService, StoreItem } from "../types.js";
 import type { WorkspaceCounts, UsageCounts } from "./usageCounts.js";
 
 /** Number of runs by workspace. */
