--- a/packages/gateway/src/fencedLeases.ts
+++ b/packages/gateway/src/leadership/fencedLeases.ts
@@ -11,9 +11,9 @@
 import { type Failure, FailureCode, type Logger } from "@gladewall/kernel";
 import { Ok, type Result } from "ts-results-es";
 import * as v from "valibot";
-import { decodeItem } from "./store/itemCodec.js";
-import { isReportedEra, initialEra } from "./store/storeEras.js";
-import type { MetadataStore, StoreItem } from "./types.js";
+import { decodeItem } from "../store/itemCodec.js";
+import { isReportedEra, initialEra } from "../store/storeEras.js";
+import type { MetadataStore, StoreItem } from "../types.js";
 
 /** Options of the leases. */
 export interface FencedLeasesOptions {
--- a/packages/gateway/src/fencedOrders.ts
+++ b/packages/gateway/src/leadership/fencedOrders.ts
@@ -6,7 +6,7 @@
  */
 import { Failure, FailureCode, type Logger } from "@gladewall/kernel";
 import { Err, type Result } from "ts-results-es";
-import type { CapacityOrder, OrderSender, OrderService, OrderOutcome, UsageReport } from "./types.js";
+import type { CapacityOrder, OrderSender, OrderService, OrderOutcome, UsageReport } from "../types.js";
 
 /** An order service that remembers the highest refused fencing token. */
 export class FencedOrders implements OrderService {
--- a/packages/gateway/src/leaderTasks.ts
+++ b/packages/gateway/src/leadership/leaderTasks.ts
@@ -8,10 +8,10 @@
  */
 import { LeaseHolder, type LeaseService } from "@gladewall/coordination";
 import { type Clock, type Closeable, type Logger, waitFor } from "@gladewall/kernel";
-import type { CapacityOrders } from "./capacity/capacityOrders.js";
-import { isRestore } from "./store/storeEras.js";
-import type { MetadataStore, OrderSender, Service } from "./types.js";
-import type { UsageReporter } from "./usage/usageReporter.js";
+import type { CapacityOrders } from "../capacity/capacityOrders.js";
+import { isRestore } from "../store/storeEras.js";
+import type { MetadataStore, OrderSender, Service } from "../types.js";
+import type { UsageReporter } from "../usage/usageReporter.js";
 
 /** Options of the leader tasks. */
 export interface LeaderTasksOptions {
--- a/packages/gateway/src/parts/gatewayPartTypes.ts
+++ b/packages/gateway/src/parts/gatewayPartTypes.ts
@@ -11,7 +11,7 @@
 import { CrashProtection } from "../crashes/crashProtection.js";
 import { ConfigurationFollower } from "../configurationFollower.js";
 import { DemandEstimator } from "../capacity/demandEstimator.js";
-import { LeaderTasks } from "../leaderTasks.js";
+import { LeaderTasks } from "../leadership/leaderTasks.js";
 import type { EraSettling } from "../store/eraSettling.js";
 import type { EndpointLimits } from "../limits/endpointLimits.js";
 import type { ForwardingPeers } from "../forwarding/forwardingPeers.js";
--- a/packages/gateway/src/parts/gatewayParts.ts
+++ b/packages/gateway/src/parts/gatewayParts.ts
@@ -23,8 +23,8 @@
   createServiceSlotScheduler,
   createSlots,
 } from "../limits/limitParts.js";
-import { LeaderTasks } from "../leaderTasks.js";
-import type { FencedLeases } from "../fencedLeases.js";
+import { LeaderTasks } from "../leadership/leaderTasks.js";
+import type { FencedLeases } from "../leadership/fencedLeases.js";
 import { reportEras } from "../store/eraReporting.js";
 import { LeavingGossip } from "../endpoints/leavingGossip.js";
 import {
--- a/packages/gateway/src/parts/gatewayState.ts
+++ b/packages/gateway/src/parts/gatewayState.ts
@@ -12,7 +12,7 @@
 import { DemandEstimator } from "../capacity/demandEstimator.js";
 import type { EraSettling } from "../store/eraSettling.js";
 import { createFeedTimings, type FeedTimings } from "../store/feedTimings.js";
-import { FencedOrders } from "../fencedOrders.js";
+import { FencedOrders } from "../leadership/fencedOrders.js";
 import type { GatewaySettings } from "../gatewaySettings.js";
 import { OverloadSwitch } from "../overloadSwitch.js";
 import { PrefixIndex } from "../placement/prefixIndex.js";
--- a/packages/gateway/src/store/gatewayItems.ts
+++ b/packages/gateway/src/store/gatewayItems.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { Clock, Logger } from "@gladewall/kernel";
-import { FencedLeases } from "../fencedLeases.js";
+import { FencedLeases } from "../leadership/fencedLeases.js";
 import { EraSettling } from "./eraSettling.js";
 import { CommittedWindows } from "./committedWindows.js";
 import { gatewayPrefix } from "../fleet/memberRecords.js";
