Let a held slot know its registry by an interface

heldSlot and openSlots imported each other's types; this was the last import circle of the gateway's sources. Type check and linter are clean; a walk over all imports of packages/*/src and platform/src finds no circle.

--- a/packages/gateway/src/slots/heldSlot.ts
+++ b/packages/gateway/src/slots/heldSlot.ts
@@ -4,7 +4,6 @@
  * @module
  */
 import type { Clock } from "@gladewall/kernel";
-import type { OpenSlots } from "./openSlots.js";
 import type { ClaimedSlot, SlotEndReport, SlotLoadReport } from "./slotMessages.js";
 import type { EndpointLoad } from "../types.js";
 
@@ -14,6 +13,12 @@
   recordLoad(arbiter: string, report: SlotLoadReport): void;
 }
 
+/** Keeps the places that are held now. */
+export interface SlotRegistry {
+  add(slot: HeldSlot): void;
+  remove(slot: HeldSlot): void;
+}
+
 /** Options of a held slot. */
 export interface HeldSlotOptions {
   readonly clock: Clock;
@@ -30,7 +35,7 @@
   readonly tokens: number;
   /** Whether the request takes its slot until its response has ended, as at an engine. */
   readonly isHeldToEnd: boolean;
-  readonly open: OpenSlots;
+  readonly open: SlotRegistry;
   readonly reporter: SlotReporter;
 }
 
--- a/packages/gateway/src/slots/openSlots.ts
+++ b/packages/gateway/src/slots/openSlots.ts
@@ -3,10 +3,10 @@
  * decide on a service asks for them, because it cannot know what others granted or what was sent before anybody decided.
  * @module
  */
-import type { HeldSlot } from "./heldSlot.js";
+import type { HeldSlot, SlotRegistry } from "./heldSlot.js";
 
 /** Open places by service. */
-export class OpenSlots {
+export class OpenSlots implements SlotRegistry {
   private readonly byService = new Map<string, Set<HeldSlot>>();
 
   private constructor() {}
