Remember the size of the fleet in the store, for instances that list nobody

Records of members end with their leases after 6 s. Instances that start together after that list nobody until the others have written their records, and each took itself for the only one: it was the arbiter of every limit and granted the whole of it.

The number of instances is kept as an item without a lease. One reader writes it: at once when the fleet has grown and the list has not changed for 0.6 s, and a minute after it has become smaller, with the largest size in that minute, so that replaced machines cost no write. A fleet of one has no item. Until the own record is listed and the list has not grown for 0.6 s, an instance counts as many instances as the item says, so that the parts of all instances that list nobody add up to one limit. Its model of an instance now computes its share with the same class as the gateway.

--- a/packages/gateway/src/fleet/members.ts
+++ b/packages/gateway/src/fleet/members.ts
@@ -7,10 +7,10 @@
  * sends the store's content.
  * @module
  */
-import { LinkMessageKind, type PeerIdentity, PeerLinks } from "@gladewall/coordination";
+import { LinkMessageKind, type PeerIdentity, type PeerLinks } from "@gladewall/coordination";
 import { type Closeable, waitFor } from "@gladewall/kernel";
 import { Arbiters, type ArbitersOptions } from "../limits/arbiters.js";
-import { type ContainedFailures, FailurePlace } from "../failures/containedFailures.js";
+import type { ContainedFailures } from "../failures/containedFailures.js";
 import type { PeerWork } from "../endpoints/endpoint.js";
 import type { ConfigurationFollower } from "../configurationFollower.js";
 import type { ForwardingPeer } from "../forwarding/forwardingPeers.js";
@@ -29,12 +29,15 @@
   type PlacementRelayMessage,
 } from "./memberMessages.js";
 import { GrantDecision } from "../limits/grantDecision.js";
+import { createMemberLinks } from "./memberLinks.js";
 import { MemberRecords, type MemberRecordsOptions, gatewayPrefix } from "./memberRecords.js";
 import type { PrefixIndex } from "../placement/prefixIndex.js";
 import type { PrefillRates } from "../prefillRates.js";
 import { ReaderViews } from "./readerViews.js";
 import { ReportExchange } from "./reportExchange.js";
 import type { SharedCounters } from "../sharedCounters.js";
+import { FleetShare } from "./fleetShare.js";
+import { FleetSizeItem } from "./fleetSizeItem.js";
 import { SilentPeers } from "./silentPeers.js";
 import { StoreFeed } from "../store/storeFeed.js";
 import type { DisciplinedClock } from "../disciplinedClock.js";
@@ -78,10 +81,7 @@
 const readerCount = 3;
 /** Number of keepers in a large fleet: after half of all instances have ended at once, one in 32 times none of them is left. */
 const keeperCount = 5;
-const pingIntervalMs = 1_000;
-const lostAfterMs = 2_500;
-const handshakeTimeoutMs = 1_000;
-const outboxBytes = 262_144;
+const fleetSizeKey = `${gatewayPrefix}fleet-size`;
 /** Time without a new instance after which the list of members counts as complete. */
 const fleetStableMs = 600;
 
@@ -103,13 +103,15 @@
   private task: Promise<void> = Promise.resolve();
   private readonly views: ReaderViews;
   private readonly reports: ReportExchange;
+  private readonly sizeItem: FleetSizeItem;
+  private readonly share: FleetShare;
 
   private constructor(private readonly options: MembersOptions) {
     const { clock, logger, name, largestMesh } = options;
     this.peerClocks = PeerClocks.create(clock);
     this.peerUptimes = PeerUptimes.create(clock);
     this.silentPeers = SilentPeers.create(options.revokeWithinMs, clock.getTime());
-    this.links = this.createLinks();
+    this.links = createMemberLinks(options);
     const isLinked = (peer: string): boolean => this.links.isLinked(peer);
     const onChange = (): void => this.updateMembers();
     this.records = MemberRecords.create({ ...options, onChange, isLinked });
@@ -133,6 +135,8 @@
       call: (peer, message, timeoutMs) => this.links.call(peer, message, timeoutMs),
     };
     this.arbiters = Arbiters.create(arbiterOptions);
+    this.sizeItem = this.createSizeItem();
+    this.share = this.createShare(isLinked);
     this.slotArbiters = Arbiters.create(arbiterOptions);
     this.feed = StoreFeed.create({
       clock,
@@ -254,21 +258,15 @@
     return this.records.size;
   }
 
-  /**
-   * Share of the fleet whose counts are known, including this instance: all instances except those that may be
-   * serving without their reports arriving here. A peer whose connection was closed has ended; one that fell
-   * silent may only be cut off.
-   */
+  /** Number of instances that may be serving: those listed, or as many as the store remembers until the list is known. */
+  getServingSize(): number {
+    return this.share.size;
+  }
+
+  /** Share of the fleet whose counts are known, including this instance. */
   getKnownShare(): number {
-    const fleet = this.getFleetSize();
-    if (!this.roles.isCollector) return this.views.find()?.knownShare ?? 1 / fleet;
-    const time = this.options.clock.getTime();
-    let silent = 0;
-    for (const name of this.records.getNames()) {
-      if (name !== this.options.name && this.silentPeers.mayBeServing(name, time, this.links.isLinked(name)))
-        silent += 1;
-    }
-    return Math.max(1, fleet - silent) / fleet;
+    if (this.roles.isCollector) return this.share.getKnown();
+    return this.views.find()?.knownShare ?? 1 / this.getServingSize();
   }
 
   /** Milliseconds since the last view of the fleet's counts was received; undefined without a view. */
@@ -315,23 +313,25 @@
     await Promise.all([this.records.close(), this.links.close(), this.task]);
   }
 
-  private createLinks(): PeerLinks {
-    const { options } = this;
-    const { clock, logger, name, incarnation, secret, address, largestMesh } = options;
-    return PeerLinks.create({
-      own: { name, incarnation },
-      secret,
-      clock,
-      logger,
-      listen: address,
-      handshakeTimeoutMs: handshakeTimeoutMs,
-      maxOutboxBytes: outboxBytes,
-      pingIntervalMs: pingIntervalMs,
-      lossTimeoutMs: lostAfterMs,
-      maxPersistentLinks: largestMesh,
-      getRandom: Math.random,
-      onFailure: (error, peer) => options.failures.record(FailurePlace.PeerMessage, error, { peer }),
-      getPingFields: () => ({ time: options.time.get(), uptime: Math.round(options.counters.getUptime()) }),
+  private createSizeItem(): FleetSizeItem {
+    return FleetSizeItem.create({
+      ...this.options,
+      key: fleetSizeKey,
+      getItem: () => this.items.get(fleetSizeKey),
+      isWriter: () => this.isReader && this.arbiters.isOwnSubject(fleetSizeKey),
+    });
+  }
+
+  private createShare(isLinked: (peer: string) => boolean): FleetShare {
+    return FleetShare.create({
+      clock: this.options.clock,
+      ownName: this.options.name,
+      silentPeers: this.silentPeers,
+      getNames: () => this.records.getNames(),
+      getListedSize: () => this.records.size,
+      isLinked,
+      isListKnown: () => this.findFleetSize() !== undefined,
+      getKeptSize: () => this.sizeItem.size,
     });
   }
 
@@ -373,6 +373,7 @@
       time.adjust(this.peerClocks.getOffsets(time.get()));
       if (this.roles.chooseReaders()) this.updateMembers();
       this.work.refresh();
+      this.sizeItem.reconcile(this.findFleetSize());
       this.reports.setRole();
       onBeforeReport();
       this.reports.send();
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -145,6 +145,8 @@
 export { pickWeightedTarget, RouteTable } from "./routeTable.js";
 export { SharedCounters } from "./sharedCounters.js";
 export { CounterKind, type CounterTotals } from "./limits/counterTypes.js";
+export { FleetShare } from "./fleet/fleetShare.js";
+export { FleetSizeItem } from "./fleet/fleetSizeItem.js";
 export { SilentPeers } from "./fleet/silentPeers.js";
 export { PlacementStage } from "./placement/placementStage.js";
 export { QueueStage } from "./requests/queueStage.js";
--- a/packages/gateway/src/limits/limitParts.ts
+++ b/packages/gateway/src/limits/limitParts.ts
@@ -84,7 +84,7 @@
     issuer: PermitIssuer.create({ clock, logger, getRandom: Math.random }),
     arbiters: members.arbiters,
     canIssuePermits: (name) => links.canIssuePermits(name),
-    getFleetSize: () => members.getFleetSize(),
+    getFleetSize: () => members.getServingSize(),
   });
   const links: LimitGossip = LimitGossip.create({
     fleet: members,
@@ -195,7 +195,7 @@
     quotaWindowMs: settings.quotas.window,
     quotaSlack: settings.quotas.slack,
     quotaOvershoot: settings.quotas.overshoot,
-    getFleetSize: () => getMembers().getFleetSize(),
+    getFleetSize: () => getMembers().getServingSize(),
     isFirstStart: settings.instance.first_start,
     getKnownShare: () => getMembers().getKnownShare(),
     getRandom: Math.random,
--- a/packages/gateway/test/limitedFleet.ts
+++ b/packages/gateway/test/limitedFleet.ts
@@ -14,6 +14,7 @@
   LimitOrders,
   OverloadSwitch,
   type ConfigurationFollower,
+  FleetShare,
   type QuotaReply,
   type QuotaCall,
   QuotaCharges,
@@ -109,6 +110,7 @@
   readonly startedAt: number;
   readonly linkedFrom: number;
   readonly silentPeers: SilentPeers;
+  private readonly share: FleetShare;
   pausedUntil = 0;
   private readonly sentTotals = new Map<number, CounterTotals>();
   private sequence = 0;
@@ -124,6 +126,16 @@
     this.startedAt = clock.getTime();
     this.linkedFrom = isFirstStart ? this.startedAt : this.startedAt + (scenario.unlinkedMs ?? 0);
     this.silentPeers = SilentPeers.create(revokeWithinMs, this.startedAt);
+    this.share = FleetShare.create({
+      clock,
+      ownName: name,
+      silentPeers: this.silentPeers,
+      getNames: () => (this.isAlone ? [name] : fleet.names),
+      getListedSize: () => (this.isAlone ? 1 : scenario.instances),
+      isLinked: (peer) => fleet.isLinked(name, peer),
+      isListKnown: () => !this.isAlone,
+      getKeptSize: () => (isFirstStart ? undefined : scenario.instances),
+    });
     this.life = `${name}/${this.startedAt}`;
     this.counters = SharedCounters.create({ clock, ownName: name, windows });
     this.admission = Admission.create({
@@ -133,7 +145,7 @@
       quotaWindowMs: windowMs,
       quotaSlack: slack,
       quotaOvershoot: overshoot,
-      getFleetSize: () => (this.isAlone ? 1 : scenario.instances),
+      getFleetSize: () => this.share.size,
       isFirstStart,
       getKnownShare: () => this.getKnownShare(),
       getRandom: fleet.getRandom,
@@ -173,16 +185,9 @@
   }
 
   private getKnownShare(): number {
-    const { clock, scenario } = this.fleet;
-    const time = clock.getTime();
-    if (this.isAlone) return 1;
-    if (!this.isReader)
-      return time - this.view.at <= viewLifetimeMs ? this.view.share : 1 / scenario.instances;
-    const silent = this.fleet.names.filter(
-      (peer) =>
-        peer !== this.name && this.silentPeers.mayBeServing(peer, time, this.fleet.isLinked(this.name, peer)),
-    ).length;
-    return Math.max(1, scenario.instances - silent) / scenario.instances;
+    if (this.isAlone || this.isReader) return this.share.getKnown();
+    const isCurrent = this.fleet.clock.getTime() - this.view.at <= viewLifetimeMs;
+    return isCurrent ? this.view.share : 1 / this.share.size;
   }
 
   /**
