Keep the limits that endpoints advertise in the store

Limits were kept in memory only.

The limits are one item of the store, listed before an instance is ready and written by one reader. What a response or a peer tells replaces a limit that was read.

--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -93,6 +93,7 @@
 export { GatewayMetrics } from "./gatewayMetrics.js";
 export { formatLeaseHandle, parseLeaseHandle } from "./store/leaseHandle.js";
 export { PermitIssuer } from "./limits/permitIssuer.js";
+export { LimitItem, limitsKey } from "./limits/limitItem.js";
 export { LimitGossip } from "./limits/limitGossip.js";
 export { LargestRequests } from "./largestRequests.js";
 export { LimitOrders } from "./limits/limitOrders.js";
--- a/packages/gateway/src/limits/endpointLimits.ts
+++ b/packages/gateway/src/limits/endpointLimits.ts
@@ -22,6 +22,12 @@
   readonly directory: EndpointDirectory;
 }
 
+/**
+ * Age that a limit read from the store is given. It is not known when an endpoint advertised it last, so everything that a response or
+ * a peer tells replaces it: the age is the time for which the end of a limit is remembered.
+ */
+const keptAgeMs = 600_000;
+
 /** Limits of all endpoints. */
 export class EndpointLimits {
   private readonly listeners: ((incarnation: string) => void)[] = [];
@@ -79,6 +85,23 @@
     };
   }
 
+  /** Applies a limit that was read from the store. What is known of the endpoint already is newer. */
+  applyKept(incarnation: string, perSecond: number): void {
+    const at = this.options.clock.getTime() - keptAgeMs;
+    const { limit } = this.options.directory.getAvailability(incarnation);
+    if (limit.perSecond !== undefined) return;
+    this.applyLimit(incarnation, perSecond, { sentAt: at, receivedAt: at }, { source: "store" });
+  }
+
+  /** Returns the limits of listed endpoints, by incarnation; those heard of last come first. */
+  list(): readonly (readonly [incarnation: string, perSecond: number])[] {
+    const { directory } = this.options;
+    return directory.availabilities.getLimited(Infinity).flatMap((incarnation) => {
+      const perSecond = directory.find(incarnation)?.availability.limit.perSecond;
+      return perSecond === undefined ? [] : [[incarnation, perSecond] as const];
+    });
+  }
+
   private applyLimit(
     incarnation: string,
     perSecond: number | undefined,
--- a/packages/gateway/src/limits/limitParts.ts
+++ b/packages/gateway/src/limits/limitParts.ts
@@ -12,6 +12,7 @@
 import type { GatewayParts } from "../parts/gatewayPartTypes.js";
 import type { GatewayState } from "../parts/gatewayState.js";
 import type { GatewaySettings } from "../gatewaySettings.js";
+import { LimitItem, limitsKey } from "./limitItem.js";
 import { LimitGossip } from "./limitGossip.js";
 import { LimitOrders } from "./limitOrders.js";
 import type { Members } from "../fleet/members.js";
@@ -68,12 +69,17 @@
   return { budget, acceptance: AcceptanceRates.create(clock) };
 }
 
+/** What keeps the rate limits that endpoints advertise, here and in the store. */
+interface LimitParts extends Pick<GatewayParts, "limits" | "permits"> {
+  readonly limitItem: LimitItem;
+}
+
 /** Creates what keeps the rate limits that endpoints advertise. */
 export function createLimits(
-  { settings, clock, logger, directory }: GatewayState,
+  { settings, platform, clock, logger, directory }: GatewayState,
   members: Members,
   metrics: GatewayMetrics,
-): Pick<GatewayParts, "limits" | "permits"> {
+): LimitParts {
   const limits = EndpointLimits.create({ clock, logger, directory });
   const permits: PermitClient = PermitClient.create({
     ownName: settings.instance.name,
@@ -92,7 +98,15 @@
     limits,
     decide: (call, requester) => permits.decide(call, requester),
   });
-  return { limits, permits };
+  const limitItem = LimitItem.create({
+    store: platform.store,
+    clock,
+    logger,
+    limits,
+    isWriter: () => members.isReader && members.findArbiter(limitsKey) === settings.instance.name,
+    isListed: () => members.isListed,
+  });
+  return { limits, permits, limitItem };
 }
 
 /** What knows of services whose endpoints crash if they refuse too much, and what keeps it in the store. */
--- a/packages/gateway/src/parts/gatewayParts.ts
+++ b/packages/gateway/src/parts/gatewayParts.ts
@@ -87,16 +87,15 @@
   const members: Members = createMembers(state, reporter, {
     decideQuotaCall: (peer, call) => admission.decideForPeer(peer, call),
     onItem: (key, item, removal) => {
-      for (const kept of [items, crashes, originParts, brittleItems]) kept.handleItem(key, item, removal);
+      for (const kept of [items, crashes, originParts, brittleItems, limitItem])
+        kept.handleItem(key, item, removal);
     },
     needsKeepers: () => history.hasMixedServices,
     getForwardingAddress: () => findForwardingAddress(settings, forwardingParts.forwardingServer),
     onBeforeReport: () => {
       admission.updateDrainRates();
       agreed.budget.refresh();
-      crashes.reconcile();
-      originParts.reconcile();
-      brittleItems.reconcile();
+      for (const kept of [crashes, originParts, brittleItems, limitItem]) kept.reconcile();
       items.writeDueItems();
     },
   });
@@ -104,7 +103,8 @@
   const originParts: OriginParts = createOrigins(state, history, members, metrics);
   const crashes: CrashProtection = createCrashes(state, members, metrics);
   const { brittle, brittleItems } = createBrittleServices(state, members);
-  const agreed: AgreedParts = { ...createLimits(state, members, metrics), ...createRetries(state, members) };
+  const { limitItem, ...limitParts } = createLimits(state, members, metrics);
+  const agreed: AgreedParts = { ...limitParts, ...createRetries(state, members) };
   const forwardingParts: ForwardingParts = createForwarding(state, () => members, crashes, brittle);
   const proofRequests: ProofRequests = ProofRequests.create(members.links, follower, Math.random);
   return {
--- a/packages/gateway/test/permitFleet.ts
+++ b/packages/gateway/test/permitFleet.ts
@@ -11,6 +11,8 @@
   EndpointLimits,
   PermitIssuer,
   LimitGossip,
+  LimitItem,
+  limitsKey,
   LimitMessageKind,
   PermitClient,
   type PermitRequest,
@@ -21,6 +23,7 @@
 import { getAllowedArrivals, getMaxArrivals } from "@gladewall/standins";
 import { Err, Ok, type Result } from "ts-results-es";
 import { createKnownEndpoint } from "./knownEndpoints.js";
+import { PermitStore } from "./permitStore.js";
 import { createSpreadRandom, StepClock } from "./stepClock.js";
 
 /** A fault of some instances; times are milliseconds from the start. */
@@ -66,6 +69,8 @@
   readonly messagesPerSecond: number;
   /** Milliseconds from the end of the last limit until every instance had learned of it; undefined if some had not. */
   readonly freedAfterMs: number | undefined;
+  /** Number of times that limits were written to the store. */
+  readonly storeWrites: number;
 }
 
 /** Time after a change of the limit from which arrivals are counted. */
@@ -77,6 +82,8 @@
 const slowConnectShare = 0.05;
 const slowConnectMs = 250;
 const restartMs = 700;
+/** Time between two reports of an instance, before which it writes to the store what has changed. */
+const reportMs = 250;
 const lostAfterMs = 2_500;
 const maxMeshSize = 10;
 const readerCount = 3;
@@ -100,6 +107,9 @@
   readonly limits: EndpointLimits;
   readonly permits: PermitClient;
   readonly identity: PeerIdentity;
+  /** The limits in the store. */
+  readonly item: LimitItem;
+  private isListed = false;
   pausedUntil = 0;
   slowUntil = 0;
   messages = 0;
@@ -115,7 +125,11 @@
     this.identity = { name, incarnation: clock.getTime() + 1 };
     const availabilities = AvailabilityCache.create(clock);
     availabilities.touch(this.endpoint.incarnation, this.endpoint.availability);
-    const directory = { availabilities, getAvailability: () => this.endpoint.availability };
+    const directory = {
+      availabilities,
+      find: () => this.endpoint,
+      getAvailability: () => this.endpoint.availability,
+    };
     const known = directory as Partial<EndpointDirectory> as EndpointDirectory;
     this.limits = EndpointLimits.create({ clock, logger, directory: known });
     const arbiters = Arbiters.create({
@@ -144,6 +158,27 @@
       decide: (call, requester) => this.permits.decide(call, requester),
     });
     if (!knowsLimits) this.handlers.clear();
+    this.item = this.createItem();
+    // An instance lists the gateway's items before it serves.
+    this.readItem();
+    this.isListed = true;
+  }
+
+  /** Reads the limits in the store. */
+  readItem(): void {
+    if (this.knowsLimits) this.item.handleItem(limitsKey, this.fleet.store.item);
+  }
+
+  private createItem(): LimitItem {
+    const { fleet, limits } = this;
+    return LimitItem.create({
+      store: fleet.store,
+      clock: fleet.clock,
+      logger: Logger.createSilent(),
+      limits,
+      isWriter: () => fleet.getReaders().find((reader) => fleet.isRunning(reader)) === this.name,
+      isListed: () => this.isListed,
+    });
   }
 
   /** The fleet as the broadcaster sees it. */
@@ -211,6 +246,9 @@
   private readonly silentSince = new Map<string, number>();
   private readonly partitionedUntil = new Map<string, number>();
   private requests = 0;
+  readonly store = PermitStore.create(this.clock, () => {
+    for (const member of this.members.values()) member.readItem();
+  });
 
   constructor(readonly scenario: PermitScenario) {
     this.draw = createSpreadRandom(scenario.seed);
@@ -223,6 +261,10 @@
     return this.scenario.instances <= maxMeshSize;
   }
 
+  isRunning(name: string): boolean {
+    return this.members.has(name);
+  }
+
   /** The first running instances by order, and those before them that are down and still listed. */
   getReaders(): readonly string[] {
     const running = this.names.filter((name) => this.members.has(name)).slice(0, readerCount);
@@ -291,6 +333,7 @@
       urgentAdmittedShare: this.getAdmittedShare(lastAdvertised, until, ({ isUrgent }) => isUrgent),
       messagesPerSecond: (messages / scenario.endsAt) * millisecondsPerSecond,
       freedAfterMs: freedAt === undefined ? undefined : freedAt - freedFrom!.from,
+      storeWrites: this.store.writes,
     };
   }
 
@@ -321,7 +364,15 @@
 
   private start(name: string): void {
     const isOld = this.names.indexOf(name) < (this.scenario.oldBuilds ?? 0);
-    this.members.set(name, new Member(name, this, !isOld));
+    const member = new Member(name, this, !isOld);
+    this.members.set(name, member);
+    if (isOld) return;
+    const reconcile = (): void => {
+      if (this.members.get(name) !== member) return;
+      if (member.pausedUntil <= this.clock.getTime()) member.item.reconcile();
+      this.clock.startTimer(reportMs, reconcile);
+    };
+    this.clock.startTimer(reportMs, reconcile);
   }
 
   private link(name: string): void {
