Convict no frequent part by a trial beside an unknown one

A trial counted half only beside a part of which fewer requests are aboard; beside the trial's single request there is none. Where the tried part had two requests or more at each crash in the mean, any other part that is as unknown now makes the trial count half.

The test convicted the sound part before.

--- a/packages/gateway/src/crashes/parts/partRecords.ts
+++ b/packages/gateway/src/crashes/parts/partRecords.ts
@@ -58,6 +58,8 @@
 const uncleanTrialScore = 0.5;
 /** How many times as many requests with one part there must be as with another for that to be the more likely cause. */
 const clearlyFewer = 2;
+/** Requests with a part at each crash, in the mean, from which on it is aboard at most crashes by chance. */
+const frequentRequests = 2;
 /** Crashes that one part must share with another to explain them; a rarer part that was aboard at one by chance explains nothing. */
 const minExplained = 2;
 /** Unexplained crashes from which on a part that has run without a crash is tried. */
@@ -359,7 +361,7 @@
         other !== part &&
         other.isOpen(life) &&
         together?.has(other.name.part) !== true &&
-        isMoreLikely(other, part, [life]),
+        isAlternative(other, part, life),
     );
   }
 
@@ -410,6 +412,22 @@
   return part.countRequests(lives) * clearlyFewer <= other.countRequests(lives);
 }
 
+/**
+ * Whether a part may as well be the cause of the crash of another's trial. Beside one that many requests have, so that it is aboard at most
+ * crashes by chance, any part that is as unknown may be.
+ */
+function isAlternative(part: SuspectPart, other: SuspectPart, life: string): boolean {
+  const isEquallyKnown = part.hasRun === other.hasRun;
+  if (!isEquallyKnown || !isFrequent(other)) return isMoreLikely(part, other, [life]);
+  return part.countRequests([life]) <= other.countRequests([life]);
+}
+
+/** Whether several requests with a part were aboard at each crash. */
+function isFrequent(part: SuspectPart): boolean {
+  const lives = part.getOpen();
+  return part.countRequests(lives) >= lives.length * frequentRequests;
+}
+
 /** Returns what is known for a part, for a peer that knows only what was kept. */
 function createClearances({ name, crashes }: SuspectPart): readonly PartClearance[] {
   const { service, part } = name;
--- a/packages/gateway/test/partRecords.test.ts
+++ b/packages/gateway/test/partRecords.test.ts
@@ -117,6 +117,27 @@
   },
 );
 
+t.test(
+  "a frequent part is not convicted by a trial beside an unknown part that may be the cause",
+  async (t) => {
+    const { clock, crash, getState, convict } = createBench();
+    for (const [life, deadly] of [
+      ["e1", "x"],
+      ["e2", "y"],
+    ] as const) {
+      const frequent = [1, 2, 3].map(() => createAboard(["frequent"]));
+      crash(life, createAboard([deadly]), ...frequent);
+      await clock.advance(100);
+    }
+    crash("e3", createAboard(["frequent"], ["frequent"]), createAboard(["z"]));
+    t.same(await convict(), []);
+    t.equal(getState(["frequent"]), QuarantineState.Isolated);
+    crash("e4", createAboard(["z"], ["z"]));
+    crash("e5", createAboard(["z"], ["z"]));
+    t.same(await convict(), ["z"], "one that is rare is judged as before");
+  },
+);
+
 t.test("one workspace's word does not get the requests of others refused", async (t) => {
   const { crash, crashThrice, convict, getState } = createBench();
   await crashThrice(["victim"], "attacker");
