Write suspicions of parts as soon as they are due

A suspicion is due 150 ms after the crash, but it was written with the next periodic review, up to 250 ms later. It is now written when it is due.

--- a/packages/gateway/src/crashes/crashProtection.ts
+++ b/packages/gateway/src/crashes/crashProtection.ts
@@ -18,6 +18,7 @@
 import type { QuarantineItems } from "./quarantineItems.js";
 import { createPartItems } from "./parts/partStore.js";
 import { PartObserver } from "./parts/partObserver.js";
+import { reportDelayMs } from "./parts/partRecords.js";
 import { type TrialCallArguments, TrialScheduler } from "./trialScheduler.js";
 import type { MetadataStore, StoreItem } from "../types.js";
 
@@ -46,6 +47,9 @@
   readonly getTimeOfDay: () => number;
 }
 
+/** Added to the time after which a suspicion is due, so that it is due when the timer fires. */
+const dueMarginMs = 10;
+
 /** Crash protection of one instance. */
 export class CrashProtection {
   readonly records: CrashRecords;
@@ -166,10 +170,16 @@
   private handleUpdate({ parts }: CrashUpdate): void {
     this.reconcileItems();
     if (!parts) return;
-    if (parts.crashes) this.observer.handleCrash();
+    if (parts.crashes) this.handlePartCrash();
     this.scheduler.review();
   }
 
+  /** The suspicion is written as soon as it is due, because all instances may be killed before the next review. */
+  private handlePartCrash(): void {
+    this.observer.handleCrash();
+    this.options.clock.startTimer(reportDelayMs + dueMarginMs, () => this.reconcileItems());
+  }
+
   /** Only instances that receive the reports of the whole fleet write items. */
   private reconcileItems(): void {
     if (!this.options.members.isCollector) return;
--- a/packages/gateway/src/crashes/parts/partRecords.ts
+++ b/packages/gateway/src/crashes/parts/partRecords.ts
@@ -37,7 +37,7 @@
 /** Score from which on a suspicion must outlast all instances; one of a part that is not known to have run must from the first crash on. */
 const durableScore = 2;
 /** Time from a crash until all instances have reported who was aboard. */
-const reportDelayMs = 150;
+export const reportDelayMs = 150;
 /** Time from a crash to the verdict: what peers know for a part arrives within two hops between regions, 120 ms. */
 export const verdictDelayMs = 200;
 /** Parts of one workspace that are watched, so that a workspace which invents parts displaces only its own. */
