Hold the configuration in force in a module of its own

configurationFollower.ts had 454 lines and two jobs: to read and prove, and to decide which configuration is put in force. The second moves to configurationInForce.ts.

--- a/packages/gateway/src/configurationFollower.ts
+++ b/packages/gateway/src/configurationFollower.ts
@@ -7,47 +7,21 @@
  * That age includes the time for which the machine was suspended, so that a process which stood still finds its
  * proof expired before it admits anything.
  *
- * The version in force never decreases. Configurations are ordered by their own version number, because the
- * store's revisions decrease when the store is restored from a snapshot. After a restore, reads prove nothing until
- * the lost writes have been written again.
+ * After a restore of the store, reads prove nothing until the lost writes have been written again.
  * @module
  */
 import { type Clock, type Closeable, type Logger, waitFor } from "@gladewall/kernel";
 import type { EraSettling } from "./store/eraSettling.js";
 import { PrefixFollower } from "./store/prefixFollower.js";
-import { RouteTable } from "./routeTable.js";
 import {
-  type EraChange,
-  isRestore,
-  isSamePosition,
-  type StorePosition,
-  initialEra,
-} from "./store/storeEras.js";
-import type { PlatformAdapter, ServingConfiguration, StoreItem } from "./types.js";
-
-/** A peer's freshness proof, with the position and the version of the configuration that it holds for. */
-export interface ConfigurationProof {
-  /** Age of the peer's own proof when the peer replied, in milliseconds. */
-  readonly proofAgeMs: number;
-  /** Revision of the newest configuration that the peer has. */
-  readonly revision: number;
-  /** Era of that revision, and the configuration's version; earlier builds leave both out. */
-  readonly era?: number;
-  readonly version?: number;
-  /**
-   * That configuration as stored. Left out if the requester already has it, or if it is too large to send: the
-   * requester then reads it from the store.
-   */
-  readonly value?: Uint8Array | undefined;
-}
-
-/** The configuration that an instance has, sent to a peer that may have a newer one. */
-export interface HeldConfiguration {
-  /** Revision of the newest configuration; 0 before the first. */
-  readonly revision: number;
-  /** Its version; earlier builds leave it out. */
-  readonly version?: number | undefined;
-}
+  type ConfigurationProof,
+  ConfigurationInForce,
+  type HeldConfiguration,
+  isNewerThan,
+} from "./configurationInForce.js";
+import type { RouteTable } from "./routeTable.js";
+import { type EraChange, isRestore, isSamePosition, initialEra } from "./store/storeEras.js";
+import type { PlatformAdapter } from "./types.js";
 
 /** How an instance obtains the content of the platform's store. */
 export enum StoreRole {
@@ -83,14 +57,6 @@
   readonly settling: EraSettling;
 }
 
-/** A configuration that has been examined: decoded if possible, and then compared with the one in force. */
-interface ExaminedConfiguration {
-  readonly item: StoreItem;
-  readonly position: StorePosition;
-  /** Undefined if it cannot be decoded. */
-  readonly version: number | undefined;
-}
-
 /** Maximum number of concurrent reads. */
 const maxConcurrentReads = 4;
 /** Interval at which the age of the proof is checked while a reader feeds this instance. */
@@ -102,14 +68,10 @@
 
 /** Keeps the configuration in force up to date and proves how fresh it is. */
 export class ConfigurationFollower implements Closeable {
-  private table: RouteTable | undefined;
+  private readonly inForce: ConfigurationInForce;
   /** Boot time at which the read was sent that the current proof is based on. */
   private proofSentAt: number | undefined;
   private pendingReads = 0;
-  /** Newest configuration that was put in force or refused; it is sent to peers that request it. */
-  private taken: ExaminedConfiguration | undefined;
-  /** Last configuration that was examined, whether or not it was put in force. */
-  private lastExamined: ExaminedConfiguration | undefined;
   /** Era for which it was last logged that reads prove nothing. */
   private withheldEra: number | undefined;
   private isRequestingProofs = false;
@@ -122,19 +84,19 @@
   /** Monotonic time until which no watch is opened, because a reader may still begin to feed this instance. */
   private readonly watchesFrom: number;
   private readonly stop = new AbortController();
-  private readonly changeListeners: ((table: RouteTable) => void)[] = [];
   private readonly regainListeners: (() => void)[] = [];
   private task: Promise<void> = Promise.resolve();
 
   private constructor(private readonly options: ConfigurationFollowerOptions) {
     const { platform, clock, logger } = options;
+    this.inForce = ConfigurationInForce.create(platform, logger);
     this.follower = PrefixFollower.create({
       store: platform.store,
       prefix: platform.configurationKey,
       clock,
       logger,
       listener: {
-        handlePut: (item) => void this.examine(item, platform.store.eras.current),
+        handlePut: (item) => void this.inForce.examine(item, platform.store.eras.current),
         handleRemoved: () => undefined,
       },
       isListingNeeded: false,
@@ -156,7 +118,7 @@
 
   /** Returns the configuration in force; undefined before the first. */
   getTable(): RouteTable | undefined {
-    return this.table;
+    return this.inForce.table;
   }
 
   /**
@@ -168,7 +130,7 @@
 
   /** Whether the proof is fresh enough to authorize requests with the configuration in force. */
   hasFreshProof(): boolean {
-    return this.table !== undefined && this.getProofAge() < this.options.proofLifetimeMs;
+    return this.inForce.table !== undefined && this.getProofAge() < this.options.proofLifetimeMs;
   }
 
   /** Whether the last read of this instance failed. */
@@ -178,7 +140,7 @@
 
   /** Returns the configuration that this instance has, for peers that may have a newer one. */
   getHeld(): HeldConfiguration {
-    return { revision: this.taken?.position.revision ?? 0, version: this.table?.version };
+    return { revision: this.inForce.taken?.position.revision ?? 0, version: this.inForce.table?.version };
   }
 
   /** Milliseconds since this instance sent the last read to which the store responded; infinite before the first. */
@@ -212,7 +174,7 @@
   }
 
   onChange(listener: (table: RouteTable) => void): void {
-    this.changeListeners.push(listener);
+    this.inForce.onChange(listener);
   }
 
   /** Registers a listener that is called when the store responds again after a failure. */
@@ -266,7 +228,7 @@
     this.handleReadSuccess();
     const { item, era } = reading.value;
     if (!item) return;
-    const version = this.examine(item, era);
+    const version = this.inForce.examine(item, era);
     if (this.isCompleteRead(version, sentAt))
       this.proofSentAt = Math.max(this.proofSentAt ?? -Infinity, sentAt);
   }
@@ -278,7 +240,7 @@
   private isCompleteRead(version: number | undefined, sentAt: number): boolean {
     const { settling, platform, logger } = this.options;
     const { current: era } = platform.store.eras;
-    const inForce = this.table?.version;
+    const inForce = this.inForce.table?.version;
     const isLacking = version !== undefined && inForce !== undefined && version < inForce;
     // Within one era, a version older than the one in force comes from a response that another response has
     // overtaken.
@@ -298,9 +260,10 @@
    * no fresh proof itself. A newer configuration is included if it has at most `maxBytes` bytes.
    */
   createProof(held: HeldConfiguration, maxBytes = Infinity): ConfigurationProof | undefined {
-    if (!this.taken || !this.hasFreshProof()) return undefined;
-    const { item, position, version } = this.taken;
-    const isNewer = isNewerThan(this.taken, held);
+    const { taken } = this.inForce;
+    if (!taken || !this.hasFreshProof()) return undefined;
+    const { item, position, version } = taken;
+    const isNewer = isNewerThan(taken, held);
     const value = isNewer && item.value.length <= maxBytes ? item.value : undefined;
     return {
       proofAgeMs: this.getProofAge(),
@@ -330,8 +293,9 @@
     const { logger, platform } = this.options;
     const { proofAgeMs, revision, era = initialEra, value } = proof;
     platform.store.eras.advanceTo(era);
-    if (value) this.examine({ key: platform.configurationKey, revision, value }, era);
-    if (!this.table || !this.isProofComparable(proof)) return;
+    if (value) this.inForce.examine({ key: platform.configurationKey, revision, value }, era);
+    const { table } = this.inForce;
+    if (!table || !this.isProofComparable(proof)) return;
     if (this.isBehind(proof)) {
       // The peer has a newer configuration that is too large to be included in its reply.
       void this.tryRead();
@@ -341,7 +305,7 @@
     if (provenAt <= (this.proofSentAt ?? -Infinity)) return;
     this.proofSentAt = provenAt;
     logger.debug("configuration.vouched", {
-      version: this.table.version,
+      version: table.version,
       revision,
       era,
       proofAgeMs: Math.round(this.getProofAge()),
@@ -357,68 +321,12 @@
   }
 
   private isBehind({ version, era = initialEra, revision }: ConfigurationProof): boolean {
-    const { taken, table } = this;
+    const { taken, table } = this.inForce;
     if (taken && isSamePosition(taken.position, { era, revision })) return false;
     if (version !== undefined) return version > (table?.version ?? -Infinity);
     return revision > (taken?.position.revision ?? 0);
   }
 
-  /**
-   * Examines a configuration that was read in an era and puts it in force if it is newer; returns its version,
-   * or undefined if it cannot be decoded.
-   */
-  private examine(item: StoreItem, era: number): number | undefined {
-    const position = { era, revision: item.revision };
-    if (this.lastExamined && Buffer.compare(this.lastExamined.item.value, item.value) === 0) {
-      return this.updatePosition(this.lastExamined, item, position);
-    }
-    const decoded = this.options.platform.decodeConfiguration(item.value);
-    const version = decoded.isOk() ? decoded.value.version : undefined;
-    const inForce = this.table?.version ?? -Infinity;
-    this.lastExamined = { item, position, version };
-    if (version !== undefined && version < inForce) {
-      this.logSkipped(this.lastExamined);
-      return version;
-    }
-    this.taken = this.lastExamined;
-    if (decoded.isErr()) {
-      this.options.logger.error("configuration.refused", { ...position, text: decoded.error.text });
-    } else if (decoded.value.version > inForce) {
-      this.putInForce(decoded.value, position);
-    }
-    return version;
-  }
-
-  /** Records the new position of a configuration that has already been examined. */
-  private updatePosition(
-    seen: ExaminedConfiguration,
-    item: StoreItem,
-    position: StorePosition,
-  ): number | undefined {
-    const updated = { item, position, version: seen.version };
-    if (this.taken === seen) this.taken = updated;
-    this.lastExamined = updated;
-    return updated.version;
-  }
-
-  private logSkipped({ version, position }: ExaminedConfiguration): void {
-    const inForce = this.table?.version;
-    const text = "a newer one is in force";
-    this.options.logger.info("configuration.passed-over", { version, ...position, inForce, text });
-  }
-
-  private putInForce(configuration: ServingConfiguration, position: StorePosition): void {
-    this.table = RouteTable.create(configuration);
-    const { version, routes, workspaces } = configuration;
-    this.options.logger.info("configuration.in-force", {
-      version,
-      ...position,
-      routes: routes.length,
-      workspaces: workspaces.length,
-    });
-    for (const listener of this.changeListeners) listener(this.table);
-  }
-
   /**
    * Handles a restore of the store: reads of the new era do not yet prove what was lost with the previous one,
    * and revisions of the two eras are not comparable.
@@ -446,9 +354,3 @@
     for (const listener of this.regainListeners) listener();
   }
 }
-
-/** Compares by revision if one of the versions is unknown; earlier builds do not send theirs. */
-function isNewerThan({ position, version }: ExaminedConfiguration, held: HeldConfiguration): boolean {
-  if (held.version === undefined || version === undefined) return position.revision > held.revision;
-  return version > held.version;
-}
--- a/packages/gateway/src/proofRequests.ts
+++ b/packages/gateway/src/proofRequests.ts
@@ -4,11 +4,8 @@
  * @module
  */
 import type { PeerLinks, PeerMessage } from "@gladewall/coordination";
-import type {
-  ConfigurationFollower,
-  HeldConfiguration,
-  ConfigurationProof,
-} from "./configurationFollower.js";
+import type { ConfigurationFollower } from "./configurationFollower.js";
+import type { ConfigurationProof, HeldConfiguration } from "./configurationInForce.js";
 
 /** Message numbers; they follow those of `MemberMessageKind`. */
 enum ProofMessageKind {
--- a/scripts/mutantGuards.mjs
+++ b/scripts/mutantGuards.mjs
@@ -196,7 +196,7 @@
   {
     name: "version",
     runSoak: runStoreSoak,
-    file: `${gateway}configurationFollower.ts`,
+    file: `${gateway}configurationInForce.ts`,
     edits: [
       ["if (version !== undefined && version < inForce) {", "if (version === Infinity) {"],
       ["} else if (decoded.value.version > inForce) {", "} else {"],
