Detect streams that begin at a version before it is recorded

A watch returns with the first record that is written, so a store that fails at that very moment hides all later endpoints but one; the earlier ones are gone within 200 ms, so hardly a stream begins meanwhile. Where both versions stay, the later one is recorded soon after, and with two versions in the record an unknown stream is refused whatever began it. Only a record of one version lets it go on.

In the new row the store fails 20 to 120 ms after the later endpoints arrive, all instances are killed, and the later endpoints are withdrawn before the store works again: one version is recorded in every turn.

--- a/scripts/mutants.mjs
+++ b/scripts/mutants.mjs
@@ -57,9 +57,9 @@
   return runRejoinSoak({ ...options, row: RejoinRow.ChangedWhileDown });
 }
 
-/** Runs the soak of versions that change while the store is dark and all instances are down. */
+/** Runs the soak of a version that arrives while the store is dark, and is withdrawn after all instances were killed. */
 function runUnrecordedSoak(options) {
-  return runRejoinSoak({ ...options, row: RejoinRow.ChangedAtOnceStoreDark });
+  return runRejoinSoak({ ...options, row: RejoinRow.WithdrawnStoreDark });
 }
 
 /** Share of the take-ups that go on, of the share of new streams that begin, after half of the instances were killed. */
