--- a/packages/gateway/test/endpointLimitRestarts.test.ts
+++ b/packages/gateway/test/endpointLimitRestarts.test.ts
@@ -3,7 +3,8 @@
  * killed: limits are kept in memory only, so that a fleet that has just started learns them from its first responses.
  */
 import t from "tap";
-import { type PermitScenario, runPermitScenario } from "./permitFleet.js";
+import { runPermitScenario } from "./permitFleet.js";
+import type { PermitScenario } from "./permitScenario.js";
 
 const endsAt = 24_000;
 const sizes = [
--- a/packages/gateway/test/endpointLimitScenarios.test.ts
+++ b/packages/gateway/test/endpointLimitScenarios.test.ts
@@ -5,7 +5,8 @@
  * the permits for each incarnation; these simulations kill it, pause it, slow it down and disconnect it.
  */
 import t from "tap";
-import { type PermitScenario, runPermitScenario } from "./permitFleet.js";
+import { runPermitScenario } from "./permitFleet.js";
+import type { PermitScenario } from "./permitScenario.js";
 
 const second = 1_000;
 const baseline: PermitScenario = {
--- a/packages/gateway/test/overrunLimit.test.ts
+++ b/packages/gateway/test/overrunLimit.test.ts
@@ -6,7 +6,8 @@
 import t from "tap";
 import { getAllowances, restartsPerWindow } from "@gladewall/gateway";
 import { createRoute, createWorkspace, GatewayTestBench, ScriptedEndpoint } from "@gladewall/standins";
-import { baselineSurge, runLimitScenario } from "./limitedFleet.js";
+import { runLimitScenario } from "./limitedFleet.js";
+import { baselineSurge } from "./limitScenarios.js";
 
 t.test("each run of a request is charged to its workspace's limit", async (t) => {
   const bench = GatewayTestBench.create();
--- a/packages/gateway/test/overrunLimitRandom.test.ts
+++ b/packages/gateway/test/overrunLimitRandom.test.ts
@@ -3,7 +3,8 @@
  * start again. Each seed creates such faults on a virtual clock; 45 let 1.15 of what the limit allows run in a window.
  */
 import t from "tap";
-import { createRandomScenario, runLimitScenario } from "./limitedFleet.js";
+import { runLimitScenario } from "./limitedFleet.js";
+import { createRandomScenario } from "./limitScenarios.js";
 
 t.test("random pauses, delays, kills and retries never let more run than a limit allows", async (t) => {
   // 45: readers that had started with their own part of the capacity admitted all of it after a restart; 1.15.
--- a/packages/gateway/test/overrunLimitRestarts.test.ts
+++ b/packages/gateway/test/overrunLimitRestarts.test.ts
@@ -4,7 +4,8 @@
  * instances, 1.17 of what the limit allows ran in a window.
  */
 import t from "tap";
-import { baselineSurge, runLimitScenario } from "./limitedFleet.js";
+import { runLimitScenario } from "./limitedFleet.js";
+import { baselineSurge } from "./limitScenarios.js";
 
 const linkMs = 200;
 const cutMs = 4_000;
--- a/packages/gateway/test/permitFleet.ts
+++ b/packages/gateway/test/permitFleet.ts
@@ -20,61 +20,13 @@
 } from "@gladewall/gateway";
 import type { PeerIdentity, PeerLinks, PeerMessage } from "@gladewall/coordination";
 import { Failure, FailureCode, Logger } from "@gladewall/kernel";
-import { getAllowedArrivals, getMaxArrivals } from "@gladewall/standins";
 import { Err, Ok, type Result } from "ts-results-es";
+import { ArrivalLog } from "./arrivalLog.js";
 import { createKnownEndpoint } from "./knownEndpoints.js";
+import { findAdvertised, findEnd, type PermitResult, type PermitScenario } from "./permitScenario.js";
 import { PermitStore } from "./permitStore.js";
 import { createSpreadRandom, StepClock } from "./stepClock.js";
 
-/** A fault of some instances; times are milliseconds from the start. */
-export interface FaultPeriod {
-  readonly at: number;
-  readonly forMs: number;
-}
-
-/** Parameters of a simulation. */
-export interface PermitScenario {
-  readonly seed: number;
-  readonly instances: number;
-  /** Limit that the endpoint advertises from a time on; undefined: none. */
-  readonly advertised: readonly { readonly from: number; readonly perSecond: number | undefined }[];
-  /** Requests a second that the whole fleet would send to the endpoint without a limit. */
-  readonly offeredPerSecond: number;
-  readonly endsAt: number;
-  /** Times at which the issuer is killed; it starts again after `restartMs`. */
-  readonly issuerKills?: readonly number[];
-  /** Times at which all instances are killed at once; they start again after `restartMs`. */
-  readonly fleetKills?: readonly number[];
-  /** When the issuer is paused. */
-  readonly issuerPauses?: readonly FaultPeriod[];
-  /** When half of the other instances can't reach the issuer. */
-  readonly issuerPartitions?: readonly FaultPeriod[];
-  /** When the issuer's messages take `slowMs`. */
-  readonly issuerSlow?: readonly FaultPeriod[];
-  /** Number of instances of an older build that doesn't read limits. */
-  readonly oldBuilds?: number;
-  /** Share of requests that are more urgent than the others. */
-  readonly urgentShare?: number;
-}
-
-/** Result of a simulation. */
-export interface PermitResult {
-  /** Most requests that arrived in a window, as a share of the tolerated number. */
-  readonly maxShare: number;
-  /** Arrivals under the last advertised limit, as a share of that limit. */
-  readonly admittedShare: number;
-  /** The same for the more urgent requests. */
-  readonly urgentAdmittedShare: number;
-  /** Messages a second of the busiest instance. */
-  readonly messagesPerSecond: number;
-  /** Milliseconds from the end of the last limit until every instance had learned of it; undefined if some had not. */
-  readonly freedAfterMs: number | undefined;
-  /** Number of times that limits were written to the store. */
-  readonly storeWrites: number;
-}
-
-/** Time after a change of the limit from which arrivals are counted. */
-const checkedAfterMs = 1_000;
 const delayMs = 3;
 const slowMs = 120;
 const workMs = 40;
@@ -93,11 +45,6 @@
 const usualRank = 3;
 const millisecondsPerSecond = 1_000;
 
-interface Arrival {
-  readonly at: number;
-  readonly isUrgent: boolean;
-}
-
 type Handler = (message: PeerMessage, peer: PeerIdentity) => unknown;
 
 /** One incarnation of one instance. */
@@ -241,7 +188,7 @@
   readonly clock = new StepClock();
   private readonly members = new Map<string, Member>();
   private readonly names: readonly string[];
-  private readonly arrivals: Arrival[] = [];
+  private readonly arrivals: ArrivalLog;
   /** Since when a paused or disconnected instance has been silent, by `from to`. */
   private readonly silentSince = new Map<string, number>();
   private readonly partitionedUntil = new Map<string, number>();
@@ -252,6 +199,7 @@
 
   constructor(readonly scenario: PermitScenario) {
     this.draw = createSpreadRandom(scenario.seed);
+    this.arrivals = ArrivalLog.create(scenario);
     this.names = Array.from({ length: scenario.instances }, (_, index) => `i${index}`);
     for (const name of this.names) this.start(name);
     for (const name of this.names) this.link(name);
@@ -309,9 +257,7 @@
     const { clock, scenario } = this;
     this.planFaults();
     const lastAdvertised = scenario.advertised.findLast(({ perSecond }) => perSecond !== undefined)!;
-    const freedFrom = scenario.advertised.find(
-      ({ from, perSecond }) => from > lastAdvertised.from && perSecond === undefined,
-    );
+    const freedFrom = findEnd(scenario, lastAdvertised.from);
     let freedAt: number | undefined;
     for (
       let due = 0;
@@ -328,40 +274,15 @@
     const messages = Math.max(...[...this.members.values()].map((member) => member.messages));
     const until = freedFrom?.from ?? scenario.endsAt;
     return {
-      maxShare: this.getMaxShare(),
-      admittedShare: this.getAdmittedShare(lastAdvertised, until, () => true),
-      urgentAdmittedShare: this.getAdmittedShare(lastAdvertised, until, ({ isUrgent }) => isUrgent),
+      maxShare: this.arrivals.getMaxShare(),
+      admittedShare: this.arrivals.getAdmittedShare(lastAdvertised, until, () => true),
+      urgentAdmittedShare: this.arrivals.getAdmittedShare(lastAdvertised, until, ({ isUrgent }) => isUrgent),
       messagesPerSecond: (messages / scenario.endsAt) * millisecondsPerSecond,
       freedAfterMs: freedAt === undefined ? undefined : freedAt - freedFrom!.from,
       storeWrites: this.store.writes,
     };
   }
 
-  private getAdmittedShare(
-    { from, perSecond }: PermitScenario["advertised"][number],
-    until: number,
-    isCounted: (arrival: Arrival) => boolean,
-  ): number {
-    const counted = this.arrivals.filter(
-      (one) => one.at >= from + checkedAfterMs && one.at < until && isCounted(one),
-    );
-    return counted.length / ((perSecond! * (until - from - checkedAfterMs)) / millisecondsPerSecond);
-  }
-
-  private getMaxShare(): number {
-    const { advertised, endsAt } = this.scenario;
-    const maxShares = advertised.map(({ from, perSecond }, index) => {
-      const until = advertised[index + 1]?.from ?? endsAt;
-      return perSecond === undefined ? 0 : this.getMaxWindowShare(perSecond, from + checkedAfterMs, until);
-    });
-    return Math.max(...maxShares);
-  }
-
-  private getMaxWindowShare(perSecond: number, from: number, until: number): number {
-    const times = this.arrivals.map(({ at }) => at).filter((at) => at >= from && at < until);
-    return getMaxArrivals(times) / getAllowedArrivals(perSecond);
-  }
-
   private start(name: string): void {
     const isOld = this.names.indexOf(name) < (this.scenario.oldBuilds ?? 0);
     const member = new Member(name, this, !isOld);
@@ -460,8 +381,8 @@
     const round = endpoint.availability.beginAttempt();
     const connectMs = this.draw() < slowConnectShare ? this.draw() * slowConnectMs : 0;
     clock.startTimer(delayMs + connectMs, () => {
-      this.arrivals.push({ at: clock.getTime(), isUrgent });
-      const perSecond = this.getAdvertised();
+      this.arrivals.record({ at: clock.getTime(), isUrgent });
+      const perSecond = findAdvertised(this.scenario, clock.getTime());
       clock.startTimer(workMs + delayMs, () => {
         if (this.members.get(member.name) !== member) return;
         endpoint.availability.endAttempt(round, true);
@@ -470,11 +391,6 @@
       });
     });
   }
-
-  private getAdvertised(): number | undefined {
-    const time = this.clock.getTime();
-    return this.scenario.advertised.findLast(({ from }) => from <= time)?.perSecond;
-  }
 }
 
 /** Runs a simulation. */
--- a/packages/gateway/test/rankedSurge.ts
+++ b/packages/gateway/test/rankedSurge.ts
@@ -4,16 +4,8 @@
  * @module
  */
 import { Failure } from "@gladewall/kernel";
-import {
-  baselineSurge,
-  endsAt,
-  leftMs,
-  LimitedFleet,
-  type LimitScenario,
-  type Member,
-  stepMs,
-  surgeAt,
-} from "./limitedFleet.js";
+import { endsAt, leftMs, LimitedFleet, type Member, stepMs, surgeAt } from "./limitedFleet.js";
+import { baselineSurge, type LimitScenario } from "./limitScenarios.js";
 
 /** Traffic of one rank. */
 interface RankTraffic {
