Follow other requests in a module of their own

runner.ts of packages/entry had 447 lines and two jobs: to run a request, and to end one with the response of another that has the same idempotency key. The second is RequestFollower now; code is moved only. promises.test.ts and the tests of packages/entry pass.

--- a/packages/entry/src/runner.ts
+++ b/packages/entry/src/runner.ts
@@ -5,7 +5,7 @@
  * @module
  */
 import type { Claim } from "@gladewall/coordination";
-import { type Clock, Failure, FailureCode, type Logger, Outcome, waitFor } from "@gladewall/kernel";
+import { type Clock, Failure, FailureCode, type Logger, Outcome } from "@gladewall/kernel";
 import {
   DecisionRule,
   DecisionStage,
@@ -17,7 +17,6 @@
 import { Err, Ok, type Result } from "ts-results-es";
 import { decideAfterFailure, applyRequestOutcome, createStopFailure } from "./afterFailure.js";
 import type { ResponseFetcher } from "./responseFetcher.js";
-import { ResponseState } from "./responseLog.js";
 import { type AttemptRunner, getPrefillTokens } from "./attempt.js";
 import type { BackupWriter } from "./backupWriter.js";
 import { type ClaimGuard, type SendCheck, SendDecision } from "./claimGuard.js";
@@ -27,6 +26,7 @@
 import type { EntrySettings } from "./entrySettings.js";
 import { getWorkTokens } from "./envelope.js";
 import type { Endpoint, Fleet } from "./fleet.js";
+import { type FollowedRequest, RequestFollower } from "./requestFollower.js";
 import { type ActiveRequest, StopReason } from "./requests.js";
 import { CancelOutcome } from "./types.js";
 
@@ -59,18 +59,6 @@
 /** Options of a request that has just arrived from a caller. */
 export const newRequestOptions: RunOptions = { rest: undefined, isTakenOver: false, mayStart: true };
 
-/** Why a request stopped following another request with the same idempotency key. */
-enum FollowResult {
-  Complete = 1,
-  Failed = 2,
-  /** The followed request no longer holds the beginning of its response. */
-  NotHeld = 3,
-  /** The followed request follows this one. */
-  Cycle = 4,
-  /** The followed request continues at another entry. */
-  Moved = 5,
-}
-
 /** What the attempts at one request have in common: their count and which endpoints the next one avoids. */
 interface AttemptState {
   count: number;
@@ -81,7 +69,13 @@
 
 /** Runs requests to their end. */
 export class RequestRunner {
-  private constructor(private readonly parts: RunnerParts) {}
+  private readonly follower: RequestFollower;
+
+  private constructor(private readonly parts: RunnerParts) {
+    const { clock, decisions, fetcher, settings } = parts;
+    const locatePauseMs = settings.backups.locate_pause;
+    this.follower = RequestFollower.create({ clock, decisions, fetcher, locatePauseMs });
+  }
 
   static create(parts: RunnerParts): RequestRunner {
     return new RequestRunner(parts);
@@ -105,7 +99,7 @@
 
   /** Ends a request with the response of another request that has the same idempotency key. */
   async runAttached(request: ActiveRequest, other: string, otherBody: string): Promise<void> {
-    const result = await this.followOther(request, other, otherBody);
+    const result = await this.followOther(request, { id: other, body: otherBody });
     if (result.isOk()) request.log.complete();
     else await this.fail(request, result.error);
     this.parts.backups.finish(request);
@@ -185,7 +179,7 @@
     const { currentClaim } = claimCheck.value;
     if (!currentClaim) return Err(Failure.create(FailureCode.ClaimUnavailable));
     if (currentClaim.request !== request.envelope.id)
-      return this.followOther(request, currentClaim.request, currentClaim.body);
+      return this.followOther(request, { id: currentClaim.request, body: currentClaim.body });
     return this.attachToClaim(request, currentClaim);
   }
 
@@ -210,68 +204,8 @@
     return Err(applyRequestOutcome(request, failure.withOutcome(Outcome.Unknown)));
   }
 
-  /** Copies the response of the request that has the same idempotency key. */
-  private async followOther(
-    request: ActiveRequest,
-    other: string,
-    otherBody: string,
-  ): Promise<Result<void, Failure>> {
-    const { id, bodyDigest } = request.envelope;
-    if (otherBody !== bodyDigest) return Err(Failure.create(FailureCode.KeyReusedWithOtherBody));
-    this.parts.decisions.add(id, DecisionStage.Claim, DecisionRule.Attached, { other });
-    request.attachedTo = other;
-    while (request.stopReason === undefined) {
-      const found = await this.parts.fetcher.fetch(other);
-      if (found.isErr()) {
-        const failure = Failure.create(FailureCode.AlreadyRun, { request: other });
-        return Err(failure.withOutcome(Outcome.Unknown));
-      }
-      const end =
-        found.value.attachedTo === id ? FollowResult.Cycle : await this.copyResponse(request, found.value);
-      const result = this.finishFollowing(request, found.value, end);
-      if (result) return result;
-      await waitFor(this.parts.clock, this.parts.settings.backups.locate_pause, request.stop.signal);
-    }
-    return Err(createStopFailure(request, Failure.create(FailureCode.AlreadyRun, { request: other })));
-  }
-
-  /** Returns the result that the followed request gives this one; undefined if the request must be located again. */
-  private finishFollowing(
-    request: ActiveRequest,
-    source: ActiveRequest,
-    end: FollowResult,
-  ): Promise<Result<void, Failure>> | Result<void, Failure> | undefined {
-    const { failure } = source.log;
-    const runOwn = (): Promise<Result<void, Failure>> => {
-      request.attachedTo = undefined;
-      return this.runAttempts(request, newRequestOptions);
-    };
-    const handlers: Readonly<Record<FollowResult, () => ReturnType<RequestRunner["finishFollowing"]>>> = {
-      [FollowResult.Complete]: () => Ok.EMPTY,
-      // The followed request was not run and has no response, so this request may run.
-      [FollowResult.Failed]: () =>
-        failure?.outcome === Outcome.NotRun ? runOwn() : Err(failure ?? createAlreadyRunFailure(source)),
-      [FollowResult.NotHeld]: () =>
-        Err(Failure.create(FailureCode.AlreadyRun, { request: source.envelope.id })),
-      // Entries with different membership views made the two requests follow each other. The one with the lower id
-      // runs, and the other waits for it.
-      [FollowResult.Cycle]: () => (request.envelope.id < source.envelope.id ? runOwn() : undefined),
-      [FollowResult.Moved]: () => undefined,
-    };
-    return handlers[end]();
-  }
-
-  /** Copies another request's response as it arrives, starting at the end of this request's own response. */
-  private async copyResponse(request: ActiveRequest, source: ActiveRequest): Promise<FollowResult> {
-    const { log } = source;
-    if (!log.canFollow(request.log.end)) return FollowResult.NotHeld;
-    for await (const chunk of log.follow(request.log.end, request.stop.signal)) {
-      if (log.head) request.log.setHead(log.head);
-      await request.log.add(chunk);
-    }
-    if (log.head) request.log.setHead(log.head);
-    if (log.state === ResponseState.Complete) return FollowResult.Complete;
-    return log.state === ResponseState.Moved ? FollowResult.Moved : FollowResult.Failed;
+  private followOther(request: ActiveRequest, other: FollowedRequest): Promise<Result<void, Failure>> {
+    return this.follower.follow(request, other, () => this.runAttempts(request, newRequestOptions));
   }
 
   private async place(
@@ -441,7 +375,3 @@
 function getAttemptNumber(run: string): number {
   return Number(run.slice(run.lastIndexOf(".") + 1));
 }
-
-function createAlreadyRunFailure(source: ActiveRequest): Failure {
-  return Failure.create(FailureCode.AlreadyRun, { request: source.envelope.id }).withOutcome(Outcome.Unknown);
-}
