Age a view of the store from when its content can have been read

An instance that knows one version of a service goes on with any stream, unless it has heard nothing of endpoints for 1.5 s. That time began with the arrival of a message. A process that was suspended finds replies which have waited in its connections, and took the view for fresh until its next call was answered; callers whose requests waited beside them were served by it, although another version had opened meanwhile. What a reader sends counted from its arrival too, also if the reader had lost the store: its messages are accepted for 0.6 of the time in which a change must be applied, 2.4 s where that is 4 s, and for 1.5 s more the view did not count as old. A suspension of the machine did not count.

A listing, and a watch that brings changes, now count from their call, a watch without changes from the end of its wait, and what a reader sends from the report that asked for it, less the age at the reader, which the message states. The messages of an earlier build count as old as its last answered read. The age is counted on the boot clock.

--- a/packages/gateway/src/store/feedReplication.ts
+++ b/packages/gateway/src/store/feedReplication.ts
@@ -106,7 +106,7 @@
     // those of this instance.
     if (era < this.eras.current) return false;
     for (const [prefix, changes] of Object.entries(prefixes)) {
-      this.followers[prefix]?.applyChanges(changes, troubleAgeMs);
+      this.followers[prefix]?.applyChanges({ ageMs: storeAgeMs, ...changes }, troubleAgeMs, calledAt);
     }
     return true;
   }
--- a/packages/gateway/src/store/prefixFollower.ts
+++ b/packages/gateway/src/store/prefixFollower.ts
@@ -70,6 +70,8 @@
   readonly removed: readonly { readonly key: string; readonly revision: number }[];
   /** Whether `items` is the complete content of the prefix. */
   readonly isListing: boolean;
+  /** Milliseconds for which the sender may not have heard of changes; earlier builds leave it out. */
+  readonly ageMs?: number;
 }
 
 /** Default duration of a watch, for content that is also proven by reads or that is not needed soon. */
@@ -86,15 +88,16 @@
   /** Whether a listing has ever been applied. */
   isListed = false;
   /**
-   * Time without any message from the store or a reader before the last one arrived, in milliseconds. The
-   * changes in that message may have been acknowledged that long before its arrival.
+   * Time for which changes may not have been known before the last message from the store or a reader arrived, in
+   * milliseconds. The changes in that message may have been acknowledged that long before its arrival.
    */
   silenceMs = Infinity;
-  private receivedAt = -Infinity;
+  /** Boot time at which the store had sent no change that is not known here. */
+  private completeAt = -Infinity;
 
-  /** Milliseconds since the last message from the store or a reader; infinite before the first. */
+  /** Milliseconds for which changes of the store may not be known here; infinite before the first message. */
   get ageMs(): number {
-    return this.options.clock.getTime() - this.receivedAt;
+    return this.options.clock.getBootTime() - this.completeAt;
   }
 
   /** Era of all revisions in this follower. */
@@ -160,25 +163,30 @@
     const position = this.getPosition();
     if (!position) return undefined;
     const isComparable = since?.era === position.era && since.revision >= this.removalsCompleteFrom;
-    if (!isComparable) return { ...position, items: [...this.items.values()], removed: [], isListing: true };
+    const known = { ...position, ageMs: Math.round(this.ageMs) };
+    if (!isComparable) return { ...known, items: [...this.items.values()], removed: [], isListing: true };
     const items = [...this.items.values()].filter((item) => item.revision > since.revision);
     const removed = [...this.removed]
       .filter(([, removalRevision]) => removalRevision > since.revision)
       .map(([key, removalRevision]) => ({ key, revision: removalRevision }));
-    return { ...position, items, removed, isListing: false };
+    return { ...known, items, removed, isListing: false };
   }
 
   /**
-   * Applies the changes that another follower sent; `troubleAgeMs` is the time since a call of that follower's
-   * instance to the store last failed. Changes of another era than the current one are discarded, and so are
-   * changes without a listing if this follower has no listing of that era.
+   * Applies the changes that another follower sent in reply to a call at a boot time; `troubleAgeMs` is the time since a
+   * call of that follower's instance to the store last failed. Changes of another era than the current one are discarded,
+   * and so are changes without a listing if this follower has no listing of that era.
    */
-  applyChanges(changes: PrefixChanges, troubleAgeMs: number): void {
-    const { era = initialEra, revision, items, removed, isListing } = changes;
+  applyChanges(
+    changes: PrefixChanges,
+    troubleAgeMs: number,
+    calledAt = this.options.clock.getBootTime(),
+  ): void {
+    const { era = initialEra, revision, items, removed, isListing, ageMs = 0 } = changes;
     const isOwnEra = era === this.era;
     if (era !== this.options.store.eras.current || (!isListing && !isOwnEra)) return;
     if (isListing && isOwnEra && revision < this.revision) return;
-    this.recordReceived();
+    this.recordComplete(calledAt - Math.max(0, ageMs));
     if (isListing) {
       this.applyListing(items, { era, revision }, troubleAgeMs);
       return;
@@ -228,21 +236,24 @@
   /** Lists, then watches until a call fails or the signal aborts; returns the failure. */
   private async followOnce(signal: AbortSignal): Promise<Failure> {
     const { store, prefix, clock, watchWaitMs = defaultWatchWaitMs } = this.options;
+    const listedAt = clock.getBootTime();
     const listing = await store.list(prefix);
     if (listing.isErr()) return listing.error;
-    this.recordReceived();
+    this.recordComplete(listedAt);
     this.applyListing(listing.value.items, listing.value.position);
     await this.pauseOnce(signal);
     while (!signal.aborted) {
       const { era, revision: since } = this;
+      const watchedAt = clock.getBootTime();
       const changes = await store.watch(prefix, { era, revision: since }, watchWaitMs, signal);
       if (changes.isErr()) return changes.error;
       // Another follower may have sent a listing of a later era in the meantime.
       if (changes.value.position.era !== this.era) {
         return Failure.create(FailureCode.HistoryLost, { revision: since });
       }
-      this.recordReceived();
       const { events, position } = changes.value;
+      // The store waits before it replies without events. With events it may have replied at once.
+      this.recordComplete(watchedAt + (events.length === 0 ? watchWaitMs : 0));
       // A watch that received nothing for a while also ends without events. Continuing from its end revision
       // would lose the changes of that time, so the next watch starts from the old revision again: the store
       // then sends those changes, or reports that its history is gone.
@@ -261,10 +272,14 @@
     await waitFor(this.options.clock, this.options.firstWatchPauseMs ?? 0, signal);
   }
 
-  private recordReceived(): void {
-    const time = this.options.clock.getTime();
-    this.silenceMs = time - this.receivedAt;
-    this.receivedAt = time;
+  /**
+   * Records that all changes up to a boot time are known. A message counts from the time at which it can have been sent at the earliest:
+   * it may have waited in a process or a machine that was suspended.
+   */
+  private recordComplete(completeAt: number): void {
+    const time = this.options.clock.getBootTime();
+    this.silenceMs = time - this.completeAt;
+    this.completeAt = Math.max(this.completeAt, Math.min(time, completeAt));
   }
 
   private applyListing(
