Know the size of the fleet by the record of this start only

The size of the fleet is not known until the own record is listed. The record of a former start of the same name counted as that: it outlasts its process by a lease of up to 6 s, and is kept for 15 s. Where the store takes no records for a while, and the records of the others have run out, such an instance took itself for the only one, with the whole of each limit and of the slack of retries.

The record must now be of this start. memberRecords.test.ts: the new test failed before (a size of 1, known). The test beside it, without a former record, has the same checks as before.

--- a/packages/gateway/src/fleet/memberRecords.ts
+++ b/packages/gateway/src/fleet/memberRecords.ts
@@ -120,11 +120,12 @@
   }
 
   /**
-   * Number of listed instances, if it is known. It is not while the list has grown within `stableMs`, nor until this instance's own
-   * record is listed: a store that takes no records lists no other instance that has just started either.
+   * Number of listed instances, if it is known. It is not while the list has grown within `stableMs`, nor until the record of this start
+   * is listed: a store that takes no records lists no other instance that has just started either, and still has those of former starts.
    */
   findSize(stableMs: number): number | undefined {
-    const isKnown = this.isListed && this.records.has(this.options.name);
+    const { name, incarnation } = this.options;
+    const isKnown = this.isListed && this.records.get(name)?.incarnation === incarnation;
     return isKnown && this.getTimeSinceGrowth() > stableMs ? this.records.size : undefined;
   }
 
