Lower the remembered size of a fleet whose machines are replaced all the time

The size is lowered once the fleet has been smaller for a minute. The time began anew with each instance that joined, as the size is not known for 0.6 s then. Where machines are replaced more often than each minute, a fleet that had shrunk from 300 instances to 6 kept 300 for good, and after the end of all each would take a 300th of a limit until its list is known, or for as long as the store takes no records.

A size that is not known no longer ends the time. fleetSize.test.ts: the new test failed before (300 instead of 7, 1 write instead of 2). The test that machines which are replaced within a minute cost no write is as before; what creates the item moved into a function that both use.

--- a/packages/gateway/src/fleet/fleetSizeItem.ts
+++ b/packages/gateway/src/fleet/fleetSizeItem.ts
@@ -62,10 +62,12 @@
 
   /** Writes the item if the fleet has changed; called several times a second. `size` is undefined while it is not known. */
   reconcile(size: number | undefined): void {
-    if (size === undefined || !this.options.isWriter()) {
+    if (!this.options.isWriter()) {
       this.lower = undefined;
       return;
     }
+    // Each instance that joins leaves the size unknown for a moment; that the fleet has been smaller goes on.
+    if (size === undefined) return;
     const due = this.findDueSize(size);
     if (due !== undefined && this.writer.isReady) void this.write(due);
   }
--- a/packages/gateway/test/fleetSize.test.ts
+++ b/packages/gateway/test/fleetSize.test.ts
@@ -11,27 +11,33 @@
 const lowerMs = 60_000;
 const stepMs = 250;
 
+/** Creates the item of an instance that writes it, in a store that is read at once. */
+function createWritten() {
+  const clock = VirtualClock.create();
+  const platform = FakePlatform.create(clock);
+  const { store } = platform.createAdapter();
+  const { shared } = platform;
+  const item = FleetSizeItem.create({
+    store,
+    clock,
+    logger: Logger.createSilent(),
+    key,
+    getItem: () => shared.entries.get(key),
+    isWriter: () => true,
+  });
+  const reconcileFor = async (size: number | undefined, forMs: number): Promise<void> => {
+    for (let passedMs = 0; passedMs < forMs; passedMs += stepMs) {
+      item.reconcile(size);
+      await clock.advance(stepMs);
+    }
+  };
+  return { shared, item, reconcileFor };
+}
+
 t.test(
   "the number of instances is written when it grows, and lowered once it was lower for a minute",
   async (t) => {
-    const clock = VirtualClock.create();
-    const platform = FakePlatform.create(clock);
-    const { store } = platform.createAdapter();
-    const { shared } = platform;
-    const item = FleetSizeItem.create({
-      store,
-      clock,
-      logger: Logger.createSilent(),
-      key,
-      getItem: () => shared.entries.get(key),
-      isWriter: () => true,
-    });
-    const reconcileFor = async (size: number | undefined, forMs: number): Promise<void> => {
-      for (let passedMs = 0; passedMs < forMs; passedMs += stepMs) {
-        item.reconcile(size);
-        await clock.advance(stepMs);
-      }
-    };
+    const { shared, item, reconcileFor } = createWritten();
     await reconcileFor(1, lowerMs);
     t.equal(shared.writes, 0, "a fleet of one has no item");
     await reconcileFor(8, stepMs);
@@ -56,6 +62,18 @@
   },
 );
 
+t.test("the number is lowered also where machines are replaced more often than each minute", async (t) => {
+  const { shared, item, reconcileFor } = createWritten();
+  await reconcileFor(300, stepMs);
+  for (let round = 0; round < 3; round++) {
+    await reconcileFor(6, lowerMs / 2);
+    await reconcileFor(undefined, 3 * stepMs);
+    await reconcileFor(7, stepMs);
+  }
+  t.equal(item.size, 7, "instances that start after the end of all would take a 300th of a limit each");
+  t.equal(shared.writes, 2);
+});
+
 t.test("an instance that is not the writer leaves the item alone", async (t) => {
   const clock = VirtualClock.create();
   const platform = FakePlatform.create(clock);
