Bound what is read of the fleet's size and of the kept limits

An item of another writer with a size of 1e15 was taken: each instance counted itself as that share of the fleet until its list was known, and refused all that has a limit. An item of limits was applied whole, however many it listed; the availability of 2,048 endpoints is kept, so that more displaced what was known.

A size above 10,000 is refused like one that can't be decoded, and written again by the fleet. Of the limits the first 200 are applied, as many as are written. fleetSize.test.ts and limitItem.test.ts: the new tests failed before (3 of 7 checks; 250 limits instead of 200).

--- a/packages/gateway/src/fleet/fleetSizeItem.ts
+++ b/packages/gateway/src/fleet/fleetSizeItem.ts
@@ -21,8 +21,11 @@
   readonly isWriter: () => boolean;
 }
 
+/** Instances of the largest fleet: a larger number is another writer's, and would leave an instance no part of a limit. */
+const maxInstances = 10_000;
+
 const fleetSizeSchema = v.object({
-  instances: v.pipe(v.number(), v.integer(), v.minValue(1)),
+  instances: v.pipe(v.number(), v.integer(), v.minValue(1), v.maxValue(maxInstances)),
 });
 
 /**
--- a/packages/gateway/src/limits/limitItem.ts
+++ b/packages/gateway/src/limits/limitItem.ts
@@ -76,7 +76,9 @@
     const { logger, limits, isListed } = this.options;
     const decoded = item && decodeItem(limitsSchema, item.value);
     if (item && !decoded) logger.warn("limit.item-refused", { bytes: item.value.length });
-    this.kept = new Map(decoded?.limits.map(({ life, perSecond }) => [life, perSecond]));
+    // Another writer's item may list more.
+    const kept = decoded?.limits.slice(0, maxKept) ?? [];
+    this.kept = new Map(kept.map(({ life, perSecond }) => [life, perSecond]));
     if (isListed()) return;
     for (const [incarnation, perSecond] of this.kept) limits.applyKept(incarnation, perSecond);
   }
--- a/packages/gateway/test/fleetSize.test.ts
+++ b/packages/gateway/test/fleetSize.test.ts
@@ -74,6 +74,16 @@
   t.equal(shared.writes, 2);
 });
 
+t.test("a number that no fleet can have says nothing, and is replaced", async (t) => {
+  const { shared, item, reconcileFor } = createWritten();
+  for (const instances of [1e15, 1e300, 10_001, 0, 2.5, "8"]) {
+    shared.put(key, JSON.stringify({ instances }));
+    t.equal(item.size, undefined, String(instances));
+  }
+  await reconcileFor(6, stepMs);
+  t.equal(item.size, 6);
+});
+
 t.test("an instance that is not the writer leaves the item alone", async (t) => {
   const clock = VirtualClock.create();
   const platform = FakePlatform.create(clock);
--- a/packages/gateway/test/limitItem.test.ts
+++ b/packages/gateway/test/limitItem.test.ts
@@ -158,6 +158,15 @@
   t.notOk(shared.entries.has(limitsKey));
 });
 
+t.test("an instance takes over no more limits than it would write", (t) => {
+  const before = createKept(mostKept + 50);
+  const limits = before.lives.map((life) => ({ life, perSecond: 1 }));
+  before.shared.put(limitsKey, JSON.stringify({ limits }));
+  const { lives, getLimit } = createKept(mostKept + 50, before.clock, before.platform);
+  t.equal(lives.filter((_, index) => getLimit(index) !== undefined).length, mostKept);
+  t.end();
+});
+
 t.test("an item that is not readable is passed over, and written again", async (t) => {
   const { item, shared, lives, respond, reconcileFor, readItem, getLimit } = createKept(1);
   for (const text of ["{", '{"limits":[{"life":"e0","perSecond":-1}]}', '{"limits":[{"perSecond":1}]}']) {
