Let an instance that stood still through a restore vouch for no versions

An instance that has once read a record without a gap, that started first, or that has run for as long as streams may be taken up vouches for the versions of a service. If it was suspended while another version opened, and the store was restored to a copy from before, nothing tells it: it reads the old record, and vouched for a list that lacks the version. Where the instances that knew were killed, streams of that version went on at the other one.

If the era has changed when an instance that stood still for more than 1.5 s hears of the store again, what vouched until then does so no more: peers that ran meanwhile vouch, or the record of the new era once one of them has written it. A dark store alone changes nothing, since no version opens meanwhile.

versionRecords.test.ts: the new test failed before (4 of 8 checks); the second new one passed before and after.

--- a/packages/gateway/src/origins/originParts.ts
+++ b/packages/gateway/src/origins/originParts.ts
@@ -125,7 +125,7 @@
   const isViewOld = (): boolean => directory.follower.ageMs > maxViewAgeMs;
   const base = { store, clock, logger, history, getRetentionMs };
   const table = OriginTable.create({ clock, getRetentionMs });
-  const records = VersionRecords.create({ ...base, eras: store.eras, isFirstStart, isListed });
+  const records = VersionRecords.create({ ...base, eras: store.eras, isFirstStart, isListed, isViewOld });
   const areProven = (): boolean => routes.getServices().every((service) => records.isProven(service));
   const archive = OriginArchive.create({
     ...base,
--- a/packages/gateway/src/origins/versionRecords.ts
+++ b/packages/gateway/src/origins/versionRecords.ts
@@ -27,6 +27,8 @@
   readonly isFirstStart: boolean;
   /** Whether this instance has listed the endpoints and the gateway's own items. */
   readonly isListed: () => boolean;
+  /** Whether this instance has heard nothing of endpoints for a while. */
+  readonly isViewOld: () => boolean;
   /** Returns the milliseconds for which a stream may be taken up after it began; 0 if none may. */
   readonly getRetentionMs: () => number;
 }
@@ -52,6 +54,8 @@
 /** Longest time for which a stream waits until this instance has listed the store, or a version that serves has opened; pause between two looks. */
 const maxWaitMs = 2_000;
 const pollMs = 10;
+/** Time in which further versions can open: an instance that stood still for longer may not have read of one. */
+const maxStallMs = 1_500;
 
 /** The records by service. */
 export class VersionRecords implements OpenVersions {
@@ -62,8 +66,17 @@
   /** Monotonic time since which this instance has followed the records; undefined before. */
   private listedAt: number | undefined;
   private readonly listeners: (() => void)[] = [];
+  private isFirstStart: boolean;
+  /** Boot time at which this instance was last seen to run, and the era of the store then. */
+  private ranAt = -Infinity;
+  private era: number;
+  /** Whether this instance has stood still, and has heard nothing of the store since. */
+  private hasStalled = false;
 
-  private constructor(private readonly options: VersionRecordsOptions) {}
+  private constructor(private readonly options: VersionRecordsOptions) {
+    this.isFirstStart = options.isFirstStart;
+    this.era = options.eras.current;
+  }
 
   static create(options: VersionRecordsOptions): VersionRecords {
     return new VersionRecords(options);
@@ -76,6 +89,7 @@
 
   /** Notes since when this instance follows the records, and returns whether it does; called several times a second. */
   noteListed(): boolean {
+    this.noteRunning();
     const isListed = this.options.isListed();
     if (isListed) this.listedAt ??= this.options.clock.getTime();
     return isListed;
@@ -114,11 +128,12 @@
 
   /** Returns who vouches for the versions of a service being known without a gap. */
   findVoucher(service: string): VersionVoucher {
-    const { clock, eras, isFirstStart, getRetentionMs } = this.options;
+    const { clock, eras, getRetentionMs } = this.options;
+    this.noteRunning();
     if (this.proven.has(service)) return VersionVoucher.Record;
     const record = this.find(service);
     // Settings that still say so after a restart vouch for nothing once the store has been restored.
-    if (isFirstStart && (record === undefined || record.era === eras.current))
+    if (this.isFirstStart && (record === undefined || record.era === eras.current))
       return VersionVoucher.FirstStart;
     const followedMs = this.listedAt === undefined ? 0 : clock.getTime() - this.listedAt;
     const retentionMs = getRetentionMs();
@@ -146,6 +161,26 @@
     return this.waitWhile(() => this.isOpening(service));
   }
 
+  /**
+   * Notes that this instance runs. If the store was restored while it stood still, it vouches for nothing: the store may have lost a record
+   * that this instance has never read.
+   */
+  private noteRunning(): void {
+    const { clock, eras, isViewOld } = this.options;
+    const time = clock.getBootTime();
+    this.hasStalled = this.listedAt !== undefined && (this.hasStalled || time - this.ranAt > maxStallMs);
+    this.ranAt = time;
+    if (eras.current === this.era) {
+      this.hasStalled &&= isViewOld();
+      return;
+    }
+    this.era = eras.current;
+    if (!this.hasStalled) return;
+    this.proven.clear();
+    this.isFirstStart = false;
+    this.listedAt = clock.getTime();
+  }
+
   private async waitWhile(isPending: () => boolean): Promise<void> {
     const { clock } = this.options;
     const endsAt = clock.getTime() + maxWaitMs;
--- a/packages/gateway/test/oldViews.test.ts
+++ b/packages/gateway/test/oldViews.test.ts
@@ -51,6 +51,7 @@
     eras: { current: 0 },
     isFirstStart: false,
     isListed: () => true,
+    isViewOld: () => isViewOld,
   });
   const value = createKnownRecord({ proven: true, versions: ["v1"] });
   records.handleItem(recordKey, { key: recordKey, value, revision: 1 });
--- a/packages/gateway/test/originMember.ts
+++ b/packages/gateway/test/originMember.ts
@@ -187,7 +187,8 @@
       isWriter: () => this.isReady && fleet.isWriter(this),
     };
     const { isFirstStart } = fleet;
-    const records = VersionRecords.create({ ...kept, eras: store.eras, isFirstStart, isListed });
+    const isViewOld = (): boolean => this.isViewOld;
+    const records = VersionRecords.create({ ...kept, eras: store.eras, isFirstStart, isListed, isViewOld });
     const links = this.createLinks();
     const gossip = OriginGossip.create({
       clock,
@@ -195,7 +196,7 @@
       history,
       records,
       getRetentionMs,
-      isViewOld: () => this.isViewOld,
+      isViewOld,
       fleet: links,
     });
     const archive = OriginArchive.create({
@@ -233,7 +234,7 @@
       records,
       gossip,
       archive,
-      isViewOld: () => this.isViewOld,
+      isViewOld,
       getRandom: random,
     });
     const recorder = OriginRecorder.create({ table, records, gossip, keeper });
--- a/packages/gateway/test/recordBench.ts
+++ b/packages/gateway/test/recordBench.ts
@@ -56,6 +56,7 @@
   readonly records: VersionRecords;
   isConfirmed = false;
   isStoreDark = false;
+  isViewOld = false;
   writes = 0;
   era: number;
   private revision = 0;
@@ -76,7 +77,8 @@
         return getEra();
       },
     };
-    this.records = VersionRecords.create({ ...base, eras, isFirstStart, isListed: () => true });
+    const known = { isListed: () => true, isViewOld: () => this.isViewOld };
+    this.records = VersionRecords.create({ ...base, ...known, eras, isFirstStart });
     this.recorder = VersionRecorder.create({
       ...base,
       records: this.records,
--- a/packages/gateway/test/versionRecords.test.ts
+++ b/packages/gateway/test/versionRecords.test.ts
@@ -147,6 +147,42 @@
   t.ok(bench.records.isProven("web"));
 });
 
+t.test("an instance that stood still while the store was restored vouches for nothing", async (t) => {
+  for (const isHeardLate of [false, true]) {
+    const bench = createRecordBench({ isFirstStart: true, era: 1 });
+    bench.addEndpoint("v1");
+    await bench.settle();
+    const before = bench.get();
+    t.ok(bench.records.isProven("web"));
+    // Meanwhile others open a version, and streams begin at it; then the store loses that.
+    await bench.clock.advance(2 * settlingMs);
+    bench.isViewOld = isHeardLate;
+    if (isHeardLate) await bench.advance(2 * settlingMs);
+    bench.era = 2;
+    bench.isViewOld = false;
+    bench.put(before);
+    bench.addEndpoint("v2");
+    t.notOk(bench.records.isProven("web"));
+    await bench.settle();
+    t.notOk(bench.records.isProven("web"));
+    await bench.advance(retentionMs + 1_000);
+    t.ok(bench.records.isProven("web"), "whatever began before may no longer be taken up");
+  }
+});
+
+t.test("an instance that stood still, and has heard of the store since, vouches as before", async (t) => {
+  const bench = createRecordBench({ isFirstStart: true, era: 1 });
+  bench.addEndpoint("v1");
+  await bench.settle();
+  const before = bench.get();
+  await bench.clock.advance(2 * settlingMs);
+  await bench.settle();
+  bench.era = 2;
+  bench.put(before);
+  await bench.settle();
+  t.ok(bench.records.isProven("web"));
+});
+
 t.test("a service without any record and a fleet that is not new is proven by nobody", async (t) => {
   const bench = createRecordBench({ isFirstStart: false });
   bench.addEndpoint("v1");
