Send no request whose caller left before it was read

Cause: a request and the end of its connection that both wait in the kernel are read in two turns of the event loop. An instance that had been delayed read the request, sent it to an endpoint in the same turn, and only then read that its caller had gone. In traces of the response soak beside load (load average 40 to 50) this was the usual way of requests that reached endpoints more than 400 ms after their callers had disconnected: read 250 ms to 1.5 s after the caller left, sent 1 to 3 ms later, the end of the connection read 1 ms after that. A new connection waits longest, because the event loop accepts one connection a turn: an instance without a delay of more than 240 ms read a request 970 ms after it was sent.

Change: an instance waits until the event loop has read from all connections once more before it charges and sends a request, and refuses it as `CallerGone` if its caller has closed the connection; the same is asked after peers were called.

--- a/packages/gateway/src/requests/requestServer.ts
+++ b/packages/gateway/src/requests/requestServer.ts
@@ -17,6 +17,7 @@
 import type { RequestCharge } from "../limits/quotaCharges.js";
 import { discardBody, requestBounds } from "../bodies/discardBody.js";
 import { readRequestBody } from "../bodies/requestBody.js";
+import { isCallerGone, waitForNextRead } from "./callerPresence.js";
 import { getTimeLimit } from "./requestContext.js";
 import { type CallerRequestHead, RouteKind, type Service } from "../types.js";
 
@@ -128,18 +129,20 @@
 
   /** Serves a request whose body has been received; returns the failure if it was refused before it became active. */
   private async serveAdmitted(arrival: ReceivedRequest): Promise<Failure | undefined> {
-    const { admitted, response, head, arrivedAt } = arrival;
+    const { admitted, message, response, head, arrivedAt } = arrival;
     const { route, table, workspace } = admitted;
-    // The instance may have stopped while the body was received.
+    await waitForNextRead();
+    // The instance may have stopped, and the caller may have left, while the body was received.
     if (this.isStopped) return createLeavingRefusal();
+    if (isCallerGone(message, response)) return Failure.create(FailureCode.CallerGone);
     const chosen = await this.options.parts.takeUps.choose({ route, head, workspace: workspace?.name ?? "" });
     if (chosen.isErr()) return chosen.error;
     // Either may have come about while peers were called for the stream's origin.
     if (this.isStopped) return createLeavingRefusal();
-    if (response.destroyed) return Failure.create(FailureCode.CallerGone);
+    if (isCallerGone(message, response)) return Failure.create(FailureCode.CallerGone);
     const service = table.findService(chosen.value.service);
     if (!service) return Failure.create(FailureCode.NoEndpoint, { service: route.name }, leavingRetryAfterMs);
-    const charge = await this.charge(admitted, head, response, arrivedAt);
+    const charge = await this.charge(arrival);
     if (charge.isErr()) return charge.error;
     const request = { ...arrival, service, origin: chosen.value.origin, charge: charge.value };
     const activeRequest = ActiveRequest.create(this.activeRequestParts, request);
@@ -163,12 +166,14 @@
   }
 
   /** Charges a request. Fails with `QuotaSpent`, `QuotaShareSpent`, `Leaving`, or `CallerGone`; the last two refund the charge. */
-  private async charge(
-    { workspace, route }: AdmittedRequest,
-    head: CallerRequestHead,
-    response: ServerResponse,
-    arrivedAt: number,
-  ): Promise<Result<RequestCharge | undefined, Failure>> {
+  private async charge({
+    admitted,
+    message,
+    response,
+    head,
+    arrivedAt,
+  }: ReceivedRequest): Promise<Result<RequestCharge | undefined, Failure>> {
+    const { workspace, route } = admitted;
     if (!workspace) return Ok(undefined);
     const { admission, charges, clock } = this.options.parts;
     const units = admission.getCost(workspace, head);
@@ -176,7 +181,7 @@
     const { priority: rank, name } = route;
     const charge = await charges.take({ request: head.id, workspace, units, leftMs, rank, route: name });
     if (charge.isErr()) return charge;
-    if (!this.isStopped && !response.destroyed) return charge;
+    if (!this.isStopped && !isCallerGone(message, response)) return charge;
     charges.settle(charge.value, 0);
     return Err(this.isStopped ? createLeavingRefusal() : Failure.create(FailureCode.CallerGone));
   }
