Bound the interim responses that an entry reads

Cause: undici restarts its timeout for the head with each interim response, so that an endpoint or a service of the platform that sends them without end was read until the request's deadline or the call's timeout.

Change: sendRequest aborts a request after 64 interim responses, as an instance does; the timeout of the head between any two of them then bounds the time too. Model engines, web services and calls of the platform's services use it.

--- a/packages/entry/src/plugins/httpCall.ts
+++ b/packages/entry/src/plugins/httpCall.ts
@@ -93,13 +93,32 @@
   return Buffer.concat(parts).toString("utf8");
 }
 
+/** Interim responses to one request; an endpoint that works for long sends some, one that fails may send them without end. */
+const maxInterimResponses = 64;
+
+/** A request that can be aborted. */
+export type AbortableRequest = Dispatcher.RequestOptions & { readonly signal: AbortSignal };
+
+/**
+ * Sends a request. Aborts it after too many interim responses: each restarts the time within which the head has to arrive.
+ */
+export function sendRequest(pool: Pool, request: AbortableRequest): Promise<Dispatcher.ResponseData> {
+  const excess = new AbortController();
+  let interimResponses = 0;
+  const onInfo = (): void => {
+    interimResponses += 1;
+    if (interimResponses > maxInterimResponses) excess.abort(new Error("too many interim responses"));
+  };
+  return pool.request({ ...request, onInfo, signal: AbortSignal.any([request.signal, excess.signal]) });
+}
+
 /** Makes a call. Fails with `ServiceAnswerLost` if a change may have taken effect, otherwise `ServiceUnavailable`. */
 export async function callService(pool: Pool, call: ServiceCall): Promise<Result<CallResponse, Failure>> {
   const timeout = AbortSignal.timeout(call.timeout);
   const signal = call.signal ? AbortSignal.any([timeout, call.signal]) : timeout;
   try {
     const { method, path, headers = {} } = call;
-    const response = await pool.request({ method, path, headers, body: call.body ?? null, signal });
+    const response = await sendRequest(pool, { method, path, headers, body: call.body ?? null, signal });
     const tag = response.headers["etag"];
     return Ok({
       status: response.statusCode,
--- a/packages/entry/src/plugins/openaiEngine.ts
+++ b/packages/entry/src/plugins/openaiEngine.ts
@@ -11,7 +11,7 @@
 import type { LoadReport } from "@gladewall/policy";
 import { createParser, type EventSourceMessage } from "eventsource-parser";
 import { Err, Ok, type Result } from "ts-results-es";
-import type { Dispatcher, Pool } from "undici";
+import type { Pool } from "undici";
 import {
   CancelOutcome,
   type Dispatch,
@@ -22,12 +22,14 @@
   type Usage,
 } from "../types.js";
 import {
+  type AbortableRequest,
   CallEffect,
   callService,
   createEndpointPool,
   isNeverSent,
   parseJson,
   readBodyText,
+  sendRequest,
 } from "./httpCall.js";
 import { readLoadHeader } from "./loadHeader.js";
 
@@ -116,13 +118,13 @@
   }
 
   private async stream(
-    request: Dispatcher.RequestOptions,
+    request: AbortableRequest,
     dispatch: Dispatch,
     sink: RunSink,
   ): Promise<Result<void, Failure>> {
     const endpoint = this.options.record.id;
     try {
-      const response = await this.pool.request(request);
+      const response = await sendRequest(this.pool, request);
       if (response.statusCode !== statusOk) {
         const isStarted = response.headers[startedHeader] !== "no";
         const body = await readBodyText(response.body, maxRefusalBytes);
--- a/packages/entry/src/plugins/webService.ts
+++ b/packages/entry/src/plugins/webService.ts
@@ -7,7 +7,7 @@
 import { Failure, FailureCode, isFinalStatus, PluginKind, registerPlugin } from "@gladewall/kernel";
 import { type LoadReport, RepeatRule } from "@gladewall/policy";
 import { Err, Ok, type Result } from "ts-results-es";
-import type { Dispatcher, Pool } from "undici";
+import type { Pool } from "undici";
 import { selectResponseHeaders } from "../headers.js";
 import {
   CancelOutcome,
@@ -16,7 +16,15 @@
   type EndpointOptions,
   type RunSink,
 } from "../types.js";
-import { CallEffect, callService, createEndpointPool, isNeverSent, parseJson } from "./httpCall.js";
+import {
+  type AbortableRequest,
+  CallEffect,
+  callService,
+  createEndpointPool,
+  isNeverSent,
+  parseJson,
+  sendRequest,
+} from "./httpCall.js";
 import { readLoadHeader } from "./loadHeader.js";
 
 const startedHeader = "x-run-started";
@@ -41,7 +49,7 @@
     const endpoint = this.options.record.id;
     let position = 0;
     try {
-      const response = await this.pool.request(createRequest(dispatch, signal));
+      const response = await sendRequest(this.pool, createRequest(dispatch, signal));
       if (!isFinalStatus(response.statusCode)) {
         // Without a listener the error of what is left unread would end the process.
         response.body.on("error", () => undefined).destroy();
@@ -104,7 +112,7 @@
   return isRepeatable && gatewayStatuses.has(status);
 }
 
-function createRequest(dispatch: Dispatch, signal: AbortSignal): Dispatcher.RequestOptions {
+function createRequest(dispatch: Dispatch, signal: AbortSignal): AbortableRequest {
   const { envelope } = dispatch;
   const headers: string[] = [];
   for (const [name, value] of envelope.headers) headers.push(name, value);
