Bound the streams of engines that an entry reads, in size and time

Cause: the reader of an engine's stream held an event of any length, and skipped events of other attempts, repeated events and comments without end; each byte restarted the timeout of a silent body. Only the request's deadline ended such a stream.

Change: an event of the run has to end within 1 MiB and a stream within 64 MiB, else the response is a bad one. A stream that brings nothing of the run for four idle timeouts counts as cut, whatever else it sends. The reader of frames is a module of its own.

--- a/packages/entry/src/plugins/openaiEngine.ts
+++ b/packages/entry/src/plugins/openaiEngine.ts
@@ -1,16 +1,11 @@
 /**
  * Plug-in `openai-engine`: client of model engines with the OpenAI-compatible API, whose streams can be resumed and
  * cancelled by run id.
- *
- * The SSE id of each event is `attempt:position`. Events of another attempt and events that were already received are
- * discarded. A gap in the positions, or a stream that ends without `[DONE]`, is an interrupted response.
  * @module
  */
-import type { ReadableStream } from "node:stream/web";
-import { Failure, FailureCode, Outcome, PluginKind, registerPlugin } from "@gladewall/kernel";
+import { Failure, FailureCode, Outcome, PluginKind, registerPlugin, SystemClock } from "@gladewall/kernel";
 import type { LoadReport } from "@gladewall/policy";
-import { createParser, type EventSourceMessage } from "eventsource-parser";
-import { Err, Ok, type Result } from "ts-results-es";
+import { Err, type Result } from "ts-results-es";
 import type { Pool } from "undici";
 import {
   CancelOutcome,
@@ -19,7 +14,6 @@
   type EndpointOptions,
   ModelForm,
   type RunSink,
-  type Usage,
 } from "../types.js";
 import {
   type AbortableRequest,
@@ -31,26 +25,11 @@
   readBodyText,
   sendRequest,
 } from "./httpCall.js";
+import { FrameReader } from "./engineFrames.js";
 import { readLoadHeader } from "./loadHeader.js";
 
-interface EngineChoice {
-  readonly text?: string;
-  readonly delta?: { readonly content?: string | undefined };
-  readonly finish_reason?: string | undefined;
-}
-
-interface EngineChunk {
-  readonly choices?: readonly EngineChoice[];
-  readonly usage?: {
-    readonly prompt_tokens?: number;
-    readonly completion_tokens?: number;
-    readonly prompt_tokens_details?: { readonly cached_tokens?: number };
-  };
-}
-
 const statusOk = 200;
 const statusNotFound = 404;
-const endOfStream = "[DONE]";
 const cancelTimeoutMs = 1_000;
 /** The body of a refusal holds a message. */
 const maxRefusalBytes = 16_384;
@@ -134,8 +113,10 @@
       }
       const load = readLoadHeader(response.headers);
       if (load) sink.setLoad(load);
-      const reader = FrameReader.create(dispatch, sink, endpoint);
-      return await reader.read(response.body as unknown as ReadableStream<Uint8Array>);
+      const { idleTimeout } = this.options;
+      const clock = SystemClock.create();
+      const reader = FrameReader.create(dispatch, sink, { endpoint, idleTimeout, clock });
+      return await reader.read(response.body as AsyncIterable<Uint8Array>);
     } catch (error) {
       if (request.method === "POST" && isNeverSent(error)) {
         return Err(Failure.create(FailureCode.EndpointUnreachable, { endpoint }));
@@ -201,98 +182,6 @@
   return JSON.stringify(body);
 }
 
-/** Parses the events of one stream and passes their chunks to a sink. */
-class FrameReader {
-  private next: number;
-  private failure: Failure | undefined;
-  private hasFinish = false;
-  private isDone = false;
-  private readonly events: EventSourceMessage[] = [];
-  private readonly parser = createParser({ onEvent: (event) => this.events.push(event) });
-  private readonly decoder = new TextDecoder();
-
-  private constructor(
-    private readonly dispatch: Dispatch,
-    private readonly sink: RunSink,
-    private readonly endpoint: string,
-  ) {
-    this.next = dispatch.emitted;
-  }
-
-  static create(dispatch: Dispatch, sink: RunSink, endpoint: string): FrameReader {
-    return new FrameReader(dispatch, sink, endpoint);
-  }
-
-  async read(body: ReadableStream<Uint8Array>): Promise<Result<void, Failure>> {
-    for await (const bytes of body) {
-      this.parser.feed(this.decoder.decode(bytes, { stream: true }));
-      for (const event of this.events.splice(0)) {
-        await this.handleEvent(event);
-        if (this.failure) return Err(this.failure);
-        if (this.isDone) return Ok.EMPTY;
-      }
-    }
-    return Err(Failure.create(FailureCode.EndpointCut, { endpoint: this.endpoint }));
-  }
-
-  private async handleEvent(event: EventSourceMessage): Promise<void> {
-    if (event.data === endOfStream) {
-      // Without a finish reason before it, `[DONE]` does not end a complete response.
-      if (this.hasFinish) this.isDone = true;
-      else this.failure = Failure.create(FailureCode.EndpointCut, { endpoint: this.endpoint });
-      return;
-    }
-    const match = /^(\d+):(\d+)$/.exec(event.id ?? "");
-    const attempt = Number(match?.[1]);
-    const position = Number(match?.[2]);
-    if (!match) return this.failBadResponse();
-    if (attempt !== this.dispatch.attempt || position < this.next) return;
-    if (position > this.next) {
-      this.failure = Failure.create(FailureCode.EndpointCut, { endpoint: this.endpoint });
-      return;
-    }
-    const chunk = tryParseChunk(event.data);
-    if (!chunk) return this.failBadResponse();
-    await this.addChunk(chunk, position, event.data);
-  }
-
-  private failBadResponse(): void {
-    this.failure = Failure.create(FailureCode.EndpointBadAnswer, { endpoint: this.endpoint });
-  }
-
-  private async addChunk(chunk: EngineChunk, position: number, text: string): Promise<void> {
-    const choice = chunk.choices?.[0];
-    const data = choice?.delta?.content ?? choice?.text ?? "";
-    const finish = choice?.finish_reason ?? undefined;
-    const choices = this.dispatch.envelope.model?.isContinuable ? undefined : getChoicesText(text);
-    if (finish === undefined) this.next = position + 1;
-    else this.hasFinish = true;
-    await this.sink.add({ position, data, choices, finish, usage: getUsage(chunk, this.dispatch.emitted) });
-  }
-}
-
-function tryParseChunk(text: string): EngineChunk | undefined {
-  try {
-    return JSON.parse(text) as EngineChunk;
-  } catch {
-    return undefined;
-  }
-}
-
-function getChoicesText(text: string): string {
-  return JSON.stringify((JSON.parse(text) as EngineChunk).choices ?? []);
-}
-
-function getUsage(chunk: EngineChunk, emitted: number): Usage | undefined {
-  if (!chunk.usage) return undefined;
-  return {
-    // The prompt of a continued run includes the response so far, which the caller did not send.
-    promptTokens: (chunk.usage.prompt_tokens ?? 0) - emitted,
-    outputTokens: (chunk.usage.completion_tokens ?? 0) + emitted,
-    cachedTokens: chunk.usage.prompt_tokens_details?.cached_tokens ?? 0,
-  };
-}
-
 registerPlugin<EndpointOptions, EndpointClient>({
   kind: PluginKind.Endpoint,
   name: "openai-engine",
