--- a/scripts/rejoinSoak.mjs
+++ b/scripts/rejoinSoak.mjs
@@ -2,7 +2,7 @@
 // [--seconds 20]`. A seed is broken if a stream held events of two versions, lacked or repeated one, or ended as complete too soon,
 // or if fewer streams went on than the row demands. Rows with instances of an earlier build need its daemon (`--former`); streams of
 // two versions that lived while one of them ran are excused, and counted apart.
-// Prints for each row how often streams that were taken up went on, beside how often new ones began.
+// Prints for each row how often streams that were taken up went on, why the others did not, and how often new ones began.
 import { importTest, runSeeds } from "./playSeeds.mjs";
 
 const { runRejoinSoak } = await importTest("rejoinSoak");
@@ -26,9 +26,9 @@
 }
 
 function formatResult(row, { streams, whole, violated, excused, kills, ...rest }) {
-  const { begun, takenUp, statuses, refusals, refusalsOfNew, slowestRefusalMs } = rest;
+  const { begun, takenUp, lost, statuses, refusals, refusalsOfNew, slowestRefusalMs } = rest;
   const counts = `streams ${streams}, whole ${whole}, violated ${violated}, excused ${excused}, kills ${kills}`;
-  const shares = `went on ${formatShare(takenUp)}, began ${formatShare(begun)}`;
+  const shares = `went on ${formatShare(takenUp)}, lost ${formatMap(lost)}, began ${formatShare(begun)}`;
   const answers = `take-ups ${formatMap(statuses)}, refused ${formatMap(refusals)}, new ones ${formatMap(refusalsOfNew)}`;
   return `${row}: ${counts}, ${shares}, ${answers}, slowest refusal ${slowestRefusalMs.toFixed(0)} ms`;
 }
