Keep where a stream began that is refused because its only version has gone

While a service has one version nothing is kept of its streams. If all instances end, the version is replaced meanwhile and serves again later, as when a roll-out is taken back, nobody knows those streams: by then others may have begun at the second version, and every take-up is refused with StreamOriginUnknown although its version serves.

Callers come back at once, while the second version still joins. Then the stream can have begun at the first one only; the instance knows this, and refuses with VersionGone. It now also records this origin, tells it to the keepers and has it kept, under the conditions under which it would let the stream go on at that version.

oldViews.test.ts and originMember.ts pass the recorder that the take-ups need now; their checks are unchanged.

--- a/packages/gateway/src/origins/originParts.ts
+++ b/packages/gateway/src/origins/originParts.ts
@@ -98,10 +98,11 @@
       (await gossip.confirmJoining(service, codes)) && (await archive.flush()),
     getRandom: Math.random,
   });
+  const origins = OriginRecorder.create({ table, records, gossip, keeper });
   const decided = { clock, logger, metrics, directory, history, isViewOld, getRandom: Math.random };
   return {
-    origins: OriginRecorder.create({ table, records, gossip, keeper }),
-    takeUps: TakeUps.create({ ...decided, table, records, gossip, archive }),
+    origins,
+    takeUps: TakeUps.create({ ...decided, table, records, gossip, archive, recorder: origins }),
     handleItem: (key, item) => {
       items.handleItem(key, item);
       records.handleItem(key, item);
--- a/packages/gateway/src/origins/takeUps.ts
+++ b/packages/gateway/src/origins/takeUps.ts
@@ -10,6 +10,7 @@
 import type { CallerRequestHead, Route } from "../types.js";
 import type { OriginArchive } from "./originArchive.js";
 import type { OriginAnswer, OriginGossip } from "./originGossip.js";
+import type { OriginRecorder } from "./originRecorder.js";
 import { type KnownOrigin, OriginSource, type OriginTable } from "./originTable.js";
 import {
   createStreamKey,
@@ -61,6 +62,7 @@
   readonly records: VersionRecords;
   readonly gossip: Pick<OriginGossip, "callKeepers">;
   readonly archive: Pick<OriginArchive, "readAll">;
+  readonly recorder: Pick<OriginRecorder, "record">;
   /** Whether this instance may not know of the latest versions, because it has heard nothing of endpoints for a while. */
   readonly isViewOld: () => boolean;
   /** Returns a number from 0 to 1, to choose among the services of a route. */
@@ -111,6 +113,7 @@
     const found = await this.findOrigin(request);
     const decision = this.decide(route, found);
     this.record(request, found, decision);
+    this.keepOnlyOrigin(request, found, decision);
     const failure = createFailure(decision, found);
     return failure ? Err(failure) : Ok({ service: decision.service, origin: decision.origin });
   }
@@ -192,6 +195,19 @@
     return isCertain && !isElsewhere ? origin : undefined;
   }
 
+  /**
+   * Has it kept where a stream began that is refused and can have begun at one version only: once streams begin at another one, nobody
+   * could know, and that version may serve again while its caller still comes back.
+   */
+  private keepOnlyOrigin(
+    request: RoutedRequest,
+    { known }: FoundOrigin,
+    { outcome, origin }: TakeUpDecision,
+  ): void {
+    const isFound = !known && outcome === TakeUpOutcome.VersionGone && isBegun(origin);
+    if (isFound && request.head.resumes !== undefined) void this.options.recorder.record(request, origin);
+  }
+
   private isServed(origin: StreamOrigin): boolean {
     return this.options.directory
       .getOfService(origin.service)
--- a/packages/gateway/test/oldViews.test.ts
+++ b/packages/gateway/test/oldViews.test.ts
@@ -62,6 +62,7 @@
     records,
     gossip: { callKeepers: async () => answer },
     archive: { readAll: async () => false },
+    recorder: { record: () => undefined },
     isViewOld: () => isViewOld,
     getRandom: () => 0,
   });
--- a/packages/gateway/test/originMember.ts
+++ b/packages/gateway/test/originMember.ts
@@ -223,6 +223,7 @@
         (await gossip.confirmJoining(name, codes)) && (await archive.flush()),
       getRandom: random,
     });
+    const recorder = OriginRecorder.create({ table, records, gossip, keeper });
     const takeUps = TakeUps.create({
       clock,
       logger: Logger.createSilent(),
@@ -233,10 +234,10 @@
       records,
       gossip,
       archive,
+      recorder,
       isViewOld: () => this.isViewOld,
       getRandom: random,
     });
-    const recorder = OriginRecorder.create({ table, records, gossip, keeper });
     const items = VersionItems.create(kept);
     return { history, items, records, versionRecorder, archive, takeUps, recorder };
   }
