Wait a second for the archive of streams before a take-up is refused

A stream that no keeper knows is looked up in the archive, and was refused with StreamOriginUnknown if the store had not replied after 300 ms, although it keeps where the stream began. It is waited for a second now. Where the store is dark, the refusal comes later by that.

--- a/packages/gateway/src/origins/originArchive.ts
+++ b/packages/gateway/src/origins/originArchive.ts
@@ -32,9 +32,10 @@
 const handoverMs = 3_000;
 /** Time between two removals of old segments while nothing is written. */
 const removalIntervalMs = 5_000;
-/** Time for which what was read counts as current, and the longest wait for a read. */
+/** Time for which what was read counts as current. */
 const freshMs = 100;
-const maxReadMs = 300;
+/** Longest wait for a read: a store under load replies after several hundred milliseconds, and without it the stream is refused. */
+const maxReadMs = 1_000;
 
 const archiveSchema = v.object({
   /** Entries as in messages between instances, in base64. */
