--- a/packages/gateway/test/originMember.ts
+++ b/packages/gateway/test/originMember.ts
@@ -224,6 +224,7 @@
         (await gossip.confirmJoining(name, codes)) && (await archive.flush()),
       getRandom: random,
     });
+    const recorder = OriginRecorder.create({ table, records, gossip, keeper });
     const takeUps = TakeUps.create({
       clock,
       logger: Logger.createSilent(),
@@ -234,10 +235,10 @@
       records,
       gossip,
       archive,
+      recorder,
       isViewOld,
       getRandom: random,
     });
-    const recorder = OriginRecorder.create({ table, records, gossip, keeper });
     const items = VersionItems.create(kept);
     return { history, items, records, versionRecorder, archive, takeUps, recorder };
   }
