Pause the connection of an upload that waits for room, as that of a response

Cause: an upload that waits for room paused its message only. The parser went on until it had buffered 16 KiB and one more read, in chunks of one byte some 20,000 buffers of each upload.

Change: readPause.ts pauses and resumes in both directions.

--- a/packages/gateway/src/bodies/bodyReader.ts
+++ b/packages/gateway/src/bodies/bodyReader.ts
@@ -10,7 +10,8 @@
 import { BodyBuffer } from "./bodyBuffer.js";
 import type { HeldBytes, HeldShare } from "./heldBytes.js";
 import type { LinkPace } from "./linkPace.js";
-import { getPartCost, pauseReading, ReadGate, resumeReading } from "./readGate.js";
+import { getPartCost, ReadGate } from "./readGate.js";
+import { pauseReading, resumeReading } from "./readPause.js";
 
 /** Options of a reader. */
 export interface BodyReaderOptions {
--- a/packages/gateway/src/bodies/readGate.ts
+++ b/packages/gateway/src/bodies/readGate.ts
@@ -4,10 +4,10 @@
  * @module
  */
 import type { IncomingMessage, ServerResponse } from "node:http";
-import type { Socket } from "node:net";
 import type { Clock } from "@gladewall/kernel";
 import { containThrows } from "../failures/containedFailures.js";
 import { BodyExtent, type LinkPace } from "./linkPace.js";
+import { pauseReading, resumeReading } from "./readPause.js";
 
 /** Options of a gate. */
 export interface ReadGateOptions {
@@ -36,27 +36,6 @@
   return Math.max(minPartBytes, partBytes);
 }
 
-/**
- * Pauses the reading of a message until it is resumed, and of its connection: the message alone would let the parser go on until it has
- * buffered its usual number of bytes, which in parts of one byte each take some hundred times as much memory.
- */
-export function pauseReading(message: IncomingMessage): void {
-  message.pause();
-  getSocket(message)?.pause();
-}
-
-/** Resumes the reading of a message and of its connection. */
-export function resumeReading(message: IncomingMessage): void {
-  message.resume();
-  getSocket(message)?.resume();
-}
-
-/** Returns the connection of a message; undefined once all of the message has been received, and the connection may be another one's. */
-function getSocket({ complete, socket }: IncomingMessage): Socket | undefined {
-  const owner: Socket | null = socket;
-  return complete ? undefined : (owner ?? undefined);
-}
-
 /** Pauses and resumes the reading of one body. */
 export class ReadGate {
   private readonly extent: BodyExtent;
--- a/packages/gateway/src/bodies/requestBody.ts
+++ b/packages/gateway/src/bodies/requestBody.ts
@@ -9,6 +9,7 @@
 import { BodyBuffer } from "./bodyBuffer.js";
 import { containThrows } from "../failures/containedFailures.js";
 import type { HeldBytes, HeldShare } from "./heldBytes.js";
+import { pauseConnection, resumeConnection } from "./readPause.js";
 
 /** Bounds of a body. */
 export interface RequestBodyBounds {
@@ -46,6 +47,8 @@
   });
   if (isComplete.isOk()) return Ok({ bytes: body.take(), release: () => share.close() });
   share.close();
+  // What is left of a refused body is read by whoever refuses it.
+  resumeConnection(message);
   return isComplete;
 }
 
@@ -72,8 +75,8 @@
       if (isReserved || body.length <= smallBodyBytes) return;
       // Nothing tells how long it will be.
       isReserved = true;
-      message.pause();
-      void reserve(share, limit, gone).then(() => message.resume(), reject);
+      pauseConnection(message);
+      void reserve(share, limit, gone).then(() => resumeConnection(message), reject);
     };
     message.on("data", containThrows(add, reject));
     message.on("end", () => resolve(Ok(undefined)));
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -31,6 +31,7 @@
 export { LinkPace } from "./bodies/linkPace.js";
 export { EventHold } from "./responses/eventHold.js";
 export { ReadGate } from "./bodies/readGate.js";
+export { readRequestBody } from "./bodies/requestBody.js";
 export { HeldBytes } from "./bodies/heldBytes.js";
 export { EndChecker, type EndCheckerOptions } from "./responses/endChecker.js";
 export {
--- a/packages/gateway/src/responses/eventHold.ts
+++ b/packages/gateway/src/responses/eventHold.ts
@@ -4,7 +4,7 @@
  * @module
  */
 import type { IncomingMessage } from "node:http";
-import { pauseReading, resumeReading } from "../bodies/readGate.js";
+import { pauseReading, resumeReading } from "../bodies/readPause.js";
 import { containThrows } from "../failures/containedFailures.js";
 
 /** Holds the events of one stream. */
--- a/packages/gateway/test/requestBodies.test.ts
+++ b/packages/gateway/test/requestBodies.test.ts
@@ -1,9 +1,11 @@
 /*
- * Guards the memory of an instance against many long uploads at once: 64 of 4 MB took 577 MB. The next is read once there is room.
+ * Guards the memory of an instance against many long uploads at once: 64 of 4 MB took 577 MB. The next is read once there is room. An
+ * upload in chunks of one byte that waited for room had some 20,000 buffers of the parser.
  */
-import { request } from "node:http";
-import { connect } from "node:net";
-import { HeldBytes } from "@gladewall/gateway";
+import { once } from "node:events";
+import { createServer, get, type IncomingMessage, request } from "node:http";
+import { type AddressInfo, connect } from "node:net";
+import { HeldBytes, readRequestBody } from "@gladewall/gateway";
 import {
   type BenchInstance,
   createRoute,
@@ -71,6 +73,52 @@
   await waitUntil(() => held.held === 0);
 });
 
+/** Bytes of a body that is read without waiting for room, and what one read of its connection may add. */
+const smallBodyBytes = 65_536;
+const readBytes = 65_536;
+/** Requests over other connections; each takes a turn of the loop in which all connections that have bytes are read. */
+const turns = 50;
+
+t.test("an upload in chunks of one byte that waits for room leaves no buffers at the parser", async (t) => {
+  const held = HeldBytes.create(2 * megabyte);
+  const others = held.open();
+  others.set(2 * megabyte);
+  const uploads: IncomingMessage[] = [];
+  const bodies: Promise<Buffer>[] = [];
+  const server = createServer((message, response) => {
+    if (message.method === "GET") return void response.end();
+    uploads.push(message);
+    const read = readRequestBody(message, { limit: megabyte, held });
+    bodies.push(read.then((body) => body.unwrap().bytes));
+  });
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  const { port } = server.address() as AddressInfo;
+  const socket = connect(port, "127.0.0.1");
+  t.teardown(() => {
+    socket.destroy();
+    server.closeAllConnections();
+    server.close();
+  });
+  const sentBytes = 200_000;
+  const chunk = "1\r\nx\r\n";
+  socket.write("POST / HTTP/1.1\r\nHost: app.test\r\nTransfer-Encoding: chunked\r\n\r\n");
+  socket.write(`${chunk.repeat(sentBytes)}0\r\n\r\n`);
+  await waitUntil(() => (uploads[0]?.socket.bytesRead ?? 0) >= smallBodyBytes * chunk.length);
+  for (let turn = 0; turn < turns; turn++) {
+    const [response] = (await once(get({ port, host: "127.0.0.1", agent: false }), "response")) as [
+      IncomingMessage,
+    ];
+    await once(response.resume(), "end");
+  }
+  const [upload] = uploads;
+  t.equal(upload!.readableLength, 0, "parts that the parser has passed on are not kept as they are");
+  const { bytesRead } = upload!.socket;
+  t.ok(bytesRead <= smallBodyBytes * chunk.length + 2 * readBytes, `${bytesRead} bytes were read`);
+  others.close();
+  t.equal((await bodies[0])!.toString(), "x".repeat(sentBytes));
+});
+
 t.test("callers that leave give their room to others", async (t) => {
   const { endpoint, instance, held } = await startInstance(t);
   endpoint.script = () => undefined;
