Contain the counting of a forwarded body, and count in its one listener

Cause: forwardTo had two listeners of a body's parts; the one that counts them was not contained.

Change: one contained listener counts and forwards a part.

Result: containedFailures.test.ts passes as before; nothing else changes.

--- a/packages/gateway/src/bodies/bodyReader.ts
+++ b/packages/gateway/src/bodies/bodyReader.ts
@@ -89,18 +89,21 @@
     const gate = ReadGate.create(message, caller, { clock, pace, mayWait, fail });
     this.gate = gate;
     return new Promise((resolve) => {
-      const forward = containThrows((part: Buffer) => {
+      const forward = (part: Buffer): void => {
         caller.write(part);
         gate.record(part);
-      }, fail);
+      };
+      const receive = (part: Buffer): void => {
+        this.receivedBytes += part.length;
+        forward(part);
+      };
       const finish = (): void => resolve(readEndOrFail(this.response, fail));
-      message.on("data", forward);
-      message.on("data", ({ length }: Buffer) => (this.receivedBytes += length));
+      message.on("data", containThrows(receive, fail));
       message.on("end", finish);
       message.on("close", finish);
       resumeReading(message);
       if (message.destroyed) finish();
-      else forward(begin);
+      else containThrows(forward, fail)(begin);
     });
   }
 
