Find the guard of paused connections where it is now

Cause: pausing moved to readPause.ts; mutantGuards.test.ts failed, as the text of the guard was no longer in readGate.ts.

Change: the mutant removes the pause from readPause.ts, and what would pause again. It is as strict as before: nothing is paused but the message.

--- a/scripts/mutantGuards.mjs
+++ b/scripts/mutantGuards.mjs
@@ -122,8 +122,8 @@
   {
     name: "paused-connections",
     runSoak: runSmallChunkSoak,
-    file: `${gateway}bodies/readGate.ts`,
-    edits: [["getSocket(message)?.pause();", ""]],
+    file: `${gateway}bodies/readPause.ts`,
+    edits: [["pausedMessages.set(socket, message);\n  socket.pause();", ""]],
   },
   {
     name: "once-only-requests",
