--- a/packages/gateway/src/bodies/bodyReader.ts
+++ b/packages/gateway/src/bodies/bodyReader.ts
@@ -10,7 +10,8 @@
 import { BodyBuffer } from "./bodyBuffer.js";
 import type { HeldBytes, HeldShare } from "./heldBytes.js";
 import type { LinkPace } from "./linkPace.js";
-import { getPartCost, pauseReading, ReadGate, resumeReading } from "./readGate.js";
+import { getPartCost, ReadGate } from "./readGate.js";
+import { pauseReading, resumeReading } from "./readPause.js";
 
 /** Options of a reader. */
 export interface BodyReaderOptions {
@@ -88,18 +89,21 @@
     const gate = ReadGate.create(message, caller, { clock, pace, mayWait, fail });
     this.gate = gate;
     return new Promise((resolve) => {
-      const forward = containThrows((part: Buffer) => {
+      const forward = (part: Buffer): void => {
         caller.write(part);
         gate.record(part);
-      }, fail);
+      };
+      const receive = (part: Buffer): void => {
+        this.receivedBytes += part.length;
+        forward(part);
+      };
       const finish = (): void => resolve(readEndOrFail(this.response, fail));
-      message.on("data", forward);
-      message.on("data", ({ length }: Buffer) => (this.receivedBytes += length));
+      message.on("data", containThrows(receive, fail));
       message.on("end", finish);
       message.on("close", finish);
       resumeReading(message);
       if (message.destroyed) finish();
-      else forward(begin);
+      else containThrows(forward, fail)(begin);
     });
   }
 
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -27,10 +27,13 @@
 export { Admission } from "./limits/admission.js";
 export { MemberRecords } from "./fleet/memberRecords.js";
 export { findHeadFault, HeadFault } from "./responses/responseHead.js";
+export { PoolAgent } from "./endpoints/endpointConnections.js";
 export { BodyReader } from "./bodies/bodyReader.js";
 export { LinkPace } from "./bodies/linkPace.js";
 export { EventHold } from "./responses/eventHold.js";
 export { ReadGate } from "./bodies/readGate.js";
+export { pauseReading, resumeReading } from "./bodies/readPause.js";
+export { readRequestBody } from "./bodies/requestBody.js";
 export { HeldBytes } from "./bodies/heldBytes.js";
 export { EndChecker, type EndCheckerOptions } from "./responses/endChecker.js";
 export {
