Share places out by the size of the fleet that the store remembers

An instance that lists nobody took itself for the whole fleet where it shares out the places of a service: it was linked with all that it listed, and decided on all places at endpoints that crash if they get too much, as did each other instance that started beside it after the leases of all records had run out. Limits have gone by the remembered size until the list is known; slots went by the listed one.

They now go by the same size: until the list is known, one that is linked with less than a third of that many grants one request at each endpoint.

--- a/packages/gateway/src/limits/limitParts.ts
+++ b/packages/gateway/src/limits/limitParts.ts
@@ -151,7 +151,7 @@
   const ownName = settings.instance.name;
   const own = { name: ownName, incarnation };
   const getRefusalLimit = (service: string): number | undefined => brittle.getLimit(service);
-  const getFleetSize = (): number => members.getFleetSize();
+  const getFleetSize = (): number => members.getServingSize();
   const base = { clock, logger, directory, overload, getRefusalLimit, getFleetSize };
   const contention = SlotContention.create(base);
   const { slotArbiters: arbiters } = members;
--- a/packages/gateway/test/fleetSize.test.ts
+++ b/packages/gateway/test/fleetSize.test.ts
@@ -2,10 +2,17 @@
  * Guards against an instance that takes an empty list of members for a fleet of one. After the leases of all records had ended, each
  * of eight instances that started together listed nobody for 0.45 s and granted the whole of a limit.
  */
-import t from "tap";
+import t, { type Test } from "tap";
 import { FleetShare, FleetSizeItem } from "@gladewall/gateway";
-import { Logger, VirtualClock } from "@gladewall/kernel";
-import { FakePlatform, GatewayTestBench, waitUntil } from "@gladewall/standins";
+import { Logger, LogLevel, VirtualClock } from "@gladewall/kernel";
+import {
+  type EndpointRequest,
+  FakePlatform,
+  GatewayTestBench,
+  respondSuccess,
+  ScriptedEndpoint,
+  waitUntil,
+} from "@gladewall/standins";
 
 const key = "gladewall/fleet-size";
 const lowerMs = 60_000;
@@ -122,22 +129,52 @@
   t.end();
 });
 
-t.test("an instance that starts when all records have ended takes its part of a limit only", async (t) => {
-  const bench = GatewayTestBench.create();
+/** Starts four instances, ends them and the leases of their records, and starts one whose record the store does not take. */
+async function startUnlisted(t: Pick<Test, "teardown">, logger = Logger.createSilent()) {
+  const bench = GatewayTestBench.create(undefined, logger);
   const { shared } = bench.platform;
   bench.platform.configure({});
   t.teardown(() => bench.close());
-  const instances = await Promise.all([bench.start(), bench.start(), bench.start()]);
-  await waitUntil(() => shared.entries.has(key));
+  const instances = await Promise.all([bench.start(), bench.start(), bench.start(), bench.start()]);
+  await waitUntil(() => shared.entries.get(key)?.value.toString() === '{"instances":4}');
   await Promise.all(instances.map(({ gateway }) => gateway.close()));
   shared.endAllLeases();
   // The record of this start is not written, as with a store that takes no records for a while.
   const grant = shared.grant.bind(shared);
   shared.grant = () => "none";
-  const { gateway } = await bench.start(["instance.first_start=false"]);
-  await waitUntil(() => gateway.isReady());
+  const started = await bench.start(["instance.first_start=false"]);
+  await waitUntil(() => started.gateway.isReady());
+  return { bench, instances, started, takeRecords: () => void (shared.grant = grant) };
+}
+
+t.test("an instance that starts when all records have ended takes its part of a limit only", async (t) => {
+  const { instances, started, takeRecords } = await startUnlisted(t);
+  const { gateway } = started;
   t.equal(gateway.fleetSize, 1);
   t.equal(gateway.knownShare, 1 / instances.length);
-  shared.grant = grant;
+  takeRecords();
   await waitUntil(() => gateway.knownShare === 1);
 });
+
+t.test("nor does it decide on all places at endpoints that crash if they get too much", async (t) => {
+  const phases: (string | undefined)[] = [];
+  const logger = Logger.create(LogLevel.Info, {}, (line) => {
+    if (line.includes("slot.term")) phases.push(/phase\W+(\w+)/.exec(line)?.[1]);
+  });
+  const { bench, started, takeRecords } = await startUnlisted(t, logger);
+  const endpoint = await ScriptedEndpoint.create("brittle", (call: EndpointRequest) => {
+    call.response.setHeader("x-brittle", "0");
+    respondSuccess(call);
+  });
+  t.teardown(() => endpoint.close());
+  bench.platform.shared.put("gladewall/brittle/web", JSON.stringify({ service: "web", limit: 0 }));
+  bench.platform.putEndpoint({ id: "brittle", address: endpoint.address, slots: 4 });
+  await waitUntil(() => started.gateway.countEndpoints("web") === 1);
+  const callUntil = async (isDone: () => boolean): Promise<void> => {
+    while (!isDone()) await bench.call(started);
+  };
+  await callUntil(() => phases.length > 0);
+  t.notOk(phases.includes("Deciding"), "others may be granting the same places");
+  takeRecords();
+  await callUntil(() => phases.includes("Deciding"));
+});
