Believe keepers that are cut off too only if they are the most

An instance that has heard nothing of endpoints for 1.5 s goes on with a stream if the keepers know of one version and half of them replied: then the store was taken to be dark for all. Exactly half was enough, and an instance counted itself also where it is no keeper. With four of eight instances cut off from the store and from the others, or in a large fleet with one reader of three linked, the others open a version after 1.5 s, and a stream of it that was taken up on the cut-off side went on at the other version.

More than half must reply, and an instance counts itself only if it is a keeper. Where the store is dark and just half of a fleet has ended, what nobody knows is refused now until a keeper has heard of endpoints again, or the ended instances are listed no more.

oldViews.test.ts: the new test failed before (1 of 3, 2 of 5 and 4 of 8 were believed). What the other tests there say of half of the keepers is the same under a new name. originFleet, originFleetLarge, rejoinedFleet, rejoinedTakeUps, streamVersions, takenUpStreams, takenUpVersions, resumedStreams, readers and largeFleet: no failure.

--- a/packages/gateway/src/fleet/members.ts
+++ b/packages/gateway/src/fleet/members.ts
@@ -162,17 +162,11 @@
       send: (peer, message) => void this.links.send(peer, message),
     });
     const { links, roles, feed, work, views, peerClocks, silentPeers } = this;
-    const getKnownShare = (): number => this.getKnownShare();
+    const exchanged = { links, roles, feed, work, views, peerClocks, silentPeers };
     this.reports = ReportExchange.create({
       ...options,
-      links,
-      roles,
-      feed,
-      work,
-      views,
-      peerClocks,
-      silentPeers,
-      getKnownShare,
+      ...exchanged,
+      getKnownShare: () => this.getKnownShare(),
     });
     this.listen();
   }
@@ -223,6 +217,11 @@
     return this.roles.getKeepers().length;
   }
 
+  /** Whether this instance is a keeper. */
+  get isKeeper(): boolean {
+    return this.roles.getKeepers().includes(this.options.name);
+  }
+
   /** Whether all keepers are linked, except this instance itself. */
   get hasAllKeepers(): boolean {
     return this.roles.getKeepers().every((name) => name === this.options.name || this.links.isLinked(name));
--- a/packages/gateway/src/origins/originGossip.ts
+++ b/packages/gateway/src/origins/originGossip.ts
@@ -35,6 +35,8 @@
   readonly hasAllKeepers: boolean;
   /** Number of keepers that are listed, including this instance if it is one. */
   readonly keeperCount: number;
+  /** Whether this instance is a keeper. */
+  readonly isKeeper: boolean;
   /** Whether every instance is a keeper. */
   readonly isMesh: boolean;
   /** Returns what a linked peer last told of its uptime; undefined if that is long ago. */
@@ -66,8 +68,8 @@
   readonly isVouched: boolean;
   /** Whether a keeper that replied has heard of endpoints lately. */
   readonly isFresh: boolean;
-  /** Whether half of the keepers have replied, this instance among them. */
-  readonly isHalf: boolean;
+  /** Whether most of the keepers have replied; this instance counts as one of them if it is a keeper. */
+  readonly isMajority: boolean;
   /** Keepers that were called, and those of them that did not reply. */
   readonly called: number;
   readonly silent: number;
@@ -136,7 +138,7 @@
   private async callKeepersOnce(key: number, services: readonly string[]): Promise<OriginAnswer> {
     const { fleet } = this.options;
     const keepers = fleet.getKeepers();
-    const { keeperCount, hasAllKeepers: hasCalledAll } = fleet;
+    const { keeperCount, isKeeper, hasAllKeepers: hasCalledAll } = fleet;
     const message: OriginCall = { kind: OriginMessageKind.Call, key, services };
     const begun = new Set<number>();
     let silent = 0;
@@ -154,9 +156,9 @@
       return decoded.code;
     });
     const code = await findFirst(replies);
-    const isHalf = 2 * (keepers.length - silent + 1) >= keeperCount;
+    const isMajority = 2 * (keepers.length - silent + (isKeeper ? 1 : 0)) > keeperCount;
     const called = keepers.length;
-    return { code, begun, hasSeveral, isVouched, isFresh, isHalf, called, silent, hasCalledAll };
+    return { code, begun, hasSeveral, isVouched, isFresh, isMajority, called, silent, hasCalledAll };
   }
 
   /** Whether a keeper would know of further versions: it says so, or has run for longer than streams may be taken up. */
--- a/packages/gateway/src/origins/takeUps.ts
+++ b/packages/gateway/src/origins/takeUps.ts
@@ -181,11 +181,11 @@
     const [origin, ...others] = services.flatMap((service) => records.listBegun(service));
     if (!origin || others.length > 0) return undefined;
     if (!answer) return this.mayDiffer(route) ? undefined : origin;
-    const { begun, isVouched, isFresh, isHalf } = answer;
+    const { begun, isVouched, isFresh, isMajority } = answer;
     const isElsewhere = [...begun].some((other) => other !== encodeOrigin(origin));
     const isProven = isVouched || services.every((service) => records.isProven(service));
-    // Where half of the keepers have heard nothing for a while, the store is dark, and no version can have opened.
-    const isLatest = !isViewOld() || isFresh || isHalf;
+    // Where most of the keepers have heard nothing for a while, the store is dark, and no version can have opened.
+    const isLatest = !isViewOld() || isFresh || isMajority;
     // Streams that began at a version which has opened since are in the archive.
     const isComplete = !this.mayDiffer(route) || isArchiveRead === true;
     const isCertain = !mayHideVersion(answer) && isProven && isLatest && isComplete;
--- a/packages/gateway/test/oldViews.test.ts
+++ b/packages/gateway/test/oldViews.test.ts
@@ -6,6 +6,7 @@
   type CallerRequestHead,
   GatewayMetrics,
   type OriginAnswer,
+  OriginGossip,
   OriginTable,
   TakeUps,
   VersionHistory,
@@ -13,6 +14,7 @@
 } from "@gladewall/gateway";
 import { Logger, VirtualClock } from "@gladewall/kernel";
 import t from "tap";
+import { Ok } from "ts-results-es";
 import { createKnownEndpoint } from "./knownEndpoints.js";
 import { createKnownRecord, recordKey } from "./recordBench.js";
 import { createStreamRoute } from "./versionedEndpoints.js";
@@ -26,13 +28,19 @@
   hasSeveral: false,
   isVouched: true,
   isFresh: true,
-  isHalf: true,
+  isMajority: true,
   called: 2,
   silent: 0,
   hasCalledAll: true,
 };
 /** What the only keeper replies that is linked, of several. */
-const cutOff: OriginAnswer = { ...reachable, isFresh: false, isHalf: false, called: 1, hasCalledAll: false };
+const cutOff: OriginAnswer = {
+  ...reachable,
+  isFresh: false,
+  isMajority: false,
+  called: 1,
+  hasCalledAll: false,
+};
 
 /** Whether an instance that knows of one version lets a stream go on. */
 async function takesUp(
@@ -77,7 +85,7 @@
   t.notOk(await takesUp("r", { ...reachable, silent: 2 }), "no keeper replies");
   t.notOk(await takesUp("r", { ...reachable, called: 0, hasCalledAll: false }), "no keeper is linked");
   t.notOk(
-    await takesUp("r", { ...reachable, isFresh: false, isHalf: false }),
+    await takesUp("r", { ...reachable, isFresh: false, isMajority: false }),
     "most keepers are out of reach, and none knows more",
   );
   t.ok(await takesUp("r", { ...reachable, isFresh: false }), "the store is dark for all");
@@ -89,6 +97,50 @@
   );
 });
 
+/** Returns whether an instance that called the linked ones of some keepers takes what they say for the latest there is. */
+async function isMajorityReached(linked: number, keeperCount: number, isKeeper: boolean): Promise<boolean> {
+  const clock = VirtualClock.create();
+  const getRetentionMs = (): number => retentionMs;
+  const history = VersionHistory.create({ clock, getRetentionMs });
+  const base = { clock, logger: Logger.createSilent(), history, getRetentionMs };
+  const shared = { isViewOld: () => true, isListed: () => true };
+  const gossip = OriginGossip.create({
+    ...base,
+    ...shared,
+    table: OriginTable.create({ clock, getRetentionMs }),
+    records: VersionRecords.create({ ...base, ...shared, eras: { current: 0 }, isFirstStart: false }),
+    fleet: {
+      links: {
+        setHandler: () => undefined,
+        onLinkUp: () => undefined,
+        send: () => true,
+        call: async () => Ok({ begun: [], proven: true, fresh: false }),
+      },
+      getKeepers: () => Array.from({ length: linked }, (_, index) => `k${index}`),
+      hasAllKeepers: linked + (isKeeper ? 1 : 0) === keeperCount,
+      keeperCount,
+      isKeeper,
+      isMesh: isKeeper,
+      findPeerUptime: () => undefined,
+    },
+  });
+  const answer = gossip.callKeepers(1, ["web"]);
+  await clock.advance(1_000);
+  return (await answer).isMajority;
+}
+
+t.test("keepers that are cut off with an instance are believed only if they are the most", async (t) => {
+  t.notOk(
+    await isMajorityReached(1, 3, false),
+    "an instance of a large fleet, linked with one reader of three",
+  );
+  t.ok(await isMajorityReached(2, 3, false));
+  t.notOk(await isMajorityReached(2, 5, false), "with two keepers of five");
+  t.notOk(await isMajorityReached(3, 8, true), "one of four in a fleet of eight");
+  t.ok(await isMajorityReached(4, 8, true));
+  t.ok(await isMajorityReached(1, 2, true));
+});
+
 t.test(
   "an instance whose view is old goes on with a stream if a keeper has heard lately of one version only",
   async (t) => {
--- a/packages/gateway/test/originMember.ts
+++ b/packages/gateway/test/originMember.ts
@@ -258,6 +258,7 @@
       },
       isMesh: fleet.isMesh,
       keeperCount: fleet.keeperCount,
+      isKeeper: this.index < fleet.keeperCount,
       findPeerUptime: () => undefined,
     };
   }
