--- a/packages/gateway/test/originMember.ts
+++ b/packages/gateway/test/originMember.ts
@@ -259,6 +259,7 @@
       },
       isMesh: fleet.isMesh,
       keeperCount: fleet.keeperCount,
+      isKeeper: this.index < fleet.keeperCount,
       findPeerUptime: () => undefined,
     };
   }
