Send no retry whose caller left before what ended the last attempt was read

Cause: an instance that had been delayed read the end of an attempt and the end of its caller's connection in one turn of the event loop, and sent the retry before, or a moment after, it knew that the caller had gone: the close of a response is reported some turns after the end of its connection. In a trace of the response soak beside load a retry was sent 3 ms before the end of the caller's connection was read, 110 ms after the caller had left, and another 6 ms after it was read.

Change: a request waits until the event loop has read from all connections once more before another attempt, and looks at its caller's connection before it is charged and before it is sent.

--- a/packages/gateway/src/requests/activeRequest.ts
+++ b/packages/gateway/src/requests/activeRequest.ts
@@ -7,6 +7,7 @@
  */
 import { Failure, FailureCode, type Timer } from "@gladewall/kernel";
 import type { RequestOutcome, ActiveRequestParts, ActiveRequestInput } from "./activeRequestTypes.js";
+import { isCallerGone, waitForNextRead } from "./callerPresence.js";
 import { containThrows, FailurePlace } from "../failures/containedFailures.js";
 import { AttemptStage } from "./attemptStage.js";
 import { PermitStage } from "./permitStage.js";
@@ -86,6 +87,9 @@
 
   private async attemptOnce(): Promise<NextStep> {
     const { context } = this;
+    // What ended the last attempt may have been received together with the end of the caller's connection.
+    if (context.history.arrivals > 0) await waitForNextRead();
+    if (this.endIfCallerGone()) return NextStep.Done;
     if (!context.isServable())
       return this.failUnplaced(createRefusal(FailureCode.NoEndpoint, context.request.service));
     if (!(await this.permitStage.chargeRun())) return NextStep.Fail;
@@ -138,6 +142,7 @@
 
   /** Takes the retry last, so that it arrives at the endpoint when it counts as taken. */
   private async sendWithRetry(placement: Placement): Promise<NextStep> {
+    if (this.endIfCallerGone()) return NextStep.Done;
     return (await this.permitStage.acquireRetry()) ? this.attemptStage.run(placement) : NextStep.Fail;
   }
 
@@ -183,6 +188,13 @@
     }
   }
 
+  /** Ends the request if its caller has left, which the close of the response tells some turns of the event loop later. */
+  private endIfCallerGone(): boolean {
+    const { message, response } = this.context.request;
+    if (isCallerGone(message, response)) this.handleCallerGone();
+    return this.context.isOver;
+  }
+
   private handleCallerGone(): void {
     const { context } = this;
     if (context.isOver || context.request.response.writableFinished) return;
--- a/packages/gateway/test/goneCallers.test.ts
+++ b/packages/gateway/test/goneCallers.test.ts
@@ -10,9 +10,12 @@
 import {
   type BenchInstance,
   createRoute,
+  type EndpointRequest,
   GatewayTestBench,
+  respondNotRun,
   respondSuccess,
   ScriptedEndpoint,
+  waitUntil,
 } from "@gladewall/standins";
 
 const callers = 8;
@@ -46,6 +49,20 @@
   return sockets;
 }
 
+/** Holds requests until each endpoint has one, so that an open connection leads to each afterwards. */
+async function warmUp(
+  bench: GatewayTestBench,
+  instance: BenchInstance,
+  endpoints: readonly ScriptedEndpoint[],
+): Promise<void> {
+  const held: EndpointRequest[] = [];
+  for (const endpoint of endpoints) endpoint.script = (call) => void held.push(call);
+  const served = Array.from({ length: callers }, () => bench.call(instance));
+  await waitUntil(() => held.length === callers && endpoints.every(({ requests }) => requests.length > 0));
+  held.forEach(respondSuccess);
+  await Promise.all(served);
+}
+
 /** Sends a request on each connection and closes it, both before the instance can read anything. */
 function sendAndLeave(sockets: readonly Socket[], method: string, body: string): void {
   for (const [index, socket] of sockets.entries()) {
@@ -91,6 +108,31 @@
   t.ok(endpoint.requests.every(({ id }) => id.startsWith("before")));
 });
 
+t.test("a request whose caller leaves while an endpoint refuses it is not sent to another one", async (t) => {
+  const { bench, endpoint: first, instance, waitForEnds } = await startFleet(t, RouteKind.Safe);
+  const second = await ScriptedEndpoint.create("f", respondSuccess);
+  t.teardown(() => second.close());
+  bench.platform.putEndpoint({ id: "f", address: second.address });
+  await waitUntil(() => instance.gateway.countEndpoints("web") === 2);
+  const endpoints = [first, second];
+  await warmUp(bench, instance, endpoints);
+  const known = first.requests.length + second.requests.length;
+  const sockets = await openConnections(instance);
+  for (const endpoint of endpoints) {
+    endpoint.script = (call) => {
+      respondNotRun(call);
+      sockets[Number(call.id.slice("gone".length))]!.destroy();
+    };
+  }
+  for (const [index, socket] of sockets.entries()) {
+    socket.write(`GET / HTTP/1.1\r\nhost: app.test\r\nx-id: gone${index}\r\n\r\n`);
+  }
+  await waitForEnds();
+  for (const endpoint of endpoints) endpoint.script = respondSuccess;
+  t.equal((await bench.call(instance, { id: "after" })).status, 200);
+  t.equal(first.requests.length + second.requests.length, known + callers + 1);
+});
+
 t.test("a request is served although the next one of its caller is received with it", async (t) => {
   const { endpoint, instance } = await startFleet(t, RouteKind.Unsafe);
   const [socket] = await openConnections(instance, 1);
