Play parts of prompts that crash their endpoints later

Cause: the plays of parts on the step clock had endpoints crash 60 ms after a response had begun. What happens later, and with several deadly parts at once, was known from single plays.

Change: a play states when its endpoints crash. No code of the gateway changes.

--- a/packages/gateway/test/partFleet.ts
+++ b/packages/gateway/test/partFleet.ts
@@ -48,6 +48,8 @@
   readonly plainMs?: number;
   readonly streamMs?: number;
   readonly trouble?: PlayTrouble;
+  /** Milliseconds from the begin of a deadly response until its endpoint crashes. */
+  readonly crashAfterMs?: number;
   /** Called with the lines of the instances' logs. */
   readonly onLog?: ((line: string) => void) | undefined;
 }
@@ -98,9 +100,9 @@
 const restartMs = 900;
 const linkMs = 200;
 const reconcileMs = 250;
-/** Time from the arrival of a request until its response begins, and from there until its endpoint crashes. */
+/** Time from the arrival of a request until its response begins, and from there until its endpoint crashes where the play states none. */
 const beginMs = 30;
-const crashMs = 60;
+const usualCrashMs = 60;
 const connectMs = 2;
 const maxAttempts = 3;
 const timeoutMs = 4_000;
@@ -282,7 +284,7 @@
   /** Runs a request at an endpoint. */
   run(id: string, request: PlayRequest, onBegin: () => void): Promise<RunEnd> {
     const { clock } = this;
-    const { isDeadly, plainMs = 120, streamMs = 3_000 } = this.options;
+    const { isDeadly, plainMs = 120, streamMs = 3_000, crashAfterMs = usualCrashMs } = this.options;
     const life = this.lives.get(id);
     if (life?.isUp !== true) return waitFor(clock, connectMs).then(() => RunEnd.Refused);
     if (isDeadly(request, clock.getTime())) this.deadlyArrivals.push({ at: clock.getTime(), request });
@@ -295,7 +297,8 @@
       clock.startTimer(beginMs, () => {
         if (!life.runs.has(end)) return;
         if (request.isStream) onBegin();
-        if (isDeadly(request, clock.getTime())) clock.startTimer(crashMs, () => this.crash(life, request));
+        if (isDeadly(request, clock.getTime()))
+          clock.startTimer(crashAfterMs, () => this.crash(life, request));
         else
           clock.startTimer(
             request.isStream ? streamMs : plainMs,
--- a/packages/gateway/test/partPlays.ts
+++ b/packages/gateway/test/partPlays.ts
@@ -21,6 +21,8 @@
   /** Milliseconds of a response and a stream. */
   readonly plainMs?: number;
   readonly streamMs?: number;
+  /** Milliseconds from the begin of a deadly response until its endpoint crashes. */
+  readonly crashAfterMs?: number;
   readonly lengthMs?: number;
   readonly soundPerSecond?: number;
   readonly badPerSecond?: number;
