--- a/packages/gateway/src/endpoints/endpointConnections.ts
+++ b/packages/gateway/src/endpoints/endpointConnections.ts
@@ -4,11 +4,10 @@
  * @module
  */
 import { Agent, type ClientRequest, type ClientRequestArgs } from "node:http";
-import type { Socket } from "node:net";
+import { connect, type Socket } from "node:net";
 import type { Duplex } from "node:stream";
 import { destroyIdleSockets, parseAddress } from "@gladewall/kernel";
 import type { Endpoint } from "./endpoint.js";
-import { openConnection } from "./readSizes.js";
 import { trackConnectionEnd } from "../responses/connectionEnds.js";
 
 const maxIdle = 32;
@@ -25,7 +24,7 @@
   }
 
   override createConnection(options: ClientRequestArgs): Socket {
-    const socket = openConnection({
+    const socket = connect({
       host: options.host ?? "",
       port: Number(options.port),
       noDelay: true,
