--- a/review/standins-2/clients.mjs
+++ b/review/standins-2/clients.mjs
@@ -1,13 +1,14 @@
 /** Clients on loopback: one request a call, over a kept connection or a new one. */
 import { Buffer } from "node:buffer";
 import { Agent, request } from "node:http";
+import { clearTimeout, setTimeout } from "node:timers";
 
 export const keptConnections = new Agent({ keepAlive: true });
 let nextId = 1;
 
 /**
  * Sends one request; resolves with what its client has seen: `status` (0 without an answer), the headers, the body, and whether the
- * answer was whole.
+ * answer was whole. A client leaves after `giveUpMs`, if that is given.
  */
 export function send({
   address,
@@ -18,6 +19,7 @@
   headers = {},
   body = "x",
   agent = false,
+  giveUpMs,
 }) {
   const id = `c${String(nextId++).padStart(6, "0")}`;
   const [ip, port] = address.split(":");
@@ -26,6 +28,7 @@
     const finish = (detail) => {
       if (result.endedAt !== undefined) return;
       result.endedAt = Date.now();
+      clearTimeout(timer);
       if (detail !== undefined) result.detail = detail;
       resolve(result);
     };
@@ -39,7 +42,9 @@
         Host: host,
         "X-Gladewall-Request-Id": id,
         ...(key === undefined ? {} : { Authorization: `Token ${key}` }),
-        ...(method === "GET" ? {} : { "Content-Length": Buffer.byteLength(body) }),
+        ...(method === "GET" || "Transfer-Encoding" in headers
+          ? {}
+          : { "Content-Length": Buffer.byteLength(body) }),
         ...headers,
       },
     });
@@ -55,6 +60,8 @@
         finish();
       });
     });
+    const giveUp = () => sent.destroy(new Error("given up"));
+    const timer = giveUpMs === undefined ? undefined : setTimeout(giveUp, giveUpMs);
     sent.end(method === "GET" ? undefined : body);
   });
 }
