--- a/review/standins-2/runners.mjs
+++ b/review/standins-2/runners.mjs
@@ -12,8 +12,8 @@
   #servers = [];
 
   /** `work` serves one request that has been read: it gets the run, the request, its body and the response. */
-  constructor(platform, { service, zone = "zogno", slots = 64, work }) {
-    Object.assign(this, { platform, service, zone, slots, work });
+  constructor(platform, { service, zone = "zogno", slots = 64, version = "v1", work }) {
+    Object.assign(this, { platform, service, zone, slots, version, work });
   }
 
   /** Starts a runner and records it in the store. */
@@ -23,10 +23,10 @@
       (message, response) => void this.#serve(id, message, response),
     );
     await new Promise((resolve) => server.listen(0, host, resolve));
-    const { service, zone, slots } = this;
+    const { service, zone, slots, version } = this;
     const addr = `${host}:${server.address().port}`;
     this.#servers.push(server);
-    const record = { service, addr, zone, version: "v1", slots, state: "ready", cold_left_ms: 0, seq: 1 };
+    const record = { service, addr, zone, version, slots, state: "ready", cold_left_ms: 0, seq: 1 };
     this.platform.put(`servers/${id}`, record);
     return { id, addr, record, server };
   }
